--- /dev/null
+++ b/src/backend/mod.rs
@@ -0,0 +1,10 @@
+//! The outgoing edge: backend servers, met by HTTP/1.1. Nothing is decided here.
+//!
+//! Everything that goes out says afterwards what is known of it: [`SendFault::NotSent`] is proof
+//! that no byte of the request left; anything else leaves open whether the request ran.
+
+pub mod engine;
+pub mod pool;
+pub mod sse;
+
+pub use pool::{Exchange, Pool, SendFault};
--- /dev/null
+++ b/src/backend/pool.rs
@@ -0,0 +1,222 @@
+//! Connections to backend servers.
+//!
+//! A connection carries one request at a time and goes back to the pool only after the answer was
+//! read to its end. Whoever drops an [`Exchange`] earlier closes its connection, which is how an
+//! engine learns that a stream is cancelled.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// How long a connection may take to stand.
+const CONNECT_TIME: Duration = Duration::from_millis(1_000);
+
+/// Idle connections kept for one address.
+const IDLE_LIMIT: usize = 64;
+
+/// How long an idle connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Why there is no answer, and what that proves.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SendFault {
+    /// No byte of the request was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The connection broke after bytes may have been sent.
+    #[error("broke off: {0}")]
+    Broke(String),
+    /// No answer in time after bytes may have been sent.
+    #[error("no answer in time")]
+    TimedOut,
+    /// The answer is larger than allowed.
+    #[error("the answer is larger than {0} bytes")]
+    TooLarge(usize),
+}
+
+/// A request that has been answered with a head; the body follows.
+pub struct Exchange {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    home: Option<(Pool, SocketAddr, Sender)>,
+}
+
+impl Exchange {
+    /// The next piece of the body; `None` at its end, after which the connection is pooled again.
+    ///
+    /// # Errors
+    /// [`SendFault::Broke`] when the connection breaks, [`SendFault::TimedOut`] when no piece comes
+    /// within `silence`.
+    pub async fn next(&mut self, silence: Duration) -> Result<Option<Bytes>, SendFault> {
+        loop {
+            let frame = tokio::time::timeout(silence, self.body.frame()).await;
+            match frame {
+                Err(_) => return Err(SendFault::TimedOut),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+                Ok(Some(Err(error))) => return Err(SendFault::Broke(error.to_string())),
+                Ok(None) => {
+                    self.give_back();
+                    return Ok(None);
+                }
+            }
+        }
+    }
+
+    /// Reads the body whole.
+    ///
+    /// # Errors
+    /// As [`Exchange::next`], and when the body is larger than `limit` bytes.
+    pub async fn read_whole(mut self, limit: usize, silence: Duration) -> Result<Bytes, SendFault> {
+        let body = Limited::new(&mut self.body, limit).collect();
+        match tokio::time::timeout(silence, body).await {
+            Err(_) => Err(SendFault::TimedOut),
+            Ok(Ok(collected)) => {
+                self.give_back();
+                Ok(collected.to_bytes())
+            }
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(SendFault::TooLarge(limit))
+            }
+            Ok(Err(error)) => Err(SendFault::Broke(error.to_string())),
+        }
+    }
+
+    fn give_back(&mut self) {
+        if let Some((pool, addr, sender)) = self.home.take() {
+            pool.put(addr, sender);
+        }
+    }
+}
+
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
+/// All connections.
+#[derive(Clone, Default)]
+pub struct Pool {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+}
+
+impl Pool {
+    /// Sends a request and waits for the head of its answer, at most `silence`.
+    ///
+    /// With `fresh` the request goes on a new connection: a pooled one may be closed by the other
+    /// side at the very moment it is used, which would leave open whether the request ran.
+    ///
+    /// # Errors
+    /// What is known of the request then.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        silence: Duration,
+        fresh: bool,
+    ) -> Result<Exchange, SendFault> {
+        let mut request = request;
+        if !fresh {
+            while let Some(sender) = self.take(addr) {
+                match self.send_on(addr, sender, request, silence).await {
+                    Ok(exchange) => return Ok(exchange),
+                    Err((SendFault::NotSent(_), Some(unsent))) => request = unsent,
+                    Err((fault, _)) => return Err(fault),
+                }
+            }
+        }
+        let sender = connect(addr).await?;
+        let sent = self.send_on(addr, sender, request, silence).await;
+        sent.map_err(|(fault, _)| fault)
+    }
+
+    async fn send_on(
+        &self,
+        addr: SocketAddr,
+        mut sender: Sender,
+        request: Request<Full<Bytes>>,
+        silence: Duration,
+    ) -> Result<Exchange, (SendFault, Option<Request<Full<Bytes>>>)> {
+        let sending = tokio::time::timeout(silence, sender.try_send_request(request)).await;
+        match sending {
+            Err(_) => Err((SendFault::TimedOut, None)),
+            Ok(Ok(response)) => {
+                let (parts, body) = response.into_parts();
+                let home = Some((self.clone(), addr, sender));
+                Ok(Exchange {
+                    status: parts.status,
+                    headers: parts.headers,
+                    body,
+                    home,
+                })
+            }
+            Ok(Err(mut error)) => match error.take_message() {
+                // The library gives the request back only when it wrote nothing of it.
+                Some(unsent) => Err((
+                    SendFault::NotSent(error.into_error().to_string()),
+                    Some(unsent),
+                )),
+                None => Err((SendFault::Broke(error.into_error().to_string()), None)),
+            },
+        }
+    }
+
+    fn take(&self, addr: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.get_mut(&addr)?;
+        while let Some(held) = list.pop() {
+            if !held.sender.is_closed() && held.since.elapsed() < IDLE_TIME {
+                return Some(held.sender);
+            }
+        }
+        None
+    }
+
+    fn put(&self, addr: SocketAddr, sender: Sender) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.entry(addr).or_default();
+        if list.len() < IDLE_LIMIT {
+            list.push(Idle {
+                sender,
+                since: Instant::now(),
+            });
+        }
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Result<Sender, SendFault> {
+    let connecting = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(addr)).await;
+    let not_sent = |text: String| SendFault::NotSent(format!("connect to {addr}: {text}"));
+    let stream = match connecting {
+        Err(_) => return Err(not_sent("timed out".to_owned())),
+        Ok(Err(error)) => return Err(not_sent(error.to_string())),
+        Ok(Ok(stream)) => stream,
+    };
+    let _ = stream.set_nodelay(true);
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = shaken.map_err(|error| not_sent(error.to_string()))?;
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/src/blackboard/fleet.rs
@@ -0,0 +1,270 @@
+//! What a node knows of the backend servers: load, who is leaving, who fails.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use tokio::sync::watch;
+
+use crate::ids::{BackendId, Incarnation};
+use crate::state::config::Configuration;
+
+/// Failures in a row after which a backend server is set aside for a while.
+const EJECT_AFTER: u32 = 3;
+
+/// How long the first time; doubled each time up to [`EJECT_LIMIT`].
+const EJECT_FIRST: Duration = Duration::from_millis(1_000);
+
+/// The longest time a backend server is set aside.
+const EJECT_LIMIT: Duration = Duration::from_secs(30);
+
+/// Weight of a new sample in a running mean.
+const MEAN_WEIGHT: f64 = 0.2;
+
+/// That a backend server is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Leaving {
+    /// The life that is leaving. A later life of the same server is not.
+    pub life: Incarnation,
+    /// When its box goes.
+    pub gone: Instant,
+}
+
+/// A load report, as received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// When this was true.
+    pub at: Instant,
+    /// Requests of this node in flight there when it was true, as far as known.
+    pub own: u32,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    load: Option<LoadReport>,
+    leaving: Option<Leaving>,
+    life: Incarnation,
+    failures: u32,
+    ejections: u32,
+    ejected: Option<Instant>,
+    service_time: Option<f64>,
+    prefixes: HashMap<u64, Instant>,
+}
+
+/// What is known of one backend server.
+#[derive(Debug)]
+pub struct BackendState {
+    in_flight: AtomicU32,
+    inner: Mutex<Inner>,
+    leave_signal: watch::Sender<Option<Leaving>>,
+}
+
+impl Default for BackendState {
+    fn default() -> Self {
+        Self {
+            in_flight: AtomicU32::new(0),
+            inner: Mutex::default(),
+            leave_signal: watch::Sender::new(None),
+        }
+    }
+}
+
+impl BackendState {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// This node's requests in flight there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request in flight until the guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> FlightGuard {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        FlightGuard {
+            state: self.clone(),
+        }
+    }
+
+    /// The latest load report.
+    pub fn load(&self) -> Option<LoadReport> {
+        self.lock().load
+    }
+
+    /// Takes a load report.
+    pub fn report(&self, running: u32, waiting: u32, age: Duration) {
+        let at = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
+        let own = self.in_flight();
+        self.lock().load = Some(LoadReport {
+            running,
+            waiting,
+            at,
+            own,
+        });
+    }
+
+    /// Whether it is leaving, and when it goes.
+    pub fn leaving(&self) -> Option<Leaving> {
+        self.lock().leaving
+    }
+
+    /// Follows whether it is leaving.
+    pub fn follow_leaving(&self) -> watch::Receiver<Option<Leaving>> {
+        self.leave_signal.subscribe()
+    }
+
+    /// Takes word that a life is leaving. Word of an earlier life is passed over; `true` if new.
+    pub fn leave(&self, leaving: Leaving) -> bool {
+        let mut inner = self.lock();
+        if leaving.life < inner.life || inner.leaving.is_some_and(|it| it.life >= leaving.life) {
+            return false;
+        }
+        inner.life = leaving.life;
+        inner.leaving = Some(leaving);
+        drop(inner);
+        self.leave_signal.send_replace(Some(leaving));
+        true
+    }
+
+    /// Takes word that a life is there. Only a later life than the leaving one takes that back.
+    pub fn arrive(&self, life: Incarnation) -> bool {
+        let mut inner = self.lock();
+        if life <= inner.life {
+            return false;
+        }
+        *inner = Inner {
+            life,
+            ..Inner::default()
+        };
+        drop(inner);
+        self.leave_signal.send_replace(None);
+        true
+    }
+
+    /// The life known.
+    pub fn life(&self) -> Incarnation {
+        self.lock().life
+    }
+
+    /// Whether it is set aside for its failures.
+    pub fn is_ejected(&self) -> bool {
+        self.lock()
+            .ejected
+            .is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Takes note of a success and how long a request took, in seconds.
+    pub fn succeed(&self, seconds: f64) {
+        let mut inner = self.lock();
+        inner.failures = 0;
+        inner.ejections = 0;
+        inner.ejected = None;
+        let mean = inner.service_time.unwrap_or(seconds);
+        inner.service_time = Some(mean + MEAN_WEIGHT * (seconds - mean));
+    }
+
+    /// Takes note of a failure; `true` when it is set aside for it.
+    pub fn fail(&self) -> bool {
+        let mut inner = self.lock();
+        inner.failures += 1;
+        if inner.failures < EJECT_AFTER {
+            return false;
+        }
+        let time = EJECT_FIRST * 2u32.saturating_pow(inner.ejections.min(8));
+        inner.ejections += 1;
+        inner.failures = EJECT_AFTER - 1;
+        inner.ejected = Some(Instant::now() + time.min(EJECT_LIMIT));
+        true
+    }
+
+    /// The running mean of a request's time there, in seconds.
+    pub fn service_time(&self) -> Option<f64> {
+        self.lock().service_time
+    }
+
+    /// Notes that a prompt whose leading blocks have these hashes was computed there.
+    pub fn note_prefixes(&self, hashes: &[u64], limit: usize) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        inner
+            .prefixes
+            .extend(hashes.iter().map(|hash| (*hash, now)));
+        if inner.prefixes.len() > limit {
+            let mut times: Vec<_> = inner.prefixes.values().copied().collect();
+            times.sort_unstable();
+            let cut = times[times.len() - limit / 2];
+            inner.prefixes.retain(|_, at| *at >= cut);
+        }
+    }
+
+    /// How many of a prompt's leading blocks are likely cached there.
+    pub fn cached_blocks(&self, hashes: &[u64], age: Duration) -> usize {
+        let inner = self.lock();
+        let held = |hash: &&u64| {
+            inner
+                .prefixes
+                .get(hash)
+                .is_some_and(|at| at.elapsed() < age)
+        };
+        hashes.iter().take_while(held).count()
+    }
+}
+
+/// Counts one request in flight to a backend server.
+#[derive(Debug)]
+pub struct FlightGuard {
+    state: Arc<BackendState>,
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.state.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// What is known of every backend server.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    states: RwLock<BTreeMap<BackendId, Arc<BackendState>>>,
+}
+
+impl Fleet {
+    /// Keeps the states of those in the configuration and forgets the rest.
+    pub fn follow(&self, configuration: &Configuration) {
+        let mut states = self.states.write().unwrap_or_else(PoisonError::into_inner);
+        states.retain(|id, _| configuration.backends.contains_key(id));
+        for id in configuration.backends.keys() {
+            states.entry(id.clone()).or_default();
+        }
+    }
+
+    /// The state of one; an unknown one gets a new state.
+    pub fn state(&self, id: &BackendId) -> Arc<BackendState> {
+        if let Some(state) = self.find(id) {
+            return state;
+        }
+        let mut states = self.states.write().unwrap_or_else(PoisonError::into_inner);
+        states.entry(id.clone()).or_default().clone()
+    }
+
+    /// The state of one, where known.
+    pub fn find(&self, id: &BackendId) -> Option<Arc<BackendState>> {
+        let states = self.states.read().unwrap_or_else(PoisonError::into_inner);
+        states.get(id).cloned()
+    }
+
+    /// All states.
+    pub fn all(&self) -> Vec<(BackendId, Arc<BackendState>)> {
+        let states = self.states.read().unwrap_or_else(PoisonError::into_inner);
+        states
+            .iter()
+            .map(|(id, state)| (id.clone(), state.clone()))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/blackboard/mod.rs
@@ -0,0 +1,207 @@
+//! What the node knows at the moment. Controllers write sections, the request path and other
+//! controllers read them.
+//!
+//! A request reads the sections it needs once, when it begins, and keeps the revision it saw. Each
+//! section has one writer, named here:
+//!
+//! | section | writer |
+//! |---|---|
+//! | configuration, freshness | the group's driver on a replica, the follower elsewhere |
+//! | phase | the node |
+//! | fleet: leaving, load | gossip, the platform's watcher, load polls, each attempt |
+//! | boxes | gossip |
+//! | shares | the share renewer |
+//! | hops | each hop |
+
+pub mod fleet;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+
+use crate::decide::policy::Policies;
+use crate::decide::share::Shares;
+use crate::ids::Revision;
+use crate::member::table::Boxes;
+use crate::state::config::Configuration;
+use crate::telemetry::HopLog;
+use fleet::Fleet;
+
+/// A configuration with its policies compiled.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// The configuration.
+    pub configuration: Arc<Configuration>,
+    /// Its policies, compiled once.
+    pub policies: Policies,
+}
+
+impl InForce {
+    /// Compiles a configuration's policies.
+    pub fn new(configuration: Arc<Configuration>) -> Self {
+        let policies = Policies::compile(&configuration.policies);
+        Self {
+            configuration,
+            policies,
+        }
+    }
+}
+
+/// Where the node is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Not yet in possession of a confirmed configuration.
+    Starting,
+    /// Takes requests.
+    Serving,
+    /// Finishes what it has and takes nothing new.
+    Draining,
+}
+
+impl std::fmt::Display for Phase {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Starting => "starting",
+            Self::Serving => "serving",
+            Self::Draining => "draining",
+        })
+    }
+}
+
+/// All sections.
+pub struct Blackboard {
+    in_force: watch::Sender<Arc<InForce>>,
+    fresh: watch::Sender<Option<Instant>>,
+    phase: watch::Sender<Phase>,
+    requests: AtomicUsize,
+    /// What is known of backend servers.
+    pub fleet: Fleet,
+    /// What is known of boxes.
+    pub boxes: ArcSwap<Boxes>,
+    /// This node's shares of the teams' limits.
+    pub shares: ArcSwap<Shares>,
+    /// Finished hops.
+    pub hops: HopLog,
+}
+
+impl Default for Blackboard {
+    fn default() -> Self {
+        Self {
+            in_force: watch::Sender::new(Arc::default()),
+            fresh: watch::Sender::new(None),
+            phase: watch::Sender::new(Phase::Starting),
+            requests: AtomicUsize::new(0),
+            fleet: Fleet::default(),
+            boxes: ArcSwap::default(),
+            shares: ArcSwap::default(),
+            hops: HopLog::default(),
+        }
+    }
+}
+
+impl Blackboard {
+    /// The configuration in force on this node.
+    pub fn in_force(&self) -> Arc<InForce> {
+        self.in_force.borrow().clone()
+    }
+
+    /// Follows the configuration in force.
+    pub fn follow_configuration(&self) -> watch::Receiver<Arc<InForce>> {
+        self.in_force.subscribe()
+    }
+
+    /// Puts a configuration in force. One that is not newer is passed over: nothing reverts.
+    pub fn put_in_force(&self, configuration: Arc<Configuration>) -> bool {
+        if configuration.revision <= self.revision() {
+            return false;
+        }
+        let revision = configuration.revision;
+        let next = Arc::new(InForce::new(configuration));
+        let changed = self.in_force.send_if_modified(|held| {
+            let newer = revision > held.configuration.revision;
+            if newer {
+                *held = next.clone();
+            }
+            newer
+        });
+        if changed {
+            self.fleet.follow(&next.configuration);
+            tracing::info!(event = "configuration_in_force", revision = %revision);
+        }
+        changed
+    }
+
+    /// The revision in force on this node.
+    pub fn revision(&self) -> Revision {
+        self.in_force.borrow().configuration.revision
+    }
+
+    /// Notes that the configuration in force was certainly the newest anywhere at `at`.
+    pub fn note_fresh(&self, at: Instant) {
+        self.fresh.send_if_modified(|held| {
+            let later = held.is_none_or(|held| at > held);
+            if later {
+                *held = Some(at);
+            }
+            later
+        });
+    }
+
+    /// How old the configuration in force may be; `None`: not known.
+    pub fn age(&self) -> Option<Duration> {
+        self.fresh.borrow().map(|at| at.elapsed())
+    }
+
+    /// Follows the time at which the configuration was last certainly the newest.
+    pub fn follow_fresh(&self) -> watch::Receiver<Option<Instant>> {
+        self.fresh.subscribe()
+    }
+
+    /// The phase.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Sets the phase. A node that drains never serves again.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.send_if_modified(|held| {
+            let changed = *held != Phase::Draining && *held != phase;
+            if changed {
+                *held = phase;
+            }
+            changed
+        });
+    }
+
+    /// Follows the phase.
+    pub fn follow_phase(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Requests under way.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
+        self.requests.fetch_add(1, Ordering::SeqCst);
+        RequestGuard {
+            board: self.clone(),
+        }
+    }
+}
+
+/// Counts one request under way.
+pub struct RequestGuard {
+    board: Arc<Blackboard>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.board.requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,18 @@
+//! The decisions: pure functions and state machines that take time, randomness and what is known as
+//! arguments and do no I/O.
+//!
+//! - [`policy`]: operators' short programs that say where work goes and what may wait.
+//! - [`admit`]: whether a request may run now, within its team's limits.
+//! - [`queue`]: who goes next when capacity frees up.
+//! - [`route`]: which backend server takes a request.
+//! - [`retry`]: whether another attempt may be made.
+//! - [`reclaim`]: what becomes of a stream whose engine is leaving.
+//! - [`share`]: which part of a fleet-wide limit each node may use.
+
+pub mod admit;
+pub mod policy;
+pub mod queue;
+pub mod reclaim;
+pub mod retry;
+pub mod route;
+pub mod share;
--- /dev/null
+++ b/src/decide/policy.rs
@@ -0,0 +1,241 @@
+//! Policies: short programs in Rhai that operators change while traffic flows.
+//!
+//! A program defines `fn decide(request)` and returns a map with any of:
+//!
+//! | key | meaning |
+//! |---|---|
+//! | `data_centres` | list of names; only backend servers there are used |
+//! | `class` | `"interactive"` or `"batch"` |
+//! | `wait_ms` | longest time in the queue |
+//! | `on_demand` | `true`: only backend servers whose box cannot be reclaimed |
+//! | `refuse` | a sentence; the request is refused with it |
+//!
+//! `request` holds `team`, `service`, `class`, `data_centre`, `prompt_tokens`, `max_tokens`,
+//! `repeatable`, `may_wait`. A program that fails, runs too many operations or returns something
+//! else is passed over: the built-in rules decide, and the fault is counted and logged.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+
+use rhai::{AST, Dynamic, Engine, Map, Scope};
+
+use crate::ids::{DataCentre, PolicyName, ServiceName, TeamName};
+use crate::state::config::Class;
+use crate::units::{Millis, Tokens};
+
+/// Operations a run may take; about 10 ns each.
+const OPERATION_LIMIT: u64 = 5_000;
+
+/// Depth of calls, and of expressions.
+const DEPTH_LIMIT: usize = 32;
+
+/// Elements of an array or map, and characters of a text.
+const SIZE_LIMIT: usize = 4_096;
+
+/// The function every policy defines.
+const FUNCTION: &str = "decide";
+
+/// What a policy is told of a request.
+#[derive(Debug, Clone)]
+pub struct Facts {
+    /// Whose request.
+    pub team: TeamName,
+    /// For which service.
+    pub service: ServiceName,
+    /// Its class without a policy.
+    pub class: Class,
+    /// The data centre of the deciding node.
+    pub data_centre: DataCentre,
+    /// Estimated tokens of the prompt.
+    pub prompt: Tokens,
+    /// Tokens it may generate.
+    pub output: Tokens,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether its caller would take the answer later.
+    pub may_wait: bool,
+}
+
+/// What a policy decided; the default leaves everything to the built-in rules.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Ruling {
+    /// Data centres that may be used; empty: all.
+    pub data_centres: Vec<DataCentre>,
+    /// The class.
+    pub class: Option<Class>,
+    /// The longest time in the queue.
+    pub wait: Option<Millis>,
+    /// Whether boxes that may be reclaimed are out.
+    pub on_demand: bool,
+    /// Why the request is refused, if it is.
+    pub refuse: Option<String>,
+}
+
+/// Why a policy could not decide.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("policy {policy}: {detail}")]
+pub struct PolicyFault {
+    /// Which.
+    pub policy: PolicyName,
+    /// What went wrong.
+    pub detail: String,
+}
+
+/// The compiled policies of one revision.
+#[derive(Default)]
+pub struct Policies {
+    engine: Option<Arc<Engine>>,
+    programs: BTreeMap<PolicyName, Result<AST, String>>,
+}
+
+impl fmt::Debug for Policies {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.programs.keys()).finish()
+    }
+}
+
+impl Policies {
+    /// Compiles each program once. One that does not compile is kept as a fault.
+    pub fn compile(programs: &BTreeMap<PolicyName, String>) -> Self {
+        if programs.is_empty() {
+            return Self::default();
+        }
+        let engine = new_engine();
+        let compiled = programs.iter().map(|(name, text)| {
+            let ast = compile_one(&engine, text);
+            if let Err(detail) = &ast {
+                tracing::warn!(event = "policy_invalid", policy = %name, detail);
+            }
+            (name.clone(), ast)
+        });
+        let programs = compiled.collect();
+        Self {
+            engine: Some(Arc::new(engine)),
+            programs,
+        }
+    }
+
+    /// Runs a policy.
+    ///
+    /// # Errors
+    /// When the policy is missing, does not compile, fails, or returns something that is not a
+    /// ruling. Built-in rules decide then.
+    pub fn decide(&self, name: &PolicyName, facts: &Facts) -> Result<Ruling, PolicyFault> {
+        let fault = |detail: String| PolicyFault {
+            policy: name.clone(),
+            detail,
+        };
+        let engine = self
+            .engine
+            .as_ref()
+            .ok_or_else(|| fault("is not there".to_owned()))?;
+        let program = self
+            .programs
+            .get(name)
+            .ok_or_else(|| fault("is not there".to_owned()))?;
+        let ast = program.as_ref().map_err(|detail| fault(detail.clone()))?;
+        let mut scope = Scope::new();
+        let result: Map = engine
+            .call_fn(&mut scope, ast, FUNCTION, (to_map(facts),))
+            .map_err(|error| fault(error.to_string()))?;
+        read_ruling(result).map_err(fault)
+    }
+
+    /// The faults of programs that do not compile, by name.
+    pub fn faults(&self) -> Vec<PolicyFault> {
+        let faults = self.programs.iter().filter_map(|(name, program)| {
+            let detail = program.as_ref().err()?.clone();
+            Some(PolicyFault {
+                policy: name.clone(),
+                detail,
+            })
+        });
+        faults.collect()
+    }
+}
+
+fn new_engine() -> Engine {
+    let mut engine = Engine::new();
+    engine.set_max_operations(OPERATION_LIMIT);
+    engine.set_max_call_levels(DEPTH_LIMIT);
+    engine.set_max_expr_depths(DEPTH_LIMIT, DEPTH_LIMIT);
+    engine.set_max_array_size(SIZE_LIMIT);
+    engine.set_max_map_size(SIZE_LIMIT);
+    engine.set_max_string_size(SIZE_LIMIT);
+    engine.disable_symbol("eval");
+    engine.on_print(|_| {});
+    engine.on_debug(|_, _, _| {});
+    engine
+}
+
+fn compile_one(engine: &Engine, text: &str) -> Result<AST, String> {
+    let ast = engine.compile(text).map_err(|error| error.to_string())?;
+    let defined = ast
+        .iter_functions()
+        .any(|it| it.name == FUNCTION && it.params.len() == 1);
+    match defined {
+        true => Ok(ast.clone_functions_only()),
+        false => Err(format!("defines no fn {FUNCTION}(request)")),
+    }
+}
+
+fn to_map(facts: &Facts) -> Map {
+    let mut map = Map::new();
+    map.insert("team".into(), facts.team.as_str().to_owned().into());
+    map.insert("service".into(), facts.service.as_str().to_owned().into());
+    map.insert("class".into(), facts.class.to_string().into());
+    map.insert(
+        "data_centre".into(),
+        facts.data_centre.as_str().to_owned().into(),
+    );
+    map.insert("prompt_tokens".into(), (facts.prompt.0 as i64).into());
+    map.insert("max_tokens".into(), (facts.output.0 as i64).into());
+    map.insert("repeatable".into(), facts.repeatable.into());
+    map.insert("may_wait".into(), facts.may_wait.into());
+    map
+}
+
+fn read_ruling(map: Map) -> Result<Ruling, String> {
+    let mut ruling = Ruling::default();
+    for (key, value) in map {
+        match key.as_str() {
+            "data_centres" => ruling.data_centres = read_names(value)?,
+            "class" => ruling.class = Some(read_text(value, "class")?.parse()?),
+            "wait_ms" => ruling.wait = Some(read_millis(&value)?),
+            "on_demand" => {
+                ruling.on_demand = value.as_bool().map_err(|kind| wrong("on_demand", kind))?;
+            }
+            "refuse" => ruling.refuse = Some(read_text(value, "refuse")?),
+            other => return Err(format!("returns an unknown key {other:?}")),
+        }
+    }
+    Ok(ruling)
+}
+
+fn read_names(value: Dynamic) -> Result<Vec<DataCentre>, String> {
+    let list = value
+        .into_array()
+        .map_err(|kind| wrong("data_centres", kind))?;
+    let name = |item: Dynamic| {
+        let text = read_text(item, "data_centres")?;
+        text.parse()
+            .map_err(|error| format!("data_centres: {error}"))
+    };
+    list.into_iter().map(name).collect()
+}
+
+fn read_text(value: Dynamic, key: &str) -> Result<String, String> {
+    value.into_string().map_err(|kind| wrong(key, kind))
+}
+
+fn read_millis(value: &Dynamic) -> Result<Millis, String> {
+    let number = value.as_int().map_err(|kind| wrong("wait_ms", kind))?;
+    u64::try_from(number)
+        .map(Millis)
+        .map_err(|_| "wait_ms is negative".to_owned())
+}
+
+fn wrong(key: &str, kind: &str) -> String {
+    format!("{key} is of the wrong type, {kind}")
+}
--- /dev/null
+++ b/src/entry/generation.rs
@@ -0,0 +1,247 @@
+//! An answer being generated. It outlives attempts at engines, and callers' connections: readers
+//! come and go, each from the place it asks for.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Instant;
+
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::backend::engine::Piece;
+use crate::error::Failure;
+use crate::ids::ServiceName;
+use crate::state::ledger::RecordedAnswer;
+
+/// How a generation ended.
+#[derive(Debug, Clone)]
+pub enum End {
+    /// Every piece is there.
+    Whole,
+    /// The same request was answered before; this is that answer.
+    Recorded(RecordedAnswer),
+    /// It cannot be finished.
+    Failed(Failure),
+}
+
+/// What the answer looks like to callers.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    /// The answer's id.
+    pub id: String,
+    /// The model.
+    pub service: ServiceName,
+    /// Whether it is a chat.
+    pub chat: bool,
+    /// When it began, in seconds since the Unix epoch.
+    pub created: u64,
+    /// Estimated tokens of the prompt.
+    pub prompt: u64,
+}
+
+/// An answer being generated.
+#[derive(Debug)]
+pub struct Generation {
+    /// What it looks like.
+    pub shape: Shape,
+    /// The digest of the request it answers.
+    pub digest: String,
+    pieces: Mutex<Vec<Piece>>,
+    count: watch::Sender<usize>,
+    end: OnceLock<End>,
+    readers: AtomicUsize,
+    abandoned: watch::Sender<Option<Instant>>,
+}
+
+impl Generation {
+    /// A generation that holds `pieces` already.
+    pub fn new(shape: Shape, digest: String, pieces: Vec<Piece>) -> Arc<Self> {
+        let count = pieces.len();
+        Arc::new(Self {
+            shape,
+            digest,
+            pieces: Mutex::new(pieces),
+            count: watch::Sender::new(count),
+            end: OnceLock::new(),
+            readers: AtomicUsize::new(0),
+            abandoned: watch::Sender::new(None),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Piece>> {
+        self.pieces.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a piece.
+    pub fn push(&self, piece: Piece) {
+        let mut pieces = self.lock();
+        pieces.push(piece);
+        let count = pieces.len();
+        drop(pieces);
+        self.count.send_replace(count);
+    }
+
+    /// Ends the generation; the first end stays.
+    pub fn finish(&self, end: End) {
+        let _ = self.end.set(end);
+        self.count.send_modify(|_| {});
+    }
+
+    /// How it ended, once it has.
+    pub fn end(&self) -> Option<&End> {
+        self.end.get()
+    }
+
+    /// Waits for the end.
+    pub async fn ended(&self) {
+        let mut count = self.count.subscribe();
+        while self.end.get().is_none() {
+            if count.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// How many pieces there are.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Whether there is no piece yet.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    /// A copy of all pieces.
+    pub fn pieces(&self) -> Vec<Piece> {
+        self.lock().clone()
+    }
+
+    /// The text so far.
+    pub fn text(&self) -> String {
+        self.lock()
+            .iter()
+            .map(|piece| piece.text.as_str())
+            .collect()
+    }
+
+    /// A reader that begins behind `seen` pieces.
+    pub fn read_from(self: &Arc<Self>, seen: usize) -> Reader {
+        self.readers.fetch_add(1, Ordering::SeqCst);
+        self.abandoned.send_replace(None);
+        Reader {
+            generation: self.clone(),
+            seen,
+            count: self.count.subscribe(),
+        }
+    }
+
+    /// Follows since when nobody reads.
+    pub fn follow_abandoned(&self) -> watch::Receiver<Option<Instant>> {
+        self.abandoned.subscribe()
+    }
+
+    /// The answer as one JSON value.
+    pub fn whole_value(&self) -> Value {
+        let pieces = self.lock();
+        let text: String = pieces.iter().map(|piece| piece.text.as_str()).collect();
+        let finish = pieces.last().and_then(|piece| piece.finish.clone());
+        let count = pieces.len() as u64;
+        drop(pieces);
+        let choice = match self.shape.chat {
+            true => json!({
+                "index": 0, "message": { "role": "assistant", "content": text },
+                "finish_reason": finish,
+            }),
+            false => json!({ "index": 0, "text": text, "finish_reason": finish }),
+        };
+        let object = if self.shape.chat {
+            "chat.completion"
+        } else {
+            "text_completion"
+        };
+        json!({
+            "id": self.shape.id, "object": object, "created": self.shape.created,
+            "model": self.shape.service, "choices": [choice],
+            "usage": {
+                "prompt_tokens": self.shape.prompt, "completion_tokens": count,
+                "total_tokens": self.shape.prompt + count,
+            },
+        })
+    }
+
+    /// A piece as a streamed chunk.
+    pub fn chunk_value(&self, piece: &Piece) -> Value {
+        let choice = match self.shape.chat {
+            true => json!({
+                "index": 0, "delta": { "content": piece.text }, "finish_reason": piece.finish,
+            }),
+            false => json!({ "index": 0, "text": piece.text, "finish_reason": piece.finish }),
+        };
+        let object = if self.shape.chat {
+            "chat.completion.chunk"
+        } else {
+            "text_completion"
+        };
+        json!({
+            "id": self.shape.id, "object": object, "created": self.shape.created,
+            "model": self.shape.service, "choices": [choice],
+        })
+    }
+}
+
+/// What a reader gets next.
+#[derive(Debug, Clone)]
+pub enum Item {
+    /// A piece and its place, counted from 0.
+    Piece(usize, Piece),
+    /// Nothing more will come.
+    End(End),
+}
+
+/// Reads a generation from some place on. When the last reader is dropped, the generation is
+/// abandoned.
+#[derive(Debug)]
+pub struct Reader {
+    generation: Arc<Generation>,
+    seen: usize,
+    count: watch::Receiver<usize>,
+}
+
+impl Reader {
+    /// The next piece, or the end.
+    pub async fn next(&mut self) -> Item {
+        loop {
+            if let Some(item) = self.ready() {
+                return item;
+            }
+            // The generation is held by this reader, so its sender cannot be gone.
+            let _ = self.count.changed().await;
+        }
+    }
+
+    /// The next item if it is there already.
+    pub fn ready(&mut self) -> Option<Item> {
+        self.count.mark_unchanged();
+        let end = self.generation.end.get().cloned();
+        let piece = self.generation.lock().get(self.seen).cloned();
+        if let Some(piece) = piece {
+            self.seen += 1;
+            return Some(Item::Piece(self.seen - 1, piece));
+        }
+        end.map(Item::End)
+    }
+
+    /// What is read.
+    pub fn generation(&self) -> &Arc<Generation> {
+        &self.generation
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        if self.generation.readers.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.generation.abandoned.send_replace(Some(Instant::now()));
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,20 @@
+//! The callers' side: takes requests, decides, forwards, and answers for the outcome.
+//!
+//! - [`server`] accepts connections and holds the limits against slow and many callers.
+//! - [`request`] reads a request; every way in which it can be wrong has its answer.
+//! - [`answer`] writes answers, failures by the one table of [`crate::error`].
+//! - [`serve`] sends each request its way.
+//! - [`dispatch`] finds a backend server, or has the request wait for one.
+//! - [`generation`] is an answer being generated: readers come and go, attempts change.
+//! - [`generate`] makes the attempts at engines, [`plain`] those at plain services.
+//! - [`unrepeatable`] puts the ledger around attempts that may run once.
+
+pub mod answer;
+pub mod dispatch;
+pub mod generate;
+pub mod generation;
+pub mod plain;
+pub mod request;
+pub mod serve;
+pub mod server;
+pub mod unrepeatable;
--- /dev/null
+++ b/src/group/access.rs
@@ -0,0 +1,157 @@
+//! How a node proposes commands, wherever the leader is.
+//!
+//! Every command may be proposed again: a change carries its id, an attempt its own, kept work its
+//! key. So a call that got no answer is simply made again, at another replica, until its time is up.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use ractor::ActorRef;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+use super::driver::{GroupMessage, Unanswered};
+use crate::ids::BoxId;
+use crate::peer::{PeerError, Peers, method};
+use crate::state::work::{WorkId, WorkView};
+use crate::state::{Command, Reply};
+
+/// How long one replica is waited for.
+const CALL_TIME: Duration = Duration::from_millis(1_500);
+
+/// Pause before asking again when no replica leads.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// No replica answered in time. The command may or may not be applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the replicated group did not answer in time")]
+pub struct NoGroup;
+
+/// A node's way to the group.
+#[derive(Clone)]
+pub struct Access {
+    own: BoxId,
+    local: Option<ActorRef<GroupMessage>>,
+    peers: Peers,
+    replicas: Arc<BTreeMap<BoxId, SocketAddr>>,
+    leader: Arc<Mutex<Option<BoxId>>>,
+}
+
+impl Access {
+    /// A way to the group: through this process where it runs a replica, and over the network.
+    pub fn new(
+        own: BoxId,
+        local: Option<ActorRef<GroupMessage>>,
+        peers: Peers,
+        replicas: BTreeMap<BoxId, SocketAddr>,
+    ) -> Self {
+        Self {
+            own,
+            local,
+            peers,
+            replicas: Arc::new(replicas),
+            leader: Arc::default(),
+        }
+    }
+
+    /// This process's replica.
+    pub fn local(&self) -> Option<&ActorRef<GroupMessage>> {
+        self.local.as_ref()
+    }
+
+    /// Every replica's address.
+    pub fn replicas(&self) -> &BTreeMap<BoxId, SocketAddr> {
+        &self.replicas
+    }
+
+    /// Proposes a command and waits until it is applied.
+    ///
+    /// # Errors
+    /// When `limit` is over; the command may still be applied.
+    pub async fn propose(&self, command: Command, limit: Duration) -> Result<Reply, NoGroup> {
+        self.until_answered(method::PROPOSE, &command, limit).await
+    }
+
+    /// Reads kept work at the leader.
+    ///
+    /// # Errors
+    /// When `limit` is over.
+    pub async fn read_work(
+        &self,
+        id: &WorkId,
+        limit: Duration,
+    ) -> Result<Option<WorkView>, NoGroup> {
+        self.until_answered(method::READ_WORK, id, limit).await
+    }
+
+    async fn until_answered<T, R>(
+        &self,
+        method: &'static str,
+        body: &T,
+        limit: Duration,
+    ) -> Result<R, NoGroup>
+    where
+        T: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let deadline = Instant::now() + limit;
+        let mut turn = 0;
+        while Instant::now() < deadline {
+            let (box_id, addr) = self.target(turn).ok_or(NoGroup)?;
+            let left = deadline
+                .saturating_duration_since(Instant::now())
+                .min(CALL_TIME);
+            let call = self
+                .peers
+                .call::<T, Result<R, Unanswered>>(addr, method, body, left);
+            match call.await {
+                Ok(Ok(reply)) => {
+                    self.remember(Some(box_id));
+                    return Ok(reply);
+                }
+                Ok(Err(Unanswered::NotLeader(Some(leader)))) if leader != box_id => {
+                    self.remember(Some(leader));
+                }
+                Ok(Err(_)) | Err(PeerError::Refused(_) | PeerError::NoAnswer { .. }) => {
+                    self.remember(None);
+                    turn += 1;
+                    tokio::time::sleep_until(deadline.min(Instant::now() + PAUSE)).await;
+                }
+                Err(PeerError::Unreachable { .. }) => {
+                    self.remember(None);
+                    turn += 1;
+                    tokio::time::sleep_until(deadline.min(Instant::now() + PAUSE)).await;
+                }
+            }
+        }
+        Err(NoGroup)
+    }
+
+    /// The leader where known, else the replicas in turn, beginning with this box's own.
+    fn target(&self, turn: usize) -> Option<(BoxId, SocketAddr)> {
+        let leader = self
+            .leader
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let known = leader.and_then(|leader| Some((leader.clone(), *self.replicas.get(&leader)?)));
+        if known.is_some() {
+            return known;
+        }
+        let own = self
+            .replicas
+            .keys()
+            .position(|box_id| *box_id == self.own)
+            .unwrap_or(0);
+        let place = (own + turn) % self.replicas.len().max(1);
+        let found = self.replicas.iter().nth(place);
+        found.map(|(box_id, addr)| (box_id.clone(), *addr))
+    }
+
+    fn remember(&self, leader: Option<BoxId>) {
+        *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
+    }
+}
--- /dev/null
+++ b/src/group/core.rs
@@ -0,0 +1,629 @@
+//! The pure state machine of one replica.
+//!
+//! Times are milliseconds on the replica's own monotonic clock. Callers feed [`Core::tick`],
+//! [`Core::step`] and [`Core::propose`], then take [`Core::output`], store what it says, send
+//! `early` messages at any time and `late` ones only after the storing, and report the storing by
+//! [`Core::stored`].
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::log::Log;
+use super::message::{
+    Appended, Entry, Envelope, HardState, Install, MemberChange, Members, Message, Payload,
+    Snapshot,
+};
+use super::progress::Progress;
+use crate::ids::{BoxId, Incarnation, Index, Term};
+
+/// Time between a leader's heartbeats, in milliseconds.
+pub const HEARTBEAT: u64 = 100;
+
+/// Least time without a leader before an election, in milliseconds. The most is twice this.
+pub const ELECTION: u64 = 400;
+
+/// What a lease is shortened by, for clocks that run at different rates, in milliseconds.
+pub const DRIFT: u64 = 40;
+
+/// Bytes of a snapshot in one message.
+pub const PIECE_BYTES: usize = 64 << 10;
+
+/// Time after which an unanswered piece or probe is sent again, in milliseconds.
+const RESEND: u64 = 300;
+
+/// What a replica is at the moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Role {
+    /// Takes entries from a leader, if it knows one.
+    Follower,
+    /// Asks whether it would be elected.
+    PreCandidate,
+    /// Asks to be elected.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// Why a proposal was not taken.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// Another replica leads, if it is known which.
+    #[error("this replica does not lead")]
+    NotLeader(Option<BoxId>),
+    /// The change of members does not fit now.
+    #[error("{0}")]
+    Members(String),
+}
+
+/// What the caller is to do.
+#[derive(Debug, Default)]
+pub struct Output {
+    /// Hard state to store, if it changed.
+    pub hard: Option<HardState>,
+    /// A received snapshot to store in place of the log.
+    pub install: Option<Snapshot>,
+    /// Entries to store; what is stored from the first one's index on is dropped.
+    pub append: Vec<Entry>,
+    /// Messages that may be sent before the storing.
+    pub early: Vec<Envelope>,
+    /// Messages that may be sent only after it.
+    pub late: Vec<Envelope>,
+    /// Committed entries to apply, in order.
+    pub apply: Vec<Entry>,
+}
+
+/// Who a replica is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// The group.
+    pub group: u32,
+    /// The box.
+    pub box_id: BoxId,
+    /// The life of its disk.
+    pub life: Incarnation,
+}
+
+/// What a replica starts with: all that its disk holds.
+#[derive(Debug, Clone, Default)]
+pub struct Stored {
+    /// The hard state.
+    pub hard: HardState,
+    /// The latest snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// The entries behind it.
+    pub entries: Vec<Entry>,
+}
+
+/// One replica.
+#[derive(Debug)]
+pub struct Core {
+    own: Identity,
+    hard: HardState,
+    hard_changed: bool,
+    log: Log,
+    snapshot: Option<Snapshot>,
+    role: Role,
+    leader: Option<BoxId>,
+    commit: Index,
+    applied: Index,
+    stored: Index,
+    unstored: Option<Index>,
+    progress: BTreeMap<BoxId, Progress>,
+    votes: BTreeSet<BoxId>,
+    deadline: u64,
+    heard: u64,
+    fresh: Option<u64>,
+    pending: Option<(Index, u64)>,
+    incoming: Option<Install>,
+    installed: Option<Snapshot>,
+    beat: u64,
+    now: u64,
+    random: SmallRng,
+    early: Vec<Envelope>,
+    late: Vec<Envelope>,
+}
+
+impl Core {
+    /// A replica that restarts at `now` with what its disk holds. It gives no vote before an
+    /// election time has passed, since it may have confirmed a leader just before it stopped.
+    pub fn new(own: Identity, stored: Stored, now: u64, seed: u64) -> Self {
+        let base = stored
+            .snapshot
+            .as_ref()
+            .map_or(Index(0), |snapshot| snapshot.index);
+        let log = Log::new(stored.snapshot.as_ref(), stored.entries);
+        let last = log.last_index();
+        let mut core = Self {
+            own,
+            hard: stored.hard,
+            hard_changed: false,
+            log,
+            snapshot: stored.snapshot,
+            role: Role::Follower,
+            leader: None,
+            commit: base,
+            applied: base,
+            stored: last,
+            unstored: None,
+            progress: BTreeMap::new(),
+            votes: BTreeSet::new(),
+            deadline: 0,
+            heard: now,
+            fresh: None,
+            pending: None,
+            incoming: None,
+            installed: None,
+            beat: 0,
+            now,
+            random: SmallRng::seed_from_u64(seed),
+            early: Vec::new(),
+            late: Vec::new(),
+        };
+        core.reset_deadline();
+        core
+    }
+
+    /// Whether the replica has been formed into a group.
+    pub fn is_formed(&self) -> bool {
+        !self.log.members().0.voters.is_empty()
+    }
+
+    /// Makes the replica's first entry: the members of a new group. Every first member makes the
+    /// same one.
+    ///
+    /// # Errors
+    /// When the replica already belongs to a group with other first members.
+    pub fn form(&mut self, members: Members) -> Result<(), String> {
+        if self.is_formed() {
+            let same = self.log.members_at(Index(1)).0 == &members;
+            return if same {
+                Ok(())
+            } else {
+                Err("belongs to a group already".to_owned())
+            };
+        }
+        if members.incarnation(&self.own.box_id) != Some(self.own.life) {
+            return Err("the members do not name this life of this box".to_owned());
+        }
+        self.hard.term = Term(1);
+        self.hard_changed = true;
+        let payload = Payload::Members(members);
+        self.append_entry(Entry {
+            index: Index(1),
+            term: Term(1),
+            at: 0,
+            payload,
+        });
+        self.commit = Index(1);
+        Ok(())
+    }
+
+    /// The role at the moment.
+    pub fn role(&self) -> &Role {
+        &self.role
+    }
+
+    /// The leader, where known.
+    pub fn leader(&self) -> Option<&BoxId> {
+        self.leader.as_ref()
+    }
+
+    /// The term.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// The last committed index known.
+    pub fn commit(&self) -> Index {
+        self.commit
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// The members as of the last entry.
+    pub fn members(&self) -> &Members {
+        self.log.members().0
+    }
+
+    /// What a leader knows of the others.
+    pub fn progress(&self) -> &BTreeMap<BoxId, Progress> {
+        &self.progress
+    }
+
+    /// The time on this replica's clock at which its committed state was certainly the newest
+    /// accepted anywhere; `None` until that is known. Entries up to [`Core::commit`] are included.
+    pub fn fresh(&self) -> Option<u64> {
+        match self.role {
+            Role::Leader => self.confirmed(),
+            _ => self.fresh,
+        }
+    }
+
+    /// Whether the leader may answer reads from its own state: a majority has confirmed it within
+    /// the time in which that majority elects nobody else.
+    pub fn may_read(&self) -> bool {
+        let confirmed = if self.role == Role::Leader {
+            self.confirmed()
+        } else {
+            None
+        };
+        confirmed.is_some_and(|at| self.now < at + ELECTION - DRIFT)
+    }
+
+    /// Proposes a command, stamped with `at`; gives its index if this replica leads.
+    ///
+    /// # Errors
+    /// When this replica does not lead.
+    pub fn propose(&mut self, at: u64, command: String) -> Result<(Index, Term), Refusal> {
+        self.propose_payload(at, Payload::Command(command))
+    }
+
+    /// Proposes a change of members.
+    ///
+    /// # Errors
+    /// When this replica does not lead, another change is under way, or the change does not fit.
+    pub fn change_members(
+        &mut self,
+        at: u64,
+        change: &MemberChange,
+    ) -> Result<(Index, Term), Refusal> {
+        if self.role != Role::Leader {
+            return Err(Refusal::NotLeader(self.leader.clone()));
+        }
+        let (members, since) = self.log.members();
+        if since > self.commit {
+            return Err(Refusal::Members(
+                "another change of members is under way".to_owned(),
+            ));
+        }
+        if self.log.term_at(self.commit) != Some(self.hard.term) {
+            return Err(Refusal::Members(
+                "the leader has just begun; try again".to_owned(),
+            ));
+        }
+        let next = members.after(change).map_err(Refusal::Members)?;
+        if let MemberChange::Promote(box_id) = change {
+            let level = self
+                .progress
+                .get(box_id)
+                .is_some_and(|it| it.matched >= self.commit);
+            if !level {
+                return Err(Refusal::Members(format!("{box_id} is not level yet")));
+            }
+        }
+        let result = self.propose_payload(at, Payload::Members(next));
+        self.sync_progress();
+        result
+    }
+
+    fn propose_payload(&mut self, at: u64, payload: Payload) -> Result<(Index, Term), Refusal> {
+        if self.role != Role::Leader {
+            return Err(Refusal::NotLeader(self.leader.clone()));
+        }
+        let index = self.log.last_index().next();
+        let at = at.max(self.log.last_at());
+        self.append_entry(Entry {
+            index,
+            term: self.hard.term,
+            at,
+            payload,
+        });
+        Ok((index, self.hard.term))
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        match self.role {
+            Role::Leader => self.tick_leader(),
+            Role::Follower | Role::PreCandidate | Role::Candidate => {
+                if self.now >= self.deadline && self.is_voter() {
+                    self.start_election(true);
+                }
+            }
+        }
+    }
+
+    fn tick_leader(&mut self) {
+        if !self.has_quorum() {
+            tracing::debug!(event = "quorum_lost", term = %self.hard.term);
+            self.become_follower(self.hard.term, None);
+            return;
+        }
+        if self.now >= self.beat + HEARTBEAT {
+            self.beat = self.now;
+            self.broadcast(true);
+        }
+    }
+
+    /// Takes a message. Those for another life of this box's disk are dropped, as are answers from
+    /// another life of a member's disk than the one that belongs to the group.
+    pub fn step(&mut self, now: u64, envelope: Envelope) {
+        self.now = self.now.max(now);
+        if envelope.to != self.own.box_id || envelope.to_life != self.own.life {
+            return;
+        }
+        let known = self.members().incarnation(&envelope.from);
+        if known.is_some_and(|life| life != envelope.from_life) {
+            return;
+        }
+        if envelope.term > self.hard.term && !self.meet_higher_term(&envelope) {
+            return;
+        }
+        if envelope.term < self.hard.term {
+            self.answer_lower_term(&envelope);
+            return;
+        }
+        let from = (envelope.from.clone(), envelope.from_life);
+        match envelope.message {
+            Message::AskVote {
+                pre,
+                index,
+                log_term,
+            } => {
+                self.on_ask_vote(from, envelope.term, pre, index, log_term);
+            }
+            Message::Vote { pre, granted } => self.on_vote(&from.0, pre, granted),
+            Message::Append(append) => self.on_append(from, append),
+            Message::Appended(appended) => self.on_appended(&from.0, &appended),
+            Message::Install(install) => self.on_install(from, install),
+            Message::Installing { index, offset } => self.on_installing(&from.0, index, offset),
+        }
+    }
+
+    /// Adopts a higher term unless the message only asks; `false` when it is dealt with.
+    fn meet_higher_term(&mut self, envelope: &Envelope) -> bool {
+        match envelope.message {
+            Message::AskVote {
+                pre,
+                index,
+                log_term,
+            } => {
+                if self.hears_leader() {
+                    return false;
+                }
+                if pre {
+                    let granted = self.is_behind_or_level(index, log_term);
+                    let to = (envelope.from.clone(), envelope.from_life);
+                    // A given pre-vote carries the term asked for, a refused one this replica's own:
+                    // nobody's term grows by asking.
+                    let term = if granted {
+                        envelope.term
+                    } else {
+                        self.hard.term
+                    };
+                    self.send_late(to, term, Message::Vote { pre: true, granted });
+                    return false;
+                }
+                self.become_follower(envelope.term, None);
+                true
+            }
+            Message::Vote {
+                pre: true,
+                granted: true,
+            } => {
+                // It carries the term asked for, one above ours.
+                self.on_vote(&envelope.from.clone(), true, true);
+                false
+            }
+            Message::Append(_) | Message::Install(_) => {
+                self.become_follower(envelope.term, Some(envelope.from.clone()));
+                true
+            }
+            Message::Vote { .. } | Message::Appended(_) | Message::Installing { .. } => {
+                self.become_follower(envelope.term, None);
+                true
+            }
+        }
+    }
+
+    /// Tells a sender that is behind of the newer term, so that it does not wait for ever.
+    fn answer_lower_term(&mut self, envelope: &Envelope) {
+        let to = (envelope.from.clone(), envelope.from_life);
+        match envelope.message {
+            Message::AskVote { pre, .. } => {
+                let message = Message::Vote {
+                    pre,
+                    granted: false,
+                };
+                self.send_late(to, self.hard.term, message);
+            }
+            Message::Append(_) | Message::Install(_) => {
+                let index = self.log.last_index();
+                let clock = self.now;
+                let appended = Appended {
+                    matched: false,
+                    index,
+                    sent: 0,
+                    clock,
+                };
+                self.send_late(to, self.hard.term, Message::Appended(appended));
+            }
+            Message::Vote { .. } | Message::Appended(_) | Message::Installing { .. } => {}
+        }
+    }
+
+    /// Whether a leader was heard within the time in which its lease may hold.
+    fn hears_leader(&self) -> bool {
+        match self.role {
+            Role::Leader => self.has_quorum(),
+            _ => self.now < self.heard + ELECTION,
+        }
+    }
+
+    fn is_voter(&self) -> bool {
+        self.members().voters.get(&self.own.box_id) == Some(&self.own.life)
+    }
+
+    fn is_behind_or_level(&self, index: Index, term: Term) -> bool {
+        (term, index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    fn on_ask_vote(
+        &mut self,
+        from: (BoxId, Incarnation),
+        term: Term,
+        pre: bool,
+        index: Index,
+        log_term: Term,
+    ) {
+        let level = self.is_behind_or_level(index, log_term);
+        let free = self.hard.vote.is_none() || self.hard.vote.as_ref() == Some(&from.0);
+        let open = matches!(self.role, Role::Follower | Role::PreCandidate);
+        let granted = !pre && level && free && open && !self.hears_leader();
+        if granted {
+            self.role = Role::Follower;
+            self.hard_changed |= self.hard.vote.is_none();
+            self.hard.vote = Some(from.0.clone());
+            self.reset_deadline();
+        }
+        self.send_late(from, term, Message::Vote { pre, granted });
+    }
+
+    fn start_election(&mut self, pre: bool) {
+        self.reset_deadline();
+        self.leader = None;
+        self.votes = BTreeSet::from([self.own.box_id.clone()]);
+        if pre {
+            self.role = Role::PreCandidate;
+        } else {
+            self.role = Role::Candidate;
+            self.hard.term = self.hard.term.next();
+            self.hard.vote = Some(self.own.box_id.clone());
+            self.hard_changed = true;
+        }
+        let term = if pre {
+            self.hard.term.next()
+        } else {
+            self.hard.term
+        };
+        let (index, log_term) = (self.log.last_index(), self.log.last_term());
+        for (box_id, life) in self.voters_but_own() {
+            self.send_late(
+                (box_id, life),
+                term,
+                Message::AskVote {
+                    pre,
+                    index,
+                    log_term,
+                },
+            );
+        }
+        self.count_votes();
+    }
+
+    fn on_vote(&mut self, from: &BoxId, pre: bool, granted: bool) {
+        let asked = match self.role {
+            Role::PreCandidate => pre,
+            Role::Candidate => !pre,
+            Role::Follower | Role::Leader => false,
+        };
+        if !asked || !granted || !self.members().voters.contains_key(from) {
+            return;
+        }
+        self.votes.insert(from.clone());
+        self.count_votes();
+    }
+
+    fn count_votes(&mut self) {
+        if self.votes.len() < self.members().majority() {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.start_election(false),
+            Role::Candidate => self.become_leader(),
+            Role::Follower | Role::Leader => {}
+        }
+    }
+
+    fn become_follower(&mut self, term: Term, leader: Option<BoxId>) {
+        if term > self.hard.term {
+            self.hard = HardState { term, vote: None };
+            self.hard_changed = true;
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.progress.clear();
+        self.pending = None;
+        self.reset_deadline();
+    }
+
+    fn become_leader(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.own.box_id.clone());
+        self.progress.clear();
+        self.fresh = None;
+        self.sync_progress();
+        self.beat = self.now;
+        let at = self.log.last_at();
+        let _ = self.propose_payload(at, Payload::Noop);
+        self.broadcast(true);
+    }
+
+    /// Brings the followed replicas in line with the members.
+    fn sync_progress(&mut self) {
+        let others: BTreeSet<_> = self
+            .members()
+            .others(&self.own.box_id)
+            .map(|(box_id, _)| box_id.clone())
+            .collect();
+        self.progress.retain(|box_id, _| others.contains(box_id));
+        let (last, now) = (self.log.last_index(), self.now);
+        for box_id in others {
+            self.progress
+                .entry(box_id)
+                .or_insert_with(|| Progress::new(last, now));
+        }
+    }
+
+    fn append_entry(&mut self, entry: Entry) {
+        let first = self.unstored.unwrap_or(entry.index).min(entry.index);
+        self.unstored = Some(first);
+        self.log.push(entry);
+    }
+
+    fn voters_but_own(&self) -> Vec<(BoxId, Incarnation)> {
+        let voters = self
+            .members()
+            .voters
+            .iter()
+            .filter(|(id, _)| **id != self.own.box_id);
+        voters.map(|(id, life)| (id.clone(), *life)).collect()
+    }
+
+    fn reset_deadline(&mut self) {
+        let wait = self.random.random_range(ELECTION..ELECTION * 2);
+        self.deadline = self.now + wait;
+    }
+
+    fn send_late(&mut self, to: (BoxId, Incarnation), term: Term, message: Message) {
+        let envelope = self.envelope(to, term, message);
+        self.late.push(envelope);
+    }
+
+    fn send_early(&mut self, to: (BoxId, Incarnation), message: Message) {
+        let envelope = self.envelope(to, self.hard.term, message);
+        self.early.push(envelope);
+    }
+
+    fn envelope(&self, to: (BoxId, Incarnation), term: Term, message: Message) -> Envelope {
+        Envelope {
+            group: self.own.group,
+            from: self.own.box_id.clone(),
+            from_life: self.own.life,
+            to: to.0,
+            to_life: to.1,
+            term,
+            message,
+        }
+    }
+}
+
+mod follow;
+mod lead;
+mod produce;
--- /dev/null
+++ b/src/group/follow.rs
@@ -0,0 +1,93 @@
+//! How a node without a disk keeps up with the configuration: it asks a replica for what it lacks
+//! and how fresh that is, and waits there for news.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::seq::SliceRandom;
+
+use crate::blackboard::Blackboard;
+use crate::ids::BoxId;
+use crate::peer::method::{self, News, Poll, PollReply};
+use crate::peer::{PeerError, Peers};
+use crate::state::config::{ChangeReply, Configuration};
+
+/// How long a replica holds an unanswered question, in milliseconds. The freshness a node can claim
+/// is never better than this.
+const WAIT: u64 = 400;
+
+/// How long an answer may take.
+const CALL_TIME: Duration = Duration::from_millis(1_400);
+
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// An age from which another replica is asked instead.
+const OLD: Duration = Duration::from_millis(1_500);
+
+/// Follows the configuration until the task is dropped.
+pub async fn run(board: Arc<Blackboard>, peers: Peers, replicas: BTreeMap<BoxId, SocketAddr>) {
+    let mut addrs: Vec<_> = replicas.into_values().collect();
+    addrs.shuffle(&mut rand::rng());
+    let mut place = 0;
+    loop {
+        let addr = addrs[place % addrs.len()];
+        match ask(&board, &peers, addr).await {
+            Ok(true) => {}
+            Ok(false) => {
+                place += 1;
+                tokio::time::sleep(PAUSE).await;
+            }
+            Err(error) => {
+                tracing::debug!(event = "configuration_poll_failed", %addr, %error);
+                place += 1;
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Asks one replica once; `false` when its answer is old.
+async fn ask(board: &Blackboard, peers: &Peers, addr: SocketAddr) -> Result<bool, PeerError> {
+    let asked = Instant::now();
+    let poll = Poll {
+        from: board.revision(),
+        wait: WAIT,
+    };
+    let reply: PollReply = peers.call(addr, method::POLL, &poll, CALL_TIME).await?;
+    let current = board.in_force().configuration.clone();
+    let whole = take(current, reply.news);
+    let Some(configuration) = whole else {
+        return Ok(false);
+    };
+    board.put_in_force(configuration);
+    let Some(age) = reply.age.map(Duration::from_millis) else {
+        return Ok(false);
+    };
+    // The replica spoke after it was asked, so its state was the newest at `asked - age` at least.
+    if let Some(at) = asked.checked_sub(age) {
+        board.note_fresh(at);
+    }
+    Ok(age < OLD)
+}
+
+/// The configuration after the news; `None` when they do not follow on what is held.
+fn take(current: Arc<Configuration>, news: News) -> Option<Arc<Configuration>> {
+    let changes = match news {
+        News::Whole(configuration) => return Some(configuration),
+        News::Changes(changes) => changes,
+    };
+    let mut next = current;
+    for accepted in changes {
+        if accepted.revision <= next.revision {
+            continue;
+        }
+        let reply = Arc::make_mut(&mut next).apply(&accepted.change);
+        if reply != ChangeReply::Accepted(accepted.revision) {
+            return None;
+        }
+    }
+    Some(next)
+}
--- /dev/null
+++ b/src/group/storage.rs
@@ -0,0 +1,292 @@
+//! Keeps a replica's hard state, log and snapshot in its data folder.
+//!
+//! One embedded database file, `group-N.redb`. Every write is one transaction that is synced before
+//! it returns. Each value carries a CRC-32 of its own, so that bit rot is found on opening and
+//! refused with a clear error, while a torn last transaction is dropped by the database itself.
+
+use std::path::{Path, PathBuf};
+
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::core::Stored;
+use super::message::{Entry, HardState, Snapshot};
+use crate::ids::{BoxId, Incarnation};
+
+const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+
+const HARD: &str = "hard";
+const SNAPSHOT: &str = "snapshot";
+const IDENTITY: &str = "identity";
+
+const CHECKSUM_BYTES: usize = 4;
+
+/// Why the data folder cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum StorageError {
+    /// The database refuses.
+    #[error("{path}: {source}")]
+    Database {
+        /// The file.
+        path: PathBuf,
+        /// What it says.
+        source: Box<redb::Error>,
+    },
+    /// A value does not have its checksum, or cannot be read.
+    #[error(
+        "{path}: {what} is corrupt; replace this disk: remove the file, start, and replace the member"
+    )]
+    Corrupt {
+        /// The file.
+        path: PathBuf,
+        /// Which value.
+        what: String,
+    },
+    /// The file belongs to another box.
+    #[error("{path}: belongs to box {owner}")]
+    Foreign {
+        /// The file.
+        path: PathBuf,
+        /// Whose it is.
+        owner: BoxId,
+    },
+}
+
+/// What one synced write holds.
+#[derive(Debug, Clone, Default)]
+pub struct Batch {
+    /// The hard state, if it changed.
+    pub hard: Option<HardState>,
+    /// A snapshot that takes the place of the entries up to its index; of all entries when `reset`.
+    pub snapshot: Option<Snapshot>,
+    /// Whether the snapshot came from the leader, so that no entry held before it counts.
+    pub reset: bool,
+    /// Entries to append; what is held from the first one's index on is dropped.
+    pub append: Vec<Entry>,
+}
+
+impl Batch {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.hard.is_none() && self.snapshot.is_none() && self.append.is_empty()
+    }
+}
+
+/// An open data folder.
+pub struct Storage {
+    database: Database,
+    path: PathBuf,
+}
+
+impl Storage {
+    /// Opens or creates a group's file in `folder`, and gives what it holds and the life of the
+    /// disk. A new file starts a new life.
+    ///
+    /// # Errors
+    /// When the file cannot be opened, is corrupt, or belongs to another box.
+    pub fn open(
+        folder: &Path,
+        group: u32,
+        box_id: &BoxId,
+    ) -> Result<(Self, Stored, Incarnation), StorageError> {
+        let path = folder.join(format!("group-{group}.redb"));
+        std::fs::create_dir_all(folder).map_err(|error| io_error(&path, error))?;
+        let database = Database::create(&path).map_err(|error| wrap(&path, error))?;
+        let storage = Self { database, path };
+        let life = storage.identify(box_id)?;
+        let stored = storage.load()?;
+        Ok((storage, stored, life))
+    }
+
+    fn identify(&self, box_id: &BoxId) -> Result<Incarnation, StorageError> {
+        self.create_tables()?;
+        let held: Option<(BoxId, Incarnation)> = self.read_meta(IDENTITY)?;
+        match held {
+            Some((owner, life)) if owner == *box_id => Ok(life),
+            Some((owner, _)) => Err(StorageError::Foreign {
+                path: self.path.clone(),
+                owner,
+            }),
+            None => {
+                let life = Incarnation(rand::random::<u32>().max(1).into());
+                self.write_meta(IDENTITY, &(box_id, life))?;
+                Ok(life)
+            }
+        }
+    }
+
+    fn create_tables(&self) -> Result<(), StorageError> {
+        let write = self
+            .database
+            .begin_write()
+            .map_err(|error| wrap(&self.path, error))?;
+        write
+            .open_table(ENTRIES)
+            .map_err(|error| wrap(&self.path, error))?;
+        write
+            .open_table(META)
+            .map_err(|error| wrap(&self.path, error))?;
+        write.commit().map_err(|error| wrap(&self.path, error))
+    }
+
+    fn load(&self) -> Result<Stored, StorageError> {
+        let hard = self.read_meta(HARD)?.unwrap_or_default();
+        let snapshot: Option<Snapshot> = self.read_meta(SNAPSHOT)?;
+        let mut entries: Vec<Entry> = Vec::new();
+        let read = self
+            .database
+            .begin_read()
+            .map_err(|error| wrap(&self.path, error))?;
+        let table = read
+            .open_table(ENTRIES)
+            .map_err(|error| wrap(&self.path, error))?;
+        let first = snapshot.as_ref().map_or(1, |snapshot| snapshot.index.0 + 1);
+        for row in table
+            .range(first..)
+            .map_err(|error| wrap(&self.path, error))?
+        {
+            let (index, value) = row.map_err(|error| wrap(&self.path, error))?;
+            let expected = first + entries.len() as u64;
+            let what = format!("entry {}", index.value());
+            let entry: Entry = self.decode(&what, value.value())?;
+            if entry.index.0 != expected || index.value() != expected {
+                return Err(self.corrupt(format!("the log at entry {expected}")));
+            }
+            entries.push(entry);
+        }
+        Ok(Stored {
+            hard,
+            snapshot,
+            entries,
+        })
+    }
+
+    /// Writes a batch and syncs it.
+    ///
+    /// # Errors
+    /// When the database cannot write; nothing of the batch counts then.
+    pub fn write(&self, batch: &Batch) -> Result<(), StorageError> {
+        if batch.is_empty() {
+            return Ok(());
+        }
+        let wrapped = |error: redb::Error| wrap(&self.path, error);
+        let write = self
+            .database
+            .begin_write()
+            .map_err(|error| wrapped(error.into()))?;
+        {
+            let mut meta = write
+                .open_table(META)
+                .map_err(|error| wrapped(error.into()))?;
+            let mut entries = write
+                .open_table(ENTRIES)
+                .map_err(|error| wrapped(error.into()))?;
+            if let Some(hard) = &batch.hard {
+                let bytes = encode(hard);
+                meta.insert(HARD, bytes.as_slice())
+                    .map_err(|error| wrapped(error.into()))?;
+            }
+            if let Some(snapshot) = &batch.snapshot {
+                let bytes = encode(snapshot);
+                meta.insert(SNAPSHOT, bytes.as_slice())
+                    .map_err(|error| wrapped(error.into()))?;
+                let last = if batch.reset {
+                    u64::MAX
+                } else {
+                    snapshot.index.0
+                };
+                entries
+                    .retain_in(..=last, |_, _| false)
+                    .map_err(|error| wrapped(error.into()))?;
+            }
+            if let Some(first) = batch.append.first() {
+                let held = entries.last().map_err(|error| wrapped(error.into()))?;
+                let overlaps = held.is_some_and(|(index, _)| index.value() >= first.index.0);
+                if overlaps {
+                    entries
+                        .retain_in(first.index.0.., |_, _| false)
+                        .map_err(|error| wrapped(error.into()))?;
+                }
+            }
+            for entry in &batch.append {
+                let bytes = encode(entry);
+                entries
+                    .insert(entry.index.0, bytes.as_slice())
+                    .map_err(|error| wrapped(error.into()))?;
+            }
+        }
+        write.commit().map_err(|error| wrapped(error.into()))
+    }
+
+    fn read_meta<T: DeserializeOwned>(&self, key: &str) -> Result<Option<T>, StorageError> {
+        let read = self
+            .database
+            .begin_read()
+            .map_err(|error| wrap(&self.path, error))?;
+        let table = read
+            .open_table(META)
+            .map_err(|error| wrap(&self.path, error))?;
+        let value = table.get(key).map_err(|error| wrap(&self.path, error))?;
+        value
+            .map(|value| self.decode(key, value.value()))
+            .transpose()
+    }
+
+    fn write_meta<T: Serialize>(&self, key: &str, value: &T) -> Result<(), StorageError> {
+        let write = self
+            .database
+            .begin_write()
+            .map_err(|error| wrap(&self.path, error))?;
+        {
+            let mut table = write
+                .open_table(META)
+                .map_err(|error| wrap(&self.path, error))?;
+            let bytes = encode(value);
+            table
+                .insert(key, bytes.as_slice())
+                .map_err(|error| wrap(&self.path, error))?;
+        }
+        write.commit().map_err(|error| wrap(&self.path, error))
+    }
+
+    fn decode<T: DeserializeOwned>(&self, what: &str, bytes: &[u8]) -> Result<T, StorageError> {
+        let corrupt = || self.corrupt(what.to_owned());
+        let split = bytes
+            .len()
+            .checked_sub(CHECKSUM_BYTES)
+            .ok_or_else(corrupt)?;
+        let (content, checksum) = bytes.split_at(split);
+        if crc32fast::hash(content).to_le_bytes() != checksum {
+            return Err(corrupt());
+        }
+        serde_json::from_slice(content).map_err(|_| corrupt())
+    }
+
+    fn corrupt(&self, what: String) -> StorageError {
+        StorageError::Corrupt {
+            path: self.path.clone(),
+            what,
+        }
+    }
+}
+
+/// A value's JSON with its checksum behind it.
+fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = serde_json::to_vec(value).expect("stored types always encode");
+    let checksum = crc32fast::hash(&bytes);
+    bytes.extend_from_slice(&checksum.to_le_bytes());
+    bytes
+}
+
+fn wrap(path: &Path, error: impl Into<redb::Error>) -> StorageError {
+    StorageError::Database {
+        path: path.to_owned(),
+        source: Box::new(error.into()),
+    }
+}
+
+fn io_error(path: &Path, error: std::io::Error) -> StorageError {
+    wrap(path, redb::Error::Io(error))
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,237 @@
+//! Newtypes for every name and number that identifies something.
+//!
+//! Names are 1 to 64 characters from `A-Z a-z 0-9 . _ -`, so that they can stand in a settings
+//! section, a URL path and a log line without quoting.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// The longest name accepted, in characters.
+pub const NAME_LIMIT: usize = 64;
+
+/// Why a text is not a valid name.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum NameError {
+    /// The text is empty or longer than [`NAME_LIMIT`].
+    #[error("a name has 1 to {NAME_LIMIT} characters, this one has {0}")]
+    Length(usize),
+    /// The text holds a character that names may not hold.
+    #[error("a name holds letters, digits, '.', '_' and '-' only, not {0:?}")]
+    Character(char),
+}
+
+fn check_name(text: &str) -> Result<(), NameError> {
+    let length = text.chars().count();
+    if length == 0 || length > NAME_LIMIT {
+        return Err(NameError::Length(length));
+    }
+    match text
+        .chars()
+        .find(|c| !(c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-')))
+    {
+        Some(character) => Err(NameError::Character(character)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                check_name(text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                check_name(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+    };
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The number that follows this one.
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// A box: one machine that runs a node.
+    BoxId
+}
+name_type! {
+    /// A data centre.
+    DataCentre
+}
+name_type! {
+    /// A team: a customer's group that is owed latency targets.
+    TeamName
+}
+name_type! {
+    /// A service: a model, or a plain service beside the model engines.
+    ServiceName
+}
+name_type! {
+    /// A backend server: one engine or one instance of a plain service.
+    BackendId
+}
+name_type! {
+    /// A policy.
+    PolicyName
+}
+name_type! {
+    /// An operator's id for one change; resending it gets the first answer again.
+    ChangeId
+}
+
+number_type! {
+    /// A revision of the configuration. It only grows.
+    Revision
+}
+number_type! {
+    /// A term of the replicated group.
+    Term
+}
+number_type! {
+    /// A place in the replicated log; the first entry has 1.
+    Index
+}
+number_type! {
+    /// One life of a box's disk or of a process; 0 stands for none.
+    Incarnation
+}
+number_type! {
+    /// A number that grows with each owner of a piece of work; orders with a lower one are void.
+    Fence
+}
+
+/// The longest idempotency key accepted, in bytes.
+pub const KEY_LIMIT: usize = 256;
+
+/// The caller's identity for a request, from its `Idempotency-Key` header.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestKey(String);
+
+impl RequestKey {
+    /// The key as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// A key no caller has chosen, for a request that came without one.
+    pub fn random() -> Self {
+        Self(uuid::Uuid::new_v4().simple().to_string())
+    }
+}
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for RequestKey {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        if text.is_empty() || text.len() > KEY_LIMIT {
+            return Err(NameError::Length(text.len()));
+        }
+        match text.chars().find(|c| c.is_control()) {
+            Some(character) => Err(NameError::Character(character)),
+            None => Ok(Self(text.to_owned())),
+        }
+    }
+}
+
+/// One attempt at a request on one backend server. Engines echo it on every chunk.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AttemptId(String);
+
+impl AttemptId {
+    /// A new attempt's id.
+    pub fn random() -> Self {
+        Self(uuid::Uuid::new_v4().simple().to_string())
+    }
+
+    /// The id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        check_name(text)?;
+        Ok(Self(text.to_owned()))
+    }
+}
--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,165 @@
+//! Calls to other nodes, over one standing connection to each address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex as SyncMutex, PoisonError};
+use std::time::Duration;
+
+use jsonrpsee::core::client::{ClientT, Error};
+use jsonrpsee::core::params::ArrayParams;
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::Mutex;
+
+use super::method::Call;
+
+/// Largest message between nodes, in bytes.
+pub(crate) const MESSAGE_LIMIT: u32 = 16 << 20;
+
+const CONNECT_TIME: Duration = Duration::from_millis(1_000);
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PeerError {
+    /// No connection; the call was not sent.
+    #[error("{addr} cannot be reached: {detail}")]
+    Unreachable {
+        /// Whom.
+        addr: SocketAddr,
+        /// Why.
+        detail: String,
+    },
+    /// The call was sent and no answer came, in time or at all.
+    #[error("{addr} did not answer: {detail}")]
+    NoAnswer {
+        /// Who.
+        addr: SocketAddr,
+        /// Why.
+        detail: String,
+    },
+    /// The other side answered that it will not.
+    #[error("{0}")]
+    Refused(String),
+}
+
+struct Peer {
+    addr: SocketAddr,
+    client: Mutex<Option<Arc<WsClient>>>,
+}
+
+impl Peer {
+    async fn client(&self) -> Result<Arc<WsClient>, PeerError> {
+        let mut held = self.client.lock().await;
+        if let Some(client) = held.as_ref().filter(|client| client.is_connected()) {
+            return Ok(client.clone());
+        }
+        let builder = WsClientBuilder::new()
+            .connection_timeout(CONNECT_TIME)
+            .max_request_size(MESSAGE_LIMIT)
+            .max_response_size(MESSAGE_LIMIT)
+            .request_timeout(Duration::from_secs(30));
+        let built = builder.build(format!("ws://{}", self.addr)).await;
+        let client = Arc::new(built.map_err(|error| self.unreachable(&error))?);
+        *held = Some(client.clone());
+        Ok(client)
+    }
+
+    fn unreachable(&self, error: &Error) -> PeerError {
+        PeerError::Unreachable {
+            addr: self.addr,
+            detail: error.to_string(),
+        }
+    }
+
+    /// Drops the connection, if it is still the one that failed.
+    async fn forget(&self, failed: &Arc<WsClient>) {
+        let mut held = self.client.lock().await;
+        if held
+            .as_ref()
+            .is_some_and(|client| Arc::ptr_eq(client, failed))
+        {
+            *held = None;
+        }
+    }
+}
+
+/// The connections to other nodes.
+#[derive(Clone)]
+pub struct Peers {
+    secret: Arc<str>,
+    peers: Arc<SyncMutex<HashMap<SocketAddr, Arc<Peer>>>>,
+}
+
+impl Peers {
+    /// No connections yet; `secret` is sent with every call.
+    pub fn new(secret: &str) -> Self {
+        Self {
+            secret: secret.into(),
+            peers: Arc::default(),
+        }
+    }
+
+    fn peer(&self, addr: SocketAddr) -> Arc<Peer> {
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        let new = || {
+            Arc::new(Peer {
+                addr,
+                client: Mutex::new(None),
+            })
+        };
+        peers.entry(addr).or_insert_with(new).clone()
+    }
+
+    /// Calls a method and waits at most `limit` for its answer.
+    ///
+    /// # Errors
+    /// As [`PeerError`]; only [`PeerError::Unreachable`] proves that the call was not made.
+    pub async fn call<T, R>(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        body: &T,
+        limit: Duration,
+    ) -> Result<R, PeerError>
+    where
+        T: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let peer = self.peer(addr);
+        let connecting = tokio::time::timeout(limit, peer.client()).await;
+        let client = connecting.unwrap_or_else(|_| {
+            Err(PeerError::Unreachable {
+                addr,
+                detail: "timed out".to_owned(),
+            })
+        })?;
+        let mut params = ArrayParams::new();
+        let call = Call {
+            secret: self.secret.to_string(),
+            body,
+        };
+        params
+            .insert(call)
+            .map_err(|error| PeerError::Refused(error.to_string()))?;
+        let answer = tokio::time::timeout(limit, client.request(method, params)).await;
+        match answer {
+            Ok(Ok(value)) => Ok(value),
+            Ok(Err(Error::Call(error))) => Err(PeerError::Refused(error.message().to_owned())),
+            Ok(Err(error)) => {
+                peer.forget(&client).await;
+                Err(PeerError::NoAnswer {
+                    addr,
+                    detail: error.to_string(),
+                })
+            }
+            Err(_) => {
+                peer.forget(&client).await;
+                Err(PeerError::NoAnswer {
+                    addr,
+                    detail: "timed out".to_owned(),
+                })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/method.rs
@@ -0,0 +1,140 @@
+//! The methods nodes and operators call, by name, with their types.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::group::message::Members;
+use crate::ids::{BackendId, BoxId, DataCentre, Incarnation, Index, Revision, Term};
+use crate::state::config::{Accepted, Configuration};
+
+/// Takes a list of the group's messages; answers nothing.
+pub const STEP: &str = "group_step";
+/// Takes a command; answers when it is applied.
+pub const PROPOSE: &str = "group_propose";
+/// Takes a [`Poll`]; answers a [`PollReply`].
+pub const POLL: &str = "group_poll";
+/// Answers the [`GroupStatus`] of this replica.
+pub const GROUP_STATUS: &str = "group_status";
+/// Takes the first members of a new group.
+pub const FORM: &str = "group_form";
+/// Takes a change of members.
+pub const CHANGE_MEMBERS: &str = "group_change_members";
+/// Takes an id of kept work; answers what is known of it, read at the leader.
+pub const READ_WORK: &str = "group_read_work";
+/// Answers the node's [`NodeStatus`].
+pub const STATUS: &str = "node_status";
+/// Asks the node to drain and stop.
+pub const DRAIN: &str = "node_drain";
+/// Takes a trace's id; answers the node's hops of it.
+pub const TRACE: &str = "node_trace";
+/// Exchanges news of boxes and backend servers.
+pub const GOSSIP: &str = "member_gossip";
+/// Asks whether a box answers.
+pub const PROBE: &str = "member_probe";
+/// Takes a node's demand; answers its shares of the teams' limits.
+pub const SHARE: &str = "share_lease";
+/// Takes a stream that its node cannot finish.
+pub const HAND_OVER: &str = "entry_hand_over";
+
+/// Every call's parameters.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Call<T> {
+    /// The secret all nodes and operators share.
+    pub secret: String,
+    /// What the method takes.
+    pub body: T,
+}
+
+/// Asks for the configuration's changes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Poll {
+    /// The revision the asker has.
+    pub from: Revision,
+    /// How long to wait for a newer one, in milliseconds.
+    pub wait: u64,
+}
+
+/// The newest configuration, as little of it as the asker lacks.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PollReply {
+    /// How long ago this was certainly the newest anywhere, in milliseconds; `None`: not known.
+    pub age: Option<u64>,
+    /// What the asker lacks.
+    pub news: News,
+}
+
+/// What a node lacks of the configuration.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum News {
+    /// These changes, in order; perhaps none.
+    Changes(Vec<Accepted>),
+    /// All of it.
+    Whole(Arc<Configuration>),
+}
+
+/// A replica's view of its group.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GroupStatus {
+    /// The box.
+    pub box_id: BoxId,
+    /// The life of its disk.
+    pub life: Incarnation,
+    /// Whether it belongs to a group.
+    pub formed: bool,
+    /// `leader`, `follower` or `candidate`.
+    pub role: String,
+    /// The leader it knows.
+    pub leader: Option<BoxId>,
+    /// Its term.
+    pub term: Term,
+    /// Its last entry.
+    pub last: Index,
+    /// Its commit index.
+    pub commit: Index,
+    /// The members it knows.
+    pub members: Members,
+    /// At the leader: the last entry known to be stored by each other member.
+    pub matched: BTreeMap<BoxId, Index>,
+}
+
+/// A node's state, for operators.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// The box.
+    pub box_id: BoxId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// `starting`, `serving` or `draining`.
+    pub phase: String,
+    /// The revision in force.
+    pub revision: Revision,
+    /// How old it may be, in milliseconds; `None`: not known.
+    pub age: Option<u64>,
+    /// Requests under way.
+    pub requests: usize,
+    /// Where callers reach the node.
+    pub entry: Option<SocketAddr>,
+    /// The boxes it knows, with their states.
+    pub boxes: BTreeMap<BoxId, String>,
+    /// The backend servers it knows, with their states.
+    pub backends: BTreeMap<BackendId, BackendStatus>,
+    /// The group, on a replica.
+    pub group: Option<GroupStatus>,
+}
+
+/// A backend server's state as one node sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BackendStatus {
+    /// `open`, `leaving` or `ejected`.
+    pub state: String,
+    /// Requests this node has in flight there.
+    pub requests: u32,
+    /// Requests running there by its last report.
+    pub running: u32,
+    /// Requests waiting there by its last report.
+    pub waiting: u32,
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,10 @@
+//! How the system's own processes and its operators talk: JSON-RPC 2.0 over WebSocket.
+//!
+//! [`client`] calls, [`server`] answers. Every call carries the shared secret; the methods and
+//! their types stand in [`method`].
+
+pub mod client;
+pub mod method;
+pub mod server;
+
+pub use client::{PeerError, Peers};
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,198 @@
+//! Answers other nodes and operators.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use jsonrpsee::server::{ServerBuilder, ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::{Extensions, RpcModule};
+use ractor::ActorRef;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::client::MESSAGE_LIMIT;
+use super::method::{self, Call, GroupStatus, News, NodeStatus, Poll, PollReply};
+use crate::group::driver::{GroupMessage, Unanswered};
+use crate::group::message::{Envelope, MemberChange, Members};
+use crate::node::Node;
+use crate::state::work::{WorkId, WorkView};
+use crate::state::{Command, Reply};
+
+/// Connections at the same time.
+const CONNECTION_LIMIT: u32 = 2_048;
+
+/// How long this replica's own actor may take.
+const ACTOR_TIME: Duration = Duration::from_secs(5);
+
+/// A refused call's code.
+const REFUSED: i32 = -32_000;
+
+/// Where a running server listens, and the handle that stops it when dropped.
+pub struct PeerServer {
+    /// The address.
+    pub addr: SocketAddr,
+    _handle: ServerHandle,
+}
+
+/// Starts answering at `listen`.
+///
+/// # Errors
+/// When the address cannot be listened on.
+pub async fn start(listen: SocketAddr, node: Arc<Node>) -> Result<PeerServer> {
+    let config = ServerConfig::builder()
+        .max_connections(CONNECTION_LIMIT)
+        .max_request_body_size(MESSAGE_LIMIT)
+        .max_response_body_size(MESSAGE_LIMIT)
+        .build();
+    let server = ServerBuilder::with_config(config)
+        .build(listen)
+        .await
+        .wrap_err_with(|| format!("listen for nodes on {listen}"))?;
+    let addr = server.local_addr()?;
+    let handle = server.start(methods(node)?);
+    Ok(PeerServer {
+        addr,
+        _handle: handle,
+    })
+}
+
+fn methods(node: Arc<Node>) -> Result<RpcModule<Arc<Node>>> {
+    let mut module = RpcModule::new(node);
+    register(&mut module, method::STEP, step)?;
+    register(&mut module, method::PROPOSE, propose)?;
+    register(&mut module, method::POLL, poll)?;
+    register(&mut module, method::GROUP_STATUS, group_status)?;
+    register(&mut module, method::FORM, form)?;
+    register(&mut module, method::CHANGE_MEMBERS, change_members)?;
+    register(&mut module, method::READ_WORK, read_work)?;
+    register(&mut module, method::STATUS, status)?;
+    register(&mut module, method::DRAIN, drain)?;
+    register(&mut module, method::TRACE, trace)?;
+    Ok(module)
+}
+
+/// Registers a method whose calls are answered only with the shared secret.
+fn register<T, R, F>(
+    module: &mut RpcModule<Arc<Node>>,
+    name: &'static str,
+    handler: fn(Arc<Node>, T) -> F,
+) -> Result<()>
+where
+    T: DeserializeOwned + Send + 'static,
+    R: Serialize + Clone + Send + 'static,
+    F: Future<Output = Result<R, String>> + Send + 'static,
+{
+    let callback =
+        move |params: jsonrpsee::types::Params<'static>, node: Arc<Arc<Node>>, _: Extensions| {
+            let call: Result<Call<T>, _> = params.one();
+            let node = (*node).clone();
+            async move {
+                let call = call?;
+                if call.secret != node.settings.peer.secret {
+                    return Err(refused("the secret is wrong"));
+                }
+                handler(node, call.body)
+                    .await
+                    .map_err(|text| refused(&text))
+            }
+        };
+    module
+        .register_async_method::<Result<R, ErrorObjectOwned>, _, _>(name, callback)
+        .map_err(|error| eyre!("register {name}: {error}"))?;
+    Ok(())
+}
+
+fn refused(text: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(REFUSED, text, None::<()>)
+}
+
+fn replica(node: &Node) -> Result<&ActorRef<GroupMessage>, String> {
+    node.access
+        .local()
+        .ok_or_else(|| "this node is no replica".to_owned())
+}
+
+/// Asks this process's replica.
+async fn ask<R>(
+    node: &Node,
+    message: impl FnOnce(ractor::RpcReplyPort<R>) -> GroupMessage,
+) -> Result<R, String>
+where
+    R: Send + 'static,
+{
+    use ractor::rpc::CallResult;
+    let answer = replica(node)?.call(message, Some(ACTOR_TIME)).await;
+    match answer {
+        Ok(CallResult::Success(reply)) => Ok(reply),
+        Ok(CallResult::Timeout) => Err("the replica did not answer in time".to_owned()),
+        Ok(CallResult::SenderError) => Err("the replica dropped the question".to_owned()),
+        Err(error) => Err(format!("the replica is gone: {error}")),
+    }
+}
+
+async fn step(node: Arc<Node>, envelopes: Vec<Envelope>) -> Result<(), String> {
+    let sent = replica(&node)?.cast(GroupMessage::Step(envelopes));
+    sent.map_err(|error| error.to_string())
+}
+
+async fn propose(node: Arc<Node>, command: Command) -> Result<Result<Reply, Unanswered>, String> {
+    ask(&node, |port| GroupMessage::Propose(Box::new(command), port)).await
+}
+
+async fn read_work(
+    node: Arc<Node>,
+    id: WorkId,
+) -> Result<Result<Option<WorkView>, Unanswered>, String> {
+    ask(&node, |port| GroupMessage::ReadWork(id, port)).await
+}
+
+async fn group_status(node: Arc<Node>, (): ()) -> Result<GroupStatus, String> {
+    ask(&node, GroupMessage::Status).await
+}
+
+async fn form(node: Arc<Node>, members: Members) -> Result<Result<(), String>, String> {
+    ask(&node, |port| GroupMessage::Form(members, port)).await
+}
+
+async fn change_members(
+    node: Arc<Node>,
+    change: MemberChange,
+) -> Result<Result<(), Unanswered>, String> {
+    ask(&node, |port| GroupMessage::ChangeMembers(change, port)).await
+}
+
+/// Answers as soon as there is something newer than the asker has, or when its time is up.
+async fn poll(node: Arc<Node>, poll: Poll) -> Result<PollReply, String> {
+    replica(&node)?;
+    let mut following = node.board.follow_configuration();
+    let newer = following.wait_for(|it| it.configuration.revision > poll.from);
+    let _ = tokio::time::timeout(Duration::from_millis(poll.wait), newer).await;
+    // Freshness first: the configuration read after it is at least as new.
+    let age = node.board.age().map(|age| age.as_millis() as u64 + 1);
+    let configuration = node.board.in_force().configuration.clone();
+    let news = match configuration.changes_after(poll.from) {
+        Some(changes) => News::Changes(changes),
+        None => News::Whole(configuration),
+    };
+    Ok(PollReply { age, news })
+}
+
+async fn status(node: Arc<Node>, (): ()) -> Result<NodeStatus, String> {
+    let group = match node.access.local() {
+        Some(_) => ask(&node, GroupMessage::Status).await.ok(),
+        None => None,
+    };
+    Ok(node.status(group))
+}
+
+async fn drain(node: Arc<Node>, (): ()) -> Result<(), String> {
+    node.stop.notify_one();
+    Ok(())
+}
+
+async fn trace(node: Arc<Node>, id: String) -> Result<Vec<crate::telemetry::Hop>, String> {
+    Ok(node.board.hops.of_trace(&id))
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,117 @@
+//! What the replicated log carries: configuration, the ledger of unrepeatable work, kept work.
+//!
+//! [`Machine`] is the deterministic state machine: the same entries in the same order give the same
+//! state and the same replies on every replica. It reads no clock: each entry carries the leader's
+//! time.
+
+pub mod change_file;
+pub mod config;
+pub mod ledger;
+pub mod work;
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use config::{Change, ChangeReply, Configuration};
+use ledger::{Begin, BeginReply, End, EndReply, Ledger};
+use work::{Claim, ClaimReply, Finish, Keep, KeepReply, WorkId, WorkStore, WorkView};
+
+/// One entry's content.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Command {
+    /// An operator's change of the configuration.
+    Change(Change),
+    /// An attempt at unrepeatable work is about to be sent.
+    Begin(Begin),
+    /// What became of that attempt.
+    End(End),
+    /// Work that may wait is to be kept.
+    Keep(Keep),
+    /// A node asks for kept work to run.
+    Claim(Claim),
+    /// A node has run kept work.
+    Finish(Finish),
+    /// Drop what is older than its age allows.
+    Expire,
+}
+
+/// The answer to a [`Command`], the same on every replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reply {
+    /// Answers [`Command::Change`].
+    Change(ChangeReply),
+    /// Answers [`Command::Begin`].
+    Begin(BeginReply),
+    /// Answers [`Command::End`].
+    End(EndReply),
+    /// Answers [`Command::Keep`].
+    Keep(KeepReply),
+    /// Answers [`Command::Claim`].
+    Claim(Box<ClaimReply>),
+    /// Answers [`Command::Finish`]: whether the fence was still the owner's.
+    Finish(bool),
+    /// Answers [`Command::Expire`]: how many entries went.
+    Expire(usize),
+}
+
+/// The state machine. Serializes whole as a snapshot.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Machine {
+    configuration: Arc<Configuration>,
+    ledger: Ledger,
+    work: WorkStore,
+}
+
+impl Machine {
+    /// Applies one command; `at` is the leader's time in milliseconds since the Unix epoch.
+    pub fn apply(&mut self, at: u64, command: &Command) -> Reply {
+        match command {
+            Command::Change(change) => {
+                let configuration = Arc::make_mut(&mut self.configuration);
+                Reply::Change(configuration.apply(change))
+            }
+            Command::Begin(begin) => Reply::Begin(self.ledger.begin(at, begin)),
+            Command::End(end) => Reply::End(self.ledger.end(at, end)),
+            Command::Keep(keep) => Reply::Keep(self.work.keep(at, keep)),
+            Command::Claim(claim) => Reply::Claim(Box::new(self.work.claim(at, claim))),
+            Command::Finish(finish) => Reply::Finish(self.work.finish(at, finish)),
+            Command::Expire => Reply::Expire(self.expire(at)),
+        }
+    }
+
+    fn expire(&mut self, at: u64) -> usize {
+        let limits = &self.configuration.limits;
+        let ledger = self.ledger.expire(at, limits.ledger_age);
+        let work = self.work.expire(at, limits.work_age);
+        ledger + work
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
+    /// The ledger.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// What is known of one piece of kept work.
+    pub fn work(&self, id: &WorkId) -> Option<WorkView> {
+        self.work.view(id)
+    }
+
+    /// Whether anything is old enough for [`Command::Expire`] to drop.
+    pub fn has_expired(&self, at: u64) -> bool {
+        let limits = &self.configuration.limits;
+        self.ledger.has_expired(at, limits.ledger_age) || self.work.has_expired(at, limits.work_age)
+    }
+
+    /// Whether kept work waits to be claimed at this time.
+    pub fn has_waiting(&self, at: u64) -> bool {
+        self.work.has_waiting(at)
+    }
+}
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,177 @@
+//! Metrics by OpenTelemetry, read in the Prometheus text format.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use tokio::net::TcpListener;
+
+use crate::node::Node;
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// Every instrument of a node.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    first_token: Histogram<f64>,
+    tokens: Counter<u64>,
+    attempts: Counter<u64>,
+    resumes: Counter<u64>,
+    policy_faults: Counter<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    /// When the exporter cannot be built.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .wrap_err("build the metrics exporter")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("emberturn");
+        let first_token = meter
+            .f64_histogram("emberturn_first_token_seconds")
+            .with_description("Time from a request's head to the first token given to the caller")
+            .with_boundaries(LATENCY_BOUNDS.to_vec())
+            .build();
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        Ok(Self {
+            requests: counter("emberturn_requests", "Requests by team and how they ended"),
+            tokens: counter("emberturn_tokens", "Tokens given to callers, by team"),
+            attempts: counter(
+                "emberturn_attempts",
+                "Attempts by backend server and outcome",
+            ),
+            resumes: counter(
+                "emberturn_resumes",
+                "Streams moved to another engine, by way",
+            ),
+            policy_faults: counter("emberturn_policy_faults", "Policy runs that failed"),
+            first_token,
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a finished request.
+    pub fn count_request(&self, team: &str, outcome: &str) {
+        let labels = [
+            KeyValue::new("team", team.to_owned()),
+            outcome_label(outcome),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Records the time to a first token, in seconds.
+    pub fn record_first_token(&self, team: &str, seconds: f64) {
+        self.first_token
+            .record(seconds, &[KeyValue::new("team", team.to_owned())]);
+    }
+
+    /// Counts tokens given to callers.
+    pub fn count_tokens(&self, team: &str, tokens: u64) {
+        self.tokens
+            .add(tokens, &[KeyValue::new("team", team.to_owned())]);
+    }
+
+    /// Counts an attempt at a backend server.
+    pub fn count_attempt(&self, backend: &str, outcome: &str) {
+        let labels = [
+            KeyValue::new("backend", backend.to_owned()),
+            outcome_label(outcome),
+        ];
+        self.attempts.add(1, &labels);
+    }
+
+    /// Counts a stream moved to another engine.
+    pub fn count_resume(&self, way: &'static str) {
+        self.resumes.add(1, &[KeyValue::new("way", way)]);
+    }
+
+    /// Counts a policy that failed and was passed over.
+    pub fn count_policy_fault(&self, policy: &str) {
+        self.policy_faults
+            .add(1, &[KeyValue::new("policy", policy.to_owned())]);
+    }
+
+    /// All metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    /// When they cannot be encoded.
+    pub fn render(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .wrap_err("encode metrics")?;
+        Ok(text)
+    }
+}
+
+fn outcome_label(outcome: &str) -> KeyValue {
+    KeyValue::new("outcome", outcome.to_owned())
+}
+
+/// Listens for readers of metrics.
+///
+/// # Errors
+/// When the address cannot be listened on.
+pub(crate) async fn listen(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .wrap_err_with(|| format!("listen for metrics on {addr}"))
+}
+
+/// Serves `/metrics` until the task is dropped.
+pub(crate) async fn run(node: Arc<Node>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let node = node.clone();
+        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+            let answer = answer(&node, request.uri().path());
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+    }
+}
+
+fn answer(node: &Node, path: &str) -> Response<Full<Bytes>> {
+    let (status, body) = match path {
+        "/metrics" => match node.metrics.render() {
+            Ok(text) => (StatusCode::OK, text),
+            Err(error) => (
+                StatusCode::INTERNAL_SERVER_ERROR,
+                error.to_string().into_bytes(),
+            ),
+        },
+        _ => (StatusCode::NOT_FOUND, b"only /metrics is here".to_vec()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,9 @@
+//! What a node tells about itself: logs as one key=value line an event, metrics, and a span for
+//! each hop of a request.
+
+pub mod hops;
+pub mod logs;
+pub mod metrics;
+
+pub use hops::{Hop, HopLog, TraceContext};
+pub use metrics::Metrics;
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,142 @@
+//! Newtypes for sizes, rates and prices.
+
+use std::fmt;
+use std::ops::{Add, AddAssign, Sub};
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Bytes of text taken to hold one token, when nothing better is known.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// A number of tokens.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+impl Tokens {
+    /// The estimate for a text: one token per four bytes, at least one.
+    pub fn estimate(text: &str) -> Self {
+        Self((text.len() / BYTES_PER_TOKEN + 1) as u64)
+    }
+
+    /// The difference, or none where `other` is larger.
+    pub fn less(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add for Tokens {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Tokens {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Tokens {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        self.less(other)
+    }
+}
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// A price in millionths of the customer's currency an hour.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Price(pub u64);
+
+impl fmt::Display for Price {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Price {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// A span of time in whole milliseconds, as written in settings and messages.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The span as a [`Duration`].
+    pub fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl From<Duration> for Millis {
+    fn from(duration: Duration) -> Self {
+        Self(duration.as_millis().min(u128::from(u64::MAX)) as u64)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+impl FromStr for Millis {
+    type Err = DurationError;
+
+    /// Reads `250ms`, `5s` or `2m`; a bare number is milliseconds.
+    fn from_str(text: &str) -> Result<Self, DurationError> {
+        let digits = text
+            .find(|c: char| !c.is_ascii_digit())
+            .unwrap_or(text.len());
+        let (number, unit) = text.split_at(digits);
+        let number: u64 = number.parse().map_err(|_| DurationError(text.to_owned()))?;
+        let factor = match unit.trim() {
+            "" | "ms" => 1,
+            "s" => 1_000,
+            "m" => 60_000,
+            "h" => 3_600_000,
+            _ => return Err(DurationError(text.to_owned())),
+        };
+        number
+            .checked_mul(factor)
+            .map(Self)
+            .ok_or_else(|| DurationError(text.to_owned()))
+    }
+}
+
+/// A text that is not a span of time.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not a time such as 250ms, 5s, 2m or 24h")]
+pub struct DurationError(String);
