--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -34,38 +34,20 @@
 
     form_alone(&node).await?;
     let decode = Duration::from_millis(30);
-    let (_engine, addr) = Engine::start(Options {
-        decode,
-        ..Options::default()
-    })
-    .await?;
+    let (_engine, addr) = Engine::start(Options { decode, ..Options::default() }).await?;
     let text = format!(
         "[team demo]\nkey = {KEY}\n[service small]\nkind = engine\n\
          [backend_server engine-1]\nservice = small\naddr = {addr}\ndata_centre = here\n"
     );
-    let change = change_file::parse(
-        "embedded change",
-        &text,
-        Path::new("."),
-        "first".parse()?,
-        None,
-    )?;
-    node.access
-        .propose(Command::Change(change), Duration::from_secs(10))
-        .await?;
+    let change =
+        change_file::parse("embedded change", &text, Path::new("."), "first".parse()?, None)?;
+    node.access.propose(Command::Change(change), Duration::from_secs(10)).await?;
     let mut configuration = node.board.follow_configuration();
-    configuration
-        .wait_for(|it| it.configuration.revision >= Revision(1))
-        .await?;
+    configuration.wait_for(|it| it.configuration.revision >= Revision(1)).await?;
     let mut phase = node.board.follow_phase();
-    phase
-        .wait_for(|phase| phase.to_string() == "serving")
-        .await?;
+    phase.wait_for(|phase| phase.to_string() == "serving").await?;
 
-    let entry = *node
-        .entry_addr
-        .get()
-        .ok_or_else(|| eyre!("the node does not listen"))?;
+    let entry = *node.entry_addr.get().ok_or_else(|| eyre!("the node does not listen"))?;
     println!("entry node on {entry}, fake engine on {addr}");
     let body = json!({
         "model": "small", "prompt": "Is the link to the harbour down?",
@@ -74,11 +56,7 @@
     let bearer = format!("Bearer {KEY}");
     let request = http::post("/v1/completions", &[("authorization", &bearer)], &body);
     let response = http::open(entry, request).await?;
-    println!(
-        "status {}, trace {:?}",
-        response.status(),
-        response.headers().get("emberturn-trace")
-    );
+    println!("status {}, trace {:?}", response.status(), response.headers().get("emberturn-trace"));
     let mut body = response.into_body();
     while let Some(frame) = body.frame().await {
         if let Some(bytes) = frame?.data_ref() {
@@ -108,10 +86,7 @@
 
 /// Makes a group of this one replica.
 async fn form_alone(node: &Node) -> Result<()> {
-    let replica = node
-        .access
-        .local()
-        .ok_or_else(|| eyre!("the node is no replica"))?;
+    let replica = node.access.local().ok_or_else(|| eyre!("the node is no replica"))?;
     let status: GroupStatus = ractor::call!(replica, GroupMessage::Status)?;
     let mut members = Members::default();
     members.voters.insert(status.box_id, status.life);
--- a/fakes/src/engine.rs
+++ b/fakes/src/engine.rs
@@ -148,11 +148,7 @@
 impl Engine {
     /// Creates an engine that serves nothing yet.
     pub fn new(options: Options) -> Self {
-        Self {
-            options,
-            inner: Arc::default(),
-            freed: Arc::default(),
-        }
+        Self { options, inner: Arc::default(), freed: Arc::default() }
     }
 
     /// Serves on `listener` until the future is dropped.
@@ -177,10 +173,7 @@
         let inner = self.lock();
         let mut numbers: Vec<_> = inner.runs.keys().copied().collect();
         numbers.sort_unstable();
-        numbers
-            .iter()
-            .filter_map(|number| inner.runs.get(number).cloned())
-            .collect()
+        numbers.iter().filter_map(|number| inner.runs.get(number).cloned()).collect()
     }
 
     /// The counters so far.
@@ -263,20 +256,13 @@
         tokio::spawn(self.run(body, chat, sender));
         let mut reply = Response::new(channel.boxed_unsync());
         let kind = hyper::header::HeaderValue::from_static("text/event-stream");
-        reply
-            .headers_mut()
-            .insert(hyper::header::CONTENT_TYPE, kind);
+        reply.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
         reply
     }
 
     async fn run(self, body: Body, chat: bool, mut sender: Sender<Bytes, BodyError>) {
         let prompt = match chat {
-            true => body
-                .messages
-                .iter()
-                .map(|m| m.content.as_str())
-                .collect::<Vec<_>>()
-                .join("\n"),
+            true => body.messages.iter().map(|m| m.content.as_str()).collect::<Vec<_>>().join("\n"),
             false => body.prompt.clone(),
         };
         let extra = body.emberturn.clone();
@@ -284,10 +270,7 @@
         let _slot = self.take_slot(extra.priority).await;
         let missing = self.look_up(&prompt, &extra);
         tokio::time::sleep(self.options.prefill * missing as u32).await;
-        self.lock().live.insert(
-            body.request_id.clone(),
-            (prompt.clone(), extra.resume_tokens),
-        );
+        self.lock().live.insert(body.request_id.clone(), (prompt.clone(), extra.resume_tokens));
         let mut due = tokio::time::Instant::now();
         for index in extra.resume_tokens..body.max_tokens {
             due += self.step_time();
@@ -302,10 +285,7 @@
             }
             self.count_token(number, &body.request_id, index);
         }
-        let whole = sender
-            .send_data(Bytes::from_static(b"data: [DONE]\n\n"))
-            .await
-            .is_ok();
+        let whole = sender.send_data(Bytes::from_static(b"data: [DONE]\n\n")).await.is_ok();
         self.end(number, &body.request_id, whole);
     }
 
@@ -315,12 +295,7 @@
         inner.counters.requests += 1;
         let number = inner.next_ticket;
         let first = body.emberturn.resume_tokens;
-        let run = Run {
-            request_id: body.request_id.clone(),
-            first,
-            generated: 0,
-            finished: false,
-        };
+        let run = Run { request_id: body.request_id.clone(), first, generated: 0, finished: false };
         inner.runs.insert(number, run);
         number
     }
@@ -349,10 +324,7 @@
         let mut inner = self.lock();
         let total = tokens::count(prompt);
         let hashes = block_hashes(prompt);
-        let hit = hashes
-            .iter()
-            .take_while(|hash| inner.blocks.contains(hash))
-            .count();
+        let hit = hashes.iter().take_while(|hash| inner.blocks.contains(hash)).count();
         for hash in hashes {
             inner.blocks.retain(|held| *held != hash);
             inner.blocks.push_back(hash);
@@ -360,15 +332,8 @@
         while inner.blocks.len() > self.options.cache_blocks {
             inner.blocks.pop_front();
         }
-        let imported = extra
-            .kv
-            .as_deref()
-            .is_some_and(|blob| covers(blob, prompt, extra));
-        let cached = if imported {
-            total
-        } else {
-            (hit * BLOCK_TOKENS).min(total)
-        };
+        let imported = extra.kv.as_deref().is_some_and(|blob| covers(blob, prompt, extra));
+        let cached = if imported { total } else { (hit * BLOCK_TOKENS).min(total) };
         let resumed = if imported { 0 } else { extra.resume_tokens };
         let missing = total - cached + resumed;
         inner.counters.prefilled += missing;
@@ -420,9 +385,7 @@
             notified.await;
         }
         self.freed.notify_waiters();
-        Slot {
-            engine: self.clone(),
-        }
+        Slot { engine: self.clone() }
     }
 }
 
@@ -442,9 +405,7 @@
         return false;
     };
     let same = print == format!("{:016x}", tokens::fingerprint(prompt));
-    same && sent
-        .parse::<usize>()
-        .is_ok_and(|sent| sent >= extra.resume_tokens)
+    same && sent.parse::<usize>().is_ok_and(|sent| sent >= extra.resume_tokens)
 }
 
 fn block_hashes(prompt: &str) -> Vec<u64> {
--- a/fakes/src/http.rs
+++ b/fakes/src/http.rs
@@ -51,15 +51,11 @@
 /// A JSON answer with the given status.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Reply {
     let text = serde_json::to_vec(value).unwrap_or_default();
-    let body = Full::new(Bytes::from(text))
-        .map_err(|never| match never {})
-        .boxed_unsync();
+    let body = Full::new(Bytes::from(text)).map_err(|never| match never {}).boxed_unsync();
     let mut reply = Response::new(body);
     *reply.status_mut() = status;
     let kind = hyper::header::HeaderValue::from_static("application/json");
-    reply
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, kind);
+    reply.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
     reply
 }
 
@@ -103,10 +99,7 @@
 
     /// A header's value, or the empty string.
     pub fn header(&self, name: &str) -> &str {
-        self.headers
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or("")
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
     }
 }
 
@@ -115,17 +108,12 @@
 /// # Errors
 /// When the address does not answer, or the connection ends before the headers.
 pub async fn open(addr: SocketAddr, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
-    let stream = TcpStream::connect(addr)
-        .await
-        .wrap_err_with(|| format!("connect to {addr}"))?;
+    let stream = TcpStream::connect(addr).await.wrap_err_with(|| format!("connect to {addr}"))?;
     stream.set_nodelay(true)?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
-    sender
-        .send_request(request)
-        .await
-        .wrap_err("send the request")
+    sender.send_request(request).await.wrap_err("send the request")
 }
 
 /// One call on a connection of its own, read to the end.
@@ -136,11 +124,7 @@
     let response = open(addr, request).await?;
     let (parts, body) = response.into_parts();
     let body = body.collect().await.wrap_err("read the answer")?.to_bytes();
-    Ok(Answer {
-        status: parts.status,
-        headers: parts.headers,
-        body,
-    })
+    Ok(Answer { status: parts.status, headers: parts.headers, body })
 }
 
 /// A request with a JSON body and extra headers.
@@ -168,7 +152,5 @@
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
-    builder
-        .body(Full::new(Bytes::new()))
-        .expect("the path and headers are valid")
+    builder.body(Full::new(Bytes::new())).expect("the path and headers are valid")
 }
--- a/fakes/src/main.rs
+++ b/fakes/src/main.rs
@@ -53,27 +53,15 @@
 #[tokio::main]
 async fn main() -> Result<()> {
     match command().run() {
-        Command::Engine {
-            listen,
-            slots,
-            prefill_us,
-            decode_us,
-        } => {
+        Command::Engine { listen, slots, prefill_us, decode_us } => {
             let listener = bind(listen).await?;
             let prefill = Duration::from_micros(prefill_us);
             let decode = Duration::from_micros(decode_us);
-            let options = Options {
-                slots,
-                prefill,
-                decode,
-                ..Options::default()
-            };
+            let options = Options { slots, prefill, decode, ..Options::default() };
             Engine::new(options).serve(listener).await;
         }
         Command::Service { listen } => {
-            Service::new(Duration::ZERO)
-                .serve(bind(listen).await?)
-                .await;
+            Service::new(Duration::ZERO).serve(bind(listen).await?).await;
         }
         Command::Platform { listen } => Platform::default().serve(bind(listen).await?).await,
     }
@@ -81,9 +69,7 @@
 }
 
 async fn bind(addr: SocketAddr) -> Result<TcpListener> {
-    let listener = TcpListener::bind(addr)
-        .await
-        .wrap_err_with(|| format!("listen on {addr}"))?;
+    let listener = TcpListener::bind(addr).await.wrap_err_with(|| format!("listen on {addr}"))?;
     println!("event=listening addr={}", listener.local_addr()?);
     Ok(listener)
 }
--- a/fakes/src/platform.rs
+++ b/fakes/src/platform.rs
@@ -54,11 +54,7 @@
 
     /// Sets one line of the list.
     pub fn list(&self, name: &str, state: &str, incarnation: u64, notice_ms: u64) {
-        let listed = Listed {
-            state: state.to_owned(),
-            incarnation,
-            notice_ms,
-        };
+        let listed = Listed { state: state.to_owned(), incarnation, notice_ms };
         self.lock().list.insert(name.to_owned(), listed);
     }
 
--- a/fakes/src/proxy.rs
+++ b/fakes/src/proxy.rs
@@ -73,10 +73,7 @@
 
     /// Bytes forwarded so far: towards the server, and back.
     pub fn bytes(&self) -> (u64, u64) {
-        (
-            self.towards.load(Ordering::Relaxed),
-            self.back.load(Ordering::Relaxed),
-        )
+        (self.towards.load(Ordering::Relaxed), self.back.load(Ordering::Relaxed))
     }
 
     async fn accept(self, listener: TcpListener) {
@@ -130,11 +127,7 @@
             if !delay.is_zero() {
                 tokio::time::sleep(delay).await;
             }
-            if fault
-                .wait_for(|fault| *fault != Fault::Silent)
-                .await
-                .is_err()
-            {
+            if fault.wait_for(|fault| *fault != Fault::Silent).await.is_err() {
                 return;
             }
             let allowed = direction.allowed(*fault.borrow(), passed, count);
@@ -142,8 +135,7 @@
                 return;
             }
             passed += allowed as u64;
-            self.counter(direction)
-                .fetch_add(allowed as u64, Ordering::Relaxed);
+            self.counter(direction).fetch_add(allowed as u64, Ordering::Relaxed);
             if allowed < count {
                 self.cut(&from, &to);
                 return;
@@ -188,11 +180,7 @@
 }
 
 async fn refused(fault: &mut watch::Receiver<Fault>) {
-    if fault
-        .wait_for(|fault| *fault == Fault::Refuse)
-        .await
-        .is_err()
-    {
+    if fault.wait_for(|fault| *fault == Fault::Refuse).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
--- a/fakes/src/service.rs
+++ b/fakes/src/service.rs
@@ -24,11 +24,7 @@
     /// Creates a service that takes `delay` for each call.
     pub fn new(delay: Duration) -> Self {
         let gate = Arc::new(Semaphore::new(Semaphore::MAX_PERMITS));
-        Self {
-            journal: Arc::default(),
-            delay,
-            gate,
-        }
+        Self { journal: Arc::default(), delay, gate }
     }
 
     /// Starts a service on a free loopback port.
@@ -50,10 +46,7 @@
 
     /// The bodies of every call that ran, in order.
     pub fn journal(&self) -> Vec<String> {
-        self.journal
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.journal.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Keeps calls that ran from being answered until [`Service::release`].
@@ -80,9 +73,6 @@
         };
         tokio::time::sleep(self.delay).await;
         let _permit = self.gate.acquire().await;
-        http::json(
-            StatusCode::OK,
-            &json!({ "path": path, "number": number, "echo": text }),
-        )
+        http::json(StatusCode::OK, &json!({ "path": path, "number": number, "echo": text }))
     }
 }
--- a/fakes/src/tokens.rs
+++ b/fakes/src/tokens.rs
@@ -21,9 +21,7 @@
 /// A stable 64-bit fingerprint of a text (FNV-1a).
 pub fn fingerprint(text: &str) -> u64 {
     let start = 0xcbf2_9ce4_8422_2325_u64;
-    text.bytes().fold(start, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3)
-    })
+    text.bytes().fold(start, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
 }
 
 fn mix(mut value: u64) -> u64 {
--- a/fakes/tests/proxy.rs
+++ b/fakes/tests/proxy.rs
@@ -14,9 +14,7 @@
 #[tokio::test]
 async fn forwards_both_ways() {
     let (service, proxy) = proxied().await;
-    let answer = http::call(proxy.addr, http::post("/x", &[], &json!({ "a": 1 })))
-        .await
-        .unwrap();
+    let answer = http::call(proxy.addr, http::post("/x", &[], &json!({ "a": 1 }))).await.unwrap();
     assert_eq!(answer.json()["number"], 1);
     assert_eq!(service.journal().len(), 1);
     let (towards, back) = proxy.bytes();
--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -12,7 +12,7 @@
 
 use super::pool::{Exchange, Pool, SendFault};
 use super::sse::EventReader;
-use crate::ids::AttemptId;
+use crate::ids::{AttemptId, Incarnation};
 use crate::telemetry::TraceContext;
 use crate::telemetry::hops::HEADER;
 use crate::units::Tokens;
@@ -45,7 +45,7 @@
 }
 
 /// One piece of an answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Piece {
     /// Its text.
     pub text: String,
@@ -149,9 +149,7 @@
     body.insert("request_id".to_owned(), Value::String(attempt.to_string()));
     body.insert("emberturn".to_owned(), json!(extra));
     let request = post(target, Value::Object(body).to_string())?;
-    let exchange = pool
-        .send(target.addr, request, target.silence, target.fresh)
-        .await?;
+    let exchange = pool.send(target.addr, request, target.silence, target.fresh).await?;
     if exchange.status != StatusCode::OK {
         return Err(refusal(exchange, target.silence).await);
     }
@@ -176,14 +174,8 @@
 
 async fn refusal(exchange: Exchange, silence: Duration) -> EngineFault {
     let status = exchange.status.as_u16();
-    let not_run = exchange
-        .headers
-        .get(RUN_HEADER)
-        .is_some_and(|value| value == "not_run");
-    let body = exchange
-        .read_whole(SMALL_BODY, silence)
-        .await
-        .unwrap_or_default();
+    let not_run = exchange.headers.get(RUN_HEADER).is_some_and(|value| value == "not_run");
+    let body = exchange.read_whole(SMALL_BODY, silence).await.unwrap_or_default();
     let text: String = String::from_utf8_lossy(&body).chars().take(200).collect();
     match not_run {
         true => EngineFault::NotRun(format!("status {status}: {text}")),
@@ -230,10 +222,7 @@
         let chunk: Chunk = serde_json::from_str(data)
             .map_err(|error| EngineFault::Invalid(format!("a chunk is not readable: {error}")))?;
         if chunk.id != self.attempt.as_str() {
-            return Err(EngineFault::Invalid(format!(
-                "a chunk belongs to {}",
-                chunk.id
-            )));
+            return Err(EngineFault::Invalid(format!("a chunk belongs to {}", chunk.id)));
         }
         if let Some(token) = chunk.token
             && token != self.next
@@ -249,10 +238,7 @@
             return Ok(None);
         }
         self.next += 1;
-        Ok(Some(Piece {
-            text,
-            finish: choice.finish_reason,
-        }))
+        Ok(Some(Piece { text, finish: choice.finish_reason }))
     }
 }
 
@@ -266,6 +252,12 @@
     /// How old the report is, in milliseconds.
     #[serde(default)]
     pub age_ms: u64,
+    /// Milliseconds until its box goes, when the engine knows that it does.
+    #[serde(default)]
+    pub leaving_ms: Option<u64>,
+    /// Which life of its box it runs in, when it knows.
+    #[serde(default)]
+    pub incarnation: Option<Incarnation>,
 }
 
 /// Asks an engine for its load.
@@ -296,14 +288,9 @@
     target: &Target<'_>,
     attempt: &AttemptId,
 ) -> Result<String, EngineFault> {
-    let target = Target {
-        path: "/kv/export",
-        ..*target
-    };
+    let target = Target { path: "/kv/export", ..*target };
     let request = post(&target, json!({ "request_id": attempt }).to_string())?;
-    let exchange = pool
-        .send(target.addr, request, target.silence, true)
-        .await?;
+    let exchange = pool.send(target.addr, request, target.silence, true).await?;
     if exchange.status != StatusCode::OK {
         return Err(refusal(exchange, target.silence).await);
     }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -160,19 +160,13 @@
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
                 let home = Some((self.clone(), addr, sender));
-                Ok(Exchange {
-                    status: parts.status,
-                    headers: parts.headers,
-                    body,
-                    home,
-                })
+                Ok(Exchange { status: parts.status, headers: parts.headers, body, home })
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The library gives the request back only when it wrote nothing of it.
-                Some(unsent) => Err((
-                    SendFault::NotSent(error.into_error().to_string()),
-                    Some(unsent),
-                )),
+                Some(unsent) => {
+                    Err((SendFault::NotSent(error.into_error().to_string()), Some(unsent)))
+                }
                 None => Err((SendFault::Broke(error.into_error().to_string()), None)),
             },
         }
@@ -196,10 +190,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(addr).or_default();
         if list.len() < IDLE_LIMIT {
-            list.push(Idle {
-                sender,
-                since: Instant::now(),
-            });
+            list.push(Idle { sender, since: Instant::now() });
         }
     }
 }
--- a/src/blackboard/fleet.rs
+++ b/src/blackboard/fleet.rs
@@ -87,9 +87,7 @@
     /// Counts a request in flight until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> FlightGuard {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
-        FlightGuard {
-            state: self.clone(),
-        }
+        FlightGuard { state: self.clone() }
     }
 
     /// The latest load report.
@@ -101,12 +99,7 @@
     pub fn report(&self, running: u32, waiting: u32, age: Duration) {
         let at = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
         let own = self.in_flight();
-        self.lock().load = Some(LoadReport {
-            running,
-            waiting,
-            at,
-            own,
-        });
+        self.lock().load = Some(LoadReport { running, waiting, at, own });
     }
 
     /// Whether it is leaving, and when it goes.
@@ -138,10 +131,7 @@
         if life <= inner.life {
             return false;
         }
-        *inner = Inner {
-            life,
-            ..Inner::default()
-        };
+        *inner = Inner { life, ..Inner::default() };
         drop(inner);
         self.leave_signal.send_replace(None);
         true
@@ -154,9 +144,7 @@
 
     /// Whether it is set aside for its failures.
     pub fn is_ejected(&self) -> bool {
-        self.lock()
-            .ejected
-            .is_some_and(|until| Instant::now() < until)
+        self.lock().ejected.is_some_and(|until| Instant::now() < until)
     }
 
     /// Takes note of a success and how long a request took, in seconds.
@@ -192,9 +180,7 @@
     pub fn note_prefixes(&self, hashes: &[u64], limit: usize) {
         let now = Instant::now();
         let mut inner = self.lock();
-        inner
-            .prefixes
-            .extend(hashes.iter().map(|hash| (*hash, now)));
+        inner.prefixes.extend(hashes.iter().map(|hash| (*hash, now)));
         if inner.prefixes.len() > limit {
             let mut times: Vec<_> = inner.prefixes.values().copied().collect();
             times.sort_unstable();
@@ -206,12 +192,7 @@
     /// How many of a prompt's leading blocks are likely cached there.
     pub fn cached_blocks(&self, hashes: &[u64], age: Duration) -> usize {
         let inner = self.lock();
-        let held = |hash: &&u64| {
-            inner
-                .prefixes
-                .get(hash)
-                .is_some_and(|at| at.elapsed() < age)
-        };
+        let held = |hash: &&u64| inner.prefixes.get(hash).is_some_and(|at| at.elapsed() < age);
         hashes.iter().take_while(held).count()
     }
 }
@@ -262,9 +243,6 @@
     /// All states.
     pub fn all(&self) -> Vec<(BackendId, Arc<BackendState>)> {
         let states = self.states.read().unwrap_or_else(PoisonError::into_inner);
-        states
-            .iter()
-            .map(|(id, state)| (id.clone(), state.clone()))
-            .collect()
+        states.iter().map(|(id, state)| (id.clone(), state.clone())).collect()
     }
 }
--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -43,10 +43,7 @@
     /// Compiles a configuration's policies.
     pub fn new(configuration: Arc<Configuration>) -> Self {
         let policies = Policies::compile(&configuration.policies);
-        Self {
-            configuration,
-            policies,
-        }
+        Self { configuration, policies }
     }
 }
 
@@ -189,9 +186,7 @@
     /// Counts a request until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.requests.fetch_add(1, Ordering::SeqCst);
-        RequestGuard {
-            board: self.clone(),
-        }
+        RequestGuard { board: self.clone() }
     }
 }
 
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -52,15 +52,9 @@
         .optional();
     let json = json();
     let file = positional("FILE").help("Change file, in INI");
-    construct!(Arguments {
-        contact,
-        id,
-        expect,
-        json,
-        file
-    })
-    .to_options()
-    .descr("Change the configuration; accepted means on a majority of disks")
+    construct!(Arguments { contact, id, expect, json, file })
+        .to_options()
+        .descr("Change the configuration; accepted means on a majority of disks")
 }
 
 /// Sends the change until it has an answer.
@@ -89,14 +83,11 @@
 
 fn report(reply: &ChangeReply, id: &ChangeId, quiet: bool) -> Result<ExitCode> {
     let (code, text) = match reply {
-        ChangeReply::Accepted(revision) => (
-            exit::DONE,
-            format!("change {id} accepted as revision {revision}"),
-        ),
+        ChangeReply::Accepted(revision) => {
+            (exit::DONE, format!("change {id} accepted as revision {revision}"))
+        }
         ChangeReply::Conflict { current, winner } => {
-            let winner = winner
-                .as_ref()
-                .map_or("unknown".to_owned(), ToString::to_string);
+            let winner = winner.as_ref().map_or("unknown".to_owned(), ToString::to_string);
             let text =
                 format!("conflict: revision {current} is in force; change {winner} came first");
             (exit::REFUSED, text)
--- a/src/cmd/ask.rs
+++ b/src/cmd/ask.rs
@@ -40,9 +40,7 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options()
-        .command("ask")
-        .help("Send a request and print its tokens as they come")
+    options().command("ask").help("Send a request and print its tokens as they come")
 }
 
 fn options() -> OptionParser<Arguments> {
@@ -50,28 +48,14 @@
         .help("Where the entry node takes callers")
         .env("EMBERTURN_ENTRY")
         .argument("ADDR");
-    let key = long("key")
-        .help("The team's key")
-        .env("EMBERTURN_KEY")
-        .argument("KEY");
-    let model = long("model")
-        .help("The model, which is the service's name")
-        .argument("NAME");
-    let tokens = long("tokens")
-        .help("The most tokens")
-        .argument("N")
-        .fallback(64)
-        .display_fallback();
+    let key = long("key").help("The team's key").env("EMBERTURN_KEY").argument("KEY");
+    let model = long("model").help("The model, which is the service's name").argument("NAME");
+    let tokens =
+        long("tokens").help("The most tokens").argument("N").fallback(64).display_fallback();
     let prompt = positional("PROMPT");
-    construct!(Arguments {
-        entry,
-        key,
-        model,
-        tokens,
-        prompt
-    })
-    .to_options()
-    .descr("Send a request as a caller does")
+    construct!(Arguments { entry, key, model, tokens, prompt })
+        .to_options()
+        .descr("Send a request as a caller does")
 }
 
 /// Sends the request and prints its answer.
@@ -88,9 +72,7 @@
         .header("content-type", "application/json")
         .header("authorization", format!("Bearer {}", arguments.key))
         .body(Full::new(Bytes::from(body.to_string())))?;
-    let mut exchange = Pool::default()
-        .send(arguments.entry, request, SILENCE, true)
-        .await?;
+    let mut exchange = Pool::default().send(arguments.entry, request, SILENCE, true).await?;
     if !exchange.status.is_success() {
         let body = exchange.read_whole(REFUSAL_LIMIT, SILENCE).await?;
         eprintln!("{}", String::from_utf8_lossy(&body));
@@ -103,10 +85,7 @@
         while let Some(data) = events.next_event()? {
             if data == "[DONE]" {
                 println!();
-                let id = trace
-                    .as_ref()
-                    .and_then(|value| value.to_str().ok())
-                    .unwrap_or("");
+                let id = trace.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("");
                 eprintln!("trace {id}");
                 return exit_with(exit::DONE);
             }
@@ -121,10 +100,7 @@
     if let Some(error) = value.get("error") {
         return Err(eyre!("{error}"));
     }
-    let text = value
-        .pointer("/choices/0/text")
-        .and_then(Value::as_str)
-        .unwrap_or("");
+    let text = value.pointer("/choices/0/text").and_then(Value::as_str).unwrap_or("");
     print!("{text}");
     std::io::stdout().flush()?;
     Ok(())
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -26,17 +26,13 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options()
-        .command("check")
-        .help("Check settings, or a change with its policies, offline")
+    options().command("check").help("Check settings, or a change with its policies, offline")
 }
 
 fn options() -> OptionParser<Arguments> {
     let change = long("change").help("FILE is a change for `apply`").switch();
     let file = positional("FILE").help("Settings file, or change file with --change");
-    construct!(Arguments { change, file })
-        .to_options()
-        .descr("Check a file offline")
+    construct!(Arguments { change, file }).to_options().descr("Check a file offline")
 }
 
 /// Checks the file and prints every fault.
@@ -106,9 +102,7 @@
         team: "sample-team".parse().expect("a constant name is valid"),
         service: "sample-service".parse().expect("a constant name is valid"),
         class,
-        data_centre: "sample-data-centre"
-            .parse()
-            .expect("a constant name is valid"),
+        data_centre: "sample-data-centre".parse().expect("a constant name is valid"),
         prompt: tokens,
         output: tokens,
         repeatable: true,
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -18,16 +18,12 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options()
-        .command("drain")
-        .help("Have a node finish what it has and stop")
+    options().command("drain").help("Have a node finish what it has and stop")
 }
 
 fn options() -> OptionParser<Arguments> {
     let contact = contact();
-    construct!(Arguments { contact })
-        .to_options()
-        .descr("Have a node finish what it has and stop")
+    construct!(Arguments { contact }).to_options().descr("Have a node finish what it has and stop")
 }
 
 /// Asks the node to drain.
--- a/src/cmd/form.rs
+++ b/src/cmd/form.rs
@@ -19,9 +19,7 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options()
-        .command("form")
-        .help("Make the replicated group, once")
+    options().command("form").help("Make the replicated group, once")
 }
 
 fn options() -> OptionParser<Arguments> {
@@ -52,10 +50,7 @@
     // A command that was cut short may have formed some of them, with these same members.
     if let Some((box_id, held)) = formed.filter(|(_, held)| *held != members) {
         let voters: Vec<_> = held.voters.keys().map(ToString::to_string).collect();
-        eprintln!(
-            "box {box_id} belongs to a group already, of {}",
-            voters.join(", ")
-        );
+        eprintln!("box {box_id} belongs to a group already, of {}", voters.join(", "));
         return exit_with(exit::REFUSED);
     }
     for addr in &arguments.contact.nodes {
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -9,7 +9,7 @@
 use super::exit;
 use super::operator::{Contact, contact, exit_with, print_json};
 use crate::ids::Revision;
-use crate::peer::method::{self, News, Poll, PollReply};
+use crate::peer::method::{self, Poll, PollReply, Update};
 use crate::state::config::Configuration;
 
 /// The arguments.
@@ -21,9 +21,7 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options()
-        .command("get")
-        .help("Print the configuration in force, as JSON")
+    options().command("get").help("Print the configuration in force, as JSON")
 }
 
 fn options() -> OptionParser<Arguments> {
@@ -51,15 +49,10 @@
 /// When no replica answers.
 pub(super) async fn fetch(contact: &Contact) -> Result<Arc<Configuration>> {
     // A revision no replica has yet makes it answer with all of its configuration at once.
-    let poll = Poll {
-        from: Revision(u64::MAX),
-        wait: 0,
-    };
+    let poll = Poll { from: Revision(u64::MAX), wait: 0 };
     let reply: PollReply = contact.ask(method::POLL, &poll).await?;
     match reply.news {
-        News::Whole(configuration) => Ok(configuration),
-        News::Changes(_) => Err(eyre::eyre!(
-            "the replica sent changes where all was asked for"
-        )),
+        Update::Whole(configuration) => Ok(configuration),
+        Update::Changes(_) => Err(eyre::eyre!("the replica sent changes where all was asked for")),
     }
 }
--- a/src/cmd/members.rs
+++ b/src/cmd/members.rs
@@ -45,16 +45,11 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options()
-        .command("members")
-        .help("Show or change who belongs to the replicated group")
+    options().command("members").help("Show or change who belongs to the replicated group")
 }
 
 fn options() -> OptionParser<Arguments> {
-    let list = bpaf::pure(Action::List)
-        .to_options()
-        .command("list")
-        .help("Show the members");
+    let list = bpaf::pure(Action::List).to_options().command("list").help("Show the members");
     let remove = positional("BOX")
         .map(Action::Remove)
         .to_options()
@@ -68,13 +63,9 @@
     let contact = contact();
     let json = json();
     let action = construct!([list, remove, add]);
-    construct!(Arguments {
-        contact,
-        json,
-        action
-    })
-    .to_options()
-    .descr("Show or change who belongs to the replicated group")
+    construct!(Arguments { contact, json, action })
+        .to_options()
+        .descr("Show or change who belongs to the replicated group")
 }
 
 /// Shows or changes the members.
@@ -101,10 +92,7 @@
     }
     for (box_id, life) in &status.members.voters {
         let leads = status.leader.as_ref() == Some(box_id);
-        println!(
-            "{box_id} votes life={life}{}",
-            if leads { " leader" } else { "" }
-        );
+        println!("{box_id} votes life={life}{}", if leads { " leader" } else { "" });
     }
     for (box_id, life) in &status.members.learners {
         println!("{box_id} learns life={life}");
@@ -144,18 +132,15 @@
 }
 
 async fn try_change(peers: &Peers, addr: SocketAddr, change: &MemberChange) -> Result<()> {
-    let status: GroupStatus = peers
-        .call(addr, method::GROUP_STATUS, &(), CALL_TIME)
-        .await?;
+    let status: GroupStatus = peers.call(addr, method::GROUP_STATUS, &(), CALL_TIME).await?;
     if status.role != "leader" {
         return Err(eyre!("does not lead"));
     }
     if is_done(&status, change) {
         return Ok(());
     }
-    let reply: Result<(), Unanswered> = peers
-        .call(addr, method::CHANGE_MEMBERS, change, CALL_TIME)
-        .await?;
+    let reply: Result<(), Unanswered> =
+        peers.call(addr, method::CHANGE_MEMBERS, change, CALL_TIME).await?;
     Ok(reply?)
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -70,13 +70,11 @@
     let drain = drain::parser().map(Command::Drain);
     let trace = trace::parser().map(Command::Trace);
     let ask = ask::parser().map(Command::Ask);
-    construct!([
-        node, check, form, members, apply, get, history, status, drain, trace, ask
-    ])
-    .to_options()
-    .descr("Serves language models on reclaimable machines")
-    .footer("Exit codes: 0 done, 1 failed, 2 a file or argument is at fault, 3 refused.")
-    .version(env!("CARGO_PKG_VERSION"))
+    construct!([node, check, form, members, apply, get, history, status, drain, trace, ask])
+        .to_options()
+        .descr("Serves language models on reclaimable machines")
+        .footer("Exit codes: 0 done, 1 failed, 2 a file or argument is at fault, 3 refused.")
+        .version(env!("CARGO_PKG_VERSION"))
 }
 
 /// Carries a subcommand out.
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -35,9 +35,7 @@
         .display_fallback()
         .guard(|threads| *threads > 0, "at least one thread serves");
     let settings = positional("SETTINGS").help("Settings file, in INI");
-    construct!(Arguments { threads, settings })
-        .to_options()
-        .descr("Run a node until SIGTERM")
+    construct!(Arguments { threads, settings }).to_options().descr("Run a node until SIGTERM")
 }
 
 /// Runs a node until SIGTERM or SIGINT, then drains.
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -22,9 +22,7 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options()
-        .command("status")
-        .help("Show nodes and the revision in force on each")
+    options().command("status").help("Show nodes and the revision in force on each")
 }
 
 fn options() -> OptionParser<Arguments> {
@@ -52,24 +50,14 @@
     let peers = arguments.contact.peers();
     let mut lines = Vec::new();
     for addr in &arguments.contact.nodes {
-        let result = peers
-            .call::<_, NodeStatus>(*addr, method::STATUS, &(), CALL_TIME)
-            .await;
+        let result = peers.call::<_, NodeStatus>(*addr, method::STATUS, &(), CALL_TIME).await;
         let (status, error) = match result {
             Ok(status) => (Some(status), None),
             Err(error) => (None, Some(error.to_string())),
         };
-        lines.push(Line {
-            addr: *addr,
-            status,
-            error,
-        });
+        lines.push(Line { addr: *addr, status, error });
     }
-    let newest = lines
-        .iter()
-        .filter_map(|line| line.status.as_ref())
-        .map(|it| it.revision)
-        .max();
+    let newest = lines.iter().filter_map(|line| line.status.as_ref()).map(|it| it.revision).max();
     if arguments.json {
         print_json(&lines)?;
     } else {
@@ -83,34 +71,14 @@
 
 fn describe(line: &Line, newest: Option<crate::ids::Revision>) -> String {
     let Some(status) = &line.status else {
-        return format!(
-            "addr={} error={:?}",
-            line.addr,
-            line.error.as_deref().unwrap_or("")
-        );
+        return format!("addr={} error={:?}", line.addr, line.error.as_deref().unwrap_or(""));
     };
-    let age = status
-        .age
-        .map_or("unknown".to_owned(), |age| format!("{age}ms"));
-    let lags = if Some(status.revision) < newest {
-        " lags"
-    } else {
-        ""
-    };
-    let leaving = status
-        .backends
-        .iter()
-        .filter(|(_, it)| it.state != "open")
-        .count();
+    let age = status.age.map_or("unknown".to_owned(), |age| format!("{age}ms"));
+    let lags = if Some(status.revision) < newest { " lags" } else { "" };
+    let leaving = status.backends.iter().filter(|(_, it)| it.state != "open").count();
     let group = status.group.as_ref().map_or(String::new(), |group| {
-        let leader = group
-            .leader
-            .as_ref()
-            .map_or("none".to_owned(), ToString::to_string);
-        format!(
-            " role={} leader={leader} term={} commit={}",
-            group.role, group.term, group.commit
-        )
+        let leader = group.leader.as_ref().map_or("none".to_owned(), ToString::to_string);
+        format!(" role={} leader={leader} term={} commit={}", group.role, group.term, group.commit)
     });
     format!(
         "box={} data_centre={} phase={} revision={}{lags} age={age} requests={} \
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -23,18 +23,14 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options()
-        .command("trace")
-        .help("Show the hops of one request")
+    options().command("trace").help("Show the hops of one request")
 }
 
 fn options() -> OptionParser<Arguments> {
     let contact = contact();
     let json = json();
     let id = positional("ID").help("The trace's id, from the answer's emberturn-trace header");
-    construct!(Arguments { contact, json, id })
-        .to_options()
-        .descr("Show the hops of one request")
+    construct!(Arguments { contact, json, id }).to_options().descr("Show the hops of one request")
 }
 
 /// Collects the hops from every node named and prints them in order of time.
@@ -45,10 +41,7 @@
     let peers = arguments.contact.peers();
     let mut hops: Vec<Hop> = Vec::new();
     for addr in &arguments.contact.nodes {
-        match peers
-            .call::<_, Vec<Hop>>(*addr, method::TRACE, &arguments.id, CALL_TIME)
-            .await
-        {
+        match peers.call::<_, Vec<Hop>>(*addr, method::TRACE, &arguments.id, CALL_TIME).await {
             Ok(found) => hops.extend(found),
             Err(error) => eprintln!("{error}"),
         }
@@ -64,9 +57,5 @@
             );
         }
     }
-    exit_with(if hops.is_empty() {
-        exit::REFUSED
-    } else {
-        exit::DONE
-    })
+    exit_with(if hops.is_empty() { exit::REFUSED } else { exit::DONE })
 }
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,42 @@
+//! The controllers that run beside the request path: each reads and writes the blackboard.
+//!
+//! - [`load`] asks engines for their load.
+//! - [`platform`] follows the platform's box list.
+//! - [`share`] renews this node's shares of the teams' limits, and leases them out at the leader.
+//! - [`work`] runs kept work.
+
+pub(crate) mod load;
+pub(crate) mod platform;
+pub(crate) mod share;
+pub(crate) mod work;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::node::Node;
+use crate::settings::Role;
+
+/// Time between two looks at the queues.
+const WAKE_TIME: Duration = Duration::from_millis(25);
+
+/// Starts every controller of a node.
+pub(crate) fn start(node: &Arc<Node>) {
+    if node.settings.platform.is_some() {
+        tokio::spawn(platform::run(node.clone()));
+    }
+    if node.settings.has(Role::Entry) {
+        tokio::spawn(wake_waiters(node.clone()));
+        tokio::spawn(load::run(node.clone()));
+        tokio::spawn(share::run(node.clone()));
+        tokio::spawn(work::run(node.clone()));
+    }
+}
+
+/// Load reports and configuration changes make room without a request ending: look regularly.
+async fn wake_waiters(node: Arc<Node>) {
+    let mut timer = tokio::time::interval(WAKE_TIME);
+    loop {
+        timer.tick().await;
+        node.dispatch.wake_all();
+    }
+}
--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -54,10 +54,7 @@
             *self.refused.entry(team.clone()).or_default() += 1;
             return Err(kind);
         }
-        let next = TeamUse {
-            concurrent: held.concurrent + 1,
-            budget: held.budget + tokens,
-        };
+        let next = TeamUse { concurrent: held.concurrent + 1, budget: held.budget + tokens };
         self.teams.insert(team.clone(), next);
         Ok(())
     }
--- a/src/decide/policy.rs
+++ b/src/decide/policy.rs
@@ -110,10 +110,7 @@
             (name.clone(), ast)
         });
         let programs = compiled.collect();
-        Self {
-            engine: Some(Arc::new(engine)),
-            programs,
-        }
+        Self { engine: Some(Arc::new(engine)), programs }
     }
 
     /// Runs a policy.
@@ -122,18 +119,9 @@
     /// When the policy is missing, does not compile, fails, or returns something that is not a
     /// ruling. Built-in rules decide then.
     pub fn decide(&self, name: &PolicyName, facts: &Facts) -> Result<Ruling, PolicyFault> {
-        let fault = |detail: String| PolicyFault {
-            policy: name.clone(),
-            detail,
-        };
-        let engine = self
-            .engine
-            .as_ref()
-            .ok_or_else(|| fault("is not there".to_owned()))?;
-        let program = self
-            .programs
-            .get(name)
-            .ok_or_else(|| fault("is not there".to_owned()))?;
+        let fault = |detail: String| PolicyFault { policy: name.clone(), detail };
+        let engine = self.engine.as_ref().ok_or_else(|| fault("is not there".to_owned()))?;
+        let program = self.programs.get(name).ok_or_else(|| fault("is not there".to_owned()))?;
         let ast = program.as_ref().map_err(|detail| fault(detail.clone()))?;
         let mut scope = Scope::new();
         let result: Map = engine
@@ -146,10 +134,7 @@
     pub fn faults(&self) -> Vec<PolicyFault> {
         let faults = self.programs.iter().filter_map(|(name, program)| {
             let detail = program.as_ref().err()?.clone();
-            Some(PolicyFault {
-                policy: name.clone(),
-                detail,
-            })
+            Some(PolicyFault { policy: name.clone(), detail })
         });
         faults.collect()
     }
@@ -171,9 +156,7 @@
 
 fn compile_one(engine: &Engine, text: &str) -> Result<AST, String> {
     let ast = engine.compile(text).map_err(|error| error.to_string())?;
-    let defined = ast
-        .iter_functions()
-        .any(|it| it.name == FUNCTION && it.params.len() == 1);
+    let defined = ast.iter_functions().any(|it| it.name == FUNCTION && it.params.len() == 1);
     match defined {
         true => Ok(ast.clone_functions_only()),
         false => Err(format!("defines no fn {FUNCTION}(request)")),
@@ -185,10 +168,7 @@
     map.insert("team".into(), facts.team.as_str().to_owned().into());
     map.insert("service".into(), facts.service.as_str().to_owned().into());
     map.insert("class".into(), facts.class.to_string().into());
-    map.insert(
-        "data_centre".into(),
-        facts.data_centre.as_str().to_owned().into(),
-    );
+    map.insert("data_centre".into(), facts.data_centre.as_str().to_owned().into());
     map.insert("prompt_tokens".into(), (facts.prompt.0 as i64).into());
     map.insert("max_tokens".into(), (facts.output.0 as i64).into());
     map.insert("repeatable".into(), facts.repeatable.into());
@@ -214,13 +194,10 @@
 }
 
 fn read_names(value: Dynamic) -> Result<Vec<DataCentre>, String> {
-    let list = value
-        .into_array()
-        .map_err(|kind| wrong("data_centres", kind))?;
+    let list = value.into_array().map_err(|kind| wrong("data_centres", kind))?;
     let name = |item: Dynamic| {
         let text = read_text(item, "data_centres")?;
-        text.parse()
-            .map_err(|error| format!("data_centres: {error}"))
+        text.parse().map_err(|error| format!("data_centres: {error}"))
     };
     list.into_iter().map(name).collect()
 }
@@ -231,9 +208,7 @@
 
 fn read_millis(value: &Dynamic) -> Result<Millis, String> {
     let number = value.as_int().map_err(|kind| wrong("wait_ms", kind))?;
-    u64::try_from(number)
-        .map(Millis)
-        .map_err(|_| "wait_ms is negative".to_owned())
+    u64::try_from(number).map(Millis).map_err(|_| "wait_ms is negative".to_owned())
 }
 
 fn wrong(key: &str, kind: &str) -> String {
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -48,13 +48,7 @@
 impl WaitQueue {
     /// A queue for at most `limit` requests.
     pub fn new(limit: usize) -> Self {
-        Self {
-            limit,
-            next: 0,
-            time: 0,
-            lanes: BTreeMap::new(),
-            length: 0,
-        }
+        Self { limit, next: 0, time: 0, lanes: BTreeMap::new(), length: 0 }
     }
 
     /// How many wait.
@@ -78,12 +72,7 @@
         if lane.waiting.is_empty() {
             lane.time = lane.time.max(self.time);
         }
-        lane.waiting.push(Reverse((
-            waiter.deadline,
-            ticket,
-            waiter.cost,
-            waiter.weight,
-        )));
+        lane.waiting.push(Reverse((waiter.deadline, ticket, waiter.cost, waiter.weight)));
         self.length += 1;
         Some(ticket)
     }
@@ -117,8 +106,7 @@
     pub fn remove(&mut self, ticket: Ticket) -> bool {
         for lane in self.lanes.values_mut() {
             let before = lane.waiting.len();
-            lane.waiting
-                .retain(|Reverse((_, held, _, _))| *held != ticket);
+            lane.waiting.retain(|Reverse((_, held, _, _))| *held != ticket);
             if lane.waiting.len() < before {
                 self.length -= 1;
                 return true;
@@ -134,10 +122,7 @@
     }
 
     fn next_lane(&self) -> Option<(Class, TeamName)> {
-        let filled = self
-            .lanes
-            .iter()
-            .filter(|(_, lane)| !lane.waiting.is_empty());
+        let filled = self.lanes.iter().filter(|(_, lane)| !lane.waiting.is_empty());
         let first = filled.min_by_key(|((class, team), lane)| (*class, lane.time, team.clone()));
         first.map(|(key, _)| key.clone())
     }
--- a/src/decide/reclaim.rs
+++ b/src/decide/reclaim.rs
@@ -41,9 +41,7 @@
 /// Chooses the way.
 pub fn choose(facts: &StreamFacts) -> Way {
     let time = facts.notice.saturating_sub(MARGIN);
-    let rest = facts
-        .between
-        .saturating_mul(facts.remaining.0.min(u64::from(u32::MAX)) as u32);
+    let rest = facts.between.saturating_mul(facts.remaining.0.min(u64::from(u32::MAX)) as u32);
     if rest <= time || !facts.repeatable {
         return Way::Finish;
     }
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -96,17 +96,9 @@
         let queue = (0.3 * fill * fill + 2.0 * excess) * service;
         let missing = need.prompt.less(self.cached).0 as f64;
         let prefill = missing * PREFILL_SECONDS;
-        let distance = if self.data_centre == need.data_centre {
-            0.0
-        } else {
-            DISTANCE_SECONDS
-        };
+        let distance = if self.data_centre == need.data_centre { 0.0 } else { DISTANCE_SECONDS };
         let work = (need.prompt + need.output).0 as f64;
-        let risk = if self.reclaimable {
-            work * RISK * service
-        } else {
-            0.0
-        };
+        let risk = if self.reclaimable { work * RISK * service } else { 0.0 };
         let price = self.price.0 as f64 / 1e6 * PRICE_SECONDS;
         queue + prefill + distance + risk + price
     }
@@ -118,23 +110,14 @@
     need: &Need,
     random: &mut R,
 ) -> Option<&'a Candidate> {
-    let open: Vec<_> = candidates
-        .iter()
-        .filter(|candidate| candidate.is_open())
-        .collect();
+    let open: Vec<_> = candidates.iter().filter(|candidate| candidate.is_open()).collect();
     if open.is_empty() {
         return None;
     }
     let drawn = sample(random, open.len(), CHOICES.min(open.len()));
     // The server with the longest cached prefix is always looked at: chance would miss it.
-    let warmest = open
-        .iter()
-        .filter(|it| it.cached.0 > 0)
-        .max_by_key(|it| it.cached);
-    let looked_at = drawn
-        .iter()
-        .map(|place| open[place])
-        .chain(warmest.copied());
+    let warmest = open.iter().filter(|it| it.cached.0 > 0).max_by_key(|it| it.cached);
+    let looked_at = drawn.iter().map(|place| open[place]).chain(warmest.copied());
     looked_at.min_by(|a, b| a.cost(need).total_cmp(&b.cost(need)))
 }
 
@@ -144,11 +127,7 @@
     const BLOCK_LIMIT: usize = 64;
     let mut hash = 0xcbf2_9ce4_8422_2325_u64;
     let mut hashes = Vec::new();
-    for block in prompt
-        .as_bytes()
-        .chunks_exact(BLOCK_BYTES)
-        .take(BLOCK_LIMIT)
-    {
+    for block in prompt.as_bytes().chunks_exact(BLOCK_BYTES).take(BLOCK_LIMIT) {
         for byte in block {
             hash = (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3);
         }
--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -1,8 +1,9 @@
 //! Shares of the teams' fleet-wide limits.
 //!
-//! Half of each limit is split evenly among the boxes that hold leases; it may be used without
-//! asking. The other half is leased out by the leader, by demand. A lease ends by itself, so a node
-//! that is cut off falls back to its even part and the sum of all shares never exceeds the limit.
+//! Half of each limit is split evenly among the entry boxes, of which the configuration gives the
+//! number; it may be used without asking. The other half is leased out by the leader, by demand. A
+//! lease ends by itself, so a node that is cut off falls back to its even part, and the sum of all
+//! shares never exceeds the limit.
 
 use std::collections::BTreeMap;
 
@@ -27,17 +28,13 @@
 /// A node's shares at the moment, on top of its even part.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Shares {
-    /// Boxes among which the even half is split; 0 when not known.
-    pub boxes: u32,
     /// Leased shares by team.
     pub leased: BTreeMap<TeamName, Share>,
 }
 
 impl Shares {
-    /// What this node may use of a team's limits. A node that has heard of no leader yet counts
-    /// itself as one of `assumed` boxes.
-    pub fn limit(&self, team: &TeamName, whole: Share, assumed: u32) -> TeamLimit {
-        let boxes = if self.boxes == 0 { assumed } else { self.boxes }.max(1);
+    /// What this node may use of a team's limits, one of `boxes` boxes.
+    pub fn limit(&self, team: &TeamName, whole: Share, boxes: u32) -> TeamLimit {
         let leased = self.leased.get(team).copied().unwrap_or_default();
         let even = even_part(whole, boxes);
         TeamLimit {
@@ -49,6 +46,7 @@
 
 /// The part of a limit every one of `boxes` boxes may use without asking.
 pub fn even_part(whole: Share, boxes: u32) -> Share {
+    let boxes = boxes.max(1);
     Share {
         concurrent: whole.concurrent / 2 / boxes,
         budget: Tokens(whole.budget.0 / 2 / u64::from(boxes)),
@@ -74,10 +72,7 @@
 impl Lessor {
     /// A leader that begins at `now`, in milliseconds on its own clock.
     pub fn new(now: u64) -> Self {
-        Self {
-            since: now,
-            leases: BTreeMap::new(),
-        }
+        Self { since: now, leases: BTreeMap::new() }
     }
 
     /// Grants `box_id` as much of `wanted` as is free in the leased half of `whole`. The lease runs
@@ -95,21 +90,13 @@
         }
         self.drop_ended(now);
         let used = self.used_by_others(team, box_id);
-        let pool = Share {
-            concurrent: whole.concurrent / 2,
-            budget: Tokens(whole.budget.0 / 2),
-        };
+        let pool = Share { concurrent: whole.concurrent / 2, budget: Tokens(whole.budget.0 / 2) };
         let share = Share {
-            concurrent: wanted
-                .concurrent
-                .min(pool.concurrent.saturating_sub(used.concurrent)),
+            concurrent: wanted.concurrent.min(pool.concurrent.saturating_sub(used.concurrent)),
             budget: wanted.budget.min(pool.budget.less(used.budget)),
         };
         let key = (team.clone(), box_id.clone());
-        self.leases.entry(key).or_default().push(Lease {
-            share,
-            until: now + LEASE,
-        });
+        self.leases.entry(key).or_default().push(Lease { share, until: now + LEASE });
         share
     }
 
@@ -121,28 +108,17 @@
     }
 
     fn used_by_others(&self, team: &TeamName, box_id: &BoxId) -> Share {
-        let others = self
-            .leases
-            .iter()
-            .filter(|((name, held), _)| name == team && held != box_id);
-        others
-            .map(|(_, leases)| largest(leases))
-            .fold(Share::default(), add)
+        let others = self.leases.iter().filter(|((name, held), _)| name == team && held != box_id);
+        others.map(|(_, leases)| largest(leases)).fold(Share::default(), add)
     }
 }
 
 fn largest(leases: &[Lease]) -> Share {
     let concurrent = leases.iter().map(|lease| lease.share.concurrent).max();
     let budget = leases.iter().map(|lease| lease.share.budget).max();
-    Share {
-        concurrent: concurrent.unwrap_or_default(),
-        budget: budget.unwrap_or_default(),
-    }
+    Share { concurrent: concurrent.unwrap_or_default(), budget: budget.unwrap_or_default() }
 }
 
 fn add(sum: Share, share: Share) -> Share {
-    Share {
-        concurrent: sum.concurrent + share.concurrent,
-        budget: sum.budget + share.budget,
-    }
+    Share { concurrent: sum.concurrent + share.concurrent, budget: sum.budget + share.budget }
 }
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -25,9 +25,7 @@
 
 /// A whole body.
 pub fn whole(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// A JSON answer to a request that ran.
@@ -57,9 +55,7 @@
     let mut response = with_run(json_answer(row.status, &failure_value(failure)), row.run);
     if let Some(wait) = failure.retry_after {
         let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
-        response
-            .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     response
 }
@@ -74,9 +70,7 @@
     }
     if answer.body.is_none() {
         let value = HeaderValue::from_static("omitted");
-        response
-            .headers_mut()
-            .insert("emberturn-recorded-body", value);
+        response.headers_mut().insert("emberturn-recorded-body", value);
     }
     with_run(response, RunState::Done)
 }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -84,12 +84,7 @@
 impl Line {
     fn new(limit: usize) -> Self {
         let queue = WaitQueue::new(limit);
-        Self {
-            queue,
-            waiting: HashMap::new(),
-            interval: None,
-            passed: None,
-        }
+        Self { queue, waiting: HashMap::new(), interval: None, passed: None }
     }
 
     /// Notes that a request left the queue for a server, while others waited.
@@ -105,8 +100,7 @@
     /// How long a new request would wait, by the measured rate; `None` when nothing was measured.
     fn expected_wait(&self, class: Class) -> Option<Duration> {
         let ahead = self.queue.ahead_of(class) as f64 + 1.0;
-        self.interval
-            .map(|interval| Duration::from_secs_f64((interval * ahead).min(3_600.0)))
+        self.interval.map(|interval| Duration::from_secs_f64((interval * ahead).min(3_600.0)))
     }
 }
 
@@ -128,12 +122,7 @@
 impl Dispatcher {
     /// Queues for at most `limit` requests of each service.
     pub fn new(board: Arc<Blackboard>, limit: usize) -> Self {
-        Self {
-            board,
-            lines: Arc::default(),
-            limit,
-            epoch: Instant::now(),
-        }
+        Self { board, lines: Arc::default(), limit, epoch: Instant::now() }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<ServiceName, Line>> {
@@ -181,9 +170,7 @@
         if candidates.is_empty() {
             return Found::NoneThere;
         }
-        let line = lines
-            .entry(wanted.service.clone())
-            .or_insert_with(|| Line::new(self.limit));
+        let line = lines.entry(wanted.service.clone()).or_insert_with(|| Line::new(self.limit));
         if !woken && line.queue.ahead_of(wanted.class) > 0 {
             return Found::AllBusy;
         }
@@ -196,10 +183,7 @@
             return Found::NoneThere;
         };
         let state = self.board.fleet.state(&choice.id);
-        let kick = Kick {
-            dispatcher: self.clone(),
-            service: wanted.service.clone(),
-        };
+        let kick = Kick { dispatcher: self.clone(), service: wanted.service.clone() };
         Found::Server(Box::new(Chosen {
             id: choice.id.clone(),
             server: server.clone(),
@@ -231,15 +215,10 @@
 
     async fn wait(&self, wanted: &Wanted) -> Result<(), Failure> {
         let (ticket, woken) = self.enqueue(wanted)?;
-        let guard = WaitGuard {
-            dispatcher: self,
-            service: &wanted.service,
-            ticket,
-        };
+        let guard = WaitGuard { dispatcher: self, service: &wanted.service, ticket };
         let patience = wanted.ruling.wait.filter(|_| !wanted.accepted);
-        let limit = patience.map_or(wanted.deadline, |wait| {
-            wanted.deadline.min(Instant::now() + wait.duration())
-        });
+        let limit = patience
+            .map_or(wanted.deadline, |wait| wanted.deadline.min(Instant::now() + wait.duration()));
         let result = tokio::time::timeout_at(limit.into(), woken).await;
         drop(guard);
         match result {
@@ -250,9 +229,7 @@
 
     fn enqueue(&self, wanted: &Wanted) -> Result<(Ticket, oneshot::Receiver<()>), Failure> {
         let mut lines = self.lock();
-        let line = lines
-            .entry(wanted.service.clone())
-            .or_insert_with(|| Line::new(self.limit));
+        let line = lines.entry(wanted.service.clone()).or_insert_with(|| Line::new(self.limit));
         let expected = line.expected_wait(wanted.class);
         let left = wanted.deadline.saturating_duration_since(Instant::now());
         if !wanted.accepted && expected.is_some_and(|wait| wait > left) {
@@ -276,9 +253,7 @@
 
     fn expected_wait(&self, wanted: &Wanted) -> Option<Duration> {
         let lines = self.lock();
-        lines
-            .get(&wanted.service)
-            .and_then(|line| line.expected_wait(wanted.class))
+        lines.get(&wanted.service).and_then(|line| line.expected_wait(wanted.class))
     }
 
     /// Wakes the request that goes next.
@@ -296,10 +271,7 @@
             let Some(ticket) = next else {
                 return;
             };
-            let woken = line
-                .waiting
-                .remove(&ticket)
-                .is_some_and(|sender| sender.send(()).is_ok());
+            let woken = line.waiting.remove(&ticket).is_some_and(|sender| sender.send(()).is_ok());
             if woken {
                 return;
             }
@@ -341,10 +313,7 @@
 }
 
 fn too_late() -> Failure {
-    Failure::new(
-        Kind::DeadlineUnreachable,
-        "no backend server is free before the deadline",
-    )
+    Failure::new(Kind::DeadlineUnreachable, "no backend server is free before the deadline")
 }
 
 fn allowed(ruling: &Ruling, server: &BackendServer) -> bool {
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -69,6 +69,8 @@
         () = abandoned(&generation, linger), if !keeps_on => {
             End::Failed(Failure::new(Kind::CallerGone, "the caller went away"))
         }
+        // Another node goes on with it.
+        () = generation.ended() => return,
     };
     generation.finish(end);
 }
@@ -113,16 +115,7 @@
 
 impl Attempts {
     fn new(node: Arc<Node>, generation: Arc<Generation>, plan: Plan) -> Self {
-        Self {
-            node,
-            generation,
-            plan,
-            made: 0,
-            faults: 0,
-            moves: 0,
-            uncertain: false,
-            kv: None,
-        }
+        Self { node, generation, plan, made: 0, faults: 0, moves: 0, uncertain: false, kv: None }
     }
 
     async fn make(&mut self) -> End {
@@ -140,13 +133,7 @@
             }
             let began = Instant::now();
             let end = self.attempt(&chosen, &attempt).await;
-            note(
-                &self.node,
-                &chosen,
-                &self.plan.wanted,
-                began.elapsed(),
-                &end,
-            );
+            note(&self.node, &chosen, &self.plan.wanted, began.elapsed(), &end);
             self.made += 1;
             match self.judge(&chosen, &attempt, end).await {
                 Some(end) => return end,
@@ -158,20 +145,14 @@
     /// A refusal says that the request was not run; after an attempt that is not certain any more.
     fn adjust(&self, failure: Failure) -> Failure {
         match self.uncertain || !self.generation.is_empty() {
-            true => Failure {
-                kind: Kind::BackendBroke,
-                ..failure
-            },
+            true => Failure { kind: Kind::BackendBroke, ..failure },
             false => failure,
         }
     }
 
     async fn permit(&self, chosen: &Chosen, attempt: &AttemptId) -> Result<Permission, Failure> {
         match &self.plan.once {
-            Some(once) => {
-                once.begin(&self.node, &chosen.id, attempt, self.plan.trace)
-                    .await
-            }
+            Some(once) => once.begin(&self.node, &chosen.id, attempt, self.plan.trace).await,
             None => Ok(Permission::Go),
         }
     }
@@ -197,10 +178,7 @@
     }
 
     fn time_left(&self) -> Duration {
-        self.plan
-            .wanted
-            .deadline
-            .saturating_duration_since(Instant::now())
+        self.plan.wanted.deadline.saturating_duration_since(Instant::now())
     }
 
     fn extra(&mut self) -> Extra {
@@ -285,14 +263,9 @@
                 Some(AttemptEnd::Move(None))
             }
             Way::Export => {
-                let target = Target {
-                    silence: EXPORT_TIME,
-                    ..*target
-                };
+                let target = Target { silence: EXPORT_TIME, ..*target };
                 let kv = engine::export(&self.node.pool, &target, attempt).await.ok();
-                self.node
-                    .metrics
-                    .count_resume(if kv.is_some() { "export" } else { "resume" });
+                self.node.metrics.count_resume(if kv.is_some() { "export" } else { "resume" });
                 Some(AttemptEnd::Move(kv))
             }
         }
@@ -329,11 +302,7 @@
     async fn judge_fault(&mut self, attempt: &AttemptId, fault: EngineFault) -> Option<End> {
         let proven = is_proven_not_run(&fault);
         self.uncertain |= !proven;
-        let outcome = if proven {
-            Outcome::NotRun
-        } else {
-            Outcome::Unknown
-        };
+        let outcome = if proven { Outcome::NotRun } else { Outcome::Unknown };
         self.record(attempt, outcome).await;
         if self.may_try_again(&fault, proven) {
             return None;
@@ -392,8 +361,7 @@
 
 /// Takes note of how an attempt went, for the choices to come.
 fn note(node: &Node, chosen: &Chosen, wanted: &Wanted, took: Duration, end: &AttemptEnd) {
-    node.metrics
-        .count_attempt(chosen.id.as_str(), outcome_text(end));
+    node.metrics.count_attempt(chosen.id.as_str(), outcome_text(end));
     match end {
         AttemptEnd::Whole | AttemptEnd::Move(_) => {
             chosen.state.succeed(took.as_secs_f64());
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -39,6 +39,19 @@
     pub prompt: u64,
 }
 
+/// The request a generation answers, as another node would need it.
+#[derive(Debug, Clone)]
+pub struct Origin {
+    /// The path.
+    pub path: String,
+    /// The body.
+    pub body: String,
+    /// When the answer is too late.
+    pub deadline: Instant,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+}
+
 /// An answer being generated.
 #[derive(Debug)]
 pub struct Generation {
@@ -46,6 +59,8 @@
     pub shape: Shape,
     /// The digest of the request it answers.
     pub digest: String,
+    /// The request, where another node may go on with it.
+    pub origin: Option<Origin>,
     pieces: Mutex<Vec<Piece>>,
     count: watch::Sender<usize>,
     end: OnceLock<End>,
@@ -55,11 +70,17 @@
 
 impl Generation {
     /// A generation that holds `pieces` already.
-    pub fn new(shape: Shape, digest: String, pieces: Vec<Piece>) -> Arc<Self> {
+    pub fn new(
+        shape: Shape,
+        digest: String,
+        origin: Option<Origin>,
+        pieces: Vec<Piece>,
+    ) -> Arc<Self> {
         let count = pieces.len();
         Arc::new(Self {
             shape,
             digest,
+            origin,
             pieces: Mutex::new(pieces),
             count: watch::Sender::new(count),
             end: OnceLock::new(),
@@ -119,21 +140,14 @@
 
     /// The text so far.
     pub fn text(&self) -> String {
-        self.lock()
-            .iter()
-            .map(|piece| piece.text.as_str())
-            .collect()
+        self.lock().iter().map(|piece| piece.text.as_str()).collect()
     }
 
     /// A reader that begins behind `seen` pieces.
     pub fn read_from(self: &Arc<Self>, seen: usize) -> Reader {
         self.readers.fetch_add(1, Ordering::SeqCst);
         self.abandoned.send_replace(None);
-        Reader {
-            generation: self.clone(),
-            seen,
-            count: self.count.subscribe(),
-        }
+        Reader { generation: self.clone(), seen, count: self.count.subscribe() }
     }
 
     /// Follows since when nobody reads.
@@ -155,11 +169,7 @@
             }),
             false => json!({ "index": 0, "text": text, "finish_reason": finish }),
         };
-        let object = if self.shape.chat {
-            "chat.completion"
-        } else {
-            "text_completion"
-        };
+        let object = if self.shape.chat { "chat.completion" } else { "text_completion" };
         json!({
             "id": self.shape.id, "object": object, "created": self.shape.created,
             "model": self.shape.service, "choices": [choice],
@@ -178,11 +188,7 @@
             }),
             false => json!({ "index": 0, "text": piece.text, "finish_reason": piece.finish }),
         };
-        let object = if self.shape.chat {
-            "chat.completion.chunk"
-        } else {
-            "text_completion"
-        };
+        let object = if self.shape.chat { "chat.completion.chunk" } else { "text_completion" };
         json!({
             "id": self.shape.id, "object": object, "created": self.shape.created,
             "model": self.shape.service, "choices": [choice],
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,12 +7,16 @@
 //! - [`dispatch`] finds a backend server, or has the request wait for one.
 //! - [`generation`] is an answer being generated: readers come and go, attempts change.
 //! - [`generate`] makes the attempts at engines, [`plain`] those at plain services.
+//! - [`drain`] stops a node without cutting a request off.
+//! - [`hand_over`] moves streams to a peer when the node stops.
 //! - [`unrepeatable`] puts the ledger around attempts that may run once.
 
 pub mod answer;
 pub mod dispatch;
+pub(crate) mod drain;
 pub mod generate;
 pub mod generation;
+pub(crate) mod hand_over;
 pub mod plain;
 pub mod request;
 pub mod serve;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -54,15 +54,7 @@
     /// The request the head asks for, at `path` of the service.
     pub fn new(head: &Head, path: String, body: Bytes, silence: Duration) -> Self {
         let (method, headers) = (head.method.clone(), head.headers.clone());
-        Self {
-            method,
-            path,
-            headers,
-            body,
-            repeatable: head.repeatable,
-            once: None,
-            silence,
-        }
+        Self { method, path, headers, body, repeatable: head.repeatable, once: None, silence }
     }
 }
 
@@ -80,9 +72,7 @@
 impl PlainAnswer {
     fn record(&self) -> RecordedAnswer {
         let content = self.content.as_ref().and_then(|value| value.to_str().ok());
-        let text = std::str::from_utf8(&self.body)
-            .ok()
-            .filter(|it| it.len() <= RECORD_LIMIT);
+        let text = std::str::from_utf8(&self.body).ok().filter(|it| it.len() <= RECORD_LIMIT);
         RecordedAnswer {
             status: self.status.as_u16(),
             content: content.unwrap_or("application/octet-stream").to_owned(),
@@ -114,10 +104,7 @@
     loop {
         let found = node.dispatch.find(&wanted).await;
         let chosen = found.map_err(|failure| match uncertain {
-            true => Failure {
-                kind: Kind::BackendBroke,
-                ..failure
-            },
+            true => Failure { kind: Kind::BackendBroke, ..failure },
             false => failure,
         })?;
         wanted.accepted = true;
@@ -136,11 +123,7 @@
             Err(fault) => {
                 let proven = matches!(fault, SendFault::NotSent(_));
                 uncertain |= !proven;
-                let outcome = if proven {
-                    Outcome::NotRun
-                } else {
-                    Outcome::Unknown
-                };
+                let outcome = if proven { Outcome::NotRun } else { Outcome::Unknown };
                 record(node, request, &attempt, outcome).await;
                 wanted.tried.push(chosen.id.clone());
                 if !may_try_again(node, &wanted, request, proven) {
@@ -164,20 +147,13 @@
     let outgoing = outgoing(chosen, request, &hop)?;
     let began = Instant::now();
     let fresh = !request.repeatable;
-    let sent = node
-        .pool
-        .send(chosen.server.addr, outgoing, silence, fresh)
-        .await;
+    let sent = node.pool.send(chosen.server.addr, outgoing, silence, fresh).await;
     let result = match sent {
         Ok(exchange) => {
             let status = exchange.status;
             let content = exchange.headers.get(CONTENT_TYPE).cloned();
             let body = exchange.read_whole(ANSWER_LIMIT, silence).await;
-            body.map(|body| PlainAnswer {
-                status,
-                content,
-                body,
-            })
+            body.map(|body| PlainAnswer { status, content, body })
         }
         Err(fault) => Err(fault),
     };
@@ -210,9 +186,7 @@
         builder = builder.header("idempotency-key", once.key.key.as_str());
     }
     let body = Full::new(request.body.clone());
-    builder
-        .body(body)
-        .map_err(|error| SendFault::NotSent(error.to_string()))
+    builder.body(body).map_err(|error| SendFault::NotSent(error.to_string()))
 }
 
 fn may_try_again(node: &Node, wanted: &Wanted, request: &PlainRequest, proven: bool) -> bool {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Method, Request};
 use serde_json::{Map, Value};
 
@@ -33,7 +33,7 @@
 pub const PASSED_HEADER: &str = "emberturn-passed";
 
 /// The longest deadline, whatever the caller asks for.
-const DEADLINE_LIMIT: Duration = Duration::from_secs(3_600);
+pub(crate) const DEADLINE_LIMIT: Duration = Duration::from_secs(3_600);
 
 /// Tokens generated when the caller does not say.
 const DEFAULT_OUTPUT: Tokens = Tokens(256);
@@ -79,9 +79,7 @@
         let headers = request.headers();
         let arrived = Instant::now();
         let wait = read_number(headers, DEADLINE_HEADER)?.map(Duration::from_millis);
-        let wait = wait
-            .unwrap_or(settings.deadline.duration())
-            .min(DEADLINE_LIMIT);
+        let wait = wait.unwrap_or(settings.deadline.duration()).min(DEADLINE_LIMIT);
         let uri = request.uri();
         let path = uri.path_and_query().map_or("/", |path| path.as_str());
         let trace = text(headers, HEADER)?.and_then(|value| value.parse().ok());
@@ -101,6 +99,32 @@
         })
     }
 
+    /// The head of a request that emberturn makes on a caller's behalf.
+    pub(crate) fn internal(
+        path: &str,
+        key: Option<RequestKey>,
+        repeatable: bool,
+        left: Duration,
+    ) -> Self {
+        let arrived = Instant::now();
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        Self {
+            method: Method::POST,
+            path: path.to_owned(),
+            headers,
+            digest: None,
+            key,
+            repeatable,
+            deadline: arrived + left.min(DEADLINE_LIMIT),
+            may_wait: false,
+            last_event: None,
+            passed: false,
+            trace: TraceContext::root(),
+            arrived,
+        }
+    }
+
     /// The path without its query.
     pub fn bare_path(&self) -> &str {
         self.path.split('?').next().unwrap_or("/")
@@ -114,19 +138,15 @@
 pub async fn read_body(body: Incoming, settings: &EntrySettings) -> Result<Bytes, Failure> {
     let limited = Limited::new(body, settings.body_limit).collect();
     match tokio::time::timeout(settings.body_time.duration(), limited).await {
-        Err(_) => Err(Failure::new(
-            Kind::SlowCaller,
-            "the body did not arrive in time",
-        )),
+        Err(_) => Err(Failure::new(Kind::SlowCaller, "the body did not arrive in time")),
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             let text = format!("the body is larger than {} bytes", settings.body_limit);
             Err(Failure::new(Kind::TooLarge, text))
         }
-        Ok(Err(error)) => Err(Failure::new(
-            Kind::CallerGone,
-            format!("the body broke off: {error}"),
-        )),
+        Ok(Err(error)) => {
+            Err(Failure::new(Kind::CallerGone, format!("the body broke off: {error}")))
+        }
     }
 }
 
@@ -158,15 +178,9 @@
             .map_err(|error| bad(format!("the body is not a JSON object: {error}")))?;
         let model = body.get("model").and_then(Value::as_str);
         let model = model.ok_or_else(|| bad("field model is missing or not a text".to_owned()))?;
-        let service = model
-            .parse()
-            .map_err(|error| bad(format!("field model: {error}")))?;
+        let service = model.parse().map_err(|error| bad(format!("field model: {error}")))?;
         let chat = path.ends_with("/chat/completions");
-        let prompt = if chat {
-            chat_prompt(&body)
-        } else {
-            plain_prompt(&body)
-        };
+        let prompt = if chat { chat_prompt(&body) } else { plain_prompt(&body) };
         let prompt = prompt.map_err(bad)?;
         let stream = read_flag(&body, "stream").map_err(bad)?;
         let output = read_output(&body).map_err(bad)?;
@@ -174,14 +188,7 @@
             return Err(bad("field n: only 1 answer is served".to_owned()));
         }
         body.insert("max_tokens".to_owned(), Value::from(output.0));
-        Ok(Self {
-            service,
-            chat,
-            stream,
-            prompt,
-            output,
-            body,
-        })
+        Ok(Self { service, chat, stream, prompt, output, body })
     }
 }
 
@@ -218,18 +225,14 @@
 }
 
 fn read_output(body: &Map<String, Value>) -> Result<Tokens, String> {
-    let value = body
-        .get("max_completion_tokens")
-        .or_else(|| body.get("max_tokens"));
+    let value = body.get("max_completion_tokens").or_else(|| body.get("max_tokens"));
     let output = match value {
         None | Some(Value::Null) => return Ok(DEFAULT_OUTPUT),
         Some(value) => value.as_u64().map(Tokens),
     };
     match output {
         Some(output) if output.0 > 0 && output <= OUTPUT_LIMIT => Ok(output),
-        _ => Err(format!(
-            "field max_tokens is a number from 1 to {OUTPUT_LIMIT}"
-        )),
+        _ => Err(format!("field max_tokens is a number from 1 to {OUTPUT_LIMIT}")),
     }
 }
 
@@ -237,9 +240,7 @@
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
-    let text = value
-        .to_str()
-        .map_err(|_| bad_header(name, "holds characters outside ASCII"))?;
+    let text = value.to_str().map_err(|_| bad_header(name, "holds characters outside ASCII"))?;
     Ok(Some(text.trim()))
 }
 
@@ -254,10 +255,7 @@
     let (scheme, key) = value.split_once(' ').unwrap_or((value, ""));
     match scheme.eq_ignore_ascii_case("bearer") && !key.trim().is_empty() {
         true => Ok(Some(KeyDigest::of(key.trim()))),
-        false => Err(bad_header(
-            "authorization",
-            "is not of the form: Bearer KEY",
-        )),
+        false => Err(bad_header("authorization", "is not of the form: Bearer KEY")),
     }
 }
 
@@ -266,13 +264,8 @@
         return Ok(None);
     };
     // The draft standard has the key as a quoted string; callers send it bare as well.
-    let value = value
-        .strip_prefix('"')
-        .and_then(|it| it.strip_suffix('"'))
-        .unwrap_or(value);
-    let key = value
-        .parse()
-        .map_err(|error| bad_header(KEY_HEADER, &format!("{error}")))?;
+    let value = value.strip_prefix('"').and_then(|it| it.strip_suffix('"')).unwrap_or(value);
+    let key = value.parse().map_err(|error| bad_header(KEY_HEADER, &format!("{error}")))?;
     Ok(Some(key))
 }
 
@@ -288,9 +281,7 @@
     let Some(value) = text(headers, name)? else {
         return Ok(None);
     };
-    let number = value
-        .parse()
-        .map_err(|_| bad_header(name, "is not a whole number"))?;
+    let number = value.parse().map_err(|_| bad_header(name, "is not a whole number"))?;
     Ok(Some(number))
 }
 
@@ -299,7 +290,5 @@
     let Some(value) = text(headers, "prefer")? else {
         return Ok(false);
     };
-    Ok(value
-        .split(',')
-        .any(|part| part.trim().eq_ignore_ascii_case("respond-async")))
+    Ok(value.split(',').any(|part| part.trim().eq_ignore_ascii_case("respond-async")))
 }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -15,18 +15,20 @@
 use super::answer::{self, Body, TRACE_HEADER};
 use super::dispatch::Wanted;
 use super::generate::{self, LINGER, Plan};
-use super::generation::{End, Generation, Item, Reader, Shape};
+use super::generation::{End, Generation, Item, Origin, Reader, Shape};
+use super::hand_over::{self, HandOver};
 use super::plain::{self, PlainRequest};
 use super::request::{self, Completion, Head};
 use super::unrepeatable::{Once, digest};
+use crate::backend::engine::Piece;
 use crate::blackboard::InForce;
+use crate::control::share::whole;
 use crate::decide::policy::{Facts, Ruling};
 use crate::decide::route::{self, Need};
-use crate::decide::share::Share;
 use crate::error::{Failure, Kind, RunState};
 use crate::ids::{RequestKey, ServiceName, TeamName};
 use crate::node::{AdmissionGuard, Node};
-use crate::state::config::{Service, ServiceKind, Team};
+use crate::state::config::{Class, Service, ServiceKind, Team};
 use crate::state::ledger::RecordedAnswer;
 use crate::state::work::{Keep, KeepReply, KeptRequest, WorkId};
 use crate::state::{Command, Reply};
@@ -45,8 +47,11 @@
 /// The largest body kept, in bytes.
 const KEEP_LIMIT: usize = 256 << 10;
 
-/// Boxes a node counts on when it has heard of no other yet.
-const ASSUMED_BOXES: u32 = 9;
+/// How long kept work may take in one go.
+const KEPT_TIME: Duration = Duration::from_secs(600);
+
+/// How long a stream that was handed over goes on without its caller.
+const HANDED_LINGER: Duration = Duration::from_secs(60);
 
 /// Answers one request.
 pub async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
@@ -59,11 +64,7 @@
 
 fn readiness(node: &Node) -> Response<Body> {
     let fault = node.unready();
-    let status = if fault.is_none() {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
+    let status = if fault.is_none() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     let value = json!({ "ready": fault.is_none(), "reason": fault, "phase": node.board.phase().to_string() });
     answer::json_answer(status, &value)
 }
@@ -75,10 +76,7 @@
         Err(failure) => return answer::failed(&failure),
     };
     let hop = OpenHop::begin("entry", &node.settings.node.box_id, head.trace);
-    let head = Head {
-        trace: hop.context,
-        ..head
-    };
+    let head = Head { trace: hop.context, ..head };
     let result = route_request(&node, &head, request.into_body()).await;
     let (outcome, response) = match result {
         Ok(response) => ("answered".to_owned(), response),
@@ -133,20 +131,14 @@
             need_method(head, &Method::GET)?;
             fetch_work(node, head).await
         }
-        path => Err(Failure::new(
-            Kind::NotFound,
-            format!("no such path: {path}"),
-        )),
+        path => Err(Failure::new(Kind::NotFound, format!("no such path: {path}"))),
     }
 }
 
 fn need_method(head: &Head, method: &Method) -> Result<(), Failure> {
     match head.method == *method {
         true => Ok(()),
-        false => Err(Failure::new(
-            Kind::BadMethod,
-            format!("this path takes {method}"),
-        )),
+        false => Err(Failure::new(Kind::BadMethod, format!("this path takes {method}"))),
     }
 }
 
@@ -164,14 +156,18 @@
         let unknown = || Failure::new(Kind::UnknownKey, "the bearer key belongs to no team");
         let digest = head.digest.as_ref().ok_or_else(unknown)?;
         let found = in_force.configuration.team_of(digest);
-        let (name, team) = found
-            .map(|(name, team)| (name.clone(), team.clone()))
-            .ok_or_else(unknown)?;
-        Ok(Self {
-            in_force,
-            name,
-            team,
-        })
+        let (name, team) =
+            found.map(|(name, team)| (name.clone(), team.clone())).ok_or_else(unknown)?;
+        Ok(Self { in_force, name, team })
+    }
+
+    /// The ground for a request that a team made earlier, perhaps at another node.
+    fn of_team(node: &Node, name: &TeamName) -> Result<Self, Failure> {
+        node.check_takes_work()?;
+        let in_force = node.board.in_force();
+        let team = in_force.configuration.teams.get(name).cloned();
+        let missing = || Failure::new(Kind::UnknownKey, "the team is gone");
+        Ok(Self { team: team.ok_or_else(missing)?, name: name.clone(), in_force })
     }
 
     fn service(&self, name: &ServiceName, kind: ServiceKind) -> Result<&Service, Failure> {
@@ -201,16 +197,10 @@
 
     /// Admits a request within the team's limits; dropping the guard gives back what it reserved.
     fn admit(&self, node: &Arc<Node>, tokens: Tokens) -> Result<AdmissionGuard, Failure> {
-        let whole = Share {
-            concurrent: self.team.concurrent,
-            budget: self.team.budget,
-        };
-        let limit = node
-            .board
-            .shares
-            .load()
-            .limit(&self.name, whole, ASSUMED_BOXES);
-        node.earn_retry(self.in_force.configuration.limits.retry_percent);
+        let limits = &self.in_force.configuration.limits;
+        let shares = node.board.shares.load();
+        let limit = shares.limit(&self.name, whole(&self.team), limits.entry_boxes);
+        node.earn_retry(limits.retry_percent);
         node.admit(&self.name, tokens, limit)
     }
 
@@ -261,15 +251,29 @@
     {
         return attach(&held, head, &digest, completion.stream).await;
     }
-    let generation = begin_generation(node, head, &ground, &completion, digest, repeatable)?;
-    respond(
-        node,
-        head,
-        &ground.name,
-        generation.read_from(0),
-        completion.stream,
-    )
-    .await
+    if let Some(key) = &head.key
+        && let Some(response) = hand_over::find(node, head, &ground.name, key, &bytes).await
+    {
+        return Ok(response);
+    }
+    if head.passed {
+        return Err(Failure::new(Kind::NoStream, "this node does not hold the stream"));
+    }
+    let body = String::from_utf8_lossy(&bytes).into_owned();
+    let start = Start { repeatable, digest, body, linger: LINGER, pieces: Vec::new() };
+    let generation = begin_generation(node, head, &ground, &completion, start)?;
+    respond(node, head, &ground.name, generation.read_from(0), completion.stream).await
+}
+
+/// What a generation begins with besides its request.
+struct Start {
+    repeatable: bool,
+    digest: String,
+    body: String,
+    /// How long a generation under a key goes on without a reader.
+    linger: Duration,
+    /// Pieces another node has generated.
+    pieces: Vec<Piece>,
 }
 
 /// Admits a completion and starts its generation.
@@ -278,9 +282,9 @@
     head: &Head,
     ground: &Ground,
     completion: &Completion,
-    digest: String,
-    repeatable: bool,
+    start: Start,
 ) -> Result<Arc<Generation>, Failure> {
+    let Start { repeatable, digest, body, linger, pieces } = start;
     let service = ground.service(&completion.service, ServiceKind::Engine)?;
     let need = Need {
         data_centre: node.settings.node.data_centre.clone(),
@@ -298,18 +302,15 @@
         path: head.bare_path().to_owned(),
         wanted,
         repeatable,
-        once: key
-            .filter(|_| !repeatable)
-            .map(|key| Once::new(&ground.name, key, digest.clone())),
+        once: key.filter(|_| !repeatable).map(|key| Once::new(&ground.name, key, digest.clone())),
         silence: service.silence.duration(),
-        linger: if key.is_some() {
-            LINGER
-        } else {
-            Duration::ZERO
-        },
+        linger: if key.is_some() { linger } else { Duration::ZERO },
         trace: head.trace,
     };
-    let generation = Generation::new(shape(completion, need.prompt), digest, Vec::new());
+    let origin =
+        Origin { path: head.bare_path().to_owned(), body, deadline: head.deadline, repeatable };
+    let shape = shape(completion, need.prompt);
+    let generation = Generation::new(shape, digest, Some(origin), pieces);
     if let Some(key) = key {
         node.keep_generation(&ground.name, key, &generation);
     }
@@ -355,11 +356,7 @@
     reader: Reader,
     stream: bool,
 ) -> Result<Response<Body>, Failure> {
-    let tally = Tally {
-        node: node.clone(),
-        team: team.clone(),
-        arrived: head.arrived,
-    };
+    let tally = Tally { node: node.clone(), team: team.clone(), arrived: head.arrived };
     answer_from(reader, stream, Some(tally)).await
 }
 
@@ -373,9 +370,7 @@
 impl Tally {
     fn first(&self) {
         let seconds = self.arrived.elapsed().as_secs_f64();
-        self.node
-            .metrics
-            .record_first_token(self.team.as_str(), seconds);
+        self.node.metrics.record_first_token(self.team.as_str(), seconds);
     }
 
     fn end(&self, tokens: usize, end: &End) {
@@ -384,12 +379,8 @@
             End::Recorded(_) => "recorded".to_owned(),
             End::Failed(failure) => failure.kind.to_string(),
         };
-        self.node
-            .metrics
-            .count_tokens(self.team.as_str(), tokens as u64);
-        self.node
-            .metrics
-            .count_request(self.team.as_str(), &outcome);
+        self.node.metrics.count_tokens(self.team.as_str(), tokens as u64);
+        self.node.metrics.count_request(self.team.as_str(), &outcome);
     }
 }
 
@@ -488,9 +479,7 @@
         End::Whole | End::Recorded(_) => Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n"))),
         End::Failed(failure) => {
             let value = answer::failure_value(failure);
-            Ok(Frame::data(Bytes::from(format!(
-                "event: error\ndata: {value}\n\n"
-            ))))
+            Ok(Frame::data(Bytes::from(format!("event: error\ndata: {value}\n\n"))))
         }
     }
 }
@@ -499,9 +488,7 @@
 fn recorded_stream(recorded: &RecordedAnswer) -> Response<Body> {
     let body = recorded.body.clone().unwrap_or_default();
     let mut value: Value = serde_json::from_str(&body).unwrap_or(Value::Null);
-    if let Some(choice) = value
-        .pointer_mut("/choices/0")
-        .and_then(Value::as_object_mut)
+    if let Some(choice) = value.pointer_mut("/choices/0").and_then(Value::as_object_mut)
         && let Some(message) = choice.remove("message")
     {
         choice.insert("delta".to_owned(), message);
@@ -534,11 +521,7 @@
     };
     let ruling = ground.rule(node, service, &ground.facts(node, head, &name, &need))?;
     let _admitted = ground.admit(node, need.prompt)?;
-    let path = if path.starts_with('/') {
-        path.to_owned()
-    } else {
-        format!("/{path}")
-    };
+    let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
     let digest = digest(&format!("{} {}", head.method, head.path), &bytes);
     let mut request = PlainRequest::new(head, path, bytes, service.silence.duration());
     request.repeatable = repeatable;
@@ -569,29 +552,18 @@
         body: body.to_owned(),
         repeatable,
     };
-    let reply = node
-        .access
-        .propose(Command::Keep(Keep { request }), GROUP_TIME)
-        .await;
+    let reply = node.access.propose(Command::Keep(Keep { request }), GROUP_TIME).await;
     match reply {
         Ok(Reply::Keep(KeepReply::Kept(id))) => Ok(kept_answer(&id)),
-        Ok(Reply::Keep(KeepReply::Conflict)) => Err(Failure::new(
-            Kind::KeyConflict,
-            "the key came with another request before",
-        )),
-        Ok(Reply::Keep(KeepReply::Full)) => Err(Failure::new(
-            Kind::QueueLimit,
-            "as much work is kept as may be",
-        )),
-        Ok(_) => Err(Failure::new(
-            Kind::Internal,
-            "the group gave another answer",
-        )),
+        Ok(Reply::Keep(KeepReply::Conflict)) => {
+            Err(Failure::new(Kind::KeyConflict, "the key came with another request before"))
+        }
+        Ok(Reply::Keep(KeepReply::Full)) => {
+            Err(Failure::new(Kind::QueueLimit, "as much work is kept as may be"))
+        }
+        Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another answer")),
         // It may be kept all the same, and would run: that is not "not run".
-        Err(_) => Err(Failure::new(
-            Kind::BackendTimeout,
-            "the group did not answer in time",
-        )),
+        Err(_) => Err(Failure::new(Kind::BackendTimeout, "the group did not answer in time")),
     }
 }
 
@@ -600,9 +572,7 @@
     let value = json!({ "id": id, "location": place, "state": "kept" });
     let mut response = answer::json_answer(StatusCode::ACCEPTED, &value);
     if let Ok(value) = HeaderValue::from_str(&place) {
-        response
-            .headers_mut()
-            .insert(hyper::header::LOCATION, value);
+        response.headers_mut().insert(hyper::header::LOCATION, value);
     }
     let applied = HeaderValue::from_static("respond-async");
     response.headers_mut().insert("preference-applied", applied);
@@ -612,19 +582,61 @@
 async fn fetch_work(node: &Arc<Node>, head: &Head) -> Result<Response<Body>, Failure> {
     let ground = Ground::read(node, head)?;
     let missing = || Failure::new(Kind::NotFound, "no such work");
-    let id: WorkId = head.bare_path()[WORK.len()..]
-        .parse()
-        .map_err(|_| missing())?;
+    let id: WorkId = head.bare_path()[WORK.len()..].parse().map_err(|_| missing())?;
     let view = node
         .access
         .read_work(&id, GROUP_TIME)
         .await
         .map_err(|_| Failure::new(Kind::BackendTimeout, "the group did not answer in time"))?;
-    let view = view
-        .filter(|view| view.team == ground.name)
-        .ok_or_else(missing)?;
+    let view = view.filter(|view| view.team == ground.name).ok_or_else(missing)?;
     Ok(match view.answer {
         Some(answer) => answer::recorded(&answer),
         None => kept_answer(&id),
     })
 }
+
+/// Goes on with a stream that another node has handed over.
+pub(crate) fn resume_handed(node: &Arc<Node>, offer: &HandOver) -> Result<(), Failure> {
+    let ground = Ground::of_team(node, &offer.team)?;
+    let completion = Completion::read(&offer.path, offer.body.as_bytes())?;
+    let left = Duration::from_millis(offer.left);
+    let head = Head::internal(&offer.path, Some(offer.key.clone()), true, left);
+    let start = Start {
+        repeatable: true,
+        digest: digest(&offer.path, offer.body.as_bytes()),
+        body: offer.body.clone(),
+        linger: HANDED_LINGER,
+        pieces: offer.pieces.clone(),
+    };
+    let generation = begin_generation(node, &head, &ground, &completion, start)?;
+    // The caller is away; from now on it has the lingering time to come back.
+    drop(generation.read_from(0));
+    Ok(())
+}
+
+/// Runs kept work once, behind everything interactive.
+pub(crate) async fn run_kept(
+    node: &Arc<Node>,
+    request: &KeptRequest,
+) -> Result<RecordedAnswer, Failure> {
+    let mut ground = Ground::of_team(node, &request.team)?;
+    ground.team.class = Class::Batch;
+    let key = Some(request.key.clone());
+    let head = Head::internal(&request.path, key, request.repeatable, KEPT_TIME);
+    let bytes = Bytes::from(request.body.clone());
+    let response = match head.bare_path().starts_with(SERVICES) {
+        true => service(node, &head, ground, bytes).await?,
+        false => completion(node, &head, ground, bytes).await?,
+    };
+    record_response(response).await
+}
+
+async fn record_response(response: Response<Body>) -> Result<RecordedAnswer, Failure> {
+    let (parts, body) = response.into_parts();
+    let content = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let content = content.unwrap_or("application/octet-stream").to_owned();
+    let collected = body.collect().await;
+    let bytes = collected.map_err(|error| Failure::new(Kind::BackendBroke, error.to_string()))?;
+    let body = String::from_utf8(bytes.to_bytes().to_vec()).ok();
+    Ok(RecordedAnswer { status: parts.status.as_u16(), content, body })
+}
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -32,9 +32,7 @@
 /// # Errors
 /// When the address cannot be listened on.
 pub async fn listen(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .wrap_err_with(|| format!("listen for callers on {addr}"))
+    TcpListener::bind(addr).await.wrap_err_with(|| format!("listen for callers on {addr}"))
 }
 
 /// Accepts callers until the node has drained.
@@ -105,10 +103,7 @@
 /// Tells a caller beyond the limit that its request was not run.
 async fn refuse(stream: TcpStream, _permit: OwnedSemaphorePermit) {
     let service = service_fn(|_| async {
-        let failure = Failure::new(
-            Kind::TooManyCallers,
-            "the node has as many callers as it may",
-        );
+        let failure = Failure::new(Kind::TooManyCallers, "the node has as many callers as it may");
         Ok::<_, Infallible>(answer::failed(&failure))
     });
     let connection = http1::Builder::new()
--- a/src/entry/unrepeatable.rs
+++ b/src/entry/unrepeatable.rs
@@ -43,13 +43,7 @@
 impl Once {
     /// A team's request under a key.
     pub fn new(team: &TeamName, key: &RequestKey, digest: String) -> Self {
-        Self {
-            key: LedgerKey {
-                team: team.clone(),
-                key: key.clone(),
-            },
-            digest,
-        }
+        Self { key: LedgerKey { team: team.clone(), key: key.clone() }, digest }
     }
 
     /// Records an attempt before it is made.
@@ -65,10 +59,7 @@
         trace: TraceContext,
     ) -> Result<Permission, Failure> {
         let hop = OpenHop::begin("ledger", "group", trace);
-        let owner = Owner {
-            box_id: node.settings.node.box_id.clone(),
-            life: node.life,
-        };
+        let owner = node.owner();
         let begin = Begin {
             key: self.key.clone(),
             digest: self.digest.clone(),
@@ -79,10 +70,7 @@
         let reply = node.access.propose(Command::Begin(begin), BEGIN_TIME).await;
         let result = match reply {
             Ok(Reply::Begin(reply)) => self.judge(node, reply),
-            Ok(_) => Err(Failure::new(
-                Kind::Internal,
-                "the ledger gave another answer",
-            )),
+            Ok(_) => Err(Failure::new(Kind::Internal, "the ledger gave another answer")),
             Err(_) => {
                 // It may be recorded all the same; this attempt is never made.
                 self.end_later(node, attempt, Outcome::NotRun);
@@ -90,10 +78,7 @@
                 Err(Failure::new(Kind::LedgerUnavailable, text))
             }
         };
-        let outcome = result
-            .as_ref()
-            .err()
-            .map_or("go".to_owned(), |it| it.kind.to_string());
+        let outcome = result.as_ref().err().map_or("go".to_owned(), |it| it.kind.to_string());
         hop.end(&node.board.hops, outcome);
         result
     }
@@ -114,10 +99,9 @@
                 Kind::EarlierUnknown,
                 "an earlier attempt may have run; it is not made again",
             ),
-            BeginReply::Conflict => Failure::new(
-                Kind::KeyConflict,
-                "the key came with another request before",
-            ),
+            BeginReply::Conflict => {
+                Failure::new(Kind::KeyConflict, "the key came with another request before")
+            }
             BeginReply::Full => Failure::new(Kind::LedgerFull, "the ledger is full"),
         };
         Err(failure)
@@ -125,15 +109,8 @@
 
     /// Records what became of an attempt; `false` when it could not be recorded in time.
     pub async fn end(&self, node: &Node, attempt: &AttemptId, outcome: Outcome) -> bool {
-        let end = End {
-            key: self.key.clone(),
-            attempt: attempt.clone(),
-            outcome,
-        };
-        node.access
-            .propose(Command::End(end), END_TIME)
-            .await
-            .is_ok()
+        let end = End { key: self.key.clone(), attempt: attempt.clone(), outcome };
+        node.access.propose(Command::End(end), END_TIME).await.is_ok()
     }
 
     /// Records it without being waited for.
--- a/src/error.rs
+++ b/src/error.rs
@@ -84,6 +84,10 @@
     BackendTimeout,
     /// A backend server's answer is larger than the limit or breaks the protocol.
     BackendInvalid,
+    /// Another node goes on with the stream; the caller comes back with its key.
+    HandedOver,
+    /// This node does not hold the stream another node asked it for.
+    NoStream,
     /// The caller went away.
     CallerGone,
     /// A defect of emberturn's own.
@@ -105,19 +109,14 @@
 
 const fn row(status: u16, code: &'static str, run: RunState, again: bool) -> AnswerRow {
     match StatusCode::from_u16(status) {
-        Ok(status) => AnswerRow {
-            status,
-            code,
-            run,
-            again,
-        },
+        Ok(status) => AnswerRow { status, code, run, again },
         Err(_) => panic!("not an HTTP status"),
     }
 }
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 28] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotFound,
@@ -142,6 +141,8 @@
         Self::BackendBroke,
         Self::BackendTimeout,
         Self::BackendInvalid,
+        Self::HandedOver,
+        Self::NoStream,
         Self::CallerGone,
         Self::Internal,
     ];
@@ -174,6 +175,8 @@
             Self::BackendBroke => row(502, "backend_broke", Unknown, true),
             Self::BackendTimeout => row(504, "backend_timeout", Unknown, true),
             Self::BackendInvalid => row(502, "backend_invalid", Unknown, false),
+            Self::HandedOver => row(503, "handed_over", Unknown, true),
+            Self::NoStream => row(404, "no_stream", NotRun, false),
             Self::CallerGone => row(499, "caller_gone", Unknown, true),
             Self::Internal => row(500, "internal", Unknown, true),
         }
@@ -201,11 +204,7 @@
 impl Failure {
     /// A failure without a time to come back.
     pub fn new(kind: Kind, detail: impl Into<String>) -> Self {
-        Self {
-            kind,
-            detail: detail.into(),
-            retry_after: None,
-        }
+        Self { kind, detail: detail.into(), retry_after: None }
     }
 
     /// The same failure with a time to come back.
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -14,7 +14,9 @@
 use tokio::time::Instant;
 
 use super::driver::{GroupMessage, Unanswered};
-use crate::ids::BoxId;
+use crate::control::share::ShareRequest;
+use crate::decide::share::Share;
+use crate::ids::{BoxId, TeamName};
 use crate::peer::{PeerError, Peers, method};
 use crate::state::work::{WorkId, WorkView};
 use crate::state::{Command, Reply};
@@ -48,13 +50,7 @@
         peers: Peers,
         replicas: BTreeMap<BoxId, SocketAddr>,
     ) -> Self {
-        Self {
-            own,
-            local,
-            peers,
-            replicas: Arc::new(replicas),
-            leader: Arc::default(),
-        }
+        Self { own, local, peers, replicas: Arc::new(replicas), leader: Arc::default() }
     }
 
     /// This process's replica.
@@ -87,6 +83,26 @@
         self.until_answered(method::READ_WORK, id, limit).await
     }
 
+    /// Asks the leader for shares of the teams' limits.
+    ///
+    /// # Errors
+    /// When `limit` is over.
+    pub(crate) async fn lease_shares(
+        &self,
+        request: &ShareRequest,
+        limit: Duration,
+    ) -> Result<BTreeMap<TeamName, Share>, NoGroup> {
+        self.until_answered(method::SHARE, request, limit).await
+    }
+
+    /// Whether kept work waits to be claimed, read at the leader.
+    ///
+    /// # Errors
+    /// When `limit` is over.
+    pub async fn has_work(&self, limit: Duration) -> Result<bool, NoGroup> {
+        self.until_answered(method::HAS_WORK, &(), limit).await
+    }
+
     async fn until_answered<T, R>(
         &self,
         method: &'static str,
@@ -101,12 +117,8 @@
         let mut turn = 0;
         while Instant::now() < deadline {
             let (box_id, addr) = self.target(turn).ok_or(NoGroup)?;
-            let left = deadline
-                .saturating_duration_since(Instant::now())
-                .min(CALL_TIME);
-            let call = self
-                .peers
-                .call::<T, Result<R, Unanswered>>(addr, method, body, left);
+            let left = deadline.saturating_duration_since(Instant::now()).min(CALL_TIME);
+            let call = self.peers.call::<T, Result<R, Unanswered>>(addr, method, body, left);
             match call.await {
                 Ok(Ok(reply)) => {
                     self.remember(Some(box_id));
@@ -132,20 +144,12 @@
 
     /// The leader where known, else the replicas in turn, beginning with this box's own.
     fn target(&self, turn: usize) -> Option<(BoxId, SocketAddr)> {
-        let leader = self
-            .leader
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
+        let leader = self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let known = leader.and_then(|leader| Some((leader.clone(), *self.replicas.get(&leader)?)));
         if known.is_some() {
             return known;
         }
-        let own = self
-            .replicas
-            .keys()
-            .position(|box_id| *box_id == self.own)
-            .unwrap_or(0);
+        let own = self.replicas.keys().position(|box_id| *box_id == self.own).unwrap_or(0);
         let place = (own + turn) % self.replicas.len().max(1);
         let found = self.replicas.iter().nth(place);
         found.map(|(box_id, addr)| (box_id.clone(), *addr))
--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -129,10 +129,7 @@
     /// A replica that restarts at `now` with what its disk holds. It gives no vote before an
     /// election time has passed, since it may have confirmed a leader just before it stopped.
     pub fn new(own: Identity, stored: Stored, now: u64, seed: u64) -> Self {
-        let base = stored
-            .snapshot
-            .as_ref()
-            .map_or(Index(0), |snapshot| snapshot.index);
+        let base = stored.snapshot.as_ref().map_or(Index(0), |snapshot| snapshot.index);
         let log = Log::new(stored.snapshot.as_ref(), stored.entries);
         let last = log.last_index();
         let mut core = Self {
@@ -178,11 +175,7 @@
     pub fn form(&mut self, members: Members) -> Result<(), String> {
         if self.is_formed() {
             let same = self.log.members_at(Index(1)).0 == &members;
-            return if same {
-                Ok(())
-            } else {
-                Err("belongs to a group already".to_owned())
-            };
+            return if same { Ok(()) } else { Err("belongs to a group already".to_owned()) };
         }
         if members.incarnation(&self.own.box_id) != Some(self.own.life) {
             return Err("the members do not name this life of this box".to_owned());
@@ -190,12 +183,7 @@
         self.hard.term = Term(1);
         self.hard_changed = true;
         let payload = Payload::Members(members);
-        self.append_entry(Entry {
-            index: Index(1),
-            term: Term(1),
-            at: 0,
-            payload,
-        });
+        self.append_entry(Entry { index: Index(1), term: Term(1), at: 0, payload });
         self.commit = Index(1);
         Ok(())
     }
@@ -247,11 +235,7 @@
     /// Whether the leader may answer reads from its own state: a majority has confirmed it within
     /// the time in which that majority elects nobody else.
     pub fn may_read(&self) -> bool {
-        let confirmed = if self.role == Role::Leader {
-            self.confirmed()
-        } else {
-            None
-        };
+        let confirmed = if self.role == Role::Leader { self.confirmed() } else { None };
         confirmed.is_some_and(|at| self.now < at + ELECTION - DRIFT)
     }
 
@@ -277,21 +261,14 @@
         }
         let (members, since) = self.log.members();
         if since > self.commit {
-            return Err(Refusal::Members(
-                "another change of members is under way".to_owned(),
-            ));
+            return Err(Refusal::Members("another change of members is under way".to_owned()));
         }
         if self.log.term_at(self.commit) != Some(self.hard.term) {
-            return Err(Refusal::Members(
-                "the leader has just begun; try again".to_owned(),
-            ));
+            return Err(Refusal::Members("the leader has just begun; try again".to_owned()));
         }
         let next = members.after(change).map_err(Refusal::Members)?;
         if let MemberChange::Promote(box_id) = change {
-            let level = self
-                .progress
-                .get(box_id)
-                .is_some_and(|it| it.matched >= self.commit);
+            let level = self.progress.get(box_id).is_some_and(|it| it.matched >= self.commit);
             if !level {
                 return Err(Refusal::Members(format!("{box_id} is not level yet")));
             }
@@ -307,12 +284,7 @@
         }
         let index = self.log.last_index().next();
         let at = at.max(self.log.last_at());
-        self.append_entry(Entry {
-            index,
-            term: self.hard.term,
-            at,
-            payload,
-        });
+        self.append_entry(Entry { index, term: self.hard.term, at, payload });
         Ok((index, self.hard.term))
     }
 
@@ -360,11 +332,7 @@
         }
         let from = (envelope.from.clone(), envelope.from_life);
         match envelope.message {
-            Message::AskVote {
-                pre,
-                index,
-                log_term,
-            } => {
+            Message::AskVote { pre, index, log_term } => {
                 self.on_ask_vote(from, envelope.term, pre, index, log_term);
             }
             Message::Vote { pre, granted } => self.on_vote(&from.0, pre, granted),
@@ -390,11 +358,7 @@
     /// Adopts a higher term unless the message only asks; `false` when it is dealt with.
     fn meet_higher_term(&mut self, envelope: &Envelope) -> bool {
         match envelope.message {
-            Message::AskVote {
-                pre,
-                index,
-                log_term,
-            } => {
+            Message::AskVote { pre, index, log_term } => {
                 if self.hears_leader() {
                     return false;
                 }
@@ -403,21 +367,14 @@
                     let to = (envelope.from.clone(), envelope.from_life);
                     // A given pre-vote carries the term asked for, a refused one this replica's own:
                     // nobody's term grows by asking.
-                    let term = if granted {
-                        envelope.term
-                    } else {
-                        self.hard.term
-                    };
+                    let term = if granted { envelope.term } else { self.hard.term };
                     self.send_late(to, term, Message::Vote { pre: true, granted });
                     return false;
                 }
                 self.become_follower(envelope.term, None);
                 true
             }
-            Message::Vote {
-                pre: true,
-                granted: true,
-            } => {
+            Message::Vote { pre: true, granted: true } => {
                 // It carries the term asked for, one above ours.
                 self.on_vote(&envelope.from.clone(), true, true);
                 false
@@ -438,21 +395,13 @@
         let to = (envelope.from.clone(), envelope.from_life);
         match envelope.message {
             Message::AskVote { pre, .. } => {
-                let message = Message::Vote {
-                    pre,
-                    granted: false,
-                };
+                let message = Message::Vote { pre, granted: false };
                 self.send_late(to, self.hard.term, message);
             }
             Message::Append(_) | Message::Install(_) => {
                 let index = self.log.last_index();
                 let clock = self.now;
-                let appended = Appended {
-                    matched: false,
-                    index,
-                    sent: 0,
-                    clock,
-                };
+                let appended = Appended { matched: false, index, sent: 0, clock };
                 self.send_late(to, self.hard.term, Message::Appended(appended));
             }
             Message::Vote { .. } | Message::Appended(_) | Message::Installing { .. } => {}
@@ -508,22 +457,10 @@
             self.hard.vote = Some(self.own.box_id.clone());
             self.hard_changed = true;
         }
-        let term = if pre {
-            self.hard.term.next()
-        } else {
-            self.hard.term
-        };
+        let term = if pre { self.hard.term.next() } else { self.hard.term };
         let (index, log_term) = (self.log.last_index(), self.log.last_term());
         for (box_id, life) in self.voters_but_own() {
-            self.send_late(
-                (box_id, life),
-                term,
-                Message::AskVote {
-                    pre,
-                    index,
-                    log_term,
-                },
-            );
+            self.send_late((box_id, life), term, Message::AskVote { pre, index, log_term });
         }
         self.count_votes();
     }
@@ -578,17 +515,12 @@
 
     /// Brings the followed replicas in line with the members.
     fn sync_progress(&mut self) {
-        let others: BTreeSet<_> = self
-            .members()
-            .others(&self.own.box_id)
-            .map(|(box_id, _)| box_id.clone())
-            .collect();
+        let others: BTreeSet<_> =
+            self.members().others(&self.own.box_id).map(|(box_id, _)| box_id.clone()).collect();
         self.progress.retain(|box_id, _| others.contains(box_id));
         let (last, now) = (self.log.last_index(), self.now);
         for box_id in others {
-            self.progress
-                .entry(box_id)
-                .or_insert_with(|| Progress::new(last, now));
+            self.progress.entry(box_id).or_insert_with(|| Progress::new(last, now));
         }
     }
 
@@ -599,11 +531,7 @@
     }
 
     fn voters_but_own(&self) -> Vec<(BoxId, Incarnation)> {
-        let voters = self
-            .members()
-            .voters
-            .iter()
-            .filter(|(id, _)| **id != self.own.box_id);
+        let voters = self.members().voters.iter().filter(|(id, _)| **id != self.own.box_id);
         voters.map(|(id, life)| (id.clone(), *life)).collect()
     }
 
--- a/src/group/core/follow.rs
+++ b/src/group/core/follow.rs
@@ -32,10 +32,7 @@
             match self.log.term_at(entry.index) {
                 Some(term) if term == entry.term => continue,
                 Some(_) => {
-                    assert!(
-                        entry.index > self.commit,
-                        "a committed entry is never replaced"
-                    );
+                    assert!(entry.index > self.commit, "a committed entry is never replaced");
                     self.log.truncate(entry.index);
                     self.stored = self.stored.min(self.log.last_index());
                 }
@@ -68,12 +65,7 @@
     }
 
     fn answer_append(&mut self, to: (BoxId, Incarnation), matched: bool, index: Index, sent: u64) {
-        let appended = Appended {
-            matched,
-            index,
-            sent,
-            clock: self.now,
-        };
+        let appended = Appended { matched, index, sent, clock: self.now };
         self.send_late(to, self.hard.term, Message::Appended(appended));
     }
 
@@ -100,10 +92,7 @@
         }
         let held = self.take_piece(install);
         if held < total {
-            let message = Message::Installing {
-                index,
-                offset: held,
-            };
+            let message = Message::Installing { index, offset: held };
             self.send_late(from, self.hard.term, message);
             return;
         }
@@ -116,16 +105,11 @@
 
     /// Adds a piece that follows what is held; gives how many bytes are held then.
     fn take_piece(&mut self, install: Install) -> usize {
-        let held = self
-            .incoming
-            .take()
-            .filter(|it| (it.index, it.term) == (install.index, install.term));
+        let held =
+            self.incoming.take().filter(|it| (it.index, it.term) == (install.index, install.term));
         let mut whole = match held {
             Some(held) => held,
-            None => Install {
-                piece: String::new(),
-                ..install.clone()
-            },
+            None => Install { piece: String::new(), ..install.clone() },
         };
         if install.offset == whole.piece.len() {
             whole.piece.push_str(&install.piece);
--- a/src/group/core/lead.rs
+++ b/src/group/core/lead.rs
@@ -115,10 +115,7 @@
             Stream::Installing { index, offset } if index == snapshot.index => offset,
             _ => 0,
         };
-        progress.stream = Stream::Installing {
-            index: snapshot.index,
-            offset,
-        };
+        progress.stream = Stream::Installing { index: snapshot.index, offset };
         progress.sent = self.now;
         let install = Install {
             index: snapshot.index,
@@ -215,8 +212,7 @@
     /// Whether a majority has been heard within the longest election time.
     pub(super) fn has_quorum(&self) -> bool {
         let heard = self.voter_values(self.now, |progress| progress.heard);
-        self.majority_value(heard)
-            .is_some_and(|at| self.now < at + ELECTION * 2)
+        self.majority_value(heard).is_some_and(|at| self.now < at + ELECTION * 2)
     }
 
     fn voter_values(&self, own: u64, value: impl Fn(&Progress) -> u64) -> Vec<u64> {
--- a/src/group/core/produce.rs
+++ b/src/group/core/produce.rs
@@ -59,13 +59,7 @@
         let (term, at) = (entry.term, entry.at);
         let members = self.log.members_at(index).0.clone();
         self.log.compact(index);
-        let snapshot = Snapshot {
-            index,
-            term,
-            at,
-            members,
-            data,
-        };
+        let snapshot = Snapshot { index, term, at, members, data };
         self.snapshot = Some(snapshot.clone());
         Some(snapshot)
     }
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -75,6 +75,10 @@
     Status(Port<GroupStatus>),
     /// Asks for kept work, at the leader only.
     ReadWork(WorkId, Port<Result<Option<WorkView>, Unanswered>>),
+    /// Asks whether kept work waits, at the leader only.
+    HasWork(Port<Result<bool, Unanswered>>),
+    /// Asks for the term this replica leads in, if it certainly leads.
+    LeadingTerm(Port<Option<Term>>),
     /// Lets time pass.
     Tick,
     /// Stores, sends and applies what has gathered.
@@ -162,15 +166,7 @@
         arguments: DriverArguments,
     ) -> Result<DriverState, ActorProcessingErr> {
         myself.send_interval(TICK, || GroupMessage::Tick);
-        let DriverArguments {
-            identity,
-            storage,
-            core,
-            machine,
-            links,
-            board,
-            epoch,
-        } = arguments;
+        let DriverArguments { identity, storage, core, machine, links, board, epoch } = arguments;
         Ok(DriverState {
             identity,
             storage: Arc::new(storage),
@@ -212,6 +208,14 @@
                 let _ = port.send(state.read_work(&id));
                 return Ok(());
             }
+            GroupMessage::HasWork(port) => {
+                let _ = port.send(state.has_work());
+                return Ok(());
+            }
+            GroupMessage::LeadingTerm(port) => {
+                let _ = port.send(state.core.may_read().then(|| state.core.term()));
+                return Ok(());
+            }
             GroupMessage::Tick => {
                 state.core.tick(now);
                 state.expire();
@@ -268,11 +272,15 @@
         }
     }
 
+    fn has_work(&self) -> Result<bool, Unanswered> {
+        match self.core.may_read() {
+            true => Ok(self.machine.has_waiting(unix_millis())),
+            false => Err(Unanswered::NotLeader(self.leader_elsewhere())),
+        }
+    }
+
     fn leader_elsewhere(&self) -> Option<BoxId> {
-        self.core
-            .leader()
-            .filter(|leader| **leader != self.identity.box_id)
-            .cloned()
+        self.core.leader().filter(|leader| **leader != self.identity.box_id).cloned()
     }
 
     fn status(&self) -> GroupStatus {
@@ -292,9 +300,7 @@
             last: self.core.log().last_index(),
             commit: self.core.commit(),
             members: self.core.members().clone(),
-            matched: progress
-                .map(|(box_id, it)| (box_id.clone(), it.matched))
-                .collect(),
+            matched: progress.map(|(box_id, it)| (box_id.clone(), it.matched)).collect(),
         }
     }
 
@@ -344,12 +350,8 @@
         let last = output.append.last().map(|entry| entry.index);
         let reset = output.install.is_some();
         let install = output.install.clone();
-        let batch = Batch {
-            hard: output.hard,
-            snapshot: output.install,
-            reset,
-            append: output.append,
-        };
+        let batch =
+            Batch { hard: output.hard, snapshot: output.install, reset, append: output.append };
         self.store(batch).await?;
         if let Some(last) = last {
             self.core.stored(last);
@@ -420,8 +422,7 @@
     }
 
     fn publish(&self) {
-        self.board
-            .put_in_force(self.machine.configuration().clone());
+        self.board.put_in_force(self.machine.configuration().clone());
     }
 
     /// Says on the blackboard how fresh the state is, if all that is committed has been applied.
@@ -430,8 +431,7 @@
             return;
         }
         if let Some(at) = self.core.fresh() {
-            self.board
-                .note_fresh(self.epoch + Duration::from_millis(at.saturating_sub(1)));
+            self.board.note_fresh(self.epoch + Duration::from_millis(at.saturating_sub(1)));
         }
     }
 
@@ -458,10 +458,6 @@
             return Ok(());
         };
         tracing::info!(event = "log_compacted", index = %index, bytes = snapshot.data.len());
-        self.store(Batch {
-            snapshot: Some(snapshot),
-            ..Batch::default()
-        })
-        .await
+        self.store(Batch { snapshot: Some(snapshot), ..Batch::default() }).await
     }
 }
--- a/src/group/follow.rs
+++ b/src/group/follow.rs
@@ -10,7 +10,7 @@
 
 use crate::blackboard::Blackboard;
 use crate::ids::BoxId;
-use crate::peer::method::{self, News, Poll, PollReply};
+use crate::peer::method::{self, Poll, PollReply, Update};
 use crate::peer::{PeerError, Peers};
 use crate::state::config::{ChangeReply, Configuration};
 
@@ -52,10 +52,7 @@
 /// Asks one replica once; `false` when its answer is old.
 async fn ask(board: &Blackboard, peers: &Peers, addr: SocketAddr) -> Result<bool, PeerError> {
     let asked = Instant::now();
-    let poll = Poll {
-        from: board.revision(),
-        wait: WAIT,
-    };
+    let poll = Poll { from: board.revision(), wait: WAIT };
     let reply: PollReply = peers.call(addr, method::POLL, &poll, CALL_TIME).await?;
     let current = board.in_force().configuration.clone();
     let whole = take(current, reply.news);
@@ -74,10 +71,10 @@
 }
 
 /// The configuration after the news; `None` when they do not follow on what is held.
-fn take(current: Arc<Configuration>, news: News) -> Option<Arc<Configuration>> {
+fn take(current: Arc<Configuration>, news: Update) -> Option<Arc<Configuration>> {
     let changes = match news {
-        News::Whole(configuration) => return Some(configuration),
-        News::Changes(changes) => changes,
+        Update::Whole(configuration) => return Some(configuration),
+        Update::Changes(changes) => changes,
     };
     let mut next = current;
     for accepted in changes {
--- a/src/group/links.rs
+++ b/src/group/links.rs
@@ -60,9 +60,7 @@
         let sent = std::mem::take(&mut batch);
         let peers = peers.clone();
         tokio::spawn(async move {
-            let result = peers
-                .call::<_, ()>(addr, method::STEP, &sent, CALL_TIME)
-                .await;
+            let result = peers.call::<_, ()>(addr, method::STEP, &sent, CALL_TIME).await;
             if let Err(error) = result {
                 tracing::debug!(event = "group_messages_lost", count = sent.len(), %error);
             }
--- a/src/group/log.rs
+++ b/src/group/log.rs
@@ -39,9 +39,7 @@
 
     /// The last entry's term.
     pub fn last_term(&self) -> Term {
-        self.entries
-            .back()
-            .map_or(self.base_term, |entry| entry.term)
+        self.entries.back().map_or(self.base_term, |entry| entry.term)
     }
 
     /// The last entry's time.
@@ -108,11 +106,7 @@
 
     /// The members as of an index.
     pub fn members_at(&self, index: Index) -> (&Members, Index) {
-        let held = self
-            .entries
-            .iter()
-            .rev()
-            .filter(|entry| entry.index <= index);
+        let held = self.entries.iter().rev().filter(|entry| entry.index <= index);
         for entry in held {
             if let Payload::Members(members) = &entry.payload {
                 return (members, entry.index);
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -48,10 +48,7 @@
 
     /// The incarnation a member is known with.
     pub fn incarnation(&self, box_id: &BoxId) -> Option<Incarnation> {
-        self.voters
-            .get(box_id)
-            .or_else(|| self.learners.get(box_id))
-            .copied()
+        self.voters.get(box_id).or_else(|| self.learners.get(box_id)).copied()
     }
 
     /// Every member but `own`.
@@ -60,8 +57,7 @@
         own: &'a BoxId,
     ) -> impl Iterator<Item = (&'a BoxId, Incarnation)> + 'a {
         let all = self.voters.iter().chain(self.learners.iter());
-        all.filter(move |(box_id, _)| *box_id != own)
-            .map(|(box_id, life)| (box_id, *life))
+        all.filter(move |(box_id, _)| *box_id != own).map(|(box_id, life)| (box_id, *life))
     }
 
     /// The members after one change.
--- a/src/group/storage.rs
+++ b/src/group/storage.rs
@@ -105,10 +105,7 @@
         let held: Option<(BoxId, Incarnation)> = self.read_meta(IDENTITY)?;
         match held {
             Some((owner, life)) if owner == *box_id => Ok(life),
-            Some((owner, _)) => Err(StorageError::Foreign {
-                path: self.path.clone(),
-                owner,
-            }),
+            Some((owner, _)) => Err(StorageError::Foreign { path: self.path.clone(), owner }),
             None => {
                 let life = Incarnation(rand::random::<u32>().max(1).into());
                 self.write_meta(IDENTITY, &(box_id, life))?;
@@ -118,16 +115,9 @@
     }
 
     fn create_tables(&self) -> Result<(), StorageError> {
-        let write = self
-            .database
-            .begin_write()
-            .map_err(|error| wrap(&self.path, error))?;
-        write
-            .open_table(ENTRIES)
-            .map_err(|error| wrap(&self.path, error))?;
-        write
-            .open_table(META)
-            .map_err(|error| wrap(&self.path, error))?;
+        let write = self.database.begin_write().map_err(|error| wrap(&self.path, error))?;
+        write.open_table(ENTRIES).map_err(|error| wrap(&self.path, error))?;
+        write.open_table(META).map_err(|error| wrap(&self.path, error))?;
         write.commit().map_err(|error| wrap(&self.path, error))
     }
 
@@ -135,18 +125,10 @@
         let hard = self.read_meta(HARD)?.unwrap_or_default();
         let snapshot: Option<Snapshot> = self.read_meta(SNAPSHOT)?;
         let mut entries: Vec<Entry> = Vec::new();
-        let read = self
-            .database
-            .begin_read()
-            .map_err(|error| wrap(&self.path, error))?;
-        let table = read
-            .open_table(ENTRIES)
-            .map_err(|error| wrap(&self.path, error))?;
+        let read = self.database.begin_read().map_err(|error| wrap(&self.path, error))?;
+        let table = read.open_table(ENTRIES).map_err(|error| wrap(&self.path, error))?;
         let first = snapshot.as_ref().map_or(1, |snapshot| snapshot.index.0 + 1);
-        for row in table
-            .range(first..)
-            .map_err(|error| wrap(&self.path, error))?
-        {
+        for row in table.range(first..).map_err(|error| wrap(&self.path, error))? {
             let (index, value) = row.map_err(|error| wrap(&self.path, error))?;
             let expected = first + entries.len() as u64;
             let what = format!("entry {}", index.value());
@@ -156,11 +138,7 @@
             }
             entries.push(entry);
         }
-        Ok(Stored {
-            hard,
-            snapshot,
-            entries,
-        })
+        Ok(Stored { hard, snapshot, entries })
     }
 
     /// Writes a batch and syncs it.
@@ -172,34 +150,19 @@
             return Ok(());
         }
         let wrapped = |error: redb::Error| wrap(&self.path, error);
-        let write = self
-            .database
-            .begin_write()
-            .map_err(|error| wrapped(error.into()))?;
+        let write = self.database.begin_write().map_err(|error| wrapped(error.into()))?;
         {
-            let mut meta = write
-                .open_table(META)
-                .map_err(|error| wrapped(error.into()))?;
-            let mut entries = write
-                .open_table(ENTRIES)
-                .map_err(|error| wrapped(error.into()))?;
+            let mut meta = write.open_table(META).map_err(|error| wrapped(error.into()))?;
+            let mut entries = write.open_table(ENTRIES).map_err(|error| wrapped(error.into()))?;
             if let Some(hard) = &batch.hard {
                 let bytes = encode(hard);
-                meta.insert(HARD, bytes.as_slice())
-                    .map_err(|error| wrapped(error.into()))?;
+                meta.insert(HARD, bytes.as_slice()).map_err(|error| wrapped(error.into()))?;
             }
             if let Some(snapshot) = &batch.snapshot {
                 let bytes = encode(snapshot);
-                meta.insert(SNAPSHOT, bytes.as_slice())
-                    .map_err(|error| wrapped(error.into()))?;
-                let last = if batch.reset {
-                    u64::MAX
-                } else {
-                    snapshot.index.0
-                };
-                entries
-                    .retain_in(..=last, |_, _| false)
-                    .map_err(|error| wrapped(error.into()))?;
+                meta.insert(SNAPSHOT, bytes.as_slice()).map_err(|error| wrapped(error.into()))?;
+                let last = if batch.reset { u64::MAX } else { snapshot.index.0 };
+                entries.retain_in(..=last, |_, _| false).map_err(|error| wrapped(error.into()))?;
             }
             if let Some(first) = batch.append.first() {
                 let held = entries.last().map_err(|error| wrapped(error.into()))?;
@@ -221,42 +184,25 @@
     }
 
     fn read_meta<T: DeserializeOwned>(&self, key: &str) -> Result<Option<T>, StorageError> {
-        let read = self
-            .database
-            .begin_read()
-            .map_err(|error| wrap(&self.path, error))?;
-        let table = read
-            .open_table(META)
-            .map_err(|error| wrap(&self.path, error))?;
+        let read = self.database.begin_read().map_err(|error| wrap(&self.path, error))?;
+        let table = read.open_table(META).map_err(|error| wrap(&self.path, error))?;
         let value = table.get(key).map_err(|error| wrap(&self.path, error))?;
-        value
-            .map(|value| self.decode(key, value.value()))
-            .transpose()
+        value.map(|value| self.decode(key, value.value())).transpose()
     }
 
     fn write_meta<T: Serialize>(&self, key: &str, value: &T) -> Result<(), StorageError> {
-        let write = self
-            .database
-            .begin_write()
-            .map_err(|error| wrap(&self.path, error))?;
+        let write = self.database.begin_write().map_err(|error| wrap(&self.path, error))?;
         {
-            let mut table = write
-                .open_table(META)
-                .map_err(|error| wrap(&self.path, error))?;
+            let mut table = write.open_table(META).map_err(|error| wrap(&self.path, error))?;
             let bytes = encode(value);
-            table
-                .insert(key, bytes.as_slice())
-                .map_err(|error| wrap(&self.path, error))?;
+            table.insert(key, bytes.as_slice()).map_err(|error| wrap(&self.path, error))?;
         }
         write.commit().map_err(|error| wrap(&self.path, error))
     }
 
     fn decode<T: DeserializeOwned>(&self, what: &str, bytes: &[u8]) -> Result<T, StorageError> {
         let corrupt = || self.corrupt(what.to_owned());
-        let split = bytes
-            .len()
-            .checked_sub(CHECKSUM_BYTES)
-            .ok_or_else(corrupt)?;
+        let split = bytes.len().checked_sub(CHECKSUM_BYTES).ok_or_else(corrupt)?;
         let (content, checksum) = bytes.split_at(split);
         if crc32fast::hash(content).to_le_bytes() != checksum {
             return Err(corrupt());
@@ -265,10 +211,7 @@
     }
 
     fn corrupt(&self, what: String) -> StorageError {
-        StorageError::Corrupt {
-            path: self.path.clone(),
-            what,
-        }
+        StorageError::Corrupt { path: self.path.clone(), what }
     }
 }
 
@@ -281,10 +224,7 @@
 }
 
 fn wrap(path: &Path, error: impl Into<redb::Error>) -> StorageError {
-    StorageError::Database {
-        path: path.to_owned(),
-        source: Box::new(error.into()),
-    }
+    StorageError::Database { path: path.to_owned(), source: Box::new(error.into()) }
 }
 
 fn io_error(path: &Path, error: std::io::Error) -> StorageError {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -27,10 +27,7 @@
     if length == 0 || length > NAME_LIMIT {
         return Err(NameError::Length(length));
     }
-    match text
-        .chars()
-        .find(|c| !(c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-')))
-    {
+    match text.chars().find(|c| !(c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-'))) {
         Some(character) => Err(NameError::Character(character)),
         None => Ok(()),
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 pub mod backend;
 pub mod blackboard;
 pub mod cmd;
-mod control;
+pub(crate) mod control;
 pub mod decide;
 pub mod entry;
 pub mod error;
@@ -12,6 +12,7 @@
 pub mod member;
 pub mod node;
 pub mod peer;
+pub mod platform;
 pub mod settings;
 pub mod state;
 pub mod telemetry;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,21 +1,24 @@
 //! A node: one process with its roles, and what its parts share.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr};
+use ractor::rpc::CallResult;
 use ractor::{Actor, ActorRef};
 use tokio::sync::{Notify, watch};
 
 use crate::backend::Pool;
 use crate::blackboard::{Blackboard, Phase};
-use crate::decide::admit::{Admission, TeamLimit};
+use crate::control;
+use crate::decide::admit::{Admission, TeamLimit, TeamUse};
 use crate::decide::retry::RetryBudget;
+use crate::decide::share::Lessor;
 use crate::entry::dispatch::Dispatcher;
 use crate::entry::generation::Generation;
-use crate::entry::server;
+use crate::entry::{drain, server};
 use crate::error::{Failure, Kind};
 use crate::group::access::Access;
 use crate::group::core::{Core, Identity};
@@ -23,7 +26,9 @@
 use crate::group::follow;
 use crate::group::links::Links;
 use crate::group::storage::Storage;
-use crate::ids::{Incarnation, RequestKey, TeamName};
+use crate::ids::{BackendId, BoxId, Incarnation, RequestKey, TeamName, Term};
+use crate::member::spread::{Gossip, Spread, SpreadArguments, SpreadMessage};
+use crate::member::table::{BackendNews, BoxRecord, BoxState, News};
 use crate::peer::method::{BackendStatus, GroupStatus, NodeStatus};
 use crate::peer::{Peers, server as peer_server};
 use crate::settings::{Role, Settings, StaleRule};
@@ -41,8 +46,8 @@
 /// Generations held under keys at most.
 const KEEP_COUNT: usize = 10_000;
 
-/// Pause between two looks while draining.
-const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// How long an own actor may take.
+const GOSSIP_TIME: Duration = Duration::from_millis(400);
 
 type GenerationKey = (TeamName, RequestKey);
 
@@ -70,6 +75,10 @@
     pub entry_addr: OnceLock<SocketAddr>,
     /// Where nodes reach it, once it listens.
     pub peer_addr: OnceLock<SocketAddr>,
+    started: Instant,
+    spread: OnceLock<ActorRef<SpreadMessage>>,
+    lessor: Mutex<Option<(Term, Lessor)>>,
+    stop_by: Mutex<Option<Instant>>,
     admission: Mutex<Admission>,
     retries: Mutex<RetryBudget>,
     generations: Mutex<HashMap<GenerationKey, Arc<Generation>>>,
@@ -103,6 +112,10 @@
             stop: Notify::new(),
             entry_addr: OnceLock::new(),
             peer_addr: OnceLock::new(),
+            started: Instant::now(),
+            spread: OnceLock::new(),
+            lessor: Mutex::default(),
+            stop_by: Mutex::default(),
             admission: Mutex::default(),
             retries: Mutex::default(),
             generations: Mutex::default(),
@@ -137,34 +150,17 @@
         if self.settings.has(Role::Entry) {
             let listener = server::listen(self.settings.entry.listen).await?;
             let addr = listener.local_addr()?;
-            let _ = self
-                .entry_addr
-                .set(self.settings.entry.advertise.unwrap_or(addr));
+            let _ = self.entry_addr.set(self.settings.entry.advertise.unwrap_or(addr));
             tracing::info!(event = "listening", side = "entry", addr = %addr);
             tokio::spawn(server::run(self.clone(), listener));
         }
-        crate::control::start(self);
+        self.start_spread().await?;
+        control::start(self);
         self.stop.notified().await;
-        self.drain().await;
+        drain::run(self).await;
         Ok(())
     }
 
-    /// Stops without cutting a request off: not ready, time for the balancer, streams finish.
-    async fn drain(&self) {
-        let settings = &self.settings.entry;
-        tracing::info!(event = "draining", requests = self.board.requests());
-        self.board.set_phase(Phase::Draining);
-        if self.settings.has(Role::Entry) {
-            tokio::time::sleep(settings.balancer_time.duration()).await;
-        }
-        self.closing.send_replace(true);
-        let deadline = Instant::now() + settings.drain_time.duration();
-        while self.board.requests() > 0 && Instant::now() < deadline {
-            tokio::time::sleep(DRAIN_LOOK).await;
-        }
-        tracing::info!(event = "drained", left = self.board.requests());
-    }
-
     /// Follows whether connections are to close behind their requests.
     pub fn follow_closing(&self) -> watch::Receiver<bool> {
         self.closing.subscribe()
@@ -177,8 +173,7 @@
             Phase::Draining => return Some("draining"),
             Phase::Serving => {}
         }
-        self.is_stale()
-            .then_some("the configuration may be out of date")
+        self.is_stale().then_some("the configuration may be out of date")
     }
 
     fn is_stale(&self) -> bool {
@@ -194,10 +189,7 @@
     pub fn check_takes_work(&self) -> Result<(), Failure> {
         // Until the balancer has seen that the node drains, callers still come, and are served.
         if *self.closing.borrow() {
-            return Err(Failure::new(
-                Kind::Draining,
-                "the node is stopping; ask another",
-            ));
+            return Err(Failure::new(Kind::Draining, "the node is stopping; ask another"));
         }
         if self.board.phase() == Phase::Starting || self.is_stale() {
             let text = "the node's configuration may be out of date; ask another node";
@@ -224,11 +216,7 @@
             };
             Failure::new(kind, text)
         })?;
-        Ok(AdmissionGuard {
-            node: self.clone(),
-            team: team.clone(),
-            tokens,
-        })
+        Ok(AdmissionGuard { node: self.clone(), team: team.clone(), tokens })
     }
 
     /// Adds a request's share to the retry budget.
@@ -243,9 +231,7 @@
 
     /// The generation held under a team's key.
     pub fn find_generation(&self, team: &TeamName, key: &RequestKey) -> Option<Arc<Generation>> {
-        lock(&self.generations)
-            .get(&(team.clone(), key.clone()))
-            .cloned()
+        lock(&self.generations).get(&(team.clone(), key.clone())).cloned()
     }
 
     /// Holds a generation under a team's key until some time after its end.
@@ -291,16 +277,122 @@
             age: self.board.age().map(|age| age.as_millis() as u64),
             requests: self.board.requests(),
             entry: self.entry_addr.get().copied(),
-            boxes: boxes
-                .iter()
-                .map(|(id, it)| (id.clone(), it.state.to_string()))
-                .collect(),
+            boxes: boxes.iter().map(|(id, it)| (id.clone(), it.state.to_string())).collect(),
             backends: backends.collect(),
             group,
         }
     }
 }
 
+impl Node {
+    async fn start_spread(self: &Arc<Self>) -> Result<()> {
+        let own = self.settings.node.box_id.clone();
+        let peer = self.peer_addr.get().copied().unwrap_or(self.settings.peer.listen);
+        let record = BoxRecord {
+            life: self.life,
+            version: 1,
+            data_centre: self.settings.node.data_centre.clone(),
+            peer,
+            entry: self.entry_addr.get().copied(),
+            state: BoxState::Live,
+        };
+        let arguments = SpreadArguments {
+            own,
+            record,
+            seeds: self.settings.replicas.clone(),
+            peers: self.peers.clone(),
+            board: self.board.clone(),
+        };
+        let spawned = Actor::spawn(None, Spread, arguments).await;
+        let (actor, _) = spawned.wrap_err("start the spreading of news")?;
+        let _ = self.spread.set(actor);
+        Ok(())
+    }
+
+    /// Takes gossip; `None` while the node starts.
+    pub(crate) async fn hear_gossip(&self, gossip: Gossip) -> Option<News> {
+        let actor = self.spread.get()?;
+        let hear = |port| SpreadMessage::Hear(gossip, Some(port));
+        match actor.call(hear, Some(GOSSIP_TIME)).await {
+            Ok(CallResult::Success(news)) => Some(news),
+            _ => None,
+        }
+    }
+
+    /// Takes word of a backend server's coming or going, and has it passed on.
+    pub(crate) fn hear_backend(&self, id: BackendId, news: BackendNews) {
+        if let Some(actor) = self.spread.get() {
+            let _ = actor.cast(SpreadMessage::Backend(id, news));
+        }
+    }
+
+    /// Tells the other boxes that this one drains.
+    pub(crate) fn say_leaving(&self) {
+        if let Some(actor) = self.spread.get() {
+            let _ = actor.cast(SpreadMessage::Leave);
+        }
+    }
+
+    /// Where a box is reached by nodes: the settings' word goes before the box's own.
+    pub(crate) fn peer_address(&self, box_id: &BoxId) -> Option<SocketAddr> {
+        let set = self.settings.replicas.get(box_id).copied();
+        set.or_else(|| self.board.boxes.load().get(box_id).map(|record| record.peer))
+    }
+
+    /// The platform takes this box back within `left`.
+    pub(crate) fn stop_within(&self, left: Duration) {
+        let mut stop_by = lock(&self.stop_by);
+        if stop_by.is_none() {
+            *stop_by = Some(Instant::now() + left);
+            tracing::warn!(event = "box_reclaimed", left_ms = left.as_millis() as u64);
+            self.stop.notify_one();
+        }
+    }
+
+    /// When the box goes, if the platform has said so.
+    pub(crate) fn stop_by(&self) -> Option<Instant> {
+        *lock(&self.stop_by)
+    }
+
+    /// Has connections close behind their requests, and new requests refused.
+    pub(crate) fn close_connections(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// The generations under keys that have not ended.
+    pub(crate) fn open_generations(&self) -> Vec<(TeamName, RequestKey, Arc<Generation>)> {
+        let held = lock(&self.generations);
+        let open = held.iter().filter(|(_, generation)| generation.end().is_none());
+        open.map(|((team, key), it)| (team.clone(), key.clone(), it.clone())).collect()
+    }
+
+    /// The teams' demand since last asked.
+    pub(crate) fn take_demand(&self) -> BTreeMap<TeamName, (TeamUse, u32)> {
+        lock(&self.admission).take_demand()
+    }
+
+    /// The term this process's replica leads in, if it certainly leads.
+    pub(crate) async fn leading_term(&self) -> Option<Term> {
+        let replica = self.access.local()?;
+        match replica.call(GroupMessage::LeadingTerm, Some(GOSSIP_TIME)).await {
+            Ok(CallResult::Success(term)) => term,
+            _ => None,
+        }
+    }
+
+    /// Runs `lease` with the lessor of the term; a new term begins with a new one.
+    pub(crate) fn with_lessor(&self, term: Term, lease: impl FnOnce(u64, &mut Lessor)) {
+        let now = self.started.elapsed().as_millis() as u64;
+        let mut held = lock(&self.lessor);
+        if held.as_ref().is_none_or(|(since, _)| *since != term) {
+            *held = Some((term, Lessor::new(now)));
+        }
+        if let Some((_, lessor)) = held.as_mut() {
+            lease(now, lessor);
+        }
+    }
+}
+
 async fn start_replica(
     settings: &Settings,
     board: &Arc<Blackboard>,
@@ -313,26 +405,14 @@
         Some(snapshot) => decode_machine(snapshot)?,
         None => Machine::default(),
     };
-    let identity = Identity {
-        group: GROUP,
-        box_id: own.clone(),
-        life,
-    };
+    let identity = Identity { group: GROUP, box_id: own.clone(), life };
     let epoch = Instant::now();
     let now = core_clock(epoch, Instant::now());
     let core = Core::new(identity.clone(), stored, now, rand::random());
     tracing::info!(event = "replica_opened", life = %life, last = %core.log().last_index());
     let links = Links::open(peers, &settings.replicas, &own);
     let board = board.clone();
-    let arguments = DriverArguments {
-        identity,
-        storage,
-        core,
-        machine,
-        links,
-        board,
-        epoch,
-    };
+    let arguments = DriverArguments { identity, storage, core, machine, links, board, epoch };
     let (actor, _) = Actor::spawn(Some("group".to_owned()), Driver, arguments)
         .await
         .wrap_err("start the replica")?;
@@ -352,10 +432,7 @@
     generation.ended().await;
     tokio::time::sleep(KEEP_TIME).await;
     let mut held = lock(&node.generations);
-    if held
-        .get(&place)
-        .is_some_and(|it| Arc::ptr_eq(it, &generation))
-    {
+    if held.get(&place).is_some_and(|it| Arc::ptr_eq(it, &generation)) {
         held.remove(&place);
     }
 }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -66,19 +66,13 @@
     }
 
     fn unreachable(&self, error: &Error) -> PeerError {
-        PeerError::Unreachable {
-            addr: self.addr,
-            detail: error.to_string(),
-        }
+        PeerError::Unreachable { addr: self.addr, detail: error.to_string() }
     }
 
     /// Drops the connection, if it is still the one that failed.
     async fn forget(&self, failed: &Arc<WsClient>) {
         let mut held = self.client.lock().await;
-        if held
-            .as_ref()
-            .is_some_and(|client| Arc::ptr_eq(client, failed))
-        {
+        if held.as_ref().is_some_and(|client| Arc::ptr_eq(client, failed)) {
             *held = None;
         }
     }
@@ -94,20 +88,12 @@
 impl Peers {
     /// No connections yet; `secret` is sent with every call.
     pub fn new(secret: &str) -> Self {
-        Self {
-            secret: secret.into(),
-            peers: Arc::default(),
-        }
+        Self { secret: secret.into(), peers: Arc::default() }
     }
 
     fn peer(&self, addr: SocketAddr) -> Arc<Peer> {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        let new = || {
-            Arc::new(Peer {
-                addr,
-                client: Mutex::new(None),
-            })
-        };
+        let new = || Arc::new(Peer { addr, client: Mutex::new(None) });
         peers.entry(addr).or_insert_with(new).clone()
     }
 
@@ -129,36 +115,22 @@
         let peer = self.peer(addr);
         let connecting = tokio::time::timeout(limit, peer.client()).await;
         let client = connecting.unwrap_or_else(|_| {
-            Err(PeerError::Unreachable {
-                addr,
-                detail: "timed out".to_owned(),
-            })
+            Err(PeerError::Unreachable { addr, detail: "timed out".to_owned() })
         })?;
         let mut params = ArrayParams::new();
-        let call = Call {
-            secret: self.secret.to_string(),
-            body,
-        };
-        params
-            .insert(call)
-            .map_err(|error| PeerError::Refused(error.to_string()))?;
+        let call = Call { secret: self.secret.to_string(), body };
+        params.insert(call).map_err(|error| PeerError::Refused(error.to_string()))?;
         let answer = tokio::time::timeout(limit, client.request(method, params)).await;
         match answer {
             Ok(Ok(value)) => Ok(value),
             Ok(Err(Error::Call(error))) => Err(PeerError::Refused(error.message().to_owned())),
             Ok(Err(error)) => {
                 peer.forget(&client).await;
-                Err(PeerError::NoAnswer {
-                    addr,
-                    detail: error.to_string(),
-                })
+                Err(PeerError::NoAnswer { addr, detail: error.to_string() })
             }
             Err(_) => {
                 peer.forget(&client).await;
-                Err(PeerError::NoAnswer {
-                    addr,
-                    detail: "timed out".to_owned(),
-                })
+                Err(PeerError::NoAnswer { addr, detail: "timed out".to_owned() })
             }
         }
     }
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -24,6 +24,8 @@
 pub const CHANGE_MEMBERS: &str = "group_change_members";
 /// Takes an id of kept work; answers what is known of it, read at the leader.
 pub const READ_WORK: &str = "group_read_work";
+/// Answers whether kept work waits, read at the leader.
+pub const HAS_WORK: &str = "group_has_work";
 /// Answers the node's [`NodeStatus`].
 pub const STATUS: &str = "node_status";
 /// Asks the node to drain and stop.
@@ -63,13 +65,13 @@
     /// How long ago this was certainly the newest anywhere, in milliseconds; `None`: not known.
     pub age: Option<u64>,
     /// What the asker lacks.
-    pub news: News,
+    pub news: Update,
 }
 
 /// What a node lacks of the configuration.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum News {
+pub enum Update {
     /// These changes, in order; perhaps none.
     Changes(Vec<Accepted>),
     /// All of it.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -14,9 +14,13 @@
 use serde::de::DeserializeOwned;
 
 use super::client::MESSAGE_LIMIT;
-use super::method::{self, Call, GroupStatus, News, NodeStatus, Poll, PollReply};
+use super::method::{self, Call, GroupStatus, NodeStatus, Poll, PollReply, Update};
+use crate::control::share;
+use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
+use crate::member::spread::{self, Gossip};
+use crate::member::table::News;
 use crate::node::Node;
 use crate::state::work::{WorkId, WorkView};
 use crate::state::{Command, Reply};
@@ -53,10 +57,7 @@
         .wrap_err_with(|| format!("listen for nodes on {listen}"))?;
     let addr = server.local_addr()?;
     let handle = server.start(methods(node)?);
-    Ok(PeerServer {
-        addr,
-        _handle: handle,
-    })
+    Ok(PeerServer { addr, _handle: handle })
 }
 
 fn methods(node: Arc<Node>) -> Result<RpcModule<Arc<Node>>> {
@@ -68,6 +69,11 @@
     register(&mut module, method::FORM, form)?;
     register(&mut module, method::CHANGE_MEMBERS, change_members)?;
     register(&mut module, method::READ_WORK, read_work)?;
+    register(&mut module, method::HAS_WORK, has_work)?;
+    register(&mut module, method::SHARE, share::lease)?;
+    register(&mut module, method::GOSSIP, gossip)?;
+    register(&mut module, method::PROBE, probe)?;
+    register(&mut module, method::HAND_OVER, hand_over::take)?;
     register(&mut module, method::STATUS, status)?;
     register(&mut module, method::DRAIN, drain)?;
     register(&mut module, method::TRACE, trace)?;
@@ -94,9 +100,7 @@
                 if call.secret != node.settings.peer.secret {
                     return Err(refused("the secret is wrong"));
                 }
-                handler(node, call.body)
-                    .await
-                    .map_err(|text| refused(&text))
+                handler(node, call.body).await.map_err(|text| refused(&text))
             }
         };
     module
@@ -110,9 +114,7 @@
 }
 
 fn replica(node: &Node) -> Result<&ActorRef<GroupMessage>, String> {
-    node.access
-        .local()
-        .ok_or_else(|| "this node is no replica".to_owned())
+    node.access.local().ok_or_else(|| "this node is no replica".to_owned())
 }
 
 /// Asks this process's replica.
@@ -149,6 +151,18 @@
     ask(&node, |port| GroupMessage::ReadWork(id, port)).await
 }
 
+async fn has_work(node: Arc<Node>, (): ()) -> Result<Result<bool, Unanswered>, String> {
+    ask(&node, GroupMessage::HasWork).await
+}
+
+async fn gossip(node: Arc<Node>, gossip: Gossip) -> Result<News, String> {
+    node.hear_gossip(gossip).await.ok_or_else(|| "the node has just started".to_owned())
+}
+
+async fn probe(node: Arc<Node>, addr: SocketAddr) -> Result<bool, String> {
+    Ok(spread::witness(&node.peers, &node.settings.node.box_id, addr).await)
+}
+
 async fn group_status(node: Arc<Node>, (): ()) -> Result<GroupStatus, String> {
     ask(&node, GroupMessage::Status).await
 }
@@ -174,8 +188,8 @@
     let age = node.board.age().map(|age| age.as_millis() as u64 + 1);
     let configuration = node.board.in_force().configuration.clone();
     let news = match configuration.changes_after(poll.from) {
-        Some(changes) => News::Changes(changes),
-        None => News::Whole(configuration),
+        Some(changes) => Update::Changes(changes),
+        None => Update::Whole(configuration),
     };
     Ok(PollReply { age, news })
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -174,11 +174,7 @@
 
 impl Default for PeerSettings {
     fn default() -> Self {
-        Self {
-            listen: loopback(7080),
-            advertise: None,
-            secret: String::new(),
-        }
+        Self { listen: loopback(7080), advertise: None, secret: String::new() }
     }
 }
 
@@ -200,9 +196,7 @@
 
 impl Default for MetricsSettings {
     fn default() -> Self {
-        Self {
-            listen: loopback(9080),
-        }
+        Self { listen: loopback(9080) }
     }
 }
 
@@ -215,9 +209,7 @@
 
 impl Default for LogSettings {
     fn default() -> Self {
-        Self {
-            level: "info".to_owned(),
-        }
+        Self { level: "info".to_owned() }
     }
 }
 
@@ -254,15 +246,7 @@
         check_roles(&mut reader, node.as_ref(), &replicas);
         reader.finish()?;
         let node = node.ok_or_else(|| SettingsError::one(name, "section [node] is missing"))?;
-        Ok(Self {
-            node,
-            entry,
-            peer,
-            replicas,
-            platform,
-            metrics,
-            log,
-        })
+        Ok(Self { node, entry, peer, replicas, platform, metrics, log })
     }
 
     /// Whether the node has the role.
@@ -278,12 +262,7 @@
     let roles = section.list("roles").unwrap_or_else(|| vec![Role::Entry]);
     let data_folder = section.optional("data_folder");
     reader.close(section);
-    Some(NodeSettings {
-        box_id: box_id?,
-        data_centre: data_centre?,
-        roles,
-        data_folder,
-    })
+    Some(NodeSettings { box_id: box_id?, data_centre: data_centre?, roles, data_folder })
 }
 
 fn read_entry(reader: &mut Reader) -> EntrySettings {
@@ -304,11 +283,7 @@
         on_stale: section.value("on_stale", base.on_stale),
         queue: section.value("queue", base.queue),
     };
-    section.check(
-        "head_limit",
-        settings.head_limit >= 8192,
-        "is at least 8192 bytes",
-    );
+    section.check("head_limit", settings.head_limit >= 8192, "is at least 8192 bytes");
     section.check("callers", settings.callers > 0, "is at least 1");
     reader.close(section);
     settings
@@ -347,9 +322,7 @@
 fn read_metrics(reader: &mut Reader) -> MetricsSettings {
     let base = MetricsSettings::default();
     let mut section = reader.section("metrics");
-    let settings = MetricsSettings {
-        listen: section.value("listen", base.listen),
-    };
+    let settings = MetricsSettings { listen: section.value("listen", base.listen) };
     reader.close(section);
     settings
 }
@@ -357,9 +330,7 @@
 fn read_log(reader: &mut Reader) -> LogSettings {
     let base = LogSettings::default();
     let mut section = reader.section("log");
-    let settings = LogSettings {
-        level: section.value("level", base.level),
-    };
+    let settings = LogSettings { level: section.value("level", base.level) };
     reader.close(section);
     settings
 }
@@ -382,10 +353,7 @@
         reader.fault("node", "data_folder", "is required for the role replica");
     }
     if !replicas.contains_key(&node.box_id) {
-        let text = format!(
-            "does not name this box, {}, which is a replica",
-            node.box_id
-        );
+        let text = format!("does not name this box, {}, which is a replica", node.box_id);
         reader.fault("replicas", node.box_id.as_str(), &text);
     }
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -17,16 +17,11 @@
 
 impl SettingsError {
     pub(crate) fn one(name: &str, text: &str) -> Self {
-        Self {
-            faults: vec![format!("{name}: {text}")],
-        }
+        Self { faults: vec![format!("{name}: {text}")] }
     }
 
     pub(crate) fn unreadable(path: &Path, error: &std::io::Error) -> Self {
-        Self::one(
-            &path.display().to_string(),
-            &format!("cannot be read: {error}"),
-        )
+        Self::one(&path.display().to_string(), &format!("cannot be read: {error}"))
     }
 }
 
@@ -41,10 +36,7 @@
 impl Reader {
     /// Parses `text`; `name` stands for the file in faults.
     pub(crate) fn new(name: &str, text: &str) -> Result<Self, SettingsError> {
-        let options = ini::ParseOption {
-            enabled_escape: false,
-            ..Default::default()
-        };
+        let options = ini::ParseOption { enabled_escape: false, ..Default::default() };
         let ini = Ini::load_from_str_opt(text, options)
             .map_err(|error| SettingsError::one(name, &format!("is not INI: {error}")))?;
         let mut reader = Self {
@@ -92,12 +84,7 @@
     pub(crate) fn section(&mut self, name: &str) -> Section {
         self.seen.insert(name.to_owned());
         let keys = self.sections.get(name).cloned().unwrap_or_default();
-        Section {
-            name: name.to_owned(),
-            keys,
-            known: BTreeSet::new(),
-            faults: Vec::new(),
-        }
+        Section { name: name.to_owned(), keys, known: BTreeSet::new(), faults: Vec::new() }
     }
 
     /// Closes a section: its faults are kept and its unread keys become faults.
@@ -105,11 +92,7 @@
         for (key, text) in &section.faults {
             self.fault(&section.name, key, text);
         }
-        for key in section
-            .keys
-            .keys()
-            .filter(|key| !section.known.contains(*key))
-        {
+        for key in section.keys.keys().filter(|key| !section.known.contains(*key)) {
             let known: Vec<_> = section.known.iter().map(String::as_str).collect();
             let text = format!("is not known here; known are {}", known.join(", "));
             self.fault(&section.name, key, &text);
@@ -118,26 +101,19 @@
 
     /// Notes a fault.
     pub(crate) fn fault(&mut self, section: &str, key: &str, text: &str) {
-        self.faults
-            .push(format!("{}: [{section}] {key} {text}", self.name));
+        self.faults.push(format!("{}: [{section}] {key} {text}", self.name));
     }
 
     /// Ends the reading: sections nobody opened become faults.
     pub(crate) fn finish(mut self) -> Result<(), SettingsError> {
-        let unknown: Vec<_> = self
-            .sections
-            .keys()
-            .filter(|name| !self.seen.contains(*name))
-            .cloned()
-            .collect();
+        let unknown: Vec<_> =
+            self.sections.keys().filter(|name| !self.seen.contains(*name)).cloned().collect();
         for name in unknown {
             self.fault(&name, "-", "is not a known section");
         }
         match self.faults.is_empty() {
             true => Ok(()),
-            false => Err(SettingsError {
-                faults: self.faults,
-            }),
+            false => Err(SettingsError { faults: self.faults }),
         }
     }
 }
@@ -193,10 +169,7 @@
     {
         self.known.insert(key.to_owned());
         let text = self.keys.get(key)?.clone();
-        let words = text
-            .split(',')
-            .map(str::trim)
-            .filter(|word| !word.is_empty());
+        let words = text.split(',').map(str::trim).filter(|word| !word.is_empty());
         words.map(|word| self.parse(key, word)).collect()
     }
 
@@ -213,8 +186,7 @@
             self.known.insert(key.clone());
             let name = key.parse::<K>();
             if let Err(error) = &name {
-                self.faults
-                    .push((key.clone(), format!("is not a name: {error}")));
+                self.faults.push((key.clone(), format!("is not a name: {error}")));
             }
             let value = self.parse::<V>(&key, text.trim());
             if let (Ok(name), Some(value)) = (name, value) {
@@ -239,8 +211,7 @@
         match text.parse() {
             Ok(value) => Some(value),
             Err(error) => {
-                self.faults
-                    .push((key.to_owned(), format!("= {text:?} is not valid: {error}")));
+                self.faults.push((key.to_owned(), format!("= {text:?} is not valid: {error}")));
                 None
             }
         }
--- a/src/state/change_file.rs
+++ b/src/state/change_file.rs
@@ -88,11 +88,9 @@
         ["remove", "backend_server", name] => Some(Edit::RemoveBackend(parse_name(name)?)),
         ["remove", "policy", name] => Some(Edit::RemovePolicy(parse_name(name)?)),
         _ => {
-            return Err(
-                "a section is limits, or team, service, backend_server or policy and a \
+            return Err("a section is limits, or team, service, backend_server or policy and a \
                         name, or remove before such a pair"
-                    .to_owned(),
-            );
+                .to_owned());
         }
     };
     Ok(edit)
@@ -109,6 +107,7 @@
 fn read_limits(section: &mut Section) -> Limits {
     let base = Limits::default();
     Limits {
+        entry_boxes: section.value("entry_boxes", base.entry_boxes),
         retry_percent: section.value("retry_percent", base.retry_percent),
         ledger_age: section.value("ledger_age", base.ledger_age),
         work_age: section.value("work_age", base.work_age),
@@ -135,12 +134,7 @@
     let repeatable = section.value("repeatable", repeatable);
     let silence = section.value("silence", DEFAULT_SILENCE);
     let policy = section.optional("policy");
-    Some(Service {
-        kind: kind?,
-        repeatable,
-        silence,
-        policy,
-    })
+    Some(Service { kind: kind?, repeatable, silence, policy })
 }
 
 fn read_backend(section: &mut Section) -> Option<BackendServer> {
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -32,10 +32,7 @@
 
 /// The SHA-256 digest of some bytes, in hexadecimal.
 pub(crate) fn hex_digest(bytes: &[u8]) -> String {
-    Sha256::digest(bytes)
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
 /// How urgent a team's requests are when they do not say.
@@ -146,6 +143,8 @@
 /// Limits for the whole system.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
+    /// Entry boxes among which the even half of each team's limits is split: no fewer than run.
+    pub entry_boxes: u32,
     /// Retries and hedges as a share of requests, in percent.
     pub retry_percent: u32,
     /// How long the ledger remembers unrepeatable requests.
@@ -157,11 +156,7 @@
 impl Default for Limits {
     fn default() -> Self {
         let day = Millis(24 * 3_600_000);
-        Self {
-            retry_percent: 10,
-            ledger_age: day,
-            work_age: day,
-        }
+        Self { entry_boxes: 9, retry_percent: 10, ledger_age: day, work_age: day }
     }
 }
 
@@ -253,10 +248,7 @@
         }
         if let Some(expect) = change.expect.filter(|expect| *expect != self.revision) {
             let winner = self.made_by(expect.next());
-            return ChangeReply::Conflict {
-                current: self.revision,
-                winner,
-            };
+            return ChangeReply::Conflict { current: self.revision, winner };
         }
         let mut next = self.parts();
         for edit in &change.edits {
@@ -266,11 +258,7 @@
             return ChangeReply::Invalid(fault);
         }
         let history = std::mem::take(&mut self.history);
-        *self = Self {
-            revision: self.revision.next(),
-            history,
-            ..next
-        };
+        *self = Self { revision: self.revision.next(), history, ..next };
         self.remember(change);
         ChangeReply::Accepted(self.revision)
     }
@@ -282,13 +270,7 @@
         if missing > held {
             return None;
         }
-        Some(
-            self.history
-                .iter()
-                .skip((held - missing) as usize)
-                .cloned()
-                .collect(),
-        )
+        Some(self.history.iter().skip((held - missing) as usize).cloned().collect())
     }
 
     /// The change that made `revision`, where still held.
@@ -307,9 +289,7 @@
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = (&'a BackendId, &'a BackendServer)> {
-        self.backends
-            .iter()
-            .filter(move |(_, backend)| backend.service == *service)
+        self.backends.iter().filter(move |(_, backend)| backend.service == *service)
     }
 
     /// The fault that makes the configuration inconsistent, if there is one.
@@ -319,24 +299,21 @@
     pub fn check(&self) -> Result<(), String> {
         for (id, backend) in &self.backends {
             if !self.services.contains_key(&backend.service) {
-                return Err(format!(
-                    "backend_server {id}: no service {}",
-                    backend.service
-                ));
+                return Err(format!("backend_server {id}: no service {}", backend.service));
             }
             if backend.slots == 0 {
                 return Err(format!("backend_server {id}: slots is at least 1"));
             }
         }
         for (name, service) in &self.services {
-            let missing = service
-                .policy
-                .as_ref()
-                .filter(|it| !self.policies.contains_key(*it));
+            let missing = service.policy.as_ref().filter(|it| !self.policies.contains_key(*it));
             if let Some(policy) = missing {
                 return Err(format!("service {name}: no policy {policy}"));
             }
         }
+        if self.limits.entry_boxes == 0 {
+            return Err("limits: entry_boxes is at least 1".to_owned());
+        }
         self.check_teams()
     }
 
@@ -380,10 +357,7 @@
     }
 
     fn remember(&mut self, change: &Change) {
-        self.history.push_back(Accepted {
-            revision: self.revision,
-            change: change.clone(),
-        });
+        self.history.push_back(Accepted { revision: self.revision, change: change.clone() });
         while self.history.len() > HISTORY_LIMIT {
             self.history.pop_front();
         }
--- a/src/state/ledger.rs
+++ b/src/state/ledger.rs
@@ -239,10 +239,7 @@
 fn fit(outcome: Outcome, room: usize) -> Outcome {
     match outcome {
         Outcome::Done(answer) if answer.body.as_ref().is_some_and(|body| body.len() > room) => {
-            Outcome::Done(RecordedAnswer {
-                body: None,
-                ..answer
-            })
+            Outcome::Done(RecordedAnswer { body: None, ..answer })
         }
         other => other,
     }
--- a/src/state/work.rs
+++ b/src/state/work.rs
@@ -184,23 +184,14 @@
         if let Some(held) = self.items.get(&id) {
             let same = held.request.body == keep.request.body;
             let same = same && held.request.path == keep.request.path;
-            return if same {
-                KeepReply::Kept(id)
-            } else {
-                KeepReply::Conflict
-            };
+            return if same { KeepReply::Kept(id) } else { KeepReply::Conflict };
         }
         let size = keep.request.body.len();
         if self.items.len() >= WORK_LIMIT || self.bytes + size > WORK_BYTES {
             return KeepReply::Full;
         }
         let request = keep.request.clone();
-        let item = Item {
-            request,
-            stage: Stage::Waiting,
-            fence: Fence(0),
-            at,
-        };
+        let item = Item { request, stage: Stage::Waiting, fence: Fence(0), at };
         self.bytes += item.bytes();
         self.items.insert(id.clone(), item);
         KeepReply::Kept(id)
@@ -214,19 +205,12 @@
             let item = self.items.get_mut(id).filter(|item| item.fence == *fence);
             match item {
                 Some(item) if matches!(item.stage, Stage::Owned { .. }) => {
-                    item.stage = Stage::Owned {
-                        owner: claim.owner.clone(),
-                        until,
-                    };
+                    item.stage = Stage::Owned { owner: claim.owner.clone(), until };
                 }
                 _ => lost.push(id.clone()),
             }
         }
-        let granted = if claim.wants {
-            self.grant(at, until, &claim.owner)
-        } else {
-            None
-        };
+        let granted = if claim.wants { self.grant(at, until, &claim.owner) } else { None };
         ClaimReply { granted, lost }
     }
 
@@ -234,16 +218,9 @@
         let free = self.items.iter_mut().filter(|(_, item)| item.is_free(at));
         let (id, item) = free.min_by_key(|(_, item)| item.at)?;
         item.fence = item.fence.next();
-        item.stage = Stage::Owned {
-            owner: owner.clone(),
-            until,
-        };
+        item.stage = Stage::Owned { owner: owner.clone(), until };
         let request = item.request.clone();
-        Some(Granted {
-            id: id.clone(),
-            fence: item.fence,
-            request,
-        })
+        Some(Granted { id: id.clone(), fence: item.fence, request })
     }
 
     /// Records the answer if the fence is the latest; `false` otherwise.
@@ -269,10 +246,7 @@
             Stage::Finished(answer) => Some(answer.clone()),
             Stage::Waiting | Stage::Owned { .. } => None,
         };
-        Some(WorkView {
-            team: item.request.team.clone(),
-            answer,
-        })
+        Some(WorkView { team: item.request.team.clone(), answer })
     }
 
     /// Drops finished work older than `age`. Unfinished work stays.
@@ -285,9 +259,7 @@
 
     /// Whether [`WorkStore::expire`] would drop anything.
     pub fn has_expired(&self, at: u64, age: Millis) -> bool {
-        self.items
-            .values()
-            .any(|item| Self::droppable(item, at, age))
+        self.items.values().any(|item| Self::droppable(item, at, age))
     }
 
     /// Whether a piece is free to be claimed.
--- a/src/telemetry/hops.rs
+++ b/src/telemetry/hops.rs
@@ -29,18 +29,12 @@
 impl TraceContext {
     /// The first span of a new trace.
     pub fn root() -> Self {
-        Self {
-            trace: rand::random::<u128>().max(1),
-            span: rand::random::<u64>().max(1),
-        }
+        Self { trace: rand::random::<u128>().max(1), span: rand::random::<u64>().max(1) }
     }
 
     /// A new span of the same trace.
     pub fn child(self) -> Self {
-        Self {
-            trace: self.trace,
-            span: rand::random::<u64>().max(1),
-        }
+        Self { trace: self.trace, span: rand::random::<u64>().max(1) }
     }
 
     /// The trace's id in hexadecimal.
@@ -117,13 +111,7 @@
     pub fn begin(name: &'static str, place: impl fmt::Display, parent: TraceContext) -> Self {
         let place = place.to_string();
         let context = parent.child();
-        Self {
-            context,
-            parent: parent.span,
-            name,
-            place,
-            began: Instant::now(),
-        }
+        Self { context, parent: parent.span, name, place, began: Instant::now() }
     }
 
     /// How long the hop has taken so far.
@@ -176,17 +164,12 @@
     /// The hops of one trace, in the order they ended.
     pub fn of_trace(&self, trace: &str) -> Vec<Hop> {
         let ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
-        ring.iter()
-            .filter(|hop| hop.trace == trace)
-            .cloned()
-            .collect()
+        ring.iter().filter(|hop| hop.trace == trace).cloned().collect()
     }
 }
 
 /// The time of day, in milliseconds since the Unix epoch.
 pub(crate) fn unix_millis() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since.as_millis() as u64
 }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -11,10 +11,7 @@
 /// When the filter cannot be read, or logging was started before.
 pub fn start(level: &str) -> Result<()> {
     let filter = EnvFilter::try_new(level).wrap_err_with(|| format!("log level {level:?}"))?;
-    let layer = tracing_logfmt::builder()
-        .with_span_path(false)
-        .with_span_name(false)
-        .layer();
+    let layer = tracing_logfmt::builder().with_span_path(false).with_span_name(false).layer();
     tracing_subscriber::registry()
         .with(filter)
         .with(layer.with_writer(std::io::stderr))
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -20,9 +20,8 @@
 use crate::node::Node;
 
 /// Bounds of the latency histograms, in seconds.
-const LATENCY_BOUNDS: [f64; 14] = [
-    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0,
-];
+const LATENCY_BOUNDS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0];
 
 /// Every instrument of a node.
 pub struct Metrics {
@@ -60,14 +59,8 @@
         Ok(Self {
             requests: counter("emberturn_requests", "Requests by team and how they ended"),
             tokens: counter("emberturn_tokens", "Tokens given to callers, by team"),
-            attempts: counter(
-                "emberturn_attempts",
-                "Attempts by backend server and outcome",
-            ),
-            resumes: counter(
-                "emberturn_resumes",
-                "Streams moved to another engine, by way",
-            ),
+            attempts: counter("emberturn_attempts", "Attempts by backend server and outcome"),
+            resumes: counter("emberturn_resumes", "Streams moved to another engine, by way"),
             policy_faults: counter("emberturn_policy_faults", "Policy runs that failed"),
             first_token,
             registry,
@@ -77,31 +70,23 @@
 
     /// Counts a finished request.
     pub fn count_request(&self, team: &str, outcome: &str) {
-        let labels = [
-            KeyValue::new("team", team.to_owned()),
-            outcome_label(outcome),
-        ];
+        let labels = [KeyValue::new("team", team.to_owned()), outcome_label(outcome)];
         self.requests.add(1, &labels);
     }
 
     /// Records the time to a first token, in seconds.
     pub fn record_first_token(&self, team: &str, seconds: f64) {
-        self.first_token
-            .record(seconds, &[KeyValue::new("team", team.to_owned())]);
+        self.first_token.record(seconds, &[KeyValue::new("team", team.to_owned())]);
     }
 
     /// Counts tokens given to callers.
     pub fn count_tokens(&self, team: &str, tokens: u64) {
-        self.tokens
-            .add(tokens, &[KeyValue::new("team", team.to_owned())]);
+        self.tokens.add(tokens, &[KeyValue::new("team", team.to_owned())]);
     }
 
     /// Counts an attempt at a backend server.
     pub fn count_attempt(&self, backend: &str, outcome: &str) {
-        let labels = [
-            KeyValue::new("backend", backend.to_owned()),
-            outcome_label(outcome),
-        ];
+        let labels = [KeyValue::new("backend", backend.to_owned()), outcome_label(outcome)];
         self.attempts.add(1, &labels);
     }
 
@@ -112,8 +97,7 @@
 
     /// Counts a policy that failed and was passed over.
     pub fn count_policy_fault(&self, policy: &str) {
-        self.policy_faults
-            .add(1, &[KeyValue::new("policy", policy.to_owned())]);
+        self.policy_faults.add(1, &[KeyValue::new("policy", policy.to_owned())]);
     }
 
     /// All metrics in the Prometheus text format.
@@ -122,9 +106,7 @@
     /// When they cannot be encoded.
     pub fn render(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .wrap_err("encode metrics")?;
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).wrap_err("encode metrics")?;
         Ok(text)
     }
 }
@@ -138,9 +120,7 @@
 /// # Errors
 /// When the address cannot be listened on.
 pub(crate) async fn listen(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .wrap_err_with(|| format!("listen for metrics on {addr}"))
+    TcpListener::bind(addr).await.wrap_err_with(|| format!("listen for metrics on {addr}"))
 }
 
 /// Serves `/metrics` until the task is dropped.
@@ -164,10 +144,7 @@
     let (status, body) = match path {
         "/metrics" => match node.metrics.render() {
             Ok(text) => (StatusCode::OK, text),
-            Err(error) => (
-                StatusCode::INTERNAL_SERVER_ERROR,
-                error.to_string().into_bytes(),
-            ),
+            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes()),
         },
         _ => (StatusCode::NOT_FOUND, b"only /metrics is here".to_vec()),
     };
--- a/src/units.rs
+++ b/src/units.rs
@@ -117,9 +117,7 @@
 
     /// Reads `250ms`, `5s` or `2m`; a bare number is milliseconds.
     fn from_str(text: &str) -> Result<Self, DurationError> {
-        let digits = text
-            .find(|c: char| !c.is_ascii_digit())
-            .unwrap_or(text.len());
+        let digits = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
         let (number, unit) = text.split_at(digits);
         let number: u64 = number.parse().map_err(|_| DurationError(text.to_owned()))?;
         let factor = match unit.trim() {
@@ -129,10 +127,7 @@
             "h" => 3_600_000,
             _ => return Err(DurationError(text.to_owned())),
         };
-        number
-            .checked_mul(factor)
-            .map(Self)
-            .ok_or_else(|| DurationError(text.to_owned()))
+        number.checked_mul(factor).map(Self).ok_or_else(|| DurationError(text.to_owned()))
     }
 }
 
--- a/tests/core/world.rs
+++ b/tests/core/world.rs
@@ -20,13 +20,7 @@
 }
 
 impl Chaos {
-    pub const NONE: Self = Self {
-        loss: 0.0,
-        double: 0.0,
-        crash: 0.0,
-        part: 0.0,
-        lose_disk: 0.0,
-    };
+    pub const NONE: Self = Self { loss: 0.0, double: 0.0, crash: 0.0, part: 0.0, lose_disk: 0.0 };
 }
 
 const SNAPSHOT_LENGTH: usize = 24;
@@ -63,9 +57,7 @@
 impl World {
     pub fn new(count: usize, seed: u64, chaos: Chaos) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
-        let names: Vec<BoxId> = (0..count)
-            .map(|n| format!("b{n}").parse().unwrap())
-            .collect();
+        let names: Vec<BoxId> = (0..count).map(|n| format!("b{n}").parse().unwrap()).collect();
         let mut members = Members::default();
         let mut boxes = BTreeMap::new();
         for (number, name) in names.iter().enumerate() {
@@ -73,14 +65,7 @@
             members.voters.insert(name.clone(), life);
             let offset = random.random_range(0..100_000);
             let disk = Stored::default();
-            let new = Box1 {
-                life,
-                offset,
-                disk,
-                core: None,
-                applied: Vec::new(),
-                wake_at: 0,
-            };
+            let new = Box1 { life, offset, disk, core: None, applied: Vec::new(), wake_at: 0 };
             boxes.insert(name.clone(), new);
         }
         let mut world = Self {
@@ -110,11 +95,7 @@
     fn start(&mut self, name: &BoxId) {
         let seed = self.random.random();
         let one = self.boxes.get_mut(name).unwrap();
-        let own = Identity {
-            group: 0,
-            box_id: name.clone(),
-            life: one.life,
-        };
+        let own = Identity { group: 0, box_id: name.clone(), life: one.life };
         let clock = self.now + one.offset;
         one.applied = match &one.disk.snapshot {
             Some(snapshot) => serde_json::from_str(&snapshot.data).unwrap(),
@@ -149,33 +130,17 @@
                 break;
             }
         }
-        assert!(
-            self.acknowledged.len() > before,
-            "seed {}: no progress when healed",
-            self.seed
-        );
-        assert!(
-            self.replacing.is_none(),
-            "seed {}: lost disk was not replaced",
-            self.seed
-        );
+        assert!(self.acknowledged.len() > before, "seed {}: no progress when healed", self.seed);
+        assert!(self.replacing.is_none(), "seed {}: lost disk was not replaced", self.seed);
         for _ in 0..400 {
             self.advance();
         }
         let states: Vec<_> = self.boxes.values().map(|one| &one.applied).collect();
         for state in &states {
-            assert_eq!(
-                state, &states[0],
-                "seed {}: state machines differ",
-                self.seed
-            );
+            assert_eq!(state, &states[0], "seed {}: state machines differ", self.seed);
         }
         for (_, _, command) in &self.acknowledged {
-            assert!(
-                states[0].contains(command),
-                "seed {}: {command} is lost",
-                self.seed
-            );
+            assert!(states[0].contains(command), "seed {}: {command} is lost", self.seed);
         }
     }
 
@@ -207,16 +172,12 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let (due, later) = std::mem::take(&mut self.mail)
-            .into_iter()
-            .partition(|(at, _)| *at <= now);
+        let (due, later) =
+            std::mem::take(&mut self.mail).into_iter().partition(|(at, _)| *at <= now);
         self.mail = later;
         let due: Vec<(u64, Envelope)> = due;
         for (_, envelope) in due {
-            if self
-                .cut
-                .contains(&(envelope.from.clone(), envelope.to.clone()))
-            {
+            if self.cut.contains(&(envelope.from.clone(), envelope.to.clone())) {
                 continue;
             }
             let one = self.boxes.get_mut(&envelope.to).unwrap();
@@ -232,11 +193,7 @@
             if self.random.random_bool(self.chaos.loss) {
                 continue;
             }
-            let copies = if self.random.random_bool(self.chaos.double) {
-                2
-            } else {
-                1
-            };
+            let copies = if self.random.random_bool(self.chaos.double) { 2 } else { 1 };
             for _ in 0..copies {
                 let late = self.random.random_bool(0.02);
                 let delay = self.random.random_range(1..if late { 1_500 } else { 15 });
@@ -281,10 +238,7 @@
 
     fn apply(&mut self, name: &BoxId, entries: Vec<Entry>) {
         for entry in entries {
-            let first = self
-                .history
-                .entry(entry.index)
-                .or_insert_with(|| entry.clone());
+            let first = self.history.entry(entry.index).or_insert_with(|| entry.clone());
             assert_eq!(first, &entry, "seed {}: entry differs on {name}", self.seed);
             if let Payload::Command(text) = &entry.payload {
                 self.boxes.get_mut(name).unwrap().applied.push(text.clone());
@@ -308,9 +262,7 @@
         }
         let data = serde_json::to_string(&one.applied).unwrap();
         if let Some(snapshot) = core.compact(core.applied(), data) {
-            one.disk
-                .entries
-                .retain(|entry| entry.index > snapshot.index);
+            one.disk.entries.retain(|entry| entry.index > snapshot.index);
             one.disk.snapshot = Some(snapshot);
         }
     }
@@ -318,11 +270,7 @@
     /// Every box that thinks it leads is given a command: stale leaders too.
     fn propose(&mut self) {
         for (name, one) in &mut self.boxes {
-            let Some(core) = one
-                .core
-                .as_mut()
-                .filter(|core| *core.role() == Role::Leader)
-            else {
+            let Some(core) = one.core.as_mut().filter(|core| *core.role() == Role::Leader) else {
                 continue;
             };
             self.next_command += 1;
@@ -335,10 +283,7 @@
 
     fn go_wrong(&mut self) {
         let names: Vec<_> = self.boxes.keys().cloned().collect();
-        if self.chaos.crash > 0.0
-            && self
-                .random
-                .random_bool(self.chaos.crash * names.len() as f64)
+        if self.chaos.crash > 0.0 && self.random.random_bool(self.chaos.crash * names.len() as f64)
         {
             let name = names.choose(&mut self.random).unwrap().clone();
             self.crash(&name);
@@ -348,9 +293,7 @@
         }
         if self.chaos.lose_disk > 0.0
             && self.replacing.is_none()
-            && self
-                .random
-                .random_bool(self.chaos.lose_disk * names.len() as f64)
+            && self.random.random_bool(self.chaos.lose_disk * names.len() as f64)
         {
             self.lose_disk(&names);
         }
@@ -370,11 +313,8 @@
         if self.random.random_bool(0.4) {
             return;
         }
-        let away: BTreeSet<_> = names
-            .iter()
-            .filter(|_| self.random.random_bool(0.4))
-            .cloned()
-            .collect();
+        let away: BTreeSet<_> =
+            names.iter().filter(|_| self.random.random_bool(0.4)).cloned().collect();
         let one_way = self.random.random_bool(0.3);
         for a in &away {
             for b in names.iter().filter(|name| !away.contains(*name)) {
@@ -429,17 +369,8 @@
                 continue;
             };
             if *core.role() == Role::Leader {
-                let first = self
-                    .leaders
-                    .entry(core.term())
-                    .or_insert_with(|| name.clone());
-                assert_eq!(
-                    first,
-                    name,
-                    "seed {}: two leaders in {}",
-                    self.seed,
-                    core.term()
-                );
+                let first = self.leaders.entry(core.term()).or_insert_with(|| name.clone());
+                assert_eq!(first, name, "seed {}: two leaders in {}", self.seed, core.term());
             }
             // What was acknowledged before the time a box calls itself fresh at, it has.
             let fresh = core.fresh().and_then(|at| at.checked_sub(one.offset));
--- a/tests/group_core.rs
+++ b/tests/group_core.rs
@@ -29,63 +29,28 @@
 
 #[test]
 fn safety_holds_while_messages_are_lost_late_and_doubled() {
-    each_seed(
-        5,
-        Chaos {
-            loss: 0.1,
-            double: 0.1,
-            ..Chaos::NONE
-        },
-        1_500,
-    );
+    each_seed(5, Chaos { loss: 0.1, double: 0.1, ..Chaos::NONE }, 1_500);
 }
 
 #[test]
 fn safety_holds_while_boxes_crash_and_restart() {
-    each_seed(
-        5,
-        Chaos {
-            loss: 0.02,
-            crash: 0.004,
-            ..Chaos::NONE
-        },
-        1_500,
-    );
+    each_seed(5, Chaos { loss: 0.02, crash: 0.004, ..Chaos::NONE }, 1_500);
 }
 
 #[test]
 fn safety_holds_while_the_network_parts() {
-    each_seed(
-        5,
-        Chaos {
-            loss: 0.02,
-            part: 0.01,
-            ..Chaos::NONE
-        },
-        1_500,
-    );
+    each_seed(5, Chaos { loss: 0.02, part: 0.01, ..Chaos::NONE }, 1_500);
 }
 
 #[test]
 fn safety_holds_while_disks_are_lost_and_replaced() {
-    let chaos = Chaos {
-        loss: 0.02,
-        crash: 0.003,
-        lose_disk: 0.002,
-        ..Chaos::NONE
-    };
+    let chaos = Chaos { loss: 0.02, crash: 0.003, lose_disk: 0.002, ..Chaos::NONE };
     each_seed(5, chaos, 2_500);
 }
 
 #[test]
 fn safety_holds_under_everything_at_once() {
-    let chaos = Chaos {
-        loss: 0.05,
-        double: 0.05,
-        crash: 0.003,
-        part: 0.005,
-        lose_disk: 0.001,
-    };
+    let chaos = Chaos { loss: 0.05, double: 0.05, crash: 0.003, part: 0.005, lose_disk: 0.001 };
     each_seed(5, chaos, 2_500);
     each_seed(3, chaos, 2_500);
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -20,11 +20,7 @@
         .expect("the stand-ins are built by the workspace's test command");
     let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
     let line = lines.next_line().await.unwrap().unwrap();
-    let addr = line
-        .strip_prefix("event=listening addr=")
-        .unwrap()
-        .parse()
-        .unwrap();
+    let addr = line.strip_prefix("event=listening addr=").unwrap().parse().unwrap();
     (child, addr)
 }
 
@@ -37,26 +33,14 @@
     for name in ["a", "b"] {
         cluster.wait_revision(name, 1).await;
         let question = format!("what about the link, {name}?");
-        let streamed = cluster
-            .complete(name, &[], &prompt(&question, 12, true))
-            .await;
+        let streamed = cluster.complete(name, &[], &prompt(&question, 12, true)).await;
         assert_eq!(streamed.status, 200, "{}", streamed.text());
-        assert_eq!(
-            streamed_text(&streamed),
-            (tokens::answer(&question, 12), true)
-        );
-        let whole = cluster
-            .complete(name, &[], &prompt(&question, 12, false))
-            .await;
+        assert_eq!(streamed_text(&streamed), (tokens::answer(&question, 12), true));
+        let whole = cluster.complete(name, &[], &prompt(&question, 12, false)).await;
         assert_eq!(whole.header("emberturn-run"), "done");
-        assert_eq!(
-            whole.json()["choices"][0]["text"],
-            tokens::answer(&question, 12)
-        );
+        assert_eq!(whole.json()["choices"][0]["text"], tokens::answer(&question, 12));
         let trace = whole.header("emberturn-trace").to_owned();
-        let hops = cluster
-            .operator(&["trace", &trace], &[name.to_owned()])
-            .await;
+        let hops = cluster.operator(&["trace", &trace], &[name.to_owned()]).await;
         let hops = String::from_utf8(hops.stdout).unwrap();
         assert!(
             hops.contains("name=entry place=") && hops.contains("name=backend place=e1"),
@@ -73,9 +57,7 @@
     cluster.apply("[remove backend_server e1]\n").await;
     for name in ["a", "b"] {
         cluster.wait_revision(name, 2).await;
-        let refused = cluster
-            .complete(name, &[], &prompt("anyone there?", 4, false))
-            .await;
+        let refused = cluster.complete(name, &[], &prompt("anyone there?", 4, false)).await;
         assert_eq!(refused.status, 503);
         assert_eq!(refused.header("emberturn-run"), "not_run");
         assert_eq!(refused.json()["error"]["code"], "no_backend");
@@ -89,27 +71,12 @@
     cluster.wait_revision("a", 1).await;
     cluster.complete("a", &[], &prompt("x", 1, false)).await;
     let log = &cluster.boxes["a"].log;
-    let line = log
-        .wait_from(
-            0,
-            &["event=request_failed", "kind=no_backend", "run=not_run"],
-        )
-        .await;
+    let line = log.wait_from(0, &["event=request_failed", "kind=no_backend", "run=not_run"]).await;
     assert!(!line.contains('\n') && line.contains("level="), "{line}");
     let listening = log.wait_from(0, &["event=listening", "side=metrics"]).await;
-    let addr = listening
-        .split("addr=")
-        .nth(1)
-        .unwrap()
-        .split_whitespace()
-        .next()
-        .unwrap();
+    let addr = listening.split("addr=").nth(1).unwrap().split_whitespace().next().unwrap();
     let addr: SocketAddr = addr.trim_matches('"').parse().unwrap();
     let metrics = http::call(addr, http::get("/metrics", &[])).await.unwrap();
-    assert!(
-        metrics.text().contains("emberturn_requests_total"),
-        "{}",
-        metrics.text()
-    );
+    assert!(metrics.text().contains("emberturn_requests_total"), "{}", metrics.text());
     assert!(metrics.text().contains(r#"team="portal""#));
 }
