--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -37,19 +37,11 @@
 
 impl BoxPlan {
     pub fn replica(name: &str) -> Self {
-        Self {
-            name: name.into(),
-            data_centre: "dc1".into(),
-            replica: true,
-            extra: String::new(),
-        }
+        Self { name: name.into(), data_centre: "dc1".into(), replica: true, extra: String::new() }
     }
 
     pub fn diskless(name: &str) -> Self {
-        Self {
-            replica: false,
-            ..Self::replica(name)
-        }
+        Self { replica: false, ..Self::replica(name) }
     }
 
     pub fn extra(mut self, text: &str) -> Self {
@@ -95,10 +87,8 @@
             loop {
                 count.borrow_and_update();
                 let lines = self.lines();
-                let hit = lines
-                    .iter()
-                    .skip(from)
-                    .find(|line| parts.iter().all(|p| line.contains(p)));
+                let hit =
+                    lines.iter().skip(from).find(|line| parts.iter().all(|p| line.contains(p)));
                 if let Some(line) = hit {
                     return line.clone();
                 }
@@ -149,11 +139,7 @@
             };
             boxes.insert(plan.name.clone(), test_box);
         }
-        let cluster = Self {
-            boxes,
-            pairs,
-            folder,
-        };
+        let cluster = Self { boxes, pairs, folder };
         for plan in plans {
             cluster.write_settings(plan);
         }
@@ -163,11 +149,7 @@
     fn write_settings(&self, plan: &BoxPlan) {
         let test_box = &self.boxes[&plan.name];
         std::fs::create_dir_all(&test_box.folder).unwrap();
-        let roles = if plan.replica {
-            "entry, replica"
-        } else {
-            "entry"
-        };
+        let roles = if plan.replica { "entry, replica" } else { "entry" };
         let mut text = format!(
             "[node]\nbox_id = {}\ndata_centre = {}\nroles = {roles}\n",
             plan.name, plan.data_centre
@@ -175,23 +157,13 @@
         if plan.replica {
             text += &format!("data_folder = {}\n", test_box.folder.join("data").display());
         }
-        text += &format!(
-            "[peer]\nlisten = 127.0.0.1:0\nadvertise = {}\n",
-            test_box.peer.addr
-        );
+        text += &format!("[peer]\nlisten = 127.0.0.1:0\nadvertise = {}\n", test_box.peer.addr);
         text += "secret = test-secret\n[metrics]\nlisten = 127.0.0.1:0\n";
         text += "[log]\nlevel = info,emberturn::group=debug\n[replicas]\n";
-        for ((_, to), proxy) in self
-            .pairs
-            .iter()
-            .filter(|((from, _), _)| *from == plan.name)
-        {
+        for ((_, to), proxy) in self.pairs.iter().filter(|((from, _), _)| *from == plan.name) {
             text += &format!("{to} = {}\n", proxy.addr);
         }
-        text += &format!(
-            "[entry]\nlisten = 127.0.0.1:0\nadvertise = {}\n",
-            test_box.entry.addr
-        );
+        text += &format!("[entry]\nlisten = 127.0.0.1:0\nadvertise = {}\n", test_box.entry.addr);
         text += &plan.extra;
         std::fs::write(test_box.folder.join("node.ini"), text).unwrap();
     }
@@ -218,10 +190,7 @@
         test_box.child = Some(child);
         let log = test_box.log.clone();
         let peer = listening(&log.wait_from(from, &["event=listening", "side=peer"]).await);
-        let entry = listening(
-            &log.wait_from(from, &["event=listening", "side=entry"])
-                .await,
-        );
+        let entry = listening(&log.wait_from(from, &["event=listening", "side=entry"]).await);
         let test_box = &self.boxes[name];
         test_box.peer.forward_to(peer);
         test_box.entry.forward_to(entry);
@@ -249,9 +218,7 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_emberturn"));
         command.arg(words[0]).args(["--secret", "test-secret"]);
         for name in boxes {
-            command
-                .arg("--node")
-                .arg(self.boxes[name].peer.addr.to_string());
+            command.arg("--node").arg(self.boxes[name].peer.addr.to_string());
         }
         command.args(&words[1..]).output().await.unwrap()
     }
@@ -281,9 +248,7 @@
 
     /// The status of one box.
     pub async fn status(&self, name: &str) -> Value {
-        let output = self
-            .operator(&["status", "--json"], &[name.to_owned()])
-            .await;
+        let output = self.operator(&["status", "--json"], &[name.to_owned()]).await;
         let lines: Value = serde_json::from_slice(&output.stdout).unwrap_or(Value::Null);
         lines[0].clone()
     }
@@ -304,10 +269,7 @@
     }
 
     fn running_replicas(&self) -> Vec<String> {
-        let running = self
-            .boxes
-            .values()
-            .filter(|it| it.plan.replica && it.child.is_some());
+        let running = self.boxes.values().filter(|it| it.plan.replica && it.child.is_some());
         running.map(|it| it.plan.name.clone()).collect()
     }
 
@@ -315,9 +277,7 @@
     pub async fn wait_revision(&self, name: &str, revision: u64) {
         wait_for(&format!("revision {revision} on {name}"), || async {
             let status = self.status(name).await;
-            let there = status["revision"]
-                .as_u64()
-                .is_some_and(|held| held >= revision);
+            let there = status["revision"].as_u64().is_some_and(|held| held >= revision);
             (there && status["phase"] == "serving").then_some(())
         })
         .await;
@@ -392,9 +352,7 @@
 }
 
 fn listening(line: &str) -> SocketAddr {
-    let part = line
-        .split_whitespace()
-        .find_map(|word| word.strip_prefix("addr="));
+    let part = line.split_whitespace().find_map(|word| word.strip_prefix("addr="));
     part.unwrap().trim_matches('"').parse().unwrap()
 }
 
@@ -457,11 +415,7 @@
 pub fn streamed_text(answer: &Answer) -> (String, bool) {
     let mut text = String::new();
     let mut closed = false;
-    for line in answer
-        .text()
-        .lines()
-        .filter_map(|line| line.strip_prefix("data: "))
-    {
+    for line in answer.text().lines().filter_map(|line| line.strip_prefix("data: ")) {
         if line == "[DONE]" {
             closed = true;
             continue;
