Run-state and at-most-once: proofs through the fault proxy

Cause: what a caller is told about an unrepeatable request had no proof.

The configuration's history is shared between copies instead of cloned with each change.

Not yet shown: that each fails with its mechanism off.

--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -73,7 +73,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum Update {
     /// These changes, in order; perhaps none.
-    Changes(Vec<Accepted>),
+    Changes(Vec<Arc<Accepted>>),
     /// All of it.
     Whole(Arc<Configuration>),
 }
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -8,6 +8,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -237,7 +238,7 @@
     /// Limits.
     pub limits: Limits,
     /// The latest accepted changes, oldest first.
-    pub history: VecDeque<Accepted>,
+    pub history: VecDeque<Arc<Accepted>>,
 }
 
 impl Configuration {
@@ -264,7 +265,7 @@
     }
 
     /// The changes after `from`, or `None` where some are no longer held.
-    pub fn changes_after(&self, from: Revision) -> Option<Vec<Accepted>> {
+    pub fn changes_after(&self, from: Revision) -> Option<Vec<Arc<Accepted>>> {
         let missing = self.revision.0.checked_sub(from.0)?;
         let held = self.history.len() as u64;
         if missing > held {
@@ -357,7 +358,8 @@
     }
 
     fn remember(&mut self, change: &Change) {
-        self.history.push_back(Accepted { revision: self.revision, change: change.clone() });
+        let accepted = Accepted { revision: self.revision, change: change.clone() };
+        self.history.push_back(Arc::new(accepted));
         while self.history.len() > HISTORY_LIMIT {
             self.history.pop_front();
         }
--- /dev/null
+++ b/tests/run_state.rs
@@ -0,0 +1,143 @@
+//! What a caller is told is what happened: the connection to the backend server is cut at each point,
+//! and the answer is held against what the stand-in says it ran.
+
+mod support;
+
+use std::time::Duration;
+
+use emberturn_fakes::engine::{Engine, Options};
+use emberturn_fakes::proxy::{Fault, Proxy};
+use emberturn_fakes::service::Service;
+use emberturn_fakes::tokens;
+use serde_json::json;
+use support::{BoxPlan, Cluster, base_change, call, prompt, streamed_text, wait_for};
+use yare::parameterized;
+
+async fn desk_behind(fault: Fault) -> (Service, Cluster) {
+    let (service, addr) = Service::start(Duration::ZERO).await.unwrap();
+    let proxy = Proxy::start(Some(addr)).await.unwrap();
+    proxy.set(fault);
+    let cluster = Cluster::start(&[BoxPlan::replica("a")]).await;
+    cluster.apply(&base_change(&[("d1", "desk", proxy.addr)])).await;
+    cluster.wait_revision("a", 1).await;
+    (service, cluster)
+}
+
+#[parameterized(
+    before_connect = { Fault::Refuse, None, 0 },
+    after_connect = { Fault::CutRequest(0), Some("unknown"), 0 },
+    in_mid_request = { Fault::CutRequest(60), Some("unknown"), 0 },
+    before_the_head = { Fault::CutAnswer(0), Some("unknown"), 1 },
+    in_mid_answer = { Fault::CutAnswer(60), Some("unknown"), 1 },
+    after_the_last_byte = { Fault::CutAnswer(100_000), Some("done"), 1 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn unrepeatable_call_is_reported_as_it_ran(fault: Fault, told: Option<&str>, ran: usize) {
+    let (service, cluster) = desk_behind(fault).await;
+    let headers = [("idempotency-key", "dispute-1")];
+    let body = json!({ "n": 1 });
+    let answer = call(cluster.entry("a"), "/services/desk/file", &headers, &body).await.unwrap();
+    let run = answer.header("emberturn-run").to_owned();
+    let whole = service.journal().into_iter().filter(|body| !body.is_empty()).count();
+    assert_eq!(whole, ran);
+    match told {
+        Some(told) => assert_eq!(run, told, "{}", answer.text()),
+        // A refused connection is cut at once: before it stands, or just after.
+        None => assert!(run == "not_run" || run == "unknown", "{}", answer.text()),
+    }
+    assert!(!(run == "not_run" && ran > 0) && !(run == "done" && ran == 0));
+    // The same key again never runs it twice.
+    for _ in 0..2 {
+        let again = call(cluster.entry("a"), "/services/desk/file", &headers, &body).await.unwrap();
+        let whole = service.journal().into_iter().filter(|body| !body.is_empty()).count();
+        assert!(whole <= 1, "ran {whole} times");
+        if run == "done" {
+            assert_eq!(again.text(), answer.text());
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nobody_listening_is_not_run() {
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = free.local_addr().unwrap();
+    drop(free);
+    let cluster = Cluster::start(&[BoxPlan::replica("a")]).await;
+    cluster.apply(&base_change(&[("d1", "desk", addr)])).await;
+    cluster.wait_revision("a", 1).await;
+    let headers = [("idempotency-key", "dispute-1")];
+    let answer =
+        call(cluster.entry("a"), "/services/desk/file", &headers, &json!({})).await.unwrap();
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("emberturn-run"), "not_run");
+    assert_eq!(answer.json()["error"]["code"], "not_reached");
+}
+
+#[parameterized(
+    before_connect = { Fault::Refuse },
+    in_mid_request = { Fault::CutRequest(60) },
+    before_the_head = { Fault::CutAnswer(0) },
+    in_mid_stream = { Fault::CutAnswer(1_500) },
+    late_in_stream = { Fault::CutAnswer(5_000) },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn stream_cut_anywhere_is_answered_whole_by_another_engine(fault: Fault) {
+    let (_first, first) = Engine::start(Options::default()).await.unwrap();
+    let (_second, second) = Engine::start(Options::default()).await.unwrap();
+    let proxy = Proxy::start(Some(first)).await.unwrap();
+    let cluster = Cluster::start(&[BoxPlan::replica("a")]).await;
+    // The faulty engine is the only one there when the request comes.
+    cluster.apply(&base_change(&[("e1", "small", proxy.addr)])).await;
+    cluster.wait_revision("a", 1).await;
+    proxy.set(fault);
+    let body = prompt("the whole history of the mast", 64, true);
+    let asking = cluster.complete("a", &[], &body);
+    let helping = async {
+        cluster.apply(&support::backend_section("e2", "small", second)).await;
+    };
+    let (answer, ()) = tokio::join!(asking, helping);
+    let whole = (tokens::answer("the whole history of the mast", 64), true);
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(streamed_text(&answer), whole);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn pooled_connection_closed_by_the_server_is_no_failure() {
+    let (engine, addr) = Engine::start(Options::default()).await.unwrap();
+    let proxy = Proxy::start(Some(addr)).await.unwrap();
+    let cluster = Cluster::start(&[BoxPlan::replica("a")]).await;
+    cluster.apply(&base_change(&[("e1", "small", proxy.addr)])).await;
+    cluster.wait_revision("a", 1).await;
+    for round in 0..5 {
+        let question = format!("round {round}");
+        let answer = cluster.complete("a", &[], &prompt(&question, 4, false)).await;
+        assert_eq!(answer.json()["choices"][0]["text"], tokens::answer(&question, 4));
+        // Every standing connection is cut; the next request finds only dead ones in the pool.
+        proxy.set(Fault::Refuse);
+        proxy.set(Fault::None);
+    }
+    assert!(engine.counters().requests >= 5);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_goes_away_cancels_the_engines_stream() {
+    let (engine, addr) = Engine::start(Options::default()).await.unwrap();
+    let cluster = Cluster::start(&[BoxPlan::replica("a")]).await;
+    cluster.apply(&base_change(&[("e1", "small", addr)])).await;
+    cluster.wait_revision("a", 1).await;
+    let key = format!("Bearer {}", support::KEY);
+    let body = prompt("a long one", 20_000, true);
+    let request = emberturn_fakes::http::post("/v1/completions", &[("authorization", &key)], &body);
+    let response = emberturn_fakes::http::open(cluster.entry("a"), request).await.unwrap();
+    assert_eq!(response.status(), 200);
+    drop(response);
+    wait_for("the engine to be free", || async {
+        let run = engine.runs().pop()?;
+        let load = emberturn_fakes::http::call(addr, emberturn_fakes::http::get("/counters", &[]));
+        let before = load.await.ok()?.json()["decoded"].as_u64()?;
+        let load = emberturn_fakes::http::call(addr, emberturn_fakes::http::get("/load", &[]));
+        let running = load.await.ok()?.json()["running"].as_u64()?;
+        (running == 0 && before < 20_000 && !run.finished).then_some(())
+    })
+    .await;
+}
