--- a/fakes/src/engine.rs
+++ b/fakes/src/engine.rs
@@ -135,6 +135,7 @@
     reports: VecDeque<(Instant, usize, usize)>,
     refusing: bool,
     frozen: bool,
+    leaving: Option<Instant>,
 }
 
 /// A running fake engine.
@@ -186,6 +187,11 @@
         self.lock().refusing = refusing;
     }
 
+    /// Has the engine say in its load report that its box goes within `notice`.
+    pub fn leave(&self, notice: Duration) {
+        self.lock().leaving = Some(Instant::now() + notice);
+    }
+
     /// Holds every stream before its next token while `frozen`.
     pub fn freeze(&self, frozen: bool) {
         self.lock().frozen = frozen;
@@ -220,9 +226,11 @@
             inner.reports.pop_front();
         }
         let (at, running, waiting) = inner.reports[0];
+        let leaving = inner.leaving.map(|gone| gone.saturating_duration_since(now));
         json!({
             "running": running, "waiting": waiting, "slots": self.options.slots,
             "age_ms": (now - at).as_millis() as u64,
+            "leaving_ms": leaving.map(|left| left.as_millis() as u64),
         })
     }
 
