--- a/tests/run_state.rs
+++ b/tests/run_state.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use emberturn_fakes::engine::{Engine, Options};
+use emberturn_fakes::http;
 use emberturn_fakes::proxy::{Fault, Proxy};
 use emberturn_fakes::service::Service;
 use emberturn_fakes::tokens;
@@ -101,6 +102,57 @@
     assert_eq!(streamed_text(&answer), whole);
 }
 
+/// An engine that breaks the protocol in some way after its first token.
+async fn broken_engine(breach: &'static str) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(http::serve(listener, move |request| async move {
+        let bytes = http::read_body(request).await;
+        let body: serde_json::Value = serde_json::from_slice(&bytes).unwrap_or_default();
+        let id = body["request_id"].as_str().unwrap_or("").to_owned();
+        let prompt = body["prompt"].as_str().unwrap_or("").to_owned();
+        let chunk = |id: &str, place: usize| {
+            let choice = json!({ "index": 0, "text": tokens::token(&prompt, place) });
+            format!("data: {}\n\n", json!({ "id": id, "token": place, "choices": [choice] }))
+        };
+        let rest = match breach {
+            "foreign" => chunk("another-request", 1),
+            "doubled" => chunk(&id, 0),
+            "skipped" => chunk(&id, 2),
+            "garbled" => "data: {not json\n\n".to_owned(),
+            "ended" => String::new(),
+            other => panic!("{other}"),
+        };
+        let closing = if breach == "ended" { "" } else { "data: [DONE]\n\n" };
+        http::text(hyper::StatusCode::OK, &format!("{}{rest}{closing}", chunk(&id, 0)))
+    }));
+    addr
+}
+
+#[parameterized(
+    foreign = { "foreign" },
+    doubled = { "doubled" },
+    skipped = { "skipped" },
+    garbled = { "garbled" },
+    ended = { "ended" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn breach_of_the_protocol_never_reaches_the_caller(breach: &'static str) {
+    let broken = broken_engine(breach).await;
+    let (_good, good) = Engine::start(Options::default()).await.unwrap();
+    let cluster = Cluster::start(&[BoxPlan::replica("a")]).await;
+    cluster.apply(&base_change(&[("e1", "small", broken)])).await;
+    cluster.wait_revision("a", 1).await;
+    let body = prompt("mine alone", 24, true);
+    let helping = async { cluster.apply(&support::backend_section("e2", "small", good)).await };
+    let (answer, _) = tokio::join!(cluster.complete("a", &[], &body), helping);
+    let (text, closed) = streamed_text(&answer);
+    let whole = tokens::answer("mine alone", 24);
+    assert!(whole.starts_with(&text), "{text}");
+    // Either another engine finished it, or the caller is told that it broke off.
+    assert!(closed == (text == whole), "{}", answer.text());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn pooled_connection_closed_by_the_server_is_no_failure() {
     let (engine, addr) = Engine::start(Options::default()).await.unwrap();
