--- a/src/blackboard/fleet.rs
+++ b/src/blackboard/fleet.rs
@@ -1,13 +1,14 @@
 //! What a node knows of the backend servers: load, who is leaving, who fails.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
-use crate::ids::{BackendId, Incarnation};
+use crate::ids::{BackendId, BoxId, Incarnation, ServiceName};
+use crate::member::table::fingerprint;
 use crate::state::config::Configuration;
 
 /// Failures in a row after which a backend server is set aside for a while.
@@ -209,32 +210,28 @@
     }
 }
 
-/// What is known of every backend server.
+/// Backend servers of one service that one node uses at most. More nodes share each one then.
+pub const SUBSET: usize = 128;
+
+/// What is known of the backend servers this node uses.
 #[derive(Debug, Default)]
 pub struct Fleet {
     states: RwLock<BTreeMap<BackendId, Arc<BackendState>>>,
 }
 
 impl Fleet {
-    /// Keeps the states of those in the configuration and forgets the rest.
-    pub fn follow(&self, configuration: &Configuration) {
+    /// Keeps the states of those that this box uses by the configuration, and forgets the rest.
+    pub fn follow(&self, configuration: &Configuration, own: &BoxId) {
+        let used: BTreeSet<_> =
+            configuration.services.keys().flat_map(|it| subset(configuration, it, own)).collect();
         let mut states = self.states.write().unwrap_or_else(PoisonError::into_inner);
-        states.retain(|id, _| configuration.backends.contains_key(id));
-        for id in configuration.backends.keys() {
-            states.entry(id.clone()).or_default();
-        }
-    }
-
-    /// The state of one; an unknown one gets a new state.
-    pub fn state(&self, id: &BackendId) -> Arc<BackendState> {
-        if let Some(state) = self.find(id) {
-            return state;
+        states.retain(|id, _| used.contains(id));
+        for id in used {
+            states.entry(id).or_default();
         }
-        let mut states = self.states.write().unwrap_or_else(PoisonError::into_inner);
-        states.entry(id.clone()).or_default().clone()
     }
 
-    /// The state of one, where known.
+    /// The state of one, if this node uses it.
     pub fn find(&self, id: &BackendId) -> Option<Arc<BackendState>> {
         let states = self.states.read().unwrap_or_else(PoisonError::into_inner);
         states.get(id).cloned()
@@ -246,3 +243,18 @@
         states.iter().map(|(id, state)| (id.clone(), state.clone())).collect()
     }
 }
+
+/// The servers of a service that a box uses: all of them up to [`SUBSET`], else those with the largest
+/// weights (rendezvous hashing): few change when servers come and go, and every server is used by about
+/// as many boxes as any other.
+pub fn subset(configuration: &Configuration, service: &ServiceName, own: &BoxId) -> Vec<BackendId> {
+    let all: Vec<_> = configuration.backends_of(service).map(|(id, _)| id).collect();
+    if all.len() <= SUBSET {
+        return all.into_iter().cloned().collect();
+    }
+    let weigh = |id: &BackendId| fingerprint(&format!("{own}\n{id}"));
+    let mut weighed: Vec<_> = all.into_iter().map(|id| (weigh(id), id)).collect();
+    weighed.sort_unstable_by(|a, b| b.cmp(a));
+    weighed.truncate(SUBSET);
+    weighed.into_iter().map(|(_, id)| id.clone()).collect()
+}
--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::decide::policy::Policies;
 use crate::decide::share::Shares;
-use crate::ids::Revision;
+use crate::ids::{BoxId, Revision};
 use crate::member::table::Boxes;
 use crate::state::config::Configuration;
 use crate::telemetry::HopLog;
@@ -70,6 +70,7 @@
 
 /// All sections.
 pub struct Blackboard {
+    own: BoxId,
     in_force: watch::Sender<Arc<InForce>>,
     fresh: watch::Sender<Option<Instant>>,
     phase: watch::Sender<Phase>,
@@ -84,9 +85,11 @@
     pub hops: HopLog,
 }
 
-impl Default for Blackboard {
-    fn default() -> Self {
+impl Blackboard {
+    /// The blackboard of a box that knows nothing yet.
+    pub fn new(own: BoxId) -> Self {
         Self {
+            own,
             in_force: watch::Sender::new(Arc::default()),
             fresh: watch::Sender::new(None),
             phase: watch::Sender::new(Phase::Starting),
@@ -97,9 +100,7 @@
             hops: HopLog::default(),
         }
     }
-}
 
-impl Blackboard {
     /// The configuration in force on this node.
     pub fn in_force(&self) -> Arc<InForce> {
         self.in_force.borrow().clone()
@@ -125,7 +126,7 @@
             newer
         });
         if changed {
-            self.fleet.follow(&next.configuration);
+            self.fleet.follow(&next.configuration, &self.own);
             tracing::info!(event = "configuration_in_force", revision = %revision);
         }
         changed
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -11,9 +11,12 @@
 use crate::node::Node;
 use crate::state::config::{BackendServer, Configuration, ServiceKind};
 
-/// Time between two questions to one engine.
+/// Time between two questions to one engine, where there are few.
 const ASK_TIME: Duration = Duration::from_millis(500);
 
+/// Questions a second at most, all engines together: what they cost does not grow with the fleet.
+const ASK_LIMIT: u32 = 40;
+
 /// How long an engine may take.
 const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 
@@ -22,8 +25,9 @@
 pub(crate) async fn run(node: Arc<Node>) {
     loop {
         let configuration = node.board.in_force().configuration.clone();
-        let engines = engines(&configuration);
-        let pause = ASK_TIME / engines.len().max(1) as u32;
+        let engines = engines(&node, &configuration);
+        let pause =
+            (ASK_TIME / engines.len().max(1) as u32).max(Duration::from_secs(1) / ASK_LIMIT);
         for (id, server) in &engines {
             tokio::spawn(ask(node.clone(), id.clone(), server.clone()));
             let jitter = rand::rng().random_range(0.8..1.2);
@@ -35,13 +39,14 @@
     }
 }
 
-fn engines(configuration: &Configuration) -> Vec<(BackendId, BackendServer)> {
-    let is_engine = |server: &&BackendServer| {
-        let service = configuration.services.get(&server.service);
-        service.is_some_and(|service| service.kind == ServiceKind::Engine)
-    };
-    let all = configuration.backends.iter().filter(|(_, server)| is_engine(server));
-    all.map(|(id, server)| (id.clone(), server.clone())).collect()
+/// The engines this node uses.
+fn engines(node: &Node, configuration: &Configuration) -> Vec<(BackendId, BackendServer)> {
+    let used = node.board.fleet.all().into_iter().filter_map(|(id, _)| {
+        let server = configuration.backends.get(&id)?;
+        let service = configuration.services.get(&server.service)?;
+        (service.kind == ServiceKind::Engine).then(|| (id, server.clone()))
+    });
+    used.collect()
 }
 
 async fn ask(node: Arc<Node>, id: BackendId, server: BackendServer) {
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -182,7 +182,9 @@
         let Some(server) = in_force.configuration.backends.get(&choice.id) else {
             return Found::NoneThere;
         };
-        let state = self.board.fleet.state(&choice.id);
+        let Some(state) = self.board.fleet.find(&choice.id) else {
+            return Found::NoneThere;
+        };
         let kick = Kick { dispatcher: self.clone(), service: wanted.service.clone() };
         Found::Server(Box::new(Chosen {
             id: choice.id.clone(),
@@ -202,7 +204,9 @@
             if !allowed(&wanted.ruling, server) {
                 continue;
             }
-            let state = self.board.fleet.state(id);
+            let Some(state) = self.board.fleet.find(id) else {
+                continue;
+            };
             if state.leaving().is_some() {
                 continue;
             }
--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -19,16 +19,16 @@
 use crate::ids::{BoxId, Incarnation, Index, Term};
 
 /// Time between a leader's heartbeats, in milliseconds.
-pub const HEARTBEAT: u64 = 100;
+pub const HEARTBEAT: u64 = 150;
 
 /// Least time without a leader before an election, in milliseconds. The most is twice this.
-pub const ELECTION: u64 = 400;
+pub const ELECTION: u64 = 500;
 
 /// What a lease is shortened by, for clocks that run at different rates, in milliseconds.
-pub const DRIFT: u64 = 40;
+pub const DRIFT: u64 = 50;
 
 /// Bytes of a snapshot in one message.
-pub const PIECE_BYTES: usize = 64 << 10;
+pub const PIECE_BYTES: usize = 256 << 10;
 
 /// Time after which an unanswered piece or probe is sent again, in milliseconds.
 const RESEND: u64 = 300;
--- a/src/group/core/lead.rs
+++ b/src/group/core/lead.rs
@@ -97,7 +97,7 @@
     }
 
     fn start_install(&mut self, box_id: &BoxId) {
-        let index = self.log.base();
+        let index = self.covered();
         if let Some(progress) = self.progress.get_mut(box_id) {
             progress.stream = Stream::Installing { index, offset: 0 };
         }
@@ -142,6 +142,7 @@
         }
         let now = self.now;
         let last = self.log.last_index();
+        let covered = self.covered();
         let Some(progress) = self.progress.get_mut(from) else {
             return;
         };
@@ -150,7 +151,7 @@
         progress.clock = progress.clock.max(appended.clock);
         let installing = matches!(progress.stream, Stream::Installing { .. });
         match appended.matched {
-            true if installing && appended.index < self.log.base() => {}
+            true if installing && appended.index < covered => {}
             true if appended.index <= last => progress.advance(appended.index),
             true => {}
             false if installing || appended.index < progress.matched => {}
--- a/src/group/core/produce.rs
+++ b/src/group/core/produce.rs
@@ -1,6 +1,7 @@
 //! What the caller takes from the core, and what it reports back.
 
 use super::{Core, Entry, Index, Output, Role, Snapshot};
+use crate::group::log::Tail;
 
 impl Core {
     /// Takes what there is to store, send and apply.
@@ -49,16 +50,21 @@
         self.applied
     }
 
-    /// Replaces the log up to `index`, an applied entry, by the state machine's `data` as of there;
-    /// gives the snapshot to store, or `None` when nothing new is covered.
-    pub fn compact(&mut self, index: Index, data: String) -> Option<Snapshot> {
-        if index <= self.log.base() || index > self.applied {
+    /// The last entry the latest snapshot covers.
+    pub fn covered(&self) -> Index {
+        self.snapshot.as_ref().map_or(Index(0), |snapshot| snapshot.index)
+    }
+
+    /// Replaces the log up to `index`, an applied entry, by the state machine's `data` as of there, but
+    /// for a tail; gives the snapshot to store, or `None` when nothing new is covered.
+    pub fn compact(&mut self, index: Index, data: String, tail: Tail) -> Option<Snapshot> {
+        if index <= self.covered() || index > self.applied {
             return None;
         }
         let entry = self.log.get(index)?;
         let (term, at) = (entry.term, entry.at);
         let members = self.log.members_at(index).0.clone();
-        self.log.compact(index);
+        self.log.compact_keeping(index, tail);
         let snapshot = Snapshot { index, term, at, members, data };
         self.snapshot = Some(snapshot.clone());
         Some(snapshot)
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -14,6 +14,7 @@
 
 use super::core::{Core, Identity, Output, Refusal, Role};
 use super::links::Links;
+use super::log::Tail;
 use super::message::{Entry, Envelope, MemberChange, Members, Payload, Snapshot};
 use super::storage::{Batch, Storage};
 use crate::blackboard::Blackboard;
@@ -24,10 +25,13 @@
 use crate::telemetry::hops::unix_millis;
 
 /// Time between two looks at the clock.
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(30);
 
 /// Log entries after which a snapshot takes their place.
-const COMPACT_ENTRIES: usize = 4_096;
+const COMPACT_ENTRIES: usize = 6_144;
+
+/// What stays of the log for replicas that are away for a moment.
+const TAIL: Tail = Tail { entries: 2_048, bytes: 2 << 20 };
 
 /// Bytes of payload after which a snapshot takes their place.
 const COMPACT_BYTES: usize = 8 << 20;
@@ -440,7 +444,7 @@
         let log = self.core.log();
         let long = log.len() > COMPACT_ENTRIES || log.bytes() > COMPACT_BYTES;
         let index = self.core.applied();
-        if self.compacting || !long || index <= log.base() {
+        if self.compacting || !long || index <= self.core.covered() {
             return;
         }
         self.compacting = true;
@@ -454,7 +458,7 @@
 
     async fn compacted(&mut self, index: Index, data: String) -> Result<(), ActorProcessingErr> {
         self.compacting = false;
-        let Some(snapshot) = self.core.compact(index, data) else {
+        let Some(snapshot) = self.core.compact(index, data, TAIL) else {
             return Ok(());
         };
         tracing::info!(event = "log_compacted", index = %index, bytes = snapshot.data.len());
--- a/src/group/log.rs
+++ b/src/group/log.rs
@@ -5,6 +5,16 @@
 use super::message::{Entry, Members, Payload, Snapshot};
 use crate::ids::{Index, Term};
 
+/// How much of a log stays although a snapshot covers it: a replica that was away for a moment then
+/// needs entries, not the snapshot.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tail {
+    /// Entries at most.
+    pub entries: u64,
+    /// Bytes of payload at most.
+    pub bytes: usize,
+}
+
 /// The log behind a snapshot.
 #[derive(Debug, Clone, Default)]
 pub struct Log {
@@ -115,8 +125,22 @@
         (&self.base_members, self.base)
     }
 
-    /// Drops entries up to `index`, which a snapshot now covers.
-    pub fn compact(&mut self, index: Index) {
+    /// Drops entries up to `index`, which a snapshot now covers, but for a tail of them.
+    pub fn compact_keeping(&mut self, index: Index, tail: Tail) {
+        let mut first = index.next();
+        let mut bytes = 0;
+        while first > self.base.next() && index.0 + 1 - first.0 < tail.entries {
+            let before = Index(first.0 - 1);
+            bytes += self.get(before).map_or(0, payload_bytes);
+            if bytes > tail.bytes {
+                break;
+            }
+            first = before;
+        }
+        self.compact(Index(first.0 - 1));
+    }
+
+    fn compact(&mut self, index: Index) {
         let Some(entry) = self.get(index) else {
             return;
         };
--- a/src/member/spread.rs
+++ b/src/member/spread.rs
@@ -155,7 +155,9 @@
     }
 
     fn note_backend(&self, id: &BackendId, heard: BackendNews) {
-        let state = self.board.fleet.state(id);
+        let Some(state) = self.board.fleet.find(id) else {
+            return;
+        };
         let changed = match heard.left {
             Some(left) => {
                 let gone = Instant::now() + Duration::from_millis(left);
@@ -169,6 +171,14 @@
         }
     }
 
+    /// Says again what is known of backend servers: one that came into use here after the word of it
+    /// would be taken for one nothing is known of.
+    fn remind(&self) {
+        for (id, heard) in self.table.all(self.now()).backends {
+            self.note_backend(&id, heard);
+        }
+    }
+
     fn publish(&self) {
         self.board.boxes.store(Arc::new(self.table.boxes().clone()));
     }
@@ -215,6 +225,7 @@
     fn probe(&mut self, myself: &ActorRef<SpreadMessage>) {
         self.table.tick(self.now());
         self.publish();
+        self.remind();
         let gossip = Gossip {
             from: self.own.clone(),
             news: News::default(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -96,7 +96,7 @@
     /// # Errors
     /// When the data folder cannot be used.
     pub async fn start(settings: Settings) -> Result<Arc<Self>> {
-        let board = Arc::new(Blackboard::default());
+        let board = Arc::new(Blackboard::new(settings.node.box_id.clone()));
         let peers = Peers::new(&settings.peer.secret);
         let local = match settings.has(Role::Replica) {
             true => Some(start_replica(&settings, &board, &peers).await?),
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -287,17 +287,17 @@
     for name in [away.as_str(), "d"] {
         cluster.kill(name).await;
     }
-    make_changes(&cluster, 0..5_000).await;
+    make_changes(&cluster, 0..9_000).await;
     let leader = cluster.leader().await;
     cluster.boxes[&leader].log.wait_from(0, &["event=log_compacted"]).await;
     for name in [away.as_str(), "d"] {
         cluster.launch(name).await;
-        cluster.wait_revision(name, 5_001).await;
+        cluster.wait_revision(name, 9_001).await;
     }
     // And a restart from a snapshot and the log behind it.
     cluster.kill(&leader).await;
     cluster.launch(&leader).await;
-    cluster.wait_revision(&leader, 5_001).await;
+    cluster.wait_revision(&leader, 9_001).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/core/world.rs
+++ b/tests/core/world.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use emberturn::group::core::{Core, Identity, Role, Stored};
+use emberturn::group::log::Tail;
 use emberturn::group::message::{Entry, Envelope, MemberChange, Members, Payload};
 use emberturn::ids::{BoxId, Incarnation, Index, Term};
 use rand::rngs::SmallRng;
@@ -264,7 +265,8 @@
             return;
         }
         let data = serde_json::to_string(&one.applied).unwrap();
-        if let Some(snapshot) = core.compact(core.applied(), data) {
+        let tail = Tail { entries: self.random.random_range(0..16), bytes: 1 << 20 };
+        if let Some(snapshot) = core.compact(core.applied(), data, tail) {
             one.disk.entries.retain(|entry| entry.index > snapshot.index);
             one.disk.snapshot = Some(snapshot);
         }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use emberturn::blackboard::fleet::{SUBSET, subset};
 use emberturn::decide::admit::{Admission, TeamLimit};
 use emberturn::decide::queue::{WaitQueue, Waiter};
 use emberturn::decide::reclaim::{StreamFacts, Way, choose as choose_way};
@@ -10,8 +11,8 @@
 use emberturn::decide::route::{Candidate, Need, choose};
 use emberturn::decide::share::{LEASE, Lessor, Share, Shares};
 use emberturn::error::{Kind, RunState};
-use emberturn::ids::{BoxId, TeamName};
-use emberturn::state::config::Class;
+use emberturn::ids::{BoxId, ServiceName, TeamName};
+use emberturn::state::config::{BackendServer, Class, Configuration};
 use emberturn::units::{Price, Tokens};
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -211,6 +212,41 @@
     assert!((45..=55).contains(&small), "{small} of 100");
 }
 
+#[test]
+fn subsets_of_a_large_fleet_are_even_and_stable() {
+    let mut fleet = Configuration::default();
+    let service: ServiceName = "small".parse().unwrap();
+    for number in 0..1_040 {
+        let server = BackendServer {
+            service: service.clone(),
+            addr: "127.0.0.1:1".parse().unwrap(),
+            data_centre: "dc1".parse().unwrap(),
+            slots: 16,
+            price: Price(1),
+            reclaimable: true,
+            fenced: false,
+        };
+        fleet.backends.insert(format!("e{number}").parse().unwrap(), server);
+    }
+    let boxes: Vec<BoxId> = (0..96).map(|number| format!("b{number}").parse().unwrap()).collect();
+    let mut uses: BTreeMap<_, u32> = BTreeMap::new();
+    for own in &boxes {
+        let used = subset(&fleet, &service, own);
+        assert_eq!(used.len(), SUBSET);
+        for id in used {
+            *uses.entry(id).or_default() += 1;
+        }
+    }
+    // 96 boxes with 128 of 1,040 each: about 11.8 boxes for each server.
+    assert_eq!(uses.len(), 1_040, "a server is used by nobody");
+    assert!(uses.values().all(|count| (1..=28).contains(count)), "{:?}", uses.values().max());
+    // A server that goes changes at most one place in each box's subset.
+    let before = subset(&fleet, &service, &boxes[0]);
+    fleet.backends.remove(&before[0]);
+    let after = subset(&fleet, &service, &boxes[0]);
+    assert_eq!(after.iter().filter(|id| !before.contains(id)).count(), 1);
+}
+
 #[test]
 fn cached_prefix_wins_among_equals_and_a_full_server_loses() {
     let mut list: Vec<_> = (0..20).map(|number| candidate(number, 16, 0, Some(4))).collect();
