A lost stream is said to be lost; commit news waits for the next entries

Cause 1, found by a new test (the box a stream was handed to is killed before its caller comes back): the next node generated the request anew and sent it from its first token, so the caller had the beginning twice. Ruled out: the hand-over itself (it arrived). Sending only the rest was weighed and refused: an engine that samples does not begin alike, and two halves of two answers are no answer. Change: a caller that comes back with Last-Event-ID for a stream nobody holds gets 410 stream_lost (outcome unknown) and may ask anew. Before: the test failed (text doubled).

Cause 2: the leader sent each follower an empty message for each commit, beside the entries. Change: a commit index goes by itself only 50 ms after the last message.

--- a/src/entry/complete.rs
+++ b/src/entry/complete.rs
@@ -55,6 +55,10 @@
     if head.passed {
         return Err(Failure::new(Kind::NoStream, "this node does not hold the stream"));
     }
+    if completion.stream && head.last_event.is_some() {
+        let text = "the stream is lost; ask without Last-Event-ID for a new answer";
+        return Err(Failure::new(Kind::StreamLost, text));
+    }
     let body = String::from_utf8_lossy(&bytes).into_owned();
     let start = Start { repeatable, digest, body, linger: LINGER, pieces: Vec::new() };
     let generation = begin_generation(node, head, &ground, &completion, start)?;
--- a/src/error.rs
+++ b/src/error.rs
@@ -86,6 +86,8 @@
     BackendInvalid,
     /// Another node goes on with the stream; the caller comes back with its key.
     HandedOver,
+    /// Nobody holds the stream the caller comes back for; another answer may differ from its beginning.
+    StreamLost,
     /// This node does not hold the stream another node asked it for.
     NoStream,
     /// The caller went away.
@@ -116,7 +118,7 @@
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotFound,
@@ -142,6 +144,7 @@
         Self::BackendTimeout,
         Self::BackendInvalid,
         Self::HandedOver,
+        Self::StreamLost,
         Self::NoStream,
         Self::CallerGone,
         Self::Internal,
@@ -176,6 +179,7 @@
             Self::BackendTimeout => row(504, "backend_timeout", Unknown, true),
             Self::BackendInvalid => row(502, "backend_invalid", Unknown, false),
             Self::HandedOver => row(503, "handed_over", Unknown, true),
+            Self::StreamLost => row(410, "stream_lost", Unknown, true),
             Self::NoStream => row(404, "no_stream", NotRun, false),
             Self::CallerGone => row(499, "caller_gone", Unknown, true),
             Self::Internal => row(500, "internal", Unknown, true),
--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -30,6 +30,10 @@
 /// Bytes of a snapshot in one message.
 pub const PIECE_BYTES: usize = 256 << 10;
 
+/// How long after the last message a new commit index is sent by itself, in milliseconds; sooner, it
+/// goes along with the next entries.
+const NEWS_DELAY: u64 = 50;
+
 /// Time after which an unanswered piece or probe is sent again, in milliseconds.
 const RESEND: u64 = 300;
 
--- a/src/group/core/lead.rs
+++ b/src/group/core/lead.rs
@@ -1,6 +1,6 @@
 //! A leader's side: sending entries, counting what is stored, knowing it still leads.
 
-use super::{BoxId, Core, ELECTION, PIECE_BYTES, RESEND, Role};
+use super::{BoxId, Core, ELECTION, NEWS_DELAY, PIECE_BYTES, RESEND, Role};
 use crate::group::message::{Append, Appended, Install, Message};
 use crate::group::progress::{FLIGHT_BYTES, FLIGHT_ENTRIES, Progress, Stream};
 use crate::ids::Index;
@@ -27,7 +27,8 @@
             Stream::Flowing => {
                 let lacks = progress.next <= self.log.last_index();
                 let room = progress.next.0 - progress.matched.0 <= FLIGHT_ENTRIES;
-                let news = progress.told < self.commit;
+                let rested = self.now >= progress.sent + NEWS_DELAY;
+                let news = progress.told < self.commit && rested;
                 if beat && waited_for(progress.acked, self.now) {
                     self.restart_flow(box_id);
                 } else if lacks && room || news || beat {
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -133,6 +133,44 @@
     assert_eq!(head + &tail, tokens::answer("a long history", 400));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_next_node_dies_as_well_is_not_spliced_but_answered_anew() {
+    let (engine, addr) = engine(SLOW).await;
+    let stopping = "balancer_time = 50ms\ndrain_time = 100ms\n";
+    let plans = ["a", "c", "d"].map(BoxPlan::replica);
+    let plans = [plans.as_slice(), &[BoxPlan::diskless("b").extra(stopping)]].concat();
+    let mut cluster = Cluster::start(&plans).await;
+    cluster.apply(&base_change(&[("e1", "small", addr)])).await;
+    for plan in &plans {
+        cluster.wait_revision(&plan.name, 1).await;
+    }
+    wait_for("the box to know the others", || async {
+        let status = cluster.status("b").await;
+        (status["boxes"].as_object()?.len() == 4).then_some(())
+    })
+    .await;
+    let entry = cluster.entry("b");
+    let asked = prompt("a long history", 250, true);
+    let stream = tokio::spawn(async move {
+        call(entry, "/v1/completions", &[("idempotency-key", "history-3")], &asked).await
+    });
+    wait_for("the engine to generate", || async { (engine.counters().decoded > 20).then_some(()) })
+        .await;
+    cluster.signal("b", "TERM");
+    let (_head, last) = partial(&stream.await.unwrap().unwrap());
+    let line = cluster.boxes["b"].log.wait_from(0, &["event=handed_over"]).await;
+    let taker = ["a", "c", "d"].into_iter().find(|name| line.contains(&format!("to={name}")));
+    let taker = taker.unwrap();
+    cluster.kill(taker).await;
+    let other = ["a", "c", "d"].into_iter().find(|name| *name != taker).unwrap();
+    // A second answer need not begin as the first did: it is not put behind what the caller has.
+    let lost = come_back(&cluster, other, "a long history", "history-3", &last, 250).await;
+    assert_eq!(lost.json()["error"]["code"], "stream_lost", "{}", lost.text());
+    let headers = [("idempotency-key", "history-3")];
+    let anew = cluster.complete(other, &headers, &prompt("a long history", 250, true)).await;
+    assert_eq!(streamed_text(&anew), (tokens::answer("a long history", 250), true));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_without_a_key_is_waited_for() {
     let (engine, addr) = engine(SLOW).await;
