A stream that moved is never called not run

Cause, found in reading: an attempt that ended by moving away from a leaving engine did not count as one that may have run. If no other engine could be reached then, the closing event of a stream with delivered tokens said not_reached, not_run. The same for a request that broke off once and was then refused as malformed by another engine. Ruled out: the ledger (unrepeatable requests do not move).

Change: a move makes the outcome uncertain, as does a fault without proof, and pieces that came from another node; not run is said only if nothing of that was seen.

Before: leaving::stream_that_cannot_go_on_anywhere_is_not_called_not_run failed ("not_run" for "unknown"). After: it passes.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -109,13 +109,16 @@
     made: u32,
     faults: u32,
     moves: u32,
+    /// Whether some attempt may have run.
     uncertain: bool,
     kv: Option<String>,
 }
 
 impl Attempts {
     fn new(node: Arc<Node>, generation: Arc<Generation>, plan: Plan) -> Self {
-        Self { node, generation, plan, made: 0, faults: 0, moves: 0, uncertain: false, kv: None }
+        // Pieces from another node are proof that the request ran.
+        let uncertain = !generation.is_empty();
+        Self { node, generation, plan, made: 0, faults: 0, moves: 0, uncertain, kv: None }
     }
 
     async fn make(&mut self) -> End {
@@ -144,7 +147,7 @@
 
     /// A refusal says that the request was not run; after an attempt that is not certain any more.
     fn adjust(&self, failure: Failure) -> Failure {
-        match self.uncertain || !self.generation.is_empty() {
+        match self.uncertain {
             true => Failure { kind: Kind::BackendBroke, ..failure },
             false => failure,
         }
@@ -285,6 +288,7 @@
             }
             AttemptEnd::Move(kv) => {
                 self.moves += 1;
+                self.uncertain = true;
                 self.kv = kv;
                 match self.moves > MOVES {
                     true => Some(broke("moved too often")),
@@ -323,10 +327,10 @@
     }
 
     fn failure(&self, fault: &EngineFault, proven: bool) -> Failure {
-        let begun = !self.generation.is_empty();
+        let nothing_ran = proven && !self.uncertain;
         let kind = match fault {
-            _ if is_callers_fault(fault) && !begun => Kind::BadRequest,
-            _ if proven && !self.uncertain => Kind::NotReached,
+            _ if nothing_ran && is_callers_fault(fault) => Kind::BadRequest,
+            _ if nothing_ran => Kind::NotReached,
             EngineFault::Silent => Kind::BackendTimeout,
             EngineFault::Invalid(_) => Kind::BackendInvalid,
             _ => Kind::BackendBroke,
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -186,3 +186,29 @@
     }
     wait_state(&cluster, "a", "e1", "ejected").await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_cannot_go_on_anywhere_is_not_called_not_run() {
+    let (platform, watched) = Platform::start().await.unwrap();
+    let options = Options { decode: Duration::from_millis(15), ..Options::default() };
+    let engines = engines(1, &options).await;
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let dead = free.local_addr().unwrap();
+    drop(free);
+    let change = base_change(&[("e1", "small", engines[0].1), ("e2", "small", dead)]);
+    let cluster = cluster_with(watched, &change).await;
+    let body = prompt("the whole outage", 400, true);
+    let asking = cluster.complete("a", &[], &body);
+    let reclaim = async {
+        wait_for("the engine to generate", || async {
+            (engines[0].0.counters().decoded > 8).then_some(())
+        })
+        .await;
+        platform.list("e1", "leaving", 1, 100);
+    };
+    let (answer, ()) = tokio::join!(asking, reclaim);
+    let text = answer.text();
+    let closing = text.split("event: error\ndata: ").nth(1).unwrap();
+    let closing: serde_json::Value = serde_json::from_str(closing.trim()).unwrap();
+    assert_eq!(closing["error"]["run"], "unknown", "{closing}");
+}
