--- a/bench/src/serving/mod.rs
+++ b/bench/src/serving/mod.rs
@@ -74,7 +74,8 @@
     let plan = Arc::new(workload::plan(&deployment, rate, length, arguments.seed));
     println!(
         "deployment={} engines={} services={} entry_boxes=8 rate={rate} seconds={} seed={} \
-         notice_ms={} requests={} decode_ms={} slots=16",
+         notice_ms={} requests={} decode_ms={} slots=16 \
+         reclaimable_price={} demand_price={} entry_price={}",
         deployment.name,
         deployment.engines,
         deployment.services,
@@ -82,7 +83,10 @@
         arguments.seed,
         arguments.notice_ms,
         plan.len(),
-        DECODE.as_millis()
+        DECODE.as_millis(),
+        arguments.reclaimable_price,
+        arguments.demand_price,
+        arguments.entry_price
     );
     let own = through_emberturn(&arguments, &deployment, &plan).await?;
     print_teams("emberturn, a data centre taken back half-way", &deployment, &own, arguments.json);
--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -367,7 +367,7 @@
                     return false;
                 }
                 if pre {
-                    let granted = self.is_behind_or_level(index, log_term);
+                    let granted = self.is_up_to_date(index, log_term);
                     let to = (envelope.from.clone(), envelope.from_life);
                     // A given pre-vote carries the term asked for, a refused one this replica's own:
                     // nobody's term grows by asking.
--- a/src/group/core/elect.rs
+++ b/src/group/core/elect.rs
@@ -15,14 +15,17 @@
         }
     }
 
+    /// Whether this life of this box's disk votes.
     pub(super) fn is_voter(&self) -> bool {
         self.members().voters.get(&self.own.box_id) == Some(&self.own.life)
     }
 
-    pub(super) fn is_behind_or_level(&self, index: Index, term: Term) -> bool {
+    /// Whether a log that ends so holds at least all that this one does.
+    pub(super) fn is_up_to_date(&self, index: Index, term: Term) -> bool {
         (term, index) >= (self.log.last_term(), self.log.last_index())
     }
 
+    /// Gives a vote if nothing forbids it; it is sent only once it is stored.
     pub(super) fn on_ask_vote(
         &mut self,
         from: (BoxId, Incarnation),
@@ -31,7 +34,7 @@
         index: Index,
         log_term: Term,
     ) {
-        let level = self.is_behind_or_level(index, log_term);
+        let level = self.is_up_to_date(index, log_term);
         let free = self.hard.vote.is_none() || self.hard.vote.as_ref() == Some(&from.0);
         let open = matches!(self.role, Role::Follower | Role::PreCandidate);
         let granted = !pre && level && free && open && !self.hears_leader();
@@ -44,6 +47,7 @@
         self.send_late(from, term, Message::Vote { pre, granted });
     }
 
+    /// Asks for votes; with `pre`, only whether they would be given.
     pub(super) fn start_election(&mut self, pre: bool) {
         self.reset_deadline();
         self.leader = None;
@@ -64,6 +68,7 @@
         self.count_votes();
     }
 
+    /// Counts an answer to the election under way.
     pub(super) fn on_vote(&mut self, from: &BoxId, pre: bool, granted: bool) {
         let asked = match self.role {
             Role::PreCandidate => pre,
