Corrupt storage: a variant that only our checksums can catch

Cause: taking the checksums out had not made a test fail: after a crash the database looks for rot itself. Change: the same test after an orderly stop, where it does not.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -14,6 +14,7 @@
 use emberturn_fakes::tokens;
 use serde_json::Value;
 use support::{BoxPlan, Cluster, backend_section, base_change, prompt, wait_for};
+use yare::parameterized;
 
 fn replicas(names: &[&str]) -> Vec<BoxPlan> {
     names.iter().map(|name| BoxPlan::replica(name)).collect()
@@ -300,13 +301,24 @@
     cluster.wait_revision(&leader, 9_001).await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn corrupt_storage_is_refused_by_name() {
+/// After a crash the database looks for rot itself; after an orderly stop only our checksums do.
+#[parameterized(
+    after_a_crash = { false },
+    after_an_orderly_stop = { true },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn corrupt_storage_is_refused_by_name(orderly: bool) {
     let mut cluster = Cluster::start(&replicas(&["a", "b", "c"])).await;
     cluster.apply(&base_change(&[])).await;
     let leader = cluster.leader().await;
     let victim = cluster.replicas().into_iter().find(|name| *name != leader).unwrap();
-    cluster.kill(&victim).await;
+    match orderly {
+        true => {
+            cluster.signal(&victim, "TERM");
+            assert_eq!(cluster.ended(&victim).await, Some(0));
+        }
+        false => cluster.kill(&victim).await,
+    }
     let file = cluster.boxes[&victim].folder.join("data/group-0.redb");
     let mut bytes = std::fs::read(&file).unwrap();
     // Every copy of the team's name: the log's entry is among them.
