--- a/src/entry/complete.rs
+++ b/src/entry/complete.rs
@@ -9,14 +9,14 @@
 use super::answer::Body;
 use super::generate::{self, LINGER, Plan};
 use super::generation::{Generation, Origin, Reader, Shape};
-use super::ground::Ground;
+use super::ground::{Ground, need};
 use super::hand_over::{self, HandOver};
 use super::keep::keep;
 use super::request::{Completion, Head};
 use super::respond::{Tally, answer_from};
 use super::unrepeatable::{Once, digest};
 use crate::backend::engine::Piece;
-use crate::decide::route::{self, Need};
+use crate::decide::route;
 use crate::error::{Failure, Kind};
 use crate::ids::{RequestKey, TeamName};
 use crate::node::Node;
@@ -86,11 +86,7 @@
 ) -> Result<Arc<Generation>, Failure> {
     let Start { repeatable, digest, body, linger, pieces } = start;
     let service = ground.service(&completion.service, ServiceKind::Engine)?;
-    let need = Need {
-        data_centre: node.settings.node.data_centre.clone(),
-        prompt: Tokens::estimate(&completion.prompt),
-        output: completion.output,
-    };
+    let need = need(node, Tokens::estimate(&completion.prompt), completion.output);
     let facts = ground.facts(node, head, &completion.service, &need);
     let ruling = ground.rule(node, service, &facts)?;
     let admitted = ground.admit(node, need.prompt + need.output)?;
--- a/src/entry/ground.rs
+++ b/src/entry/ground.rs
@@ -136,3 +136,8 @@
         }
     }
 }
+
+/// What a request needs, decided at this node.
+pub(super) fn need(node: &Node, prompt: Tokens, output: Tokens) -> Need {
+    Need { data_centre: node.settings.node.data_centre.clone(), prompt, output }
+}
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -11,13 +11,12 @@
 
 use super::answer::{self, Body, TRACE_HEADER};
 use super::complete::completion;
-use super::ground::Ground;
+use super::ground::{Ground, need};
 use super::keep::{fetch_work, keep};
 use super::plain::{self, PlainRequest};
 use super::request::{self, Head};
 use super::unrepeatable::{Once, digest};
 use crate::blackboard::RequestGuard;
-use crate::decide::route::Need;
 use crate::error::{Failure, Kind};
 use crate::ids::ServiceName;
 use crate::node::Node;
@@ -134,11 +133,7 @@
     if head.may_wait {
         return keep(node, head, &ground, &bytes, repeatable).await;
     }
-    let need = Need {
-        data_centre: node.settings.node.data_centre.clone(),
-        prompt: Tokens(1),
-        output: Tokens(0),
-    };
+    let need = need(node, Tokens(1), Tokens(0));
     let ruling = ground.rule(node, service, &ground.facts(node, head, &name, &need))?;
     let _admitted = ground.admit(node, need.prompt)?;
     let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
