Kept work's tests: the owner is killed after its call has begun

The test took a request in flight for a call that had run, and killed the owner between the ledger's entry and the call: nothing ran, the answer was the honest "unknown", and the test's count of runs was 0 instead of 1. Ruled out: the code (never more than one run). Change: the tests wait until the service or the engine has begun before they look for the owner. As strict as before: exactly one run, and two for the repeatable one.

--- a/tests/kept_work.rs
+++ b/tests/kept_work.rs
@@ -98,6 +98,8 @@
     cluster.apply(&base_change(&[("e1", "small", addr)])).await;
     cluster.wait_revision("a", 1).await;
     let kept = cluster.complete("a", &[WAIT], &prompt("fault history", 150, false)).await;
+    wait_for("the engine to generate", || async { (engine.counters().decoded > 0).then_some(()) })
+        .await;
     let owner = owner(&cluster).await;
     cluster.kill(&owner).await;
     let other = ["a", "b", "c"].into_iter().find(|name| *name != owner).unwrap();
@@ -116,6 +118,8 @@
     let kept = call(cluster.entry("a"), "/services/desk/file", &[WAIT], &json!({ "n": 1 })).await;
     let kept = kept.unwrap();
     assert_eq!(kept.status, 202, "{}", kept.text());
+    // The owner dies after the call has run, not between the ledger and the call.
+    wait_for("the call to run", || async { (service.journal().len() == 1).then_some(()) }).await;
     let owner = owner(&cluster).await;
     cluster.kill(&owner).await;
     service.release();
