--- a/src/backend/sse.rs
+++ b/src/backend/sse.rs
@@ -44,11 +44,6 @@
         }
     }
 
-    /// Whether bytes of an unfinished event are held.
-    pub fn is_in_event(&self) -> bool {
-        !self.held.is_empty()
-    }
-
     /// Where the first event ends, and how long the empty line behind it is.
     fn find_end(&mut self) -> Option<(usize, usize)> {
         let from = self.searched.saturating_sub(3);
--- a/src/entry/complete.rs
+++ b/src/entry/complete.rs
@@ -59,8 +59,7 @@
         let text = "the stream is lost; ask without Last-Event-ID for a new answer";
         return Err(Failure::new(Kind::StreamLost, text));
     }
-    let body = String::from_utf8_lossy(&bytes).into_owned();
-    let start = Start { repeatable, digest, body, linger: LINGER, pieces: Vec::new() };
+    let start = Start { repeatable, digest, body: bytes, linger: LINGER, pieces: Vec::new() };
     let generation = begin_generation(node, head, &ground, &completion, start)?;
     respond(node, head, &ground.name, generation.read_from(0), completion.stream).await
 }
@@ -69,7 +68,7 @@
 struct Start {
     repeatable: bool,
     digest: String,
-    body: String,
+    body: Bytes,
     /// How long a generation under a key goes on without a reader.
     linger: Duration,
     /// Pieces another node has generated.
@@ -103,10 +102,15 @@
         linger: if key.is_some() { linger } else { Duration::ZERO },
         trace: head.trace,
     };
-    let origin =
-        Origin { path: head.bare_path().to_owned(), body, deadline: head.deadline, repeatable };
+    // Only a request under a key can be gone on with elsewhere: its caller has to find it again.
+    let origin = key.map(|_| Origin {
+        path: head.bare_path().to_owned(),
+        body: String::from_utf8_lossy(&body).into_owned(),
+        deadline: head.deadline,
+        repeatable,
+    });
     let shape = shape(completion, need.prompt);
-    let generation = Generation::new(shape, digest, Some(origin), pieces);
+    let generation = Generation::new(shape, digest, origin, pieces);
     if let Some(key) = key {
         node.keep_generation(&ground.name, key, &generation);
     }
@@ -165,7 +169,7 @@
     let start = Start {
         repeatable: true,
         digest: digest(&offer.path, offer.body.as_bytes()),
-        body: offer.body.clone(),
+        body: Bytes::from(offer.body.clone()),
         linger: HANDED_LINGER,
         pieces: offer.pieces.clone(),
     };
