--- a/src/entry/hand_over.rs
+++ b/src/entry/hand_over.rs
@@ -118,7 +118,9 @@
 ) -> Option<Response<Body>> {
     let boxes = node.board.boxes.load();
     let left = boxes.values().any(|it| matches!(it.state, BoxState::Leaving | BoxState::Gone));
-    if head.passed || !(left || head.last_event.is_some()) {
+    // Work that emberturn runs on a caller's behalf has no caller that comes back.
+    let comes_back = !head.passed && head.digest.is_some();
+    if !comes_back || !(left || head.last_event.is_some()) {
         return None;
     }
     for box_id in homes(node, team, key) {
@@ -132,7 +134,7 @@
     None
 }
 
-/// Passes the request to a peer; `None` when the peer does not hold its stream.
+/// Passes the request to a peer; `None` when the peer does not hold its stream, or cannot go on with it.
 async fn pass(
     node: &Arc<Node>,
     head: &Head,
@@ -150,10 +152,9 @@
     }
     let request = builder.body(Full::new(body.clone())).ok()?;
     let mut exchange = node.pool.send(entry, request, SILENCE, true).await.ok()?;
-    if exchange.status == StatusCode::NOT_FOUND {
+    if exchange.status != StatusCode::OK {
         return None;
     }
-    let status = exchange.status;
     let kept: [HeaderName; 2] = [CONTENT_TYPE, RUN_HEADER];
     let headers: Vec<_> = kept
         .into_iter()
@@ -172,7 +173,6 @@
         }
     };
     let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(bytes)));
-    *response.status_mut() = status;
     response.headers_mut().extend(headers);
     Some(response)
 }
--- a/src/group/storage.rs
+++ b/src/group/storage.rs
@@ -150,7 +150,10 @@
             return Ok(());
         }
         let wrapped = |error: redb::Error| wrap(&self.path, error);
-        let write = self.database.begin_write().map_err(|error| wrapped(error.into()))?;
+        let mut write = self.database.begin_write().map_err(|error| wrapped(error.into()))?;
+        // With one phase the database takes rot in the last commit for a torn one and goes back to
+        // the commit before, silently: entries that were acknowledged would be gone.
+        write.set_two_phase_commit(true);
         {
             let mut meta = write.open_table(META).map_err(|error| wrapped(error.into()))?;
             let mut entries = write.open_table(ENTRIES).map_err(|error| wrapped(error.into()))?;
--- /dev/null
+++ b/tests/kept_work.rs
@@ -0,0 +1,126 @@
+//! Work that may wait is durable before the caller is told so, and is run by one owner at a time.
+
+mod support;
+
+use std::time::Duration;
+
+use emberturn_fakes::engine::{Engine, Options};
+use emberturn_fakes::http::{self, Answer};
+use emberturn_fakes::service::Service;
+use emberturn_fakes::tokens;
+use serde_json::json;
+use support::{BoxPlan, Cluster, KEY, base_change, call, prompt, wait_for};
+
+async fn fetch(cluster: &Cluster, name: &str, place: &str) -> Answer {
+    let bearer = format!("Bearer {KEY}");
+    http::call(cluster.entry(name), http::get(place, &[("authorization", &bearer)])).await.unwrap()
+}
+
+async fn wait_answer(cluster: &Cluster, name: &str, place: &str) -> Answer {
+    wait_for("kept work to be answered", || async {
+        let answer = fetch(cluster, name, place).await;
+        (answer.status != 202 && answer.status != 503 && answer.status != 504).then_some(answer)
+    })
+    .await
+}
+
+const WAIT: (&str, &str) = ("prefer", "respond-async");
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_work_is_fetched_from_any_node_and_the_same_key_is_kept_once() {
+    let (engine, addr) = Engine::start(Options::default()).await.unwrap();
+    let cluster = Cluster::start(&["a", "b", "c"].map(BoxPlan::replica)).await;
+    cluster.apply(&base_change(&[("e1", "small", addr)])).await;
+    let names = ["a", "b", "c"];
+    for name in names {
+        cluster.wait_revision(name, 1).await;
+    }
+    let headers = [WAIT, ("idempotency-key", "summary-1")];
+    let body = prompt("fault history", 32, false);
+    let mut places = Vec::new();
+    for name in names {
+        let answer = cluster.complete(name, &headers, &body).await;
+        assert_eq!(answer.status, 202, "{}", answer.text());
+        places.push(answer.header("location").to_owned());
+    }
+    assert!(places.iter().all(|place| *place == places[0]));
+    for name in names {
+        let answer = wait_answer(&cluster, name, &places[0]).await;
+        assert_eq!(answer.json()["choices"][0]["text"], tokens::answer("fault history", 32));
+    }
+    assert_eq!(engine.runs().len(), 1);
+    let other = cluster.complete("a", &headers, &prompt("another", 4, false)).await;
+    assert_eq!(other.json()["error"]["code"], "key_conflict");
+    let missing = fetch(&cluster, "a", "/work/00000000000000000000000000000000").await;
+    assert_eq!(missing.status, 404);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_work_survives_the_loss_of_everything_but_the_disks() {
+    let (_engine, addr) = Engine::start(Options::default()).await.unwrap();
+    let mut cluster = Cluster::start(&["a", "b", "c"].map(BoxPlan::replica)).await;
+    // No engine yet: the work waits.
+    cluster.apply(&base_change(&[])).await;
+    cluster.wait_revision("a", 1).await;
+    let kept = cluster.complete("a", &[WAIT], &prompt("fault history", 32, false)).await;
+    assert_eq!(kept.status, 202, "{}", kept.text());
+    for name in ["a", "b", "c"] {
+        cluster.kill(name).await;
+    }
+    for name in ["a", "b", "c"] {
+        cluster.launch(name).await;
+    }
+    cluster.apply(&support::backend_section("e1", "small", addr)).await;
+    let answer = wait_answer(&cluster, "b", kept.header("location")).await;
+    assert_eq!(answer.json()["choices"][0]["text"], tokens::answer("fault history", 32));
+}
+
+/// The box that runs the one piece of kept work: the one whose engine stream or call is under way.
+async fn owner(cluster: &Cluster) -> String {
+    wait_for("an owner", || async {
+        for name in ["a", "b", "c"] {
+            let status = cluster.status(name).await;
+            let backends = status["backends"].as_object()?.clone();
+            if backends.values().any(|backend| backend["requests"] == 1) {
+                return Some(name.to_owned());
+            }
+        }
+        None
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_of_a_dead_owner_is_taken_over() {
+    let options = Options { decode: Duration::from_millis(15), ..Options::default() };
+    let (engine, addr) = Engine::start(options).await.unwrap();
+    let mut cluster = Cluster::start(&["a", "b", "c"].map(BoxPlan::replica)).await;
+    cluster.apply(&base_change(&[("e1", "small", addr)])).await;
+    cluster.wait_revision("a", 1).await;
+    let kept = cluster.complete("a", &[WAIT], &prompt("fault history", 150, false)).await;
+    let owner = owner(&cluster).await;
+    cluster.kill(&owner).await;
+    let other = ["a", "b", "c"].into_iter().find(|name| *name != owner).unwrap();
+    let answer = wait_answer(&cluster, other, kept.header("location")).await;
+    assert_eq!(answer.json()["choices"][0]["text"], tokens::answer("fault history", 150));
+    assert_eq!(engine.runs().len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unrepeatable_kept_work_of_a_dead_owner_is_not_run_again() {
+    let (service, addr) = Service::start(Duration::ZERO).await.unwrap();
+    service.hold();
+    let mut cluster = Cluster::start(&["a", "b", "c"].map(BoxPlan::replica)).await;
+    cluster.apply(&base_change(&[("d1", "desk", addr)])).await;
+    cluster.wait_revision("a", 1).await;
+    let kept = call(cluster.entry("a"), "/services/desk/file", &[WAIT], &json!({ "n": 1 })).await;
+    let kept = kept.unwrap();
+    assert_eq!(kept.status, 202, "{}", kept.text());
+    let owner = owner(&cluster).await;
+    cluster.kill(&owner).await;
+    service.release();
+    let other = ["a", "b", "c"].into_iter().find(|name| *name != owner).unwrap();
+    let answer = wait_answer(&cluster, other, kept.header("location")).await;
+    assert_eq!(answer.json()["error"]["code"], "outcome_unknown", "{}", answer.text());
+    assert_eq!(service.journal().len(), 1);
+}
