--- a/src/control/work.rs
+++ b/src/control/work.rs
@@ -11,7 +11,7 @@
 
 use crate::blackboard::Phase;
 use crate::entry::answer::failure_value;
-use crate::entry::serve::run_kept;
+use crate::entry::keep::run_kept;
 use crate::error::{Failure, Kind, RunState};
 use crate::ids::Fence;
 use crate::node::Node;
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -44,8 +44,8 @@
 /// work a loss costs.
 const RISK: f64 = 0.000_2;
 
-/// How far a server may be filled beyond its slots by this node's reckoning.
-const OVERFILL: f64 = 1.25;
+/// The fill from which a server counts as crowded: reports are old, and other nodes send as well.
+const CROWDED: f64 = 0.7;
 
 /// A backend server as the decision sees it.
 #[derive(Debug, Clone)]
@@ -99,7 +99,7 @@
 
     /// Whether it can take one more without queueing for long.
     pub fn is_open(&self) -> bool {
-        self.occupancy() < f64::from(self.slots) * OVERFILL
+        self.occupancy() < f64::from(self.slots)
     }
 
     /// The cost of the request there, in seconds.
@@ -113,7 +113,7 @@
         let slots = f64::from(self.slots.max(1));
         let service = self.service_time.unwrap_or(SERVICE_SECONDS);
         let fill = self.occupancy() / slots;
-        let excess = (fill - 1.0).max(0.0);
+        let excess = (fill - CROWDED).max(0.0);
         let queue = (FILL_WEIGHT * fill * fill + 2.0 * excess) * service;
         let missing = need.prompt.less(self.cached).0 as f64;
         let belief = if home { HOME_BELIEF } else { 0.0 };
@@ -149,9 +149,12 @@
     best.map(|(candidate, _)| candidate)
 }
 
-/// The servers with the largest weights for the prompt's beginning, none for a prompt without one.
+/// The servers with the largest weights for the prompt's beginning that are not crowded; none for a
+/// prompt without a beginning.
 fn homes<'a>(open: &[&'a Candidate]) -> Vec<&'a Candidate> {
-    let mut weighed: Vec<_> = open.iter().filter(|it| it.affinity > 0).copied().collect();
+    let has_room = |it: &&&Candidate| it.occupancy() < f64::from(it.slots) * CROWDED;
+    let able = open.iter().filter(|it| it.affinity > 0).filter(has_room);
+    let mut weighed: Vec<_> = able.copied().collect();
     weighed.sort_by_key(|it| std::cmp::Reverse(it.affinity));
     weighed.truncate(HOMES);
     weighed
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -116,6 +116,11 @@
         self.end.get()
     }
 
+    /// Whether it ended without an answer: the same request may then be tried anew.
+    pub fn has_failed(&self) -> bool {
+        matches!(self.end.get(), Some(End::Failed(_)))
+    }
+
     /// Waits for the end.
     pub async fn ended(&self) {
         let mut count = self.count.subscribe();
--- a/src/entry/hand_over.rs
+++ b/src/entry/hand_over.rs
@@ -15,9 +15,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::answer::{Body, RUN_HEADER};
+use super::complete::resume_handed;
 use super::generation::{End, Generation};
 use super::request::{Head, PASSED_HEADER};
-use super::serve;
 use crate::backend::engine::Piece;
 use crate::error::{Failure, Kind};
 use crate::ids::{BoxId, RequestKey, TeamName};
@@ -90,7 +90,7 @@
     if node.find_generation(&offer.team, &offer.key).is_some() {
         return Ok(true);
     }
-    match serve::resume_handed(&node, &offer) {
+    match resume_handed(&node, &offer) {
         Ok(()) => Ok(true),
         Err(failure) => {
             tracing::info!(event = "hand_over_refused", kind = %failure.kind);
--- /dev/null
+++ b/src/entry/respond.rs
@@ -0,0 +1,148 @@
+//! Answers a caller from a generation, as one JSON value or as a stream.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_stream::stream;
+use bytes::Bytes;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use serde_json::Value;
+
+use super::answer::{self, Body};
+use super::generation::{End, Item, Reader};
+use crate::error::Failure;
+use crate::ids::TeamName;
+use crate::node::Node;
+use crate::state::ledger::RecordedAnswer;
+
+/// Counts what a caller is given.
+pub(super) struct Tally {
+    /// The node.
+    pub(super) node: Arc<Node>,
+    /// Whose request.
+    pub(super) team: TeamName,
+    /// When it arrived.
+    pub(super) arrived: Instant,
+}
+
+impl Tally {
+    fn first(&self) {
+        let seconds = self.arrived.elapsed().as_secs_f64();
+        self.node.metrics.record_first_token(self.team.as_str(), seconds);
+    }
+
+    fn end(&self, tokens: usize, end: &End) {
+        let outcome = match end {
+            End::Whole => "done".to_owned(),
+            End::Recorded(_) => "recorded".to_owned(),
+            End::Failed(failure) => failure.kind.to_string(),
+        };
+        self.node.metrics.count_tokens(self.team.as_str(), tokens as u64);
+        self.node.metrics.count_request(self.team.as_str(), &outcome);
+    }
+}
+
+/// Waits for the first item, so that a failure before it has its own status, then answers.
+pub(super) async fn answer_from(
+    mut reader: Reader,
+    stream: bool,
+    tally: Option<Tally>,
+) -> Result<Response<Body>, Failure> {
+    let first = reader.next().await;
+    if let Some(tally) = &tally {
+        tally.first();
+    }
+    match first {
+        Item::End(End::Failed(failure)) => {
+            if let Some(tally) = &tally {
+                tally.end(0, &End::Failed(failure.clone()));
+            }
+            Err(failure)
+        }
+        Item::End(End::Recorded(answer)) if stream => Ok(recorded_stream(&answer)),
+        Item::End(End::Recorded(answer)) => Ok(answer::recorded(&answer)),
+        first if stream => Ok(stream_answer(reader, first, tally)),
+        first => whole_answer(reader, first, tally).await,
+    }
+}
+
+async fn whole_answer(
+    mut reader: Reader,
+    first: Item,
+    tally: Option<Tally>,
+) -> Result<Response<Body>, Failure> {
+    let mut item = first;
+    loop {
+        if let Item::End(end) = item {
+            if let Some(tally) = &tally {
+                tally.end(reader.generation().len(), &end);
+            }
+            return match end {
+                End::Whole => Ok(answer::done(&reader.generation().whole_value())),
+                End::Recorded(recorded) => Ok(answer::recorded(&recorded)),
+                End::Failed(failure) => Err(failure),
+            };
+        }
+        item = reader.next().await;
+    }
+}
+
+fn stream_answer(mut reader: Reader, first: Item, tally: Option<Tally>) -> Response<Body> {
+    let events = stream! {
+        let mut item = first;
+        loop {
+            match item {
+                Item::Piece(place, piece) => {
+                    yield Ok(Frame::data(reader.generation().chunk_event(place, &piece)));
+                }
+                Item::End(end) => {
+                    if let Some(tally) = &tally {
+                        tally.end(reader.generation().len(), &end);
+                    }
+                    yield closing(&end);
+                    return;
+                }
+            }
+            item = reader.next().await;
+        }
+    };
+    let body = BodyExt::boxed_unsync(StreamBody::new(events));
+    event_stream(body)
+}
+
+/// A stream's answer. Its head only says that the request runs; its closing event says the outcome.
+fn event_stream(body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response
+}
+
+/// The closing event: `[DONE]` only when every piece was sent.
+fn closing(end: &End) -> Result<Frame<Bytes>, io::Error> {
+    match end {
+        End::Whole | End::Recorded(_) => Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n"))),
+        End::Failed(failure) => {
+            let value = answer::failure_value(failure);
+            Ok(Frame::data(Bytes::from(format!("event: error\ndata: {value}\n\n"))))
+        }
+    }
+}
+
+/// A recorded answer for a caller that asked for a stream: one chunk with all of it.
+fn recorded_stream(recorded: &RecordedAnswer) -> Response<Body> {
+    let body = recorded.body.clone().unwrap_or_default();
+    let mut value: Value = serde_json::from_str(&body).unwrap_or(Value::Null);
+    if let Some(choice) = value.pointer_mut("/choices/0").and_then(Value::as_object_mut)
+        && let Some(message) = choice.remove("message")
+    {
+        choice.insert("delta".to_owned(), message);
+    }
+    let text = format!("data: {value}\n\ndata: [DONE]\n\n");
+    event_stream(answer::whole(text))
+}
--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -408,111 +408,6 @@
         }
     }
 
-    /// Whether a leader was heard within the time in which its lease may hold.
-    fn hears_leader(&self) -> bool {
-        match self.role {
-            Role::Leader => self.has_quorum(),
-            _ => self.now < self.heard + ELECTION,
-        }
-    }
-
-    fn is_voter(&self) -> bool {
-        self.members().voters.get(&self.own.box_id) == Some(&self.own.life)
-    }
-
-    fn is_behind_or_level(&self, index: Index, term: Term) -> bool {
-        (term, index) >= (self.log.last_term(), self.log.last_index())
-    }
-
-    fn on_ask_vote(
-        &mut self,
-        from: (BoxId, Incarnation),
-        term: Term,
-        pre: bool,
-        index: Index,
-        log_term: Term,
-    ) {
-        let level = self.is_behind_or_level(index, log_term);
-        let free = self.hard.vote.is_none() || self.hard.vote.as_ref() == Some(&from.0);
-        let open = matches!(self.role, Role::Follower | Role::PreCandidate);
-        let granted = !pre && level && free && open && !self.hears_leader();
-        if granted {
-            self.role = Role::Follower;
-            self.hard_changed |= self.hard.vote.is_none();
-            self.hard.vote = Some(from.0.clone());
-            self.reset_deadline();
-        }
-        self.send_late(from, term, Message::Vote { pre, granted });
-    }
-
-    fn start_election(&mut self, pre: bool) {
-        self.reset_deadline();
-        self.leader = None;
-        self.votes = BTreeSet::from([self.own.box_id.clone()]);
-        if pre {
-            self.role = Role::PreCandidate;
-        } else {
-            self.role = Role::Candidate;
-            self.hard.term = self.hard.term.next();
-            self.hard.vote = Some(self.own.box_id.clone());
-            self.hard_changed = true;
-        }
-        let term = if pre { self.hard.term.next() } else { self.hard.term };
-        let (index, log_term) = (self.log.last_index(), self.log.last_term());
-        for (box_id, life) in self.voters_but_own() {
-            self.send_late((box_id, life), term, Message::AskVote { pre, index, log_term });
-        }
-        self.count_votes();
-    }
-
-    fn on_vote(&mut self, from: &BoxId, pre: bool, granted: bool) {
-        let asked = match self.role {
-            Role::PreCandidate => pre,
-            Role::Candidate => !pre,
-            Role::Follower | Role::Leader => false,
-        };
-        if !asked || !granted || !self.members().voters.contains_key(from) {
-            return;
-        }
-        self.votes.insert(from.clone());
-        self.count_votes();
-    }
-
-    fn count_votes(&mut self) {
-        if self.votes.len() < self.members().majority() {
-            return;
-        }
-        match self.role {
-            Role::PreCandidate => self.start_election(false),
-            Role::Candidate => self.become_leader(),
-            Role::Follower | Role::Leader => {}
-        }
-    }
-
-    fn become_follower(&mut self, term: Term, leader: Option<BoxId>) {
-        if term > self.hard.term {
-            self.hard = HardState { term, vote: None };
-            self.hard_changed = true;
-        }
-        self.role = Role::Follower;
-        self.leader = leader;
-        self.progress.clear();
-        self.pending = None;
-        self.reset_deadline();
-    }
-
-    fn become_leader(&mut self) {
-        self.role = Role::Leader;
-        self.leader = Some(self.own.box_id.clone());
-        self.progress.clear();
-        self.fresh = None;
-        self.sync_progress();
-        self.beat = self.now;
-        let at = self.log.last_at();
-        let _ = self.propose_payload(at, Payload::Noop);
-        self.broadcast(true);
-    }
-
     /// Brings the followed replicas in line with the members.
     fn sync_progress(&mut self) {
         let others: BTreeSet<_> =
@@ -563,6 +458,7 @@
     }
 }
 
+mod elect;
 mod follow;
 mod lead;
 mod produce;
--- a/src/node.rs
+++ b/src/node/mod.rs
@@ -1,19 +1,22 @@
 //! A node: one process with its roles, and what its parts share.
 
-use std::collections::{BTreeMap, HashMap};
+mod news;
+mod replica;
+mod requests;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
-use eyre::{Result, WrapErr};
-use ractor::rpc::CallResult;
-use ractor::{Actor, ActorRef};
+use eyre::Result;
+use ractor::ActorRef;
 use tokio::sync::{Notify, watch};
 
 use crate::backend::Pool;
 use crate::blackboard::{Blackboard, Phase};
 use crate::control;
-use crate::decide::admit::{Admission, TeamLimit, TeamUse};
+use crate::decide::admit::Admission;
 use crate::decide::retry::RetryBudget;
 use crate::decide::share::Lessor;
 use crate::entry::dispatch::Dispatcher;
@@ -21,33 +24,19 @@
 use crate::entry::{drain, server};
 use crate::error::{Failure, Kind};
 use crate::group::access::Access;
-use crate::group::core::{Core, Identity};
-use crate::group::driver::{Driver, DriverArguments, GroupMessage, core_clock, decode_machine};
 use crate::group::follow;
-use crate::group::links::Links;
-use crate::group::storage::Storage;
-use crate::ids::{BackendId, BoxId, Incarnation, RequestKey, TeamName, Term};
-use crate::member::spread::{Gossip, Spread, SpreadArguments, SpreadMessage};
-use crate::member::table::{BackendNews, BoxRecord, BoxState, News};
+use crate::ids::{Incarnation, RequestKey, TeamName, Term};
+use crate::member::spread::SpreadMessage;
 use crate::peer::method::{BackendStatus, GroupStatus, NodeStatus};
 use crate::peer::{Peers, server as peer_server};
 use crate::settings::{Role, Settings, StaleRule};
-use crate::state::Machine;
 use crate::telemetry::Metrics;
 use crate::telemetry::hops::unix_millis;
-use crate::units::Tokens;
-
-/// The group that carries configuration, ledger and kept work today.
-const GROUP: u32 = 0;
 
-/// How long a finished generation stays, for callers that come back.
-const KEEP_TIME: Duration = Duration::from_secs(60);
+pub use requests::AdmissionGuard;
 
-/// Generations held under keys at most.
-const KEEP_COUNT: usize = 10_000;
-
-/// How long an own actor may take.
-const GOSSIP_TIME: Duration = Duration::from_millis(400);
+/// How long an actor of this process may take.
+const ACTOR_TIME: Duration = Duration::from_millis(400);
 
 type GenerationKey = (TeamName, RequestKey);
 
@@ -99,7 +88,7 @@
         let board = Arc::new(Blackboard::new(settings.node.box_id.clone()));
         let peers = Peers::new(&settings.peer.secret);
         let local = match settings.has(Role::Replica) {
-            true => Some(start_replica(&settings, &board, &peers).await?),
+            true => Some(replica::start_replica(&settings, &board, &peers).await?),
             false => None,
         };
         let own = settings.node.box_id.clone();
@@ -198,59 +187,6 @@
         Ok(())
     }
 
-    /// Admits a request; dropping the guard gives back what it reserved.
-    ///
-    /// # Errors
-    /// The limit that stands in its way.
-    pub fn admit(
-        self: &Arc<Self>,
-        team: &TeamName,
-        tokens: Tokens,
-        limit: TeamLimit,
-    ) -> Result<AdmissionGuard, Failure> {
-        let admitted = lock(&self.admission).admit(team, tokens, limit);
-        admitted.map_err(|kind| {
-            let text = match kind {
-                Kind::BudgetLimit => format!("team {team} has its tokens in flight"),
-                _ => format!("team {team} has its requests in flight"),
-            };
-            Failure::new(kind, text)
-        })?;
-        Ok(AdmissionGuard { node: self.clone(), team: team.clone(), tokens })
-    }
-
-    /// Adds a request's share to the retry budget.
-    pub fn earn_retry(&self, percent: u32) {
-        lock(&self.retries).earn(percent);
-    }
-
-    /// Takes an attempt from the retry budget, if it has one.
-    pub fn spend_retry(&self) -> bool {
-        lock(&self.retries).spend()
-    }
-
-    /// The generation held under a team's key.
-    pub fn find_generation(&self, team: &TeamName, key: &RequestKey) -> Option<Arc<Generation>> {
-        lock(&self.generations).get(&(team.clone(), key.clone())).cloned()
-    }
-
-    /// Holds a generation under a team's key until some time after its end.
-    pub fn keep_generation(
-        self: &Arc<Self>,
-        team: &TeamName,
-        key: &RequestKey,
-        generation: &Arc<Generation>,
-    ) {
-        let place = (team.clone(), key.clone());
-        let mut held = lock(&self.generations);
-        if held.len() >= KEEP_COUNT {
-            return;
-        }
-        held.insert(place.clone(), generation.clone());
-        drop(held);
-        tokio::spawn(forget_later(self.clone(), place, generation.clone()));
-    }
-
     /// The node's state, for operators.
     pub fn status(&self, group: Option<GroupStatus>) -> NodeStatus {
         let boxes = self.board.boxes.load();
@@ -282,62 +218,6 @@
             group,
         }
     }
-}
-
-impl Node {
-    async fn start_spread(self: &Arc<Self>) -> Result<()> {
-        let own = self.settings.node.box_id.clone();
-        let peer = self.peer_addr.get().copied().unwrap_or(self.settings.peer.listen);
-        let record = BoxRecord {
-            life: self.life,
-            version: 1,
-            data_centre: self.settings.node.data_centre.clone(),
-            peer,
-            entry: self.entry_addr.get().copied(),
-            state: BoxState::Live,
-        };
-        let arguments = SpreadArguments {
-            own,
-            record,
-            seeds: self.settings.replicas.clone(),
-            peers: self.peers.clone(),
-            board: self.board.clone(),
-        };
-        let spawned = Actor::spawn(None, Spread, arguments).await;
-        let (actor, _) = spawned.wrap_err("start the spreading of news")?;
-        let _ = self.spread.set(actor);
-        Ok(())
-    }
-
-    /// Takes gossip; `None` while the node starts.
-    pub(crate) async fn hear_gossip(&self, gossip: Gossip) -> Option<News> {
-        let actor = self.spread.get()?;
-        let hear = |port| SpreadMessage::Hear(gossip, Some(port));
-        match actor.call(hear, Some(GOSSIP_TIME)).await {
-            Ok(CallResult::Success(news)) => Some(news),
-            _ => None,
-        }
-    }
-
-    /// Takes word of a backend server's coming or going, and has it passed on.
-    pub(crate) fn hear_backend(&self, id: BackendId, news: BackendNews) {
-        if let Some(actor) = self.spread.get() {
-            let _ = actor.cast(SpreadMessage::Backend(id, news));
-        }
-    }
-
-    /// Tells the other boxes that this one drains.
-    pub(crate) fn say_leaving(&self) {
-        if let Some(actor) = self.spread.get() {
-            let _ = actor.cast(SpreadMessage::Leave);
-        }
-    }
-
-    /// Where a box is reached by nodes: the settings' word goes before the box's own.
-    pub(crate) fn peer_address(&self, box_id: &BoxId) -> Option<SocketAddr> {
-        let set = self.settings.replicas.get(box_id).copied();
-        set.or_else(|| self.board.boxes.load().get(box_id).map(|record| record.peer))
-    }
 
     /// The platform takes this box back within `left`.
     pub(crate) fn stop_within(&self, left: Duration) {
@@ -358,65 +238,6 @@
     pub(crate) fn close_connections(&self) {
         self.closing.send_replace(true);
     }
-
-    /// The generations under keys that have not ended.
-    pub(crate) fn open_generations(&self) -> Vec<(TeamName, RequestKey, Arc<Generation>)> {
-        let held = lock(&self.generations);
-        let open = held.iter().filter(|(_, generation)| generation.end().is_none());
-        open.map(|((team, key), it)| (team.clone(), key.clone(), it.clone())).collect()
-    }
-
-    /// The teams' demand since last asked.
-    pub(crate) fn take_demand(&self) -> BTreeMap<TeamName, (TeamUse, u32)> {
-        lock(&self.admission).take_demand()
-    }
-
-    /// The term this process's replica leads in, if it certainly leads.
-    pub(crate) async fn leading_term(&self) -> Option<Term> {
-        let replica = self.access.local()?;
-        match replica.call(GroupMessage::LeadingTerm, Some(GOSSIP_TIME)).await {
-            Ok(CallResult::Success(term)) => term,
-            _ => None,
-        }
-    }
-
-    /// Runs `lease` with the lessor of the term; a new term begins with a new one.
-    pub(crate) fn with_lessor(&self, term: Term, lease: impl FnOnce(u64, &mut Lessor)) {
-        let now = self.started.elapsed().as_millis() as u64;
-        let mut held = lock(&self.lessor);
-        if held.as_ref().is_none_or(|(since, _)| *since != term) {
-            *held = Some((term, Lessor::new(now)));
-        }
-        if let Some((_, lessor)) = held.as_mut() {
-            lease(now, lessor);
-        }
-    }
-}
-
-async fn start_replica(
-    settings: &Settings,
-    board: &Arc<Blackboard>,
-    peers: &Peers,
-) -> Result<ActorRef<GroupMessage>> {
-    let own = settings.node.box_id.clone();
-    let folder = settings.node.data_folder.clone().unwrap_or_default();
-    let (storage, stored, life) = Storage::open(&folder, GROUP, &own)?;
-    let machine = match &stored.snapshot {
-        Some(snapshot) => decode_machine(snapshot)?,
-        None => Machine::default(),
-    };
-    let identity = Identity { group: GROUP, box_id: own.clone(), life };
-    let epoch = Instant::now();
-    let now = core_clock(epoch, Instant::now());
-    let core = Core::new(identity.clone(), stored, now, rand::random());
-    tracing::info!(event = "replica_opened", life = %life, last = %core.log().last_index());
-    let links = Links::open(peers, &settings.replicas, &own);
-    let board = board.clone();
-    let arguments = DriverArguments { identity, storage, core, machine, links, board, epoch };
-    let (actor, _) = Actor::spawn(Some("group".to_owned()), Driver, arguments)
-        .await
-        .wrap_err("start the replica")?;
-    Ok(actor)
 }
 
 /// Serves as soon as the configuration in force is confirmed to be the newest.
@@ -427,25 +248,3 @@
         tracing::info!(event = "serving", revision = %node.board.revision());
     }
 }
-
-async fn forget_later(node: Arc<Node>, place: GenerationKey, generation: Arc<Generation>) {
-    generation.ended().await;
-    tokio::time::sleep(KEEP_TIME).await;
-    let mut held = lock(&node.generations);
-    if held.get(&place).is_some_and(|it| Arc::ptr_eq(it, &generation)) {
-        held.remove(&place);
-    }
-}
-
-/// What an admitted request reserved.
-pub struct AdmissionGuard {
-    node: Arc<Node>,
-    team: TeamName,
-    tokens: Tokens,
-}
-
-impl Drop for AdmissionGuard {
-    fn drop(&mut self) {
-        lock(&self.node.admission).release(&self.team, self.tokens);
-    }
-}
--- /dev/null
+++ b/src/node/news.rs
@@ -0,0 +1,70 @@
+//! A node's side of membership: it starts the spreading of news, hears it and adds to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eyre::{Result, WrapErr};
+use ractor::Actor;
+use ractor::rpc::CallResult;
+
+use super::{ACTOR_TIME, Node};
+use crate::ids::{BackendId, BoxId};
+use crate::member::spread::{Gossip, Spread, SpreadArguments, SpreadMessage};
+use crate::member::table::{BackendNews, BoxRecord, BoxState, News};
+
+impl Node {
+    /// Starts the actor that passes news on; the node's addresses are known by then.
+    pub(super) async fn start_spread(self: &Arc<Self>) -> Result<()> {
+        let own = self.settings.node.box_id.clone();
+        let peer = self.peer_addr.get().copied().unwrap_or(self.settings.peer.listen);
+        let record = BoxRecord {
+            life: self.life,
+            version: 1,
+            data_centre: self.settings.node.data_centre.clone(),
+            peer,
+            entry: self.entry_addr.get().copied(),
+            state: BoxState::Live,
+        };
+        let arguments = SpreadArguments {
+            own,
+            record,
+            seeds: self.settings.replicas.clone(),
+            peers: self.peers.clone(),
+            board: self.board.clone(),
+        };
+        let spawned = Actor::spawn(None, Spread, arguments).await;
+        let (actor, _) = spawned.wrap_err("start the spreading of news")?;
+        let _ = self.spread.set(actor);
+        Ok(())
+    }
+
+    /// Takes gossip; `None` while the node starts.
+    pub(crate) async fn hear_gossip(&self, gossip: Gossip) -> Option<News> {
+        let actor = self.spread.get()?;
+        let hear = |port| SpreadMessage::Hear(gossip, Some(port));
+        match actor.call(hear, Some(ACTOR_TIME)).await {
+            Ok(CallResult::Success(news)) => Some(news),
+            _ => None,
+        }
+    }
+
+    /// Takes word of a backend server's coming or going, and has it passed on.
+    pub(crate) fn hear_backend(&self, id: BackendId, news: BackendNews) {
+        if let Some(actor) = self.spread.get() {
+            let _ = actor.cast(SpreadMessage::Backend(id, news));
+        }
+    }
+
+    /// Tells the other boxes that this one drains.
+    pub(crate) fn say_leaving(&self) {
+        if let Some(actor) = self.spread.get() {
+            let _ = actor.cast(SpreadMessage::Leave);
+        }
+    }
+
+    /// Where a box is reached by nodes: the settings' word goes before the box's own.
+    pub(crate) fn peer_address(&self, box_id: &BoxId) -> Option<SocketAddr> {
+        let set = self.settings.replicas.get(box_id).copied();
+        set.or_else(|| self.board.boxes.load().get(box_id).map(|record| record.peer))
+    }
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -7,6 +7,25 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Has a newtype written and read as its bare number.
+macro_rules! plain_number {
+    ($name:ident) => {
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
 /// Bytes of text taken to hold one token, when nothing better is known.
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -51,19 +70,7 @@
     }
 }
 
-impl fmt::Display for Tokens {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for Tokens {
-    type Err = std::num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
-    }
-}
+plain_number!(Tokens);
 
 /// A price in millionths of the customer's currency an hour.
 #[derive(
@@ -72,19 +79,7 @@
 #[serde(transparent)]
 pub struct Price(pub u64);
 
-impl fmt::Display for Price {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for Price {
-    type Err = std::num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
-    }
-}
+plain_number!(Price);
 
 /// A span of time in whole milliseconds, as written in settings and messages.
 #[derive(
--- a/tests/run_state.rs
+++ b/tests/run_state.rs
@@ -172,6 +172,24 @@
     assert!(engine.counters().requests >= 5);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn key_of_a_request_that_was_not_run_may_be_used_again() {
+    let (engine, addr) = Engine::start(Options::default()).await.unwrap();
+    let cluster = Cluster::start(&[BoxPlan::replica("a")]).await;
+    cluster.apply(&base_change(&[])).await;
+    cluster.wait_revision("a", 1).await;
+    let headers = [("idempotency-key", "again")];
+    let refused = cluster.complete("a", &headers, &prompt("hello", 6, false)).await;
+    assert_eq!(refused.header("emberturn-run"), "not_run");
+    cluster.apply(&support::backend_section("e1", "small", addr)).await;
+    cluster.wait_revision("a", 2).await;
+    for _ in 0..2 {
+        let answer = cluster.complete("a", &headers, &prompt("hello", 6, false)).await;
+        assert_eq!(answer.json()["choices"][0]["text"], tokens::answer("hello", 6));
+    }
+    assert_eq!(engine.runs().len(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_that_goes_away_cancels_the_engines_stream() {
     let (engine, addr) = Engine::start(Options::default()).await.unwrap();
