--- a/fakes/src/cluster.rs
+++ b/fakes/src/cluster.rs
@@ -190,14 +190,14 @@
         let mut child = Command::new(binary("emberturn"))
             .arg("node")
             .arg(test_box.folder.join("node.ini"))
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
             .unwrap();
-        let stderr = child.stderr.take().unwrap();
+        let stdout = child.stdout.take().unwrap();
         let log = test_box.log.clone();
         tokio::spawn(async move {
-            let mut lines = BufReader::new(stderr).lines();
+            let mut lines = BufReader::new(stdout).lines();
             while let Ok(Some(line)) = lines.next_line().await {
                 log.push(line);
             }
--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
 
-use super::pool::{Exchange, Pool, SendFault};
+use super::pool::{Exchange, Pool, Reuse, SendFault};
 use super::sse::EventReader;
 use crate::ids::{AttemptId, Incarnation};
 use crate::telemetry::TraceContext;
@@ -128,7 +128,7 @@
     /// How long the engine may be silent.
     pub silence: Duration,
     /// Whether a new connection is asked for.
-    pub fresh: bool,
+    pub reuse: Reuse,
     /// The hop's place in the trace.
     pub trace: TraceContext,
 }
@@ -149,7 +149,7 @@
     body.insert("request_id".to_owned(), Value::String(attempt.to_string()));
     body.insert("emberturn".to_owned(), json!(extra));
     let request = post(target, Value::Object(body).to_string())?;
-    let exchange = pool.send(target.addr, request, target.silence, target.fresh).await?;
+    let exchange = pool.send(target.addr, request, target.silence, target.reuse).await?;
     if exchange.status != StatusCode::OK {
         return Err(refusal(exchange, target.silence).await);
     }
@@ -269,7 +269,7 @@
         .header("host", addr.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| EngineFault::NotRun(error.to_string()))?;
-    let exchange = pool.send(addr, request, limit, false).await?;
+    let exchange = pool.send(addr, request, limit, Reuse::Any).await?;
     let body = exchange.read_whole(SMALL_BODY, limit).await?;
     serde_json::from_slice(&body).map_err(|error| EngineFault::Invalid(error.to_string()))
 }
@@ -290,7 +290,7 @@
 ) -> Result<String, EngineFault> {
     let target = Target { path: "/kv/export", ..*target };
     let request = post(&target, json!({ "request_id": attempt }).to_string())?;
-    let exchange = pool.send(target.addr, request, target.silence, true).await?;
+    let exchange = pool.send(target.addr, request, target.silence, Reuse::Never).await?;
     if exchange.status != StatusCode::OK {
         return Err(refusal(exchange, target.silence).await);
     }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -26,8 +26,23 @@
 /// How long an idle connection is kept.
 const IDLE_TIME: Duration = Duration::from_secs(20);
 
+/// Subtracted from the time for which the other side says it keeps an idle connection.
+const KEEP_MARGIN: Duration = Duration::from_millis(1_000);
+
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Whether a request may go on a pooled connection. The other side may close such a connection at
+/// the very moment it is used, which leaves open whether the request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// On any that is not known to be closed.
+    Any,
+    /// On one that has rested for no longer than this.
+    Rested(Duration),
+    /// On none.
+    Never,
+}
+
 /// Why there is no answer, and what that proves.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SendFault {
@@ -53,6 +68,7 @@
     pub headers: HeaderMap,
     body: Incoming,
     home: Option<(Pool, SocketAddr, Sender)>,
+    keep: Duration,
 }
 
 impl Exchange {
@@ -101,7 +117,7 @@
 
     fn give_back(&mut self) {
         if let Some((pool, addr, sender)) = self.home.take() {
-            pool.put(addr, sender);
+            pool.put(addr, sender, self.keep);
         }
     }
 }
@@ -109,20 +125,30 @@
 struct Idle {
     sender: Sender,
     since: Instant,
+    until: Instant,
 }
 
 /// All connections.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    connect_time: Duration,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new(CONNECT_TIME)
+    }
 }
 
 impl Pool {
+    /// No connections yet; a new one may take `connect_time` to stand.
+    pub fn new(connect_time: Duration) -> Self {
+        Self { idle: Arc::default(), connect_time }
+    }
+
     /// Sends a request and waits for the head of its answer, at most `silence`.
     ///
-    /// With `fresh` the request goes on a new connection: a pooled one may be closed by the other
-    /// side at the very moment it is used, which would leave open whether the request ran.
-    ///
     /// # Errors
     /// What is known of the request then.
     pub async fn send(
@@ -130,11 +156,16 @@
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
         silence: Duration,
-        fresh: bool,
+        reuse: Reuse,
     ) -> Result<Exchange, SendFault> {
         let mut request = request;
-        if !fresh {
-            while let Some(sender) = self.take(addr) {
+        let rest = match reuse {
+            Reuse::Any => Some(Duration::MAX),
+            Reuse::Rested(rest) => Some(rest),
+            Reuse::Never => None,
+        };
+        if let Some(rest) = rest {
+            while let Some(sender) = self.take(addr, rest) {
                 match self.send_on(addr, sender, request, silence).await {
                     Ok(exchange) => return Ok(exchange),
                     Err((SendFault::NotSent(_), Some(unsent))) => request = unsent,
@@ -142,7 +173,7 @@
                 }
             }
         }
-        let sender = connect(addr).await?;
+        let sender = connect(addr, self.connect_time.min(silence)).await?;
         let sent = self.send_on(addr, sender, request, silence).await;
         sent.map_err(|(fault, _)| fault)
     }
@@ -160,7 +191,8 @@
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
                 let home = Some((self.clone(), addr, sender));
-                Ok(Exchange { status: parts.status, headers: parts.headers, body, home })
+                let keep = keep_time(&parts.headers);
+                Ok(Exchange { status: parts.status, headers: parts.headers, body, home, keep })
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The library gives the request back only when it wrote nothing of it.
@@ -172,31 +204,44 @@
         }
     }
 
-    fn take(&self, addr: SocketAddr) -> Option<Sender> {
+    fn take(&self, addr: SocketAddr, rest: Duration) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&addr)?;
-        while let Some(held) = list.pop() {
-            if !held.sender.is_closed() && held.since.elapsed() < IDLE_TIME {
-                return Some(held.sender);
-            }
-        }
-        None
+        let now = Instant::now();
+        list.retain(|held| !held.sender.is_closed() && now < held.until);
+        // The one used last: the others may rest until they are closed.
+        let fresh = list.last().is_some_and(|held| now < held.since + rest.min(IDLE_TIME));
+        fresh.then(|| list.pop()).flatten().map(|held| held.sender)
     }
 
-    fn put(&self, addr: SocketAddr, sender: Sender) {
+    fn put(&self, addr: SocketAddr, sender: Sender, keep: Duration) {
         if sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(addr).or_default();
         if list.len() < IDLE_LIMIT {
-            list.push(Idle { sender, since: Instant::now() });
+            let since = Instant::now();
+            list.push(Idle { sender, since, until: since + keep });
         }
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<Sender, SendFault> {
-    let connecting = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(addr)).await;
+/// How long an idle connection is kept, by the other side's word where it gives one.
+fn keep_time(headers: &HeaderMap) -> Duration {
+    let word = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = word.and_then(|text| {
+        let parameters = text.split(',').map(str::trim);
+        parameters.filter_map(|it| it.strip_prefix("timeout=")).next()?.trim().parse().ok()
+    });
+    match seconds.map(Duration::from_secs) {
+        Some(kept) => kept.saturating_sub(KEEP_MARGIN).min(IDLE_TIME),
+        None => IDLE_TIME,
+    }
+}
+
+async fn connect(addr: SocketAddr, limit: Duration) -> Result<Sender, SendFault> {
+    let connecting = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
     let not_sent = |text: String| SendFault::NotSent(format!("connect to {addr}: {text}"));
     let stream = match connecting {
         Err(_) => return Err(not_sent("timed out".to_owned())),
--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! | section | writer |
 //! |---|---|
-//! | configuration, freshness, whether work waits | the group's driver on a replica, the follower elsewhere |
+//! | configuration, published document, freshness, whether work waits | the group's driver on a replica, the follower elsewhere |
 //! | phase | the node |
 //! | fleet: leaving, load | gossip, the platform's watcher, load polls, each attempt |
 //! | boxes | gossip |
@@ -27,6 +27,7 @@
 use crate::ids::{BoxId, Revision};
 use crate::member::table::Boxes;
 use crate::state::config::Configuration;
+use crate::state::document::Document;
 use crate::telemetry::HopLog;
 use fleet::Fleet;
 
@@ -72,10 +73,12 @@
 pub struct Blackboard {
     own: BoxId,
     in_force: watch::Sender<Arc<InForce>>,
+    document: watch::Sender<Arc<Document>>,
     fresh: watch::Sender<Option<Instant>>,
     phase: watch::Sender<Phase>,
     requests: AtomicUsize,
     work_waiting: AtomicBool,
+    voters: AtomicUsize,
     /// What is known of backend servers.
     pub fleet: Fleet,
     /// What is known of boxes.
@@ -92,10 +95,12 @@
         Self {
             own,
             in_force: watch::Sender::new(Arc::default()),
+            document: watch::Sender::new(Arc::default()),
             fresh: watch::Sender::new(None),
             phase: watch::Sender::new(Phase::Starting),
             requests: AtomicUsize::new(0),
             work_waiting: AtomicBool::new(false),
+            voters: AtomicUsize::new(0),
             fleet: Fleet::default(),
             boxes: ArcSwap::default(),
             shares: ArcSwap::default(),
@@ -139,6 +144,31 @@
         self.in_force.borrow().configuration.revision
     }
 
+    /// The document that operators published, as far as this node has it.
+    pub fn document(&self) -> Arc<Document> {
+        self.document.borrow().clone()
+    }
+
+    /// Follows the published document.
+    pub fn follow_document(&self) -> watch::Receiver<Arc<Document>> {
+        self.document.subscribe()
+    }
+
+    /// Takes a published document. One that is not newer is passed over: nothing reverts.
+    pub fn put_document(&self, document: Arc<Document>) {
+        let version = document.version;
+        let changed = self.document.send_if_modified(|held| {
+            let newer = version > held.version;
+            if newer {
+                *held = document;
+            }
+            newer
+        });
+        if changed {
+            tracing::info!(event = "document_held", version = %version);
+        }
+    }
+
     /// Notes that the configuration in force was certainly the newest anywhere at `at`.
     pub fn note_fresh(&self, at: Instant) {
         self.fresh.send_if_modified(|held| {
@@ -191,6 +221,16 @@
         self.work_waiting.store(waiting, Ordering::Relaxed);
     }
 
+    /// How many voters the group has, as far as this replica knows; 0 elsewhere.
+    pub fn voters(&self) -> usize {
+        self.voters.load(Ordering::Relaxed)
+    }
+
+    /// Notes how many voters the group has.
+    pub fn note_voters(&self, voters: usize) {
+        self.voters.store(voters, Ordering::Relaxed);
+    }
+
     /// Requests under way.
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::SeqCst)
--- a/src/platform/mod.rs
+++ b/src/boxlist/mod.rs
@@ -14,7 +14,7 @@
 use hyper::Request;
 use serde::Deserialize;
 
-use crate::backend::{Pool, SendFault};
+use crate::backend::{Pool, Reuse, SendFault};
 use crate::ids::Incarnation;
 
 /// Bytes of the list at most.
@@ -66,7 +66,7 @@
         .header("host", addr.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| ListFault::Unreadable(error.to_string()))?;
-    let exchange = pool.send(addr, request, limit, false).await?;
+    let exchange = pool.send(addr, request, limit, Reuse::Any).await?;
     let status = exchange.status;
     let body = exchange.read_whole(LIST_LIMIT, limit).await?;
     if !status.is_success() {
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -8,7 +8,7 @@
 
 use super::exit;
 use super::operator::{Contact, contact, exit_with, print_json};
-use crate::ids::Revision;
+use crate::ids::{Revision, Version};
 use crate::peer::method::{self, Poll, PollReply, Update};
 use crate::state::config::Configuration;
 
@@ -49,7 +49,7 @@
 /// When no replica answers.
 pub(super) async fn fetch(contact: &Contact) -> Result<Arc<Configuration>> {
     // A revision no replica has yet makes it answer with all of its configuration at once.
-    let poll = Poll { from: Revision(u64::MAX), wait: 0 };
+    let poll = Poll { from: Revision(u64::MAX), document: Version(u64::MAX), wait: 0 };
     let reply: PollReply = contact.ask(method::POLL, &poll).await?;
     match reply.news {
         Update::Whole(configuration) => Ok(configuration),
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -1,7 +1,9 @@
 //! `emberturn node`: runs a node.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use eyre::{Result, WrapErr};
@@ -13,6 +15,9 @@
 use crate::settings::Settings;
 use crate::telemetry::logs;
 
+/// Time between two looks at whether the settings file has changed.
+const CHANGE_LOOK: Duration = Duration::from_secs(2);
+
 /// The arguments.
 #[derive(Debug, Clone)]
 pub struct Arguments {
@@ -50,14 +55,22 @@
             return exit_with(exit::INVALID);
         }
     };
-    logs::start(&settings.log.level)?;
+    let _logs = logs::start(&settings.log.level)?;
+    tokio::spawn(logs::tell_dropped());
+    let roles: Vec<_> = settings.node.roles.iter().map(ToString::to_string).collect();
+    tracing::info!(
+        event = "started", version = env!("CARGO_PKG_VERSION"), roles = roles.join("+"),
+        box_id = %settings.node.box_id, data_centre = %settings.node.data_centre,
+    );
     let node = Node::start(settings).await?;
     tokio::spawn(stop_on_signal(node.clone()));
+    tokio::spawn(reload_on_change(node.clone(), arguments.settings));
     node.serve().await?;
+    tracing::info!(event = "stopped");
     exit_with(exit::DONE)
 }
 
-async fn stop_on_signal(node: std::sync::Arc<Node>) -> Result<()> {
+async fn stop_on_signal(node: Arc<Node>) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("watch SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("watch SIGINT")?;
     tokio::select! {
@@ -67,3 +80,32 @@
     node.stop.notify_one();
     Ok(())
 }
+
+/// Reads the settings again on SIGHUP, and when the file has changed without one.
+async fn reload_on_change(node: Arc<Node>, path: PathBuf) -> Result<()> {
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("watch SIGHUP")?;
+    let mut held = stamp(&path);
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(CHANGE_LOOK) => {
+                if stamp(&path) == held {
+                    continue;
+                }
+            }
+        }
+        held = stamp(&path);
+        match Settings::load(&path) {
+            Ok(settings) => node.reload(&settings),
+            Err(error) => {
+                tracing::error!(event = "settings_refused", faults = error.faults.join("; "));
+            }
+        }
+    }
+}
+
+/// What changes with a file: its time and length.
+fn stamp(path: &Path) -> Option<(SystemTime, u64)> {
+    let metadata = std::fs::metadata(path).ok()?;
+    Some((metadata.modified().ok()?, metadata.len()))
+}
--- /dev/null
+++ b/src/control/beat.rs
@@ -0,0 +1,91 @@
+//! A relay's word to the leader, and what comes back: one call carries the demand and use of the
+//! teams, and brings their allowances and the list of backend servers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::group::access::Access;
+use crate::ids::{BoxId, Incarnation, TeamName, Window};
+use crate::relay::Relay;
+use crate::relay::allowance::{Allowed, TeamDemand};
+use crate::relay::servers::{ListVersion, ServerList};
+use crate::relay::usage::Counts;
+
+/// Time between two beats.
+const BEAT_TIME: Duration = Duration::from_millis(400);
+
+/// How long the leader may take, with the search for it.
+const ANSWER_TIME: Duration = Duration::from_millis(1_200);
+
+/// What a relay tells the leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Beat {
+    /// The box.
+    pub box_id: BoxId,
+    /// The life of its process: counts of different lives add up.
+    pub life: Incarnation,
+    /// The list of backend servers it has.
+    pub list: ListVersion,
+    /// Requests that began to run, in the windows whose reports are not known to be fixed.
+    pub usage: Counts,
+    /// What the teams used and were refused.
+    pub demand: BTreeMap<TeamName, TeamDemand>,
+}
+
+/// What the leader answers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct BeatReply {
+    /// The list of backend servers, if it is newer than the relay's.
+    pub list: Option<Arc<ServerList>>,
+    /// What the teams may use on this box.
+    pub allowed: BTreeMap<TeamName, Allowed>,
+    /// The last window whose report is fixed.
+    pub settled: Window,
+    /// Relays that share the limits.
+    pub relays: u32,
+}
+
+/// Beats until the task is dropped.
+pub(crate) async fn run(relay: Arc<Relay>, access: Access, box_id: BoxId, life: Incarnation) {
+    let mut lost = false;
+    loop {
+        let heard = beat(&relay, &access, &box_id, life).await;
+        if heard == lost {
+            let version = relay.servers.version();
+            tracing::info!(event = "leader_heard", heard, list_term = %version.term);
+        }
+        lost = !heard;
+        let jitter = rand::rng().random_range(0.85..1.15);
+        tokio::time::sleep(BEAT_TIME.mul_f64(jitter)).await;
+    }
+}
+
+/// One beat; whether it was answered.
+async fn beat(relay: &Relay, access: &Access, box_id: &BoxId, life: Incarnation) -> bool {
+    let beat = Beat {
+        box_id: box_id.clone(),
+        life,
+        list: relay.servers.version(),
+        usage: relay.usage().counts(),
+        demand: relay.allowances().tell(),
+    };
+    match access.beat(&beat, ANSWER_TIME).await {
+        Ok(reply) => {
+            relay.allowances().hear(&reply.allowed, Instant::now());
+            relay.usage().forget(reply.settled);
+            relay.note_relays(reply.relays);
+            if let Some(list) = reply.list {
+                relay.servers.take((*list).clone());
+            }
+            true
+        }
+        Err(error) => {
+            tracing::debug!(event = "beat_unanswered", %error);
+            false
+        }
+    }
+}
--- a/src/control/platform.rs
+++ b/src/control/boxlist.rs
@@ -5,7 +5,7 @@
 
 use crate::member::spread::word;
 use crate::node::Node;
-use crate::platform::{self, Listed, ListedState};
+use crate::boxlist::{self, Listed, ListedState};
 
 /// How long the platform may take.
 const ANSWER_TIME: Duration = Duration::from_millis(2_000);
@@ -18,7 +18,7 @@
     let mut timer = tokio::time::interval(settings.poll.duration());
     loop {
         timer.tick().await;
-        match platform::list(&node.pool, settings.addr, ANSWER_TIME).await {
+        match boxlist::list(&node.pool, settings.addr, ANSWER_TIME).await {
             Ok(list) => {
                 for (name, listed) in list {
                     take(&node, &name, &listed);
--- /dev/null
+++ b/src/control/lead.rs
@@ -0,0 +1,241 @@
+//! What the leader does besides replicating: it reads the list of backend servers for all boxes,
+//! keeps the teams' levels, and carries out the duties towards the platform.
+//!
+//! All of it is soft state of one term. A new leader learns it again from the boxes' beats, and acts
+//! on the platform only after the former one can no longer do so.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use tokio::time::MissedTickBehavior;
+
+use super::beat::{Beat, BeatReply};
+use crate::decide::level::{Limit, TeamLevel};
+use crate::group::driver::Unanswered;
+use crate::ids::{BoxId, Incarnation, TeamName, Term, Window};
+use crate::node::Node;
+use crate::platform::client::{Client, Duty, DutyAnswer};
+use crate::relay::servers::{ListVersion, ServerList};
+use crate::relay::table::RouteTable;
+use crate::relay::usage::{Counts, window_at};
+use crate::settings::CloudSettings;
+use crate::state::usage::Settle;
+use crate::state::{Command, Reply};
+
+/// Time between two looks at what is due.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// How long the platform may take.
+const CLOUD_TIME: Duration = Duration::from_millis(1_500);
+
+/// How long the group may take to fix a window's counts.
+const SETTLE_TIME: Duration = Duration::from_millis(2_000);
+
+/// Pause after a report that the platform did not take.
+const REPORT_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// How long after its end a window's counts are fixed, as a part of the time until its report is due:
+/// late enough for every box's word, early enough for tries and for a change of leader.
+const SETTLE_PART: f64 = 0.35;
+
+/// Windows before its election for which a new leader makes sure that a report went out.
+const LOOK_BACK: u64 = 3;
+
+/// A relay that has not been heard for this long does not share the limits.
+const ABSENT_TIME: Duration = Duration::from_secs(3);
+
+/// Time after which a relay's counts are forgotten.
+const FORGET_TIME: Duration = Duration::from_secs(40);
+
+/// What one life of a relay has told.
+struct Word {
+    heard: Instant,
+    usage: Counts,
+}
+
+/// The soft state of one term.
+pub(crate) struct Lead {
+    term: Term,
+    since: Instant,
+    words: BTreeMap<(BoxId, Incarnation), Word>,
+    levels: BTreeMap<TeamName, TeamLevel>,
+    table: Option<Arc<RouteTable>>,
+    list: Arc<ServerList>,
+    settled: Window,
+}
+
+impl Lead {
+    fn new(term: Term) -> Self {
+        Self {
+            term,
+            since: Instant::now(),
+            words: BTreeMap::new(),
+            levels: BTreeMap::new(),
+            table: None,
+            list: Arc::default(),
+            settled: Window(0),
+        }
+    }
+
+    /// Takes a relay's word and answers it.
+    fn hear(&mut self, beat: Beat) -> BeatReply {
+        let now = Instant::now();
+        let allowed = self.allow(&beat);
+        let key = (beat.box_id, beat.life);
+        self.words.insert(key, Word { heard: now, usage: beat.usage });
+        self.words.retain(|_, word| word.heard + FORGET_TIME > now);
+        let present = |word: &&Word| word.heard + ABSENT_TIME > now;
+        let relays = self.words.values().filter(present).count() as u32;
+        let newer = self.list.version > beat.list && !self.list.servers.is_empty();
+        let list = newer.then(|| self.list.clone());
+        BeatReply { list, allowed, settled: self.settled, relays }
+    }
+
+    fn allow(&mut self, beat: &Beat) -> BTreeMap<TeamName, crate::relay::allowance::Allowed> {
+        let now = self.since.elapsed().as_secs_f64();
+        let Some(table) = self.table.clone() else {
+            return BTreeMap::new();
+        };
+        self.levels.retain(|name, _| table.teams.contains_key(name));
+        let mut allowed = BTreeMap::new();
+        for (name, team) in &table.teams {
+            let Some(rate) = team.rate else {
+                continue;
+            };
+            let limit = Limit { rate, burst: team.burst.max(rate * LOOK.as_secs_f64()) };
+            let demand = beat.demand.get(name).copied().unwrap_or_default();
+            let level = self.levels.entry(name.clone()).or_default();
+            allowed.insert(name.clone(), level.hear(now, limit, &beat.box_id, demand));
+        }
+        allowed
+    }
+
+    /// The counts of a window over all boxes and lives.
+    fn counts(&self, window: Window) -> BTreeMap<TeamName, u64> {
+        let mut sum = BTreeMap::new();
+        for teams in self.words.values().filter_map(|word| word.usage.get(&window)) {
+            for (name, count) in teams {
+                *sum.entry(name.clone()).or_insert(0) += count;
+            }
+        }
+        sum
+    }
+}
+
+/// Answers a relay's beat, if this process leads.
+pub(crate) async fn hear(
+    node: Arc<Node>,
+    beat: Beat,
+) -> Result<Result<BeatReply, Unanswered>, String> {
+    let Some(term) = node.leading_term().await else {
+        return Ok(Err(Unanswered::NotLeader(None)));
+    };
+    Ok(Ok(node.with_lead(term, |lead| lead.hear(beat))))
+}
+
+impl Node {
+    /// Runs `f` with the soft state of the term this process leads in.
+    fn with_lead<R>(&self, term: Term, f: impl FnOnce(&mut Lead) -> R) -> R {
+        let mut held = crate::node::lock(&self.lead);
+        if held.as_ref().is_none_or(|lead| lead.term != term) {
+            tracing::info!(event = "leading", term = %term);
+            *held = Some(Lead::new(term));
+        }
+        f(held.get_or_insert_with(|| Lead::new(term)))
+    }
+}
+
+/// Does what is due while this process leads, until the task is dropped.
+pub(crate) async fn run(node: Arc<Node>, settings: CloudSettings) {
+    let client = Client::new(node.pool.clone(), settings.addr);
+    let mut timer = tokio::time::interval(LOOK);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut listing: Option<Instant> = None;
+    let mut reporting: Option<Instant> = None;
+    loop {
+        timer.tick().await;
+        let Some(term) = node.leading_term().await else {
+            continue;
+        };
+        follow_table(&node, term);
+        if listing.is_none_or(|at| at.elapsed() >= settings.poll.duration()) {
+            listing = Some(Instant::now());
+            read_list(&node, &client, term).await;
+        }
+        let leads_for = node.with_lead(term, |lead| lead.since.elapsed());
+        let rested = reporting.is_none_or(|at| at.elapsed() >= REPORT_PAUSE);
+        if leads_for > settings.lease.duration() && rested && !report(&node, &client, &settings, term).await {
+            reporting = Some(Instant::now());
+        }
+    }
+}
+
+/// Keeps the teams' limits at those of the published document.
+fn follow_table(node: &Node, term: Term) {
+    let document = node.board.document();
+    let held = node.with_lead(term, |lead| lead.table.as_ref().map(|table| table.version));
+    if document.version.0 == 0 || held == Some(document.version) {
+        return;
+    }
+    match node.dialect.read_table(&document.text) {
+        Ok(table) => node.with_lead(term, |lead| lead.table = Some(Arc::new(table))),
+        Err(reason) => tracing::error!(event = "document_invalid", version = %document.version, reason),
+    }
+}
+
+async fn read_list(node: &Node, client: &Client, term: Term) {
+    match client.list(CLOUD_TIME).await {
+        Ok(servers) => node.with_lead(term, |lead| {
+            if lead.list.servers == servers {
+                return;
+            }
+            let version = ListVersion { term, place: lead.list.version.place + 1 };
+            let leaving = servers.iter().filter(|server| server.leaving).count();
+            tracing::info!(
+                event = "list_read", term = %term, place = version.place,
+                servers = servers.len(), leaving,
+            );
+            lead.list = Arc::new(ServerList { version, servers });
+        }),
+        Err(error) => tracing::warn!(event = "list_unread", %error),
+    }
+}
+
+/// Fixes and reports the windows that are due; `false` if one could not be.
+async fn report(node: &Node, client: &Client, settings: &CloudSettings, term: Term) -> bool {
+    let length = settings.usage_window.duration();
+    let delay = settings.usage_due.duration().mul_f64(SETTLE_PART);
+    let now = SystemTime::now();
+    // The window before the one that `delay` ago was under way has ended for long enough.
+    let current = window_at(now.checked_sub(delay).unwrap_or(now), length);
+    let Some(last) = current.0.checked_sub(1) else {
+        return true;
+    };
+    let settled = node.with_lead(term, |lead| lead.settled);
+    let first = (settled.0 + 1).max((last + 1).saturating_sub(LOOK_BACK));
+    for window in (first..=last).map(Window) {
+        let counts = node.with_lead(term, |lead| lead.counts(window));
+        if !report_one(node, client, term, Settle { window, counts }).await {
+            return false;
+        }
+        node.with_lead(term, |lead| lead.settled = window);
+    }
+    true
+}
+
+async fn report_one(node: &Node, client: &Client, term: Term, settle: Settle) -> bool {
+    let window = settle.window;
+    let fixed = match node.access.propose(Command::Settle(settle), SETTLE_TIME).await {
+        Ok(Reply::Settle(fixed)) => fixed,
+        Ok(_) | Err(_) => {
+            tracing::warn!(event = "usage_not_fixed", window = %window);
+            return false;
+        }
+    };
+    let duty = Duty { holder: node.settings.node.box_id.clone(), fence: term };
+    let answer = client.report_usage(&duty, &fixed, CLOUD_TIME).await;
+    let sum: u64 = fixed.counts.values().sum();
+    tracing::info!(event = "usage_reported", window = %window, requests = sum, fence = %term, ?answer);
+    matches!(answer, Ok(DutyAnswer::Taken | DutyAnswer::Fenced))
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,12 +1,17 @@
 //! The controllers that run beside the request path: each reads and writes the blackboard.
 //!
+//! - [`beat`] is a relay's word to the leader; [`lead`] is what the leader does with it, and its
+//!   duties towards the platform. [`publish`] is what operators ask of the published document.
 //! - [`load`] asks engines for their load.
-//! - [`platform`] follows the platform's box list.
+//! - [`boxlist`] follows the platform's box list.
 //! - [`share`] renews this node's shares of the teams' limits, and leases them out at the leader.
 //! - [`work`] runs kept work.
 
+pub(crate) mod beat;
+pub(crate) mod lead;
 pub(crate) mod load;
-pub(crate) mod platform;
+pub(crate) mod boxlist;
+pub(crate) mod publish;
 pub(crate) mod share;
 pub(crate) mod work;
 
@@ -22,7 +27,10 @@
 /// Starts every controller of a node.
 pub(crate) fn start(node: &Arc<Node>) {
     if node.settings.platform.is_some() {
-        tokio::spawn(platform::run(node.clone()));
+        tokio::spawn(boxlist::run(node.clone()));
+    }
+    if let (true, Some(cloud)) = (node.access.local().is_some(), node.settings.cloud.clone()) {
+        tokio::spawn(lead::run(node.clone(), cloud));
     }
     if node.settings.has(Role::Entry) {
         tokio::spawn(wake_waiters(node.clone()));
--- /dev/null
+++ b/src/control/publish.rs
@@ -0,0 +1,63 @@
+//! What operators do with the published document: publish a new one, read the newest.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::error::{Failure, Kind};
+use crate::node::Node;
+use crate::state::document::{Document, Version};
+use crate::state::{Command, Reply};
+
+/// How long the group may take to accept a document.
+const PUBLISH_TIME: Duration = Duration::from_millis(2_500);
+
+/// How long the group may take for a read.
+const READ_TIME: Duration = Duration::from_millis(900);
+
+/// When to come back if the group does not answer.
+const GROUP_WAIT: Duration = Duration::from_millis(300);
+
+/// Publishes a document that has been found valid; the version held afterwards. A version that is
+/// not above the one held changes nothing.
+///
+/// # Errors
+/// [`Kind::NoGroup`] when the group does not answer, or is not complete yet.
+pub async fn publish(node: &Node, document: Document) -> Result<Version, Failure> {
+    let version = document.version;
+    if !is_complete(node) {
+        return Err(no_group("the group of replicas is not complete yet"));
+    }
+    let command = Command::Publish(Arc::new(document));
+    match node.access.propose(command, PUBLISH_TIME).await {
+        Ok(Reply::Publish(held)) => {
+            tracing::info!(event = "document_published", version = %version, held = %held);
+            Ok(held)
+        }
+        Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
+        Err(error) => Err(no_group(&error.to_string())),
+    }
+}
+
+/// The newest document. The read takes its place among all commands, so it is never an older one,
+/// whatever this process has missed.
+///
+/// # Errors
+/// [`Kind::NoGroup`] when the group does not answer.
+pub async fn read(node: &Node) -> Result<Arc<Document>, Failure> {
+    match node.access.propose(Command::ReadDocument, READ_TIME).await {
+        Ok(Reply::Document(document)) => Ok(document),
+        Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
+        Err(error) => Err(no_group(&error.to_string())),
+    }
+}
+
+/// Whether the group has, or once had, all the voters it is to have: before that, the loss of the
+/// boxes that may be lost could lose what was acknowledged.
+fn is_complete(node: &Node) -> bool {
+    let voters = node.board.voters();
+    voters >= node.settings.group.voters() || node.board.document().version.0 > 0
+}
+
+fn no_group(text: &str) -> Failure {
+    Failure::new(Kind::NoGroup, text).after(Some(GROUP_WAIT))
+}
--- /dev/null
+++ b/src/decide/level.rs
@@ -0,0 +1,112 @@
+//! How much of a team's limit is left, over all boxes, and how much of it a box may use next.
+//!
+//! The leader keeps one level for each team. It fills at the team's rate up to its burst and sinks by
+//! what boxes say they have used; it may sink below nothing, since a box finds out what it used only
+//! afterwards. While much is left, every box may use half of it; when it runs low, it is divided by
+//! demand. An amount that is allowed and not used stays in the level.
+
+use std::collections::BTreeMap;
+
+use crate::ids::BoxId;
+use crate::relay::allowance::{Allowed, TeamDemand};
+
+/// The part of the burst above which a level counts as plentiful.
+const PLENTY: f64 = 0.5;
+
+/// Of a plentiful level, what one box may use until its next word.
+const PLENTY_PART: f64 = 0.5;
+
+/// The part of a scarce level that is divided evenly; the rest goes by demand.
+const EVEN_PART: f64 = 0.2;
+
+/// Weight of a new word in a box's demand.
+const DEMAND_WEIGHT: f64 = 0.4;
+
+/// The part of its burst with which a level begins under a new leader, which does not know what was
+/// used before.
+const START_PART: f64 = 0.6;
+
+/// Words from a box older than this, in seconds, count no more.
+const FORGET_TIME: f64 = 3.0;
+
+/// A team's limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Units a second.
+    pub rate: f64,
+    /// Units on top at once.
+    pub burst: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    mean: f64,
+    at: f64,
+}
+
+/// What is left of one team's limit.
+#[derive(Debug, Clone, Default)]
+pub struct TeamLevel {
+    left: Option<f64>,
+    at: f64,
+    demands: BTreeMap<BoxId, Demand>,
+}
+
+impl TeamLevel {
+    /// Takes a box's word at `now` (seconds on the leader's clock), and allows it an amount until its
+    /// next one.
+    pub fn hear(
+        &mut self,
+        now: f64,
+        limit: Limit,
+        box_id: &BoxId,
+        demand: TeamDemand,
+    ) -> Allowed {
+        let left = self.fill(now, limit) - demand.used;
+        self.left = Some(left);
+        self.note_demand(now, box_id, demand);
+        if left <= 0.0 {
+            let wait = if limit.rate > 0.0 { -left / limit.rate } else { f64::from(u16::MAX) };
+            return Allowed { amount: 0.0, wait: wait.max(0.1) };
+        }
+        let amount = match left > PLENTY * limit.burst {
+            true => left * PLENTY_PART,
+            false => left * self.share(box_id),
+        };
+        Allowed { amount, wait: 0.0 }
+    }
+
+    /// What is left.
+    pub fn left(&self) -> f64 {
+        self.left.unwrap_or(0.0)
+    }
+
+    fn fill(&mut self, now: f64, limit: Limit) -> f64 {
+        let passed = (now - self.at).max(0.0);
+        self.at = now;
+        match self.left {
+            Some(left) => (left + limit.rate * passed).min(limit.burst),
+            None => limit.burst * START_PART,
+        }
+    }
+
+    fn note_demand(&mut self, now: f64, box_id: &BoxId, demand: TeamDemand) {
+        self.demands.retain(|_, held| now - held.at < FORGET_TIME);
+        let new = demand.used + demand.refused;
+        let mean = self.demands.get(box_id).map_or(new, |held| held.mean);
+        let mean = mean + DEMAND_WEIGHT * (new - mean);
+        self.demands.insert(box_id.clone(), Demand { mean, at: now });
+    }
+
+    /// The box's part of a scarce level.
+    fn share(&self, box_id: &BoxId) -> f64 {
+        let count = self.demands.len().max(1) as f64;
+        let even = EVEN_PART / count;
+        let total: f64 = self.demands.values().map(|demand| demand.mean).sum();
+        let own = self.demands.get(box_id).map_or(0.0, |demand| demand.mean);
+        if total <= 0.0 {
+            return 1.0 / count;
+        }
+        even + (1.0 - EVEN_PART) * own / total
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,6 +10,7 @@
 //! - [`share`]: which part of a fleet-wide limit each node may use.
 
 pub mod admit;
+pub mod level;
 pub mod policy;
 pub mod queue;
 pub mod reclaim;
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -1,15 +1,11 @@
 //! Writes answers to callers.
 
-use std::io;
-
-use bytes::Bytes;
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::{Value, json};
 
 use crate::error::{Failure, RunState};
+pub use crate::http::{Body, whole};
 use crate::state::ledger::RecordedAnswer;
 
 /// Says what is known of the request: `done`, `not_run` or `unknown`.
@@ -20,14 +16,6 @@
 
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
-/// An answer's body, whole or streamed.
-pub type Body = UnsyncBoxBody<Bytes, io::Error>;
-
-/// A whole body.
-pub fn whole(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
-}
-
 /// A JSON answer to a request that ran.
 pub fn done(value: &Value) -> Response<Body> {
     with_run(json_answer(StatusCode::OK, value), RunState::Done)
--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -21,6 +21,13 @@
 /// Time kept for handing over before a reclaimed box goes.
 const HAND_OVER_TIME: Duration = Duration::from_millis(2_000);
 
+/// Time for the platform's balancer to miss two answers, asking once a second, with a margin: callers
+/// that come until then are served.
+const UNREADY_TIME: Duration = Duration::from_millis(2_300);
+
+/// Part of the platform's grace that is left when a relay ends.
+const GRACE_MARGIN: Duration = Duration::from_millis(600);
+
 /// Time for the last bytes to leave.
 const LAST_BYTES: Duration = Duration::from_millis(50);
 
@@ -31,7 +38,7 @@
     node.board.set_phase(Phase::Draining);
     node.say_leaving();
     let limits = Limits::of(node, began);
-    if node.settings.has(Role::Entry) {
+    if node.settings.has(Role::Entry) || node.settings.has(Role::Relay) {
         tokio::time::sleep_until(limits.refuse.into()).await;
     }
     node.close_connections();
@@ -51,6 +58,11 @@
 
 impl Limits {
     fn of(node: &Node, began: Instant) -> Self {
+        if let Some(relay) = &node.settings.relay {
+            // The rest of the grace is for the last bytes and the way out.
+            let end = began + relay.grace.duration().saturating_sub(GRACE_MARGIN);
+            return Self { refuse: (began + UNREADY_TIME).min(end), hand_over: end, end };
+        }
         let settings = &node.settings.entry;
         let refuse = began + settings.balancer_time.duration();
         let hand_over = refuse + settings.drain_time.duration();
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -7,6 +7,7 @@
 use super::generation::{End, Generation};
 use super::request::Completion;
 use super::unrepeatable::{Once, Permission};
+use crate::backend::Reuse;
 use crate::backend::engine::{self, EngineFault, EngineStream, Extra, Target};
 use crate::blackboard::fleet::Leaving;
 use crate::decide::reclaim::{self, StreamFacts, Way};
@@ -167,7 +168,7 @@
             addr: chosen.server.addr,
             path: &self.plan.path,
             silence: self.plan.silence.min(self.time_left()),
-            fresh: !self.plan.repeatable,
+            reuse: if self.plan.repeatable { Reuse::Any } else { Reuse::Never },
             trace: hop.context,
         };
         let body = &self.plan.completion.body;
--- a/src/entry/hand_over.rs
+++ b/src/entry/hand_over.rs
@@ -18,6 +18,7 @@
 use super::complete::resume_handed;
 use super::generation::{End, Generation};
 use super::request::{Head, PASSED_HEADER};
+use crate::backend::Reuse;
 use crate::backend::engine::Piece;
 use crate::error::{Failure, Kind};
 use crate::ids::{BoxId, RequestKey, TeamName};
@@ -151,7 +152,7 @@
         }
     }
     let request = builder.body(Full::new(body.clone())).ok()?;
-    let mut exchange = node.pool.send(entry, request, SILENCE, true).await.ok()?;
+    let mut exchange = node.pool.send(entry, request, SILENCE, Reuse::Never).await.ok()?;
     if exchange.status != StatusCode::OK {
         return None;
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,5 @@
 //! The callers' side: takes requests, decides, forwards, and answers for the outcome.
 //!
-//! - [`server`] accepts connections and holds the limits against slow and many callers.
 //! - [`request`] reads a request; every way in which it can be wrong has its answer.
 //! - [`answer`] writes answers, failures by the one table of [`crate::error`].
 //! - [`serve`] sends each request its way; [`ground`] is what it is decided on.
@@ -26,5 +25,4 @@
 pub mod request;
 pub(crate) mod respond;
 pub mod serve;
-pub mod server;
 pub mod unrepeatable;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -12,7 +12,7 @@
 use super::dispatch::{Chosen, Wanted};
 use super::request::Head;
 use super::unrepeatable::{Once, Permission};
-use crate::backend::SendFault;
+use crate::backend::{Reuse, SendFault};
 use crate::error::{Failure, Kind, RunState};
 use crate::ids::AttemptId;
 use crate::node::Node;
@@ -146,8 +146,8 @@
     let silence = request.silence.min(left);
     let outgoing = outgoing(chosen, request, &hop)?;
     let began = Instant::now();
-    let fresh = !request.repeatable;
-    let sent = node.pool.send(chosen.server.addr, outgoing, silence, fresh).await;
+    let reuse = if request.repeatable { Reuse::Any } else { Reuse::Never };
+    let sent = node.pool.send(chosen.server.addr, outgoing, silence, reuse).await;
     let result = match sent {
         Ok(exchange) => {
             let status = exchange.status;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -18,6 +18,7 @@
 use super::unrepeatable::{Once, digest};
 use crate::blackboard::RequestGuard;
 use crate::error::{Failure, Kind};
+use crate::http::head;
 use crate::ids::ServiceName;
 use crate::node::Node;
 use crate::state::config::ServiceKind;
@@ -30,6 +31,12 @@
 /// The path prefix of kept work.
 pub(super) const KEPT: &str = "/kept/";
 
+/// The answer to a caller beyond the limit.
+pub fn too_many() -> Response<Body> {
+    let text = "the node has as many callers as it may";
+    answer::failed(&Failure::new(Kind::TooManyCallers, text))
+}
+
 /// Answers one request.
 pub async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
@@ -48,6 +55,9 @@
 
 async fn handle_work(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let guard = node.board.begin_request();
+    if let Err(failure) = head::check(&request, node.settings.entry.head_limit) {
+        return answer::failed(&failure);
+    }
     let head = match Head::read(&request, &node.settings.entry) {
         Ok(head) => head,
         Err(failure) => return answer::failed(&failure),
--- a/src/error.rs
+++ b/src/error.rs
@@ -46,6 +46,8 @@
     BadMethod,
     /// The body is larger than the limit.
     TooLarge,
+    /// The head is larger than the limit.
+    HeadTooLarge,
     /// The caller sent its request too slowly.
     SlowCaller,
     /// The same idempotency key came with another body.
@@ -58,6 +60,8 @@
     ConcurrencyLimit,
     /// The team's tokens in flight are at its limit.
     BudgetLimit,
+    /// The team's tokens a second are at its limit.
+    RateLimit,
     /// The waiting queue is full.
     QueueLimit,
     /// The request cannot be answered before its deadline.
@@ -74,6 +78,8 @@
     TooManyCallers,
     /// The node has been out of contact with the configuration for too long.
     StaleConfiguration,
+    /// The replicated group did not answer in time.
+    NoGroup,
     /// The ledger could not record the attempt, so it was not made.
     LedgerUnavailable,
     /// The ledger holds as many entries as it may.
@@ -118,18 +124,20 @@
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 32] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotFound,
         Self::BadMethod,
         Self::TooLarge,
+        Self::HeadTooLarge,
         Self::SlowCaller,
         Self::KeyConflict,
         Self::InProgress,
         Self::EarlierUnknown,
         Self::ConcurrencyLimit,
         Self::BudgetLimit,
+        Self::RateLimit,
         Self::QueueLimit,
         Self::DeadlineUnreachable,
         Self::PolicyRefused,
@@ -138,6 +146,7 @@
         Self::Draining,
         Self::TooManyCallers,
         Self::StaleConfiguration,
+        Self::NoGroup,
         Self::LedgerUnavailable,
         Self::LedgerFull,
         Self::BackendBroke,
@@ -159,12 +168,14 @@
             Self::NotFound => row(404, "not_found", NotRun, false),
             Self::BadMethod => row(405, "bad_method", NotRun, false),
             Self::TooLarge => row(413, "too_large", NotRun, false),
+            Self::HeadTooLarge => row(431, "head_too_large", NotRun, false),
             Self::SlowCaller => row(408, "slow_caller", NotRun, true),
             Self::KeyConflict => row(422, "key_conflict", NotRun, false),
             Self::InProgress => row(409, "in_progress", Unknown, true),
             Self::EarlierUnknown => row(409, "outcome_unknown", Unknown, false),
             Self::ConcurrencyLimit => row(429, "concurrency_limit", NotRun, true),
             Self::BudgetLimit => row(429, "budget_limit", NotRun, true),
+            Self::RateLimit => row(429, "rate_limit", NotRun, true),
             Self::QueueLimit => row(503, "queue_limit", NotRun, true),
             Self::DeadlineUnreachable => row(503, "deadline_unreachable", NotRun, true),
             Self::PolicyRefused => row(403, "policy_refused", NotRun, false),
@@ -173,6 +184,7 @@
             Self::Draining => row(503, "draining", NotRun, true),
             Self::TooManyCallers => row(503, "too_many_callers", NotRun, true),
             Self::StaleConfiguration => row(503, "stale_configuration", NotRun, true),
+            Self::NoGroup => row(503, "no_group", Unknown, true),
             Self::LedgerUnavailable => row(503, "ledger_unavailable", NotRun, true),
             Self::LedgerFull => row(503, "ledger_full", NotRun, true),
             Self::BackendBroke => row(502, "backend_broke", Unknown, true),
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -13,7 +13,10 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
+use super::directory::Directory;
 use super::driver::{GroupMessage, Unanswered};
+use super::message::MemberChange;
+use crate::control::beat::{Beat, BeatReply};
 use crate::control::share::ShareRequest;
 use crate::decide::share::Share;
 use crate::ids::{BoxId, TeamName};
@@ -38,7 +41,7 @@
     own: BoxId,
     local: Option<ActorRef<GroupMessage>>,
     peers: Peers,
-    replicas: Arc<BTreeMap<BoxId, SocketAddr>>,
+    directory: Arc<Directory>,
     leader: Arc<Mutex<Option<BoxId>>>,
 }
 
@@ -48,9 +51,9 @@
         own: BoxId,
         local: Option<ActorRef<GroupMessage>>,
         peers: Peers,
-        replicas: BTreeMap<BoxId, SocketAddr>,
+        directory: Arc<Directory>,
     ) -> Self {
-        Self { own, local, peers, replicas: Arc::new(replicas), leader: Arc::default() }
+        Self { own, local, peers, directory, leader: Arc::default() }
     }
 
     /// This process's replica.
@@ -58,9 +61,9 @@
         self.local.as_ref()
     }
 
-    /// Every replica's address.
-    pub fn replicas(&self) -> &BTreeMap<BoxId, SocketAddr> {
-        &self.replicas
+    /// Where the replicas are.
+    pub fn directory(&self) -> &Arc<Directory> {
+        &self.directory
     }
 
     /// Proposes a command and waits until it is applied.
@@ -71,6 +74,26 @@
         self.until_answered(method::PROPOSE, &command, limit).await
     }
 
+    /// Changes the group's members.
+    ///
+    /// # Errors
+    /// When `limit` is over, or the change does not fit until then.
+    pub async fn change_members(
+        &self,
+        change: &MemberChange,
+        limit: Duration,
+    ) -> Result<(), NoGroup> {
+        self.until_answered(method::CHANGE_MEMBERS, change, limit).await
+    }
+
+    /// Gives the leader word of this box and takes what it has to say.
+    ///
+    /// # Errors
+    /// When `limit` is over.
+    pub(crate) async fn beat(&self, beat: &Beat, limit: Duration) -> Result<BeatReply, NoGroup> {
+        self.until_answered(method::BEAT, beat, limit).await
+    }
+
     /// Reads kept work at the leader.
     ///
     /// # Errors
@@ -137,14 +160,14 @@
     /// The leader where known, else the replicas in turn, beginning with this box's own.
     fn target(&self, turn: usize) -> Option<(BoxId, SocketAddr)> {
         let leader = self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let known = leader.and_then(|leader| Some((leader.clone(), *self.replicas.get(&leader)?)));
+        let known = leader.and_then(|id| Some((id.clone(), self.directory.find(&id)?)));
         if known.is_some() {
             return known;
         }
-        let own = self.replicas.keys().position(|box_id| *box_id == self.own).unwrap_or(0);
-        let place = (own + turn) % self.replicas.len().max(1);
-        let found = self.replicas.iter().nth(place);
-        found.map(|(box_id, addr)| (box_id.clone(), *addr))
+        let all = self.directory.all();
+        let own = all.iter().position(|(box_id, _)| *box_id == self.own).unwrap_or(0);
+        let place = (own + turn) % all.len().max(1);
+        all.into_iter().nth(place)
     }
 
     fn remember(&self, leader: Option<BoxId>) {
--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -222,6 +222,11 @@
         self.log.members().0
     }
 
+    /// For how long a replica has not answered, in milliseconds on this leader's clock.
+    pub fn silent_for(&self, progress: &Progress) -> u64 {
+        self.now.saturating_sub(progress.heard)
+    }
+
     /// What a leader knows of the others.
     pub fn progress(&self) -> &BTreeMap<BoxId, Progress> {
         &self.progress
@@ -292,6 +297,12 @@
         Ok((index, self.hard.term))
     }
 
+    /// Notes the time without acting on it, so that a process that stood still does not take an
+    /// old confirmation for a fresh one.
+    pub fn observe(&mut self, now: u64) {
+        self.now = self.now.max(now);
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: u64) {
         self.now = self.now.max(now);
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::core::{Core, Identity, Output, Refusal, Role};
+use super::directory::Directory;
 use super::links::Links;
 use super::log::Tail;
 use super::message::{Entry, Envelope, MemberChange, Members, Payload, Snapshot};
@@ -24,6 +25,9 @@
 use crate::state::{Command, Machine, Reply};
 use crate::telemetry::hops::unix_millis;
 
+/// Exit code of a replica whose disk refused a write. It restarts with what the disk does hold.
+const STORAGE_FAILED: i32 = 74;
+
 /// Time between two looks at the clock.
 const TICK: Duration = Duration::from_millis(30);
 
@@ -104,6 +108,8 @@
     pub machine: Machine,
     /// The links to the others.
     pub links: Links,
+    /// Where the others are; it learns the members.
+    pub directory: Arc<Directory>,
     /// Where the configuration goes.
     pub board: Arc<Blackboard>,
     /// The start of the core's clock.
@@ -120,6 +126,7 @@
     core: Core,
     machine: Machine,
     links: Links,
+    directory: Arc<Directory>,
     board: Arc<Blackboard>,
     epoch: Instant,
     waiting: BTreeMap<Index, Waiter>,
@@ -127,6 +134,7 @@
     compacting: bool,
     expired: Instant,
     looked: Instant,
+    noted: Members,
 }
 
 struct Waiter {
@@ -172,13 +180,23 @@
         arguments: DriverArguments,
     ) -> Result<DriverState, ActorProcessingErr> {
         myself.send_interval(TICK, || GroupMessage::Tick);
-        let DriverArguments { identity, storage, core, machine, links, board, epoch } = arguments;
+        let DriverArguments {
+            identity,
+            storage,
+            core,
+            machine,
+            links,
+            directory,
+            board,
+            epoch,
+        } = arguments;
         Ok(DriverState {
             identity,
             storage: Arc::new(storage),
             core,
             machine,
             links,
+            directory,
             board,
             epoch,
             waiting: BTreeMap::new(),
@@ -186,6 +204,7 @@
             compacting: false,
             expired: Instant::now(),
             looked: Instant::now(),
+            noted: Members::default(),
         })
     }
 
@@ -212,10 +231,12 @@
                 return Ok(());
             }
             GroupMessage::ReadWork(id, port) => {
+                state.core.observe(now);
                 let _ = port.send(state.read_work(&id));
                 return Ok(());
             }
             GroupMessage::LeadingTerm(port) => {
+                state.core.observe(now);
                 let _ = port.send(state.core.may_read().then(|| state.core.term()));
                 return Ok(());
             }
@@ -297,7 +318,8 @@
             last: self.core.log().last_index(),
             commit: self.core.commit(),
             members: self.core.members().clone(),
-            matched: progress.map(|(box_id, it)| (box_id.clone(), it.matched)).collect(),
+            matched: progress.clone().map(|(id, it)| (id.clone(), it.matched)).collect(),
+            silent: progress.map(|(id, it)| (id.clone(), self.core.silent_for(it))).collect(),
         }
     }
 
@@ -340,6 +362,7 @@
             self.carry_out(output).await?;
         }
         self.note_fresh();
+        self.note_members();
         if was_leader != (*self.core.role() == Role::Leader) {
             let role = self.status().role;
             tracing::info!(event = "group_role", role, term = %self.core.term());
@@ -381,7 +404,7 @@
         if let Err(error) = written {
             // What was said to be stored must be; without a disk this replica is of no use.
             tracing::error!(event = "storage_failed", %error);
-            return Err(error.into());
+            std::process::exit(STORAGE_FAILED);
         }
         Ok(())
     }
@@ -428,6 +451,23 @@
 
     fn publish(&self) {
         self.board.put_in_force(self.machine.configuration().clone());
+        self.board.put_document(self.machine.document().clone());
+    }
+
+    /// Has the members' addresses known and the links to others closed, when the members change.
+    fn note_members(&mut self) {
+        let members = self.core.members();
+        if *members == self.noted {
+            return;
+        }
+        self.noted = members.clone();
+        self.directory.learn(members.voters.keys().chain(members.learners.keys()));
+        let noted = &self.noted;
+        self.links.keep(|box_id| noted.incarnation(box_id).is_some());
+        let voters = self.noted.voters.len();
+        let learners = self.noted.learners.len();
+        self.board.note_voters(voters);
+        tracing::info!(event = "group_members", voters, learners);
     }
 
     /// Says on the blackboard how fresh the state is, if all that is committed has been applied.
--- a/src/group/follow.rs
+++ b/src/group/follow.rs
@@ -1,15 +1,12 @@
 //! How a node without a disk keeps up with the configuration: it asks a replica for what it lacks
 //! and how fresh that is, and waits there for news.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use rand::seq::SliceRandom;
-
 use crate::blackboard::Blackboard;
-use crate::ids::BoxId;
+use crate::group::directory::Directory;
 use crate::peer::method::{self, Poll, PollReply, Update};
 use crate::peer::{PeerError, Peers};
 use crate::state::config::{ChangeReply, Configuration};
@@ -24,17 +21,22 @@
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Places from which a node begins to go through the replicas; more than there are replicas.
+const PLACES: usize = 64;
+
 /// An age from which another replica is asked instead.
 const OLD: Duration = Duration::from_millis(1_500);
 
 /// Follows the configuration until the task is dropped.
-pub async fn run(board: Arc<Blackboard>, peers: Peers, replicas: BTreeMap<BoxId, SocketAddr>) {
-    let mut addrs: Vec<_> = replicas.into_values().collect();
-    addrs.shuffle(&mut rand::rng());
-    let mut place = 0;
+pub async fn run(board: Arc<Blackboard>, peers: Peers, directory: Arc<Directory>) {
+    let mut place: usize = rand::random_range(0..PLACES);
     loop {
-        let addr = addrs[place % addrs.len()];
-        match ask(&board, &peers, addr).await {
+        let all = directory.all();
+        let Some((_, addr)) = all.get(place % all.len().max(1)).cloned() else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        match ask(&board, &peers, &directory, addr).await {
             Ok(true) => {}
             Ok(false) => {
                 place += 1;
@@ -50,17 +52,27 @@
 }
 
 /// Asks one replica once; `false` when its answer is old.
-async fn ask(board: &Blackboard, peers: &Peers, addr: SocketAddr) -> Result<bool, PeerError> {
+async fn ask(
+    board: &Blackboard,
+    peers: &Peers,
+    directory: &Directory,
+    addr: SocketAddr,
+) -> Result<bool, PeerError> {
     let asked = Instant::now();
-    let poll = Poll { from: board.revision(), wait: WAIT };
+    let document = board.document().version;
+    let poll = Poll { from: board.revision(), document, wait: WAIT };
     let reply: PollReply = peers.call(addr, method::POLL, &poll, CALL_TIME).await?;
     board.note_work(reply.work);
+    directory.learn(reply.members.iter());
     let current = board.in_force().configuration.clone();
     let whole = take(current, reply.news);
     let Some(configuration) = whole else {
         return Ok(false);
     };
     board.put_in_force(configuration);
+    if let Some(document) = reply.document {
+        board.put_document(document);
+    }
     let Some(age) = reply.age.map(Duration::from_millis) else {
         return Ok(false);
     };
--- a/src/group/links.rs
+++ b/src/group/links.rs
@@ -9,6 +9,7 @@
 
 use tokio::sync::{Semaphore, mpsc};
 
+use super::directory::Directory;
 use super::message::Envelope;
 use crate::ids::BoxId;
 use crate::peer::{Peers, method};
@@ -25,29 +26,39 @@
 /// How long a call may take before its messages count as lost.
 const CALL_TIME: Duration = Duration::from_millis(1_000);
 
-/// The links to all other replicas.
+/// The links to all other replicas, each opened by the first message to it.
 pub struct Links {
+    peers: Peers,
+    directory: Arc<Directory>,
     queues: BTreeMap<BoxId, mpsc::Sender<Envelope>>,
 }
 
 impl Links {
-    /// Opens a link to each address.
-    pub fn open(peers: &Peers, addrs: &BTreeMap<BoxId, SocketAddr>, own: &BoxId) -> Self {
-        let mut queues = BTreeMap::new();
-        for (box_id, addr) in addrs.iter().filter(|(box_id, _)| *box_id != own) {
-            let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
-            tokio::spawn(carry(peers.clone(), *addr, receiver));
-            queues.insert(box_id.clone(), sender);
-        }
-        Self { queues }
+    /// Links to the replicas of a directory.
+    pub fn new(peers: Peers, directory: Arc<Directory>) -> Self {
+        Self { peers, directory, queues: BTreeMap::new() }
     }
 
     /// Queues a message; one for an unknown box or a full queue is dropped.
-    pub fn send(&self, envelope: Envelope) {
+    pub fn send(&mut self, envelope: Envelope) {
+        if !self.queues.contains_key(&envelope.to) {
+            let Some(addr) = self.directory.find(&envelope.to) else {
+                tracing::debug!(event = "replica_unknown", to = %envelope.to);
+                return;
+            };
+            let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
+            tokio::spawn(carry(self.peers.clone(), addr, receiver));
+            self.queues.insert(envelope.to.clone(), sender);
+        }
         if let Some(queue) = self.queues.get(&envelope.to) {
             let _ = queue.try_send(envelope);
         }
     }
+
+    /// Closes the links to boxes that are not members.
+    pub fn keep(&mut self, is_member: impl Fn(&BoxId) -> bool) {
+        self.queues.retain(|box_id, _| is_member(box_id));
+    }
 }
 
 async fn carry(peers: Peers, addr: SocketAddr, mut queue: mpsc::Receiver<Envelope>) {
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -17,8 +17,10 @@
 
 pub mod access;
 pub mod core;
+pub mod directory;
 pub mod driver;
 pub mod follow;
+pub mod join;
 pub mod links;
 pub mod log;
 pub mod message;
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,21 @@
+//! What every side that answers HTTP/1.1 shares: accepting connections, checking heads, bodies.
+//!
+//! Nothing here knows what is asked. [`server`] runs connections, [`head`] refuses heads that break
+//! the protocol or a limit.
+
+pub mod head;
+pub mod server;
+
+use std::io;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+
+/// An answer's body, whole or streamed.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// A whole body.
+pub fn whole(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -144,6 +144,14 @@
     /// A revision of the configuration. It only grows.
     Revision
 }
+number_type! {
+    /// A published document's version, chosen by the operator.
+    Version
+}
+number_type! {
+    /// A usage window: its number since the start of 1970.
+    Window
+}
 number_type! {
     /// A term of the replicated group.
     Term
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 //!
 //! What must survive is in [`state`]: the configuration, the ledger of unrepeatable requests, kept
 //! work. It is replicated by [`group`], our own Raft. Which boxes are there and which backend servers
-//! are leaving travels by gossip, in [`member`]. [`platform`] is the cloud's box list. Nodes and
+//! are leaving travels by gossip, in [`member`]. [`boxlist`] is the cloud's box list. Nodes and
 //! operators talk through [`peer`]; [`cmd`] is the command line, [`telemetry`] logs, metrics and
 //! traces.
 //!
@@ -41,11 +41,15 @@
 pub mod entry;
 pub mod error;
 pub mod group;
+pub mod http;
 pub mod ids;
 pub mod member;
 pub mod node;
 pub mod peer;
+#[path = "../platform/mod.rs"]
 pub mod platform;
+pub mod relay;
+pub mod boxlist;
 pub mod settings;
 pub mod state;
 pub mod telemetry;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! A node: one process with its roles, and what its parts share.
 
 mod news;
+mod relay;
 mod replica;
 mod requests;
 
@@ -16,19 +17,23 @@
 use crate::backend::Pool;
 use crate::blackboard::{Blackboard, Phase};
 use crate::control;
+use crate::control::lead::Lead;
 use crate::decide::admit::Admission;
 use crate::decide::retry::RetryBudget;
 use crate::decide::share::Lessor;
 use crate::entry::dispatch::Dispatcher;
 use crate::entry::generation::Generation;
-use crate::entry::{drain, server};
+use crate::entry::{drain, serve};
 use crate::error::{Failure, Kind};
 use crate::group::access::Access;
 use crate::group::follow;
+use crate::http::server;
 use crate::ids::{Incarnation, RequestKey, TeamName, Term};
 use crate::member::spread::SpreadMessage;
 use crate::peer::method::{BackendStatus, GroupStatus, NodeStatus};
 use crate::peer::{Peers, server as peer_server};
+use crate::platform::PlatformDialect;
+use crate::relay::dialect::Dialect;
 use crate::settings::{Role, Settings, StaleRule};
 use crate::telemetry::Metrics;
 use crate::telemetry::hops::unix_millis;
@@ -47,13 +52,15 @@
     /// What is known at the moment.
     pub board: Arc<Blackboard>,
     /// The metrics.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     /// Connections to other nodes.
     pub peers: Peers,
     /// The way to the replicated group.
     pub access: Access,
     /// Connections to backend servers.
     pub pool: Pool,
+    /// How callers by published routes, and operators who publish them, write things down.
+    pub dialect: Arc<dyn Dialect>,
     /// Finds backend servers.
     pub dispatch: Dispatcher,
     /// The life of this process.
@@ -67,6 +74,7 @@
     started: Instant,
     spread: OnceLock<ActorRef<SpreadMessage>>,
     lessor: Mutex<Option<(Term, Lessor)>>,
+    pub(crate) lead: Mutex<Option<Lead>>,
     stop_by: Mutex<Option<Instant>>,
     admission: Mutex<Admission>,
     retries: Mutex<RetryBudget>,
@@ -74,7 +82,7 @@
     closing: watch::Sender<bool>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -87,15 +95,16 @@
     pub async fn start(settings: Settings) -> Result<Arc<Self>> {
         let board = Arc::new(Blackboard::new(settings.node.box_id.clone()));
         let peers = Peers::new(&settings.peer.secret);
+        let directory = Arc::new(settings.directory());
         let local = match settings.has(Role::Replica) {
-            true => Some(replica::start_replica(&settings, &board, &peers).await?),
+            true => Some(replica::start_replica(&settings, &board, &peers, &directory).await?),
             false => None,
         };
         let own = settings.node.box_id.clone();
-        let access = Access::new(own, local, peers.clone(), settings.replicas.clone());
+        let access = Access::new(own, local, peers.clone(), directory.clone());
         let dispatch = Dispatcher::new(board.clone(), settings.entry.queue);
         let node = Arc::new(Self {
-            metrics: Metrics::new()?,
+            metrics: Arc::new(Metrics::new()?),
             pool: Pool::default(),
             life: Incarnation(unix_millis()),
             stop: Notify::new(),
@@ -104,6 +113,8 @@
             started: Instant::now(),
             spread: OnceLock::new(),
             lessor: Mutex::default(),
+            lead: Mutex::default(),
+            dialect: Arc::new(PlatformDialect),
             stop_by: Mutex::default(),
             admission: Mutex::default(),
             retries: Mutex::default(),
@@ -117,8 +128,9 @@
         });
         if node.access.local().is_none() {
             let (board, peers) = (node.board.clone(), node.peers.clone());
-            tokio::spawn(follow::run(board, peers, node.settings.replicas.clone()));
+            tokio::spawn(follow::run(board, peers, directory));
         }
+        node.start_joining();
         tokio::spawn(become_ready(node.clone()));
         Ok(node)
     }
@@ -137,19 +149,35 @@
         tracing::info!(event = "listening", side = "metrics", addr = %metrics.local_addr()?);
         tokio::spawn(crate::telemetry::metrics::run(self.clone(), metrics));
         if self.settings.has(Role::Entry) {
-            let listener = server::listen(self.settings.entry.listen).await?;
+            let listener = server::listen(self.settings.entry.listen, "callers").await?;
             let addr = listener.local_addr()?;
             let _ = self.entry_addr.set(self.settings.entry.advertise.unwrap_or(addr));
             tracing::info!(event = "listening", side = "entry", addr = %addr);
-            tokio::spawn(server::run(self.clone(), listener));
+            let node = self.clone();
+            let handler = move |request| serve::handle(node.clone(), request);
+            let closing = self.follow_closing();
+            let limits = self.settings.entry.limits();
+            tokio::spawn(server::run(listener, limits, closing, handler, serve::too_many));
+        }
+        self.start_relay().await?;
+        self.start_operator().await?;
+        if !self.access.directory().is_seeded() {
+            self.start_spread().await?;
         }
-        self.start_spread().await?;
         control::start(self);
         self.stop.notified().await;
         drain::run(self).await;
         Ok(())
     }
 
+    /// Takes changed settings, as far as they may change while the node runs: the seeds. The rest
+    /// takes effect at the next start.
+    pub fn reload(&self, settings: &Settings) {
+        let seeds = settings.group.seed_ips();
+        tracing::info!(event = "settings_reloaded", seeds = seeds.len());
+        self.access.directory().reseed(&seeds);
+    }
+
     /// Follows whether connections are to close behind their requests.
     pub fn follow_closing(&self) -> watch::Receiver<bool> {
         self.closing.subscribe()
--- /dev/null
+++ b/src/node/relay.rs
@@ -0,0 +1,88 @@
+//! The parts of a node that carry traffic by published routes, and those that let operators publish.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::Result;
+
+use super::Node;
+use crate::backend::Pool;
+use crate::control::beat;
+use crate::group::join::Joiner;
+use crate::platform::operator;
+use crate::relay::listen::Listeners;
+use crate::relay::{Relay, RelayParts};
+use crate::settings::Role;
+
+/// How long a connection to a backend server may take to stand. Backend servers are a few
+/// milliseconds away; a first packet that is dropped is sent again only after a second.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+
+impl Node {
+    /// Starts the relay, where the node is one.
+    pub(super) async fn start_relay(self: &Arc<Self>) -> Result<()> {
+        let Some(settings) = self.settings.relay.clone().filter(|_| self.settings.has(Role::Relay))
+        else {
+            return Ok(());
+        };
+        let relay = Arc::new(Relay::new(RelayParts {
+            settings,
+            data_centre: self.settings.node.data_centre.clone(),
+            board: self.board.clone(),
+            pool: Pool::new(CONNECT_TIME),
+            dialect: self.dialect.clone(),
+            metrics: self.metrics.clone(),
+            closing: self.follow_closing(),
+        }));
+        let listeners = Listeners::open(&relay).await?;
+        tokio::spawn(follow_routes(relay.clone()));
+        let box_id = self.settings.node.box_id.clone();
+        tokio::spawn(beat::run(relay.clone(), self.access.clone(), box_id, self.life));
+        listeners.serve(&relay);
+        Ok(())
+    }
+
+    /// Lets operators publish routes, where the settings say so.
+    pub(super) async fn start_operator(self: &Arc<Self>) -> Result<()> {
+        match self.settings.operator.clone() {
+            Some(settings) => operator::start(self.clone(), settings.listen).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Has a replica that knows only seeds find its group.
+    pub(super) fn start_joining(self: &Arc<Self>) {
+        let Some(replica) = self.access.local().cloned() else {
+            return;
+        };
+        if !self.access.directory().is_seeded() {
+            return;
+        }
+        let joiner = Joiner {
+            replica,
+            access: self.access.clone(),
+            peers: self.peers.clone(),
+            settings: self.settings.group.clone(),
+        };
+        tokio::spawn(joiner.run());
+    }
+}
+
+/// Puts each published document in force on the relay.
+async fn follow_routes(relay: Arc<Relay>) {
+    let mut documents = relay.board.follow_document();
+    loop {
+        let document = documents.borrow_and_update().clone();
+        if document.version.0 > 0 {
+            match relay.dialect.read_table(&document.text) {
+                Ok(table) => relay.put_table(Arc::new(table)),
+                Err(reason) => {
+                    tracing::error!(event = "document_invalid", version = %document.version, reason);
+                }
+            }
+        }
+        if documents.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/src/node/replica.rs
+++ b/src/node/replica.rs
@@ -11,6 +11,7 @@
 use crate::blackboard::Blackboard;
 use crate::decide::share::Lessor;
 use crate::group::core::{Core, Identity};
+use crate::group::directory::Directory;
 use crate::group::driver::{Driver, DriverArguments, GroupMessage, core_clock, decode_machine};
 use crate::group::links::Links;
 use crate::group::storage::Storage;
@@ -27,6 +28,7 @@
     settings: &Settings,
     board: &Arc<Blackboard>,
     peers: &Peers,
+    directory: &Arc<Directory>,
 ) -> Result<ActorRef<GroupMessage>> {
     let own = settings.node.box_id.clone();
     let folder = settings.node.data_folder.clone().unwrap_or_default();
@@ -40,9 +42,11 @@
     let now = core_clock(epoch, Instant::now());
     let core = Core::new(identity.clone(), stored, now, rand::random());
     tracing::info!(event = "replica_opened", life = %life, last = %core.log().last_index());
-    let links = Links::open(peers, &settings.replicas, &own);
+    let links = Links::new(peers.clone(), directory.clone());
     let board = board.clone();
-    let arguments = DriverArguments { identity, storage, core, machine, links, board, epoch };
+    let directory = directory.clone();
+    let arguments =
+        DriverArguments { identity, storage, core, machine, links, directory, board, epoch };
     let (actor, _) = Actor::spawn(Some("group".to_owned()), Driver, arguments)
         .await
         .wrap_err("start the replica")?;
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -9,6 +9,7 @@
 use crate::group::message::Members;
 use crate::ids::{BackendId, BoxId, DataCentre, Incarnation, Index, Revision, Term};
 use crate::state::config::{Accepted, Configuration};
+use crate::state::document::{Document, Version};
 
 /// Takes a list of the group's messages; answers nothing.
 pub const STEP: &str = "group_step";
@@ -36,6 +37,8 @@
 pub const PROBE: &str = "member_probe";
 /// Takes a node's demand; answers its shares of the teams' limits.
 pub const SHARE: &str = "share_lease";
+/// Takes a relay's word; answers its allowances and the list of backend servers.
+pub const BEAT: &str = "relay_beat";
 /// Takes a stream that its node cannot finish.
 pub const HAND_OVER: &str = "entry_hand_over";
 
@@ -53,6 +56,9 @@
 pub struct Poll {
     /// The revision the asker has.
     pub from: Revision,
+    /// The version of the published document the asker has; 0: none.
+    #[serde(default)]
+    pub document: Version,
     /// How long to wait for a newer one, in milliseconds.
     pub wait: u64,
 }
@@ -66,6 +72,12 @@
     pub work: bool,
     /// What the asker lacks.
     pub news: Update,
+    /// The published document, if it is newer than the asker's.
+    #[serde(default)]
+    pub document: Option<Arc<Document>>,
+    /// The group's members.
+    #[serde(default)]
+    pub members: Vec<BoxId>,
 }
 
 /// What a node lacks of the configuration.
@@ -101,6 +113,9 @@
     pub members: Members,
     /// At the leader: the last entry known to be stored by each other member.
     pub matched: BTreeMap<BoxId, Index>,
+    /// At the leader: for how long each other member has not answered, in milliseconds.
+    #[serde(default)]
+    pub silent: BTreeMap<BoxId, u64>,
 }
 
 /// A node's state, for operators.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -15,7 +15,7 @@
 
 use super::client::MESSAGE_LIMIT;
 use super::method::{self, Call, GroupStatus, NodeStatus, Poll, PollReply, Update};
-use crate::control::share;
+use crate::control::{lead, share};
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
@@ -70,6 +70,7 @@
     register(&mut module, method::CHANGE_MEMBERS, change_members)?;
     register(&mut module, method::READ_WORK, read_work)?;
     register(&mut module, method::SHARE, share::lease)?;
+    register(&mut module, method::BEAT, lead::hear)?;
     register(&mut module, method::GOSSIP, gossip)?;
     register(&mut module, method::PROBE, probe)?;
     register(&mut module, method::HAND_OVER, hand_over::take)?;
@@ -177,7 +178,13 @@
 async fn poll(node: Arc<Node>, poll: Poll) -> Result<PollReply, String> {
     replica(&node)?;
     let mut following = node.board.follow_configuration();
-    let newer = following.wait_for(|it| it.configuration.revision > poll.from);
+    let mut documents = node.board.follow_document();
+    let newer = async {
+        tokio::select! {
+            _ = following.wait_for(|it| it.configuration.revision > poll.from) => {}
+            _ = documents.wait_for(|it| it.version > poll.document) => {}
+        }
+    };
     let _ = tokio::time::timeout(Duration::from_millis(poll.wait), newer).await;
     // Freshness first: the configuration read after it is at least as new.
     let age = node.board.age().map(|age| age.as_millis() as u64 + 1);
@@ -186,7 +193,9 @@
         Some(changes) => Update::Changes(changes),
         None => Update::Whole(configuration),
     };
-    Ok(PollReply { age, work: node.board.work_waiting(), news })
+    let document = Some(node.board.document()).filter(|it| it.version > poll.document);
+    let members = node.access.directory().members().into_iter().map(|(id, _)| id).collect();
+    Ok(PollReply { age, work: node.board.work_waiting(), news, document, members })
 }
 
 async fn status(node: Arc<Node>, (): ()) -> Result<NodeStatus, String> {
--- /dev/null
+++ b/src/relay/attempt.rs
@@ -0,0 +1,355 @@
+//! One send of a call to one backend server, and the course of all its sends.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode, Uri};
+
+use super::Relay;
+use super::budget::RetryLimit;
+use super::call::{Call, Hop, ReplyHead};
+use super::choose::{Candidate, choose};
+use super::servers::Known;
+use super::table::Route;
+use crate::backend::{Exchange, Reuse, SendFault};
+use crate::error::{Failure, Kind};
+use crate::ids::{BackendId, ServiceName};
+
+/// A connection on which an unrepeatable request goes has rested no longer than this: the other side
+/// hardly closes it at that moment.
+const REST_LIMIT: Duration = Duration::from_secs(2);
+
+/// The part of its objective a request needs to be worth sending at all.
+const LEAST_LEFT: u32 = 10;
+
+/// Sends that did not reach any server before a call is given up.
+const UNREACHED_LIMIT: u32 = 3;
+
+/// When to come back if no backend server is there at all: about the time one takes to appear.
+const ABSENT_WAIT: Duration = Duration::from_millis(1_000);
+
+/// When to come back after servers refused, at least and at most.
+const REFUSED_WAIT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1_500));
+
+/// Bytes of a refusal that are read so that its connection can be used again.
+const REFUSAL_BYTES: usize = 16 << 10;
+
+/// How long that may take.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
+/// Why a send gave no answer to pass on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Miss {
+    /// There is proof that the request has not run. `arrived`: the server itself said so.
+    NotRun {
+        /// Whether it reached a server.
+        arrived: bool,
+        /// What happened.
+        detail: String,
+    },
+    /// It may have run.
+    Unknown {
+        /// What to say of it.
+        kind: Kind,
+        /// What happened.
+        detail: String,
+    },
+}
+
+impl Miss {
+    fn unknown(kind: Kind, detail: impl Into<String>) -> Self {
+        Self::Unknown { kind, detail: detail.into() }
+    }
+
+    /// What a broken or silent exchange proves.
+    pub fn of_fault(fault: SendFault) -> Self {
+        let detail = fault.to_string();
+        match fault {
+            SendFault::NotSent(_) => Self::NotRun { arrived: false, detail },
+            SendFault::Broke(_) => Self::unknown(Kind::BackendBroke, detail),
+            SendFault::TimedOut => Self::unknown(Kind::BackendTimeout, detail),
+            SendFault::TooLarge(_) => Self::unknown(Kind::BackendInvalid, detail),
+        }
+    }
+
+    fn detail(&self) -> &str {
+        match self {
+            Self::NotRun { detail, .. } | Self::Unknown { detail, .. } => detail,
+        }
+    }
+}
+
+/// What an answer's head allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Pass,
+    Failed,
+    NotRun,
+    Spoilt(&'static str),
+}
+
+/// Judges an answer's head. Only the server's own word says that a request has not run: a status
+/// that would promise as much without that word is not passed on.
+fn judge(status: StatusCode, head: &ReplyHead, encoded: bool) -> Verdict {
+    if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        return Verdict::NotRun;
+    }
+    if !head.own {
+        return Verdict::Spoilt("the answer belongs to another request");
+    }
+    if status.is_success() {
+        return match (head.vouched, encoded) {
+            (true, false) => Verdict::Pass,
+            (false, _) => Verdict::Spoilt("the answer is not vouched for"),
+            (true, true) => Verdict::Spoilt("the answer is encoded"),
+        };
+    }
+    match status {
+        StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::REQUEST_TIMEOUT => Verdict::Spoilt("the status promises more than was said"),
+        _ if status.is_server_error() => Verdict::Failed,
+        _ if status.is_client_error() => Verdict::Pass,
+        _ => Verdict::Spoilt("the status is no answer"),
+    }
+}
+
+/// An answer whose head may be passed on.
+pub struct Reply {
+    /// The exchange, at its body.
+    pub exchange: Exchange,
+    /// Whether the server itself says that the request failed.
+    pub failed: bool,
+}
+
+/// Sends a call to a server and waits for the head of its answer, at most `limit`.
+///
+/// # Errors
+/// What is known of the request then.
+pub async fn send(
+    relay: &Relay,
+    call: &Call,
+    route: &Route,
+    known: &Known,
+    resume: Option<u64>,
+    limit: Duration,
+) -> Result<Reply, Miss> {
+    let request = request(relay, call, known, resume)?;
+    let reuse = match route.repeat.is_repeatable() {
+        true => Reuse::Any,
+        false => Reuse::Rested(REST_LIMIT),
+    };
+    let sent = relay.pool.send(known.server.addr, request, limit, reuse).await;
+    let exchange = match sent {
+        Ok(exchange) => exchange,
+        Err(fault) => {
+            if known.state.fail() {
+                tracing::warn!(event = "backend_server_set_aside", backend_server = %known.server.id);
+            }
+            return Err(Miss::of_fault(fault));
+        }
+    };
+    let head = relay.dialect.read_reply(call, exchange.status, &exchange.headers);
+    if let Some(load) = head.load {
+        known.state.report(load.running, load.waiting, Duration::ZERO);
+    }
+    let encoded = exchange.headers.contains_key(hyper::header::CONTENT_ENCODING);
+    match judge(exchange.status, &head, encoded) {
+        Verdict::Pass => Ok(Reply { exchange, failed: false }),
+        Verdict::Failed => {
+            known.state.fail();
+            Ok(Reply { exchange, failed: true })
+        }
+        Verdict::NotRun => {
+            let detail = format!("{} refused with {}", known.server.id, exchange.status);
+            let _ = exchange.read_whole(REFUSAL_BYTES, REFUSAL_TIME).await;
+            Err(Miss::NotRun { arrived: true, detail })
+        }
+        Verdict::Spoilt(reason) => {
+            known.state.fail();
+            Err(Miss::unknown(Kind::BackendInvalid, format!("{}: {reason}", known.server.id)))
+        }
+    }
+}
+
+fn request(
+    relay: &Relay,
+    call: &Call,
+    known: &Known,
+    resume: Option<u64>,
+) -> Result<Request<Full<Bytes>>, Miss> {
+    let hop = Hop { server: &known.server.id, deadline: call.left(), resume };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = Uri::from(call.path.clone());
+    *request.headers_mut() = relay.dialect.write_call(call, &hop);
+    Ok(request)
+}
+
+/// All sends of one call.
+pub struct Course {
+    service: ServiceName,
+    tried: Vec<BackendId>,
+    arrivals: u32,
+    unreached: u32,
+    unknown: Option<Miss>,
+    last: Option<Miss>,
+}
+
+impl Course {
+    /// No send yet.
+    pub fn new(service: ServiceName) -> Self {
+        Self {
+            service,
+            tried: Vec::new(),
+            arrivals: 0,
+            unreached: 0,
+            unknown: None,
+            last: None,
+        }
+    }
+
+    /// Sends that reached a server.
+    pub fn arrivals(&self) -> u32 {
+        self.arrivals
+    }
+
+    /// The server for the next send.
+    ///
+    /// # Errors
+    /// The call's failure, when it may not be sent again, cannot, or is not worth it.
+    pub fn next(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        route: &Route,
+    ) -> Result<Arc<Known>, Failure> {
+        if self.unknown.is_some() && !route.repeat.is_repeatable() {
+            return Err(self.failure(relay));
+        }
+        let needed = (route.objective / LEAST_LEFT).min(route.timeout / LEAST_LEFT);
+        if call.left() <= needed || self.unreached >= UNREACHED_LIMIT {
+            return Err(self.failure(relay));
+        }
+        if self.arrivals >= route.attempts.max(1) {
+            return Err(self.failure(relay));
+        }
+        let Some(known) = self.pick(relay, call) else {
+            return Err(self.failure(relay));
+        };
+        if self.arrivals > 0 && !relay.retries().spend(&self.service) {
+            return Err(self.failure(relay));
+        }
+        self.tried.push(known.server.id.clone());
+        Ok(known)
+    }
+
+    /// Notes how the last send ended.
+    pub fn note(&mut self, call: &Call, miss: Miss) {
+        tracing::info!(
+            event = "send_missed", id = call.head.id, service = %self.service,
+            backend_server = %self.tried.last().map_or("-", BackendId::as_str),
+            proof = matches!(miss, Miss::NotRun { .. }), detail = miss.detail(),
+            left_ms = call.left().as_millis() as u64,
+        );
+        match &miss {
+            Miss::NotRun { arrived: false, .. } => self.unreached += 1,
+            Miss::NotRun { arrived: true, .. } => self.arrivals += 1,
+            Miss::Unknown { .. } => {
+                self.arrivals += 1;
+                self.unknown = Some(miss.clone());
+            }
+        }
+        self.last = Some(miss);
+    }
+
+    /// Notes that the last send reached a server that began to run it.
+    pub fn note_begun(&mut self) {
+        self.arrivals += 1;
+    }
+
+    /// What is said of the call: that it has not run only if no send may have run.
+    pub fn failure(&self, relay: &Relay) -> Failure {
+        if let Some(Miss::Unknown { kind, detail }) = &self.unknown {
+            return Failure::new(*kind, detail.clone());
+        }
+        let servers = relay.servers.of(&self.service);
+        let Some(last) = &self.last else {
+            let text = format!("no backend server of {} takes work", self.service);
+            return Failure::new(Kind::NoBackend, text).after(Some(ABSENT_WAIT));
+        };
+        Failure::new(Kind::NotReached, last.detail()).after(Some(refused_wait(&servers)))
+    }
+
+    fn pick(&self, relay: &Relay, call: &Call) -> Option<Arc<Known>> {
+        let servers = relay.servers.of(&self.service);
+        let open = |known: &&Arc<Known>| known.is_open() && !self.tried.contains(&known.server.id);
+        let open: Vec<_> = servers.iter().filter(open).collect();
+        let shared = call.shared_part();
+        let home = shared.and_then(|part| home(&open, part.id));
+        let candidates: Vec<_> = open
+            .iter()
+            .map(|known| {
+                let cached = shared.map_or(0, |part| {
+                    let seen = known.state.cached_blocks(&[part.id], CACHE_TIME) > 0;
+                    let at_home = home.as_ref() == Some(&known.server.id);
+                    if seen || at_home { part.tokens } else { 0 }
+                });
+                Candidate {
+                    requests: known.requests(),
+                    slots: known.server.slots,
+                    unread: known.unread(),
+                    uncached: call.prompt().saturating_sub(cached),
+                    near: known.server.data_centre == relay.data_centre,
+                    ejected: known.state.is_ejected(),
+                }
+            })
+            .collect();
+        let place = choose(&candidates, rand::random::<f64>)?;
+        Some(open[place].clone())
+    }
+}
+
+/// How long an engine is taken to keep a part of a prompt that this box had read there.
+const CACHE_TIME: Duration = Duration::from_secs(30);
+
+/// The server at which all boxes expect a prompt's shared part: the one of the largest weight.
+fn home(open: &[&Arc<Known>], part: u64) -> Option<BackendId> {
+    let weigh = |known: &Known| crate::member::table::fingerprint(&format!("{part}\n{}", known.server.id));
+    open.iter().max_by_key(|known| weigh(known)).map(|known| known.server.id.clone())
+}
+
+/// When a place is likely free: the servers' mean time for a request over their places, times those
+/// that stand in line.
+fn refused_wait(servers: &[Arc<Known>]) -> Duration {
+    let open = servers.iter().filter(|known| known.is_open());
+    let (mut slots, mut waiting, mut time, mut count) = (0.0, 1.0, 0.0, 0.0);
+    for known in open {
+        slots += f64::from(known.server.slots);
+        waiting += known.state.load().map_or(0.0, |load| f64::from(load.waiting));
+        time += known.state.service_time().unwrap_or(0.0);
+        count += 1.0;
+    }
+    if slots == 0.0 {
+        return ABSENT_WAIT;
+    }
+    let mean: f64 = time / f64::max(count, 1.0);
+    let wait = Duration::from_secs_f64((waiting / slots * mean).min(60.0));
+    wait.clamp(REFUSED_WAIT.0, REFUSED_WAIT.1)
+}
+
+/// The users' retry limit on this box.
+pub fn retry_limit(relay: &Relay) -> RetryLimit {
+    RetryLimit {
+        ratio: relay.settings.retry_ratio,
+        floor: f64::from(relay.settings.retry_floor),
+        boxes: relay.relays(),
+    }
+}
+
+/// Time since a moment, in seconds.
+pub fn seconds_since(at: Instant) -> f64 {
+    at.elapsed().as_secs_f64()
+}
--- /dev/null
+++ b/src/relay/call.rs
@@ -0,0 +1,119 @@
+//! A request as the relay sees it, and what is known of an answer's head.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Method};
+
+use crate::ids::{BackendId, TeamName};
+
+/// Tokens of a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Size {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Tokens that come out at most.
+    pub output: u64,
+}
+
+/// A part of a prompt. Requests share parts; the last one is the request's or its session's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Its id.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// What a request's headers say.
+#[derive(Debug, Clone, Default)]
+pub struct CallHead {
+    /// The caller's id for this request.
+    pub id: String,
+    /// The key it came with.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// What is generated, where the caller says so.
+    pub size: Option<Size>,
+    /// The parts of the prompt.
+    pub parts: Vec<PromptPart>,
+    /// The last event the caller has of a stream it takes up.
+    pub resume: Option<u64>,
+}
+
+/// A request, read whole.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// What its headers say.
+    pub head: CallHead,
+    /// The method.
+    pub method: Method,
+    /// The path and query, as they came.
+    pub path: PathAndQuery,
+    /// The headers that go on to a backend server, without those of one connection.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The team whose key it came with.
+    pub team: Option<TeamName>,
+    /// How urgent it is; 0 goes first.
+    pub urgency: u8,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When the caller or the route gives it up.
+    pub deadline: Instant,
+}
+
+impl Call {
+    /// The time left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Tokens of the prompt, where known.
+    pub fn prompt(&self) -> u64 {
+        self.head.size.map_or(0, |size| size.prompt)
+    }
+
+    /// The id of the longest part that other requests share, and the tokens up to its end.
+    pub fn shared_part(&self) -> Option<PromptPart> {
+        let shared = self.head.parts.split_last()?.1;
+        let tokens = shared.iter().map(|part| part.tokens).sum();
+        shared.last().map(|part| PromptPart { id: part.id, tokens })
+    }
+}
+
+/// What one send adds to a request.
+#[derive(Debug, Clone)]
+pub struct Hop<'a> {
+    /// The backend server that is meant; any other must not run the request.
+    pub server: &'a BackendId,
+    /// How long the backend server may work.
+    pub deadline: Duration,
+    /// The last event that the caller has, when a stream is taken up.
+    pub resume: Option<u64>,
+}
+
+/// The load that a backend server tells with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
+
+/// What an answer's head says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplyHead {
+    /// Whether it answers the request that was sent.
+    pub own: bool,
+    /// Whether the backend server vouches for the body.
+    pub vouched: bool,
+    /// Whether the backend server says that it has not run the request.
+    pub not_run: bool,
+    /// The load it tells.
+    pub load: Option<Load>,
+}
--- /dev/null
+++ b/src/relay/dialect.rs
@@ -0,0 +1,37 @@
+//! The edge to how callers, backend servers and operators write things down.
+//!
+//! An implementation turns heads into types and types into heads, and decides nothing. Headers that
+//! concern one connection only are the relay's business: they never reach it.
+
+use std::time::Duration;
+
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, StatusCode};
+
+use super::call::{Call, CallHead, Hop, ReplyHead};
+use super::table::RouteTable;
+use crate::error::Failure;
+
+/// How callers, backend servers and operators write things down.
+pub trait Dialect: Send + Sync + 'static {
+    /// Reads a request's head.
+    ///
+    /// # Errors
+    /// [`crate::error::Kind::BadRequest`] when a header cannot be read.
+    fn read_call(&self, head: &Parts) -> Result<CallHead, Failure>;
+
+    /// The headers with which a call goes to a backend server.
+    fn write_call(&self, call: &Call, hop: &Hop<'_>) -> HeaderMap;
+
+    /// Reads the head of a backend server's answer to a call.
+    fn read_reply(&self, call: &Call, status: StatusCode, headers: &HeaderMap) -> ReplyHead;
+
+    /// Marks an answer of the relay's own: whose it is, and when to come back.
+    fn mark_own(&self, headers: &mut HeaderMap, id: Option<&str>, wait: Option<Duration>);
+
+    /// Reads a published document.
+    ///
+    /// # Errors
+    /// Why it is not valid.
+    fn read_table(&self, text: &str) -> Result<RouteTable, String>;
+}
--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,171 @@
+//! Traffic by the routes that operators publish.
+//!
+//! A relay takes a caller's request, finds its route by host and path, lets it in within its team's
+//! limit and passes it to a backend server of the route's service, byte for byte. It decides how
+//! often a request may be sent, and what is said of one that failed.
+//!
+//! - [`table`] is the table of routes, checked as a whole; [`call`] a request and what is known of it.
+//! - [`dialect`] is the edge to the words of callers and backend servers: pure functions from heads
+//!   to types and back.
+//! - [`servers`] is what is known of backend servers, [`choose`] picks one of them.
+//! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
+//!   [`attempt`] is one send.
+//! - [`allowance`] holds teams to their limits, [`budget`] bounds repeated sends, [`usage`] counts.
+//!
+//! Contract: an unrepeatable request is sent again only if the backend server itself said that it
+//! has not run. A status that promises *not run* is given only with proof.
+
+pub mod allowance;
+pub mod attempt;
+pub mod budget;
+pub mod call;
+pub mod choose;
+pub mod dialect;
+pub(crate) mod events;
+pub mod listen;
+pub mod plain;
+pub mod serve;
+pub mod servers;
+pub mod stream;
+pub mod table;
+pub mod usage;
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use tokio::sync::watch;
+
+use crate::backend::Pool;
+use crate::blackboard::Blackboard;
+use crate::ids::DataCentre;
+use crate::settings::RelaySettings;
+use crate::telemetry::Metrics;
+use allowance::Allowances;
+use budget::RetryBudgets;
+use dialect::Dialect;
+use servers::ServerBook;
+use table::RouteTable;
+use usage::UsageCounter;
+
+/// What the parts of a relay share.
+pub struct Relay {
+    /// The settings.
+    pub settings: RelaySettings,
+    /// The box's data centre.
+    pub data_centre: DataCentre,
+    /// What the node knows.
+    pub board: Arc<Blackboard>,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// How callers and backend servers speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// The backend servers known.
+    pub servers: ServerBook,
+    /// The routes in force; none before the first was published.
+    table: ArcSwapOption<RouteTable>,
+    allowances: Mutex<Allowances>,
+    retries: Mutex<RetryBudgets>,
+    usage: Mutex<UsageCounter>,
+    /// Relays that share the limits, as the leader last said.
+    relays: AtomicU32,
+    closing: watch::Receiver<bool>,
+}
+
+/// What a relay starts with.
+pub struct RelayParts {
+    /// The settings.
+    pub settings: RelaySettings,
+    /// The box's data centre.
+    pub data_centre: DataCentre,
+    /// What the node knows.
+    pub board: Arc<Blackboard>,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// How callers and backend servers speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// Whether connections are to close behind their requests.
+    pub closing: watch::Receiver<bool>,
+}
+
+/// Relays taken to share the limits before the leader has said how many do.
+const RELAYS_GUESSED: u32 = 16;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Relay {
+    /// A relay that knows no routes and no backend servers yet.
+    pub fn new(parts: RelayParts) -> Self {
+        let usage = UsageCounter::new(parts.settings.usage_window.duration());
+        Self {
+            settings: parts.settings,
+            data_centre: parts.data_centre,
+            board: parts.board,
+            pool: parts.pool,
+            dialect: parts.dialect,
+            metrics: parts.metrics,
+            closing: parts.closing,
+            servers: ServerBook::default(),
+            table: ArcSwapOption::empty(),
+            allowances: Mutex::default(),
+            retries: Mutex::default(),
+            usage: Mutex::new(usage),
+            relays: AtomicU32::new(RELAYS_GUESSED),
+        }
+    }
+
+    /// The routes in force.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.load_full()
+    }
+
+    /// Puts routes in force. Older ones are passed over: nothing reverts.
+    pub fn put_table(&self, table: Arc<RouteTable>) {
+        let held = self.table.load();
+        if held.as_ref().is_some_and(|held| held.version >= table.version) {
+            return;
+        }
+        tracing::info!(
+            event = "routes_in_force", version = %table.version, routes = table.len(),
+            teams = table.teams.len(),
+        );
+        self.allowances().follow(&table);
+        self.table.store(Some(table));
+    }
+
+    /// The teams' allowances on this box.
+    pub fn allowances(&self) -> MutexGuard<'_, Allowances> {
+        lock(&self.allowances)
+    }
+
+    /// The budgets of repeated sends.
+    pub fn retries(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retries)
+    }
+
+    /// What began to run, by window and team.
+    pub fn usage(&self) -> MutexGuard<'_, UsageCounter> {
+        lock(&self.usage)
+    }
+
+    /// How many relays share the limits.
+    pub fn relays(&self) -> u32 {
+        self.relays.load(Ordering::Relaxed)
+    }
+
+    /// Takes the leader's word of how many relays there are.
+    pub fn note_relays(&self, relays: u32) {
+        self.relays.store(relays.max(1), Ordering::Relaxed);
+    }
+
+    /// Whether the node is about to stop and takes nothing new.
+    pub fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+}
--- /dev/null
+++ b/src/relay/plain.rs
@@ -0,0 +1,148 @@
+//! Passes whole answers: requests whose answer is not a stream.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use bytes::Bytes;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Response, StatusCode};
+
+use super::Relay;
+use super::attempt::{Course, Miss, Reply, seconds_since, send};
+use super::call::Call;
+use super::servers::Known;
+use super::table::Route;
+use crate::error::Failure;
+use crate::http::{Body, whole};
+use crate::ids::ServiceName;
+
+/// Bytes of an answer at most.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// The part of the objective after which a repeatable request that has no answer goes to another
+/// server.
+const PATIENCE: f64 = 1.2;
+
+/// The least time a server gets for an answer before another one is tried.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes the headers that concern one connection only, also those that `Connection` names.
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// A backend server's answer, whole.
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Answer {
+    fn response(self) -> Response<Body> {
+        let mut response = Response::new(whole(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
+
+/// Gets the whole answer to a call.
+///
+/// # Errors
+/// What is said of the call when no server gave one.
+pub async fn answer(
+    relay: &Relay,
+    call: &Call,
+    route: &Route,
+    service: &ServiceName,
+) -> Result<Response<Body>, Failure> {
+    let mut course = Course::new(service.clone());
+    let mut failed: Option<Answer> = None;
+    loop {
+        let known = match course.next(relay, call, route) {
+            Ok(known) => known,
+            // A server's own word that the request failed is worth more than ours.
+            Err(failure) => return failed.map(Answer::response).ok_or(failure),
+        };
+        let more = route.repeat.is_repeatable() && course.arrivals() + 1 < route.attempts;
+        let limit = if more { patience(route).min(call.left()) } else { call.left() };
+        match pass(relay, call, route, &known, limit).await {
+            Ok((answer, false)) => return Ok(answer.response()),
+            Ok((answer, true)) if !more => return Ok(answer.response()),
+            Ok((answer, true)) => {
+                course.note_begun();
+                failed = Some(answer);
+            }
+            Err(miss) => course.note(call, miss),
+        }
+    }
+}
+
+fn patience(route: &Route) -> Duration {
+    route.objective.mul_f64(PATIENCE).max(LEAST_PATIENCE)
+}
+
+/// Sends a call once; the answer, and whether the server says that it failed.
+async fn pass(
+    relay: &Relay,
+    call: &Call,
+    route: &Route,
+    known: &std::sync::Arc<Known>,
+    limit: Duration,
+) -> Result<(Answer, bool), Miss> {
+    let mut flight = known.begin(call.prompt());
+    let began = Instant::now();
+    let result = tokio::time::timeout(limit, async {
+        let reply = send(relay, call, route, known, None, limit).await?;
+        read(reply).await
+    });
+    let (answer, failed) = match result.await {
+        Ok(result) => result?,
+        Err(_) => return Err(Miss::of_fault(crate::backend::SendFault::TimedOut)),
+    };
+    flight.begun();
+    if !failed {
+        known.state.succeed(seconds_since(began));
+    }
+    if let Some(team) = &call.team {
+        relay.usage().count(team, SystemTime::now());
+    }
+    Ok((answer, failed))
+}
+
+/// Reads an answer to its end.
+async fn read(reply: Reply) -> Result<(Answer, bool), Miss> {
+    let status = reply.exchange.status;
+    let mut headers = reply.exchange.headers.clone();
+    let body = reply.exchange.read_whole(ANSWER_LIMIT, Duration::from_secs(3_600)).await;
+    let body = body.map_err(Miss::of_fault)?;
+    strip_hop_headers(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(TRANSFER_ENCODING);
+    Ok((Answer { status, headers, body }, reply.failed))
+}
--- /dev/null
+++ b/src/relay/serve.rs
@@ -0,0 +1,231 @@
+//! The life of a request.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Request, Response};
+
+use super::Relay;
+use super::allowance;
+use super::attempt::{retry_limit, seconds_since};
+use super::call::{Call, CallHead};
+use super::choose::split;
+use super::plain::{self, strip_hop_headers};
+use super::stream;
+use super::table::{Route, RouteTable, Team};
+use crate::entry::answer;
+use crate::error::{Failure, Kind};
+use crate::http::{Body, head};
+use crate::ids::ServiceName;
+
+/// When to come back to a box that knows no routes yet, or cannot be sure of them.
+const UNSURE_WAIT: Duration = Duration::from_millis(500);
+
+/// When to come back to another box, when this one stops.
+const CLOSING_WAIT: Duration = Duration::from_millis(50);
+
+/// The part of the time in which a key must lose its effect that a box goes on without word from
+/// the group. The rest is for requests that are just being passed on.
+const KEY_MARGIN: f64 = 0.85;
+
+/// How much a team's rank weighs against its route's, in urgencies.
+const TEAM_URGENCY: u8 = 3;
+
+/// The least urgent a request can be.
+const LEAST_URGENT: u8 = 9;
+
+/// Answers one request.
+pub async fn handle(relay: Arc<Relay>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let read = relay.dialect.read_call(&parts);
+    let id = read.as_ref().map(|head| head.id.clone()).unwrap_or_default();
+    let request = Request::from_parts(parts, body);
+    let result = match read {
+        Ok(head) => serve(&relay, request, head, arrived).await,
+        Err(failure) => Err(failure),
+    };
+    match result {
+        Ok(response) => response,
+        Err(failure) => refuse(&relay, &id, &failure, arrived),
+    }
+}
+
+/// The answer to a request that failed.
+fn refuse(relay: &Relay, id: &str, failure: &Failure, arrived: Instant) -> Response<Body> {
+    tracing::info!(
+        event = "request_failed", id, kind = %failure.kind, run = %failure.kind.answer().run,
+        detail = failure.detail, wait_ms = failure.retry_after.map(|wait| wait.as_millis() as u64),
+        ms = arrived.elapsed().as_millis() as u64, version = relay.table().map(|it| it.version.0),
+    );
+    relay.metrics.count_request("-", failure.kind.answer().code);
+    let mut response = answer::failed(failure);
+    let id = Some(id).filter(|id| !id.is_empty());
+    relay.dialect.mark_own(response.headers_mut(), id, failure.retry_after);
+    if relay.is_closing() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn serve(
+    relay: &Arc<Relay>,
+    request: Request<Incoming>,
+    head: CallHead,
+    arrived: Instant,
+) -> Result<Response<Body>, Failure> {
+    let guard = relay.board.begin_request();
+    let table = relay.table().ok_or_else(|| unsure("no routes are known yet"))?;
+    head::check(&request, table.limits.head)?;
+    let route = find_route(relay, &table, &request)?;
+    let team = find_team(relay, &table, &route, &head)?;
+    if relay.is_closing() {
+        let text = "the box is stopping; ask another";
+        return Err(Failure::new(Kind::Draining, text).after(Some(CLOSING_WAIT)));
+    }
+    let service = choose_service(&route)?;
+    let call = read_call(&table, &route, team, head, request, arrived).await?;
+    let spent = take_allowance(relay, team, &call)?;
+    relay.retries().earn(&service, &retry_limit(relay));
+    let answered = match route.repeat.is_stream() {
+        true => {
+            let (relay, call, route) = (relay.clone(), Arc::new(call), route.clone());
+            stream::answer(relay, call, route, &service, guard).await
+        }
+        false => plain::answer(relay, &call, &route, &service).await,
+    };
+    match answered {
+        Ok(response) => {
+            let name = team.map_or("-", |team| team.name.as_str());
+            relay.metrics.count_request(name, "answered");
+            relay.metrics.record_first_token(name, seconds_since(arrived));
+            Ok(response)
+        }
+        Err(failure) => {
+            if failure.kind.answer().run == crate::error::RunState::NotRun
+                && let Some(team) = team
+            {
+                relay.allowances().give_back(&team.name, spent);
+            }
+            Err(failure)
+        }
+    }
+}
+
+fn unsure(text: &str) -> Failure {
+    Failure::new(Kind::StaleConfiguration, text).after(Some(UNSURE_WAIT))
+}
+
+/// Whether the routes and keys held are certainly recent enough to refuse or run by.
+pub(super) fn is_sure(relay: &Relay) -> bool {
+    let limit = relay.settings.revoke_time.duration().mul_f64(KEY_MARGIN);
+    relay.board.age().is_some_and(|age| age < limit)
+}
+
+fn find_route(
+    relay: &Relay,
+    table: &RouteTable,
+    request: &Request<Incoming>,
+) -> Result<Arc<Route>, Failure> {
+    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| request.uri().host()).unwrap_or_default();
+    match table.find(host, request.uri().path()) {
+        Some(route) => Ok(route.clone()),
+        None if is_sure(relay) => Err(Failure::new(Kind::NotFound, "no route leads there")),
+        None => Err(unsure("no route is known there, and the routes may be out of date")),
+    }
+}
+
+fn find_team<'a>(
+    relay: &Relay,
+    table: &'a RouteTable,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<&'a Team>, Failure> {
+    if !table.has_teams() || route.public {
+        return Ok(head.key.as_deref().and_then(|key| table.team_of(key)));
+    }
+    if !is_sure(relay) {
+        return Err(unsure("whether the key still holds is not known"));
+    }
+    let team = head.key.as_deref().and_then(|key| table.team_of(key));
+    team.map(Some).ok_or_else(|| Failure::new(Kind::UnknownKey, "the key belongs to no team"))
+}
+
+fn choose_service(route: &Route) -> Result<ServiceName, Failure> {
+    let weights: Vec<_> = route.splits.iter().map(|split| split.weight).collect();
+    let place = split(&weights, rand::random::<f64>());
+    let chosen = place.and_then(|place| route.splits.get(place));
+    chosen
+        .map(|split| split.service.clone())
+        .ok_or_else(|| Failure::new(Kind::Internal, "the route leads to no service"))
+}
+
+/// Reads the body and puts the call together.
+async fn read_call(
+    table: &RouteTable,
+    route: &Route,
+    team: Option<&Team>,
+    head: CallHead,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Call, Failure> {
+    let waits = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + waits;
+    let (mut parts, body) = request.into_parts();
+    let body = read_body(body, table.limits.body, waits).await?;
+    strip_hop_headers(&mut parts.headers);
+    for name in [CONTENT_LENGTH, EXPECT] {
+        parts.headers.remove(name);
+    }
+    let path = parts.uri.path_and_query().cloned();
+    let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let urgency = team.map_or(0, |team| team.priority.saturating_mul(TEAM_URGENCY));
+    let urgency = urgency.saturating_add(route.priority).min(LEAST_URGENT);
+    Ok(Call {
+        head,
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+        team: team.map(|team| team.name.clone()),
+        urgency,
+        arrived,
+        deadline,
+    })
+}
+
+async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Failure> {
+    match tokio::time::timeout(time, Limited::new(body, limit).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(Failure::new(Kind::TooLarge, format!("the body is larger than {limit} bytes")))
+        }
+        Ok(Err(error)) => {
+            Err(Failure::new(Kind::BadRequest, format!("the body cannot be read: {error}")))
+        }
+        Err(_) => Err(Failure::new(Kind::SlowCaller, "the body did not arrive in time")),
+    }
+}
+
+/// Takes what the call costs from its team's allowance; the amount taken.
+fn take_allowance(relay: &Relay, team: Option<&Team>, call: &Call) -> Result<f64, Failure> {
+    let Some(team) = team else {
+        return Ok(0.0);
+    };
+    let tokens = call.head.size.map(|size| size.prompt + size.output);
+    let cost = allowance::cost(team, tokens);
+    let taken = relay.allowances().take(team, cost, relay.relays(), Instant::now());
+    match taken {
+        Ok(()) => Ok(cost),
+        Err(wait) => {
+            let text = format!("team {} is over its limit", team.name);
+            Err(Failure::new(Kind::RateLimit, text).after(Some(wait)))
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/stream.rs
@@ -0,0 +1,342 @@
+//! Passes streams of events as they come, and takes a broken one up at another server where its
+//! route allows that.
+
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use async_stream::stream;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Response, StatusCode};
+
+use super::Relay;
+use super::attempt::{Course, Miss, Reply, seconds_since, send};
+use super::call::Call;
+use super::events::{EventCutter, event_id};
+use super::plain::strip_hop_headers;
+use super::servers::{Flight, Known};
+use super::table::{Repeat, Route};
+use crate::backend::{Exchange, SendFault};
+use crate::blackboard::RequestGuard;
+use crate::error::{Failure, Kind};
+use crate::http::{Body, whole};
+use crate::ids::ServiceName;
+
+/// Bytes of a failed answer at most.
+const FAILURE_LIMIT: usize = 1 << 20;
+
+/// How long a stream that may be taken up elsewhere is silent before it is, in its longest pauses
+/// that are on time.
+const SILENCE_GAPS: u32 = 2;
+
+/// The least silence after which a stream is taken up elsewhere.
+const LEAST_SILENCE: Duration = Duration::from_millis(800);
+
+/// The part of the objective after which a stream that may be taken up elsewhere and has not begun
+/// goes to another server.
+const PATIENCE: f64 = 1.0;
+
+/// A stream that has begun at a server.
+struct Opened {
+    status: StatusCode,
+    headers: HeaderMap,
+    source: Source,
+    first: Bytes,
+}
+
+/// Where the events of a stream come from at the moment.
+struct Source {
+    exchange: Exchange,
+    cutter: EventCutter,
+    flight: Flight,
+    began: Instant,
+}
+
+/// What an attempt to begin a stream came to.
+enum Opening {
+    Stream(Box<Opened>),
+    /// A whole answer that is no stream, and whether the server says that the request failed.
+    Whole(Response<Body>, bool),
+}
+
+/// Gets a stream of events.
+///
+/// # Errors
+/// What is said of the call when no server began one.
+pub async fn answer(
+    relay: Arc<Relay>,
+    call: Arc<Call>,
+    route: Arc<Route>,
+    service: &ServiceName,
+    guard: RequestGuard,
+) -> Result<Response<Body>, Failure> {
+    let mut course = Course::new(service.clone());
+    let mut failed = None;
+    loop {
+        let known = match course.next(&relay, &call, &route) {
+            Ok(known) => known,
+            Err(failure) => return failed.ok_or(failure),
+        };
+        let more = route.repeat.is_repeatable() && course.arrivals() + 1 < route.attempts;
+        let limit = if more { patience(&route).min(call.left()) } else { call.left() };
+        match open(&relay, &call, &route, &known, call.head.resume, limit).await {
+            Ok(Opening::Stream(opened)) => {
+                course.note_begun();
+                count(&relay, &call);
+                return Ok(respond(relay, call, route, course, *opened, guard));
+            }
+            Ok(Opening::Whole(response, true)) if more => {
+                course.note_begun();
+                failed = Some(response);
+            }
+            Ok(Opening::Whole(response, _)) => return Ok(response),
+            Err(miss) => course.note(&call, miss),
+        }
+    }
+}
+
+fn patience(route: &Route) -> Duration {
+    route.objective.mul_f64(PATIENCE)
+}
+
+fn silence(route: &Route, call: &Call) -> Duration {
+    let gap = route.gap.unwrap_or(LEAST_SILENCE) * SILENCE_GAPS;
+    match route.repeat {
+        Repeat::ResumableStream => gap.max(LEAST_SILENCE).min(call.left()),
+        Repeat::Stream | Repeat::Safe | Repeat::Once => call.left(),
+    }
+}
+
+fn count(relay: &Relay, call: &Call) {
+    if let Some(team) = &call.team {
+        relay.usage().count(team, SystemTime::now());
+    }
+}
+
+/// Begins a stream at a server: it has begun when its first event is whole.
+async fn open(
+    relay: &Relay,
+    call: &Call,
+    route: &Route,
+    known: &Arc<Known>,
+    resume: Option<u64>,
+    limit: Duration,
+) -> Result<Opening, Miss> {
+    let flight = known.begin(call.prompt());
+    let began = Instant::now();
+    let opening = async {
+        let reply = send(relay, call, route, known, resume, limit).await?;
+        if !reply.exchange.status.is_success() {
+            return read_failure(reply).await;
+        }
+        let exchange = reply.exchange;
+        let mut source = Source { exchange, cutter: EventCutter::default(), flight, began };
+        let first = first_event(&mut source, limit).await?;
+        source.flight.begun();
+        let status = source.exchange.status;
+        let mut headers = source.exchange.headers.clone();
+        strip_hop_headers(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        headers.remove(TRANSFER_ENCODING);
+        Ok(Opening::Stream(Box::new(Opened { status, headers, source, first })))
+    };
+    let opened = match tokio::time::timeout(limit, opening).await {
+        Ok(result) => result,
+        Err(_) => Err(Miss::of_fault(SendFault::TimedOut)),
+    };
+    match &opened {
+        Ok(Opening::Stream(_)) => {
+            if let Some(part) = call.shared_part() {
+                known.state.note_prefixes(&[part.id], PARTS_KEPT);
+            }
+        }
+        Err(Miss::Unknown { .. }) => drop(known.state.fail()),
+        Ok(Opening::Whole(..)) | Err(Miss::NotRun { .. }) => {}
+    }
+    opened
+}
+
+/// Parts of prompts remembered for each engine.
+const PARTS_KEPT: usize = 1_024;
+
+async fn read_failure(reply: Reply) -> Result<Opening, Miss> {
+    let status = reply.exchange.status;
+    let mut headers = reply.exchange.headers.clone();
+    let body = reply.exchange.read_whole(FAILURE_LIMIT, Duration::from_secs(3_600)).await;
+    let body = body.map_err(Miss::of_fault)?;
+    strip_hop_headers(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    let mut response = Response::new(whole(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Ok(Opening::Whole(response, reply.failed))
+}
+
+async fn first_event(source: &mut Source, limit: Duration) -> Result<Bytes, Miss> {
+    loop {
+        match source.cutter.next_event() {
+            Ok(Some(event)) => return Ok(event),
+            Ok(None) => {}
+            Err(error) => {
+                return Err(Miss::Unknown {
+                    kind: Kind::BackendInvalid,
+                    detail: error.to_string(),
+                });
+            }
+        }
+        match source.exchange.next(limit).await.map_err(Miss::of_fault)? {
+            Some(piece) => source.cutter.push(&piece),
+            None => {
+                let fault = SendFault::Broke("the stream ended before its first event".to_owned());
+                return Err(Miss::of_fault(fault));
+            }
+        }
+    }
+}
+
+/// What a stream's caller has so far.
+struct Progress {
+    last: Option<u64>,
+}
+
+impl Progress {
+    /// Takes the whole events that a source holds, without those the caller has already.
+    fn take(&mut self, source: &mut Source) -> Result<Bytes, SendFault> {
+        let mut ready = BytesMut::new();
+        loop {
+            match source.cutter.next_event() {
+                Ok(Some(event)) => {
+                    if self.pass(&event) {
+                        ready.extend_from_slice(&event);
+                    }
+                }
+                Ok(None) => return Ok(ready.freeze()),
+                Err(error) => return Err(SendFault::Broke(error.to_string())),
+            }
+        }
+    }
+
+    /// Whether an event is new to the caller.
+    fn pass(&mut self, event: &[u8]) -> bool {
+        let Some(id) = event_id(event) else {
+            return true;
+        };
+        let new = self.last.is_none_or(|last| id > last);
+        if new {
+            self.last = Some(id);
+        }
+        new
+    }
+}
+
+fn respond(
+    relay: Arc<Relay>,
+    call: Arc<Call>,
+    route: Arc<Route>,
+    mut course: Course,
+    opened: Opened,
+    guard: RequestGuard,
+) -> Response<Body> {
+    let Opened { status, headers, mut source, first } = opened;
+    let mut progress = Progress { last: call.head.resume };
+    progress.pass(&first);
+    let events = stream! {
+        let _counted = guard;
+        yield Ok::<_, io::Error>(Frame::data(first));
+        loop {
+            match next(&mut source, &mut progress, silence(&route, &call)).await {
+                Ok(Some(ready)) if ready.is_empty() => {}
+                Ok(Some(ready)) => yield Ok(Frame::data(ready)),
+                Ok(None) => {
+                    source.flight.known().state.succeed(seconds_since(source.began));
+                    break;
+                }
+                Err(fault) => {
+                    source.flight.known().state.fail();
+                    let taken = take_up(&relay, &call, &route, &mut course, &mut progress, &fault);
+                    match taken.await {
+                        Some((ready, next)) => {
+                            source = next;
+                            if !ready.is_empty() {
+                                yield Ok(Frame::data(ready));
+                            }
+                        }
+                        None => {
+                            relay.metrics.count_attempt(route.name.as_str(), "stream_cut");
+                            yield Err(io::Error::other(fault.to_string()));
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+    };
+    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(events)));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// The next whole events; `None` at the end of the stream.
+async fn next(
+    source: &mut Source,
+    progress: &mut Progress,
+    silence: Duration,
+) -> Result<Option<Bytes>, SendFault> {
+    let ready = progress.take(source)?;
+    if !ready.is_empty() {
+        return Ok(Some(ready));
+    }
+    match source.exchange.next(silence).await? {
+        Some(piece) => {
+            source.cutter.push(&piece);
+            progress.take(source).map(Some)
+        }
+        None if source.cutter.is_inside() => {
+            Err(SendFault::Broke("the stream ended inside an event".to_owned()))
+        }
+        None => Ok(None),
+    }
+}
+
+/// Takes a broken stream up at another server, behind the last event that its caller has.
+async fn take_up(
+    relay: &Relay,
+    call: &Call,
+    route: &Route,
+    course: &mut Course,
+    progress: &mut Progress,
+    fault: &SendFault,
+) -> Option<(Bytes, Source)> {
+    tracing::info!(
+        event = "stream_broke", id = call.head.id, route = route.name, detail = %fault,
+        last = progress.last, resumable = route.repeat.is_repeatable(),
+        left_ms = call.left().as_millis() as u64,
+    );
+    if route.repeat != Repeat::ResumableStream {
+        return None;
+    }
+    loop {
+        let known = course.next(relay, call, route).ok()?;
+        let limit = silence(route, call) + route.objective;
+        match open(relay, call, route, &known, progress.last, limit.min(call.left())).await {
+            Ok(Opening::Stream(opened)) => {
+                course.note_begun();
+                relay.metrics.count_resume("elsewhere");
+                tracing::info!(event = "stream_taken_up", id = call.head.id, backend_server = %known.server.id);
+                let Opened { mut source, first, .. } = *opened;
+                let mut ready = BytesMut::new();
+                if progress.pass(&first) {
+                    ready.extend_from_slice(&first);
+                }
+                ready.extend_from_slice(&progress.take(&mut source).ok()?);
+                return Some((ready.freeze(), source));
+            }
+            Ok(Opening::Whole(..)) => course.note_begun(),
+            Err(miss) => course.note(call, miss),
+        }
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,17 +4,21 @@
 //! wrong with a file is reported at once, each fault with its file, section and key.
 
 mod reader;
+mod service;
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
+use crate::group::directory::Directory;
+use crate::http::server::Limits;
 use crate::ids::{BoxId, DataCentre};
 use crate::units::Millis;
 
 pub use reader::SettingsError;
+pub use service::{CloudSettings, GroupSettings, OperatorSettings, RelaySettings};
 pub(crate) use reader::{Reader, Section};
 
 /// What a node does.
@@ -24,6 +28,8 @@
     Entry,
     /// A member of the replicated group. Needs a data folder.
     Replica,
+    /// Carries traffic by the routes that operators publish. Needs no disk.
+    Relay,
 }
 
 impl fmt::Display for Role {
@@ -31,6 +37,7 @@
         f.write_str(match self {
             Self::Entry => "entry",
             Self::Replica => "replica",
+            Self::Relay => "relay",
         })
     }
 }
@@ -42,7 +49,8 @@
         match text {
             "entry" => Ok(Self::Entry),
             "replica" => Ok(Self::Replica),
-            _ => Err(format!("a role is entry or replica, not {text:?}")),
+            "relay" => Ok(Self::Relay),
+            _ => Err(format!("a role is entry, relay or replica, not {text:?}")),
         }
     }
 }
@@ -91,6 +99,14 @@
     pub replicas: BTreeMap<BoxId, SocketAddr>,
     /// Section `platform`; absent on nodes that do not watch the platform.
     pub platform: Option<PlatformSettings>,
+    /// Section `group`: how replicas find each other where they are not all listed.
+    pub group: GroupSettings,
+    /// Section `relay`: traffic by the published routes; absent on nodes that carry none.
+    pub relay: Option<RelaySettings>,
+    /// Section `operator`: where operators publish routes; absent on nodes that take none.
+    pub operator: Option<OperatorSettings>,
+    /// Section `cloud`: the platform's interface; absent where nothing is asked of it.
+    pub cloud: Option<CloudSettings>,
     /// Section `metrics`.
     pub metrics: MetricsSettings,
     /// Section `log`.
@@ -141,6 +157,18 @@
     pub queue: usize,
 }
 
+impl EntrySettings {
+    /// What callers' connections are held to.
+    pub fn limits(&self) -> Limits {
+        Limits {
+            callers: self.callers,
+            head: self.head_limit,
+            head_time: self.head_time.duration(),
+            write_time: self.body_time.duration(),
+        }
+    }
+}
+
 impl Default for EntrySettings {
     fn default() -> Self {
         Self {
@@ -241,12 +269,36 @@
         let peer = read_peer(&mut reader);
         let replicas = read_replicas(&mut reader);
         let platform = read_platform(&mut reader);
+        let group = service::read_group(&mut reader);
+        let relay = service::read_relay(&mut reader);
+        let operator = service::read_operator(&mut reader);
+        let cloud = service::read_cloud(&mut reader);
         let metrics = read_metrics(&mut reader);
         let log = read_log(&mut reader);
-        check_roles(&mut reader, node.as_ref(), &replicas);
+        check_roles(&mut reader, node.as_ref(), &replicas, &group);
         reader.finish()?;
         let node = node.ok_or_else(|| SettingsError::one(name, "section [node] is missing"))?;
-        Ok(Self { node, entry, peer, replicas, platform, metrics, log })
+        Ok(Self {
+            node,
+            entry,
+            peer,
+            replicas,
+            platform,
+            group,
+            relay,
+            operator,
+            cloud,
+            metrics,
+            log,
+        })
+    }
+
+    /// Where the replicas are, as far as the settings say.
+    pub fn directory(&self) -> Directory {
+        match self.group.seeds.is_empty() {
+            true => Directory::listed(self.replicas.clone()),
+            false => Directory::seeded(&self.group.seed_ips(), self.peer.listen.port()),
+        }
     }
 
     /// Whether the node has the role.
@@ -339,10 +391,14 @@
     reader: &mut Reader,
     node: Option<&NodeSettings>,
     replicas: &BTreeMap<BoxId, SocketAddr>,
+    group: &GroupSettings,
 ) {
-    if replicas.is_empty() {
+    if replicas.is_empty() && group.seeds.is_empty() {
         reader.fault("replicas", "-", "names at least one box = address");
     }
+    if !replicas.is_empty() && !group.seeds.is_empty() {
+        reader.fault("group", "seeds", "cannot stand beside a list of replicas");
+    }
     let Some(node) = node else {
         return;
     };
@@ -352,6 +408,12 @@
     if node.data_folder.is_none() {
         reader.fault("node", "data_folder", "is required for the role replica");
     }
+    if !group.seeds.is_empty() {
+        if node.box_id.as_str().parse::<IpAddr>().is_err() {
+            reader.fault("node", "box_id", "is the box's IP address where the group has seeds");
+        }
+        return;
+    }
     if !replicas.contains_key(&node.box_id) {
         let text = format!("does not name this box, {}, which is a replica", node.box_id);
         reader.fault("replicas", node.box_id.as_str(), &text);
--- /dev/null
+++ b/src/settings/service.rs
@@ -0,0 +1,140 @@
+//! Settings of nodes that carry traffic by published routes, and of the replicas that serve them.
+
+use std::net::{IpAddr, SocketAddr};
+
+use super::Reader;
+use crate::units::Millis;
+
+/// How replicas find each other where the settings name only a few of them.
+#[derive(Debug, Clone, Default)]
+pub struct GroupSettings {
+    /// Replicas to ask first. Only their IP addresses count: every box listens for peers on the port
+    /// of this node's own `[peer] listen`. Empty: the section `replicas` lists all of them.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether this is the very first start, on empty disks: the seeds form the group then.
+    pub first_start: bool,
+    /// Replicas that may be lost at the same time.
+    pub failures: u32,
+}
+
+impl GroupSettings {
+    /// How many voters the group is to have.
+    pub fn voters(&self) -> usize {
+        2 * self.failures as usize + 1
+    }
+
+    /// The seeds' IP addresses.
+    pub fn seed_ips(&self) -> Vec<IpAddr> {
+        self.seeds.iter().map(SocketAddr::ip).collect()
+    }
+}
+
+/// How traffic by published routes is met. The figures are the users' contract.
+#[derive(Debug, Clone)]
+pub struct RelaySettings {
+    /// Address callers connect to.
+    pub listen: SocketAddr,
+    /// Address at which the platform's balancer asks whether the node takes callers.
+    pub ready: SocketAddr,
+    /// Within this time after a key was taken away, no request with it may begin to run.
+    pub revoke_time: Millis,
+    /// Retries allowed as a share of the requests of a service.
+    pub retry_ratio: f64,
+    /// Retries allowed on top in one window, over all boxes together.
+    pub retry_floor: u32,
+    /// The window of the retry budget.
+    pub retry_window: Millis,
+    /// The time between the platform's request to stop and its kill.
+    pub grace: Millis,
+    /// The length of a usage window.
+    pub usage_window: Millis,
+}
+
+/// Where operators publish routes.
+#[derive(Debug, Clone)]
+pub struct OperatorSettings {
+    /// Address operators connect to.
+    pub listen: SocketAddr,
+}
+
+/// The platform's interface.
+#[derive(Debug, Clone)]
+pub struct CloudSettings {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Time between two looks at the list of backend servers.
+    pub poll: Millis,
+    /// The length of a usage window.
+    pub usage_window: Millis,
+    /// How long after a window's end its report is due.
+    pub usage_due: Millis,
+    /// How long a former holder of a duty may still act.
+    pub lease: Millis,
+}
+
+const POLL: Millis = Millis(1_000);
+
+pub(super) fn read_group(reader: &mut Reader) -> GroupSettings {
+    let mut section = reader.section("group");
+    let settings = GroupSettings {
+        seeds: section.list("seeds").unwrap_or_default(),
+        first_start: section.value("first_start", false),
+        failures: section.value("failures", 1),
+    };
+    reader.close(section);
+    settings
+}
+
+pub(super) fn read_relay(reader: &mut Reader) -> Option<RelaySettings> {
+    if !reader.has("relay") {
+        return None;
+    }
+    let mut section = reader.section("relay");
+    let listen = section.required("listen");
+    let ready = section.required("ready");
+    let revoke_time = section.value("revoke_time", Millis(5_000));
+    let retry_ratio = section.value("retry_ratio", 0.2);
+    let retry_floor = section.value("retry_floor", 50);
+    let retry_window = section.value("retry_window", Millis(10_000));
+    let grace = section.value("grace", Millis(8_000));
+    let usage_window = section.value("usage_window", Millis(5_000));
+    section.check("usage_window", usage_window.0 > 0, "is longer than nothing");
+    section.check("retry_ratio", (0.0..=1.0).contains(&retry_ratio), "is from 0 to 1");
+    reader.close(section);
+    Some(RelaySettings {
+        listen: listen?,
+        ready: ready?,
+        revoke_time,
+        retry_ratio,
+        retry_floor,
+        retry_window,
+        grace,
+        usage_window,
+    })
+}
+
+pub(super) fn read_operator(reader: &mut Reader) -> Option<OperatorSettings> {
+    if !reader.has("operator") {
+        return None;
+    }
+    let mut section = reader.section("operator");
+    let listen = section.required("listen");
+    reader.close(section);
+    Some(OperatorSettings { listen: listen? })
+}
+
+pub(super) fn read_cloud(reader: &mut Reader) -> Option<CloudSettings> {
+    if !reader.has("cloud") {
+        return None;
+    }
+    let mut section = reader.section("cloud");
+    let addr = section.required("addr");
+    let poll = section.value("poll", POLL);
+    let usage_window = section.value("usage_window", Millis(5_000));
+    let usage_due = section.value("usage_due", Millis(10_000));
+    let lease = section.value("lease", Millis(3_000));
+    section.check("poll", poll.0 > 0, "is longer than nothing");
+    section.check("usage_window", usage_window.0 > 0, "is longer than nothing");
+    reader.close(section);
+    Some(CloudSettings { addr: addr?, poll, usage_window, usage_due, lease })
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,7 +6,9 @@
 
 pub mod change_file;
 pub mod config;
+pub mod document;
 pub mod ledger;
+pub mod usage;
 pub mod work;
 
 use std::sync::Arc;
@@ -14,7 +16,9 @@
 use serde::{Deserialize, Serialize};
 
 use config::{Change, ChangeReply, Configuration};
+use document::{Document, Version};
 use ledger::{Begin, BeginReply, End, EndReply, Ledger};
+use usage::{Settle, UsageBook};
 use work::{Claim, ClaimReply, Finish, Keep, KeepReply, WorkId, WorkStore, WorkView};
 
 /// One entry's content.
@@ -33,6 +37,12 @@
     Claim(Claim),
     /// A node has run kept work.
     Finish(Finish),
+    /// An operator publishes a document.
+    Publish(Arc<Document>),
+    /// Asks for the published document, in its place among all commands.
+    ReadDocument,
+    /// Fixes what a usage window's report says.
+    Settle(Settle),
     /// Drop what is older than its age allows.
     Expire,
 }
@@ -53,6 +63,12 @@
     Claim(Box<ClaimReply>),
     /// Answers [`Command::Finish`]: whether the fence was still the owner's.
     Finish(bool),
+    /// Answers [`Command::Publish`]: the version held after it.
+    Publish(Version),
+    /// Answers [`Command::ReadDocument`].
+    Document(Arc<Document>),
+    /// Answers [`Command::Settle`]: the counts that stand for the window.
+    Settle(Settle),
     /// Answers [`Command::Expire`]: how many entries went.
     Expire(usize),
 }
@@ -63,6 +79,10 @@
     configuration: Arc<Configuration>,
     ledger: Ledger,
     work: WorkStore,
+    #[serde(default)]
+    document: Arc<Document>,
+    #[serde(default)]
+    usage: UsageBook,
 }
 
 impl Machine {
@@ -78,10 +98,26 @@
             Command::Keep(keep) => Reply::Keep(self.work.keep(at, keep)),
             Command::Claim(claim) => Reply::Claim(Box::new(self.work.claim(at, claim))),
             Command::Finish(finish) => Reply::Finish(self.work.finish(at, finish)),
+            Command::Publish(document) => Reply::Publish(self.publish(document)),
+            Command::ReadDocument => Reply::Document(self.document.clone()),
+            Command::Settle(settle) => Reply::Settle(self.usage.settle(settle)),
             Command::Expire => Reply::Expire(self.expire(at)),
         }
     }
 
+    /// Takes a document of a higher version than the held one; any other changes nothing.
+    fn publish(&mut self, document: &Arc<Document>) -> Version {
+        if document.version > self.document.version {
+            self.document = document.clone();
+        }
+        self.document.version
+    }
+
+    /// The published document.
+    pub fn document(&self) -> &Arc<Document> {
+        &self.document
+    }
+
     fn expire(&mut self, at: u64) -> usize {
         let limits = &self.configuration.limits;
         let ledger = self.ledger.expire(at, limits.ledger_age);
