Spend: engines ordered by a plan; silent streams stay; a full disk is waited for

Change: reclaimable engines spread over the data centres with one data centre's worth to spare; silence only moves a stream when another server may take it; failed writes are tried again on a reopened file.

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::group::access::Access;
-use crate::ids::{BoxId, Incarnation, TeamName, Window};
+use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Window};
 use crate::relay::Relay;
 use crate::relay::allowance::{Allowed, TeamDemand};
 use crate::relay::servers::{ListVersion, ServerList};
@@ -32,6 +32,8 @@
     pub list: ListVersion,
     /// Requests that began to run, in the windows whose reports are not known to be fixed.
     pub usage: Counts,
+    /// Prompt tokens that callers brought for each service since the last beat that was answered.
+    pub offered: BTreeMap<ServiceName, u64>,
     /// What the teams used and were refused.
     pub demand: BTreeMap<TeamName, TeamDemand>,
 }
@@ -71,12 +73,14 @@
         life,
         list: relay.servers.version(),
         usage: relay.usage().counts(),
+        offered: relay.offered().tell(),
         demand: relay.allowances().tell(),
     };
     match access.beat(&beat, ANSWER_TIME).await {
         Ok(reply) => {
             relay.allowances().hear(&reply.allowed, Instant::now());
             relay.usage().forget(reply.settled);
+            relay.offered().forget(&beat.offered);
             relay.note_relays(reply.relays);
             if let Some(list) = reply.list {
                 relay.servers.take((*list).clone());
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -11,11 +11,12 @@
 use tokio::time::MissedTickBehavior;
 
 use super::beat::{Beat, BeatReply};
+use super::spend::Spender;
 use crate::decide::level::{Limit, TeamLevel};
 use crate::group::driver::Unanswered;
-use crate::ids::{BoxId, Incarnation, TeamName, Term, Window};
+use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Term, Window};
 use crate::node::Node;
-use crate::platform::client::{Client, Duty, DutyAnswer};
+use crate::platform::client::{Client, Duty, DutyAnswer, Order};
 use crate::relay::servers::{ListVersion, ServerList};
 use crate::relay::table::RouteTable;
 use crate::relay::usage::{Counts, window_at};
@@ -32,6 +33,9 @@
 /// How long the group may take to fix a window's counts.
 const SETTLE_TIME: Duration = Duration::from_millis(2_000);
 
+/// Time between two looks at whether engines are to be ordered.
+const ORDER_TIME: Duration = Duration::from_millis(500);
+
 /// Pause after a report that the platform did not take.
 const REPORT_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -63,6 +67,8 @@
     table: Option<Arc<RouteTable>>,
     list: Arc<ServerList>,
     settled: Window,
+    offered: BTreeMap<ServiceName, u64>,
+    spender: Spender,
 }
 
 impl Lead {
@@ -75,6 +81,8 @@
             table: None,
             list: Arc::default(),
             settled: Window(0),
+            offered: BTreeMap::new(),
+            spender: Spender::default(),
         }
     }
 
@@ -82,6 +90,9 @@
     fn hear(&mut self, beat: Beat) -> BeatReply {
         let now = Instant::now();
         let allowed = self.allow(&beat);
+        for (service, tokens) in &beat.offered {
+            *self.offered.entry(service.clone()).or_insert(0) += tokens;
+        }
         let key = (beat.box_id, beat.life);
         self.words.insert(key, Word { heard: now, usage: beat.usage });
         self.words.retain(|_, word| word.heard + FORGET_TIME > now);
@@ -111,6 +122,16 @@
         allowed
     }
 
+    /// The orders for engines that are due.
+    fn orders(&mut self) -> Vec<Order> {
+        let now = self.since.elapsed().as_secs_f64();
+        self.spender.note(now, &std::mem::take(&mut self.offered));
+        match &self.table {
+            Some(table) => self.spender.orders(now, table, &self.list.servers),
+            None => Vec::new(),
+        }
+    }
+
     /// The counts of a window over all boxes and lives.
     fn counts(&self, window: Window) -> BTreeMap<TeamName, u64> {
         let mut sum = BTreeMap::new();
@@ -153,6 +174,7 @@
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut listing: Option<Instant> = None;
     let mut reporting: Option<Instant> = None;
+    let mut ordering: Option<Instant> = None;
     loop {
         timer.tick().await;
         let Some(term) = node.leading_term().await else {
@@ -164,10 +186,17 @@
             read_list(&node, &client, term).await;
         }
         let leads_for = node.with_lead(term, |lead| lead.since.elapsed());
+        if leads_for <= settings.lease.duration() {
+            continue;
+        }
         let rested = reporting.is_none_or(|at| at.elapsed() >= REPORT_PAUSE);
-        if leads_for > settings.lease.duration() && rested && !report(&node, &client, &settings, term).await {
+        if rested && !report(&node, &client, &settings, term).await {
             reporting = Some(Instant::now());
         }
+        if ordering.is_none_or(|at| at.elapsed() >= ORDER_TIME) {
+            ordering = Some(Instant::now());
+            order(&node, &client, term).await;
+        }
     }
 }
 
@@ -202,6 +231,22 @@
     }
 }
 
+/// Orders the engines that are due.
+async fn order(node: &Node, client: &Client, term: Term) {
+    let duty = Duty { holder: node.settings.node.box_id.clone(), fence: term };
+    for order in node.with_lead(term, Lead::orders) {
+        let answer = client.order(&duty, &order, CLOUD_TIME).await;
+        tracing::info!(
+            event = "engines_ordered", service = %order.service, count = order.count,
+            data_centre = %order.data_centre, spot = order.spot, fence = %term, ?answer,
+        );
+        node.with_lead(term, |lead| match answer {
+            Ok(DutyAnswer::Fenced) => lead.spender.note_refused(&order),
+            Ok(DutyAnswer::Taken) | Err(_) => lead.spender.note_placed(&order),
+        });
+    }
+}
+
 /// Fixes and reports the windows that are due; `false` if one could not be.
 async fn report(node: &Node, client: &Client, settings: &CloudSettings, term: Term) -> bool {
     let length = settings.usage_window.duration();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod boxlist;
 pub(crate) mod publish;
 pub(crate) mod share;
+pub(crate) mod spend;
 pub(crate) mod work;
 
 use std::sync::Arc;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,3 +17,4 @@
 pub mod retry;
 pub mod route;
 pub mod share;
+pub mod spend;
--- /dev/null
+++ b/src/decide/spend.rs
@@ -0,0 +1,174 @@
+//! How many engines a service is to have, where, and of which kind.
+//!
+//! Reclaimable engines cost a fraction of those on demand, and all of a data centre's may go at once
+//! on short notice. So what is needed is held in reclaimable engines over all data centres, with as
+//! many more as the loss of one data centre takes away; engines on demand stand in for what cannot be
+//! had otherwise, and go again once reclaimable ones serve.
+//!
+//! Pure: what is listed, offered and refused goes in, counts come out.
+
+use std::cmp::Ordering;
+
+use crate::ids::DataCentre;
+
+/// Prompt tokens that an engine reads in a second, about. From the sheets of both deployments: 64,200
+/// and 68,200.
+const READ_RATE: f64 = 64_000.0;
+
+/// The part of its time an engine is to spend reading prompts. Above it, requests queue behind long
+/// prompts for longer than their objectives allow. Measured: see `docs/design/08-spend.md`.
+const READ_LOAD: f64 = 0.28;
+
+/// Seconds over which the offered tokens are averaged.
+const MEAN_TIME: f64 = 4.0;
+
+/// Seconds in which a peak of the offered tokens loses most of its weight: waves return, and an
+/// engine takes some seconds to boot.
+const PEAK_TIME: f64 = 40.0;
+
+/// Seconds of traffic before its mean says more than what is there at the start.
+const WARM_TIME: f64 = 5.0;
+
+/// The prompt tokens a second that are offered to a service.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Offered {
+    mean: f64,
+    peak: f64,
+    at: Option<f64>,
+    first: Option<f64>,
+}
+
+impl Offered {
+    /// Takes the tokens offered since the last call, at `now` in seconds.
+    pub fn note(&mut self, now: f64, tokens: f64) {
+        let Some(at) = self.at.replace(now) else {
+            return;
+        };
+        if tokens > 0.0 && self.first.is_none() {
+            self.first = Some(now);
+        }
+        let passed = (now - at).max(0.05);
+        let weight = 1.0 - (-passed / MEAN_TIME).exp();
+        self.mean += weight * (tokens / passed - self.mean);
+        self.peak = (self.peak * (-passed / PEAK_TIME).exp()).max(self.mean);
+    }
+
+    /// How many engines read what is offered; `None` while too little traffic was seen.
+    pub fn engines(&self, now: f64) -> Option<u32> {
+        let seen = now - self.first?;
+        (seen >= WARM_TIME).then(|| (self.peak / (READ_RATE * READ_LOAD)).ceil() as u32)
+    }
+}
+
+/// One data centre as it stands.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Site {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// What an engine on demand costs there.
+    pub price: f64,
+    /// Reclaimable engines that serve and do not leave.
+    pub spot: u32,
+    /// Engines on demand that serve and do not leave.
+    pub on_demand: u32,
+    /// Whether no reclaimable engine is to be had there now.
+    pub dry: bool,
+}
+
+/// What a data centre is to have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Reclaimable engines.
+    pub spot: u32,
+    /// Engines on demand.
+    pub on_demand: u32,
+}
+
+/// The limits of each data centre.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Engines of both kinds at least.
+    pub least: u32,
+    /// Engines of both kinds at most.
+    pub most: u32,
+    /// Whether there are reclaimable engines at all.
+    pub has_spot: bool,
+}
+
+/// What each data centre is to have for `need` engines to be left after the loss of one of them.
+pub fn plan(sites: &[Site], need: u32, bounds: Bounds) -> Vec<Plan> {
+    let mut order: Vec<&Site> = sites.iter().collect();
+    order.sort_by(|a, b| compare(a, b));
+    let spots = plan_spots(&order, need, bounds);
+    let obtainable: u32 = spots.iter().sum();
+    let serving: u32 = sites.iter().map(|site| site.spot).sum();
+    let held: u32 = sites.iter().map(|site| site.on_demand).sum();
+    // Orders go up only for what reclaimable engines will not cover, and down only once they serve.
+    let up = need.saturating_sub(obtainable);
+    let down = need.saturating_sub(serving);
+    let total = held.clamp(up, down.max(up));
+    let on_demand = plan_on_demand(&order, &spots, total, bounds);
+    let plans = order.iter().zip(spots).zip(on_demand);
+    plans
+        .map(|((site, spot), on_demand)| Plan {
+            data_centre: site.data_centre.clone(),
+            spot,
+            on_demand,
+        })
+        .collect()
+}
+
+fn compare(a: &Site, b: &Site) -> Ordering {
+    a.price.total_cmp(&b.price).then_with(|| a.data_centre.cmp(&b.data_centre))
+}
+
+/// Reclaimable engines by data centre, the cheapest first: evenly, so that the loss of one takes the
+/// least. Where none are to be had, those that are there stay.
+fn plan_spots(order: &[&Site], need: u32, bounds: Bounds) -> Vec<u32> {
+    let count = order.len() as u32;
+    if !bounds.has_spot || count == 0 {
+        return vec![0; order.len()];
+    }
+    let spared = count.saturating_sub(1).max(1);
+    // Each of the data centres that are left holds this much of the need.
+    let each = need.div_ceil(spared);
+    let mut total = need + each;
+    let mut spots = Vec::with_capacity(order.len());
+    for (place, site) in order.iter().enumerate() {
+        let left = count - place as u32;
+        let part = total.div_ceil(left).clamp(bounds.least, bounds.most);
+        let spot = if site.dry { site.spot.min(part) } else { part };
+        total = total.saturating_sub(part);
+        spots.push(spot);
+    }
+    spots
+}
+
+/// Engines on demand by data centre: what is there stays first, then the cheapest.
+fn plan_on_demand(order: &[&Site], spots: &[u32], total: u32, bounds: Bounds) -> Vec<u32> {
+    let room = |place: usize| bounds.most.saturating_sub(spots[place]);
+    let mut counts: Vec<u32> = (0..order.len())
+        .map(|place| {
+            let least = bounds.least.saturating_sub(spots[place]);
+            order[place].on_demand.max(least).min(room(place).max(least))
+        })
+        .collect();
+    for place in (0..order.len()).rev() {
+        let least = bounds.least.saturating_sub(spots[place]);
+        let over = counts.iter().sum::<u32>().saturating_sub(total);
+        counts[place] -= over.min(counts[place].saturating_sub(least));
+    }
+    loop {
+        let sum: u32 = counts.iter().sum();
+        let free = (0..order.len()).filter(|place| counts[*place] < room(*place));
+        let Some(place) = free.min_by_key(|place| counts[*place] + spots[*place]) else {
+            return counts;
+        };
+        if sum >= total {
+            return counts;
+        }
+        counts[place] += 1;
+    }
+}
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -17,7 +17,7 @@
 use super::links::Links;
 use super::log::Tail;
 use super::message::{Entry, Envelope, MemberChange, Members, Payload, Snapshot};
-use super::storage::{Batch, Storage};
+use super::storage::{Batch, Storage, StorageError};
 use crate::blackboard::Blackboard;
 use crate::ids::{BoxId, Index, Term};
 use crate::peer::method::GroupStatus;
@@ -25,7 +25,14 @@
 use crate::state::{Command, Machine, Reply};
 use crate::telemetry::hops::unix_millis;
 
-/// Exit code of a replica whose disk refused a write. It restarts with what the disk does hold.
+/// Pause after a write that failed.
+const STORE_PAUSE: Duration = Duration::from_millis(300);
+
+/// How long writes may fail before the process ends: whoever runs it is to see that the disk is of no
+/// use. Longer than a disk is full for while somebody makes room.
+const GIVE_UP_TIME: Duration = Duration::from_secs(30);
+
+/// Exit code of a replica whose disk refused writes for that long.
 const STORAGE_FAILED: i32 = 74;
 
 /// Time between two looks at the clock.
@@ -399,16 +406,29 @@
         if batch.is_empty() {
             return Ok(());
         }
-        let storage = self.storage.clone();
-        let written = tokio::task::spawn_blocking(move || storage.write(&batch)).await?;
-        if let Err(error) = written {
-            // What was said to be stored must be; without a disk this replica is of no use.
-            tracing::error!(event = "storage_failed", %error);
-            std::process::exit(STORAGE_FAILED);
+        // What was said to be stored must be, so nothing else happens until it is: a replica whose
+        // disk is full is as one that stands still, and the others go on without it.
+        let batch = Arc::new(batch);
+        let began = Instant::now();
+        while let Err(error) = self.try_store(&batch).await? {
+            let failed_for = began.elapsed();
+            tracing::error!(event = "storage_failed", %error, ms = failed_for.as_millis() as u64);
+            if failed_for > GIVE_UP_TIME {
+                std::process::exit(STORAGE_FAILED);
+            }
+            tokio::time::sleep(STORE_PAUSE).await;
         }
         Ok(())
     }
 
+    async fn try_store(
+        &self,
+        batch: &Arc<Batch>,
+    ) -> Result<Result<(), StorageError>, ActorProcessingErr> {
+        let (storage, batch) = (self.storage.clone(), batch.clone());
+        Ok(tokio::task::spawn_blocking(move || storage.write(&batch)).await?)
+    }
+
     fn apply(&mut self, entries: Vec<Entry>) {
         if entries.is_empty() {
             return;
--- a/src/group/storage.rs
+++ b/src/group/storage.rs
@@ -5,6 +5,7 @@
 //! refused with a clear error, while a torn last transaction is dropped by the database itself.
 
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
 
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use serde::Serialize;
@@ -76,7 +77,9 @@
 
 /// An open data folder.
 pub struct Storage {
-    database: Database,
+    /// Closed after a write that failed: the library refuses every further one then, and what the
+    /// file does hold is known only once it has been opened again.
+    database: Mutex<Option<Database>>,
     path: PathBuf,
 }
 
@@ -93,8 +96,7 @@
     ) -> Result<(Self, Stored, Incarnation), StorageError> {
         let path = folder.join(format!("group-{group}.redb"));
         std::fs::create_dir_all(folder).map_err(|error| io_error(&path, error))?;
-        let database = Database::create(&path).map_err(|error| wrap(&path, error))?;
-        let storage = Self { database, path };
+        let storage = Self { database: Mutex::new(None), path };
         let life = storage.identify(box_id)?;
         let stored = storage.load()?;
         Ok((storage, stored, life))
@@ -114,20 +116,44 @@
         }
     }
 
+    /// Runs `f` on the database, which is opened first where it is closed.
+    fn with<R>(
+        &self,
+        f: impl FnOnce(&Database) -> Result<R, StorageError>,
+    ) -> Result<R, StorageError> {
+        let mut held = self.database.lock().unwrap_or_else(PoisonError::into_inner);
+        let database = match held.take() {
+            Some(database) => database,
+            None => Database::create(&self.path).map_err(|error| wrap(&self.path, error))?,
+        };
+        let result = f(&database);
+        if result.is_ok() {
+            *held = Some(database);
+        }
+        result
+    }
+
     fn create_tables(&self) -> Result<(), StorageError> {
-        let write = self.database.begin_write().map_err(|error| wrap(&self.path, error))?;
-        write.open_table(ENTRIES).map_err(|error| wrap(&self.path, error))?;
-        write.open_table(META).map_err(|error| wrap(&self.path, error))?;
-        write.commit().map_err(|error| wrap(&self.path, error))
+        self.with(|database| {
+            let write = database.begin_write().map_err(|error| wrap(&self.path, error))?;
+            write.open_table(ENTRIES).map_err(|error| wrap(&self.path, error))?;
+            write.open_table(META).map_err(|error| wrap(&self.path, error))?;
+            write.commit().map_err(|error| wrap(&self.path, error))
+        })
     }
 
     fn load(&self) -> Result<Stored, StorageError> {
         let hard = self.read_meta(HARD)?.unwrap_or_default();
         let snapshot: Option<Snapshot> = self.read_meta(SNAPSHOT)?;
+        let first = snapshot.as_ref().map_or(1, |snapshot| snapshot.index.0 + 1);
+        let entries = self.with(|database| self.load_entries(database, first))?;
+        Ok(Stored { hard, snapshot, entries })
+    }
+
+    fn load_entries(&self, database: &Database, first: u64) -> Result<Vec<Entry>, StorageError> {
         let mut entries: Vec<Entry> = Vec::new();
-        let read = self.database.begin_read().map_err(|error| wrap(&self.path, error))?;
+        let read = database.begin_read().map_err(|error| wrap(&self.path, error))?;
         let table = read.open_table(ENTRIES).map_err(|error| wrap(&self.path, error))?;
-        let first = snapshot.as_ref().map_or(1, |snapshot| snapshot.index.0 + 1);
         for row in table.range(first..).map_err(|error| wrap(&self.path, error))? {
             let (index, value) = row.map_err(|error| wrap(&self.path, error))?;
             let expected = first + entries.len() as u64;
@@ -138,7 +164,7 @@
             }
             entries.push(entry);
         }
-        Ok(Stored { hard, snapshot, entries })
+        Ok(entries)
     }
 
     /// Writes a batch and syncs it.
@@ -146,11 +172,15 @@
     /// # Errors
     /// When the database cannot write; nothing of the batch counts then.
     pub fn write(&self, batch: &Batch) -> Result<(), StorageError> {
-        if batch.is_empty() {
-            return Ok(());
+        match batch.is_empty() {
+            true => Ok(()),
+            false => self.with(|database| self.write_to(database, batch)),
         }
+    }
+
+    fn write_to(&self, database: &Database, batch: &Batch) -> Result<(), StorageError> {
         let wrapped = |error: redb::Error| wrap(&self.path, error);
-        let mut write = self.database.begin_write().map_err(|error| wrapped(error.into()))?;
+        let mut write = database.begin_write().map_err(|error| wrapped(error.into()))?;
         // With one phase the database takes rot in the last commit for a torn one and goes back to
         // the commit before, silently: entries that were acknowledged would be gone.
         write.set_two_phase_commit(true);
@@ -187,20 +217,24 @@
     }
 
     fn read_meta<T: DeserializeOwned>(&self, key: &str) -> Result<Option<T>, StorageError> {
-        let read = self.database.begin_read().map_err(|error| wrap(&self.path, error))?;
-        let table = read.open_table(META).map_err(|error| wrap(&self.path, error))?;
-        let value = table.get(key).map_err(|error| wrap(&self.path, error))?;
-        value.map(|value| self.decode(key, value.value())).transpose()
+        self.with(|database| {
+            let read = database.begin_read().map_err(|error| wrap(&self.path, error))?;
+            let table = read.open_table(META).map_err(|error| wrap(&self.path, error))?;
+            let value = table.get(key).map_err(|error| wrap(&self.path, error))?;
+            value.map(|value| self.decode(key, value.value())).transpose()
+        })
     }
 
     fn write_meta<T: Serialize>(&self, key: &str, value: &T) -> Result<(), StorageError> {
-        let write = self.database.begin_write().map_err(|error| wrap(&self.path, error))?;
-        {
-            let mut table = write.open_table(META).map_err(|error| wrap(&self.path, error))?;
-            let bytes = encode(value);
-            table.insert(key, bytes.as_slice()).map_err(|error| wrap(&self.path, error))?;
-        }
-        write.commit().map_err(|error| wrap(&self.path, error))
+        self.with(|database| {
+            let write = database.begin_write().map_err(|error| wrap(&self.path, error))?;
+            {
+                let mut table = write.open_table(META).map_err(|error| wrap(&self.path, error))?;
+                let bytes = encode(value);
+                table.insert(key, bytes.as_slice()).map_err(|error| wrap(&self.path, error))?;
+            }
+            write.commit().map_err(|error| wrap(&self.path, error))
+        })
     }
 
     fn decode<T: DeserializeOwned>(&self, what: &str, bytes: &[u8]) -> Result<T, StorageError> {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -192,7 +192,8 @@
 pub struct Course {
     service: ServiceName,
     tried: Vec<BackendId>,
-    arrivals: u32,
+    /// Sends that reached a server, or are under way to one.
+    sent: u32,
     unreached: u32,
     unknown: Option<Miss>,
     last: Option<Miss>,
@@ -201,19 +202,13 @@
 impl Course {
     /// No send yet.
     pub fn new(service: ServiceName) -> Self {
-        Self {
-            service,
-            tried: Vec::new(),
-            arrivals: 0,
-            unreached: 0,
-            unknown: None,
-            last: None,
-        }
+        let tried = Vec::new();
+        Self { service, tried, sent: 0, unreached: 0, unknown: None, last: None }
     }
 
-    /// Sends that reached a server.
-    pub fn arrivals(&self) -> u32 {
-        self.arrivals
+    /// Whether a call may be sent once more although an earlier send may have run.
+    pub fn may_repeat(&self, route: &Route) -> bool {
+        route.repeat.is_repeatable() && self.sent < route.attempts
     }
 
     /// The server for the next send.
@@ -233,43 +228,38 @@
         if call.left() <= needed || self.unreached >= UNREACHED_LIMIT {
             return Err(self.failure(relay));
         }
-        if self.arrivals >= route.attempts.max(1) {
+        if self.sent >= route.attempts.max(1) {
             return Err(self.failure(relay));
         }
         let Some(known) = self.pick(relay, call) else {
             return Err(self.failure(relay));
         };
-        if self.arrivals > 0 && !relay.retries().spend(&self.service) {
+        if self.sent > 0 && !relay.retries().spend(&self.service) {
             return Err(self.failure(relay));
         }
+        self.sent += 1;
         self.tried.push(known.server.id.clone());
         Ok(known)
     }
 
-    /// Notes how the last send ended.
-    pub fn note(&mut self, call: &Call, miss: Miss) {
+    /// Notes how a send to a server ended without an answer to pass on.
+    pub fn note(&mut self, call: &Call, known: &Known, miss: Miss) {
         tracing::info!(
             event = "send_missed", id = call.head.id, service = %self.service,
-            backend_server = %self.tried.last().map_or("-", BackendId::as_str),
-            proof = matches!(miss, Miss::NotRun { .. }), detail = miss.detail(),
-            left_ms = call.left().as_millis() as u64,
+            backend_server = %known.server.id, not_run = matches!(miss, Miss::NotRun { .. }),
+            detail = miss.detail(), left_ms = call.left().as_millis() as u64,
         );
         match &miss {
-            Miss::NotRun { arrived: false, .. } => self.unreached += 1,
-            Miss::NotRun { arrived: true, .. } => self.arrivals += 1,
-            Miss::Unknown { .. } => {
-                self.arrivals += 1;
-                self.unknown = Some(miss.clone());
+            Miss::NotRun { arrived: false, .. } => {
+                self.sent -= 1;
+                self.unreached += 1;
             }
+            Miss::NotRun { arrived: true, .. } => {}
+            Miss::Unknown { .. } => self.unknown = Some(miss.clone()),
         }
         self.last = Some(miss);
     }
 
-    /// Notes that the last send reached a server that began to run it.
-    pub fn note_begun(&mut self) {
-        self.arrivals += 1;
-    }
-
     /// What is said of the call: that it has not run only if no send may have run.
     pub fn failure(&self, relay: &Relay) -> Failure {
         if let Some(Miss::Unknown { kind, detail }) = &self.unknown {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,7 +10,8 @@
 //! - [`servers`] is what is known of backend servers, [`choose`] picks one of them.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send.
-//! - [`allowance`] holds teams to their limits, [`budget`] bounds repeated sends, [`usage`] counts.
+//! - [`allowance`] holds teams to their limits, [`budget`] bounds repeated sends, [`usage`] counts what
+//!   ran and [`offered`] what came.
 //!
 //! Contract: an unrepeatable request is sent again only if the backend server itself said that it
 //! has not run. A status that promises *not run* is given only with proof.
@@ -23,6 +24,7 @@
 pub mod dialect;
 pub(crate) mod events;
 pub mod listen;
+pub mod offered;
 pub mod plain;
 pub mod serve;
 pub mod servers;
@@ -44,6 +46,7 @@
 use allowance::Allowances;
 use budget::RetryBudgets;
 use dialect::Dialect;
+use offered::Offered;
 use servers::ServerBook;
 use table::RouteTable;
 use usage::UsageCounter;
@@ -69,6 +72,7 @@
     allowances: Mutex<Allowances>,
     retries: Mutex<RetryBudgets>,
     usage: Mutex<UsageCounter>,
+    offered: Mutex<Offered>,
     /// Relays that share the limits, as the leader last said.
     relays: AtomicU32,
     closing: watch::Receiver<bool>,
@@ -116,6 +120,7 @@
             allowances: Mutex::default(),
             retries: Mutex::default(),
             usage: Mutex::new(usage),
+            offered: Mutex::default(),
             relays: AtomicU32::new(RELAYS_GUESSED),
         }
     }
@@ -154,6 +159,11 @@
         lock(&self.usage)
     }
 
+    /// What callers bring for each service.
+    pub fn offered(&self) -> MutexGuard<'_, Offered> {
+        lock(&self.offered)
+    }
+
     /// How many relays share the limits.
     pub fn relays(&self) -> u32 {
         self.relays.load(Ordering::Relaxed)
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -1,8 +1,11 @@
 //! Passes whole answers: requests whose answer is not a stream.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 
@@ -11,6 +14,7 @@
 use super::call::Call;
 use super::servers::Known;
 use super::table::Route;
+use crate::backend::SendFault;
 use crate::error::Failure;
 use crate::http::{Body, whole};
 use crate::ids::ServiceName;
@@ -18,12 +22,12 @@
 /// Bytes of an answer at most.
 const ANSWER_LIMIT: usize = 16 << 20;
 
-/// The part of the objective after which a repeatable request that has no answer goes to another
-/// server.
-const PATIENCE: f64 = 1.2;
+/// The part of the objective after which a repeatable request that has no answer goes to a second
+/// server: while that one can still be in time.
+const PATIENCE: f64 = 0.6;
 
-/// The least time a server gets for an answer before another one is tried.
-const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+/// The least time a server gets for an answer before a second one is tried.
+const LEAST_PATIENCE: Duration = Duration::from_millis(50);
 
 /// Headers that concern one connection only.
 const HOP_HEADERS: [&str; 9] = [
@@ -73,6 +77,10 @@
 
 /// Gets the whole answer to a call.
 ///
+/// A repeatable request that has no answer after some time goes to a second server as well, and the
+/// first answer counts. The first send is never given up for a second one: a silent server may still
+/// answer.
+///
 /// # Errors
 /// What is said of the call when no server gave one.
 pub async fn answer(
@@ -83,22 +91,33 @@
 ) -> Result<Response<Body>, Failure> {
     let mut course = Course::new(service.clone());
     let mut failed: Option<Answer> = None;
+    let mut running = FuturesUnordered::new();
+    let patience = tokio::time::sleep(patience(route));
+    tokio::pin!(patience);
+    let mut waited = false;
     loop {
-        let known = match course.next(relay, call, route) {
-            Ok(known) => known,
-            // A server's own word that the request failed is worth more than ours.
-            Err(failure) => return failed.map(Answer::response).ok_or(failure),
-        };
-        let more = route.repeat.is_repeatable() && course.arrivals() + 1 < route.attempts;
-        let limit = if more { patience(route).min(call.left()) } else { call.left() };
-        match pass(relay, call, route, &known, limit).await {
-            Ok((answer, false)) => return Ok(answer.response()),
-            Ok((answer, true)) if !more => return Ok(answer.response()),
-            Ok((answer, true)) => {
-                course.note_begun();
-                failed = Some(answer);
+        if running.is_empty() {
+            match course.next(relay, call, route) {
+                Ok(known) => running.push(pass(relay, call, route, known)),
+                // A server's own word that the request failed is worth more than ours.
+                Err(failure) => return failed.map(Answer::response).ok_or(failure),
+            }
+        }
+        tokio::select! {
+            Some((known, result)) = running.next() => match result {
+                Ok((answer, false)) => return Ok(answer.response()),
+                Ok((answer, true)) if !course.may_repeat(route) && running.is_empty() => {
+                    return Ok(answer.response());
+                }
+                Ok((answer, true)) => failed = Some(answer),
+                Err(miss) => course.note(call, &known, miss),
+            },
+            () = &mut patience, if !waited && course.may_repeat(route) => {
+                waited = true;
+                if let Ok(known) = course.next(relay, call, route) {
+                    running.push(pass(relay, call, route, known));
+                }
             }
-            Err(miss) => course.note(call, miss),
         }
     }
 }
@@ -107,23 +126,25 @@
     route.objective.mul_f64(PATIENCE).max(LEAST_PATIENCE)
 }
 
+type Passed = Result<(Answer, bool), Miss>;
+
 /// Sends a call once; the answer, and whether the server says that it failed.
-async fn pass(
-    relay: &Relay,
-    call: &Call,
-    route: &Route,
-    known: &std::sync::Arc<Known>,
-    limit: Duration,
-) -> Result<(Answer, bool), Miss> {
+async fn pass(relay: &Relay, call: &Call, route: &Route, known: Arc<Known>) -> (Arc<Known>, Passed) {
+    let passed = pass_to(relay, call, route, &known).await;
+    (known, passed)
+}
+
+async fn pass_to(relay: &Relay, call: &Call, route: &Route, known: &Arc<Known>) -> Passed {
     let mut flight = known.begin(call.prompt());
     let began = Instant::now();
+    let limit = call.left();
     let result = tokio::time::timeout(limit, async {
         let reply = send(relay, call, route, known, None, limit).await?;
         read(reply).await
     });
     let (answer, failed) = match result.await {
         Ok(result) => result?,
-        Err(_) => return Err(Miss::of_fault(crate::backend::SendFault::TimedOut)),
+        Err(_) => return Err(Miss::of_fault(SendFault::TimedOut)),
     };
     flight.begun();
     if !failed {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -2,6 +2,7 @@
 //! route allows that.
 
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -37,7 +38,7 @@
 
 /// The part of the objective after which a stream that may be taken up elsewhere and has not begun
 /// goes to another server.
-const PATIENCE: f64 = 1.0;
+const PATIENCE: f64 = 1.5;
 
 /// A stream that has begun at a server.
 struct Opened {
@@ -75,26 +76,48 @@
 ) -> Result<Response<Body>, Failure> {
     let mut course = Course::new(service.clone());
     let mut failed = None;
+    let mut chosen = course.next(&relay, &call, &route)?;
     loop {
-        let known = match course.next(&relay, &call, &route) {
-            Ok(known) => known,
-            Err(failure) => return failed.ok_or(failure),
+        let known = chosen.clone();
+        // The connection to a server that is given up is closed before another one gets the call.
+        let opened = {
+            let mut opening = pin!(open(&relay, &call, &route, &known, call.head.resume));
+            tokio::select! {
+                opened = &mut opening => Some(opened),
+                () = tokio::time::sleep(patience(&route)), if course.may_repeat(&route) => {
+                    match course.next(&relay, &call, &route) {
+                        Ok(other) => {
+                            chosen = other;
+                            None
+                        }
+                        Err(_) => Some(opening.await),
+                    }
+                }
+            }
         };
-        let more = route.repeat.is_repeatable() && course.arrivals() + 1 < route.attempts;
-        let limit = if more { patience(&route).min(call.left()) } else { call.left() };
-        match open(&relay, &call, &route, &known, call.head.resume, limit).await {
-            Ok(Opening::Stream(opened)) => {
-                course.note_begun();
+        match opened {
+            None => {
+                tracing::info!(
+                    event = "stream_given_up", id = call.head.id, backend_server = %known.server.id,
+                    left_ms = call.left().as_millis() as u64,
+                );
+                known.state.fail();
+                continue;
+            }
+            Some(Ok(Opening::Stream(opened))) => {
                 count(&relay, &call);
                 return Ok(respond(relay, call, route, course, *opened, guard));
             }
-            Ok(Opening::Whole(response, true)) if more => {
-                course.note_begun();
+            Some(Ok(Opening::Whole(response, true))) if course.may_repeat(&route) => {
                 failed = Some(response);
             }
-            Ok(Opening::Whole(response, _)) => return Ok(response),
-            Err(miss) => course.note(&call, miss),
+            Some(Ok(Opening::Whole(response, _))) => return Ok(response),
+            Some(Err(miss)) => course.note(&call, &known, miss),
         }
+        chosen = match course.next(&relay, &call, &route) {
+            Ok(known) => known,
+            Err(failure) => return failed.ok_or(failure),
+        };
     }
 }
 
@@ -123,8 +146,8 @@
     route: &Route,
     known: &Arc<Known>,
     resume: Option<u64>,
-    limit: Duration,
 ) -> Result<Opening, Miss> {
+    let limit = call.left();
     let flight = known.begin(call.prompt());
     let began = Instant::now();
     let opening = async {
@@ -246,31 +269,48 @@
     let events = stream! {
         let _counted = guard;
         yield Ok::<_, io::Error>(Frame::data(first));
+        let mut limit = silence(&route, &call);
         loop {
-            match next(&mut source, &mut progress, silence(&route, &call)).await {
-                Ok(Some(ready)) if ready.is_empty() => {}
-                Ok(Some(ready)) => yield Ok(Frame::data(ready)),
+            let fault = match next(&mut source, &mut progress, limit.min(call.left())).await {
+                Ok(Some(ready)) => {
+                    if !ready.is_empty() {
+                        yield Ok(Frame::data(ready));
+                    }
+                    continue;
+                }
                 Ok(None) => {
                     source.flight.known().state.succeed(seconds_since(source.began));
                     break;
                 }
-                Err(fault) => {
-                    source.flight.known().state.fail();
-                    let taken = take_up(&relay, &call, &route, &mut course, &mut progress, &fault);
-                    match taken.await {
-                        Some((ready, next)) => {
-                            source = next;
-                            if !ready.is_empty() {
-                                yield Ok(Frame::data(ready));
-                            }
-                        }
-                        None => {
-                            relay.metrics.count_attempt(route.name.as_str(), "stream_cut");
-                            yield Err(io::Error::other(fault.to_string()));
-                            break;
-                        }
+                Err(fault) => fault,
+            };
+            note_break(&call, &route, &source, &progress, &fault);
+            let other = match route.repeat {
+                Repeat::ResumableStream => course.next(&relay, &call, &route).ok(),
+                Repeat::Stream | Repeat::Safe | Repeat::Once => None,
+            };
+            let Some(other) = other else {
+                if fault == SendFault::TimedOut && !call.left().is_zero() {
+                    // Nobody else can take it up; the server may still go on.
+                    limit = call.left();
+                    continue;
+                }
+                yield Err(io::Error::other(fault.to_string()));
+                break;
+            };
+            // Before another server goes on, the connection to this one is closed.
+            drop(source);
+            match take_up(&relay, &call, &route, &mut course, &mut progress, other).await {
+                Some((ready, next)) => {
+                    source = next;
+                    if !ready.is_empty() {
+                        yield Ok(Frame::data(ready));
                     }
                 }
+                None => {
+                    yield Err(io::Error::other("no server could take the stream up"));
+                    break;
+                }
             }
         }
     };
@@ -302,31 +342,41 @@
     }
 }
 
-/// Takes a broken stream up at another server, behind the last event that its caller has.
+fn note_break(
+    call: &Call,
+    route: &Route,
+    source: &Source,
+    progress: &Progress,
+    fault: &SendFault,
+) {
+    let known = source.flight.known();
+    known.state.fail();
+    tracing::info!(
+        event = "stream_broke", id = call.head.id, route = route.name,
+        backend_server = %known.server.id, detail = %fault, last = progress.last,
+        resumable = route.repeat.is_repeatable(), left_ms = call.left().as_millis() as u64,
+    );
+}
+
+/// Takes a stream up at other servers, beginning with `known`, behind the last event that its caller
+/// has.
 async fn take_up(
     relay: &Relay,
     call: &Call,
     route: &Route,
     course: &mut Course,
     progress: &mut Progress,
-    fault: &SendFault,
+    known: Arc<Known>,
 ) -> Option<(Bytes, Source)> {
-    tracing::info!(
-        event = "stream_broke", id = call.head.id, route = route.name, detail = %fault,
-        last = progress.last, resumable = route.repeat.is_repeatable(),
-        left_ms = call.left().as_millis() as u64,
-    );
-    if route.repeat != Repeat::ResumableStream {
-        return None;
-    }
+    let mut known = known;
     loop {
-        let known = course.next(relay, call, route).ok()?;
-        let limit = silence(route, call) + route.objective;
-        match open(relay, call, route, &known, progress.last, limit.min(call.left())).await {
+        match open(relay, call, route, &known, progress.last).await {
             Ok(Opening::Stream(opened)) => {
-                course.note_begun();
                 relay.metrics.count_resume("elsewhere");
-                tracing::info!(event = "stream_taken_up", id = call.head.id, backend_server = %known.server.id);
+                tracing::info!(
+                    event = "stream_taken_up", id = call.head.id,
+                    backend_server = %known.server.id, last = progress.last,
+                );
                 let Opened { mut source, first, .. } = *opened;
                 let mut ready = BytesMut::new();
                 if progress.pass(&first) {
@@ -335,8 +385,9 @@
                 ready.extend_from_slice(&progress.take(&mut source).ok()?);
                 return Some((ready.freeze(), source));
             }
-            Ok(Opening::Whole(..)) => course.note_begun(),
-            Err(miss) => course.note(call, miss),
+            Ok(Opening::Whole(..)) => {}
+            Err(miss) => course.note(call, &known, miss),
         }
+        known = course.next(relay, call, route).ok()?;
     }
 }
