Spend: orders stand until listed, a bare need on demand, new leaders measure first

Cause: booting engines are not listed, so counts were ordered again and again; refused orders flipped the plan; a new leader took the few engines on demand for the need.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -62,6 +62,8 @@
 pub(crate) struct Lead {
     term: Term,
     since: Instant,
+    /// Whether nobody can have carried out a duty before: nothing was published yet.
+    first: bool,
     words: BTreeMap<(BoxId, Incarnation), Word>,
     levels: BTreeMap<TeamName, TeamLevel>,
     table: Option<Arc<RouteTable>>,
@@ -72,20 +74,26 @@
 }
 
 impl Lead {
-    fn new(term: Term) -> Self {
+    fn new(term: Term, first: bool) -> Self {
         Self {
             term,
             since: Instant::now(),
+            first,
             words: BTreeMap::new(),
             levels: BTreeMap::new(),
             table: None,
             list: Arc::default(),
             settled: Window(0),
             offered: BTreeMap::new(),
-            spender: Spender::default(),
+            spender: Spender::new(first),
         }
     }
 
+    /// Whether duties may be carried out: something is published, and no former holder can still act.
+    fn may_act(&self, lease: Duration) -> bool {
+        self.table.is_some() && (self.first || self.since.elapsed() > lease)
+    }
+
     /// Takes a relay's word and answers it.
     fn hear(&mut self, beat: Beat) -> BeatReply {
         let now = Instant::now();
@@ -158,12 +166,13 @@
 impl Node {
     /// Runs `f` with the soft state of the term this process leads in.
     fn with_lead<R>(&self, term: Term, f: impl FnOnce(&mut Lead) -> R) -> R {
+        let first = self.board.document().version.0 == 0;
         let mut held = crate::node::lock(&self.lead);
         if held.as_ref().is_none_or(|lead| lead.term != term) {
             tracing::info!(event = "leading", term = %term);
-            *held = Some(Lead::new(term));
+            *held = Some(Lead::new(term, first));
         }
-        f(held.get_or_insert_with(|| Lead::new(term)))
+        f(held.get_or_insert_with(|| Lead::new(term, first)))
     }
 }
 
@@ -185,8 +194,7 @@
             listing = Some(Instant::now());
             read_list(&node, &client, term).await;
         }
-        let leads_for = node.with_lead(term, |lead| lead.since.elapsed());
-        if leads_for <= settings.lease.duration() {
+        if !node.with_lead(term, |lead| lead.may_act(settings.lease.duration())) {
             continue;
         }
         let rested = reporting.is_none_or(|at| at.elapsed() >= REPORT_PAUSE);
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -4,14 +4,21 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::decide::spend::{Bounds, Offered, Plan, Site, plan};
+use crate::decide::spend::{Bounds, Count, Need, Offered, Plan, Site, plan};
 use crate::ids::{DataCentre, ServiceName};
 use crate::platform::client::Order;
 use crate::relay::servers::Server;
 use crate::relay::table::{RouteTable, Scaling, Service};
 
-/// How long a refusal of reclaimable engines is taken to hold.
-const DRY_TIME: Duration = Duration::from_millis(2_500);
+/// How long a refusal is taken to hold.
+const REFUSED_TIME: Duration = Duration::from_millis(2_500);
+
+/// How much later than it serves an engine may be listed.
+const LAG_TIME: Duration = Duration::from_millis(2_000);
+
+/// The part of what there was at the start that stays on demand until reclaimable engines serve,
+/// while there is no traffic yet.
+const FIRST_PART: u32 = 4;
 
 /// Time beyond booting after which an order that shows no effect is given again: the list lags, and
 /// an order without an answer may be carried out late and undo a newer one.
@@ -23,6 +30,7 @@
 
 type Place = (ServiceName, DataCentre, bool);
 
+/// An order that the platform took, or may have taken.
 #[derive(Debug, Clone, Copy)]
 struct Placed {
     count: u32,
@@ -34,12 +42,21 @@
 pub(crate) struct Spender {
     offered: BTreeMap<ServiceName, Offered>,
     placed: BTreeMap<Place, Placed>,
-    dry: BTreeMap<Place, Instant>,
+    refused: BTreeMap<Place, Instant>,
+    /// Engines on demand that there were before the first order.
     first: BTreeMap<ServiceName, u32>,
+    /// Whether this leader has seen what there was before the first order. A later one waits until
+    /// it has measured the traffic.
+    knows_start: bool,
 }
 
 impl Spender {
-    /// Notes the tokens offered to each service since the last look, at `now` in seconds.
+    /// The orders of a leader; `knows_start` says that nobody can have ordered before it.
+    pub(crate) fn new(knows_start: bool) -> Self {
+        Self { knows_start, ..Self::default() }
+    }
+
+    /// Notes the prompt tokens offered to each service since the last look, at `now` in seconds.
     pub(crate) fn note(&mut self, now: f64, tokens: &BTreeMap<ServiceName, u64>) {
         for service in tokens.keys() {
             self.offered.entry(service.clone()).or_default();
@@ -68,14 +85,12 @@
         servers: &[Server],
     ) -> Vec<Order> {
         let sites = self.sites(&service.name, scaling, servers);
-        let there: u32 = sites.iter().map(|site| site.spot + site.on_demand).sum();
-        if there == 0 {
+        let of_service = servers.iter().filter(|it| it.service == service.name);
+        let listed = of_service.filter(|it| !it.spot).count() as u32;
+        let need = self.need(now, &service.name, listed);
+        if need.ample == 0 {
             return Vec::new();
         }
-        // Until there is traffic to go by, as many as the operators began with.
-        let first = *self.first.entry(service.name.clone()).or_insert(there);
-        let measured = self.offered.get(&service.name).and_then(|it| it.engines(now));
-        let need = measured.unwrap_or(first);
         let bounds = Bounds {
             least: scaling.least,
             most: scaling.most,
@@ -97,31 +112,60 @@
         orders
     }
 
+    /// How many engines are needed; none while it is not known. Until there is traffic to go by, as many as there were at the
+    /// start: `listed` counts those on demand, also those that leave by our orders. The list lags, so
+    /// it shows them one after the other.
+    fn need(&mut self, now: f64, service: &ServiceName, listed: u32) -> Need {
+        let offered = self.offered.get(service).copied().unwrap_or_default();
+        if let Some(need) = offered.need(now) {
+            return need;
+        }
+        if !self.knows_start {
+            return Need::default();
+        }
+        let first = self.first.entry(service.clone()).or_insert(0);
+        *first = (*first).max(listed);
+        match offered.is_seen() {
+            true => Need { ample: *first, bare: *first, traffic: true },
+            false => Need { ample: *first, bare: first.div_ceil(FIRST_PART), traffic: false },
+        }
+    }
+
     fn sites(&self, service: &ServiceName, scaling: &Scaling, servers: &[Server]) -> Vec<Site> {
         let sites = scaling.prices.iter().map(|(data_centre, price)| {
             let there = servers.iter().filter(|it| {
                 it.service == *service && it.data_centre == *data_centre && !it.leaving
             });
             let (spot, on_demand): (Vec<_>, Vec<_>) = there.partition(|it| it.spot);
-            let place = (service.clone(), data_centre.clone(), true);
-            let dry = self.dry.get(&place).is_some_and(|until| Instant::now() < *until);
+            let count = |spot: bool, serving: usize| {
+                let place = (service.clone(), data_centre.clone(), spot);
+                self.count(&place, serving as u32, scaling.boot_time + LAG_TIME)
+            };
             Site {
                 data_centre: data_centre.clone(),
                 price: *price,
-                spot: spot.len() as u32,
-                on_demand: on_demand.len() as u32,
-                dry,
+                spot: count(true, spot.len()),
+                on_demand: count(false, on_demand.len()),
             }
         });
         sites.collect()
     }
 
-    /// Whether an order is due: the count was not ordered yet, or shows no effect for too long.
-    fn is_due(&self, place: &Place, count: u32, there: u32, again: Duration) -> bool {
+    /// What serves, and what is coming: an order stands for itself until the list must show it.
+    fn count(&self, place: &Place, serving: u32, shown: Duration) -> Count {
+        let placed = self.placed.get(place).filter(|placed| placed.at.elapsed() < shown);
+        Count { serving, coming: placed.map_or(serving, |placed| placed.count) }
+    }
+
+    /// Whether an order is due: the count is not what was ordered last, or shows no effect for long.
+    fn is_due(&self, place: &Place, count: u32, there: Count, again: Duration) -> bool {
+        if self.refused.get(place).is_some_and(|at| at.elapsed() < REFUSED_TIME) {
+            return false;
+        }
         match self.placed.get(place) {
-            None => count != there,
+            None => count != there.serving,
             Some(placed) if placed.count == count => {
-                count != there && placed.at.elapsed() > again
+                count != there.serving && placed.at.elapsed() > again
             }
             Some(placed) if count < placed.count => placed.at.elapsed() > SHRINK_TIME,
             Some(_) => true,
@@ -134,13 +178,12 @@
         self.placed.insert(place, Placed { count: order.count, at: Instant::now() });
     }
 
-    /// Notes that an order was refused.
+    /// Notes that an order was refused. What was ordered before does not stand either: a reclaim
+    /// takes it away.
     pub(crate) fn note_refused(&mut self, order: &Order) {
         let place = (order.service.clone(), order.data_centre.clone(), order.spot);
         self.placed.remove(&place);
-        if order.spot {
-            self.dry.insert(place, Instant::now() + DRY_TIME);
-        }
+        self.refused.insert(place, Instant::now());
     }
 }
 
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -15,9 +15,12 @@
 /// and 68,200.
 const READ_RATE: f64 = 64_000.0;
 
-/// The part of its time an engine is to spend reading prompts. Above it, requests queue behind long
-/// prompts for longer than their objectives allow. Measured: see `docs/design/08-spend.md`.
-const READ_LOAD: f64 = 0.28;
+/// The part of its time a reclaimable engine is to spend reading prompts. Above it, requests queue
+/// behind long prompts for longer than their objectives allow. Measured: `docs/design/08-spend.md`.
+const AMPLE_LOAD: f64 = 0.18;
+
+/// The same for engines on demand that stand in: they cost several times as much.
+const BARE_LOAD: f64 = 0.25;
 
 /// Seconds over which the offered tokens are averaged.
 const MEAN_TIME: f64 = 4.0;
@@ -53,13 +56,29 @@
         self.peak = (self.peak * (-passed / PEAK_TIME).exp()).max(self.mean);
     }
 
+    /// Whether any traffic was seen.
+    pub fn is_seen(&self) -> bool {
+        self.first.is_some()
+    }
+
     /// How many engines read what is offered; `None` while too little traffic was seen.
-    pub fn engines(&self, now: f64) -> Option<u32> {
+    pub fn need(&self, now: f64) -> Option<Need> {
         let seen = now - self.first?;
-        (seen >= WARM_TIME).then(|| (self.peak / (READ_RATE * READ_LOAD)).ceil() as u32)
+        let engines = |load: f64| (self.peak / (READ_RATE * load)).ceil() as u32;
+        let need = Need { ample: engines(AMPLE_LOAD), bare: engines(BARE_LOAD), traffic: true };
+        (seen >= WARM_TIME).then_some(need)
     }
 }
 
+/// Engines of one kind in one data centre.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Count {
+    /// That serve and do not leave.
+    pub serving: u32,
+    /// That serve or boot: the platform took the order for them not long ago.
+    pub coming: u32,
+}
+
 /// One data centre as it stands.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Site {
@@ -67,12 +86,21 @@
     pub data_centre: DataCentre,
     /// What an engine on demand costs there.
     pub price: f64,
-    /// Reclaimable engines that serve and do not leave.
-    pub spot: u32,
-    /// Engines on demand that serve and do not leave.
-    pub on_demand: u32,
-    /// Whether no reclaimable engine is to be had there now.
-    pub dry: bool,
+    /// Reclaimable engines.
+    pub spot: Count,
+    /// Engines on demand.
+    pub on_demand: Count,
+}
+
+/// How many engines are needed over all data centres.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Need {
+    /// At the price of reclaimable ones.
+    pub ample: u32,
+    /// At any price.
+    pub bare: u32,
+    /// Whether there is traffic. Without, engines that boot are as good as those that serve.
+    pub traffic: bool,
 }
 
 /// What a data centre is to have.
@@ -97,19 +125,21 @@
     pub has_spot: bool,
 }
 
-/// What each data centre is to have for `need` engines to be left after the loss of one of them.
-pub fn plan(sites: &[Site], need: u32, bounds: Bounds) -> Vec<Plan> {
+/// What each data centre is to have for the need to be met after the loss of one of them.
+pub fn plan(sites: &[Site], need: Need, bounds: Bounds) -> Vec<Plan> {
     let mut order: Vec<&Site> = sites.iter().collect();
     order.sort_by(|a, b| compare(a, b));
-    let spots = plan_spots(&order, need, bounds);
-    let obtainable: u32 = spots.iter().sum();
-    let serving: u32 = sites.iter().map(|site| site.spot).sum();
-    let held: u32 = sites.iter().map(|site| site.on_demand).sum();
-    // Orders go up only for what reclaimable engines will not cover, and down only once they serve.
-    let up = need.saturating_sub(obtainable);
-    let down = need.saturating_sub(serving);
-    let total = held.clamp(up, down.max(up));
-    let on_demand = plan_on_demand(&order, &spots, total, bounds);
+    let spots = plan_spots(order.len(), need.ample, bounds);
+    let coming: u32 = order.iter().zip(&spots).map(|(site, spot)| site.spot.coming.min(*spot)).sum();
+    let serving = match need.traffic {
+        true => sites.iter().map(|site| site.spot.serving).sum(),
+        false => coming.saturating_sub(need.bare),
+    };
+    let held: u32 = sites.iter().map(|site| site.on_demand.coming).sum();
+    // Up only for what reclaimable engines will not cover, down only once those serve.
+    let up = need.bare.saturating_sub(coming);
+    let down = need.bare.saturating_sub(serving).max(up);
+    let on_demand = plan_on_demand(&order, &spots, held.clamp(up, down), bounds);
     let plans = order.iter().zip(spots).zip(on_demand);
     plans
         .map(|((site, spot), on_demand)| Plan {
@@ -125,38 +155,37 @@
 }
 
 /// Reclaimable engines by data centre, the cheapest first: evenly, so that the loss of one takes the
-/// least. Where none are to be had, those that are there stay.
-fn plan_spots(order: &[&Site], need: u32, bounds: Bounds) -> Vec<u32> {
-    let count = order.len() as u32;
-    if !bounds.has_spot || count == 0 {
-        return vec![0; order.len()];
+/// least.
+fn plan_spots(sites: usize, need: u32, bounds: Bounds) -> Vec<u32> {
+    if !bounds.has_spot || sites == 0 {
+        return vec![0; sites];
     }
-    let spared = count.saturating_sub(1).max(1);
+    let count = sites as u32;
     // Each of the data centres that are left holds this much of the need.
-    let each = need.div_ceil(spared);
+    let each = need.div_ceil(count.saturating_sub(1).max(1));
     let mut total = need + each;
-    let mut spots = Vec::with_capacity(order.len());
-    for (place, site) in order.iter().enumerate() {
-        let left = count - place as u32;
+    let mut spots = Vec::with_capacity(sites);
+    for left in (1..=count).rev() {
         let part = total.div_ceil(left).clamp(bounds.least, bounds.most);
-        let spot = if site.dry { site.spot.min(part) } else { part };
         total = total.saturating_sub(part);
-        spots.push(spot);
+        spots.push(part);
     }
     spots
 }
 
 /// Engines on demand by data centre: what is there stays first, then the cheapest.
 fn plan_on_demand(order: &[&Site], spots: &[u32], total: u32, bounds: Bounds) -> Vec<u32> {
-    let room = |place: usize| bounds.most.saturating_sub(spots[place]);
+    // Where reclaimable engines are not to be had, those on demand may take their places.
+    let room = |place: usize| bounds.most.saturating_sub(spots[place].min(order[place].spot.coming));
+    let least = |place: usize| bounds.least.saturating_sub(spots[place]);
     let mut counts: Vec<u32> = (0..order.len())
         .map(|place| {
-            let least = bounds.least.saturating_sub(spots[place]);
-            order[place].on_demand.max(least).min(room(place).max(least))
+            let least = least(place);
+            order[place].on_demand.coming.max(least).min(room(place).max(least))
         })
         .collect();
     for place in (0..order.len()).rev() {
-        let least = bounds.least.saturating_sub(spots[place]);
+        let least = least(place);
         let over = counts.iter().sum::<u32>().saturating_sub(total);
         counts[place] -= over.min(counts[place].saturating_sub(least));
     }
