Spend swaps step by step; the limits' tolerance used; refused sends go on

Cause: a leader elected after the whole core lost power took itself for the first one (its log was not applied yet) and ordered for a need of 5; engines on demand were given up for reclaimable ones that had no places; teams inside their limits were refused (429) because the tolerance of the contract lay idle; a stream that met a reused address (421) was given up. Change: leading is said only once all is applied; on demand leaves a quarter of the places free; rate and burst with half of the overshoot and three quarters of the slack; a send that a server refused goes on to another, within the retry budget; load 0.25 and 0.45.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -12,7 +12,7 @@
 
 use super::beat::{Beat, BeatReply};
 use super::spend::Spender;
-use crate::decide::level::{Limit, TeamLevel};
+use crate::decide::level::{Limit, TeamLevel, Tolerance};
 use crate::group::driver::Unanswered;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Term, Window};
 use crate::node::Node;
@@ -95,9 +95,9 @@
     }
 
     /// Takes a relay's word and answers it.
-    fn hear(&mut self, beat: Beat) -> BeatReply {
+    fn hear(&mut self, beat: Beat, tolerance: Tolerance) -> BeatReply {
         let now = Instant::now();
-        let allowed = self.allow(&beat);
+        let allowed = self.allow(&beat, tolerance);
         for (service, tokens) in &beat.offered {
             *self.offered.entry(service.clone()).or_insert(0) += tokens;
         }
@@ -111,7 +111,7 @@
         BeatReply { list, allowed, settled: self.settled, relays }
     }
 
-    fn allow(&mut self, beat: &Beat) -> BTreeMap<TeamName, crate::relay::allowance::Allowed> {
+    fn allow(&mut self, beat: &Beat, tolerance: Tolerance) -> BTreeMap<TeamName, crate::relay::allowance::Allowed> {
         let now = self.since.elapsed().as_secs_f64();
         let Some(table) = self.table.clone() else {
             return BTreeMap::new();
@@ -122,7 +122,7 @@
             let Some(rate) = team.rate else {
                 continue;
             };
-            let limit = Limit { rate, burst: team.burst.max(rate * LOOK.as_secs_f64()) };
+            let limit = Limit { rate, burst: team.burst }.with(tolerance);
             let demand = beat.demand.get(name).copied().unwrap_or_default();
             let level = self.levels.entry(name.clone()).or_default();
             allowed.insert(name.clone(), level.hear(now, limit, &beat.box_id, demand));
@@ -160,7 +160,13 @@
     let Some(term) = node.leading_term().await else {
         return Ok(Err(Unanswered::NotLeader(None)));
     };
-    Ok(Ok(node.with_lead(term, |lead| lead.hear(beat))))
+    let quota = node.settings.quota;
+    let tolerance = Tolerance {
+        window: quota.window.duration().as_secs_f64(),
+        overshoot: quota.overshoot,
+        slack: quota.slack,
+    };
+    Ok(Ok(node.with_lead(term, |lead| lead.hear(beat, tolerance))))
 }
 
 impl Node {
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -26,6 +26,12 @@
 /// used before.
 const START_PART: f64 = 0.6;
 
+/// Parts of the tolerance that are used: of its overshoot, and of its slack by the rate and by the
+/// burst. The rest is for what boxes use in the time of a beat.
+const RATE_PART: f64 = 0.5;
+const SLACK_RATE_PART: f64 = 0.45;
+const SLACK_BURST_PART: f64 = 0.3;
+
 /// Words from a box older than this, in seconds, count no more.
 const FORGET_TIME: f64 = 3.0;
 
@@ -38,6 +44,30 @@
     pub burst: f64,
 }
 
+/// By how much a limit may be passed in any window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tolerance {
+    /// The window, in seconds.
+    pub window: f64,
+    /// As a part of the limit.
+    pub overshoot: f64,
+    /// On top.
+    pub slack: f64,
+}
+
+impl Limit {
+    /// The limit to keep to so that, with what boxes use before the leader hears of it, the limit and
+    /// its tolerance hold. The tolerance is there because boxes cannot know at once what others use;
+    /// what of it is not needed for that is the team's.
+    pub fn with(self, tolerance: Tolerance) -> Self {
+        let extra = 1.0 + tolerance.overshoot * RATE_PART;
+        Self {
+            rate: self.rate * extra + tolerance.slack * SLACK_RATE_PART / tolerance.window,
+            burst: self.burst * extra + tolerance.slack * SLACK_BURST_PART,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Demand {
     mean: f64,
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -17,10 +17,13 @@
 
 /// The part of its time a reclaimable engine is to spend reading prompts. Above it, requests queue
 /// behind long prompts for longer than their objectives allow. Measured: `docs/design/08-spend.md`.
-const AMPLE_LOAD: f64 = 0.18;
+const AMPLE_LOAD: f64 = 0.25;
 
 /// The same for engines on demand that stand in: they cost several times as much.
-const BARE_LOAD: f64 = 0.25;
+const BARE_LOAD: f64 = 0.45;
+
+/// Of the places in a data centre, one in so many is left to reclaimable engines.
+const SWAP_PART: u32 = 4;
 
 /// Seconds over which the offered tokens are averaged.
 const MEAN_TIME: f64 = 4.0;
@@ -144,7 +147,7 @@
     plans
         .map(|((site, spot), on_demand)| Plan {
             data_centre: site.data_centre.clone(),
-            spot,
+            spot: spot.min(bounds.most.saturating_sub(on_demand)),
             on_demand,
         })
         .collect()
@@ -175,9 +178,13 @@
 
 /// Engines on demand by data centre: what is there stays first, then the cheapest.
 fn plan_on_demand(order: &[&Site], spots: &[u32], total: u32, bounds: Bounds) -> Vec<u32> {
-    // Where reclaimable engines are not to be had, those on demand may take their places.
-    let room = |place: usize| bounds.most.saturating_sub(spots[place].min(order[place].spot.coming));
-    let least = |place: usize| bounds.least.saturating_sub(spots[place]);
+    // Engines on demand leave some places free, so that reclaimable ones can take over step by step.
+    let free = bounds.most.div_ceil(SWAP_PART).min(bounds.most.saturating_sub(bounds.least));
+    let kept = |place: usize| if spots[place] > 0 { free } else { 0 };
+    let room = |place: usize| {
+        bounds.most.saturating_sub(order[place].spot.serving.max(kept(place)))
+    };
+    let least = |place: usize| bounds.least.saturating_sub(order[place].spot.coming.min(spots[place]));
     let mut counts: Vec<u32> = (0..order.len())
         .map(|place| {
             let least = least(place);
--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -248,6 +248,11 @@
         confirmed.is_some_and(|at| self.now < at + ELECTION - DRIFT)
     }
 
+    /// Whether the leader may answer reads, and has applied all that was accepted before its term.
+    pub fn leads_whole(&self) -> bool {
+        self.may_read() && self.log.term_at(self.applied) == Some(self.hard.term)
+    }
+
     /// Proposes a command, stamped with `at`; gives its index if this replica leads.
     ///
     /// # Errors
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -244,7 +244,7 @@
             }
             GroupMessage::LeadingTerm(port) => {
                 state.core.observe(now);
-                let _ = port.send(state.core.may_read().then(|| state.core.term()));
+                let _ = port.send(state.core.leads_whole().then(|| state.core.term()));
                 return Ok(());
             }
             GroupMessage::Tick => {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -27,6 +27,9 @@
 /// Sends that did not reach any server before a call is given up.
 const UNREACHED_LIMIT: u32 = 3;
 
+/// Sends that servers refused before a call is given up: the others are likely full as well.
+const REFUSED_LIMIT: u32 = 3;
+
 /// When to come back if no backend server is there at all: about the time one takes to appear.
 const ABSENT_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -163,6 +166,10 @@
             Ok(Reply { exchange, failed: true })
         }
         Verdict::NotRun => {
+            if exchange.status == StatusCode::MISDIRECTED_REQUEST {
+                // Another server has its address: this one is gone.
+                known.leave_at_once();
+            }
             let detail = format!("{} refused with {}", known.server.id, exchange.status);
             let _ = exchange.read_whole(REFUSAL_BYTES, REFUSAL_TIME).await;
             Err(Miss::NotRun { arrived: true, detail })
@@ -192,9 +199,14 @@
 pub struct Course {
     service: ServiceName,
     tried: Vec<BackendId>,
-    /// Sends that reached a server, or are under way to one.
+    /// Sends that may have run, or are under way.
     sent: u32,
+    /// Sends that reached a server, whatever came of them.
+    arrived: u32,
+    /// Sends that reached none.
     unreached: u32,
+    /// Sends that a server refused.
+    refused: u32,
     unknown: Option<Miss>,
     last: Option<Miss>,
 }
@@ -203,7 +215,16 @@
     /// No send yet.
     pub fn new(service: ServiceName) -> Self {
         let tried = Vec::new();
-        Self { service, tried, sent: 0, unreached: 0, unknown: None, last: None }
+        Self {
+            service,
+            tried,
+            sent: 0,
+            arrived: 0,
+            unreached: 0,
+            refused: 0,
+            unknown: None,
+            last: None,
+        }
     }
 
     /// Whether a call may be sent once more although an earlier send may have run.
@@ -225,7 +246,8 @@
             return Err(self.failure(relay));
         }
         let needed = (route.objective / LEAST_LEFT).min(route.timeout / LEAST_LEFT);
-        if call.left() <= needed || self.unreached >= UNREACHED_LIMIT {
+        let hopeless = self.unreached >= UNREACHED_LIMIT || self.refused >= REFUSED_LIMIT;
+        if call.left() <= needed || hopeless {
             return Err(self.failure(relay));
         }
         if self.sent >= route.attempts.max(1) {
@@ -234,10 +256,11 @@
         let Some(known) = self.pick(relay, call) else {
             return Err(self.failure(relay));
         };
-        if self.sent > 0 && !relay.retries().spend(&self.service) {
+        if self.arrived > 0 && !relay.retries().spend(&self.service) {
             return Err(self.failure(relay));
         }
         self.sent += 1;
+        self.arrived += 1;
         self.tried.push(known.server.id.clone());
         Ok(known)
     }
@@ -252,9 +275,13 @@
         match &miss {
             Miss::NotRun { arrived: false, .. } => {
                 self.sent -= 1;
+                self.arrived -= 1;
                 self.unreached += 1;
             }
-            Miss::NotRun { arrived: true, .. } => {}
+            Miss::NotRun { arrived: true, .. } => {
+                self.sent -= 1;
+                self.refused += 1;
+            }
             Miss::Unknown { .. } => self.unknown = Some(miss.clone()),
         }
         self.last = Some(miss);
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// Notes that it is gone: its address answers for another server.
+    pub fn leave_at_once(&self) {
+        if self.state.leave(Leaving { life: LIFE, gone: Instant::now() }) {
+            tracing::info!(event = "backend_server_gone", backend_server = %self.server.id);
+        }
+    }
+
     /// Whether it takes new requests.
     pub fn is_open(&self) -> bool {
         self.state.leaving().is_none()
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -18,7 +18,9 @@
 use crate::units::Millis;
 
 pub use reader::SettingsError;
-pub use service::{CloudSettings, GroupSettings, OperatorSettings, RelaySettings};
+pub use service::{
+    CloudSettings, GroupSettings, OperatorSettings, QuotaSettings, RelaySettings,
+};
 pub(crate) use reader::{Reader, Section};
 
 /// What a node does.
@@ -103,6 +105,8 @@
     pub group: GroupSettings,
     /// Section `relay`: traffic by the published routes; absent on nodes that carry none.
     pub relay: Option<RelaySettings>,
+    /// Section `quota`: by how much the teams' limits may be passed.
+    pub quota: QuotaSettings,
     /// Section `operator`: where operators publish routes; absent on nodes that take none.
     pub operator: Option<OperatorSettings>,
     /// Section `cloud`: the platform's interface; absent where nothing is asked of it.
@@ -271,6 +275,7 @@
         let platform = read_platform(&mut reader);
         let group = service::read_group(&mut reader);
         let relay = service::read_relay(&mut reader);
+        let quota = service::read_quota(&mut reader);
         let operator = service::read_operator(&mut reader);
         let cloud = service::read_cloud(&mut reader);
         let metrics = read_metrics(&mut reader);
@@ -286,6 +291,7 @@
             platform,
             group,
             relay,
+            quota,
             operator,
             cloud,
             metrics,
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -57,6 +57,23 @@
     pub listen: SocketAddr,
 }
 
+/// By how much the teams' limits may be passed in any window: the users' contract.
+#[derive(Debug, Clone, Copy)]
+pub struct QuotaSettings {
+    /// The window.
+    pub window: Millis,
+    /// As a part of the limit.
+    pub overshoot: f64,
+    /// On top, in units of the limit.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self { window: Millis(10_000), overshoot: 0.0, slack: 0.0 }
+    }
+}
+
 /// The platform's interface.
 #[derive(Debug, Clone)]
 pub struct CloudSettings {
@@ -113,6 +130,21 @@
     })
 }
 
+pub(super) fn read_quota(reader: &mut Reader) -> QuotaSettings {
+    let base = QuotaSettings::default();
+    let mut section = reader.section("quota");
+    let settings = QuotaSettings {
+        window: section.value("window", base.window),
+        overshoot: section.value("overshoot", base.overshoot),
+        slack: section.value("slack", base.slack),
+    };
+    section.check("window", settings.window.0 > 0, "is longer than nothing");
+    section.check("overshoot", settings.overshoot >= 0.0, "is not negative");
+    section.check("slack", settings.slack >= 0.0, "is not negative");
+    reader.close(section);
+    settings
+}
+
 pub(super) fn read_operator(reader: &mut Reader) -> Option<OperatorSettings> {
     if !reader.has("operator") {
         return None;
