--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -17,10 +17,10 @@
 
 /// The part of its time a reclaimable engine is to spend reading prompts. Above it, requests queue
 /// behind long prompts for longer than their objectives allow. Measured: `docs/design/08-spend.md`.
-const AMPLE_LOAD: f64 = 0.25;
+const AMPLE_LOAD: f64 = 0.15;
 
 /// The same for engines on demand that stand in: they cost several times as much.
-const BARE_LOAD: f64 = 0.45;
+const BARE_LOAD: f64 = 0.4;
 
 /// Of the places in a data centre, one in so many is left to reclaimable engines.
 const SWAP_PART: u32 = 4;
