Spend: relays tell their rates; nothing on demand given up before the list is whole

Change: beats carry each relay's mean and peak; demand is the leader's sum of them, used 1.2 s after the first word; orders on demand wait until the list has stopped growing.

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use crate::decide::spend::Offered;
 use crate::group::access::Access;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Window};
 use crate::relay::Relay;
@@ -32,8 +33,8 @@
     pub list: ListVersion,
     /// Requests that began to run, in the windows whose reports are not known to be fixed.
     pub usage: Counts,
-    /// Prompt tokens that callers brought for each service since the last beat that was answered.
-    pub offered: BTreeMap<ServiceName, u64>,
+    /// Prompt tokens a second that callers bring for each service.
+    pub offered: BTreeMap<ServiceName, Offered>,
     /// What the teams used and were refused.
     pub demand: BTreeMap<TeamName, TeamDemand>,
 }
@@ -73,14 +74,13 @@
         life,
         list: relay.servers.version(),
         usage: relay.usage().counts(),
-        offered: relay.offered().tell(),
+        offered: relay.offered().rates(Instant::now()),
         demand: relay.allowances().tell(),
     };
     match access.beat(&beat, ANSWER_TIME).await {
         Ok(reply) => {
             relay.allowances().hear(&reply.allowed, Instant::now());
             relay.usage().forget(reply.settled);
-            relay.offered().forget(&beat.offered);
             relay.note_relays(reply.relays);
             if let Some(list) = reply.list {
                 relay.servers.take((*list).clone());
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -12,6 +12,7 @@
 
 use super::beat::{Beat, BeatReply};
 use super::spend::Spender;
+use crate::decide::spend::Offered;
 use crate::decide::level::{Limit, TeamLevel, Tolerance};
 use crate::group::driver::Unanswered;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Term, Window};
@@ -56,6 +57,7 @@
 struct Word {
     heard: Instant,
     usage: Counts,
+    offered: BTreeMap<ServiceName, Offered>,
 }
 
 /// The soft state of one term.
@@ -69,7 +71,6 @@
     table: Option<Arc<RouteTable>>,
     list: Arc<ServerList>,
     settled: Window,
-    offered: BTreeMap<ServiceName, u64>,
     spender: Spender,
 }
 
@@ -84,7 +85,6 @@
             table: None,
             list: Arc::default(),
             settled: Window(0),
-            offered: BTreeMap::new(),
             spender: Spender::new(first),
         }
     }
@@ -98,11 +98,8 @@
     fn hear(&mut self, beat: Beat, tolerance: Tolerance) -> BeatReply {
         let now = Instant::now();
         let allowed = self.allow(&beat, tolerance);
-        for (service, tokens) in &beat.offered {
-            *self.offered.entry(service.clone()).or_insert(0) += tokens;
-        }
         let key = (beat.box_id, beat.life);
-        self.words.insert(key, Word { heard: now, usage: beat.usage });
+        self.words.insert(key, Word { heard: now, usage: beat.usage, offered: beat.offered });
         self.words.retain(|_, word| word.heard + FORGET_TIME > now);
         let present = |word: &&Word| word.heard + ABSENT_TIME > now;
         let relays = self.words.values().filter(present).count() as u32;
@@ -130,10 +127,20 @@
         allowed
     }
 
+    /// Takes what the relays that are present say of the services' demand.
+    fn note_demand(&mut self) {
+        let mut sums: BTreeMap<ServiceName, Offered> = BTreeMap::new();
+        let present = self.words.values().filter(|word| word.heard.elapsed() < ABSENT_TIME);
+        for (service, offered) in present.flat_map(|word| &word.offered) {
+            let sum = sums.entry(service.clone()).or_default();
+            *sum = *sum + *offered;
+        }
+        self.spender.note(self.since.elapsed().as_secs_f64(), &sums);
+    }
+
     /// The orders for engines that are due.
     fn orders(&mut self) -> Vec<Order> {
         let now = self.since.elapsed().as_secs_f64();
-        self.spender.note(now, &std::mem::take(&mut self.offered));
         match &self.table {
             Some(table) => self.spender.orders(now, table, &self.list.servers),
             None => Vec::new(),
@@ -200,6 +207,7 @@
             listing = Some(Instant::now());
             read_list(&node, &client, term).await;
         }
+        node.with_lead(term, Lead::note_demand);
         if !node.with_lead(term, |lead| lead.may_act(settings.lease.duration())) {
             continue;
         }
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::decide::spend::{Bounds, Count, Need, Offered, Plan, Site, plan};
+use crate::decide::spend::{Bounds, Count, Demand, Need, Offered, Plan, Site, plan};
 use crate::ids::{DataCentre, ServiceName};
 use crate::platform::client::Order;
 use crate::relay::servers::Server;
@@ -13,6 +13,15 @@
 /// How long a refusal is taken to hold.
 const REFUSED_TIME: Duration = Duration::from_millis(2_500);
 
+/// Seconds of traffic before it says more than what there was at the start.
+const START_TIME: f64 = 5.0;
+
+/// Seconds in which a new leader hears of every relay.
+const HEARD_TIME: f64 = 1.2;
+
+/// How long the list shows no further engines before it is taken to be whole: two readings.
+const SETTLE_TIME: Duration = Duration::from_millis(1_900);
+
 /// How much later than it serves an engine may be listed.
 const LAG_TIME: Duration = Duration::from_millis(2_000);
 
@@ -40,11 +49,13 @@
 /// What the leader knows of its orders.
 #[derive(Debug, Default)]
 pub(crate) struct Spender {
-    offered: BTreeMap<ServiceName, Offered>,
+    demands: BTreeMap<ServiceName, Demand>,
     placed: BTreeMap<Place, Placed>,
     refused: BTreeMap<Place, Instant>,
     /// Engines on demand that there were before the first order.
     first: BTreeMap<ServiceName, u32>,
+    /// The most engines on demand that were listed, and since when.
+    grown: BTreeMap<ServiceName, (u32, Instant)>,
     /// Whether this leader has seen what there was before the first order. A later one waits until
     /// it has measured the traffic.
     knows_start: bool,
@@ -56,13 +67,10 @@
         Self { knows_start, ..Self::default() }
     }
 
-    /// Notes the prompt tokens offered to each service since the last look, at `now` in seconds.
-    pub(crate) fn note(&mut self, now: f64, tokens: &BTreeMap<ServiceName, u64>) {
-        for service in tokens.keys() {
-            self.offered.entry(service.clone()).or_default();
-        }
-        for (service, offered) in &mut self.offered {
-            offered.note(now, tokens.get(service).copied().unwrap_or(0) as f64);
+    /// Notes what is offered to each service over all boxes, at `now` in seconds.
+    pub(crate) fn note(&mut self, now: f64, sums: &BTreeMap<ServiceName, Offered>) {
+        for (service, sum) in sums {
+            self.demands.entry(service.clone()).or_default().note(now, *sum);
         }
     }
 
@@ -88,6 +96,7 @@
         let of_service = servers.iter().filter(|it| it.service == service.name);
         let listed = of_service.filter(|it| !it.spot).count() as u32;
         let need = self.need(now, &service.name, listed);
+        let settled = self.is_settled(&service.name, listed);
         if need.ample == 0 {
             return Vec::new();
         }
@@ -102,6 +111,9 @@
         for (plan, site) in plans.iter().filter_map(|it| Some((it, find(&sites, it)?))) {
             let wanted = [(true, plan.spot, site.spot), (false, plan.on_demand, site.on_demand)];
             for (spot, count, there) in wanted {
+                if !spot && !settled {
+                    continue;
+                }
                 let place = (service.name.clone(), plan.data_centre.clone(), spot);
                 if self.is_due(&place, count, there, again) {
                     let (service, data_centre, _) = place;
@@ -112,12 +124,24 @@
         orders
     }
 
+    /// Whether the list shows all engines there were at the start. It lags, and shows them one after
+    /// the other; until then none on demand are given up.
+    fn is_settled(&mut self, service: &ServiceName, listed: u32) -> bool {
+        let (held, since) = *self.grown.entry(service.clone()).or_insert((listed, Instant::now()));
+        if listed > held {
+            self.grown.insert(service.clone(), (listed, Instant::now()));
+            return false;
+        }
+        since.elapsed() > SETTLE_TIME
+    }
+
     /// How many engines are needed; none while it is not known. Until there is traffic to go by, as many as there were at the
     /// start: `listed` counts those on demand, also those that leave by our orders. The list lags, so
     /// it shows them one after the other.
     fn need(&mut self, now: f64, service: &ServiceName, listed: u32) -> Need {
-        let offered = self.offered.get(service).copied().unwrap_or_default();
-        if let Some(need) = offered.need(now) {
+        let demand = self.demands.get(service).copied().unwrap_or_default();
+        let wait = if self.knows_start { START_TIME } else { HEARD_TIME };
+        if let Some(need) = demand.need(now, wait) {
             return need;
         }
         if !self.knows_start {
@@ -125,7 +149,7 @@
         }
         let first = self.first.entry(service.clone()).or_insert(0);
         *first = (*first).max(listed);
-        match offered.is_seen() {
+        match demand.is_seen() {
             true => Need { ample: *first, bare: *first, traffic: true },
             false => Need { ample: *first, bare: first.div_ceil(FIRST_PART), traffic: false },
         }
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -9,6 +9,8 @@
 
 use std::cmp::Ordering;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::DataCentre;
 
 /// Prompt tokens that an engine reads in a second, about. From the sheets of both deployments: 64,200
@@ -32,44 +34,70 @@
 /// engine takes some seconds to boot.
 const PEAK_TIME: f64 = 40.0;
 
-/// Seconds of traffic before its mean says more than what is there at the start.
-const WARM_TIME: f64 = 5.0;
+/// The part of the boxes' peaks, summed, that stands for the peak of their sum.
+const PEAK_PART: f64 = 0.8;
 
-/// The prompt tokens a second that are offered to a service.
-#[derive(Debug, Clone, Copy, Default)]
+/// The prompt tokens a second that callers bring for a service at one box.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Offered {
-    mean: f64,
-    peak: f64,
-    at: Option<f64>,
-    first: Option<f64>,
+    /// The mean of the last seconds.
+    pub mean: f64,
+    /// The highest mean of late, which fades.
+    pub peak: f64,
 }
 
 impl Offered {
-    /// Takes the tokens offered since the last call, at `now` in seconds.
-    pub fn note(&mut self, now: f64, tokens: f64) {
-        let Some(at) = self.at.replace(now) else {
-            return;
-        };
-        if tokens > 0.0 && self.first.is_none() {
-            self.first = Some(now);
-        }
-        let passed = (now - at).max(0.05);
+    /// Takes the tokens of the last `passed` seconds.
+    pub fn note(&mut self, passed: f64, tokens: f64) {
+        let passed = passed.max(0.05);
         let weight = 1.0 - (-passed / MEAN_TIME).exp();
         self.mean += weight * (tokens / passed - self.mean);
         self.peak = (self.peak * (-passed / PEAK_TIME).exp()).max(self.mean);
     }
+}
+
+impl std::ops::Add for Offered {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self { mean: self.mean + other.mean, peak: self.peak + other.peak }
+    }
+}
+
+/// What a service is offered over all boxes.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Demand {
+    peak: f64,
+    at: f64,
+    first: Option<f64>,
+}
+
+impl Demand {
+    /// Takes the sum of what the boxes say, at `now` in seconds.
+    ///
+    /// Their peaks come at different times, so a part of the sum stands for the peak of the sum; a new
+    /// leader has nothing else to go by.
+    pub fn note(&mut self, now: f64, sum: Offered) {
+        let faded = self.peak * (-(now - self.at).max(0.0) / PEAK_TIME).exp();
+        let told = if self.first.is_none() { sum.peak * PEAK_PART } else { 0.0 };
+        self.peak = faded.max(told).max(sum.mean);
+        self.at = now;
+        if sum.mean > 0.0 && self.first.is_none() {
+            self.first = Some(now);
+        }
+    }
 
     /// Whether any traffic was seen.
     pub fn is_seen(&self) -> bool {
         self.first.is_some()
     }
 
-    /// How many engines read what is offered; `None` while too little traffic was seen.
-    pub fn need(&self, now: f64) -> Option<Need> {
+    /// How many engines read what is offered; `None` for `wait` seconds after the first traffic.
+    pub fn need(&self, now: f64, wait: f64) -> Option<Need> {
         let seen = now - self.first?;
         let engines = |load: f64| (self.peak / (READ_RATE * load)).ceil() as u32;
         let need = Need { ample: engines(AMPLE_LOAD), bare: engines(BARE_LOAD), traffic: true };
-        (seen >= WARM_TIME).then_some(need)
+        (seen >= wait).then_some(need)
     }
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -46,7 +46,7 @@
 use allowance::Allowances;
 use budget::RetryBudgets;
 use dialect::Dialect;
-use offered::Offered;
+use offered::OfferedBook;
 use servers::ServerBook;
 use table::RouteTable;
 use usage::UsageCounter;
@@ -72,7 +72,7 @@
     allowances: Mutex<Allowances>,
     retries: Mutex<RetryBudgets>,
     usage: Mutex<UsageCounter>,
-    offered: Mutex<Offered>,
+    offered: Mutex<OfferedBook>,
     /// Relays that share the limits, as the leader last said.
     relays: AtomicU32,
     closing: watch::Receiver<bool>,
@@ -160,7 +160,7 @@
     }
 
     /// What callers bring for each service.
-    pub fn offered(&self) -> MutexGuard<'_, Offered> {
+    pub fn offered(&self) -> MutexGuard<'_, OfferedBook> {
         lock(&self.offered)
     }
 
