Routing: long and short prompts on different engines by preference; the leader's calls apart

Cause: a long prompt holds up every stream beside it, and the boxes cannot see each other's unread prompts; a call that the platform left unanswered kept the leader from reading the list for seconds. Change: half of the engines, the same for all boxes, are preferred for prompts of 5,000 tokens and more; list, usage and orders run in tasks of their own.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Interval, MissedTickBehavior};
 
 use super::beat::{Beat, BeatReply};
 use super::spend::Spender;
@@ -177,6 +177,17 @@
 }
 
 impl Node {
+    /// The term in which this process may carry out duties.
+    async fn acting_term(&self, settings: &CloudSettings) -> Option<Term> {
+        let term = self.leading_term().await?;
+        follow_table(self, term);
+        let may_act = self.with_lead(term, |lead| {
+            lead.note_demand();
+            lead.may_act(settings.lease.duration())
+        });
+        may_act.then_some(term)
+    }
+
     /// Runs `f` with the soft state of the term this process leads in.
     fn with_lead<R>(&self, term: Term, f: impl FnOnce(&mut Lead) -> R) -> R {
         let first = self.board.document().version.0 == 0;
@@ -189,34 +200,49 @@
     }
 }
 
-/// Does what is due while this process leads, until the task is dropped.
+/// Does what is due while this process leads, until the task is dropped. Each kind of call has its own
+/// task: one that the platform leaves unanswered holds no other up.
 pub(crate) async fn run(node: Arc<Node>, settings: CloudSettings) {
     let client = Client::new(node.pool.clone(), settings.addr);
-    let mut timer = tokio::time::interval(LOOK);
+    tokio::spawn(follow_list(node.clone(), client.clone(), settings.clone()));
+    tokio::spawn(report_usage(node.clone(), client.clone(), settings.clone()));
+    order_engines(node, client, settings).await;
+}
+
+fn every(time: Duration) -> Interval {
+    let mut timer = tokio::time::interval(time);
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut listing: Option<Instant> = None;
-    let mut reporting: Option<Instant> = None;
-    let mut ordering: Option<Instant> = None;
+    timer
+}
+
+async fn follow_list(node: Arc<Node>, client: Client, settings: CloudSettings) {
+    let mut timer = every(settings.poll.duration());
     loop {
         timer.tick().await;
-        let Some(term) = node.leading_term().await else {
-            continue;
-        };
-        follow_table(&node, term);
-        if listing.is_none_or(|at| at.elapsed() >= settings.poll.duration()) {
-            listing = Some(Instant::now());
+        if let Some(term) = node.leading_term().await {
             read_list(&node, &client, term).await;
         }
-        node.with_lead(term, Lead::note_demand);
-        if !node.with_lead(term, |lead| lead.may_act(settings.lease.duration())) {
+    }
+}
+
+async fn report_usage(node: Arc<Node>, client: Client, settings: CloudSettings) {
+    let mut timer = every(LOOK);
+    loop {
+        timer.tick().await;
+        let Some(term) = node.acting_term(&settings).await else {
             continue;
+        };
+        if !report(&node, &client, &settings, term).await {
+            tokio::time::sleep(REPORT_PAUSE).await;
         }
-        let rested = reporting.is_none_or(|at| at.elapsed() >= REPORT_PAUSE);
-        if rested && !report(&node, &client, &settings, term).await {
-            reporting = Some(Instant::now());
-        }
-        if ordering.is_none_or(|at| at.elapsed() >= ORDER_TIME) {
-            ordering = Some(Instant::now());
+    }
+}
+
+async fn order_engines(node: Arc<Node>, client: Client, settings: CloudSettings) {
+    let mut timer = every(ORDER_TIME);
+    loop {
+        timer.tick().await;
+        if let Some(term) = node.acting_term(&settings).await {
             order(&node, &client, term).await;
         }
     }
@@ -256,8 +282,12 @@
 /// Orders the engines that are due.
 async fn order(node: &Node, client: &Client, term: Term) {
     let duty = Duty { holder: node.settings.node.box_id.clone(), fence: term };
-    for order in node.with_lead(term, Lead::orders) {
+    let orders = node.with_lead(term, Lead::orders);
+    let asked = orders.into_iter().map(|order| async {
         let answer = client.order(&duty, &order, CLOUD_TIME).await;
+        (order, answer)
+    });
+    for (order, answer) in futures_util::future::join_all(asked).await {
         tracing::info!(
             event = "engines_ordered", service = %order.service, count = order.count,
             data_centre = %order.data_centre, spot = order.spot, fence = %term, ?answer,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -315,6 +315,7 @@
                     if seen || at_home { part.tokens } else { 0 }
                 });
                 Candidate {
+                    long_lane: is_long_lane(&known.server.id),
                     requests: known.requests(),
                     slots: known.server.slots,
                     unread: known.unread(),
@@ -329,6 +330,12 @@
     }
 }
 
+/// Whether an engine reads long prompts rather than short ones: about half of them do, the same ones
+/// for all boxes.
+fn is_long_lane(id: &BackendId) -> bool {
+    crate::member::table::fingerprint(&format!("lane\n{id}")) & 1 == 0
+}
+
 /// How long an engine is taken to keep a part of a prompt that this box had read there.
 const CACHE_TIME: Duration = Duration::from_secs(30);
 
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -13,6 +13,12 @@
 /// more of them run, so a nearly empty one is worth a small detour.
 const CROWD_TIME: f64 = 120.0;
 
+/// Prompt tokens to read from which on a prompt is long: it holds up everything that runs beside it.
+const LONG_PROMPT: u64 = 5_000;
+
+/// Milliseconds of detour that it is worth to keep long prompts and short ones on different engines.
+const LANE_TIME: f64 = 120.0;
+
 /// Milliseconds to another data centre and back.
 const CROSS_TIME: f64 = 3.0;
 
@@ -33,6 +39,8 @@
     pub unread: u64,
     /// Prompt tokens of this request it has to read itself.
     pub uncached: u64,
+    /// Whether it is one of those that read long prompts.
+    pub long_lane: bool,
     /// Whether it is in the box's data centre.
     pub near: bool,
     /// Whether it is set aside for its failures.
@@ -48,7 +56,9 @@
     let wait = (requests + 1.0 - slots).max(0.0) * WAIT_TIME;
     let cross = if candidate.near { 0.0 } else { CROSS_TIME };
     let fault = if candidate.ejected { FAULT_TIME } else { 0.0 };
-    read + crowd + wait + cross + fault
+    let long = candidate.uncached >= LONG_PROMPT;
+    let lane = if long == candidate.long_lane { 0.0 } else { LANE_TIME };
+    read + crowd + wait + cross + lane + fault
 }
 
 /// The place of the candidate chosen; `random` gives numbers from 0 to 1.
