--- a/src/cmd/ask.rs
+++ b/src/cmd/ask.rs
@@ -14,8 +14,8 @@
 
 use super::exit;
 use super::operator::exit_with;
-use crate::backend::{Pool, Reuse};
 use crate::backend::sse::EventReader;
+use crate::backend::{Pool, Reuse};
 
 /// How long a node may be silent.
 const SILENCE: Duration = Duration::from_secs(120);
@@ -72,7 +72,8 @@
         .header("content-type", "application/json")
         .header("authorization", format!("Bearer {}", arguments.key))
         .body(Full::new(Bytes::from(body.to_string())))?;
-    let mut exchange = Pool::default().send(arguments.entry, request, SILENCE, Reuse::Never).await?;
+    let mut exchange =
+        Pool::default().send(arguments.entry, request, SILENCE, Reuse::Never).await?;
     if !exchange.status.is_success() {
         let body = exchange.read_whole(REFUSAL_LIMIT, SILENCE).await?;
         eprintln!("{}", String::from_utf8_lossy(&body));
--- a/src/control/boxlist.rs
+++ b/src/control/boxlist.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::boxlist::{self, Listed, ListedState};
 use crate::member::spread::word;
 use crate::node::Node;
-use crate::boxlist::{self, Listed, ListedState};
 
 /// How long the platform may take.
 const ANSWER_TIME: Duration = Duration::from_millis(2_000);
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -12,8 +12,8 @@
 
 use super::beat::{Beat, BeatReply};
 use super::spend::Spender;
-use crate::decide::spend::Offered;
 use crate::decide::level::{Limit, TeamLevel, Tolerance};
+use crate::decide::spend::Offered;
 use crate::group::driver::Unanswered;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Term, Window};
 use crate::node::Node;
@@ -108,7 +108,11 @@
         BeatReply { list, allowed, settled: self.settled, relays }
     }
 
-    fn allow(&mut self, beat: &Beat, tolerance: Tolerance) -> BTreeMap<TeamName, crate::relay::allowance::Allowed> {
+    fn allow(
+        &mut self,
+        beat: &Beat,
+        tolerance: Tolerance,
+    ) -> BTreeMap<TeamName, crate::relay::allowance::Allowed> {
         let now = self.since.elapsed().as_secs_f64();
         let Some(table) = self.table.clone() else {
             return BTreeMap::new();
@@ -257,7 +261,9 @@
     }
     match node.dialect.read_table(&document.text) {
         Ok(table) => node.with_lead(term, |lead| lead.table = Some(Arc::new(table))),
-        Err(reason) => tracing::error!(event = "document_invalid", version = %document.version, reason),
+        Err(reason) => {
+            tracing::error!(event = "document_invalid", version = %document.version, reason)
+        }
     }
 }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,9 +8,9 @@
 //! - [`work`] runs kept work.
 
 pub(crate) mod beat;
+pub(crate) mod boxlist;
 pub(crate) mod lead;
 pub(crate) mod load;
-pub(crate) mod boxlist;
 pub(crate) mod publish;
 pub(crate) mod share;
 pub(crate) mod spend;
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -82,7 +82,9 @@
         servers: &[Server],
     ) -> Vec<Order> {
         let scaled = table.services.values().filter_map(|it| Some((it, it.scaling.as_ref()?)));
-        scaled.flat_map(|(service, scaling)| self.orders_of(now, service, scaling, servers)).collect()
+        scaled
+            .flat_map(|(service, scaling)| self.orders_of(now, service, scaling, servers))
+            .collect()
     }
 
     fn orders_of(
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -2,8 +2,8 @@
 //!
 //! The leader keeps one level for each team. It fills at the team's rate up to its burst and sinks by
 //! what boxes say they have used; it may sink below nothing, since a box finds out what it used only
-//! afterwards. While much is left, every box may use half of it; when it runs low, it is divided by
-//! demand. An amount that is allowed and not used stays in the level.
+//! afterwards. What is left is divided by demand; while much is left, each box may use twice its part.
+//! An amount that is allowed and not used stays in the level.
 
 use std::collections::BTreeMap;
 
@@ -13,11 +13,11 @@
 /// The part of the burst above which a level counts as plentiful.
 const PLENTY: f64 = 0.5;
 
-/// Of a plentiful level, what one box may use until its next word.
-const PLENTY_PART: f64 = 0.5;
+/// How many times its part of a plentiful level a box may use until its next word.
+const PLENTY_TIMES: f64 = 2.0;
 
-/// The part of a scarce level that is divided evenly; the rest goes by demand.
-const EVEN_PART: f64 = 0.2;
+/// The part of a level that is divided evenly; the rest goes by demand.
+const EVEN_PART: f64 = 0.3;
 
 /// Weight of a new word in a box's demand.
 const DEMAND_WEIGHT: f64 = 0.4;
@@ -85,13 +85,7 @@
 impl TeamLevel {
     /// Takes a box's word at `now` (seconds on the leader's clock), and allows it an amount until its
     /// next one.
-    pub fn hear(
-        &mut self,
-        now: f64,
-        limit: Limit,
-        box_id: &BoxId,
-        demand: TeamDemand,
-    ) -> Allowed {
+    pub fn hear(&mut self, now: f64, limit: Limit, box_id: &BoxId, demand: TeamDemand) -> Allowed {
         let left = self.fill(now, limit) - demand.used;
         self.left = Some(left);
         self.note_demand(now, box_id, demand);
@@ -99,11 +93,9 @@
             let wait = if limit.rate > 0.0 { -left / limit.rate } else { f64::from(u16::MAX) };
             return Allowed { amount: 0.0, wait: wait.max(0.1) };
         }
-        let amount = match left > PLENTY * limit.burst {
-            true => left * PLENTY_PART,
-            false => left * self.share(box_id),
-        };
-        Allowed { amount, wait: 0.0 }
+        let times = if left > PLENTY * limit.burst { PLENTY_TIMES } else { 1.0 };
+        let part = (times * self.share(box_id)).min(1.0);
+        Allowed { amount: left * part, wait: 0.0 }
     }
 
     /// What is left.
@@ -128,7 +120,7 @@
         self.demands.insert(box_id.clone(), Demand { mean, at: now });
     }
 
-    /// The box's part of a scarce level.
+    /// The box's part of what is left.
     fn share(&self, box_id: &BoxId) -> f64 {
         let count = self.demands.len().max(1) as f64;
         let even = EVEN_PART / count;
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -19,20 +19,20 @@
 
 /// The part of its time a reclaimable engine is to spend reading prompts. Above it, requests queue
 /// behind long prompts for longer than their objectives allow. Measured: `docs/design/08-spend.md`.
-const AMPLE_LOAD: f64 = 0.15;
+const AMPLE_LOAD: f64 = 0.2;
 
 /// The same for engines on demand that stand in: they cost several times as much.
-const BARE_LOAD: f64 = 0.4;
+const BARE_LOAD: f64 = 0.33;
 
 /// Of the places in a data centre, one in so many is left to reclaimable engines.
 const SWAP_PART: u32 = 4;
 
 /// Seconds over which the offered tokens are averaged.
-const MEAN_TIME: f64 = 4.0;
+const MEAN_TIME: f64 = 5.0;
 
 /// Seconds in which a peak of the offered tokens loses most of its weight: waves return, and an
 /// engine takes some seconds to boot.
-const PEAK_TIME: f64 = 40.0;
+const PEAK_TIME: f64 = 25.0;
 
 /// The part of the boxes' peaks, summed, that stands for the peak of their sum.
 const PEAK_PART: f64 = 0.8;
@@ -161,7 +161,8 @@
     let mut order: Vec<&Site> = sites.iter().collect();
     order.sort_by(|a, b| compare(a, b));
     let spots = plan_spots(order.len(), need.ample, bounds);
-    let coming: u32 = order.iter().zip(&spots).map(|(site, spot)| site.spot.coming.min(*spot)).sum();
+    let coming: u32 =
+        order.iter().zip(&spots).map(|(site, spot)| site.spot.coming.min(*spot)).sum();
     let serving = match need.traffic {
         true => sites.iter().map(|site| site.spot.serving).sum(),
         false => coming.saturating_sub(need.bare),
@@ -209,10 +210,9 @@
     // Engines on demand leave some places free, so that reclaimable ones can take over step by step.
     let free = bounds.most.div_ceil(SWAP_PART).min(bounds.most.saturating_sub(bounds.least));
     let kept = |place: usize| if spots[place] > 0 { free } else { 0 };
-    let room = |place: usize| {
-        bounds.most.saturating_sub(order[place].spot.serving.max(kept(place)))
-    };
-    let least = |place: usize| bounds.least.saturating_sub(order[place].spot.coming.min(spots[place]));
+    let room =
+        |place: usize| bounds.most.saturating_sub(order[place].spot.serving.max(kept(place)));
+    let least = |place: usize| bounds.least.saturating_sub(spots[place]);
     let mut counts: Vec<u32> = (0..order.len())
         .map(|place| {
             let least = least(place);
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -187,16 +187,8 @@
         arguments: DriverArguments,
     ) -> Result<DriverState, ActorProcessingErr> {
         myself.send_interval(TICK, || GroupMessage::Tick);
-        let DriverArguments {
-            identity,
-            storage,
-            core,
-            machine,
-            links,
-            directory,
-            board,
-            epoch,
-        } = arguments;
+        let DriverArguments { identity, storage, core, machine, links, directory, board, epoch } =
+            arguments;
         Ok(DriverState {
             identity,
             storage: Arc::new(storage),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 
 pub mod backend;
 pub mod blackboard;
+pub mod boxlist;
 pub mod cmd;
 pub(crate) mod control;
 pub mod decide;
@@ -49,7 +50,6 @@
 #[path = "../platform/mod.rs"]
 pub mod platform;
 pub mod relay;
-pub mod boxlist;
 pub mod settings;
 pub mod state;
 pub mod telemetry;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -34,7 +34,8 @@
 const ABSENT_WAIT: Duration = Duration::from_millis(1_000);
 
 /// When to come back after servers refused, at least and at most.
-const REFUSED_WAIT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1_500));
+const REFUSED_WAIT: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(1_500));
 
 /// Bytes of a refusal that are read so that its connection can be used again.
 const REFUSAL_BYTES: usize = 16 << 10;
@@ -341,7 +342,8 @@
 
 /// The server at which all boxes expect a prompt's shared part: the one of the largest weight.
 fn home(open: &[&Arc<Known>], part: u64) -> Option<BackendId> {
-    let weigh = |known: &Known| crate::member::table::fingerprint(&format!("{part}\n{}", known.server.id));
+    let weigh =
+        |known: &Known| crate::member::table::fingerprint(&format!("{part}\n{}", known.server.id));
     open.iter().max_by_key(|known| weigh(known)).map(|known| known.server.id.clone())
 }
 
--- a/src/relay/listen.rs
+++ b/src/relay/listen.rs
@@ -14,8 +14,8 @@
 use crate::blackboard::Phase;
 use crate::entry::answer;
 use crate::error::{Failure, Kind};
-use crate::http::server::{self, Limits};
 use crate::http::Body;
+use crate::http::server::{self, Limits};
 
 /// Callers' connections at the same time. Each needs a descriptor, and one for its backend server.
 const CALLERS: usize = 1_500;
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -129,7 +129,12 @@
 type Passed = Result<(Answer, bool), Miss>;
 
 /// Sends a call once; the answer, and whether the server says that it failed.
-async fn pass(relay: &Relay, call: &Call, route: &Route, known: Arc<Known>) -> (Arc<Known>, Passed) {
+async fn pass(
+    relay: &Relay,
+    call: &Call,
+    route: &Route,
+    known: Arc<Known>,
+) -> (Arc<Known>, Passed) {
     let passed = pass_to(relay, call, route, &known).await;
     (known, passed)
 }
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -42,9 +42,7 @@
 }
 
 /// Which list: the term of the leader that read it, and its place among that leader's lists.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ListVersion {
     /// The term.
     pub term: Term,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -342,13 +342,7 @@
     }
 }
 
-fn note_break(
-    call: &Call,
-    route: &Route,
-    source: &Source,
-    progress: &Progress,
-    fault: &SendFault,
-) {
+fn note_break(call: &Call, route: &Route, source: &Source, progress: &Progress, fault: &SendFault) {
     let known = source.flight.known();
     known.state.fail();
     tracing::info!(
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -271,10 +271,7 @@
     }
 }
 
-fn check_route(
-    route: &Route,
-    services: &BTreeMap<ServiceName, Service>,
-) -> Result<(), TableFault> {
+fn check_route(route: &Route, services: &BTreeMap<ServiceName, Service>) -> Result<(), TableFault> {
     for split in &route.splits {
         if !services.contains_key(&split.service) {
             let (route, service) = (route.name.clone(), split.service.clone());
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -18,10 +18,8 @@
 use crate::units::Millis;
 
 pub use reader::SettingsError;
-pub use service::{
-    CloudSettings, GroupSettings, OperatorSettings, QuotaSettings, RelaySettings,
-};
 pub(crate) use reader::{Reader, Section};
+pub use service::{CloudSettings, GroupSettings, OperatorSettings, QuotaSettings, RelaySettings};
 
 /// What a node does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -55,7 +55,11 @@
         tokio::time::sleep(LOOK).await;
         let dropped = dropped();
         if dropped > told {
-            tracing::warn!(event = "log_lines_dropped", lines = dropped - told, since_start = dropped);
+            tracing::warn!(
+                event = "log_lines_dropped",
+                lines = dropped - told,
+                since_start = dropped
+            );
             told = dropped;
         }
     }
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,145 @@
+//! Limits that hold over all boxes: teams' allowances, the retry budget, usage windows.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, UNIX_EPOCH};
+
+use emberturn::decide::level::{Limit, TeamLevel, Tolerance};
+use emberturn::ids::{BoxId, ServiceName, TeamName, Window};
+use emberturn::relay::allowance::TeamDemand;
+use emberturn::relay::budget::{RetryBudgets, RetryLimit};
+use emberturn::relay::usage::{UsageCounter, window_at};
+use emberturn::state::document::{Document, Version};
+use emberturn::state::usage::Settle;
+use emberturn::state::{Command, Machine, Reply};
+
+const LIMIT: Limit = Limit { rate: 1_000.0, burst: 1_000.0 };
+
+fn boxes(count: usize) -> Vec<BoxId> {
+    (0..count).map(|place| format!("box-{place}").parse().unwrap()).collect()
+}
+
+/// What boxes use in all when each uses all it is allowed, beating in turn for `seconds`.
+fn use_all(level: &mut TeamLevel, boxes: &[BoxId], from: f64, seconds: f64) -> f64 {
+    let mut used: BTreeMap<&BoxId, f64> = BTreeMap::new();
+    let mut sum = 0.0;
+    let rounds = (seconds / 0.4) as usize;
+    for round in 0..rounds {
+        for (place, box_id) in boxes.iter().enumerate() {
+            let now = from + 0.4 * (round as f64 + place as f64 / boxes.len() as f64);
+            let demand = TeamDemand { used: used.remove(box_id).unwrap_or(0.0), refused: 100.0 };
+            let allowed = level.hear(now, LIMIT, box_id, demand);
+            used.insert(box_id, allowed.amount);
+            sum += allowed.amount;
+        }
+    }
+    sum
+}
+
+#[test]
+fn greedy_boxes_together_keep_the_limit() {
+    for count in [1, 4, 9, 60] {
+        let mut level = TeamLevel::default();
+        let used = use_all(&mut level, &boxes(count), 0.0, 8.0);
+        // The limit over eight seconds, with the tolerance of the users' contract.
+        let bound = (LIMIT.rate * 8.0 + LIMIT.burst) * 1.1 + LIMIT.burst;
+        assert!(used <= bound, "{count} boxes used {used}, {bound} allowed");
+        assert!(used >= LIMIT.rate * 8.0 * 0.7, "{count} boxes were held to {used}");
+    }
+}
+
+#[test]
+fn what_is_left_goes_to_the_box_that_wants_it() {
+    let all = boxes(4);
+    let mut level = TeamLevel::default();
+    let mut amounts = BTreeMap::new();
+    for round in 0..40 {
+        for box_id in &all {
+            let busy = *box_id == all[0];
+            let used = if busy { 400.0 } else { 0.0 };
+            let demand = TeamDemand { used, refused: 0.0 };
+            let allowed = level.hear(f64::from(round) * 0.4, LIMIT, box_id, demand);
+            amounts.insert(box_id.clone(), allowed.amount);
+        }
+    }
+    assert!(amounts[&all[0]] > 0.0, "{amounts:?}");
+    assert!(amounts[&all[0]] > 2.0 * amounts[&all[1]], "{amounts:?}");
+}
+
+#[test]
+fn team_beyond_its_limit_hears_when_to_come_back() {
+    let all = boxes(1);
+    let mut level = TeamLevel::default();
+    let demand = TeamDemand { used: 3_000.0, refused: 0.0 };
+    let allowed = level.hear(0.0, LIMIT, &all[0], demand);
+    assert_eq!(allowed.amount, 0.0);
+    assert!((2.0..3.0).contains(&allowed.wait), "{allowed:?}");
+}
+
+#[test]
+fn tolerance_is_used_but_never_passed() {
+    let tolerance = Tolerance { window: 8.0, overshoot: 0.1, slack: 500.0 };
+    let limit = LIMIT.with(tolerance);
+    let most = limit.rate * 8.0 + limit.burst;
+    let bound = (LIMIT.rate * 8.0 + LIMIT.burst) * 1.1 + 500.0;
+    assert!(most > LIMIT.rate * 8.0 + LIMIT.burst);
+    assert!(most < bound);
+}
+
+#[test]
+fn repeats_keep_the_budget_over_all_boxes() {
+    let service: ServiceName = "svc".parse().unwrap();
+    let limit = RetryLimit { ratio: 0.2, floor: 50.0, boxes: 8 };
+    let (mut spent, requests) = (0, 400);
+    for _ in 0..limit.boxes {
+        let mut budgets = RetryBudgets::default();
+        for _ in 0..requests {
+            budgets.earn(&service, &limit);
+            spent += u32::from(budgets.spend(&service)) + u32::from(budgets.spend(&service));
+        }
+    }
+    let bound = 0.2 * f64::from(requests * limit.boxes) + 50.0;
+    assert!(f64::from(spent) <= bound, "{spent} repeats, {bound} allowed");
+    assert!(spent > 0);
+}
+
+#[test]
+fn usage_falls_into_the_window_of_its_time() {
+    let length = Duration::from_secs(5);
+    let team: TeamName = "team-a".parse().unwrap();
+    let mut counter = UsageCounter::new(length);
+    let at = UNIX_EPOCH + Duration::from_secs(1_000);
+    assert_eq!(window_at(at, length), Window(200));
+    counter.count(&team, at);
+    counter.count(&team, at + Duration::from_millis(4_999));
+    counter.count(&team, at + length);
+    assert_eq!(counter.counts()[&Window(200)][&team], 2);
+    counter.forget(Window(200));
+    assert_eq!(counter.counts().keys().collect::<Vec<_>>(), [&Window(201)]);
+}
+
+#[test]
+fn window_that_is_fixed_says_the_same_whoever_reports_it() {
+    let mut machine = Machine::default();
+    let team: TeamName = "team-a".parse().unwrap();
+    let settle =
+        |count| Settle { window: Window(7), counts: BTreeMap::from([(team.clone(), count)]) };
+    let first = machine.apply(1, &Command::Settle(settle(10)));
+    let second = machine.apply(2, &Command::Settle(settle(12)));
+    assert_eq!(first, Reply::Settle(settle(10)));
+    assert_eq!(second, first);
+}
+
+#[test]
+fn only_a_higher_version_is_held() {
+    let mut machine = Machine::default();
+    let document = |version, text: &str| {
+        std::sync::Arc::new(Document { version: Version(version), text: text.into() })
+    };
+    let publish = |machine: &mut Machine, it| machine.apply(1, &Command::Publish(it));
+    assert_eq!(publish(&mut machine, document(5, "five")), Reply::Publish(Version(5)));
+    assert_eq!(publish(&mut machine, document(5, "other")), Reply::Publish(Version(5)));
+    assert_eq!(publish(&mut machine, document(3, "three")), Reply::Publish(Version(5)));
+    let held = machine.apply(2, &Command::ReadDocument);
+    assert_eq!(held, Reply::Document(document(5, "five")));
+    assert_eq!(publish(&mut machine, document(9, "nine")), Reply::Publish(Version(9)));
+}
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,322 @@
+//! The life of a request through a relay: whole answers, at most once, true refusals, streams.
+
+mod support;
+
+use std::time::Duration;
+
+use support::platform::{
+    Act, Reply, StandIn, TestRelay, document, event, events, route, usual_routes,
+};
+use yare::parameterized;
+
+fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap()
+        .block_on(test);
+}
+
+#[tokio::test]
+async fn answer_is_passed_byte_for_byte_with_what_vouches_for_it() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let reply = relay.ask("POST", "once").await;
+    assert_eq!((reply.status, reply.body.as_str(), reply.whole), (200, "answer", true));
+    assert_eq!(reply.headers["response-signature"], "sig");
+    assert_eq!(reply.headers["request-id"], "r-1");
+    let seen = &server.seen()[0];
+    assert_eq!(seen.line, "POST /once/x?y=1 HTTP/1.1");
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.headers["request-id"], "r-1");
+    assert_eq!(seen.headers["expect-instance"], "i-1");
+    assert_eq!(seen.headers["host"], "app.example");
+}
+
+#[tokio::test]
+async fn server_sees_the_team_and_never_the_key() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let headers = "Api-Key: key-a\r\nTenant: somebody-else\r\nKv-From: 1.2.3.4:5/6\r\n";
+    relay.ask_with("POST", "once", headers).await;
+    let seen = &server.seen()[0];
+    assert_eq!(seen.headers["tenant"], "team-a");
+    assert!(!seen.headers.contains_key("api-key"));
+    assert!(!seen.headers.contains_key("kv-from"));
+    let left: u64 = seen.headers["deadline-ms"].parse().unwrap();
+    assert!(left <= 8_000);
+}
+
+#[parameterized(
+    closed = { Act::Close, 502 },
+    unsigned = { Act::Unsigned, 502 },
+    foreign = { Act::AnswerAs("r-other"), 502 },
+    failed = { Act::Fail(500), 500 },
+    promise_without_word = { Act::Fail(503), 502 },
+    promise_without_word_429 = { Act::Fail(429), 502 },
+)]
+fn unrepeatable_request_that_may_have_run_is_sent_once(act: Act, status: u16) {
+    run(async {
+        let first = StandIn::start("i-1", &[act.clone()]).await;
+        let second = StandIn::start("i-2", &[act]).await;
+        let relay = TestRelay::start(&[&first, &second]).await;
+        let reply = relay.ask("POST", "once").await;
+        assert_eq!(reply.status, status, "{reply:?}");
+        assert_eq!(first.seen().len() + second.seen().len(), 1);
+    });
+}
+
+#[parameterized(
+    refused = { Act::Refuse },
+    misdirected = { Act::Misdirected },
+)]
+fn refused_send_goes_on_to_another_server(act: Act) {
+    run(async {
+        let first = StandIn::start("i-1", &[act]).await;
+        let relay = TestRelay::start(&[&first]).await;
+        let alone = relay.ask("POST", "once").await;
+        assert_eq!(alone.status, 503, "{alone:?}");
+        assert!(alone.headers.contains_key("retry-after"));
+        assert!(!alone.headers.contains_key("response-signature"));
+        let second = StandIn::start("i-2", &[Act::Answer]).await;
+        relay.list(&[&first, &second]);
+        let reply = relay.ask("POST", "once").await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!(second.seen().len(), 1);
+    });
+}
+
+#[tokio::test]
+async fn misdirected_server_gets_nothing_more() {
+    let gone = StandIn::start("i-1", &[Act::Misdirected]).await;
+    let relay = TestRelay::start(&[&gone]).await;
+    relay.ask("POST", "once").await;
+    relay.list(&[&gone]);
+    let reply = relay.ask("POST", "once").await;
+    assert_eq!(reply.status, 503);
+    assert_eq!(gone.seen().len(), 1);
+}
+
+#[parameterized(
+    closed = { Act::Close },
+    failed = { Act::Fail(500) },
+    unsigned = { Act::Unsigned },
+    silent = { Act::Silent },
+)]
+fn safe_request_goes_to_a_second_server(act: Act) {
+    run(async {
+        let first = StandIn::start("i-1", &[act]).await;
+        let relay = TestRelay::empty().await;
+        let mut safe = route("safe", "safe", 2);
+        safe["target_latency_ms"] = 100.into();
+        relay.publish(&document(1, &[safe]));
+        let second = StandIn::start("i-2", &[Act::Answer]).await;
+        relay.list(&[&first, &second]);
+        relay.set_aside("i-2");
+        let reply = relay.ask("GET", "safe").await;
+        assert_eq!((reply.status, reply.body.as_str()), (200, "answer"));
+        assert_eq!((first.seen().len(), second.seen().len()), (1, 1));
+    });
+}
+
+#[tokio::test]
+async fn no_server_is_said_at_once_with_when_to_come_back() {
+    let relay = TestRelay::start(&[]).await;
+    for name in ["safe", "once", "stream", "resumable"] {
+        let reply = relay.ask("POST", name).await;
+        assert_eq!(reply.status, 503);
+        assert!(reply.headers["retry-after"].parse::<f64>().unwrap() > 0.0);
+        assert_eq!(reply.headers["request-id"], "r-1");
+    }
+}
+
+#[tokio::test]
+async fn dead_address_proves_that_nothing_ran() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let mut dead = server.listed("svc");
+    dead.id = "i-2".parse().unwrap();
+    dead.addr = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let version = emberturn::relay::servers::ListVersion {
+        term: emberturn::ids::Term(2),
+        ..Default::default()
+    };
+    let list = emberturn::relay::servers::ServerList { version, servers: vec![dead] };
+    relay.relay.servers.take(list);
+    let reply = relay.ask("POST", "once").await;
+    assert_eq!(reply.status, 503, "{reply:?}");
+}
+
+#[tokio::test]
+async fn stream_is_passed_whole() {
+    let server = StandIn::start("i-1", &[Act::Events(5)]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let reply = relay.ask("POST", "stream").await;
+    assert_eq!((reply.status, reply.body, reply.whole), (200, events(5), true));
+    assert_eq!(reply.headers["response-signature"], "sig");
+}
+
+#[tokio::test]
+async fn cut_stream_that_may_be_resumed_goes_on_behind_the_last_event() {
+    let first = StandIn::start("i-1", &[Act::CutAfter(3)]).await;
+    let second = StandIn::start("i-2", &[Act::Events(6)]).await;
+    let relay = TestRelay::start(&[&first, &second]).await;
+    relay.set_aside("i-2");
+    let reply = relay.ask("POST", "resumable").await;
+    assert_eq!((reply.status, reply.body, reply.whole), (200, events(6), true));
+    assert_eq!(first.seen().len(), 1);
+    assert_eq!(second.seen()[0].headers["last-event-id"], "3");
+}
+
+#[tokio::test]
+async fn events_that_the_caller_has_are_not_passed_again() {
+    let server = StandIn::start("i-1", &[Act::Events(6)]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let headers = "Api-Key: key-a\r\nLast-Event-Id: 4\r\n";
+    let reply = relay.ask_with("POST", "resumable", headers).await;
+    assert_eq!(reply.body, format!("{}{}", event(5), event(6)));
+}
+
+#[tokio::test]
+async fn cut_stream_that_may_not_be_resumed_does_not_look_whole() {
+    let first = StandIn::start("i-1", &[Act::CutAfter(3)]).await;
+    let second = StandIn::start("i-2", &[Act::CutAfter(3)]).await;
+    let relay = TestRelay::start(&[&first, &second]).await;
+    let reply = relay.ask("POST", "stream").await;
+    assert_eq!((reply.status, reply.whole), (200, false));
+    assert_eq!(reply.body, events(3));
+    assert_eq!(first.seen().len() + second.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn silent_stream_is_not_cut_while_nobody_else_can_take_it_up() {
+    let pause = Duration::from_millis(1_300);
+    let server = StandIn::start("i-1", &[Act::PauseAfterFirst(4, pause)]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let reply = relay.ask("POST", "resumable").await;
+    assert_eq!((reply.body, reply.whole), (events(4), true));
+    assert_eq!(server.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn caller_that_goes_frees_its_server() {
+    let mut server = StandIn::start("i-1", &[Act::Silent]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let asking = relay.ask("POST", "stream");
+    tokio::select! {
+        _ = asking => panic!("a silent server was answered for"),
+        () = server.wait_seen(1) => {}
+    }
+    // The caller's connection is dropped with its future.
+    server.wait_gone(1).await;
+}
+
+#[tokio::test]
+async fn box_that_knows_no_routes_says_so_and_is_not_ready() {
+    let relay = TestRelay::empty().await;
+    let reply = relay.ask("POST", "once").await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.headers.contains_key("retry-after"));
+    assert_eq!(ready(&relay).await, 503);
+    relay.publish(&document(1, &usual_routes()));
+    assert_eq!(ready(&relay).await, 200);
+}
+
+async fn ready(relay: &TestRelay) -> u16 {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(relay.ready).await.unwrap();
+    let text = "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    Reply::parse(&answer).status
+}
+
+#[tokio::test]
+async fn unknown_route_and_key_are_refused_only_by_a_box_that_is_sure() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    assert_eq!(relay.ask("POST", "elsewhere").await.status, 404);
+    assert_eq!(relay.ask_with("POST", "once", "Api-Key: no-such\r\n").await.status, 401);
+    assert_eq!(relay.ask_with("POST", "once", "").await.status, 401);
+    // A box that was never sure answers that it does not know, and runs nothing with a key.
+    let unsure = TestRelay::empty().await;
+    let table = emberturn::platform::document::read(&document(1, &usual_routes()).to_string());
+    unsure.relay.put_table(std::sync::Arc::new(table.unwrap()));
+    unsure.list(&[&server]);
+    assert_eq!(unsure.ask("POST", "elsewhere").await.status, 503);
+    assert_eq!(unsure.ask("POST", "once").await.status, 503);
+    assert!(server.seen().is_empty());
+}
+
+#[tokio::test]
+async fn older_routes_never_come_back() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    relay.publish(&document(7, &[route("safe", "safe", 2)]));
+    relay.publish(&document(6, &usual_routes()));
+    assert_eq!(relay.ask("POST", "once").await.status, 404);
+}
+
+#[parameterized(
+    no_host = { "GET /safe/x HTTP/1.1\r\nConnection: close\r\n\r\n", 400 },
+    two_hosts = { "GET /safe/x HTTP/1.1\r\nHost: app.example\r\nHost: b\r\nConnection: close\r\n\r\n", 400 },
+    bad_deadline = { "GET /safe/x HTTP/1.1\r\nHost: app.example\r\nDeadline-Ms: soon\r\nConnection: close\r\n\r\n", 400 },
+    two_lengths = { "POST /safe/x HTTP/1.1\r\nHost: app.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400 },
+    large_body = { "POST /safe/x HTTP/1.1\r\nHost: app.example\r\nApi-Key: key-a\r\nContent-Length: 70000\r\nConnection: close\r\n\r\n", 413 },
+)]
+fn request_that_breaks_the_protocol_runs_nowhere(text: &str, status: u16) {
+    run(async {
+        let server = StandIn::start("i-1", &[Act::Answer]).await;
+        let relay = TestRelay::start(&[&server]).await;
+        let reply = match status {
+            413 => Reply::parse(&relay.raw(&format!("{text}{}", "x".repeat(70_000))).await),
+            _ => Reply::parse(&relay.raw(text).await),
+        };
+        assert_eq!(reply.status, status, "{reply:?}");
+        assert!(server.seen().is_empty());
+    });
+}
+
+#[tokio::test]
+async fn head_beyond_the_operators_limit_is_refused() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let headers = format!("Api-Key: key-a\r\nX-Long: {}\r\n", "x".repeat(20_000));
+    assert_eq!(relay.ask_with("POST", "once", &headers).await.status, 431);
+    assert!(server.seen().is_empty());
+}
+
+#[tokio::test]
+async fn team_over_its_limit_is_told_when_to_come_back() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::empty().await;
+    let mut value = document(1, &usual_routes());
+    value["tenants"][0]["rate_per_s"] = 1_000.0.into();
+    value["tenants"][0]["burst"] = 1_000.0.into();
+    relay.publish(&value);
+    relay.list(&[&server]);
+    let headers = "Api-Key: key-a\r\nToken-Usage: 900,100\r\n";
+    let mut statuses = Vec::new();
+    for _ in 0..4 {
+        statuses.push(relay.ask_with("POST", "once", headers).await);
+    }
+    let refused: Vec<_> = statuses.iter().filter(|reply| reply.status == 429).collect();
+    assert!(!refused.is_empty() && refused.len() < statuses.len(), "{statuses:?}");
+    assert!(refused.iter().all(|reply| reply.headers.contains_key("retry-after")));
+    assert_eq!(server.seen().len(), statuses.len() - refused.len());
+}
+
+#[tokio::test]
+async fn kept_connection_serves_one_request_after_the_other() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let one = "POST /once/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-1\r\nApi-Key: key-a\r\nContent-Length: 0\r\n\r\n";
+    let last =
+        one.replace("r-1", "r-2").replace("Content-Length", "Connection: close\r\nContent-Length");
+    let text = relay.raw(&format!("{one}{last}")).await;
+    assert_eq!(text.matches("HTTP/1.1 200 OK").count(), 2, "{text}");
+    let ids: Vec<_> = server.seen().iter().map(|seen| seen.headers["request-id"].clone()).collect();
+    assert_eq!(ids, ["r-1", "r-2"]);
+}
--- /dev/null
+++ b/tests/routes.rs
@@ -0,0 +1,110 @@
+//! The table of routes: finding one, and every way in which a table is not valid.
+
+mod support;
+
+use emberturn::platform::document;
+use emberturn::relay::choose::{Candidate, choose, expected_wait, split};
+use emberturn::relay::table::Repeat;
+use serde_json::{Value, json};
+use support::platform::{document as base, route, usual_routes};
+use yare::parameterized;
+
+fn with_prefix(name: &str, prefix: &str) -> Value {
+    let mut value = route(name, "safe", 1);
+    value["path_prefix"] = prefix.into();
+    value
+}
+
+#[parameterized(
+    longest = { "app.example", "/a/b/c", Some("long") },
+    shorter = { "app.example", "/a/x", Some("short") },
+    no_part_of_a_segment = { "app.example", "/a/bc", Some("short") },
+    prefix_itself = { "app.example", "/a/b/", Some("long") },
+    none = { "app.example", "/b/", None },
+    case_of_host = { "APP.Example", "/a/", Some("short") },
+    port_of_host = { "app.example:8080", "/a/", Some("short") },
+    other_host = { "other.example", "/a/", None },
+)]
+fn longest_prefix_of_the_host_wins(host: &str, path: &str, found: Option<&str>) {
+    let routes = [with_prefix("short", "/a/"), with_prefix("long", "/a/b/")];
+    let table = document::read(&base(1, &routes).to_string()).unwrap();
+    assert_eq!(table.find(host, path).map(|route| route.name.as_str()), found);
+}
+
+fn broken(change: impl FnOnce(&mut Value)) -> Result<(), String> {
+    let mut value = base(3, &usual_routes());
+    change(&mut value);
+    document::read(&value.to_string()).map(drop)
+}
+
+#[test]
+fn every_invalid_document_is_refused() {
+    let team = json!({ "name": "team-b", "api_keys": ["key-a"] });
+    let split = json!([{ "service": "svc", "weight": 0 }]);
+    broken(|_| ()).unwrap();
+    broken(|value| value["routes"][0]["service"] = "none".into()).unwrap_err();
+    broken(|value| value["routes"][0]["timeout_ms"] = 0.into()).unwrap_err();
+    broken(|value| value["routes"][0]["path_prefix"] = "/once/".into()).unwrap_err();
+    broken(|value| value["routes"][0]["kind"] = "other".into()).unwrap_err();
+    broken(|value| value["routes"][0]["service"] = Value::Null).unwrap_err();
+    broken(|value| value["tenants"].as_array_mut().unwrap().push(team)).unwrap_err();
+    broken(|value| {
+        value["routes"][0]["service"] = Value::Null;
+        value["routes"][0]["traffic_split"] = split;
+    })
+    .unwrap_err();
+    broken(|value| drop(value.as_object_mut().unwrap().remove("limits"))).unwrap_err();
+    let text = base(1, &usual_routes()).to_string();
+    document::read(&text[..text.len() / 2]).unwrap_err();
+}
+
+#[test]
+fn kinds_say_what_may_be_repeated() {
+    let table = document::read(&base(1, &usual_routes()).to_string()).unwrap();
+    let repeat = |name: &str| table.find("app.example", &format!("/{name}/x")).unwrap().repeat;
+    assert_eq!(repeat("safe"), Repeat::Safe);
+    assert_eq!(repeat("once"), Repeat::Once);
+    assert_eq!(repeat("stream"), Repeat::Stream);
+    assert_eq!(repeat("resumable"), Repeat::ResumableStream);
+    assert!(!Repeat::Stream.is_repeatable() && Repeat::ResumableStream.is_repeatable());
+}
+
+#[parameterized(
+    first = { &[90, 10], 0.0, Some(0) },
+    last_of_first = { &[90, 10], 0.899, Some(0) },
+    second = { &[90, 10], 0.9, Some(1) },
+    none = { &[0, 0], 0.5, None },
+    weightless_is_never_taken = { &[0, 5], 0.0, Some(1) },
+    end_of_range = { &[5, 0], 1.0, Some(0) },
+)]
+fn split_follows_the_weights(weights: &[u32], random: f64, place: Option<usize>) {
+    assert_eq!(split(weights, random), place);
+}
+
+const IDLE: Candidate = Candidate {
+    requests: 0,
+    slots: 8,
+    unread: 0,
+    uncached: 1_000,
+    long_lane: false,
+    near: true,
+    ejected: false,
+};
+
+#[test]
+fn the_server_expected_to_begin_first_is_chosen() {
+    let worse = [
+        Candidate { requests: 9, ..IDLE },
+        Candidate { unread: 50_000, ..IDLE },
+        Candidate { uncached: 4_000, ..IDLE },
+        Candidate { long_lane: true, ..IDLE },
+        Candidate { ejected: true, ..IDLE },
+    ];
+    for other in worse {
+        assert!(expected_wait(&other) > expected_wait(&IDLE), "{other:?}");
+        assert_eq!(choose(&[other, IDLE], || 0.5), Some(1), "{other:?}");
+    }
+    assert_eq!(choose(&[], || 0.5), None);
+    let ejected = Candidate { ejected: true, ..IDLE };
+    assert_eq!(choose(&[ejected], || 0.5), Some(0));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,8 @@
-//! What integration tests share: the harness of real processes.
+//! What integration tests share: the harness of real processes, and stand-ins for the users' platform.
 
-#![allow(unused_imports, reason = "each test takes what it needs")]
+#![allow(unused_imports, dead_code, reason = "each test takes what it needs")]
+
+pub mod platform;
+pub mod system;
 
 pub use emberturn_fakes::cluster::*;
--- /dev/null
+++ b/tests/support/platform.rs
@@ -0,0 +1,450 @@
+//! Stand-ins that speak the users' platform's words, for tests that run without their bench.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use emberturn::backend::Pool;
+use emberturn::blackboard::Blackboard;
+use emberturn::ids::Term;
+use emberturn::platform::{PlatformDialect, document};
+use emberturn::relay::listen::Listeners;
+use emberturn::relay::servers::{ListVersion, Server, ServerList};
+use emberturn::relay::{Relay, RelayParts};
+use emberturn::settings::Settings;
+use emberturn::telemetry::Metrics;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// How long a test waits for what must come.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a stand-in does with a request.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Answers whole and signed.
+    Answer,
+    /// Answers whole, signed, with this id in place of the request's.
+    AnswerAs(&'static str),
+    /// Answers whole without a signature.
+    Unsigned,
+    /// Answers with this status, signed, as run.
+    Fail(u16),
+    /// Says that it has not run the request.
+    Refuse,
+    /// Another engine has the address.
+    Misdirected,
+    /// Reads the request and closes.
+    Close,
+    /// Reads the request and says nothing until the caller goes.
+    Silent,
+    /// A stream of events from the one after the last the caller has, up to this one.
+    Events(u64),
+    /// The same, but cut inside the event behind this one.
+    CutAfter(u64),
+    /// One event, then the rest up to this one after a pause.
+    PauseAfterFirst(u64, Duration),
+}
+
+/// A request as it reached a stand-in.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// The first line.
+    pub line: String,
+    /// The headers, in lower case.
+    pub headers: HashMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A stand-in for a backend server.
+pub struct StandIn {
+    /// Its id.
+    pub id: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    count: watch::Receiver<usize>,
+    gone: watch::Receiver<usize>,
+}
+
+impl StandIn {
+    /// Starts one that does the acts in turn, and the last of them from then on.
+    pub async fn start(id: &str, acts: &[Act]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
+        let (counted, count) = watch::channel(0);
+        let (left, gone) = watch::channel(0);
+        let (acts, held) = (acts.to_vec(), seen.clone());
+        let (counted, left) = (Arc::new(counted), Arc::new(left));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (acts, held) = (acts.clone(), held.clone());
+                let (counted, left) = (counted.clone(), left.clone());
+                tokio::spawn(async move {
+                    let _ = talk(stream, &acts, &held, &counted).await;
+                    left.send_modify(|count| *count += 1);
+                });
+            }
+        });
+        Self { id: id.to_owned(), addr, seen, count, gone }
+    }
+
+    /// The requests so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Waits for so many requests.
+    pub async fn wait_seen(&mut self, wanted: usize) {
+        let waiting = self.count.wait_for(|count| *count >= wanted);
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap().unwrap();
+    }
+
+    /// Waits until so many connections have ended.
+    pub async fn wait_gone(&mut self, wanted: usize) {
+        let waiting = self.gone.wait_for(|count| *count >= wanted);
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap().unwrap();
+    }
+
+    /// How the platform lists it.
+    pub fn listed(&self, service: &str) -> Server {
+        Server {
+            id: self.id.parse().unwrap(),
+            service: service.parse().unwrap(),
+            addr: self.addr,
+            data_centre: "here".parse().unwrap(),
+            slots: 8,
+            leaving: false,
+            leaves_in: None,
+            spot: false,
+        }
+    }
+}
+
+/// Reads one request; `None` at the end of the connection.
+pub async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<Seen>> {
+    let mut held = Vec::new();
+    let end = loop {
+        if let Some(place) = held.windows(4).position(|four| four == b"\r\n\r\n") {
+            break place;
+        }
+        let mut piece = [0; 4096];
+        let read = stream.read(&mut piece).await?;
+        if read == 0 {
+            return Ok(None);
+        }
+        held.extend_from_slice(&piece[..read]);
+    };
+    let head = String::from_utf8_lossy(&held[..end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let line = lines.next().unwrap_or_default().to_owned();
+    let headers: HashMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let length: usize = headers.get("content-length").map_or(0, |text| text.parse().unwrap());
+    let mut body = held[end + 4..].to_vec();
+    while body.len() < length {
+        let mut piece = [0; 4096];
+        let read = stream.read(&mut piece).await?;
+        if read == 0 {
+            return Ok(None);
+        }
+        body.extend_from_slice(&piece[..read]);
+    }
+    Ok(Some(Seen { line, headers, body }))
+}
+
+async fn talk(
+    mut stream: TcpStream,
+    acts: &[Act],
+    seen: &Mutex<Vec<Seen>>,
+    counted: &watch::Sender<usize>,
+) -> std::io::Result<()> {
+    while let Some(request) = read_request(&mut stream).await? {
+        let place = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(request.clone());
+            seen.len()
+        };
+        counted.send_replace(place);
+        let act = acts.get(place - 1).or(acts.last()).unwrap();
+        if !perform(&mut stream, act, &request).await? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// The text of one event.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+/// The text of a stream up to an event.
+pub fn events(last: u64) -> String {
+    (1..=last).map(event).collect()
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Performs an act; whether the connection goes on.
+async fn perform(stream: &mut TcpStream, act: &Act, request: &Seen) -> std::io::Result<bool> {
+    let id = request.headers.get("request-id").cloned().unwrap_or_default();
+    let whole = |status: &str, id: &str, extra: &str, body: &str| {
+        format!(
+            "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    let signed = "Response-Signature: sig\r\nInstance-Load: 1,0,8\r\n";
+    let stream_head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Type: text/event-stream\r\n{signed}Transfer-Encoding: chunked\r\n\r\n"
+    );
+    let resumed = request.headers.get("last-event-id").map_or(0, |text| text.parse().unwrap());
+    match act {
+        Act::Answer => stream.write_all(whole("200 OK", &id, signed, "answer").as_bytes()).await?,
+        Act::AnswerAs(other) => {
+            stream.write_all(whole("200 OK", other, signed, "answer").as_bytes()).await?;
+        }
+        Act::Unsigned => stream.write_all(whole("200 OK", &id, "", "answer").as_bytes()).await?,
+        Act::Fail(status) => {
+            let status = format!("{status} Failed");
+            stream.write_all(whole(&status, &id, signed, "failed").as_bytes()).await?;
+        }
+        Act::Refuse => {
+            let text = whole("503 Service Unavailable", &id, "Not-Executed: 1\r\n", "");
+            stream.write_all(text.as_bytes()).await?;
+        }
+        Act::Misdirected => {
+            let text = whole("421 Misdirected Request", "", "Instance-Id: other\r\n", "");
+            stream.write_all(text.as_bytes()).await?;
+        }
+        Act::Close => return Ok(false),
+        Act::Silent => {
+            let mut rest = [0; 64];
+            while stream.read(&mut rest).await? > 0 {}
+            return Ok(false);
+        }
+        Act::Events(last) => {
+            let mut text = stream_head;
+            (resumed + 1..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
+            text.push_str("0\r\n\r\n");
+            stream.write_all(text.as_bytes()).await?;
+        }
+        Act::CutAfter(last) => {
+            let mut text = stream_head;
+            (resumed + 1..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
+            text.push_str(&chunk(&event(last + 1)[..6]));
+            stream.write_all(text.as_bytes()).await?;
+            return Ok(false);
+        }
+        Act::PauseAfterFirst(last, pause) => {
+            stream.write_all((format!("{stream_head}{}", chunk(&event(1)))).as_bytes()).await?;
+            tokio::time::sleep(*pause).await;
+            let mut text = String::new();
+            (2..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
+            text.push_str("0\r\n\r\n");
+            stream.write_all(text.as_bytes()).await?;
+        }
+    }
+    Ok(true)
+}
+
+/// A route of a document.
+pub fn route(name: &str, kind: &str, attempts: u32) -> Value {
+    json!({
+        "name": name, "host": "app.example", "path_prefix": format!("/{name}/"), "kind": kind,
+        "timeout_ms": 10_000, "target_latency_ms": 5_000, "priority": 0, "service": "svc",
+        "max_attempts": attempts, "public": false, "sticky": false,
+        "resumable": name.starts_with("resumable"), "target_gap_ms": 100,
+    })
+}
+
+/// A document with one service, one team with the key `key-a`, and these routes.
+pub fn document(version: u64, routes: &[Value]) -> Value {
+    json!({
+        "version": version, "routes": routes,
+        "services": [{
+            "name": "svc", "health_path": "/health", "max_connections": 100, "protocol": "h1",
+            "tls": false,
+        }],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{
+            "name": "team-a", "api_keys": ["key-a"], "priority": 1, "unit": "tokens",
+            "plain_tokens": 200, "rate_per_s": 1_000_000.0, "burst": 1_000_000.0,
+        }],
+    })
+}
+
+/// The routes that most tests use.
+pub fn usual_routes() -> Vec<Value> {
+    vec![
+        route("safe", "safe", 2),
+        route("once", "unsafe", 1),
+        route("stream", "streaming", 1),
+        route("resumable", "streaming", 2),
+    ]
+}
+
+/// A relay in this process.
+pub struct TestRelay {
+    /// Where callers reach it.
+    pub addr: SocketAddr,
+    /// Where the balancer asks.
+    pub ready: SocketAddr,
+    /// What it knows.
+    pub board: Arc<Blackboard>,
+    /// The relay.
+    pub relay: Arc<Relay>,
+    _closing: watch::Sender<bool>,
+}
+
+/// An address nobody listens at.
+fn free_addr() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+impl TestRelay {
+    /// Starts a relay that knows nothing yet.
+    pub async fn empty() -> Self {
+        let (addr, ready) = (free_addr(), free_addr());
+        let text = format!(
+            "[node]\nbox_id = relay\ndata_centre = here\nroles = relay\n[replicas]\nr = 127.0.0.1:1\n\
+             [relay]\nlisten = {addr}\nready = {ready}\n"
+        );
+        let settings = Settings::parse("relay.ini", &text).unwrap();
+        let board = Arc::new(Blackboard::new("relay".parse().unwrap()));
+        let (closing, follow) = watch::channel(false);
+        let relay = Arc::new(Relay::new(RelayParts {
+            settings: settings.relay.unwrap(),
+            data_centre: settings.node.data_centre,
+            board: board.clone(),
+            pool: Pool::default(),
+            dialect: Arc::new(PlatformDialect),
+            metrics: Arc::new(Metrics::new().unwrap()),
+            closing: follow,
+        }));
+        Listeners::open(&relay).await.unwrap().serve(&relay);
+        Self { addr, ready, board, relay, _closing: closing }
+    }
+
+    /// Starts a relay that is sure of the usual routes and knows the stand-ins.
+    pub async fn start(servers: &[&StandIn]) -> Self {
+        let relay = Self::empty().await;
+        relay.publish(&document(1, &usual_routes()));
+        relay.list(servers);
+        relay
+    }
+
+    /// Puts a document in force, confirmed now.
+    pub fn publish(&self, value: &Value) {
+        let table = document::read(&value.to_string()).unwrap();
+        self.relay.put_table(Arc::new(table));
+        self.board.note_fresh(Instant::now());
+    }
+
+    /// Has the relay know just these servers.
+    pub fn list(&self, servers: &[&StandIn]) {
+        let place = self.relay.servers.version().place + 1;
+        let version = ListVersion { term: Term(1), place };
+        let servers = servers.iter().map(|server| server.listed("svc")).collect();
+        self.relay.servers.take(ServerList { version, servers });
+    }
+
+    /// Has the relay prefer every other server to this one.
+    pub fn set_aside(&self, id: &str) {
+        let servers = self.relay.servers.of(&"svc".parse().unwrap());
+        let known = servers.iter().find(|known| known.server.id.as_str() == id).unwrap();
+        while !known.state.fail() {}
+        assert!(known.state.is_ejected());
+    }
+
+    /// Sends a request as bytes and reads until the other side closes.
+    pub async fn raw(&self, text: &str) -> String {
+        let mut stream = TcpStream::connect(self.addr).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        let reading = stream.read_to_end(&mut answer);
+        // A reset behind the answer is an end as well.
+        let _ = tokio::time::timeout(PATIENCE, reading).await.expect("no end in time");
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// Sends a request with the team's key to a route.
+    pub async fn ask(&self, method: &str, route: &str) -> Reply {
+        self.ask_with(method, route, "Api-Key: key-a\r\n").await
+    }
+
+    /// Sends a request with these headers to a route.
+    pub async fn ask_with(&self, method: &str, route: &str, headers: &str) -> Reply {
+        let text = format!(
+            "{method} /{route}/x?y=1 HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-1\r\n\
+             Deadline-Ms: 8000\r\n{headers}Content-Length: 4\r\nConnection: close\r\n\r\nbody"
+        );
+        Reply::parse(&self.raw(&text).await)
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Reply {
+    /// The status; 0 when nothing came.
+    pub status: u16,
+    /// The headers, in lower case.
+    pub headers: HashMap<String, String>,
+    /// The body, without the marks of its chunks.
+    pub body: String,
+    /// Whether the answer came whole.
+    pub whole: bool,
+}
+
+impl Reply {
+    /// Reads an answer from its bytes.
+    pub fn parse(text: &str) -> Self {
+        let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+            let (headers, body) = (HashMap::new(), String::new());
+            return Self { status: 0, headers, body, whole: false };
+        };
+        let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+        let headers: HashMap<String, String> = head
+            .lines()
+            .filter_map(|line| line.split_once(':'))
+            .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+            .collect();
+        let (body, whole) = match headers.get("content-length") {
+            Some(length) => (rest.to_owned(), rest.len() == length.parse::<usize>().unwrap()),
+            None => unchunk(rest),
+        };
+        Self { status, headers, body, whole }
+    }
+}
+
+fn unchunk(text: &str) -> (String, bool) {
+    let mut body = String::new();
+    let mut rest = text;
+    while let Some((length, after)) = rest.split_once("\r\n") {
+        let Ok(length) = usize::from_str_radix(length, 16) else {
+            return (body, false);
+        };
+        if length == 0 {
+            return (body, true);
+        }
+        if after.len() < length {
+            return (body, false);
+        }
+        body.push_str(&after[..length]);
+        rest = after[length..].strip_prefix("\r\n").unwrap_or_default();
+    }
+    (body, false)
+}
