--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -163,6 +163,10 @@
     match judge(exchange.status, &head, encoded) {
         Verdict::Pass => Ok(Reply { exchange, failed: false }),
         Verdict::Failed => {
+            tracing::info!(
+                event = "answer_failed", id = call.head.id, backend_server = %known.server.id,
+                status = exchange.status.as_u16(), left_ms = call.left().as_millis() as u64,
+            );
             known.state.fail();
             Ok(Reply { exchange, failed: true })
         }
