Logs: a line for each decision, bounded; trace over log files

Cause: a request could not be followed from its id: only failures were logged, and not what they were decided on.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -16,6 +16,7 @@
 use crate::backend::{Exchange, Reuse, SendFault};
 use crate::error::{Failure, Kind};
 use crate::ids::{BackendId, ServiceName};
+use crate::telemetry::volume;
 
 /// A connection on which an unrepeatable request goes has rested no longer than this: the other side
 /// hardly closes it at that moment.
@@ -266,6 +267,14 @@
         if self.arrived > 0 && !relay.retries().spend(&self.service) {
             return Err(self.failure(relay));
         }
+        if self.arrived > 0 || volume::allows_ordinary() {
+            tracing::info!(
+                event = "server_chosen", id = call.head.id, backend_server = %known.server.id,
+                requests = known.requests(), unread = known.unread(), slots = known.server.slots,
+                load_age_ms = known.state.load().map(|load| load.at.elapsed().as_millis() as u64),
+                send = self.arrived + 1,
+            );
+        }
         self.sent += 1;
         self.arrived += 1;
         self.tried.push(known.server.id.clone());
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -22,6 +22,7 @@
 use crate::error::{Failure, Kind};
 use crate::http::{Body, head};
 use crate::ids::ServiceName;
+use crate::telemetry::volume;
 
 /// When to come back to a box that knows no routes yet, or cannot be sure of them: after the loss of
 /// power everywhere, about the time until the group has a leader again.
@@ -63,6 +64,8 @@
         event = "request_failed", id, kind = %failure.kind, run = %failure.kind.answer().run,
         detail = failure.detail, wait_ms = failure.retry_after.map(|wait| wait.as_millis() as u64),
         ms = arrived.elapsed().as_millis() as u64, version = relay.table().map(|it| it.version.0),
+        age_ms = relay.board.age().map(|age| age.as_millis() as u64),
+        list = %relay.servers.version(),
     );
     relay.metrics.count_request("-", failure.kind.answer().code);
     let mut response = answer::failed(failure);
@@ -90,6 +93,7 @@
         return Err(Failure::new(Kind::Draining, text).after(Some(CLOSING_WAIT)));
     }
     let service = choose_service(&route)?;
+    let id = head.id.clone();
     let call = read_call(&table, &route, team, head, request, arrived).await?;
     let spent = take_allowance(relay, team, &call)?;
     relay.retries().earn(&service, &retry_limit(relay));
@@ -104,6 +108,7 @@
     match answered {
         Ok(response) => {
             let name = team.map_or("-", |team| team.name.as_str());
+            note_answer(relay, &table, &route, name, &response, &id, arrived);
             relay.metrics.count_request(name, "answered");
             relay.metrics.record_first_token(name, seconds_since(arrived));
             Ok(response)
@@ -119,6 +124,30 @@
     }
 }
 
+/// One line for an answer that was passed on: always when it is late or a failure, else as far as the
+/// volume of the log allows.
+fn note_answer(
+    relay: &Relay,
+    table: &RouteTable,
+    route: &Route,
+    team: &str,
+    response: &Response<Body>,
+    id: &str,
+    arrived: Instant,
+) {
+    let late = arrived.elapsed() > route.objective;
+    let ordinary = !late && response.status().is_success();
+    if ordinary && !volume::allows_ordinary() {
+        return;
+    }
+    tracing::info!(
+        event = "request_answered", id, route = route.name, team,
+        status = response.status().as_u16(), late, ms = arrived.elapsed().as_millis() as u64,
+        version = table.version.0, age_ms = relay.board.age().map(|age| age.as_millis() as u64),
+        list = %relay.servers.version(),
+    );
+}
+
 fn unsure(text: &str) -> Failure {
     Failure::new(Kind::StaleConfiguration, text).after(Some(UNSURE_WAIT))
 }
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -50,6 +50,12 @@
     pub place: u64,
 }
 
+impl std::fmt::Display for ListVersion {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}", self.term, self.place)
+    }
+}
+
 /// All backend servers, as the platform listed them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerList {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -25,6 +25,7 @@
 use crate::error::{Failure, Kind};
 use crate::http::{Body, whole};
 use crate::ids::ServiceName;
+use crate::telemetry::volume;
 
 /// Bytes of a failed answer at most.
 const FAILURE_LIMIT: usize = 1 << 20;
@@ -280,6 +281,13 @@
                 }
                 Ok(None) => {
                     let known = source.flight.known();
+                    if volume::allows_ordinary() {
+                        tracing::info!(
+                            event = "stream_ended", id = call.head.id,
+                            backend_server = %known.server.id, last = progress.last,
+                            ms = call.arrived.elapsed().as_millis() as u64,
+                        );
+                    }
                     known.state.succeed(seconds_since(source.began));
                     relay.faults().succeed(&known.server.id, &route.name);
                     break;
@@ -297,6 +305,10 @@
                     limit = call.left();
                     continue;
                 }
+                tracing::warn!(
+                    event = "stream_cut", id = call.head.id, last = progress.last, detail = %fault,
+                );
+                relay.metrics.count_attempt("-", "stream_cut");
                 yield Err(io::Error::other(fault.to_string()));
                 break;
             };
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -7,6 +7,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use super::volume;
 use eyre::{Result, WrapErr, eyre};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
@@ -50,7 +51,7 @@
 
 /// Tells of dropped lines until the task is dropped.
 pub async fn tell_dropped() {
-    let mut told = 0;
+    let (mut told, mut told_ordinary) = (0, 0);
     loop {
         tokio::time::sleep(LOOK).await;
         let dropped = dropped();
@@ -62,5 +63,10 @@
             );
             told = dropped;
         }
+        let ordinary = volume::left_out();
+        if ordinary > told_ordinary {
+            tracing::info!(event = "ordinary_lines_left_out", lines = ordinary - told_ordinary);
+            told_ordinary = ordinary;
+        }
     }
 }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -4,6 +4,7 @@
 pub mod hops;
 pub mod logs;
 pub mod metrics;
+pub mod volume;
 
 pub use hops::{Hop, HopLog, TraceContext};
 pub use metrics::Metrics;
