--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -30,7 +30,11 @@
     let text = read("operators/node.ini");
     Settings::parse("node.ini", &text).unwrap();
     let documented = keys(&text);
-    for section in ["node", "entry", "peer", "platform", "metrics", "log"] {
+    let sections = [
+        "node", "entry", "peer", "group", "relay", "quota", "operator", "cloud", "platform",
+        "metrics", "log",
+    ];
+    for section in sections {
         // An unknown key's fault lists the known ones.
         let broken =
             text.replace(&format!("[{section}]\n"), &format!("[{section}]\nno_such_key = 1\n"));
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,12 +1,12 @@
 //! The life of a request through a relay: whole answers, at most once, true refusals, streams.
 
-mod support;
+#[path = "support/platform.rs"]
+#[allow(dead_code, reason = "each test takes what it needs")]
+mod platform;
 
 use std::time::Duration;
 
-use support::platform::{
-    Act, Reply, StandIn, TestRelay, document, event, events, route, usual_routes,
-};
+use platform::{Act, Reply, StandIn, TestRelay, document, event, events, route, usual_routes};
 use yare::parameterized;
 
 fn run(test: impl Future<Output = ()>) {
@@ -58,7 +58,7 @@
 )]
 fn unrepeatable_request_that_may_have_run_is_sent_once(act: Act, status: u16) {
     run(async {
-        let first = StandIn::start("i-1", &[act.clone()]).await;
+        let first = StandIn::start("i-1", std::slice::from_ref(&act)).await;
         let second = StandIn::start("i-2", &[act]).await;
         let relay = TestRelay::start(&[&first, &second]).await;
         let reply = relay.ask("POST", "once").await;
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -1,12 +1,14 @@
 //! The table of routes: finding one, and every way in which a table is not valid.
 
-mod support;
+#[path = "support/platform.rs"]
+#[allow(dead_code, reason = "each test takes what it needs")]
+mod platform;
 
-use emberturn::platform::document;
+use emberturn::platform::document as wire;
 use emberturn::relay::choose::{Candidate, choose, expected_wait, split};
 use emberturn::relay::table::Repeat;
+use platform::{document as base, route, usual_routes};
 use serde_json::{Value, json};
-use support::platform::{document as base, route, usual_routes};
 use yare::parameterized;
 
 fn with_prefix(name: &str, prefix: &str) -> Value {
@@ -27,14 +29,14 @@
 )]
 fn longest_prefix_of_the_host_wins(host: &str, path: &str, found: Option<&str>) {
     let routes = [with_prefix("short", "/a/"), with_prefix("long", "/a/b/")];
-    let table = document::read(&base(1, &routes).to_string()).unwrap();
+    let table = wire::read(&base(1, &routes).to_string()).unwrap();
     assert_eq!(table.find(host, path).map(|route| route.name.as_str()), found);
 }
 
 fn broken(change: impl FnOnce(&mut Value)) -> Result<(), String> {
     let mut value = base(3, &usual_routes());
     change(&mut value);
-    document::read(&value.to_string()).map(drop)
+    wire::read(&value.to_string()).map(drop)
 }
 
 #[test]
@@ -55,12 +57,12 @@
     .unwrap_err();
     broken(|value| drop(value.as_object_mut().unwrap().remove("limits"))).unwrap_err();
     let text = base(1, &usual_routes()).to_string();
-    document::read(&text[..text.len() / 2]).unwrap_err();
+    wire::read(&text[..text.len() / 2]).unwrap_err();
 }
 
 #[test]
 fn kinds_say_what_may_be_repeated() {
-    let table = document::read(&base(1, &usual_routes()).to_string()).unwrap();
+    let table = wire::read(&base(1, &usual_routes()).to_string()).unwrap();
     let repeat = |name: &str| table.find("app.example", &format!("/{name}/x")).unwrap().repeat;
     assert_eq!(repeat("safe"), Repeat::Safe);
     assert_eq!(repeat("once"), Repeat::Once);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,8 +1,5 @@
-//! What integration tests share: the harness of real processes, and stand-ins for the users' platform.
+//! What integration tests share: the harness of real processes.
 
-#![allow(unused_imports, dead_code, reason = "each test takes what it needs")]
-
-pub mod platform;
-pub mod system;
+#![allow(unused_imports, reason = "each test takes what it needs")]
 
 pub use emberturn_fakes::cluster::*;
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -19,7 +19,7 @@
 use tokio::process::{Child, Command};
 use tokio::sync::watch;
 
-use super::platform::{PATIENCE, Reply, StandIn};
+use crate::platform::{PATIENCE, Reply, StandIn};
 
 /// Pause between two looks at something that no event tells of.
 const LOOK: Duration = Duration::from_millis(50);
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -1,14 +1,19 @@
 //! The whole path as the users' platform runs it: boxes that know three seeds, published routes, the
 //! leader's duties, and what happens when processes end and disks are lost.
 
-mod support;
+#[path = "support/platform.rs"]
+#[allow(dead_code, reason = "each test takes what it needs")]
+mod platform;
+#[path = "support/system.rs"]
+#[allow(dead_code, reason = "each test takes what it needs")]
+mod system;
 
 use std::time::Duration;
 
 use emberturn::settings::Settings;
+use platform::{Act, StandIn, document, events, route, usual_routes};
 use serde_json::json;
-use support::platform::{Act, StandIn, document, events, route, usual_routes};
-use support::system::{System, fill, template};
+use system::{System, fill, template};
 
 #[test]
 fn filled_templates_are_valid_settings() {
