--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -19,10 +19,10 @@
 
 /// The part of its time a reclaimable engine is to spend reading prompts. Above it, requests queue
 /// behind long prompts for longer than their objectives allow. Measured: `docs/design/08-spend.md`.
-const AMPLE_LOAD: f64 = 0.2;
+const AMPLE_LOAD: f64 = 0.17;
 
 /// The same for engines on demand that stand in: they cost several times as much.
-const BARE_LOAD: f64 = 0.33;
+const BARE_LOAD: f64 = 0.3;
 
 /// Of the places in a data centre, one in so many is left to reclaimable engines.
 const SWAP_PART: u32 = 4;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a call to one backend server, and the course of all its sends.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,13 +10,14 @@
 
 use super::Relay;
 use super::budget::RetryLimit;
-use super::call::{Call, Hop, ReplyHead};
+use super::call::{Call, Hop, ReplyHead, RunCopy};
 use super::choose::{Candidate, choose};
 use super::servers::Known;
 use super::table::Route;
 use crate::backend::{Exchange, Reuse, SendFault};
 use crate::error::{Failure, Kind};
 use crate::ids::{BackendId, ServiceName};
+use crate::member::table::fingerprint;
 use crate::telemetry::volume;
 
 /// A connection on which an unrepeatable request goes has rested no longer than this: the other side
@@ -121,6 +123,15 @@
     }
 }
 
+/// From where a send goes on.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct From<'a> {
+    /// The last event that the caller has.
+    pub resume: Option<u64>,
+    /// The memory of the run that goes on.
+    pub copy: Option<&'a RunCopy>,
+}
+
 /// An answer whose head may be passed on.
 pub struct Reply {
     /// The exchange, at its body.
@@ -138,10 +149,10 @@
     call: &Call,
     route: &Route,
     known: &Known,
-    resume: Option<u64>,
+    from: From<'_>,
     limit: Duration,
 ) -> Result<Reply, Miss> {
-    let request = request(relay, call, known, resume)?;
+    let request = request(relay, call, known, from);
     let reuse = match route.repeat.is_repeatable() {
         true => Reuse::Any,
         false => Reuse::Rested(REST_LIMIT),
@@ -189,18 +200,14 @@
     }
 }
 
-fn request(
-    relay: &Relay,
-    call: &Call,
-    known: &Known,
-    resume: Option<u64>,
-) -> Result<Request<Full<Bytes>>, Miss> {
-    let hop = Hop { server: &known.server.id, deadline: call.left(), resume };
+fn request(relay: &Relay, call: &Call, known: &Known, from: From<'_>) -> Request<Full<Bytes>> {
+    let From { resume, copy } = from;
+    let hop = Hop { server: &known.server.id, deadline: call.left(), resume, copy };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = Uri::from(call.path.clone());
     *request.headers_mut() = relay.dialect.write_call(call, &hop);
-    Ok(request)
+    request
 }
 
 /// All sends of one call.
@@ -235,6 +242,11 @@
         }
     }
 
+    /// The service.
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
     /// Whether a call may be sent once more although an earlier send may have run.
     pub fn may_repeat(&self, route: &Route) -> bool {
         route.repeat.is_repeatable() && self.sent < route.attempts
@@ -316,12 +328,24 @@
         Failure::new(Kind::NotReached, last.detail()).after(Some(refused_wait(&servers)))
     }
 
+    /// A server to which a run may be moved: another one, in another data centre if there is one.
+    /// A moved run is still the same run, so this is no further send.
+    pub fn target(&self, relay: &Relay, source: &Known) -> Option<Arc<Known>> {
+        let servers = relay.servers.of(&self.service);
+        let open = servers.into_iter().filter(|known| {
+            known.is_open() && known.server.id != source.server.id && !known.state.is_ejected()
+        });
+        let elsewhere = |known: &Known| known.server.data_centre != source.server.data_centre;
+        open.min_by_key(|known| (!elsewhere(known), known.requests()))
+    }
+
     fn pick(&self, relay: &Relay, call: &Call, route: &Route) -> Option<Arc<Known>> {
         let servers = relay.servers.of(&self.service);
         let open = |known: &&Arc<Known>| known.is_open() && !self.tried.contains(&known.server.id);
         let open: Vec<_> = servers.iter().filter(open).collect();
         let shared = call.shared_part();
         let home = shared.and_then(|part| home(&open, part.id));
+        let lane = long_lane(&open);
         let now = Instant::now();
         let faults = relay.faults();
         let candidates: Vec<_> = open
@@ -333,7 +357,7 @@
                     if seen || at_home { part.tokens } else { 0 }
                 });
                 Candidate {
-                    long_lane: is_long_lane(&known.server.id),
+                    long_lane: lane.contains(&known.server.id),
                     requests: known.requests(),
                     slots: known.server.slots,
                     unread: known.unread(),
@@ -350,10 +374,14 @@
     }
 }
 
-/// Whether an engine reads long prompts rather than short ones: about half of them do, the same ones
+/// The servers that read long prompts rather than short ones: half of them, by a hash that is the same
 /// for all boxes.
-fn is_long_lane(id: &BackendId) -> bool {
-    crate::member::table::fingerprint(&format!("lane\n{id}")) & 1 == 0
+fn long_lane(open: &[&Arc<Known>]) -> HashSet<BackendId> {
+    let weigh = |known: &Known| fingerprint(&format!("lane\n{}", known.server.id));
+    let mut weighed: Vec<_> = open.iter().map(|known| (weigh(known), &known.server.id)).collect();
+    weighed.sort_unstable();
+    weighed.truncate(open.len().div_ceil(2));
+    weighed.into_iter().map(|(_, id)| id.clone()).collect()
 }
 
 /// How long an engine is taken to keep a part of a prompt that this box had read there.
@@ -361,8 +389,7 @@
 
 /// The server at which all boxes expect a prompt's shared part: the one of the largest weight.
 fn home(open: &[&Arc<Known>], part: u64) -> Option<BackendId> {
-    let weigh =
-        |known: &Known| crate::member::table::fingerprint(&format!("{part}\n{}", known.server.id));
+    let weigh = |known: &Known| fingerprint(&format!("{part}\n{}", known.server.id));
     open.iter().max_by_key(|known| weigh(known)).map(|known| known.server.id.clone())
 }
 
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -1,5 +1,6 @@
 //! A request as the relay sees it, and what is known of an answer's head.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -94,6 +95,17 @@
     pub deadline: Duration,
     /// The last event that the caller has, when a stream is taken up.
     pub resume: Option<u64>,
+    /// The memory of the request's run, where it was moved.
+    pub copy: Option<&'a RunCopy>,
+}
+
+/// The memory of a run that was stopped to be moved.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunCopy {
+    /// The backend server on which it ran.
+    pub source: SocketAddr,
+    /// What that server calls it.
+    pub handle: String,
 }
 
 /// The load that a backend server tells with an answer.
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -3,6 +3,7 @@
 //! An implementation turns heads into types and types into heads, and decides nothing. Headers that
 //! concern one connection only are the relay's business: they never reach it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::http::request::Parts;
@@ -26,6 +27,13 @@
     /// Reads the head of a backend server's answer to a call.
     fn read_reply(&self, call: &Call, status: StatusCode, headers: &HeaderMap) -> ReplyHead;
 
+    /// The path and body with which a backend server is asked to stop a call's run and to copy its
+    /// memory to another one.
+    fn write_move(&self, call: &Call, target: SocketAddr) -> (&'static str, String);
+
+    /// What the server calls the copy, by its answer; `None` when there is none.
+    fn read_move(&self, body: &[u8]) -> Option<String>;
+
     /// Marks an answer of the relay's own: whose it is, and when to come back.
     fn mark_own(&self, headers: &mut HeaderMap, id: Option<&str>, wait: Option<Duration>);
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,6 +11,7 @@
 //! - [`faults`] remembers servers that fail one route's requests.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send.
+//! - [`moving`] moves running streams off servers that are leaving.
 //! - [`allowance`] holds teams to their limits, [`budget`] bounds repeated sends, [`usage`] counts what
 //!   ran and [`offered`] what came.
 //!
@@ -26,6 +27,7 @@
 pub(crate) mod events;
 pub mod faults;
 pub mod listen;
+pub(crate) mod moving;
 pub mod offered;
 pub mod plain;
 pub mod serve;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -14,9 +14,10 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{Course, Miss, Reply, seconds_since, send};
+use super::attempt::{Course, From, Miss, Reply, seconds_since, send};
 use super::call::Call;
 use super::events::{EventCutter, event_id};
+use super::moving::{self, Moved, move_away};
 use super::plain::strip_hop_headers;
 use super::servers::{Flight, Known};
 use super::table::{Repeat, Route};
@@ -42,23 +43,33 @@
 const PATIENCE: f64 = 1.5;
 
 /// A stream that has begun at a server.
-struct Opened {
+pub(super) struct Opened {
     status: StatusCode,
     headers: HeaderMap,
     source: Source,
     first: Bytes,
 }
 
+impl Opened {
+    /// Where it comes from, and its first event.
+    pub(super) fn into_parts(self) -> (Source, Bytes) {
+        (self.source, self.first)
+    }
+}
+
 /// Where the events of a stream come from at the moment.
-struct Source {
+pub(super) struct Source {
     exchange: Exchange,
     cutter: EventCutter,
-    flight: Flight,
-    began: Instant,
+    /// The request in flight to its server.
+    pub(super) flight: Flight,
+    /// When it was sent there.
+    pub(super) began: Instant,
 }
 
 /// What an attempt to begin a stream came to.
-enum Opening {
+pub(super) enum Opening {
+    /// It has begun.
     Stream(Box<Opened>),
     /// A whole answer that is no stream, and whether the server says that the request failed.
     Whole(Response<Body>, bool),
@@ -82,7 +93,7 @@
         let known = chosen.clone();
         // The connection to a server that is given up is closed before another one gets the call.
         let opened = {
-            let mut opening = pin!(open(&relay, &call, &route, &known, call.head.resume));
+            let mut opening = pin!(open(&relay, &call, &route, &known, from(call.head.resume)));
             tokio::select! {
                 opened = &mut opening => Some(opened),
                 () = tokio::time::sleep(patience(&route)), if course.may_repeat(&route) => {
@@ -134,6 +145,10 @@
     }
 }
 
+fn from<'a>(resume: Option<u64>) -> From<'a> {
+    From { resume, copy: None }
+}
+
 fn count(relay: &Relay, call: &Call) {
     if let Some(team) = &call.team {
         relay.usage().count(team, SystemTime::now());
@@ -141,18 +156,18 @@
 }
 
 /// Begins a stream at a server: it has begun when its first event is whole.
-async fn open(
+pub(super) async fn open(
     relay: &Relay,
     call: &Call,
     route: &Route,
     known: &Arc<Known>,
-    resume: Option<u64>,
+    from: From<'_>,
 ) -> Result<Opening, Miss> {
     let limit = call.left();
     let flight = known.begin(call.prompt());
     let began = Instant::now();
     let opening = async {
-        let reply = send(relay, call, route, known, resume, limit).await?;
+        let reply = send(relay, call, route, known, from, limit).await?;
         if !reply.exchange.status.is_success() {
             return read_failure(reply).await;
         }
@@ -222,13 +237,16 @@
 }
 
 /// What a stream's caller has so far.
-struct Progress {
-    last: Option<u64>,
+pub(super) struct Progress {
+    /// The last event.
+    pub(super) last: Option<u64>,
+    /// Events passed on.
+    events: u64,
 }
 
 impl Progress {
     /// Takes the whole events that a source holds, without those the caller has already.
-    fn take(&mut self, source: &mut Source) -> Result<Bytes, SendFault> {
+    pub(super) fn take(&mut self, source: &mut Source) -> Result<Bytes, SendFault> {
         let mut ready = BytesMut::new();
         loop {
             match source.cutter.next_event() {
@@ -244,7 +262,8 @@
     }
 
     /// Whether an event is new to the caller.
-    fn pass(&mut self, event: &[u8]) -> bool {
+    pub(super) fn pass(&mut self, event: &[u8]) -> bool {
+        self.events += 1;
         let Some(id) = event_id(event) else {
             return true;
         };
@@ -265,14 +284,49 @@
     guard: RequestGuard,
 ) -> Response<Body> {
     let Opened { status, headers, mut source, first } = opened;
-    let mut progress = Progress { last: call.head.resume };
+    let mut progress = Progress { last: call.head.resume, events: 0 };
     progress.pass(&first);
     let events = stream! {
         let _counted = guard;
         yield Ok::<_, io::Error>(Frame::data(first));
         let mut limit = silence(&route, &call);
+        let mut following = Some(source.flight.known().state.follow_leaving());
         loop {
-            let fault = match next(&mut source, &mut progress, limit.min(call.left())).await {
+            let step = tokio::select! {
+                leaving = moving::leaving_of(&mut following) => Err(leaving),
+                came = next(&mut source, &mut progress, limit.min(call.left())) => Ok(came),
+            };
+            let came = match step {
+                Ok(came) => came,
+                Err(leaving) => {
+                    following = None;
+                    let service = course.service();
+                    if !moving::is_worth(&relay, &call, service, &source, progress.events, &leaving) {
+                        continue;
+                    }
+                    match move_away(&relay, &call, &route, &course, &mut source, &mut progress).await {
+                        Moved::Elsewhere(ready, moved) => {
+                            source = *moved;
+                            following = Some(source.flight.known().state.follow_leaving());
+                            yield Ok(Frame::data(ready));
+                            continue;
+                        }
+                        Moved::Ended(ready) => {
+                            yield Ok(Frame::data(ready));
+                            break;
+                        }
+                        Moved::Stays(ready) => {
+                            yield Ok(Frame::data(ready));
+                            continue;
+                        }
+                        Moved::Lost(ready) => {
+                            yield Ok(Frame::data(ready));
+                            Err(SendFault::Broke("the run could not be moved".to_owned()))
+                        }
+                    }
+                }
+            };
+            let fault = match came {
                 Ok(Some(ready)) => {
                     if !ready.is_empty() {
                         yield Ok(Frame::data(ready));
@@ -334,8 +388,8 @@
     response
 }
 
-/// The next whole events; `None` at the end of the stream.
-async fn next(
+/// The next whole events; `None` at the end of the stream. May be dropped and called again.
+pub(super) async fn next(
     source: &mut Source,
     progress: &mut Progress,
     silence: Duration,
@@ -378,7 +432,7 @@
 ) -> Option<(Bytes, Source)> {
     let mut known = known;
     loop {
-        match open(relay, call, route, &known, progress.last).await {
+        match open(relay, call, route, &known, from(progress.last)).await {
             Ok(Opening::Stream(opened)) => {
                 relay.metrics.count_resume("elsewhere");
                 tracing::info!(
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -77,6 +77,10 @@
     pub memory: Tokens,
     /// Whether a running request can be moved to another engine with its memory.
     pub moves: bool,
+    /// Tokens in one event of a stream.
+    pub event: Tokens,
+    /// Tokens whose memory is copied to another engine in a second.
+    pub copy_rate: f64,
 }
 
 /// How many engines a service may have and what they cost.
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -89,7 +89,9 @@
     pub lease: Millis,
 }
 
-const POLL: Millis = Millis(1_000);
+/// Reclaimable engines go two to three seconds after their notice, and the list lags by most of one:
+/// looking half as often would leave no time to move what runs there.
+const POLL: Millis = Millis(500);
 
 pub(super) fn read_group(reader: &mut Reader) -> GroupSettings {
     let mut section = reader.section("group");
