Shared parts of prompts are copied from the engine that keeps them

Change: a call names an engine that likely keeps its shared parts when it goes to another one; first where this box had them read, else where all boxes expect them.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a call to one backend server, and the course of all its sends.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -128,6 +129,8 @@
 pub struct From<'a> {
     /// The last event that the caller has.
     pub resume: Option<u64>,
+    /// A server that likely keeps a part of the prompt.
+    pub fetch: Option<SocketAddr>,
     /// The memory of the run that goes on.
     pub copy: Option<&'a RunCopy>,
 }
@@ -201,8 +204,8 @@
 }
 
 fn request(relay: &Relay, call: &Call, known: &Known, from: From<'_>) -> Request<Full<Bytes>> {
-    let From { resume, copy } = from;
-    let hop = Hop { server: &known.server.id, deadline: call.left(), resume, copy };
+    let From { resume, fetch, copy } = from;
+    let hop = Hop { server: &known.server.id, deadline: call.left(), resume, fetch, copy };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = Uri::from(call.path.clone());
@@ -224,6 +227,8 @@
     refused: u32,
     unknown: Option<Miss>,
     last: Option<Miss>,
+    /// The server from which the one chosen last is to copy a part of the prompt.
+    fetch: Option<SocketAddr>,
 }
 
 impl Course {
@@ -239,6 +244,7 @@
             refused: 0,
             unknown: None,
             last: None,
+            fetch: None,
         }
     }
 
@@ -247,6 +253,11 @@
         &self.service
     }
 
+    /// The server from which the one chosen last is to copy a part of the prompt.
+    pub fn fetch(&self) -> Option<SocketAddr> {
+        self.fetch
+    }
+
     /// Whether a call may be sent once more although an earlier send may have run.
     pub fn may_repeat(&self, route: &Route) -> bool {
         route.repeat.is_repeatable() && self.sent < route.attempts
@@ -339,23 +350,32 @@
         open.min_by_key(|known| (!elsewhere(known), known.requests()))
     }
 
-    fn pick(&self, relay: &Relay, call: &Call, route: &Route) -> Option<Arc<Known>> {
+    fn pick(&mut self, relay: &Relay, call: &Call, route: &Route) -> Option<Arc<Known>> {
         let servers = relay.servers.of(&self.service);
         let open = |known: &&Arc<Known>| known.is_open() && !self.tried.contains(&known.server.id);
         let open: Vec<_> = servers.iter().filter(open).collect();
         let shared = call.shared_part();
         let home = shared.and_then(|part| home(&open, part.id));
+        let seen = |known: &Known| {
+            shared.is_some_and(|part| known.state.cached_blocks(&[part.id], CACHE_TIME) > 0)
+        };
+        let keeps = |known: &Known| seen(known) || home.as_ref() == Some(&known.server.id);
+        let shared_tokens = shared.map_or(0, |part| part.tokens);
+        let fetchable = shared_tokens >= FETCH_TOKENS;
+        // Where this box has had it read is known; where all boxes expect it is a guess.
+        let keeper = open.iter().find(|known| seen(known)).or(open.iter().find(|it| keeps(it)));
+        let keeper = keeper.map(|known| known.server.addr);
         let lane = long_lane(&open);
         let now = Instant::now();
         let faults = relay.faults();
         let candidates: Vec<_> = open
             .iter()
             .map(|known| {
-                let cached = shared.map_or(0, |part| {
-                    let seen = known.state.cached_blocks(&[part.id], CACHE_TIME) > 0;
-                    let at_home = home.as_ref() == Some(&known.server.id);
-                    if seen || at_home { part.tokens } else { 0 }
-                });
+                let cached = match (keeps(known), fetchable) {
+                    (true, _) => shared_tokens,
+                    (false, true) => (shared_tokens as f64 * FETCH_PART) as u64,
+                    (false, false) => 0,
+                };
                 Candidate {
                     long_lane: lane.contains(&known.server.id),
                     requests: known.requests(),
@@ -369,8 +389,9 @@
             })
             .collect();
         drop(faults);
-        let place = choose(&candidates, rand::random::<f64>)?;
-        Some(open[place].clone())
+        let chosen = open[choose(&candidates, rand::random::<f64>)?].clone();
+        self.fetch = keeper.filter(|_| fetchable && !keeps(&chosen));
+        Some(chosen)
     }
 }
 
@@ -384,6 +405,14 @@
     weighed.into_iter().map(|(_, id)| id.clone()).collect()
 }
 
+/// Shared tokens from which on a part of a prompt is copied from the engine that keeps it: copying it
+/// takes a tenth of the time of reading it, and costs less.
+const FETCH_TOKENS: u64 = 100;
+
+/// The part of what is copied that counts as cached. The rest stands for the cost of copying: an
+/// engine that keeps it is still the better choice.
+const FETCH_PART: f64 = 0.6;
+
 /// How long an engine is taken to keep a part of a prompt that this box had read there.
 const CACHE_TIME: Duration = Duration::from_secs(30);
 
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -95,6 +95,8 @@
     pub deadline: Duration,
     /// The last event that the caller has, when a stream is taken up.
     pub resume: Option<u64>,
+    /// A backend server that likely keeps a part of the prompt: it is copied from there.
+    pub fetch: Option<SocketAddr>,
     /// The memory of the request's run, where it was moved.
     pub copy: Option<&'a RunCopy>,
 }
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -151,7 +151,7 @@
         false => [&known, &known],
     };
     for place in places {
-        let from = From { resume: progress.last, copy: Some(&copy) };
+        let from = From { resume: progress.last, fetch: None, copy: Some(&copy) };
         match open(relay, call, route, place, from).await {
             Ok(Opening::Stream(opened)) => {
                 relay.metrics.count_resume("moved");
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -93,7 +93,8 @@
         let known = chosen.clone();
         // The connection to a server that is given up is closed before another one gets the call.
         let opened = {
-            let mut opening = pin!(open(&relay, &call, &route, &known, from(call.head.resume)));
+            let mut opening =
+                pin!(open(&relay, &call, &route, &known, from(call.head.resume, &course)));
             tokio::select! {
                 opened = &mut opening => Some(opened),
                 () = tokio::time::sleep(patience(&route)), if course.may_repeat(&route) => {
@@ -145,8 +146,8 @@
     }
 }
 
-fn from<'a>(resume: Option<u64>) -> From<'a> {
-    From { resume, copy: None }
+fn from(resume: Option<u64>, course: &Course) -> From<'static> {
+    From { resume, fetch: course.fetch(), copy: None }
 }
 
 fn count(relay: &Relay, call: &Call) {
@@ -432,7 +433,7 @@
 ) -> Option<(Bytes, Source)> {
     let mut known = known;
     loop {
-        match open(relay, call, route, &known, from(progress.last)).await {
+        match open(relay, call, route, &known, from(progress.last, course)).await {
             Ok(Opening::Stream(opened)) => {
                 relay.metrics.count_resume("elsewhere");
                 tracing::info!(
