Relay: all sends of a call in a module of their own; writes to disk apart; one set of parts

Cause: attempt.rs and driver.rs had grown, Relay listed its parts twice, a type was named like the library's From. Change: course.rs, disk.rs, Relay::parts, Origin.

--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -14,10 +14,11 @@
 
 use super::core::{Core, Identity, Output, Refusal, Role};
 use super::directory::Directory;
+use super::disk;
 use super::links::Links;
 use super::log::Tail;
 use super::message::{Entry, Envelope, MemberChange, Members, Payload, Snapshot};
-use super::storage::{Batch, Storage, StorageError};
+use super::storage::{Batch, Storage};
 use crate::blackboard::Blackboard;
 use crate::ids::{BoxId, Index, Term};
 use crate::peer::method::GroupStatus;
@@ -25,16 +26,6 @@
 use crate::state::{Command, Machine, Reply};
 use crate::telemetry::hops::unix_millis;
 
-/// Pause after a write that failed.
-const STORE_PAUSE: Duration = Duration::from_millis(300);
-
-/// How long writes may fail before the process ends: whoever runs it is to see that the disk is of no
-/// use. Longer than a disk is full for while somebody makes room.
-const GIVE_UP_TIME: Duration = Duration::from_secs(30);
-
-/// Exit code of a replica whose disk refused writes for that long.
-const STORAGE_FAILED: i32 = 74;
-
 /// Time between two looks at the clock.
 const TICK: Duration = Duration::from_millis(30);
 
@@ -379,7 +370,7 @@
         let install = output.install.clone();
         let batch =
             Batch { hard: output.hard, snapshot: output.install, reset, append: output.append };
-        self.store(batch).await?;
+        disk::store(&self.storage, batch).await?;
         if let Some(last) = last {
             self.core.stored(last);
         }
@@ -394,33 +385,6 @@
         Ok(())
     }
 
-    async fn store(&self, batch: Batch) -> Result<(), ActorProcessingErr> {
-        if batch.is_empty() {
-            return Ok(());
-        }
-        // What was said to be stored must be, so nothing else happens until it is: a replica whose
-        // disk is full is as one that stands still, and the others go on without it.
-        let batch = Arc::new(batch);
-        let began = Instant::now();
-        while let Err(error) = self.try_store(&batch).await? {
-            let failed_for = began.elapsed();
-            tracing::error!(event = "storage_failed", %error, ms = failed_for.as_millis() as u64);
-            if failed_for > GIVE_UP_TIME {
-                std::process::exit(STORAGE_FAILED);
-            }
-            tokio::time::sleep(STORE_PAUSE).await;
-        }
-        Ok(())
-    }
-
-    async fn try_store(
-        &self,
-        batch: &Arc<Batch>,
-    ) -> Result<Result<(), StorageError>, ActorProcessingErr> {
-        let (storage, batch) = (self.storage.clone(), batch.clone());
-        Ok(tokio::task::spawn_blocking(move || storage.write(&batch)).await?)
-    }
-
     fn apply(&mut self, entries: Vec<Entry>) {
         if entries.is_empty() {
             return;
@@ -515,6 +479,6 @@
             return Ok(());
         };
         tracing::info!(event = "log_compacted", index = %index, bytes = snapshot.data.len());
-        self.store(Batch { snapshot: Some(snapshot), ..Batch::default() }).await
+        disk::store(&self.storage, Batch { snapshot: Some(snapshot), ..Batch::default() }).await
     }
 }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -18,6 +18,7 @@
 pub mod access;
 pub mod core;
 pub mod directory;
+mod disk;
 pub mod driver;
 pub mod follow;
 pub mod join;
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -70,11 +70,11 @@
 
 /// Puts each published document in force on the relay.
 async fn follow_routes(relay: Arc<Relay>) {
-    let mut documents = relay.board.follow_document();
+    let mut documents = relay.parts.board.follow_document();
     loop {
         let document = documents.borrow_and_update().clone();
         if document.version.0 > 0 {
-            match relay.dialect.read_table(&document.text) {
+            match relay.parts.dialect.read_table(&document.text) {
                 Ok(table) => relay.put_table(Arc::new(table)),
                 Err(reason) => {
                     tracing::error!(event = "document_invalid", version = %document.version, reason);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,8 +1,6 @@
 //! One send of a call to one backend server, and the course of all its sends.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,35 +10,15 @@
 use super::Relay;
 use super::budget::RetryLimit;
 use super::call::{Call, Hop, ReplyHead, RunCopy};
-use super::choose::{Candidate, choose};
 use super::servers::Known;
 use super::table::Route;
 use crate::backend::{Exchange, Reuse, SendFault};
-use crate::error::{Failure, Kind};
-use crate::ids::{BackendId, ServiceName};
-use crate::member::table::fingerprint;
-use crate::telemetry::volume;
+use crate::error::Kind;
 
 /// A connection on which an unrepeatable request goes has rested no longer than this: the other side
 /// hardly closes it at that moment.
 const REST_LIMIT: Duration = Duration::from_secs(2);
 
-/// The part of its objective a request needs to be worth sending at all.
-const LEAST_LEFT: u32 = 10;
-
-/// Sends that did not reach any server before a call is given up.
-const UNREACHED_LIMIT: u32 = 3;
-
-/// Sends that servers refused before a call is given up: the others are likely full as well.
-const REFUSED_LIMIT: u32 = 3;
-
-/// When to come back if no backend server is there at all: about the time one takes to appear.
-const ABSENT_WAIT: Duration = Duration::from_millis(1_000);
-
-/// When to come back after servers refused, at least and at most.
-const REFUSED_WAIT: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(1_500));
-
 /// Bytes of a refusal that are read so that its connection can be used again.
 const REFUSAL_BYTES: usize = 16 << 10;
 
@@ -82,7 +60,8 @@
         }
     }
 
-    fn detail(&self) -> &str {
+    /// What happened.
+    pub fn detail(&self) -> &str {
         match self {
             Self::NotRun { detail, .. } | Self::Unknown { detail, .. } => detail,
         }
@@ -126,7 +105,7 @@
 
 /// From where a send goes on.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct From<'a> {
+pub struct Origin<'a> {
     /// The last event that the caller has.
     pub resume: Option<u64>,
     /// A server that likely keeps a part of the prompt.
@@ -152,15 +131,15 @@
     call: &Call,
     route: &Route,
     known: &Known,
-    from: From<'_>,
+    origin: Origin<'_>,
     limit: Duration,
 ) -> Result<Reply, Miss> {
-    let request = request(relay, call, known, from);
+    let request = request(relay, call, known, origin);
     let reuse = match route.repeat.is_repeatable() {
         true => Reuse::Any,
         false => Reuse::Rested(REST_LIMIT),
     };
-    let sent = relay.pool.send(known.server.addr, request, limit, reuse).await;
+    let sent = relay.parts.pool.send(known.server.addr, request, limit, reuse).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(fault) => {
@@ -170,7 +149,7 @@
             return Err(Miss::of_fault(fault));
         }
     };
-    let head = relay.dialect.read_reply(call, exchange.status, &exchange.headers);
+    let head = relay.parts.dialect.read_reply(call, exchange.status, &exchange.headers);
     if let Some(load) = head.load {
         known.state.report(load.running, load.waiting, Duration::ZERO);
     }
@@ -203,249 +182,21 @@
     }
 }
 
-fn request(relay: &Relay, call: &Call, known: &Known, from: From<'_>) -> Request<Full<Bytes>> {
-    let From { resume, fetch, copy } = from;
+fn request(relay: &Relay, call: &Call, known: &Known, origin: Origin<'_>) -> Request<Full<Bytes>> {
+    let Origin { resume, fetch, copy } = origin;
     let hop = Hop { server: &known.server.id, deadline: call.left(), resume, fetch, copy };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = Uri::from(call.path.clone());
-    *request.headers_mut() = relay.dialect.write_call(call, &hop);
+    *request.headers_mut() = relay.parts.dialect.write_call(call, &hop);
     request
 }
 
-/// All sends of one call.
-pub struct Course {
-    service: ServiceName,
-    tried: Vec<BackendId>,
-    /// Sends that may have run, or are under way.
-    sent: u32,
-    /// Sends that reached a server, whatever came of them.
-    arrived: u32,
-    /// Sends that reached none.
-    unreached: u32,
-    /// Sends that a server refused.
-    refused: u32,
-    unknown: Option<Miss>,
-    last: Option<Miss>,
-    /// The server from which the one chosen last is to copy a part of the prompt.
-    fetch: Option<SocketAddr>,
-}
-
-impl Course {
-    /// No send yet.
-    pub fn new(service: ServiceName) -> Self {
-        let tried = Vec::new();
-        Self {
-            service,
-            tried,
-            sent: 0,
-            arrived: 0,
-            unreached: 0,
-            refused: 0,
-            unknown: None,
-            last: None,
-            fetch: None,
-        }
-    }
-
-    /// The service.
-    pub fn service(&self) -> &ServiceName {
-        &self.service
-    }
-
-    /// The server from which the one chosen last is to copy a part of the prompt.
-    pub fn fetch(&self) -> Option<SocketAddr> {
-        self.fetch
-    }
-
-    /// Whether a call may be sent once more although an earlier send may have run.
-    pub fn may_repeat(&self, route: &Route) -> bool {
-        route.repeat.is_repeatable() && self.sent < route.attempts
-    }
-
-    /// The server for the next send.
-    ///
-    /// # Errors
-    /// The call's failure, when it may not be sent again, cannot, or is not worth it.
-    pub fn next(
-        &mut self,
-        relay: &Relay,
-        call: &Call,
-        route: &Route,
-    ) -> Result<Arc<Known>, Failure> {
-        if self.unknown.is_some() && !route.repeat.is_repeatable() {
-            return Err(self.failure(relay));
-        }
-        let needed = (route.objective / LEAST_LEFT).min(route.timeout / LEAST_LEFT);
-        let hopeless = self.unreached >= UNREACHED_LIMIT || self.refused >= REFUSED_LIMIT;
-        if call.left() <= needed || hopeless {
-            return Err(self.failure(relay));
-        }
-        if self.sent >= route.attempts.max(1) {
-            return Err(self.failure(relay));
-        }
-        let Some(known) = self.pick(relay, call, route) else {
-            return Err(self.failure(relay));
-        };
-        if self.arrived > 0 && !relay.retries().spend(&self.service) {
-            return Err(self.failure(relay));
-        }
-        if self.arrived > 0 || volume::allows_ordinary() {
-            tracing::info!(
-                event = "server_chosen", id = call.head.id, backend_server = %known.server.id,
-                requests = known.requests(), unread = known.unread(), slots = known.server.slots,
-                load_age_ms = known.state.load().map(|load| load.at.elapsed().as_millis() as u64),
-                send = self.arrived + 1,
-            );
-        }
-        self.sent += 1;
-        self.arrived += 1;
-        self.tried.push(known.server.id.clone());
-        Ok(known)
-    }
-
-    /// Notes how a send to a server ended without an answer to pass on.
-    pub fn note(&mut self, call: &Call, known: &Known, miss: Miss) {
-        tracing::info!(
-            event = "send_missed", id = call.head.id, service = %self.service,
-            backend_server = %known.server.id, not_run = matches!(miss, Miss::NotRun { .. }),
-            detail = miss.detail(), left_ms = call.left().as_millis() as u64,
-        );
-        match &miss {
-            Miss::NotRun { arrived: false, .. } => {
-                self.sent -= 1;
-                self.arrived -= 1;
-                self.unreached += 1;
-            }
-            Miss::NotRun { arrived: true, .. } => {
-                self.sent -= 1;
-                self.refused += 1;
-            }
-            Miss::Unknown { .. } => self.unknown = Some(miss.clone()),
-        }
-        self.last = Some(miss);
-    }
-
-    /// What is said of the call: that it has not run only if no send may have run.
-    pub fn failure(&self, relay: &Relay) -> Failure {
-        if let Some(Miss::Unknown { kind, detail }) = &self.unknown {
-            return Failure::new(*kind, detail.clone());
-        }
-        let servers = relay.servers.of(&self.service);
-        let Some(last) = &self.last else {
-            let text = format!("no backend server of {} takes work", self.service);
-            return Failure::new(Kind::NoBackend, text).after(Some(ABSENT_WAIT));
-        };
-        Failure::new(Kind::NotReached, last.detail()).after(Some(refused_wait(&servers)))
-    }
-
-    /// A server to which a run may be moved: another one, in another data centre if there is one.
-    /// A moved run is still the same run, so this is no further send.
-    pub fn target(&self, relay: &Relay, source: &Known) -> Option<Arc<Known>> {
-        let servers = relay.servers.of(&self.service);
-        let open = servers.into_iter().filter(|known| {
-            known.is_open() && known.server.id != source.server.id && !known.state.is_ejected()
-        });
-        let elsewhere = |known: &Known| known.server.data_centre != source.server.data_centre;
-        open.min_by_key(|known| (!elsewhere(known), known.requests()))
-    }
-
-    fn pick(&mut self, relay: &Relay, call: &Call, route: &Route) -> Option<Arc<Known>> {
-        let servers = relay.servers.of(&self.service);
-        let open = |known: &&Arc<Known>| known.is_open() && !self.tried.contains(&known.server.id);
-        let open: Vec<_> = servers.iter().filter(open).collect();
-        let shared = call.shared_part();
-        let home = shared.and_then(|part| home(&open, part.id));
-        let seen = |known: &Known| {
-            shared.is_some_and(|part| known.state.cached_blocks(&[part.id], CACHE_TIME) > 0)
-        };
-        let keeps = |known: &Known| seen(known) || home.as_ref() == Some(&known.server.id);
-        let shared_tokens = shared.map_or(0, |part| part.tokens);
-        let fetchable = shared_tokens >= FETCH_TOKENS;
-        // Where this box has had it read is known; where all boxes expect it is a guess.
-        let keeper = open.iter().find(|known| seen(known)).or(open.iter().find(|it| keeps(it)));
-        let keeper = keeper.map(|known| known.server.addr);
-        let lane = long_lane(&open);
-        let now = Instant::now();
-        let faults = relay.faults();
-        let candidates: Vec<_> = open
-            .iter()
-            .map(|known| {
-                let cached = match (keeps(known), fetchable) {
-                    (true, _) => shared_tokens,
-                    (false, true) => (shared_tokens as f64 * FETCH_PART) as u64,
-                    (false, false) => 0,
-                };
-                Candidate {
-                    long_lane: lane.contains(&known.server.id),
-                    requests: known.requests(),
-                    slots: known.server.slots,
-                    unread: known.unread(),
-                    uncached: call.prompt().saturating_sub(cached),
-                    near: known.server.data_centre == relay.data_centre,
-                    ejected: known.state.is_ejected()
-                        || faults.is_avoided(&known.server.id, &route.name, now),
-                }
-            })
-            .collect();
-        drop(faults);
-        let chosen = open[choose(&candidates, rand::random::<f64>)?].clone();
-        self.fetch = keeper.filter(|_| fetchable && !keeps(&chosen));
-        Some(chosen)
-    }
-}
-
-/// The servers that read long prompts rather than short ones: half of them, by a hash that is the same
-/// for all boxes.
-fn long_lane(open: &[&Arc<Known>]) -> HashSet<BackendId> {
-    let weigh = |known: &Known| fingerprint(&format!("lane\n{}", known.server.id));
-    let mut weighed: Vec<_> = open.iter().map(|known| (weigh(known), &known.server.id)).collect();
-    weighed.sort_unstable();
-    weighed.truncate(open.len().div_ceil(2));
-    weighed.into_iter().map(|(_, id)| id.clone()).collect()
-}
-
-/// Shared tokens from which on a part of a prompt is copied from the engine that keeps it: copying it
-/// takes a tenth of the time of reading it, and costs less.
-const FETCH_TOKENS: u64 = 100;
-
-/// The part of what is copied that counts as cached. The rest stands for the cost of copying: an
-/// engine that keeps it is still the better choice.
-const FETCH_PART: f64 = 0.6;
-
-/// How long an engine is taken to keep a part of a prompt that this box had read there.
-const CACHE_TIME: Duration = Duration::from_secs(30);
-
-/// The server at which all boxes expect a prompt's shared part: the one of the largest weight.
-fn home(open: &[&Arc<Known>], part: u64) -> Option<BackendId> {
-    let weigh = |known: &Known| fingerprint(&format!("{part}\n{}", known.server.id));
-    open.iter().max_by_key(|known| weigh(known)).map(|known| known.server.id.clone())
-}
-
-/// When a place is likely free: the servers' mean time for a request over their places, times those
-/// that stand in line.
-fn refused_wait(servers: &[Arc<Known>]) -> Duration {
-    let open = servers.iter().filter(|known| known.is_open());
-    let (mut slots, mut waiting, mut time, mut count) = (0.0, 1.0, 0.0, 0.0);
-    for known in open {
-        slots += f64::from(known.server.slots);
-        waiting += known.state.load().map_or(0.0, |load| f64::from(load.waiting));
-        time += known.state.service_time().unwrap_or(0.0);
-        count += 1.0;
-    }
-    if slots == 0.0 {
-        return ABSENT_WAIT;
-    }
-    let mean: f64 = time / f64::max(count, 1.0);
-    let wait = Duration::from_secs_f64((waiting / slots * mean).min(60.0));
-    wait.clamp(REFUSED_WAIT.0, REFUSED_WAIT.1)
-}
-
 /// The users' retry limit on this box.
 pub fn retry_limit(relay: &Relay) -> RetryLimit {
     RetryLimit {
-        ratio: relay.settings.retry_ratio,
-        floor: f64::from(relay.settings.retry_floor),
+        ratio: relay.parts.settings.retry_ratio,
+        floor: f64::from(relay.parts.settings.retry_floor),
         boxes: relay.relays(),
     }
 }
--- a/src/relay/listen.rs
+++ b/src/relay/listen.rs
@@ -48,8 +48,8 @@
     /// # Errors
     /// When an address cannot be listened on.
     pub async fn open(relay: &Relay) -> Result<Self> {
-        let callers = server::listen(relay.settings.listen, "callers").await?;
-        let balancer = server::listen(relay.settings.ready, "the balancer").await?;
+        let callers = server::listen(relay.parts.settings.listen, "callers").await?;
+        let balancer = server::listen(relay.parts.settings.ready, "the balancer").await?;
         tracing::info!(event = "listening", side = "relay", addr = %callers.local_addr()?);
         tracing::info!(event = "listening", side = "ready", addr = %balancer.local_addr()?);
         Ok(Self { callers, balancer })
@@ -59,7 +59,7 @@
     pub fn serve(self, relay: &Arc<Relay>) {
         let serving = relay.clone();
         let handler = move |request| serve::handle(serving.clone(), request);
-        let closing = relay.closing.clone();
+        let closing = relay.parts.closing.clone();
         tokio::spawn(server::run(self.callers, LIMITS, closing, handler, too_many));
         let asked = relay.clone();
         let readiness = move |_: Request<Incoming>| {
@@ -83,7 +83,7 @@
 
 /// Why the balancer should send no callers here, if it should not.
 fn unready(relay: &Relay) -> Option<&'static str> {
-    if relay.board.phase() == Phase::Draining {
+    if relay.parts.board.phase() == Phase::Draining {
         return Some("draining");
     }
     if relay.table().is_none() {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,7 +10,7 @@
 //! - [`servers`] is what is known of backend servers, [`choose`] picks one of them.
 //! - [`faults`] remembers servers that fail one route's requests.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
-//!   [`attempt`] is one send.
+//!   [`attempt`] is one send, [`course`] all sends of one call.
 //! - [`moving`] moves running streams off servers that are leaving.
 //! - [`allowance`] holds teams to their limits, [`budget`] bounds repeated sends, [`usage`] counts what
 //!   ran and [`offered`] what came.
@@ -23,6 +23,7 @@
 pub mod budget;
 pub mod call;
 pub mod choose;
+pub mod course;
 pub mod dialect;
 pub(crate) mod events;
 pub mod faults;
@@ -56,8 +57,8 @@
 use table::RouteTable;
 use usage::UsageCounter;
 
-/// What the parts of a relay share.
-pub struct Relay {
+/// What a relay starts with.
+pub struct RelayParts {
     /// The settings.
     pub settings: RelaySettings,
     /// The box's data centre.
@@ -70,6 +71,14 @@
     pub dialect: Arc<dyn Dialect>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
+    /// Whether connections are to close behind their requests.
+    pub closing: watch::Receiver<bool>,
+}
+
+/// What the parts of a relay share.
+pub struct Relay {
+    /// What it started with.
+    pub parts: RelayParts,
     /// The backend servers known.
     pub servers: ServerBook,
     /// The routes in force; none before the first was published.
@@ -81,25 +90,6 @@
     offered: Mutex<OfferedBook>,
     /// Relays that share the limits, as the leader last said.
     relays: AtomicU32,
-    closing: watch::Receiver<bool>,
-}
-
-/// What a relay starts with.
-pub struct RelayParts {
-    /// The settings.
-    pub settings: RelaySettings,
-    /// The box's data centre.
-    pub data_centre: DataCentre,
-    /// What the node knows.
-    pub board: Arc<Blackboard>,
-    /// Connections to backend servers.
-    pub pool: Pool,
-    /// How callers and backend servers speak.
-    pub dialect: Arc<dyn Dialect>,
-    /// The metrics.
-    pub metrics: Arc<Metrics>,
-    /// Whether connections are to close behind their requests.
-    pub closing: watch::Receiver<bool>,
 }
 
 /// Relays taken to share the limits before the leader has said how many do.
@@ -114,13 +104,7 @@
     pub fn new(parts: RelayParts) -> Self {
         let usage = UsageCounter::new(parts.settings.usage_window.duration());
         Self {
-            settings: parts.settings,
-            data_centre: parts.data_centre,
-            board: parts.board,
-            pool: parts.pool,
-            dialect: parts.dialect,
-            metrics: parts.metrics,
-            closing: parts.closing,
+            parts,
             servers: ServerBook::default(),
             table: ArcSwapOption::empty(),
             allowances: Mutex::default(),
@@ -188,6 +172,6 @@
 
     /// Whether the node is about to stop and takes nothing new.
     pub fn is_closing(&self) -> bool {
-        *self.closing.borrow()
+        *self.parts.closing.borrow()
     }
 }
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -14,8 +14,9 @@
 use tokio::sync::watch;
 
 use super::Relay;
-use super::attempt::{Course, From};
+use super::attempt::Origin;
 use super::call::{Call, RunCopy};
+use super::course::Course;
 use super::stream::{Opening, Progress, Source, next, open};
 use super::table::{EngineSpec, Route};
 use crate::backend::{Reuse, SendFault};
@@ -151,10 +152,10 @@
         false => [&known, &known],
     };
     for place in places {
-        let from = From { resume: progress.last, fetch: None, copy: Some(&copy) };
-        match open(relay, call, route, place, from).await {
+        let origin = Origin { resume: progress.last, fetch: None, copy: Some(&copy) };
+        match open(relay, call, route, place, origin).await {
             Ok(Opening::Stream(opened)) => {
-                relay.metrics.count_resume("moved");
+                relay.parts.metrics.count_resume("moved");
                 tracing::info!(
                     event = "stream_moved", id = call.head.id, backend_server = %place.server.id,
                     last = progress.last,
@@ -190,7 +191,7 @@
     source: std::net::SocketAddr,
     target: std::net::SocketAddr,
 ) -> Option<(StatusCode, String)> {
-    let (path, body) = relay.dialect.write_move(call, target);
+    let (path, body) = relay.parts.dialect.write_move(call, target);
     let request = Request::builder()
         .method(Method::POST)
         .uri(path)
@@ -199,14 +200,14 @@
         .body(Full::new(Bytes::from(body)))
         .ok()?;
     let answered = async {
-        let exchange = relay.pool.send(source, request, MOVE_TIME, Reuse::Any).await?;
+        let exchange = relay.parts.pool.send(source, request, MOVE_TIME, Reuse::Any).await?;
         let status = exchange.status;
         let body = exchange.read_whole(ANSWER_LIMIT, MOVE_TIME).await?;
         Ok::<_, SendFault>((status, body))
     };
     match answered.await {
         Ok((status, body)) => {
-            let handle = relay.dialect.read_move(&body);
+            let handle = relay.parts.dialect.read_move(&body);
             if handle.is_none() {
                 tracing::info!(
                     event = "move_not_made",
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -10,8 +10,9 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{Course, From, Miss, Reply, seconds_since, send};
+use super::attempt::{Miss, Origin, Reply, seconds_since, send};
 use super::call::Call;
+use super::course::Course;
 use super::servers::Known;
 use super::table::Route;
 use crate::backend::SendFault;
@@ -144,7 +145,7 @@
     let began = Instant::now();
     let limit = call.left();
     let result = tokio::time::timeout(limit, async {
-        let reply = send(relay, call, route, known, From::default(), limit).await?;
+        let reply = send(relay, call, route, known, Origin::default(), limit).await?;
         read(reply).await
     });
     let (answer, failed) = match result.await {
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -45,7 +45,7 @@
 pub async fn handle(relay: Arc<Relay>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
-    let read = relay.dialect.read_call(&parts);
+    let read = relay.parts.dialect.read_call(&parts);
     let id = read.as_ref().map(|head| head.id.clone()).unwrap_or_default();
     let request = Request::from_parts(parts, body);
     let result = match read {
@@ -64,13 +64,13 @@
         event = "request_failed", id, kind = %failure.kind, run = %failure.kind.answer().run,
         detail = failure.detail, wait_ms = failure.retry_after.map(|wait| wait.as_millis() as u64),
         ms = arrived.elapsed().as_millis() as u64, version = relay.table().map(|it| it.version.0),
-        age_ms = relay.board.age().map(|age| age.as_millis() as u64),
+        age_ms = relay.parts.board.age().map(|age| age.as_millis() as u64),
         list = %relay.servers.version(),
     );
-    relay.metrics.count_request("-", failure.kind.answer().code);
+    relay.parts.metrics.count_request("-", failure.kind.answer().code);
     let mut response = answer::failed(failure);
     let id = Some(id).filter(|id| !id.is_empty());
-    relay.dialect.mark_own(response.headers_mut(), id, failure.retry_after);
+    relay.parts.dialect.mark_own(response.headers_mut(), id, failure.retry_after);
     if relay.is_closing() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -83,7 +83,7 @@
     head: CallHead,
     arrived: Instant,
 ) -> Result<Response<Body>, Failure> {
-    let guard = relay.board.begin_request();
+    let guard = relay.parts.board.begin_request();
     let table = relay.table().ok_or_else(|| unsure("no routes are known yet"))?;
     head::check(&request, table.limits.head)?;
     let route = find_route(relay, &table, &request)?;
@@ -109,8 +109,8 @@
         Ok(response) => {
             let name = team.map_or("-", |team| team.name.as_str());
             note_answer(relay, &table, &route, name, &response, &id, arrived);
-            relay.metrics.count_request(name, "answered");
-            relay.metrics.record_first_token(name, seconds_since(arrived));
+            relay.parts.metrics.count_request(name, "answered");
+            relay.parts.metrics.record_first_token(name, seconds_since(arrived));
             Ok(response)
         }
         Err(failure) => {
@@ -143,7 +143,7 @@
     tracing::info!(
         event = "request_answered", id, route = route.name, team,
         status = response.status().as_u16(), late, ms = arrived.elapsed().as_millis() as u64,
-        version = table.version.0, age_ms = relay.board.age().map(|age| age.as_millis() as u64),
+        version = table.version.0, age_ms = relay.parts.board.age().map(|age| age.as_millis() as u64),
         list = %relay.servers.version(),
     );
 }
@@ -154,8 +154,8 @@
 
 /// Whether the routes and keys held are certainly recent enough to refuse or run by.
 pub(super) fn is_sure(relay: &Relay) -> bool {
-    let limit = relay.settings.revoke_time.duration().mul_f64(KEY_MARGIN);
-    relay.board.age().is_some_and(|age| age < limit)
+    let limit = relay.parts.settings.revoke_time.duration().mul_f64(KEY_MARGIN);
+    relay.parts.board.age().is_some_and(|age| age < limit)
 }
 
 fn find_route(
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -14,8 +14,9 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{Course, From, Miss, Reply, seconds_since, send};
+use super::attempt::{Miss, Origin, Reply, seconds_since, send};
 use super::call::Call;
+use super::course::Course;
 use super::events::{EventCutter, event_id};
 use super::moving::{self, Moved, move_away};
 use super::plain::strip_hop_headers;
@@ -94,7 +95,7 @@
         // The connection to a server that is given up is closed before another one gets the call.
         let opened = {
             let mut opening =
-                pin!(open(&relay, &call, &route, &known, from(call.head.resume, &course)));
+                pin!(open(&relay, &call, &route, &known, origin(call.head.resume, &course)));
             tokio::select! {
                 opened = &mut opening => Some(opened),
                 () = tokio::time::sleep(patience(&route)), if course.may_repeat(&route) => {
@@ -146,8 +147,8 @@
     }
 }
 
-fn from(resume: Option<u64>, course: &Course) -> From<'static> {
-    From { resume, fetch: course.fetch(), copy: None }
+fn origin(resume: Option<u64>, course: &Course) -> Origin<'static> {
+    Origin { resume, fetch: course.fetch(), copy: None }
 }
 
 fn count(relay: &Relay, call: &Call) {
@@ -162,13 +163,13 @@
     call: &Call,
     route: &Route,
     known: &Arc<Known>,
-    from: From<'_>,
+    origin: Origin<'_>,
 ) -> Result<Opening, Miss> {
     let limit = call.left();
     let flight = known.begin(call.prompt());
     let began = Instant::now();
     let opening = async {
-        let reply = send(relay, call, route, known, from, limit).await?;
+        let reply = send(relay, call, route, known, origin, limit).await?;
         if !reply.exchange.status.is_success() {
             return read_failure(reply).await;
         }
@@ -363,7 +364,7 @@
                 tracing::warn!(
                     event = "stream_cut", id = call.head.id, last = progress.last, detail = %fault,
                 );
-                relay.metrics.count_attempt("-", "stream_cut");
+                relay.parts.metrics.count_attempt("-", "stream_cut");
                 yield Err(io::Error::other(fault.to_string()));
                 break;
             };
@@ -433,9 +434,9 @@
 ) -> Option<(Bytes, Source)> {
     let mut known = known;
     loop {
-        match open(relay, call, route, &known, from(progress.last, course)).await {
+        match open(relay, call, route, &known, origin(progress.last, course)).await {
             Ok(Opening::Stream(opened)) => {
-                relay.metrics.count_resume("elsewhere");
+                relay.parts.metrics.count_resume("elsewhere");
                 tracing::info!(
                     event = "stream_taken_up", id = call.head.id,
                     backend_server = %known.server.id, last = progress.last,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use emberturn::units::Millis;
 use platform::{Act, Reply, StandIn, TestRelay, document, event, events, route, usual_routes};
 use yare::parameterized;
 
@@ -195,6 +196,45 @@
     assert_eq!(reply.body, format!("{}{}", event(5), event(6)));
 }
 
+#[tokio::test]
+async fn stream_on_a_leaving_engine_is_moved_with_its_memory() {
+    let mut first = StandIn::start("i-1", &[Act::UntilMoved(2)]).await;
+    let second = StandIn::start("i-2", &[Act::Events(6)]).await;
+    let relay = TestRelay::start(&[&first]).await;
+    let headers = "Api-Key: key-a\r\nToken-Usage: 1000,100000\r\n";
+    let asking = relay.ask_with("POST", "stream", headers);
+    let leaving = async {
+        first.wait_seen(1).await;
+        let mut listed = first.listed("svc");
+        listed.leaving = true;
+        listed.leaves_in = Some(Millis(2_500));
+        relay.list_as(vec![listed, second.listed("svc")]);
+    };
+    let (reply, ()) = tokio::join!(asking, leaving);
+    assert_eq!((reply.status, reply.body, reply.whole), (200, events(6), true));
+    let moved = &second.seen()[0];
+    assert_eq!(moved.headers["kv-from"], format!("{}/h-1", first.addr));
+    assert_eq!(moved.headers["last-event-id"], "2");
+    assert_eq!((first.seen().len(), second.seen().len()), (1, 1));
+}
+
+#[tokio::test]
+async fn shared_part_is_copied_from_the_engine_that_read_it() {
+    let first = StandIn::start("i-1", &[Act::Events(1)]).await;
+    let second = StandIn::start("i-2", &[Act::Events(1)]).await;
+    let relay = TestRelay::start(&[&first]).await;
+    let headers = "Api-Key: key-a\r\nToken-Usage: 5000,10\r\nPrompt-Prefix: aa:4000,bb:1000\r\n";
+    assert_eq!(relay.ask_with("POST", "stream", headers).await.status, 200);
+    relay.list(&[&first, &second]);
+    let known = relay.relay.servers.of(&"svc".parse().unwrap());
+    let busy = known.iter().find(|known| known.server.id.as_str() == "i-1").unwrap();
+    // The engine that has the part is crowded, so the other one is chosen.
+    busy.state.report(50, 50, Duration::ZERO);
+    assert_eq!(relay.ask_with("POST", "stream", headers).await.status, 200);
+    assert_eq!(second.seen()[0].headers["kv-fetch"], first.addr.to_string());
+    assert!(!first.seen()[0].headers.contains_key("kv-fetch"));
+}
+
 #[tokio::test]
 async fn cut_stream_that_may_not_be_resumed_does_not_look_whole() {
     let first = StandIn::start("i-1", &[Act::CutAfter(3)]).await;
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -45,6 +45,8 @@
     Events(u64),
     /// The same, but cut inside the event behind this one.
     CutAfter(u64),
+    /// Events up to this one, then nothing until its run is moved, which cuts the stream.
+    UntilMoved(u64),
     /// One event, then the rest up to this one after a pause.
     PauseAfterFirst(u64, Duration),
 }
@@ -81,12 +83,13 @@
         let (left, gone) = watch::channel(0);
         let (acts, held) = (acts.to_vec(), seen.clone());
         let (counted, left) = (Arc::new(counted), Arc::new(left));
+        let moved = Arc::new(watch::Sender::new(false));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (acts, held) = (acts.clone(), held.clone());
-                let (counted, left) = (counted.clone(), left.clone());
+                let (counted, left, moved) = (counted.clone(), left.clone(), moved.clone());
                 tokio::spawn(async move {
-                    let _ = talk(stream, &acts, &held, &counted).await;
+                    let _ = talk(stream, &acts, &held, &counted, &moved).await;
                     left.send_modify(|count| *count += 1);
                 });
             }
@@ -165,8 +168,16 @@
     acts: &[Act],
     seen: &Mutex<Vec<Seen>>,
     counted: &watch::Sender<usize>,
+    moved: &watch::Sender<bool>,
 ) -> std::io::Result<()> {
     while let Some(request) = read_request(&mut stream).await? {
+        if request.line.starts_with("POST /kv-move ") {
+            moved.send_replace(true);
+            let body = r#"{"handle":"h-1","made":2}"#;
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            stream.write_all(text.as_bytes()).await?;
+            continue;
+        }
         let place = {
             let mut seen = seen.lock().unwrap();
             seen.push(request.clone());
@@ -174,7 +185,7 @@
         };
         counted.send_replace(place);
         let act = acts.get(place - 1).or(acts.last()).unwrap();
-        if !perform(&mut stream, act, &request).await? {
+        if !perform(&mut stream, act, &request, moved).await? {
             return Ok(());
         }
     }
@@ -196,7 +207,12 @@
 }
 
 /// Performs an act; whether the connection goes on.
-async fn perform(stream: &mut TcpStream, act: &Act, request: &Seen) -> std::io::Result<bool> {
+async fn perform(
+    stream: &mut TcpStream,
+    act: &Act,
+    request: &Seen,
+    moved: &watch::Sender<bool>,
+) -> std::io::Result<bool> {
     let id = request.headers.get("request-id").cloned().unwrap_or_default();
     let whole = |status: &str, id: &str, extra: &str, body: &str| {
         format!(
@@ -246,6 +262,14 @@
             stream.write_all(text.as_bytes()).await?;
             return Ok(false);
         }
+        Act::UntilMoved(last) => {
+            let mut text = stream_head;
+            (resumed + 1..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
+            stream.write_all(text.as_bytes()).await?;
+            let mut waiting = moved.subscribe();
+            let _ = waiting.wait_for(|moved| *moved).await;
+            return Ok(false);
+        }
         Act::PauseAfterFirst(last, pause) => {
             stream.write_all((format!("{stream_head}{}", chunk(&event(1)))).as_bytes()).await?;
             tokio::time::sleep(*pause).await;
@@ -274,7 +298,10 @@
         "version": version, "routes": routes,
         "services": [{
             "name": "svc", "health_path": "/health", "max_connections": 100, "protocol": "h1",
-            "tls": false,
+            "tls": false, "engine": {
+                "slots": 8, "kv_capacity_tokens": 500_000, "kv_token_bytes": 163_840,
+                "link_mbps": 740_000.0, "moves": true, "stride": 1,
+            },
         }],
         "limits": {
             "max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
@@ -356,9 +383,13 @@
 
     /// Has the relay know just these servers.
     pub fn list(&self, servers: &[&StandIn]) {
+        self.list_as(servers.iter().map(|server| server.listed("svc")).collect());
+    }
+
+    /// Has the relay know just these servers, as the platform lists them.
+    pub fn list_as(&self, servers: Vec<Server>) {
         let place = self.relay.servers.version().place + 1;
         let version = ListVersion { term: Term(1), place };
-        let servers = servers.iter().map(|server| server.listed("svc")).collect();
         self.relay.servers.take(ServerList { version, servers });
     }
 
