--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -7,7 +7,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use eyre::{Result, WrapErr};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::exit;
 use super::operator::exit_with;
@@ -62,9 +62,11 @@
         event = "started", version = env!("CARGO_PKG_VERSION"), roles = roles.join("+"),
         box_id = %settings.node.box_id, data_centre = %settings.node.data_centre,
     );
+    // Watched before the node can be seen to run: until then a hangup would end the process.
+    let hangup = signal(SignalKind::hangup()).wrap_err("watch SIGHUP")?;
     let node = Node::start(settings).await?;
     tokio::spawn(stop_on_signal(node.clone()));
-    tokio::spawn(reload_on_change(node.clone(), arguments.settings));
+    tokio::spawn(reload_on_change(node.clone(), arguments.settings, hangup));
     node.serve().await?;
     tracing::info!(event = "stopped");
     exit_with(exit::DONE)
@@ -82,8 +84,7 @@
 }
 
 /// Reads the settings again on SIGHUP, and when the file has changed without one.
-async fn reload_on_change(node: Arc<Node>, path: PathBuf) -> Result<()> {
-    let mut hangup = signal(SignalKind::hangup()).wrap_err("watch SIGHUP")?;
+async fn reload_on_change(node: Arc<Node>, path: PathBuf, mut hangup: Signal) {
     let mut held = stamp(&path);
     loop {
         tokio::select! {
