Group: a leader as soon as all are back after a stop of everything; relays hear at once when the group knows

Change: the hold on votes after a start ends once every other voter has answered this life of the process that it neither leads nor hears a leader; a replica that has heard no leader asks every 40 to 120 ms; a connection between boxes gets 300 ms; an unsure node's question is answered when the replica is sure; the list is read at once by a new leader, and relays without one ask every 50 ms.

Ruled out: votes at once after a start, without the question. A leader that was confirmed by an earlier life may still answer reads then.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! | section | writer |
 //! |---|---|
-//! | configuration, published document, freshness, whether work waits | the group's driver on a replica, the follower elsewhere |
+//! | configuration, published document, freshness, whether work waits, the term led in | the group's driver on a replica, the follower elsewhere |
 //! | phase | the node |
 //! | fleet: leaving, load | gossip, the platform's watcher, load polls, each attempt |
 //! | boxes | gossip |
@@ -24,7 +24,7 @@
 
 use crate::decide::policy::Policies;
 use crate::decide::share::Shares;
-use crate::ids::{BoxId, Revision};
+use crate::ids::{BoxId, Revision, Term};
 use crate::member::table::Boxes;
 use crate::state::config::Configuration;
 use crate::state::document::Document;
@@ -79,6 +79,7 @@
     requests: AtomicUsize,
     work_waiting: AtomicBool,
     voters: AtomicUsize,
+    leading: watch::Sender<Option<Term>>,
     /// What is known of backend servers.
     pub fleet: Fleet,
     /// What is known of boxes.
@@ -101,6 +102,7 @@
             requests: AtomicUsize::new(0),
             work_waiting: AtomicBool::new(false),
             voters: AtomicUsize::new(0),
+            leading: watch::Sender::new(None),
             fleet: Fleet::default(),
             boxes: ArcSwap::default(),
             shares: ArcSwap::default(),
@@ -231,6 +233,17 @@
         self.voters.store(voters, Ordering::Relaxed);
     }
 
+    /// Notes in which term this process's replica leads, as it last found.
+    pub fn note_leading(&self, term: Option<Term>) {
+        self.leading.send_if_modified(|held| std::mem::replace(held, term) != term);
+    }
+
+    /// Follows in which term this process's replica leads. Whether it still does is for the replica
+    /// to say.
+    pub fn follow_leading(&self) -> watch::Receiver<Option<Term>> {
+        self.leading.subscribe()
+    }
+
     /// Requests under way.
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::SeqCst)
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -49,7 +49,8 @@
 /// When no replica answers.
 pub(super) async fn fetch(contact: &Contact) -> Result<Arc<Configuration>> {
     // A revision no replica has yet makes it answer with all of its configuration at once.
-    let poll = Poll { from: Revision(u64::MAX), document: Version(u64::MAX), wait: 0 };
+    let poll =
+        Poll { from: Revision(u64::MAX), document: Version(u64::MAX), wait: 0, unsure: false };
     let reply: PollReply = contact.ask(method::POLL, &poll).await?;
     match reply.news {
         Update::Whole(configuration) => Ok(configuration),
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -19,8 +19,8 @@
 /// Time between two beats.
 const BEAT_TIME: Duration = Duration::from_millis(400);
 
-/// Time between two beats while no leader answers.
-const LOST_TIME: Duration = Duration::from_millis(100);
+/// Time between two beats while no leader answers, or this box has no list of backend servers yet.
+const LOST_TIME: Duration = Duration::from_millis(50);
 
 /// How long the leader may take, with the search for it.
 const ANSWER_TIME: Duration = Duration::from_millis(1_200);
@@ -65,7 +65,8 @@
             tracing::info!(event = "leader_heard", heard, list_term = %version.term);
         }
         lost = !heard;
-        let pause = if heard { BEAT_TIME } else { LOST_TIME };
+        let listed = relay.servers.version() != ListVersion::default();
+        let pause = if heard && listed { BEAT_TIME } else { LOST_TIME };
         let jitter = rand::rng().random_range(0.85..1.15);
         tokio::time::sleep(pause.mul_f64(jitter)).await;
     }
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -221,10 +221,16 @@
     timer
 }
 
+/// Reads the list regularly, and at once when this process begins to lead: relays that have just
+/// started can serve nobody without it.
 async fn follow_list(node: Arc<Node>, client: Client, settings: CloudSettings) {
     let mut timer = every(settings.poll.duration());
+    let mut leading = node.board.follow_leading();
     loop {
-        timer.tick().await;
+        tokio::select! {
+            _ = timer.tick() => {}
+            Ok(()) = leading.changed() => {}
+        }
         if let Some(term) = node.leading_term().await {
             read_list(&node, &client, term).await;
         }
--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -24,6 +24,14 @@
 /// Least time without a leader before an election, in milliseconds. The most is twice this.
 pub const ELECTION: u64 = 350;
 
+/// Time between two questions for votes of a replica that has heard no leader since it started, in
+/// milliseconds, and the most by which it varies: a few round trips, so that a group whose replicas
+/// all stopped is not without a leader for much longer than they were down.
+const START_WAIT: std::ops::Range<u64> = 40..120;
+
+/// How long after its start a replica asks that often, in milliseconds.
+const START_TIME: u64 = 5_000;
+
 /// What a lease is shortened by, for clocks that run at different rates, in milliseconds.
 pub const DRIFT: u64 = 50;
 
@@ -117,7 +125,9 @@
     progress: BTreeMap<BoxId, Progress>,
     votes: BTreeSet<BoxId>,
     deadline: u64,
-    heard: u64,
+    /// When a leader was last heard in this life of the process.
+    heard: Option<u64>,
+    hold: Hold,
     fresh: Option<u64>,
     pending: Option<(Index, u64)>,
     incoming: Option<Install>,
@@ -130,12 +140,13 @@
 }
 
 impl Core {
-    /// A replica that restarts at `now` with what its disk holds. It gives no vote before an
-    /// election time has passed, since it may have confirmed a leader just before it stopped.
+    /// A replica that restarts at `now` with what its disk holds. It gives no vote yet, since it may
+    /// have confirmed a leader just before it stopped: see [`Hold`].
     pub fn new(own: Identity, stored: Stored, now: u64, seed: u64) -> Self {
         let base = stored.snapshot.as_ref().map_or(Index(0), |snapshot| snapshot.index);
         let log = Log::new(stored.snapshot.as_ref(), stored.entries);
         let last = log.last_index();
+        let mut random = SmallRng::seed_from_u64(seed);
         let mut core = Self {
             own,
             hard: stored.hard,
@@ -151,14 +162,15 @@
             progress: BTreeMap::new(),
             votes: BTreeSet::new(),
             deadline: 0,
-            heard: now,
+            heard: None,
+            hold: Hold::new(now, random.random()),
             fresh: None,
             pending: None,
             incoming: None,
             installed: None,
             beat: 0,
             now,
-            random: SmallRng::seed_from_u64(seed),
+            random,
             early: Vec::new(),
             late: Vec::new(),
         };
@@ -343,6 +355,9 @@
         if self.is_answer_of_other_life(&envelope) {
             return;
         }
+        if let Message::Vote { start, idle: true, .. } = envelope.message {
+            self.note_idle(&envelope.from, start);
+        }
         if envelope.term > self.hard.term && !self.meet_higher_term(&envelope) {
             return;
         }
@@ -352,10 +367,10 @@
         }
         let from = (envelope.from.clone(), envelope.from_life);
         match envelope.message {
-            Message::AskVote { pre, index, log_term } => {
-                self.on_ask_vote(from, envelope.term, pre, index, log_term);
+            Message::AskVote { pre, index, log_term, start } => {
+                self.on_ask_vote(from, envelope.term, Ask { pre, index, log_term, start });
             }
-            Message::Vote { pre, granted } => self.on_vote(&from.0, pre, granted),
+            Message::Vote { pre, granted, .. } => self.on_vote(&from.0, pre, granted),
             Message::Append(append) => self.on_append(from, append),
             Message::Appended(appended) => self.on_appended(&from.0, &appended),
             Message::Install(install) => self.on_install(from, install),
@@ -378,23 +393,23 @@
     /// Adopts a higher term unless the message only asks; `false` when it is dealt with.
     fn meet_higher_term(&mut self, envelope: &Envelope) -> bool {
         match envelope.message {
-            Message::AskVote { pre, index, log_term } => {
+            Message::AskVote { pre: true, index, log_term, start } => {
+                let granted = !self.hears_leader() && self.is_up_to_date(index, log_term);
+                let to = (envelope.from.clone(), envelope.from_life);
+                // A given pre-vote carries the term asked for, a refused one this replica's own:
+                // nobody's term grows by asking.
+                let term = if granted { envelope.term } else { self.hard.term };
+                self.send_late(to, term, self.vote(true, granted, start));
+                false
+            }
+            Message::AskVote { .. } => {
                 if self.hears_leader() {
                     return false;
                 }
-                if pre {
-                    let granted = self.is_up_to_date(index, log_term);
-                    let to = (envelope.from.clone(), envelope.from_life);
-                    // A given pre-vote carries the term asked for, a refused one this replica's own:
-                    // nobody's term grows by asking.
-                    let term = if granted { envelope.term } else { self.hard.term };
-                    self.send_late(to, term, Message::Vote { pre: true, granted });
-                    return false;
-                }
                 self.become_follower(envelope.term, None);
                 true
             }
-            Message::Vote { pre: true, granted: true } => {
+            Message::Vote { pre: true, granted: true, .. } => {
                 // It carries the term asked for, one above ours.
                 self.on_vote(&envelope.from.clone(), true, true);
                 false
@@ -414,9 +429,8 @@
     fn answer_lower_term(&mut self, envelope: &Envelope) {
         let to = (envelope.from.clone(), envelope.from_life);
         match envelope.message {
-            Message::AskVote { pre, .. } => {
-                let message = Message::Vote { pre, granted: false };
-                self.send_late(to, self.hard.term, message);
+            Message::AskVote { pre, start, .. } => {
+                self.send_late(to, self.hard.term, self.vote(pre, false, start));
             }
             Message::Append(_) | Message::Install(_) => {
                 let index = self.log.last_index();
@@ -451,8 +465,9 @@
     }
 
     fn reset_deadline(&mut self) {
-        let wait = self.random.random_range(ELECTION..ELECTION * 2);
-        self.deadline = self.now + wait;
+        let starting = self.heard.is_none() && self.now < self.hold.began + START_TIME;
+        let range = if starting { START_WAIT } else { ELECTION..ELECTION * 2 };
+        self.deadline = self.now + self.random.random_range(range);
     }
 
     fn send_late(&mut self, to: (BoxId, Incarnation), term: Term, message: Message) {
@@ -480,5 +495,9 @@
 
 mod elect;
 mod follow;
+mod hold;
 mod lead;
 mod produce;
+
+use elect::Ask;
+use hold::Hold;
--- a/src/group/core/follow.rs
+++ b/src/group/core/follow.rs
@@ -73,7 +73,7 @@
         if self.role != Role::Follower || self.leader.as_ref() != Some(from) {
             self.become_follower(self.hard.term, Some(from.clone()));
         }
-        self.heard = self.now;
+        self.heard = Some(self.now);
         self.reset_deadline();
     }
 
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -352,6 +352,7 @@
             self.carry_out(output).await?;
         }
         self.note_fresh();
+        self.board.note_leading(self.core.leads_whole().then(|| self.core.term()));
         self.note_members();
         if was_leader != (*self.core.role() == Role::Leader) {
             let role = self.status().role;
--- a/src/group/follow.rs
+++ b/src/group/follow.rs
@@ -18,8 +18,8 @@
 /// How long an answer may take.
 const CALL_TIME: Duration = Duration::from_millis(1_400);
 
-/// Pause after a failure.
-const PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a failure: replicas that were all stopped are back one after the other.
+const PAUSE: Duration = Duration::from_millis(50);
 
 /// Places from which a node begins to go through the replicas; more than there are replicas.
 const PLACES: usize = 64;
@@ -60,7 +60,8 @@
 ) -> Result<bool, PeerError> {
     let asked = Instant::now();
     let document = board.document().version;
-    let poll = Poll { from: board.revision(), document, wait: WAIT };
+    let unsure = board.age().is_none_or(|age| age > OLD);
+    let poll = Poll { from: board.revision(), document, wait: WAIT, unsure };
     let reply: PollReply = peers.call(addr, method::POLL, &poll, CALL_TIME).await?;
     board.note_work(reply.work);
     directory.learn(reply.members.iter());
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -160,6 +160,8 @@
         index: Index,
         /// That entry's term.
         log_term: Term,
+        /// Drawn when the asker's process started.
+        start: u64,
     },
     /// Answers [`Message::AskVote`].
     Vote {
@@ -167,6 +169,10 @@
         pre: bool,
         /// Whether the vote is given.
         granted: bool,
+        /// `start` of the question, given back.
+        start: u64,
+        /// Whether the answerer neither leads nor hears a leader.
+        idle: bool,
     },
     /// Entries, or none as a heartbeat.
     Append(Append),
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -17,7 +17,9 @@
 /// Largest message between nodes, in bytes.
 pub(crate) const MESSAGE_LIMIT: u32 = 16 << 20;
 
-const CONNECT_TIME: Duration = Duration::from_millis(1_000);
+/// How long a connection may take to stand. A first packet that is lost, as to a box without power,
+/// is sent again only after a second: a new connection is sooner there.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
 
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -61,6 +61,9 @@
     pub document: Version,
     /// How long to wait for a newer one, in milliseconds.
     pub wait: u64,
+    /// Whether the asker is not sure that what it has is the newest: word of that is news as well.
+    #[serde(default)]
+    pub unsure: bool,
 }
 
 /// The newest configuration, as little of it as the asker lacks.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr, eyre};
 use jsonrpsee::server::{ServerBuilder, ServerConfig, ServerHandle};
@@ -31,6 +31,9 @@
 /// How long this replica's own actor may take.
 const ACTOR_TIME: Duration = Duration::from_secs(5);
 
+/// An age up to which a replica's state tells an unsure node something.
+const RECENT: Duration = Duration::from_millis(1_000);
+
 /// A refused call's code.
 const REFUSED: i32 = -32_000;
 
@@ -179,10 +182,13 @@
     replica(&node)?;
     let mut following = node.board.follow_configuration();
     let mut documents = node.board.follow_document();
+    let mut fresh = node.board.follow_fresh();
+    let is_recent = |at: &Option<Instant>| at.is_some_and(|at| at.elapsed() < RECENT);
     let newer = async {
         tokio::select! {
-            _ = following.wait_for(|it| it.configuration.revision > poll.from) => {}
-            _ = documents.wait_for(|it| it.version > poll.document) => {}
+            _ = following.wait_for(|it| it.configuration.revision > poll.from), if !poll.unsure => {}
+            _ = documents.wait_for(|it| it.version > poll.document), if !poll.unsure => {}
+            _ = fresh.wait_for(is_recent), if poll.unsure => {}
         }
     };
     let _ = tokio::time::timeout(Duration::from_millis(poll.wait), newer).await;
--- a/tests/core/world.rs
+++ b/tests/core/world.rs
@@ -36,6 +36,12 @@
     wake_at: u64,
 }
 
+impl Box1 {
+    fn leads(&self) -> bool {
+        self.core.as_ref().is_some_and(Core::leads_whole)
+    }
+}
+
 pub struct World {
     seed: u64,
     random: SmallRng,
@@ -145,6 +151,24 @@
         }
     }
 
+    /// Stops every box at once, and gives how many milliseconds after the last one's return a box
+    /// leads that knows all that was acknowledged.
+    pub fn stop_all(&mut self) -> u64 {
+        let names: Vec<_> = self.boxes.keys().cloned().collect();
+        let mut last = 0;
+        for name in &names {
+            self.crash(name);
+            let wake_at = self.now + self.random.random_range(600..1_000);
+            self.boxes.get_mut(name).unwrap().wake_at = wake_at;
+            last = last.max(wake_at);
+        }
+        while self.now < last || !self.boxes.values().any(Box1::leads) {
+            self.advance();
+            assert!(self.now < last + 5_000, "seed {}: no leader after a stop of all", self.seed);
+        }
+        self.now - last
+    }
+
     fn step(&mut self) {
         self.advance();
         if self.random.random_bool(0.15) {
--- a/tests/group_core.rs
+++ b/tests/group_core.rs
@@ -5,6 +5,7 @@
 #[path = "core/world.rs"]
 mod world;
 
+use emberturn::group::core::ELECTION;
 use world::{Chaos, World};
 
 /// Seeds for each property. A seed that once failed is kept in [`KEPT_SEEDS`]. `EMBERTURN_SEEDS` asks
@@ -27,6 +28,23 @@
     each_seed(5, Chaos::NONE, 400);
 }
 
+/// Without word that nobody leads, no vote is given for an election time after a start; then a vote
+/// that is split costs another one.
+#[test]
+fn group_whose_boxes_all_stopped_has_a_leader_soon_after_they_are_back() {
+    let mut times = Vec::new();
+    for seed in 0..SEEDS {
+        let mut world = World::new(5, seed, Chaos::NONE);
+        world.run(300);
+        times.push(world.stop_all());
+        world.heal();
+    }
+    times.sort_unstable();
+    let (median, most) = (times[times.len() / 2], times[times.len() - 1]);
+    assert!(median < ELECTION, "median {median} ms of {times:?}");
+    assert!(most < ELECTION * 2, "most {most} ms of {times:?}");
+}
+
 #[test]
 fn safety_holds_while_messages_are_lost_late_and_doubled() {
     each_seed(5, Chaos { loss: 0.1, double: 0.1, ..Chaos::NONE }, 1_500);
