--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! | section | writer |
 //! |---|---|
-//! | configuration, published document, freshness, whether work waits, the term led in, teams ahead of their rates | the group's driver on a replica, the follower elsewhere |
+//! | configuration, published document, freshness, whether work waits, the term led in | the group's driver on a replica, the follower elsewhere |
 //! | phase | the node |
 //! | fleet: leaving, load | gossip, the platform's watcher, load polls, each attempt |
 //! | boxes | gossip |
@@ -26,7 +26,6 @@
 use crate::decide::share::Shares;
 use crate::ids::{BoxId, Revision, Term};
 use crate::member::table::Boxes;
-use crate::state::ahead::AheadNote;
 use crate::state::config::Configuration;
 use crate::state::document::Document;
 use crate::telemetry::HopLog;
@@ -81,7 +80,6 @@
     work_waiting: AtomicBool,
     voters: AtomicUsize,
     leading: watch::Sender<Option<Term>>,
-    ahead: ArcSwap<AheadNote>,
     /// What is known of backend servers.
     pub fleet: Fleet,
     /// What is known of boxes.
@@ -105,7 +103,6 @@
             work_waiting: AtomicBool::new(false),
             voters: AtomicUsize::new(0),
             leading: watch::Sender::new(None),
-            ahead: ArcSwap::default(),
             fleet: Fleet::default(),
             boxes: ArcSwap::default(),
             shares: ArcSwap::default(),
@@ -247,16 +244,6 @@
         self.leading.subscribe()
     }
 
-    /// The teams that use their limits ahead of their rates, as the group has noted it.
-    pub fn ahead(&self) -> Arc<AheadNote> {
-        self.ahead.load_full()
-    }
-
-    /// Takes the group's note of the teams ahead of their rates.
-    pub fn put_ahead(&self, note: Arc<AheadNote>) {
-        self.ahead.store(note);
-    }
-
     /// Requests under way.
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::SeqCst)
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -8,10 +8,9 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::decide::limits::Recall;
 use crate::decide::spend::Offered;
 use crate::group::access::Access;
-use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Term, Window};
+use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Window};
 use crate::relay::Relay;
 use crate::relay::allowance::{Allowed, TeamDemand};
 use crate::relay::servers::{ListVersion, ServerList};
@@ -23,9 +22,6 @@
 /// Time between two beats while no leader answers, or this box has no list of backend servers yet.
 const LOST_TIME: Duration = Duration::from_millis(50);
 
-/// Least time between two beats, also when a team has run out of its allowance.
-const HURRY_TIME: Duration = Duration::from_millis(60);
-
 /// How long the leader may take, with the search for it.
 const ANSWER_TIME: Duration = Duration::from_millis(1_200);
 
@@ -44,16 +40,11 @@
     pub offered: BTreeMap<ServiceName, Offered>,
     /// What the teams used and were refused.
     pub demand: BTreeMap<TeamName, TeamDemand>,
-    /// What was told to former leaders, once to each new one.
-    #[serde(default)]
-    pub recall: Option<Recall>,
 }
 
 /// What the leader answers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct BeatReply {
-    /// The leader's term.
-    pub term: Term,
     /// The list of backend servers, if it is newer than the relay's.
     pub list: Option<Arc<ServerList>>,
     /// What the teams may use on this box.
@@ -67,45 +58,22 @@
 /// Beats until the task is dropped.
 pub(crate) async fn run(relay: Arc<Relay>, access: Access, box_id: BoxId, life: Incarnation) {
     let mut lost = false;
-    let started = Instant::now();
-    // The leaders that answered last, and that know what was told before their time.
-    let (mut leader, mut recalled) = (None, None);
     loop {
-        let recall = (leader != recalled).then(|| Recall {
-            uptime: started.elapsed().as_secs_f64(),
-            used: relay.allowances().told(Instant::now()),
-        });
-        let asked = leader;
-        let answer = beat(&relay, &access, &box_id, life, recall).await;
-        let heard = answer.is_some();
-        leader = answer.or(leader);
-        if leader == asked {
-            recalled = leader;
-        }
+        let heard = beat(&relay, &access, &box_id, life).await;
         if heard == lost {
             let version = relay.servers.version();
             tracing::info!(event = "leader_heard", heard, list_term = %version.term);
         }
         lost = !heard;
         let listed = relay.servers.version() != ListVersion::default();
-        let pause = if heard && listed && leader == recalled { BEAT_TIME } else { LOST_TIME };
+        let pause = if heard && listed { BEAT_TIME } else { LOST_TIME };
         let jitter = rand::rng().random_range(0.85..1.15);
-        let hurried = async {
-            tokio::time::sleep(HURRY_TIME).await;
-            relay.hurry.notified().await;
-        };
-        let _ = tokio::time::timeout(pause.mul_f64(jitter), hurried).await;
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
     }
 }
 
-/// One beat; the term of the leader that answered it.
-async fn beat(
-    relay: &Relay,
-    access: &Access,
-    box_id: &BoxId,
-    life: Incarnation,
-    recall: Option<Recall>,
-) -> Option<Term> {
+/// One beat; whether it was answered.
+async fn beat(relay: &Relay, access: &Access, box_id: &BoxId, life: Incarnation) -> bool {
     let beat = Beat {
         box_id: box_id.clone(),
         life,
@@ -113,22 +81,20 @@
         usage: relay.usage().counts(),
         offered: relay.offered().rates(Instant::now()),
         demand: relay.allowances().tell(),
-        recall,
     };
     match access.beat(&beat, ANSWER_TIME).await {
         Ok(reply) => {
             relay.allowances().hear(&reply.allowed, Instant::now());
             relay.usage().forget(reply.settled);
             relay.note_relays(reply.relays);
-            relay.heard.notify_waiters();
             if let Some(list) = reply.list {
                 relay.servers.take((*list).clone());
             }
-            Some(reply.term)
+            true
         }
         Err(error) => {
             tracing::debug!(event = "beat_unanswered", %error);
-            None
+            false
         }
     }
 }
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -12,7 +12,7 @@
 
 use super::beat::{Beat, BeatReply};
 use super::spend::Spender;
-use crate::decide::limits::{BoxWord, Heard, TeamLimits};
+use crate::decide::level::{Limit, TeamLevel, Tolerance};
 use crate::decide::spend::Offered;
 use crate::group::driver::Unanswered;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Term, Window};
@@ -22,7 +22,6 @@
 use crate::relay::table::RouteTable;
 use crate::relay::usage::{Counts, window_at};
 use crate::settings::CloudSettings;
-use crate::state::ahead::AheadNote;
 use crate::state::usage::Settle;
 use crate::state::{Command, Reply};
 
@@ -48,9 +47,6 @@
 /// Windows before its election for which a new leader makes sure that a report went out.
 const LOOK_BACK: u64 = 3;
 
-/// A relay that has not been heard for this long may be cut off: two beats and an answer's time.
-const QUIET_TIME: Duration = Duration::from_millis(1_200);
-
 /// A relay that has not been heard for this long does not share the limits.
 const ABSENT_TIME: Duration = Duration::from_secs(3);
 
@@ -71,7 +67,7 @@
     /// Whether nobody can have carried out a duty before: nothing was published yet.
     first: bool,
     words: BTreeMap<(BoxId, Incarnation), Word>,
-    limits: TeamLimits,
+    levels: BTreeMap<TeamName, TeamLevel>,
     table: Option<Arc<RouteTable>>,
     list: Arc<ServerList>,
     settled: Window,
@@ -79,13 +75,13 @@
 }
 
 impl Lead {
-    fn new(term: Term, first: bool, limits: TeamLimits) -> Self {
+    fn new(term: Term, first: bool) -> Self {
         Self {
             term,
             since: Instant::now(),
             first,
             words: BTreeMap::new(),
-            limits,
+            levels: BTreeMap::new(),
             table: None,
             list: Arc::default(),
             settled: Window(0),
@@ -99,12 +95,9 @@
     }
 
     /// Takes a relay's word and answers it.
-    fn hear(&mut self, beat: Beat) -> BeatReply {
+    fn hear(&mut self, beat: Beat, tolerance: Tolerance) -> BeatReply {
         let now = Instant::now();
-        let seconds = self.since.elapsed().as_secs_f64();
-        let recall = beat.recall.as_ref();
-        let word = BoxWord { box_id: &beat.box_id, demand: &beat.demand, recall };
-        let allowed = self.limits.hear(seconds, word, self.heard());
+        let allowed = self.allow(&beat, tolerance);
         let key = (beat.box_id, beat.life);
         self.words.insert(key, Word { heard: now, usage: beat.usage, offered: beat.offered });
         self.words.retain(|_, word| word.heard + FORGET_TIME > now);
@@ -112,18 +105,32 @@
         let relays = self.words.values().filter(present).count() as u32;
         let newer = self.list.version > beat.list && !self.list.servers.is_empty();
         let list = newer.then(|| self.list.clone());
-        BeatReply { term: self.term, list, allowed, settled: self.settled, relays }
+        BeatReply { list, allowed, settled: self.settled, relays }
     }
 
-    /// Which boxes are heard: the teams' use is known only where none has fallen silent.
-    fn heard(&self) -> Heard {
-        let mut latest: BTreeMap<&BoxId, Instant> = BTreeMap::new();
-        for ((box_id, _), word) in &self.words {
-            let at = latest.entry(box_id).or_insert(word.heard);
-            *at = word.heard.max(*at);
+    fn allow(
+        &mut self,
+        beat: &Beat,
+        tolerance: Tolerance,
+    ) -> BTreeMap<TeamName, crate::relay::allowance::Allowed> {
+        let now = self.since.elapsed().as_secs_f64();
+        let Some(table) = self.table.clone() else {
+            return BTreeMap::new();
+        };
+        self.levels.retain(|name, _| table.teams.contains_key(name));
+        let mut allowed = BTreeMap::new();
+        for (name, team) in &table.teams {
+            let Some(rate) = team.rate else {
+                continue;
+            };
+            let limit = Limit { rate, burst: team.burst }.with(tolerance);
+            let demand = beat.demand.get(name).copied().unwrap_or_default();
+            let level = self.levels.entry(name.clone()).or_default();
+            if let Some(amount) = level.hear(now, limit, &beat.box_id, demand) {
+                allowed.insert(name.clone(), amount);
+            }
         }
-        let boxes = latest.values().filter(|at| at.elapsed() < QUIET_TIME).count();
-        Heard { boxes, all: boxes == latest.len() }
+        allowed
     }
 
     /// Takes what the relays that are present say of the services' demand.
@@ -166,23 +173,13 @@
     let Some(term) = node.leading_term().await else {
         return Ok(Err(Unanswered::NotLeader(None)));
     };
-    let (reply, note) = node.with_lead(term, |lead| {
-        let reply = lead.hear(beat);
-        let boxes = lead.heard().boxes;
-        (reply, lead.limits.next_note(boxes))
-    });
-    if let Some(note) = note {
-        tokio::spawn(note_ahead(node, term, note));
-    }
-    Ok(Ok(reply))
-}
-
-/// Has the group note which teams go ahead of their rates; they do so only once that is done.
-async fn note_ahead(node: Arc<Node>, term: Term, note: AheadNote) {
-    let command = Command::NoteAhead(note.clone());
-    let noted = node.access.propose(command, SETTLE_TIME).await.is_ok();
-    tracing::info!(event = "teams_ahead", noted, count = note.teams.len(), term = %term);
-    node.with_lead(term, |lead| lead.limits.end_note(noted.then_some(note)));
+    let quota = node.settings.quota;
+    let tolerance = Tolerance {
+        window: quota.window.duration().as_secs_f64(),
+        overshoot: quota.overshoot,
+        slack: quota.slack,
+    };
+    Ok(Ok(node.with_lead(term, |lead| lead.hear(beat, tolerance))))
 }
 
 impl Node {
@@ -200,14 +197,12 @@
     /// Runs `f` with the soft state of the term this process leads in.
     fn with_lead<R>(&self, term: Term, f: impl FnOnce(&mut Lead) -> R) -> R {
         let first = self.board.document().version.0 == 0;
-        let limits = || TeamLimits::new(self.board.ahead(), self.settings.quota.tolerance());
-        let begin = || Lead::new(term, first, limits());
         let mut held = crate::node::lock(&self.lead);
         if held.as_ref().is_none_or(|lead| lead.term != term) {
             tracing::info!(event = "leading", term = %term);
-            *held = Some(begin());
+            *held = Some(Lead::new(term, first));
         }
-        f(held.get_or_insert_with(begin))
+        f(held.get_or_insert_with(|| Lead::new(term, first)))
     }
 }
 
@@ -273,10 +268,7 @@
         return;
     }
     match node.dialect.read_table(&document.text) {
-        Ok(table) => node.with_lead(term, |lead| {
-            lead.limits.follow(table.limits_of_teams());
-            lead.table = Some(Arc::new(table));
-        }),
+        Ok(table) => node.with_lead(term, |lead| lead.table = Some(Arc::new(table))),
         Err(reason) => {
             tracing::error!(event = "document_invalid", version = %document.version, reason)
         }
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -34,7 +34,7 @@
 
 /// Seconds in which a new leader hears every box once. Until then it cannot tell how many share a
 /// level.
-pub const LEARN_TIME: f64 = 0.6;
+const LEARN_TIME: f64 = 0.6;
 
 /// Words from a box older than this, in seconds, count no more.
 const FORGET_TIME: f64 = 3.0;
@@ -89,12 +89,6 @@
 }
 
 impl TeamLevel {
-    /// The level of a team that has just used all it may in `window` seconds: nothing is left until
-    /// they have passed.
-    pub fn used_up(limit: Limit, window: f64) -> Self {
-        Self { left: Some(START_PART * limit.burst - limit.rate * window), ..Self::default() }
-    }
-
     /// Takes a box's word at `now` (seconds on the leader's clock), and allows it an amount until its
     /// next one; nothing is said while other boxes may not have been heard yet.
     pub fn hear(
@@ -113,11 +107,11 @@
         }
         if left <= 0.0 {
             let wait = if limit.rate > 0.0 { -left / limit.rate } else { f64::from(u16::MAX) };
-            return Some(Allowed { amount: 0.0, wait: wait.max(0.1), hold: 0.0 });
+            return Some(Allowed { amount: 0.0, wait: wait.max(0.1) });
         }
         let times = if left > PLENTY * limit.burst { PLENTY_TIMES } else { 1.0 };
         let part = (times * self.share(box_id)).min(1.0);
-        Some(Allowed { amount: left * part, wait: 0.0, hold: 0.0 })
+        Some(Allowed { amount: left * part, wait: 0.0 })
     }
 
     /// What is left.
@@ -143,7 +137,7 @@
     }
 
     /// The box's part of what is left.
-    pub fn share(&self, box_id: &BoxId) -> f64 {
+    fn share(&self, box_id: &BoxId) -> f64 {
         let count = self.demands.len().max(1) as f64;
         let even = EVEN_PART / count;
         let total: f64 = self.demands.values().map(|demand| demand.mean).sum();
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,9 +10,7 @@
 //! - [`share`]: which part of a fleet-wide limit each node may use.
 
 pub mod admit;
-pub mod ahead;
 pub mod level;
-pub mod limits;
 pub mod policy;
 pub mod queue;
 pub mod reclaim;
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -429,7 +429,6 @@
     fn publish(&self) {
         self.board.put_in_force(self.machine.configuration().clone());
         self.board.put_document(self.machine.document().clone());
-        self.board.put_ahead(self.machine.ahead().clone());
     }
 
     /// Has the members' addresses known and the links to others closed, when the members change.
--- a/src/relay/allowance.rs
+++ b/src/relay/allowance.rs
@@ -4,7 +4,7 @@
 //! allows this box an amount until the next one. What is used is told with the next beat. An amount
 //! that is not used lapses, so none sits where it is not wanted.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -15,9 +15,6 @@
 /// After this time without word from the leader a box goes on with an even part of the rate.
 const OVERDUE: Duration = Duration::from_millis(900);
 
-/// How far back a new leader may want to know what was used: longer than any window of limits.
-const RECALL_TIME: Duration = Duration::from_secs(15);
-
 /// Seconds of its even part that a team may use on a box that has not heard from the leader yet.
 const START_TIME: f64 = 2.0;
 
@@ -48,22 +45,15 @@
     pub amount: f64,
     /// Seconds until the team's level is positive again, 0 if it is.
     pub wait: f64,
-    /// Seconds without word from the leader before the box may go on with its even part of the rate:
-    /// the team may have used that ahead of time at other boxes.
-    #[serde(default)]
-    pub hold: f64,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 struct Allowance {
     left: f64,
     wait: f64,
-    hold: Duration,
     demand: TeamDemand,
     /// The demand that is under way to the leader.
     told: TeamDemand,
-    /// What was told to a leader, with its time; as far back as a leader asks for it.
-    history: VecDeque<(Instant, f64)>,
     /// Until when it was filled while the leader was silent.
     filled: Instant,
 }
@@ -73,13 +63,11 @@
 pub struct Allowances {
     teams: BTreeMap<TeamName, Allowance>,
     heard: Instant,
-    /// Whether a team ran out of its amount that, by the leader's last word, had something left.
-    runs_out: bool,
 }
 
 impl Default for Allowances {
     fn default() -> Self {
-        Self { teams: BTreeMap::new(), heard: Instant::now(), runs_out: false }
+        Self { teams: BTreeMap::new(), heard: Instant::now() }
     }
 }
 
@@ -93,10 +81,8 @@
             let fresh = Allowance {
                 left: start,
                 wait: 0.0,
-                hold: Duration::ZERO,
                 demand: none,
                 told: none,
-                history: VecDeque::new(),
                 filled: Instant::now(),
             };
             self.teams.entry(name.clone()).or_insert(fresh);
@@ -128,7 +114,6 @@
             return Ok(());
         }
         allowance.demand.refused += cost;
-        self.runs_out |= allowance.wait == 0.0;
         let wait = Duration::from_secs_f64(allowance.wait.clamp(0.0, 60.0));
         Err(wait.clamp(WAIT_LIMITS.0, WAIT_LIMITS.1))
     }
@@ -143,27 +128,18 @@
 
     /// While the leader is silent, a team gets an even part of its rate instead.
     fn fill(&mut self, team: &Team, even: f64, now: Instant) {
-        let Some(allowance) = self.teams.get_mut(&team.name) else {
+        let overdue = self.heard + OVERDUE;
+        let Some(allowance) = self.teams.get_mut(&team.name).filter(|_| now > overdue) else {
             return;
         };
-        let overdue = self.heard + allowance.hold.max(OVERDUE);
-        if now <= overdue {
-            return;
-        }
         let since = allowance.filled.max(overdue);
         let passed = now.saturating_duration_since(since).as_secs_f64();
         allowance.left = (allowance.left + even * passed).min(even * START_TIME);
         allowance.filled = now;
     }
 
-    /// Whether the leader is to be asked at once: it may well have more for a team that runs out.
-    pub fn runs_out(&self) -> bool {
-        self.runs_out
-    }
-
     /// The demand to tell the leader: everything since its last answer.
     pub fn tell(&mut self) -> BTreeMap<TeamName, TeamDemand> {
-        self.runs_out = false;
         let mut told = BTreeMap::new();
         for (name, allowance) in &mut self.teams {
             allowance.told = allowance.demand;
@@ -174,30 +150,16 @@
         told
     }
 
-    /// What was told to leaders of late, by team: how many seconds ago, and how much.
-    pub fn told(&self, now: Instant) -> BTreeMap<TeamName, Vec<(f64, f64)>> {
-        let age = |at: &Instant| now.saturating_duration_since(*at).as_secs_f64();
-        let told = |it: &Allowance| it.history.iter().map(|(at, used)| (age(at), *used)).collect();
-        self.teams.iter().map(|(name, it)| (name.clone(), told(it))).collect()
-    }
-
     /// Takes the leader's answer to what was told. What was used meanwhile counts against it.
     pub fn hear(&mut self, allowed: &BTreeMap<TeamName, Allowed>, now: Instant) {
         self.heard = now;
         for (name, allowance) in &mut self.teams {
             allowance.demand.used -= allowance.told.used;
-            if allowance.told.used != 0.0 {
-                allowance.history.push_back((now, allowance.told.used));
-            }
-            while allowance.history.front().is_some_and(|(at, _)| *at + RECALL_TIME < now) {
-                allowance.history.pop_front();
-            }
             allowance.demand.refused -= allowance.told.refused;
             allowance.told = TeamDemand::default();
             if let Some(allowed) = allowed.get(name) {
                 allowance.left = allowed.amount - allowance.demand.used;
                 allowance.wait = allowed.wait;
-                allowance.hold = Duration::from_secs_f64(allowed.hold.clamp(0.0, 60.0));
             }
         }
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -41,7 +41,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::backend::Pool;
 use crate::blackboard::Blackboard;
@@ -90,10 +90,6 @@
     offered: Mutex<OfferedBook>,
     /// Relays that share the limits, as the leader last said.
     relays: AtomicU32,
-    /// Asks for a beat before the next one is due.
-    pub(crate) hurry: Notify,
-    /// Told of each beat that was answered.
-    pub(crate) heard: Notify,
 }
 
 /// Relays taken to share the limits before the leader has said how many do.
@@ -117,8 +113,6 @@
             faults: Mutex::default(),
             offered: Mutex::default(),
             relays: AtomicU32::new(RELAYS_GUESSED),
-            hurry: Notify::new(),
-            heard: Notify::new(),
         }
     }
 
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::decide::level::Limit;
 use crate::ids::{DataCentre, ServiceName, TeamName, Version};
 use crate::units::Tokens;
 
@@ -248,14 +247,6 @@
         Ok(Self { version: parts.version, limits: parts.limits, services, teams, hosts, keys })
     }
 
-    /// The teams that have a limit.
-    pub fn limits_of_teams(&self) -> BTreeMap<TeamName, Limit> {
-        let limit = |team: &Team| Some(Limit { rate: team.rate?, burst: team.burst });
-        let limited =
-            self.teams.iter().filter_map(|(name, team)| Some((name.clone(), limit(team)?)));
-        limited.collect()
-    }
-
     /// How many routes there are.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -3,7 +3,6 @@
 use std::net::{IpAddr, SocketAddr};
 
 use super::Reader;
-use crate::decide::level::Tolerance;
 use crate::units::Millis;
 
 /// How replicas find each other where the settings name only a few of them.
@@ -69,14 +68,6 @@
     pub slack: f64,
 }
 
-impl QuotaSettings {
-    /// What the decisions take.
-    pub fn tolerance(&self) -> Tolerance {
-        let window = self.window.duration().as_secs_f64();
-        Tolerance { window, overshoot: self.overshoot, slack: self.slack }
-    }
-}
-
 impl Default for QuotaSettings {
     fn default() -> Self {
         Self { window: Millis(10_000), overshoot: 0.0, slack: 0.0 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,7 +4,6 @@
 //! state and the same replies on every replica. It reads no clock: each entry carries the leader's
 //! time.
 
-pub mod ahead;
 pub mod change_file;
 pub mod config;
 pub mod document;
@@ -16,7 +15,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use ahead::AheadNote;
 use config::{Change, ChangeReply, Configuration};
 use document::{Document, Version};
 use ledger::{Begin, BeginReply, End, EndReply, Ledger};
@@ -45,8 +43,6 @@
     ReadDocument,
     /// Fixes what a usage window's report says.
     Settle(Settle),
-    /// Notes the teams that use their limits ahead of their rates, in place of those noted before.
-    NoteAhead(AheadNote),
     /// Drop what is older than its age allows.
     Expire,
 }
@@ -73,8 +69,6 @@
     Document(Arc<Document>),
     /// Answers [`Command::Settle`]: the counts that stand for the window.
     Settle(Settle),
-    /// Answers [`Command::NoteAhead`].
-    NoteAhead,
     /// Answers [`Command::Expire`]: how many entries went.
     Expire(usize),
 }
@@ -89,8 +83,6 @@
     document: Arc<Document>,
     #[serde(default)]
     usage: UsageBook,
-    #[serde(default)]
-    ahead: Arc<AheadNote>,
 }
 
 impl Machine {
@@ -109,10 +101,6 @@
             Command::Publish(document) => Reply::Publish(self.publish(document)),
             Command::ReadDocument => Reply::Document(self.document.clone()),
             Command::Settle(settle) => Reply::Settle(self.usage.settle(settle)),
-            Command::NoteAhead(note) => {
-                self.ahead = Arc::new(note.clone());
-                Reply::NoteAhead
-            }
             Command::Expire => Reply::Expire(self.expire(at)),
         }
     }
@@ -130,11 +118,6 @@
         &self.document
     }
 
-    /// The teams that use their limits ahead of their rates.
-    pub fn ahead(&self) -> &Arc<AheadNote> {
-        &self.ahead
-    }
-
     fn expire(&mut self, at: u64) -> usize {
         let limits = &self.configuration.limits;
         let ledger = self.ledger.expire(at, limits.ledger_age);
