Relays ask the leader at once when an allowance runs out, leave a silent leader sooner, wait shortly for routes at their start

Cause: three delays seen in the logs. A box that used up its amount refused until its next beat, up to 0.4 s, although the leader had more. Right after a start calls were refused 100 to 300 ms before routes and servers came, and a caller with one retry does not come again.

Change: a shortage of what the leader may have more of hastens the beat, and the call waits a fifth of its objective for the answer; a beat waits 400 ms for one replica; a call that meets a box without routes or servers waits a thirtieth of its deadline, 400 ms at most.

Votes: the new fields of questions and answers may be missing, so that replicas of two versions elect a leader.

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -22,6 +22,9 @@
 /// Time between two beats while no leader answers, or this box has no list of backend servers yet.
 const LOST_TIME: Duration = Duration::from_millis(50);
 
+/// Least time between two beats, also when a team has run out of its allowance.
+const HURRY_TIME: Duration = Duration::from_millis(60);
+
 /// How long the leader may take, with the search for it.
 const ANSWER_TIME: Duration = Duration::from_millis(1_200);
 
@@ -68,7 +71,11 @@
         let listed = relay.servers.version() != ListVersion::default();
         let pause = if heard && listed { BEAT_TIME } else { LOST_TIME };
         let jitter = rand::rng().random_range(0.85..1.15);
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        let hurried = async {
+            tokio::time::sleep(HURRY_TIME).await;
+            relay.hurry.notified().await;
+        };
+        let _ = tokio::time::timeout(pause.mul_f64(jitter), hurried).await;
     }
 }
 
@@ -87,8 +94,9 @@
             relay.allowances().hear(&reply.allowed, Instant::now());
             relay.usage().forget(reply.settled);
             relay.note_relays(reply.relays);
+            relay.heard.notify_waiters();
             if let Some(list) = reply.list {
-                relay.servers.take((*list).clone());
+                relay.put_servers((*list).clone());
             }
             true
         }
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -27,6 +27,10 @@
 /// How long one replica is waited for.
 const CALL_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long one replica is waited for with a beat: the leader answers from memory, within a few
+/// milliseconds. One that stands still is left for the next within about an election's time.
+const BEAT_TIME: Duration = Duration::from_millis(400);
+
 /// Pause before asking again when no replica leads.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -91,7 +95,7 @@
     /// # Errors
     /// When `limit` is over.
     pub(crate) async fn beat(&self, beat: &Beat, limit: Duration) -> Result<BeatReply, NoGroup> {
-        self.until_answered(method::BEAT, beat, limit).await
+        self.until_answered_in(method::BEAT, beat, limit, BEAT_TIME).await
     }
 
     /// Reads kept work at the leader.
@@ -124,6 +128,21 @@
         body: &T,
         limit: Duration,
     ) -> Result<R, NoGroup>
+    where
+        T: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        self.until_answered_in(method, body, limit, CALL_TIME).await
+    }
+
+    /// Asks until `limit`; each replica is waited for no longer than `call_time`.
+    async fn until_answered_in<T, R>(
+        &self,
+        method: &'static str,
+        body: &T,
+        limit: Duration,
+        call_time: Duration,
+    ) -> Result<R, NoGroup>
     where
         T: Serialize + Sync,
         R: DeserializeOwned,
@@ -132,7 +151,7 @@
         let mut turn = 0;
         while Instant::now() < deadline {
             let (box_id, addr) = self.target(turn).ok_or(NoGroup)?;
-            let left = deadline.saturating_duration_since(Instant::now()).min(CALL_TIME);
+            let left = deadline.saturating_duration_since(Instant::now()).min(call_time);
             let call = self.peers.call::<T, Result<R, Unanswered>>(addr, method, body, left);
             match call.await {
                 Ok(Ok(reply)) => {
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -160,7 +160,8 @@
         index: Index,
         /// That entry's term.
         log_term: Term,
-        /// Drawn when the asker's process started.
+        /// Drawn when the asker's process started; replicas of 0.1 and before say none.
+        #[serde(default)]
         start: u64,
     },
     /// Answers [`Message::AskVote`].
@@ -170,8 +171,10 @@
         /// Whether the vote is given.
         granted: bool,
         /// `start` of the question, given back.
+        #[serde(default)]
         start: u64,
-        /// Whether the answerer neither leads nor hears a leader.
+        /// Whether the answerer neither leads nor hears a leader, as far as it says so.
+        #[serde(default)]
         idle: bool,
     },
     /// Entries, or none as a heartbeat.
--- a/src/relay/allowance.rs
+++ b/src/relay/allowance.rs
@@ -63,11 +63,13 @@
 pub struct Allowances {
     teams: BTreeMap<TeamName, Allowance>,
     heard: Instant,
+    /// Whether a team ran out of its amount that, by the leader's last word, had something left.
+    runs_out: bool,
 }
 
 impl Default for Allowances {
     fn default() -> Self {
-        Self { teams: BTreeMap::new(), heard: Instant::now() }
+        Self { teams: BTreeMap::new(), heard: Instant::now(), runs_out: false }
     }
 }
 
@@ -114,6 +116,7 @@
             return Ok(());
         }
         allowance.demand.refused += cost;
+        self.runs_out |= allowance.wait == 0.0;
         let wait = Duration::from_secs_f64(allowance.wait.clamp(0.0, 60.0));
         Err(wait.clamp(WAIT_LIMITS.0, WAIT_LIMITS.1))
     }
@@ -138,8 +141,14 @@
         allowance.filled = now;
     }
 
+    /// Whether the leader is to be asked at once: it may well have more for a team that runs out.
+    pub fn runs_out(&self) -> bool {
+        self.runs_out
+    }
+
     /// The demand to tell the leader: everything since its last answer.
     pub fn tell(&mut self) -> BTreeMap<TeamName, TeamDemand> {
+        self.runs_out = false;
         let mut told = BTreeMap::new();
         for (name, allowance) in &mut self.teams {
             allowance.told = allowance.demand;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -37,11 +37,13 @@
 pub mod table;
 pub mod usage;
 
+use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::backend::Pool;
 use crate::blackboard::Blackboard;
@@ -53,7 +55,7 @@
 use dialect::Dialect;
 use faults::FaultBook;
 use offered::OfferedBook;
-use servers::ServerBook;
+use servers::{ListVersion, ServerBook, ServerList};
 use table::RouteTable;
 use usage::UsageCounter;
 
@@ -90,6 +92,12 @@
     offered: Mutex<OfferedBook>,
     /// Relays that share the limits, as the leader last said.
     relays: AtomicU32,
+    /// Told of new routes and backend servers.
+    learned: Notify,
+    /// Asks for a beat before the next one is due.
+    pub(crate) hurry: Notify,
+    /// Told of each beat that was answered.
+    pub(crate) heard: Notify,
 }
 
 /// Relays taken to share the limits before the leader has said how many do.
@@ -113,6 +121,9 @@
             faults: Mutex::default(),
             offered: Mutex::default(),
             relays: AtomicU32::new(RELAYS_GUESSED),
+            learned: Notify::new(),
+            hurry: Notify::new(),
+            heard: Notify::new(),
         }
     }
 
@@ -133,6 +144,33 @@
         );
         self.allowances().follow(&table);
         self.table.store(Some(table));
+        self.learned.notify_waiters();
+    }
+
+    /// Takes a list of backend servers.
+    pub fn put_servers(&self, list: ServerList) {
+        self.servers.take(list);
+        self.learned.notify_waiters();
+    }
+
+    /// Whether the box knows routes and backend servers at all: it does not right after its start.
+    fn is_taught(&self) -> bool {
+        self.table.load().is_some() && self.servers.version() != ListVersion::default()
+    }
+
+    /// Waits until the box knows routes and backend servers, at most `limit`.
+    pub(crate) async fn wait_taught(&self, limit: Duration) {
+        let taught = async {
+            loop {
+                let mut learned = pin!(self.learned.notified());
+                learned.as_mut().enable();
+                if self.is_taught() {
+                    return;
+                }
+                learned.await;
+            }
+        };
+        let _ = tokio::time::timeout(limit, taught).await;
     }
 
     /// The teams' allowances on this box.
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -1,5 +1,6 @@
 //! The life of a request.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,14 @@
 /// power everywhere, about the time until the group has a leader again.
 const UNSURE_WAIT: Duration = Duration::from_millis(1_000);
 
+/// The longest that a call waits for a box that has just started. After a stop of everything the
+/// group has a leader, and boxes know routes and backend servers, about that long after their start.
+const START_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Of its deadline, one part in so many a call waits at most for that: the routes that would tell its
+/// objective are not known.
+const START_PART: u32 = 30;
+
 /// When to come back to another box, when this one stops.
 const CLOSING_WAIT: Duration = Duration::from_millis(50);
 
@@ -35,6 +44,10 @@
 /// the group. The rest is for requests that are just being passed on.
 const KEY_MARGIN: f64 = 0.85;
 
+/// Of its objective, one part in so many may pass until a call is refused for its team's limit: a
+/// caller that is told later than after a quarter has lost more by waiting than by asking again.
+const ASK_PART: u32 = 5;
+
 /// How much a team's rank weighs against its route's, in urgencies.
 const TEAM_URGENCY: u8 = 3;
 
@@ -84,6 +97,7 @@
     arrived: Instant,
 ) -> Result<Response<Body>, Failure> {
     let guard = relay.parts.board.begin_request();
+    relay.wait_taught(start_patience(&head)).await;
     let table = relay.table().ok_or_else(|| unsure("no routes are known yet"))?;
     head::check(&request, table.limits.head)?;
     let route = find_route(relay, &table, &request)?;
@@ -95,7 +109,7 @@
     let service = choose_service(&route)?;
     let id = head.id.clone();
     let call = read_call(&table, &route, team, head, request, arrived).await?;
-    let spent = take_allowance(relay, team, &call)?;
+    let spent = take_allowance(relay, team, &route, &call).await?;
     relay.retries().earn(&service, &retry_limit(relay));
     relay.offered().count(&service, call.prompt());
     let answered = match route.repeat.is_stream() {
@@ -148,6 +162,12 @@
     );
 }
 
+/// How long a call may wait for a box that has just started to learn routes and backend servers.
+fn start_patience(head: &CallHead) -> Duration {
+    let deadline = head.deadline.unwrap_or_default();
+    (deadline / START_PART).min(START_PATIENCE)
+}
+
 fn unsure(text: &str) -> Failure {
     Failure::new(Kind::StaleConfiguration, text).after(Some(UNSURE_WAIT))
 }
@@ -245,18 +265,31 @@
 }
 
 /// Takes what the call costs from its team's allowance; the amount taken.
-fn take_allowance(relay: &Relay, team: Option<&Team>, call: &Call) -> Result<f64, Failure> {
+/// Takes what the call costs of its team's allowance. Where the allowance is used up although the
+/// leader had more for the team, it is asked, and waited for as long as a refusal would still be early.
+async fn take_allowance(
+    relay: &Relay,
+    team: Option<&Team>,
+    route: &Route,
+    call: &Call,
+) -> Result<f64, Failure> {
     let Some(team) = team else {
         return Ok(0.0);
     };
     let tokens = call.head.size.map(|size| size.prompt + size.output);
     let cost = allowance::cost(team, tokens);
-    let taken = relay.allowances().take(team, cost, relay.relays(), Instant::now());
-    match taken {
-        Ok(()) => Ok(cost),
-        Err(wait) => {
-            let text = format!("team {} is over its limit", team.name);
-            Err(Failure::new(Kind::RateLimit, text).after(Some(wait)))
+    let take = || relay.allowances().take(team, cost, relay.relays(), Instant::now());
+    let mut taken = take();
+    if taken.is_err() && relay.allowances().runs_out() {
+        let mut heard = pin!(relay.heard.notified());
+        heard.as_mut().enable();
+        relay.hurry.notify_one();
+        if tokio::time::timeout(route.objective / ASK_PART, heard).await.is_ok() {
+            taken = take();
         }
     }
+    taken.map(|()| cost).map_err(|wait| {
+        let text = format!("team {} is over its limit", team.name);
+        Failure::new(Kind::RateLimit, text).after(Some(wait))
+    })
 }
--- a/tests/group_core.rs
+++ b/tests/group_core.rs
@@ -6,6 +6,8 @@
 mod world;
 
 use emberturn::group::core::ELECTION;
+use emberturn::group::message::Message;
+use emberturn::ids::{Index, Term};
 use world::{Chaos, World};
 
 /// Seeds for each property. A seed that once failed is kept in [`KEPT_SEEDS`]. `EMBERTURN_SEEDS` asks
@@ -45,6 +47,17 @@
     assert!(most < ELECTION * 2, "most {most} ms of {times:?}");
 }
 
+/// While a group is brought to a new version, replicas of the former one ask and answer as well.
+#[test]
+fn votes_are_asked_for_and_given_without_the_fields_of_this_version() {
+    let question = r#"{"ask_vote":{"pre":true,"index":7,"log_term":2}}"#;
+    let expected = Message::AskVote { pre: true, index: Index(7), log_term: Term(2), start: 0 };
+    assert_eq!(serde_json::from_str::<Message>(question).unwrap(), expected);
+    let answer = r#"{"vote":{"pre":false,"granted":true}}"#;
+    let expected = Message::Vote { pre: false, granted: true, start: 0, idle: false };
+    assert_eq!(serde_json::from_str::<Message>(answer).unwrap(), expected);
+}
+
 #[test]
 fn safety_holds_while_messages_are_lost_late_and_doubled() {
     each_seed(5, Chaos { loss: 0.1, double: 0.1, ..Chaos::NONE }, 1_500);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,11 +1,15 @@
 //! Limits that hold over all boxes: teams' allowances, the retry budget, usage windows.
 
+#[path = "support/platform.rs"]
+#[allow(dead_code, reason = "each test takes what it needs")]
+mod platform;
+
 use std::collections::BTreeMap;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use emberturn::decide::level::{Limit, TeamLevel, Tolerance};
 use emberturn::ids::{BoxId, ServiceName, TeamName, Window};
-use emberturn::relay::allowance::TeamDemand;
+use emberturn::relay::allowance::{Allowances, Allowed, TeamDemand};
 use emberturn::relay::budget::{RetryBudgets, RetryLimit};
 use emberturn::relay::usage::{UsageCounter, window_at};
 use emberturn::state::document::{Document, Version};
@@ -167,3 +171,26 @@
     assert_eq!(held, Reply::Document(document(5, "five")));
     assert_eq!(publish(&mut machine, document(9, "nine")), Reply::Publish(Version(9)));
 }
+
+#[test]
+fn box_asks_at_once_when_a_team_runs_out_of_what_the_leader_may_have_more_of() {
+    let table = emberturn::platform::document::read(
+        &platform::document(1, &platform::usual_routes()).to_string(),
+    );
+    let table = table.unwrap();
+    let team = table.teams.values().next().unwrap();
+    let mut allowances = Allowances::default();
+    allowances.follow(&table);
+    let now = Instant::now();
+    let mut word = |amount, wait| {
+        allowances.tell();
+        let allowed = BTreeMap::from([(team.name.clone(), Allowed { amount, wait })]);
+        allowances.hear(&allowed, now);
+        let taken = [100.0, 100.0].map(|cost| allowances.take(team, cost, 4, now).is_ok());
+        (taken, allowances.runs_out())
+    };
+    assert_eq!(word(50.0, 0.0), ([true, false], true));
+    assert_eq!(word(500.0, 0.0), ([true, true], false));
+    // The leader has said that nothing is left.
+    assert_eq!(word(0.0, 1.5), ([false, false], false));
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -377,3 +377,28 @@
     let ids: Vec<_> = server.seen().iter().map(|seen| seen.headers["request-id"].clone()).collect();
     assert_eq!(ids, ["r-1", "r-2"]);
 }
+
+#[tokio::test]
+async fn call_that_meets_a_box_right_after_its_start_waits_for_routes_and_servers() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::empty().await;
+    // A long time to wait for the answer, so that the test does not depend on the machine's speed.
+    let text = "POST /once/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-1\r\nApi-Key: key-a\r\n\
+                Deadline-Ms: 12000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    let (answer, ()) = tokio::join!(relay.raw(text), async {
+        while relay.board.requests() == 0 {
+            tokio::task::yield_now().await;
+        }
+        relay.publish(&document(1, &usual_routes()));
+        relay.list(&[&server]);
+    });
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[tokio::test]
+async fn call_is_refused_with_a_time_when_a_box_learns_nothing() {
+    let relay = TestRelay::empty().await;
+    let reply = relay.ask("POST", "once").await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.headers.contains_key("retry-after"), "{reply:?}");
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -390,7 +390,7 @@
     pub fn list_as(&self, servers: Vec<Server>) {
         let place = self.relay.servers.version().place + 1;
         let version = ListVersion { term: Term(1), place };
-        self.relay.servers.take(ServerList { version, servers });
+        self.relay.put_servers(ServerList { version, servers });
     }
 
     /// Has the relay prefer every other server to this one.
