--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -385,13 +385,16 @@
     // A long time to wait for the answer, so that the test does not depend on the machine's speed.
     let text = "POST /once/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-1\r\nApi-Key: key-a\r\n\
                 Deadline-Ms: 12000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    let (answer, ()) = tokio::join!(relay.raw(text), async {
-        while relay.board.requests() == 0 {
-            tokio::task::yield_now().await;
+    let mut asking = std::pin::pin!(relay.raw(text));
+    while relay.board.requests() == 0 {
+        tokio::select! {
+            early = &mut asking => panic!("answered before anything was known: {early}"),
+            () = tokio::task::yield_now() => {}
         }
-        relay.publish(&document(1, &usual_routes()));
-        relay.list(&[&server]);
-    });
+    }
+    relay.publish(&document(1, &usual_routes()));
+    relay.list(&[&server]);
+    let answer = asking.await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
