--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -238,6 +238,11 @@
         self.leading.send_if_modified(|held| std::mem::replace(held, term) != term);
     }
 
+    /// In which term this process's replica led when it last looked.
+    pub fn leading(&self) -> Option<Term> {
+        *self.leading.borrow()
+    }
+
     /// Follows in which term this process's replica leads. Whether it still does is for the replica
     /// to say.
     pub fn follow_leading(&self) -> watch::Receiver<Option<Term>> {
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -114,11 +114,6 @@
         Some(Allowed { amount: left * part, wait: 0.0 })
     }
 
-    /// What is left.
-    pub fn left(&self) -> f64 {
-        self.left.unwrap_or(0.0)
-    }
-
     fn fill(&mut self, now: f64, limit: Limit) -> f64 {
         let passed = (now - self.at).max(0.0);
         self.at = now;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -33,6 +33,7 @@
 use crate::peer::method::{BackendStatus, GroupStatus, NodeStatus};
 use crate::peer::{Peers, server as peer_server};
 use crate::platform::PlatformDialect;
+use crate::relay::Relay;
 use crate::relay::dialect::Dialect;
 use crate::settings::{Role, Settings, StaleRule};
 use crate::telemetry::Metrics;
@@ -72,6 +73,7 @@
     /// Where nodes reach it, once it listens.
     pub peer_addr: OnceLock<SocketAddr>,
     started: Instant,
+    relay: OnceLock<Arc<Relay>>,
     spread: OnceLock<ActorRef<SpreadMessage>>,
     lessor: Mutex<Option<(Term, Lessor)>>,
     pub(crate) lead: Mutex<Option<Lead>>,
@@ -111,6 +113,7 @@
             entry_addr: OnceLock::new(),
             peer_addr: OnceLock::new(),
             started: Instant::now(),
+            relay: OnceLock::new(),
             spread: OnceLock::new(),
             lessor: Mutex::default(),
             lead: Mutex::default(),
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -34,6 +34,7 @@
             metrics: self.metrics.clone(),
             closing: self.follow_closing(),
         }));
+        let _ = self.relay.set(relay.clone());
         let listeners = Listeners::open(&relay).await?;
         tokio::spawn(follow_routes(relay.clone()));
         let box_id = self.settings.node.box_id.clone();
@@ -42,6 +43,11 @@
         Ok(())
     }
 
+    /// The relay, where the node is one.
+    pub(crate) fn relay(&self) -> Option<&Relay> {
+        self.relay.get().map(Arc::as_ref)
+    }
+
     /// Lets operators publish routes, where the settings say so.
     pub(super) async fn start_operator(self: &Arc<Self>) -> Result<()> {
         match self.settings.operator.clone() {
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, CONTENT_LENGTH};
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
@@ -43,7 +43,8 @@
     "upgrade",
 ];
 
-/// Removes the headers that concern one connection only, also those that `Connection` names.
+/// Removes the headers that concern one connection only, also those that `Connection` names, and the
+/// length, which is that of the bytes on that connection.
 pub fn strip_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
         .get_all(CONNECTION)
@@ -58,17 +59,19 @@
     for name in HOP_HEADERS {
         headers.remove(name);
     }
+    headers.remove(CONTENT_LENGTH);
 }
 
 /// A backend server's answer, whole.
-struct Answer {
+pub(super) struct Answer {
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
 }
 
 impl Answer {
-    fn response(self) -> Response<Body> {
+    /// As it goes to the caller.
+    pub(super) fn response(self) -> Response<Body> {
         let mut response = Response::new(whole(self.body));
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
@@ -146,7 +149,7 @@
     let limit = call.left();
     let result = tokio::time::timeout(limit, async {
         let reply = send(relay, call, route, known, Origin::default(), limit).await?;
-        read(reply).await
+        read(reply, ANSWER_LIMIT).await
     });
     let (answer, failed) = match result.await {
         Ok(result) => result?,
@@ -163,14 +166,12 @@
     Ok((answer, failed))
 }
 
-/// Reads an answer to its end.
-async fn read(reply: Reply) -> Result<(Answer, bool), Miss> {
+/// Reads an answer of at most `limit` bytes to its end; whether the server says that it failed.
+pub(super) async fn read(reply: Reply, limit: usize) -> Result<(Answer, bool), Miss> {
     let status = reply.exchange.status;
     let mut headers = reply.exchange.headers.clone();
-    let body = reply.exchange.read_whole(ANSWER_LIMIT, Duration::from_secs(3_600)).await;
+    let body = reply.exchange.read_whole(limit, Duration::from_secs(3_600)).await;
     let body = body.map_err(Miss::of_fault)?;
     strip_hop_headers(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    headers.remove(TRANSFER_ENCODING);
     Ok((Answer { status, headers, body }, reply.failed))
 }
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
+use hyper::header::{CONNECTION, EXPECT, HOST, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
 
@@ -231,9 +231,7 @@
     let (mut parts, body) = request.into_parts();
     let body = read_body(body, table.limits.body, waits).await?;
     strip_hop_headers(&mut parts.headers);
-    for name in [CONTENT_LENGTH, EXPECT] {
-        parts.headers.remove(name);
-    }
+    parts.headers.remove(EXPECT);
     let path = parts.uri.path_and_query().cloned();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
     let urgency = team.map_or(0, |team| team.priority.saturating_mul(TEAM_URGENCY));
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -10,22 +10,21 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{Miss, Origin, Reply, seconds_since, send};
+use super::attempt::{Miss, Origin, seconds_since, send};
 use super::call::Call;
 use super::course::Course;
 use super::events::{EventCutter, event_id};
 use super::moving::{self, Moved, move_away};
-use super::plain::strip_hop_headers;
+use super::plain::{read, strip_hop_headers};
 use super::servers::{Flight, Known};
 use super::table::{Repeat, Route};
 use crate::backend::{Exchange, SendFault};
 use crate::blackboard::RequestGuard;
 use crate::error::{Failure, Kind};
-use crate::http::{Body, whole};
+use crate::http::Body;
 use crate::ids::ServiceName;
 use crate::telemetry::volume;
 
@@ -171,7 +170,8 @@
     let opening = async {
         let reply = send(relay, call, route, known, origin, limit).await?;
         if !reply.exchange.status.is_success() {
-            return read_failure(reply).await;
+            let (answer, failed) = read(reply, FAILURE_LIMIT).await?;
+            return Ok(Opening::Whole(answer.response(), failed));
         }
         let exchange = reply.exchange;
         let mut source = Source { exchange, cutter: EventCutter::default(), flight, began };
@@ -180,8 +180,6 @@
         let status = source.exchange.status;
         let mut headers = source.exchange.headers.clone();
         strip_hop_headers(&mut headers);
-        headers.remove(CONTENT_LENGTH);
-        headers.remove(TRANSFER_ENCODING);
         Ok(Opening::Stream(Box::new(Opened { status, headers, source, first })))
     };
     let opened = match tokio::time::timeout(limit, opening).await {
@@ -203,19 +201,6 @@
 /// Parts of prompts remembered for each engine.
 const PARTS_KEPT: usize = 1_024;
 
-async fn read_failure(reply: Reply) -> Result<Opening, Miss> {
-    let status = reply.exchange.status;
-    let mut headers = reply.exchange.headers.clone();
-    let body = reply.exchange.read_whole(FAILURE_LIMIT, Duration::from_secs(3_600)).await;
-    let body = body.map_err(Miss::of_fault)?;
-    strip_hop_headers(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    let mut response = Response::new(whole(body));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    Ok(Opening::Whole(response, reply.failed))
-}
-
 async fn first_event(source: &mut Source, limit: Duration) -> Result<Bytes, Miss> {
     loop {
         match source.cutter.next_event() {
@@ -244,9 +229,21 @@
     pub(super) last: Option<u64>,
     /// Events passed on.
     events: u64,
+    /// When the last events came, and the longest time between two of them.
+    at: Instant,
+    pause: Duration,
 }
 
 impl Progress {
+    fn new(last: Option<u64>) -> Self {
+        Self { last, events: 0, at: Instant::now(), pause: Duration::ZERO }
+    }
+
+    /// Whether a pause was longer than the route allows.
+    fn is_late(&self, route: &Route) -> bool {
+        route.gap.is_some_and(|gap| self.pause > gap)
+    }
+
     /// Takes the whole events that a source holds, without those the caller has already.
     pub(super) fn take(&mut self, source: &mut Source) -> Result<Bytes, SendFault> {
         let mut ready = BytesMut::new();
@@ -266,6 +263,8 @@
     /// Whether an event is new to the caller.
     pub(super) fn pass(&mut self, event: &[u8]) -> bool {
         self.events += 1;
+        self.pause = self.pause.max(self.at.elapsed());
+        self.at = Instant::now();
         let Some(id) = event_id(event) else {
             return true;
         };
@@ -286,7 +285,7 @@
     guard: RequestGuard,
 ) -> Response<Body> {
     let Opened { status, headers, mut source, first } = opened;
-    let mut progress = Progress { last: call.head.resume, events: 0 };
+    let mut progress = Progress::new(call.head.resume);
     progress.pass(&first);
     let events = stream! {
         let _counted = guard;
@@ -337,13 +336,7 @@
                 }
                 Ok(None) => {
                     let known = source.flight.known();
-                    if volume::allows_ordinary() {
-                        tracing::info!(
-                            event = "stream_ended", id = call.head.id,
-                            backend_server = %known.server.id, last = progress.last,
-                            ms = call.arrived.elapsed().as_millis() as u64,
-                        );
-                    }
+                    note_end(&call, &route, known, &progress);
                     known.state.succeed(seconds_since(source.began));
                     relay.faults().succeed(&known.server.id, &route.name);
                     break;
@@ -412,6 +405,19 @@
     }
 }
 
+/// One line for a stream that ended well: always when a pause made it late, else as far as the volume
+/// of the log allows.
+fn note_end(call: &Call, route: &Route, known: &Known, progress: &Progress) {
+    let late = progress.is_late(route);
+    if late || volume::allows_ordinary() {
+        tracing::info!(
+            event = "stream_ended", id = call.head.id, backend_server = %known.server.id,
+            last = progress.last, late, pause_ms = progress.pause.as_millis() as u64,
+            ms = call.arrived.elapsed().as_millis() as u64,
+        );
+    }
+}
+
 fn note_break(call: &Call, route: &Route, source: &Source, progress: &Progress, fault: &SendFault) {
     let known = source.flight.known();
     known.state.fail();
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -7,6 +7,9 @@
 
 use ini::Ini;
 
+/// What some editors put before the first character of a file.
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
 /// Everything that is wrong with a file.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{}", .faults.join("\n"))]
@@ -37,6 +40,7 @@
     /// Parses `text`; `name` stands for the file in faults.
     pub(crate) fn new(name: &str, text: &str) -> Result<Self, SettingsError> {
         let options = ini::ParseOption { enabled_escape: false, ..Default::default() };
+        let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text);
         let ini = Ini::load_from_str_opt(text, options)
             .map_err(|error| SettingsError::one(name, &format!("is not INI: {error}")))?;
         let mut reader = Self {
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -42,8 +42,6 @@
     pub retry_ratio: f64,
     /// Retries allowed on top in one window, over all boxes together.
     pub retry_floor: u32,
-    /// The window of the retry budget.
-    pub retry_window: Millis,
     /// The time between the platform's request to stop and its kill.
     pub grace: Millis,
     /// The length of a usage window.
@@ -114,7 +112,6 @@
     let revoke_time = section.value("revoke_time", Millis(5_000));
     let retry_ratio = section.value("retry_ratio", 0.2);
     let retry_floor = section.value("retry_floor", 50);
-    let retry_window = section.value("retry_window", Millis(10_000));
     let grace = section.value("grace", Millis(8_000));
     let usage_window = section.value("usage_window", Millis(5_000));
     section.check("usage_window", usage_window.0 > 0, "is longer than nothing");
@@ -126,7 +123,6 @@
         revoke_time,
         retry_ratio,
         retry_floor,
-        retry_window,
         grace,
         usage_window,
     })
--- /dev/null
+++ b/src/telemetry/gauges.rs
@@ -0,0 +1,87 @@
+//! What a node knows at the moment, as numbers; taken when the metrics are read.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Gauge, Meter};
+
+use super::{logs, volume};
+use crate::node::Node;
+use crate::relay::Relay;
+
+/// The gauges of a node.
+pub(super) struct Gauges {
+    age: Gauge<f64>,
+    document: Gauge<u64>,
+    leading: Gauge<u64>,
+    voters: Gauge<u64>,
+    requests: Gauge<u64>,
+    list_term: Gauge<u64>,
+    list_place: Gauge<u64>,
+    servers: Gauge<u64>,
+    in_flight: Gauge<u64>,
+    lines: Gauge<u64>,
+}
+
+impl Gauges {
+    pub(super) fn new(meter: &Meter) -> Self {
+        let count = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Self {
+            age: meter
+                .f64_gauge("emberturn_configuration_age_seconds")
+                .with_description("Time since the configuration was certainly the newest")
+                .build(),
+            document: count("emberturn_document_version", "Version of the published document"),
+            leading: count("emberturn_leading_term", "Term this replica leads in; 0: it does not"),
+            voters: count("emberturn_voters", "Voters of the group, as this replica knows them"),
+            requests: count("emberturn_requests_under_way", "Requests under way"),
+            list_term: count("emberturn_list_term", "Term of the leader whose list is held"),
+            list_place: count("emberturn_list_place", "Place of that list among the leader's"),
+            servers: count("emberturn_backend_servers", "Backend servers by service and state"),
+            in_flight: count("emberturn_in_flight", "Requests of this box at backend servers"),
+            lines: count("emberturn_log_lines_not_written", "Log lines not written, by reason"),
+        }
+    }
+
+    /// Takes the node's state.
+    pub(super) fn record(&self, node: &Node) {
+        let board = &node.board;
+        if let Some(age) = board.age() {
+            self.age.record(age.as_secs_f64(), &[]);
+        }
+        self.document.record(board.document().version.0, &[]);
+        self.leading.record(board.leading().map_or(0, |term| term.0), &[]);
+        self.voters.record(board.voters() as u64, &[]);
+        self.requests.record(board.requests() as u64, &[]);
+        let reason = |name: &'static str| [KeyValue::new("reason", name)];
+        self.lines.record(logs::dropped() as u64, &reason("queue_full"));
+        self.lines.record(volume::left_out(), &reason("ordinary"));
+        if let Some(relay) = node.relay() {
+            self.record_relay(relay);
+        }
+    }
+
+    fn record_relay(&self, relay: &Relay) {
+        let list = relay.servers.version();
+        self.list_term.record(list.term.0, &[]);
+        self.list_place.record(list.place, &[]);
+        let Some(table) = relay.table() else {
+            return;
+        };
+        for service in table.services.keys() {
+            let servers = relay.servers.of(service);
+            let service = KeyValue::new("service", service.to_string());
+            let count = |state: &'static str, value: usize| {
+                let labels = [service.clone(), KeyValue::new("state", state)];
+                self.servers.record(value as u64, &labels);
+            };
+            let open = servers.iter().filter(|it| it.is_open());
+            let (aside, well): (Vec<_>, Vec<_>) = open.partition(|it| it.state.is_ejected());
+            count("open", well.len());
+            count("ejected", aside.len());
+            count("leaving", servers.len() - well.len() - aside.len());
+            let in_flight: u32 = servers.iter().map(|it| it.state.in_flight()).sum();
+            self.in_flight.record(u64::from(in_flight), &[service]);
+        }
+    }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -17,6 +17,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use tokio::net::TcpListener;
 
+use super::gauges::Gauges;
 use crate::node::Node;
 
 /// Bounds of the latency histograms, in seconds.
@@ -33,6 +34,7 @@
     attempts: Counter<u64>,
     resumes: Counter<u64>,
     policy_faults: Counter<u64>,
+    gauges: Gauges,
 }
 
 impl Metrics {
@@ -63,6 +65,7 @@
             resumes: counter("emberturn_resumes", "Streams moved to another engine, by way"),
             policy_faults: counter("emberturn_policy_faults", "Policy runs that failed"),
             first_token,
+            gauges: Gauges::new(&meter),
             registry,
             _provider: provider,
         })
@@ -142,10 +145,13 @@
 
 fn answer(node: &Node, path: &str) -> Response<Full<Bytes>> {
     let (status, body) = match path {
-        "/metrics" => match node.metrics.render() {
-            Ok(text) => (StatusCode::OK, text),
-            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes()),
-        },
+        "/metrics" => {
+            node.metrics.gauges.record(node);
+            match node.metrics.render() {
+                Ok(text) => (StatusCode::OK, text),
+                Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes()),
+            }
+        }
         _ => (StatusCode::NOT_FOUND, b"only /metrics is here".to_vec()),
     };
     let mut response = Response::new(Full::new(Bytes::from(body)));
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,6 +1,7 @@
 //! What a node tells about itself: logs as one key=value line an event, metrics, and a span for
 //! each hop of a request.
 
+mod gauges;
 pub mod hops;
 pub mod logs;
 pub mod metrics;
--- a/tests/core/world.rs
+++ b/tests/core/world.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Ends all cuts.
+    pub fn mend(&mut self) {
+        self.cut.clear();
+    }
+
     /// Ends all faults and checks that the group gets on: what was acknowledged is there, a new
     /// command is committed, all state machines are equal.
     pub fn heal(&mut self) {
@@ -169,6 +174,21 @@
         self.now - last
     }
 
+    /// Cuts the leader off, and has all other boxes start anew at once: none of them remembers that it
+    /// has just confirmed that leader, which may still answer reads.
+    pub fn cut_leader_off_and_restart_others(&mut self) {
+        let names: Vec<_> = self.boxes.keys().cloned().collect();
+        let Some(leader) = names.iter().find(|name| self.boxes[*name].leads()).cloned() else {
+            return;
+        };
+        for name in names.into_iter().filter(|name| *name != leader) {
+            self.cut.insert((leader.clone(), name.clone()));
+            self.cut.insert((name.clone(), leader.clone()));
+            self.crash(&name);
+            self.boxes.get_mut(&name).unwrap().wake_at = self.now + 1;
+        }
+    }
+
     fn step(&mut self) {
         self.advance();
         if self.random.random_bool(0.15) {
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -77,3 +77,12 @@
         assert!(found, "{} ({status}, {}) is not in the table", row.code, row.run);
     }
 }
+
+#[test]
+fn settings_that_begin_with_a_byte_order_mark_are_read() {
+    let text = std::fs::read_to_string("docs/operators/node.ini").unwrap();
+    let marked = format!("\u{feff}{text}");
+    let (marked, plain) =
+        (Settings::parse("node.ini", &marked), Settings::parse("node.ini", &text));
+    assert_eq!(format!("{:?}", marked.unwrap()), format!("{:?}", plain.unwrap()));
+}
--- a/tests/group_core.rs
+++ b/tests/group_core.rs
@@ -47,6 +47,21 @@
     assert!(most < ELECTION * 2, "most {most} ms of {times:?}");
 }
 
+/// The check of each step: a box that may read has all that was acknowledged.
+#[test]
+fn boxes_that_restart_elect_nobody_while_a_leader_they_confirmed_may_read() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(5, seed, Chaos::NONE);
+        for _ in 0..4 {
+            world.run(150);
+            world.cut_leader_off_and_restart_others();
+            world.run(60);
+            world.mend();
+        }
+        world.heal();
+    }
+}
+
 /// While a group is brought to a new version, replicas of the former one ask and answer as well.
 #[test]
 fn votes_are_asked_for_and_given_without_the_fields_of_this_version() {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -73,10 +73,32 @@
     let log = &cluster.boxes["a"].log;
     let line = log.wait_from(0, &["event=request_failed", "kind=no_backend", "run=not_run"]).await;
     assert!(!line.contains('\n') && line.contains("level="), "{line}");
+    let metrics = metrics(&cluster, "a").await;
+    assert!(metrics.contains("emberturn_requests_total"), "{metrics}");
+    assert!(metrics.contains(r#"team="portal""#));
+}
+
+/// A box's metrics, in their text format.
+async fn metrics(cluster: &Cluster, name: &str) -> String {
+    let log = &cluster.boxes[name].log;
     let listening = log.wait_from(0, &["event=listening", "side=metrics"]).await;
     let addr = listening.split("addr=").nth(1).unwrap().split_whitespace().next().unwrap();
     let addr: SocketAddr = addr.trim_matches('"').parse().unwrap();
-    let metrics = http::call(addr, http::get("/metrics", &[])).await.unwrap();
-    assert!(metrics.text().contains("emberturn_requests_total"), "{}", metrics.text());
-    assert!(metrics.text().contains(r#"team="portal""#));
+    http::call(addr, http::get("/metrics", &[])).await.unwrap().text()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gauges_tell_who_leads_how_old_the_configuration_is_and_what_was_not_logged() {
+    let cluster = Cluster::start(&[BoxPlan::replica("a"), BoxPlan::diskless("b")]).await;
+    cluster.apply(&base_change(&[])).await;
+    cluster.wait_revision("b", 1).await;
+    let (replica, diskless) = (metrics(&cluster, "a").await, metrics(&cluster, "b").await);
+    let value = |text: &str, name: &str| {
+        let line = text.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+    };
+    assert!(value(&replica, "emberturn_leading_term").unwrap() > 0.0, "{replica}");
+    assert_eq!(value(&diskless, "emberturn_leading_term"), Some(0.0), "{diskless}");
+    assert!(value(&diskless, "emberturn_configuration_age_seconds").is_some(), "{diskless}");
+    assert_eq!(value(&replica, "emberturn_log_lines_not_written"), Some(0.0), "{replica}");
 }
