--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -153,24 +153,24 @@
         self.learned.notify_waiters();
     }
 
-    /// Whether the box knows routes and backend servers at all: it does not right after its start.
-    fn is_taught(&self) -> bool {
+    /// Whether the box has had its first routes and backend servers; right after a start it has not.
+    fn is_initialized(&self) -> bool {
         self.table.load().is_some() && self.servers.version() != ListVersion::default()
     }
 
-    /// Waits until the box knows routes and backend servers, at most `limit`.
-    pub(crate) async fn wait_taught(&self, limit: Duration) {
-        let taught = async {
+    /// Waits until the box is initialized, at most `limit`.
+    pub(crate) async fn wait_initialized(&self, limit: Duration) {
+        let initialized = async {
             loop {
                 let mut learned = pin!(self.learned.notified());
                 learned.as_mut().enable();
-                if self.is_taught() {
+                if self.is_initialized() {
                     return;
                 }
                 learned.await;
             }
         };
-        let _ = tokio::time::timeout(limit, taught).await;
+        let _ = tokio::time::timeout(limit, initialized).await;
     }
 
     /// The teams' allowances on this box.
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -97,7 +97,7 @@
     arrived: Instant,
 ) -> Result<Response<Body>, Failure> {
     let guard = relay.parts.board.begin_request();
-    relay.wait_taught(start_patience(&head)).await;
+    relay.wait_initialized(start_patience(&head)).await;
     let table = relay.table().ok_or_else(|| unsure("no routes are known yet"))?;
     head::check(&request, table.limits.head)?;
     let route = find_route(relay, &table, &request)?;
