Relay, group: no timer for calls of an initialized box, one way to ask the group, no list of voters after the hold

Each call set up a timer and a waiter for the box's first routes although they had long come; until_answered had got a wrapper where a parameter does; every answer to a question for votes gathered the voters although the hold was over.

--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -75,7 +75,7 @@
     /// # Errors
     /// When `limit` is over; the command may still be applied.
     pub async fn propose(&self, command: Command, limit: Duration) -> Result<Reply, NoGroup> {
-        self.until_answered(method::PROPOSE, &command, limit).await
+        self.until_answered(method::PROPOSE, &command, limit, CALL_TIME).await
     }
 
     /// Changes the group's members.
@@ -87,7 +87,7 @@
         change: &MemberChange,
         limit: Duration,
     ) -> Result<(), NoGroup> {
-        self.until_answered(method::CHANGE_MEMBERS, change, limit).await
+        self.until_answered(method::CHANGE_MEMBERS, change, limit, CALL_TIME).await
     }
 
     /// Gives the leader word of this box and takes what it has to say.
@@ -95,7 +95,7 @@
     /// # Errors
     /// When `limit` is over.
     pub(crate) async fn beat(&self, beat: &Beat, limit: Duration) -> Result<BeatReply, NoGroup> {
-        self.until_answered_in(method::BEAT, beat, limit, BEAT_TIME).await
+        self.until_answered(method::BEAT, beat, limit, BEAT_TIME).await
     }
 
     /// Reads kept work at the leader.
@@ -107,7 +107,7 @@
         id: &WorkId,
         limit: Duration,
     ) -> Result<Option<WorkView>, NoGroup> {
-        self.until_answered(method::READ_WORK, id, limit).await
+        self.until_answered(method::READ_WORK, id, limit, CALL_TIME).await
     }
 
     /// Asks the leader for shares of the teams' limits.
@@ -119,24 +119,11 @@
         request: &ShareRequest,
         limit: Duration,
     ) -> Result<BTreeMap<TeamName, Share>, NoGroup> {
-        self.until_answered(method::SHARE, request, limit).await
-    }
-
-    async fn until_answered<T, R>(
-        &self,
-        method: &'static str,
-        body: &T,
-        limit: Duration,
-    ) -> Result<R, NoGroup>
-    where
-        T: Serialize + Sync,
-        R: DeserializeOwned,
-    {
-        self.until_answered_in(method, body, limit, CALL_TIME).await
+        self.until_answered(method::SHARE, request, limit, CALL_TIME).await
     }
 
     /// Asks until `limit`; each replica is waited for no longer than `call_time`.
-    async fn until_answered_in<T, R>(
+    async fn until_answered<T, R>(
         &self,
         method: &'static str,
         body: &T,
--- a/src/group/core/elect.rs
+++ b/src/group/core/elect.rs
@@ -38,9 +38,12 @@
     /// Another voter is idle, by its answer to a question of this life of the process. Once all of
     /// them are, no leader that an earlier life confirmed leads any more.
     pub(super) fn note_idle(&mut self, from: &BoxId, start: u64) {
+        if !self.hold.is_on(self.now) {
+            return;
+        }
         self.hold.note_idle(from, start);
         let others = self.voters_but_own();
-        if self.hold.is_on(self.now) && self.hold.knows_idle(others.iter().map(|(id, _)| id)) {
+        if self.hold.knows_idle(others.iter().map(|(id, _)| id)) {
             self.hold.release();
             self.count_votes();
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -160,6 +160,10 @@
 
     /// Waits until the box is initialized, at most `limit`.
     pub(crate) async fn wait_initialized(&self, limit: Duration) {
+        // No timer for the calls of a box that has long been initialized.
+        if self.is_initialized() {
+            return;
+        }
         let initialized = async {
             loop {
                 let mut learned = pin!(self.learned.notified());
