Limits by construction: what a box may use is off its team's level, in touch or not

Cause: the leader divided a team's level without taking off what it had allowed, and what boxes out of touch went on to use; a box's start allowance was nobody's.

Change: an allowance is taken off the level when it is given, with the trickle that a silent box may go on with; words carry totals, so a lost or doubled one counts once. A level goes below its reserve only after the group has noted so; a new leader begins with the reserve, else with nothing. A request that finds too little asks for what it needs. A box that has heard no leader says 503, not that the team is over its limit. Allowances moved to decide/.

More is let in, so engines are fuller: what is late costs now what was refused before.

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -8,11 +8,11 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use crate::decide::allowance::{Allowed, TeamDemand};
 use crate::decide::spend::Offered;
 use crate::group::access::Access;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Window};
 use crate::relay::Relay;
-use crate::relay::allowance::{Allowed, TeamDemand};
 use crate::relay::servers::{ListVersion, ServerList};
 use crate::relay::usage::Counts;
 
@@ -43,6 +43,10 @@
     pub offered: BTreeMap<ServiceName, Offered>,
     /// What the teams used and were refused.
     pub demand: BTreeMap<TeamName, TeamDemand>,
+    /// Which of the words of this life this is, and the last of them that was answered.
+    pub turns: (u64, u64),
+    /// Relays that share the limits, as a leader said last.
+    pub relays: Option<u32>,
 }
 
 /// What the leader answers.
@@ -81,13 +85,16 @@
 
 /// One beat; whether it was answered.
 async fn beat(relay: &Relay, access: &Access, box_id: &BoxId, life: Incarnation) -> bool {
+    let demand = relay.allowances().tell(Instant::now());
     let beat = Beat {
         box_id: box_id.clone(),
         life,
         list: relay.servers.version(),
         usage: relay.usage().counts(),
         offered: relay.offered().rates(Instant::now()),
-        demand: relay.allowances().tell(),
+        demand,
+        turns: relay.allowances().turns(),
+        relays: relay.relays_told(),
     };
     match access.beat(&beat, ANSWER_TIME).await {
         Ok(reply) => {
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -4,7 +4,7 @@
 //! All of it is soft state of one term. A new leader learns it again from the boxes' beats, and acts
 //! on the platform only after the former one can no longer do so.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -12,16 +12,19 @@
 
 use super::beat::{Beat, BeatReply};
 use super::spend::Spender;
-use crate::decide::level::{Limit, TeamLevel, Tolerance};
+use crate::decide::allowance::Allowed;
+use crate::decide::level::{self, Limit, Noted, Sharers, TeamLevel, Tolerance};
 use crate::decide::spend::Offered;
 use crate::group::driver::Unanswered;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Term, Window};
 use crate::node::Node;
 use crate::platform::client::{Client, Duty, DutyAnswer, Order};
+use crate::relay::RELAYS_GUESSED;
 use crate::relay::servers::{ListVersion, ServerList};
 use crate::relay::table::RouteTable;
 use crate::relay::usage::{Counts, window_at};
 use crate::settings::CloudSettings;
+use crate::state::low::LowTeams;
 use crate::state::usage::Settle;
 use crate::state::{Command, Reply};
 
@@ -50,6 +53,16 @@
 /// A relay that has not been heard for this long does not share the limits.
 const ABSENT_TIME: Duration = Duration::from_secs(3);
 
+/// Time in which relays that a new leader has not heard may still go by a former one's word: until it
+/// is over, one that no relay can tell their number takes them to be [`RELAYS_GUESSED`].
+const LEARN_TIME: Duration = Duration::from_secs(6);
+
+/// Time between two looks at whether levels have recovered.
+const LOW_TIME: Duration = Duration::from_millis(500);
+
+/// Time between two lines about a team that is refused.
+const SAY_TIME: Duration = Duration::from_millis(500);
+
 /// Time after which a relay's counts are forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(40);
 
@@ -60,6 +73,28 @@
     offered: BTreeMap<ServiceName, Offered>,
 }
 
+/// What a team was refused of late.
+#[derive(Default)]
+struct Missed {
+    sum: f64,
+    said: Option<Instant>,
+}
+
+impl Missed {
+    /// One line for a team that is refused, at most one in [`SAY_TIME`].
+    fn note(&mut self, now: f64, team: &TeamName, refused: f64, level: &TeamLevel) {
+        self.sum += refused;
+        let due = self.said.is_none_or(|said| said.elapsed() > SAY_TIME);
+        if self.sum > 0.0 && due {
+            tracing::info!(
+                event = "team_refused", %team, units = self.sum as u64, left = level.left() as i64,
+                whole = level.whole(now) as i64,
+            );
+            *self = Self { sum: 0.0, said: Some(Instant::now()) };
+        }
+    }
+}
+
 /// The soft state of one term.
 pub(crate) struct Lead {
     term: Term,
@@ -68,6 +103,13 @@
     first: bool,
     words: BTreeMap<(BoxId, Incarnation), Word>,
     levels: BTreeMap<TeamName, TeamLevel>,
+    missed: BTreeMap<TeamName, Missed>,
+    /// The teams whose levels may be low, as the group has noted; `None` until that is known.
+    low: Option<LowTeams>,
+    /// Those that are to be noted.
+    lacking: LowTeams,
+    /// The most relays that a former leader told any of them of.
+    told: u32,
     table: Option<Arc<RouteTable>>,
     list: Arc<ServerList>,
     settled: Window,
@@ -82,6 +124,10 @@
             first,
             words: BTreeMap::new(),
             levels: BTreeMap::new(),
+            missed: BTreeMap::new(),
+            low: None,
+            lacking: LowTeams::new(),
+            told: 0,
             table: None,
             list: Arc::default(),
             settled: Window(0),
@@ -97,27 +143,44 @@
     /// Takes a relay's word and answers it.
     fn hear(&mut self, beat: Beat, tolerance: Tolerance) -> BeatReply {
         let now = Instant::now();
+        self.told = self.told.max(beat.relays.unwrap_or(0));
         let allowed = self.allow(&beat, tolerance);
         let key = (beat.box_id, beat.life);
         self.words.insert(key, Word { heard: now, usage: beat.usage, offered: beat.offered });
         self.words.retain(|_, word| word.heard + FORGET_TIME > now);
-        let present = |word: &&Word| word.heard + ABSENT_TIME > now;
-        let relays = self.words.values().filter(present).count() as u32;
+        let relays = self.sharers().count;
         let newer = self.list.version > beat.list && !self.list.servers.is_empty();
         let list = newer.then(|| self.list.clone());
         BeatReply { list, allowed, settled: self.settled, relays }
     }
 
-    fn allow(
-        &mut self,
-        beat: &Beat,
-        tolerance: Tolerance,
-    ) -> BTreeMap<TeamName, crate::relay::allowance::Allowed> {
+    /// Relays that were heard lately.
+    fn present(&self) -> u32 {
+        let now = Instant::now();
+        let present = self.words.iter().filter(|(_, word)| word.heard + ABSENT_TIME > now);
+        let boxes: BTreeSet<_> = present.map(|((box_id, _), _)| box_id).collect();
+        boxes.len() as u32
+    }
+
+    /// Relays that share the teams' limits, as far as can be told.
+    fn sharers(&self) -> Sharers {
+        let heard = self.present().max(1);
+        let unheard = self.told.saturating_sub(heard);
+        let guessed = match self.told {
+            0 if self.since.elapsed() < LEARN_TIME => RELAYS_GUESSED,
+            told => told,
+        };
+        Sharers { count: heard.max(guessed), unheard }
+    }
+
+    fn allow(&mut self, beat: &Beat, tolerance: Tolerance) -> BTreeMap<TeamName, Allowed> {
         let now = self.since.elapsed().as_secs_f64();
         let Some(table) = self.table.clone() else {
             return BTreeMap::new();
         };
         self.levels.retain(|name, _| table.teams.contains_key(name));
+        self.missed.retain(|name, _| table.teams.contains_key(name));
+        let sharers = self.sharers();
         let mut allowed = BTreeMap::new();
         for (name, team) in &table.teams {
             let Some(rate) = team.rate else {
@@ -126,13 +189,44 @@
             let limit = Limit { rate, burst: team.burst }.with(tolerance);
             let demand = beat.demand.get(name).copied().unwrap_or_default();
             let level = self.levels.entry(name.clone()).or_default();
-            if let Some(amount) = level.hear(now, limit, &beat.box_id, demand) {
+            let (turn, answered) = beat.turns;
+            let word = level::Word { life: beat.life, turn, answered, demand };
+            let missed = self.missed.entry(name.clone()).or_default();
+            missed.note(now, name, demand.refused, level);
+            let noted = match &self.low {
+                None => Noted::Unknown,
+                Some(low) if low.contains(name) => Noted::Low,
+                Some(_) => Noted::Reserve,
+            };
+            if let Some(amount) = level.hear(now, limit, noted, sharers, &beat.box_id, word) {
                 allowed.insert(name.clone(), amount);
             }
+            if level.is_lacking() {
+                self.lacking.insert(name.clone());
+            }
         }
         allowed
     }
 
+    /// Which teams' levels are to be noted as low, if not those that are. Teams that have recovered
+    /// are held to their reserve at once: the group may take any time to forget them.
+    fn next_low(&mut self, tolerance: Tolerance) -> Option<LowTeams> {
+        let now = self.since.elapsed().as_secs_f64();
+        let table = self.table.clone()?;
+        let low = self.low.as_mut()?;
+        let recovered = |name: &TeamName| {
+            let rate = table.teams.get(name).and_then(|team| Some((team.rate?, team.burst)));
+            let limit = rate.map(|(rate, burst)| Limit { rate, burst }.with(tolerance));
+            let level = self.levels.get(name);
+            limit.zip(level).is_none_or(|(limit, level)| level.has_recovered(now, limit))
+        };
+        let before = low.len();
+        low.retain(|name| !recovered(name));
+        let lacking = std::mem::take(&mut self.lacking);
+        let next: LowTeams = low.union(&lacking).cloned().collect();
+        (next.len() != before || !lacking.is_subset(low)).then_some(next)
+    }
+
     /// Takes what the relays that are present say of the services' demand.
     fn note_demand(&mut self) {
         let mut sums: BTreeMap<ServiceName, Offered> = BTreeMap::new();
@@ -173,13 +267,49 @@
     let Some(term) = node.leading_term().await else {
         return Ok(Err(Unanswered::NotLeader(None)));
     };
+    let (reply, is_lacking) = node.with_lead(term, |lead| {
+        let reply = lead.hear(beat, tolerance(&node));
+        (reply, !lead.lacking.is_empty() || lead.low.is_none())
+    });
+    if is_lacking {
+        node.lacking.notify_one();
+    }
+    Ok(Ok(reply))
+}
+
+fn tolerance(node: &Node) -> Tolerance {
     let quota = node.settings.quota;
-    let tolerance = Tolerance {
+    Tolerance {
         window: quota.window.duration().as_secs_f64(),
         overshoot: quota.overshoot,
         slack: quota.slack,
-    };
-    Ok(Ok(node.with_lead(term, |lead| lead.hear(beat, tolerance))))
+    }
+}
+
+/// Keeps the group's note of the teams whose levels may be low.
+async fn note_low(node: Arc<Node>) {
+    loop {
+        let _ = tokio::time::timeout(LOW_TIME, node.lacking.notified()).await;
+        let Some(term) = node.leading_term().await else {
+            continue;
+        };
+        follow_table(&node, term);
+        let known = node.with_lead(term, |lead| lead.low.is_some());
+        let command = match known {
+            false => Command::ReadLow,
+            true => match node.with_lead(term, |lead| lead.next_low(tolerance(&node))) {
+                Some(next) => Command::NoteLow(next),
+                None => continue,
+            },
+        };
+        match node.access.propose(command, SETTLE_TIME).await {
+            Ok(Reply::Low(low)) => {
+                tracing::info!(event = "low_teams", teams = low.len(), term = %term);
+                node.with_lead(term, |lead| lead.low = Some(low));
+            }
+            Ok(_) | Err(_) => tracing::warn!(event = "low_teams_not_noted", term = %term),
+        }
+    }
 }
 
 impl Node {
@@ -210,6 +340,7 @@
 /// task: one that the platform leaves unanswered holds no other up.
 pub(crate) async fn run(node: Arc<Node>, settings: CloudSettings) {
     let client = Client::new(node.pool.clone(), settings.addr);
+    tokio::spawn(note_low(node.clone()));
     tokio::spawn(follow_list(node.clone(), client.clone(), settings.clone()));
     tokio::spawn(report_usage(node.clone(), client.clone(), settings.clone()));
     order_engines(node, client, settings).await;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,13 +3,16 @@
 //!
 //! - [`policy`]: operators' short programs that say where work goes and what may wait.
 //! - [`admit`]: whether a request may run now, within its team's limits.
+//! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
 //! - [`queue`]: who goes next when capacity frees up.
 //! - [`route`]: which backend server takes a request.
 //! - [`retry`]: whether another attempt may be made.
 //! - [`reclaim`]: what becomes of a stream whose engine is leaving.
 //! - [`share`]: which part of a fleet-wide limit each node may use.
+//! - [`spend`]: how many engines a service is to have, where, of which kind.
 
 pub mod admit;
+pub mod allowance;
 pub mod level;
 pub mod policy;
 pub mod queue;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -76,6 +76,8 @@
     relay: OnceLock<Arc<Relay>>,
     spread: OnceLock<ActorRef<SpreadMessage>>,
     lessor: Mutex<Option<(Term, Lessor)>>,
+    /// Told when the leader's note of low teams is to be looked at.
+    pub(crate) lacking: Notify,
     pub(crate) lead: Mutex<Option<Lead>>,
     stop_by: Mutex<Option<Instant>>,
     admission: Mutex<Admission>,
@@ -116,6 +118,7 @@
             relay: OnceLock::new(),
             spread: OnceLock::new(),
             lessor: Mutex::default(),
+            lacking: Notify::new(),
             lead: Mutex::default(),
             dialect: Arc::new(PlatformDialect),
             stop_by: Mutex::default(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,13 +12,11 @@
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send, [`course`] all sends of one call.
 //! - [`moving`] moves running streams off servers that are leaving.
-//! - [`allowance`] holds teams to their limits, [`budget`] bounds repeated sends, [`usage`] counts what
-//!   ran and [`offered`] what came.
+//! - [`budget`] bounds repeated sends, [`usage`] counts what ran and [`offered`] what came.
 //!
 //! Contract: an unrepeatable request is sent again only if the backend server itself said that it
 //! has not run. A status that promises *not run* is given only with proof.
 
-pub mod allowance;
 pub mod attempt;
 pub mod budget;
 pub mod call;
@@ -40,17 +38,17 @@
 use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::{Notify, watch};
 
 use crate::backend::Pool;
 use crate::blackboard::Blackboard;
+use crate::decide::allowance::Allowances;
 use crate::ids::DataCentre;
 use crate::settings::RelaySettings;
 use crate::telemetry::Metrics;
-use allowance::Allowances;
 use budget::RetryBudgets;
 use dialect::Dialect;
 use faults::FaultBook;
@@ -90,7 +88,7 @@
     usage: Mutex<UsageCounter>,
     faults: Mutex<FaultBook>,
     offered: Mutex<OfferedBook>,
-    /// Relays that share the limits, as the leader last said.
+    /// Relays that share the limits, as the leader last said; 0 before it did.
     relays: AtomicU32,
     /// Told of new routes and backend servers.
     learned: Notify,
@@ -100,8 +98,8 @@
     pub(crate) heard: Notify,
 }
 
-/// Relays taken to share the limits before the leader has said how many do.
-const RELAYS_GUESSED: u32 = 16;
+/// Relays taken to share the limits before anyone can tell how many do.
+pub(crate) const RELAYS_GUESSED: u32 = 16;
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -115,12 +113,12 @@
             parts,
             servers: ServerBook::default(),
             table: ArcSwapOption::empty(),
-            allowances: Mutex::default(),
+            allowances: Mutex::new(Allowances::new(Instant::now())),
             retries: Mutex::default(),
             usage: Mutex::new(usage),
             faults: Mutex::default(),
             offered: Mutex::default(),
-            relays: AtomicU32::new(RELAYS_GUESSED),
+            relays: AtomicU32::new(0),
             learned: Notify::new(),
             hurry: Notify::new(),
             heard: Notify::new(),
@@ -142,7 +140,8 @@
             event = "routes_in_force", version = %table.version, routes = table.len(),
             teams = table.teams.len(),
         );
-        self.allowances().follow(&table);
+        let limited = table.teams.values().filter(|team| team.rate.is_some());
+        self.allowances().follow(limited.map(|team| &team.name), Instant::now());
         self.table.store(Some(table));
         self.learned.notify_waiters();
     }
@@ -204,7 +203,12 @@
 
     /// How many relays share the limits.
     pub fn relays(&self) -> u32 {
-        self.relays.load(Ordering::Relaxed)
+        self.relays_told().unwrap_or(RELAYS_GUESSED)
+    }
+
+    /// How many relays share the limits by the leader's last word.
+    pub fn relays_told(&self) -> Option<u32> {
+        Some(self.relays.load(Ordering::Relaxed)).filter(|relays| *relays > 0)
     }
 
     /// Takes the leader's word of how many relays there are.
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -12,7 +12,6 @@
 use hyper::{Request, Response};
 
 use super::Relay;
-use super::allowance;
 use super::attempt::{retry_limit, seconds_since};
 use super::call::{Call, CallHead};
 use super::choose::split;
@@ -44,9 +43,9 @@
 /// the group. The rest is for requests that are just being passed on.
 const KEY_MARGIN: f64 = 0.85;
 
-/// Of its objective, one part in so many may pass until a call is refused for its team's limit: a
-/// caller that is told later than after a quarter has lost more by waiting than by asking again.
-const ASK_PART: u32 = 5;
+/// How long a call waits for the leader's word on its team's limit: two words of a box, which keep a
+/// distance, and the way to another data centre and back. A leader that is gone takes longer to replace.
+const ASK_TIME: Duration = Duration::from_millis(150);
 
 /// How much a team's rank weighs against its route's, in urgencies.
 const TEAM_URGENCY: u8 = 3;
@@ -109,7 +108,7 @@
     let service = choose_service(&route)?;
     let id = head.id.clone();
     let call = read_call(&table, &route, team, head, request, arrived).await?;
-    let spent = take_allowance(relay, team, &route, &call).await?;
+    let spent = take_allowance(relay, team, &call).await?;
     relay.retries().earn(&service, &retry_limit(relay));
     relay.offered().count(&service, call.prompt());
     let answered = match route.repeat.is_stream() {
@@ -262,32 +261,34 @@
     }
 }
 
-/// Takes what the call costs from its team's allowance; the amount taken.
-/// Takes what the call costs of its team's allowance. Where the allowance is used up although the
-/// leader had more for the team, it is asked, and waited for as long as a refusal would still be early.
-async fn take_allowance(
-    relay: &Relay,
-    team: Option<&Team>,
-    route: &Route,
-    call: &Call,
-) -> Result<f64, Failure> {
+/// Takes what the call costs of its team's allowance; the amount taken. Where the allowance is too
+/// small although the leader had more for the team, it is asked.
+async fn take_allowance(relay: &Relay, team: Option<&Team>, call: &Call) -> Result<f64, Failure> {
     let Some(team) = team else {
         return Ok(0.0);
     };
     let tokens = call.head.size.map(|size| size.prompt + size.output);
-    let cost = allowance::cost(team, tokens);
-    let take = || relay.allowances().take(team, cost, relay.relays(), Instant::now());
-    let mut taken = take();
-    if taken.is_err() && relay.allowances().runs_out() {
+    let cost = team.cost(tokens);
+    let until = tokio::time::Instant::now() + ASK_TIME;
+    let short = loop {
         let mut heard = pin!(relay.heard.notified());
         heard.as_mut().enable();
+        let short = match relay.allowances().take(&team.name, cost, Instant::now()) {
+            Ok(()) => return Ok(cost),
+            Err(short) => short,
+        };
+        if !short.ask {
+            break short;
+        }
         relay.hurry.notify_one();
-        if tokio::time::timeout(route.objective / ASK_PART, heard).await.is_ok() {
-            taken = take();
+        if tokio::time::timeout_at(until, heard).await.is_err() {
+            break short;
         }
+    };
+    relay.allowances().note_refused(&team.name, cost);
+    if !short.known {
+        return Err(unsure("what the team may use is not known yet"));
     }
-    taken.map(|()| cost).map_err(|wait| {
-        let text = format!("team {} is over its limit", team.name);
-        Failure::new(Kind::RateLimit, text).after(Some(wait))
-    })
+    let text = format!("team {} is over its limit: {cost} asked for", team.name);
+    Err(Failure::new(Kind::RateLimit, text).after(Some(short.wait)))
 }
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -137,6 +137,16 @@
     pub burst: f64,
 }
 
+impl Team {
+    /// What one request counts against the team's limit.
+    pub fn cost(&self, tokens: Option<u64>) -> f64 {
+        match self.unit {
+            Unit::Requests => 1.0,
+            Unit::Tokens(plain) => tokens.unwrap_or(plain) as f64,
+        }
+    }
+}
+
 /// What callers are held to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod document;
 pub mod ledger;
+pub mod low;
 pub mod usage;
 pub mod work;
 
@@ -18,6 +19,7 @@
 use config::{Change, ChangeReply, Configuration};
 use document::{Document, Version};
 use ledger::{Begin, BeginReply, End, EndReply, Ledger};
+use low::LowTeams;
 use usage::{Settle, UsageBook};
 use work::{Claim, ClaimReply, Finish, Keep, KeepReply, WorkId, WorkStore, WorkView};
 
@@ -43,6 +45,10 @@
     ReadDocument,
     /// Fixes what a usage window's report says.
     Settle(Settle),
+    /// Notes which teams' levels may be low from now on.
+    NoteLow(LowTeams),
+    /// Asks for the teams whose levels may be low, in its place among all commands.
+    ReadLow,
     /// Drop what is older than its age allows.
     Expire,
 }
@@ -69,6 +75,8 @@
     Document(Arc<Document>),
     /// Answers [`Command::Settle`]: the counts that stand for the window.
     Settle(Settle),
+    /// Answers [`Command::NoteLow`] and [`Command::ReadLow`]: the teams noted.
+    Low(LowTeams),
     /// Answers [`Command::Expire`]: how many entries went.
     Expire(usize),
 }
@@ -83,6 +91,8 @@
     document: Arc<Document>,
     #[serde(default)]
     usage: UsageBook,
+    #[serde(default)]
+    low: LowTeams,
 }
 
 impl Machine {
@@ -101,6 +111,11 @@
             Command::Publish(document) => Reply::Publish(self.publish(document)),
             Command::ReadDocument => Reply::Document(self.document.clone()),
             Command::Settle(settle) => Reply::Settle(self.usage.settle(settle)),
+            Command::NoteLow(teams) => {
+                self.low = teams.clone();
+                Reply::Low(self.low.clone())
+            }
+            Command::ReadLow => Reply::Low(self.low.clone()),
             Command::Expire => Reply::Expire(self.expire(at)),
         }
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -353,6 +353,7 @@
     value["tenants"][0]["rate_per_s"] = 1_000.0.into();
     value["tenants"][0]["burst"] = 1_000.0.into();
     relay.publish(&value);
+    relay.allow(1_500.0);
     relay.list(&[&server]);
     let headers = "Api-Key: key-a\r\nToken-Usage: 900,100\r\n";
     let mut statuses = Vec::new();
@@ -365,6 +366,18 @@
     assert_eq!(server.seen().len(), statuses.len() - refused.len());
 }
 
+#[tokio::test]
+async fn box_that_has_heard_no_leader_does_not_say_that_a_team_is_over_its_limit() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::empty().await;
+    relay.put(&document(1, &usual_routes()));
+    relay.list(&[&server]);
+    let reply = relay.ask("POST", "once").await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.headers.contains_key("retry-after"));
+    assert!(server.seen().is_empty());
+}
+
 #[tokio::test]
 async fn kept_connection_serves_one_request_after_the_other() {
     let server = StandIn::start("i-1", &[Act::Answer]).await;
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -7,6 +7,7 @@
 
 use emberturn::backend::Pool;
 use emberturn::blackboard::Blackboard;
+use emberturn::decide::allowance::Allowed;
 use emberturn::ids::Term;
 use emberturn::platform::{PlatformDialect, document};
 use emberturn::relay::listen::Listeners;
@@ -374,13 +375,28 @@
         relay
     }
 
-    /// Puts a document in force, confirmed now.
+    /// Puts a document in force, confirmed now, under a leader that allows each team much.
     pub fn publish(&self, value: &Value) {
+        self.put(value);
+        self.allow(1e9);
+    }
+
+    /// Puts a document in force, confirmed now.
+    pub fn put(&self, value: &Value) {
         let table = document::read(&value.to_string()).unwrap();
         self.relay.put_table(Arc::new(table));
         self.board.note_fresh(Instant::now());
     }
 
+    /// The leader's word: each team may use so much.
+    pub fn allow(&self, amount: f64) {
+        let mut allowances = self.relay.allowances();
+        let told = allowances.tell(Instant::now());
+        let allowed = Allowed { amount, trickle: 0.0, wait: 0.0 };
+        let allowed = told.into_keys().map(|team| (team, allowed)).collect();
+        allowances.hear(&allowed, Instant::now());
+    }
+
     /// Has the relay know just these servers.
     pub fn list(&self, servers: &[&StandIn]) {
         self.list_as(servers.iter().map(|server| server.listed("svc")).collect());
--- /dev/null
+++ b/tests/team_limit.rs
@@ -0,0 +1,360 @@
+//! A team's limit over all boxes, under cuts, restarts, changes of leader and lost answers: boxes and
+//! leader run the product's own code, driven by one seed.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use emberturn::decide::allowance::{Allowances, Allowed, TeamDemand};
+use emberturn::decide::level::{Limit, Noted, Sharers, TeamLevel, Tolerance, Word};
+use emberturn::ids::{BoxId, Incarnation, TeamName};
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const STEP: f64 = 0.02;
+const BEAT: f64 = 0.4;
+const HURRY: f64 = 0.06;
+const ASK: f64 = 0.15;
+const SIZES: [f64; 3] = [200.0, 2_400.0, 12_000.0];
+const WINDOW: f64 = 8.0;
+
+/// One way a day can go.
+#[derive(Debug, Clone)]
+struct Day {
+    boxes: usize,
+    limit: Limit,
+    slack: f64,
+    /// What callers ask for, as a multiple of the limit's rate.
+    demand: f64,
+    /// How much of it goes to the first half of the boxes.
+    skew: f64,
+    /// Chances, for each second: that a box is cut off or restarts, that the leader changes.
+    cut: f64,
+    restart: f64,
+    change: f64,
+    /// Chance that an answer is lost.
+    lost: f64,
+    /// The longest that one takes, in seconds.
+    flight: f64,
+}
+
+struct Answer {
+    at: f64,
+    allowed: BTreeMap<TeamName, Allowed>,
+}
+
+struct Entry {
+    id: BoxId,
+    life: u64,
+    allowances: Allowances,
+    cut_until: f64,
+    next_beat: f64,
+    told_at: f64,
+    asks: bool,
+    /// Requests that wait for the leader's word, each with the end of its wait.
+    waiting: Vec<(f64, f64)>,
+    answer: Option<Answer>,
+    relays: u32,
+}
+
+struct World {
+    day: Day,
+    rng: SmallRng,
+    team: TeamName,
+    base: Instant,
+    boxes: Vec<Entry>,
+    level: TeamLevel,
+    /// What the group has noted, and from when on a note to come counts.
+    noted: Noted,
+    notes: Option<f64>,
+    /// From when there is a leader.
+    leads_from: f64,
+    led_since: f64,
+    heard: BTreeMap<BoxId, f64>,
+    told: u32,
+    uses: Vec<(f64, f64)>,
+    refused: f64,
+}
+
+impl World {
+    fn new(day: &Day, seed: u64) -> Self {
+        let base = Instant::now();
+        let boxes = (0..day.boxes).map(|place| Entry {
+            id: format!("box-{place}").parse().unwrap(),
+            life: 1,
+            allowances: Allowances::new(base),
+            cut_until: 0.0,
+            next_beat: 0.4 * place as f64 / day.boxes as f64,
+            told_at: -1.0,
+            asks: false,
+            waiting: Vec::new(),
+            answer: None,
+            relays: 0,
+        });
+        let mut world = Self {
+            day: day.clone(),
+            rng: SmallRng::seed_from_u64(seed),
+            team: "team-a".parse().unwrap(),
+            base,
+            boxes: boxes.collect(),
+            level: TeamLevel::default(),
+            noted: Noted::Reserve,
+            notes: None,
+            leads_from: 0.0,
+            led_since: 0.0,
+            heard: BTreeMap::new(),
+            told: 0,
+            uses: Vec::new(),
+            refused: 0.0,
+        };
+        let team = world.team.clone();
+        for entry in &mut world.boxes {
+            entry.allowances.follow([&team].into_iter(), base);
+        }
+        world
+    }
+
+    fn instant(&self, now: f64) -> Instant {
+        self.base + Duration::from_secs_f64(now)
+    }
+
+    fn play(&mut self, from: f64, seconds: f64) {
+        let mut now = from;
+        while now < from + seconds {
+            self.disturb(now);
+            for place in 0..self.boxes.len() {
+                self.hear(place, now);
+                self.ask(place, now);
+                self.beat(place, now);
+            }
+            now += STEP;
+        }
+    }
+
+    fn disturb(&mut self, now: f64) {
+        if self.rng.random_bool(self.day.change * STEP) {
+            self.level = TeamLevel::default();
+            self.notes = None;
+            self.leads_from = now + self.rng.random_range(0.1..1.5);
+            self.led_since = self.leads_from;
+            self.heard.clear();
+            self.told = 0;
+        }
+        if self.level.has_recovered(now, kept(&self.day)) {
+            self.noted = Noted::Reserve;
+        }
+        if self.notes.is_some_and(|at| at <= now) {
+            (self.noted, self.notes) = (Noted::Low, None);
+        }
+        let at = self.instant(now);
+        for entry in &mut self.boxes {
+            if self.rng.random_bool(self.day.cut * STEP) {
+                entry.cut_until = now + self.rng.random_range(0.5..9.0);
+            }
+            if self.rng.random_bool(self.day.restart * STEP) {
+                entry.life += 1;
+                entry.allowances = Allowances::new(at);
+                entry.allowances.follow([&self.team].into_iter(), at);
+                entry.answer = None;
+                entry.relays = 0;
+            }
+        }
+    }
+
+    /// Callers' requests at one box.
+    fn ask(&mut self, place: usize, now: f64) {
+        let count = self.day.boxes as f64;
+        let first = place < self.day.boxes.div_ceil(2);
+        let part = if first { self.day.skew } else { 1.0 - self.day.skew } * 2.0 / count;
+        let mut left = self.day.demand * self.day.limit.rate * part * STEP;
+        for (size, until) in std::mem::take(&mut self.boxes[place].waiting) {
+            self.admit(place, now, size, until);
+        }
+        loop {
+            let size = SIZES[self.rng.random_range(0..SIZES.len())];
+            if left < size && !self.rng.random_bool((left / size).clamp(0.0, 1.0)) {
+                return;
+            }
+            left -= size;
+            self.admit(place, now, size, now + ASK);
+            if left <= 0.0 {
+                return;
+            }
+        }
+    }
+
+    fn admit(&mut self, place: usize, now: f64, size: f64, until: f64) {
+        let at = self.instant(now);
+        let entry = &mut self.boxes[place];
+        match entry.allowances.take(&self.team, size, at) {
+            Ok(()) => self.uses.push((now, size)),
+            Err(short) if short.ask && now < until => {
+                entry.asks = true;
+                entry.waiting.push((size, until));
+            }
+            Err(_) => {
+                entry.allowances.note_refused(&self.team, size);
+                self.refused += size;
+            }
+        }
+    }
+
+    fn hear(&mut self, place: usize, now: f64) {
+        let at = self.instant(now);
+        let entry = &mut self.boxes[place];
+        if entry.answer.as_ref().is_some_and(|answer| answer.at <= now)
+            && let Some(answer) = entry.answer.take()
+        {
+            entry.allowances.hear(&answer.allowed, at);
+        }
+    }
+
+    fn beat(&mut self, place: usize, now: f64) {
+        let at = self.instant(now);
+        let entry = &mut self.boxes[place];
+        let due = now >= entry.next_beat || (entry.asks && now >= entry.told_at + HURRY);
+        if !due || entry.answer.is_some() || entry.cut_until > now || self.leads_from > now {
+            return;
+        }
+        (entry.next_beat, entry.told_at, entry.asks) = (now + BEAT, now, false);
+        let demand = entry.allowances.tell(at).get(&self.team).copied();
+        let (turn, answered) = entry.allowances.turns();
+        let demand = demand.unwrap_or(TeamDemand::default());
+        let word = Word { life: Incarnation(entry.life), turn, answered, demand };
+        let (id, limit) = (entry.id.clone(), kept(&self.day));
+        self.told = self.told.max(entry.relays);
+        let sharers = self.sharers(now);
+        let allowed = self.level.hear(now, limit, self.noted, sharers, &id, word);
+        if self.level.is_lacking() && self.notes.is_none() {
+            self.notes = Some(now + 0.04);
+        }
+        self.heard.insert(id, now);
+        let relays = self.sharers(now).count;
+        let entry = &mut self.boxes[place];
+        let flight = self.rng.random_range(0.0..self.day.flight);
+        if !self.rng.random_bool(self.day.lost) {
+            entry.relays = relays;
+            let allowed = allowed.map(|it| (self.team.clone(), it)).into_iter().collect();
+            entry.answer = Some(Answer { at: now + flight, allowed });
+        }
+    }
+
+    fn sharers(&self, now: f64) -> Sharers {
+        let heard = self.heard.len().max(1) as u32;
+        let guessed = match self.told {
+            0 if now - self.led_since < 6.0 => 16,
+            told => told,
+        };
+        Sharers { count: heard.max(guessed), unheard: self.told.saturating_sub(heard) }
+    }
+
+    /// The most that was used in any window.
+    fn most(&self) -> f64 {
+        let (mut most, mut sum, mut first) = (0.0_f64, 0.0, 0);
+        for (at, size) in &self.uses {
+            sum += size;
+            while self.uses[first].0 < at - WINDOW {
+                sum -= self.uses[first].1;
+                first += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+}
+
+fn tolerance(day: &Day) -> Tolerance {
+    Tolerance { window: WINDOW, overshoot: 0.1, slack: day.slack }
+}
+
+fn kept(day: &Day) -> Limit {
+    day.limit.with(tolerance(day))
+}
+
+fn bound(day: &Day) -> f64 {
+    (day.limit.rate * WINDOW + day.limit.burst) * 1.1 + day.slack
+}
+
+fn calm(boxes: usize, rate: f64, demand: f64) -> Day {
+    Day {
+        boxes,
+        limit: Limit { rate, burst: rate },
+        slack: 140_000.0,
+        demand,
+        skew: 0.5,
+        cut: 0.0,
+        restart: 0.0,
+        change: 0.0,
+        lost: 0.0,
+        flight: 0.02,
+    }
+}
+
+prop_compose! {
+    fn days()(
+        boxes in 1_usize..40,
+        rate in 20_000.0..400_000.0_f64,
+        demand in 0.5..12.0_f64,
+        skew in 0.3..1.0_f64,
+        cut in 0.0..0.2_f64,
+        restart in 0.0..0.1_f64,
+        change in 0.0..0.15_f64,
+        lost in 0.0..0.3_f64,
+    ) -> Day {
+        Day { skew, cut, restart, change, lost, flight: 0.3, ..calm(boxes, rate, demand) }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    #[test]
+    fn boxes_never_pass_the_limit_together(day in days(), seed in any::<u64>()) {
+        let mut world = World::new(&day, seed);
+        world.play(0.0, 40.0);
+        let (most, bound) = (world.most(), bound(&day));
+        prop_assert!(most <= bound, "{most} used in a window, {bound} allowed");
+    }
+}
+
+#[test]
+fn cut_boxes_that_spend_on_are_within_the_limit() {
+    // A full window is spent in touch, then near half of the boxes are cut off for 8 s.
+    for demand in [3.0, 9.0] {
+        let day = calm(8, 230_000.0, demand);
+        let mut world = World::new(&day, 7);
+        world.play(0.0, 12.0);
+        for entry in &mut world.boxes[..4] {
+            entry.cut_until = 20.0;
+        }
+        world.play(12.0, 12.0);
+        let (most, bound) = (world.most(), bound(&day));
+        assert!(most <= bound, "{most} used in a window, {bound} allowed");
+    }
+}
+
+#[test]
+fn team_within_its_limit_is_never_refused() {
+    for (boxes, rate) in [(8, 230_000.0), (8, 40_000.0), (76, 40_000.0), (76, 400_000.0)] {
+        let day = calm(boxes, rate, 0.6);
+        let mut world = World::new(&day, 3);
+        world.day.demand = 0.0;
+        world.play(0.0, 10.0);
+        world.day.demand = day.demand;
+        world.play(10.0, 30.0);
+        let used: f64 = world.uses.iter().map(|(_, size)| size).sum();
+        assert!(world.refused < 0.02 * used, "{boxes} boxes: {} refused of {used}", world.refused);
+    }
+}
+
+#[test]
+fn team_beyond_its_limit_gets_all_of_it() {
+    for (boxes, rate) in [(8, 230_000.0), (76, 400_000.0), (8, 40_000.0)] {
+        let day = calm(boxes, rate, 6.0);
+        let mut world = World::new(&day, 5);
+        world.play(0.0, 30.0);
+        let used: f64 = world.uses.iter().map(|(_, size)| size).sum();
+        let owed = day.limit.rate * 30.0;
+        assert!(used > 0.95 * owed, "{boxes} boxes were held to {used} of {owed}");
+    }
+}
