--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -9,12 +9,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::allowance::{Allowed, TeamDemand};
-use crate::decide::spend::Offered;
+use crate::decide::capacity::Offered;
 use crate::group::access::Access;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Window};
 use crate::relay::Relay;
 use crate::relay::servers::{ListVersion, ServerList};
 use crate::relay::usage::Counts;
+use crate::state::notes::Models;
 
 /// Time between two beats.
 const BEAT_TIME: Duration = Duration::from_millis(400);
@@ -41,6 +42,8 @@
     pub usage: Counts,
     /// Prompt tokens a second that callers bring for each service.
     pub offered: BTreeMap<ServiceName, Offered>,
+    /// What this box has learned of engines.
+    pub engines: Models,
     /// What the teams used and were refused.
     pub demand: BTreeMap<TeamName, TeamDemand>,
     /// Which of the words of this life this is, and the last of them that was answered.
@@ -56,6 +59,8 @@
     pub list: Option<Arc<ServerList>>,
     /// What the teams may use on this box.
     pub allowed: BTreeMap<TeamName, Allowed>,
+    /// What all boxes have learned of engines.
+    pub engines: Models,
     /// The last window whose report is fixed.
     pub settled: Window,
     /// Relays that share the limits.
@@ -92,6 +97,7 @@
         list: relay.servers.version(),
         usage: relay.usage().counts(),
         offered: relay.offered().rates(Instant::now()),
+        engines: relay.engines().learned(),
         demand,
         turns: relay.allowances().turns(),
         relays: relay.relays_told(),
@@ -99,6 +105,7 @@
     match access.beat(&beat, ANSWER_TIME).await {
         Ok(reply) => {
             relay.allowances().hear(&reply.allowed, Instant::now());
+            relay.engines().take(reply.engines);
             relay.usage().forget(reply.settled);
             relay.note_relays(reply.relays);
             relay.heard.notify_waiters();
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -11,10 +11,11 @@
 use tokio::time::{Interval, MissedTickBehavior};
 
 use super::beat::{Beat, BeatReply};
-use super::spend::Spender;
+use super::spend::{Spender, Weights};
 use crate::decide::allowance::Allowed;
+use crate::decide::capacity::Offered;
+use crate::decide::engine::EngineModel;
 use crate::decide::level::{self, Limit, Noted, Sharers, TeamLevel, Tolerance};
-use crate::decide::spend::Offered;
 use crate::group::driver::Unanswered;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Term, Window};
 use crate::node::Node;
@@ -24,7 +25,7 @@
 use crate::relay::table::RouteTable;
 use crate::relay::usage::{Counts, window_at};
 use crate::settings::CloudSettings;
-use crate::state::low::LowTeams;
+use crate::state::notes::{LowTeams, Models, Notes};
 use crate::state::usage::Settle;
 use crate::state::{Command, Reply};
 
@@ -71,6 +72,7 @@
     heard: Instant,
     usage: Counts,
     offered: BTreeMap<ServiceName, Offered>,
+    engines: Models,
 }
 
 /// What a team was refused of late.
@@ -114,10 +116,13 @@
     list: Arc<ServerList>,
     settled: Window,
     spender: Spender,
+    /// What is known of engines, and what of it the group has kept.
+    engines: Models,
+    kept: Models,
 }
 
 impl Lead {
-    fn new(term: Term, first: bool) -> Self {
+    fn new(term: Term, first: bool, weights: Weights) -> Self {
         Self {
             term,
             since: Instant::now(),
@@ -131,7 +136,9 @@
             table: None,
             list: Arc::default(),
             settled: Window(0),
-            spender: Spender::new(first),
+            spender: Spender::new(first, weights),
+            engines: Models::new(),
+            kept: Models::new(),
         }
     }
 
@@ -146,12 +153,15 @@
         self.told = self.told.max(beat.relays.unwrap_or(0));
         let allowed = self.allow(&beat, tolerance);
         let key = (beat.box_id, beat.life);
-        self.words.insert(key, Word { heard: now, usage: beat.usage, offered: beat.offered });
+        let word =
+            Word { heard: now, usage: beat.usage, offered: beat.offered, engines: beat.engines };
+        self.words.insert(key, word);
         self.words.retain(|_, word| word.heard + FORGET_TIME > now);
         let relays = self.sharers().count;
         let newer = self.list.version > beat.list && !self.list.servers.is_empty();
         let list = newer.then(|| self.list.clone());
-        BeatReply { list, allowed, settled: self.settled, relays }
+        let engines = self.engines.clone();
+        BeatReply { list, allowed, engines, settled: self.settled, relays }
     }
 
     /// Relays that were heard lately.
@@ -208,6 +218,28 @@
         allowed
     }
 
+    /// What the group is to note, or to be asked for at the beginning of a term.
+    fn next_note(&mut self, tolerance: Tolerance) -> Option<Command> {
+        if self.low.is_none() {
+            return Some(Command::ReadNotes);
+        }
+        if let Some(low) = self.next_low(tolerance) {
+            return Some(Command::NoteLow(low));
+        }
+        let kept = |name: &ServiceName| self.kept.get(name).copied().unwrap_or_default();
+        let mut engines = self.engines.iter();
+        let differs = engines.any(|(name, model)| model.differs(&kept(name)));
+        differs.then(|| Command::NoteEngines(self.engines.clone()))
+    }
+
+    fn take_notes(&mut self, notes: Notes) {
+        self.low = Some(notes.low);
+        for (service, model) in &notes.engines {
+            self.engines.entry(service.clone()).or_insert(*model);
+        }
+        self.kept = notes.engines;
+    }
+
     /// Which teams' levels are to be noted as low, if not those that are. Teams that have recovered
     /// are held to their reserve at once: the group may take any time to forget them.
     fn next_low(&mut self, tolerance: Tolerance) -> Option<LowTeams> {
@@ -236,13 +268,29 @@
             *sum = *sum + *offered;
         }
         self.spender.note(self.since.elapsed().as_secs_f64(), &sums);
+        self.pool_engines();
+    }
+
+    /// Takes what the relays have learned of engines together. What the group has kept stands until
+    /// they have seen more than a few requests.
+    fn pool_engines(&mut self) {
+        let now = Instant::now();
+        let present = || self.words.values().filter(move |word| word.heard + ABSENT_TIME > now);
+        let words = || present().map(|word| &word.engines);
+        let services: BTreeSet<_> = words().flat_map(|models| models.keys().cloned()).collect();
+        for service in services {
+            let model = EngineModel::pool(words().filter_map(|models| models.get(&service)));
+            if model.is_learned() {
+                self.engines.insert(service, model);
+            }
+        }
     }
 
     /// The orders for engines that are due.
     fn orders(&mut self) -> Vec<Order> {
         let now = self.since.elapsed().as_secs_f64();
         match &self.table {
-            Some(table) => self.spender.orders(now, table, &self.list.servers),
+            Some(table) => self.spender.orders(now, table, &self.engines, &self.list.servers),
             None => Vec::new(),
         }
     }
@@ -286,28 +334,26 @@
     }
 }
 
-/// Keeps the group's note of the teams whose levels may be low.
-async fn note_low(node: Arc<Node>) {
+/// Keeps the group's notes for the next leader.
+async fn keep_notes(node: Arc<Node>) {
     loop {
         let _ = tokio::time::timeout(LOW_TIME, node.lacking.notified()).await;
         let Some(term) = node.leading_term().await else {
             continue;
         };
         follow_table(&node, term);
-        let known = node.with_lead(term, |lead| lead.low.is_some());
-        let command = match known {
-            false => Command::ReadLow,
-            true => match node.with_lead(term, |lead| lead.next_low(tolerance(&node))) {
-                Some(next) => Command::NoteLow(next),
-                None => continue,
-            },
+        let note = node.with_lead(term, |lead| lead.next_note(tolerance(&node)));
+        let Some(command) = note else {
+            continue;
         };
         match node.access.propose(command, SETTLE_TIME).await {
-            Ok(Reply::Low(low)) => {
-                tracing::info!(event = "low_teams", teams = low.len(), term = %term);
-                node.with_lead(term, |lead| lead.low = Some(low));
+            Ok(Reply::Notes(notes)) => {
+                tracing::info!(
+                    event = "noted", low_teams = notes.low.len(), engines = ?notes.engines, term = %term,
+                );
+                node.with_lead(term, |lead| lead.take_notes(notes));
             }
-            Ok(_) | Err(_) => tracing::warn!(event = "low_teams_not_noted", term = %term),
+            Ok(_) | Err(_) => tracing::warn!(event = "not_noted", term = %term),
         }
     }
 }
@@ -327,12 +373,17 @@
     /// Runs `f` with the soft state of the term this process leads in.
     fn with_lead<R>(&self, term: Term, f: impl FnOnce(&mut Lead) -> R) -> R {
         let first = self.board.document().version.0 == 0;
+        let weights = self.settings.cloud.as_ref().map(|cloud| Weights {
+            late: cloud.late_weight.duration().as_secs_f64(),
+            surge: cloud.surge,
+        });
+        let weights = weights.unwrap_or_default();
         let mut held = crate::node::lock(&self.lead);
         if held.as_ref().is_none_or(|lead| lead.term != term) {
             tracing::info!(event = "leading", term = %term);
-            *held = Some(Lead::new(term, first));
+            *held = Some(Lead::new(term, first, weights));
         }
-        f(held.get_or_insert_with(|| Lead::new(term, first)))
+        f(held.get_or_insert_with(|| Lead::new(term, first, weights)))
     }
 }
 
@@ -340,7 +391,7 @@
 /// task: one that the platform leaves unanswered holds no other up.
 pub(crate) async fn run(node: Arc<Node>, settings: CloudSettings) {
     let client = Client::new(node.pool.clone(), settings.addr);
-    tokio::spawn(note_low(node.clone()));
+    tokio::spawn(keep_notes(node.clone()));
     tokio::spawn(follow_list(node.clone(), client.clone(), settings.clone()));
     tokio::spawn(report_usage(node.clone(), client.clone(), settings.clone()));
     order_engines(node, client, settings).await;
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -1,14 +1,17 @@
 //! Orders engines for the services that the platform takes orders for, by the plan of
 //! [`crate::decide::spend`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use crate::decide::spend::{Bounds, Count, Demand, Need, Offered, Plan, Site, plan};
+use crate::decide::capacity::{AbsenceLearner, Market, Offered};
+use crate::decide::engine::EngineModel;
+use crate::decide::spend::{Bounds, Count, Demand, Need, Plan, Serving, Site, plan};
 use crate::ids::{DataCentre, ServiceName};
 use crate::platform::client::Order;
 use crate::relay::servers::Server;
 use crate::relay::table::{RouteTable, Scaling, Service};
+use crate::state::notes::Models;
 
 /// How long a refusal is taken to hold.
 const REFUSED_TIME: Duration = Duration::from_millis(2_500);
@@ -52,6 +55,12 @@
     demands: BTreeMap<ServiceName, Demand>,
     placed: BTreeMap<Place, Placed>,
     refused: BTreeMap<Place, Instant>,
+    /// Where there are no reclaimable engines, and what that teaches of a service.
+    away: BTreeSet<Place>,
+    absences: BTreeMap<ServiceName, AbsenceLearner>,
+    looked: BTreeMap<ServiceName, f64>,
+    /// What was last said of the need.
+    said: BTreeMap<ServiceName, Need>,
     /// Engines on demand that there were before the first order.
     first: BTreeMap<ServiceName, u32>,
     /// The most engines on demand that were listed, and since when.
@@ -59,12 +68,22 @@
     /// Whether this leader has seen what there was before the first order. A later one waits until
     /// it has measured the traffic.
     knows_start: bool,
+    weights: Weights,
+}
+
+/// What the operators weigh engines by.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Weights {
+    /// What a late request weighs, in seconds of an engine at price 1.
+    pub(crate) late: f64,
+    /// How many times the peak of late reclaimable engines are held for.
+    pub(crate) surge: f64,
 }
 
 impl Spender {
     /// The orders of a leader; `knows_start` says that nobody can have ordered before it.
-    pub(crate) fn new(knows_start: bool) -> Self {
-        Self { knows_start, ..Self::default() }
+    pub(crate) fn new(knows_start: bool, weights: Weights) -> Self {
+        Self { knows_start, weights, ..Self::default() }
     }
 
     /// Notes what is offered to each service over all boxes, at `now` in seconds.
@@ -79,11 +98,15 @@
         &mut self,
         now: f64,
         table: &RouteTable,
+        models: &Models,
         servers: &[Server],
     ) -> Vec<Order> {
         let scaled = table.services.values().filter_map(|it| Some((it, it.scaling.as_ref()?)));
         scaled
-            .flat_map(|(service, scaling)| self.orders_of(now, service, scaling, servers))
+            .flat_map(|(service, scaling)| {
+                let model = models.get(&service.name).copied().unwrap_or_default();
+                self.orders_of(now, service, scaling, &model, servers)
+            })
             .collect()
     }
 
@@ -92,12 +115,18 @@
         now: f64,
         service: &Service,
         scaling: &Scaling,
+        model: &EngineModel,
         servers: &[Server],
     ) -> Vec<Order> {
         let sites = self.sites(&service.name, scaling, servers);
         let of_service = servers.iter().filter(|it| it.service == service.name);
         let listed = of_service.filter(|it| !it.spot).count() as u32;
-        let need = self.need(now, &service.name, listed);
+        self.note_absence(now, &service.name, &sites);
+        let market = self.market(&service.name, scaling);
+        let spot = sites.iter().map(|site| site.spot.serving.max(site.spot.coming)).sum();
+        let total = sites.iter().map(|site| site.spot.serving + site.on_demand.serving).sum();
+        let serving = Serving { spot, total };
+        let need = self.need(now, &service.name, listed, model, &market, serving);
         let settled = self.is_settled(&service.name, listed);
         if need.ample == 0 {
             return Vec::new();
@@ -140,10 +169,28 @@
     /// How many engines are needed; none while it is not known. Until there is traffic to go by, as many as there were at the
     /// start: `listed` counts those on demand, also those that leave by our orders. The list lags, so
     /// it shows them one after the other.
-    fn need(&mut self, now: f64, service: &ServiceName, listed: u32) -> Need {
+    fn need(
+        &mut self,
+        now: f64,
+        service: &ServiceName,
+        listed: u32,
+        model: &EngineModel,
+        market: &Market,
+        serving: Serving,
+    ) -> Need {
         let demand = self.demands.get(service).copied().unwrap_or_default();
         let wait = if self.knows_start { START_TIME } else { HEARD_TIME };
-        if let Some(need) = demand.need(now, wait) {
+        let held = self.said.get(service).map_or(0, |need| need.ample);
+        if let Some(need) = demand.need(now, wait, model, market, serving, held) {
+            if self.said.insert(service.clone(), need) != Some(need) {
+                tracing::info!(
+                    event = "engines_needed", %service, ample = need.ample, bare = need.bare,
+                    tokens = demand.peak() as u64, rate = model.rate as u64,
+                    base_ms = (model.base * 1_000.0) as u64, wait_ms = (model.wait * 1_000.0) as u64, late = model.late,
+                    seen = model.weight as u64, away = market.absence.share,
+                    away_s = market.absence.length,
+                );
+            }
             return need;
         }
         if !self.knows_start {
@@ -152,8 +199,12 @@
         let first = self.first.entry(service.clone()).or_insert(0);
         *first = (*first).max(listed);
         match demand.is_seen() {
-            true => Need { ample: *first, bare: *first, traffic: true },
-            false => Need { ample: *first, bare: first.div_ceil(FIRST_PART), traffic: false },
+            true => Need { ample: market.with_spare(*first), bare: *first, traffic: true },
+            false => Need {
+                ample: market.with_spare(*first),
+                bare: first.div_ceil(FIRST_PART),
+                traffic: false,
+            },
         }
     }
 
@@ -177,6 +228,41 @@
         sites.collect()
     }
 
+    /// Engines at the mean price of the data centres.
+    fn market(&self, service: &ServiceName, scaling: &Scaling) -> Market {
+        let places = scaling.prices.len().max(1);
+        let on_demand = scaling.prices.values().sum::<f64>() / places as f64;
+        let absences = self.absences.get(service).copied().unwrap_or_default();
+        Market {
+            places: places as u32,
+            most: scaling.most,
+            on_demand,
+            spot: on_demand * scaling.spot_price.unwrap_or(1.0),
+            late: self.weights.late,
+            surge: self.weights.surge,
+            boot: scaling.boot_time.as_secs_f64(),
+            absence: absences.absence(),
+        }
+    }
+
+    /// Learns how often data centres have no reclaimable engines: none serve, and an order for some
+    /// was refused.
+    fn note_absence(&mut self, now: f64, service: &ServiceName, sites: &[Site]) {
+        let passed = now - self.looked.insert(service.clone(), now).unwrap_or(now);
+        for site in sites {
+            let place = (service.clone(), site.data_centre.clone(), true);
+            let refused = self.refused.get(&place);
+            let is_away = site.spot.serving == 0
+                && refused.is_some_and(|at| at.elapsed() < REFUSED_TIME + REFUSED_TIME);
+            let ends = !is_away && self.away.remove(&place);
+            if is_away {
+                self.away.insert(place);
+            }
+            let learner = self.absences.entry(service.clone()).or_default();
+            learner.note(passed, is_away, ends);
+        }
+    }
+
     /// What serves, and what is coming: an order stands for itself until the list must show it.
     fn count(&self, place: &Place, serving: u32, shown: Duration) -> Count {
         let placed = self.placed.get(place).filter(|placed| placed.at.elapsed() < shown);
--- /dev/null
+++ b/src/decide/capacity.rs
@@ -0,0 +1,296 @@
+//! How many engines a load is worth: one more as long as it gains more than it costs.
+//!
+//! What an engine gains is fewer late requests. A request is late when it waits longer than its
+//! objective leaves; how many do follows from the load of an engine and from the prompts it reads,
+//! as in a queue with one server (Pollaczek-Khinchine for the mean wait, an exponential tail).
+
+use serde::{Deserialize, Serialize};
+
+use super::engine::EngineModel;
+
+/// The part of its time that an engine reads at most: above it a queue hardly ends.
+const FULL_LOAD: f64 = 0.9;
+
+/// How many times more late requests than a queue's are taken to be the load's doing: others, as those
+/// whose prompts alone take longer than their objective, come late with any number of engines.
+const TIMES_LIMIT: f64 = 10.0;
+
+/// Seconds over which what is offered is averaged.
+const MEAN_TIME: f64 = 2.5;
+
+/// Seconds in which a peak of the offered tokens loses most of its weight: waves return, and an
+/// engine takes some seconds to boot.
+const PEAK_TIME: f64 = 25.0;
+
+/// Requests that came in some time.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Arrivals {
+    /// Requests.
+    pub calls: f64,
+    /// Their prompt tokens.
+    pub tokens: f64,
+    /// The squares of their prompt tokens.
+    pub squares: f64,
+    /// Their objectives, in seconds.
+    pub objectives: f64,
+}
+
+impl Arrivals {
+    /// Counts a request.
+    pub fn count(&mut self, tokens: f64, objective: f64) {
+        self.calls += 1.0;
+        self.tokens += tokens;
+        self.squares += tokens * tokens;
+        self.objectives += objective;
+    }
+}
+
+/// What callers bring for a service, a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Offered {
+    /// Prompt tokens, as the mean of the last seconds.
+    pub mean: f64,
+    /// The highest mean of late, which fades.
+    pub peak: f64,
+    /// Requests.
+    pub calls: f64,
+    /// The squares of their prompt tokens.
+    pub squares: f64,
+    /// Their objectives, in seconds.
+    pub objectives: f64,
+}
+
+impl Offered {
+    /// Takes what came in the last `passed` seconds.
+    pub fn note(&mut self, passed: f64, came: Arrivals) {
+        let passed = passed.max(0.05);
+        let weight = 1.0 - (-passed / MEAN_TIME).exp();
+        let follow = |mean: &mut f64, sum: f64| *mean += weight * (sum / passed - *mean);
+        follow(&mut self.mean, came.tokens);
+        follow(&mut self.calls, came.calls);
+        follow(&mut self.squares, came.squares);
+        follow(&mut self.objectives, came.objectives);
+        self.peak = (self.peak * (-passed / PEAK_TIME).exp()).max(self.mean);
+    }
+
+    /// The peak once `passed` seconds have gone by.
+    pub fn faded(peak: f64, passed: f64) -> f64 {
+        peak * (-passed.max(0.0) / PEAK_TIME).exp()
+    }
+}
+
+impl std::ops::Add for Offered {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            mean: self.mean + other.mean,
+            peak: self.peak + other.peak,
+            calls: self.calls + other.calls,
+            squares: self.squares + other.squares,
+            objectives: self.objectives + other.objectives,
+        }
+    }
+}
+
+/// A load as engines see it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Load {
+    /// Requests a second.
+    pub calls: f64,
+    /// Seconds of reading that a second brings.
+    pub work: f64,
+    /// Mean seconds of reading that a request finds under way at an engine that reads.
+    pub residue: f64,
+    /// Seconds that a request may wait and still be on time.
+    pub slack: f64,
+    /// How many times more requests come late than a queue explains.
+    pub times: f64,
+}
+
+impl Load {
+    /// What `offered` asks of engines by `model`, at its peak. Nothing is taken to be cached: after
+    /// the loss of a data centre nothing is.
+    ///
+    /// With `engines` serving, some requests come late by the model of a queue. More do: boxes choose by
+    /// old reports, load comes unevenly, and reading prompts holds up the streams beside it. As many
+    /// times more as are seen now are expected for other numbers of engines.
+    pub fn new(offered: &Offered, peak: f64, model: &EngineModel, engines: u32) -> Option<Self> {
+        if offered.mean <= 0.0 || offered.calls <= 0.0 {
+            return None;
+        }
+        let mean = model.read_time(offered.mean / offered.calls);
+        let objective = offered.objectives / offered.calls;
+        let load = Self {
+            calls: offered.calls * peak / offered.mean,
+            work: model.read_time(peak),
+            residue: model.read_time(offered.squares / offered.mean) / 2.0,
+            slack: (objective - model.base - mean).max(0.0),
+            times: 1.0,
+        };
+        let now = Self { calls: offered.calls, work: model.read_time(offered.mean), ..load };
+        let expected = now.late(engines) / now.calls;
+        let times = (model.late / expected.max(1e-6)).clamp(1.0, TIMES_LIMIT);
+        Some(Self { times, ..load })
+    }
+
+    /// The load when so many times as much comes.
+    pub fn times(&self, surge: f64) -> Self {
+        Self { calls: self.calls * surge, work: self.work * surge, ..*self }
+    }
+
+    /// Late requests a second with so many engines.
+    pub fn late(&self, engines: u32) -> f64 {
+        let load = self.work / f64::from(engines.max(1));
+        if load >= 1.0 {
+            return self.calls;
+        }
+        let tail = (-(1.0 - load) * self.slack / self.residue.max(1e-6)).exp();
+        self.calls * (self.times * load * tail).min(1.0)
+    }
+
+    /// How many engines are worth their `price` a second beside `there`, where a late request weighs as
+    /// much as `weight` seconds of an engine at price 1.
+    pub fn engines(&self, there: u32, price: f64, weight: f64) -> u32 {
+        let least = (self.work / FULL_LOAD).ceil().max(1.0) as u32;
+        let mut count = least.max(there);
+        // Each further engine gains less than the one before.
+        while weight * (self.late(count) - self.late(count + 1)) > price {
+            count += 1;
+        }
+        count - there
+    }
+
+    /// How many reclaimable engines over all data centres cost the least, with what late requests cost
+    /// and what engines on demand cost while data centres have none. So many as are `held` stay where
+    /// that costs hardly more: each change has engines boot for nothing.
+    pub fn spots(&self, market: &Market, held: u32) -> u32 {
+        let places = market.places.max(1);
+        // The loss of one data centre leaves what would be bought on demand.
+        let bare = self.engines(0, market.on_demand_price(), market.late);
+        let least = market.with_spare(bare);
+        let most = (market.most * places).max(least);
+        let cost = |count: &u32| self.cost(*count, market);
+        let best = (least..=most).min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let best = best.unwrap_or(least);
+        let gain = cost(&held) - cost(&best);
+        let stays =
+            (least..=most).contains(&held) && gain < KEEP_PART * market.spot * f64::from(held);
+        if stays { held } else { best }
+    }
+
+    /// What a second costs with so many reclaimable engines, at the mean over absences.
+    fn cost(&self, count: u32, market: &Market) -> f64 {
+        let places = market.places.max(1);
+        let Absence { share, length } = market.absence;
+        let uncovered = (market.boot / length.max(market.boot)).min(1.0);
+        let mut cost = f64::from(count) * market.spot;
+        let mut chance = (1.0 - share).powi(places as i32);
+        for away in 0..=places {
+            let there = count * (places - away) / places;
+            let bought = self.engines(there, market.on_demand_price(), market.late);
+            let covered =
+                f64::from(bought) * market.on_demand + market.late * self.late(there + bought);
+            let late = match away {
+                0 => covered,
+                _ => uncovered * market.late * self.late(there) + (1.0 - uncovered) * covered,
+            };
+            cost += chance * late;
+            let next = f64::from(places - away) / f64::from(away + 1);
+            chance *= next * share / (1.0 - share);
+        }
+        cost
+    }
+}
+
+/// How data centres run out of reclaimable engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Absence {
+    /// The part of the time that one has none.
+    pub share: f64,
+    /// Seconds that it then lasts.
+    pub length: f64,
+}
+
+/// What engines cost, and where they are to be had.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Market {
+    /// Data centres.
+    pub places: u32,
+    /// Engines at most in each.
+    pub most: u32,
+    /// The price of an engine on demand, a second.
+    pub on_demand: f64,
+    /// The price of a reclaimable one.
+    pub spot: f64,
+    /// What a late request weighs, in seconds of an engine at price 1.
+    pub late: f64,
+    /// How many times the peak of late may come before an engine has booted.
+    pub surge: f64,
+    /// Seconds from an order to the engine's service.
+    pub boot: f64,
+    /// How often data centres have no reclaimable ones, and for how long.
+    pub absence: Absence,
+}
+
+impl Market {
+    /// So many engines, and as many more as the loss of one data centre takes away.
+    pub fn with_spare(&self, engines: u32) -> u32 {
+        let places = self.places.max(1);
+        (engines * places).div_ceil((places - 1).max(1))
+    }
+
+    /// The price of a second of service of an engine on demand that stands in during an absence: it is
+    /// paid from its order on, and until it has been given back.
+    pub fn on_demand_price(&self) -> f64 {
+        let idle = self.boot + RETURN_TIME;
+        self.on_demand * (1.0 + idle / self.absence.length.max(1.0))
+    }
+}
+
+/// The part of what reclaimable engines cost that a change of their number must gain.
+const KEEP_PART: f64 = 0.1;
+
+/// Seconds between the return of reclaimable engines and the end of those that stood in: they boot, are
+/// listed and are seen to serve.
+const RETURN_TIME: f64 = 3.0;
+
+/// Zone-time and absences taken to have been seen before anything was: a tenth of the time, for some
+/// seconds each.
+const PRIOR_TIME: f64 = 120.0;
+const PRIOR_AWAY: f64 = 12.0;
+const PRIOR_COUNT: f64 = 1.0;
+
+/// Learns how data centres run out of reclaimable engines.
+#[derive(Debug, Clone, Copy)]
+pub struct AbsenceLearner {
+    time: f64,
+    away: f64,
+    count: f64,
+}
+
+impl Default for AbsenceLearner {
+    fn default() -> Self {
+        Self { time: PRIOR_TIME, away: PRIOR_AWAY, count: PRIOR_COUNT }
+    }
+}
+
+impl AbsenceLearner {
+    /// Takes that a data centre has had some, or none, for `passed` seconds; `ends`: it has some again.
+    /// Absences count when they end, so that one under way makes the mean longer from its first moment.
+    pub fn note(&mut self, passed: f64, is_away: bool, ends: bool) {
+        self.time += passed;
+        if is_away {
+            self.away += passed;
+        }
+        if ends {
+            self.count += 1.0;
+        }
+    }
+
+    /// What is known.
+    pub fn absence(&self) -> Absence {
+        let share = (self.away / self.time).clamp(0.001, 0.9);
+        Absence { share, length: self.away / self.count }
+    }
+}
--- a/src/relay/choose.rs
+++ b/src/decide/choose.rs
@@ -2,22 +2,20 @@
 //!
 //! Pure: what is known and a random number in, a choice out.
 
-/// Prompt tokens that an engine reads in a millisecond, about. From the sheets of both deployments:
-/// 64.2 and 68.2.
-const READ_RATE: f64 = 64.0;
+use super::engine::EngineModel;
 
-/// Milliseconds that a waiting request adds before the next one begins.
-const WAIT_TIME: f64 = 60.0;
+/// What a full set of running requests adds, in mean prompts. Engines give each token more slowly the
+/// more of them run, and most of them came with a prompt that is being read, so a nearly empty one is
+/// worth a small detour.
+const CROWD_PROMPTS: f64 = 2.0;
 
-/// Milliseconds that a full set of running requests adds. Engines give each token more slowly the
-/// more of them run, so a nearly empty one is worth a small detour.
-const CROWD_TIME: f64 = 120.0;
+/// The size of a prompt, in mean prompts, from which on it is long: it holds up everything that runs
+/// beside it.
+const LONG_PROMPT: f64 = 1.25;
 
-/// Prompt tokens to read from which on a prompt is long: it holds up everything that runs beside it.
-const LONG_PROMPT: u64 = 5_000;
-
-/// Milliseconds of detour that it is worth to keep long prompts and short ones on different engines.
-const LANE_TIME: f64 = 120.0;
+/// The detour, in mean prompts, that it is worth to keep long prompts and short ones on different
+/// engines.
+const LANE_PROMPTS: f64 = 2.0;
 
 /// Milliseconds to another data centre and back.
 const CROSS_TIME: f64 = 3.0;
@@ -48,22 +46,28 @@
 }
 
 /// Milliseconds until the request begins there, as far as can be told.
-pub fn expected_wait(candidate: &Candidate) -> f64 {
+pub fn expected_wait(model: &EngineModel, candidate: &Candidate) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
     let requests = f64::from(candidate.requests);
-    let read = (candidate.unread + candidate.uncached) as f64 / READ_RATE;
-    let crowd = (requests / slots).min(1.0) * CROWD_TIME;
-    let wait = (requests + 1.0 - slots).max(0.0) * WAIT_TIME;
+    let mean = model.mean_time() * 1_000.0;
+    let read = model.read_time((candidate.unread + candidate.uncached) as f64) * 1_000.0;
+    let crowd = (requests / slots).min(1.0) * CROWD_PROMPTS * mean;
+    // One that waits for a place waits for the prompts before it.
+    let wait = (requests + 1.0 - slots).max(0.0) * mean;
     let cross = if candidate.near { 0.0 } else { CROSS_TIME };
     let fault = if candidate.ejected { FAULT_TIME } else { 0.0 };
-    let long = candidate.uncached >= LONG_PROMPT;
-    let lane = if long == candidate.long_lane { 0.0 } else { LANE_TIME };
+    let long = candidate.uncached as f64 >= LONG_PROMPT * model.prompt;
+    let lane = if long == candidate.long_lane { 0.0 } else { LANE_PROMPTS * mean };
     read + crowd + wait + cross + lane + fault
 }
 
 /// The place of the candidate chosen; `random` gives numbers from 0 to 1.
-pub fn choose(candidates: &[Candidate], mut random: impl FnMut() -> f64) -> Option<usize> {
-    let costs = candidates.iter().map(|it| expected_wait(it) + random() * SPREAD_TIME);
+pub fn choose(
+    model: &EngineModel,
+    candidates: &[Candidate],
+    mut random: impl FnMut() -> f64,
+) -> Option<usize> {
+    let costs = candidates.iter().map(|it| expected_wait(model, it) + random() * SPREAD_TIME);
     costs.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
 }
 
--- /dev/null
+++ b/src/decide/engine.rs
@@ -0,0 +1,228 @@
+//! What the engines of a service can do, as far as their answers show.
+//!
+//! An engine reads a prompt before its first event. The time until then is a fixed part and the
+//! prompt's tokens over a reading rate, and longer by whatever else it is doing. So the fit goes
+//! through the lower part of what is seen: a line of which one observation in five lies below. What
+//! lies above is the wait that the load causes, and the reading of shared parts that were not cached:
+//! only what a prompt has of its own is read for certain. Where shared parts are hardly ever cached,
+//! the rate comes out too low, never too high.
+//!
+//! A box learns from its own requests. The leader pools what boxes tell and passes it on.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+/// Prompt tokens a second, before anything was seen: about one accelerator's rate for a model of some
+/// ten billion parameters. Only the comparison of engines goes by it; none are ordered before the
+/// rate is learned.
+const PRIOR_RATE: f64 = 50_000.0;
+
+/// Observations kept: enough for a fit within a tenth, few enough to follow a change in a minute.
+const KEPT: usize = 256;
+
+/// Observations before there is a fit of its own.
+const LEAST: usize = 24;
+
+/// New observations after which the line is fitted again.
+const AGAIN: usize = 16;
+
+/// The part of the observations that lies below the line.
+const LOW_PART: f64 = 0.2;
+
+/// Steps of the fit; it moves by less than a hundredth after these.
+const FIT_STEPS: usize = 12;
+
+/// Weight of a new observation in a mean.
+const MEAN_WEIGHT: f64 = 0.02;
+
+/// The longest wait, in seconds, that one observation counts for: beyond it, something failed.
+const WAIT_LIMIT: f64 = 2.0;
+
+/// What is known of a service's engines.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct EngineModel {
+    /// Prompt tokens that one reads in a second.
+    pub rate: f64,
+    /// Seconds until the first event, whatever the prompt.
+    pub base: f64,
+    /// Mean tokens of a prompt that an engine has to read.
+    pub prompt: f64,
+    /// Mean seconds that a request waits for others.
+    pub wait: f64,
+    /// The part of the requests that come late: to their first event, or between two of them.
+    pub late: f64,
+    /// Observations behind this; 0 for none.
+    pub weight: f64,
+}
+
+impl Default for EngineModel {
+    fn default() -> Self {
+        Self { rate: PRIOR_RATE, base: 0.0, prompt: 0.0, wait: 0.0, late: 0.0, weight: 0.0 }
+    }
+}
+
+impl EngineModel {
+    /// Whether anything was learned.
+    pub fn is_learned(&self) -> bool {
+        self.weight > 0.0
+    }
+
+    /// Seconds to read so many tokens.
+    pub fn read_time(&self, tokens: f64) -> f64 {
+        tokens / self.rate
+    }
+
+    /// Seconds to read a prompt of the mean size.
+    pub fn mean_time(&self) -> f64 {
+        self.read_time(self.prompt)
+    }
+
+    /// Several boxes' models as one, each by its observations.
+    pub fn pool<'a>(models: impl Iterator<Item = &'a Self>) -> Self {
+        let mut sum = Self { rate: 0.0, base: 0.0, prompt: 0.0, wait: 0.0, late: 0.0, weight: 0.0 };
+        for model in models.filter(|model| model.is_learned()) {
+            // Seconds a token add up; tokens a second do not.
+            sum.rate += model.weight / model.rate;
+            sum.base += model.weight * model.base;
+            sum.prompt += model.weight * model.prompt;
+            sum.wait += model.weight * model.wait;
+            sum.late += model.weight * model.late;
+            sum.weight += model.weight;
+        }
+        if sum.weight == 0.0 {
+            return Self::default();
+        }
+        Self {
+            rate: sum.weight / sum.rate,
+            base: sum.base / sum.weight,
+            prompt: sum.prompt / sum.weight,
+            wait: sum.wait / sum.weight,
+            late: sum.late / sum.weight,
+            weight: sum.weight,
+        }
+    }
+
+    /// Whether another model says something else, by more than a tenth.
+    pub fn differs(&self, other: &Self) -> bool {
+        let differ = |a: f64, b: f64| (a - b).abs() > 0.1 * a.max(b);
+        self.is_learned() != other.is_learned() || differ(self.rate, other.rate)
+    }
+}
+
+/// One request's way to its first event.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Observation {
+    /// Prompt tokens that the engine had to read, as far as can be told.
+    pub tokens: f64,
+    /// Those of them that no other request shares: it had to read these for certain.
+    pub own: f64,
+    /// Seconds from the send to the first event.
+    pub seconds: f64,
+    /// Whether none of this box's requests stood before it.
+    pub is_clear: bool,
+}
+
+/// Learns the model of one service's engines on one box.
+#[derive(Debug, Default)]
+pub struct EngineLearner {
+    clear: VecDeque<(f64, f64)>,
+    fresh: usize,
+    model: EngineModel,
+}
+
+impl EngineLearner {
+    /// Takes an observation.
+    pub fn note(&mut self, seen: Observation) {
+        let model = &mut self.model;
+        let first = model.prompt == 0.0;
+        let weight = if first { 1.0 } else { MEAN_WEIGHT };
+        model.prompt += weight * (seen.tokens - model.prompt);
+        if model.is_learned() {
+            let wait = seen.seconds - model.base - model.read_time(seen.tokens);
+            model.wait += MEAN_WEIGHT * (wait.clamp(0.0, WAIT_LIMIT) - model.wait);
+        }
+        if seen.is_clear && seen.seconds > 0.0 {
+            self.clear.push_back((seen.own, seen.seconds));
+            self.fresh += 1;
+        }
+        if self.clear.len() > KEPT {
+            self.clear.pop_front();
+        }
+        if self.clear.len() >= LEAST && self.fresh >= AGAIN {
+            self.fresh = 0;
+            self.fit();
+        }
+    }
+
+    /// Takes whether a request that was served came late.
+    pub fn note_served(&mut self, is_late: bool) {
+        let late = if is_late { 1.0 } else { 0.0 };
+        self.model.late += MEAN_WEIGHT * (late - self.model.late);
+    }
+
+    /// What is learned so far.
+    pub fn model(&self) -> EngineModel {
+        self.model
+    }
+
+    fn fit(&mut self) {
+        let Some((base, slope)) = low_line(&self.clear) else {
+            return;
+        };
+        self.model.rate = 1.0 / slope;
+        self.model.base = base;
+        self.model.weight = self.clear.len() as f64;
+    }
+}
+
+/// The line `base + slope * x` with [`LOW_PART`] of the points below it, by least squares with weights
+/// that make up for the sides; `None` where the points show no slope.
+fn low_line(points: &VecDeque<(f64, f64)>) -> Option<(f64, f64)> {
+    let count = points.len() as f64;
+    let (x_mean, y_mean) = points.iter().fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+    let (x_mean, y_mean) = (x_mean / count, y_mean / count);
+    if x_mean <= 0.0 || y_mean <= 0.0 {
+        return None;
+    }
+    let scaled: Vec<_> = points.iter().map(|(x, y)| (x / x_mean, y / y_mean)).collect();
+    let (mut base, mut slope) = (0.0, 1.0);
+    for _ in 0..FIT_STEPS {
+        let weighed = scaled.iter().map(|(x, y)| {
+            let over = y - base - slope * x;
+            let side = if over > 0.0 { LOW_PART } else { 1.0 - LOW_PART };
+            (side / over.abs().max(LEAST_OVER), *x, *y)
+        });
+        (base, slope) = line(weighed);
+    }
+    // Seconds a token, and never less than nothing before the first one.
+    (slope > 0.0).then(|| (base * y_mean, slope * y_mean / x_mean))
+}
+
+/// The least distance from the line that counts, as a part of the mean time: nearer points would
+/// weigh without bound.
+const LEAST_OVER: f64 = 0.01;
+
+/// Weighted least squares for a line that does not begin below 0.
+fn line(points: impl Iterator<Item = (f64, f64, f64)>) -> (f64, f64) {
+    let (mut w, mut wx, mut wy, mut wxx, mut wxy) = (0.0, 0.0, 0.0, 0.0, 0.0);
+    for (weight, x, y) in points {
+        w += weight;
+        wx += weight * x;
+        wy += weight * y;
+        wxx += weight * x * x;
+        wxy += weight * x * y;
+    }
+    let spread = w * wxx - wx * wx;
+    let through_zero = (0.0, wxy / wxx.max(f64::MIN_POSITIVE));
+    if spread <= LEAST_SPREAD * w * wxx {
+        return through_zero;
+    }
+    let slope = (w * wxy - wx * wy) / spread;
+    let base = (wy - slope * wx) / w;
+    if base < 0.0 { through_zero } else { (base, slope) }
+}
+
+/// The part of their mean square by which prompts differ for a fixed part of the time to be told from
+/// the slope.
+const LEAST_SPREAD: f64 = 0.01;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,9 @@
 
 pub mod admit;
 pub mod allowance;
+pub mod capacity;
+pub mod choose;
+pub mod engine;
 pub mod level;
 pub mod policy;
 pub mod queue;
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -9,64 +9,20 @@
 
 use std::cmp::Ordering;
 
-use serde::{Deserialize, Serialize};
-
+use super::capacity::{Load, Market, Offered};
+use super::engine::EngineModel;
 use crate::ids::DataCentre;
 
-/// Prompt tokens that an engine reads in a second, about. From the sheets of both deployments: 64,200
-/// and 68,200.
-const READ_RATE: f64 = 64_000.0;
-
-/// The part of its time a reclaimable engine is to spend reading prompts. Above it, requests queue
-/// behind long prompts for longer than their objectives allow. Measured: `docs/design/08-spend.md`.
-const AMPLE_LOAD: f64 = 0.17;
-
-/// The same for engines on demand that stand in: they cost several times as much.
-const BARE_LOAD: f64 = 0.3;
-
 /// Of the places in a data centre, one in so many is left to reclaimable engines.
 const SWAP_PART: u32 = 4;
 
-/// Seconds over which the offered tokens are averaged.
-const MEAN_TIME: f64 = 5.0;
-
-/// Seconds in which a peak of the offered tokens loses most of its weight: waves return, and an
-/// engine takes some seconds to boot.
-const PEAK_TIME: f64 = 25.0;
-
 /// The part of the boxes' peaks, summed, that stands for the peak of their sum.
 const PEAK_PART: f64 = 0.8;
 
-/// The prompt tokens a second that callers bring for a service at one box.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Offered {
-    /// The mean of the last seconds.
-    pub mean: f64,
-    /// The highest mean of late, which fades.
-    pub peak: f64,
-}
-
-impl Offered {
-    /// Takes the tokens of the last `passed` seconds.
-    pub fn note(&mut self, passed: f64, tokens: f64) {
-        let passed = passed.max(0.05);
-        let weight = 1.0 - (-passed / MEAN_TIME).exp();
-        self.mean += weight * (tokens / passed - self.mean);
-        self.peak = (self.peak * (-passed / PEAK_TIME).exp()).max(self.mean);
-    }
-}
-
-impl std::ops::Add for Offered {
-    type Output = Self;
-
-    fn add(self, other: Self) -> Self {
-        Self { mean: self.mean + other.mean, peak: self.peak + other.peak }
-    }
-}
-
 /// What a service is offered over all boxes.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Demand {
+    offered: Offered,
     peak: f64,
     at: f64,
     first: Option<f64>,
@@ -78,29 +34,59 @@
     /// Their peaks come at different times, so a part of the sum stands for the peak of the sum; a new
     /// leader has nothing else to go by.
     pub fn note(&mut self, now: f64, sum: Offered) {
-        let faded = self.peak * (-(now - self.at).max(0.0) / PEAK_TIME).exp();
+        let faded = Offered::faded(self.peak, now - self.at);
         let told = if self.first.is_none() { sum.peak * PEAK_PART } else { 0.0 };
         self.peak = faded.max(told).max(sum.mean);
+        self.offered = sum;
         self.at = now;
         if sum.mean > 0.0 && self.first.is_none() {
             self.first = Some(now);
         }
     }
 
+    /// The highest prompt tokens a second of late.
+    pub fn peak(&self) -> f64 {
+        self.peak
+    }
+
     /// Whether any traffic was seen.
     pub fn is_seen(&self) -> bool {
         self.first.is_some()
     }
 
-    /// How many engines read what is offered; `None` for `wait` seconds after the first traffic.
-    pub fn need(&self, now: f64, wait: f64) -> Option<Need> {
+    /// How many engines what is offered is worth, with `serving` reclaimable ones, where `held` were
+    /// wanted before; `None` for `wait`
+    /// seconds after the first traffic, and while nothing is known of the engines.
+    pub fn need(
+        &self,
+        now: f64,
+        wait: f64,
+        model: &EngineModel,
+        market: &Market,
+        serving: Serving,
+        held: u32,
+    ) -> Option<Need> {
         let seen = now - self.first?;
-        let engines = |load: f64| (self.peak / (READ_RATE * load)).ceil() as u32;
-        let need = Need { ample: engines(AMPLE_LOAD), bare: engines(BARE_LOAD), traffic: true };
-        (seen >= wait).then_some(need)
+        if seen < wait || !model.is_learned() {
+            return None;
+        }
+        let load = Load::new(&self.offered, self.peak, model, serving.total)?;
+        let serving = serving.spot;
+        let bought = load.engines(serving, market.on_demand_price(), market.late);
+        let bare = if bought > 0 { serving + bought } else { 0 };
+        Some(Need { ample: load.times(market.surge).spots(market, held), bare, traffic: true })
     }
 }
 
+/// Engines of a service that serve, over all data centres.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Serving {
+    /// Reclaimable ones, with those that boot.
+    pub spot: u32,
+    /// All that serve now.
+    pub total: u32,
+}
+
 /// Engines of one kind in one data centre.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Count {
@@ -126,9 +112,9 @@
 /// How many engines are needed over all data centres.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Need {
-    /// At the price of reclaimable ones.
+    /// Reclaimable ones, with what is spare for the loss of a data centre.
     pub ample: u32,
-    /// At any price.
+    /// Of both kinds, where reclaimable ones are too few; else 0.
     pub bare: u32,
     /// Whether there is traffic. Without, engines that boot are as good as those that serve.
     pub traffic: bool,
@@ -156,7 +142,7 @@
     pub has_spot: bool,
 }
 
-/// What each data centre is to have for the need to be met after the loss of one of them.
+/// What each data centre is to have.
 pub fn plan(sites: &[Site], need: Need, bounds: Bounds) -> Vec<Plan> {
     let mut order: Vec<&Site> = sites.iter().collect();
     order.sort_by(|a, b| compare(a, b));
@@ -193,9 +179,7 @@
         return vec![0; sites];
     }
     let count = sites as u32;
-    // Each of the data centres that are left holds this much of the need.
-    let each = need.div_ceil(count.saturating_sub(1).max(1));
-    let mut total = need + each;
+    let mut total = need;
     let mut spots = Vec::with_capacity(sites);
     for left in (1..=count).rev() {
         let part = total.div_ceil(left).clamp(bounds.least, bounds.most);
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -9,9 +9,9 @@
 use super::Relay;
 use super::attempt::Miss;
 use super::call::Call;
-use super::choose::{Candidate, choose};
 use super::servers::Known;
 use super::table::Route;
+use crate::decide::choose::{Candidate, choose};
 use crate::error::{Failure, Kind};
 use crate::ids::{BackendId, ServiceName};
 use crate::member::table::fingerprint;
@@ -49,6 +49,19 @@
     last: Option<Miss>,
     /// The server from which the one chosen last is to copy a part of the prompt.
     fetch: Option<SocketAddr>,
+    /// What the server chosen last has to read.
+    reading: Reading,
+}
+
+/// What a server has to read of a prompt, as far as this box knows.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Reading {
+    /// Prompt tokens.
+    pub tokens: u64,
+    /// Those of them that no other request shares.
+    pub own: u64,
+    /// Whether none of this box's requests stands before it.
+    pub is_clear: bool,
 }
 
 impl Course {
@@ -65,6 +78,7 @@
             unknown: None,
             last: None,
             fetch: None,
+            reading: Reading::default(),
         }
     }
 
@@ -78,6 +92,11 @@
         self.fetch
     }
 
+    /// What the server chosen last has to read.
+    pub fn reading(&self) -> Reading {
+        self.reading
+    }
+
     /// Whether a call may be sent once more although an earlier send may have run.
     pub fn may_repeat(&self, route: &Route) -> bool {
         route.repeat.is_repeatable() && self.sent < route.attempts
@@ -185,7 +204,8 @@
         // Where this box has had it read is known; where all boxes expect it is a guess.
         let keeper = open.iter().find(|known| seen(known)).or(open.iter().find(|it| keeps(it)));
         let keeper = keeper.map(|known| (*known).clone());
-        let lane = long_lane(&open);
+        let lane = if call.prompt() > 0 { long_lane(&open) } else { HashSet::new() };
+        let model = relay.engines().model(&self.service);
         let now = Instant::now();
         let faults = relay.faults();
         let candidates: Vec<_> = open
@@ -209,7 +229,13 @@
             })
             .collect();
         drop(faults);
-        let chosen = open[choose(&candidates, rand::random::<f64>)?].clone();
+        let place = choose(&model, &candidates, rand::random::<f64>)?;
+        let chosen = open[place].clone();
+        self.reading = Reading {
+            tokens: candidates[place].uncached,
+            own: call.prompt().saturating_sub(shared_tokens),
+            is_clear: chosen.unread() == 0 && !candidates[place].ejected,
+        };
         let keeper = keeper.filter(|it| fetchable && it.server.id != chosen.server.id);
         self.fetch = keeper.filter(|_| !seen(&chosen)).map(|known| known.server.addr);
         Some(chosen)
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,7 +7,7 @@
 //! - [`table`] is the table of routes, checked as a whole; [`call`] a request and what is known of it.
 //! - [`dialect`] is the edge to the words of callers and backend servers: pure functions from heads
 //!   to types and back.
-//! - [`servers`] is what is known of backend servers, [`choose`] picks one of them.
+//! - [`servers`] is what is known of backend servers, [`engines`] what was learned of them.
 //! - [`faults`] remembers servers that fail one route's requests.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send, [`course`] all sends of one call.
@@ -20,9 +20,9 @@
 pub mod attempt;
 pub mod budget;
 pub mod call;
-pub mod choose;
 pub mod course;
 pub mod dialect;
+pub mod engines;
 pub(crate) mod events;
 pub mod faults;
 pub mod listen;
@@ -51,6 +51,7 @@
 use crate::telemetry::Metrics;
 use budget::RetryBudgets;
 use dialect::Dialect;
+use engines::EngineBook;
 use faults::FaultBook;
 use offered::OfferedBook;
 use servers::{ListVersion, ServerBook, ServerList};
@@ -88,6 +89,7 @@
     usage: Mutex<UsageCounter>,
     faults: Mutex<FaultBook>,
     offered: Mutex<OfferedBook>,
+    engines: Mutex<EngineBook>,
     /// Relays that share the limits, as the leader last said; 0 before it did.
     relays: AtomicU32,
     /// Told of new routes and backend servers.
@@ -118,6 +120,7 @@
             usage: Mutex::new(usage),
             faults: Mutex::default(),
             offered: Mutex::default(),
+            engines: Mutex::default(),
             relays: AtomicU32::new(0),
             learned: Notify::new(),
             hurry: Notify::new(),
@@ -201,6 +204,11 @@
         lock(&self.offered)
     }
 
+    /// What was learned of engines.
+    pub fn engines(&self) -> MutexGuard<'_, EngineBook> {
+        lock(&self.engines)
+    }
+
     /// How many relays share the limits.
     pub fn relays(&self) -> u32 {
         self.relays_told().unwrap_or(RELAYS_GUESSED)
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -16,6 +16,7 @@
 use super::servers::Known;
 use super::table::Route;
 use crate::backend::SendFault;
+use crate::decide::engine::Observation;
 use crate::error::Failure;
 use crate::http::{Body, whole};
 use crate::ids::ServiceName;
@@ -158,6 +159,9 @@
     flight.begun();
     if !failed {
         known.state.succeed(seconds_since(began));
+        let seconds = seconds_since(began);
+        let seen = Observation { tokens: 1.0, own: 1.0, seconds, is_clear: known.unread() == 0 };
+        relay.engines().note(&known.server.service, seen);
         relay.faults().succeed(&known.server.id, &route.name);
     }
     if let Some(team) = &call.team {
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -14,10 +14,10 @@
 use super::Relay;
 use super::attempt::{retry_limit, seconds_since};
 use super::call::{Call, CallHead};
-use super::choose::split;
 use super::plain::{self, strip_hop_headers};
 use super::stream;
 use super::table::{Route, RouteTable, Team};
+use crate::decide::choose::split;
 use crate::entry::answer;
 use crate::error::{Failure, Kind};
 use crate::http::{Body, head};
@@ -110,7 +110,7 @@
     let call = read_call(&table, &route, team, head, request, arrived).await?;
     let spent = take_allowance(relay, team, &call).await?;
     relay.retries().earn(&service, &retry_limit(relay));
-    relay.offered().count(&service, call.prompt());
+    relay.offered().count(&service, call.prompt(), route.objective);
     let answered = match route.repeat.is_stream() {
         true => {
             let (relay, call, route) = (relay.clone(), Arc::new(call), route.clone());
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -23,6 +23,7 @@
 use super::table::{Repeat, Route};
 use crate::backend::{Exchange, SendFault};
 use crate::blackboard::RequestGuard;
+use crate::decide::engine::Observation;
 use crate::error::{Failure, Kind};
 use crate::http::Body;
 use crate::ids::ServiceName;
@@ -119,6 +120,7 @@
             }
             Some(Ok(Opening::Stream(opened))) => {
                 count(&relay, &call);
+                observe(&relay, &course, &opened);
                 return Ok(respond(relay, call, route, course, *opened, guard));
             }
             Some(Ok(Opening::Whole(response, true))) if course.may_repeat(&route) => {
@@ -156,6 +158,18 @@
     }
 }
 
+/// Notes how long the engine took to its first event.
+fn observe(relay: &Relay, course: &Course, opened: &Opened) {
+    let reading = course.reading();
+    let seen = Observation {
+        tokens: reading.tokens as f64,
+        own: reading.own as f64,
+        seconds: seconds_since(opened.source.began),
+        is_clear: reading.is_clear,
+    };
+    relay.engines().note(course.service(), seen);
+}
+
 /// Begins a stream at a server: it has begun when its first event is whole.
 pub(super) async fn open(
     relay: &Relay,
@@ -232,16 +246,18 @@
     /// When the last events came, and the longest time between two of them.
     at: Instant,
     pause: Duration,
+    /// Whether the first event came late.
+    late: bool,
 }
 
 impl Progress {
     fn new(last: Option<u64>) -> Self {
-        Self { last, events: 0, at: Instant::now(), pause: Duration::ZERO }
+        Self { last, events: 0, at: Instant::now(), pause: Duration::ZERO, late: false }
     }
 
-    /// Whether a pause was longer than the route allows.
+    /// Whether the first event came late, or a pause was longer than the route allows.
     fn is_late(&self, route: &Route) -> bool {
-        route.gap.is_some_and(|gap| self.pause > gap)
+        self.late || route.gap.is_some_and(|gap| self.pause > gap)
     }
 
     /// Takes the whole events that a source holds, without those the caller has already.
@@ -287,6 +303,7 @@
     let Opened { status, headers, mut source, first } = opened;
     let mut progress = Progress::new(call.head.resume);
     progress.pass(&first);
+    progress.late = call.arrived.elapsed() > route.objective;
     let events = stream! {
         let _counted = guard;
         yield Ok::<_, io::Error>(Frame::data(first));
@@ -337,6 +354,7 @@
                 Ok(None) => {
                     let known = source.flight.known();
                     note_end(&call, &route, known, &progress);
+                    relay.engines().note_served(course.service(), progress.is_late(&route));
                     known.state.succeed(seconds_since(source.began));
                     relay.faults().succeed(&known.server.id, &route.name);
                     break;
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -85,6 +85,10 @@
     pub usage_due: Millis,
     /// How long a former holder of a duty may still act.
     pub lease: Millis,
+    /// What a late request weighs, in time of an engine at price 1.
+    pub late_weight: Millis,
+    /// How many times the peak of late reclaimable engines are held for.
+    pub surge: f64,
 }
 
 /// Reclaimable engines go two to three seconds after their notice, and the list lags by most of one:
@@ -128,6 +132,15 @@
     })
 }
 
+/// How many times the peak of late reclaimable engines are held for, unless the operators say otherwise:
+/// traffic grows faster than engines boot, and reclaimable ones cost a fraction of those that would
+/// stand in.
+const SURGE: f64 = 1.5;
+
+/// What a late request weighs unless the operators say otherwise: half a second of an engine, which is
+/// more than an engine spends on most requests, so that a late one counts as more than lost work.
+const LATE_WEIGHT: Millis = Millis(500);
+
 pub(super) fn read_quota(reader: &mut Reader) -> QuotaSettings {
     let base = QuotaSettings::default();
     let mut section = reader.section("quota");
@@ -163,8 +176,11 @@
     let usage_window = section.value("usage_window", Millis(5_000));
     let usage_due = section.value("usage_due", Millis(10_000));
     let lease = section.value("lease", Millis(3_000));
+    let late_weight = section.value("late_weight", LATE_WEIGHT);
+    let surge = section.value("surge", SURGE);
+    section.check("surge", surge >= 1.0, "is not below 1");
     section.check("poll", poll.0 > 0, "is longer than nothing");
     section.check("usage_window", usage_window.0 > 0, "is longer than nothing");
     reader.close(section);
-    Some(CloudSettings { addr: addr?, poll, usage_window, usage_due, lease })
+    Some(CloudSettings { addr: addr?, poll, usage_window, usage_due, lease, late_weight, surge })
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,7 +8,7 @@
 pub mod config;
 pub mod document;
 pub mod ledger;
-pub mod low;
+pub mod notes;
 pub mod usage;
 pub mod work;
 
@@ -19,12 +19,12 @@
 use config::{Change, ChangeReply, Configuration};
 use document::{Document, Version};
 use ledger::{Begin, BeginReply, End, EndReply, Ledger};
-use low::LowTeams;
+use notes::{LowTeams, Models, Notes};
 use usage::{Settle, UsageBook};
 use work::{Claim, ClaimReply, Finish, Keep, KeepReply, WorkId, WorkStore, WorkView};
 
 /// One entry's content.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Command {
     /// An operator's change of the configuration.
@@ -47,14 +47,16 @@
     Settle(Settle),
     /// Notes which teams' levels may be low from now on.
     NoteLow(LowTeams),
-    /// Asks for the teams whose levels may be low, in its place among all commands.
-    ReadLow,
+    /// Notes what is known of engines from now on.
+    NoteEngines(Models),
+    /// Asks for the notes, in its place among all commands.
+    ReadNotes,
     /// Drop what is older than its age allows.
     Expire,
 }
 
 /// The answer to a [`Command`], the same on every replica.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reply {
     /// Answers [`Command::Change`].
@@ -75,8 +77,8 @@
     Document(Arc<Document>),
     /// Answers [`Command::Settle`]: the counts that stand for the window.
     Settle(Settle),
-    /// Answers [`Command::NoteLow`] and [`Command::ReadLow`]: the teams noted.
-    Low(LowTeams),
+    /// Answers [`Command::NoteLow`], [`Command::NoteEngines`] and [`Command::ReadNotes`].
+    Notes(Notes),
     /// Answers [`Command::Expire`]: how many entries went.
     Expire(usize),
 }
@@ -92,7 +94,7 @@
     #[serde(default)]
     usage: UsageBook,
     #[serde(default)]
-    low: LowTeams,
+    notes: Notes,
 }
 
 impl Machine {
@@ -112,10 +114,14 @@
             Command::ReadDocument => Reply::Document(self.document.clone()),
             Command::Settle(settle) => Reply::Settle(self.usage.settle(settle)),
             Command::NoteLow(teams) => {
-                self.low = teams.clone();
-                Reply::Low(self.low.clone())
+                self.notes.low = teams.clone();
+                Reply::Notes(self.notes.clone())
             }
-            Command::ReadLow => Reply::Low(self.low.clone()),
+            Command::NoteEngines(models) => {
+                self.notes.engines = models.clone();
+                Reply::Notes(self.notes.clone())
+            }
+            Command::ReadNotes => Reply::Notes(self.notes.clone()),
             Command::Expire => Reply::Expire(self.expire(at)),
         }
     }
--- /dev/null
+++ b/src/state/notes.rs
@@ -0,0 +1,24 @@
+//! What a leader has the group remember for the next one.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::decide::engine::EngineModel;
+use crate::ids::{ServiceName, TeamName};
+
+/// Teams whose levels may be below their reserve. Noted before a level goes below it: a new leader does
+/// not know what was used before it, and takes everything of these teams to be used.
+pub type LowTeams = BTreeSet<TeamName>;
+
+/// What was learned of the engines of each service, so that it outlives a loss of all power.
+pub type Models = BTreeMap<ServiceName, EngineModel>;
+
+/// All notes.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Notes {
+    /// Teams whose levels may be low.
+    pub low: LowTeams,
+    /// What is known of engines.
+    pub engines: Models,
+}
--- /dev/null
+++ b/tests/engine.rs
@@ -0,0 +1,134 @@
+//! Engines learned from what their answers show: drawn over two orders of magnitude of speed.
+
+use emberturn::decide::engine::{EngineLearner, EngineModel, Observation};
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+#[derive(Debug, Clone)]
+struct Engine {
+    rate: f64,
+    base: f64,
+    /// Chance that a request meets others, and how long it then waits, in mean prompts.
+    busy: f64,
+    crowd: f64,
+    /// Chance that an answer comes seconds late for another reason.
+    grey: f64,
+}
+
+const SIZES: [f64; 3] = [700.0, 2_400.0, 12_000.0];
+
+fn seen(engine: &Engine, rng: &mut SmallRng) -> Observation {
+    let tokens = SIZES[rng.random_range(0..SIZES.len())] * rng.random_range(0.5..1.5);
+    let mut seconds = engine.base + tokens / engine.rate;
+    if rng.random_bool(engine.busy) {
+        let wait: f64 = -(1.0 - rng.random::<f64>()).ln();
+        seconds += wait * engine.crowd * 5_000.0 / engine.rate;
+    }
+    if rng.random_bool(engine.grey) {
+        seconds += rng.random_range(1.0..4.0);
+    }
+    Observation { tokens, own: tokens, seconds, is_clear: true }
+}
+
+fn learn(engine: &Engine, count: usize, seed: u64) -> EngineModel {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut learner = EngineLearner::default();
+    for _ in 0..count {
+        learner.note(seen(engine, &mut rng));
+    }
+    learner.model()
+}
+
+prop_compose! {
+    fn engines()(
+        rate in (8.0..13.0_f64).prop_map(f64::exp),
+        base in 0.001..0.08_f64,
+        busy in 0.0..0.6_f64,
+        crowd in 0.1..2.0_f64,
+        grey in 0.0..0.1_f64,
+    ) -> Engine {
+        Engine { rate, base, busy, crowd, grey }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    #[test]
+    fn rate_is_learned_within_15_percent(engine in engines(), seed in any::<u64>()) {
+        let model = learn(&engine, 300, seed);
+        prop_assert!(model.is_learned());
+        // A fast engine behind a long fixed time shows its rate within that time's spread only.
+        let slack = 1.15_f64;
+        prop_assert!(model.rate < engine.rate * slack && model.rate > engine.rate / slack,
+            "{} learned, {} true", model.rate, engine.rate);
+    }
+
+    #[test]
+    fn few_requests_leave_the_prior(engine in engines(), seed in any::<u64>()) {
+        let model = learn(&engine, 10, seed);
+        prop_assert_eq!(model.rate, EngineModel::default().rate);
+        prop_assert!(!model.is_learned());
+    }
+}
+
+#[test]
+fn shared_parts_that_are_often_cached_do_not_hide_the_rate() {
+    let mut rng = SmallRng::seed_from_u64(2);
+    let mut learner = EngineLearner::default();
+    for _ in 0..400 {
+        let (own, shared) =
+            if rng.random_bool(0.7) { (1_800.0, 600.0) } else { (6_600.0, 5_400.0) };
+        let own = own * rng.random_range(0.5..1.5);
+        let read = own + if rng.random_bool(0.5) { shared } else { 0.0 };
+        let seconds = 0.05 + read / 100_000.0;
+        learner.note(Observation { tokens: read, own, seconds, is_clear: true });
+    }
+    let rate = learner.model().rate;
+    assert!((85_000.0..115_000.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn prompts_of_one_size_still_give_a_rate() {
+    let mut learner = EngineLearner::default();
+    for _ in 0..100 {
+        learner.note(Observation { tokens: 2_000.0, own: 2_000.0, seconds: 0.04, is_clear: true });
+    }
+    let rate = learner.model().rate;
+    assert!((49_000.0..51_000.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn change_of_the_engines_is_followed() {
+    let slow = Engine { rate: 20_000.0, base: 0.01, busy: 0.3, crowd: 0.5, grey: 0.02 };
+    let fast = Engine { rate: 100_000.0, ..slow.clone() };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut learner = EngineLearner::default();
+    for engine in [&slow, &fast] {
+        for _ in 0..300 {
+            learner.note(seen(engine, &mut rng));
+        }
+    }
+    let rate = learner.model().rate;
+    assert!((85_000.0..115_000.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn wait_is_what_lies_above_the_line() {
+    let idle = Engine { rate: 50_000.0, base: 0.02, busy: 0.0, crowd: 0.0, grey: 0.0 };
+    let crowded = Engine { busy: 0.5, crowd: 2.0, ..idle.clone() };
+    let waits = [&idle, &crowded].map(|engine| learn(engine, 600, 3).wait);
+    assert!(waits[0] < 0.005, "{waits:?}");
+    // Half of the requests wait for 0.2 s at the mean.
+    assert!((0.05..0.2).contains(&waits[1]), "{waits:?}");
+}
+
+#[test]
+fn boxes_are_pooled_by_what_they_have_seen() {
+    let of = |rate, weight| EngineModel { rate, weight, ..EngineModel::default() };
+    let pooled = EngineModel::pool([of(100.0, 90.0), of(50.0, 10.0), of(1.0, 0.0)].iter());
+    assert!((90.0..=92.0).contains(&pooled.rate), "{pooled:?}");
+    assert_eq!(pooled.weight, 100.0);
+    assert!(!EngineModel::pool([].iter()).is_learned());
+}
