Engines on demand stay until reclaimable ones serve; retry budget and faults among the decisions

Requests that no engine answered in time did not count as late.

Change: only what serves counts; calls that time out count as late.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Interval, MissedTickBehavior};
 
 use super::beat::{Beat, BeatReply};
+use super::notes;
 use super::spend::{Spender, Weights};
 use crate::decide::allowance::Allowed;
 use crate::decide::capacity::Offered;
@@ -25,7 +26,7 @@
 use crate::relay::table::RouteTable;
 use crate::relay::usage::{Counts, window_at};
 use crate::settings::CloudSettings;
-use crate::state::notes::{LowTeams, Models, Notes};
+use crate::state::notes::{LowTeams, Models};
 use crate::state::usage::Settle;
 use crate::state::{Command, Reply};
 
@@ -36,7 +37,7 @@
 const CLOUD_TIME: Duration = Duration::from_millis(1_500);
 
 /// How long the group may take to fix a window's counts.
-const SETTLE_TIME: Duration = Duration::from_millis(2_000);
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(2_000);
 
 /// Time between two looks at whether engines are to be ordered.
 const ORDER_TIME: Duration = Duration::from_millis(500);
@@ -58,9 +59,6 @@
 /// is over, one that no relay can tell their number takes them to be [`RELAYS_GUESSED`].
 const LEARN_TIME: Duration = Duration::from_secs(6);
 
-/// Time between two looks at whether levels have recovered.
-const LOW_TIME: Duration = Duration::from_millis(500);
-
 /// Time between two lines about a team that is refused.
 const SAY_TIME: Duration = Duration::from_millis(500);
 
@@ -100,25 +98,25 @@
 /// The soft state of one term.
 pub(crate) struct Lead {
     term: Term,
-    since: Instant,
+    pub(super) since: Instant,
     /// Whether nobody can have carried out a duty before: nothing was published yet.
     first: bool,
     words: BTreeMap<(BoxId, Incarnation), Word>,
-    levels: BTreeMap<TeamName, TeamLevel>,
+    pub(super) levels: BTreeMap<TeamName, TeamLevel>,
     missed: BTreeMap<TeamName, Missed>,
     /// The teams whose levels may be low, as the group has noted; `None` until that is known.
-    low: Option<LowTeams>,
+    pub(super) low: Option<LowTeams>,
     /// Those that are to be noted.
-    lacking: LowTeams,
+    pub(super) lacking: LowTeams,
     /// The most relays that a former leader told any of them of.
     told: u32,
-    table: Option<Arc<RouteTable>>,
+    pub(super) table: Option<Arc<RouteTable>>,
     list: Arc<ServerList>,
     settled: Window,
     spender: Spender,
     /// What is known of engines, and what of it the group has kept.
-    engines: Models,
-    kept: Models,
+    pub(super) engines: Models,
+    pub(super) kept: Models,
 }
 
 impl Lead {
@@ -226,47 +224,6 @@
         allowed
     }
 
-    /// What the group is to note, or to be asked for at the beginning of a term.
-    fn next_note(&mut self, tolerance: Tolerance) -> Option<Command> {
-        if self.low.is_none() {
-            return Some(Command::ReadNotes);
-        }
-        if let Some(low) = self.next_low(tolerance) {
-            return Some(Command::NoteLow(low));
-        }
-        let kept = |name: &ServiceName| self.kept.get(name).copied().unwrap_or_default();
-        let mut engines = self.engines.iter();
-        let differs = engines.any(|(name, model)| model.differs(&kept(name)));
-        differs.then(|| Command::NoteEngines(self.engines.clone()))
-    }
-
-    fn take_notes(&mut self, notes: Notes) {
-        self.low = Some(notes.low);
-        for (service, model) in &notes.engines {
-            self.engines.entry(service.clone()).or_insert(*model);
-        }
-        self.kept = notes.engines;
-    }
-
-    /// Which teams' levels are to be noted as low, if not those that are. Teams that have recovered
-    /// are held to their reserve at once: the group may take any time to forget them.
-    fn next_low(&mut self, tolerance: Tolerance) -> Option<LowTeams> {
-        let now = self.since.elapsed().as_secs_f64();
-        let table = self.table.clone()?;
-        let low = self.low.as_mut()?;
-        let recovered = |name: &TeamName| {
-            let rate = table.teams.get(name).and_then(|team| Some((team.rate?, team.burst)));
-            let limit = rate.map(|(rate, burst)| Limit { rate, burst }.with(tolerance));
-            let level = self.levels.get(name);
-            limit.zip(level).is_none_or(|(limit, level)| level.has_recovered(now, limit))
-        };
-        let before = low.len();
-        low.retain(|name| !recovered(name));
-        let lacking = std::mem::take(&mut self.lacking);
-        let next: LowTeams = low.union(&lacking).cloned().collect();
-        (next.len() != before || !lacking.is_subset(low)).then_some(next)
-    }
-
     /// Takes what the relays that are present say of the services' demand.
     fn note_demand(&mut self) {
         let mut sums: BTreeMap<ServiceName, Offered> = BTreeMap::new();
@@ -338,7 +295,7 @@
     Ok(Ok(reply))
 }
 
-fn tolerance(node: &Node) -> Tolerance {
+pub(super) fn tolerance(node: &Node) -> Tolerance {
     let quota = node.settings.quota;
     Tolerance {
         window: quota.window.duration().as_secs_f64(),
@@ -347,30 +304,6 @@
     }
 }
 
-/// Keeps the group's notes for the next leader.
-async fn keep_notes(node: Arc<Node>) {
-    loop {
-        let _ = tokio::time::timeout(LOW_TIME, node.lacking.notified()).await;
-        let Some(term) = node.leading_term().await else {
-            continue;
-        };
-        follow_table(&node, term);
-        let note = node.with_lead(term, |lead| lead.next_note(tolerance(&node)));
-        let Some(command) = note else {
-            continue;
-        };
-        match node.propose_here(command, SETTLE_TIME).await {
-            Some(Reply::Notes(notes)) => {
-                tracing::info!(
-                    event = "noted", low_teams = notes.low.len(), engines = ?notes.engines, term = %term,
-                );
-                node.with_lead(term, |lead| lead.take_notes(notes));
-            }
-            Some(_) | None => tracing::warn!(event = "not_noted", term = %term),
-        }
-    }
-}
-
 impl Node {
     /// The term in which this process may carry out duties.
     async fn acting_term(&self, settings: &CloudSettings) -> Option<Term> {
@@ -384,7 +317,7 @@
     }
 
     /// Runs `f` with the soft state of the term this process leads in.
-    fn with_lead<R>(&self, term: Term, f: impl FnOnce(&mut Lead) -> R) -> R {
+    pub(super) fn with_lead<R>(&self, term: Term, f: impl FnOnce(&mut Lead) -> R) -> R {
         let first = self.board.document().version.0 == 0;
         let weights = self.settings.cloud.as_ref().map(|cloud| Weights {
             late: cloud.late_weight.duration().as_secs_f64(),
@@ -404,7 +337,7 @@
 /// task: one that the platform leaves unanswered holds no other up.
 pub(crate) async fn run(node: Arc<Node>, settings: CloudSettings) {
     let client = Client::new(node.pool.clone(), settings.addr);
-    tokio::spawn(keep_notes(node.clone()));
+    tokio::spawn(notes::keep(node.clone()));
     tokio::spawn(follow_list(node.clone(), client.clone(), settings.clone()));
     tokio::spawn(report_usage(node.clone(), client.clone(), settings.clone()));
     order_engines(node, client, settings).await;
@@ -456,7 +389,7 @@
 }
 
 /// Keeps the teams' limits at those of the published document.
-fn follow_table(node: &Node, term: Term) {
+pub(super) fn follow_table(node: &Node, term: Term) {
     let document = node.board.document();
     let held = node.with_lead(term, |lead| lead.table.as_ref().map(|table| table.version));
     if document.version.0 == 0 || held == Some(document.version) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod boxlist;
 pub(crate) mod lead;
 pub(crate) mod load;
+pub(crate) mod notes;
 pub(crate) mod publish;
 pub(crate) mod share;
 pub(crate) mod spend;
--- /dev/null
+++ b/src/control/notes.rs
@@ -0,0 +1,82 @@
+//! What a leader has the group remember for the next one: teams whose levels may be low, and what was
+//! learned of engines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::lead::{Lead, SETTLE_TIME, follow_table, tolerance};
+use crate::decide::level::{Limit, Tolerance};
+use crate::ids::{ServiceName, TeamName};
+use crate::node::Node;
+use crate::state::notes::{LowTeams, Notes};
+use crate::state::{Command, Reply};
+
+/// Time between two looks at whether levels have recovered.
+const LOW_TIME: Duration = Duration::from_millis(500);
+
+/// Keeps the group's notes while this process leads.
+pub(super) async fn keep(node: Arc<Node>) {
+    loop {
+        let _ = tokio::time::timeout(LOW_TIME, node.lacking.notified()).await;
+        let Some(term) = node.leading_term().await else {
+            continue;
+        };
+        follow_table(&node, term);
+        let note = node.with_lead(term, |lead| lead.next_note(tolerance(&node)));
+        let Some(command) = note else {
+            continue;
+        };
+        match node.propose_here(command, SETTLE_TIME).await {
+            Some(Reply::Notes(notes)) => {
+                tracing::info!(
+                    event = "noted", low_teams = notes.low.len(), engines = ?notes.engines, term = %term,
+                );
+                node.with_lead(term, |lead| lead.take_notes(notes));
+            }
+            Some(_) | None => tracing::warn!(event = "not_noted", term = %term),
+        }
+    }
+}
+
+impl Lead {
+    /// What the group is to note, or to be asked for at the beginning of a term.
+    fn next_note(&mut self, tolerance: Tolerance) -> Option<Command> {
+        if self.low.is_none() {
+            return Some(Command::ReadNotes);
+        }
+        if let Some(low) = self.next_low(tolerance) {
+            return Some(Command::NoteLow(low));
+        }
+        let kept = |name: &ServiceName| self.kept.get(name).copied().unwrap_or_default();
+        let mut engines = self.engines.iter();
+        let differs = engines.any(|(name, model)| model.differs(&kept(name)));
+        differs.then(|| Command::NoteEngines(self.engines.clone()))
+    }
+
+    fn take_notes(&mut self, notes: Notes) {
+        self.low = Some(notes.low);
+        for (service, model) in &notes.engines {
+            self.engines.entry(service.clone()).or_insert(*model);
+        }
+        self.kept = notes.engines;
+    }
+
+    /// Which teams' levels are to be noted as low, if not those that are. Teams that have recovered
+    /// are held to their reserve at once: the group may take any time to forget them.
+    fn next_low(&mut self, tolerance: Tolerance) -> Option<LowTeams> {
+        let now = self.since.elapsed().as_secs_f64();
+        let table = self.table.clone()?;
+        let low = self.low.as_mut()?;
+        let recovered = |name: &TeamName| {
+            let rate = table.teams.get(name).and_then(|team| Some((team.rate?, team.burst)));
+            let limit = rate.map(|(rate, burst)| Limit { rate, burst }.with(tolerance));
+            let level = self.levels.get(name);
+            limit.zip(level).is_none_or(|(limit, level)| level.has_recovered(now, limit))
+        };
+        let before = low.len();
+        low.retain(|name| !recovered(name));
+        let lacking = std::mem::take(&mut self.lacking);
+        let next: LowTeams = low.union(&lacking).cloned().collect();
+        (next.len() != before || !lacking.is_subset(low)).then_some(next)
+    }
+}
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -123,9 +123,7 @@
         let listed = of_service.filter(|it| !it.spot).count() as u32;
         self.note_absence(now, &service.name, &sites);
         let market = self.market(&service.name, scaling);
-        let spot = sites.iter().map(|site| site.spot.serving.max(site.spot.coming)).sum();
-        let total = sites.iter().map(|site| site.spot.serving + site.on_demand.serving).sum();
-        let serving = Serving { spot, total };
+        let serving = Serving::of(&sites);
         let need = self.need(now, &service.name, listed, model, &market, serving);
         let settled = self.is_settled(&service.name, listed);
         if need.ample == 0 {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,9 @@
 //! - [`policy`]: operators' short programs that say where work goes and what may wait.
 //! - [`admit`]: whether a request may run now, within its team's limits.
 //! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
+//! - [`engine`], [`capacity`]: what engines can do, learned, and how many a load is worth.
+//! - [`choose`]: which engine a relay sends to; [`faults`]: which ones it passes over for a route.
+//! - [`budget`]: how often relays may send again.
 //! - [`queue`]: who goes next when capacity frees up.
 //! - [`route`]: which backend server takes a request.
 //! - [`retry`]: whether another attempt may be made.
@@ -13,9 +16,11 @@
 
 pub mod admit;
 pub mod allowance;
+pub mod budget;
 pub mod capacity;
 pub mod choose;
 pub mod engine;
+pub mod faults;
 pub mod level;
 pub mod policy;
 pub mod queue;
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -81,12 +81,22 @@
 /// Engines of a service that serve, over all data centres.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Serving {
-    /// Reclaimable ones, with those that boot.
+    /// Reclaimable ones.
     pub spot: u32,
-    /// All that serve now.
+    /// Both kinds.
     pub total: u32,
 }
 
+impl Serving {
+    /// Those of all data centres. What boots does not count: engines on demand stand in until
+    /// reclaimable ones serve.
+    pub fn of(sites: &[Site]) -> Self {
+        let spot = sites.iter().map(|site| site.spot.serving).sum();
+        let on_demand: u32 = sites.iter().map(|site| site.on_demand.serving).sum();
+        Self { spot, total: spot + on_demand }
+    }
+}
+
 /// Engines of one kind in one data centre.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Count {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -8,11 +8,12 @@
 use hyper::{Request, StatusCode, Uri};
 
 use super::Relay;
-use super::budget::RetryLimit;
+
 use super::call::{Call, Hop, ReplyHead, RunCopy};
 use super::servers::Known;
 use super::table::Route;
 use crate::backend::{Exchange, Reuse, SendFault};
+use crate::decide::budget::RetryLimit;
 use crate::error::Kind;
 
 /// A connection on which an unrepeatable request goes has rested no longer than this: the other side
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,23 +8,21 @@
 //! - [`dialect`] is the edge to the words of callers and backend servers: pure functions from heads
 //!   to types and back.
 //! - [`servers`] is what is known of backend servers, [`engines`] what was learned of them.
-//! - [`faults`] remembers servers that fail one route's requests.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send, [`course`] all sends of one call.
 //! - [`moving`] moves running streams off servers that are leaving.
-//! - [`budget`] bounds repeated sends, [`usage`] counts what ran and [`offered`] what came.
+//! - [`usage`] counts what ran and [`offered`] what came. What decides, limits and remembers is in
+//!   [`crate::decide`].
 //!
 //! Contract: an unrepeatable request is sent again only if the backend server itself said that it
 //! has not run. A status that promises *not run* is given only with proof.
 
 pub mod attempt;
-pub mod budget;
 pub mod call;
 pub mod course;
 pub mod dialect;
 pub mod engines;
 pub(crate) mod events;
-pub mod faults;
 pub mod listen;
 pub(crate) mod moving;
 pub mod offered;
@@ -46,13 +44,15 @@
 use crate::backend::Pool;
 use crate::blackboard::Blackboard;
 use crate::decide::allowance::Allowances;
+use crate::decide::budget::RetryBudgets;
+use crate::decide::faults::FaultBook;
 use crate::ids::DataCentre;
 use crate::settings::RelaySettings;
 use crate::telemetry::Metrics;
-use budget::RetryBudgets;
+
 use dialect::Dialect;
 use engines::EngineBook;
-use faults::FaultBook;
+
 use offered::OfferedBook;
 use servers::{ListVersion, ServerBook, ServerList};
 use table::RouteTable;
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -127,6 +127,9 @@
             Ok(response)
         }
         Err(failure) => {
+            if failure.kind == Kind::BackendTimeout {
+                relay.engines().note_served(&service, true);
+            }
             if failure.kind.answer().run == crate::error::RunState::NotRun
                 && let Some(team) = team
             {
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use emberturn::decide::allowance::{Allowances, Allowed, TeamDemand};
+use emberturn::decide::budget::{RetryBudgets, RetryLimit};
 use emberturn::decide::level::{Limit, Noted, Sharers, TeamLevel, Tolerance, Word};
 use emberturn::ids::{BoxId, Incarnation, ServiceName, TeamName, Window};
-use emberturn::relay::budget::{RetryBudgets, RetryLimit};
 use emberturn::relay::usage::{UsageCounter, window_at};
 use emberturn::state::document::{Document, Version};
 use emberturn::state::notes::Notes;
--- a/tests/spend.rs
+++ b/tests/spend.rs
@@ -119,6 +119,22 @@
     assert_eq!(totals(&sites([3; 4], [3, 2, 2, 2]), need(12, 9)), (12, 0));
 }
 
+#[test]
+fn engines_that_boot_take_none_on_demand_away() {
+    let mut demand = Demand::default();
+    demand.note(0.0, offered(1.0));
+    let mut sites = sites([0; 4], [3; 4]);
+    sites.iter_mut().for_each(|site| site.spot.coming = 6);
+    let need = demand.need(0.0, 0.0, &MODEL, &MARKET, Serving::of(&sites), 24).unwrap();
+    let bounds = Bounds { most: 12, ..BOUNDS };
+    let kept =
+        |sites: &[Site]| plan(sites, need, bounds).iter().map(|it| it.on_demand).sum::<u32>();
+    assert!(need.bare > 0 && kept(&sites) == need.bare.min(12), "{need:?}");
+    // None is ordered anew for what boots already.
+    sites.iter_mut().for_each(|site| site.on_demand = count(0));
+    assert_eq!(kept(&sites), 0);
+}
+
 #[test]
 fn engines_on_demand_stand_in_for_what_was_reclaimed() {
     let after_one = sites([0, 3, 3, 3], [0; 4]);
