--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -9,14 +9,6 @@
 /// worth a small detour.
 const CROWD_PROMPTS: f64 = 2.0;
 
-/// The size of a prompt, in mean prompts, from which on it is long: it holds up everything that runs
-/// beside it.
-const LONG_PROMPT: f64 = 1.25;
-
-/// The detour, in mean prompts, that it is worth to keep long prompts and short ones on different
-/// engines.
-const LANE_PROMPTS: f64 = 2.0;
-
 /// Milliseconds to another data centre and back.
 const CROSS_TIME: f64 = 3.0;
 
@@ -37,8 +29,6 @@
     pub unread: u64,
     /// Prompt tokens of this request it has to read itself.
     pub uncached: u64,
-    /// Whether it is one of those that read long prompts.
-    pub long_lane: bool,
     /// Whether it is in the box's data centre.
     pub near: bool,
     /// Whether it is set aside for its failures.
@@ -56,9 +46,7 @@
     let wait = (requests + 1.0 - slots).max(0.0) * mean;
     let cross = if candidate.near { 0.0 } else { CROSS_TIME };
     let fault = if candidate.ejected { FAULT_TIME } else { 0.0 };
-    let long = candidate.uncached as f64 >= LONG_PROMPT * model.prompt;
-    let lane = if long == candidate.long_lane { 0.0 } else { LANE_PROMPTS * mean };
-    read + crowd + wait + cross + lane + fault
+    read + crowd + wait + cross + fault
 }
 
 /// The place of the candidate chosen; `random` gives numbers from 0 to 1.
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -1,7 +1,6 @@
 //! All sends of one call: which server is next, whether there may be another send, and what is said
 //! of the call in the end.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -204,7 +203,6 @@
         // Where this box has had it read is known; where all boxes expect it is a guess.
         let keeper = open.iter().find(|known| seen(known)).or(open.iter().find(|it| keeps(it)));
         let keeper = keeper.map(|known| (*known).clone());
-        let lane = if call.prompt() > 0 { long_lane(&open) } else { HashSet::new() };
         let model = relay.engines().model(&self.service);
         let now = Instant::now();
         let faults = relay.faults();
@@ -217,7 +215,6 @@
                     (false, false) => 0,
                 };
                 Candidate {
-                    long_lane: lane.contains(&known.server.id),
                     requests: known.requests(),
                     slots: known.server.slots,
                     unread: known.unread(),
@@ -242,16 +239,6 @@
     }
 }
 
-/// The servers that read long prompts rather than short ones: half of them, by a hash that is the same
-/// for all boxes.
-fn long_lane(open: &[&Arc<Known>]) -> HashSet<BackendId> {
-    let weigh = |known: &Known| fingerprint(&format!("lane\n{}", known.server.id));
-    let mut weighed: Vec<_> = open.iter().map(|known| (weigh(known), &known.server.id)).collect();
-    weighed.sort_unstable();
-    weighed.truncate(open.len().div_ceil(2));
-    weighed.into_iter().map(|(_, id)| id.clone()).collect()
-}
-
 /// Shared tokens from which on a part of a prompt is copied from the engine that keeps it: copying it
 /// takes a tenth of the time of reading it, and costs less.
 const FETCH_TOKENS: u64 = 100;
