One way to a team's limit and to the time of an answer; clearer names in levels and capacity

Cause: reading the change once more. A team's limit was put together in two places, an answer's age was turned into a moment in two, a request's time was taken twice, a function had the name of a field, and a comment said of the gain of engines what does not hold while all requests come late.

Change: Team::limit, Blackboard::note_answer, one reading of the time, surged, the comment. No change of behaviour; no test changed.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -182,6 +182,14 @@
         });
     }
 
+    /// Notes that it was the newest `age` before an answer to what was asked at `asked`: whoever
+    /// answered spoke later than that.
+    pub fn note_answer(&self, asked: Instant, age: Duration) {
+        if let Some(at) = asked.checked_sub(age) {
+            self.note_fresh(at);
+        }
+    }
+
     /// How old the configuration in force may be; `None`: not known.
     pub fn age(&self) -> Option<Duration> {
         self.fresh.borrow().map(|at| at.elapsed())
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -104,9 +104,8 @@
     if let Some(document) = document {
         relay.parts.board.put_document(document);
     }
-    let age = age.map(Duration::from_millis);
-    if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
-        relay.parts.board.note_fresh(at);
+    if let Some(age) = age {
+        relay.parts.board.note_answer(asked, Duration::from_millis(age));
     }
 }
 
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -16,7 +16,7 @@
 use crate::decide::allowance::Allowed;
 use crate::decide::capacity::Offered;
 use crate::decide::engine::EngineModel;
-use crate::decide::level::{self, Limit, Noted, Sharers, TeamLevel, Tolerance};
+use crate::decide::level::{self, Noted, Sharers, TeamLevel, Tolerance};
 use crate::group::driver::Unanswered;
 use crate::ids::{BoxId, Incarnation, ServiceName, TeamName, Term, Window};
 use crate::node::Node;
@@ -199,10 +199,10 @@
         let sharers = self.sharers();
         let mut allowed = BTreeMap::new();
         for (name, team) in &table.teams {
-            let Some(rate) = team.rate else {
+            let Some(limit) = team.limit() else {
                 continue;
             };
-            let limit = Limit { rate, burst: team.burst }.with(tolerance);
+            let limit = limit.with(tolerance);
             let demand = beat.demand.get(name).copied().unwrap_or_default();
             let level = self.levels.entry(name.clone()).or_default();
             let (turn, answered) = beat.turns;
--- a/src/control/notes.rs
+++ b/src/control/notes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::lead::{Lead, SETTLE_TIME, follow_table, tolerance};
-use crate::decide::level::{Limit, Tolerance};
+use crate::decide::level::Tolerance;
 use crate::ids::{ServiceName, TeamName};
 use crate::node::Node;
 use crate::state::notes::{LowTeams, Notes};
@@ -68,8 +68,8 @@
         let table = self.table.clone()?;
         let low = self.low.as_mut()?;
         let recovered = |name: &TeamName| {
-            let rate = table.teams.get(name).and_then(|team| Some((team.rate?, team.burst)));
-            let limit = rate.map(|(rate, burst)| Limit { rate, burst }.with(tolerance));
+            let limit = table.teams.get(name).and_then(|team| team.limit());
+            let limit = limit.map(|limit| limit.with(tolerance));
             let level = self.levels.get(name);
             limit.zip(level).is_none_or(|(limit, level)| level.has_recovered(now, limit))
         };
--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -135,7 +135,7 @@
     }
 
     /// The load when so many times as much comes.
-    pub fn times(&self, surge: f64) -> Self {
+    pub fn surged(&self, surge: f64) -> Self {
         Self { calls: self.calls * surge, work: self.work * surge, ..*self }
     }
 
@@ -154,7 +154,7 @@
     pub fn engines(&self, there: u32, price: f64, weight: f64) -> u32 {
         let least = (self.work / FULL_LOAD).ceil().max(1.0) as u32;
         let mut count = least.max(there);
-        // Each further engine gains less than the one before.
+        // Each further engine gains less than the one before, but while all requests come late.
         while weight * (self.late(count) - self.late(count + 1)) > price {
             count += 1;
         }
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -15,7 +15,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::decide::allowance::{Allowed, GRANT_TIME, TRICKLE_CAP, TRICKLE_TIME, TeamDemand};
+use super::allowance::{Allowed, GRANT_TIME, TRICKLE_CAP, TRICKLE_TIME, TeamDemand};
 use crate::ids::{BoxId, Incarnation};
 
 /// The part of a level, with what is allowed of it, that boxes hold ahead of requests. More of it lies
@@ -47,6 +47,11 @@
 /// The part of what the tolerance leaves that goes to the rate; the rest goes to the burst.
 const RATE_PART: f64 = 0.25;
 
+/// Seconds without a word after which a box can use nothing more.
+fn lost_time() -> f64 {
+    (GRANT_TIME + TRICKLE_TIME).as_secs_f64()
+}
+
 /// The shortest wait told, in seconds: a box asks no more often.
 const LEAST_WAIT: f64 = 0.1;
 
@@ -259,12 +264,12 @@
             rest = held.amount;
             self.left += held.possible - rest;
         }
-        let rest = Holder { possible: rest - used, ..held };
+        let unused = Holder { possible: rest - used, ..held };
         Holder {
             turn: word.turn,
             total: word.demand.total,
             // What has lapsed is lost to the team, as if it had been used.
-            possible: rest.usable(now),
+            possible: unused.usable(now),
             heard: now,
             demand: held.demand_with(now, used + word.demand.refused),
             ..held
@@ -312,13 +317,12 @@
     /// Whether boxes may still go by what a former leader allowed them.
     fn is_new(&self, now: f64) -> bool {
         let since = self.first.map_or(0.0, |first| now - first);
-        since < (GRANT_TIME + TRICKLE_TIME).as_secs_f64()
+        since < lost_time()
     }
 
     /// Forgets the boxes that have lost their trickle. What they may have used stays off the level.
     fn forget(&mut self, now: f64) {
-        let limit = (GRANT_TIME + TRICKLE_TIME).as_secs_f64();
-        self.holders.retain(|_, held| now - held.heard <= limit);
+        self.holders.retain(|_, held| now - held.heard <= lost_time());
     }
 
     /// The box's part of what is allowed ahead.
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -74,7 +74,7 @@
         let serving = serving.spot;
         let bought = load.engines(serving, market.on_demand_price(), market.late);
         let bare = if bought > 0 { serving + bought } else { 0 };
-        Some(Need { ample: load.times(market.surge).spots(market, held), bare, traffic: true })
+        Some(Need { ample: load.surged(market.surge).spots(market, held), bare, traffic: true })
     }
 }
 
--- a/src/group/follow.rs
+++ b/src/group/follow.rs
@@ -77,10 +77,7 @@
     let Some(age) = reply.age.map(Duration::from_millis) else {
         return Ok(false);
     };
-    // The replica spoke after it was asked, so its state was the newest at `asked - age` at least.
-    if let Some(at) = asked.checked_sub(age) {
-        board.note_fresh(at);
-    }
+    board.note_answer(asked, age);
     Ok(age < OLD)
 }
 
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -158,8 +158,8 @@
     };
     flight.begun();
     if !failed {
-        known.state.succeed(seconds_since(began));
         let seconds = seconds_since(began);
+        known.state.succeed(seconds);
         let seen = Observation { tokens: 1.0, own: 1.0, seconds, is_clear: known.unread() == 0 };
         relay.engines().note(&known.server.service, seen);
         relay.faults().succeed(&known.server.id, &route.name);
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decide::level::Limit;
 use crate::ids::{DataCentre, ServiceName, TeamName, Version};
 use crate::units::Tokens;
 
@@ -138,6 +139,11 @@
 }
 
 impl Team {
+    /// The team's limit; `None` where it has none.
+    pub fn limit(&self) -> Option<Limit> {
+        self.rate.map(|rate| Limit { rate, burst: self.burst })
+    }
+
     /// What one request counts against the team's limit.
     pub fn cost(&self, tokens: Option<u64>) -> f64 {
         match self.unit {
