Regions: the settings name them, and a server's key has its life

Cause: the settings of a box tell which data centre belongs to which region, and no part of the product read it; what is known of a server hangs on its id alone.

Change: section [regions] of the settings, checked (empty, doubled and wrong names, the box's own data centre left out), filled by both templates; decide/topology with the reach of a data centre (local, regional, remote); ServerKey, a server in one of its lives.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,6 +17,7 @@
 //! - [`reclaim`]: what becomes of a stream whose engine is leaving.
 //! - [`share`]: which part of a fleet-wide limit each node may use.
 //! - [`spend`]: how many engines a service is to have, where, of which kind.
+//! - [`topology`]: which data centres make up which region, and how far they are.
 
 pub mod admit;
 pub mod allowance;
@@ -38,4 +39,5 @@
 pub mod share;
 pub mod spend;
 pub mod subset;
+pub mod topology;
 pub mod verdict;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -119,6 +119,10 @@
     /// A data centre.
     DataCentre
 }
+name_type! {
+    /// A region: data centres that are near each other.
+    Region
+}
 name_type! {
     /// A team: a customer's group that is owed latency targets.
     TeamName
@@ -173,6 +177,23 @@
     Fence
 }
 
+/// A backend server in one of its lives. All that is known of a server is known of one life: it holds
+/// nothing of what an earlier one held.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServerKey {
+    /// The server.
+    pub id: BackendId,
+    /// The life; [`Incarnation`] 0 where nothing tells it.
+    #[serde(default)]
+    pub life: Incarnation,
+}
+
+impl fmt::Display for ServerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.id, self.life)
+    }
+}
+
 /// The longest idempotency key accepted, in bytes.
 pub const KEY_LIMIT: usize = 256;
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -12,9 +12,10 @@
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
+use crate::decide::topology::Topology;
 use crate::group::directory::Directory;
 use crate::http::server::Limits;
-use crate::ids::{BoxId, DataCentre};
+use crate::ids::{BoxId, DataCentre, Region};
 use crate::units::Millis;
 
 pub use reader::SettingsError;
@@ -99,6 +100,8 @@
     pub peer: PeerSettings,
     /// Section `replicas`: every box of the replicated group with its peer address.
     pub replicas: BTreeMap<BoxId, SocketAddr>,
+    /// Section `regions`: the region of each data centre. Empty: all of them lie in one.
+    pub regions: BTreeMap<DataCentre, Region>,
     /// Section `platform`; absent on nodes that do not watch the platform.
     pub platform: Option<PlatformSettings>,
     /// Section `group`: how replicas find each other where they are not all listed.
@@ -274,6 +277,7 @@
         let entry = read_entry(&mut reader);
         let peer = read_peer(&mut reader);
         let replicas = read_replicas(&mut reader);
+        let regions = read_regions(&mut reader, node.as_ref());
         let platform = read_platform(&mut reader);
         let group = service::read_group(&mut reader);
         let relay = service::read_relay(&mut reader);
@@ -291,6 +295,7 @@
             entry,
             peer,
             replicas,
+            regions,
             platform,
             group,
             relay,
@@ -311,6 +316,11 @@
         }
     }
 
+    /// The regions, seen from this box.
+    pub fn topology(&self) -> Topology {
+        Topology::new(self.node.data_centre.clone(), self.regions.clone())
+    }
+
     /// Whether the node has the role.
     pub fn has(&self, role: Role) -> bool {
         self.node.roles.contains(&role)
@@ -370,6 +380,17 @@
     replicas
 }
 
+fn read_regions(reader: &mut Reader, node: Option<&NodeSettings>) -> BTreeMap<DataCentre, Region> {
+    let mut section = reader.section("regions");
+    let regions: BTreeMap<DataCentre, Region> = section.table();
+    if let Some(node) = node.filter(|_| !regions.is_empty()) {
+        let own = &node.data_centre;
+        section.check(own.as_str(), regions.contains_key(own), "is missing: it is this box's own");
+    }
+    reader.close(section);
+    regions
+}
+
 fn read_platform(reader: &mut Reader) -> Option<PlatformSettings> {
     if !reader.has("platform") {
         return None;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -36,7 +36,7 @@
 /// What the platform says besides figures, with `figures` under both tables.
 fn fields(figures: &Map<String, Value>) -> Value {
     json!({
-        "ip": "10.1.0.16", "zone": "north", "data_dir": "/data/replica", "first_start": true,
+        "ip": "10.1.0.16", "zone": "north", "zones": { "north": "up" }, "data_dir": "/data/replica", "first_start": true,
         "seeds": ["10.1.0.16:8229", "10.2.0.6:8229", "10.3.0.37:8229"],
         "internal_port_range": [7600, 7615],
         "listen_addresses": {
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -33,6 +33,16 @@
     let mut rest = template;
     while let Some((before, after)) = rest.split_once("{{") {
         let (name, behind) = after.split_once("}}").expect("a gap that does not end");
+        if let Some(name) = name.strip_prefix('#') {
+            let (repeated, behind) =
+                behind.split_once(&format!("{{{{/{name}}}}}")).expect("a part that does not end");
+            text.push_str(before);
+            for (key, value) in fields[name].as_object().into_iter().flatten() {
+                text.push_str(&repeated.replace("{{@}}", key).replace("{{.}}", &plain(value)));
+            }
+            rest = behind;
+            continue;
+        }
         let mut value = fields;
         for step in name.split('.') {
             value = match step.parse::<usize>() {
