--- a/src/decide/releases.rs
+++ b/src/decide/releases.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::exposure::{PermitWord, Permits};
-use super::verdict::{Pair, Tally, Verdict, judge};
+use super::verdict::{Pace, Pair, Tally, Verdict, judge};
 use crate::ids::{Release, ServiceName};
 
 /// What a box tells the leader of a service that has a roll-out.
@@ -69,8 +69,8 @@
 pub enum Outcome {
     /// It failed, or broke off.
     Failed,
-    /// It answered, in so many times the time expected of it.
-    Answered(f64),
+    /// It answered at this pace.
+    Answered(Pace),
 }
 
 #[derive(Debug, Default)]
@@ -158,7 +158,7 @@
         };
         match outcome {
             Outcome::Failed => tally.fail(),
-            Outcome::Answered(factor) => tally.succeed(factor),
+            Outcome::Answered(pace) => tally.succeed(pace),
         }
         if !trial.stopped && matches!(judge(trial.routes.values()), Verdict::Bad(_)) {
             trial.stopped = true;
--- a/src/decide/verdict.rs
+++ b/src/decide/verdict.rs
@@ -7,7 +7,8 @@
 //! *Failures* go by a sequential probability ratio test: each answer weighs for the rate of the former
 //! release or for one that is higher by [`WORSE_BY`]. *Slowness* goes by the logarithms of the time of an
 //! answer over the time that was expected of it: the difference of their means, with its standard error.
-//! Both may be looked at after every answer.
+//! It also has to be felt: where answers take a fraction of a millisecond, one half slower is nothing to
+//! a caller whose route allows seconds. Both may be looked at after every answer.
 
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +41,16 @@
 /// The least variance that is taken of the logarithms: a handful of like answers proves little.
 const LEAST_VARIANCE: f64 = 0.1;
 
+/// The part of the time that a route allows by which a slower release is felt. Under a twentieth no caller
+/// tells it from what a prompt's length or a neighbour's work does to any answer.
+const FELT_PART: f64 = 0.05;
+
+/// The least standard deviation that is taken of these parts: a handful of like answers proves little.
+const LEAST_SPREAD: f64 = 0.05;
+
+/// What an answer counts at most, in times of what its route allows: as late as can be.
+const LATEST_PART: f64 = 2.0;
+
 /// Answers below which nothing is said of slowness.
 const LEAST_TIMED: f64 = 8.0;
 
@@ -52,6 +63,15 @@
 /// The log of the odds against a few answers up to which they pass: one failure among some six.
 pub(super) const ROUTE_ODDS: f64 = 1.5;
 
+/// How long an answer took.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Over the time that was expected of it.
+    pub factor: f64,
+    /// Over the time that its route allows.
+    pub part: f64,
+}
+
 /// What answers were like.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Tally {
@@ -66,6 +86,10 @@
     pub logs: f64,
     /// The sum of their squares.
     pub squares: f64,
+    /// The sum of the times over what the route allows.
+    pub parts: f64,
+    /// The sum of their squares.
+    pub part_squares: f64,
 }
 
 impl Tally {
@@ -75,14 +99,17 @@
         self.failed += 1.0;
     }
 
-    /// Counts an answer that took `factor` times as long as expected.
-    pub fn succeed(&mut self, factor: f64) {
+    /// Counts an answer that came at this pace.
+    pub fn succeed(&mut self, pace: Pace) {
         self.answers += 1.0;
-        if factor > 0.0 && factor.is_finite() {
-            let log = factor.ln();
+        let log = pace.factor.ln();
+        if log.is_finite() && pace.part.is_finite() {
+            let part = pace.part.clamp(0.0, LATEST_PART);
             self.timed += 1.0;
             self.logs += log;
             self.squares += log * log;
+            self.parts += part;
+            self.part_squares += part * part;
         }
     }
 
@@ -93,6 +120,8 @@
         self.timed += other.timed;
         self.logs += other.logs;
         self.squares += other.squares;
+        self.parts += other.parts;
+        self.part_squares += other.part_squares;
     }
 
     /// The answers since there were those of `before`.
@@ -103,6 +132,8 @@
             timed: (self.timed - before.timed).max(0.0),
             logs: self.logs - before.logs,
             squares: self.squares - before.squares,
+            parts: self.parts - before.parts,
+            part_squares: self.part_squares - before.part_squares,
         }
     }
 
@@ -115,6 +146,17 @@
         let variance = self.squares / self.timed - self.mean().powi(2);
         variance.max(LEAST_VARIANCE) / self.timed
     }
+
+    /// The mean of the times over what the route allows.
+    fn mean_part(&self) -> f64 {
+        self.parts / self.timed
+    }
+
+    /// The square of the standard error of that mean.
+    fn part_error(&self) -> f64 {
+        let variance = self.part_squares / self.timed - self.mean_part().powi(2);
+        variance.max(LEAST_SPREAD.powi(2)) / self.timed
+    }
 }
 
 /// The answers of one route by the new and by the former release.
@@ -148,14 +190,23 @@
         self.new.failed * (worse / usual).ln() + well * ((1.0 - worse) / (1.0 - usual)).ln()
     }
 
+    /// Whether enough answers of both releases were timed to compare them.
+    fn is_timed(&self) -> bool {
+        self.new.timed >= LEAST_TIMED && self.former.timed >= LEAST_TIMED
+    }
+
     /// By how much slower the new release is, as a logarithm, with its standard error; `None` while too few
     /// answers were timed.
     pub fn slower(&self) -> Option<(f64, f64)> {
-        if self.new.timed < LEAST_TIMED || self.former.timed < LEAST_TIMED {
-            return None;
-        }
         let error = (self.new.error() + self.former.error()).sqrt();
-        Some((self.new.mean() - self.former.mean(), error))
+        self.is_timed().then(|| (self.new.mean() - self.former.mean(), error))
+    }
+
+    /// By how much longer callers wait with the new release, as a part of what the route allows, with its
+    /// standard error; `None` while too few answers were timed.
+    pub fn felt(&self) -> Option<(f64, f64)> {
+        let error = (self.new.part_error() + self.former.part_error()).sqrt();
+        self.is_timed().then(|| (self.new.mean_part() - self.former.mean_part(), error))
     }
 
     fn reason(&self) -> Option<Reason> {
@@ -163,13 +214,21 @@
             return Some(Reason::Fails);
         }
         let (slower, error) = self.slower()?;
-        (slower - ERRORS.0 * error > SLOWER.0.ln()).then_some(Reason::IsSlow)
+        let (felt, _) = self.felt()?;
+        let is_slow = slower - ERRORS.0 * error > SLOWER.0.ln() && felt > FELT_PART;
+        is_slow.then_some(Reason::IsSlow)
     }
 
     fn is_well(&self) -> bool {
-        let fast =
-            self.slower().is_some_and(|(slower, error)| slower + ERRORS.1 * error < SLOWER.1.ln());
-        self.failure_odds() <= -GOOD_ODDS && fast
+        self.failure_odds() <= -GOOD_ODDS && self.is_fast()
+    }
+
+    /// Whether the new release is as fast as the former one, or slower by so little that nobody feels it.
+    fn is_fast(&self) -> bool {
+        let below = |found: Option<(f64, f64)>, limit: f64| {
+            found.is_some_and(|(difference, error)| difference + ERRORS.1 * error < limit)
+        };
+        below(self.slower(), SLOWER.1.ln()) || below(self.felt(), FELT_PART)
     }
 }
 
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -18,6 +18,7 @@
 use crate::backend::SendFault;
 use crate::decide::engine::Observation;
 use crate::decide::releases::Outcome;
+use crate::decide::verdict::Pace;
 use crate::error::Failure;
 use crate::http::{Body, whole};
 use crate::ids::ServiceName;
@@ -164,7 +165,8 @@
         let seen = Observation { tokens: 1.0, own: 1.0, seconds, is_clear: known.unread() == 0 };
         relay.engines().note(&known.server.service, seen);
         relay.faults().succeed(&known.server.id, &route.name);
-        relay.note_outcome(known, &route.name, Outcome::Answered(seconds));
+        let part = seconds / route.objective.as_secs_f64();
+        relay.note_outcome(known, &route.name, Outcome::Answered(Pace { factor: seconds, part }));
     }
     if let Some(team) = &call.team {
         relay.usage().count(team, SystemTime::now());
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -25,6 +25,7 @@
 use crate::blackboard::RequestGuard;
 use crate::decide::engine::Observation;
 use crate::decide::releases::Outcome;
+use crate::decide::verdict::Pace;
 use crate::error::{Failure, Kind};
 use crate::http::Body;
 use crate::ids::ServiceName;
@@ -179,6 +180,12 @@
     read + EVENT_TIME * progress.events as f64
 }
 
+/// Seconds that a stream may take by its route: until its first event, and between two of them.
+fn allowed_time(route: &Route, progress: &Progress) -> f64 {
+    let gap = route.gap.unwrap_or(route.objective).as_secs_f64();
+    route.objective.as_secs_f64() + gap * progress.events.saturating_sub(1) as f64
+}
+
 /// Seconds that an event of a stream is taken to need.
 const EVENT_TIME: f64 = 0.05;
 
@@ -381,8 +388,12 @@
                     progress.note_pace(&relay, course.service(), &call);
                     known.state.succeed(seconds_since(source.began));
                     relay.faults().succeed(&known.server.id, &route.name);
-                    let factor = seconds_since(source.began) / expected_time(&relay, &course, &progress);
-                    relay.note_outcome(known, &route.name, Outcome::Answered(factor));
+                    let seconds = seconds_since(source.began);
+                    let pace = Pace {
+                        factor: seconds / expected_time(&relay, &course, &progress),
+                        part: seconds / allowed_time(&route, &progress),
+                    };
+                    relay.note_outcome(known, &route.name, Outcome::Answered(pace));
                     break;
                 }
                 Err(fault) => fault,
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -165,6 +165,26 @@
     folder: TempDir,
 }
 
+/// Keeps the logs of a test that failed, so that one that is seen once can be traced.
+impl Drop for System {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!(
+            "failed-{}-{}",
+            std::process::id(),
+            self.subnet.1
+        ));
+        let kept = std::fs::create_dir_all(&folder).is_ok()
+            && self.boxes.iter().all(|(ip, it)| {
+                let lines = it.log.lock().map(|log| log.join("\n")).unwrap_or_default();
+                std::fs::write(folder.join(format!("{ip}.log")), lines).is_ok()
+            });
+        println!("logs of the boxes, kept: {kept}, in {}", folder.display());
+    }
+}
+
 impl System {
     /// A system of its own loopback subnet, without boxes yet.
     pub async fn new() -> Self {
