A status that promises not run is given only with proof

Cause: 408, 421, 429 and 503 promise that a request has not run and never will. By the table, no_group and handed_over had 503 and an unknown outcome; by reading, a stream that was given up at a silent server for one that refused was answered 503 not_reached while the first server might still run it.

Change: no_group is said where nothing was proposed; a change that was proposed and not acknowledged is unacknowledged, 504; handed_over is 409, as in_progress; a call with a send that was given up is 504.

--- a/src/cmd/rollout.rs
+++ b/src/cmd/rollout.rs
@@ -119,7 +119,8 @@
         }
         Err((kind, detail)) => {
             eprintln!("{}", Failure::new(kind, detail));
-            exit_with(if kind == Kind::NoGroup { exit::FAILED } else { exit::REFUSED })
+            let failed = matches!(kind, Kind::NoGroup | Kind::Unacknowledged);
+            exit_with(if failed { exit::FAILED } else { exit::REFUSED })
         }
     }
 }
--- a/src/control/publish.rs
+++ b/src/control/publish.rs
@@ -21,7 +21,7 @@
 /// not above the one held changes nothing.
 ///
 /// # Errors
-/// [`Kind::NoGroup`] when the group does not answer, or is not complete yet.
+/// [`Kind::NoGroup`] when the group is not complete yet, [`Kind::Unacknowledged`] when it does not answer.
 pub async fn publish(node: &Node, document: Document) -> Result<Version, Failure> {
     let version = document.version;
     if !is_complete(node) {
@@ -34,7 +34,7 @@
             Ok(held)
         }
         Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
-        Err(error) => Err(no_group(&error.to_string())),
+        Err(error) => Err(unacknowledged(&error.to_string())),
     }
 }
 
@@ -61,3 +61,8 @@
 pub(super) fn no_group(text: &str) -> Failure {
     Failure::new(Kind::NoGroup, text).after(Some(GROUP_WAIT))
 }
+
+/// That a change may or may not have been taken: the same change again, at any replica, tells.
+pub(super) fn unacknowledged(text: &str) -> Failure {
+    Failure::new(Kind::Unacknowledged, text).after(Some(GROUP_WAIT))
+}
--- a/src/control/rollouts.rs
+++ b/src/control/rollouts.rs
@@ -7,7 +7,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::duties::SETTLE_TIME;
-use super::publish::{self, is_complete, no_group};
+use super::publish::{self, is_complete, no_group, unacknowledged};
 use crate::decide::exposure::ExposureLimit;
 use crate::decide::releases::{ReleaseWord, TrialAllowed, TrialWord};
 use crate::decide::rollout::{Facts, Led, next_step};
@@ -34,7 +34,8 @@
 /// # Errors
 /// [`Kind::BadRequest`] for an order that makes no sense, [`Kind::NotFound`] for a service that the
 /// published document does not name, [`Kind::KeyConflict`] while another roll-out of the service is
-/// under way, [`Kind::NoGroup`] when the group does not answer.
+/// under way, [`Kind::NoGroup`] when the group cannot be read, [`Kind::Unacknowledged`] when it does not
+/// say whether it took the order.
 pub async fn order(node: &Node, order: RolloutOrder) -> Result<Rollout, Failure> {
     order.check().map_err(|reason| Failure::new(Kind::BadRequest, reason))?;
     if !is_complete(node) {
@@ -68,7 +69,7 @@
             }
         },
         Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
-        Err(error) => Err(no_group(&error.to_string())),
+        Err(error) => Err(unacknowledged(&error.to_string())),
     }
 }
 
@@ -86,14 +87,14 @@
 /// it ended.
 ///
 /// # Errors
-/// As for [`show`].
+/// As for [`show`], and [`Kind::Unacknowledged`].
 pub async fn abort(node: &Node, service: &ServiceName) -> Result<Rollout, Failure> {
     let rollout = show(node, service).await?;
     let step = rollout.step(Phase::RolledBack, rollout.exposed);
     match node.access.propose(Command::StepRollout(step), ORDER_TIME).await {
         Ok(Reply::StepRollout(Some(rollout))) => Ok(*rollout),
         Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
-        Err(error) => Err(no_group(&error.to_string())),
+        Err(error) => Err(unacknowledged(&error.to_string())),
     }
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -2,7 +2,8 @@
 //!
 //! Every answer a caller gets says one of three things about its request: it was *done*, it was
 //! *not run*, or its outcome is *unknown*. *Not run* is said only with proof, so each kind fixes
-//! its run-state here and nowhere else.
+//! its run-state here and nowhere else. Callers take the statuses 408, 421, 429 and 503 as the word that
+//! the request has not run and never will, so only kinds that are *not run* have them.
 
 use std::fmt;
 use std::time::Duration;
@@ -78,8 +79,11 @@
     TooManyCallers,
     /// The node has been out of contact with the configuration for too long.
     StaleConfiguration,
-    /// The replicated group did not answer in time.
+    /// The replicated group cannot be asked, or could not say what it holds; nothing was asked of it that
+    /// changes anything.
     NoGroup,
+    /// The replicated group did not say in time whether it took a change.
+    Unacknowledged,
     /// The ledger could not record the attempt, so it was not made.
     LedgerUnavailable,
     /// The ledger holds as many entries as it may.
@@ -124,7 +128,7 @@
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotFound,
@@ -147,6 +151,7 @@
         Self::TooManyCallers,
         Self::StaleConfiguration,
         Self::NoGroup,
+        Self::Unacknowledged,
         Self::LedgerUnavailable,
         Self::LedgerFull,
         Self::BackendBroke,
@@ -184,13 +189,14 @@
             Self::Draining => row(503, "draining", NotRun, true),
             Self::TooManyCallers => row(503, "too_many_callers", NotRun, true),
             Self::StaleConfiguration => row(503, "stale_configuration", NotRun, true),
-            Self::NoGroup => row(503, "no_group", Unknown, true),
+            Self::NoGroup => row(503, "no_group", NotRun, true),
+            Self::Unacknowledged => row(504, "unacknowledged", Unknown, true),
             Self::LedgerUnavailable => row(503, "ledger_unavailable", NotRun, true),
             Self::LedgerFull => row(503, "ledger_full", NotRun, true),
             Self::BackendBroke => row(502, "backend_broke", Unknown, true),
             Self::BackendTimeout => row(504, "backend_timeout", Unknown, true),
             Self::BackendInvalid => row(502, "backend_invalid", Unknown, false),
-            Self::HandedOver => row(503, "handed_over", Unknown, true),
+            Self::HandedOver => row(409, "handed_over", Unknown, true),
             Self::StreamLost => row(410, "stream_lost", Unknown, true),
             Self::NoStream => row(404, "no_stream", NotRun, false),
             Self::CallerGone => row(499, "caller_gone", Unknown, true),
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -169,11 +169,15 @@
         self.last = Some(miss);
     }
 
-    /// What is said of the call: that it has not run only if no send may have run.
+    /// What is said of the call: that it has not run only if no send may have run. One that was given up
+    /// without an answer, for a server that refused then, may still be running.
     pub fn failure(&self, relay: &Relay) -> Failure {
         if let Some(Miss::Unknown { kind, detail }) = &self.unknown {
             return Failure::new(*kind, detail.clone());
         }
+        if self.sent > 0 {
+            return Failure::new(Kind::BackendTimeout, "a server that did not answer was given up");
+        }
         let servers = relay.servers.of(&self.service);
         let Some(last) = &self.last else {
             let text = format!("no backend server of {} takes work", self.service);
