--- a/src/state/rollout.rs
+++ b/src/state/rollout.rs
@@ -6,7 +6,6 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -88,16 +87,6 @@
     }
 }
 
-impl FromStr for Phase {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        let all = [Self::Trial, Self::Shift, Self::Completed, Self::RolledBack];
-        let found = all.into_iter().find(|phase| phase.to_string() == text);
-        found.ok_or_else(|| format!("{text:?} is no phase of a roll-out"))
-    }
-}
-
 /// A roll-out as the group knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rollout {
@@ -115,11 +104,6 @@
 }
 
 impl Rollout {
-    /// When its time is over, in milliseconds since the Unix epoch.
-    pub fn deadline(&self) -> u64 {
-        self.ordered.saturating_add(self.order.time.0)
-    }
-
     /// The step of this roll-out to a phase.
     pub fn step(&self, phase: Phase, exposed: u64) -> RolloutStep {
         RolloutStep { service: self.order.service.clone(), ordered: self.ordered, phase, exposed }
