Orders for engines kept by a pure book of their own

The book of what was ordered, taken and refused stood in the control loop with its own clock, so that no test could reach it. It is decide/orders now, with seconds as an argument; nothing decides otherwise.

--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -125,9 +125,14 @@
             event = "engines_ordered", service = %order.service, count = order.count,
             data_centre = %order.data_centre, spot = order.spot, fence = %term, ?answer,
         );
-        node.with_lead(term, |lead| match answer {
-            Ok(DutyAnswer::Unavailable | DutyAnswer::Fenced) => lead.spender.note_refused(&order),
-            Ok(DutyAnswer::Taken) | Err(_) => lead.spender.note_placed(&order),
+        node.with_lead(term, |lead| {
+            let now = lead.since.elapsed().as_secs_f64();
+            match answer {
+                Ok(DutyAnswer::Unavailable | DutyAnswer::Fenced) => {
+                    lead.spender.note_refused(now, &order);
+                }
+                Ok(DutyAnswer::Taken) | Err(_) => lead.spender.note_placed(now, &order),
+            }
         });
     }
 }
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -6,16 +6,14 @@
 
 use crate::decide::capacity::{AbsenceLearner, Market, Offered};
 use crate::decide::engine::EngineModel;
-use crate::decide::spend::{Bounds, Count, Demand, Need, Plan, Serving, Site, plan};
+use crate::decide::orders::{OrderBook, Place};
+use crate::decide::spend::{Bounds, Demand, Need, Plan, Serving, Site, plan};
 use crate::ids::{DataCentre, ServiceName};
 use crate::platform::client::Order;
 use crate::relay::list::Server;
 use crate::relay::table::{RouteTable, Scaling, Service};
 use crate::state::notes::Models;
 
-/// How long a refusal is taken to hold.
-const REFUSED_TIME: Duration = Duration::from_millis(2_500);
-
 /// Seconds of traffic before it says more than what there was at the start.
 const START_TIME: f64 = 5.0;
 
@@ -25,38 +23,21 @@
 /// How long the list shows no further engines before it is taken to be whole: two readings.
 const SETTLE_TIME: Duration = Duration::from_millis(1_900);
 
-/// How much later than it serves an engine may be listed.
-const LAG_TIME: Duration = Duration::from_millis(2_000);
+/// How long after a refusal a data centre is taken to have no reclaimable engines, in seconds: two
+/// questions.
+const AWAY_TIME: f64 = 5.0;
 
 /// The part of what there was at the start that stays on demand until reclaimable engines serve,
 /// while there is no traffic yet.
 const FIRST_PART: u32 = 4;
 
-/// Time beyond booting after which an order that shows no effect is given again: the list lags, and
-/// an order without an answer may be carried out late and undo a newer one.
-const AGAIN_TIME: Duration = Duration::from_millis(2_500);
-
-/// Time between two orders for fewer engines of one kind in one place: counts that swing would have
-/// engines booted for nothing.
-const SHRINK_TIME: Duration = Duration::from_millis(4_000);
-
-type Place = (ServiceName, DataCentre, bool);
-
-/// An order that the platform took, or may have taken.
-#[derive(Debug, Clone, Copy)]
-struct Placed {
-    count: u32,
-    at: Instant,
-}
-
 /// What the leader knows of its orders.
 #[derive(Debug, Default)]
 pub(crate) struct Spender {
     demands: BTreeMap<ServiceName, Demand>,
-    placed: BTreeMap<Place, Placed>,
-    refused: BTreeMap<Place, Instant>,
+    books: BTreeMap<ServiceName, OrderBook>,
     /// Where there are no reclaimable engines, and what that teaches of a service.
-    away: BTreeSet<Place>,
+    away: BTreeSet<(ServiceName, DataCentre)>,
     absences: BTreeMap<ServiceName, AbsenceLearner>,
     looked: BTreeMap<ServiceName, f64>,
     /// What was last said of the need.
@@ -118,7 +99,7 @@
         model: &EngineModel,
         servers: &[Server],
     ) -> Vec<Order> {
-        let sites = self.sites(&service.name, scaling, servers);
+        let sites = self.sites(now, &service.name, scaling, servers);
         let of_service = servers.iter().filter(|it| it.service == service.name);
         let listed = of_service.filter(|it| !it.spot).count() as u32;
         self.note_absence(now, &service.name, &sites);
@@ -136,7 +117,8 @@
             has_spot: scaling.spot_price.is_some_and(|price| price < 1.0),
         };
         let plans = plan(&sites, need, bounds);
-        let again = scaling.boot_time + AGAIN_TIME;
+        let boot = scaling.boot_time.as_secs_f64();
+        let book = self.books.entry(service.name.clone()).or_default();
         let mut orders = Vec::new();
         for (plan, site) in plans.iter().filter_map(|it| Some((it, find(&sites, it)?))) {
             let wanted = [(true, plan.spot, site.spot), (false, plan.on_demand, site.on_demand)];
@@ -144,9 +126,9 @@
                 if !spot && !settled && !there.grows_to(count) {
                     continue;
                 }
-                let place = (service.name.clone(), plan.data_centre.clone(), spot);
-                if self.is_due(&place, count, there, again) {
-                    let (service, data_centre, _) = place;
+                let place = Place { data_centre: plan.data_centre.clone(), spot };
+                if book.is_due(now, &place, count, there, boot) {
+                    let (service, data_centre) = (service.name.clone(), place.data_centre);
                     orders.push(Order { service, data_centre, count, spot });
                 }
             }
@@ -208,15 +190,23 @@
         }
     }
 
-    fn sites(&self, service: &ServiceName, scaling: &Scaling, servers: &[Server]) -> Vec<Site> {
+    fn sites(
+        &mut self,
+        now: f64,
+        service: &ServiceName,
+        scaling: &Scaling,
+        servers: &[Server],
+    ) -> Vec<Site> {
+        let boot = scaling.boot_time.as_secs_f64();
+        let book = self.books.entry(service.clone()).or_default();
         let sites = scaling.prices.iter().map(|(data_centre, price)| {
             let there = servers.iter().filter(|it| {
                 it.service == *service && it.data_centre == *data_centre && !it.leaving
             });
             let (spot, on_demand): (Vec<_>, Vec<_>) = there.partition(|it| it.spot);
-            let count = |spot: bool, serving: usize| {
-                let place = (service.clone(), data_centre.clone(), spot);
-                self.count(&place, serving as u32, scaling.boot_time + LAG_TIME)
+            let mut count = |spot: bool, serving: usize| {
+                let place = Place { data_centre: data_centre.clone(), spot };
+                book.count(now, &place, serving as u32, boot)
             };
             Site {
                 data_centre: data_centre.clone(),
@@ -250,54 +240,37 @@
     /// was refused.
     fn note_absence(&mut self, now: f64, service: &ServiceName, sites: &[Site]) {
         let passed = now - self.looked.insert(service.clone(), now).unwrap_or(now);
+        let book = self.books.entry(service.clone()).or_default();
         for site in sites {
-            let place = (service.clone(), site.data_centre.clone(), true);
-            let refused = self.refused.get(&place);
-            let is_away = site.spot.serving == 0
-                && refused.is_some_and(|at| at.elapsed() < REFUSED_TIME + REFUSED_TIME);
-            let ends = !is_away && self.away.remove(&place);
+            let place = Place { data_centre: site.data_centre.clone(), spot: true };
+            let refused = book.refused_for(now, &place);
+            let is_away =
+                site.spot.serving == 0 && refused.is_some_and(|passed| passed < AWAY_TIME);
+            let away = (service.clone(), place.data_centre);
+            let ends = !is_away && self.away.remove(&away);
             if is_away {
-                self.away.insert(place);
+                self.away.insert(away);
             }
             let learner = self.absences.entry(service.clone()).or_default();
             learner.note(passed, is_away, ends);
         }
     }
 
-    /// What serves, and what is coming: an order stands for itself until the list must show it.
-    fn count(&self, place: &Place, serving: u32, shown: Duration) -> Count {
-        let placed = self.placed.get(place).filter(|placed| placed.at.elapsed() < shown);
-        Count { serving, coming: placed.map_or(serving, |placed| placed.count) }
+    /// Notes that an order was taken at `now`, or may have been.
+    pub(crate) fn note_placed(&mut self, now: f64, order: &Order) {
+        let book = self.books.entry(order.service.clone()).or_default();
+        book.note_placed(now, place_of(order), order.count);
     }
 
-    /// Whether an order is due: the count is not what was ordered last, or shows no effect for long.
-    fn is_due(&self, place: &Place, count: u32, there: Count, again: Duration) -> bool {
-        if self.refused.get(place).is_some_and(|at| at.elapsed() < REFUSED_TIME) {
-            return false;
-        }
-        match self.placed.get(place) {
-            None => count != there.serving,
-            Some(placed) if placed.count == count => {
-                count != there.serving && placed.at.elapsed() > again
-            }
-            Some(placed) if count < placed.count => placed.at.elapsed() > SHRINK_TIME,
-            Some(_) => true,
-        }
-    }
-
-    /// Notes that an order was taken, or may have been.
-    pub(crate) fn note_placed(&mut self, order: &Order) {
-        let place = (order.service.clone(), order.data_centre.clone(), order.spot);
-        self.placed.insert(place, Placed { count: order.count, at: Instant::now() });
+    /// Notes that an order was refused.
+    pub(crate) fn note_refused(&mut self, now: f64, order: &Order) {
+        let book = self.books.entry(order.service.clone()).or_default();
+        book.note_refused(now, place_of(order));
     }
+}
 
-    /// Notes that an order was refused. What was ordered before does not stand either: a reclaim
-    /// takes it away.
-    pub(crate) fn note_refused(&mut self, order: &Order) {
-        let place = (order.service.clone(), order.data_centre.clone(), order.spot);
-        self.placed.remove(&place);
-        self.refused.insert(place, Instant::now());
-    }
+fn place_of(order: &Order) -> Place {
+    Place { data_centre: order.data_centre.clone(), spot: order.spot }
 }
 
 /// Requests that an engine runs at the same time, on the mean; 0 where there are none.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 //! - [`retry`]: whether another attempt may be made.
 //! - [`reclaim`]: what becomes of a stream whose engine is leaving.
 //! - [`share`]: which part of a fleet-wide limit each node may use.
+//! - [`orders`]: what orders for engines stand for until the list shows it.
 //! - [`spend`]: how many engines a service is to have, where, of which kind.
 //! - [`topology`]: which data centres make up which region, and how far they are.
 
@@ -29,6 +30,7 @@
 pub mod faults;
 pub mod level;
 pub mod loads;
+pub mod orders;
 pub mod policy;
 pub mod queue;
 pub mod reclaim;
