Orders: none stands for engines that were lost since, a refusal says no more than it says

And a refused order for more voided the one before, though those engines were booting. Change: the book watches what serves after an order. What goes below it is lost and counts no longer; where all reclaimable ones of a data centre go, the order is void and due again. A refusal voids what was ordered before only where none serve.

--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -40,6 +40,25 @@
 struct Placed {
     count: u32,
     at: f64,
+    /// Of the engines it asked for, those that served at the last look.
+    seen: u32,
+    /// Those that served and were lost since.
+    lost: u32,
+}
+
+impl Placed {
+    /// Takes that so many serve: what goes below what the order asked for is lost, not given up.
+    fn look(&mut self, serving: u32) {
+        let seen = serving.min(self.count);
+        self.lost += self.seen.saturating_sub(seen);
+        self.seen = seen;
+    }
+
+    /// Whether nothing is left that it stands for: a data centre's reclaimable engines go together, and
+    /// those that boot with those that serve.
+    fn is_void(&self, spot: bool) -> bool {
+        spot && self.seen == 0 && self.lost > 0
+    }
 }
 
 /// The orders of one service.
@@ -52,22 +71,32 @@
 impl OrderBook {
     /// Notes that an order for `count` engines was taken at `now`, or may have been.
     pub fn note_placed(&mut self, now: f64, place: Place, count: u32) {
-        self.placed.insert(place, Placed { count, at: now });
+        self.placed.insert(place, Placed { count, at: now, seen: 0, lost: 0 });
     }
 
-    /// Notes that an order was refused. What was ordered before does not stand either: a reclaim
-    /// takes it away.
+    /// Notes that an order was refused. While engines serve there, it says that there are no further ones,
+    /// and what was ordered before stands; where none do, that there are none.
     pub fn note_refused(&mut self, now: f64, place: Place) {
-        self.placed.remove(&place);
+        if self.placed.get(&place).is_some_and(|placed| placed.seen == 0) {
+            self.placed.remove(&place);
+        }
         self.refused.insert(place, now);
     }
 
-    /// What serves, and what is coming: an order stands for itself until the list must show it, `boot`
-    /// seconds and a lag later.
+    /// What serves, and what is coming: an order stands for itself, less what was lost since, until the list
+    /// must show it, `boot` seconds and a lag later.
     pub fn count(&mut self, now: f64, place: &Place, serving: u32, boot: f64) -> Count {
-        let shown = boot + LAG_TIME;
-        let placed = self.placed.get(place).filter(|placed| now - placed.at < shown);
-        Count { serving, coming: placed.map_or(serving, |placed| placed.count) }
+        let Some(placed) = self.placed.get_mut(place) else {
+            return Count { serving, coming: serving };
+        };
+        placed.look(serving);
+        if placed.is_void(place.spot) {
+            self.placed.remove(place);
+            return Count { serving, coming: serving };
+        }
+        let stands = now - placed.at < boot + LAG_TIME;
+        let coming = if stands { placed.count.saturating_sub(placed.lost) } else { serving };
+        Count { serving, coming }
     }
 
     /// Whether an order is due: the count is not what was ordered last, or shows no effect for long.
