Absences: one observation a data centre, and censored while they last

And one refused call began one, also where it was the leader's own fence. Change: decide/absence follows each data centre from its notice, or from a refusal where none serve, to the next order that is taken. The mean is that of those that ended, and of those that have lasted longer by now.

--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Interval, MissedTickBehavior};
 
 use super::lead::Lead;
+use super::spend::OrderAnswer;
 use super::{notes, rollouts};
 use crate::ids::{Term, Window};
 use crate::node::Node;
@@ -126,13 +127,13 @@
             data_centre = %order.data_centre, spot = order.spot, fence = %term, ?answer,
         );
         node.with_lead(term, |lead| {
-            let now = lead.since.elapsed().as_secs_f64();
-            match answer {
-                Ok(DutyAnswer::Unavailable | DutyAnswer::Fenced) => {
-                    lead.spender.note_refused(now, &order);
-                }
-                Ok(DutyAnswer::Taken) | Err(_) => lead.spender.note_placed(now, &order),
-            }
+            let answer = match answer {
+                Ok(DutyAnswer::Taken) => OrderAnswer::Taken,
+                Ok(DutyAnswer::Unavailable) => OrderAnswer::Unavailable,
+                Ok(DutyAnswer::Fenced) => OrderAnswer::Fenced,
+                Err(_) => OrderAnswer::Unknown,
+            };
+            lead.spender.note_answer(lead.since.elapsed().as_secs_f64(), &order, answer);
         });
     }
 }
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -1,10 +1,11 @@
 //! Orders engines for the services that the platform takes orders for, by the plan of
 //! [`crate::decide::spend`].
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::decide::capacity::{AbsenceLearner, Market, Offered};
+use crate::decide::absence::{AbsenceLearner, Seen};
+use crate::decide::capacity::{Market, Offered};
 use crate::decide::engine::EngineModel;
 use crate::decide::orders::{OrderBook, Place};
 use crate::decide::spend::{Bounds, Demand, Need, Plan, Serving, Site, plan};
@@ -23,10 +24,6 @@
 /// How long the list shows no further engines before it is taken to be whole: two readings.
 const SETTLE_TIME: Duration = Duration::from_millis(1_900);
 
-/// How long after a refusal a data centre is taken to have no reclaimable engines, in seconds: two
-/// questions.
-const AWAY_TIME: f64 = 5.0;
-
 /// The part of what there was at the start that stays on demand until reclaimable engines serve,
 /// while there is no traffic yet.
 const FIRST_PART: u32 = 4;
@@ -36,10 +33,7 @@
 pub(crate) struct Spender {
     demands: BTreeMap<ServiceName, Demand>,
     books: BTreeMap<ServiceName, OrderBook>,
-    /// Where there are no reclaimable engines, and what that teaches of a service.
-    away: BTreeSet<(ServiceName, DataCentre)>,
     absences: BTreeMap<ServiceName, AbsenceLearner>,
-    looked: BTreeMap<ServiceName, f64>,
     /// What was last said of the need.
     said: BTreeMap<ServiceName, Need>,
     /// Engines on demand that there were before the first order.
@@ -102,7 +96,7 @@
         let sites = self.sites(now, &service.name, scaling, servers);
         let of_service = servers.iter().filter(|it| it.service == service.name);
         let listed = of_service.filter(|it| !it.spot).count() as u32;
-        self.note_absence(now, &service.name, &sites);
+        self.note_absence(now, &service.name, scaling, servers);
         let slots = mean_slots(servers.iter().filter(|it| it.service == service.name));
         let market = self.market(&service.name, scaling, slots);
         let serving = Serving::of(&sites);
@@ -222,7 +216,7 @@
     fn market(&self, service: &ServiceName, scaling: &Scaling, slots: f64) -> Market {
         let places = scaling.prices.len().max(1);
         let on_demand = scaling.prices.values().sum::<f64>() / places as f64;
-        let absences = self.absences.get(service).copied().unwrap_or_default();
+        let absences = self.absences.get(service).cloned().unwrap_or_default();
         Market {
             places: places as u32,
             most: scaling.most,
@@ -236,37 +230,60 @@
         }
     }
 
-    /// Learns how often data centres have no reclaimable engines: none serve, and an order for some
-    /// was refused.
-    fn note_absence(&mut self, now: f64, service: &ServiceName, sites: &[Site]) {
-        let passed = now - self.looked.insert(service.clone(), now).unwrap_or(now);
-        let book = self.books.entry(service.clone()).or_default();
-        for site in sites {
-            let place = Place { data_centre: site.data_centre.clone(), spot: true };
-            let refused = book.refused_for(now, &place);
-            let is_away =
-                site.spot.serving == 0 && refused.is_some_and(|passed| passed < AWAY_TIME);
-            let away = (service.clone(), place.data_centre);
-            let ends = !is_away && self.away.remove(&away);
-            if is_away {
-                self.away.insert(away);
+    /// Learns when data centres have no reclaimable engines from what is listed.
+    fn note_absence(
+        &mut self,
+        now: f64,
+        service: &ServiceName,
+        scaling: &Scaling,
+        servers: &[Server],
+    ) {
+        let spots = servers.iter().filter(|it| it.service == *service && it.spot);
+        let mut seen: BTreeMap<&DataCentre, Seen> =
+            scaling.prices.keys().map(|data_centre| (data_centre, Seen::default())).collect();
+        for server in spots {
+            if let Some(seen) = seen.get_mut(&server.data_centre) {
+                let count = if server.leaving { &mut seen.leaving } else { &mut seen.serving };
+                *count += 1;
             }
-            let learner = self.absences.entry(service.clone()).or_default();
-            learner.note(passed, is_away, ends);
         }
+        let seen: Vec<_> = seen.into_iter().map(|(place, seen)| (place.clone(), seen)).collect();
+        self.absences.entry(service.clone()).or_default().look(now, &seen);
     }
 
-    /// Notes that an order was taken at `now`, or may have been.
-    pub(crate) fn note_placed(&mut self, now: f64, order: &Order) {
+    /// Notes what became of an order.
+    pub(crate) fn note_answer(&mut self, now: f64, order: &Order, answer: OrderAnswer) {
         let book = self.books.entry(order.service.clone()).or_default();
-        book.note_placed(now, place_of(order), order.count);
+        match answer {
+            OrderAnswer::Taken | OrderAnswer::Unknown => {
+                book.note_placed(now, place_of(order), order.count);
+            }
+            OrderAnswer::Unavailable | OrderAnswer::Fenced => {
+                book.note_refused(now, place_of(order));
+            }
+        }
+        let absences = self.absences.entry(order.service.clone()).or_default();
+        match answer {
+            OrderAnswer::Taken if order.spot => {
+                absences.note_taken(now, &order.data_centre, order.count);
+            }
+            OrderAnswer::Unavailable => absences.note_refused(now, &order.data_centre),
+            _ => {}
+        }
     }
+}
 
-    /// Notes that an order was refused.
-    pub(crate) fn note_refused(&mut self, now: f64, order: &Order) {
-        let book = self.books.entry(order.service.clone()).or_default();
-        book.note_refused(now, place_of(order));
-    }
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OrderAnswer {
+    /// It is carried out.
+    Taken,
+    /// It may be: no answer came.
+    Unknown,
+    /// There are no reclaimable engines there.
+    Unavailable,
+    /// Another leader acts.
+    Fenced,
 }
 
 fn place_of(order: &Order) -> Place {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions: pure functions and state machines that take time, randomness and what is known as
 //! arguments and do no I/O.
 //!
+//! - [`absence`]: which data centres have no reclaimable engines, and for how long.
 //! - [`policy`]: operators' short programs that say where work goes and what may wait.
 //! - [`admit`]: whether a request may run now, within its team's limits.
 //! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
@@ -20,6 +21,7 @@
 //! - [`spend`]: how many engines a service is to have, where, of which kind.
 //! - [`topology`]: which data centres make up which region, and how far they are.
 
+pub mod absence;
 pub mod admit;
 pub mod allowance;
 pub mod budget;
--- a/tests/spend.rs
+++ b/tests/spend.rs
@@ -1,6 +1,6 @@
 //! How many engines are ordered, of which kind, and where.
 
-use emberturn::decide::capacity::{Absence, AbsenceLearner, Arrivals, Load, Market, Offered};
+use emberturn::decide::capacity::{Absence, Arrivals, Load, Market, Offered};
 use emberturn::decide::engine::{EngineLearner, EngineModel};
 use emberturn::decide::spend::{Bounds, Count, Demand, Need, Serving, Site, plan};
 use proptest::prelude::*;
@@ -94,22 +94,6 @@
     assert!(load(0.5, &MODEL).spots(&MARKET, held) < held);
 }
 
-#[test]
-fn absences_are_learned_from_a_prior() {
-    let mut learner = AbsenceLearner::default();
-    let before = learner.absence();
-    for second in 0..1_000 {
-        learner.note(1.0, second % 100 < 30, second % 100 == 30);
-    }
-    let after = learner.absence();
-    // One that has not ended is at least as long as it has lasted.
-    let mut lasting = AbsenceLearner::default();
-    lasting.note(30.0, true, false);
-    assert!(lasting.absence().length > 30.0);
-    assert!(before.share < 0.15 && (0.25..0.32).contains(&after.share), "{after:?}");
-    assert!((25.0..31.0).contains(&after.length), "{after:?}");
-}
-
 #[test]
 fn engines_on_demand_go_only_when_reclaimable_ones_serve() {
     // At the start: all on demand, none of the reclaimable ones serves.
