Spend: a gap is ordered as a whole, and nothing reclaimable is given up while none is to be had

Cause: the need is computed with what serves. With nothing serving all come late by the queue, so that how many more come late than a queue explains falls to one; and those refused come back: 10, 11, 11, 12, 13, 13, 14, 14, 15 engines at nine looks. And a plan gave up 12 of 30 reclaimable engines just when a data centre had none. Change: while data centres are gone, the need goes by the peak and the times of before, with as many more as will be back when an engine has booted, at most the operators' surge. No reclaimable engine is given up meanwhile. Tests: two in tests/spend.rs; both failed without the change. decide/hazard is here for its number of data centres that are gone; nothing is foreseen yet.

--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -4,9 +4,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::decide::absence::{AbsenceLearner, Seen};
+use crate::decide::absence::Seen;
 use crate::decide::capacity::{Market, Offered};
 use crate::decide::engine::EngineModel;
+use crate::decide::hazard::{DrySpells, Outlook};
 use crate::decide::orders::{OrderBook, Place};
 use crate::decide::spend::{Bounds, Demand, Need, Plan, Serving, Site, plan};
 use crate::ids::{DataCentre, ServiceName};
@@ -33,7 +34,7 @@
 pub(crate) struct Spender {
     demands: BTreeMap<ServiceName, Demand>,
     books: BTreeMap<ServiceName, OrderBook>,
-    absences: BTreeMap<ServiceName, AbsenceLearner>,
+    spells: BTreeMap<ServiceName, DrySpells>,
     /// What was last said of the need.
     said: BTreeMap<ServiceName, Need>,
     /// Engines on demand that there were before the first order.
@@ -96,7 +97,7 @@
         let sites = self.sites(now, &service.name, scaling, servers);
         let of_service = servers.iter().filter(|it| it.service == service.name);
         let listed = of_service.filter(|it| !it.spot).count() as u32;
-        self.note_absence(now, &service.name, scaling, servers);
+        self.note_spells(now, &service.name, scaling, servers);
         let slots = mean_slots(servers.iter().filter(|it| it.service == service.name));
         let market = self.market(&service.name, scaling, slots);
         let serving = Serving::of(&sites);
@@ -153,7 +154,7 @@
         market: &Market,
         serving: Serving,
     ) -> Need {
-        let demand = self.demands.get(service).copied().unwrap_or_default();
+        let demand = self.demands.entry(service.clone()).or_default();
         let wait = if self.knows_start { START_TIME } else { HEARD_TIME };
         let held = self.said.get(service).map_or(0, |need| need.ample);
         if let Some(need) = demand.need(now, wait, model, market, serving, held) {
@@ -164,7 +165,8 @@
                     base_ms = (model.base * 1_000.0) as u64, wait_ms = (model.wait * 1_000.0) as u64, late = model.late,
                     pace_ms = (model.pace * 1_000.0) as u64, events = model.events,
                     seen = model.weight as u64, away = market.absence.share,
-                    away_s = market.absence.length,
+                    away_s = market.absence.length, gone = market.outlook.gone,
+                    next = 1.0 - market.outlook.chances[0],
                 );
             }
             return need;
@@ -175,11 +177,16 @@
         let first = self.first.entry(service.clone()).or_insert(0);
         *first = (*first).max(listed);
         match demand.is_seen() {
-            true => Need { ample: market.at_start(*first), bare: *first, traffic: true },
+            true => Need {
+                ample: market.at_start(*first),
+                bare: *first,
+                traffic: true,
+                ..Need::default()
+            },
             false => Need {
                 ample: market.at_start(*first),
                 bare: first.div_ceil(FIRST_PART),
-                traffic: false,
+                ..Need::default()
             },
         }
     }
@@ -216,7 +223,8 @@
     fn market(&self, service: &ServiceName, scaling: &Scaling, slots: f64) -> Market {
         let places = scaling.prices.len().max(1);
         let on_demand = scaling.prices.values().sum::<f64>() / places as f64;
-        let absences = self.absences.get(service).cloned().unwrap_or_default();
+        let spells = self.spells.get(service).cloned().unwrap_or_default();
+        let boot = scaling.boot_time.as_secs_f64();
         Market {
             places: places as u32,
             most: scaling.most,
@@ -225,13 +233,14 @@
             late: self.weights.late,
             surge: self.weights.surge,
             slots,
-            boot: scaling.boot_time.as_secs_f64(),
-            absence: absences.absence(),
+            boot,
+            absence: spells.absence(),
+            outlook: Outlook { gone: spells.gone(), ..Outlook::calm(places as u32) },
         }
     }
 
     /// Learns when data centres have no reclaimable engines from what is listed.
-    fn note_absence(
+    fn note_spells(
         &mut self,
         now: f64,
         service: &ServiceName,
@@ -245,10 +254,12 @@
             if let Some(seen) = seen.get_mut(&server.data_centre) {
                 let count = if server.leaving { &mut seen.leaving } else { &mut seen.serving };
                 *count += 1;
+                let left = server.leaves_in.map(|left| left.duration().as_secs_f64());
+                seen.notice = if left > seen.notice { left } else { seen.notice };
             }
         }
         let seen: Vec<_> = seen.into_iter().map(|(place, seen)| (place.clone(), seen)).collect();
-        self.absences.entry(service.clone()).or_default().look(now, &seen);
+        self.spells.entry(service.clone()).or_default().look(now, &seen);
     }
 
     /// Notes what became of an order.
@@ -262,12 +273,12 @@
                 book.note_refused(now, place_of(order));
             }
         }
-        let absences = self.absences.entry(order.service.clone()).or_default();
+        let spells = self.spells.entry(order.service.clone()).or_default();
         match answer {
             OrderAnswer::Taken if order.spot => {
-                absences.note_taken(now, &order.data_centre, order.count);
+                spells.note_taken(now, &order.data_centre, order.count);
             }
-            OrderAnswer::Unavailable => absences.note_refused(now, &order.data_centre),
+            OrderAnswer::Unavailable => spells.note_refused(now, &order.data_centre),
             _ => {}
         }
     }
--- a/src/decide/absence.rs
+++ b/src/decide/absence.rs
@@ -23,12 +23,14 @@
 const PRIOR_COUNT: f64 = 0.25;
 
 /// What a list shows of the reclaimable engines in a data centre.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Seen {
     /// That serve and do not leave.
     pub serving: u32,
     /// That leave.
     pub leaving: u32,
+    /// Seconds until the last of them goes, where that is known.
+    pub notice: Option<f64>,
 }
 
 /// Whether a data centre has reclaimable engines.
--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::engine::EngineModel;
+use super::hazard::Outlook;
 
 /// The part of its time that an engine reads at most: above it a queue hardly ends.
 const FULL_LOAD: f64 = 0.9;
@@ -218,6 +219,29 @@
         best.unwrap_or(least) - there
     }
 
+    /// How many engines on demand cost the least beside `spots` reclaimable ones, over what may be left of
+    /// those once an engine ordered now serves. While a dry spell lasts, of the `held` ones stay those that
+    /// gain at least [`HELD_PART`] of their price.
+    pub fn stand_in(&self, spots: u32, held: u32, market: &Market) -> u32 {
+        let best = self.cheapest(spots, market.on_demand_price(), market);
+        if market.outlook.gone == 0 || held <= best {
+            return best;
+        }
+        held.min(self.cheapest(spots, market.on_demand_price() * HELD_PART, market)).max(best)
+    }
+
+    fn cheapest(&self, spots: u32, price: f64, market: &Market) -> u32 {
+        let most = market.most * market.places;
+        let least = ((self.work / FULL_LOAD).ceil().max(1.0) as u32).min(most);
+        let cases: Vec<_> = market.outlook.left_of(spots).collect();
+        let cost = |count: &u32| {
+            let late = cases.iter().map(|(left, chance)| chance * self.late(left + count));
+            price * f64::from(*count) + market.late * late.sum::<f64>()
+        };
+        let counts = least.saturating_sub(spots)..=most.saturating_sub(spots);
+        counts.min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(0)
+    }
+
     /// How many reclaimable engines over all data centres cost the least, with what late requests cost
     /// and what engines on demand cost while data centres have none. So many as are `held` stay where
     /// that costs hardly more: each change has engines boot for nothing.
@@ -304,6 +328,8 @@
     pub boot: f64,
     /// How often data centres have no reclaimable ones, and for how long.
     pub absence: Absence,
+    /// Which of them may have none soon.
+    pub outlook: Outlook,
 }
 
 impl Market {
@@ -326,6 +352,10 @@
     }
 }
 
+/// The part of its price that an engine on demand must gain to be kept while a dry spell lasts: one that is
+/// given back and ordered again boots for nothing.
+const HELD_PART: f64 = 0.5;
+
 /// The part of what reclaimable engines cost that a change of their number must gain.
 const KEEP_PART: f64 = 0.1;
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,7 +1,8 @@
 //! The decisions: pure functions and state machines that take time, randomness and what is known as
 //! arguments and do no I/O.
 //!
-//! - [`absence`]: which data centres have no reclaimable engines, and for how long.
+//! - [`absence`], [`hazard`]: which data centres have no reclaimable engines, for how long, and which may be
+//!   next.
 //! - [`policy`]: operators' short programs that say where work goes and what may wait.
 //! - [`admit`]: whether a request may run now, within its team's limits.
 //! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
@@ -30,6 +31,7 @@
 pub mod engine;
 pub mod exposure;
 pub mod faults;
+pub mod hazard;
 pub mod level;
 pub mod loads;
 pub mod orders;
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -26,6 +26,8 @@
     peak: f64,
     at: f64,
     first: Option<f64>,
+    /// The peak, and how many times more come late than a queue explains, before data centres were gone.
+    calm: Option<(f64, f64)>,
 }
 
 impl Demand {
@@ -58,7 +60,7 @@
     /// wanted before; `None` for `wait`
     /// seconds after the first traffic, and while nothing is known of the engines.
     pub fn need(
-        &self,
+        &mut self,
         now: f64,
         wait: f64,
         model: &EngineModel,
@@ -71,11 +73,29 @@
             return None;
         }
         let load = Load::new(&self.offered, self.peak, model, serving.total, market.slots)?;
-        let serving = serving.spot;
-        let most = market.most * market.places;
-        let bought = load.engines(serving, most, market.on_demand_price(), market.late);
-        let bare = if bought > 0 { serving + bought } else { 0 };
-        Some(Need { ample: load.surged(market.surge).spots(market, held), bare, traffic: true })
+        let load = self.as_in_calm(load, market, serving);
+        let bought = load.stand_in(serving.spot, serving.on_demand, market);
+        let bare = if bought > 0 { serving.spot + bought } else { 0 };
+        let scarce = market.outlook.gone > 0;
+        let ample = load.surged(market.surge).spots(market, held);
+        Some(Need { ample, bare, traffic: true, scarce })
+    }
+
+    /// What a load is to be met with while data centres are gone. Few requests are served then, which
+    /// teaches nothing, and those that can't be come back before an engine has booted: the gap is ordered as
+    /// a whole, not step by step as they do.
+    fn as_in_calm(&mut self, load: Load, market: &Market, serving: Serving) -> Load {
+        if market.outlook.gone == 0 {
+            self.calm = Some((self.peak, load.times));
+            return load;
+        }
+        let Some((peak, times)) = self.calm else {
+            return load;
+        };
+        let load = Load { times, ..load };
+        let returning = load.late(serving.total) / load.calls;
+        let expected = peak * (1.0 + (market.surge - 1.0) * returning);
+        load.surged((expected / self.peak).max(1.0))
     }
 }
 
@@ -86,6 +106,8 @@
     pub spot: u32,
     /// Both kinds.
     pub total: u32,
+    /// Engines on demand that serve or boot.
+    pub on_demand: u32,
 }
 
 impl Serving {
@@ -94,7 +116,8 @@
     pub fn of(sites: &[Site]) -> Self {
         let spot = sites.iter().map(|site| site.spot.serving).sum();
         let on_demand: u32 = sites.iter().map(|site| site.on_demand.serving).sum();
-        Self { spot, total: spot + on_demand }
+        let coming = sites.iter().map(|site| site.on_demand.coming).sum();
+        Self { spot, total: spot + on_demand, on_demand: coming }
     }
 }
 
@@ -138,6 +161,9 @@
     pub bare: u32,
     /// Whether there is traffic. Without, engines that boot are as good as those that serve.
     pub traffic: bool,
+    /// Whether data centres have no reclaimable engines. Nowhere are any given up then: those that are left
+    /// may be lost next, and can't be had again.
+    pub scarce: bool,
 }
 
 /// What a data centre is to have.
@@ -166,7 +192,11 @@
 pub fn plan(sites: &[Site], need: Need, bounds: Bounds) -> Vec<Plan> {
     let mut order: Vec<&Site> = sites.iter().collect();
     order.sort_by(|a, b| compare(a, b));
-    let spots = plan_spots(order.len(), need.ample, bounds);
+    let mut spots = plan_spots(order.len(), need.ample, bounds);
+    if need.scarce {
+        let held = order.iter().map(|site| site.spot.coming.min(bounds.most));
+        spots.iter_mut().zip(held).for_each(|(spot, held)| *spot = held.max(*spot));
+    }
     let coming: u32 =
         order.iter().zip(&spots).map(|(site, spot)| site.spot.coming.min(*spot)).sum();
     let serving = match need.traffic {
--- a/tests/absence.rs
+++ b/tests/absence.rs
@@ -27,7 +27,7 @@
     fn seen(&mut self, now: f64) -> Seen {
         self.serving &= now < self.from;
         let leaving = if self.serving { 0 } else { 6 };
-        Seen { serving: 6 - leaving, leaving }
+        Seen { serving: 6 - leaving, leaving, notice: None }
     }
 
     /// Orders engines, if that is due.
@@ -125,13 +125,13 @@
 fn refusal_where_engines_serve_or_a_crash_is_no_absence() {
     let mut learner = AbsenceLearner::default();
     let a: DataCentre = "a".parse().unwrap();
-    let serving = [(a.clone(), Seen { serving: 6, leaving: 0 })];
+    let serving = [(a.clone(), Seen { serving: 6, ..Seen::default() })];
     learner.look(0.0, &serving);
     learner.note_refused(0.5, &a);
     assert_eq!(learner.gone(), 0);
     learner.look(1.0, &[(a.clone(), Seen::default())]);
     assert_eq!(learner.gone(), 0, "none has notice, none was refused since");
     learner.note_taken(1.0, &a, 6);
-    learner.look(2.0, &[(a.clone(), Seen { serving: 0, leaving: 6 })]);
+    learner.look(2.0, &[(a.clone(), Seen { leaving: 6, ..Seen::default() })]);
     assert_eq!(learner.gone(), 1);
 }
--- a/tests/spend.rs
+++ b/tests/spend.rs
@@ -2,6 +2,7 @@
 
 use emberturn::decide::capacity::{Absence, Arrivals, Load, Market, Offered};
 use emberturn::decide::engine::{EngineLearner, EngineModel};
+use emberturn::decide::hazard::Outlook;
 use emberturn::decide::spend::{Bounds, Count, Demand, Need, Serving, Site, plan};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -27,7 +28,7 @@
 }
 
 fn need(ample: u32, bare: u32) -> Need {
-    Need { ample, bare, traffic: true }
+    Need { ample, bare, traffic: true, scarce: false }
 }
 
 fn totals(sites: &[Site], need: Need) -> (u32, u32) {
@@ -189,10 +190,11 @@
     slots: 0.0,
     boot: 4.0,
     absence: Absence { share: 0.1, length: 12.0 },
+    outlook: Outlook::calm(4),
 };
 
 fn all(spot: u32) -> Serving {
-    Serving { spot, total: spot }
+    Serving { spot, total: spot, on_demand: 0 }
 }
 
 /// A hundred requests a second, most of them short.
@@ -236,18 +238,55 @@
     );
 }
 
+/// All data centres go at once. Until engines that were ordered then serve, those who are refused come back,
+/// and nothing is learned, since nothing is served.
+#[test]
+fn whole_gap_is_ordered_at_once() {
+    let model = EngineModel { late: 0.02, ..MODEL };
+    let mut demand = Demand::default();
+    demand.note(0.0, offered(1.0));
+    demand.need(0.0, 0.0, &model, &MARKET, all(30), 30).unwrap();
+    let gone = Market { surge: 1.5, outlook: Outlook { gone: 4, ..Outlook::calm(0) }, ..MARKET };
+    let orders: Vec<u32> = (0..=8)
+        .map(|look| {
+            let passed = f64::from(look) * 0.5;
+            demand.note(passed, offered(1.0 + passed / 8.0));
+            let booting = Serving { on_demand: 5, ..Serving::default() };
+            demand.need(passed, 0.0, &model, &gone, booting, 30).unwrap().bare
+        })
+        .collect();
+    let most = orders.iter().max().unwrap();
+    assert!(orders[0] * 10 >= most * 9, "{orders:?}");
+    // It isn't ordered twice over.
+    let calm = demand.need(4.0, 0.0, &model, &MARKET, Serving::default(), 30).unwrap().bare;
+    assert!(orders[0] <= calm * 3 / 2, "{orders:?} where {calm} are worth their price in the end");
+}
+
+#[test]
+fn no_reclaimable_engine_is_given_up_while_none_are_to_be_had() {
+    let dry = sites([0, 6, 6, 4], [0; 4]);
+    let spots = |scarce| {
+        let need = Need { scarce, ..need(8, 0) };
+        let plans = plan(&dry, need, BOUNDS);
+        ["a", "b", "c", "d"]
+            .map(|name| plans.iter().find(|it| it.data_centre.as_str() == name).unwrap().spot)
+    };
+    assert_eq!(spots(false), [2; 4]);
+    assert_eq!(spots(true), [2, 6, 6, 4]);
+}
+
 #[test]
 fn peak_fades_slowly() {
     let mut demand = Demand::default();
-    let ample = |demand: &Demand, now| {
+    let ample = |demand: &mut Demand, now| {
         demand.need(now, 0.0, &MODEL, &MARKET, Serving::default(), 0).unwrap().ample
     };
     demand.note(0.0, offered(2.0));
-    let high = ample(&demand, 0.0);
+    let high = ample(&mut demand, 0.0);
     demand.note(5.0, offered(0.2));
-    let later = ample(&demand, 5.0);
+    let later = ample(&mut demand, 5.0);
     demand.note(200.0, offered(0.2));
-    let end = ample(&demand, 200.0);
+    let end = ample(&mut demand, 200.0);
     assert!(high > later && later > end, "{high} {later} {end}");
 }
 
