Spend: dry spells foreseen

Cause: engines on demand were ordered for what was left now. Data centres go within seconds of each other, a notice is two to three seconds when it is heard, and an engine boots four: whoever waits for the last notice has seconds with nothing. Change: decide/hazard learns losses a second of a data centre by how many are gone and how long the last one is gone (its prior: each of the others follows within an absence as likely as not), and tells what may be left by the time an engine ordered now serves. decide/capacity buys the number that costs the least over that: the order at the first sign, the standing reserve and its end are one decision. An engine that is held stays as long as it gains what a second of it costs, its boot being paid.

--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -7,7 +7,7 @@
 use crate::decide::absence::Seen;
 use crate::decide::capacity::{Market, Offered};
 use crate::decide::engine::EngineModel;
-use crate::decide::hazard::{DrySpells, Outlook};
+use crate::decide::hazard::DrySpells;
 use crate::decide::orders::{OrderBook, Place};
 use crate::decide::spend::{Bounds, Demand, Need, Plan, Serving, Site, plan};
 use crate::ids::{DataCentre, ServiceName};
@@ -235,7 +235,7 @@
             slots,
             boot,
             absence: spells.absence(),
-            outlook: Outlook { gone: spells.gone(), ..Outlook::calm(places as u32) },
+            outlook: spells.outlook(boot),
         }
     }
 
--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -220,14 +220,14 @@
     }
 
     /// How many engines on demand cost the least beside `spots` reclaimable ones, over what may be left of
-    /// those once an engine ordered now serves. While a dry spell lasts, of the `held` ones stay those that
-    /// gain at least [`HELD_PART`] of their price.
+    /// those once an engine ordered now serves. Of the `held` ones stay those that gain what a second of
+    /// theirs costs: that they had to boot is paid.
     pub fn stand_in(&self, spots: u32, held: u32, market: &Market) -> u32 {
-        let best = self.cheapest(spots, market.on_demand_price(), market);
-        if market.outlook.gone == 0 || held <= best {
+        let best = self.cheapest(spots, market.reserve_price(), market);
+        if held <= best {
             return best;
         }
-        held.min(self.cheapest(spots, market.on_demand_price() * HELD_PART, market)).max(best)
+        held.min(self.cheapest(spots, market.on_demand, market)).max(best)
     }
 
     fn cheapest(&self, spots: u32, price: f64, market: &Market) -> u32 {
@@ -347,15 +347,20 @@
     /// The price of a second of service of an engine on demand that stands in during an absence: it is
     /// paid from its order on, and until it has been given back.
     pub fn on_demand_price(&self) -> f64 {
+        self.price_over(self.absence.length)
+    }
+
+    /// The same for one that stands in for what may be lost: it stays from now until an absence ends.
+    fn reserve_price(&self) -> f64 {
+        self.price_over(self.outlook.calm + self.absence.length)
+    }
+
+    fn price_over(&self, length: f64) -> f64 {
         let idle = self.boot + RETURN_TIME;
-        self.on_demand * (1.0 + idle / self.absence.length.max(1.0))
+        self.on_demand * (1.0 + idle / length.max(1.0))
     }
 }
 
-/// The part of its price that an engine on demand must gain to be kept while a dry spell lasts: one that is
-/// given back and ordered again boots for nothing.
-const HELD_PART: f64 = 0.5;
-
 /// The part of what reclaimable engines cost that a change of their number must gain.
 const KEEP_PART: f64 = 0.1;
 
--- a/src/decide/hazard.rs
+++ b/src/decide/hazard.rs
@@ -3,7 +3,9 @@
 //! Reclaimable engines go because somebody else wants them, and who wants those of one data centre often
 //! wants those of the next: what is gone tells of what goes. So a hazard is learned by how many are gone:
 //! losses over the seconds in which the data centres that were left could be lost. Those with some gone
-//! lean on each other, since dry spells are few and each shows little of each number.
+//! lean on each other, since dry spells are few and each shows little of each number. Losses that follow
+//! do so soon: one that has not come for long hardly comes, so what was learned early in a spell is kept
+//! apart from what was learned later.
 //!
 //! From it comes what may serve by the time at which an engine ordered now would ([`Outlook`]), and from that
 //! in [`super::capacity`] how many engines on demand to hold: at the first sign, in reserve, and until when.
@@ -21,6 +23,11 @@
 /// The same while others are gone: within one absence each of the others is lost as likely as not.
 const PRIOR_FOLLOW: f64 = 12.0;
 
+/// Seconds since the last loss at which the first phase of a spell ends; each is twice as long as the one
+/// before. Engines boot in one to some twenty seconds, so phases up to that length are told apart.
+const PHASE: f64 = 2.0;
+const PHASES: usize = 4;
+
 /// Seconds by which an engine takes part later than it could: orders are looked at, the list is read, and it
 /// reaches the boxes, each at most twice a second.
 const LIST_TIME: f64 = 1.5;
@@ -39,7 +46,7 @@
 const STEPS: u32 = 24;
 
 /// Losses, and the seconds of single data centres in which there could have been some.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct Tally {
     losses: f64,
     time: f64,
@@ -61,6 +68,8 @@
     pub left: u32,
     /// By how many more are lost: how likely that is.
     pub chances: [f64; LOSSES],
+    /// Seconds until the next loss on the mean, while none are gone.
+    pub calm: f64,
 }
 
 impl Outlook {
@@ -68,7 +77,7 @@
     pub const fn calm(left: u32) -> Self {
         let mut chances = [0.0; LOSSES];
         chances[0] = 1.0;
-        Self { gone: 0, left, chances }
+        Self { gone: 0, left, chances, calm: 0.0 }
     }
 
     /// What may be left of `spots` reclaimable engines, and how likely each is.
@@ -85,16 +94,30 @@
 #[derive(Debug, Clone)]
 pub struct DrySpells {
     absences: AbsenceLearner,
-    tallies: Vec<Tally>,
+    calm: Tally,
+    /// By how many are gone, less one, and by phase.
+    follow: Vec<[Tally; PHASES]>,
     places: u32,
+    /// When a data centre was lost last.
+    lost: f64,
     notice: f64,
+    /// Whether data centres came back since one was lost last: a dry spell that ends takes no further ones.
+    ends: bool,
     now: Option<f64>,
 }
 
 impl Default for DrySpells {
     fn default() -> Self {
-        let absences = AbsenceLearner::default();
-        Self { absences, tallies: Vec::new(), places: 0, notice: PRIOR_NOTICE, now: None }
+        Self {
+            absences: AbsenceLearner::default(),
+            calm: Tally::default(),
+            follow: Vec::new(),
+            places: 0,
+            lost: 0.0,
+            notice: PRIOR_NOTICE,
+            ends: false,
+            now: None,
+        }
     }
 }
 
@@ -103,15 +126,23 @@
     pub fn look(&mut self, now: f64, seen: &[(DataCentre, Seen)]) {
         let passed = now - self.now.replace(now).unwrap_or(now);
         self.places = seen.len() as u32;
-        let gone = self.absences.gone();
-        self.tally(gone).time += passed * f64::from(self.places.saturating_sub(gone));
+        let gone = self.gone();
+        let age = now - self.lost;
+        if !self.ends {
+            self.tally(gone, age).time += passed * f64::from(self.places.saturating_sub(gone));
+        }
         let lost = self.absences.look(now, seen);
-        (gone..gone + lost).for_each(|gone| self.tally(gone).losses += 1.0);
-        if lost > 0 {
-            let left = seen.iter().filter_map(|(_, seen)| seen.notice);
-            let left = left.fold(0.0, f64::max);
-            self.notice += NOTICE_WEIGHT * (left - self.notice);
+        self.note_end(gone + lost);
+        if lost == 0 {
+            return;
+        }
+        for more in 0..lost {
+            let age = if more == 0 { age } else { 0.0 };
+            self.tally(gone + more, age).losses += 1.0;
         }
+        (self.ends, self.lost) = (false, now);
+        let left = seen.iter().filter_map(|(_, seen)| seen.notice).fold(0.0, f64::max);
+        self.notice += NOTICE_WEIGHT * (left - self.notice);
     }
 
     /// Takes that an order for reclaimable engines was refused.
@@ -121,7 +152,15 @@
 
     /// Takes that an order for `count` reclaimable engines was taken.
     pub fn note_taken(&mut self, now: f64, data_centre: &DataCentre, count: u32) {
+        let gone = self.gone();
         self.absences.note_taken(now, data_centre, count);
+        self.note_end(gone);
+    }
+
+    /// Takes whether fewer are gone than `before`.
+    fn note_end(&mut self, before: u32) {
+        let gone = self.gone();
+        self.ends = gone > 0 && (self.ends || gone < before);
     }
 
     /// How many data centres are gone.
@@ -134,23 +173,20 @@
         self.absences.absence()
     }
 
-    /// Losses a second of one data centre that is left, where `gone` are gone.
-    pub fn rate(&self, gone: u32) -> f64 {
-        let Some(tally) = self.tallies.get(gone as usize) else {
-            return self.follow();
+    /// Losses a second of one data centre that is left, where `gone` are gone, the last one for `age` seconds.
+    pub fn rate(&self, gone: u32, age: f64) -> f64 {
+        let gone = if self.ends { gone - self.gone().min(gone) } else { gone };
+        let Some(place) = (gone as usize).checked_sub(1) else {
+            return self.calm.with_prior(1.0 / PRIOR_CALM, PRIOR_CALM);
         };
-        match gone {
-            0 => tally.with_prior(1.0 / PRIOR_CALM, PRIOR_CALM),
-            _ => tally.with_prior(self.follow(), PRIOR_FOLLOW),
-        }
-    }
-
-    /// Losses a second of one data centre while others are gone, however many.
-    fn follow(&self) -> f64 {
-        let all = self.tallies.iter().skip(1).fold(Tally { losses: 0.0, time: 0.0 }, |sum, it| {
-            Tally { losses: sum.losses + it.losses, time: sum.time + it.time }
+        let phase = phase(age);
+        let all = self.follow.iter().fold(Tally::default(), |sum, phases| Tally {
+            losses: sum.losses + phases[phase].losses,
+            time: sum.time + phases[phase].time,
         });
-        all.with_prior(1.0 / PRIOR_FOLLOW, PRIOR_FOLLOW)
+        let all = all.with_prior(1.0 / PRIOR_FOLLOW, PRIOR_FOLLOW / PHASES as f64);
+        let own = self.follow.get(place).map(|phases| phases[phase]);
+        own.unwrap_or_default().with_prior(all, PRIOR_FOLLOW)
     }
 
     /// What may be lost before an engine that boots for `boot` seconds serves. What has notice by then may
@@ -158,13 +194,18 @@
     pub fn outlook(&self, boot: f64) -> Outlook {
         let gone = self.gone();
         let left = self.places.saturating_sub(gone);
-        let mut outlook = Outlook { gone, ..Outlook::calm(left) };
+        let calm = if gone == 0 { 1.0 / (self.rate(0, 0.0) * f64::from(left.max(1))) } else { 0.0 };
+        let mut outlook = Outlook { gone, calm, ..Outlook::calm(left) };
         let step = (boot + LIST_TIME - self.notice).max(0.0) / f64::from(STEPS);
         let last = (left as usize).min(LOSSES - 1);
-        for _ in 0..STEPS {
+        let age = self.now.unwrap_or_default() - self.lost;
+        for turn in 0..STEPS {
+            let passed = step * f64::from(turn);
             for lost in (0..last).rev() {
                 let (gone, left) = (gone + lost as u32, left - lost as u32);
-                let part = 1.0 - (-self.rate(gone) * f64::from(left) * step).exp();
+                // Of a loss to come, half of the time is taken to have passed since.
+                let age = if lost == 0 { age + passed } else { passed / 2.0 };
+                let part = 1.0 - (-self.rate(gone, age) * f64::from(left) * step).exp();
                 let flow = outlook.chances[lost] * part;
                 outlook.chances[lost] -= flow;
                 outlook.chances[lost + 1] += flow;
@@ -173,11 +214,22 @@
         outlook
     }
 
-    fn tally(&mut self, gone: u32) -> &mut Tally {
+    fn tally(&mut self, gone: u32, age: f64) -> &mut Tally {
         let gone = gone as usize;
-        if self.tallies.len() <= gone {
-            self.tallies.resize(gone + 1, Tally { losses: 0.0, time: 0.0 });
+        if self.follow.len() < gone {
+            self.follow.resize(gone, [Tally::default(); PHASES]);
+        }
+        match gone {
+            0 => &mut self.calm,
+            _ => &mut self.follow[gone - 1][phase(age)],
         }
-        &mut self.tallies[gone]
     }
 }
+
+fn phase(age: f64) -> usize {
+    let phases = (0..PHASES - 1).scan(PHASE, |end, _| {
+        *end += *end;
+        Some(*end / 2.0)
+    });
+    phases.filter(|end| *end <= age).count()
+}
