Notes: what was learned of dry spells outlives its leader

Cause: a new leader began with the prior, in the middle of a spell also with its own count of losses. Change: the group keeps the losses, the times, the notice and the lengths of each service, noted when they say something else and at most once in five seconds; a new leader goes by them. What is gone at its first look counts as no loss.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -28,7 +28,7 @@
 use crate::relay::table::RouteTable;
 use crate::relay::usage::Counts;
 use crate::settings::CloudSettings;
-use crate::state::notes::{LowTeams, Models};
+use crate::state::notes::{LowTeams, Models, Spells};
 
 /// How long a relay without a list waits for the first one in a call: less than it waits for the answer.
 const LIST_WAIT: Duration = Duration::from_millis(250);
@@ -109,7 +109,9 @@
     /// What is known of engines, and what of it the group has kept.
     pub(super) engines: Models,
     pub(super) kept: Models,
-    /// When the group was asked to keep it last.
+    /// What the group has kept of dry spells; `None` until that is known.
+    pub(super) spells: Option<Spells>,
+    /// When the group was asked to keep any of it last.
     pub(super) engines_noted: Option<Instant>,
     pub(super) rollouts: Rollouts,
 }
@@ -136,6 +138,7 @@
             spender: Spender::new(first, weights),
             engines: Models::new(),
             kept: Models::new(),
+            spells: None,
             engines_noted: None,
             rollouts: Rollouts::default(),
         }
--- a/src/control/notes.rs
+++ b/src/control/notes.rs
@@ -1,15 +1,16 @@
 //! What a leader has the group remember for the next one: teams whose levels may be low, and what was
-//! learned of engines.
+//! learned of engines and of dry spells.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::duties::SETTLE_TIME;
 use super::lead::{Lead, follow_table, tolerance};
+use crate::decide::hazard::Learned;
 use crate::decide::level::Tolerance;
 use crate::ids::{ServiceName, TeamName};
 use crate::node::Node;
-use crate::state::notes::{LowTeams, Notes};
+use crate::state::notes::{LowTeams, Notes, Spells};
 use crate::state::{Command, Reply};
 
 /// Time between two looks at whether levels have recovered.
@@ -19,7 +20,8 @@
 /// wait for. Levels are noted that long before they are low.
 const NOTE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Time between two notes of what was learned of engines: only a loss of all power makes use of them.
+/// Time between two notes of what was learned of engines and dry spells: only a change of leader makes use
+/// of them.
 const ENGINES_TIME: Duration = Duration::from_secs(5);
 
 /// Keeps the group's notes while this process leads.
@@ -60,6 +62,10 @@
         if self.engines_noted.is_some_and(|at| at.elapsed() < ENGINES_TIME) {
             return None;
         }
+        if let Some(spells) = self.next_spells() {
+            self.engines_noted = Some(Instant::now());
+            return Some(Command::NoteSpells(spells));
+        }
         let kept = |name: &ServiceName| self.kept.get(name).copied().unwrap_or_default();
         let mut engines = self.engines.iter();
         if !engines.any(|(name, model)| model.differs(&kept(name))) {
@@ -75,6 +81,20 @@
             self.engines.entry(service.clone()).or_insert(*model);
         }
         self.kept = notes.engines;
+        if self.spells.is_none() {
+            self.spender.restore(&notes.spells);
+        }
+        self.spells = Some(notes.spells);
+    }
+
+    /// What is known of dry spells, where it says something else than what the group has kept.
+    fn next_spells(&self) -> Option<Spells> {
+        let kept = self.spells.as_ref()?;
+        let spells = self.spender.learned();
+        let differs = |(service, learned): (&ServiceName, &Learned)| {
+            learned.differs(&kept.get(service).cloned().unwrap_or_default())
+        };
+        spells.iter().any(differs).then_some(spells)
     }
 
     /// Which teams' levels are to be noted as low, if not those that are. Teams that have recovered
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -14,7 +14,7 @@
 use crate::platform::client::Order;
 use crate::relay::list::Server;
 use crate::relay::table::{RouteTable, Scaling, Service};
-use crate::state::notes::Models;
+use crate::state::notes::{Models, Spells};
 
 /// Seconds of traffic before it says more than what there was at the start.
 const START_TIME: f64 = 5.0;
@@ -69,6 +69,18 @@
         }
     }
 
+    /// What is learned of dry spells.
+    pub(crate) fn learned(&self) -> Spells {
+        self.spells.iter().map(|(service, spells)| (service.clone(), spells.learned())).collect()
+    }
+
+    /// Goes by what a former leader learned of them.
+    pub(crate) fn restore(&mut self, learned: &Spells) {
+        for (service, learned) in learned {
+            self.spells.entry(service.clone()).or_default().restore(learned.clone());
+        }
+    }
+
     /// The orders that are due now.
     pub(crate) fn orders(
         &mut self,
--- a/src/decide/absence.rs
+++ b/src/decide/absence.rs
@@ -9,6 +9,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use super::capacity::Absence;
 use crate::ids::DataCentre;
 
@@ -46,30 +48,38 @@
     Gone { since: f64, refused: Option<f64> },
 }
 
-/// Learns when data centres run out of reclaimable engines, and for how long.
-#[derive(Debug, Clone)]
-pub struct AbsenceLearner {
+/// Absences so far, the prior among them.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Absences {
+    /// Seconds of single data centres.
     time: f64,
+    /// Those without reclaimable engines.
     away: f64,
+    /// Seconds of those that ended.
     lengths: f64,
-    count: f64,
-    now: Option<f64>,
-    states: BTreeMap<DataCentre, State>,
+    /// How many ended.
+    pub(super) count: f64,
 }
 
-impl Default for AbsenceLearner {
+impl Default for Absences {
     fn default() -> Self {
         Self {
             time: PRIOR_TIME,
             away: PRIOR_AWAY,
             lengths: PRIOR_LENGTH * PRIOR_COUNT,
             count: PRIOR_COUNT,
-            now: None,
-            states: BTreeMap::new(),
         }
     }
 }
 
+/// Learns when data centres run out of reclaimable engines, and for how long.
+#[derive(Debug, Clone, Default)]
+pub struct AbsenceLearner {
+    pub(super) learned: Absences,
+    now: Option<f64>,
+    states: BTreeMap<DataCentre, State>,
+}
+
 impl AbsenceLearner {
     /// Takes what the list shows at `now`, and returns how many data centres are gone that were not before.
     pub fn look(&mut self, now: f64, seen: &[(DataCentre, Seen)]) -> u32 {
@@ -77,9 +87,9 @@
         let mut lost = 0;
         for (data_centre, seen) in seen {
             let state = self.states.get(data_centre).copied().unwrap_or_default();
-            self.time += passed;
+            self.learned.time += passed;
             if matches!(state, State::Gone { .. }) {
-                self.away += passed;
+                self.learned.away += passed;
             }
             match state {
                 State::Unknown | State::Present if seen.serving == 0 && seen.leaving > 0 => {
@@ -125,13 +135,14 @@
 
     /// What is known.
     pub fn absence(&self) -> Absence {
-        let share = (self.away / self.time).clamp(0.001, 0.9);
+        let share = (self.learned.away / self.learned.time).clamp(0.001, 0.9);
         Absence { share, length: self.length() }
     }
 
     /// The mean over those that ended and those that have lasted longer by now.
     fn length(&self) -> f64 {
-        let mean = self.lengths / self.count;
+        let Absences { lengths, count, .. } = self.learned;
+        let mean = lengths / count;
         let now = self.now.unwrap_or_default();
         let ages = self.states.values().filter_map(|state| match state {
             State::Gone { since, .. } => Some(now - since),
@@ -139,7 +150,7 @@
         });
         let longer = ages.filter(|age| *age > mean);
         let (sum, count) =
-            longer.fold((self.lengths, self.count), |(sum, count), age| (sum + age, count + 1.0));
+            longer.fold((lengths, count), |(sum, count), age| (sum + age, count + 1.0));
         sum / count
     }
 
@@ -147,8 +158,8 @@
     fn bring_back(&mut self, now: f64, data_centre: &DataCentre, state: State) {
         if let Some(State::Gone { since, refused }) = self.states.get(data_centre) {
             let end = refused.map_or(now, |refused| (refused + now) / 2.0);
-            self.lengths += end - since;
-            self.count += 1.0;
+            self.learned.lengths += end - since;
+            self.learned.count += 1.0;
         }
         self.set(data_centre, state);
     }
--- a/src/decide/hazard.rs
+++ b/src/decide/hazard.rs
@@ -12,7 +12,9 @@
 //!
 //! Pure: times are seconds on any one clock.
 
-use super::absence::{AbsenceLearner, Seen};
+use serde::{Deserialize, Serialize};
+
+use super::absence::{AbsenceLearner, Absences, Seen};
 use super::capacity::Absence;
 use crate::ids::DataCentre;
 
@@ -46,7 +48,7 @@
 const STEPS: u32 = 24;
 
 /// Losses, and the seconds of single data centres in which there could have been some.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 struct Tally {
     losses: f64,
     time: f64,
@@ -90,41 +92,67 @@
     }
 }
 
-/// What is learned of the dry spells of one service.
-#[derive(Debug, Clone)]
-pub struct DrySpells {
-    absences: AbsenceLearner,
+/// What is learned of the dry spells of one service, for the next leader.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    absences: Absences,
     calm: Tally,
     /// By how many are gone, less one, and by phase.
     follow: Vec<[Tally; PHASES]>,
+    /// Mean seconds left when a notice is heard.
+    notice: f64,
+}
+
+impl Default for Learned {
+    fn default() -> Self {
+        let (absences, calm) = Default::default();
+        Self { absences, calm, follow: Vec::new(), notice: PRIOR_NOTICE }
+    }
+}
+
+impl Learned {
+    /// Whether another says something else: further losses or returns, or twice the time without any.
+    pub fn differs(&self, other: &Self) -> bool {
+        self.absences.count != other.absences.count
+            || self.losses() != other.losses()
+            || self.calm.time > 2.0 * other.calm.time + PRIOR_CALM
+    }
+
+    fn losses(&self) -> f64 {
+        let follow = self.follow.iter().flatten().map(|tally| tally.losses);
+        self.calm.losses + follow.sum::<f64>()
+    }
+}
+
+/// What is seen and learned of the dry spells of one service.
+#[derive(Debug, Clone, Default)]
+pub struct DrySpells {
+    absences: AbsenceLearner,
+    learned: Learned,
     places: u32,
     /// When a data centre was lost last.
     lost: f64,
-    notice: f64,
     /// Whether data centres came back since one was lost last: a dry spell that ends takes no further ones.
     ends: bool,
     now: Option<f64>,
 }
 
-impl Default for DrySpells {
-    fn default() -> Self {
-        Self {
-            absences: AbsenceLearner::default(),
-            calm: Tally::default(),
-            follow: Vec::new(),
-            places: 0,
-            lost: 0.0,
-            notice: PRIOR_NOTICE,
-            ends: false,
-            now: None,
-        }
+impl DrySpells {
+    /// What is learned.
+    pub fn learned(&self) -> Learned {
+        Learned { absences: self.absences.learned, ..self.learned.clone() }
+    }
+
+    /// Goes by what a former leader learned in place of what this one has until now.
+    pub fn restore(&mut self, learned: Learned) {
+        self.absences.learned = learned.absences;
+        self.learned = learned;
     }
-}
 
-impl DrySpells {
     /// Takes what the list shows of every data centre at `now`.
     pub fn look(&mut self, now: f64, seen: &[(DataCentre, Seen)]) {
-        let passed = now - self.now.replace(now).unwrap_or(now);
+        let before = self.now.replace(now);
+        let passed = now - before.unwrap_or(now);
         self.places = seen.len() as u32;
         let gone = self.gone();
         let age = now - self.lost;
@@ -136,13 +164,15 @@
         if lost == 0 {
             return;
         }
-        for more in 0..lost {
+        // What is gone at the first look was lost before it, and perhaps counted by a former leader.
+        let counted = if before.is_some() { lost } else { 0 };
+        for more in 0..counted {
             let age = if more == 0 { age } else { 0.0 };
             self.tally(gone + more, age).losses += 1.0;
         }
         (self.ends, self.lost) = (false, now);
         let left = seen.iter().filter_map(|(_, seen)| seen.notice).fold(0.0, f64::max);
-        self.notice += NOTICE_WEIGHT * (left - self.notice);
+        self.learned.notice += NOTICE_WEIGHT * (left - self.learned.notice);
     }
 
     /// Takes that an order for reclaimable engines was refused.
@@ -177,15 +207,15 @@
     pub fn rate(&self, gone: u32, age: f64) -> f64 {
         let gone = if self.ends { gone - self.gone().min(gone) } else { gone };
         let Some(place) = (gone as usize).checked_sub(1) else {
-            return self.calm.with_prior(1.0 / PRIOR_CALM, PRIOR_CALM);
+            return self.learned.calm.with_prior(1.0 / PRIOR_CALM, PRIOR_CALM);
         };
         let phase = phase(age);
-        let all = self.follow.iter().fold(Tally::default(), |sum, phases| Tally {
+        let all = self.learned.follow.iter().fold(Tally::default(), |sum, phases| Tally {
             losses: sum.losses + phases[phase].losses,
             time: sum.time + phases[phase].time,
         });
         let all = all.with_prior(1.0 / PRIOR_FOLLOW, PRIOR_FOLLOW / PHASES as f64);
-        let own = self.follow.get(place).map(|phases| phases[phase]);
+        let own = self.learned.follow.get(place).map(|phases| phases[phase]);
         own.unwrap_or_default().with_prior(all, PRIOR_FOLLOW)
     }
 
@@ -196,7 +226,7 @@
         let left = self.places.saturating_sub(gone);
         let calm = if gone == 0 { 1.0 / (self.rate(0, 0.0) * f64::from(left.max(1))) } else { 0.0 };
         let mut outlook = Outlook { gone, calm, ..Outlook::calm(left) };
-        let step = (boot + LIST_TIME - self.notice).max(0.0) / f64::from(STEPS);
+        let step = (boot + LIST_TIME - self.learned.notice).max(0.0) / f64::from(STEPS);
         let last = (left as usize).min(LOSSES - 1);
         let age = self.now.unwrap_or_default() - self.lost;
         for turn in 0..STEPS {
@@ -216,12 +246,12 @@
 
     fn tally(&mut self, gone: u32, age: f64) -> &mut Tally {
         let gone = gone as usize;
-        if self.follow.len() < gone {
-            self.follow.resize(gone, [Tally::default(); PHASES]);
+        if self.learned.follow.len() < gone {
+            self.learned.follow.resize(gone, [Tally::default(); PHASES]);
         }
         match gone {
-            0 => &mut self.calm,
-            _ => &mut self.follow[gone - 1][phase(age)],
+            0 => &mut self.learned.calm,
+            _ => &mut self.learned.follow[gone - 1][phase(age)],
         }
     }
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -21,7 +21,7 @@
 use config::{Change, ChangeReply, Configuration};
 use document::{Document, Version};
 use ledger::{Begin, BeginReply, End, EndReply, Ledger};
-use notes::{LowTeams, Models, Notes};
+use notes::{LowTeams, Models, Notes, Spells};
 use rollout::{OrderReply, Rollout, RolloutBook, RolloutOrder, RolloutStep};
 use usage::{Settle, UsageBook};
 use work::{Claim, ClaimReply, Finish, Keep, KeepReply, WorkId, WorkStore, WorkView};
@@ -54,6 +54,8 @@
     NoteLow(LowTeams),
     /// Notes what is known of engines from now on.
     NoteEngines(Models),
+    /// Notes what is known of dry spells from now on.
+    NoteSpells(Spells),
     /// Asks for the notes, in its place among all commands.
     ReadNotes,
     /// An operator orders a roll-out.
@@ -90,7 +92,8 @@
     Document(Arc<Document>),
     /// Answers [`Command::Settle`]: the counts that stand for the window.
     Settle(Settle),
-    /// Answers [`Command::NoteLow`], [`Command::NoteEngines`] and [`Command::ReadNotes`].
+    /// Answers [`Command::NoteLow`], [`Command::NoteEngines`], [`Command::NoteSpells`] and
+    /// [`Command::ReadNotes`].
     Notes(Notes),
     /// Answers [`Command::OrderRollout`].
     OrderRollout(Box<OrderReply>),
@@ -142,6 +145,10 @@
                 self.notes.engines = models.clone();
                 Reply::Notes(self.notes.clone())
             }
+            Command::NoteSpells(spells) => {
+                self.notes.spells = spells.clone();
+                Reply::Notes(self.notes.clone())
+            }
             Command::ReadNotes => Reply::Notes(self.notes.clone()),
             Command::OrderRollout(order) => {
                 Reply::OrderRollout(Box::new(Arc::make_mut(&mut self.rollouts).order(at, order)))
--- a/src/state/notes.rs
+++ b/src/state/notes.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::engine::EngineModel;
+use crate::decide::hazard::Learned;
 use crate::ids::{ServiceName, TeamName};
 
 /// Teams whose levels may be below their reserve. Noted before a level goes below it: a new leader does
@@ -14,6 +15,10 @@
 /// What was learned of the engines of each service, so that it outlives a loss of all power.
 pub type Models = BTreeMap<ServiceName, EngineModel>;
 
+/// What was learned of the dry spells of each service, so that a new leader is as well prepared for the
+/// next one.
+pub type Spells = BTreeMap<ServiceName, Learned>;
+
 /// All notes.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Notes {
@@ -21,4 +26,7 @@
     pub low: LowTeams,
     /// What is known of engines.
     pub engines: Models,
+    /// What is known of dry spells.
+    #[serde(default)]
+    pub spells: Spells,
 }
