--- a/src/decide/hazard.rs
+++ b/src/decide/hazard.rs
@@ -171,8 +171,12 @@
             self.tally(gone + more, age).losses += 1.0;
         }
         (self.ends, self.lost) = (false, now);
-        let left = seen.iter().filter_map(|(_, seen)| seen.notice).fold(0.0, f64::max);
-        self.learned.notice += NOTICE_WEIGHT * (left - self.learned.notice);
+        // Where some serve, others leave by our own orders.
+        let gone = seen.iter().filter(|(_, seen)| seen.serving == 0);
+        let notice = gone.filter_map(|(_, seen)| seen.notice).max_by(f64::total_cmp);
+        if let Some(notice) = notice {
+            self.learned.notice += NOTICE_WEIGHT * (notice - self.learned.notice);
+        }
     }
 
     /// Takes that an order for reclaimable engines was refused.
--- a/tests/hazard.rs
+++ b/tests/hazard.rs
@@ -83,6 +83,24 @@
     assert_eq!(safe[0], 1.0, "an engine that boots within the notice is ordered when it comes");
 }
 
+#[test]
+fn list_that_tells_no_notice_teaches_none() {
+    let untold = |gone| {
+        let mut seen = seen(4, gone);
+        seen.iter_mut().for_each(|(_, seen)| seen.notice = None);
+        seen
+    };
+    let mut known = DrySpells::default();
+    let before = known.learned();
+    known.look(0.0, &untold(0));
+    known.look(0.0, &untold(1));
+    let mut told = DrySpells::default();
+    told.look(0.0, &seen(4, 0));
+    told.look(0.0, &seen(4, 1));
+    assert_ne!(known.learned(), before);
+    assert!(known.outlook(4.0).chances[0] < told.outlook(4.0).chances[0], "the prior is shorter");
+}
+
 #[test]
 fn chances_sum_to_one_whatever_is_gone() {
     for count in [1, 2, 4, 12] {
@@ -107,6 +125,10 @@
     former.look(now + 1.0, &seen(4, 1));
     let service: ServiceName = "chat".parse().unwrap();
     let spells = BTreeMap::from([(service.clone(), former.learned())]);
+    // It goes through the group's log beside what operators wait for.
+    let size = serde_json::to_string(&spells).unwrap().len();
+    assert!(size < 2_000, "{size} bytes");
+    println!("{size} bytes");
     let mut machine = Machine::default();
     machine.apply(1, &Command::NoteSpells(spells));
     let Reply::Notes(Notes { spells, .. }) = machine.apply(2, &Command::ReadNotes) else {
