--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -1,20 +1,20 @@
 //! Orders engines for the services that the platform takes orders for, by the plan of
 //! [`crate::decide::spend`].
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::decide::capacity::{AbsenceLearner, Market, Offered};
+use crate::decide::absence::Seen;
+use crate::decide::capacity::{Market, Offered};
 use crate::decide::engine::EngineModel;
-use crate::decide::spend::{Bounds, Count, Demand, Need, Plan, Serving, Site, plan};
+use crate::decide::hazard::DrySpells;
+use crate::decide::orders::{OrderBook, Place};
+use crate::decide::spend::{Bounds, Demand, Need, Plan, Serving, Site, plan};
 use crate::ids::{DataCentre, ServiceName};
 use crate::platform::client::Order;
 use crate::relay::list::Server;
 use crate::relay::table::{RouteTable, Scaling, Service};
-use crate::state::notes::Models;
-
-/// How long a refusal is taken to hold.
-const REFUSED_TIME: Duration = Duration::from_millis(2_500);
+use crate::state::notes::{Models, Spells};
 
 /// Seconds of traffic before it says more than what there was at the start.
 const START_TIME: f64 = 5.0;
@@ -25,40 +25,16 @@
 /// How long the list shows no further engines before it is taken to be whole: two readings.
 const SETTLE_TIME: Duration = Duration::from_millis(1_900);
 
-/// How much later than it serves an engine may be listed.
-const LAG_TIME: Duration = Duration::from_millis(2_000);
-
 /// The part of what there was at the start that stays on demand until reclaimable engines serve,
 /// while there is no traffic yet.
 const FIRST_PART: u32 = 4;
 
-/// Time beyond booting after which an order that shows no effect is given again: the list lags, and
-/// an order without an answer may be carried out late and undo a newer one.
-const AGAIN_TIME: Duration = Duration::from_millis(2_500);
-
-/// Time between two orders for fewer engines of one kind in one place: counts that swing would have
-/// engines booted for nothing.
-const SHRINK_TIME: Duration = Duration::from_millis(4_000);
-
-type Place = (ServiceName, DataCentre, bool);
-
-/// An order that the platform took, or may have taken.
-#[derive(Debug, Clone, Copy)]
-struct Placed {
-    count: u32,
-    at: Instant,
-}
-
 /// What the leader knows of its orders.
 #[derive(Debug, Default)]
 pub(crate) struct Spender {
     demands: BTreeMap<ServiceName, Demand>,
-    placed: BTreeMap<Place, Placed>,
-    refused: BTreeMap<Place, Instant>,
-    /// Where there are no reclaimable engines, and what that teaches of a service.
-    away: BTreeSet<Place>,
-    absences: BTreeMap<ServiceName, AbsenceLearner>,
-    looked: BTreeMap<ServiceName, f64>,
+    books: BTreeMap<ServiceName, OrderBook>,
+    spells: BTreeMap<ServiceName, DrySpells>,
     /// What was last said of the need.
     said: BTreeMap<ServiceName, Need>,
     /// Engines on demand that there were before the first order.
@@ -93,6 +69,18 @@
         }
     }
 
+    /// What is learned of dry spells.
+    pub(crate) fn learned(&self) -> Spells {
+        self.spells.iter().map(|(service, spells)| (service.clone(), spells.learned())).collect()
+    }
+
+    /// Goes by what a former leader learned of them.
+    pub(crate) fn restore(&mut self, learned: &Spells) {
+        for (service, learned) in learned {
+            self.spells.entry(service.clone()).or_default().restore(learned.clone());
+        }
+    }
+
     /// The orders that are due now.
     pub(crate) fn orders(
         &mut self,
@@ -118,10 +106,10 @@
         model: &EngineModel,
         servers: &[Server],
     ) -> Vec<Order> {
-        let sites = self.sites(&service.name, scaling, servers);
+        let sites = self.sites(now, &service.name, scaling, servers);
         let of_service = servers.iter().filter(|it| it.service == service.name);
         let listed = of_service.filter(|it| !it.spot).count() as u32;
-        self.note_absence(now, &service.name, &sites);
+        self.note_spells(now, &service.name, scaling, servers);
         let slots = mean_slots(servers.iter().filter(|it| it.service == service.name));
         let market = self.market(&service.name, scaling, slots);
         let serving = Serving::of(&sites);
@@ -136,7 +124,8 @@
             has_spot: scaling.spot_price.is_some_and(|price| price < 1.0),
         };
         let plans = plan(&sites, need, bounds);
-        let again = scaling.boot_time + AGAIN_TIME;
+        let boot = scaling.boot_time.as_secs_f64();
+        let book = self.books.entry(service.name.clone()).or_default();
         let mut orders = Vec::new();
         for (plan, site) in plans.iter().filter_map(|it| Some((it, find(&sites, it)?))) {
             let wanted = [(true, plan.spot, site.spot), (false, plan.on_demand, site.on_demand)];
@@ -144,9 +133,9 @@
                 if !spot && !settled && !there.grows_to(count) {
                     continue;
                 }
-                let place = (service.name.clone(), plan.data_centre.clone(), spot);
-                if self.is_due(&place, count, there, again) {
-                    let (service, data_centre, _) = place;
+                let place = Place { data_centre: plan.data_centre.clone(), spot };
+                if book.is_due(now, &place, count, there, boot) {
+                    let (service, data_centre) = (service.name.clone(), place.data_centre);
                     orders.push(Order { service, data_centre, count, spot });
                 }
             }
@@ -177,7 +166,7 @@
         market: &Market,
         serving: Serving,
     ) -> Need {
-        let demand = self.demands.get(service).copied().unwrap_or_default();
+        let demand = self.demands.entry(service.clone()).or_default();
         let wait = if self.knows_start { START_TIME } else { HEARD_TIME };
         let held = self.said.get(service).map_or(0, |need| need.ample);
         if let Some(need) = demand.need(now, wait, model, market, serving, held) {
@@ -188,7 +177,8 @@
                     base_ms = (model.base * 1_000.0) as u64, wait_ms = (model.wait * 1_000.0) as u64, late = model.late,
                     pace_ms = (model.pace * 1_000.0) as u64, events = model.events,
                     seen = model.weight as u64, away = market.absence.share,
-                    away_s = market.absence.length,
+                    away_s = market.absence.length, gone = market.outlook.gone,
+                    next = 1.0 - market.outlook.chances[0],
                 );
             }
             return need;
@@ -199,24 +189,37 @@
         let first = self.first.entry(service.clone()).or_insert(0);
         *first = (*first).max(listed);
         match demand.is_seen() {
-            true => Need { ample: market.at_start(*first), bare: *first, traffic: true },
+            true => Need {
+                ample: market.at_start(*first),
+                bare: *first,
+                traffic: true,
+                ..Need::default()
+            },
             false => Need {
                 ample: market.at_start(*first),
                 bare: first.div_ceil(FIRST_PART),
-                traffic: false,
+                ..Need::default()
             },
         }
     }
 
-    fn sites(&self, service: &ServiceName, scaling: &Scaling, servers: &[Server]) -> Vec<Site> {
+    fn sites(
+        &mut self,
+        now: f64,
+        service: &ServiceName,
+        scaling: &Scaling,
+        servers: &[Server],
+    ) -> Vec<Site> {
+        let boot = scaling.boot_time.as_secs_f64();
+        let book = self.books.entry(service.clone()).or_default();
         let sites = scaling.prices.iter().map(|(data_centre, price)| {
             let there = servers.iter().filter(|it| {
                 it.service == *service && it.data_centre == *data_centre && !it.leaving
             });
             let (spot, on_demand): (Vec<_>, Vec<_>) = there.partition(|it| it.spot);
-            let count = |spot: bool, serving: usize| {
-                let place = (service.clone(), data_centre.clone(), spot);
-                self.count(&place, serving as u32, scaling.boot_time + LAG_TIME)
+            let mut count = |spot: bool, serving: usize| {
+                let place = Place { data_centre: data_centre.clone(), spot };
+                book.count(now, &place, serving as u32, boot)
             };
             Site {
                 data_centre: data_centre.clone(),
@@ -232,7 +235,8 @@
     fn market(&self, service: &ServiceName, scaling: &Scaling, slots: f64) -> Market {
         let places = scaling.prices.len().max(1);
         let on_demand = scaling.prices.values().sum::<f64>() / places as f64;
-        let absences = self.absences.get(service).copied().unwrap_or_default();
+        let spells = self.spells.get(service).cloned().unwrap_or_default();
+        let boot = scaling.boot_time.as_secs_f64();
         Market {
             places: places as u32,
             most: scaling.most,
@@ -241,63 +245,72 @@
             late: self.weights.late,
             surge: self.weights.surge,
             slots,
-            boot: scaling.boot_time.as_secs_f64(),
-            absence: absences.absence(),
+            boot,
+            absence: spells.absence(),
+            outlook: spells.outlook(boot),
         }
     }
 
-    /// Learns how often data centres have no reclaimable engines: none serve, and an order for some
-    /// was refused.
-    fn note_absence(&mut self, now: f64, service: &ServiceName, sites: &[Site]) {
-        let passed = now - self.looked.insert(service.clone(), now).unwrap_or(now);
-        for site in sites {
-            let place = (service.clone(), site.data_centre.clone(), true);
-            let refused = self.refused.get(&place);
-            let is_away = site.spot.serving == 0
-                && refused.is_some_and(|at| at.elapsed() < REFUSED_TIME + REFUSED_TIME);
-            let ends = !is_away && self.away.remove(&place);
-            if is_away {
-                self.away.insert(place);
+    /// Learns when data centres have no reclaimable engines from what is listed.
+    fn note_spells(
+        &mut self,
+        now: f64,
+        service: &ServiceName,
+        scaling: &Scaling,
+        servers: &[Server],
+    ) {
+        let spots = servers.iter().filter(|it| it.service == *service && it.spot);
+        let mut seen: BTreeMap<&DataCentre, Seen> =
+            scaling.prices.keys().map(|data_centre| (data_centre, Seen::default())).collect();
+        for server in spots {
+            if let Some(seen) = seen.get_mut(&server.data_centre) {
+                let count = if server.leaving { &mut seen.leaving } else { &mut seen.serving };
+                *count += 1;
+                let left = server.leaves_in.map(|left| left.duration().as_secs_f64());
+                seen.notice = if left > seen.notice { left } else { seen.notice };
             }
-            let learner = self.absences.entry(service.clone()).or_default();
-            learner.note(passed, is_away, ends);
         }
+        let seen: Vec<_> = seen.into_iter().map(|(place, seen)| (place.clone(), seen)).collect();
+        self.spells.entry(service.clone()).or_default().look(now, &seen);
     }
 
-    /// What serves, and what is coming: an order stands for itself until the list must show it.
-    fn count(&self, place: &Place, serving: u32, shown: Duration) -> Count {
-        let placed = self.placed.get(place).filter(|placed| placed.at.elapsed() < shown);
-        Count { serving, coming: placed.map_or(serving, |placed| placed.count) }
-    }
-
-    /// Whether an order is due: the count is not what was ordered last, or shows no effect for long.
-    fn is_due(&self, place: &Place, count: u32, there: Count, again: Duration) -> bool {
-        if self.refused.get(place).is_some_and(|at| at.elapsed() < REFUSED_TIME) {
-            return false;
+    /// Notes what became of an order.
+    pub(crate) fn note_answer(&mut self, now: f64, order: &Order, answer: OrderAnswer) {
+        let book = self.books.entry(order.service.clone()).or_default();
+        match answer {
+            OrderAnswer::Taken | OrderAnswer::Unknown => {
+                book.note_placed(now, place_of(order), order.count);
+            }
+            OrderAnswer::Unavailable | OrderAnswer::Fenced => {
+                book.note_refused(now, place_of(order));
+            }
         }
-        match self.placed.get(place) {
-            None => count != there.serving,
-            Some(placed) if placed.count == count => {
-                count != there.serving && placed.at.elapsed() > again
+        let spells = self.spells.entry(order.service.clone()).or_default();
+        match answer {
+            OrderAnswer::Taken if order.spot => {
+                spells.note_taken(now, &order.data_centre, order.count);
             }
-            Some(placed) if count < placed.count => placed.at.elapsed() > SHRINK_TIME,
-            Some(_) => true,
+            OrderAnswer::Unavailable => spells.note_refused(now, &order.data_centre),
+            _ => {}
         }
     }
+}
 
-    /// Notes that an order was taken, or may have been.
-    pub(crate) fn note_placed(&mut self, order: &Order) {
-        let place = (order.service.clone(), order.data_centre.clone(), order.spot);
-        self.placed.insert(place, Placed { count: order.count, at: Instant::now() });
-    }
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OrderAnswer {
+    /// It is carried out.
+    Taken,
+    /// It may be: no answer came.
+    Unknown,
+    /// There are no reclaimable engines there.
+    Unavailable,
+    /// Another leader acts.
+    Fenced,
+}
 
-    /// Notes that an order was refused. What was ordered before does not stand either: a reclaim
-    /// takes it away.
-    pub(crate) fn note_refused(&mut self, order: &Order) {
-        let place = (order.service.clone(), order.data_centre.clone(), order.spot);
-        self.placed.remove(&place);
-        self.refused.insert(place, Instant::now());
-    }
+fn place_of(order: &Order) -> Place {
+    Place { data_centre: order.data_centre.clone(), spot: order.spot }
 }
 
 /// Requests that an engine runs at the same time, on the mean; 0 where there are none.
--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::engine::EngineModel;
+use super::hazard::Outlook;
 
 /// The part of its time that an engine reads at most: above it a queue hardly ends.
 const FULL_LOAD: f64 = 0.9;
@@ -218,6 +219,29 @@
         best.unwrap_or(least) - there
     }
 
+    /// How many engines on demand cost the least beside `spots` reclaimable ones, over what may be left of
+    /// those once an engine ordered now serves. Of the `held` ones stay those that gain what a second of
+    /// theirs costs: that they had to boot is paid.
+    pub fn stand_in(&self, spots: u32, held: u32, market: &Market) -> u32 {
+        let best = self.cheapest(spots, market.reserve_price(), market);
+        if held <= best {
+            return best;
+        }
+        held.min(self.cheapest(spots, market.on_demand, market)).max(best)
+    }
+
+    fn cheapest(&self, spots: u32, price: f64, market: &Market) -> u32 {
+        let most = market.most * market.places;
+        let least = ((self.work / FULL_LOAD).ceil().max(1.0) as u32).min(most);
+        let cases: Vec<_> = market.outlook.left_of(spots).collect();
+        let cost = |count: &u32| {
+            let late = cases.iter().map(|(left, chance)| chance * self.late(left + count));
+            price * f64::from(*count) + market.late * late.sum::<f64>()
+        };
+        let counts = least.saturating_sub(spots)..=most.saturating_sub(spots);
+        counts.min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(0)
+    }
+
     /// How many reclaimable engines over all data centres cost the least, with what late requests cost
     /// and what engines on demand cost while data centres have none. So many as are `held` stay where
     /// that costs hardly more: each change has engines boot for nothing.
@@ -304,6 +328,8 @@
     pub boot: f64,
     /// How often data centres have no reclaimable ones, and for how long.
     pub absence: Absence,
+    /// Which of them may have none soon.
+    pub outlook: Outlook,
 }
 
 impl Market {
@@ -321,8 +347,17 @@
     /// The price of a second of service of an engine on demand that stands in during an absence: it is
     /// paid from its order on, and until it has been given back.
     pub fn on_demand_price(&self) -> f64 {
+        self.price_over(self.absence.length)
+    }
+
+    /// The same for one that stands in for what may be lost: it stays from now until an absence ends.
+    fn reserve_price(&self) -> f64 {
+        self.price_over(self.outlook.calm + self.absence.length)
+    }
+
+    fn price_over(&self, length: f64) -> f64 {
         let idle = self.boot + RETURN_TIME;
-        self.on_demand * (1.0 + idle / self.absence.length.max(1.0))
+        self.on_demand * (1.0 + idle / length.max(1.0))
     }
 }
 
@@ -332,43 +367,3 @@
 /// Seconds between the return of reclaimable engines and the end of those that stood in: they boot, are
 /// listed and are seen to serve.
 const RETURN_TIME: f64 = 3.0;
-
-/// Seconds of a data centre, and absences in them, taken to have been seen before anything was: a tenth of
-/// the time.
-const PRIOR_TIME: f64 = 120.0;
-const PRIOR_AWAY: f64 = 12.0;
-const PRIOR_COUNT: f64 = 1.0;
-
-/// Learns how data centres run out of reclaimable engines.
-#[derive(Debug, Clone, Copy)]
-pub struct AbsenceLearner {
-    time: f64,
-    away: f64,
-    count: f64,
-}
-
-impl Default for AbsenceLearner {
-    fn default() -> Self {
-        Self { time: PRIOR_TIME, away: PRIOR_AWAY, count: PRIOR_COUNT }
-    }
-}
-
-impl AbsenceLearner {
-    /// Takes that a data centre has had some, or none, for `passed` seconds; `ends`: it has some again.
-    /// Absences count when they end, so that one under way makes the mean longer from its first moment.
-    pub fn note(&mut self, passed: f64, is_away: bool, ends: bool) {
-        self.time += passed;
-        if is_away {
-            self.away += passed;
-        }
-        if ends {
-            self.count += 1.0;
-        }
-    }
-
-    /// What is known.
-    pub fn absence(&self) -> Absence {
-        let share = (self.away / self.time).clamp(0.001, 0.9);
-        Absence { share, length: self.away / self.count }
-    }
-}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,8 @@
 //! The decisions: pure functions and state machines that take time, randomness and what is known as
 //! arguments and do no I/O.
 //!
+//! - [`absence`], [`hazard`]: which data centres have no reclaimable engines, for how long, and which may be
+//!   next.
 //! - [`policy`]: operators' short programs that say where work goes and what may wait.
 //! - [`admit`]: whether a request may run now, within its team's limits.
 //! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
@@ -16,9 +18,11 @@
 //! - [`retry`]: whether another attempt may be made.
 //! - [`reclaim`]: what becomes of a stream whose engine is leaving.
 //! - [`share`]: which part of a fleet-wide limit each node may use.
+//! - [`orders`]: what orders for engines stand for until the list shows it.
 //! - [`spend`]: how many engines a service is to have, where, of which kind.
 //! - [`topology`]: which data centres make up which region, and how far they are.
 
+pub mod absence;
 pub mod admit;
 pub mod allowance;
 pub mod budget;
@@ -27,8 +31,10 @@
 pub mod engine;
 pub mod exposure;
 pub mod faults;
+pub mod hazard;
 pub mod level;
 pub mod loads;
+pub mod orders;
 pub mod policy;
 pub mod queue;
 pub mod reclaim;
