Words between boxes and the leader are packed, and say what is news

Cause: a box and the leader exchange some 6.4 kB at each word, 2.5 times a second, at 70 boxes as at 300.

Change: words, their answers and parts of the list travel as postcard's bytes in base64 inside the same call (peer/packed). Loads are told by the server's place in a part of the list that both have, the part named by the print of its content, so a place means the same server whatever else changed (relay/part_loads). A box that speaks again before its usual time is told fewer of them (decide/loads::due). Models are told when they moved by more than a twentieth or are new to the other side; a leader that lacks a box's says so (control/models). A call that one side cannot read is a kind of failure of its own, one line when it begins (call_unreadable).

Tests: the limits of tests/server_list.rs now hold for the bytes that are sent, packed, where they held for the JSON that was sent; the limits are the same.

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use crate::control::models::{ModelsWord, Telling};
 use crate::decide::allowance::{Allowed, TeamDemand};
 use crate::decide::capacity::Offered;
 use crate::decide::loads::ToldLoad;
@@ -16,6 +17,7 @@
 use crate::ids::{BoxId, Incarnation, Revision, ServiceName, TeamName, Version, Window};
 use crate::relay::Relay;
 use crate::relay::list::{ListIndex, Print};
+use crate::relay::part_loads::PartLoads;
 use crate::relay::usage::Counts;
 use crate::state::document::Document;
 use crate::state::notes::Models;
@@ -52,8 +54,10 @@
     pub usage: Counts,
     /// Prompt tokens a second that callers bring for each service.
     pub offered: BTreeMap<ServiceName, Offered>,
-    /// What this box has learned of engines.
-    pub engines: Models,
+    /// What this box has learned of engines, if it is news.
+    pub engines: Option<Models>,
+    /// The print of what it was told of engines last.
+    pub models: Option<Print>,
     /// What the teams that come to this box used and were refused.
     pub demand: BTreeMap<TeamName, TeamDemand>,
     /// What it saw of the releases that are being tried.
@@ -78,12 +82,14 @@
     pub age: Option<u64>,
     /// What the teams may use on this box.
     pub allowed: BTreeMap<TeamName, Allowed>,
-    /// What all boxes have learned of engines.
-    pub engines: Models,
+    /// What all boxes have learned of engines, if it is news to the box.
+    pub engines: Option<ModelsWord>,
+    /// Whether the leader lacks what earlier words of the box told of engines.
+    pub lacks: bool,
     /// Which releases get the services' requests; nothing while the leader is not sure.
     pub releases: Option<BTreeMap<ServiceName, ReleaseWord>>,
     /// Loads that backend servers told other boxes.
-    pub loads: Vec<ToldLoad>,
+    pub loads: Vec<PartLoads>,
     /// The last window whose report is fixed.
     pub settled: Window,
     /// Relays that share the limits.
@@ -93,8 +99,9 @@
 /// Beats until the task is dropped.
 pub(crate) async fn run(relay: Arc<Relay>, access: Access, box_id: BoxId, life: Incarnation) {
     let mut lost = false;
+    let mut telling = Telling::default();
     loop {
-        let heard = beat(&relay, &access, &box_id, life).await;
+        let heard = beat(&relay, &access, &mut telling, &box_id, life).await;
         if heard == lost {
             let version = relay.servers.version();
             tracing::info!(event = "leader_heard", heard, list_term = %version.term);
@@ -127,7 +134,13 @@
 }
 
 /// One beat; whether it was answered.
-async fn beat(relay: &Relay, access: &Access, box_id: &BoxId, life: Incarnation) -> bool {
+async fn beat(
+    relay: &Relay,
+    access: &Access,
+    telling: &mut Telling,
+    box_id: &BoxId,
+    life: Incarnation,
+) -> bool {
     let asked = Instant::now();
     let demand = relay.allowances().tell(asked);
     let beat = Beat {
@@ -138,7 +151,8 @@
         document: relay.parts.board.document().version,
         usage: relay.usage().counts(),
         offered: relay.offered().rates(Instant::now()),
-        engines: relay.engines().learned(),
+        engines: telling.news(&relay.engines().learned()),
+        models: telling.held,
         demand,
         trials: relay.releases().tell(asked),
         loads: relay.loads().take(asked),
@@ -149,8 +163,12 @@
         Ok(reply) => {
             relay.allowances().hear(&reply.allowed, Instant::now());
             relay.releases().hear(reply.releases);
-            relay.engines().take(reply.engines);
-            relay.servers.hear_loads(&reply.loads);
+            telling.note_told(beat.engines, reply.lacks);
+            if let Some(word) = reply.engines {
+                telling.held = Some(word.print);
+                relay.engines().take(word.models);
+            }
+            relay.servers.hear_placed_loads(&reply.loads);
             take_document(relay, asked, reply.document, reply.age);
             relay.usage().forget(reply.settled);
             relay.note_relays(reply.relays);
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -11,20 +11,24 @@
 use std::time::{Duration, Instant};
 
 use super::beat::{Beat, BeatReply};
+use super::models::Spread;
 use super::rollouts::Rollouts;
 use super::spend::{Spender, Weights};
 use crate::decide::allowance::Allowed;
 use crate::decide::capacity::Offered;
 use crate::decide::engine::EngineModel;
 use crate::decide::level::{self, Noted, TeamLevel, Tolerance};
-use crate::decide::loads::LoadPool;
+use crate::decide::loads::{self, LoadPool};
 use crate::group::driver::Unanswered;
-use crate::ids::{BoxId, Incarnation, Release, ServiceName, TeamName, Term, Version, Window};
+use crate::ids::{
+    BackendId, BoxId, Incarnation, Release, ServiceName, TeamName, Term, Version, Window,
+};
 use crate::node::Node;
 use crate::platform::client::Order;
 use crate::relay::RELAYS_GUESSED;
-use crate::relay::list::{ListPart, PartId, Server};
+use crate::relay::list::{ListPart, PartId, Print, Server};
 use crate::relay::list_book::ListBook;
+use crate::relay::part_loads::{self, PartLoads};
 use crate::relay::table::RouteTable;
 use crate::relay::usage::Counts;
 use crate::settings::CloudSettings;
@@ -108,6 +112,7 @@
     pub(super) spender: Spender,
     /// What is known of engines, and what of it the group has kept.
     pub(super) engines: Models,
+    spread: Spread,
     pub(super) kept: Models,
     /// When the group was asked to keep it last.
     pub(super) engines_noted: Option<Instant>,
@@ -135,6 +140,7 @@
             settled: Window(0),
             spender: Spender::new(first, weights),
             engines: Models::new(),
+            spread: Spread::default(),
             kept: Models::new(),
             engines_noted: None,
             rollouts: Rollouts::default(),
@@ -165,26 +171,26 @@
         let allowed = self.allow(&beat, tolerance);
         let since = self.since.elapsed().as_secs_f64();
         let releases = self.rollouts.hear(since, &key, &beat.trials);
-        match self.present.get_mut(&beat.box_id) {
-            Some(heard) => *heard = now,
-            None => drop(self.present.insert(beat.box_id, now)),
-        }
+        let before = self.present.insert(beat.box_id, now);
         self.loads.hear(beat.loads, now);
-        let word =
-            Word { heard: now, usage: beat.usage, offered: beat.offered, engines: beat.engines };
+        let told = beat.engines.or_else(|| Some(self.words.remove(&key)?.engines));
+        let lacks = told.is_none();
+        let engines = told.unwrap_or_default();
+        let word = Word { heard: now, usage: beat.usage, offered: beat.offered, engines };
         self.words.insert(key, word);
         let relays = self.relays();
         let index = self.is_informed().then(|| self.list.index(&box_id));
-        let listed = index.as_ref().map(|index| self.list.listed(index)).unwrap_or_default();
-        let loads = self.loads.draw(&listed, now, rand::random());
+        let parts = index.as_ref().map(|index| self.list.listed_parts(index)).unwrap_or_default();
+        let loads = self.draw_loads(&parts, now, before);
         let list = index.filter(|index| beat.list != Some(index.print));
-        let engines = self.engines.clone();
+        let engines = self.spread.news(&self.engines, beat.models);
         BeatReply {
             list,
             document: None,
             age: None,
             allowed,
             engines,
+            lacks,
             releases,
             loads,
             settled: self.settled,
@@ -192,6 +198,19 @@
         }
     }
 
+    /// Some loads of the servers of a box's parts, fewer where it was answered just before.
+    fn draw_loads(
+        &self,
+        parts: &[(Print, Vec<&BackendId>)],
+        now: Instant,
+        before: Option<Instant>,
+    ) -> Vec<PartLoads> {
+        let listed: Vec<_> = parts.iter().flat_map(|(_, servers)| servers).copied().collect();
+        let mut drawn = self.loads.draw(&listed, now, rand::random());
+        drawn.truncate(loads::due(before.map(|before| now - before)));
+        part_loads::placed(&drawn, parts)
+    }
+
     /// Forgets the relays that are gone, at most once in [`SWEEP_TIME`].
     fn sweep(&mut self, now: Instant) {
         if now - self.swept < SWEEP_TIME {
@@ -342,13 +361,8 @@
 /// Answers a relay's beat, if this process leads. One from a relay without a list waits for the first list
 /// of this term: a relay that has just started asks once, and hears as soon as there is something to
 /// hear.
-pub(crate) async fn hear(
-    node: Arc<Node>,
-    beat: Beat,
-) -> Result<Result<BeatReply, Unanswered>, String> {
-    let Some(term) = node.leading_term().await else {
-        return Ok(Err(Unanswered::NotLeader(None)));
-    };
+pub(crate) async fn hear(node: Arc<Node>, beat: Beat) -> Result<BeatReply, Unanswered> {
+    let term = node.leading_term().await.ok_or(Unanswered::NotLeader(None))?;
     if beat.list.is_none() {
         wait_listed(&node, term).await;
     }
@@ -364,7 +378,7 @@
     if is_lacking {
         node.lacking.notify_one();
     }
-    Ok(Ok(reply))
+    Ok(reply)
 }
 
 /// Waits until the leader of `term` has learned something more of servers and releases, at most
@@ -381,11 +395,9 @@
 pub(crate) async fn give_parts(
     node: Arc<Node>,
     wanted: Vec<PartId>,
-) -> Result<Result<Vec<ListPart>, Unanswered>, String> {
-    let Some(term) = node.leading_term().await else {
-        return Ok(Err(Unanswered::NotLeader(None)));
-    };
-    Ok(Ok(node.with_lead(term, |lead| lead.list.contents(&wanted, Instant::now()))))
+) -> Result<Vec<ListPart>, Unanswered> {
+    let term = node.leading_term().await.ok_or(Unanswered::NotLeader(None))?;
+    Ok(node.with_lead(term, |lead| lead.list.contents(&wanted, Instant::now())))
 }
 
 pub(super) fn tolerance(node: &Node) -> Tolerance {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! - [`beat`] is a relay's word to the leader; [`lead`] is what the leader makes of it,
 //!   [`duties`] what it does towards the platform. [`publish`] is what operators ask of the published document.
 //! - [`fetch`] gets a relay its parts of the list of backend servers.
+//! - [`models`] is what both sides tell of engines, and when.
 //! - [`rollouts`] is what operators ask of roll-outs, and how the leader carries them on.
 //! - [`load`] asks engines for their load.
 //! - [`boxlist`] follows the platform's box list.
@@ -15,6 +16,7 @@
 pub(crate) mod fetch;
 pub(crate) mod lead;
 pub(crate) mod load;
+pub(crate) mod models;
 pub(crate) mod notes;
 pub(crate) mod publish;
 pub(crate) mod rollouts;
--- /dev/null
+++ b/src/control/models.rs
@@ -0,0 +1,74 @@
+//! Models of engines on their way between boxes and the leader: told when they say something new, in
+//! both directions. They change by a few hundredths a second at most, and words go out several times a
+//! second.
+
+use serde::{Deserialize, Serialize};
+
+use crate::member::table::fingerprint;
+use crate::relay::list::Print;
+use crate::state::notes::Models;
+
+/// What the leader tells of engines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ModelsWord {
+    /// Tells it from others; a box says which one it has.
+    pub print: Print,
+    /// The models.
+    pub models: Models,
+}
+
+impl ModelsWord {
+    fn new(models: &Models) -> Self {
+        // Debug output of a number is the shortest text that reads as the same number.
+        Self { print: Print(fingerprint(&format!("{models:?}"))), models: models.clone() }
+    }
+}
+
+/// The leader's side: what boxes are to have.
+#[derive(Debug, Default)]
+pub(crate) struct Spread(Option<ModelsWord>);
+
+impl Spread {
+    /// The word for a box that has the one of print `held`, if it lacks something.
+    pub(crate) fn news(&mut self, models: &Models, held: Option<Print>) -> Option<ModelsWord> {
+        if self.0.as_ref().is_none_or(|word| is_news(&word.models, models)) {
+            self.0 = Some(ModelsWord::new(models));
+        }
+        self.0.clone().filter(|word| Some(word.print) != held)
+    }
+}
+
+/// A box's side: what the leader has of it, and what it has of the leader.
+#[derive(Debug, Default)]
+pub(crate) struct Telling {
+    told: Option<Models>,
+    /// The print of the leader's last word.
+    pub(crate) held: Option<Print>,
+}
+
+impl Telling {
+    /// What this box has learned, if the leader does not have about the same.
+    pub(crate) fn news(&self, learned: &Models) -> Option<Models> {
+        let known = self.told.as_ref().is_some_and(|told| !is_news(told, learned));
+        (!known).then(|| learned.clone())
+    }
+
+    /// Notes what an answered word told. A leader that `lacks` what earlier words told is told with the next.
+    pub(crate) fn note_told(&mut self, told: Option<Models>, lacks: bool) {
+        match told {
+            Some(told) => self.told = Some(told),
+            None if lacks => self.told = None,
+            None => {}
+        }
+    }
+}
+
+/// Whether models say something else than those known.
+fn is_news(known: &Models, models: &Models) -> bool {
+    let same = known.len() == models.len()
+        && known
+            .iter()
+            .zip(models)
+            .all(|((a, known), (b, model))| a == b && !known.is_passed(model));
+    !same
+}
--- a/src/decide/engine.rs
+++ b/src/decide/engine.rs
@@ -42,6 +42,16 @@
 /// Weight of a new observation in a mean: fifty requests, a few seconds of a box's traffic.
 const MEAN_WEIGHT: f64 = 0.02;
 
+/// The part by which a figure moves before it is news: what is learned from some hundred requests is no
+/// surer than that.
+const NEWS_PART: f64 = 0.05;
+
+/// Seconds of a wait that no caller notices.
+const SLIGHT_WAIT: f64 = 0.005;
+
+/// A part of the requests that orders no engine more.
+const SLIGHT_PART: f64 = 0.01;
+
 /// The longest wait, in seconds, that one observation counts for: beyond it, something failed.
 const WAIT_LIMIT: f64 = 2.0;
 
@@ -139,6 +149,19 @@
         }
     }
 
+    /// Whether a later model says something that whoever knows this one should hear of.
+    pub fn is_passed(&self, later: &Self) -> bool {
+        let moved = |a: f64, b: f64, slight: f64| (a - b).abs() > slight.max(NEWS_PART * a.max(b));
+        moved(self.rate, later.rate, 0.0)
+            || moved(self.base, later.base, SLIGHT_WAIT)
+            || moved(self.prompt, later.prompt, 0.0)
+            || moved(self.wait, later.wait, SLIGHT_WAIT)
+            || moved(self.late, later.late, SLIGHT_PART)
+            || moved(self.pace, later.pace, 0.0)
+            || moved(self.events, later.events, 0.0)
+            || moved(self.weight, later.weight, 0.0)
+    }
+
     /// Whether another model says something else, by more than a tenth.
     pub fn differs(&self, other: &Self) -> bool {
         let differ = |a: f64, b: f64| (a - b).abs() > 0.1 * a.max(b);
--- a/src/decide/loads.rs
+++ b/src/decide/loads.rs
@@ -20,6 +20,15 @@
 /// How old a load may be to say anything: requests have left by then.
 const OLD_TIME: Duration = Duration::from_secs(30);
 
+/// Time in which a box is told [`DRAWN`] loads, however often it asks: between two of its usual words.
+const DRAWN_TIME: Duration = Duration::from_millis(400);
+
+/// Loads that a box is to be told, `passed` after the last answer to it.
+pub fn due(passed: Option<Duration>) -> usize {
+    let part = passed.map_or(1.0, |passed| passed.as_secs_f64() / DRAWN_TIME.as_secs_f64());
+    (DRAWN as f64 * part.min(1.0)).ceil() as usize
+}
+
 /// A server's load, as somebody was told it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldLoad {
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -20,7 +20,8 @@
 use crate::control::share::ShareRequest;
 use crate::decide::share::Share;
 use crate::ids::{BoxId, TeamName};
-use crate::peer::{PeerError, Peers, method};
+use crate::peer::packed::Packed;
+use crate::peer::{Peers, method};
 use crate::relay::list::{ListPart, PartId};
 use crate::state::work::{WorkId, WorkView};
 use crate::state::{Command, Reply};
@@ -96,7 +97,8 @@
     /// # Errors
     /// When `limit` is over.
     pub(crate) async fn beat(&self, beat: &Beat, limit: Duration) -> Result<BeatReply, NoGroup> {
-        self.until_answered(method::BEAT, beat, limit, BEAT_TIME).await
+        let answer = self.until_answered(method::BEAT, &Packed(beat), limit, BEAT_TIME).await;
+        answer.map(|Packed(reply)| reply)
     }
 
     /// Asks the leader for parts of the list of backend servers.
@@ -108,7 +110,9 @@
         wanted: &[PartId],
         limit: Duration,
     ) -> Result<Vec<ListPart>, NoGroup> {
-        self.until_answered(method::LIST_PARTS, &wanted, limit, CALL_TIME).await
+        let wanted = Packed(wanted);
+        let answer = self.until_answered(method::LIST_PARTS, &wanted, limit, CALL_TIME).await;
+        answer.map(|Packed(parts)| parts)
     }
 
     /// Reads kept work at the leader.
@@ -161,12 +165,7 @@
                 Ok(Err(Unanswered::NotLeader(Some(leader)))) if leader != box_id => {
                     self.remember(Some(leader));
                 }
-                Ok(Err(_)) | Err(PeerError::Refused(_) | PeerError::NoAnswer { .. }) => {
-                    self.remember(None);
-                    turn += 1;
-                    tokio::time::sleep_until(deadline.min(Instant::now() + PAUSE)).await;
-                }
-                Err(PeerError::Unreachable { .. }) => {
+                Ok(Err(_)) | Err(_) => {
                     self.remember(None);
                     turn += 1;
                     tokio::time::sleep_until(deadline.min(Instant::now() + PAUSE)).await;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -2,14 +2,17 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex as SyncMutex, PoisonError};
 use std::time::Duration;
 
 use jsonrpsee::core::client::{ClientT, Error};
 use jsonrpsee::core::params::ArrayParams;
+use jsonrpsee::types::error::INVALID_PARAMS_CODE;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 use tokio::sync::Mutex;
 
 use super::method::Call;
@@ -40,6 +43,14 @@
         /// Why.
         detail: String,
     },
+    /// One side can't read what the other sent: they are of different releases.
+    #[error("{addr} and this node do not understand each other: {detail}")]
+    Unreadable {
+        /// Who.
+        addr: SocketAddr,
+        /// What could not be read.
+        detail: String,
+    },
     /// The other side answered that it will not.
     #[error("{0}")]
     Refused(String),
@@ -48,6 +59,8 @@
 struct Peer {
     addr: SocketAddr,
     client: Mutex<Option<Arc<WsClient>>>,
+    /// Whether the last call failed as one side could not read the other.
+    is_unreadable: AtomicBool,
 }
 
 impl Peer {
@@ -71,6 +84,19 @@
         PeerError::Unreachable { addr: self.addr, detail: error.to_string() }
     }
 
+    fn unreadable(&self, method: &str, detail: &str) -> PeerError {
+        self.note_readable(method, Some(detail));
+        PeerError::Unreadable { addr: self.addr, detail: detail.to_owned() }
+    }
+
+    /// Notes whether both sides understand each other: one line when they cease to.
+    fn note_readable(&self, method: &str, unreadable: Option<&str>) {
+        let was = self.is_unreadable.swap(unreadable.is_some(), Ordering::Relaxed);
+        if let Some(detail) = unreadable.filter(|_| !was) {
+            tracing::warn!(event = "call_unreadable", addr = %self.addr, method, detail);
+        }
+    }
+
     /// Drops the connection, if it is still the one that failed.
     async fn forget(&self, failed: &Arc<WsClient>) {
         let mut held = self.client.lock().await;
@@ -95,7 +121,10 @@
 
     fn peer(&self, addr: SocketAddr) -> Arc<Peer> {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        let new = || Arc::new(Peer { addr, client: Mutex::new(None) });
+        let new = || {
+            let is_unreadable = AtomicBool::new(false);
+            Arc::new(Peer { addr, client: Mutex::new(None), is_unreadable })
+        };
         peers.entry(addr).or_insert_with(new).clone()
     }
 
@@ -124,7 +153,15 @@
         params.insert(call).map_err(|error| PeerError::Refused(error.to_string()))?;
         let answer = tokio::time::timeout(limit, client.request(method, params)).await;
         match answer {
-            Ok(Ok(value)) => Ok(value),
+            Ok(Ok(value)) => {
+                peer.note_readable(method, None);
+                Ok(value)
+            }
+            Ok(Err(Error::Call(error))) if error.code() == INVALID_PARAMS_CODE => {
+                let detail = error.data().map_or(error.message(), RawValue::get);
+                Err(peer.unreadable(method, detail))
+            }
+            Ok(Err(Error::ParseError(error))) => Err(peer.unreadable(method, &error.to_string())),
             Ok(Err(Error::Call(error))) => Err(PeerError::Refused(error.message().to_owned())),
             Ok(Err(error)) => {
                 peer.forget(&client).await;
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use crate::control::beat::{Beat, BeatReply};
+pub use crate::control::models::ModelsWord;
 use crate::error::Kind;
 use crate::group::message::Members;
 use crate::ids::{
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -15,7 +15,8 @@
 
 use super::client::MESSAGE_LIMIT;
 use super::method::{
-    self, Call, GroupStatus, NodeStatus, Poll, PollReply, RolloutAnswer, RolloutAsk, Update,
+    self, Beat, BeatReply, Call, GroupStatus, NodeStatus, Poll, PollReply, RolloutAnswer,
+    RolloutAsk, Update,
 };
 use crate::control::{lead, rollouts, share};
 use crate::entry::hand_over;
@@ -24,6 +25,8 @@
 use crate::member::spread::{self, Gossip};
 use crate::member::table::News;
 use crate::node::Node;
+use crate::peer::packed::Packed;
+use crate::relay::list::{ListPart, PartId};
 use crate::state::rollout::RolloutOrder;
 use crate::state::work::{WorkId, WorkView};
 use crate::state::{Command, Reply};
@@ -76,8 +79,8 @@
     register(&mut module, method::CHANGE_MEMBERS, change_members)?;
     register(&mut module, method::READ_WORK, read_work)?;
     register(&mut module, method::SHARE, share::lease)?;
-    register(&mut module, method::BEAT, lead::hear)?;
-    register(&mut module, method::LIST_PARTS, lead::give_parts)?;
+    register(&mut module, method::BEAT, beat)?;
+    register(&mut module, method::LIST_PARTS, list_parts)?;
     register(&mut module, method::ROLLOUT, rollout)?;
     register(&mut module, method::GOSSIP, gossip)?;
     register(&mut module, method::PROBE, probe)?;
@@ -159,6 +162,20 @@
     ask(&node, |port| GroupMessage::ReadWork(id, port)).await
 }
 
+async fn beat(
+    node: Arc<Node>,
+    Packed(word): Packed<Beat>,
+) -> Result<Result<Packed<BeatReply>, Unanswered>, String> {
+    Ok(lead::hear(node, word).await.map(Packed))
+}
+
+async fn list_parts(
+    node: Arc<Node>,
+    Packed(wanted): Packed<Vec<PartId>>,
+) -> Result<Result<Packed<Vec<ListPart>>, Unanswered>, String> {
+    Ok(lead::give_parts(node, wanted).await.map(Packed))
+}
+
 async fn gossip(node: Arc<Node>, gossip: Gossip) -> Result<News, String> {
     node.hear_gossip(gossip).await.ok_or_else(|| "the node has just started".to_owned())
 }
--- a/src/relay/list.rs
+++ b/src/relay/list.rs
@@ -174,23 +174,16 @@
     }
 }
 
-fn is_false(value: &bool) -> bool {
-    !value
-}
-
 /// A server in a part, which names its service and data centre once: a message of a few hundred is a
-/// third shorter.
+/// third shorter. No field may be left out: parts go out packed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct PartServer {
     id: BackendId,
     addr: SocketAddr,
     release: Release,
     slots: u32,
-    #[serde(default, skip_serializing_if = "is_false")]
     spot: bool,
-    #[serde(default, skip_serializing_if = "is_false")]
     leaving: bool,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     leaves_in: Option<Millis>,
 }
 
@@ -219,6 +212,11 @@
         Self { servers: servers.collect(), id, print }
     }
 
+    /// The id of the server at a place.
+    pub fn id_at(&self, place: usize) -> Option<&BackendId> {
+        self.servers.get(place).map(|server| &server.id)
+    }
+
     /// The servers.
     pub fn servers(&self) -> impl Iterator<Item = Server> {
         self.servers.iter().map(|server| Server {
--- a/src/relay/list_book.rs
+++ b/src/relay/list_book.rs
@@ -130,6 +130,15 @@
         parts.flat_map(|part| &part.servers).map(|server| &server.id).collect()
     }
 
+    /// The servers of an index's parts, by the prints of the contents that are held.
+    pub fn listed_parts<'a>(&'a self, index: &ListIndex) -> Vec<(Print, Vec<&'a BackendId>)> {
+        let parts = index.parts.iter().filter_map(|(id, _)| self.parts.get(id));
+        let of_part = |part: &'a Part| {
+            (part.print, part.servers.iter().map(|server| &server.id).collect::<Vec<_>>())
+        };
+        parts.map(of_part).collect()
+    }
+
     /// The contents of some parts, [`PARTS_LIMIT`] at most; those that are no longer there are left out.
     pub fn contents(&self, wanted: &[PartId], now: Instant) -> Vec<ListPart> {
         let passed = self.read.map(|read| now.saturating_duration_since(read)).unwrap_or_default();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -28,6 +28,7 @@
 pub mod listen;
 pub(crate) mod moving;
 pub mod offered;
+pub mod part_loads;
 pub mod plain;
 pub mod serve;
 pub mod servers;
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 
 use super::list::{ListIndex, ListPart, ListVersion, PartId, Print, Server};
+use super::part_loads::{self, PartLoads};
 use crate::blackboard::fleet::{BackendState, FlightGuard, Leaving};
 use crate::decide::choose::LoadWord;
 use crate::decide::loads::ToldLoad;
@@ -208,6 +209,18 @@
         }
     }
 
+    /// Takes the loads of servers that other boxes were told, by their places in the list.
+    pub fn hear_placed_loads(&self, loads: &[PartLoads]) {
+        let told = {
+            let parts = self.parts();
+            part_loads::named(loads, |print, place| {
+                let held = parts.held.values().find(|part| part.print == print)?;
+                held.id_at(place).cloned()
+            })
+        };
+        self.hear_loads(&told);
+    }
+
     /// Takes the loads of servers that other boxes were told.
     pub fn hear_loads(&self, loads: &[ToldLoad]) {
         let listed = self.listed.load();
--- a/tests/server_list.rs
+++ b/tests/server_list.rs
@@ -5,6 +5,7 @@
 
 use emberturn::decide::subset::{SUBSET, chosen, part_bits, parts_taken};
 use emberturn::ids::{BackendId, BoxId, Term};
+use emberturn::peer::packed::Packed;
 use emberturn::relay::list::{ListIndex, PartId, Server};
 use emberturn::relay::list_book::{ListBook, PARTS_LIMIT};
 use emberturn::relay::servers::ServerBook;
@@ -69,7 +70,7 @@
     if book.index_print() == Some(index.print) && book.lacking().is_empty() {
         return Vec::new();
     }
-    let mut bytes = vec![serde_json::to_string(&index).unwrap().len()];
+    let mut bytes = vec![serde_json::to_string(&Packed(&*index)).unwrap().len()];
     book.take_index(ListIndex::clone(&index));
     loop {
         let lacking = book.lacking();
@@ -78,7 +79,7 @@
         }
         let parts = leader.contents(&lacking, Instant::now());
         assert!(!parts.is_empty() && parts.len() <= PARTS_LIMIT);
-        bytes.push(serde_json::to_string(&parts).unwrap().len());
+        bytes.push(serde_json::to_string(&Packed(&parts)).unwrap().len());
         book.take_parts(parts);
     }
 }
