A box follows the configuration near by, and tells the leader its news only

Cause: of a word, counts of windows that are over are told again until their report is fixed, and each figure of a team in eight bytes. Beside its words each box asks a replica 2.5 times a second for what is new, a replica that it came to by chance, in another region two times out of three.

Change: windows are told when their counts changed, as models are; a leader that has not heard this life of a box says so and is told all at once (control/telling). Figures of a team but the sum go in single precision, one byte where there is nothing (units::thin).

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -8,13 +8,16 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::control::models::{ModelsWord, Telling};
+use super::models::ModelsWord;
+use super::telling::Telling;
 use crate::decide::allowance::{Allowed, TeamDemand};
 use crate::decide::capacity::Offered;
 use crate::decide::loads::ToldLoad;
 use crate::decide::releases::{ReleaseWord, TrialWord};
 use crate::group::access::Access;
-use crate::ids::{BoxId, Incarnation, Revision, ServiceName, TeamName, Version, Window};
+use crate::ids::{
+    BoxId, DataCentre, Incarnation, Revision, ServiceName, TeamName, Version, Window,
+};
 use crate::relay::Relay;
 use crate::relay::list::{ListIndex, Print};
 use crate::relay::part_loads::PartLoads;
@@ -50,7 +53,10 @@
     pub revision: Revision,
     /// The published document it has.
     pub document: Version,
-    /// Requests that began to run, in the windows whose reports are not known to be fixed.
+    /// Whether this is all that the box has to tell, not only what is news since its last word.
+    pub whole: bool,
+    /// Requests that began to run, in the windows whose reports are not known to be fixed: those windows
+    /// whose counts are news.
     pub usage: Counts,
     /// Prompt tokens a second that callers bring for each service.
     pub offered: BTreeMap<ServiceName, Offered>,
@@ -84,7 +90,7 @@
     pub allowed: BTreeMap<TeamName, Allowed>,
     /// What all boxes have learned of engines, if it is news to the box.
     pub engines: Option<ModelsWord>,
-    /// Whether the leader lacks what earlier words of the box told of engines.
+    /// Whether the leader lacks what earlier words of this life of the box told.
     pub lacks: bool,
     /// Which releases get the services' requests; nothing while the leader is not sure.
     pub releases: Option<BTreeMap<ServiceName, ReleaseWord>>,
@@ -94,6 +100,8 @@
     pub settled: Window,
     /// Relays that share the limits.
     pub relays: u32,
+    /// The leader's data centre, to a word that tells all.
+    pub data_centre: Option<DataCentre>,
 }
 
 /// Beats until the task is dropped.
@@ -143,16 +151,18 @@
 ) -> bool {
     let asked = Instant::now();
     let demand = relay.allowances().tell(asked);
+    let news = telling.news(relay.usage().counts(), relay.engines().learned());
     let beat = Beat {
         box_id: box_id.clone(),
         life,
         list: relay.servers.index_print(),
         revision: relay.parts.board.revision(),
         document: relay.parts.board.document().version,
-        usage: relay.usage().counts(),
+        whole: news.whole,
+        usage: news.usage.clone(),
         offered: relay.offered().rates(Instant::now()),
-        engines: telling.news(&relay.engines().learned()),
-        models: telling.held,
+        engines: news.engines.clone(),
+        models: telling.models,
         demand,
         trials: relay.releases().tell(asked),
         loads: relay.loads().take(asked),
@@ -163,14 +173,17 @@
         Ok(reply) => {
             relay.allowances().hear(&reply.allowed, Instant::now());
             relay.releases().hear(reply.releases);
-            telling.note_told(beat.engines, reply.lacks);
             if let Some(word) = reply.engines {
-                telling.held = Some(word.print);
+                telling.models = Some(word.print);
                 relay.engines().take(word.models);
             }
             relay.servers.hear_placed_loads(&reply.loads);
             take_document(relay, asked, reply.document, reply.age);
             relay.usage().forget(reply.settled);
+            telling.answered(news, reply.lacks, &relay.usage().counts());
+            if reply.lacks {
+                relay.hurry.notify_one();
+            }
             relay.note_relays(reply.relays);
             relay.heard.notify_waiters();
             if let Some(news) = reply.list {
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -62,6 +62,32 @@
     engines: Models,
 }
 
+impl Word {
+    fn new(now: Instant) -> Self {
+        let (usage, engines) = (Counts::new(), Models::new());
+        Self { heard: now, usage, offered: BTreeMap::new(), engines }
+    }
+
+    /// Takes what is news. The counts of a window are of the whole window, so one that comes twice counts
+    /// once.
+    fn take(
+        &mut self,
+        now: Instant,
+        settled: Window,
+        usage: Counts,
+        offered: BTreeMap<ServiceName, Offered>,
+        engines: Option<Models>,
+    ) {
+        self.heard = now;
+        self.usage.extend(usage);
+        self.usage.retain(|window, _| *window > settled);
+        self.offered = offered;
+        if let Some(engines) = engines {
+            self.engines = engines;
+        }
+    }
+}
+
 /// What a team was refused of late.
 #[derive(Default)]
 struct Missed {
@@ -173,11 +199,9 @@
         let releases = self.rollouts.hear(since, &key, &beat.trials);
         let before = self.present.insert(beat.box_id, now);
         self.loads.hear(beat.loads, now);
-        let told = beat.engines.or_else(|| Some(self.words.remove(&key)?.engines));
-        let lacks = told.is_none();
-        let engines = told.unwrap_or_default();
-        let word = Word { heard: now, usage: beat.usage, offered: beat.offered, engines };
-        self.words.insert(key, word);
+        let lacks = !beat.whole && !self.words.contains_key(&key);
+        let word = self.words.entry(key).or_insert_with(|| Word::new(now));
+        word.take(now, self.settled, beat.usage, beat.offered, beat.engines);
         let relays = self.relays();
         let index = self.is_informed().then(|| self.list.index(&box_id));
         let parts = index.as_ref().map(|index| self.list.listed_parts(index)).unwrap_or_default();
@@ -195,6 +219,7 @@
             loads,
             settled: self.settled,
             relays,
+            data_centre: None,
         }
     }
 
@@ -371,8 +396,9 @@
     let age = age.map(|age| age.as_millis() as u64);
     let held = node.board.document();
     let document = Some(held).filter(|held| age.is_some() && held.version > beat.document);
+    let data_centre = beat.whole.then(|| node.settings.node.data_centre.clone());
     let (reply, is_lacking) = node.with_lead(term, |lead| {
-        let reply = BeatReply { document, age, ..lead.hear(beat, tolerance(&node)) };
+        let reply = BeatReply { document, age, data_centre, ..lead.hear(beat, tolerance(&node)) };
         (reply, !lead.lacking.is_empty() || lead.low.is_none())
     });
     if is_lacking {
--- a/src/control/models.rs
+++ b/src/control/models.rs
@@ -1,5 +1,5 @@
-//! Models of engines on their way between boxes and the leader: told when they say something new, in
-//! both directions. They change by a few hundredths a second at most, and words go out several times a
+//! Models of engines on their way between boxes and the leader: told when they say something new, by the
+//! leader here and by boxes in [`super::telling`]. They change by a few hundredths a second at most, and words go out several times a
 //! second.
 
 use serde::{Deserialize, Serialize};
@@ -38,33 +38,8 @@
     }
 }
 
-/// A box's side: what the leader has of it, and what it has of the leader.
-#[derive(Debug, Default)]
-pub(crate) struct Telling {
-    told: Option<Models>,
-    /// The print of the leader's last word.
-    pub(crate) held: Option<Print>,
-}
-
-impl Telling {
-    /// What this box has learned, if the leader does not have about the same.
-    pub(crate) fn news(&self, learned: &Models) -> Option<Models> {
-        let known = self.told.as_ref().is_some_and(|told| !is_news(told, learned));
-        (!known).then(|| learned.clone())
-    }
-
-    /// Notes what an answered word told. A leader that `lacks` what earlier words told is told with the next.
-    pub(crate) fn note_told(&mut self, told: Option<Models>, lacks: bool) {
-        match told {
-            Some(told) => self.told = Some(told),
-            None if lacks => self.told = None,
-            None => {}
-        }
-    }
-}
-
 /// Whether models say something else than those known.
-fn is_news(known: &Models, models: &Models) -> bool {
+pub(super) fn is_news(known: &Models, models: &Models) -> bool {
     let same = known.len() == models.len()
         && known
             .iter()
--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -39,14 +39,19 @@
     /// Units used in the life of the box's process, so that a word that is lost or comes twice counts once.
     pub total: f64,
     /// Units refused since the last word.
+    #[serde(with = "crate::units::thin")]
     pub refused: f64,
     /// Units of the requests that found too little since the last word and wait for the answer.
+    #[serde(with = "crate::units::thin")]
     pub wanted: f64,
     /// Units a second that callers usually bring; 0 for a team that no longer comes.
+    #[serde(with = "crate::units::thin")]
     pub usual: f64,
     /// Units a second that the box has on lease.
+    #[serde(with = "crate::units::thin")]
     pub rate: f64,
     /// Units that it has left.
+    #[serde(with = "crate::units::thin")]
     pub left: f64,
 }
 
@@ -65,10 +70,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Allowed {
     /// Units, for [`LEASE_TIME`] or until the next answer.
+    #[serde(with = "crate::units::thin")]
     pub amount: f64,
     /// Units a second on top.
+    #[serde(with = "crate::units::thin")]
     pub rate: f64,
     /// Seconds until there is more, 0 if there is now.
+    #[serde(with = "crate::units::thin")]
     pub wait: f64,
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,6 +17,7 @@
 //! - [`reclaim`]: what becomes of a stream whose engine is leaving.
 //! - [`share`]: which part of a fleet-wide limit each node may use.
 //! - [`spend`]: how many engines a service is to have, where, of which kind.
+//! - [`nearest`]: which replica a box follows the configuration at.
 //! - [`topology`]: which data centres make up which region, and how far they are.
 
 pub mod admit;
@@ -29,6 +30,7 @@
 pub mod faults;
 pub mod level;
 pub mod loads;
+pub mod nearest;
 pub mod policy;
 pub mod queue;
 pub mod reclaim;
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -49,6 +49,8 @@
     peers: Peers,
     directory: Arc<Directory>,
     leader: Arc<Mutex<Option<BoxId>>>,
+    /// The leader that answered last.
+    answered: Arc<Mutex<Option<BoxId>>>,
 }
 
 impl Access {
@@ -59,7 +61,8 @@
         peers: Peers,
         directory: Arc<Directory>,
     ) -> Self {
-        Self { own, local, peers, directory, leader: Arc::default() }
+        let (leader, answered) = (Arc::default(), Arc::default());
+        Self { own, local, peers, directory, leader, answered }
     }
 
     /// This process's replica.
@@ -98,7 +101,11 @@
     /// When `limit` is over.
     pub(crate) async fn beat(&self, beat: &Beat, limit: Duration) -> Result<BeatReply, NoGroup> {
         let answer = self.until_answered(method::BEAT, &Packed(beat), limit, BEAT_TIME).await;
-        answer.map(|Packed(reply)| reply)
+        let Packed(mut reply): Packed<BeatReply> = answer?;
+        if let (Some(data_centre), Some(leader)) = (reply.data_centre.take(), self.leader()) {
+            self.directory.note_site(&leader, data_centre);
+        }
+        Ok(reply)
     }
 
     /// Asks the leader for parts of the list of backend servers.
@@ -159,6 +166,7 @@
             let call = self.peers.call::<T, Result<R, Unanswered>>(addr, method, body, left);
             match call.await {
                 Ok(Ok(reply)) => {
+                    self.note_answered(&box_id);
                     self.remember(Some(box_id));
                     return Ok(reply);
                 }
@@ -175,10 +183,13 @@
         Err(NoGroup)
     }
 
+    fn leader(&self) -> Option<BoxId> {
+        self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// The leader where known, else the replicas in turn, beginning with this box's own.
     fn target(&self, turn: usize) -> Option<(BoxId, SocketAddr)> {
-        let leader = self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let known = leader.and_then(|id| Some((id.clone(), self.directory.find(&id)?)));
+        let known = self.leader().and_then(|id| Some((id.clone(), self.directory.find(&id)?)));
         if known.is_some() {
             return known;
         }
@@ -188,6 +199,15 @@
         all.into_iter().nth(place)
     }
 
+    /// A line for another leader than the one before.
+    fn note_answered(&self, box_id: &BoxId) {
+        let mut answered = self.answered.lock().unwrap_or_else(PoisonError::into_inner);
+        if answered.as_ref() != Some(box_id) {
+            tracing::info!(event = "leader_followed", replica = %box_id);
+            *answered = Some(box_id.clone());
+        }
+    }
+
     fn remember(&self, leader: Option<BoxId>) {
         *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
     }
--- a/src/group/directory.rs
+++ b/src/group/directory.rs
@@ -8,7 +8,8 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{PoisonError, RwLock, RwLockReadGuard};
 
-use crate::ids::BoxId;
+use crate::decide::topology::{Reach, Topology};
+use crate::ids::{BoxId, DataCentre};
 
 /// The replicas known.
 #[derive(Debug)]
@@ -16,24 +17,27 @@
     /// The peer port of every box, where boxes are named by their IP addresses.
     port: Option<u16>,
     known: RwLock<Known>,
+    topology: Topology,
 }
 
 #[derive(Debug, Default)]
 struct Known {
+    /// Where replicas have said that they are.
+    sites: BTreeMap<BoxId, DataCentre>,
     seeds: BTreeMap<BoxId, SocketAddr>,
     members: BTreeMap<BoxId, SocketAddr>,
 }
 
 impl Directory {
     /// The replicas that the settings list, and no others.
-    pub fn listed(replicas: BTreeMap<BoxId, SocketAddr>) -> Self {
-        let known = Known { seeds: replicas, members: BTreeMap::new() };
-        Self { port: None, known: RwLock::new(known) }
+    pub fn listed(replicas: BTreeMap<BoxId, SocketAddr>, topology: Topology) -> Self {
+        let known = Known { seeds: replicas, ..Known::default() };
+        Self { port: None, known: RwLock::new(known), topology }
     }
 
     /// Seeds by their IP addresses; every box's peer side is at `port`.
-    pub fn seeded(seeds: &[IpAddr], port: u16) -> Self {
-        let directory = Self { port: Some(port), known: RwLock::default() };
+    pub fn seeded(seeds: &[IpAddr], port: u16, topology: Topology) -> Self {
+        let directory = Self { port: Some(port), known: RwLock::default(), topology };
         directory.reseed(seeds);
         directory
     }
@@ -77,6 +81,26 @@
         listed.or_else(|| self.derive(box_id))
     }
 
+    /// Notes where a replica says that it is.
+    pub fn note_site(&self, box_id: &BoxId, data_centre: DataCentre) {
+        if self.read().sites.get(box_id) != Some(&data_centre) {
+            let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
+            known.sites.insert(box_id.clone(), data_centre);
+        }
+    }
+
+    /// How far a replica is, if there are several regions and it has said where it is.
+    pub fn reach(&self, box_id: &BoxId) -> Option<Reach> {
+        let split = self.topology.is_split();
+        split.then(|| Some(self.topology.reach(self.read().sites.get(box_id)?))).flatten()
+    }
+
+    /// How far the replica at an address is, as far as is known.
+    pub fn reach_of(&self, addr: SocketAddr) -> Option<Reach> {
+        let all = self.all();
+        self.reach(&all.iter().find(|(_, it)| *it == addr)?.0)
+    }
+
     /// Takes the seeds of changed settings.
     pub fn reseed(&self, seeds: &[IpAddr]) {
         let Some(port) = self.port else {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex as SyncMutex, PoisonError};
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde_json::value::RawValue;
+use serde_json::value::{RawValue, to_raw_value};
 use tokio::sync::Mutex;
 
 use super::method::Call;
@@ -61,6 +61,9 @@
     client: Mutex<Option<Arc<WsClient>>>,
     /// Whether the last call failed as one side could not read the other.
     is_unreadable: AtomicBool,
+    /// Bytes of the calls made and of their answers.
+    sent: AtomicU64,
+    heard: AtomicU64,
 }
 
 impl Peer {
@@ -84,6 +87,16 @@
         PeerError::Unreachable { addr: self.addr, detail: error.to_string() }
     }
 
+    /// Reads an answer.
+    fn read<R: DeserializeOwned>(&self, method: &str, answer: &RawValue) -> Result<R, PeerError> {
+        self.heard.fetch_add(answer.get().len() as u64, Ordering::Relaxed);
+        let value = serde_json::from_str(answer.get());
+        if value.is_ok() {
+            self.note_readable(method, None);
+        }
+        value.map_err(|error| self.unreadable(method, &error.to_string()))
+    }
+
     fn unreadable(&self, method: &str, detail: &str) -> PeerError {
         self.note_readable(method, Some(detail));
         PeerError::Unreadable { addr: self.addr, detail: detail.to_owned() }
@@ -122,12 +135,23 @@
     fn peer(&self, addr: SocketAddr) -> Arc<Peer> {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
         let new = || {
-            let is_unreadable = AtomicBool::new(false);
-            Arc::new(Peer { addr, client: Mutex::new(None), is_unreadable })
+            let (client, is_unreadable) = (Mutex::new(None), AtomicBool::new(false));
+            let (sent, heard) = (AtomicU64::new(0), AtomicU64::new(0));
+            Arc::new(Peer { addr, client, is_unreadable, sent, heard })
         };
         peers.entry(addr).or_insert_with(new).clone()
     }
 
+    /// Bytes of all calls made to each address, and of their answers, without what frames them.
+    pub fn traffic(&self) -> Vec<(SocketAddr, u64, u64)> {
+        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        let of_peer = |peer: &Arc<Peer>| {
+            let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
+            (peer.addr, of(&peer.sent), of(&peer.heard))
+        };
+        peers.values().map(of_peer).collect()
+    }
+
     /// Calls a method and waits at most `limit` for its answer.
     ///
     /// # Errors
@@ -150,18 +174,16 @@
         })?;
         let mut params = ArrayParams::new();
         let call = Call { secret: self.secret.to_string(), body };
+        let call = to_raw_value(&call).map_err(|error| PeerError::Refused(error.to_string()))?;
+        peer.sent.fetch_add(call.get().len() as u64, Ordering::Relaxed);
         params.insert(call).map_err(|error| PeerError::Refused(error.to_string()))?;
-        let answer = tokio::time::timeout(limit, client.request(method, params)).await;
-        match answer {
-            Ok(Ok(value)) => {
-                peer.note_readable(method, None);
-                Ok(value)
-            }
+        let asking = client.request::<Box<RawValue>, _>(method, params);
+        match tokio::time::timeout(limit, asking).await {
+            Ok(Ok(answer)) => peer.read(method, &answer),
             Ok(Err(Error::Call(error))) if error.code() == INVALID_PARAMS_CODE => {
                 let detail = error.data().map_or(error.message(), RawValue::get);
                 Err(peer.unreadable(method, detail))
             }
-            Ok(Err(Error::ParseError(error))) => Err(peer.unreadable(method, &error.to_string())),
             Ok(Err(Error::Call(error))) => Err(PeerError::Refused(error.message().to_owned())),
             Ok(Err(error)) => {
                 peer.forget(&client).await;
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -115,6 +115,9 @@
     /// The group's members.
     #[serde(default)]
     pub members: Vec<BoxId>,
+    /// The data centre of the replica that answers.
+    #[serde(default)]
+    pub data_centre: Option<DataCentre>,
 }
 
 /// What a node lacks of the configuration.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -223,7 +223,8 @@
     };
     let document = Some(node.board.document()).filter(|it| it.version > poll.document);
     let members = node.access.directory().members().into_iter().map(|(id, _)| id).collect();
-    Ok(PollReply { age, work: node.board.work_waiting(), news, document, members })
+    let (work, data_centre) = (node.board.work_waiting(), node.settings.node.data_centre.clone());
+    Ok(PollReply { age, work, news, document, members, data_centre: Some(data_centre) })
 }
 
 async fn status(node: Arc<Node>, (): ()) -> Result<NodeStatus, String> {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -311,8 +311,11 @@
     /// Where the replicas are, as far as the settings say.
     pub fn directory(&self) -> Directory {
         match self.group.seeds.is_empty() {
-            true => Directory::listed(self.replicas.clone()),
-            false => Directory::seeded(&self.group.seed_ips(), self.peer.listen.port()),
+            true => Directory::listed(self.replicas.clone(), self.topology()),
+            false => {
+                let port = self.peer.listen.port();
+                Directory::seeded(&self.group.seed_ips(), port, self.topology())
+            }
         }
     }
 
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -1,9 +1,12 @@
 //! What a node knows at the moment, as numbers; taken when the metrics are read.
 
+use std::collections::BTreeMap;
+
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Gauge, Meter};
 
 use super::{logs, volume};
+use crate::decide::topology::Reach;
 use crate::node::Node;
 use crate::relay::Relay;
 
@@ -19,6 +22,7 @@
     servers: Gauge<u64>,
     in_flight: Gauge<u64>,
     lines: Gauge<u64>,
+    control: Gauge<u64>,
 }
 
 impl Gauges {
@@ -39,6 +43,10 @@
             list_place: count("emberturn_list_place", "Place of that list among the leader's"),
             servers: count("emberturn_backend_servers", "Backend servers by service and state"),
             in_flight: count("emberturn_in_flight", "Requests of this box at backend servers"),
+            control: count(
+                "emberturn_control_bytes",
+                "Bytes of calls to other boxes, by distance and direction; grows only",
+            ),
             lines: count("emberturn_log_lines_not_written", "Log lines not written, by reason"),
         }
     }
@@ -56,11 +64,28 @@
         let reason = |name: &'static str| [KeyValue::new("reason", name)];
         self.lines.record(logs::dropped() as u64, &reason("queue_full"));
         self.lines.record(volume::left_out(), &reason("ordinary"));
+        self.record_control(node);
         if let Some(relay) = node.relay() {
             self.record_relay(relay);
         }
     }
 
+    fn record_control(&self, node: &Node) {
+        let mut sums: BTreeMap<Option<Reach>, (u64, u64)> = BTreeMap::new();
+        for (addr, sent, heard) in node.peers.traffic() {
+            let sum = sums.entry(node.access.directory().reach_of(addr)).or_default();
+            *sum = (sum.0 + sent, sum.1 + heard);
+        }
+        for (reach, (sent, heard)) in sums {
+            let reach = reach.map_or("unknown".to_owned(), |reach| reach.to_string());
+            for (direction, bytes) in [("sent", sent), ("heard", heard)] {
+                let labels =
+                    [KeyValue::new("reach", reach.clone()), KeyValue::new("direction", direction)];
+                self.control.record(bytes, &labels);
+            }
+        }
+    }
+
     fn record_relay(&self, relay: &Relay) {
         let list = relay.servers.version();
         self.list_term.record(list.term.0, &[]);
--- a/src/units.rs
+++ b/src/units.rs
@@ -168,3 +168,26 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{0:?} is not a number from 0 up, such as 3, 0.25 or 1e-3")]
 pub struct NumberError(String);
+
+/// A figure on its way to another box in single precision, which is a ten-millionth; one byte where there is
+/// nothing. For use with `#[serde(with)]`; not for sums that differences are taken of.
+pub mod thin {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    /// Writes it.
+    ///
+    /// # Errors
+    /// As the serializer's.
+    pub fn serialize<S: Serializer>(value: &f64, serializer: S) -> Result<S::Ok, S::Error> {
+        Some(*value as f32).filter(|it| *it != 0.0).serialize(serializer)
+    }
+
+    /// Reads it.
+    ///
+    /// # Errors
+    /// As the deserializer's.
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+        let value = Option::<f32>::deserialize(deserializer)?;
+        Ok(value.map_or(0.0, f64::from))
+    }
+}
--- a/tests/control_bytes.rs
+++ b/tests/control_bytes.rs
@@ -122,6 +122,7 @@
         list: Some(Print(0x9e37_79b9_7f4a_7c15)),
         revision: Revision(3),
         document: Version(7),
+        whole: false,
         usage: windows.collect(),
         offered: services().zip([70, 90]).map(|(name, seed)| (name, offered(seed))).collect(),
         engines: None,
@@ -148,6 +149,7 @@
         loads: part_loads(fleet, 48),
         settled: Window(353_000_000),
         relays: 300,
+        data_centre: None,
     }
 }
 
