--- a/tests/control_bytes.rs
+++ b/tests/control_bytes.rs
@@ -9,7 +9,7 @@
 use emberturn::decide::loads::ToldLoad;
 use emberturn::decide::releases::ReleaseWord;
 use emberturn::ids::{BackendId, BoxId, Incarnation, Revision, ServiceName, Term, Version, Window};
-use emberturn::peer::method::{Beat, BeatReply, Call, ModelsWord};
+use emberturn::peer::method::{Beat, BeatReply, Call, ModelsWord, Poll, PollReply, Update};
 use emberturn::peer::packed::Packed;
 use emberturn::relay::list::{ListIndex, ListPart, ListVersion, PartId, Print, Server};
 use emberturn::relay::part_loads::{PartLoads, PlacedLoad, named, placed};
@@ -201,6 +201,20 @@
     json(&frame)
 }
 
+/// What a box is told of the configuration when nothing is new, with the question.
+fn poll() -> (Poll, PollReply) {
+    let asked = Poll { from: Revision(3), document: Version(7), wait: 400, unsure: false };
+    let told = PollReply {
+        age: Some(40),
+        work: false,
+        news: Update::Changes(Vec::new()),
+        document: None,
+        members: (10..15).map(|place| format!("10.1.0.{place}").parse().unwrap()).collect(),
+        data_centre: Some("gauteng-a".parse().unwrap()),
+    };
+    (asked, told)
+}
+
 fn print_fields(name: &str, message: &impl Serialize) {
     let Value::Object(fields) = serde_json::to_value(message).unwrap() else {
         unreachable!("a message is an object")
@@ -226,6 +240,8 @@
         println!("frame of a beat: {}", call(()) - 4);
         let whole = call(Packed(beat(&fleet))) + call(Packed(reply(&fleet)));
         println!("both, with their frames: {whole}");
+        let (asked, told) = poll();
+        println!("poll and answer, with their frames: {}", call(asked) + call(told));
         assert!(whole * WORDS < LIMIT / 2, "{title}: {whole} bytes");
     }
 }
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -162,6 +162,9 @@
     subnet: (u8, u8),
     ports: HashMap<&'static str, u16>,
     first_start: bool,
+    /// The data centres of boxes, where they lie in more than one, and the region of each.
+    sites: BTreeMap<u8, &'static str>,
+    regions: Value,
     folder: TempDir,
 }
 
@@ -185,6 +188,8 @@
             subnet,
             ports,
             first_start: true,
+            sites: BTreeMap::new(),
+            regions: json!({}),
             folder: tempfile::tempdir().unwrap(),
         }
     }
@@ -212,7 +217,7 @@
         let seeds: Vec<_> =
             self.seeds.iter().map(|seed| format!("{seed}:{}", self.ports["control"])).collect();
         let fields = json!({
-            "ip": ip, "zone": "here", "data_dir": folder.join("data"), "seeds": seeds,
+            "ip": ip, "zone": self.site(ip), "zones": self.regions, "data_dir": folder.join("data"), "seeds": seeds,
             "first_start": self.first_start, "fault_tolerance": { "machines": 2 },
             "internal_port_range": [self.ports["peer"], self.ports["metrics"]],
             "listen_addresses": {
@@ -230,16 +235,42 @@
         fill(&template(&format!("{role}.ini")), &fields)
     }
 
+    /// Lets boxes lie in data centres, each in a region.
+    pub fn lie_in(&mut self, sites: BTreeMap<u8, &'static str>, regions: Value) {
+        (self.sites, self.regions) = (sites, regions);
+    }
+
+    fn site(&self, ip: IpAddr) -> &'static str {
+        let place = self.sites.iter().find(|(place, _)| self.ip(**place) == ip);
+        place.map_or("here", |(_, site)| site)
+    }
+
+    /// Where a replica is reached by other boxes.
+    pub fn peer_addr(&self, place: u8) -> SocketAddr {
+        (self.ip(place), self.ports["peer"]).into()
+    }
+
     /// Starts a relay that reaches each replica through a proxy only.
     pub async fn launch_behind(&mut self, place: u8, proxies: &BTreeMap<IpAddr, Proxy>) {
+        let replicas = proxies.iter().map(|(ip, proxy)| (*ip, proxy.addr)).collect();
+        self.launch_to(place, "relay", &replicas).await;
+    }
+
+    /// Starts a box that reaches the replicas at these addresses.
+    pub async fn launch_to(
+        &mut self,
+        place: u8,
+        role: &'static str,
+        replicas: &BTreeMap<IpAddr, SocketAddr>,
+    ) {
         let ip = self.ip(place);
-        let text = self.settings(ip, "relay", &self.folder_of(place));
+        let text = self.settings(ip, role, &self.folder_of(place));
         let (before, rest) = text.split_once("[group]").unwrap();
-        let (_, after) = rest.split_once("[relay]").unwrap();
-        let replicas = proxies.iter().map(|(ip, proxy)| format!("{ip} = {}\n", proxy.addr));
-        let replicas: String = replicas.collect();
-        let text = format!("{before}[replicas]\n{replicas}\n[relay]{after}");
-        self.start_process(place, "relay", text).await;
+        let (_, after) = rest.split_once("\n[").unwrap();
+        let listed = replicas.iter().map(|(ip, addr)| format!("{ip} = {addr}\n"));
+        let listed: String = listed.collect();
+        let text = format!("{before}[replicas]\n{listed}\n[{after}");
+        self.start_process(place, role, text).await;
     }
 
     /// Proxies in front of the replicas' sides for other boxes.
