--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -9,11 +9,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::models::ModelsWord;
-use super::telling::Telling;
 use crate::decide::allowance::{Allowed, TeamDemand};
 use crate::decide::capacity::Offered;
 use crate::decide::loads::ToldLoad;
 use crate::decide::releases::{ReleaseWord, TrialWord};
+use crate::decide::telling::Telling;
 use crate::group::access::Access;
 use crate::ids::{
     BoxId, DataCentre, Incarnation, Revision, ServiceName, TeamName, Version, Window,
@@ -104,12 +104,20 @@
     pub data_centre: Option<DataCentre>,
 }
 
+/// What the two sides have of each other.
+#[derive(Default)]
+struct Told {
+    telling: Telling,
+    /// The print of what the leader told of engines last.
+    models: Option<Print>,
+}
+
 /// Beats until the task is dropped.
 pub(crate) async fn run(relay: Arc<Relay>, access: Access, box_id: BoxId, life: Incarnation) {
     let mut lost = false;
-    let mut telling = Telling::default();
+    let mut told = Told::default();
     loop {
-        let heard = beat(&relay, &access, &mut telling, &box_id, life).await;
+        let heard = beat(&relay, &access, &mut told, &box_id, life).await;
         if heard == lost {
             let version = relay.servers.version();
             tracing::info!(event = "leader_heard", heard, list_term = %version.term);
@@ -145,13 +153,13 @@
 async fn beat(
     relay: &Relay,
     access: &Access,
-    telling: &mut Telling,
+    told: &mut Told,
     box_id: &BoxId,
     life: Incarnation,
 ) -> bool {
     let asked = Instant::now();
     let demand = relay.allowances().tell(asked);
-    let news = telling.news(relay.usage().counts(), relay.engines().learned());
+    let news = told.telling.news(relay.usage().counts(), relay.engines().learned());
     let beat = Beat {
         box_id: box_id.clone(),
         life,
@@ -162,7 +170,7 @@
         usage: news.usage.clone(),
         offered: relay.offered().rates(Instant::now()),
         engines: news.engines.clone(),
-        models: telling.models,
+        models: told.models,
         demand,
         trials: relay.releases().tell(asked),
         loads: relay.loads().take(asked),
@@ -174,13 +182,13 @@
             relay.allowances().hear(&reply.allowed, Instant::now());
             relay.releases().hear(reply.releases);
             if let Some(word) = reply.engines {
-                telling.models = Some(word.print);
+                told.models = Some(word.print);
                 relay.engines().take(word.models);
             }
             relay.servers.hear_placed_loads(&reply.loads);
             take_document(relay, asked, reply.document, reply.age);
             relay.usage().forget(reply.settled);
-            telling.answered(news, reply.lacks, &relay.usage().counts());
+            told.telling.answered(news, reply.lacks, reply.settled);
             if reply.lacks {
                 relay.hurry.notify_one();
             }
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -19,6 +19,7 @@
 use crate::decide::engine::EngineModel;
 use crate::decide::level::{self, Noted, TeamLevel, Tolerance};
 use crate::decide::loads::{self, LoadPool};
+use crate::decide::telling::{Heard, News};
 use crate::group::driver::Unanswered;
 use crate::ids::{
     BackendId, BoxId, Incarnation, Release, ServiceName, TeamName, Term, Version, Window,
@@ -30,7 +31,6 @@
 use crate::relay::list_book::ListBook;
 use crate::relay::part_loads::{self, PartLoads};
 use crate::relay::table::RouteTable;
-use crate::relay::usage::Counts;
 use crate::settings::CloudSettings;
 use crate::state::notes::{LowTeams, Models};
 
@@ -57,35 +57,8 @@
 /// What one life of a relay has told.
 struct Word {
     heard: Instant,
-    usage: Counts,
     offered: BTreeMap<ServiceName, Offered>,
-    engines: Models,
-}
-
-impl Word {
-    fn new(now: Instant) -> Self {
-        let (usage, engines) = (Counts::new(), Models::new());
-        Self { heard: now, usage, offered: BTreeMap::new(), engines }
-    }
-
-    /// Takes what is news. The counts of a window are of the whole window, so one that comes twice counts
-    /// once.
-    fn take(
-        &mut self,
-        now: Instant,
-        settled: Window,
-        usage: Counts,
-        offered: BTreeMap<ServiceName, Offered>,
-        engines: Option<Models>,
-    ) {
-        self.heard = now;
-        self.usage.extend(usage);
-        self.usage.retain(|window, _| *window > settled);
-        self.offered = offered;
-        if let Some(engines) = engines {
-            self.engines = engines;
-        }
-    }
+    told: Heard,
 }
 
 /// What a team was refused of late.
@@ -199,9 +172,10 @@
         let releases = self.rollouts.hear(since, &key, &beat.trials);
         let before = self.present.insert(beat.box_id, now);
         self.loads.hear(beat.loads, now);
-        let lacks = !beat.whole && !self.words.contains_key(&key);
-        let word = self.words.entry(key).or_insert_with(|| Word::new(now));
-        word.take(now, self.settled, beat.usage, beat.offered, beat.engines);
+        let news = News { whole: beat.whole, usage: beat.usage, engines: beat.engines };
+        let mut told = self.words.remove(&key).map(|word| word.told).unwrap_or_default();
+        let lacks = told.take(news, self.settled);
+        self.words.insert(key, Word { heard: now, offered: beat.offered, told });
         let relays = self.relays();
         let index = self.is_informed().then(|| self.list.index(&box_id));
         let parts = index.as_ref().map(|index| self.list.listed_parts(index)).unwrap_or_default();
@@ -323,7 +297,7 @@
     fn pool_engines(&mut self) {
         let now = Instant::now();
         let present = || self.words.values().filter(move |word| word.heard + ABSENT_TIME > now);
-        let words = || present().map(|word| &word.engines);
+        let words = || present().map(|word| &word.told.engines);
         let services: BTreeSet<_> = words().flat_map(|models| models.keys().cloned()).collect();
         for service in services {
             let model = EngineModel::pool(words().filter_map(|models| models.get(&service)));
@@ -374,7 +348,7 @@
     /// The counts of a window over all boxes and lives.
     pub(super) fn counts(&self, window: Window) -> BTreeMap<TeamName, u64> {
         let mut sum = BTreeMap::new();
-        for teams in self.words.values().filter_map(|word| word.usage.get(&window)) {
+        for teams in self.words.values().filter_map(|word| word.told.usage.get(&window)) {
             for (name, count) in teams {
                 *sum.entry(name.clone()).or_insert(0) += count;
             }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,7 +3,7 @@
 //! - [`beat`] is a relay's word to the leader; [`lead`] is what the leader makes of it,
 //!   [`duties`] what it does towards the platform. [`publish`] is what operators ask of the published document.
 //! - [`fetch`] gets a relay its parts of the list of backend servers.
-//! - [`telling`] is what of a relay's word is news to the leader, [`models`] what is news of engines.
+//! - [`models`] is what of engines is news to relays.
 //! - [`rollouts`] is what operators ask of roll-outs, and how the leader carries them on.
 //! - [`load`] asks engines for their load.
 //! - [`boxlist`] follows the platform's box list.
@@ -22,7 +22,6 @@
 pub(crate) mod rollouts;
 pub(crate) mod share;
 pub(crate) mod spend;
-mod telling;
 pub(crate) mod work;
 
 use std::sync::Arc;
--- a/src/control/models.rs
+++ b/src/control/models.rs
@@ -1,9 +1,10 @@
 //! Models of engines on their way between boxes and the leader: told when they say something new, by the
-//! leader here and by boxes in [`super::telling`]. They change by a few hundredths a second at most, and words go out several times a
+//! leader here and by boxes in [`crate::decide::telling`]. They change by a few hundredths a second at most, and words go out several times a
 //! second.
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::telling::is_news;
 use crate::member::table::fingerprint;
 use crate::relay::list::Print;
 use crate::state::notes::Models;
@@ -37,13 +38,3 @@
         self.0.clone().filter(|word| Some(word.print) != held)
     }
 }
-
-/// Whether models say something else than those known.
-pub(super) fn is_news(known: &Models, models: &Models) -> bool {
-    let same = known.len() == models.len()
-        && known
-            .iter()
-            .zip(models)
-            .all(|((a, known), (b, model))| a == b && !known.is_passed(model));
-    !same
-}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -18,6 +18,7 @@
 //! - [`share`]: which part of a fleet-wide limit each node may use.
 //! - [`spend`]: how many engines a service is to have, where, of which kind.
 //! - [`nearest`]: which replica a box follows the configuration at.
+//! - [`telling`]: what of a box's word is news to the leader.
 //! - [`topology`]: which data centres make up which region, and how far they are.
 
 pub mod admit;
@@ -41,5 +42,6 @@
 pub mod share;
 pub mod spend;
 pub mod subset;
+pub mod telling;
 pub mod topology;
 pub mod verdict;
--- /dev/null
+++ b/src/decide/telling.rs
@@ -0,0 +1,86 @@
+//! What of a box's word is news to the leader, and what the leader makes of it: counts of windows that are
+//! over and models of engines stay the same for many words.
+//!
+//! The leader keeps what a life of the box told it. One that has not heard that life before, or has
+//! forgotten it, says that it lacks what was told, and is told all of it at once. What a word told counts as
+//! told only once it is answered, and takes the place of what was told before, so nothing is lost with a
+//! word and nothing counts twice. That the leader lacks something it says until it has heard all in one word,
+//! since its answer may be lost as well.
+
+use crate::ids::Window;
+use crate::relay::usage::Counts;
+use crate::state::notes::Models;
+
+/// What is news of a box.
+#[derive(Debug, Clone)]
+pub struct News {
+    /// Whether it is all that there is.
+    pub whole: bool,
+    /// The counts of the windows that have changed.
+    pub usage: Counts,
+    /// What the box has learned of engines, if that has changed.
+    pub engines: Option<Models>,
+}
+
+/// What the leader has of a box, by the words that it answered.
+#[derive(Debug, Default)]
+pub struct Telling {
+    /// `None`: nothing for certain.
+    told: Option<Heard>,
+}
+
+impl Telling {
+    /// What the leader is to be told.
+    pub fn news(&self, mut usage: Counts, engines: Models) -> News {
+        let Some(told) = &self.told else {
+            return News { whole: true, usage, engines: Some(engines) };
+        };
+        usage.retain(|window, counts| told.usage.get(window) != Some(counts));
+        let engines = is_news(&told.engines, &engines).then_some(engines);
+        News { whole: false, usage, engines }
+    }
+
+    /// Takes the answer to a word: the leader has its news, unless it `lacks` what they are news to.
+    pub fn answered(&mut self, news: News, lacks: bool, settled: Window) {
+        match lacks {
+            true => self.told = None,
+            false => {
+                self.told.get_or_insert_default().take(news, settled);
+            }
+        }
+    }
+}
+
+/// What a life of a box has told.
+#[derive(Debug, Default)]
+pub struct Heard {
+    /// Its counts of the windows that are not settled.
+    pub usage: Counts,
+    /// What it has learned of engines.
+    pub engines: Models,
+    /// Whether one word was all that there was: without it, later ones are news to something unknown.
+    whole: bool,
+}
+
+impl Heard {
+    /// Takes what is news; windows up to `settled` are no longer kept. Whether it lacks something.
+    pub fn take(&mut self, news: News, settled: Window) -> bool {
+        self.whole |= news.whole;
+        self.usage.extend(news.usage);
+        self.usage.retain(|window, _| *window > settled);
+        if let Some(engines) = news.engines {
+            self.engines = engines;
+        }
+        !self.whole
+    }
+}
+
+/// Whether models say something else than those known.
+pub fn is_news(known: &Models, models: &Models) -> bool {
+    let same = known.len() == models.len()
+        && known
+            .iter()
+            .zip(models)
+            .all(|((a, known), (b, model))| a == b && !known.is_passed(model));
+    !same
+}
--- /dev/null
+++ b/tests/telling.rs
@@ -0,0 +1,130 @@
+//! What a box tells the leader as news, while words and answers are lost and leaders change.
+
+use std::collections::BTreeMap;
+
+use emberturn::decide::telling::{Heard, Telling};
+use emberturn::ids::{TeamName, Window};
+use emberturn::relay::usage::Counts;
+use emberturn::state::notes::Models;
+use proptest::prelude::*;
+
+/// What happens between two words.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    /// A request began to run in a window.
+    Ran(u64),
+    /// The engines have become faster by this part.
+    Learned(f64),
+    /// The word never arrives.
+    WordLost,
+    /// It arrives, and its answer does not.
+    AnswerLost,
+    /// Another leader, that has heard nothing, or the same one that has forgotten the box.
+    Forgotten,
+    /// A word and its answer arrive.
+    Told,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (1_u64..6).prop_map(Event::Ran),
+        1 => (0.0..0.5).prop_map(Event::Learned),
+        1 => Just(Event::WordLost),
+        1 => Just(Event::AnswerLost),
+        1 => Just(Event::Forgotten),
+        3 => Just(Event::Told),
+    ]
+}
+
+#[derive(Default)]
+struct World {
+    telling: Telling,
+    usage: Counts,
+    engines: Models,
+    leader: Option<Heard>,
+    settled: Window,
+}
+
+impl World {
+    fn count(&mut self, window: u64) {
+        let team: TeamName = format!("team-{}", window % 2).parse().unwrap();
+        *self.usage.entry(Window(window)).or_default().entry(team).or_insert(0) += 1;
+    }
+
+    fn learn(&mut self, part: f64) {
+        let service = "svc".parse().unwrap();
+        let model = self.engines.entry(service).or_default();
+        (model.rate, model.weight) = (model.rate * (1.0 + part), 256.0);
+    }
+
+    /// A word; whether the leader lacked what it was news to.
+    fn tell(&mut self, arrives: bool, answered: bool) -> bool {
+        let news = self.telling.news(self.usage.clone(), self.engines.clone());
+        if !arrives {
+            return false;
+        }
+        let lacks = self.leader.get_or_insert_default().take(news.clone(), self.settled);
+        if answered {
+            self.usage.retain(|window, _| *window > self.settled);
+            self.telling.answered(news, lacks, self.settled);
+        }
+        lacks
+    }
+
+    fn counts(&self) -> Counts {
+        let counts = self.usage.iter().filter(|(window, _)| **window > self.settled);
+        counts.map(|(window, counts)| (*window, counts.clone())).collect()
+    }
+}
+
+proptest! {
+    /// Whatever is lost, the leader has all counts after a word that it answers, or after the next one
+    /// where it said that it lacked some, and never a count that did not run.
+    #[test]
+    fn leader_has_all_that_ran(events in prop::collection::vec(event(), 1..60), settled in 0_u64..4) {
+        let mut world = World::default();
+        for (place, event) in events.iter().enumerate() {
+            if place == events.len() / 2 {
+                world.settled = Window(settled);
+            }
+            match *event {
+                Event::Ran(window) if Window(window) > world.settled => world.count(window),
+                Event::Ran(_) => {}
+                Event::Learned(part) => world.learn(part),
+                Event::WordLost => drop(world.tell(false, false)),
+                Event::AnswerLost => drop(world.tell(true, false)),
+                Event::Forgotten => world.leader = None,
+                Event::Told => {
+                    if world.tell(true, true) {
+                        prop_assert!(!world.tell(true, true), "all was told");
+                    }
+                    let heard = world.leader.as_ref().unwrap();
+                    prop_assert_eq!(&heard.usage, &world.counts());
+                }
+            }
+            for (window, counts) in world.leader.iter().flat_map(|heard| &heard.usage) {
+                for (team, count) in counts {
+                    let ran = world.usage.get(window).and_then(|counts| counts.get(team));
+                    prop_assert!(*window <= world.settled || ran >= Some(count));
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn what_has_not_changed_is_not_told_again() {
+    let mut world = World::default();
+    world.count(1);
+    world.count(2);
+    world.learn(0.0);
+    world.tell(true, true);
+    world.count(2);
+    world.learn(0.01);
+    let news = world.telling.news(world.usage.clone(), world.engines.clone());
+    let windows: BTreeMap<_, _> = news.usage.into_iter().collect();
+    assert_eq!(windows.keys().collect::<Vec<_>>(), [&Window(2)]);
+    assert!(news.engines.is_none() && !news.whole);
+    world.learn(0.1);
+    assert!(world.telling.news(world.usage.clone(), world.engines.clone()).engines.is_some());
+}
