Tests: a limit over regions that lose each other, and calls lost one way

A relay of a region that is cut off and one outside are asked as fast as they answer until the first may take keys no more: what ran is within the limit and its part to pass it, over the time since the fleet was begun. With the calls of one region lost on their way out, and those of others arriving, no relay takes a key that was revoked meanwhile, and all go by the newest document afterwards. System's fleets may have another slack than 140,000 units.

--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -11,6 +11,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
+use std::time::Instant;
 
 use emberturn_fakes::proxy::{Fault, Proxy};
 use platform::{Act, StandIn, document, usual_routes};
@@ -36,7 +37,10 @@
 impl Fleet {
     /// A fleet that serves at both relays.
     async fn start() -> Self {
-        let mut system = System::new().await;
+        Self::start_with(System::new().await, &document(1, &usual_routes())).await
+    }
+
+    async fn start_with(mut system: System, document: &Value) -> Self {
         let regions = json!({ "a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c" });
         system.lie_in(SITES.into(), regions);
         let mut ways = BTreeMap::new();
@@ -57,7 +61,7 @@
         words.extend(nodes.iter().flat_map(|node| ["--node", node.as_str()]));
         let formed = fleet.system.operator(1, &words).await;
         assert!(formed.status.success(), "{formed:?}");
-        fleet.system.publish(1, &document(1, &usual_routes())).await;
+        fleet.system.publish(1, document).await;
         for place in [11, 12] {
             fleet.launch(place, "relay").await;
             fleet.system.wait_status(place, "once", 200).await;
@@ -127,6 +131,50 @@
     assert_eq!(fleet.server.seen().len(), ran, "a revoked key was served");
 }
 
+/// The units of a request without a model.
+const UNITS: f64 = 200.0;
+
+/// A limit of few requests, in units a second and at once.
+const LIMIT: (f64, f64) = (400.0, 4_000.0);
+
+/// The part by which these fleets may pass a limit.
+const OVERSHOOT: f64 = 0.1;
+
+/// While a region is cut off both sides serve by what they have on lease, and no more than the limit
+/// together.
+#[tokio::test(flavor = "multi_thread")]
+async fn regions_that_lose_each_other_keep_a_limit_together() {
+    let mut limited = document(1, &usual_routes());
+    limited["tenants"][0]["rate_per_s"] = json!(LIMIT.0);
+    limited["tenants"][0]["burst"] = json!(LIMIT.1);
+    let mut system = System::new().await;
+    system.slack = 0;
+    let begun = Instant::now();
+    let fleet = Fleet::start_with(system, &limited).await;
+    let leader = fleet.leader(11).await;
+    let (relay, cut) = if region(leader) == 'b' { (11, 'a') } else { (12, 'b') };
+    fleet.set(cut, Fault::Silent);
+    let asking = async |place: u8| {
+        loop {
+            let reply = fleet.system.ask(place, "POST", "once").await.unwrap();
+            // The region that is cut off ends when its keys may have been revoked.
+            if place == relay && reply.status == 503 {
+                return;
+            }
+            assert!([200, 429, 503].contains(&reply.status), "{reply:?}");
+        }
+    };
+    let patience = tokio::time::sleep(platform::PATIENCE);
+    tokio::select! {
+        () = asking(relay) => {}
+        () = asking(23 - relay) => {}
+        () = patience => panic!("the region that is cut off goes on serving"),
+    }
+    let most = (1.0 + OVERSHOOT) * (LIMIT.1 + LIMIT.0 * begun.elapsed().as_secs_f64());
+    let ran = fleet.server.seen().len() as f64 * UNITS;
+    assert!(ran > 0.0 && ran <= most, "{ran} units of {most}");
+}
+
 /// The others elect a leader and serve on. The former one acts no more, and goes by the new one's word once
 /// it is back.
 #[tokio::test(flavor = "multi_thread")]
@@ -147,6 +195,33 @@
     assert!(fleet.fences().is_sorted(), "{:?}", fleet.fences());
 }
 
+/// Calls of one region are lost on their way out, those from elsewhere arrive. Its boxes stop taking a key that
+/// is revoked meanwhile, the others don't notice, and all go by the newest document afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn region_whose_calls_are_lost_one_way_takes_no_revoked_key() {
+    let fleet = Fleet::start().await;
+    for (_, way) in fleet.ways.iter().filter(|((from, _), _)| *from == 'b') {
+        way.set(Fault::Silent);
+    }
+    fleet.system.publish(5, &without_key(2)).await;
+    fleet.system.wait_status(11, "once", 401).await;
+    fleet
+        .system
+        .until("the key is taken no more", || async {
+            let status = fleet.system.ask(12, "POST", "once").await?.status;
+            [401, 503].contains(&status).then_some(())
+        })
+        .await;
+    let ran = fleet.server.seen().len();
+    for _ in 0..20 {
+        let status = fleet.system.ask(12, "POST", "once").await.unwrap().status;
+        assert!([401, 503].contains(&status), "{status}");
+    }
+    fleet.ways.values().for_each(|way| way.set(Fault::None));
+    fleet.system.wait_status(12, "once", 401).await;
+    assert_eq!(fleet.server.seen().len(), ran);
+}
+
 /// A relay follows a replica of its region while there is one, any other one meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn relay_without_the_replicas_of_its_region_follows_others_until_they_are_back() {
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -165,6 +165,8 @@
     /// The data centres of boxes, where they lie in more than one, and the region of each.
     sites: BTreeMap<u8, &'static str>,
     regions: Value,
+    /// By how many units a team's limit may be passed beside its part.
+    pub slack: u64,
     folder: TempDir,
 }
 
@@ -190,6 +192,7 @@
             first_start: true,
             sites: BTreeMap::new(),
             regions: json!({}),
+            slack: 140_000,
             folder: tempfile::tempdir().unwrap(),
         }
     }
@@ -228,7 +231,7 @@
                 "revoke_ms": 5_000, "retry_budget_ratio": 0.2, "budget_min_retries": 50,
                 "budget_window_s": 10, "grace_s": 8, "usage_window_s": 1, "usage_late_s": 2,
                 "lease_ms": 3_000, "quota_window_s": 8, "quota_overshoot": 0.1,
-                "quota_slack": 140_000, "ack_timeout_ms": 4_000, "expose_share": 0.1,
+                "quota_slack": self.slack, "ack_timeout_ms": 4_000, "expose_share": 0.1,
                 "expose_slack": 50,
             },
         });
