--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -8,14 +8,19 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use super::models::ModelsWord;
 use crate::decide::allowance::{Allowed, TeamDemand};
 use crate::decide::capacity::Offered;
 use crate::decide::loads::ToldLoad;
 use crate::decide::releases::{ReleaseWord, TrialWord};
+use crate::decide::telling::Telling;
 use crate::group::access::Access;
-use crate::ids::{BoxId, Incarnation, Revision, ServiceName, TeamName, Version, Window};
+use crate::ids::{
+    BoxId, DataCentre, Incarnation, Revision, ServiceName, TeamName, Version, Window,
+};
 use crate::relay::Relay;
 use crate::relay::list::{ListIndex, Print};
+use crate::relay::part_loads::PartLoads;
 use crate::relay::usage::Counts;
 use crate::state::document::Document;
 use crate::state::notes::Models;
@@ -48,12 +53,17 @@
     pub revision: Revision,
     /// The published document it has.
     pub document: Version,
-    /// Requests that began to run, in the windows whose reports are not known to be fixed.
+    /// Whether this is all that the box has to tell, not only what is news since its last word.
+    pub whole: bool,
+    /// Requests that began to run, in the windows whose reports are not known to be fixed: those windows
+    /// whose counts are news.
     pub usage: Counts,
     /// Prompt tokens a second that callers bring for each service.
     pub offered: BTreeMap<ServiceName, Offered>,
-    /// What this box has learned of engines.
-    pub engines: Models,
+    /// What this box has learned of engines, if it is news.
+    pub engines: Option<Models>,
+    /// The print of what it was told of engines last.
+    pub models: Option<Print>,
     /// What the teams that come to this box used and were refused.
     pub demand: BTreeMap<TeamName, TeamDemand>,
     /// What it saw of the releases that are being tried.
@@ -78,23 +88,36 @@
     pub age: Option<u64>,
     /// What the teams may use on this box.
     pub allowed: BTreeMap<TeamName, Allowed>,
-    /// What all boxes have learned of engines.
-    pub engines: Models,
+    /// What all boxes have learned of engines, if it is news to the box.
+    pub engines: Option<ModelsWord>,
+    /// Whether the leader lacks what earlier words of this life of the box told.
+    pub lacks: bool,
     /// Which releases get the services' requests; nothing while the leader is not sure.
     pub releases: Option<BTreeMap<ServiceName, ReleaseWord>>,
     /// Loads that backend servers told other boxes.
-    pub loads: Vec<ToldLoad>,
+    pub loads: Vec<PartLoads>,
     /// The last window whose report is fixed.
     pub settled: Window,
     /// Relays that share the limits.
     pub relays: u32,
+    /// The leader's data centre, to a word that tells all.
+    pub data_centre: Option<DataCentre>,
+}
+
+/// What the two sides have of each other.
+#[derive(Default)]
+struct Told {
+    telling: Telling,
+    /// The print of what the leader told of engines last.
+    models: Option<Print>,
 }
 
 /// Beats until the task is dropped.
 pub(crate) async fn run(relay: Arc<Relay>, access: Access, box_id: BoxId, life: Incarnation) {
     let mut lost = false;
+    let mut told = Told::default();
     loop {
-        let heard = beat(&relay, &access, &box_id, life).await;
+        let heard = beat(&relay, &access, &mut told, &box_id, life).await;
         if heard == lost {
             let version = relay.servers.version();
             tracing::info!(event = "leader_heard", heard, list_term = %version.term);
@@ -127,18 +150,27 @@
 }
 
 /// One beat; whether it was answered.
-async fn beat(relay: &Relay, access: &Access, box_id: &BoxId, life: Incarnation) -> bool {
+async fn beat(
+    relay: &Relay,
+    access: &Access,
+    told: &mut Told,
+    box_id: &BoxId,
+    life: Incarnation,
+) -> bool {
     let asked = Instant::now();
     let demand = relay.allowances().tell(asked);
+    let news = told.telling.news(relay.usage().counts(), relay.engines().learned());
     let beat = Beat {
         box_id: box_id.clone(),
         life,
         list: relay.servers.index_print(),
         revision: relay.parts.board.revision(),
         document: relay.parts.board.document().version,
-        usage: relay.usage().counts(),
+        whole: news.whole,
+        usage: news.usage.clone(),
         offered: relay.offered().rates(Instant::now()),
-        engines: relay.engines().learned(),
+        engines: news.engines.clone(),
+        models: told.models,
         demand,
         trials: relay.releases().tell(asked),
         loads: relay.loads().take(asked),
@@ -149,10 +181,17 @@
         Ok(reply) => {
             relay.allowances().hear(&reply.allowed, Instant::now());
             relay.releases().hear(reply.releases);
-            relay.engines().take(reply.engines);
-            relay.servers.hear_loads(&reply.loads);
+            if let Some(word) = reply.engines {
+                told.models = Some(word.print);
+                relay.engines().take(word.models);
+            }
+            relay.servers.hear_placed_loads(&reply.loads);
             take_document(relay, asked, reply.document, reply.age);
             relay.usage().forget(reply.settled);
+            told.telling.answered(news, reply.lacks, reply.settled);
+            if reply.lacks {
+                relay.hurry.notify_one();
+            }
             relay.note_relays(reply.relays);
             relay.heard.notify_waiters();
             if let Some(news) = reply.list {
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -11,22 +11,26 @@
 use std::time::{Duration, Instant};
 
 use super::beat::{Beat, BeatReply};
+use super::models::Spread;
 use super::rollouts::Rollouts;
 use super::spend::{Spender, Weights};
 use crate::decide::allowance::Allowed;
 use crate::decide::capacity::Offered;
 use crate::decide::engine::EngineModel;
 use crate::decide::level::{self, Noted, TeamLevel, Tolerance};
-use crate::decide::loads::LoadPool;
+use crate::decide::loads::{self, LoadPool};
+use crate::decide::telling::{Heard, News};
 use crate::group::driver::Unanswered;
-use crate::ids::{BoxId, Incarnation, Release, ServiceName, TeamName, Term, Version, Window};
+use crate::ids::{
+    BackendId, BoxId, Incarnation, Release, ServiceName, TeamName, Term, Version, Window,
+};
 use crate::node::Node;
 use crate::platform::client::Order;
 use crate::relay::RELAYS_GUESSED;
-use crate::relay::list::{ListPart, PartId, Server};
+use crate::relay::list::{ListPart, PartId, Print, Server};
 use crate::relay::list_book::ListBook;
+use crate::relay::part_loads::{self, PartLoads};
 use crate::relay::table::RouteTable;
-use crate::relay::usage::Counts;
 use crate::settings::CloudSettings;
 use crate::state::notes::{LowTeams, Models, Spells};
 
@@ -53,9 +57,8 @@
 /// What one life of a relay has told.
 struct Word {
     heard: Instant,
-    usage: Counts,
     offered: BTreeMap<ServiceName, Offered>,
-    engines: Models,
+    told: Heard,
 }
 
 /// What a team was refused of late.
@@ -108,6 +111,7 @@
     pub(super) spender: Spender,
     /// What is known of engines, and what of it the group has kept.
     pub(super) engines: Models,
+    spread: Spread,
     pub(super) kept: Models,
     /// What the group has kept of dry spells; `None` until that is known.
     pub(super) spells: Option<Spells>,
@@ -137,6 +141,7 @@
             settled: Window(0),
             spender: Spender::new(first, weights),
             engines: Models::new(),
+            spread: Spread::default(),
             kept: Models::new(),
             spells: None,
             engines_noted: None,
@@ -168,33 +173,46 @@
         let allowed = self.allow(&beat, tolerance);
         let since = self.since.elapsed().as_secs_f64();
         let releases = self.rollouts.hear(since, &key, &beat.trials);
-        match self.present.get_mut(&beat.box_id) {
-            Some(heard) => *heard = now,
-            None => drop(self.present.insert(beat.box_id, now)),
-        }
+        let before = self.present.insert(beat.box_id, now);
         self.loads.hear(beat.loads, now);
-        let word =
-            Word { heard: now, usage: beat.usage, offered: beat.offered, engines: beat.engines };
-        self.words.insert(key, word);
+        let news = News { whole: beat.whole, usage: beat.usage, engines: beat.engines };
+        let mut told = self.words.remove(&key).map(|word| word.told).unwrap_or_default();
+        let lacks = told.take(news, self.settled);
+        self.words.insert(key, Word { heard: now, offered: beat.offered, told });
         let relays = self.relays();
         let index = self.is_informed().then(|| self.list.index(&box_id));
-        let listed = index.as_ref().map(|index| self.list.listed(index)).unwrap_or_default();
-        let loads = self.loads.draw(&listed, now, rand::random());
+        let parts = index.as_ref().map(|index| self.list.listed_parts(index)).unwrap_or_default();
+        let loads = self.draw_loads(&parts, now, before);
         let list = index.filter(|index| beat.list != Some(index.print));
-        let engines = self.engines.clone();
+        let engines = self.spread.news(&self.engines, beat.models);
         BeatReply {
             list,
             document: None,
             age: None,
             allowed,
             engines,
+            lacks,
             releases,
             loads,
             settled: self.settled,
             relays,
+            data_centre: None,
         }
     }
 
+    /// Some loads of the servers of a box's parts, fewer where it was answered just before.
+    fn draw_loads(
+        &self,
+        parts: &[(Print, Vec<&BackendId>)],
+        now: Instant,
+        before: Option<Instant>,
+    ) -> Vec<PartLoads> {
+        let listed: Vec<_> = parts.iter().flat_map(|(_, servers)| servers).copied().collect();
+        let mut drawn = self.loads.draw(&listed, now, rand::random());
+        drawn.truncate(loads::due(before.map(|before| now - before)));
+        part_loads::placed(&drawn, parts)
+    }
+
     /// Forgets the relays that are gone, at most once in [`SWEEP_TIME`].
     fn sweep(&mut self, now: Instant) {
         if now - self.swept < SWEEP_TIME {
@@ -282,7 +300,7 @@
     fn pool_engines(&mut self) {
         let now = Instant::now();
         let present = || self.words.values().filter(move |word| word.heard + ABSENT_TIME > now);
-        let words = || present().map(|word| &word.engines);
+        let words = || present().map(|word| &word.told.engines);
         let services: BTreeSet<_> = words().flat_map(|models| models.keys().cloned()).collect();
         for service in services {
             let model = EngineModel::pool(words().filter_map(|models| models.get(&service)));
@@ -333,7 +351,7 @@
     /// The counts of a window over all boxes and lives.
     pub(super) fn counts(&self, window: Window) -> BTreeMap<TeamName, u64> {
         let mut sum = BTreeMap::new();
-        for teams in self.words.values().filter_map(|word| word.usage.get(&window)) {
+        for teams in self.words.values().filter_map(|word| word.told.usage.get(&window)) {
             for (name, count) in teams {
                 *sum.entry(name.clone()).or_insert(0) += count;
             }
@@ -345,13 +363,8 @@
 /// Answers a relay's beat, if this process leads. One from a relay without a list waits for the first list
 /// of this term: a relay that has just started asks once, and hears as soon as there is something to
 /// hear.
-pub(crate) async fn hear(
-    node: Arc<Node>,
-    beat: Beat,
-) -> Result<Result<BeatReply, Unanswered>, String> {
-    let Some(term) = node.leading_term().await else {
-        return Ok(Err(Unanswered::NotLeader(None)));
-    };
+pub(crate) async fn hear(node: Arc<Node>, beat: Beat) -> Result<BeatReply, Unanswered> {
+    let term = node.leading_term().await.ok_or(Unanswered::NotLeader(None))?;
     if beat.list.is_none() {
         wait_listed(&node, term).await;
     }
@@ -360,14 +373,15 @@
     let age = age.map(|age| age.as_millis() as u64);
     let held = node.board.document();
     let document = Some(held).filter(|held| age.is_some() && held.version > beat.document);
+    let data_centre = beat.whole.then(|| node.settings.node.data_centre.clone());
     let (reply, is_lacking) = node.with_lead(term, |lead| {
-        let reply = BeatReply { document, age, ..lead.hear(beat, tolerance(&node)) };
+        let reply = BeatReply { document, age, data_centre, ..lead.hear(beat, tolerance(&node)) };
         (reply, !lead.lacking.is_empty() || lead.low.is_none())
     });
     if is_lacking {
         node.lacking.notify_one();
     }
-    Ok(Ok(reply))
+    Ok(reply)
 }
 
 /// Waits until the leader of `term` has learned something more of servers and releases, at most
@@ -384,11 +398,9 @@
 pub(crate) async fn give_parts(
     node: Arc<Node>,
     wanted: Vec<PartId>,
-) -> Result<Result<Vec<ListPart>, Unanswered>, String> {
-    let Some(term) = node.leading_term().await else {
-        return Ok(Err(Unanswered::NotLeader(None)));
-    };
-    Ok(Ok(node.with_lead(term, |lead| lead.list.contents(&wanted, Instant::now()))))
+) -> Result<Vec<ListPart>, Unanswered> {
+    let term = node.leading_term().await.ok_or(Unanswered::NotLeader(None))?;
+    Ok(node.with_lead(term, |lead| lead.list.contents(&wanted, Instant::now())))
 }
 
 pub(super) fn tolerance(node: &Node) -> Tolerance {
--- /dev/null
+++ b/src/control/models.rs
@@ -0,0 +1,40 @@
+//! Models of engines on their way between boxes and the leader: told when they say something new, by the
+//! leader here and by boxes in [`crate::decide::telling`]. They change by a few hundredths a second at most, and words go out several times a
+//! second.
+
+use serde::{Deserialize, Serialize};
+
+use crate::decide::telling::is_news;
+use crate::member::table::fingerprint;
+use crate::relay::list::Print;
+use crate::state::notes::Models;
+
+/// What the leader tells of engines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ModelsWord {
+    /// Tells it from others; a box says which one it has.
+    pub print: Print,
+    /// The models.
+    pub models: Models,
+}
+
+impl ModelsWord {
+    fn new(models: &Models) -> Self {
+        // Debug output of a number is the shortest text that reads as the same number.
+        Self { print: Print(fingerprint(&format!("{models:?}"))), models: models.clone() }
+    }
+}
+
+/// The leader's side: what boxes are to have.
+#[derive(Debug, Default)]
+pub(crate) struct Spread(Option<ModelsWord>);
+
+impl Spread {
+    /// The word for a box that has the one of print `held`, if it lacks something.
+    pub(crate) fn news(&mut self, models: &Models, held: Option<Print>) -> Option<ModelsWord> {
+        if self.0.as_ref().is_none_or(|word| is_news(&word.models, models)) {
+            self.0 = Some(ModelsWord::new(models));
+        }
+        self.0.clone().filter(|word| Some(word.print) != held)
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -20,6 +20,8 @@
 //! - [`share`]: which part of a fleet-wide limit each node may use.
 //! - [`orders`]: what orders for engines stand for until the list shows it.
 //! - [`spend`]: how many engines a service is to have, where, of which kind.
+//! - [`nearest`]: which replica a box follows the configuration at.
+//! - [`telling`]: what of a box's word is news to the leader.
 //! - [`topology`]: which data centres make up which region, and how far they are.
 
 pub mod absence;
@@ -35,6 +37,7 @@
 pub mod level;
 pub mod loads;
 pub mod orders;
+pub mod nearest;
 pub mod policy;
 pub mod queue;
 pub mod reclaim;
@@ -45,5 +48,6 @@
 pub mod share;
 pub mod spend;
 pub mod subset;
+pub mod telling;
 pub mod topology;
 pub mod verdict;
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use crate::control::beat::{Beat, BeatReply};
+pub use crate::control::models::ModelsWord;
 use crate::error::Kind;
 use crate::group::message::Members;
 use crate::ids::{
@@ -113,6 +115,9 @@
     /// The group's members.
     #[serde(default)]
     pub members: Vec<BoxId>,
+    /// The data centre of the replica that answers.
+    #[serde(default)]
+    pub data_centre: Option<DataCentre>,
 }
 
 /// What a node lacks of the configuration.
