--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -8,13 +8,15 @@
 use emberturn::decide::allowance::TeamDemand;
 use emberturn::decide::choose::{
     Candidate as ServerCandidate, LoadWord, affinity, choose as choose_server, compares_all, drawn,
-    neighbours, others_now,
+    looks_further, neighbours, others_by_region, others_now,
 };
+use emberturn::decide::distance::{ByteWeights, Distance, Distances, kilobytes};
 use emberturn::decide::engine::EngineModel;
 use emberturn::decide::level::{Limit, Noted, TeamLevel, Word};
 use emberturn::decide::policy::{Facts, Policies};
 use emberturn::decide::route::{Candidate, Need, choose};
-use emberturn::ids::{BoxId, Incarnation};
+use emberturn::decide::topology::Reach;
+use emberturn::ids::{BoxId, DataCentre, Incarnation};
 use emberturn::state::config::Class;
 use emberturn::units::{Price, Tokens};
 
@@ -53,6 +55,10 @@
         let name = format!("relay's choice among {servers} servers");
         table.row(vec![name, three(relay_choice(servers)), "5".into()]);
     }
+    for servers in [60, 204, 5_200] {
+        let name = format!("... among {servers} in 7 data centres of 3 regions");
+        table.row(vec![name, three(regional_choice(servers)), "5".into()]);
+    }
     table.print(false);
 }
 
@@ -124,6 +130,80 @@
     })
 }
 
+/// A server of a fleet over several regions.
+#[derive(Clone, Copy)]
+struct Remote {
+    hash: u64,
+    data_centre: usize,
+    reach: Reach,
+}
+
+/// The regions of 7 data centres, of which the box stands in the first.
+const REGIONS: [usize; 7] = [0, 0, 0, 1, 1, 2, 2];
+
+/// A relay's choice for a request with a shared part, among servers of 7 data centres of 3 regions, where
+/// none that is near has a place: two of each reach are compared, and the part's home in each region.
+fn regional_choice(count: usize) -> f64 {
+    let names: Vec<DataCentre> = (0..REGIONS.len()).map(|it| parsed(format!("dc{it}"))).collect();
+    let mut distances = Distances::default();
+    let now = Instant::now();
+    for name in names.iter().cycle().take(200) {
+        distances.note(name, Duration::from_millis(9), now);
+    }
+    let mut all: Vec<_> = (0..count).map(remote).collect();
+    all.sort_unstable_by_key(|it| it.hash);
+    let list =
+        |keep: &dyn Fn(&Remote) -> bool| -> Vec<_> { all.iter().copied().filter(keep).collect() };
+    let groups = Reach::ALL.map(|reach| list(&|it| it.reach == reach));
+    let regions = [0, 1, 2].map(|region| list(&|it| REGIONS[it.data_centre] == region));
+    let model = EngineModel { prompt: 3_000.0, ..EngineModel::default() };
+    let mut part = 0;
+    mean(|| {
+        part += 1;
+        let home = |servers: &Vec<Remote>| {
+            let at = servers.partition_point(|it| it.hash < affinity(part, 0));
+            let near = neighbours(servers.len(), at).into_iter().map(|place| servers[place]);
+            near.max_by_key(|it| affinity(part, it.hash))
+        };
+        let homes = regions.iter().filter_map(home);
+        let mut compared: Vec<Remote> = homes.collect();
+        let mut candidates = Vec::new();
+        for group in &groups {
+            compared.extend(few(group.len()).into_iter().map(|place| group[place]));
+            candidates = known(&compared, &distances, &names);
+            if !looks_further(&candidates) {
+                break;
+            }
+        }
+        black_box(choose_server(&model, &candidates, rand::random::<f64>));
+    })
+}
+
+/// What a relay knows of servers: that all are full.
+fn known(servers: &[Remote], distances: &Distances, names: &[DataCentre]) -> Vec<ServerCandidate> {
+    let (now, weights) = (Instant::now(), ByteWeights::default());
+    let word = |it: &Remote| Some(LoadWord { requests: 12.0 + (it.hash % 12) as f64, age: 0.4 });
+    let words: Vec<_> = servers.iter().map(word).collect();
+    let regions: Vec<_> = servers.iter().map(|it| REGIONS[it.data_centre]).collect();
+    let distance = |it: &Remote| Distance {
+        time: distances.time(&names[it.data_centre], it.reach, now),
+        weight: kilobytes(12_000, 500) * weights.of(it.reach),
+    };
+    let others = others_by_region(&words, &regions, Some(1.0)).into_iter();
+    let candidate = |(requests, it)| ServerCandidate { distance: distance(it), ..server(requests) };
+    others.zip(servers).map(candidate).collect()
+}
+
+fn remote(number: usize) -> Remote {
+    let data_centre = number % REGIONS.len();
+    let reach = match (data_centre, REGIONS[data_centre]) {
+        (0, _) => Reach::Local,
+        (_, 0) => Reach::Regional,
+        _ => Reach::Remote,
+    };
+    Remote { hash: affinity(number as u64, 3), data_centre, reach }
+}
+
 fn few(count: usize) -> Vec<usize> {
     drawn(count, rand::random::<f64>)
 }
@@ -135,7 +215,7 @@
         stay: 1.0,
         unread: 0,
         uncached: 3_000,
-        near: false,
+        distance: Distance { time: 3.0, weight: 0.0 },
         ejected: false,
     }
 }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -68,12 +69,20 @@
     pub status: StatusCode,
     /// The headers.
     pub headers: HeaderMap,
+    /// How long the connect took; `None` on a connection that stood already.
+    pub connect: Option<Duration>,
     body: Incoming,
     home: Option<(Pool, SocketAddr, Sender)>,
     keep: Duration,
+    counter: Arc<AtomicU64>,
 }
 
 impl Exchange {
+    /// Has the bytes of the body counted as they come.
+    pub fn count_into(&mut self, counter: Arc<AtomicU64>) {
+        self.counter = counter;
+    }
+
     /// The next piece of the body; `None` at its end, after which the connection is pooled again.
     ///
     /// # Errors
@@ -86,6 +95,7 @@
                 Err(_) => return Err(SendFault::TimedOut),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
+                        self.count(data.len());
                         return Ok(Some(data));
                     }
                 }
@@ -108,7 +118,9 @@
             Err(_) => Err(SendFault::TimedOut),
             Ok(Ok(collected)) => {
                 self.give_back();
-                Ok(collected.to_bytes())
+                let body = collected.to_bytes();
+                self.count(body.len());
+                Ok(body)
             }
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
                 Err(SendFault::TooLarge(limit))
@@ -117,6 +129,10 @@
         }
     }
 
+    fn count(&self, bytes: usize) {
+        self.counter.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     fn give_back(&mut self) {
         if let Some((pool, addr, sender)) = self.home.take() {
             pool.put(addr, sender, self.keep);
@@ -175,9 +191,11 @@
                 }
             }
         }
+        let began = Instant::now();
         let sender = connect(addr, self.connect_time.min(silence)).await?;
+        let connect = Some(began.elapsed());
         let sent = self.send_on(addr, sender, request, silence).await;
-        sent.map_err(|(fault, _)| fault)
+        sent.map(|exchange| Exchange { connect, ..exchange }).map_err(|(fault, _)| fault)
     }
 
     async fn send_on(
@@ -194,7 +212,9 @@
                 let (parts, body) = response.into_parts();
                 let home = Some((self.clone(), addr, sender));
                 let keep = keep_time(&parts.headers);
-                Ok(Exchange { status: parts.status, headers: parts.headers, body, home, keep })
+                let counter = Arc::default();
+                let (status, headers, connect) = (parts.status, parts.headers, None);
+                Ok(Exchange { status, headers, connect, body, home, keep, counter })
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The library gives the request back only when it wrote nothing of it.
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -76,13 +76,19 @@
     let age = status.age.map_or("unknown".to_owned(), |age| format!("{age}ms"));
     let lags = if Some(status.revision) < newest { " lags" } else { "" };
     let leaving = status.backends.iter().filter(|(_, it)| it.state != "open").count();
+    let distances: Vec<_> =
+        status.distances.iter().map(|(name, time)| format!("{name}:{time:.1}ms")).collect();
+    let distances = match distances.is_empty() {
+        true => String::new(),
+        false => format!(" distances={}", distances.join(",")),
+    };
     let group = status.group.as_ref().map_or(String::new(), |group| {
         let leader = group.leader.as_ref().map_or("none".to_owned(), ToString::to_string);
         format!(" role={} leader={leader} term={} commit={}", group.role, group.term, group.commit)
     });
     format!(
         "box={} data_centre={} phase={} revision={}{lags} age={age} requests={} \
-         backend_servers={} not_open={leaving}{group}",
+         backend_servers={} not_open={leaving}{distances}{group}",
         status.box_id,
         status.data_centre,
         status.phase,
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -1,7 +1,12 @@
-//! Which backend server gets a request: the one that is expected to begin it first.
+//! Which backend server gets a request: the one that is expected to begin it first, distance counted.
+//!
+//! Over several regions some servers are drawn of the nearest data centres, and some of the next ones only
+//! where those have no place. So a region under a burst spills over request by request, as far as its own
+//! servers fill up, and stops as they empty: there is no state that could swing.
 //!
 //! Pure: what is known and a random number in, a choice out.
 
+use super::distance::Distance;
 use super::engine::EngineModel;
 
 /// What a full set of running requests adds, in mean prompts. Engines give each token more slowly the
@@ -9,8 +14,9 @@
 /// worth a small detour.
 const CROWD_PROMPTS: f64 = 2.0;
 
-/// Milliseconds to another data centre and back.
-const CROSS_TIME: f64 = 3.0;
+/// Milliseconds until a place is left, before anything was learned of a service: a request of about a
+/// second, and some twenty places.
+const PLACE_TIME: f64 = 50.0;
 
 /// Milliseconds added at random, so that boxes with the same old reports do not all go one way.
 const SPREAD_TIME: f64 = 8.0;
@@ -49,12 +55,26 @@
     pub unread: u64,
     /// Prompt tokens of this request it has to read itself.
     pub uncached: u64,
-    /// Whether it is in the box's data centre.
-    pub near: bool,
+    /// How far it is.
+    pub distance: Distance,
     /// Whether it is set aside for its failures.
     pub ejected: bool,
 }
 
+impl Candidate {
+    /// Whether the request finds a place there, as far as can be told.
+    fn has_place(&self) -> bool {
+        self.requests + 1.0 <= f64::from(self.slots) && !self.ejected
+    }
+}
+
+/// Whether farther servers are compared beside these: where none of them has a place. With some of each
+/// reach compared at once 0.36 of the requests leave their data centre at 0.6 of all places, against 0.02,
+/// and wait as long (`tests/distance.rs`).
+pub fn looks_further(candidates: &[Candidate]) -> bool {
+    !candidates.iter().any(Candidate::has_place)
+}
+
 /// Milliseconds until the request begins there, as far as can be told.
 pub fn expected_wait(model: &EngineModel, candidate: &Candidate) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
@@ -62,11 +82,11 @@
     let read = model.read_time((candidate.unread + candidate.uncached) as f64) * 1_000.0;
     let crowd = (candidate.requests / slots).min(1.0) * CROWD_PROMPTS * mean;
     // One that waits for a place waits for the prompts before it, and for places to be left.
-    let place = mean.max(candidate.stay * 1_000.0 / slots);
+    let known = mean.max(candidate.stay * 1_000.0 / slots);
+    let place = if known > 0.0 { known } else { PLACE_TIME };
     let wait = (candidate.requests + 1.0 - slots).max(0.0) * place;
-    let cross = if candidate.near { 0.0 } else { CROSS_TIME };
     let fault = if candidate.ejected { FAULT_TIME } else { 0.0 };
-    read + crowd + wait + cross + fault
+    read + crowd + wait + candidate.distance.time + fault
 }
 
 /// A server's last word of its load.
@@ -83,6 +103,27 @@
     (-age / stay.unwrap_or(FADE_TIME).max(FADE_TIME)).exp()
 }
 
+/// How many requests of other boxes are at each server now, where `regions` are the servers' regions: a
+/// region that is full says nothing of another. As [`others_now`].
+pub fn others_by_region(
+    words: &[Option<LoadWord>],
+    regions: &[usize],
+    stay: Option<f64>,
+) -> Vec<f64> {
+    let mut others = vec![0.0; words.len()];
+    let mut left: Vec<_> = (0..words.len()).collect();
+    while let Some(first) = left.first() {
+        let region = regions[*first];
+        let (inside, outside): (Vec<_>, _) = left.iter().partition(|at| regions[**at] == region);
+        let told: Vec<_> = inside.iter().map(|at| words[*at]).collect();
+        for (at, requests) in inside.into_iter().zip(others_now(&told, stay)) {
+            others[at] = requests;
+        }
+        left = outside;
+    }
+    others
+}
+
 /// How many requests of other boxes are at each server now. Requests stay for about `stay` seconds, so
 /// an old word says less and less of its server, and what the new ones say of all of them counts more.
 /// One that has told nothing yet has just come, and is taken to be idle.
@@ -134,14 +175,23 @@
     drawn
 }
 
-/// The place of the candidate chosen; `random` gives numbers from 0 to 1.
+/// The place of the candidate chosen; `random` gives numbers from 0 to 1. What bytes weigh counts among
+/// servers with a free place only: nobody waits for a place so that bytes stay near.
 pub fn choose(
     model: &EngineModel,
     candidates: &[Candidate],
     mut random: impl FnMut() -> f64,
 ) -> Option<usize> {
-    let costs = candidates.iter().map(|it| expected_wait(model, it) + random() * SPREAD_TIME);
-    costs.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
+    let wait = |it: &Candidate| expected_wait(model, it) + random() * SPREAD_TIME;
+    let waits: Vec<_> = candidates.iter().map(wait).collect();
+    let weighed = waits.iter().zip(candidates).map(|(wait, it)| wait + it.distance.weight);
+    let near = least(weighed)?;
+    if candidates[near].has_place() { Some(near) } else { least(waits.iter().copied()) }
+}
+
+/// The place of the least number.
+fn least(numbers: impl Iterator<Item = f64>) -> Option<usize> {
+    numbers.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(place, _)| place)
 }
 
 /// Which of `weights` a number from 0 to 1 falls on; `None` when all are 0.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 //! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
 //! - [`engine`], [`capacity`]: what engines can do, learned, and how many a load is worth.
 //! - [`choose`]: which engine a relay sends to; [`faults`]: which ones it passes over for a route.
+//! - [`distance`]: how far data centres are, learned; [`spill`]: when requests leave their region.
 //! - [`exposure`], [`verdict`]: how far a new release goes, and whether it is bad; [`releases`] and [`rollout`]
 //!   are what a box and the leader make of it.
 //! - [`budget`]: how often relays may send again.
@@ -24,6 +25,7 @@
 pub mod budget;
 pub mod capacity;
 pub mod choose;
+pub mod distance;
 pub mod engine;
 pub mod exposure;
 pub mod faults;
@@ -38,6 +40,7 @@
 pub mod route;
 pub mod share;
 pub mod spend;
+pub mod spill;
 pub mod subset;
 pub mod topology;
 pub mod verdict;
--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -82,6 +82,16 @@
         }
     }
 
+    /// The regions, in the order of their names.
+    pub fn regions(&self) -> Vec<&Region> {
+        self.by_region().into_keys().collect()
+    }
+
+    /// The region in which a data centre is taken to lie: this box's where the settings don't name it.
+    pub fn region_or_own(&self, data_centre: &DataCentre) -> Option<&Region> {
+        self.region(data_centre).or_else(|| self.own_region())
+    }
+
     /// The data centres named, by region.
     pub fn by_region(&self) -> BTreeMap<&Region, Vec<&DataCentre>> {
         let mut regions: BTreeMap<_, Vec<_>> = BTreeMap::new();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -252,6 +252,10 @@
             entry: self.entry_addr.get().copied(),
             boxes: boxes.iter().map(|(id, it)| (id.clone(), it.state.to_string())).collect(),
             backends: backends.collect(),
+            distances: self
+                .relay()
+                .map(|it| it.distances().all(Instant::now()))
+                .unwrap_or_default(),
             group,
         }
     }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -27,7 +27,7 @@
         };
         let relay = Arc::new(Relay::new(RelayParts {
             settings,
-            data_centre: self.settings.node.data_centre.clone(),
+            topology: self.settings.topology(),
             board: self.board.clone(),
             pool: Pool::new(CONNECT_TIME),
             dialect: self.dialect.clone(),
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -174,6 +174,9 @@
     pub boxes: BTreeMap<BoxId, String>,
     /// The backend servers it knows, with their states.
     pub backends: BTreeMap<BackendId, BackendStatus>,
+    /// Milliseconds to data centres and back, as far as a relay has learned them.
+    #[serde(default)]
+    pub distances: BTreeMap<DataCentre, f64>,
     /// The group, on a replica.
     pub group: Option<GroupStatus>,
 }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -143,7 +143,7 @@
     };
     let sent = relay.parts.pool.send(known.server.addr, request, limit, reuse).await;
     let exchange = match sent {
-        Ok(exchange) => exchange,
+        Ok(exchange) => counted(relay, call, known, exchange),
         Err(fault) => {
             if known.state.fail() {
                 tracing::warn!(event = "backend_server_set_aside", backend_server = %known.server.id);
@@ -193,6 +193,19 @@
     }
 }
 
+/// Counts a request that reached a server, and its answer; a new connection tells how far that is.
+fn counted(relay: &Relay, call: &Call, known: &Known, exchange: Exchange) -> Exchange {
+    let mut exchange = exchange;
+    let data_centre = &known.server.data_centre;
+    let reach = relay.parts.topology.reach(data_centre);
+    relay.traffic.count_send(reach, call.body.len());
+    exchange.count_into(relay.traffic.answers(reach));
+    if let Some(took) = exchange.connect {
+        relay.distances().note(data_centre, took, Instant::now());
+    }
+    exchange
+}
+
 fn note_load(relay: &Relay, known: &Known, load: Load) {
     known.state.report(load.running, load.waiting, Duration::ZERO);
     let requests = load.running + load.waiting;
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -7,13 +7,12 @@
 
 use super::Relay;
 use super::attempt::Miss;
-use super::call::{Call, PromptPart};
-use super::servers::{Known, Servers};
+use super::call::Call;
+use super::pick::Picker;
+use super::servers::Known;
 use super::table::Route;
-use crate::decide::choose::{
-    Candidate, affinity, choose, compares_all, drawn, neighbours, others_now,
-};
 use crate::decide::releases::Choice;
+use crate::decide::topology::Reach;
 use crate::error::{Failure, Kind};
 use crate::ids::{BackendId, ServiceName};
 use crate::telemetry::volume;
@@ -52,6 +51,8 @@
     fetch: Option<SocketAddr>,
     /// What the server chosen last has to read.
     reading: Reading,
+    /// How far it is.
+    reach: Reach,
     /// Which release the next send goes to.
     choice: Choice,
 }
@@ -82,6 +83,7 @@
             last: None,
             fetch: None,
             reading: Reading::default(),
+            reach: Reach::Local,
             choice: Choice::default(),
         }
     }
@@ -137,16 +139,31 @@
             tracing::info!(
                 event = "server_chosen", id = call.head.id, backend_server = %known.server.id,
                 requests = known.requests(), unread = known.unread(), slots = known.server.slots,
-                load_age_ms = known.state.load().map(|load| load.at.elapsed().as_millis() as u64),
+                reach = %self.reach, load_age_ms = known.state.load().map(|load| load.at.elapsed().as_millis() as u64),
                 send = self.arrived + 1,
             );
         }
+        self.note_spill(relay);
         self.sent += 1;
         self.arrived += 1;
         self.tried.push(known.server.id.clone());
         Ok(known)
     }
 
+    /// Notes whether the send leaves the region; one line when such sends begin and end to be many.
+    fn note_spill(&self, relay: &Relay) {
+        if !relay.parts.topology.is_split() {
+            return;
+        }
+        let news = relay.spills().note(&self.service, self.reach, Instant::now());
+        if let Some(news) = news {
+            let event = if news.begun { "spill_begun" } else { "spill_ended" };
+            tracing::info!(
+                event, service = %self.service, part = news.part, requests = news.requests,
+            );
+        }
+    }
+
     /// Notes how a send to a server ended without an answer to pass on.
     pub fn note(&mut self, call: &Call, known: &Known, miss: Miss) {
         tracing::info!(
@@ -183,18 +200,31 @@
     }
 
     /// A server to which a run may be moved: another one of the same release, in another data centre if
-    /// there is one.
-    /// A moved run is still the same run, so this is no further send.
+    /// there is one. Its memory leaves the region only where nobody in it has a place, and somebody
+    /// outside does. A moved run is still the same run, so this is no further send.
     pub fn target(&self, relay: &Relay, source: &Known) -> Option<Arc<Known>> {
-        let servers = relay.servers.of(&self.service);
-        let open = servers.iter().filter(|known| {
+        let topology = &relay.parts.topology;
+        let region = topology.region_or_own(&source.server.data_centre);
+        let placed = relay.servers.placed(&self.service);
+        let open = placed.all.iter().map(|it| &it.known).filter(|known| {
             known.is_open()
                 && known.server.id != source.server.id
                 && known.server.release == source.server.release
                 && !known.state.is_ejected()
         });
+        let (inside, outside): (Vec<_>, Vec<_>) =
+            open.partition(|known| topology.region_or_own(&known.server.data_centre) == region);
         let elsewhere = |known: &Known| known.server.data_centre != source.server.data_centre;
-        open.min_by_key(|known| (!elsewhere(known), known.requests())).cloned()
+        let best = |list: Vec<&Arc<Known>>| {
+            list.into_iter().min_by_key(|known| (!elsewhere(known), known.requests())).cloned()
+        };
+        let has_place = |known: &Known| known.requests() < known.server.slots;
+        let (inside, outside) = (best(inside), best(outside));
+        match (&inside, &outside) {
+            (Some(near), Some(far)) if !has_place(near) && has_place(far) => outside,
+            (Some(_), _) => inside,
+            (None, _) => outside,
+        }
     }
 
     /// A server of the release that gets this send; one of the release in force where none of the release
@@ -214,117 +244,15 @@
     }
 
     fn pick(&mut self, relay: &Relay, call: &Call, route: &Route) -> Option<Arc<Known>> {
-        let servers = relay.servers.of(&self.service);
-        let home = call.shared_part().and_then(|part| self.home(&servers, part));
-        let open: Vec<_> = if compares_all(servers.len()) {
-            self.open(&servers)
-        } else {
-            self.few(&servers, &relay.servers.told(&self.service), home.as_ref())
-        };
-        self.choose(relay, call, route, &open, home)
-    }
-
-    /// The server at which all boxes expect a shared part.
-    fn home(&self, servers: &Servers, part: PromptPart) -> Option<Arc<Known>> {
-        let at = servers.partition_point(|known| known.hash < affinity(part.id, 0));
-        let near = neighbours(servers.len(), at).into_iter().map(|place| &servers[place]);
-        let open = near.filter(|known| self.may_take(known));
-        open.max_by_key(|known| affinity(part.id, known.hash)).cloned()
-    }
-
-    /// A few of many servers: the home of the call's shared part, and some whose loads the leader told,
-    /// where it told any.
-    fn few(&self, servers: &Servers, told: &Servers, home: Option<&Arc<Known>>) -> Vec<Arc<Known>> {
-        let from = if told.is_empty() { servers } else { told };
-        let drawn = drawn(from.len(), rand::random::<f64>);
-        let mut few: Vec<_> = drawn.into_iter().map(|place| from[place].clone()).collect();
-        few.retain(|known| self.may_take(known));
-        few.extend(home.filter(|home| few.iter().all(|known| known.hash != home.hash)).cloned());
-        if few.is_empty() { self.open(servers) } else { few }
-    }
-
-    fn open(&self, servers: &Servers) -> Vec<Arc<Known>> {
-        servers.iter().filter(|known| self.may_take(known)).cloned().collect()
-    }
-
-    /// Whether a server takes this call.
-    fn may_take(&self, known: &Known) -> bool {
-        known.is_open()
-            && self.choice.takes(&known.server.release)
-            && !self.tried.contains(&known.server.id)
-    }
-
-    /// The server expected to begin the call first. At `home` all boxes expect its shared part.
-    fn choose(
-        &mut self,
-        relay: &Relay,
-        call: &Call,
-        route: &Route,
-        open: &[Arc<Known>],
-        home: Option<Arc<Known>>,
-    ) -> Option<Arc<Known>> {
-        let shared = call.shared_part();
-        let seen = |known: &Known| {
-            shared.is_some_and(|part| known.state.cached_blocks(&[part.id], CACHE_TIME) > 0)
-        };
-        let is_home = |known: &Known| home.as_ref().is_some_and(|it| it.hash == known.hash);
-        let shared_tokens = shared.map_or(0, |part| part.tokens);
-        let fetchable = shared_tokens >= FETCH_TOKENS;
-        // Where this box has had it read is known; where all boxes expect it is a guess.
-        let keeper = open.iter().find(|known| seen(known)).cloned().or(home.clone());
-        let model = relay.engines().model(&self.service);
-        let now = Instant::now();
-        let stays: Vec<_> = open.iter().filter_map(|it| it.state.service_time()).collect();
-        let stay = (!stays.is_empty()).then(|| stays.iter().sum::<f64>() / stays.len() as f64);
-        let words: Vec<_> = open.iter().map(|known| known.load_word()).collect();
-        let others = others_now(&words, stay);
-        let faults = relay.faults();
-        let candidates: Vec<_> = open
-            .iter()
-            .zip(others)
-            .map(|(known, others)| {
-                let cached = match (seen(known) || is_home(known), fetchable) {
-                    (true, _) => shared_tokens,
-                    (false, true) => (shared_tokens as f64 * FETCH_PART) as u64,
-                    (false, false) => 0,
-                };
-                Candidate {
-                    requests: others + f64::from(known.state.in_flight()),
-                    slots: known.server.slots,
-                    stay: stay.unwrap_or_default(),
-                    unread: known.unread(),
-                    uncached: call.prompt().saturating_sub(cached),
-                    near: known.server.data_centre == relay.parts.data_centre,
-                    ejected: known.state.is_ejected()
-                        || faults.is_avoided(&known.server.id, &route.name, now),
-                }
-            })
-            .collect();
-        drop(faults);
-        let place = choose(&model, &candidates, rand::random::<f64>)?;
-        let chosen = open[place].clone();
-        self.reading = Reading {
-            tokens: candidates[place].uncached,
-            own: call.prompt().saturating_sub(shared_tokens),
-            is_clear: chosen.unread() == 0 && !candidates[place].ejected,
-        };
-        let keeper = keeper.filter(|it| fetchable && it.server.id != chosen.server.id);
-        self.fetch = keeper.filter(|_| !seen(&chosen)).map(|known| known.server.addr);
-        Some(chosen)
+        let (service, choice, tried) = (&self.service, &self.choice, &self.tried[..]);
+        let picked = Picker { relay, call, route, service, choice, tried }.pick()?;
+        self.fetch = picked.fetch;
+        self.reading = picked.reading;
+        self.reach = picked.reach;
+        Some(picked.known)
     }
 }
 
-/// Shared tokens from which on a part of a prompt is copied from the engine that keeps it: copying it
-/// takes a tenth of the time of reading it, and costs less.
-const FETCH_TOKENS: u64 = 100;
-
-/// The part of what is copied that counts as cached. The rest stands for the cost of copying: an
-/// engine that keeps it is still the better choice.
-const FETCH_PART: f64 = 0.6;
-
-/// How long an engine is taken to keep a part of a prompt that this box had read there.
-const CACHE_TIME: Duration = Duration::from_secs(30);
-
 /// When a place is likely free: the servers' mean time for a request over their places, times those
 /// that stand in line.
 fn refused_wait(servers: &[Arc<Known>]) -> Duration {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,7 +9,9 @@
 //!   to types and back.
 //! - [`list_book`] is the leader's list of backend servers, [`list`] what goes from it to boxes, [`servers`] what is known of them, [`engines`] what was learned of them.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
-//!   [`attempt`] is one send, [`course`] all sends of one call.
+//!   [`attempt`] is one send, [`course`] all sends of one call; [`pick`] finds the server for a send,
+//!   [`placed`] are the servers by how far they
+//!   are, [`traffic`] counts what goes how far.
 //! - [`moving`] moves running streams off servers that are leaving.
 //! - [`usage`] counts what ran and [`offered`] what came. What decides, limits and remembers is in
 //!   [`crate::decide`].
@@ -28,11 +30,14 @@
 pub mod listen;
 pub(crate) mod moving;
 pub mod offered;
+pub(crate) mod pick;
+pub mod placed;
 pub mod plain;
 pub mod serve;
 pub mod servers;
 pub mod stream;
 pub mod table;
+pub mod traffic;
 pub mod usage;
 
 use std::pin::pin;
@@ -47,10 +52,13 @@
 use crate::blackboard::Blackboard;
 use crate::decide::allowance::Allowances;
 use crate::decide::budget::RetryBudgets;
+use crate::decide::distance::Distances;
 use crate::decide::faults::FaultBook;
 use crate::decide::loads::LoadPool;
 use crate::decide::releases::{Outcome, ReleaseBook};
-use crate::ids::{BackendId, DataCentre};
+use crate::decide::spill::SpillBook;
+use crate::decide::topology::Topology;
+use crate::ids::BackendId;
 use crate::settings::RelaySettings;
 use crate::telemetry::Metrics;
 
@@ -61,14 +69,15 @@
 use offered::OfferedBook;
 use servers::{Known, ServerBook};
 use table::RouteTable;
+use traffic::Traffic;
 use usage::UsageCounter;
 
 /// What a relay starts with.
 pub struct RelayParts {
     /// The settings.
     pub settings: RelaySettings,
-    /// The box's data centre.
-    pub data_centre: DataCentre,
+    /// The regions, as the box sees them.
+    pub topology: Topology,
     /// What the node knows.
     pub board: Arc<Blackboard>,
     /// Connections to backend servers.
@@ -97,6 +106,10 @@
     engines: Mutex<EngineBook>,
     releases: Mutex<ReleaseBook>,
     loads: Mutex<LoadPool>,
+    distances: Mutex<Distances>,
+    spills: Mutex<SpillBook>,
+    /// What went to backend servers and came back.
+    pub traffic: Traffic,
     /// Relays that share the limits, as the leader last said; 0 before it did.
     relays: AtomicU32,
     /// Told of new routes and backend servers.
@@ -120,9 +133,10 @@
     /// A relay that knows no routes and no backend servers yet.
     pub fn new(parts: RelayParts) -> Self {
         let usage = UsageCounter::new(parts.settings.usage_window.duration());
+        let servers = ServerBook::new(parts.topology.clone());
         Self {
             parts,
-            servers: ServerBook::default(),
+            servers,
             table: ArcSwapOption::empty(),
             allowances: Mutex::new(Allowances::new(Instant::now())),
             retries: Mutex::default(),
@@ -132,6 +146,9 @@
             engines: Mutex::default(),
             releases: Mutex::default(),
             loads: Mutex::default(),
+            distances: Mutex::default(),
+            spills: Mutex::default(),
+            traffic: Traffic::default(),
             relays: AtomicU32::new(0),
             learned: Notify::new(),
             wanted: Notify::new(),
@@ -259,6 +276,16 @@
         lock(&self.loads)
     }
 
+    /// How far data centres are.
+    pub fn distances(&self) -> MutexGuard<'_, Distances> {
+        lock(&self.distances)
+    }
+
+    /// Whether services' requests leave the region.
+    pub fn spills(&self) -> MutexGuard<'_, SpillBook> {
+        lock(&self.spills)
+    }
+
     /// How many relays share the limits.
     pub fn relays(&self) -> u32 {
         self.relays_told().unwrap_or(RELAYS_GUESSED)
--- /dev/null
+++ b/src/relay/pick.rs
@@ -0,0 +1,265 @@
+//! The backend server for one send of a call: which are compared, and what is known of each.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::Relay;
+use super::call::{Call, PromptPart};
+use super::course::Reading;
+use super::placed::{Placed, PlacedServer};
+use super::servers::Known;
+use super::table::Route;
+use crate::decide::choose::{
+    Candidate, affinity, choose, compares_all, drawn, looks_further, neighbours, others_by_region,
+};
+use crate::decide::distance::{Copying, Distance, fetch_saves, kilobytes};
+use crate::decide::releases::Choice;
+use crate::decide::topology::Reach;
+use crate::ids::{BackendId, ServiceName};
+
+/// Shared tokens from which on a part of a prompt is copied from the engine that keeps it: copying it
+/// takes a tenth of the time of reading it, and costs less.
+const FETCH_TOKENS: u64 = 100;
+
+/// The part of what is copied that counts as cached. The rest stands for the cost of copying: an
+/// engine that keeps it is still the better choice.
+const FETCH_PART: f64 = 0.6;
+
+/// How long an engine is taken to keep a part of a prompt that this box had read there.
+const CACHE_TIME: Duration = Duration::from_secs(30);
+
+/// How often some of a group are drawn until one of them takes the call: where a data centre's
+/// reclaimable servers are leaving, most of a group do not.
+const DRAWS: u32 = 3;
+
+/// What a send goes by.
+pub(super) struct Picker<'a> {
+    pub(super) relay: &'a Relay,
+    pub(super) call: &'a Call,
+    pub(super) route: &'a Route,
+    pub(super) service: &'a ServiceName,
+    /// Which release the send goes to.
+    pub(super) choice: &'a Choice,
+    /// The servers that had the call before.
+    pub(super) tried: &'a [BackendId],
+}
+
+/// The server for a send.
+pub(super) struct Picked {
+    pub(super) known: Arc<Known>,
+    pub(super) reach: Reach,
+    /// What it has to read.
+    pub(super) reading: Reading,
+    /// The server from which it is to copy a part of the prompt.
+    pub(super) fetch: Option<SocketAddr>,
+}
+
+/// In each region, the server at which all its boxes expect the call's shared part: a part that is asked
+/// for in three regions is read three times, and never crosses.
+type Homes = Vec<Option<PlacedServer>>;
+
+/// Servers, and what is known of each.
+struct Compared {
+    servers: Vec<PlacedServer>,
+    candidates: Vec<Candidate>,
+    /// From which server each would copy the call's shared part.
+    keepers: Vec<Option<PlacedServer>>,
+}
+
+impl Picker<'_> {
+    /// The server expected to begin the call first.
+    pub(super) fn pick(&self) -> Option<Picked> {
+        let placed = self.relay.servers.placed(self.service);
+        let homes = self.homes(&placed);
+        let compared = match compares_all(placed.all.len()) {
+            true => self.compare(self.open(&placed), &homes),
+            false => self.few(&placed, &homes),
+        };
+        self.choose(compared)
+    }
+
+    fn homes(&self, placed: &Placed) -> Homes {
+        let part = self.call.shared_part();
+        placed.regions.iter().map(|servers| self.home(servers, part?)).collect()
+    }
+
+    fn home(&self, servers: &[PlacedServer], part: PromptPart) -> Option<PlacedServer> {
+        let at = servers.partition_point(|it| it.known.hash < affinity(part.id, 0));
+        let near = neighbours(servers.len(), at).into_iter().map(|place| &servers[place]);
+        let open = near.filter(|it| self.may_take(&it.known));
+        open.max_by_key(|it| affinity(part.id, it.known.hash)).cloned()
+    }
+
+    /// A few of many servers: some of each group, whose loads the leader told where it told any, until one
+    /// of them has a place; and the homes of the call's shared part in the regions looked at.
+    fn few(&self, placed: &Placed, homes: &Homes) -> Compared {
+        let told = self.relay.servers.told(self.service);
+        let mut few: Vec<PlacedServer> = Vec::new();
+        for (place, group) in placed.groups.iter().enumerate() {
+            let told = told.groups.get(place).filter(|told| !told.is_empty());
+            let is_remote = group.first().is_some_and(|it| it.reach == Reach::Remote);
+            let homes_there = homes.iter().flatten();
+            let homes_there = homes_there.filter(|it| (it.reach == Reach::Remote) == is_remote);
+            let some = self.some(told.unwrap_or(group));
+            for it in some.iter().chain(homes_there) {
+                if few.iter().all(|held| held.known.hash != it.known.hash) {
+                    few.push(it.clone());
+                }
+            }
+            let compared = self.compare(few.clone(), homes);
+            if !looks_further(&compared.candidates) {
+                return compared;
+            }
+        }
+        self.compare(if few.is_empty() { self.open(placed) } else { few }, homes)
+    }
+
+    /// Some of a group that take the call, drawn at random.
+    fn some(&self, group: &[PlacedServer]) -> Vec<PlacedServer> {
+        for _ in 0..DRAWS {
+            let drawn = drawn(group.len(), rand::random::<f64>);
+            let mut some: Vec<_> = drawn.into_iter().map(|place| group[place].clone()).collect();
+            some.retain(|it| self.may_take(&it.known));
+            if !some.is_empty() {
+                return some;
+            }
+        }
+        Vec::new()
+    }
+
+    fn open(&self, placed: &Placed) -> Vec<PlacedServer> {
+        placed.all.iter().filter(|it| self.may_take(&it.known)).cloned().collect()
+    }
+
+    /// Whether a server takes this call.
+    fn may_take(&self, known: &Known) -> bool {
+        known.is_open()
+            && self.choice.takes(&known.server.release)
+            && !self.tried.contains(&known.server.id)
+    }
+
+    /// The server of those compared that is expected to begin the call first.
+    fn choose(&self, compared: Compared) -> Option<Picked> {
+        let model = self.relay.engines().model(self.service);
+        let place = choose(&model, &compared.candidates, rand::random::<f64>)?;
+        let (chosen, candidate) = (&compared.servers[place], &compared.candidates[place]);
+        let shared = self.call.shared_part().map_or(0, |part| part.tokens);
+        let reading = Reading {
+            tokens: candidate.uncached,
+            own: self.call.prompt().saturating_sub(shared),
+            is_clear: chosen.known.unread() == 0 && !candidate.ejected,
+        };
+        let keeper = compared.keepers[place].as_ref();
+        let fetch = keeper.filter(|_| !self.has_seen(&chosen.known));
+        Some(Picked {
+            known: chosen.known.clone(),
+            reach: chosen.reach,
+            reading,
+            fetch: fetch.map(|keeper| keeper.known.server.addr),
+        })
+    }
+
+    /// What is known of servers.
+    fn compare(&self, servers: Vec<PlacedServer>, homes: &Homes) -> Compared {
+        let distances = self.distances(&servers);
+        let keepers: Vec<_> = servers
+            .iter()
+            .zip(&distances)
+            .map(|(it, distance)| self.keeper(it, distance, &servers, homes).cloned())
+            .collect();
+        let stays = servers.iter().filter_map(|it| it.known.state.service_time());
+        let stays: Vec<_> = stays.collect();
+        let stay = (!stays.is_empty()).then(|| stays.iter().sum::<f64>() / stays.len() as f64);
+        let words: Vec<_> = servers.iter().map(|it| it.known.load_word()).collect();
+        let regions: Vec<_> = servers.iter().map(|it| it.region).collect();
+        let others = others_by_region(&words, &regions, stay);
+        let faults = self.relay.faults();
+        let now = Instant::now();
+        let candidate = |place: usize| {
+            let it = &servers[place];
+            let known = &it.known;
+            let cached = self.cached(it, keepers[place].is_some(), homes);
+            Candidate {
+                requests: others[place] + f64::from(known.state.in_flight()),
+                slots: known.server.slots,
+                stay: stay.unwrap_or_default(),
+                unread: known.unread(),
+                uncached: self.call.prompt().saturating_sub(cached),
+                distance: distances[place],
+                ejected: known.state.is_ejected()
+                    || faults.is_avoided(&known.server.id, &self.route.name, now),
+            }
+        };
+        let candidates = (0..servers.len()).map(candidate).collect();
+        drop(faults);
+        Compared { servers, candidates, keepers }
+    }
+
+    fn distances(&self, open: &[PlacedServer]) -> Vec<Distance> {
+        let output = self.call.head.size.map_or(0, |size| size.output);
+        let kilobytes = kilobytes(self.call.body.len(), output);
+        let weights = &self.relay.parts.settings.weights;
+        let learned = self.relay.distances();
+        let now = Instant::now();
+        let distance = |it: &PlacedServer| Distance {
+            time: learned.time(&it.known.server.data_centre, it.reach, now),
+            weight: kilobytes * weights.of(it.reach),
+        };
+        open.iter().map(distance).collect()
+    }
+
+    /// Prompt tokens of the call that a server need not read.
+    fn cached(&self, it: &PlacedServer, copies: bool, homes: &Homes) -> u64 {
+        let Some(part) = self.call.shared_part() else {
+            return 0;
+        };
+        match (self.has_seen(&it.known) || is_home(it, homes), copies) {
+            (true, _) => part.tokens,
+            (false, true) => (part.tokens as f64 * FETCH_PART) as u64,
+            (false, false) => 0,
+        }
+    }
+
+    /// Whether this box has lately had the call's shared part read there.
+    fn has_seen(&self, known: &Known) -> bool {
+        let part = self.call.shared_part();
+        part.is_some_and(|part| known.state.cached_blocks(&[part.id], CACHE_TIME) > 0)
+    }
+
+    /// The server from which another one would copy the call's shared part: one of its region, or where
+    /// none keeps it, one of another region if that saves more than it costs. Where this box has had it
+    /// read is known; where all boxes expect it is a guess.
+    fn keeper<'a>(
+        &self,
+        it: &PlacedServer,
+        distance: &Distance,
+        open: &'a [PlacedServer],
+        homes: &'a Homes,
+    ) -> Option<&'a PlacedServer> {
+        let part = self.call.shared_part().filter(|part| part.tokens >= FETCH_TOKENS)?;
+        let is_other = |keeper: &&PlacedServer| keeper.known.server.id != it.known.server.id;
+        let seen = || open.iter().filter(|other| self.has_seen(&other.known)).filter(is_other);
+        let home = homes.get(it.region).and_then(Option::as_ref).filter(is_other);
+        let near = seen().find(|other| other.region == it.region).or(home);
+        near.or_else(|| seen().find(|_| self.copy_saves(part, distance)))
+    }
+
+    /// Whether copying a shared part over a distance between regions saves more than it costs.
+    fn copy_saves(&self, part: PromptPart, distance: &Distance) -> bool {
+        let model = self.relay.engines().model(self.service);
+        let table = self.relay.table();
+        let service = table.as_ref().and_then(|table| table.services.get(self.service));
+        let Some(spec) = service.and_then(|it| it.engine.as_ref()) else {
+            return false;
+        };
+        let copying = Copying { rate: spec.copy_rate, token_bytes: spec.token_bytes };
+        let weights = &self.relay.parts.settings.weights;
+        fetch_saves(&model, part.tokens, &copying, distance.time, weights)
+    }
+}
+
+fn is_home(it: &PlacedServer, homes: &Homes) -> bool {
+    let home = homes.get(it.region).and_then(Option::as_ref);
+    home.is_some_and(|home| home.known.hash == it.known.hash)
+}
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -9,9 +9,11 @@
 use arc_swap::ArcSwap;
 
 use super::list::{ListIndex, ListPart, ListVersion, PartId, Print, Server};
+use super::placed::Placed;
 use crate::blackboard::fleet::{BackendState, FlightGuard, Leaving};
 use crate::decide::choose::LoadWord;
 use crate::decide::loads::ToldLoad;
+use crate::decide::topology::Topology;
 use crate::ids::{BackendId, Incarnation, ServiceName};
 use crate::member::table::fingerprint;
 use crate::units::Millis;
@@ -110,12 +112,13 @@
 #[derive(Debug, Default)]
 struct Listed {
     by_service: BTreeMap<ServiceName, Servers>,
+    placed: BTreeMap<ServiceName, Arc<Placed>>,
     by_id: HashMap<BackendId, Arc<Known>>,
 }
 
 impl Listed {
     /// The servers of `by_id`, by service as well.
-    fn new(by_id: HashMap<BackendId, Arc<Known>>) -> Self {
+    fn new(topology: Option<&Topology>, by_id: HashMap<BackendId, Arc<Known>>) -> Self {
         let mut servers: BTreeMap<ServiceName, Vec<_>> = BTreeMap::new();
         for known in by_id.values() {
             servers.entry(known.server.service.clone()).or_default().push(known.clone());
@@ -124,10 +127,20 @@
             servers.sort_unstable_by_key(|known| known.hash);
             (service, Arc::new(servers))
         });
-        Self { by_service: ordered.collect(), by_id }
+        let by_service = ordered.collect();
+        let placed = place_all(topology, &by_service);
+        Self { by_service, placed, by_id }
     }
 }
 
+fn place_all(
+    topology: Option<&Topology>,
+    by_service: &BTreeMap<ServiceName, Servers>,
+) -> BTreeMap<ServiceName, Arc<Placed>> {
+    let place = |servers: &Servers| Arc::new(Placed::new(topology, servers));
+    by_service.iter().map(|(service, servers)| (service.clone(), place(servers))).collect()
+}
+
 /// How long the loads that an answer of the leader brought are the newest there are: three beats.
 const TOLD_TIME: Duration = Duration::from_millis(1_200);
 
@@ -135,7 +148,7 @@
 #[derive(Debug)]
 struct Told {
     at: Instant,
-    by_service: BTreeMap<ServiceName, Servers>,
+    by_service: BTreeMap<ServiceName, Arc<Placed>>,
 }
 
 impl Default for Told {
@@ -188,23 +201,35 @@
 /// The backend servers known.
 #[derive(Debug, Default)]
 pub struct ServerBook {
+    /// How far servers are; where absent, none is farther than another.
+    topology: Option<Topology>,
     listed: ArcSwap<Listed>,
     told: ArcSwap<Told>,
     parts: Mutex<Parts>,
 }
 
 impl ServerBook {
+    /// The servers as they are seen by a box.
+    pub fn new(topology: Topology) -> Self {
+        Self { topology: Some(topology), ..Self::default() }
+    }
+
+    /// The servers of a service, by how far they are.
+    pub fn placed(&self, service: &ServiceName) -> Arc<Placed> {
+        self.listed.load().placed.get(service).cloned().unwrap_or_default()
+    }
+
     /// The servers of a service.
     pub fn of(&self, service: &ServiceName) -> Servers {
         self.listed.load().by_service.get(service).cloned().unwrap_or_default()
     }
 
     /// The servers of a service whose loads the leader's last answer brought; none where that is long ago.
-    pub fn told(&self, service: &ServiceName) -> Servers {
+    pub fn told(&self, service: &ServiceName) -> Arc<Placed> {
         let told = self.told.load();
         match told.at.elapsed() < TOLD_TIME {
             true => told.by_service.get(service).cloned().unwrap_or_default(),
-            false => Servers::default(),
+            false => Arc::default(),
         }
     }
 
@@ -219,7 +244,8 @@
                 told.entry(known.server.service.clone()).or_default().push(known.clone());
             }
         }
-        let by_service = told.into_iter().map(|(service, servers)| (service, Arc::new(servers)));
+        let place = |servers: Vec<_>| Arc::new(Placed::new(self.topology.as_ref(), &servers));
+        let by_service = told.into_iter().map(|(service, servers)| (service, place(servers)));
         self.told.store(Arc::new(Told { at: Instant::now(), by_service: by_service.collect() }));
     }
 
@@ -283,7 +309,7 @@
             }
             by_id.insert(server.id, known);
         }
-        self.listed.store(Arc::new(Listed::new(by_id)));
+        self.listed.store(Arc::new(Listed::new(self.topology.as_ref(), by_id)));
         leaving
     }
 }
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -82,6 +82,8 @@
     pub event: Tokens,
     /// Tokens whose memory is copied to another engine in a second.
     pub copy_rate: f64,
+    /// Bytes of a token's memory.
+    pub token_bytes: f64,
 }
 
 /// How many engines a service may have and what they cost.
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use super::Reader;
+use crate::decide::distance::ByteWeights;
 use crate::units::{Millis, Number};
 
 /// How replicas find each other where the settings name only a few of them.
@@ -46,6 +47,8 @@
     pub grace: Millis,
     /// The length of a usage window.
     pub usage_window: Millis,
+    /// What bytes weigh between data centres and between regions.
+    pub weights: ByteWeights,
 }
 
 /// Where operators publish routes.
@@ -135,6 +138,13 @@
     let retry_floor = section.number("retry_floor", 50.0);
     let grace = section.time("grace", Millis(8_000));
     let usage_window = section.time("usage_window", Millis(5_000));
+    let base = ByteWeights::default();
+    let weights = ByteWeights {
+        regional: section.number("regional_weight", base.regional),
+        remote: section.number("remote_weight", base.remote),
+    };
+    section.check("regional_weight", weights.regional >= 0.0, "is not negative");
+    section.check("remote_weight", weights.remote >= 0.0, "is not negative");
     section.check("usage_window", usage_window.0 > 0, "is longer than nothing");
     section.check("retry_ratio", (0.0..=1.0).contains(&retry_ratio), "is from 0 to 1");
     reader.close(section);
@@ -146,6 +156,7 @@
         retry_floor,
         grace,
         usage_window,
+        weights,
     })
 }
 
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -1,9 +1,12 @@
 //! What a node knows at the moment, as numbers; taken when the metrics are read.
 
+use std::time::Instant;
+
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Gauge, Meter};
 
 use super::{logs, volume};
+use crate::decide::topology::Reach;
 use crate::node::Node;
 use crate::relay::Relay;
 
@@ -19,6 +22,10 @@
     servers: Gauge<u64>,
     in_flight: Gauge<u64>,
     lines: Gauge<u64>,
+    distance: Gauge<f64>,
+    sends: Gauge<u64>,
+    sent: Gauge<u64>,
+    answered: Gauge<u64>,
 }
 
 impl Gauges {
@@ -40,6 +47,13 @@
             servers: count("emberturn_backend_servers", "Backend servers by service and state"),
             in_flight: count("emberturn_in_flight", "Requests of this box at backend servers"),
             lines: count("emberturn_log_lines_not_written", "Log lines not written, by reason"),
+            distance: meter
+                .f64_gauge("emberturn_distance_ms")
+                .with_description("Milliseconds to a data centre and back, learned")
+                .build(),
+            sends: count("emberturn_sends", "Sends that a server answered, by reach"),
+            sent: count("emberturn_sent_bytes", "Bytes of requests' bodies, by reach"),
+            answered: count("emberturn_answered_bytes", "Bytes of answers' bodies, by reach"),
         }
     }
 
@@ -61,10 +75,24 @@
         }
     }
 
+    fn record_distances(&self, relay: &Relay) {
+        for (data_centre, time) in relay.distances().all(Instant::now()) {
+            self.distance.record(time, &[KeyValue::new("data_centre", data_centre.to_string())]);
+        }
+        let traffic = &relay.traffic;
+        for reach in Reach::ALL {
+            let label = [KeyValue::new("reach", reach.to_string())];
+            self.sends.record(traffic.sends(reach), &label);
+            self.sent.record(traffic.sent_bytes(reach), &label);
+            self.answered.record(traffic.answered_bytes(reach), &label);
+        }
+    }
+
     fn record_relay(&self, relay: &Relay) {
         let list = relay.servers.version();
         self.list_term.record(list.term.0, &[]);
         self.list_place.record(list.place, &[]);
+        self.record_distances(relay);
         let Some(table) = relay.table() else {
             return;
         };
--- /dev/null
+++ b/tests/distance_relay.rs
@@ -0,0 +1,143 @@
+//! A relay of a fleet over several regions: which servers it takes, and from where it copies.
+
+#[path = "support/platform.rs"]
+#[allow(dead_code, reason = "each test takes what it needs")]
+mod platform;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use emberturn::relay::call::{Call, CallHead, PromptPart, Size};
+use emberturn::relay::course::Course;
+use emberturn::relay::list::Server;
+use emberturn::relay::servers::{Flight, Known};
+use emberturn::relay::table::Route;
+use hyper::{HeaderMap, Method};
+use platform::{TestRelay, document, usual_routes};
+
+/// A relay in data centre `here` of region `a`, which has `near` as well; `far` is in region `b`.
+async fn relay_of_two_regions() -> TestRelay {
+    let relay = TestRelay::empty_with("[regions]\nhere = a\nnear = a\nfar = b\n").await;
+    relay.publish(&document(1, &usual_routes()));
+    relay
+}
+
+fn server(number: usize, data_centre: &str) -> Server {
+    Server {
+        id: format!("i-{number}").parse().unwrap(),
+        service: "svc".parse().unwrap(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        data_centre: data_centre.parse().unwrap(),
+        release: "v1".parse().unwrap(),
+        slots: 8,
+        leaving: false,
+        leaves_in: None,
+        spot: false,
+    }
+}
+
+fn servers(names: &[&str], each: usize) -> Vec<Server> {
+    (0..each * names.len()).map(|number| server(number, names[number % names.len()])).collect()
+}
+
+/// A call whose prompt has a part that others share.
+fn call(part: u64) -> Call {
+    let parts = vec![PromptPart { id: part, tokens: 5_000 }, PromptPart { id: 0, tokens: 1_000 }];
+    let size = Some(Size { prompt: 6_000, output: 100 });
+    Call {
+        head: CallHead { size, parts, ..CallHead::default() },
+        method: Method::POST,
+        path: "/stream/x".parse().unwrap(),
+        headers: HeaderMap::new(),
+        body: Bytes::from(vec![0; 24_000]),
+        team: None,
+        urgency: 0,
+        arrived: Instant::now(),
+        deadline: Instant::now() + Duration::from_secs(60),
+    }
+}
+
+fn stream_route(relay: &TestRelay) -> Arc<Route> {
+    relay.relay.table().unwrap().find("app.example", "/stream/x").unwrap().clone()
+}
+
+/// The server for a call, and whether it copies the shared part.
+fn chosen(relay: &TestRelay, part: u64) -> (Arc<Known>, bool) {
+    let mut course = Course::new("svc".parse().unwrap());
+    let known = course.next(&relay.relay, &call(part), &stream_route(relay)).unwrap();
+    (known, course.fetch().is_some())
+}
+
+/// Takes all places of the servers in data centres.
+fn fill(relay: &TestRelay, names: &[&str]) -> Vec<Flight> {
+    let servers = relay.relay.servers.of(&"svc".parse().unwrap());
+    let there = servers.iter().filter(|it| names.contains(&it.server.data_centre.as_str()));
+    there.flat_map(|known| (0..20).map(|_| known.begin(0))).collect()
+}
+
+fn data_centres(relay: &TestRelay) -> Vec<String> {
+    let place = |part| chosen(relay, part).0.server.data_centre.to_string();
+    (0..60).map(place).collect()
+}
+
+#[tokio::test]
+async fn relay_keeps_requests_in_its_region() {
+    for each in [4, 40] {
+        let relay = relay_of_two_regions().await;
+        relay.list_as(servers(&["here", "near", "far"], each));
+        let went = data_centres(&relay);
+        assert!(!went.contains(&"far".to_owned()), "{went:?}");
+    }
+}
+
+#[tokio::test]
+async fn relay_sends_to_another_region_what_finds_no_place_in_its_own() {
+    for each in [4, 40] {
+        let relay = relay_of_two_regions().await;
+        relay.list_as(servers(&["here", "near", "far"], each));
+        let full = fill(&relay, &["here", "near"]);
+        assert!(data_centres(&relay).iter().all(|name| name == "far"));
+        drop(full);
+        assert!(!data_centres(&relay).contains(&"far".to_owned()));
+    }
+}
+
+#[tokio::test]
+async fn region_without_servers_is_served_by_others() {
+    for each in [4, 80] {
+        let relay = relay_of_two_regions().await;
+        relay.list_as(servers(&["far"], each));
+        assert!(data_centres(&relay).iter().all(|name| name == "far"));
+    }
+}
+
+/// A shared part is copied inside a region: from its home there.
+#[tokio::test]
+async fn shared_part_has_a_home_in_each_region() {
+    let relay = relay_of_two_regions().await;
+    relay.list_as(servers(&["here", "near", "far"], 40));
+    let mut homes = 0;
+    for part in 0..200 {
+        let (known, copies) = chosen(&relay, part);
+        assert_ne!(known.server.data_centre.as_str(), "far");
+        homes += usize::from(!copies);
+    }
+    assert!(homes > 100, "{homes} of 200 went to the home of their part");
+}
+
+#[tokio::test]
+async fn run_is_moved_inside_its_region_while_there_is_a_place() {
+    let relay = relay_of_two_regions().await;
+    relay.list_as(servers(&["here", "near", "far"], 4));
+    let all = relay.relay.servers.of(&"svc".parse().unwrap());
+    let course = Course::new("svc".parse().unwrap());
+    let from = |name: &str| {
+        let source = all.iter().find(|it| it.server.data_centre.as_str() == name).unwrap();
+        course.target(&relay.relay, source).unwrap().server.data_centre.to_string()
+    };
+    assert_eq!(from("here"), "near");
+    assert_eq!(from("far"), "far");
+    let _full = fill(&relay, &["here", "near"]);
+    assert_eq!(from("here"), "far");
+}
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -6,6 +6,7 @@
 use emberturn::decide::choose::{
     Candidate, LoadWord, affinity, choose, drawn, neighbours, others_now,
 };
+use emberturn::decide::distance::Distance;
 use emberturn::decide::engine::EngineModel;
 use emberturn::decide::loads::{LoadPool, ToldLoad};
 use emberturn::ids::BackendId;
@@ -112,7 +113,7 @@
                 stay: 1.0,
                 unread: 0,
                 uncached: 3_000,
-                near: true,
+                distance: Distance::default(),
                 ejected: false,
             })
             .collect();
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -5,6 +5,7 @@
 mod platform;
 
 use emberturn::decide::choose::{Candidate, choose, expected_wait, split};
+use emberturn::decide::distance::Distance;
 use emberturn::decide::engine::EngineModel;
 use emberturn::platform::document as wire;
 use emberturn::relay::table::Repeat;
@@ -101,7 +102,7 @@
     stay: 0.0,
     unread: 0,
     uncached: 1_000,
-    near: true,
+    distance: Distance { time: 0.0, weight: 0.0 },
     ejected: false,
 };
 
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -350,17 +350,22 @@
 impl TestRelay {
     /// Starts a relay that knows nothing yet.
     pub async fn empty() -> Self {
+        Self::empty_with("").await
+    }
+
+    /// Starts a relay that knows nothing yet, with more settings.
+    pub async fn empty_with(more: &str) -> Self {
         let (addr, ready) = (free_addr(), free_addr());
         let text = format!(
             "[node]\nbox_id = relay\ndata_centre = here\nroles = relay\n[replicas]\nr = 127.0.0.1:1\n\
-             [relay]\nlisten = {addr}\nready = {ready}\n"
+             [relay]\nlisten = {addr}\nready = {ready}\n{more}"
         );
         let settings = Settings::parse("relay.ini", &text).unwrap();
         let board = Arc::new(Blackboard::new("relay".parse().unwrap()));
         let (closing, follow) = watch::channel(false);
         let relay = Arc::new(Relay::new(RelayParts {
+            topology: settings.topology(),
             settings: settings.relay.unwrap(),
-            data_centre: settings.node.data_centre,
             board: board.clone(),
             pool: Pool::default(),
             dialect: Arc::new(PlatformDialect),
