Subsets by region: a box knows mostly the servers near it

Cause: with more than 256 servers of a service a box knew about as many of each data centre; of those it draws from first, 36 in seven data centres.

Change: over several regions a half of them of its own data centre, a quarter of its region, a quarter of the rest; what one reach lacks the others have. A beat names the box's data centre (absent from older boxes: as before). The leader's draw of loads is spread over the parts of a box, so that each answer tells of its own data centre.

Tests: server_list 17, with three new: mostly near, shares fill up, each server known near and far (at least 8 boxes and at most 60, as without regions). With the box's place left out, "mostly near" fails. parts_taken has one argument more, its assertion is the same.

Conclusion: each engine stays known by as many boxes as before.

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -13,7 +13,9 @@
 use crate::decide::loads::ToldLoad;
 use crate::decide::releases::{ReleaseWord, TrialWord};
 use crate::group::access::Access;
-use crate::ids::{BoxId, Incarnation, Revision, ServiceName, TeamName, Version, Window};
+use crate::ids::{
+    BoxId, DataCentre, Incarnation, Revision, ServiceName, TeamName, Version, Window,
+};
 use crate::relay::Relay;
 use crate::relay::list::{ListIndex, Print};
 use crate::relay::usage::Counts;
@@ -40,6 +42,9 @@
 pub struct Beat {
     /// The box.
     pub box_id: BoxId,
+    /// Its data centre: it is to know mostly the servers near it.
+    #[serde(default)]
+    pub data_centre: Option<DataCentre>,
     /// The life of its process: counts of different lives add up.
     pub life: Incarnation,
     /// The print of the index it has of its parts of the list of backend servers.
@@ -132,6 +137,7 @@
     let demand = relay.allowances().tell(asked);
     let beat = Beat {
         box_id: box_id.clone(),
+        data_centre: Some(relay.parts.topology.own().clone()),
         life,
         list: relay.servers.index_print(),
         revision: relay.parts.board.revision(),
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -157,6 +157,7 @@
         let now = Instant::now();
         self.sweep(now);
         let box_id = beat.box_id.clone();
+        let own = beat.data_centre.clone();
         let key = (box_id.clone(), beat.life);
         if !self.words.contains_key(&key) {
             // Later words tell what this leader has said itself.
@@ -174,7 +175,7 @@
             Word { heard: now, usage: beat.usage, offered: beat.offered, engines: beat.engines };
         self.words.insert(key, word);
         let relays = self.relays();
-        let index = self.is_informed().then(|| self.list.index(&box_id));
+        let index = self.is_informed().then(|| self.list.index_at(&box_id, own.as_ref()));
         let listed = index.as_ref().map(|index| self.list.listed(index)).unwrap_or_default();
         let loads = self.loads.draw(&listed, now, rand::random());
         let list = index.filter(|index| beat.list != Some(index.print));
@@ -420,7 +421,8 @@
         let mut held = crate::node::lock(&self.lead);
         if held.as_ref().is_none_or(|lead| lead.term != term) {
             tracing::info!(event = "leading", term = %term);
-            *held = Some(Lead::new(term, first, weights));
+            let list = ListBook::new(self.settings.regions.clone());
+            *held = Some(Lead { list, ..Lead::new(term, first, weights) });
         }
         f(held.get_or_insert_with(|| Lead::new(term, first, weights)))
     }
--- a/src/relay/list_book.rs
+++ b/src/relay/list_book.rs
@@ -5,8 +5,9 @@
 use std::time::Instant;
 
 use super::list::{ListIndex, ListPart, ListVersion, PartId, Print, Server};
-use crate::decide::subset::{chosen, part_bits, part_place, parts_taken};
-use crate::ids::{BackendId, BoxId, DataCentre, Release, ServiceName, Term};
+use crate::decide::subset::{SUBSET, chosen, part_bits, part_place, parts_taken, shares};
+use crate::decide::topology::{Reach, Topology};
+use crate::ids::{BackendId, BoxId, DataCentre, Region, Release, ServiceName, Term};
 use crate::member::table::fingerprint;
 
 /// Parts that an answer brings at most: 24 of up to 24 servers are 50 KB, 40 ms of a link of 10 Mbit/s.
@@ -23,6 +24,8 @@
 /// The newest list.
 #[derive(Default)]
 pub struct ListBook {
+    /// The region of each data centre; empty where there is one.
+    regions: BTreeMap<DataCentre, Region>,
     version: ListVersion,
     servers: Vec<Server>,
     read: Option<Instant>,
@@ -35,6 +38,11 @@
 }
 
 impl ListBook {
+    /// No list yet, of a fleet with these regions.
+    pub fn new(regions: BTreeMap<DataCentre, Region>) -> Self {
+        Self { regions, ..Self::default() }
+    }
+
     /// The servers.
     pub fn servers(&self) -> &[Server] {
         &self.servers
@@ -96,17 +104,25 @@
         Some(self.version)
     }
 
-    /// The parts that a box is to hold.
+    /// The parts that a box is to hold which has not said where it stands.
     pub fn index(&mut self, box_id: &BoxId) -> Arc<ListIndex> {
+        self.index_at(box_id, None)
+    }
+
+    /// The parts that a box in a data centre is to hold.
+    pub fn index_at(&mut self, box_id: &BoxId, own: Option<&DataCentre>) -> Arc<ListIndex> {
         if let Some(index) = self.indexes.get(box_id) {
             return index.clone();
         }
-        let index = Arc::new(ListIndex::new(self.version, self.parts_of(box_id)));
+        let index = Arc::new(ListIndex::new(self.version, self.parts_of(box_id, own)));
         self.indexes.insert(box_id.clone(), index.clone());
         index
     }
 
-    fn parts_of(&self, box_id: &BoxId) -> Vec<(PartId, Print)> {
+    fn parts_of(&self, box_id: &BoxId, own: Option<&DataCentre>) -> Vec<(PartId, Print)> {
+        let topology = own.map(|own| Topology::new(own.clone(), self.regions.clone()));
+        let topology = topology.filter(Topology::is_split);
+        let near = topology.as_ref().map(|topology| self.by_reach(topology));
         let hash = fingerprint(box_id.as_str());
         let all: Vec<_> = self.parts.iter().collect();
         let same = |a: &(&PartId, &Part), b: &(&PartId, &Part)| {
@@ -114,9 +130,17 @@
         };
         let mut taken = Vec::new();
         for group in all.chunk_by(same) {
-            let servers = self.counts.get(&group[0].0.service).copied().unwrap_or(0);
+            let PartId { service, data_centre, .. } = group[0].0;
+            let (wanted, there) = match (&topology, &near) {
+                (Some(topology), Some(near)) => {
+                    let reach = topology.reach(data_centre) as usize;
+                    let there = near.get(service).copied().unwrap_or_default();
+                    (shares(there)[reach], there[reach])
+                }
+                _ => (SUBSET, self.counts.get(service).copied().unwrap_or(0)),
+            };
             let hashes: Vec<_> = group.iter().map(|(id, _)| fingerprint(&id.to_string())).collect();
-            let places = chosen(hash, &hashes, parts_taken(group.len(), servers));
+            let places = chosen(hash, &hashes, parts_taken(group.len(), wanted, there));
             taken.extend(
                 places.into_iter().map(|place| (group[place].0.clone(), group[place].1.print)),
             );
@@ -124,6 +148,16 @@
         taken
     }
 
+    /// The servers of each service by how far they are.
+    fn by_reach(&self, topology: &Topology) -> BTreeMap<&ServiceName, [usize; Reach::ALL.len()]> {
+        let mut counts: BTreeMap<_, [usize; Reach::ALL.len()]> = BTreeMap::new();
+        for (id, part) in &self.parts {
+            let count = counts.entry(&id.service).or_default();
+            count[topology.reach(&id.data_centre) as usize] += part.servers.len();
+        }
+        counts
+    }
+
     /// The servers of an index's parts.
     pub fn listed<'a>(&'a self, index: &ListIndex) -> Vec<&'a BackendId> {
         let parts = index.parts.iter().filter_map(|(id, _)| self.parts.get(id));
--- a/tests/server_list.rs
+++ b/tests/server_list.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use emberturn::decide::subset::{SUBSET, chosen, part_bits, parts_taken};
-use emberturn::ids::{BackendId, BoxId, Term};
+use emberturn::decide::subset::{SUBSET, chosen, part_bits, parts_taken, shares};
+use emberturn::ids::{BackendId, BoxId, Region, Term};
 use emberturn::relay::list::{ListIndex, PartId, Server};
 use emberturn::relay::list_book::{ListBook, PARTS_LIMIT};
 use emberturn::relay::servers::ServerBook;
@@ -43,6 +43,11 @@
     (0..count).map(engine).collect()
 }
 
+/// The region of a data centre, of three regions.
+fn region(number: u32) -> Region {
+    ["a", "a", "a", "b", "b", "c", "c"][number as usize].parse().unwrap()
+}
+
 fn box_id(number: u32) -> BoxId {
     format!("10.1.{}.{}", number >> 8, number & 255).parse().unwrap()
 }
@@ -66,11 +71,16 @@
 /// A box takes what it lacks; the bytes of the index, if it is news, and of the answers.
 fn follow(book: &ServerBook, leader: &mut ListBook, box_id: &BoxId) -> Vec<usize> {
     let index = leader.index(box_id);
+    take(book, leader, &index)
+}
+
+/// As [`follow`], with an index that the leader gave.
+fn take(book: &ServerBook, leader: &mut ListBook, index: &ListIndex) -> Vec<usize> {
     if book.index_print() == Some(index.print) && book.lacking().is_empty() {
         return Vec::new();
     }
-    let mut bytes = vec![serde_json::to_string(&index).unwrap().len()];
-    book.take_index(ListIndex::clone(&index));
+    let mut bytes = vec![serde_json::to_string(index).unwrap().len()];
+    book.take_index(index.clone());
     loop {
         let lacking = book.lacking();
         if lacking.is_empty() {
@@ -136,6 +146,41 @@
         prop_assert!(count < 100 || by_centre.values().all(|held_there| *held_there > 0 && by_centre.len() == 7));
     }
 
+    /// Over three regions a box holds as many, most of them near, and some of every data centre.
+    #[test]
+    fn box_holds_mostly_what_is_near(count in 1_u32..3_000, place in 0_u32..500) {
+        let regions = (0..7).map(|it| (format!("dc-{it}").parse().unwrap(), region(it)));
+        let mut leader = ListBook::new(regions.collect());
+        leader.put(Term(1), engines(count), Instant::now());
+        let own = format!("dc-{}", place % 7).parse().unwrap();
+        let index = leader.index_at(&box_id(place), Some(&own));
+        let book = ServerBook::default();
+        take(&book, &mut leader, &index);
+        let held = book.of(&"ember-assist".parse().unwrap());
+        let count = count as usize;
+        prop_assert!(held.len() >= count.min(SUBSET / 2) && held.len() <= count.min(2 * SUBSET), "{}", held.len());
+        if count <= SUBSET {
+            prop_assert_eq!(held.len(), count);
+        }
+        let mut by_centre = BTreeMap::new();
+        for known in held.iter() {
+            *by_centre.entry(&known.server.data_centre).or_insert(0) += 1;
+        }
+        prop_assert!(count < 100 || by_centre.len() == 7);
+        let near = by_centre.get(&own).copied().unwrap_or(0);
+        // With two of seven data centres in a region, three quarters of them would be elsewhere.
+        prop_assert!(count < 1_800 || 3 * near >= held.len(), "{near} of {}", held.len());
+    }
+
+    /// What is to be known is there, and no more than is to be known in all.
+    #[test]
+    fn shares_fill_up(there in prop::array::uniform3(0_usize..3_000)) {
+        let shares = shares(there);
+        let total: usize = there.iter().sum();
+        prop_assert_eq!(shares.iter().sum::<usize>(), total.min(SUBSET));
+        prop_assert!(shares.iter().zip(there).all(|(share, there)| *share <= there));
+    }
+
     /// Parts are neither large nor many, and do not change while a few servers come and go.
     #[test]
     fn parts_stay_while_few_come_and_go(count in 1_usize..10_000) {
@@ -148,7 +193,7 @@
             prop_assert_eq!(part_bits(count, moved), moved);
             prop_assert_eq!(part_bits(next, moved), moved);
         }
-        prop_assert!(parts_taken(1 << bits, count) <= 1 << bits);
+        prop_assert!(parts_taken(1 << bits, SUBSET, count) <= 1 << bits);
     }
 }
 
@@ -297,6 +342,34 @@
     assert!(*least >= 8 && *most <= 60, "{least} to {most}");
 }
 
+/// Over three regions as well, and each by boxes of other regions, to which these spill over.
+#[test]
+fn each_server_is_known_by_some_boxes_near_and_far() {
+    let regions = (0..7).map(|it| (format!("dc-{it}").parse().unwrap(), region(it)));
+    let mut leader = ListBook::new(regions.collect());
+    let all = engines(3_000);
+    leader.put(Term(1), all.clone(), Instant::now());
+    let mut counts: BTreeMap<BackendId, (u32, u32)> = BTreeMap::new();
+    let homes: BTreeMap<_, _> = all.iter().map(|it| (&it.id, it.data_centre.as_str())).collect();
+    for place in 0..300 {
+        let own = format!("dc-{}", place % 7).parse().unwrap();
+        let index = leader.index_at(&box_id(place), Some(&own));
+        for id in leader.listed(&index) {
+            let centre: u32 = homes[id].trim_start_matches("dc-").parse().unwrap();
+            let (near, far) = counts.entry(id.clone()).or_default();
+            match region(centre) == region(place % 7) {
+                true => *near += 1,
+                false => *far += 1,
+            }
+        }
+    }
+    assert_eq!(counts.len(), 3_000);
+    let sums: Vec<_> = counts.values().map(|(near, far)| near + far).collect();
+    let (least, most) = (sums.iter().min().unwrap(), sums.iter().max().unwrap());
+    assert!(*least >= 8 && *most <= 60, "{least} to {most}");
+    assert!(counts.values().all(|(near, far)| *near > 0 && *far > 0));
+}
+
 #[test]
 fn parts_that_a_box_takes_are_its_own_and_stay_when_others_come() {
     let parts: Vec<u64> = (0..64).map(|it: u64| it.wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect();
