Placing: bytes weigh nothing unless operators say so

A weight of 1 ms a kilobyte keeps long prompts near by some ten requests more than time alone would. Change: both weights are 0 by default.

--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -181,7 +181,7 @@
 
 /// What a relay knows of servers: that all are full.
 fn known(servers: &[Remote], distances: &Distances, names: &[DataCentre]) -> Vec<ServerCandidate> {
-    let (now, weights) = (Instant::now(), ByteWeights::default());
+    let (now, weights) = (Instant::now(), ByteWeights { regional: 0.1, remote: 1.0 });
     let word = |it: &Remote| Some(LoadWord { requests: 12.0 + (it.hash % 12) as f64, age: 0.4 });
     let words: Vec<_> = servers.iter().map(word).collect();
     let regions: Vec<_> = servers.iter().map(|it| REGIONS[it.data_centre]).collect();
--- a/src/decide/distance.rs
+++ b/src/decide/distance.rs
@@ -48,8 +48,9 @@
     pub weight: f64,
 }
 
-/// What bytes weigh, in milliseconds of wait for each kilobyte.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// What bytes weigh, in milliseconds of wait for each kilobyte. By default nothing: only time counts, and
+/// whoever pays for bytes says so.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ByteWeights {
     /// Between data centres of a region.
     pub regional: f64,
@@ -57,15 +58,6 @@
     pub remote: f64,
 }
 
-impl Default for ByteWeights {
-    /// Between regions bytes cost several times those inside: a prompt of 10,000 tokens, 40 kB, stays for
-    /// up to 40 ms where it finds a place, a tenth of the time in which a caller notices. Between data
-    /// centres of a region nothing: whoever pays for these says so.
-    fn default() -> Self {
-        Self { regional: 0.0, remote: 1.0 }
-    }
-}
-
 impl ByteWeights {
     /// What a kilobyte weighs on a way.
     pub fn of(&self, reach: Reach) -> f64 {
--- a/tests/distance.rs
+++ b/tests/distance.rs
@@ -48,6 +48,9 @@
     ejected: false,
 };
 
+/// What operators may set where bytes between regions are dear.
+const WEIGHTS: ByteWeights = ByteWeights { regional: 0.0, remote: 1.0 };
+
 /// Which servers a request compares.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Way {
@@ -130,7 +133,7 @@
 
 fn distance(reach: Reach) -> Distance {
     let time = [0.0, 1.8, 16.0][reach as usize];
-    let weight = kilobytes(REQUEST.0, REQUEST.1) * ByteWeights::default().of(reach);
+    let weight = kilobytes(REQUEST.0, REQUEST.1) * WEIGHTS.of(reach);
     Distance { time, weight }
 }
 
@@ -468,12 +471,12 @@
 #[test]
 fn copy_crosses_regions_only_where_it_saves() {
     let copying = Copying { rate: 1_500_000.0, token_bytes: 160_000.0 };
-    let free = ByteWeights { regional: 0.0, remote: 0.0 };
+    let free = ByteWeights::default();
     // 20,000 tokens are read in 133 ms and copied in 13.
     assert!(fetch_saves(&MODEL, 20_000, &copying, 16.0, &free));
     assert!(!fetch_saves(&MODEL, 20_000, &copying, 200.0, &free));
     assert!(!fetch_saves(&MODEL, 1_000, &copying, 16.0, &free));
-    assert!(!fetch_saves(&MODEL, 20_000, &copying, 16.0, &ByteWeights::default()));
+    assert!(!fetch_saves(&MODEL, 20_000, &copying, 16.0, &WEIGHTS));
     let none = Copying { rate: 0.0, ..copying };
     assert!(!fetch_saves(&MODEL, 20_000, &none, 16.0, &free));
 }
