--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -84,9 +84,14 @@
         self.choose(compared, usual)
     }
 
+    /// A service of few servers has one home for a part, whichever region asks: with some four servers in a
+    /// region each that comes or goes moves a quarter of all parts there, and its regions read them anew.
     fn homes(&self, placed: &Placed) -> Homes {
         let part = self.call.shared_part();
-        placed.regions.iter().map(|servers| self.home(servers, part?)).collect()
+        match compares_all(placed.all.len()) {
+            true => vec![part.and_then(|it| self.home(&placed.all, it)); placed.regions.len()],
+            false => placed.regions.iter().map(|servers| self.home(servers, part?)).collect(),
+        }
     }
 
     fn home(&self, servers: &[PlacedServer], part: PromptPart) -> Option<PlacedServer> {
