Spend: what was given up is no absence, and a long absence does not hold the need at an old peak

Change: a state of its own for a data centre where none are wanted; the kept peak fades; states follow the table; a fenced answer says nothing of engines; no look without a list.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -317,6 +317,10 @@
         let Some(table) = &self.table else {
             return Vec::new();
         };
+        // Before the first list nothing is known of engines, and none being listed says nothing.
+        if self.list.is_empty() {
+            return Vec::new();
+        }
         // The servers of a release that is being tried are the platform's to start and to stop.
         let listed = self.list.servers();
         let servers: Cow<'_, [Server]> = match self.rollouts.is_idle() {
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -124,6 +124,10 @@
             has_spot: scaling.spot_price.is_some_and(|price| price < 1.0),
         };
         let plans = plan(&sites, need, bounds);
+        let spells = self.spells.entry(service.name.clone()).or_default();
+        for plan in plans.iter().filter(|plan| plan.spot == 0) {
+            spells.note_unwanted(&plan.data_centre);
+        }
         let boot = scaling.boot_time.as_secs_f64();
         let book = self.books.entry(service.name.clone()).or_default();
         let mut orders = Vec::new();
@@ -281,14 +285,14 @@
             OrderAnswer::Taken | OrderAnswer::Unknown => {
                 book.note_placed(now, place_of(order), order.count);
             }
-            OrderAnswer::Unavailable | OrderAnswer::Fenced => {
-                book.note_refused(now, place_of(order));
-            }
+            OrderAnswer::Unavailable => book.note_refused(now, place_of(order)),
+            // Another leader acts: that says nothing of engines.
+            OrderAnswer::Fenced => {}
         }
         let spells = self.spells.entry(order.service.clone()).or_default();
         match answer {
-            OrderAnswer::Taken if order.spot => {
-                spells.note_taken(now, &order.data_centre, order.count);
+            OrderAnswer::Taken if order.spot && order.count > 0 => {
+                spells.note_taken(now, &order.data_centre);
             }
             OrderAnswer::Unavailable => spells.note_refused(now, &order.data_centre),
             _ => {}
--- a/src/decide/absence.rs
+++ b/src/decide/absence.rs
@@ -40,6 +40,8 @@
 enum State {
     #[default]
     Unknown,
+    /// None are wanted there: what leaves was given up.
+    Unwanted,
     /// Some serve.
     Present,
     /// An order for some was taken; none serves yet.
@@ -85,6 +87,7 @@
     pub fn look(&mut self, now: f64, seen: &[(DataCentre, Seen)]) -> u32 {
         let passed = now - self.now.replace(now).unwrap_or(now);
         let mut lost = 0;
+        self.states.retain(|held, _| seen.iter().any(|(data_centre, _)| data_centre == held));
         for (data_centre, seen) in seen {
             let state = self.states.get(data_centre).copied().unwrap_or_default();
             self.learned.time += passed;
@@ -92,6 +95,8 @@
                 self.learned.away += passed;
             }
             match state {
+                // The list lags: it shows for a while what was given up.
+                State::Unwanted => {}
                 State::Unknown | State::Present if seen.serving == 0 && seen.leaving > 0 => {
                     lost += 1;
                     self.set(data_centre, State::Gone { since: now, refused: None });
@@ -111,18 +116,23 @@
         let since = match self.states.get(data_centre).copied().unwrap_or_default() {
             State::Present => return,
             State::Gone { since, .. } => since,
-            State::Unknown | State::Coming => now,
+            State::Unknown | State::Unwanted | State::Coming => now,
         };
         self.set(data_centre, State::Gone { since, refused: Some(now) });
     }
 
-    /// Takes that an order for `count` reclaimable engines was taken. Where none are wanted, none being there
-    /// says nothing.
-    pub fn note_taken(&mut self, now: f64, data_centre: &DataCentre, count: u32) {
+    /// Takes that no reclaimable engines are wanted in a data centre: none being there says nothing from now
+    /// on, and an absence under way is not seen to its end.
+    pub fn note_unwanted(&mut self, data_centre: &DataCentre) {
+        self.set(data_centre, State::Unwanted);
+    }
+
+    /// Takes that an order for reclaimable engines was taken.
+    pub fn note_taken(&mut self, now: f64, data_centre: &DataCentre) {
         let state = self.states.get(data_centre).copied().unwrap_or_default();
         match state {
-            _ if count == 0 => self.set(data_centre, State::Unknown),
             State::Gone { .. } => self.bring_back(now, data_centre, State::Coming),
+            State::Unwanted => self.set(data_centre, State::Coming),
             State::Unknown | State::Present | State::Coming => {}
         }
     }
--- a/src/decide/hazard.rs
+++ b/src/decide/hazard.rs
@@ -184,10 +184,17 @@
         self.absences.note_refused(now, data_centre);
     }
 
-    /// Takes that an order for `count` reclaimable engines was taken.
-    pub fn note_taken(&mut self, now: f64, data_centre: &DataCentre, count: u32) {
+    /// Takes that an order for reclaimable engines was taken.
+    pub fn note_taken(&mut self, now: f64, data_centre: &DataCentre) {
         let gone = self.gone();
-        self.absences.note_taken(now, data_centre, count);
+        self.absences.note_taken(now, data_centre);
+        self.note_end(gone);
+    }
+
+    /// Takes that no reclaimable engines are wanted in a data centre.
+    pub fn note_unwanted(&mut self, data_centre: &DataCentre) {
+        let gone = self.gone();
+        self.absences.note_unwanted(data_centre);
         self.note_end(gone);
     }
 
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -19,6 +19,17 @@
 /// The part of the boxes' peaks, summed, that stands for the peak of their sum.
 const PEAK_PART: f64 = 0.8;
 
+/// What a load was like before a data centre was gone.
+#[derive(Debug, Clone, Copy)]
+struct Calm {
+    /// The highest prompt tokens a second of late.
+    peak: f64,
+    /// How many times more came late than a queue explains.
+    times: f64,
+    /// When that was, in seconds.
+    at: f64,
+}
+
 /// What a service is offered over all boxes.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Demand {
@@ -27,7 +38,7 @@
     at: f64,
     first: Option<f64>,
     /// The peak, and how many times more come late than a queue explains, before data centres were gone.
-    calm: Option<(f64, f64)>,
+    calm: Option<Calm>,
 }
 
 impl Demand {
@@ -86,13 +97,14 @@
     /// a whole, not step by step as they do.
     fn as_in_calm(&mut self, load: Load, market: &Market, serving: Serving) -> Load {
         if market.outlook.gone == 0 {
-            self.calm = Some((self.peak, load.times));
+            self.calm = Some(Calm { peak: self.peak, times: load.times, at: self.at });
             return load;
         }
-        let Some((peak, times)) = self.calm else {
+        let Some(calm) = self.calm else {
             return load;
         };
-        let load = Load { times, ..load };
+        let peak = Offered::faded(calm.peak, self.at - calm.at);
+        let load = Load { times: calm.times, ..load };
         let returning = load.late(serving.total) / load.calls;
         let expected = peak * (1.0 + (market.surge - 1.0) * returning);
         load.surged((expected / self.peak).max(1.0))
--- a/tests/absence.rs
+++ b/tests/absence.rs
@@ -39,7 +39,7 @@
         if now < self.to {
             return learner.note_refused(now, &self.name);
         }
-        learner.note_taken(now, &self.name, 6);
+        learner.note_taken(now, &self.name);
         (self.serving, self.from) = (true, f64::INFINITY);
     }
 }
@@ -131,7 +131,52 @@
     assert_eq!(learner.gone(), 0);
     learner.look(1.0, &[(a.clone(), Seen::default())]);
     assert_eq!(learner.gone(), 0, "none has notice, none was refused since");
-    learner.note_taken(1.0, &a, 6);
+    learner.note_taken(1.0, &a);
     learner.look(2.0, &[(a.clone(), Seen { leaving: 6, ..Seen::default() })]);
     assert_eq!(learner.gone(), 1);
 }
+
+/// Engines that are given up leave as those that are reclaimed do, and the list shows them for a while.
+#[test]
+fn engines_given_up_are_no_absence() {
+    let mut learner = AbsenceLearner::default();
+    let a: DataCentre = "a".parse().unwrap();
+    let look = |learner: &mut AbsenceLearner, now, serving, leaving| {
+        learner.look(now, &[(a.clone(), Seen { serving, leaving, notice: None })])
+    };
+    assert_eq!(look(&mut learner, 0.0, 6, 0), 0);
+    learner.note_unwanted(&a);
+    for (now, serving, leaving) in [(0.5, 6, 0), (1.0, 0, 6), (1.5, 0, 0)] {
+        assert_eq!(look(&mut learner, now, serving, leaving), 0);
+        assert_eq!(learner.gone(), 0);
+    }
+    learner.note_taken(20.0, &a);
+    look(&mut learner, 25.0, 6, 0);
+    assert_eq!(look(&mut learner, 30.0, 0, 6), 1, "wanted again, and lost");
+}
+
+#[test]
+fn absence_ends_where_none_are_wanted_any_more() {
+    let mut learner = AbsenceLearner::default();
+    let a: DataCentre = "a".parse().unwrap();
+    learner.look(0.0, &[(a.clone(), Seen { serving: 6, ..Seen::default() })]);
+    learner.look(1.0, &[(a.clone(), Seen { leaving: 6, ..Seen::default() })]);
+    assert_eq!(learner.gone(), 1);
+    let before = learner.absence().length;
+    learner.note_unwanted(&a);
+    assert_eq!(learner.gone(), 0);
+    learner.look(1_000.0, &[(a.clone(), Seen::default())]);
+    assert_eq!(learner.absence().length, before, "nobody has seen how long it was");
+}
+
+#[test]
+fn data_centre_that_is_no_longer_there_is_not_gone() {
+    let mut learner = AbsenceLearner::default();
+    let [a, b]: [DataCentre; 2] = ["a", "b"].map(|name| name.parse().unwrap());
+    let serving = Seen { serving: 6, ..Seen::default() };
+    learner.look(0.0, &[(a.clone(), serving), (b.clone(), serving)]);
+    learner.look(1.0, &[(a, Seen { leaving: 6, ..Seen::default() }), (b.clone(), serving)]);
+    assert_eq!(learner.gone(), 1);
+    learner.look(2.0, &[(b, serving)]);
+    assert_eq!(learner.gone(), 0);
+}
--- a/tests/markets.rs
+++ b/tests/markets.rs
@@ -177,7 +177,7 @@
             }
             match tried < spell.to {
                 true => spells.note_refused(now, &names[spell.place]),
-                false => spells.note_taken(now, &names[spell.place], SPOTS),
+                false => spells.note_taken(now, &names[spell.place]),
             }
         }
     }
--- a/tests/spend.rs
+++ b/tests/spend.rs
@@ -262,6 +262,25 @@
     assert!(orders[0] <= calm * 3 / 2, "{orders:?} where {calm} are worth their price in the end");
 }
 
+/// One data centre of several stays gone for long: what came before it fades, as the peak does without it.
+#[test]
+fn long_absence_does_not_hold_the_need_at_the_days_peak() {
+    let mut demand = Demand::default();
+    demand.note(0.0, offered(2.0));
+    demand.need(0.0, 0.0, &MODEL, &MARKET, all(30), 30).unwrap();
+    let gone = Market { outlook: Outlook { gone: 1, ..Outlook::calm(3) }, ..MARKET };
+    let ample = |demand: &mut Demand, now, market: &Market| {
+        demand.note(now, offered(0.2));
+        demand.need(now, 0.0, &MODEL, market, all(30), 0).unwrap().ample
+    };
+    let high = ample(&mut demand, 1.0, &gone);
+    let long = ample(&mut demand, 300.0, &gone);
+    let mut calm = Demand::default();
+    calm.note(0.0, offered(0.2));
+    let low = ample(&mut calm, 300.0, &MARKET);
+    assert!(high > 2 * long && long <= low + 1, "{high}, {long} after long, {low} without it");
+}
+
 #[test]
 fn no_reclaimable_engine_is_given_up_while_none_are_to_be_had() {
     let dry = sites([0, 6, 6, 4], [0; 4]);
