--- a/src/blackboard/fleet.rs
+++ b/src/blackboard/fleet.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::watch;
 
+use crate::decide::faults::FaultBook;
 use crate::ids::{BackendId, BoxId, Incarnation, ServiceName};
 use crate::member::table::fingerprint;
 use crate::state::config::Configuration;
@@ -55,6 +56,7 @@
     ejected: Option<Instant>,
     service_time: Option<f64>,
     prefixes: HashMap<u64, Instant>,
+    faults: FaultBook,
 }
 
 /// What is known of one backend server.
@@ -63,6 +65,7 @@
     in_flight: AtomicU32,
     inner: Mutex<Inner>,
     leave_signal: watch::Sender<Option<Leaving>>,
+    end_signal: watch::Sender<bool>,
 }
 
 impl Default for BackendState {
@@ -71,6 +74,7 @@
             in_flight: AtomicU32::new(0),
             inner: Mutex::default(),
             leave_signal: watch::Sender::new(None),
+            end_signal: watch::Sender::new(false),
         }
     }
 }
@@ -126,6 +130,30 @@
         true
     }
 
+    /// Takes the server's own word that it is not leaving, against an earlier word of others; `true` if new.
+    pub fn stay(&self) -> bool {
+        let left = self.lock().leaving.take().is_some();
+        if left {
+            self.leave_signal.send_replace(None);
+        }
+        left
+    }
+
+    /// Notes that this life is over: nothing that runs in it will be answered.
+    pub fn end(&self) {
+        self.end_signal.send_replace(true);
+    }
+
+    /// Whether this life is known to be over.
+    pub fn is_over(&self) -> bool {
+        *self.end_signal.borrow()
+    }
+
+    /// Follows whether this life is known to be over.
+    pub fn follow_end(&self) -> watch::Receiver<bool> {
+        self.end_signal.subscribe()
+    }
+
     /// Takes word that a life is there. Only a later life than the leaving one takes that back.
     pub fn arrive(&self, life: Incarnation) -> bool {
         let mut inner = self.lock();
@@ -172,6 +200,21 @@
         true
     }
 
+    /// Takes note that it failed a request of a route.
+    pub fn fail_route(&self, route: &str) {
+        self.lock().faults.fail(route, Instant::now());
+    }
+
+    /// Takes note that it answered a request of a route well.
+    pub fn succeed_route(&self, route: &str) {
+        self.lock().faults.succeed(route);
+    }
+
+    /// Whether it is passed over for a route.
+    pub fn is_avoided(&self, route: &str, now: Instant) -> bool {
+        self.lock().faults.is_avoided(route, now)
+    }
+
     /// The running mean of a request's time there, in seconds.
     pub fn service_time(&self) -> Option<f64> {
         self.lock().service_time
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -15,7 +15,7 @@
 use crate::group::access::Access;
 use crate::ids::{BoxId, Incarnation, Revision, ServiceName, TeamName, Version, Window};
 use crate::relay::Relay;
-use crate::relay::list::{ListIndex, Print};
+use crate::relay::list::{ListIndex, Print, ToldLife};
 use crate::relay::usage::Counts;
 use crate::state::document::Document;
 use crate::state::notes::Models;
@@ -60,6 +60,9 @@
     pub trials: BTreeMap<ServiceName, TrialWord>,
     /// Loads that backend servers told it since its last word.
     pub loads: Vec<ToldLoad>,
+    /// Lives of backend servers that the leader's list did not show.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lives: Vec<ToldLife>,
     /// Which of the words of this life this is.
     pub turn: u64,
     /// Relays that share the limits, as a leader said last.
@@ -142,6 +145,7 @@
         demand,
         trials: relay.releases().tell(asked),
         loads: relay.loads().take(asked),
+        lives: relay.servers.lives_to_tell(),
         turn: relay.allowances().turn(),
         relays: relay.relays_told(),
     };
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -100,7 +100,7 @@
             let (count, leaving) = (servers.len(), servers.iter().filter(|it| it.leaving).count());
             let now = Instant::now();
             if let Some(version) = lead.list.put(term, servers, now) {
-                lead.loads.follow(lead.list.servers().iter().map(|server| &server.id), now);
+                lead.loads.follow(lead.list.keys(), now);
                 node.listed.notify_waiters();
                 tracing::info!(
                     event = "list_read", term = %term, place = version.place, servers = count, leaving,
@@ -108,7 +108,15 @@
                 );
             }
         }),
-        Err(error) => tracing::warn!(event = "list_unread", %error),
+        Err(error) => {
+            tracing::warn!(event = "list_unread", %error);
+            // What was read stands; what boxes said of lives since goes out all the same.
+            node.with_lead(term, |lead| {
+                if lead.list.is_stale() {
+                    lead.list.renew(term, Instant::now());
+                }
+            });
+        }
     }
 }
 
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -17,13 +17,14 @@
 use crate::decide::capacity::Offered;
 use crate::decide::engine::EngineModel;
 use crate::decide::level::{self, Noted, TeamLevel, Tolerance};
+use crate::decide::lives::Heard;
 use crate::decide::loads::LoadPool;
 use crate::group::driver::Unanswered;
 use crate::ids::{BoxId, Incarnation, Release, ServiceName, TeamName, Term, Version, Window};
 use crate::node::Node;
 use crate::platform::client::Order;
 use crate::relay::RELAYS_GUESSED;
-use crate::relay::list::{ListPart, PartId, Server};
+use crate::relay::list::{ListPart, PartId, Server, ToldLife};
 use crate::relay::list_book::ListBook;
 use crate::relay::table::RouteTable;
 use crate::relay::usage::Counts;
@@ -170,6 +171,7 @@
             None => drop(self.present.insert(beat.box_id, now)),
         }
         self.loads.hear(beat.loads, now);
+        self.hear_lives(beat.lives, now);
         let word =
             Word { heard: now, usage: beat.usage, offered: beat.offered, engines: beat.engines };
         self.words.insert(key, word);
@@ -192,6 +194,16 @@
         }
     }
 
+    /// Takes a relay's words of lives. All relays hear of them with the next reading of the list.
+    fn hear_lives(&mut self, lives: Vec<ToldLife>, now: Instant) {
+        for told in lives {
+            if self.list.hear_life(&told, now) == Heard::Another {
+                tracing::info!(event = "backend_server_restarted", backend_server = %told.server);
+                self.loads.restart(told.server, now);
+            }
+        }
+    }
+
     /// Forgets the relays that are gone, at most once in [`SWEEP_TIME`].
     fn sweep(&mut self, now: Instant) {
         if now - self.swept < SWEEP_TIME {
--- a/src/decide/loads.rs
+++ b/src/decide/loads.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::choose::fresh_part;
-use crate::ids::BackendId;
+use crate::ids::{BackendId, Incarnation, ServerKey};
 use crate::units::Millis;
 
 /// Loads that an answer brings at most: an answer stays under 2 KB. Twice as many gain nothing.
@@ -25,6 +25,9 @@
 pub struct ToldLoad {
     /// The server.
     pub server: BackendId,
+    /// The life in which it told it; 0 where nothing tells lives.
+    #[serde(default, skip_serializing_if = "Incarnation::is_none")]
+    pub life: Incarnation,
     /// Requests there, running and waiting.
     pub requests: u32,
     /// How long ago that was true.
@@ -39,16 +42,19 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
+/// A load; that of a later life is the greater one, and of one life the newer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Load {
-    requests: u32,
+    life: Incarnation,
     at: Instant,
+    requests: u32,
 }
 
 impl Load {
     fn told(&self, server: &BackendId, now: Instant) -> ToldLoad {
         let age = now.saturating_duration_since(self.at).min(OLD_TIME);
-        ToldLoad { server: server.clone(), requests: self.requests, age: age.into() }
+        let (server, life) = (server.clone(), self.life);
+        ToldLoad { server, life, requests: self.requests, age: age.into() }
     }
 }
 
@@ -60,19 +66,21 @@
 }
 
 impl LoadPool {
-    /// Takes a load that was true at `at`; an older one than is known is passed over.
-    pub fn note(&mut self, server: BackendId, requests: u32, at: Instant) {
-        let load = Load { requests, at };
-        match self.places.get(&server) {
+    /// Takes a load that was true at `at`; an older one than is known, or one of an earlier life, is passed
+    /// over.
+    pub fn note(&mut self, server: impl Into<ServerKey>, requests: u32, at: Instant) {
+        let ServerKey { id, life } = server.into();
+        let load = Load { life, at, requests };
+        match self.places.get(&id) {
             Some(place) => {
                 let held = &mut self.loads[*place].1;
-                if held.at < at {
+                if (held.life, held.at) < (life, at) {
                     *held = load;
                 }
             }
             None => {
-                self.places.insert(server.clone(), self.loads.len());
-                self.loads.push((server, load));
+                self.places.insert(id.clone(), self.loads.len());
+                self.loads.push((id, load));
             }
         }
     }
@@ -81,7 +89,8 @@
     pub fn hear(&mut self, told: Vec<ToldLoad>, now: Instant) {
         for load in told {
             let at = now.checked_sub(load.age.duration()).unwrap_or(now);
-            self.note(load.server, load.requests, at);
+            let server = ServerKey { id: load.server, life: load.life };
+            self.note(server, load.requests, at);
         }
     }
 
@@ -102,12 +111,36 @@
         self.loads.drain(..).map(|(server, load)| load.told(&server, now)).collect()
     }
 
-    /// Keeps the loads of the servers that are there; a new one has none.
-    pub fn follow<'a>(&mut self, servers: impl Iterator<Item = &'a BackendId>, now: Instant) {
-        let idle = Load { requests: 0, at: now };
-        let held = |server| self.places.get(server).map_or(idle, |place| self.loads[*place].1);
-        self.loads = servers.map(|server| (server.clone(), held(server))).collect();
+    /// Keeps the loads of the servers that are there, each in its life; a new one, or a new life, has none.
+    pub fn follow<K: Into<ServerKey>>(&mut self, servers: impl Iterator<Item = K>, now: Instant) {
+        let servers: Vec<ServerKey> = servers.map(Into::into).collect();
+        let loads = servers.into_iter().map(|server| {
+            let load = self.held(&server, now);
+            (server.id, load)
+        });
+        self.loads = loads.collect();
         let places = self.loads.iter().enumerate();
         self.places = places.map(|(place, (server, _))| (server.clone(), place)).collect();
     }
+
+    /// The load of a server's life. What was noted before anything told the life is of it: whoever hears
+    /// that it is another one says so with [`LoadPool::restart`].
+    fn held(&self, server: &ServerKey, now: Instant) -> Load {
+        let idle = Load { life: server.life, at: now, requests: 0 };
+        match self.places.get(&server.id).map(|place| self.loads[*place].1) {
+            Some(load) if load.life.is_none() => Load { life: server.life, ..load },
+            Some(load) if load.life >= server.life => load,
+            Some(_) | None => idle,
+        }
+    }
+
+    /// Notes that a server has started again: it has no load.
+    pub fn restart(&mut self, server: ServerKey, now: Instant) {
+        if let Some(place) = self.places.get(&server.id) {
+            let held = &mut self.loads[*place].1;
+            if held.life < server.life {
+                *held = Load { life: server.life, at: now, requests: 0 };
+            }
+        }
+    }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 //! - [`exposure`], [`verdict`]: how far a new release goes, and whether it is bad; [`releases`] and [`rollout`]
 //!   are what a box and the leader make of it.
 //! - [`budget`]: how often relays may send again.
+//! - [`lives`]: which life a server is in, and when a box asks it.
 //! - [`loads`]: what servers' loads a box is told.
 //! - [`subset`]: which servers of a large fleet a box knows.
 //! - [`queue`]: who goes next when capacity frees up.
@@ -28,6 +29,7 @@
 pub mod exposure;
 pub mod faults;
 pub mod level;
+pub mod lives;
 pub mod loads;
 pub mod policy;
 pub mod queue;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -177,6 +177,13 @@
     Fence
 }
 
+impl Incarnation {
+    /// Whether it names no life.
+    pub fn is_none(&self) -> bool {
+        self.0 == 0
+    }
+}
+
 /// A backend server in one of its lives. All that is known of a server is known of one life: it holds
 /// nothing of what an earlier one held.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -188,6 +195,19 @@
     pub life: Incarnation,
 }
 
+impl From<&BackendId> for ServerKey {
+    /// The server in a life that nothing tells.
+    fn from(id: &BackendId) -> Self {
+        Self { id: id.clone(), life: Incarnation(0) }
+    }
+}
+
+impl From<BackendId> for ServerKey {
+    fn from(id: BackendId) -> Self {
+        Self { id, life: Incarnation(0) }
+    }
+}
+
 impl fmt::Display for ServerKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}@{}", self.id, self.life)
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -136,6 +136,10 @@
     origin: Origin<'_>,
     limit: Duration,
 ) -> Result<Reply, Miss> {
+    if known.state.is_over() {
+        let detail = format!("{} has started again", known.server.id);
+        return Err(Miss::NotRun { arrived: false, detail });
+    }
     let request = request(relay, call, known, origin);
     let reuse = match route.repeat.is_repeatable() {
         true => Reuse::Any,
@@ -145,9 +149,8 @@
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(fault) => {
-            if known.state.fail() {
-                tracing::warn!(event = "backend_server_set_aside", backend_server = %known.server.id);
-            }
+            note_failure(relay, known);
+            relay.servers.doubt(known);
             if !matches!(fault, SendFault::NotSent(_)) {
                 relay.note_outcome(known, &route.name, Outcome::Failed);
             }
@@ -166,8 +169,8 @@
                 event = "answer_failed", id = call.head.id, backend_server = %known.server.id,
                 status = exchange.status.as_u16(), left_ms = call.left().as_millis() as u64,
             );
-            known.state.fail();
-            relay.faults().fail(&known.server.id, &route.name, Instant::now());
+            note_failure(relay, known);
+            known.state.fail_route(&route.name);
             relay.note_outcome(known, &route.name, Outcome::Failed);
             Ok(Reply { exchange, failed: true })
         }
@@ -175,6 +178,7 @@
             if exchange.status == StatusCode::MISDIRECTED_REQUEST {
                 // Another server has its address: this one is gone.
                 known.leave_at_once();
+                relay.servers.doubt(known);
             }
             if head.load.is_none() && exchange.status == StatusCode::SERVICE_UNAVAILABLE {
                 // Full: the next request is to know.
@@ -185,18 +189,26 @@
             Err(Miss::NotRun { arrived: true, detail })
         }
         Verdict::Spoilt(reason) => {
-            known.state.fail();
-            relay.faults().fail(&known.server.id, &route.name, Instant::now());
+            note_failure(relay, known);
+            known.state.fail_route(&route.name);
             relay.note_outcome(known, &route.name, Outcome::Failed);
             Err(Miss::unknown(Kind::BackendInvalid, format!("{}: {reason}", known.server.id)))
         }
     }
 }
 
+/// Notes a failure. One that is set aside for a run of them may have started again.
+fn note_failure(relay: &Relay, known: &Known) {
+    if known.state.fail() {
+        tracing::warn!(event = "backend_server_set_aside", backend_server = %known.server.id);
+        relay.servers.doubt(known);
+    }
+}
+
 fn note_load(relay: &Relay, known: &Known, load: Load) {
     known.state.report(load.running, load.waiting, Duration::ZERO);
     let requests = load.running + load.waiting;
-    relay.loads().note(known.server.id.clone(), requests, Instant::now());
+    relay.loads().note(known.key(), requests, Instant::now());
 }
 
 fn request(relay: &Relay, call: &Call, known: &Known, origin: Origin<'_>) -> Request<Full<Bytes>> {
@@ -209,6 +221,11 @@
     request
 }
 
+/// What becomes of what runs on a server that has started again: the same as at a crash.
+pub(super) fn restarted() -> SendFault {
+    SendFault::Broke("the backend server has started again".to_owned())
+}
+
 /// The users' retry limit on this box.
 pub fn retry_limit(relay: &Relay) -> RetryLimit {
     RetryLimit {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -7,7 +7,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
 
-use crate::ids::{BackendId, TeamName};
+use crate::ids::{BackendId, Incarnation, TeamName};
 
 /// Tokens of a generation.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -119,6 +119,28 @@
     pub waiting: u32,
 }
 
+/// What a backend server says of itself when it is asked.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Its life; 0 where it tells none.
+    pub life: Incarnation,
+    /// Its load, where it tells it.
+    pub load: Option<Load>,
+    /// Whether it is leaving, where it tells it.
+    pub leaving: Option<bool>,
+    /// When it goes, counted from the answer, where it tells it.
+    pub left: Option<Duration>,
+}
+
+/// What a backend server answers when it is asked to move a run.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct MoveAnswer {
+    /// Its life; 0 where it tells none.
+    pub life: Incarnation,
+    /// What it calls the copy; `None` when there is none.
+    pub handle: Option<String>,
+}
+
 /// What an answer's head says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReplyHead {
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -278,7 +278,6 @@
         let stay = (!stays.is_empty()).then(|| stays.iter().sum::<f64>() / stays.len() as f64);
         let words: Vec<_> = open.iter().map(|known| known.load_word()).collect();
         let others = others_now(&words, stay);
-        let faults = relay.faults();
         let candidates: Vec<_> = open
             .iter()
             .zip(others)
@@ -295,12 +294,10 @@
                     unread: known.unread(),
                     uncached: call.prompt().saturating_sub(cached),
                     near: known.server.data_centre == relay.parts.data_centre,
-                    ejected: known.state.is_ejected()
-                        || faults.is_avoided(&known.server.id, &route.name, now),
+                    ejected: known.state.is_ejected() || known.state.is_avoided(&route.name, now),
                 }
             })
             .collect();
-        drop(faults);
         let place = choose(&model, &candidates, rand::random::<f64>)?;
         let chosen = open[place].clone();
         self.reading = Reading {
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -9,9 +9,10 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode};
 
-use super::call::{Call, CallHead, Hop, ReplyHead};
+use super::call::{Call, CallHead, Hop, MoveAnswer, ReplyHead, Report};
 use super::table::RouteTable;
 use crate::error::Failure;
+use crate::ids::BackendId;
 
 /// How callers, backend servers and operators write things down.
 pub trait Dialect: Send + Sync + 'static {
@@ -31,8 +32,15 @@
     /// memory to another one.
     fn write_move(&self, call: &Call, target: SocketAddr) -> (&'static str, String);
 
-    /// What the server calls the copy, by its answer; `None` when there is none.
-    fn read_move(&self, body: &[u8]) -> Option<String>;
+    /// What the server says to that.
+    fn read_move(&self, body: &[u8]) -> MoveAnswer;
+
+    /// The path and headers with which a backend server, and no other at its address, is asked for a
+    /// report on itself.
+    fn write_report(&self, server: &BackendId) -> (&'static str, HeaderMap);
+
+    /// Reads that report; `None` where it is none.
+    fn read_report(&self, body: &[u8]) -> Option<Report>;
 
     /// Marks an answer of the relay's own: whose it is, and when to come back.
     fn mark_own(&self, headers: &mut HeaderMap, id: Option<&str>, wait: Option<Duration>);
--- a/src/relay/list.rs
+++ b/src/relay/list.rs
@@ -9,17 +9,18 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BackendId, DataCentre, Release, ServiceName, Term};
+use crate::ids::{BackendId, DataCentre, Incarnation, Release, ServerKey, ServiceName, Term};
 use crate::member::table::fingerprint;
 use crate::units::Millis;
 
 /// A backend server as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Server {
-    /// Its id, which no later start has again.
+    /// Its id, which a later start may have again.
     pub id: BackendId,
     /// Its service.
     pub service: ServiceName,
@@ -39,6 +40,45 @@
     pub spot: bool,
 }
 
+impl Server {
+    /// Whether a later listing says the same of it, `passed` of the time left being over.
+    pub(super) fn is_again(&self, later: &Self, passed: Duration, slack: Duration) -> bool {
+        let left = match (self.leaves_in, later.leaves_in) {
+            (Some(old), Some(new)) => {
+                old.duration().saturating_sub(passed).abs_diff(new.duration()) <= slack
+            }
+            (old, new) => old == new,
+        };
+        left && self.id == later.id
+            && self.service == later.service
+            && self.addr == later.addr
+            && self.data_centre == later.data_centre
+            && self.release == later.release
+            && self.slots == later.slots
+            && self.leaving == later.leaving
+            && self.spot == later.spot
+    }
+}
+
+/// A listed server in the life in which the leader knows it; the platform tells no lives.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// The server. It is leaving if the life is.
+    pub server: Server,
+    /// The life; 0 where nothing told it.
+    pub life: Incarnation,
+}
+
+/// A box's word of the life that a server is in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLife {
+    /// The server in its life.
+    #[serde(flatten)]
+    pub server: ServerKey,
+    /// Where it answered: at another address it is in another life.
+    pub addr: SocketAddr,
+}
+
 /// Which list: the term of the leader that read it, and its place among that leader's lists.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ListVersion {
@@ -122,9 +162,12 @@
 
 impl Print {
     /// The print of these servers.
-    pub fn of(servers: &[Server]) -> Self {
+    pub fn of(servers: &[Listed]) -> Self {
         let mut text = String::new();
-        for server in servers {
+        for Listed { server, life } in servers {
+            if !life.is_none() {
+                text += &format!("{life} ");
+            }
             text += &format!(
                 "{} {} {} {} {} {} {};",
                 server.id,
@@ -192,6 +235,8 @@
     leaving: bool,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     leaves_in: Option<Millis>,
+    #[serde(default, skip_serializing_if = "Incarnation::is_none")]
+    life: Incarnation,
 }
 
 /// The content of a part.
@@ -206,8 +251,8 @@
 
 impl ListPart {
     /// The part of these servers, of which `passed` of the time left is over since they were listed.
-    pub fn new(id: PartId, print: Print, servers: &[Server], passed: Millis) -> Self {
-        let servers = servers.iter().map(|server| PartServer {
+    pub fn new(id: PartId, print: Print, servers: &[Listed], passed: Millis) -> Self {
+        let servers = servers.iter().map(|Listed { server, life }| PartServer {
             id: server.id.clone(),
             addr: server.addr,
             release: server.release.clone(),
@@ -215,22 +260,31 @@
             spot: server.spot,
             leaving: server.leaving,
             leaves_in: server.leaves_in.map(|left| Millis(left.0.saturating_sub(passed.0))),
+            life: *life,
         });
         Self { servers: servers.collect(), id, print }
     }
 
     /// The servers.
     pub fn servers(&self) -> impl Iterator<Item = Server> {
-        self.servers.iter().map(|server| Server {
-            id: server.id.clone(),
-            service: self.id.service.clone(),
-            addr: server.addr,
-            data_centre: self.id.data_centre.clone(),
-            release: server.release.clone(),
-            slots: server.slots,
-            leaving: server.leaving,
-            leaves_in: server.leaves_in,
-            spot: server.spot,
+        self.listed().map(|listed| listed.server)
+    }
+
+    /// The servers, each in its life.
+    pub fn listed(&self) -> impl Iterator<Item = Listed> {
+        self.servers.iter().map(|server| Listed {
+            server: Server {
+                id: server.id.clone(),
+                service: self.id.service.clone(),
+                addr: server.addr,
+                data_centre: self.id.data_centre.clone(),
+                release: server.release.clone(),
+                slots: server.slots,
+                leaving: server.leaving,
+                leaves_in: server.leaves_in,
+                spot: server.spot,
+            },
+            life: server.life,
         })
     }
 }
--- a/src/relay/list_book.rs
+++ b/src/relay/list_book.rs
@@ -1,12 +1,14 @@
 //! The leader's list of backend servers, in the parts in which boxes take it. Pure: time is an argument.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use super::list::{ListIndex, ListPart, ListVersion, PartId, Print, Server};
+use super::list::{ListIndex, ListPart, ListVersion, Listed, PartId, Print, Server, ToldLife};
+use crate::decide::lives::{Heard, Life, Moment, Speaker};
 use crate::decide::subset::{chosen, part_bits, part_place, parts_taken};
-use crate::ids::{BackendId, BoxId, DataCentre, Release, ServiceName, Term};
+use crate::ids::{BackendId, BoxId, DataCentre, Release, ServerKey, ServiceName, Term};
 use crate::member::table::fingerprint;
 
 /// Parts that an answer brings at most: 24 of up to 24 servers are 50 KB, 40 ms of a link of 10 Mbit/s.
@@ -15,17 +17,38 @@
 /// The servers of a service in a data centre.
 type Group = (ServiceName, DataCentre);
 
+/// Servers remembered beside those that are listed: one may be back within a few readings.
+const GONE_LIMIT: usize = 1_024;
+
+/// How far the time left may differ between two readings that say the same: a move takes longer.
+const LEFT_SLACK: Duration = Duration::from_millis(200);
+
 struct Part {
     print: Print,
-    servers: Vec<Server>,
+    servers: Vec<Listed>,
+}
+
+/// The life in which a server was last known.
+struct InLife {
+    life: Life,
+    /// When it was known first.
+    since: Instant,
+    addr: SocketAddr,
 }
 
 /// The newest list.
 #[derive(Default)]
 pub struct ListBook {
     version: ListVersion,
+    /// What the platform lists.
+    read: Vec<Server>,
+    /// When that was read.
+    read_at: Option<Moment>,
+    /// The same, each server as it is in its life.
     servers: Vec<Server>,
-    read: Option<Instant>,
+    lives: HashMap<BackendId, InLife>,
+    /// Whether the lives say something that `servers` does not show, or may with the next reading.
+    stale: bool,
     bits: BTreeMap<Group, u32>,
     parts: BTreeMap<PartId, Part>,
     /// Servers of each service.
@@ -64,11 +87,67 @@
         texts.collect::<Vec<_>>().join(",")
     }
 
+    /// The servers, each in its life.
+    pub fn keys(&self) -> impl Iterator<Item = ServerKey> {
+        let listed = self.parts.values().flat_map(|part| &part.servers);
+        listed.map(|it| ServerKey { id: it.server.id.clone(), life: it.life })
+    }
+
     /// Takes servers as they were read just now by the leader of `term`; the version of their list if
     /// it says something new.
-    pub fn put(&mut self, term: Term, servers: Vec<Server>, now: Instant) -> Option<ListVersion> {
-        let groups = grouped(&servers);
-        let bits = |(group, servers): (&Group, &Vec<Server>)| {
+    pub fn put(
+        &mut self,
+        term: Term,
+        servers: Vec<Server>,
+        now: impl Into<Moment>,
+    ) -> Option<ListVersion> {
+        let now = now.into();
+        if !self.stale && !self.is_empty() && self.is_read_again(&servers, now.at) {
+            return None;
+        }
+        self.read = servers;
+        self.read_at = Some(now);
+        self.renew(term, now)
+    }
+
+    /// Whether a reading says what the last one did. The time that is left has passed meanwhile.
+    fn is_read_again(&self, servers: &[Server], now: Instant) -> bool {
+        let Some(read) = self.read_at else {
+            return false;
+        };
+        let passed = now.saturating_duration_since(read.at);
+        let same = |(old, new): (&Server, &Server)| old.is_again(new, passed, LEFT_SLACK);
+        self.read.len() == servers.len() && self.read.iter().zip(servers).all(same)
+    }
+
+    /// Takes a box's word of the life that a server is in. What it changes of the list is told with the
+    /// next [`ListBook::renew`].
+    pub fn hear_life(&mut self, told: &ToldLife, now: impl Into<Moment>) -> Heard {
+        let now = now.into();
+        let held = self.lives.get_mut(&told.server.id);
+        let Some(held) = held.filter(|held| held.addr == told.addr) else {
+            return Heard::Earlier;
+        };
+        let heard = held.life.hear(told.server.life, Speaker::Other, now.unix);
+        if matches!(heard, Heard::Named | Heard::Another) {
+            held.since = now.at;
+            self.stale = true;
+        }
+        heard
+    }
+
+    /// Whether something was heard of lives that the list does not show yet.
+    pub fn is_stale(&self) -> bool {
+        self.stale
+    }
+
+    /// Makes the list anew from what was read last and what is known of lives; its version if it says
+    /// something new.
+    pub fn renew(&mut self, term: Term, now: impl Into<Moment>) -> Option<ListVersion> {
+        let listed = self.in_lives(now.into());
+        self.servers = listed.iter().map(|it| it.server.clone()).collect();
+        let groups = grouped(listed);
+        let bits = |(group, servers): (&Group, &Vec<Listed>)| {
             let held = self.bits.get(group).copied().unwrap_or(0);
             (group.clone(), part_bits(servers.len(), held))
         };
@@ -82,8 +161,6 @@
                 .iter()
                 .all(|(id, it)| self.parts.get(id).is_some_and(|held| held.print == it.print));
         self.parts = parts;
-        self.read = Some(now);
-        self.servers = servers;
         if is_same && !self.is_empty() {
             return None;
         }
@@ -96,6 +173,36 @@
         Some(self.version)
     }
 
+    /// The servers that were read, each as it is in its life: a notice of leaving that may be of an earlier
+    /// one is held back until the platform has gone on showing it.
+    fn in_lives(&mut self, now: Moment) -> Vec<Listed> {
+        let read = self.read_at.unwrap_or(now);
+        self.stale = false;
+        let mut listed = Vec::with_capacity(self.read.len());
+        for server in &self.read {
+            let fresh =
+                || InLife { life: Life::seen_at(now.unix), since: now.at, addr: server.addr };
+            let held = self.lives.entry(server.id.clone()).or_insert_with(fresh);
+            if held.addr != server.addr {
+                // A server keeps its address for its life.
+                held.life.restart(now.unix);
+                (held.since, held.addr) = (now.at, server.addr);
+            }
+            let mut server = server.clone();
+            let known = read.at.saturating_duration_since(held.since);
+            if server.leaving && !held.life.is_listed(read.unix, known) {
+                (server.leaving, server.leaves_in) = (false, None);
+                self.stale = true;
+            }
+            listed.push(Listed { server, life: held.life.told() });
+        }
+        if self.lives.len() > 2 * listed.len() + GONE_LIMIT {
+            let there: HashSet<_> = listed.iter().map(|it| &it.server.id).collect();
+            self.lives.retain(|id, _| there.contains(id));
+        }
+        listed
+    }
+
     /// The parts that a box is to hold.
     pub fn index(&mut self, box_id: &BoxId) -> Arc<ListIndex> {
         if let Some(index) = self.indexes.get(box_id) {
@@ -127,12 +234,13 @@
     /// The servers of an index's parts.
     pub fn listed<'a>(&'a self, index: &ListIndex) -> Vec<&'a BackendId> {
         let parts = index.parts.iter().filter_map(|(id, _)| self.parts.get(id));
-        parts.flat_map(|part| &part.servers).map(|server| &server.id).collect()
+        parts.flat_map(|part| &part.servers).map(|listed| &listed.server.id).collect()
     }
 
     /// The contents of some parts, [`PARTS_LIMIT`] at most; those that are no longer there are left out.
     pub fn contents(&self, wanted: &[PartId], now: Instant) -> Vec<ListPart> {
-        let passed = self.read.map(|read| now.saturating_duration_since(read)).unwrap_or_default();
+        let passed = self.read_at.map(|read| now.saturating_duration_since(read.at));
+        let passed = passed.unwrap_or_default();
         let found = wanted.iter().take(PARTS_LIMIT).filter_map(|id| {
             let part = self.parts.get(id)?;
             Some(ListPart::new(id.clone(), part.print, &part.servers, passed.into()))
@@ -141,23 +249,23 @@
     }
 }
 
-fn grouped(servers: &[Server]) -> BTreeMap<Group, Vec<Server>> {
-    let mut groups: BTreeMap<Group, Vec<Server>> = BTreeMap::new();
-    for server in servers {
-        let group = (server.service.clone(), server.data_centre.clone());
-        groups.entry(group).or_default().push(server.clone());
+fn grouped(servers: Vec<Listed>) -> BTreeMap<Group, Vec<Listed>> {
+    let mut groups: BTreeMap<Group, Vec<Listed>> = BTreeMap::new();
+    for listed in servers {
+        let group = (listed.server.service.clone(), listed.server.data_centre.clone());
+        groups.entry(group).or_default().push(listed);
     }
     groups
 }
 
-fn split((service, data_centre): &Group, bits: u32, servers: Vec<Server>) -> Vec<(PartId, Part)> {
-    let mut places: BTreeMap<u64, Vec<Server>> = BTreeMap::new();
-    for server in servers {
-        let place = part_place(fingerprint(server.id.as_str()), bits);
-        places.entry(place).or_default().push(server);
+fn split((service, data_centre): &Group, bits: u32, servers: Vec<Listed>) -> Vec<(PartId, Part)> {
+    let mut places: BTreeMap<u64, Vec<Listed>> = BTreeMap::new();
+    for listed in servers {
+        let place = part_place(fingerprint(listed.server.id.as_str()), bits);
+        places.entry(place).or_default().push(listed);
     }
     let parts = places.into_iter().map(|(place, mut servers)| {
-        servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        servers.sort_unstable_by(|a, b| a.server.id.cmp(&b.server.id));
         let (service, data_centre) = (service.clone(), data_centre.clone());
         let id = PartId { service, data_centre, bits, place };
         (id, Part { print: Print::of(&servers), servers })
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 //! - [`list_book`] is the leader's list of backend servers, [`list`] what goes from it to boxes, [`servers`] what is known of them, [`engines`] what was learned of them.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send, [`course`] all sends of one call.
+//! - [`lives`] asks servers in which life they are.
 //! - [`moving`] moves running streams off servers that are leaving.
 //! - [`usage`] counts what ran and [`offered`] what came. What decides, limits and remembers is in
 //!   [`crate::decide`].
@@ -26,6 +27,7 @@
 pub mod list;
 pub mod list_book;
 pub mod listen;
+pub mod lives;
 pub(crate) mod moving;
 pub mod offered;
 pub mod plain;
@@ -47,7 +49,6 @@
 use crate::blackboard::Blackboard;
 use crate::decide::allowance::Allowances;
 use crate::decide::budget::RetryBudgets;
-use crate::decide::faults::FaultBook;
 use crate::decide::loads::LoadPool;
 use crate::decide::releases::{Outcome, ReleaseBook};
 use crate::ids::{BackendId, DataCentre};
@@ -92,7 +93,6 @@
     allowances: Mutex<Allowances>,
     retries: Mutex<RetryBudgets>,
     usage: Mutex<UsageCounter>,
-    faults: Mutex<FaultBook>,
     offered: Mutex<OfferedBook>,
     engines: Mutex<EngineBook>,
     releases: Mutex<ReleaseBook>,
@@ -127,7 +127,6 @@
             allowances: Mutex::new(Allowances::new(Instant::now())),
             retries: Mutex::default(),
             usage: Mutex::new(usage),
-            faults: Mutex::default(),
             offered: Mutex::default(),
             engines: Mutex::default(),
             releases: Mutex::default(),
@@ -221,9 +220,11 @@
         lock(&self.usage)
     }
 
-    /// The servers that fail the requests of a route.
-    pub fn faults(&self) -> MutexGuard<'_, FaultBook> {
-        lock(&self.faults)
+    /// Whether a server can tell its life: engines do, plain services do not.
+    pub(crate) fn tells_lives(&self, known: &Known) -> bool {
+        let table = self.table();
+        let service = table.as_ref().and_then(|table| table.services.get(&known.server.service));
+        service.is_some_and(|service| service.engine.is_some())
     }
 
     /// What callers bring for each service.
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -5,6 +5,7 @@
 //! where it stopped, and the other server goes on behind the last event. That is the same run: it
 //! needs neither a further attempt nor a repetition.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -15,8 +16,9 @@
 
 use super::Relay;
 use super::attempt::Origin;
-use super::call::{Call, RunCopy};
+use super::call::{Call, MoveAnswer, RunCopy};
 use super::course::Course;
+use super::servers::Known;
 use super::stream::{Opening, Progress, Source, next, open};
 use super::table::{EngineSpec, Route};
 use crate::backend::{Reuse, SendFault};
@@ -119,7 +121,7 @@
     let mut answer = None;
     let mut end = None;
     {
-        let mut asking = std::pin::pin!(ask(relay, call, known.server.addr, target.server.addr));
+        let mut asking = std::pin::pin!(ask(relay, call, &known, target.server.addr));
         while answer.is_none() || end.is_none() {
             tokio::select! {
                 answered = &mut asking, if answer.is_none() => answer = Some(answered),
@@ -188,26 +190,28 @@
 async fn ask(
     relay: &Relay,
     call: &Call,
-    source: std::net::SocketAddr,
-    target: std::net::SocketAddr,
+    source: &Known,
+    target: SocketAddr,
 ) -> Option<(StatusCode, String)> {
     let (path, body) = relay.parts.dialect.write_move(call, target);
     let request = Request::builder()
         .method(Method::POST)
         .uri(path)
-        .header(HOST, source.to_string())
+        .header(HOST, source.server.addr.to_string())
         .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
         .body(Full::new(Bytes::from(body)))
         .ok()?;
     let answered = async {
-        let exchange = relay.parts.pool.send(source, request, MOVE_TIME, Reuse::Any).await?;
+        let addr = source.server.addr;
+        let exchange = relay.parts.pool.send(addr, request, MOVE_TIME, Reuse::Any).await?;
         let status = exchange.status;
         let body = exchange.read_whole(ANSWER_LIMIT, MOVE_TIME).await?;
         Ok::<_, SendFault>((status, body))
     };
     match answered.await {
         Ok((status, body)) => {
-            let handle = relay.parts.dialect.read_move(&body);
+            let MoveAnswer { life, handle } = relay.parts.dialect.read_move(&body);
+            relay.servers.hear_life(source, life);
             if handle.is_none() {
                 tracing::info!(
                     event = "move_not_made",
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{Miss, Origin, Reply, seconds_since, send};
+use super::attempt::{Miss, Origin, Reply, restarted, seconds_since, send};
 use super::call::Call;
 use super::course::Course;
 use super::servers::Known;
@@ -147,15 +147,19 @@
 
 async fn pass_to(relay: &Relay, call: &Call, route: &Route, known: &Arc<Known>) -> Passed {
     let mut flight = known.begin(call.prompt());
+    let mut over = known.state.follow_end();
     let began = Instant::now();
     let limit = call.left();
     let result = tokio::time::timeout(limit, async {
         let reply = send(relay, call, route, known, Origin::default(), limit).await?;
         read(reply, ANSWER_LIMIT).await
     });
-    let (answer, failed) = match result.await {
-        Ok(result) => result?,
-        Err(_) => return Err(Miss::of_fault(SendFault::TimedOut)),
+    let (answer, failed) = tokio::select! {
+        result = result => match result {
+            Ok(result) => result?,
+            Err(_) => return Err(Miss::of_fault(SendFault::TimedOut)),
+        },
+        Ok(_) = over.wait_for(|over| *over) => return Err(Miss::of_fault(restarted())),
     };
     flight.begun();
     if !failed {
@@ -163,7 +167,7 @@
         known.state.succeed(seconds);
         let seen = Observation { tokens: 1.0, own: 1.0, seconds, is_clear: known.unread() == 0 };
         relay.engines().note(&known.server.service, seen);
-        relay.faults().succeed(&known.server.id, &route.name);
+        known.state.succeed_route(&route.name);
         relay.note_outcome(known, &route.name, Outcome::Answered(seconds));
     }
     if let Some(team) = &call.team {
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -1,35 +1,43 @@
 //! The backend servers that a relay knows: its parts of the list as the leader passes them on, and what
 //! this box has seen of each server.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use tokio::sync::{Notify, watch};
 
-use super::list::{ListIndex, ListPart, ListVersion, PartId, Print, Server};
+use super::call::Report;
+use super::list::{ListIndex, ListPart, ListVersion, Listed, PartId, Print, Server, ToldLife};
 use crate::blackboard::fleet::{BackendState, FlightGuard, Leaving};
 use crate::decide::choose::LoadWord;
+use crate::decide::lives::{DoubtBook, Heard, Life, Speaker};
 use crate::decide::loads::ToldLoad;
-use crate::ids::{BackendId, Incarnation, ServiceName};
+use crate::ids::{BackendId, Incarnation, ServerKey, ServiceName};
 use crate::member::table::fingerprint;
-use crate::units::Millis;
-
-/// The only life of a server: every start of one has an id of its own.
-const LIFE: Incarnation = Incarnation(1);
+use crate::units::{Millis, UnixMillis};
 
 /// How long a server that leaves is taken to stay when nothing says so.
 const LEAVE_TIME: Duration = Duration::from_secs(30);
 
-/// What a box knows of one backend server.
+/// Lives that one word to the leader tells at most: 2 KB. The others follow with the next words.
+const LIVES_TOLD: usize = 32;
+
+/// Servers remembered beside those that are listed: one may be back within a few readings of the list.
+const GONE_LIMIT: usize = 1_024;
+
+/// What a box knows of one backend server in one life. A later life of the server has another one.
 #[derive(Debug)]
 pub struct Known {
     /// What the platform lists.
     pub server: Server,
     /// A hash of its id: its place in the order of its service's servers.
     pub hash: u64,
-    /// What this box has seen.
+    /// The life, as far as it is known.
+    life: Life,
+    /// What this box has seen of this life.
     pub state: Arc<BackendState>,
     /// Prompt tokens of this box's requests that have not begun to run there.
     unread: Arc<AtomicU64>,
@@ -39,6 +47,7 @@
 pub struct Flight {
     known: Arc<Known>,
     prompt: u64,
+    over: watch::Receiver<bool>,
     _guard: FlightGuard,
 }
 
@@ -48,6 +57,12 @@
         &self.known
     }
 
+    /// Waits until the server is known to have started again: the request will not be answered.
+    pub async fn ended(&mut self) {
+        // The sender is in the state that this flight keeps, so the wait ends only with the life.
+        let _ = self.over.wait_for(|over| *over).await;
+    }
+
     /// Notes that the request has begun to run: its prompt is read.
     pub fn begun(&mut self) {
         self.known.unread.fetch_sub(self.prompt, Ordering::SeqCst);
@@ -65,7 +80,8 @@
     /// Counts a request with so many prompt tokens in flight.
     pub fn begin(self: &Arc<Self>, prompt: u64) -> Flight {
         self.unread.fetch_add(prompt, Ordering::SeqCst);
-        Flight { known: self.clone(), prompt, _guard: self.state.begin() }
+        let over = self.state.follow_end();
+        Flight { known: self.clone(), prompt, over, _guard: self.state.begin() }
     }
 
     /// Prompt tokens of this box's requests that it has still to read.
@@ -90,13 +106,30 @@
         Some(((load.running + load.waiting).saturating_sub(load.own), load.at))
     }
 
+    /// The life; 0 where nothing has told it.
+    pub fn life(&self) -> Incarnation {
+        self.life.told()
+    }
+
+    /// The server in this life.
+    pub fn key(&self) -> ServerKey {
+        ServerKey { id: self.server.id.clone(), life: self.life() }
+    }
+
     /// Notes that it is gone: its address answers for another server.
     pub fn leave_at_once(&self) {
-        if self.state.leave(Leaving { life: LIFE, gone: Instant::now() }) {
+        if self.leave(Duration::ZERO) {
             tracing::info!(event = "backend_server_gone", backend_server = %self.server.id);
         }
     }
 
+    /// Takes word that this life leaves within a time; `true` if new.
+    fn leave(&self, left: Duration) -> bool {
+        // The state is of this life alone, whatever it is called.
+        let life = Incarnation::default();
+        self.state.leave(Leaving { life, gone: Instant::now() + left })
+    }
+
     /// Whether it takes new requests.
     pub fn is_open(&self) -> bool {
         self.state.leaving().is_none()
@@ -108,12 +141,12 @@
 
 /// The backend servers known, found by service and by id.
 #[derive(Debug, Default)]
-struct Listed {
+struct KnownServers {
     by_service: BTreeMap<ServiceName, Servers>,
     by_id: HashMap<BackendId, Arc<Known>>,
 }
 
-impl Listed {
+impl KnownServers {
     /// The servers of `by_id`, by service as well.
     fn new(by_id: HashMap<BackendId, Arc<Known>>) -> Self {
         let mut servers: BTreeMap<ServiceName, Vec<_>> = BTreeMap::new();
@@ -176,21 +209,32 @@
     }
 
     /// The servers of all parts; those of the parts that are wanted come last.
-    fn servers(&self) -> impl Iterator<Item = Server> {
+    fn listed(&self) -> impl Iterator<Item = Listed> {
         let wanted = |part: &PartId| {
             self.index.iter().flat_map(|index| &index.parts).any(|(wanted, _)| wanted == part)
         };
         let (new, old): (Vec<_>, Vec<_>) = self.held.iter().partition(|(part, _)| wanted(part));
-        old.into_iter().chain(new).flat_map(|(_, part)| part.servers())
+        old.into_iter().chain(new).flat_map(|(_, part)| part.listed())
     }
 }
 
 /// The backend servers known.
 #[derive(Debug, Default)]
 pub struct ServerBook {
-    listed: ArcSwap<Listed>,
+    listed: ArcSwap<KnownServers>,
     told: ArcSwap<Told>,
     parts: Mutex<Parts>,
+    /// The lives of the servers that are known, or were a while ago.
+    lives: Mutex<HashMap<BackendId, Life>>,
+    /// The servers whose lives the leader's list does not show.
+    news: Mutex<BTreeSet<BackendId>>,
+    doubts: Mutex<DoubtBook>,
+    /// Told of each doubt.
+    doubted: Notify,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl ServerBook {
@@ -208,12 +252,19 @@
         }
     }
 
-    /// Takes the loads of servers that other boxes were told.
+    /// A server, as it is known now.
+    pub fn find(&self, id: &BackendId) -> Option<Arc<Known>> {
+        self.listed.load().by_id.get(id).cloned()
+    }
+
+    /// Takes the loads of servers that other boxes were told. One that was told by another life than the known
+    /// one says nothing of it.
     pub fn hear_loads(&self, loads: &[ToldLoad]) {
         let listed = self.listed.load();
         let mut told: BTreeMap<ServiceName, Vec<_>> = BTreeMap::new();
         for load in loads {
-            if let Some(known) = listed.by_id.get(&load.server) {
+            let known = listed.by_id.get(&load.server);
+            if let Some(known) = known.filter(|known| known.life.is_of(load.life)) {
                 let requests = load.faded(known.state.service_time()).round() as u32;
                 known.state.report(requests, 0, Duration::ZERO);
                 told.entry(known.server.service.clone()).or_default().push(known.clone());
@@ -223,6 +274,110 @@
         self.told.store(Arc::new(Told { at: Instant::now(), by_service: by_service.collect() }));
     }
 
+    /// Takes a server's own word of the life that it is in, as it answered where `asked` has it.
+    ///
+    /// Where it has started again, nothing that was known of it holds: it is open, and what runs in the
+    /// earlier life is over.
+    pub fn hear_life(&self, asked: &Known, told: Incarnation) -> Heard {
+        // No two words change the servers at the same time.
+        let _parts = self.parts();
+        let id = &asked.server.id;
+        let known = self.find(id).filter(|known| known.server.addr == asked.server.addr);
+        let Some(known) = known else {
+            return Heard::Earlier;
+        };
+        let mut life = known.life;
+        let heard = life.hear(told, Speaker::Server, UnixMillis::now());
+        if life == known.life {
+            return heard;
+        }
+        let renewed = match heard {
+            Heard::Another => Known::fresh(known.server.clone(), life),
+            Heard::Named | Heard::Same | Heard::Earlier | Heard::Unbelieved => {
+                known.with(known.server.clone(), life)
+            }
+        };
+        let mut by_id = self.listed.load().by_id.clone();
+        by_id.insert(id.clone(), Arc::new(renewed));
+        self.listed.store(Arc::new(KnownServers::new(by_id)));
+        lock(&self.lives).insert(id.clone(), life);
+        if matches!(heard, Heard::Named | Heard::Another) {
+            lock(&self.news).insert(id.clone());
+        }
+        if heard == Heard::Another {
+            end(&known, &life);
+        }
+        heard
+    }
+
+    /// Takes a server's report on itself, which it was asked for when `asked` was what was known of it.
+    pub fn hear_report(&self, asked: &Known, report: &Report) -> Heard {
+        let id = &asked.server.id;
+        let heard = self.hear_life(asked, report.life);
+        lock(&self.doubts).settle(id);
+        let Some(known) = self.find(id) else {
+            return heard;
+        };
+        // A report that names no life is of the one that was asked.
+        let is_own = match report.life.is_none() {
+            true => Arc::ptr_eq(&known.state, &asked.state),
+            false => known.life() == report.life,
+        };
+        if !is_own {
+            return heard;
+        }
+        if let Some(load) = report.load {
+            known.state.report(load.running, load.waiting, Duration::ZERO);
+        }
+        match report.leaving {
+            Some(true) => drop(known.leave(report.left.unwrap_or(LEAVE_TIME))),
+            // Its own word counts against an earlier notice only where the list agrees with it.
+            Some(false) if !known.server.leaving && known.state.stay() => {
+                tracing::info!(event = "backend_server_stays", backend_server = %id);
+            }
+            Some(false) | None => {}
+        }
+        heard
+    }
+
+    /// Notes that something makes doubt whether a server is in the life that is known.
+    pub fn doubt(&self, known: &Known) {
+        if known.state.is_over() {
+            return;
+        }
+        let random = rand::random();
+        if lock(&self.doubts).raise(&known.server.id, Instant::now(), random) {
+            self.doubted.notify_one();
+        }
+    }
+
+    /// The servers to ask for a report now; waits until there is one.
+    pub(super) async fn doubtful(&self) -> Vec<Arc<Known>> {
+        loop {
+            let (due, next) = {
+                let mut doubts = lock(&self.doubts);
+                (doubts.due(Instant::now()), doubts.next())
+            };
+            let due: Vec<_> = due.iter().filter_map(|id| self.find(id)).collect();
+            if !due.is_empty() {
+                return due;
+            }
+            let doubted = self.doubted.notified();
+            match next {
+                Some(next) => drop(tokio::time::timeout_at(next.into(), doubted).await),
+                None => doubted.await,
+            }
+        }
+    }
+
+    /// Lives that this box knows and the leader's list does not show, [`LIVES_TOLD`] at most.
+    pub fn lives_to_tell(&self) -> Vec<ToldLife> {
+        let news = lock(&self.news);
+        let known = news.iter().filter_map(|id| self.find(id));
+        let lives = known.map(|known| ToldLife { server: known.key(), addr: known.server.addr });
+        lives.take(LIVES_TOLD).collect()
+    }
+
     fn parts(&self) -> MutexGuard<'_, Parts> {
         self.parts.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -258,8 +413,8 @@
         self.rebuild(&parts);
     }
 
-    /// Takes parts of the list; the servers that are first seen leaving. One once seen leaving leaves for
-    /// good.
+    /// Takes parts of the list; the servers that are first seen leaving. A life once seen leaving leaves
+    /// for good, unless the server itself says that it stays.
     pub fn take_parts(&self, news: Vec<ListPart>) -> Vec<BackendId> {
         let mut parts = self.parts();
         for part in news {
@@ -276,35 +431,91 @@
     fn rebuild(&self, parts: &Parts) -> Vec<BackendId> {
         let held = self.listed.load();
         let (mut by_id, mut leaving) = (HashMap::new(), Vec::new());
-        for server in parts.servers() {
-            let (known, leaves) = update(held.by_id.get(&server.id), &server);
-            if leaves {
-                leaving.push(server.id.clone());
+        let (mut lives, mut news) = (lock(&self.lives), BTreeSet::new());
+        for listed in parts.listed() {
+            let id = listed.server.id.clone();
+            let before = by_id.get(&id).or(held.by_id.get(&id));
+            let life = lives.get(&id).copied();
+            let known = update(before, life, &listed);
+            let is_back = before.is_none() && life.is_some();
+            if is_back || before.is_some_and(|it| it.server.addr != known.server.addr) {
+                self.doubt(&known);
+            }
+            if listed.server.leaving && known.life.is_of(listed.life) {
+                let left = listed.server.leaves_in.map_or(LEAVE_TIME, Millis::duration);
+                if known.leave(left) {
+                    leaving.push(id.clone());
+                }
+            } else if !listed.server.leaving && !known.is_open() {
+                self.doubt(&known);
+            }
+            if before.is_some_and(|it| it.life() < known.life()) {
+                lock(&self.doubts).settle(&id);
             }
-            by_id.insert(server.id, known);
+            match known.life() > listed.life {
+                true => news.insert(id.clone()),
+                false => news.remove(&id),
+            };
+            lives.insert(id.clone(), known.life);
+            by_id.insert(id, known);
         }
-        self.listed.store(Arc::new(Listed::new(by_id)));
+        if lives.len() > 2 * by_id.len() + GONE_LIMIT {
+            lives.retain(|id, _| by_id.contains_key(id));
+        }
+        lock(&self.doubts).keep(|id| by_id.contains_key(id));
+        *lock(&self.news) = news;
+        self.listed.store(Arc::new(KnownServers::new(by_id)));
         leaving
     }
 }
 
-/// The entry for a listed server, with what was known of it, and whether it is now first seen leaving.
-fn update(known: Option<&Arc<Known>>, server: &Server) -> (Arc<Known>, bool) {
-    let leaving = server.leaving;
-    let left = server.leaves_in.map_or(LEAVE_TIME, Millis::duration);
-    let known = match known {
-        Some(known) if known.server == *server => known.clone(),
-        Some(known) => {
-            let (server, state) = (server.clone(), known.state.clone());
-            let unread = known.unread.clone();
-            Arc::new(Known { server, hash: known.hash, state, unread })
-        }
-        None => {
-            let (server, hash) = (server.clone(), fingerprint(server.id.as_str()));
-            let state = Arc::new(BackendState::default());
-            Arc::new(Known { server, hash, state, unread: Arc::default() })
-        }
+impl Known {
+    /// A life of a server of which nothing is known.
+    fn fresh(server: Server, life: Life) -> Self {
+        let (hash, state) = (fingerprint(server.id.as_str()), Arc::default());
+        Self { server, hash, life, state, unread: Arc::default() }
+    }
+
+    /// The same life of the server, with what is known of it.
+    fn with(&self, server: Server, life: Life) -> Self {
+        let (state, unread) = (self.state.clone(), self.unread.clone());
+        Self { server, hash: self.hash, life, state, unread }
+    }
+}
+
+/// The entry for a listed server with what was known of its life, if the list shows the same one. `life` is
+/// what was known of it when it was listed last.
+fn update(before: Option<&Arc<Known>>, life: Option<Life>, listed: &Listed) -> Arc<Known> {
+    let now = UnixMillis::now();
+    let mut life = life.unwrap_or_else(|| Life::seen_at(now));
+    let heard = life.hear(listed.life, Speaker::Other, now);
+    let Some(known) = before else {
+        return Arc::new(Known::fresh(listed.server.clone(), life));
     };
-    let leaves = leaving && known.state.leave(Leaving { life: LIFE, gone: Instant::now() + left });
-    (known, leaves)
+    if heard == Heard::Earlier {
+        return known.clone();
+    }
+    let is_named = !listed.life.is_none() && listed.life == known.life();
+    // A server keeps its address for its life, so at another address it is another one, told or not.
+    let moved = known.server.addr != listed.server.addr && !is_named;
+    if heard == Heard::Another || moved {
+        if moved && listed.life.is_none() {
+            life.restart(now);
+        }
+        end(known, &life);
+        return Arc::new(Known::fresh(listed.server.clone(), life));
+    }
+    match known.server == listed.server && known.life == life {
+        true => known.clone(),
+        false => Arc::new(known.with(listed.server.clone(), life)),
+    }
+}
+
+/// Ends what runs in a life that is over.
+fn end(known: &Known, next: &Life) {
+    known.state.end();
+    tracing::info!(
+        event = "backend_server_restarted", backend_server = %known.server.id, life = %next.told(),
+        before = %known.life(), in_flight = known.state.in_flight(),
+    );
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -13,7 +13,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{Miss, Origin, seconds_since, send};
+use super::attempt::{Miss, Origin, restarted, seconds_since, send};
 use super::call::Call;
 use super::course::Course;
 use super::events::{EventCutter, event_id};
@@ -116,7 +116,9 @@
                     event = "stream_given_up", id = call.head.id, backend_server = %known.server.id,
                     left_ms = call.left().as_millis() as u64,
                 );
-                known.state.fail();
+                if known.state.fail() {
+                    relay.servers.doubt(&known);
+                }
                 continue;
             }
             Some(Ok(Opening::Stream(opened))) => {
@@ -192,6 +194,7 @@
 ) -> Result<Opening, Miss> {
     let limit = call.left();
     let flight = known.begin(call.prompt());
+    let mut over = known.state.follow_end();
     let began = Instant::now();
     let opening = async {
         let reply = send(relay, call, route, known, origin, limit).await?;
@@ -208,9 +211,12 @@
         strip_hop_headers(&mut headers);
         Ok(Opening::Stream(Box::new(Opened { status, headers, source, first })))
     };
-    let opened = match tokio::time::timeout(limit, opening).await {
-        Ok(result) => result,
-        Err(_) => Err(Miss::of_fault(SendFault::TimedOut)),
+    let opened = tokio::select! {
+        opened = tokio::time::timeout(limit, opening) => match opened {
+            Ok(result) => result,
+            Err(_) => Err(Miss::of_fault(SendFault::TimedOut)),
+        },
+        Ok(_) = over.wait_for(|over| *over) => Err(Miss::of_fault(restarted())),
     };
     match &opened {
         Ok(Opening::Stream(_)) => {
@@ -218,7 +224,10 @@
                 known.state.note_prefixes(&[part.id], PARTS_KEPT);
             }
         }
-        Err(Miss::Unknown { .. }) => drop(known.state.fail()),
+        Err(Miss::Unknown { .. }) => {
+            known.state.fail();
+            relay.servers.doubt(known);
+        }
         Ok(Opening::Whole(..)) | Err(Miss::NotRun { .. }) => {}
     }
     opened
@@ -380,7 +389,7 @@
                     relay.engines().note_served(course.service(), progress.is_late(&route));
                     progress.note_pace(&relay, course.service(), &call);
                     known.state.succeed(seconds_since(source.began));
-                    relay.faults().succeed(&known.server.id, &route.name);
+                    known.state.succeed_route(&route.name);
                     let factor = seconds_since(source.began) / expected_time(&relay, &course, &progress);
                     relay.note_outcome(known, &route.name, Outcome::Answered(factor));
                     break;
@@ -437,7 +446,11 @@
     if !ready.is_empty() {
         return Ok(Some(ready));
     }
-    match source.exchange.next(silence).await? {
+    let came = tokio::select! {
+        came = source.exchange.next(silence) => came?,
+        () = source.flight.ended() => return Err(restarted()),
+    };
+    match came {
         Some(piece) => {
             source.cutter.push(&piece);
             progress.take(source).map(Some)
@@ -472,6 +485,7 @@
 ) {
     let known = source.flight.known();
     known.state.fail();
+    relay.servers.doubt(known);
     relay.note_outcome(known, &route.name, Outcome::Failed);
     tracing::info!(
         event = "stream_broke", id = call.head.id, route = route.name,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -34,6 +34,7 @@
     attempts: Counter<u64>,
     resumes: Counter<u64>,
     policy_faults: Counter<u64>,
+    reports: Counter<u64>,
     gauges: Gauges,
 }
 
@@ -64,6 +65,7 @@
             attempts: counter("emberturn_attempts", "Attempts by backend server and outcome"),
             resumes: counter("emberturn_resumes", "Streams moved to another engine, by way"),
             policy_faults: counter("emberturn_policy_faults", "Policy runs that failed"),
+            reports: counter("emberturn_reports", "Backend servers asked for a report, by outcome"),
             first_token,
             gauges: Gauges::new(&meter),
             registry,
@@ -103,6 +105,11 @@
         self.policy_faults.add(1, &[KeyValue::new("policy", policy.to_owned())]);
     }
 
+    /// Counts a backend server that was asked for a report on itself.
+    pub fn count_report(&self, outcome: &str) {
+        self.reports.add(1, &[outcome_label(outcome)]);
+    }
+
     /// All metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/units.rs
+++ b/src/units.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::ops::{Add, AddAssign, Sub};
 use std::str::FromStr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
@@ -95,6 +95,21 @@
     }
 }
 
+/// A moment, in milliseconds since the start of 1970.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct UnixMillis(pub u64);
+
+impl UnixMillis {
+    /// Now, by this box's clock.
+    pub fn now() -> Self {
+        let passed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self(u64::try_from(passed.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
 impl From<Duration> for Millis {
     fn from(duration: Duration) -> Self {
         Self(duration.as_millis().min(u128::from(u64::MAX)) as u64)
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -8,7 +8,7 @@
 };
 use emberturn::decide::engine::EngineModel;
 use emberturn::decide::loads::{LoadPool, ToldLoad};
-use emberturn::ids::BackendId;
+use emberturn::ids::{BackendId, Incarnation};
 use emberturn::units::Millis;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -228,7 +228,8 @@
         let mut pool = LoadPool::default();
         let mut newest = HashMap::new();
         for (server, requests, age) in words {
-            let told = ToldLoad { server: id(server), requests, age: Millis(age) };
+            let life = Incarnation(0);
+            let told = ToldLoad { server: id(server), life, requests, age: Millis(age) };
             pool.hear(vec![told], now);
             let held = newest.entry(id(server)).or_insert((age, requests));
             if age < held.0 {
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -8,18 +8,20 @@
 use emberturn::backend::Pool;
 use emberturn::blackboard::Blackboard;
 use emberturn::decide::allowance::Allowed;
-use emberturn::ids::Term;
+use emberturn::ids::{Incarnation, ServerKey, Term};
 use emberturn::platform::{PlatformDialect, document};
-use emberturn::relay::list::{ListIndex, Server};
+use emberturn::relay::list::{ListIndex, Server, ToldLife};
 use emberturn::relay::list_book::ListBook;
 use emberturn::relay::listen::Listeners;
-use emberturn::relay::{Relay, RelayParts};
+use emberturn::relay::servers::Known;
+use emberturn::relay::{Relay, RelayParts, lives};
 use emberturn::settings::Settings;
 use emberturn::telemetry::Metrics;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
 
 /// How long a test waits for what must come.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -53,6 +55,17 @@
     PauseAfterFirst(u64, Duration),
 }
 
+/// What a stand-in says of its life.
+#[derive(Debug, Clone, Copy)]
+pub enum Tells {
+    /// Nothing, and it moves runs that it is asked to move.
+    Nothing,
+    /// Its life; it knows no run to move.
+    Life(u64),
+    /// The same, but it gives no report.
+    LifeInMoves(u64),
+}
+
 /// A request as it reached a stand-in.
 #[derive(Debug, Clone)]
 pub struct Seen {
@@ -73,30 +86,53 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     count: watch::Receiver<usize>,
     gone: watch::Receiver<usize>,
+    reports: watch::Receiver<usize>,
+    running: JoinHandle<()>,
 }
 
 impl StandIn {
     /// Starts one that does the acts in turn, and the last of them from then on.
     pub async fn start(id: &str, acts: &[Act]) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_at(id, "127.0.0.1:0".parse().unwrap(), Tells::Nothing, acts).await
+    }
+
+    /// Starts one in a life that it tells, at an address.
+    pub async fn start_at(id: &str, addr: SocketAddr, tells: Tells, acts: &[Act]) -> Self {
+        let listener = TcpListener::bind(addr).await.unwrap();
         let addr = listener.local_addr().unwrap();
         let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
         let (counted, count) = watch::channel(0);
         let (left, gone) = watch::channel(0);
         let (acts, held) = (acts.to_vec(), seen.clone());
         let (counted, left) = (Arc::new(counted), Arc::new(left));
-        let moved = Arc::new(watch::Sender::new(false));
-        tokio::spawn(async move {
+        let itself = Arc::new(Itself { tells, ..Itself::default() });
+        let reports = itself.reports.subscribe();
+        let running = tokio::spawn(async move {
+            // With this task all connections end.
+            let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 let (acts, held) = (acts.clone(), held.clone());
-                let (counted, left, moved) = (counted.clone(), left.clone(), moved.clone());
-                tokio::spawn(async move {
-                    let _ = talk(stream, &acts, &held, &counted, &moved).await;
+                let (counted, left, itself) = (counted.clone(), left.clone(), itself.clone());
+                connections.spawn(async move {
+                    let _ = talk(stream, &acts, &held, &counted, &itself).await;
                     left.send_modify(|count| *count += 1);
                 });
             }
         });
-        Self { id: id.to_owned(), addr, seen, count, gone }
+        Self { id: id.to_owned(), addr, seen, count, gone, reports, running }
+    }
+
+    /// Kills it: its connections break, and nobody listens at its address.
+    pub async fn kill(self) -> SocketAddr {
+        self.running.abort();
+        let _ = self.running.await;
+        self.addr
+    }
+
+    /// Waits until it was asked for a report so many times.
+    pub async fn wait_reports(&mut self, wanted: usize) {
+        let waiting = self.reports.wait_for(|count| *count >= wanted);
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap().unwrap();
     }
 
     /// The requests so far.
@@ -132,6 +168,50 @@
     }
 }
 
+/// What a stand-in says of itself.
+struct Itself {
+    /// Its life, where it tells it.
+    tells: Tells,
+    /// Whether a run was moved.
+    moved: watch::Sender<bool>,
+    /// Reports it was asked for.
+    reports: watch::Sender<usize>,
+}
+
+impl Default for Itself {
+    fn default() -> Self {
+        let (moved, reports) = (watch::Sender::new(false), watch::Sender::new(0));
+        Self { tells: Tells::Nothing, moved, reports }
+    }
+}
+
+impl Itself {
+    /// Its report, or a word that there is none.
+    fn report(&self) -> String {
+        self.reports.send_modify(|count| *count += 1);
+        let Tells::Life(born) = self.tells else {
+            return "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_owned();
+        };
+        let body = json!({"born": born, "state": "ready", "num_running": 1, "num_waiting": 0});
+        Self::answer("200 OK", &body)
+    }
+
+    /// Its answer to a move: in a life that it tells, it knows no run.
+    fn moved(&self) -> String {
+        match self.tells {
+            Tells::Nothing => Self::answer("200 OK", &json!({"handle": "h-1", "made": 2})),
+            Tells::Life(born) | Tells::LifeInMoves(born) => {
+                Self::answer("404 Not Found", &json!({ "born": born }))
+            }
+        }
+    }
+
+    fn answer(status: &str, body: &Value) -> String {
+        let body = body.to_string();
+        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    }
+}
+
 /// Reads one request; `None` at the end of the connection.
 pub async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<Seen>> {
     let mut held = Vec::new();
@@ -171,14 +251,16 @@
     acts: &[Act],
     seen: &Mutex<Vec<Seen>>,
     counted: &watch::Sender<usize>,
-    moved: &watch::Sender<bool>,
+    itself: &Itself,
 ) -> std::io::Result<()> {
     while let Some(request) = read_request(&mut stream).await? {
+        if request.line.starts_with("GET /report ") {
+            stream.write_all(itself.report().as_bytes()).await?;
+            continue;
+        }
         if request.line.starts_with("POST /kv-move ") {
-            moved.send_replace(true);
-            let body = r#"{"handle":"h-1","made":2}"#;
-            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-            stream.write_all(text.as_bytes()).await?;
+            itself.moved.send_replace(true);
+            stream.write_all(itself.moved().as_bytes()).await?;
             continue;
         }
         let place = {
@@ -188,7 +270,7 @@
         };
         counted.send_replace(place);
         let act = acts.get(place - 1).or(acts.last()).unwrap();
-        if !perform(&mut stream, act, &request, moved).await? {
+        if !perform(&mut stream, act, &request, &itself.moved).await? {
             return Ok(());
         }
     }
@@ -368,6 +450,7 @@
             closing: follow,
         }));
         Listeners::open(&relay).await.unwrap().serve(&relay);
+        tokio::spawn(lives::run(relay.clone()));
         Self { addr, ready, board, relay, leader: Mutex::default(), _closing: closing }
     }
 
@@ -418,6 +501,29 @@
         assert!(self.relay.servers.lacking().is_empty());
     }
 
+    /// Has the leader hear a box's word of the life of a server, which goes out with the next list.
+    pub fn tell_life(&self, server: &StandIn, life: u64) {
+        let key = ServerKey { id: server.id.parse().unwrap(), life: Incarnation(life) };
+        let told = ToldLife { server: key, addr: server.addr };
+        self.leader.lock().unwrap().hear_life(&told, Instant::now());
+    }
+
+    /// What the relay knows of a server.
+    pub fn known(&self, id: &str) -> Arc<Known> {
+        self.relay.servers.find(&id.parse().unwrap()).unwrap()
+    }
+
+    /// Waits until the relay knows a server in a life.
+    pub async fn wait_life(&self, id: &str, life: u64) -> Arc<Known> {
+        let waiting = async {
+            while self.known(id).life() != Incarnation(life) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap();
+        self.known(id)
+    }
+
     /// Has the relay prefer every other server to this one.
     pub fn set_aside(&self, id: &str) {
         let servers = self.relay.servers.of(&"svc".parse().unwrap());
