Entries that cannot be read name no server, and the others hold

Cause: a page of the platform's list was read as one strict value. One entry with a missing field, another type, an unknown state or bytes that are no text voided every later reading, so nobody heard of servers that left, went or came.

Change: backend/fields takes JSON apart by its bytes and reads each field alone. platform/list reads entries with it; relay/listing settles a reading: ids that are there twice, and servers whose entry cannot be read any more, which stay as long as an entry with their id (or address, where the id cannot be read) is shown. Each entry that names nobody is counted by its reason and said once. Reports, answers to moves and engines' loads are read field by field. The group keeps the releases of 64 services at most that no document names.

Conclusion: whoever else writes into the list costs its own entries only.

--- a/fakes/src/http.rs
+++ b/fakes/src/http.rs
@@ -61,7 +61,12 @@
 
 /// A plain-text answer with the given status.
 pub fn text(status: StatusCode, value: &str) -> Reply {
-    let body = Full::new(Bytes::from(value.to_owned()));
+    bytes(status, Bytes::from(value.to_owned()))
+}
+
+/// An answer of these bytes with the given status.
+pub fn bytes(status: StatusCode, value: Bytes) -> Reply {
+    let body = Full::new(value);
     let mut reply = Response::new(body.map_err(|never| match never {}).boxed_unsync());
     *reply.status_mut() = status;
     reply
--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
 
+use super::fields::Fields;
 use super::pool::{Exchange, Pool, Reuse, SendFault};
 use super::sse::EventReader;
 use crate::ids::{AttemptId, Incarnation};
@@ -243,23 +244,34 @@
 }
 
 /// An engine's load report.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
 pub struct Load {
     /// Requests running.
     pub running: u32,
     /// Requests waiting.
     pub waiting: u32,
     /// How old the report is, in milliseconds.
-    #[serde(default)]
     pub age_ms: u64,
     /// Milliseconds until its box goes, when the engine knows that it does.
-    #[serde(default)]
     pub leaving_ms: Option<u64>,
     /// Which life of its box it runs in, when it knows.
-    #[serde(default)]
     pub incarnation: Option<Incarnation>,
 }
 
+impl Load {
+    /// Reads a report. What cannot be read beside the load itself is not told.
+    pub fn read(body: &[u8]) -> Option<Self> {
+        let fields = Fields::of(body)?;
+        Some(Self {
+            running: fields.get("running")?,
+            waiting: fields.get("waiting")?,
+            age_ms: fields.get("age_ms").unwrap_or(0),
+            leaving_ms: fields.get("leaving_ms"),
+            incarnation: fields.get("incarnation"),
+        })
+    }
+}
+
 /// Asks an engine for its load.
 ///
 /// # Errors
@@ -271,7 +283,7 @@
         .map_err(|error| EngineFault::NotRun(error.to_string()))?;
     let exchange = pool.send(addr, request, limit, Reuse::Any).await?;
     let body = exchange.read_whole(SMALL_BODY, limit).await?;
-    serde_json::from_slice(&body).map_err(|error| EngineFault::Invalid(error.to_string()))
+    Load::read(&body).ok_or_else(|| EngineFault::Invalid("it is no load report".to_owned()))
 }
 
 #[derive(Debug, Deserialize)]
--- a/platform/fields.rs
+++ b/src/backend/fields.rs
@@ -5,7 +5,7 @@
 
 use serde::de::DeserializeOwned;
 
-/// Levels of lists and objects inside each other at most; what the platform says has four.
+/// Levels of lists and objects inside each other at most: answers have a few.
 const DEPTH_LIMIT: usize = 64;
 
 /// An object's members, their names and values as they came.
@@ -25,10 +25,11 @@
         Some(Self { members: members.collect::<Option<_>>()? })
     }
 
-    /// The bytes of a member's value.
+    /// The bytes of a member's value; none where it is there twice.
     pub fn raw(&self, name: &str) -> Option<&'a [u8]> {
-        let found = self.members.iter().find(|(member, _)| *member == name.as_bytes());
-        found.map(|(_, value)| *value)
+        let mut found = self.members.iter().filter(|(member, _)| *member == name.as_bytes());
+        let (_, value) = found.next()?;
+        found.next().is_none().then_some(*value)
     }
 
     /// A member's value, if it can be read.
@@ -38,7 +39,9 @@
 
     /// Whether a member is there and not null.
     pub fn has(&self, name: &str) -> bool {
-        self.raw(name).is_some_and(|value| value != b"null")
+        let named =
+            |(member, value): &&(&[u8], &[u8])| *member == name.as_bytes() && *value != b"null";
+        self.members.iter().any(|member| named(&member))
     }
 }
 
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -4,6 +4,7 @@
 //! that no byte of the request left; anything else leaves open whether the request ran.
 
 pub mod engine;
+pub mod fields;
 pub mod pool;
 pub mod sse;
 
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -9,9 +9,10 @@
 
 use super::lead::Lead;
 use super::{notes, rollouts};
-use crate::ids::{Term, Window};
+use crate::ids::{BackendId, Term, Window};
 use crate::node::Node;
 use crate::platform::client::{Client, Duty, DutyAnswer};
+use crate::relay::listing::Unread;
 use crate::relay::usage::window_at;
 use crate::settings::CloudSettings;
 use crate::state::usage::Settle;
@@ -96,10 +97,16 @@
 
 async fn read_list(node: &Node, client: &Client, term: Term) {
     match client.list(CLOUD_TIME).await {
-        Ok(servers) => node.with_lead(term, |lead| {
-            let (count, leaving) = (servers.len(), servers.iter().filter(|it| it.leaving).count());
+        Ok(listing) => node.with_lead(term, |lead| {
             let now = Instant::now();
-            if let Some(version) = lead.list.put(term, servers, now) {
+            let version = lead.list.put(term, listing, now);
+            for unread in lead.first_unread() {
+                say_unread(node, &unread);
+            }
+            if let Some(version) = version {
+                let servers = lead.list.servers();
+                let (count, leaving) =
+                    (servers.len(), servers.iter().filter(|it| it.leaving).count());
                 lead.loads.follow(lead.list.keys(), now);
                 node.listed.notify_waiters();
                 tracing::info!(
@@ -120,6 +127,15 @@
     }
 }
 
+/// Counts an entry that names no server, and says what is wrong with it.
+fn say_unread(node: &Node, unread: &Unread) {
+    node.metrics.count_unread_entry(unread.fault.name());
+    tracing::warn!(
+        event = "list_entry_unread", backend_server = unread.id.as_ref().map(BackendId::as_str),
+        addr = unread.addr.map(|addr| addr.to_string()), reason = %unread.fault,
+    );
+}
+
 /// Orders the engines that are due.
 async fn order(node: &Node, client: &Client, term: Term) {
     let duty = Duty { holder: node.settings.node.box_id.clone(), fence: term };
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -26,6 +26,7 @@
 use crate::relay::RELAYS_GUESSED;
 use crate::relay::list::{ListPart, PartId, Server, ToldLife};
 use crate::relay::list_book::ListBook;
+use crate::relay::listing::Unread;
 use crate::relay::table::RouteTable;
 use crate::relay::usage::Counts;
 use crate::settings::CloudSettings;
@@ -51,6 +52,13 @@
 /// leader relays times relays.
 const SWEEP_TIME: Duration = Duration::from_millis(100);
 
+/// Services that no document names of which the group is had to keep a release in one term at most: entries of
+/// other writers may name any.
+const UNNAMED_LIMIT: usize = 64;
+
+/// Entries of the list that cannot be read said in one term at most: whoever writes them may write many.
+const UNREAD_LIMIT: usize = 256;
+
 /// What one life of a relay has told.
 struct Word {
     heard: Instant,
@@ -103,6 +111,10 @@
     told: u32,
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) list: ListBook,
+    /// Services that are listed and were not published when their release was noted.
+    unnamed: BTreeSet<ServiceName>,
+    /// The entries that cannot be read and were said.
+    unread: BTreeSet<Unread>,
     /// What backend servers told the relays of their loads.
     pub(super) loads: LoadPool,
     pub(super) settled: Window,
@@ -132,6 +144,8 @@
             told: 0,
             table: None,
             list: ListBook::default(),
+            unnamed: BTreeSet::new(),
+            unread: BTreeSet::new(),
             loads: LoadPool::default(),
             settled: Window(0),
             spender: Spender::new(first, weights),
@@ -194,6 +208,17 @@
         }
     }
 
+    /// The entries of the last reading of the list that cannot be read, each said once in a term.
+    pub(super) fn first_unread(&mut self) -> Vec<Unread> {
+        let mut first = Vec::new();
+        for unread in self.list.unread() {
+            if self.unread.len() < UNREAD_LIMIT && self.unread.insert(unread.clone()) {
+                first.push(unread.clone());
+            }
+        }
+        first
+    }
+
     /// Takes a relay's words of lives. All relays hear of them with the next reading of the list.
     fn hear_lives(&mut self, lives: Vec<ToldLife>, now: Instant) {
         for told in lives {
@@ -319,9 +344,20 @@
         self.spender.orders(now, table, &self.engines, &servers)
     }
 
+    /// Whether the group keeps releases of a service: of those that are published, and of some that are not
+    /// yet, so that they serve from their publication on.
+    fn is_kept(&mut self, service: &ServiceName) -> bool {
+        let published =
+            self.table.as_ref().is_some_and(|table| table.services.contains_key(service));
+        if published || self.unnamed.contains(service) {
+            return true;
+        }
+        self.unnamed.len() < UNNAMED_LIMIT && self.unnamed.insert(service.clone())
+    }
+
     /// The releases that run of the services of which the group knows none, if there are any: of each the
     /// one with the most servers.
-    pub(super) fn unknown_releases(&self) -> Option<BTreeMap<ServiceName, Release>> {
+    pub(super) fn unknown_releases(&mut self) -> Option<BTreeMap<ServiceName, Release>> {
         let mut counts: BTreeMap<&ServiceName, BTreeMap<&Release, usize>> = BTreeMap::new();
         for server in self.list.servers() {
             if self.rollouts.in_force(&server.service).is_none()
@@ -335,7 +371,8 @@
             let (release, _) = releases.into_iter().max_by_key(|(_, count)| *count)?;
             Some((service.clone(), release.clone()))
         });
-        let running: BTreeMap<_, _> = most.collect();
+        let mut running: BTreeMap<_, _> = most.collect();
+        running.retain(|service, _| self.is_kept(service));
         (!running.is_empty()).then_some(running)
     }
 
--- a/src/relay/list_book.rs
+++ b/src/relay/list_book.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::list::{ListIndex, ListPart, ListVersion, Listed, PartId, Print, Server, ToldLife};
+use super::listing::{Listing, Unread};
 use crate::decide::lives::{Heard, Life, Moment, Speaker};
 use crate::decide::subset::{chosen, part_bits, part_place, parts_taken};
 use crate::ids::{BackendId, BoxId, DataCentre, Release, ServerKey, ServiceName, Term};
@@ -42,6 +43,8 @@
     version: ListVersion,
     /// What the platform lists.
     read: Vec<Server>,
+    /// The entries that name no server.
+    unread: Vec<Unread>,
     /// When that was read.
     read_at: Option<Moment>,
     /// The same, each server as it is in its life.
@@ -93,29 +96,34 @@
         listed.map(|it| ServerKey { id: it.server.id.clone(), life: it.life })
     }
 
-    /// Takes servers as they were read just now by the leader of `term`; the version of their list if
+    /// The entries of the last reading that name no server.
+    pub fn unread(&self) -> &[Unread] {
+        &self.unread
+    }
+
+    /// Takes what was read just now by the leader of `term`; the version of their list if
     /// it says something new.
     pub fn put(
         &mut self,
         term: Term,
-        servers: Vec<Server>,
+        listing: impl Into<Listing>,
         now: impl Into<Moment>,
     ) -> Option<ListVersion> {
         let now = now.into();
-        if !self.stale && !self.is_empty() && self.is_read_again(&servers, now.at) {
+        let passed = self.read_at.map(|read| now.at.saturating_duration_since(read.at));
+        let passed = passed.unwrap_or_default();
+        let listing = listing.into().settle(&self.read, passed);
+        self.unread = listing.unread;
+        if !self.stale && !self.is_empty() && self.is_read_again(&listing.servers, passed) {
             return None;
         }
-        self.read = servers;
+        self.read = listing.servers;
         self.read_at = Some(now);
         self.renew(term, now)
     }
 
     /// Whether a reading says what the last one did. The time that is left has passed meanwhile.
-    fn is_read_again(&self, servers: &[Server], now: Instant) -> bool {
-        let Some(read) = self.read_at else {
-            return false;
-        };
-        let passed = now.saturating_duration_since(read.at);
+    fn is_read_again(&self, servers: &[Server], passed: Duration) -> bool {
         let same = |(old, new): (&Server, &Server)| old.is_again(new, passed, LEFT_SLACK);
         self.read.len() == servers.len() && self.read.iter().zip(servers).all(same)
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,7 +7,8 @@
 //! - [`table`] is the table of routes, checked as a whole; [`call`] a request and what is known of it.
 //! - [`dialect`] is the edge to the words of callers and backend servers: pure functions from heads
 //!   to types and back.
-//! - [`list_book`] is the leader's list of backend servers, [`list`] what goes from it to boxes, [`servers`] what is known of them, [`engines`] what was learned of them.
+//! - [`listing`] is a reading of the list of backend servers, [`list_book`] the leader's list, [`list`] what
+//!   goes from it to boxes, [`servers`] what is known of them, [`engines`] what was learned of them.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send, [`course`] all sends of one call.
 //! - [`lives`] asks servers in which life they are.
@@ -27,6 +28,7 @@
 pub mod list;
 pub mod list_book;
 pub mod listen;
+pub mod listing;
 pub mod lives;
 pub(crate) mod moving;
 pub mod offered;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -35,6 +35,7 @@
     resumes: Counter<u64>,
     policy_faults: Counter<u64>,
     reports: Counter<u64>,
+    unread_entries: Counter<u64>,
     gauges: Gauges,
 }
 
@@ -66,6 +67,10 @@
             resumes: counter("emberturn_resumes", "Streams moved to another engine, by way"),
             policy_faults: counter("emberturn_policy_faults", "Policy runs that failed"),
             reports: counter("emberturn_reports", "Backend servers asked for a report, by outcome"),
+            unread_entries: counter(
+                "emberturn_list_entries_unread",
+                "Entries of the list of backend servers that name none, by reason",
+            ),
             first_token,
             gauges: Gauges::new(&meter),
             registry,
@@ -110,6 +115,11 @@
         self.reports.add(1, &[outcome_label(outcome)]);
     }
 
+    /// Counts an entry of the list of backend servers that names none.
+    pub fn count_unread_entry(&self, reason: &'static str) {
+        self.unread_entries.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// All metrics in the Prometheus text format.
     ///
     /// # Errors
