A server that tells no life rests 30 s; loads of a life that is over are not drawn from

Cause: an engine of a platform that tells no lives was asked again at each new failure, once a second; for up to 1.2 s a box drew servers from the leader's last loads, which held the former life of one that had started again.

Change: the doubt of a server that answered without a life rests as long as the longest pause; the leader's last loads are dropped with a life. An engine that says of itself that it leaves has a line in the log.

Tests: two in tests/server_lives.rs, seen to fail with each of the three mechanisms switched off.

--- a/src/decide/lives.rs
+++ b/src/decide/lives.rs
@@ -159,8 +159,8 @@
 struct Doubt {
     /// When it is asked next.
     next: Instant,
-    /// When it was asked last.
-    asked: Option<Instant>,
+    /// Before when it is not asked.
+    rests: Option<Instant>,
     /// Questions since the doubt arose.
     tries: u32,
     /// Whether there is something to ask.
@@ -182,9 +182,9 @@
         if held.is_some_and(|doubt| doubt.open) {
             return false;
         }
-        let asked = held.and_then(|doubt| doubt.asked);
-        let next = asked.map_or(soon, |asked| soon.max(asked + PAUSE));
-        self.doubts.insert(server.clone(), Doubt { next, asked, tries: 0, open: true });
+        let rests = held.and_then(|doubt| doubt.rests);
+        let next = rests.map_or(soon, |rests| soon.max(rests));
+        self.doubts.insert(server.clone(), Doubt { next, rests, tries: 0, open: true });
         true
     }
 
@@ -192,7 +192,7 @@
     pub fn due(&mut self, now: Instant) -> Vec<BackendId> {
         let due = self.doubts.iter_mut().filter(|(_, doubt)| doubt.open && doubt.next <= now);
         let due = due.take(DUE_LIMIT).map(|(server, doubt)| {
-            doubt.asked = Some(now);
+            doubt.rests = Some(now + PAUSE);
             doubt.tries += 1;
             doubt.open = doubt.tries < ASK_LIMIT;
             let pause = PAUSE * 2u32.pow(doubt.tries.min(8));
@@ -214,6 +214,14 @@
         }
     }
 
+    /// Notes that a server answered and told no life: to ask it again soon is of little use.
+    pub fn settle_untold(&mut self, server: &BackendId, now: Instant) {
+        self.settle(server);
+        if let Some(doubt) = self.doubts.get_mut(server) {
+            doubt.rests = Some(now + PAUSE_LIMIT);
+        }
+    }
+
     /// Forgets the servers that are not there.
     pub fn keep(&mut self, is_there: impl Fn(&BackendId) -> bool) {
         self.doubts.retain(|server, _| is_there(server));
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -306,6 +306,7 @@
         }
         if heard == Heard::Another {
             end(&known, &life);
+            self.told.store(Arc::default());
         }
         heard
     }
@@ -314,7 +315,10 @@
     pub fn hear_report(&self, asked: &Known, report: &Report) -> Heard {
         let id = &asked.server.id;
         let heard = self.hear_life(asked, report.life);
-        lock(&self.doubts).settle(id);
+        match report.life.is_none() {
+            true => lock(&self.doubts).settle_untold(id, Instant::now()),
+            false => lock(&self.doubts).settle(id),
+        }
         let Some(known) = self.find(id) else {
             return heard;
         };
@@ -330,12 +334,14 @@
             known.state.report(load.running, load.waiting, Duration::ZERO);
         }
         match report.leaving {
-            Some(true) => drop(known.leave(report.left.unwrap_or(LEAVE_TIME))),
+            Some(true) if known.leave(report.left.unwrap_or(LEAVE_TIME)) => {
+                tracing::info!(event = "backend_servers_leaving", count = 1, servers = %id);
+            }
             // Its own word counts against an earlier notice only where the list agrees with it.
             Some(false) if !known.server.leaving && known.state.stay() => {
                 tracing::info!(event = "backend_server_stays", backend_server = %id);
             }
-            Some(false) | None => {}
+            Some(_) | None => {}
         }
         heard
     }
@@ -437,6 +443,10 @@
             let before = by_id.get(&id).or(held.by_id.get(&id));
             let life = lives.get(&id).copied();
             let known = update(before, life, &listed);
+            if before.is_some_and(|it| it.state.is_over()) {
+                // What the leader told last may be of the former life.
+                self.told.store(Arc::default());
+            }
             let is_back = before.is_none() && life.is_some();
             if is_back || before.is_some_and(|it| it.server.addr != known.server.addr) {
                 self.doubt(&known);
--- a/tests/server_lives.rs
+++ b/tests/server_lives.rs
@@ -391,6 +391,30 @@
     assert_eq!(doubts.next(), None);
 }
 
+#[test]
+fn server_that_tells_no_life_is_rarely_asked() {
+    let (mut doubts, start) = (DoubtBook::default(), Instant::now());
+    let id: BackendId = server(false).id;
+    doubts.raise(&id, start, 0.0);
+    assert_eq!(doubts.due(start), std::slice::from_ref(&id));
+    doubts.settle_untold(&id, start);
+    doubts.raise(&id, start, 0.0);
+    assert_eq!(doubts.next(), Some(start + Duration::from_secs(30)));
+}
+
+#[test]
+fn leaders_last_loads_name_no_life_that_is_over() {
+    let mut hearer = Hearer::new(former());
+    let (load, service) = (Word::Load(3), "svc".parse().unwrap());
+    hearer.hear(hearer.first.life(), load);
+    assert_eq!(hearer.book.told(&service).len(), 1);
+    hearer.hear(later(), Word::List(false));
+    assert!(hearer.book.told(&service).is_empty());
+    hearer.hear(hearer.sees().0, load);
+    hearer.book.hear_life(&known(&hearer.book), Incarnation(later().0 + 5_000));
+    assert!(hearer.book.told(&service).is_empty());
+}
+
 fn listed(server: &StandIn, leaving: bool) -> Server {
     let leaves_in = leaving.then_some(Millis(2_500));
     Server { leaving, leaves_in, ..server.listed("svc") }
