Words of lives leave no field out

Cause: fields that are skipped where there is nothing to tell cannot go through a codec without names, in which the parts of the list and the beats are to be packed.

Change: the life in the list's parts, in told loads and in a box's words of lives is always written; none is 0.

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -61,7 +61,6 @@
     /// Loads that backend servers told it since its last word.
     pub loads: Vec<ToldLoad>,
     /// Lives of backend servers that the leader's list did not show.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub lives: Vec<ToldLife>,
     /// Which of the words of this life this is.
     pub turn: u64,
--- a/src/decide/loads.rs
+++ b/src/decide/loads.rs
@@ -26,7 +26,6 @@
     /// The server.
     pub server: BackendId,
     /// The life in which it told it; 0 where nothing tells lives.
-    #[serde(default, skip_serializing_if = "Incarnation::is_none")]
     pub life: Incarnation,
     /// Requests there, running and waiting.
     pub requests: u32,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -191,7 +191,6 @@
     /// The server.
     pub id: BackendId,
     /// The life; [`Incarnation`] 0 where nothing tells it.
-    #[serde(default)]
     pub life: Incarnation,
 }
 
--- a/src/relay/list.rs
+++ b/src/relay/list.rs
@@ -73,7 +73,6 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldLife {
     /// The server in its life.
-    #[serde(flatten)]
     pub server: ServerKey,
     /// Where it answered: at another address it is in another life.
     pub addr: SocketAddr,
@@ -235,7 +234,6 @@
     leaving: bool,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     leaves_in: Option<Millis>,
-    #[serde(default, skip_serializing_if = "Incarnation::is_none")]
     life: Incarnation,
 }
 
