--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions: pure functions and state machines that take time, randomness and what is known as
 //! arguments and do no I/O.
 //!
+//! - [`memory`]: what a box keeps in memory, and when it takes no more; [`slowness`]: whom it lets go.
 //! - [`policy`]: operators' short programs that say where work goes and what may wait.
 //! - [`admit`]: whether a request may run now, within its team's limits.
 //! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
@@ -29,6 +30,7 @@
 pub mod faults;
 pub mod level;
 pub mod loads;
+pub mod memory;
 pub mod policy;
 pub mod queue;
 pub mod reclaim;
@@ -37,6 +39,7 @@
 pub mod rollout;
 pub mod route;
 pub mod share;
+pub mod slowness;
 pub mod spend;
 pub mod subset;
 pub mod topology;
--- a/src/error.rs
+++ b/src/error.rs
@@ -76,6 +76,8 @@
     Draining,
     /// The node has more callers than it may have.
     TooManyCallers,
+    /// The node has no memory left for the request.
+    NoMemory,
     /// The node has been out of contact with the configuration for too long.
     StaleConfiguration,
     /// The replicated group did not answer in time.
@@ -124,7 +126,7 @@
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotFound,
@@ -145,6 +147,7 @@
         Self::NotReached,
         Self::Draining,
         Self::TooManyCallers,
+        Self::NoMemory,
         Self::StaleConfiguration,
         Self::NoGroup,
         Self::LedgerUnavailable,
@@ -183,6 +186,7 @@
             Self::NotReached => row(503, "not_reached", NotRun, true),
             Self::Draining => row(503, "draining", NotRun, true),
             Self::TooManyCallers => row(503, "too_many_callers", NotRun, true),
+            Self::NoMemory => row(503, "no_memory", NotRun, true),
             Self::StaleConfiguration => row(503, "stale_configuration", NotRun, true),
             Self::NoGroup => row(503, "no_group", Unknown, true),
             Self::LedgerUnavailable => row(503, "ledger_unavailable", NotRun, true),
--- /dev/null
+++ b/src/http/charged.rs
@@ -0,0 +1,29 @@
+//! Bytes that are charged to the box's memory for as long as anything holds them.
+
+use bytes::Bytes;
+
+use crate::decide::memory::Reserved;
+
+struct Charged<B, G> {
+    bytes: B,
+    _guard: G,
+}
+
+impl<B: AsRef<[u8]>, G> AsRef<[u8]> for Charged<B, G> {
+    fn as_ref(&self) -> &[u8] {
+        self.bytes.as_ref()
+    }
+}
+
+/// Bytes that give their memory back once the last of them is dropped: written, or given up.
+pub fn charged(bytes: impl AsRef<[u8]> + Send + 'static, reserved: Reserved) -> Bytes {
+    guarded(bytes, reserved)
+}
+
+/// Bytes that drop `guard` with the last of them.
+pub fn guarded<G>(bytes: impl AsRef<[u8]> + Send + 'static, guard: G) -> Bytes
+where
+    G: Send + 'static,
+{
+    Bytes::from_owner(Charged { bytes, _guard: guard })
+}
--- /dev/null
+++ b/src/http/gate.rs
@@ -0,0 +1,307 @@
+//! The connections of one side: how many there may be, which of them rest, and which are to go.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::{Notify, Semaphore};
+
+use super::server::Limits;
+use crate::decide::memory::{Claim, Memory, NoRoom, Purpose, Reserved};
+
+/// What a connection takes: its task, and the buffers with which the library begins.
+pub const CONNECTION_BYTES: u64 = 16 << 10;
+
+/// Bytes of a head that fit into these buffers.
+const HEAD_BYTES: u64 = 8 << 10;
+
+/// Connections at rest that are closed for one request where memory is short: as much as it takes
+/// itself beside its body.
+const CLOSED_AT_ONCE: usize = 2;
+
+/// Refused bodies that are read at the same time: others share the box's link.
+const DRAINS: usize = 16;
+
+/// Where a connection is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+enum Stage {
+    /// It rests between requests.
+    Resting,
+    /// A head has begun to arrive, or is due: the connection is new.
+    Head,
+    /// A request is being answered.
+    Busy,
+}
+
+/// One connection.
+#[derive(Debug)]
+pub struct Link {
+    gate: Arc<Gate>,
+    stage: AtomicU8,
+    /// Its place in the order of those at rest.
+    order: AtomicU64,
+    head: Mutex<Head>,
+    cut: AtomicBool,
+    ended: AtomicBool,
+    told: Notify,
+    _charge: Option<Reserved>,
+}
+
+/// What has arrived of a head.
+#[derive(Debug, Default)]
+struct Head {
+    since: Option<Instant>,
+    bytes: u64,
+    charge: Option<Reserved>,
+}
+
+impl Link {
+    /// Closes the connection at once, whatever is under way.
+    pub fn cut(&self) {
+        self.cut.store(true, Ordering::SeqCst);
+        self.told.notify_one();
+    }
+
+    /// Whether it is to be closed at once.
+    pub(super) fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::SeqCst)
+    }
+
+    /// Waits until it is to close.
+    pub(super) async fn told(&self) {
+        self.told.notified().await;
+    }
+
+    /// The side that the connection is one of.
+    pub(super) fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    fn head(&self) -> MutexGuard<'_, Head> {
+        self.head.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_at(&self, stage: Stage) -> bool {
+        self.stage.load(Ordering::SeqCst) == stage as u8
+    }
+
+    /// Bytes have arrived.
+    ///
+    /// # Errors
+    /// When a head takes more than there is room for.
+    pub(super) fn arrive(&self, bytes: u64) -> Result<(), NoRoom> {
+        if self.is_at(Stage::Busy) {
+            return Ok(());
+        }
+        let mut head = self.head();
+        if self.is_at(Stage::Resting) {
+            self.stage.store(Stage::Head as u8, Ordering::SeqCst);
+            head.since = Some(Instant::now());
+            self.gate.book().resting.remove(&self.order.load(Ordering::SeqCst));
+        }
+        head.bytes += bytes;
+        let Some(memory) = self.gate.memory.as_ref().filter(|_| head.bytes > HEAD_BYTES) else {
+            return Ok(());
+        };
+        match &mut head.charge {
+            Some(charge) => charge.grow(bytes),
+            None => {
+                let reserved = memory.reserve(Purpose::Heads, bytes, Claim::Connection)?;
+                head.charge = Some(reserved);
+                Ok(())
+            }
+        }
+    }
+
+    /// Since when a head has been arriving.
+    pub(super) fn head_since(&self) -> Option<Instant> {
+        self.is_at(Stage::Head).then(|| self.head().since).flatten()
+    }
+
+    /// A request has arrived.
+    fn begin(&self) {
+        if self.is_at(Stage::Resting) {
+            self.gate.book().resting.remove(&self.order.load(Ordering::SeqCst));
+        }
+        self.stage.store(Stage::Busy as u8, Ordering::SeqCst);
+        *self.head() = Head::default();
+    }
+
+    /// Its answer has been taken, or given up.
+    fn rest(self: &Arc<Self>) {
+        let mut book = self.gate.book();
+        if self.ended.load(Ordering::SeqCst) {
+            return;
+        }
+        book.next += 1;
+        self.order.store(book.next, Ordering::SeqCst);
+        self.stage.store(Stage::Resting as u8, Ordering::SeqCst);
+        let order = book.next;
+        book.resting.insert(order, self.clone());
+    }
+
+    /// The connection is over.
+    fn end(&self) {
+        let mut book = self.gate.book();
+        self.ended.store(true, Ordering::SeqCst);
+        book.resting.remove(&self.order.load(Ordering::SeqCst));
+        book.count -= 1;
+    }
+}
+
+/// A connection that is busy until this is dropped: its request may still arrive, or its answer go.
+#[derive(Debug)]
+pub struct Busy(Arc<Link>);
+
+impl Busy {
+    /// A request has arrived on a connection.
+    pub(super) fn begin(link: &Arc<Link>) -> Arc<Self> {
+        link.begin();
+        Arc::new(Self(link.clone()))
+    }
+
+    /// The connection.
+    pub fn link(&self) -> &Arc<Link> {
+        &self.0
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.rest();
+    }
+}
+
+/// Counts a connection until dropped.
+pub(super) struct Place {
+    pub(super) link: Arc<Link>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.link.end();
+    }
+}
+
+#[derive(Debug, Default)]
+struct Connections {
+    next: u64,
+    count: usize,
+    resting: BTreeMap<u64, Arc<Link>>,
+}
+
+/// All connections of one side.
+#[derive(Debug)]
+pub struct Gate {
+    /// What they are held to.
+    pub(super) limits: Limits,
+    /// Time for a head, in milliseconds.
+    head_time: AtomicU64,
+    memory: Option<Memory>,
+    book: Mutex<Connections>,
+    closed: AtomicU64,
+    /// Places to read refused bodies to their end.
+    pub(super) drains: Semaphore,
+}
+
+impl Gate {
+    /// A side whose connections are not charged.
+    pub fn new(limits: Limits) -> Arc<Self> {
+        Self::build(limits, None)
+    }
+
+    /// A side whose connections are charged to `memory`.
+    pub fn charged(limits: Limits, memory: Memory) -> Arc<Self> {
+        Self::build(limits, Some(memory))
+    }
+
+    fn build(limits: Limits, memory: Option<Memory>) -> Arc<Self> {
+        Arc::new(Self {
+            limits,
+            head_time: AtomicU64::new(limits.head_time.as_millis() as u64),
+            memory,
+            book: Mutex::default(),
+            closed: AtomicU64::new(0),
+            drains: Semaphore::new(DRAINS),
+        })
+    }
+
+    fn book(&self) -> MutexGuard<'_, Connections> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time for a head to arrive.
+    pub(super) fn head_time(&self) -> Duration {
+        Duration::from_millis(self.head_time.load(Ordering::Relaxed))
+    }
+
+    /// Gives heads this much time from now on.
+    pub fn set_head_time(&self, time: Duration) {
+        self.head_time.store(time.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Connections, and those of them that rest.
+    pub fn counts(&self) -> (usize, usize) {
+        let book = self.book();
+        (book.count, book.resting.len())
+    }
+
+    /// Connections that were closed to make room.
+    pub fn closed(&self) -> u64 {
+        self.closed.load(Ordering::Relaxed)
+    }
+
+    /// Takes a connection in; `None` where there is no place. Where connections are charged, one at rest
+    /// goes for it.
+    pub(super) fn enter(self: &Arc<Self>) -> Option<Place> {
+        let is_full = self.book().count >= self.limits.callers;
+        if is_full && (self.memory.is_none() || self.close_oldest(1) == 0) {
+            return None;
+        }
+        let Ok(charge) = self.charge(CONNECTION_BYTES, Claim::Connection) else {
+            self.close_oldest(CLOSED_AT_ONCE);
+            return None;
+        };
+        let link = Arc::new(Link {
+            gate: self.clone(),
+            stage: AtomicU8::new(Stage::Head as u8),
+            order: AtomicU64::new(0),
+            head: Mutex::new(Head { since: Some(Instant::now()), ..Head::default() }),
+            cut: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
+            told: Notify::new(),
+            _charge: charge,
+        });
+        self.book().count += 1;
+        Some(Place { link })
+    }
+
+    /// Charges what a connection takes, where connections are charged.
+    pub(super) fn charge(&self, bytes: u64, claim: Claim) -> Result<Option<Reserved>, NoRoom> {
+        let memory = self.memory.as_ref();
+        memory.map(|memory| memory.reserve(Purpose::Connections, bytes, claim)).transpose()
+    }
+
+    /// Closes connections at rest where memory is short, those first that have rested longest.
+    pub fn relieve(&self) {
+        if self.memory.as_ref().is_some_and(Memory::is_pressed) {
+            self.close_oldest(CLOSED_AT_ONCE);
+        }
+    }
+
+    /// Closes so many connections at rest; how many there were.
+    fn close_oldest(&self, count: usize) -> usize {
+        let mut book = self.book();
+        let mut closed = 0;
+        while closed < count
+            && let Some((_, link)) = book.resting.pop_first()
+        {
+            link.told.notify_one();
+            closed += 1;
+        }
+        self.closed.fetch_add(closed as u64, Ordering::Relaxed);
+        closed
+    }
+}
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -30,7 +30,7 @@
 }
 
 /// The bytes of a head as it came, to within a few.
-fn size<B>(request: &Request<B>) -> usize {
+pub fn size<B>(request: &Request<B>) -> usize {
     let path = request.uri().path_and_query().map_or(0, |path| path.as_str().len());
     let line = request.method().as_str().len() + path + "  HTTP/1.1\r\n".len();
     line + headers_size(request.headers())
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,8 +1,11 @@
 //! What every side that answers HTTP/1.1 shares: accepting connections, checking heads, bodies.
 //!
-//! Nothing here knows what is asked. [`server`] runs connections, [`head`] refuses heads that break
-//! the protocol or a limit.
+//! Nothing here knows what is asked. [`server`] runs connections, [`gate`] counts them and says which
+//! are to go, [`head`] refuses heads that break the protocol or a limit, [`charged`] charges bytes to
+//! the box's memory.
 
+pub mod charged;
+pub mod gate;
 pub mod head;
 pub mod server;
 pub mod silence;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,23 +1,31 @@
 //! Accepts callers' connections and holds the limits against slow and many callers.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
+use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::Bytes;
 use eyre::{Result, WrapErr};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::{Sleep, sleep_until};
 use tokio_io_timeout::TimeoutStream;
 
 use super::Body;
+use super::gate::{Busy, Gate, Link, Place};
+use crate::decide::memory::Claim;
 
 /// Headers of one request at most.
 const HEADER_COUNT: usize = 64;
@@ -34,6 +42,17 @@
 /// Pause after a connection could not be accepted, which happens when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Bytes of a refused body that are read at most: the largest that operators usually allow.
+const DRAIN_BYTES: usize = 4 << 20;
+
+/// How long that may take, with the wait for others' bodies: the largest comes in this time over a link
+/// of 10 Mb/s, and who reads while it writes has the refusal at once.
+const DRAIN_TIME: Duration = Duration::from_secs(5);
+
+/// What the library buffers of a body that is read: pieces of up to twice the bytes of a head, one that
+/// is handed on and one that arrives.
+pub const READ_BYTES: u64 = 256 << 10;
+
 /// What callers' connections are held to.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -41,8 +60,10 @@
     pub callers: usize,
     /// Bytes of a request's head.
     pub head: usize,
-    /// Time for a head to arrive. A connection that rests between requests is held to it as well.
+    /// Time for a head to arrive, once it has begun to, and for the first one of a connection.
     pub head_time: Duration,
+    /// How long a connection may rest before its next head has arrived.
+    pub rest_time: Duration,
     /// Time in which a caller takes a piece of its answer.
     pub write_time: Duration,
 }
@@ -56,10 +77,12 @@
 }
 
 /// Accepts callers until the task is dropped. Once `closing` is true, each connection closes behind
-/// the request it is at. `refusal` is the answer to callers beyond the limit.
+/// the request it is at. `refusal` is the answer to callers for whom there is no place.
+///
+/// The handler finds its hold on the connection, an [`Arc<Busy>`], among the request's extensions.
 pub async fn run<H, F>(
     listener: TcpListener,
-    limits: Limits,
+    gate: Arc<Gate>,
     closing: watch::Receiver<bool>,
     handler: H,
     refusal: fn() -> Response<Body>,
@@ -67,7 +90,6 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let places = Arc::new(Semaphore::new(limits.callers));
     let refusals = Arc::new(Semaphore::new(REFUSALS));
     loop {
         let stream = match listener.accept().await {
@@ -79,12 +101,12 @@
             }
         };
         let _ = stream.set_nodelay(true);
-        match places.clone().try_acquire_owned() {
-            Ok(place) => {
+        match gate.enter() {
+            Some(place) => {
                 let (handler, closing) = (handler.clone(), closing.clone());
-                tokio::spawn(converse(stream, limits, closing, handler, place));
+                tokio::spawn(converse(stream, gate.clone(), closing, handler, place));
             }
-            Err(_) => {
+            None => {
                 if let Ok(permit) = refusals.clone().try_acquire_owned() {
                     tokio::spawn(refuse(stream, refusal, permit));
                 }
@@ -96,35 +118,184 @@
 /// Serves one connection.
 async fn converse<H, F>(
     stream: TcpStream,
-    limits: Limits,
+    gate: Arc<Gate>,
     mut closing: watch::Receiver<bool>,
     handler: H,
-    _place: OwnedSemaphorePermit,
+    place: Place,
 ) where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
+    let limits = gate.limits;
+    let link = place.link.clone();
     let mut stream = TimeoutStream::new(stream);
     stream.set_write_timeout(Some(limits.write_time));
-    let io = TokioIo::new(Box::pin(stream));
-    let service = service_fn(|request| {
+    let io = TokioIo::new(Heard { stream: Box::pin(stream), link: link.clone() });
+    let serving = link.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let busy = Busy::begin(&serving);
+        request.extensions_mut().insert(busy.clone());
         let answering = handler(request);
-        async move { Ok::<_, Infallible>(answering.await) }
+        async move { Ok::<_, Infallible>(until_taken(answering.await, busy)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_time)
+        .header_read_timeout(limits.rest_time)
         .max_buf_size(limits.head.max(LEAST_BUFFER))
         .max_headers(HEADER_COUNT)
         .serve_connection(io, service);
     let mut connection = pin!(connection);
-    tokio::select! {
-        result = connection.as_mut() => note_end(result),
-        () = closed(&mut closing) => {
-            connection.as_mut().graceful_shutdown();
-            note_end(connection.await);
+    let mut head_timer = HeadTimer::default();
+    let mut closes = false;
+    loop {
+        tokio::select! {
+            // The timer of a head is right only behind the connection's own look at what arrived.
+            biased;
+            result = connection.as_mut() => return note_end(result),
+            () = head_timer.expire(&gate, &link) => {
+                return tracing::debug!(event = "head_too_slow");
+            }
+            () = closed(&mut closing), if !closes => {}
+            () = link.told() => {
+                if link.is_cut() {
+                    return;
+                }
+            }
+        }
+        closes = true;
+        connection.as_mut().graceful_shutdown();
+    }
+}
+
+/// Ends a connection whose head does not arrive in its time. It is looked at whenever the connection
+/// is, so a head that arrives at once needs no timer.
+#[derive(Default)]
+struct HeadTimer {
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl HeadTimer {
+    async fn expire(&mut self, gate: &Gate, link: &Link) {
+        poll_fn(|context| {
+            let Some(since) = link.head_since() else {
+                self.timer = None;
+                return Poll::Pending;
+            };
+            let end = since + gate.head_time();
+            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(end.into())));
+            timer.as_mut().poll(context)
+        })
+        .await;
+    }
+}
+
+/// Has a connection's link hear what arrives.
+struct Heard {
+    stream: Pin<Box<TimeoutStream<TcpStream>>>,
+    link: Arc<Link>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let heard = self.get_mut();
+        let before = buffer.filled().len();
+        ready!(heard.stream.as_mut().poll_read(context, buffer))?;
+        let came = buffer.filled().len() - before;
+        if came > 0 {
+            heard.link.arrive(came as u64).map_err(io::Error::other)?;
         }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Heard {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.get_mut().stream.as_mut().poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        pieces: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.get_mut().stream.as_mut().poll_write_vectored(context, pieces)
     }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.get_mut().stream.as_mut().poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.get_mut().stream.as_mut().poll_shutdown(context)
+    }
+}
+
+/// An answer whose connection is busy until its body has been taken.
+fn until_taken(response: Response<Body>, busy: Arc<Busy>) -> Response<Body> {
+    response.map(|body| BodyExt::boxed_unsync(Taken { body, _busy: busy }))
+}
+
+struct Taken {
+    body: Body,
+    _busy: Arc<Busy>,
+}
+
+impl hyper::body::Body for Taken {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Reads what is left of a refused request's body and drops it, for a while: a caller that writes all
+/// of it before it reads gets to read the refusal. Behind that its connection closes.
+pub fn drain(busy: Arc<Busy>, mut body: Incoming) {
+    tokio::spawn(async move {
+        let gate = busy.link().gate();
+        let draining = async {
+            // Until its turn comes, no more is buffered than of a connection at rest.
+            let Ok(_place) = gate.drains.acquire().await else {
+                return;
+            };
+            let Ok(_charge) = gate.charge(READ_BYTES, Claim::Accepted) else {
+                return;
+            };
+            let mut left = DRAIN_BYTES;
+            while let Some(Ok(frame)) = body.frame().await {
+                let length = frame.data_ref().map_or(0, Bytes::len);
+                if length > left {
+                    return;
+                }
+                left -= length;
+            }
+        };
+        let _ = tokio::time::timeout(DRAIN_TIME, draining).await;
+    });
 }
 
 async fn closed(closing: &mut watch::Receiver<bool>) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -27,6 +27,7 @@
 use crate::error::{Failure, Kind};
 use crate::group::access::Access;
 use crate::group::follow;
+use crate::http::gate::Gate;
 use crate::http::server;
 use crate::ids::{Incarnation, RequestKey, TeamName, Term};
 use crate::member::spread::SpreadMessage;
@@ -165,8 +166,8 @@
             let node = self.clone();
             let handler = move |request| serve::handle(node.clone(), request);
             let closing = self.follow_closing();
-            let limits = self.settings.entry.limits();
-            tokio::spawn(server::run(listener, limits, closing, handler, serve::too_many));
+            let gate = Gate::new(self.settings.entry.limits());
+            tokio::spawn(server::run(listener, gate, closing, handler, serve::too_many));
         }
         self.start_relay().await?;
         self.start_operator().await?;
--- /dev/null
+++ b/src/relay/keeping.rs
@@ -0,0 +1,156 @@
+//! What the box keeps for a request, charged to its memory: its head and its place, its body as it
+//! arrives, its answer until the caller has taken it.
+
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+
+use crate::blackboard::RequestGuard;
+use crate::decide::memory::{Claim, Memory, NoRoom, Purpose, Reserved};
+use crate::decide::slowness::{Arriving, can_arrive};
+use crate::error::{Failure, Kind};
+use crate::http::charged::charged;
+use crate::http::server::READ_BYTES;
+
+/// What a request at a backend server takes: its tasks, the connection there with the buffers with which
+/// the library begins, and the first piece of its answer.
+const REQUEST_BYTES: u64 = 32 << 10;
+
+/// How often a head is kept: as it came, and as it goes on.
+const HEAD_COPIES: u64 = 2;
+
+/// When to come back to a box without room: about the time in which a large body has come and gone.
+const ROOM_WAIT: Duration = Duration::from_millis(500);
+
+/// The least that a body of unknown length has room for, in bytes.
+const FIRST_PART: usize = 16 << 10;
+
+/// Of the time for a body, one part in so many passes between two looks at what has come.
+const LOOKS: u32 = 8;
+
+/// What is kept for a request from its head to the end of its answer.
+pub struct Kept {
+    _guard: RequestGuard,
+    _head: Reserved,
+    _place: Reserved,
+}
+
+impl Kept {
+    /// Keeps a request with a head of so many bytes.
+    ///
+    /// # Errors
+    /// [`Kind::NoMemory`].
+    pub(super) fn take(
+        memory: &Memory,
+        head: usize,
+        claim: &Claim,
+        guard: RequestGuard,
+    ) -> Result<Self, Failure> {
+        let head = memory.reserve(Purpose::Heads, head as u64 * HEAD_COPIES, claim.clone());
+        let place = memory.reserve(Purpose::Requests, REQUEST_BYTES, claim.clone());
+        Ok(Self { _guard: guard, _head: head.map_err(refused)?, _place: place.map_err(refused)? })
+    }
+}
+
+/// What a request is told for which there is no room: nothing of it was passed on.
+fn refused(room: NoRoom) -> Failure {
+    Failure::new(Kind::NoMemory, format!("the box has no room for it: {room}"))
+        .after(Some(ROOM_WAIT))
+}
+
+/// Reads a body until `until`; takes it out of `body` once it is whole. Its length is reserved before
+/// any of it is read, and where it has none, room is as it comes.
+///
+/// # Errors
+/// [`Kind::NoMemory`], [`Kind::TooLarge`], [`Kind::SlowCaller`] or [`Kind::BadRequest`]; what is left
+/// unread stays in `body`.
+pub(super) async fn read_body(
+    memory: &Memory,
+    body: &mut Option<Incoming>,
+    limit: usize,
+    until: Instant,
+    claim: Claim,
+) -> Result<Bytes, Failure> {
+    let Some(incoming) = body.as_mut().filter(|body| !body.is_end_stream()) else {
+        *body = None;
+        return Ok(Bytes::new());
+    };
+    let length = incoming.size_hint().exact();
+    if length.is_some_and(|length| length > limit as u64) {
+        return Err(too_large(limit));
+    }
+    let room = length.unwrap_or(FIRST_PART as u64);
+    let reserved = memory.reserve(Purpose::Bodies, room, claim.clone()).map_err(refused)?;
+    let buffers = READ_BYTES.min(length.unwrap_or(READ_BYTES));
+    let _buffers = memory.reserve(Purpose::Bodies, buffers, claim).map_err(refused)?;
+    let read = Reading { held: BytesMut::with_capacity(room as usize), reserved, limit };
+    let (held, reserved) = read.whole(incoming, length, until).await?;
+    *body = None;
+    Ok(charged(held, reserved))
+}
+
+fn too_large(limit: usize) -> Failure {
+    Failure::new(Kind::TooLarge, format!("the body is larger than {limit} bytes"))
+}
+
+struct Reading {
+    held: BytesMut,
+    reserved: Reserved,
+    limit: usize,
+}
+
+impl Reading {
+    async fn whole(
+        mut self,
+        body: &mut Incoming,
+        length: Option<u64>,
+        until: Instant,
+    ) -> Result<(Bytes, Reserved), Failure> {
+        let began = Instant::now();
+        let time = until.saturating_duration_since(began);
+        let mut look = began + time / LOOKS;
+        loop {
+            let frame = tokio::time::timeout_at(look.into(), body.frame()).await;
+            if Instant::now() >= look {
+                let (came, passed) = (self.held.len() as u64, began.elapsed());
+                let length = length.unwrap_or_default();
+                if !can_arrive(&Arriving { came, length, passed, time }) {
+                    let what = if passed < time { "cannot" } else { "did not" };
+                    let text = format!("the body {what} arrive in time: {came} bytes came");
+                    return Err(Failure::new(Kind::SlowCaller, text));
+                }
+                look = (Instant::now() + time / LOOKS).min(until);
+            }
+            match frame {
+                Err(_) => {}
+                Ok(None) => return Ok((self.held.freeze(), self.reserved)),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(piece) = frame.into_data() {
+                        self.add(&piece)?;
+                    }
+                }
+                Ok(Some(Err(error))) => {
+                    let text = format!("the body cannot be read: {error}");
+                    return Err(Failure::new(Kind::BadRequest, text));
+                }
+            }
+        }
+    }
+
+    fn add(&mut self, piece: &Bytes) -> Result<(), Failure> {
+        let length = self.held.len() + piece.len();
+        if length > self.limit {
+            return Err(too_large(self.limit));
+        }
+        let room = self.reserved.bytes() as usize;
+        if length > room {
+            let more = length.max(room * 2).min(self.limit) - room;
+            self.reserved.grow(more as u64).map_err(refused)?;
+            self.held.reserve(room + more - self.held.len());
+        }
+        self.held.extend_from_slice(piece);
+        Ok(())
+    }
+}
--- a/src/relay/listen.rs
+++ b/src/relay/listen.rs
@@ -15,10 +15,16 @@
 use crate::entry::answer;
 use crate::error::{Failure, Kind};
 use crate::http::Body;
+use crate::http::gate::Gate;
 use crate::http::server::{self, Limits};
+use crate::settings::RelaySettings;
 
-/// Callers' connections at the same time. Each needs a descriptor, and one for its backend server.
-const CALLERS: usize = 1_500;
+/// Descriptors that the process needs for others than callers: its own files, listeners, links to the
+/// group, readers of metrics, the balancer, and callers who are just refused.
+const OWN_DESCRIPTORS: u32 = 400;
+
+/// Descriptors of one caller: its connection, and one to a backend server.
+const CALLER_DESCRIPTORS: u32 = 2;
 
 /// Bytes of a head that are read; the operators' limit is checked behind that.
 const HEAD_LIMIT: usize = 64 << 10;
@@ -33,8 +39,17 @@
 /// Connections of the balancer at the same time.
 const BALANCERS: usize = 64;
 
-const LIMITS: Limits =
-    Limits { callers: CALLERS, head: HEAD_LIMIT, head_time: REST_TIME, write_time: WRITE_TIME };
+/// What callers' connections are held to. The time for a head is that of the routes in force.
+pub(super) fn limits(settings: &RelaySettings) -> Limits {
+    let descriptors = settings.descriptors.saturating_sub(OWN_DESCRIPTORS);
+    Limits {
+        callers: (descriptors / CALLER_DESCRIPTORS) as usize,
+        head: HEAD_LIMIT,
+        head_time: REST_TIME,
+        rest_time: REST_TIME,
+        write_time: WRITE_TIME,
+    }
+}
 
 /// The two listeners of a relay.
 pub struct Listeners {
@@ -60,18 +75,19 @@
         let serving = relay.clone();
         let handler = move |request| serve::handle(serving.clone(), request);
         let closing = relay.parts.closing.clone();
-        tokio::spawn(server::run(self.callers, LIMITS, closing, handler, too_many));
+        let gate = relay.gate.clone();
+        tokio::spawn(server::run(self.callers, gate, closing, handler, too_many));
         let asked = relay.clone();
         let readiness = move |_: Request<Incoming>| {
             let answer = ready(&asked);
             async move { answer }
         };
-        let limits = Limits { callers: BALANCERS, ..LIMITS };
+        let limits = Limits { callers: BALANCERS, ..limits(&relay.parts.settings) };
         // The balancer is answered until the process is gone.
         let (open, closing) = watch::channel(false);
         tokio::spawn(async move {
             let _open = open;
-            server::run(self.balancer, limits, closing, readiness, too_many).await;
+            server::run(self.balancer, Gate::new(limits), closing, readiness, too_many).await;
         });
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,6 +11,8 @@
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send, [`course`] all sends of one call.
 //! - [`moving`] moves running streams off servers that are leaving.
+//! - [`keeping`] is what the box keeps for a request, charged to its memory: the body as it arrives, and
+//!   the answer until it is taken.
 //! - [`usage`] counts what ran and [`offered`] what came. What decides, limits and remembers is in
 //!   [`crate::decide`].
 //!
@@ -23,6 +25,7 @@
 pub mod dialect;
 pub mod engines;
 pub(crate) mod events;
+pub(crate) mod keeping;
 pub mod list;
 pub mod list_book;
 pub mod listen;
@@ -49,7 +52,9 @@
 use crate::decide::budget::RetryBudgets;
 use crate::decide::faults::FaultBook;
 use crate::decide::loads::LoadPool;
+use crate::decide::memory::Memory;
 use crate::decide::releases::{Outcome, ReleaseBook};
+use crate::http::gate::Gate;
 use crate::ids::{BackendId, DataCentre};
 use crate::settings::RelaySettings;
 use crate::telemetry::Metrics;
@@ -87,6 +92,10 @@
     pub parts: RelayParts,
     /// The backend servers known.
     pub servers: ServerBook,
+    /// The memory that the box has for callers.
+    pub memory: Memory,
+    /// Callers' connections.
+    pub gate: Arc<Gate>,
     /// The routes in force; none before the first was published.
     table: ArcSwapOption<RouteTable>,
     allowances: Mutex<Allowances>,
@@ -120,9 +129,13 @@
     /// A relay that knows no routes and no backend servers yet.
     pub fn new(parts: RelayParts) -> Self {
         let usage = UsageCounter::new(parts.settings.usage_window.duration());
+        let memory = Memory::within(parts.settings.memory);
+        let gate = Gate::charged(listen::limits(&parts.settings), memory.clone());
         Self {
             parts,
             servers: ServerBook::default(),
+            memory,
+            gate,
             table: ArcSwapOption::empty(),
             allowances: Mutex::new(Allowances::new(Instant::now())),
             retries: Mutex::default(),
@@ -157,6 +170,7 @@
         );
         let limited = table.teams.values().filter(|team| team.rate.is_some());
         self.allowances().follow(limited.map(|team| &team.name), Instant::now());
+        self.gate.set_head_time(table.limits.head_time);
         self.table.store(Some(table));
         self.learned.notify_waiters();
     }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -13,6 +13,7 @@
 use super::attempt::{Miss, Origin, Reply, seconds_since, send};
 use super::call::Call;
 use super::course::Course;
+use super::keeping::Kept;
 use super::servers::Known;
 use super::table::Route;
 use crate::backend::SendFault;
@@ -94,7 +95,9 @@
     call: &Call,
     route: &Route,
     service: &ServiceName,
+    kept: Kept,
 ) -> Result<Response<Body>, Failure> {
+    let _kept = kept;
     let mut course = Course::new(service.clone());
     let mut failed: Option<Answer> = None;
     let mut running = FuturesUnordered::new();
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -5,8 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, EXPECT, HOST, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
@@ -14,13 +13,16 @@
 use super::Relay;
 use super::attempt::{retry_limit, seconds_since};
 use super::call::{Call, CallHead};
+use super::keeping::{Kept, read_body};
 use super::plain::{self, strip_hop_headers};
 use super::stream;
 use super::table::{Route, RouteTable, Team};
 use crate::decide::choose::split;
+use crate::decide::memory::{Claim, LEAST_URGENT};
 use crate::entry::answer;
 use crate::error::{Failure, Kind};
-use crate::http::{Body, head};
+use crate::http::gate::Busy;
+use crate::http::{Body, head, server};
 use crate::ids::ServiceName;
 use crate::telemetry::volume;
 
@@ -50,23 +52,36 @@
 /// How much a team's rank weighs against its route's, in urgencies.
 const TEAM_URGENCY: u8 = 3;
 
-/// The least urgent a request can be.
-const LEAST_URGENT: u8 = 9;
-
 /// Answers one request.
 pub async fn handle(relay: Arc<Relay>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
+    let mut body = Some(body);
+    let busy = parts.extensions.get::<Arc<Busy>>().cloned();
     let read = relay.parts.dialect.read_call(&parts);
     let id = read.as_ref().map(|head| head.id.clone()).unwrap_or_default();
-    let request = Request::from_parts(parts, body);
+    let waits_for_word = parts.headers.contains_key(EXPECT);
+    let request = Request::from_parts(parts, ());
     let result = match read {
-        Ok(head) => serve(&relay, request, head, arrived).await,
+        Ok(head) => serve(&relay, request, &mut body, head, arrived).await,
         Err(failure) => Err(failure),
     };
     match result {
         Ok(response) => response,
-        Err(failure) => refuse(&relay, &id, &failure, arrived),
+        Err(failure) => {
+            let mut response = refuse(&relay, &id, &failure, arrived);
+            let unread = body.filter(|body| !body.is_end_stream());
+            if let (Some(busy), Some(body)) = (busy, unread) {
+                if matches!(failure.kind, Kind::NoMemory | Kind::TooLarge | Kind::SlowCaller) {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                // A slow caller's bytes have all been read; another one's would make the close a reset.
+                if !waits_for_word && failure.kind != Kind::SlowCaller {
+                    server::drain(busy, body);
+                }
+            }
+            response
+        }
     }
 }
 
@@ -91,7 +106,8 @@
 
 async fn serve(
     relay: &Arc<Relay>,
-    request: Request<Incoming>,
+    request: Request<()>,
+    body: &mut Option<Incoming>,
     head: CallHead,
     arrived: Instant,
 ) -> Result<Response<Body>, Failure> {
@@ -107,16 +123,23 @@
     }
     let service = choose_service(&route)?;
     let id = head.id.clone();
-    let call = read_call(&table, &route, team, head, request, arrived).await?;
+    let waits = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let urgency = urgency(team, &route);
+    let claim = Claim::Request { team: team.map(|team| team.name.clone()), urgency };
+    relay.gate.relieve();
+    let kept = Kept::take(&relay.memory, head::size(&request), &claim, guard)?;
+    let until = arrived + waits;
+    let read = read_body(&relay.memory, body, table.limits.body, until, claim).await?;
+    let call = put_together(team, urgency, head, request, read, arrived, until);
     let spent = take_allowance(relay, team, &call).await?;
     relay.retries().earn(&service, &retry_limit(relay));
     relay.offered().count(&service, call.head.size.unwrap_or_default(), route.objective);
     let answered = match route.repeat.is_stream() {
         true => {
             let (relay, call, route) = (relay.clone(), Arc::new(call), route.clone());
-            stream::answer(relay, call, route, &service, guard).await
+            stream::answer(relay, call, route, &service, kept).await
         }
-        false => plain::answer(relay, &call, &route, &service).await,
+        false => plain::answer(relay, &call, &route, &service, kept).await,
     };
     match answered {
         Ok(response) => {
@@ -183,7 +206,7 @@
 fn find_route(
     relay: &Relay,
     table: &RouteTable,
-    request: &Request<Incoming>,
+    request: &Request<()>,
 ) -> Result<Arc<Route>, Failure> {
     let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
@@ -219,26 +242,27 @@
         .ok_or_else(|| Failure::new(Kind::Internal, "the route leads to no service"))
 }
 
-/// Reads the body and puts the call together.
-async fn read_call(
-    table: &RouteTable,
-    route: &Route,
+/// How urgent a request is: its team's rank goes before its route's.
+fn urgency(team: Option<&Team>, route: &Route) -> u8 {
+    let urgency = team.map_or(0, |team| team.priority.saturating_mul(TEAM_URGENCY));
+    urgency.saturating_add(route.priority).min(LEAST_URGENT)
+}
+
+fn put_together(
     team: Option<&Team>,
+    urgency: u8,
     head: CallHead,
-    request: Request<Incoming>,
+    request: Request<()>,
+    body: Bytes,
     arrived: Instant,
-) -> Result<Call, Failure> {
-    let waits = head.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let deadline = arrived + waits;
-    let (mut parts, body) = request.into_parts();
-    let body = read_body(body, table.limits.body, waits).await?;
+    deadline: Instant,
+) -> Call {
+    let (mut parts, ()) = request.into_parts();
     strip_hop_headers(&mut parts.headers);
     parts.headers.remove(EXPECT);
     let path = parts.uri.path_and_query().cloned();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
-    let urgency = team.map_or(0, |team| team.priority.saturating_mul(TEAM_URGENCY));
-    let urgency = urgency.saturating_add(route.priority).min(LEAST_URGENT);
-    Ok(Call {
+    Call {
         head,
         method: parts.method,
         path,
@@ -248,19 +272,6 @@
         urgency,
         arrived,
         deadline,
-    })
-}
-
-async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Failure> {
-    match tokio::time::timeout(time, Limited::new(body, limit).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Failure::new(Kind::TooLarge, format!("the body is larger than {limit} bytes")))
-        }
-        Ok(Err(error)) => {
-            Err(Failure::new(Kind::BadRequest, format!("the body cannot be read: {error}")))
-        }
-        Err(_) => Err(Failure::new(Kind::SlowCaller, "the body did not arrive in time")),
     }
 }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -17,12 +17,12 @@
 use super::call::Call;
 use super::course::Course;
 use super::events::{EventCutter, event_id};
+use super::keeping::Kept;
 use super::moving::{self, Moved, move_away};
 use super::plain::{read, strip_hop_headers};
 use super::servers::{Flight, Known};
 use super::table::{Repeat, Route};
 use crate::backend::{Exchange, SendFault};
-use crate::blackboard::RequestGuard;
 use crate::decide::engine::Observation;
 use crate::decide::releases::Outcome;
 use crate::error::{Failure, Kind};
@@ -86,7 +86,7 @@
     call: Arc<Call>,
     route: Arc<Route>,
     service: &ServiceName,
-    guard: RequestGuard,
+    kept: Kept,
 ) -> Result<Response<Body>, Failure> {
     let mut course = Course::new(service.clone());
     let mut failed = None;
@@ -122,7 +122,7 @@
             Some(Ok(Opening::Stream(opened))) => {
                 count(&relay, &call);
                 observe(&relay, &course, &opened);
-                return Ok(respond(relay, call, route, course, *opened, guard));
+                return Ok(respond(relay, call, route, course, *opened, kept));
             }
             Some(Ok(Opening::Whole(response, true))) if course.may_repeat(&route) => {
                 failed = Some(response);
@@ -321,14 +321,14 @@
     route: Arc<Route>,
     mut course: Course,
     opened: Opened,
-    guard: RequestGuard,
+    kept: Kept,
 ) -> Response<Body> {
     let Opened { status, headers, mut source, first } = opened;
     let mut progress = Progress::new(call.head.resume);
     progress.pass(&first);
     progress.late = call.arrived.elapsed() > route.objective;
     let events = stream! {
-        let _counted = guard;
+        let _kept = kept;
         yield Ok::<_, io::Error>(Frame::data(first));
         let mut limit = silence(&route, &call);
         let mut following = Some(source.flight.known().state.follow_leaving());
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -173,6 +173,7 @@
             callers: self.callers,
             head: self.head_limit,
             head_time: self.head_time.duration(),
+            rest_time: self.head_time.duration(),
             write_time: self.body_time.duration(),
         }
     }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -7,7 +7,7 @@
 
 use ini::Ini;
 
-use crate::units::{Millis, Number};
+use crate::units::{ByteSize, Millis, Number};
 
 /// What some editors put before the first character of a file.
 const BYTE_ORDER_MARK: char = '\u{feff}';
@@ -145,9 +145,21 @@
     /// The span of time under `key`, or `default` when absent. A unit without a number is absent too:
     /// that is what a template makes of a figure that is not given.
     pub(crate) fn time(&mut self, key: &str, default: Millis) -> Millis {
-        let is_given = |text: &String| !matches!(text.as_str(), "ms" | "s" | "m" | "h");
+        self.measure(key, &["ms", "s", "m", "h"], default)
+    }
+
+    /// The size under `key`, or `default` when absent, as with times.
+    pub(crate) fn size(&mut self, key: &str, default: ByteSize) -> ByteSize {
+        self.measure(key, &ByteSize::UNITS, default)
+    }
+
+    fn measure<T>(&mut self, key: &str, units: &[&str], default: T) -> T
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
         self.known.insert(key.to_owned());
-        match self.text(key).filter(is_given) {
+        match self.text(key).filter(|text| !units.contains(&text.as_str())) {
             Some(text) => self.parse(key, &text).unwrap_or(default),
             None => default,
         }
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use super::Reader;
-use crate::units::{Millis, Number};
+use crate::units::{ByteSize, Millis, Number};
 
 /// How replicas find each other where the settings name only a few of them.
 #[derive(Debug, Clone, Default)]
@@ -46,6 +46,10 @@
     pub grace: Millis,
     /// The length of a usage window.
     pub usage_window: Millis,
+    /// What the process may use of the box's memory; the platform ends one that uses more.
+    pub memory: ByteSize,
+    /// Descriptors that the process may have open.
+    pub descriptors: u32,
 }
 
 /// Where operators publish routes.
@@ -135,6 +139,10 @@
     let retry_floor = section.number("retry_floor", 50.0);
     let grace = section.time("grace", Millis(8_000));
     let usage_window = section.time("usage_window", Millis(5_000));
+    let memory = section.size("memory", MEMORY);
+    let descriptors = section.value("descriptors", DESCRIPTORS).whole();
+    section.check("memory", memory >= LEAST_MEMORY, "is at least 32MB");
+    section.check("descriptors", descriptors >= LEAST_DESCRIPTORS, "is at least 512");
     section.check("usage_window", usage_window.0 > 0, "is longer than nothing");
     section.check("retry_ratio", (0.0..=1.0).contains(&retry_ratio), "is from 0 to 1");
     reader.close(section);
@@ -146,9 +154,23 @@
         retry_floor,
         grace,
         usage_window,
+        memory,
+        descriptors,
     })
 }
 
+/// The memory of a relay where nothing is said of it: small boxes have this much.
+const MEMORY: ByteSize = ByteSize(160_000_000);
+
+/// The least that a relay serves in: what the program itself needs, and some requests.
+const LEAST_MEMORY: ByteSize = ByteSize(32_000_000);
+
+/// The descriptors of a process where nothing is said of them: what systems usually allow.
+const DESCRIPTORS: Number = Number(4_096.0);
+
+/// The least that a relay serves with: its own files and links, and some callers.
+const LEAST_DESCRIPTORS: u32 = 512;
+
 /// How many times the peak of late reclaimable engines are held for, unless the operators say otherwise:
 /// traffic grows faster than engines boot, and reclaimable ones cost a fraction of those that would
 /// stand in.
--- a/src/units.rs
+++ b/src/units.rs
@@ -131,6 +131,48 @@
     }
 }
 
+/// A number of bytes, as written in settings.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ByteSize(pub u64);
+
+impl ByteSize {
+    /// The units of [`ByteSize::from_str`].
+    pub const UNITS: [&'static str; 4] = ["B", "kB", "MB", "GB"];
+}
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}B", self.0)
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = ByteSizeError;
+
+    /// Reads `160MB`, `1.5GB`, `64kB` or `512B`, to the nearest byte; a bare number is bytes.
+    fn from_str(text: &str) -> Result<Self, ByteSizeError> {
+        let error = || ByteSizeError(text.to_owned());
+        let number = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+        let factor = match &text[number.len()..] {
+            "" | "B" => 1.0,
+            "kB" => 1e3,
+            "MB" => 1e6,
+            "GB" => 1e9,
+            _ => return Err(error()),
+        };
+        let Number(number) = number.trim_end().parse().map_err(|_| error())?;
+        let bytes = (number * factor).round();
+        // Above this a float no longer holds every whole number.
+        let most = (1u64 << f64::MANTISSA_DIGITS) as f64;
+        if bytes <= most { Ok(Self(bytes as u64)) } else { Err(error()) }
+    }
+}
+
+/// A text that is not a number of bytes.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not a size such as 160MB, 1.5GB or 64kB")]
+pub struct ByteSizeError(String);
+
 /// A text that is not a span of time.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{0:?} is not a time such as 250ms, 0.5s, 2m or 24h")]
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,196 @@
+//! What a box keeps in memory, what it refuses, and whom it lets go.
+
+use std::time::Duration;
+
+use emberturn::decide::memory::{Claim, Memory, Purpose, Reserved};
+use emberturn::decide::slowness::{Arriving, Slow, Taking, can_arrive, judge};
+use emberturn::units::ByteSize;
+use proptest::prelude::*;
+use yare::parameterized;
+
+const SIZE: u64 = 1_000;
+
+fn request(team: &str, urgency: u8) -> Claim {
+    Claim::Request { team: Some(team.parse().unwrap()), urgency }
+}
+
+/// Takes pieces of ten bytes until there is no room.
+fn fill(memory: &Memory, claim: &Claim) -> Vec<Reserved> {
+    let pieces = std::iter::repeat_with(|| memory.reserve(Purpose::Bodies, 10, claim.clone()));
+    pieces.map_while(Result::ok).collect()
+}
+
+fn bytes(held: &[Reserved]) -> u64 {
+    held.iter().map(Reserved::bytes).sum()
+}
+
+#[test]
+fn least_urgent_is_refused_first() {
+    let memory = Memory::of(SIZE);
+    let mut before = 0;
+    let mut held = Vec::new();
+    for urgency in [9, 5, 0] {
+        for team in 0..20 {
+            held.extend(fill(&memory, &request(&format!("team-{team}"), urgency)));
+        }
+        assert!(memory.held() > before, "urgency {urgency} finds no room at {before}");
+        before = memory.held();
+    }
+}
+
+#[test]
+fn team_that_fills_the_box_leaves_room_for_another() {
+    let memory = Memory::of(SIZE);
+    let _large = fill(&memory, &request("large", 0));
+    let small = fill(&memory, &request("small", 0));
+    assert!(bytes(&small) >= SIZE / 10, "{small:?}");
+}
+
+#[test]
+fn accepted_request_finds_room_where_new_ones_do_not() {
+    let memory = Memory::of(SIZE);
+    let mut held = Vec::new();
+    for team in 0..20 {
+        held.extend(fill(&memory, &request(&format!("team-{team}"), 0)));
+    }
+    assert!(memory.reserve(Purpose::Bodies, 10, request("new", 0)).is_err());
+    assert!(memory.reserve(Purpose::Connections, 100, Claim::Connection).is_err());
+    assert!(memory.reserve(Purpose::Answers, 100, Claim::Accepted).is_ok());
+}
+
+#[test]
+fn connections_at_rest_go_before_anything_is_refused() {
+    let memory = Memory::of(SIZE);
+    let claim = request("team", 9);
+    let mut held = Vec::new();
+    while !memory.is_pressed() {
+        held.push(memory.reserve(Purpose::Bodies, 10, claim.clone()).unwrap());
+    }
+    assert!(bytes(&held) < SIZE);
+}
+
+#[test]
+fn what_the_program_needs_itself_is_not_given_out() {
+    let memory = Memory::within(ByteSize(160_000_000));
+    assert!(memory.size() > 90_000_000 && memory.size() < 136_000_000, "{}", memory.size());
+    assert_eq!(Memory::within(ByteSize(1)).size(), 0);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Reserve(usize, u64, Option<u8>, u8),
+    Grow(usize, u64),
+    Shrink(usize, u64),
+    Drop(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..Purpose::ALL.len(), 0..400u64, proptest::option::of(0..4u8), 0..10u8).prop_map(
+            |(purpose, bytes, team, urgency)| Step::Reserve(purpose, bytes, team, urgency)
+        ),
+        (0..64usize, 0..400u64).prop_map(|(place, bytes)| Step::Grow(place, bytes)),
+        (0..64usize, 0..400u64).prop_map(|(place, bytes)| Step::Shrink(place, bytes)),
+        (0..64usize).prop_map(Step::Drop),
+    ]
+}
+
+fn perform(memory: &Memory, held: &mut Vec<Reserved>, step: &Step) {
+    let count = held.len().max(1);
+    match step {
+        Step::Reserve(purpose, bytes, team, urgency) => {
+            let claim = match (team, urgency) {
+                (Some(team), _) => request(&format!("team-{team}"), *urgency),
+                (None, 0..4) => Claim::Accepted,
+                (None, 4..7) => Claim::Connection,
+                (None, _) => Claim::Request { team: None, urgency: *urgency },
+            };
+            held.extend(memory.reserve(Purpose::ALL[*purpose], *bytes, claim));
+        }
+        Step::Grow(place, bytes) => {
+            if let Some(reserved) = held.get_mut(place % count) {
+                let _ = reserved.grow(*bytes);
+            }
+        }
+        Step::Shrink(place, bytes) => {
+            if let Some(reserved) = held.get_mut(place % count) {
+                reserved.shrink(*bytes);
+            }
+        }
+        Step::Drop(place) if !held.is_empty() => drop(held.swap_remove(place % count)),
+        Step::Drop(_) => {}
+    }
+}
+
+proptest! {
+    #[test]
+    fn whatever_comes_and_goes_stays_within_and_is_given_back(
+        steps in proptest::collection::vec(step(), 0..200),
+    ) {
+        let memory = Memory::of(SIZE);
+        let mut held = Vec::new();
+        for step in &steps {
+            perform(&memory, &mut held, step);
+            prop_assert!(memory.held() <= SIZE);
+            prop_assert_eq!(memory.held(), bytes(&held));
+            let by_purpose = Purpose::ALL.map(|purpose| memory.held_for(purpose));
+            prop_assert_eq!(memory.held(), by_purpose.iter().sum::<u64>());
+        }
+        held.clear();
+        prop_assert_eq!(memory.held(), 0);
+        // Also of the teams: the first one has the whole box again.
+        let again = fill(&memory, &request("team-0", 0));
+        prop_assert!(bytes(&again) >= SIZE / 2);
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A caller for whom 10 kB are kept, who takes 10 kB a second and has ten seconds left.
+fn taking() -> Taking {
+    Taking {
+        kept: 10_000,
+        taken: 30_000,
+        owed: 3 * SECOND,
+        silent: SECOND / 10,
+        longest: SECOND / 2,
+        held: Duration::ZERO,
+        left: 10 * SECOND,
+    }
+}
+
+#[parameterized(
+    takes = { taking(), None },
+    has_all = { Taking { kept: 0, silent: 60 * SECOND, ..taking() }, None },
+    silent = { Taking { silent: 3 * SECOND, ..taking() }, Some(Slow::Silent) },
+    known_to_pause = { Taking { silent: 3 * SECOND, longest: 2 * SECOND, ..taking() }, None },
+    engine_waits = { Taking { held: 2 * SECOND, ..taking() }, Some(Slow::Holding) },
+    pauses_do_not_hold_engines = {
+        Taking { held: 2 * SECOND, longest: 9 * SECOND, ..taking() }, Some(Slow::Holding)
+    },
+    too_little = { Taking { kept: 1_000_000, ..taking() }, Some(Slow::Late) },
+    too_little_not_known_yet = { Taking { kept: 1_000_000, owed: SECOND, taken: 1, ..taking() }, None },
+)]
+fn caller_is_let_go_by_what_it_takes(taking: Taking, slow: Option<Slow>) {
+    assert_eq!(judge(&taking, Some(SECOND / 10)), slow);
+}
+
+#[test]
+fn route_with_long_pauses_bears_a_longer_silence() {
+    let taking = Taking { silent: 3 * SECOND, ..taking() };
+    assert_eq!(judge(&taking, Some(SECOND)), None);
+}
+
+#[parameterized(
+    all_there = { 4_000, 1, true },
+    begins = { 0, 1, true },
+    trickles = { 10, 4, false },
+    nothing = { 0, 4, false },
+    half_in_half = { 2_000, 5, true },
+    recovers = { 1_000, 5, true },
+    time_is_over = { 3_999, 10, false },
+)]
+fn body_is_refused_once_it_cannot_arrive(came: u64, passed: u32, can: bool) {
+    let arriving = Arriving { came, length: 4_000, passed: passed * SECOND, time: 10 * SECOND };
+    assert_eq!(can_arrive(&arriving), can);
+}
--- /dev/null
+++ b/tests/pressure.rs
@@ -0,0 +1,253 @@
+//! A relay under large bodies, slow callers and more connections than it has room for.
+
+#[path = "support/platform.rs"]
+#[allow(dead_code, reason = "each test takes what it needs")]
+mod platform;
+
+use std::sync::Arc;
+
+use emberturn::decide::memory::Purpose;
+use futures_util::future::join_all;
+use platform::{Act, PATIENCE, Reply, StandIn, TestRelay, document, until, usual_routes};
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const BODY: usize = 4 << 20;
+
+/// The usual document with bodies of 4 MB.
+fn large_bodies() -> Value {
+    let mut value = document(1, &usual_routes());
+    value["limits"]["max_body_bytes"] = BODY.into();
+    value
+}
+
+async fn relay_with(extra: &str, value: &Value, servers: &[&StandIn]) -> TestRelay {
+    let relay = TestRelay::empty_with(extra).await;
+    relay.publish(value);
+    relay.list(servers);
+    relay
+}
+
+fn head(route: &str, headers: &str) -> String {
+    format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-1\r\nApi-Key: key-a\r\n{headers}\r\n"
+    )
+}
+
+/// Reads to the end of a connection.
+async fn rest(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let _ = tokio::time::timeout(PATIENCE, reading).await.expect("no end in time");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Writes a request whole before it reads anything of the answer.
+async fn send_whole(relay: &TestRelay, body: &[u8]) -> Reply {
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    let length = body.len();
+    let head = head("once", &format!("Content-Length: {length}\r\nConnection: close\r\n"));
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body).await.expect("cut off while it writes");
+    Reply::parse(&rest(&mut stream).await)
+}
+
+/// Writes a request and reads its answer as it comes; what is not written by then is left.
+async fn send(relay: &TestRelay, body: &[u8]) -> Reply {
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    let length = body.len();
+    let head = head("once", &format!("Content-Length: {length}\r\nConnection: close\r\n"));
+    let (mut reading, mut writing) = stream.split();
+    let writing = async {
+        let _ = writing.write_all(head.as_bytes()).await;
+        let _ = writing.write_all(body).await;
+        std::future::pending::<()>().await;
+    };
+    let mut answer = Vec::new();
+    let answered = async {
+        loop {
+            let reply = Reply::parse(&String::from_utf8_lossy(&answer));
+            if reply.whole || reading.read_buf(&mut answer).await.unwrap_or(0) == 0 {
+                return reply;
+            }
+        }
+    };
+    let answered = tokio::time::timeout(PATIENCE, answered);
+    tokio::select! {
+        () = writing => unreachable!(),
+        reply = answered => reply.expect("no answer in time"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_beyond_the_memory_are_refused_in_truth_and_the_others_served() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = relay_with("memory = 160MB\n", &large_bodies(), &[&server]).await;
+    let body = vec![b'x'; BODY];
+    let replies = join_all((0..200).map(|_| send(&relay, &body))).await;
+    let refused: Vec<_> = replies.iter().filter(|reply| reply.status == 503).collect();
+    let served = replies.iter().filter(|reply| reply.status == 200 && reply.whole).count();
+    assert_eq!(
+        served + refused.len(),
+        200,
+        "{:?}",
+        replies.iter().map(|it| it.status).collect::<Vec<_>>()
+    );
+    assert!(served > 0 && !refused.is_empty(), "{served} served");
+    assert_eq!(server.seen().len(), served);
+    let said = |reply: &&Reply| reply.whole && reply.headers.contains_key("retry-after");
+    assert!(refused.iter().all(said) && refused.iter().all(|it| it.body.contains("no_memory")));
+    assert!(relay.relay.memory.peak() <= relay.relay.memory.size());
+    until("all is given back", || relay.relay.memory.held_for(Purpose::Bodies) == 0).await;
+}
+
+#[tokio::test]
+async fn length_is_reserved_before_the_body_and_given_back_with_its_caller() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = relay_with("", &large_bodies(), &[&server]).await;
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    let text = head("once", &format!("Content-Length: {BODY}\r\n"));
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let memory = &relay.relay.memory;
+    until("it is reserved", || memory.held_for(Purpose::Bodies) >= BODY as u64).await;
+    drop(stream);
+    until("all is given back", || memory.held() == 0).await;
+    assert!(server.seen().is_empty());
+}
+
+#[tokio::test]
+async fn body_of_no_end_is_refused_at_the_limit() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = relay_with("", &document(1, &usual_routes()), &[&server]).await;
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    let text = head("once", "Transfer-Encoding: chunked\r\n");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let piece = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+    let (mut reading, mut writing) = stream.split();
+    let endless = async {
+        while writing.write_all(piece.as_bytes()).await.is_ok() {}
+        std::future::pending::<()>().await;
+    };
+    let mut answer = [0; 12];
+    tokio::select! {
+        () = endless => {}
+        read = reading.read_exact(&mut answer) => { read.unwrap(); }
+    }
+    assert_eq!(&answer, b"HTTP/1.1 413");
+    assert!(server.seen().is_empty());
+}
+
+#[tokio::test]
+async fn body_that_cannot_arrive_in_time_is_refused_before_its_time_is_over() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = relay_with("", &large_bodies(), &[&server]).await;
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    let text = head("once", &format!("Deadline-Ms: 2000\r\nContent-Length: {BODY}\r\n"));
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream.write_all(b"a first piece").await.unwrap();
+    let reply = Reply::parse(&rest(&mut stream).await);
+    assert_eq!(reply.status, 408, "{reply:?}");
+    assert!(reply.body.contains("cannot arrive in time"), "{reply:?}");
+    assert!(server.seen().is_empty());
+    until("all is given back", || relay.relay.memory.held() == 0).await;
+}
+
+#[tokio::test]
+async fn head_that_trickles_is_held_to_the_operators_time() {
+    let mut value = document(1, &usual_routes());
+    value["limits"]["header_timeout_ms"] = 300.into();
+    let relay = relay_with("", &value, &[]).await;
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    stream.write_all(b"POST /once/x HTTP/1.1\r\nHost: app.exam").await.unwrap();
+    assert_eq!(rest(&mut stream).await, "");
+}
+
+#[tokio::test]
+async fn connection_that_stays_silent_is_closed() {
+    let mut value = document(1, &usual_routes());
+    value["limits"]["header_timeout_ms"] = 300.into();
+    let relay = relay_with("", &value, &[]).await;
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    assert_eq!(rest(&mut stream).await, "");
+    until("its place is free", || relay.relay.gate.counts() == (0, 0)).await;
+}
+
+#[tokio::test]
+async fn connection_at_rest_is_not_held_to_the_time_of_a_head() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let mut value = document(1, &usual_routes());
+    value["limits"]["header_timeout_ms"] = 500.into();
+    let relay = relay_with("", &value, &[&server]).await;
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    ask_on(&mut stream).await;
+    // A connection that says nothing is closed meanwhile, so the time for a head is over.
+    rest(&mut TcpStream::connect(relay.addr).await.unwrap()).await;
+    ask_on(&mut stream).await;
+}
+
+/// Asks on a connection that is kept.
+async fn ask_on(stream: &mut TcpStream) {
+    let text = head("once", "Content-Length: 0\r\n");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\nanswer") {
+        assert_ne!(stream.read_buf(&mut answer).await.unwrap(), 0, "closed");
+    }
+}
+
+#[tokio::test]
+async fn without_a_place_the_connection_that_rested_longest_goes() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    // Places for 56 callers.
+    let relay = relay_with("descriptors = 512\n", &document(1, &usual_routes()), &[&server]).await;
+    let mut streams = Vec::new();
+    for _ in 0..56 {
+        let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+        ask_on(&mut stream).await;
+        streams.push(stream);
+    }
+    until("all rest", || relay.relay.gate.counts() == (56, 56)).await;
+    ask_on(&mut streams[0]).await;
+    until("all rest", || relay.relay.gate.counts() == (56, 56)).await;
+    ask_on(&mut TcpStream::connect(relay.addr).await.unwrap()).await;
+    assert_eq!(rest(&mut streams[1]).await, "");
+    ask_on(&mut streams[0]).await;
+    ask_on(&mut streams[2]).await;
+}
+
+#[tokio::test]
+async fn under_pressure_connections_at_rest_go() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = relay_with("memory = 32MB\n", &large_bodies(), &[&server]).await;
+    let mut resting = TcpStream::connect(relay.addr).await.unwrap();
+    ask_on(&mut resting).await;
+    let relay = Arc::new(relay);
+    let mut held = Vec::new();
+    while !relay.relay.memory.is_pressed() {
+        let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+        let text = head("once", "Content-Length: 1000000\r\n");
+        stream.write_all(text.as_bytes()).await.unwrap();
+        held.push(stream);
+        let memory = relay.relay.memory.clone();
+        let wanted = held.len() as u64 * 1_000_000;
+        until("it is reserved", || memory.held_for(Purpose::Bodies) >= wanted).await;
+    }
+    relay.ask("POST", "once").await;
+    assert_eq!(rest(&mut resting).await, "");
+}
+
+#[tokio::test]
+async fn refused_caller_that_writes_all_before_it_reads_has_its_refusal() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = relay_with("memory = 32MB\n", &large_bodies(), &[&server]).await;
+    let mut held = TcpStream::connect(relay.addr).await.unwrap();
+    let text = head("once", "Content-Length: 3000000\r\n");
+    held.write_all(text.as_bytes()).await.unwrap();
+    let memory = &relay.relay.memory;
+    until("it is reserved", || memory.held_for(Purpose::Bodies) >= 3_000_000).await;
+    let reply = send_whole(&relay, &vec![b'x'; BODY]).await;
+    assert_eq!((reply.status, reply.whole), (503, true), "{reply:?}");
+    assert!(reply.headers.contains_key("retry-after"));
+    assert!(server.seen().is_empty());
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -342,6 +342,16 @@
     _closing: watch::Sender<bool>,
 }
 
+/// Waits until something holds that no event tells of.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.unwrap_or_else(|_| panic!("not in time: {what}"));
+}
+
 /// An address nobody listens at.
 fn free_addr() -> SocketAddr {
     std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -350,10 +360,15 @@
 impl TestRelay {
     /// Starts a relay that knows nothing yet.
     pub async fn empty() -> Self {
+        Self::empty_with("").await
+    }
+
+    /// The same with further lines among its settings.
+    pub async fn empty_with(extra: &str) -> Self {
         let (addr, ready) = (free_addr(), free_addr());
         let text = format!(
             "[node]\nbox_id = relay\ndata_centre = here\nroles = relay\n[replicas]\nr = 127.0.0.1:1\n\
-             [relay]\nlisten = {addr}\nready = {ready}\n"
+             [relay]\nlisten = {addr}\nready = {ready}\n{extra}"
         );
         let settings = Settings::parse("relay.ini", &text).unwrap();
         let board = Arc::new(Blackboard::new("relay".parse().unwrap()));
