Pressure: answers are read from engines as they come, and callers who take too little are let go

Cause: an answer that its caller did not read stopped the reading from its engine, which held a place and its memory for it and cut it off after some seconds; 15 s without a byte written was the only guard.

Change: relay/taking.rs, a task for each answer that goes on reading while the connection waits for its caller. What the connection has not written is kept: 8 kB with the request, up to 256 kB more in the book while the box is filled to less than 0.3. decide/slowness.rs judges each caller for whom something is kept, by what it takes and what its route allows: silent, holding its engine up, or too late; it is let go by closing both connections, with a line caller_slow and a count. Whole answers are charged as they come and wait for room. The system keeps 64 kB for a caller at most, and 64 kB of an answer are buffered from an engine before they are asked for.

Seen to fail with the mechanism taken out: reading ahead (answer_is_read_to_its_end...), the judgement (3 tests), the closing (2 tests). The first run of caller_that_leaves_in_mid_stream passed without the sender's end, as its deadline was shorter than the test's patience; its deadline is longer now.

tests/support: a relay's listener tries another address where a free one was taken meanwhile by a connection of another test; seen once in 20 runs.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -22,6 +22,9 @@
 /// How long a connection may take to stand.
 const CONNECT_TIME: Duration = Duration::from_millis(1_000);
 
+/// Bytes of an answer that are buffered before they are asked for: nothing of them is in the box's book.
+const BUFFER_BYTES: usize = 64 << 10;
+
 /// Idle connections kept for one address.
 const IDLE_LIMIT: usize = 64;
 
@@ -254,7 +257,9 @@
     if let Err(error) = options {
         tracing::warn!(event = "connection_options_refused", %addr, %error);
     }
-    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let mut library = http1::Builder::new();
+    library.max_buf_size(BUFFER_BYTES);
+    let shaken = library.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = shaken.map_err(|error| not_sent(error.to_string()))?;
     tokio::spawn(async move {
         let _ = connection.await;
--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -6,8 +6,9 @@
 //!
 //! What gives first, as the box fills: connections at rest, which cost their callers a connect; then
 //! requests that have not been read, the least urgent first and of the largest teams first, which cost
-//! them a return; then callers who take too little, of whom nobody else has anything. An accepted
-//! request is never given up for room: its answer may use what the others leave free.
+//! them a return. Answers are read ahead of callers who take them slowly only while the box has plenty
+//! of room; beyond that their engines wait for them, and [`super::slowness`] says when they are let go.
+//! An accepted request is never given up for room: its answer may use what the others leave free.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -37,6 +38,10 @@
 /// closing one gives back far less than a request takes.
 const PRESSED_PART: f64 = 0.4;
 
+/// The part up to which answers are read before their callers take them: slow callers fill no box, and
+/// cost the others neither their requests nor their connections.
+const AHEAD_PART: f64 = 0.3;
+
 /// The least urgent that a request can be.
 pub const LEAST_URGENT: u8 = 9;
 
@@ -82,8 +87,10 @@
         /// How urgent it is; 0 goes first.
         urgency: u8,
     },
-    /// A request that has been accepted.
+    /// A request that has been accepted: what it needs to be answered.
     Accepted,
+    /// What is read of an answer before its caller takes it, so that the engine is free sooner.
+    Ahead,
     /// A connection, or what has arrived on one and is not a request yet.
     Connection,
 }
@@ -125,6 +132,7 @@
         let next = self.total.saturating_add(bytes);
         match claim {
             Claim::Accepted => next <= self.size,
+            Claim::Ahead => next <= self.part(AHEAD_PART),
             Claim::Connection => next <= self.limit(0),
             Claim::Request { team, urgency } => {
                 let limit = self.limit(*urgency);
--- a/src/http/gate.rs
+++ b/src/http/gate.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, Semaphore};
 
 use super::server::Limits;
@@ -23,6 +25,10 @@
 /// Refused bodies that are read at the same time: others share the box's link.
 const DRAINS: usize = 16;
 
+/// Bytes that the system keeps for a caller: what is under way on a link of 10 Mb/s with 50 ms there and
+/// back.
+const SEND_BYTES: usize = 64 << 10;
+
 /// Where a connection is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u8)]
@@ -284,6 +290,16 @@
         memory.map(|memory| memory.reserve(Purpose::Connections, bytes, claim)).transpose()
     }
 
+    /// Has the system keep little for a caller, where connections are charged: what it keeps is in no
+    /// book, and hides whether the caller takes anything.
+    pub(super) fn bound_buffer(&self, stream: &TcpStream) {
+        if self.memory.is_some()
+            && let Err(error) = SockRef::from(stream).set_send_buffer_size(SEND_BYTES)
+        {
+            tracing::debug!(event = "send_buffer_not_bounded", %error);
+        }
+    }
+
     /// Closes connections at rest where memory is short, those first that have rested longest.
     pub fn relieve(&self) {
         if self.memory.as_ref().is_some_and(Memory::is_pressed) {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -101,6 +101,7 @@
             }
         };
         let _ = stream.set_nodelay(true);
+        gate.bound_buffer(&stream);
         match gate.enter() {
             Some(place) => {
                 let (handler, closing) = (handler.clone(), closing.clone());
--- a/src/relay/keeping.rs
+++ b/src/relay/keeping.rs
@@ -1,10 +1,12 @@
-//! What the box keeps for a request, charged to its memory: its head and its place, its body as it
-//! arrives, its answer until the caller has taken it.
+//! What the box keeps for a request, charged to its memory: its head and its place, and its body as it
+//! arrives.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
+use hyper::Request;
 use hyper::body::{Body as _, Incoming};
 
 use crate::blackboard::RequestGuard;
@@ -12,6 +14,8 @@
 use crate::decide::slowness::{Arriving, can_arrive};
 use crate::error::{Failure, Kind};
 use crate::http::charged::charged;
+use crate::http::gate::{Busy, Link};
+use crate::http::head;
 use crate::http::server::READ_BYTES;
 
 /// What a request at a backend server takes: its tasks, the connection there with the buffers with which
@@ -32,25 +36,36 @@
 
 /// What is kept for a request from its head to the end of its answer.
 pub struct Kept {
+    link: Option<Arc<Link>>,
     _guard: RequestGuard,
     _head: Reserved,
     _place: Reserved,
 }
 
 impl Kept {
-    /// Keeps a request with a head of so many bytes.
+    /// Keeps a request whose body has not been read.
     ///
     /// # Errors
     /// [`Kind::NoMemory`].
     pub(super) fn take(
         memory: &Memory,
-        head: usize,
+        request: &Request<()>,
         claim: &Claim,
         guard: RequestGuard,
     ) -> Result<Self, Failure> {
-        let head = memory.reserve(Purpose::Heads, head as u64 * HEAD_COPIES, claim.clone());
+        let link = request.extensions().get::<Arc<Busy>>().map(|busy| busy.link().clone());
+        let head = head::size(request) as u64 * HEAD_COPIES;
+        let head = memory.reserve(Purpose::Heads, head, claim.clone());
         let place = memory.reserve(Purpose::Requests, REQUEST_BYTES, claim.clone());
-        Ok(Self { _guard: guard, _head: head.map_err(refused)?, _place: place.map_err(refused)? })
+        let (_head, _place) = (head.map_err(refused)?, place.map_err(refused)?);
+        Ok(Self { link, _guard: guard, _head, _place })
+    }
+
+    /// Closes the caller's connection at once.
+    pub(super) fn cut(&self) {
+        if let Some(link) = &self.link {
+            link.cut();
+        }
     }
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,8 +11,8 @@
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send, [`course`] all sends of one call.
 //! - [`moving`] moves running streams off servers that are leaving.
-//! - [`keeping`] is what the box keeps for a request, charged to its memory: the body as it arrives, and
-//!   the answer until it is taken.
+//! - [`keeping`] is what the box keeps for a request, charged to its memory, and [`taking`] its answer
+//!   until the caller has taken it.
 //! - [`usage`] counts what ran and [`offered`] what came. What decides, limits and remembers is in
 //!   [`crate::decide`].
 //!
@@ -36,6 +36,7 @@
 pub mod servers;
 pub mod stream;
 pub mod table;
+pub(crate) mod taking;
 pub mod usage;
 
 use std::pin::pin;
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::header::{CONNECTION, CONTENT_LENGTH};
@@ -13,19 +13,27 @@
 use super::attempt::{Miss, Origin, Reply, seconds_since, send};
 use super::call::Call;
 use super::course::Course;
-use super::keeping::Kept;
 use super::servers::Known;
 use super::table::Route;
+use super::taking::FIRST_BYTES;
 use crate::backend::SendFault;
 use crate::decide::engine::Observation;
+use crate::decide::memory::{Claim, Purpose, Reserved};
 use crate::decide::releases::Outcome;
 use crate::error::Failure;
-use crate::http::{Body, whole};
+use crate::http::Body;
+use crate::http::charged::charged;
 use crate::ids::ServiceName;
 
 /// Bytes of an answer at most.
 const ANSWER_LIMIT: usize = 16 << 20;
 
+/// The longest that a piece of an answer is waited for; its call's time ends it earlier.
+const ANSWER_TIME: Duration = Duration::from_secs(3_600);
+
+/// Time between two looks for room in a full box: others take their answers meanwhile.
+const ROOM_PAUSE: Duration = Duration::from_millis(20);
+
 /// The part of the objective after which a repeatable request that has no answer goes to a second
 /// server: while that one can still be in time.
 const PATIENCE: f64 = 0.6;
@@ -66,16 +74,16 @@
 }
 
 /// A backend server's answer, whole.
-pub(super) struct Answer {
+pub struct Answer {
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
 }
 
 impl Answer {
-    /// As it goes to the caller.
-    pub(super) fn response(self) -> Response<Body> {
-        let mut response = Response::new(whole(self.body));
+    /// As it goes to the caller; `body` makes its body of the bytes.
+    pub(super) fn response(self, body: impl FnOnce(Bytes) -> Body) -> Response<Body> {
+        let mut response = Response::new(body(self.body));
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
         response
@@ -95,9 +103,7 @@
     call: &Call,
     route: &Route,
     service: &ServiceName,
-    kept: Kept,
-) -> Result<Response<Body>, Failure> {
-    let _kept = kept;
+) -> Result<Answer, Failure> {
     let mut course = Course::new(service.clone());
     let mut failed: Option<Answer> = None;
     let mut running = FuturesUnordered::new();
@@ -109,14 +115,14 @@
             match course.next(relay, call, route) {
                 Ok(known) => running.push(pass(relay, call, route, known)),
                 // A server's own word that the request failed is worth more than ours.
-                Err(failure) => return failed.map(Answer::response).ok_or(failure),
+                Err(failure) => return failed.ok_or(failure),
             }
         }
         tokio::select! {
             Some((known, result)) = running.next() => match result {
-                Ok((answer, false)) => return Ok(answer.response()),
+                Ok((answer, false)) => return Ok(answer),
                 Ok((answer, true)) if !course.may_repeat(route) && running.is_empty() => {
-                    return Ok(answer.response());
+                    return Ok(answer);
                 }
                 Ok((answer, true)) => failed = Some(answer),
                 Err(miss) => course.note(call, &known, miss),
@@ -154,7 +160,7 @@
     let limit = call.left();
     let result = tokio::time::timeout(limit, async {
         let reply = send(relay, call, route, known, Origin::default(), limit).await?;
-        read(reply, ANSWER_LIMIT).await
+        read(relay, reply, ANSWER_LIMIT).await
     });
     let (answer, failed) = match result.await {
         Ok(result) => result?,
@@ -175,12 +181,47 @@
     Ok((answer, failed))
 }
 
-/// Reads an answer of at most `limit` bytes to its end; whether the server says that it failed.
-pub(super) async fn read(reply: Reply, limit: usize) -> Result<(Answer, bool), Miss> {
-    let status = reply.exchange.status;
-    let mut headers = reply.exchange.headers.clone();
-    let body = reply.exchange.read_whole(limit, Duration::from_secs(3_600)).await;
-    let body = body.map_err(Miss::of_fault)?;
+/// Reads an answer of at most `limit` bytes to its end, as there is room for it; whether the server says
+/// that the request failed.
+pub(super) async fn read(
+    relay: &Relay,
+    reply: Reply,
+    limit: usize,
+) -> Result<(Answer, bool), Miss> {
+    let Reply { mut exchange, failed } = reply;
+    let mut held = BytesMut::new();
+    let mut charge = None;
+    while let Some(piece) = exchange.next(ANSWER_TIME).await.map_err(Miss::of_fault)? {
+        if held.len() + piece.len() > limit {
+            return Err(Miss::of_fault(SendFault::TooLarge(limit)));
+        }
+        if (held.len() + piece.len()) as u64 > FIRST_BYTES {
+            make_room(relay, &mut charge, piece.len() as u64).await;
+        }
+        held.extend_from_slice(&piece);
+    }
+    let (status, mut headers) = (exchange.status, exchange.headers);
     strip_hop_headers(&mut headers);
-    Ok((Answer { status, headers, body }, reply.failed))
+    let body = match charge {
+        Some(charge) => charged(held.freeze(), charge),
+        None => held.freeze(),
+    };
+    Ok((Answer { status, headers, body }, failed))
+}
+
+/// Charges more of an answer, once there is room: it has run, so it is not refused.
+async fn make_room(relay: &Relay, charge: &mut Option<Reserved>, bytes: u64) {
+    loop {
+        let taken = match charge {
+            Some(charge) => charge.grow(bytes).is_ok(),
+            None => {
+                *charge = relay.memory.reserve(Purpose::Answers, bytes, Claim::Accepted).ok();
+                charge.is_some()
+            }
+        };
+        if taken {
+            return;
+        }
+        tokio::time::sleep(ROOM_PAUSE).await;
+    }
 }
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -17,6 +17,7 @@
 use super::plain::{self, strip_hop_headers};
 use super::stream;
 use super::table::{Route, RouteTable, Team};
+use super::taking;
 use crate::decide::choose::split;
 use crate::decide::memory::{Claim, LEAST_URGENT};
 use crate::entry::answer;
@@ -127,19 +128,20 @@
     let urgency = urgency(team, &route);
     let claim = Claim::Request { team: team.map(|team| team.name.clone()), urgency };
     relay.gate.relieve();
-    let kept = Kept::take(&relay.memory, head::size(&request), &claim, guard)?;
+    let kept = Kept::take(&relay.memory, &request, &claim, guard)?;
     let until = arrived + waits;
     let read = read_body(&relay.memory, body, table.limits.body, until, claim).await?;
     let call = put_together(team, urgency, head, request, read, arrived, until);
     let spent = take_allowance(relay, team, &call).await?;
     relay.retries().earn(&service, &retry_limit(relay));
     relay.offered().count(&service, call.head.size.unwrap_or_default(), route.objective);
+    let call = Arc::new(call);
+    let (relay_kept, call_kept, route_kept) = (relay.clone(), call.clone(), route.clone());
     let answered = match route.repeat.is_stream() {
-        true => {
-            let (relay, call, route) = (relay.clone(), Arc::new(call), route.clone());
-            stream::answer(relay, call, route, &service, kept).await
-        }
-        false => plain::answer(relay, &call, &route, &service, kept).await,
+        true => stream::answer(relay_kept, call_kept, route_kept, &service, kept).await,
+        false => plain::answer(relay, &call, &route, &service).await.map(|answer| {
+            answer.response(|body| taking::answer(relay_kept, call_kept, route_kept, kept, body))
+        }),
     };
     match answered {
         Ok(response) => {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -8,8 +8,6 @@
 
 use async_stream::stream;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
@@ -22,11 +20,12 @@
 use super::plain::{read, strip_hop_headers};
 use super::servers::{Flight, Known};
 use super::table::{Repeat, Route};
+use super::taking;
 use crate::backend::{Exchange, SendFault};
 use crate::decide::engine::Observation;
 use crate::decide::releases::Outcome;
 use crate::error::{Failure, Kind};
-use crate::http::Body;
+use crate::http::{Body, whole};
 use crate::ids::ServiceName;
 use crate::telemetry::volume;
 
@@ -196,8 +195,8 @@
     let opening = async {
         let reply = send(relay, call, route, known, origin, limit).await?;
         if !reply.exchange.status.is_success() {
-            let (answer, failed) = read(reply, FAILURE_LIMIT).await?;
-            return Ok(Opening::Whole(answer.response(), failed));
+            let (answer, failed) = read(relay, reply, FAILURE_LIMIT).await?;
+            return Ok(Opening::Whole(answer.response(whole), failed));
         }
         let exchange = reply.exchange;
         let mut source = Source { exchange, cutter: EventCutter::default(), flight, began };
@@ -327,9 +326,9 @@
     let mut progress = Progress::new(call.head.resume);
     progress.pass(&first);
     progress.late = call.arrived.elapsed() > route.objective;
+    let passing = (relay.clone(), call.clone(), route.clone());
     let events = stream! {
-        let _kept = kept;
-        yield Ok::<_, io::Error>(Frame::data(first));
+        yield Ok::<_, io::Error>(first);
         let mut limit = silence(&route, &call);
         let mut following = Some(source.flight.known().state.follow_leaving());
         loop {
@@ -349,19 +348,19 @@
                         Moved::Elsewhere(ready, moved) => {
                             source = *moved;
                             following = Some(source.flight.known().state.follow_leaving());
-                            yield Ok(Frame::data(ready));
+                            yield Ok(ready);
                             continue;
                         }
                         Moved::Ended(ready) => {
-                            yield Ok(Frame::data(ready));
+                            yield Ok(ready);
                             break;
                         }
                         Moved::Stays(ready) => {
-                            yield Ok(Frame::data(ready));
+                            yield Ok(ready);
                             continue;
                         }
                         Moved::Lost(ready) => {
-                            yield Ok(Frame::data(ready));
+                            yield Ok(ready);
                             Err(SendFault::Broke("the run could not be moved".to_owned()))
                         }
                     }
@@ -370,7 +369,7 @@
             let fault = match came {
                 Ok(Some(ready)) => {
                     if !ready.is_empty() {
-                        yield Ok(Frame::data(ready));
+                        yield Ok(ready);
                     }
                     continue;
                 }
@@ -411,7 +410,7 @@
                 Some((ready, next)) => {
                     source = next;
                     if !ready.is_empty() {
-                        yield Ok(Frame::data(ready));
+                        yield Ok(ready);
                     }
                 }
                 None => {
@@ -421,7 +420,8 @@
             }
         }
     };
-    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(events)));
+    let (relay, call, route) = passing;
+    let mut response = Response::new(taking::stream(relay, call, route, kept, events));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -58,6 +58,15 @@
     assert!(memory.reserve(Purpose::Answers, 100, Claim::Accepted).is_ok());
 }
 
+#[test]
+fn reading_ahead_of_slow_callers_takes_no_room_from_others() {
+    let memory = Memory::of(SIZE);
+    let _ahead = fill(&memory, &Claim::Ahead);
+    assert!(!memory.is_pressed());
+    let requests = fill(&memory, &request("team", 9));
+    assert!(bytes(&requests) >= SIZE / 10, "{}", bytes(&requests));
+}
+
 #[test]
 fn connections_at_rest_go_before_anything_is_refused() {
     let memory = Memory::of(SIZE);
@@ -101,8 +110,9 @@
         Step::Reserve(purpose, bytes, team, urgency) => {
             let claim = match (team, urgency) {
                 (Some(team), _) => request(&format!("team-{team}"), *urgency),
-                (None, 0..4) => Claim::Accepted,
-                (None, 4..7) => Claim::Connection,
+                (None, 0..3) => Claim::Accepted,
+                (None, 3..5) => Claim::Ahead,
+                (None, 5..7) => Claim::Connection,
                 (None, _) => Claim::Request { team: None, urgency: *urgency },
             };
             held.extend(memory.reserve(Purpose::ALL[*purpose], *bytes, claim));
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -5,13 +5,16 @@
 mod platform;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use emberturn::decide::memory::Purpose;
 use futures_util::future::join_all;
-use platform::{Act, PATIENCE, Reply, StandIn, TestRelay, document, until, usual_routes};
+use platform::{
+    Act, PATIENCE, Reply, StandIn, TestRelay, document, large_event, until, usual_routes,
+};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 const BODY: usize = 4 << 20;
 
@@ -251,3 +254,152 @@
     assert!(reply.headers.contains_key("retry-after"));
     assert!(server.seen().is_empty());
 }
+
+/// Asks on a connection for which this side's system keeps next to nothing, and reads so many bytes.
+async fn ask_and_stop(relay: &TestRelay, route: &str, bytes: usize) -> (TcpStream, Vec<u8>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    let mut stream = socket.connect(relay.addr).await.unwrap();
+    let text = head(route, "Deadline-Ms: 60000\r\nContent-Length: 0\r\n");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut came = vec![0; bytes];
+    stream.read_exact(&mut came).await.unwrap();
+    (stream, came)
+}
+
+/// The usual document with routes that hold a request for longer than any test.
+fn patient() -> Value {
+    let mut value = document(1, &usual_routes());
+    for route in value["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = 60_000.into();
+    }
+    value
+}
+
+fn in_flight(relay: &TestRelay) -> u32 {
+    let servers = relay.relay.servers.of(&"svc".parse().unwrap());
+    servers.iter().map(|known| known.state.in_flight()).sum()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_is_read_to_its_end_while_its_caller_takes_nothing() {
+    // More than connections hold, less than is kept of one answer beside them.
+    let server = StandIn::start("i-1", &[Act::Large(2_500, 100)]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let (_stream, _) = ask_and_stop(&relay, "stream", 100).await;
+    until("the engine is free", || in_flight(&relay) == 0).await;
+    let kept = relay.relay.memory.held_for(Purpose::Answers);
+    assert!(kept > 0 && !relay.has_counted("caller_slow"), "{kept}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_that_takes_nothing_is_let_go_and_its_engine_told() {
+    let mut server = StandIn::start("i-1", &[Act::Large(u64::MAX, 100)]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let (mut stream, _) = ask_and_stop(&relay, "stream", 100).await;
+    server.wait_gone(1).await;
+    assert!(relay.has_counted("caller_slow"));
+    assert!(!rest(&mut stream).await.ends_with("0\r\n\r\n"));
+    until("all is given back", || relay.relay.memory.held() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_that_leaves_in_mid_stream_frees_its_engine() {
+    let mut server = StandIn::start("i-1", &[Act::Large(u64::MAX, 100)]).await;
+    let relay = relay_with("", &patient(), &[&server]).await;
+    let (stream, _) = ask_and_stop(&relay, "stream", 100).await;
+    drop(stream);
+    server.wait_gone(1).await;
+    assert!(!relay.has_counted("caller_slow"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_that_was_let_go_takes_its_stream_up_behind_its_last_event() {
+    let last = 20_000;
+    let server = StandIn::start("i-1", &[Act::Large(last, 100)]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let (mut stream, came) = ask_and_stop(&relay, "resumable", 4_000).await;
+    until("it is let go", || relay.has_counted("caller_slow")).await;
+    let came = String::from_utf8(came).unwrap();
+    let text = format!("{came}{}", rest(&mut stream).await);
+    let reply = Reply::parse(&text);
+    assert!(!reply.whole);
+    let had = reply.body.matches("\n\n").count() as u64;
+    assert!(had > 0 && had < last, "{had}");
+    let headers = format!("Api-Key: key-a\r\nLast-Event-Id: {had}\r\n");
+    let again = relay.ask_with("POST", "resumable", &headers).await;
+    let missing: String = (had + 1..=last).map(|number| large_event(number, 100)).collect();
+    assert!(again.whole && again.body == missing);
+}
+
+/// Takes a kilobyte a second until the other side closes.
+async fn trickle(relay: &TestRelay, begun: &AtomicUsize) {
+    let (mut stream, _) = ask_and_stop(relay, "stream", 100).await;
+    begun.fetch_add(1, Ordering::SeqCst);
+    let mut piece = [0; 100];
+    while stream.read(&mut piece).await.is_ok_and(|read| read > 0) {
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+}
+
+/// Slow callers beside others: half of the slow ones take nothing, half a kilobyte a second. The box
+/// closes in the midst of it.
+async fn slow_callers_beside_others(slow: usize, others: usize, memory: &str) {
+    let slow_server = StandIn::start("i-1", &[Act::Large(u64::MAX, 1_000)]).await;
+    let server = StandIn::start("i-2", &[Act::Large(1_000, 100)]).await;
+    let mut value = patient();
+    let mut quick = platform::route("quick", "streaming", 1);
+    quick["service"] = "svc-2".into();
+    value["routes"].as_array_mut().unwrap().push(quick);
+    let mut service = value["services"][0].clone();
+    service["name"] = "svc-2".into();
+    value["services"].as_array_mut().unwrap().push(service);
+    let mut team = value["tenants"][0].clone();
+    (team["name"], team["api_keys"]) = ("team-b".into(), serde_json::json!(["key-b"]));
+    value["tenants"].as_array_mut().unwrap().push(team);
+    let extra = format!("memory = {memory}\ndescriptors = 8000\nrevoke_time = 60s\n");
+    let relay = Arc::new(TestRelay::empty_with(&extra).await);
+    relay.publish(&value);
+    relay.list_as(vec![slow_server.listed("svc"), server.listed("svc-2")]);
+    let begun = Arc::new(AtomicUsize::new(0));
+    for _ in 0..slow / 2 {
+        let (relay, begun) = (relay.clone(), begun.clone());
+        tokio::spawn(async move { trickle(&relay, &begun).await });
+    }
+    let silent = (0..slow - slow / 2).map(|_| ask_and_stop(&relay, "stream", 100));
+    let _held = join_all(silent).await;
+    until("all have begun", || begun.load(Ordering::SeqCst) == slow / 2).await;
+    let ask = || relay.ask_with("POST", "quick", "Api-Key: key-b\r\n");
+    let first = join_all((0..others).map(|_| ask())).await;
+    let refused = first.iter().filter(|reply| !reply.whole || reply.status != 200);
+    assert_eq!(refused.count(), 0, "{first:?}");
+    let last = join_all((0..others).map(|_| ask()));
+    let closing = async {
+        until("they are under way", || server.seen().len() >= 2 * others).await;
+        relay.close();
+    };
+    let (last, ()) = tokio::join!(last, closing);
+    let whole: String = (1..=1_000).map(|number| large_event(number, 100)).collect();
+    assert!(first.iter().chain(&last).all(|reply| reply.whole && reply.body == whole));
+    until("slow ones are let go", || relay.has_counted("caller_slow")).await;
+    until("all is given back", || relay.relay.memory.held() == 0).await;
+    let memory = &relay.relay.memory;
+    assert!(memory.peak() <= memory.size());
+    println!(
+        "{slow} slow callers, {} let to the engine: {} of {} bytes kept at most",
+        slow_server.seen().len(),
+        memory.peak(),
+        memory.size(),
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_callers_cost_the_others_nothing_while_the_box_closes() {
+    slow_callers_beside_others(200, 50, "64MB").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "thousands of connections: by hand"]
+async fn thousands_of_slow_callers_cost_the_others_nothing() {
+    slow_callers_beside_others(2_000, 50, "160MB").await;
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -49,6 +49,8 @@
     CutAfter(u64),
     /// Events up to this one, then nothing until its run is moved, which cuts the stream.
     UntilMoved(u64),
+    /// Events up to this one, of so many bytes and more, as fast as they are taken.
+    Large(u64, usize),
     /// One event, then the rest up to this one after a pause.
     PauseAfterFirst(u64, Duration),
 }
@@ -200,6 +202,11 @@
     format!("id: {number}\ndata: piece {number}\n\n")
 }
 
+/// The text of an event of `size` bytes and more.
+pub fn large_event(number: u64, size: usize) -> String {
+    format!("id: {number}\ndata: {}\n\n", "x".repeat(size))
+}
+
 /// The text of a stream up to an event.
 pub fn events(last: u64) -> String {
     (1..=last).map(event).collect()
@@ -273,6 +280,13 @@
             let _ = waiting.wait_for(|moved| *moved).await;
             return Ok(false);
         }
+        Act::Large(last, size) => {
+            stream.write_all(stream_head.as_bytes()).await?;
+            for number in resumed + 1..=*last {
+                stream.write_all(chunk(&large_event(number, *size)).as_bytes()).await?;
+            }
+            stream.write_all(b"0\r\n\r\n").await?;
+        }
         Act::PauseAfterFirst(last, pause) => {
             stream.write_all((format!("{stream_head}{}", chunk(&event(1)))).as_bytes()).await?;
             tokio::time::sleep(*pause).await;
@@ -339,7 +353,7 @@
     pub relay: Arc<Relay>,
     /// The list as its leader has it.
     leader: Mutex<ListBook>,
-    _closing: watch::Sender<bool>,
+    closing: watch::Sender<bool>,
 }
 
 /// Waits until something holds that no event tells of.
@@ -365,6 +379,16 @@
 
     /// The same with further lines among its settings.
     pub async fn empty_with(extra: &str) -> Self {
+        // An address that was free may be taken meanwhile, by a connection of another test.
+        for _ in 0..16 {
+            if let Some(relay) = Self::try_empty(extra).await {
+                return relay;
+            }
+        }
+        panic!("no free address");
+    }
+
+    async fn try_empty(extra: &str) -> Option<Self> {
         let (addr, ready) = (free_addr(), free_addr());
         let text = format!(
             "[node]\nbox_id = relay\ndata_centre = here\nroles = relay\n[replicas]\nr = 127.0.0.1:1\n\
@@ -382,8 +406,8 @@
             metrics: Arc::new(Metrics::new().unwrap()),
             closing: follow,
         }));
-        Listeners::open(&relay).await.unwrap().serve(&relay);
-        Self { addr, ready, board, relay, leader: Mutex::default(), _closing: closing }
+        Listeners::open(&relay).await.ok()?.serve(&relay);
+        Some(Self { addr, ready, board, relay, leader: Mutex::default(), closing })
     }
 
     /// Starts a relay that is sure of the usual routes and knows the stand-ins.
@@ -394,6 +418,17 @@
         relay
     }
 
+    /// Has the relay take nothing new.
+    pub fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Whether metrics tell of an outcome of requests.
+    pub fn has_counted(&self, outcome: &str) -> bool {
+        let text = self.relay.parts.metrics.render().unwrap();
+        String::from_utf8(text).unwrap().contains(&format!("outcome=\"{outcome}\""))
+    }
+
     /// Puts a document in force, confirmed now, under a leader that allows each team much.
     pub fn publish(&self, value: &Value) {
         self.put(value);
