Pressure: an engine that would be filled beyond its memory is passed over while another has room

Cause: nothing bounded what boxes together have an engine keep; one whose requests need more than its memory stops some of them or falls over with all that it runs.

Change: decide/filling.rs, pure: the tokens of this box's requests at an engine (prompt and the most that comes out), others' requests by the engine's last word at the mean of this box's own, against nine tenths of the memory that the document names. An engine without room counts as one set aside for this request (relay/course.rs), so Candidate and expected_wait are as they were. Where none has room the request goes on: nothing is refused by an estimate.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 //! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
 //! - [`engine`], [`capacity`]: what engines can do, learned, and how many a load is worth.
 //! - [`choose`]: which engine a relay sends to; [`faults`]: which ones it passes over for a route.
+//! - [`filling`]: which engines have memory left for a request.
 //! - [`exposure`], [`verdict`]: how far a new release goes, and whether it is bad; [`releases`] and [`rollout`]
 //!   are what a box and the leader make of it.
 //! - [`budget`]: how often relays may send again.
@@ -28,6 +29,7 @@
 pub mod engine;
 pub mod exposure;
 pub mod faults;
+pub mod filling;
 pub mod level;
 pub mod loads;
 pub mod memory;
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -78,6 +78,11 @@
         self.head.size.map_or(0, |size| size.prompt)
     }
 
+    /// Tokens that an engine keeps for it at most, where known.
+    pub fn tokens(&self) -> u64 {
+        self.head.size.map_or(0, |size| size.prompt + size.output)
+    }
+
     /// The id of the longest part that other requests share, and the tokens up to its end.
     pub fn shared_part(&self) -> Option<PromptPart> {
         let shared = self.head.parts.split_last()?.1;
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -13,6 +13,7 @@
 use crate::decide::choose::{
     Candidate, affinity, choose, compares_all, drawn, neighbours, others_now,
 };
+use crate::decide::filling::{Filling, have_room};
 use crate::decide::releases::Choice;
 use crate::error::{Failure, Kind};
 use crate::ids::{BackendId, ServiceName};
@@ -254,6 +255,27 @@
             && !self.tried.contains(&known.server.id)
     }
 
+    /// Which servers have memory left for the call, where their memory is known.
+    fn have_room(
+        &self,
+        relay: &Relay,
+        call: &Call,
+        open: &[Arc<Known>],
+        others: &[f64],
+    ) -> Vec<bool> {
+        let table = relay.table();
+        let service = table.as_ref().and_then(|table| table.services.get(&self.service));
+        let Some(spec) = service.and_then(|service| service.engine.as_ref()) else {
+            return vec![true; open.len()];
+        };
+        let filling = open.iter().zip(others).map(|(known, others)| Filling {
+            own: known.state.in_flight(),
+            tokens: known.tokens(),
+            others: *others,
+        });
+        have_room(spec.memory, &filling.collect::<Vec<_>>(), call.tokens())
+    }
+
     /// The server expected to begin the call first. At `home` all boxes expect its shared part.
     fn choose(
         &mut self,
@@ -278,11 +300,13 @@
         let stay = (!stays.is_empty()).then(|| stays.iter().sum::<f64>() / stays.len() as f64);
         let words: Vec<_> = open.iter().map(|known| known.load_word()).collect();
         let others = others_now(&words, stay);
+        let room = self.have_room(relay, call, open, &others);
         let faults = relay.faults();
         let candidates: Vec<_> = open
             .iter()
             .zip(others)
-            .map(|(known, others)| {
+            .zip(room)
+            .map(|((known, others), has_room)| {
                 let cached = match (seen(known) || is_home(known), fetchable) {
                     (true, _) => shared_tokens,
                     (false, true) => (shared_tokens as f64 * FETCH_PART) as u64,
@@ -295,7 +319,9 @@
                     unread: known.unread(),
                     uncached: call.prompt().saturating_sub(cached),
                     near: known.server.data_centre == relay.parts.data_centre,
-                    ejected: known.state.is_ejected()
+                    // Without room for it: as one that is set aside, while another one takes it.
+                    ejected: !has_room
+                        || known.state.is_ejected()
                         || faults.is_avoided(&known.server.id, &route.name, now),
                 }
             })
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -155,7 +155,7 @@
 }
 
 async fn pass_to(relay: &Relay, call: &Call, route: &Route, known: &Arc<Known>) -> Passed {
-    let mut flight = known.begin(call.prompt());
+    let mut flight = known.begin(call.prompt(), call.tokens());
     let began = Instant::now();
     let limit = call.left();
     let result = tokio::time::timeout(limit, async {
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -33,12 +33,15 @@
     pub state: Arc<BackendState>,
     /// Prompt tokens of this box's requests that have not begun to run there.
     unread: Arc<AtomicU64>,
+    /// Tokens that this box's requests keep there at most.
+    tokens: Arc<AtomicU64>,
 }
 
 /// Counts a request in flight to a server until dropped; its prompt until it has begun to run.
 pub struct Flight {
     known: Arc<Known>,
     prompt: u64,
+    tokens: u64,
     _guard: FlightGuard,
 }
 
@@ -58,14 +61,21 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         self.known.unread.fetch_sub(self.prompt, Ordering::SeqCst);
+        self.known.tokens.fetch_sub(self.tokens, Ordering::SeqCst);
     }
 }
 
 impl Known {
-    /// Counts a request with so many prompt tokens in flight.
-    pub fn begin(self: &Arc<Self>, prompt: u64) -> Flight {
+    /// Counts a request in flight, with so many prompt tokens and so many that it keeps at most.
+    pub fn begin(self: &Arc<Self>, prompt: u64, tokens: u64) -> Flight {
         self.unread.fetch_add(prompt, Ordering::SeqCst);
-        Flight { known: self.clone(), prompt, _guard: self.state.begin() }
+        self.tokens.fetch_add(tokens, Ordering::SeqCst);
+        Flight { known: self.clone(), prompt, tokens, _guard: self.state.begin() }
+    }
+
+    /// Tokens that this box's requests keep there at most.
+    pub fn tokens(&self) -> u64 {
+        self.tokens.load(Ordering::SeqCst)
     }
 
     /// Prompt tokens of this box's requests that it has still to read.
@@ -296,13 +306,14 @@
         Some(known) if known.server == *server => known.clone(),
         Some(known) => {
             let (server, state) = (server.clone(), known.state.clone());
-            let unread = known.unread.clone();
-            Arc::new(Known { server, hash: known.hash, state, unread })
+            let (unread, tokens) = (known.unread.clone(), known.tokens.clone());
+            Arc::new(Known { server, hash: known.hash, state, unread, tokens })
         }
         None => {
             let (server, hash) = (server.clone(), fingerprint(server.id.as_str()));
             let state = Arc::new(BackendState::default());
-            Arc::new(Known { server, hash, state, unread: Arc::default() })
+            let (unread, tokens) = (Arc::default(), Arc::default());
+            Arc::new(Known { server, hash, state, unread, tokens })
         }
     };
     let leaves = leaving && known.state.leave(Leaving { life: LIFE, gone: Instant::now() + left });
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -190,7 +190,7 @@
     origin: Origin<'_>,
 ) -> Result<Opening, Miss> {
     let limit = call.left();
-    let flight = known.begin(call.prompt());
+    let flight = known.begin(call.prompt(), call.tokens());
     let began = Instant::now();
     let opening = async {
         let reply = send(relay, call, route, known, origin, limit).await?;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use emberturn::decide::filling::{Filling, have_room};
 use emberturn::decide::memory::{Claim, Memory, Purpose, Reserved};
 use emberturn::decide::slowness::{Arriving, Slow, Taking, can_arrive, judge};
-use emberturn::units::ByteSize;
+use emberturn::units::{ByteSize, Tokens};
 use proptest::prelude::*;
 use yare::parameterized;
 
@@ -204,3 +205,25 @@
     let arriving = Arriving { came, length: 4_000, passed: passed * SECOND, time: 10 * SECOND };
     assert_eq!(can_arrive(&arriving), can);
 }
+
+const EMPTY: Filling = Filling { own: 0, tokens: 0, others: 0.0 };
+
+#[parameterized(
+    empty = { EMPTY, true },
+    some_of_ours = { Filling { own: 2, tokens: 6_000, ..EMPTY }, true },
+    full_of_ours = { Filling { own: 3, tokens: 9_000, ..EMPTY }, false },
+    full_of_others = { Filling { others: 3.0, ..EMPTY }, false },
+    full_together = { Filling { own: 1, tokens: 3_000, others: 2.0 }, false },
+)]
+fn engine_without_memory_left_has_no_room(engine: Filling, has_room: bool) {
+    let engines = [engine, Filling { own: 1, tokens: 3_000, ..EMPTY }];
+    assert_eq!(have_room(Tokens(10_000), &engines, 3_000), [has_room, true]);
+}
+
+#[test]
+fn others_requests_are_taken_to_be_as_long_as_ours() {
+    let short = [Filling { own: 1, tokens: 100, others: 20.0 }, EMPTY];
+    assert_eq!(have_room(Tokens(10_000), &short, 100), [true, true]);
+    let long = [Filling { own: 1, tokens: 1_000, others: 20.0 }, EMPTY];
+    assert_eq!(have_room(Tokens(10_000), &long, 1_000), [false, true]);
+}
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -403,3 +403,30 @@
 async fn thousands_of_slow_callers_cost_the_others_nothing() {
     slow_callers_beside_others(2_000, 50, "160MB").await;
 }
+
+#[tokio::test]
+async fn engine_that_would_be_filled_beyond_its_memory_is_passed_over() {
+    let mut value = document(1, &usual_routes());
+    value["services"][0]["engine"]["kv_capacity_tokens"] = 12_000.into();
+    let mut first = StandIn::start("i-1", &[Act::UntilMoved(2)]).await;
+    let mut second = StandIn::start("i-2", &[Act::UntilMoved(2)]).await;
+    let relay = relay_with("", &value, &[&first]).await;
+    // The first engine keeps the part that they share, and is the better choice but for its memory.
+    let headers =
+        "Token-Usage: 5000,4000\r\nPrompt-Prefix: aa:4900,bb:100\r\nContent-Length: 0\r\n";
+    let text = head("stream", headers);
+    let ask = async || {
+        let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        stream.read_exact(&mut [0; 12]).await.unwrap();
+        stream
+    };
+    let _one = ask().await;
+    first.wait_seen(1).await;
+    relay.list(&[&first, &second]);
+    let _two = ask().await;
+    second.wait_seen(1).await;
+    // Neither has room left: the third is sent all the same.
+    let _three = ask().await;
+    assert_eq!(first.seen().len() + second.seen().len(), 3);
+}
