--- a/src/decide/slowness.rs
+++ b/src/decide/slowness.rs
@@ -17,6 +17,9 @@
 /// Of a caller who has been silent before and went on, so many times that silence is borne.
 const KNOWN_PAUSES: u32 = 2;
 
+/// A caller whose answer cannot be taken up again is borne so many times as long: what it loses is lost.
+const ONCE_PATIENCE: u32 = 2;
+
 /// How long in all an engine may wait for a caller, as a part of that patience: it cuts an answer off
 /// that sits unread for some seconds, and others wait for the place.
 const HELD_PART: u32 = 2;
@@ -63,24 +66,25 @@
 }
 
 /// How long a caller may take nothing, on a route that allows such a pause between events.
-pub fn patience(gap: Option<Duration>, longest: Duration) -> Duration {
-    let gaps = gap.unwrap_or_default() * PATIENT_GAPS;
-    gaps.max(longest * KNOWN_PAUSES).max(LEAST_PATIENCE)
+pub fn patience(gap: Option<Duration>) -> Duration {
+    (gap.unwrap_or_default() * PATIENT_GAPS).max(LEAST_PATIENCE)
 }
 
-/// Whether a caller is let go, and why.
-pub fn judge(taking: &Taking, gap: Option<Duration>) -> Option<Slow> {
+/// Whether a caller is let go, and why; `again`: its answer can be taken up or had again.
+pub fn judge(taking: &Taking, gap: Option<Duration>, again: bool) -> Option<Slow> {
     if taking.kept == 0 {
         return None;
     }
-    let patience = patience(gap, taking.longest);
+    let usual = patience(gap);
+    // Neither its pauses nor what it loses let an engine wait for longer: the engine cuts off all alike.
+    if taking.held >= usual / HELD_PART {
+        return Some(Slow::Holding);
+    }
+    let patience = usual.max(taking.longest * KNOWN_PAUSES);
+    let patience = if again { patience } else { patience * ONCE_PATIENCE };
     if taking.silent >= patience {
         return Some(Slow::Silent);
     }
-    // Its pauses do not make an engine wait for longer: the engine does not know them.
-    if taking.held >= self::patience(gap, Duration::ZERO) / HELD_PART {
-        return Some(Slow::Holding);
-    }
     let known = taking.owed >= patience;
     let late = known && time_to_take(taking) > taking.left;
     late.then_some(Slow::Late)
--- a/src/relay/taking.rs
+++ b/src/relay/taking.rs
@@ -286,7 +286,7 @@
         self.look = Box::pin(sleep(LOOK_TIME));
         let held = self.held + self.held_since.map_or(Duration::ZERO, |since| since.elapsed());
         let taking = self.shared.taking(held, self.call.left());
-        let Some(slow) = judge(&taking, self.route.gap) else {
+        let Some(slow) = judge(&taking, self.route.gap, self.route.repeat.is_repeatable()) else {
             return false;
         };
         self.note(slow, &taking);
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -4,6 +4,7 @@
 use opentelemetry::metrics::{Gauge, Meter};
 
 use super::{logs, volume};
+use crate::decide::memory::Purpose;
 use crate::node::Node;
 use crate::relay::Relay;
 
@@ -19,6 +20,12 @@
     servers: Gauge<u64>,
     in_flight: Gauge<u64>,
     lines: Gauge<u64>,
+    memory: Gauge<u64>,
+    memory_size: Gauge<u64>,
+    memory_peak: Gauge<u64>,
+    memory_refused: Gauge<u64>,
+    callers: Gauge<u64>,
+    callers_closed: Gauge<u64>,
 }
 
 impl Gauges {
@@ -39,6 +46,12 @@
             list_place: count("emberturn_list_place", "Place of that list among the leader's"),
             servers: count("emberturn_backend_servers", "Backend servers by service and state"),
             in_flight: count("emberturn_in_flight", "Requests of this box at backend servers"),
+            memory: count("emberturn_memory_bytes", "Memory kept for others, by purpose"),
+            memory_size: count("emberturn_memory_size_bytes", "Memory that may be kept for others"),
+            memory_peak: count("emberturn_memory_peak_bytes", "The most that was kept at a time"),
+            memory_refused: count("emberturn_memory_refused", "How often there was no room"),
+            callers: count("emberturn_callers", "Callers' connections by state"),
+            callers_closed: count("emberturn_callers_closed", "Connections closed to make room"),
             lines: count("emberturn_log_lines_not_written", "Log lines not written, by reason"),
         }
     }
@@ -61,7 +74,24 @@
         }
     }
 
+    /// What the box keeps for callers.
+    fn record_memory(&self, relay: &Relay) {
+        for purpose in Purpose::ALL {
+            let label = [KeyValue::new("purpose", purpose.name())];
+            self.memory.record(relay.memory.held_for(purpose), &label);
+        }
+        self.memory_size.record(relay.memory.size(), &[]);
+        self.memory_peak.record(relay.memory.peak(), &[]);
+        self.memory_refused.record(relay.memory.refused(), &[]);
+        let (all, resting) = relay.gate.counts();
+        let state = |name: &'static str| [KeyValue::new("state", name)];
+        self.callers.record((all - resting) as u64, &state("busy"));
+        self.callers.record(resting as u64, &state("resting"));
+        self.callers_closed.record(relay.gate.closed(), &[]);
+    }
+
     fn record_relay(&self, relay: &Relay) {
+        self.record_memory(relay);
         let list = relay.servers.version();
         self.list_term.record(list.term.0, &[]);
         self.list_place.record(list.place, &[]);
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -183,13 +183,22 @@
     too_little_not_known_yet = { Taking { kept: 1_000_000, owed: SECOND, taken: 1, ..taking() }, None },
 )]
 fn caller_is_let_go_by_what_it_takes(taking: Taking, slow: Option<Slow>) {
-    assert_eq!(judge(&taking, Some(SECOND / 10)), slow);
+    assert_eq!(judge(&taking, Some(SECOND / 10), true), slow);
 }
 
 #[test]
 fn route_with_long_pauses_bears_a_longer_silence() {
     let taking = Taking { silent: 3 * SECOND, ..taking() };
-    assert_eq!(judge(&taking, Some(SECOND)), None);
+    assert_eq!(judge(&taking, Some(SECOND), true), None);
+}
+
+#[test]
+fn caller_whose_answer_cannot_be_had_again_is_borne_longer() {
+    let taking = Taking { silent: 3 * SECOND, ..taking() };
+    assert_eq!(judge(&taking, Some(SECOND / 10), false), None);
+    // Not where its engine waits: that cuts it off in any case.
+    let holding = Taking { held: 2 * SECOND, ..taking };
+    assert_eq!(judge(&holding, Some(SECOND / 10), false), Some(Slow::Holding));
 }
 
 #[parameterized(
