Pressure: the book has the sizes that were measured, and neither resting connections nor first pieces take others' room

Cause: measured (1,000 each, resident size, debug build): a connection at rest takes 24.9 kB and a stream under way 43.0 kB more, where the book had 16 and 32. With the measured sizes 2,000 slow callers on 160MB filled the box to 81.3 MB, and another team's requests found no room: first pieces of up to 64 kB were let in beyond the mark, and connections that had come to rest since were closed more slowly than new ones came.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -22,8 +22,9 @@
 /// How long a connection may take to stand.
 const CONNECT_TIME: Duration = Duration::from_millis(1_000);
 
-/// Bytes of an answer that are buffered before they are asked for: nothing of them is in the box's book.
-const BUFFER_BYTES: usize = 64 << 10;
+/// Bytes of an answer that are buffered before they are asked for: as much as the box's book has for a
+/// request, and enough for an answer's head.
+const BUFFER_BYTES: usize = 16 << 10;
 
 /// Idle connections kept for one address.
 const IDLE_LIMIT: usize = 64;
--- a/src/http/gate.rs
+++ b/src/http/gate.rs
@@ -12,16 +12,12 @@
 use super::server::Limits;
 use crate::decide::memory::{Claim, Memory, NoRoom, Purpose, Reserved};
 
-/// What a connection takes: its task, and the buffers with which the library begins.
-pub const CONNECTION_BYTES: u64 = 16 << 10;
+/// What a connection takes, as measured at rest: its task, and the buffers with which the library begins.
+pub const CONNECTION_BYTES: u64 = 24 << 10;
 
 /// Bytes of a head that fit into these buffers.
 const HEAD_BYTES: u64 = 8 << 10;
 
-/// Connections at rest that are closed for one request where memory is short: as much as it takes
-/// itself beside its body.
-const CLOSED_AT_ONCE: usize = 2;
-
 /// Refused bodies that are read at the same time: others share the box's link.
 const DRAINS: usize = 16;
 
@@ -266,10 +262,9 @@
         if is_full && (self.memory.is_none() || self.close_oldest(1) == 0) {
             return None;
         }
-        let Ok(charge) = self.charge(CONNECTION_BYTES, Claim::Connection) else {
-            self.close_oldest(CLOSED_AT_ONCE);
-            return None;
-        };
+        // Where memory is short, one at rest goes for each that comes: they leave requests their room.
+        self.relieve(1);
+        let charge = self.charge(CONNECTION_BYTES, Claim::Connection).ok()?;
         let link = Arc::new(Link {
             gate: self.clone(),
             stage: AtomicU8::new(Stage::Head as u8),
@@ -300,10 +295,10 @@
         }
     }
 
-    /// Closes connections at rest where memory is short, those first that have rested longest.
-    pub fn relieve(&self) {
+    /// Closes so many connections at rest where memory is short, those first that have rested longest.
+    pub fn relieve(&self, count: usize) {
         if self.memory.as_ref().is_some_and(Memory::is_pressed) {
-            self.close_oldest(CLOSED_AT_ONCE);
+            self.close_oldest(count);
         }
     }
 
--- a/src/relay/keeping.rs
+++ b/src/relay/keeping.rs
@@ -18,9 +18,9 @@
 use crate::http::head;
 use crate::http::server::READ_BYTES;
 
-/// What a request at a backend server takes: its tasks, the connection there with the buffers with which
-/// the library begins, and the first piece of its answer.
-const REQUEST_BYTES: u64 = 32 << 10;
+/// What a request at a backend server takes beside its caller's connection: 32 kB for its tasks and the
+/// connection there, as measured, and a piece of its answer that waits for room.
+const REQUEST_BYTES: u64 = 48 << 10;
 
 /// How often a head is kept: as it came, and as it goes on.
 const HEAD_COPIES: u64 = 2;
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -50,6 +50,10 @@
 /// distance, and the way to another data centre and back. A leader that is gone takes longer to replace.
 const ASK_TIME: Duration = Duration::from_millis(150);
 
+/// Connections at rest that are closed for one request where memory is short: about as much as it takes
+/// itself beside its body.
+const CLOSED_AT_ONCE: usize = 2;
+
 /// How much a team's rank weighs against its route's, in urgencies.
 const TEAM_URGENCY: u8 = 3;
 
@@ -127,7 +131,7 @@
     let waits = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let urgency = urgency(team, &route);
     let claim = Claim::Request { team: team.map(|team| team.name.clone()), urgency };
-    relay.gate.relieve();
+    relay.gate.relieve(CLOSED_AT_ONCE);
     let kept = Kept::take(&relay.memory, &request, &claim, guard)?;
     let until = arrived + waits;
     let read = read_body(&relay.memory, body, table.limits.body, until, claim).await?;
--- a/src/relay/taking.rs
+++ b/src/relay/taking.rs
@@ -244,12 +244,17 @@
         let kept = self.shared.book().kept;
         let passed = match self.waiting.take() {
             None => true,
-            Some(piece) => match self.charge(kept, piece.len() as u64) {
+            Some(mut piece) => match self.charge(kept, piece.len() as u64) {
                 Ok(charge) => {
                     let _ = sender.send(Ok(self.shared.keep(piece, charge)));
                     true
                 }
                 Err(()) => {
+                    let free = FIRST_BYTES.saturating_sub(kept) as usize;
+                    if free > 0 {
+                        let part = piece.split_to(free);
+                        let _ = sender.send(Ok(self.shared.keep(part, None)));
+                    }
                     self.waiting = Some(piece);
                     false
                 }
@@ -267,9 +272,7 @@
             return Ok(None);
         }
         let memory = &self.relay.memory;
-        // A caller who has taken all gets on in a full box as well.
-        let claim = if kept == 0 { Claim::Accepted } else { Claim::Ahead };
-        let reserved = memory.reserve(Purpose::Answers, length, claim);
+        let reserved = memory.reserve(Purpose::Answers, length, Claim::Ahead);
         reserved.map(Some).map_err(|_| ())
     }
 
