Pressure: idle connections to servers are bounded over all of them, and count among the descriptors

Cause: 64 idle connections were kept for each address, without end over all addresses, and the number of callers took no account of them.

Change: 512 idle connections in all, what is closed or too old cleared out first; callers have half of what descriptors leaves beyond these and 400 of the box's own. The filled templates are held to the platform's memory and descriptors (tests/system.rs, added to the check that is there).

Figures: 600 connections that come back together leave 512 idle; without the bound the test fails.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -7,4 +7,4 @@
 pub mod pool;
 pub mod sse;
 
-pub use pool::{Exchange, Pool, Reuse, SendFault};
+pub use pool::{Exchange, IDLE_TOTAL, Pool, Reuse, SendFault};
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -29,6 +29,10 @@
 /// Idle connections kept for one address.
 const IDLE_LIMIT: usize = 64;
 
+/// Idle connections kept for all addresses together: each has a descriptor, and a box talks to fewer
+/// servers than this.
+pub const IDLE_TOTAL: usize = 512;
+
 /// How long an idle connection is kept.
 const IDLE_TIME: Duration = Duration::from_secs(20);
 
@@ -134,10 +138,34 @@
     until: Instant,
 }
 
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        !self.sender.is_closed() && now < self.until
+    }
+}
+
+/// The idle connections by address, and their number.
+#[derive(Default)]
+struct IdleLists {
+    by_addr: HashMap<SocketAddr, Vec<Idle>>,
+    count: usize,
+}
+
+impl IdleLists {
+    /// Drops what can't be used any more, everywhere.
+    fn clear_out(&mut self, now: Instant) {
+        self.by_addr.retain(|_, list| {
+            list.retain(|held| held.is_usable(now));
+            !list.is_empty()
+        });
+        self.count = self.by_addr.values().map(Vec::len).sum();
+    }
+}
+
 /// All connections.
 #[derive(Clone)]
 pub struct Pool {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    idle: Arc<Mutex<IdleLists>>,
     connect_time: Duration,
 }
 
@@ -210,25 +238,43 @@
         }
     }
 
+    fn lists(&self) -> MutexGuard<'_, IdleLists> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Idle connections.
+    pub fn idle(&self) -> usize {
+        self.lists().count
+    }
+
     fn take(&self, addr: SocketAddr, rest: Duration) -> Option<Sender> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.get_mut(&addr)?;
+        let mut lists = self.lists();
+        let list = lists.by_addr.get_mut(&addr)?;
         let now = Instant::now();
-        list.retain(|held| !held.sender.is_closed() && now < held.until);
+        let before = list.len();
+        list.retain(|held| held.is_usable(now));
         // The one used last: the others may rest until they are closed.
         let fresh = list.last().is_some_and(|held| now < held.since + rest.min(IDLE_TIME));
-        fresh.then(|| list.pop()).flatten().map(|held| held.sender)
+        let taken = fresh.then(|| list.pop()).flatten().map(|held| held.sender);
+        let gone = before - list.len();
+        lists.count -= gone;
+        taken
     }
 
     fn put(&self, addr: SocketAddr, sender: Sender, keep: Duration) {
         if sender.is_closed() {
             return;
         }
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.entry(addr).or_default();
-        if list.len() < IDLE_LIMIT {
-            let since = Instant::now();
+        let mut lists = self.lists();
+        let since = Instant::now();
+        if lists.count >= IDLE_TOTAL {
+            lists.clear_out(since);
+        }
+        let is_full = lists.count >= IDLE_TOTAL;
+        let list = lists.by_addr.entry(addr).or_default();
+        if list.len() < IDLE_LIMIT && !is_full {
             list.push(Idle { sender, since, until: since + keep });
+            lists.count += 1;
         }
     }
 }
--- a/src/relay/listen.rs
+++ b/src/relay/listen.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use super::{Relay, serve};
+use crate::backend::IDLE_TOTAL;
 use crate::blackboard::Phase;
 use crate::entry::answer;
 use crate::error::{Failure, Kind};
@@ -41,7 +42,7 @@
 
 /// What callers' connections are held to. The time for a head is that of the routes in force.
 pub(super) fn limits(settings: &RelaySettings) -> Limits {
-    let descriptors = settings.descriptors.saturating_sub(OWN_DESCRIPTORS);
+    let descriptors = settings.descriptors.saturating_sub(OWN_DESCRIPTORS + IDLE_TOTAL as u32);
     Limits {
         callers: (descriptors / CALLER_DESCRIPTORS) as usize,
         head: HEAD_LIMIT,
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -142,7 +142,7 @@
     let memory = section.size("memory", MEMORY);
     let descriptors = section.value("descriptors", DESCRIPTORS).whole();
     section.check("memory", memory >= LEAST_MEMORY, "is at least 32MB");
-    section.check("descriptors", descriptors >= LEAST_DESCRIPTORS, "is at least 512");
+    section.check("descriptors", descriptors >= LEAST_DESCRIPTORS, "is at least 1024");
     section.check("usage_window", usage_window.0 > 0, "is longer than nothing");
     section.check("retry_ratio", (0.0..=1.0).contains(&retry_ratio), "is from 0 to 1");
     reader.close(section);
@@ -169,7 +169,7 @@
 const DESCRIPTORS: Number = Number(4_096.0);
 
 /// The least that a relay serves with: its own files and links, and some callers.
-const LEAST_DESCRIPTORS: u32 = 512;
+const LEAST_DESCRIPTORS: u32 = 1_024;
 
 /// How many times the peak of late reclaimable engines are held for, unless the operators say otherwise:
 /// traffic grows faster than engines boot, and reclaimable ones cost a fraction of those that would
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -6,9 +6,13 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
+use emberturn::backend::{IDLE_TOTAL, Pool, Reuse};
 use emberturn::decide::memory::Purpose;
 use futures_util::future::join_all;
+use http_body_util::Full;
+use hyper::Request;
 use platform::{
     Act, PATIENCE, Reply, StandIn, TestRelay, document, large_event, until, usual_routes,
 };
@@ -203,7 +207,7 @@
 async fn without_a_place_the_connection_that_rested_longest_goes() {
     let server = StandIn::start("i-1", &[Act::Answer]).await;
     // Places for 56 callers.
-    let relay = relay_with("descriptors = 512\n", &document(1, &usual_routes()), &[&server]).await;
+    let relay = relay_with("descriptors = 1024\n", &document(1, &usual_routes()), &[&server]).await;
     let mut streams = Vec::new();
     for _ in 0..56 {
         let mut stream = TcpStream::connect(relay.addr).await.unwrap();
@@ -338,7 +342,7 @@
     begun.fetch_add(1, Ordering::SeqCst);
     let mut piece = [0; 100];
     while stream.read(&mut piece).await.is_ok_and(|read| read > 0) {
-        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
 
@@ -430,3 +434,20 @@
     let _three = ask().await;
     assert_eq!(first.seen().len() + second.seen().len(), 3);
 }
+
+#[tokio::test]
+async fn idle_connections_to_servers_are_bounded_over_all_of_them() {
+    let servers = join_all((0..12).map(|_| StandIn::start("i-1", &[Act::Answer]))).await;
+    let pool = Pool::default();
+    let addrs = servers.iter().flat_map(|server| std::iter::repeat_n(server.addr, 50));
+    let sends = addrs.map(|addr| {
+        let request = Request::get("/x").header("host", "x").body(Full::default()).unwrap();
+        pool.send(addr, request, PATIENCE, Reuse::Any)
+    });
+    // Each has a connection of its own until its answer is read.
+    let exchanges = join_all(sends).await;
+    assert_eq!(pool.idle(), 0);
+    let reads = exchanges.into_iter().map(|exchange| exchange.unwrap().read_whole(64, PATIENCE));
+    join_all(reads).await;
+    assert_eq!(pool.idle(), IDLE_TOTAL);
+}
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use emberturn::settings::Settings;
+use emberturn::units::ByteSize;
 use platform::{Act, StandIn, document, events, route, usual_routes};
 use serde_json::json;
 use system::{System, fill, template};
@@ -25,6 +26,7 @@
             "front": "10.1.0.16:8221", "ready": "10.1.0.16:8224", "control": "10.1.0.16:8229",
         },
         "cloud_api": { "address": "10.200.0.35:8225" },
+        "limits": { "memory_mb": 120, "file_descriptors": 4100 },
         "bounds": {
             "revoke_ms": 5000, "retry_budget_ratio": 0.2, "budget_min_retries": 56,
             "budget_window_s": 10, "grace_s": 8, "usage_window_s": 5, "usage_late_s": 10,
@@ -36,6 +38,8 @@
         let settings = Settings::parse(name, &fill(&template(name), &fields)).unwrap();
         assert_eq!(settings.group.seeds.len(), 3);
         assert_eq!(settings.group.voters(), 5);
+        let relay = settings.relay.map(|relay| (relay.memory, relay.descriptors));
+        assert!(relay.is_none_or(|it| it == (ByteSize(120_000_000), 4_100)), "{relay:?}");
     }
 }
 
