--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -216,6 +216,7 @@
         unread: 0,
         uncached: 3_000,
         distance: Distance { time: 3.0, weight: 0.0 },
+        full: false,
         ejected: false,
     }
 }
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -24,6 +24,10 @@
 /// Milliseconds that a server set aside for its failures adds: it is taken when no other is left.
 const FAULT_TIME: f64 = 60_000.0;
 
+/// Milliseconds that a server adds whose memory has no room for the request: more than any wait at another, and
+/// less than one that is set aside.
+const FULL_TIME: f64 = 10_000.0;
+
 /// Servers of a service up to which all are compared. Above it a request compares a few: what it costs
 /// a box to choose does not grow with the servers, and boxes with the same old reports do not all go
 /// to the same one.
@@ -64,6 +68,8 @@
     pub uncached: u64,
     /// How far it is.
     pub distance: Distance,
+    /// Whether its memory holds no room for this request, where another's does.
+    pub full: bool,
     /// Whether it is set aside for its failures.
     pub ejected: bool,
 }
@@ -102,8 +108,9 @@
     let known = mean.max(candidate.stay * 1_000.0 / slots);
     let place = if known > 0.0 { known } else { PLACE_TIME };
     let wait = (candidate.requests + 1.0 - slots).max(0.0) * place;
+    let full = if candidate.full { FULL_TIME } else { 0.0 };
     let fault = if candidate.ejected { FAULT_TIME } else { 0.0 };
-    read + crowd + wait + candidate.distance.time + fault
+    read + crowd + wait + candidate.distance.time + full + fault
 }
 
 /// A server's last word of its load.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,12 +3,14 @@
 //!
 //! - [`absence`], [`hazard`]: which data centres have no reclaimable engines, for how long, and which may be
 //!   next.
+//! - [`memory`]: what a box keeps in memory, and when it takes no more; [`slowness`]: whom it lets go.
 //! - [`policy`]: operators' short programs that say where work goes and what may wait.
 //! - [`admit`]: whether a request may run now, within its team's limits.
 //! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
 //! - [`engine`], [`capacity`]: what engines can do, learned, and how many a load is worth.
 //! - [`choose`]: which engine a relay sends to; [`faults`]: which ones it passes over for a route.
 //! - [`distance`]: how far data centres are, learned; [`spill`]: when requests leave their region.
+//! - [`filling`]: which engines have memory left for a request.
 //! - [`exposure`], [`verdict`]: how far a new release goes, and whether it is bad; [`releases`] and [`rollout`]
 //!   are what a box and the leader make of it.
 //! - [`budget`]: how often relays may send again.
@@ -36,10 +38,12 @@
 pub mod engine;
 pub mod exposure;
 pub mod faults;
+pub mod filling;
 pub mod hazard;
 pub mod level;
 pub mod lives;
 pub mod loads;
+pub mod memory;
 pub mod nearest;
 pub mod orders;
 pub mod policy;
@@ -50,6 +54,7 @@
 pub mod rollout;
 pub mod route;
 pub mod share;
+pub mod slowness;
 pub mod spend;
 pub mod spill;
 pub mod subset;
--- a/src/error.rs
+++ b/src/error.rs
@@ -77,6 +77,8 @@
     Draining,
     /// The node has more callers than it may have.
     TooManyCallers,
+    /// The node has no memory left for the request.
+    NoMemory,
     /// The node has been out of contact with the configuration for too long.
     StaleConfiguration,
     /// The replicated group cannot be asked, or could not say what it holds; nothing was asked of it that
@@ -128,7 +130,7 @@
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 34] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotFound,
@@ -149,6 +151,7 @@
         Self::NotReached,
         Self::Draining,
         Self::TooManyCallers,
+        Self::NoMemory,
         Self::StaleConfiguration,
         Self::NoGroup,
         Self::Unacknowledged,
@@ -188,6 +191,7 @@
             Self::NotReached => row(503, "not_reached", NotRun, true),
             Self::Draining => row(503, "draining", NotRun, true),
             Self::TooManyCallers => row(503, "too_many_callers", NotRun, true),
+            Self::NoMemory => row(503, "no_memory", NotRun, true),
             Self::StaleConfiguration => row(503, "stale_configuration", NotRun, true),
             Self::NoGroup => row(503, "no_group", NotRun, true),
             Self::Unacknowledged => row(504, "unacknowledged", Unknown, true),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -14,6 +14,8 @@
 //!   [`placed`] are the servers by how far they are, [`traffic`] counts what goes how far.
 //! - [`lives`] asks servers in which life they are.
 //! - [`moving`] moves running streams off servers that are leaving.
+//! - [`keeping`] is what the box keeps for a request, charged to its memory, and [`taking`] its answer
+//!   until the caller has taken it.
 //! - [`usage`] counts what ran and [`offered`] what came. What decides, limits and remembers is in
 //!   [`crate::decide`].
 //!
@@ -26,6 +28,7 @@
 pub mod dialect;
 pub mod engines;
 pub(crate) mod events;
+pub(crate) mod keeping;
 pub mod list;
 pub mod list_book;
 pub mod listen;
@@ -41,6 +44,7 @@
 pub mod servers;
 pub mod stream;
 pub mod table;
+pub(crate) mod taking;
 pub mod traffic;
 pub mod usage;
 
@@ -58,9 +62,11 @@
 use crate::decide::budget::RetryBudgets;
 use crate::decide::distance::Distances;
 use crate::decide::loads::LoadPool;
+use crate::decide::memory::Memory;
 use crate::decide::releases::{Outcome, ReleaseBook};
 use crate::decide::spill::SpillBook;
 use crate::decide::topology::Topology;
+use crate::http::gate::Gate;
 use crate::ids::BackendId;
 use crate::settings::RelaySettings;
 use crate::telemetry::Metrics;
@@ -99,6 +105,10 @@
     pub parts: RelayParts,
     /// The backend servers known.
     pub servers: ServerBook,
+    /// The memory that the box has for callers.
+    pub memory: Memory,
+    /// Callers' connections.
+    pub gate: Arc<Gate>,
     /// The routes in force; none before the first was published.
     table: ArcSwapOption<RouteTable>,
     allowances: Mutex<Allowances>,
@@ -136,9 +146,13 @@
     pub fn new(parts: RelayParts) -> Self {
         let usage = UsageCounter::new(parts.settings.usage_window.duration());
         let servers = ServerBook::new(parts.topology.clone());
+        let memory = Memory::within(parts.settings.memory);
+        let gate = Gate::charged(listen::limits(&parts.settings), memory.clone());
         Self {
             parts,
             servers,
+            memory,
+            gate,
             table: ArcSwapOption::empty(),
             allowances: Mutex::new(Allowances::new(Instant::now())),
             retries: Mutex::default(),
@@ -175,6 +189,7 @@
         );
         let limited = table.teams.values().filter(|team| team.rate.is_some());
         self.allowances().follow(limited.map(|team| &team.name), Instant::now());
+        self.gate.set_head_time(table.limits.head_time);
         self.table.store(Some(table));
         self.learned.notify_waiters();
     }
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -15,6 +15,7 @@
     neighbours, others_by_region,
 };
 use crate::decide::distance::{Copying, Distance, fetch_saves, kilobytes};
+use crate::decide::filling::{Filling, have_room};
 use crate::decide::releases::Choice;
 use crate::decide::topology::Reach;
 use crate::ids::{BackendId, ServiceName};
@@ -188,6 +189,8 @@
         let regions: Vec<_> = servers.iter().map(|it| it.region).collect();
         let others = others_by_region(&words, &regions, stay);
         let now = Instant::now();
+        let room = self.have_room(&servers, &others);
+        let any_room = room.contains(&true);
         let candidate = |place: usize| {
             let it = &servers[place];
             let known = &it.known;
@@ -199,6 +202,7 @@
                 unread: known.unread(),
                 uncached: self.call.prompt().saturating_sub(cached),
                 distance: distances[place],
+                full: any_room && !room[place],
                 ejected: known.state.is_ejected() || known.state.is_avoided(&self.route.name, now),
             }
         };
@@ -206,6 +210,21 @@
         Compared { servers, candidates, keepers }
     }
 
+    /// Which servers have memory left for the call, where their memory is known.
+    fn have_room(&self, open: &[PlacedServer], others: &[f64]) -> Vec<bool> {
+        let table = self.relay.table();
+        let service = table.as_ref().and_then(|table| table.services.get(self.service));
+        let Some(spec) = service.and_then(|service| service.engine.as_ref()) else {
+            return vec![true; open.len()];
+        };
+        let filling = open.iter().zip(others).map(|(it, others)| Filling {
+            own: it.known.state.in_flight(),
+            tokens: it.known.tokens(),
+            others: *others,
+        });
+        have_room(spec.memory, &filling.collect::<Vec<_>>(), self.call.tokens())
+    }
+
     fn distances(&self, open: &[PlacedServer]) -> Vec<Distance> {
         let output = self.call.head.size.map_or(0, |size| size.output);
         let kilobytes = kilobytes(self.call.body.len(), output);
@@ -255,7 +274,8 @@
         let near = near.map(|(other, _)| *other).or(home);
         near.or_else(|| {
             let far = others.find(|(_, far)| self.copy_saves(part, time.max(*far)));
-            far.map(|(other, _)| *other)
+            let far = far.map(|(other, _)| *other);
+            far.or_else(|| first_home(it, part, homes).filter(|_| self.copy_saves(part, time)))
         })
     }
 
@@ -281,6 +301,17 @@
     (count > 0).then(|| requests.sum::<f64>() / count as f64)
 }
 
+/// Of the homes of all regions, the one that has a part first: the others copy it from there, so that it is read
+/// once and not once a region, where that takes less time than reading it.
+fn first_home<'a>(
+    it: &PlacedServer,
+    part: PromptPart,
+    homes: &'a Homes,
+) -> Option<&'a PlacedServer> {
+    let first = homes.iter().flatten().max_by_key(|home| affinity(part.id, home.known.hash));
+    first.filter(|home| !is_same(home, it))
+}
+
 fn is_home(it: &PlacedServer, homes: &Homes) -> bool {
     homes.get(it.region).and_then(Option::as_ref).is_some_and(|home| is_same(home, it))
 }
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -44,12 +44,15 @@
     pub state: Arc<BackendState>,
     /// Prompt tokens of this box's requests that have not begun to run there.
     unread: Arc<AtomicU64>,
+    /// Tokens that this box's requests keep there at most.
+    tokens: Arc<AtomicU64>,
 }
 
 /// Counts a request in flight to a server until dropped; its prompt until it has begun to run.
 pub struct Flight {
     known: Arc<Known>,
     prompt: u64,
+    tokens: u64,
     over: watch::Receiver<bool>,
     _guard: FlightGuard,
 }
@@ -76,15 +79,22 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         self.known.unread.fetch_sub(self.prompt, Ordering::SeqCst);
+        self.known.tokens.fetch_sub(self.tokens, Ordering::SeqCst);
     }
 }
 
 impl Known {
-    /// Counts a request with so many prompt tokens in flight.
-    pub fn begin(self: &Arc<Self>, prompt: u64) -> Flight {
+    /// Counts a request in flight, with so many prompt tokens and so many that it keeps at most.
+    pub fn begin(self: &Arc<Self>, prompt: u64, tokens: u64) -> Flight {
         self.unread.fetch_add(prompt, Ordering::SeqCst);
-        let over = self.state.follow_end();
-        Flight { known: self.clone(), prompt, over, _guard: self.state.begin() }
+        self.tokens.fetch_add(tokens, Ordering::SeqCst);
+        let (over, guard) = (self.state.follow_end(), self.state.begin());
+        Flight { known: self.clone(), prompt, tokens, over, _guard: guard }
+    }
+
+    /// Tokens that this box's requests keep there at most.
+    pub fn tokens(&self) -> u64 {
+        self.tokens.load(Ordering::SeqCst)
     }
 
     /// Prompt tokens of this box's requests that it has still to read.
@@ -533,13 +543,15 @@
     /// A life of a server of which nothing is known.
     fn fresh(server: Server, life: Life) -> Self {
         let (hash, state) = (fingerprint(server.id.as_str()), Arc::default());
-        Self { server, hash, life, state, unread: Arc::default() }
+        let (unread, tokens) = (Arc::default(), Arc::default());
+        Self { server, hash, life, state, unread, tokens }
     }
 
     /// The same life of the server, with what is known of it.
     fn with(&self, server: Server, life: Life) -> Self {
         let (state, unread) = (self.state.clone(), self.unread.clone());
-        Self { server, hash: self.hash, life, state, unread }
+        let (hash, tokens) = (self.hash, self.tokens.clone());
+        Self { server, hash, life, state, unread, tokens }
     }
 }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -8,8 +8,6 @@
 
 use async_stream::stream;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
@@ -17,17 +15,18 @@
 use super::call::Call;
 use super::course::Course;
 use super::events::{EventCutter, event_id};
+use super::keeping::Kept;
 use super::moving::{self, Moved, move_away};
 use super::plain::{read, strip_hop_headers};
 use super::servers::{Flight, Known};
 use super::table::{Repeat, Route};
+use super::taking;
 use crate::backend::{Exchange, SendFault};
-use crate::blackboard::RequestGuard;
 use crate::decide::engine::Observation;
 use crate::decide::releases::Outcome;
 use crate::decide::verdict::Pace;
 use crate::error::{Failure, Kind};
-use crate::http::Body;
+use crate::http::{Body, whole};
 use crate::ids::ServiceName;
 use crate::telemetry::volume;
 
@@ -87,7 +86,7 @@
     call: Arc<Call>,
     route: Arc<Route>,
     service: &ServiceName,
-    guard: RequestGuard,
+    kept: Kept,
 ) -> Result<Response<Body>, Failure> {
     let mut course = Course::new(service.clone());
     let mut failed = None;
@@ -125,7 +124,7 @@
             Some(Ok(Opening::Stream(opened))) => {
                 count(&relay, &call);
                 observe(&relay, &course, &opened);
-                return Ok(respond(relay, call, route, course, *opened, guard));
+                return Ok(respond(relay, call, route, course, *opened, kept));
             }
             Some(Ok(Opening::Whole(response, true))) if course.may_repeat(&route) => {
                 failed = Some(response);
@@ -200,14 +199,14 @@
     origin: Origin<'_>,
 ) -> Result<Opening, Miss> {
     let limit = call.left();
-    let flight = known.begin(call.prompt());
+    let flight = known.begin(call.prompt(), call.tokens());
     let mut over = known.state.follow_end();
     let began = Instant::now();
     let opening = async {
         let reply = send(relay, call, route, known, origin, limit).await?;
         if !reply.exchange.status.is_success() {
-            let (answer, failed) = read(reply, FAILURE_LIMIT).await?;
-            return Ok(Opening::Whole(answer.response(), failed));
+            let (answer, failed) = read(relay, reply, FAILURE_LIMIT).await?;
+            return Ok(Opening::Whole(answer.response(whole), failed));
         }
         let exchange = reply.exchange;
         let mut source = Source { exchange, cutter: EventCutter::default(), flight, began };
@@ -341,15 +340,15 @@
     route: Arc<Route>,
     mut course: Course,
     opened: Opened,
-    guard: RequestGuard,
+    kept: Kept,
 ) -> Response<Body> {
     let Opened { status, headers, mut source, first } = opened;
     let mut progress = Progress::new(call.head.resume);
     progress.pass(&first);
     progress.late = call.arrived.elapsed() > route.objective;
+    let passing = (relay.clone(), call.clone(), route.clone());
     let events = stream! {
-        let _counted = guard;
-        yield Ok::<_, io::Error>(Frame::data(first));
+        yield Ok::<_, io::Error>(first);
         let mut limit = silence(&route, &call);
         let mut following = Some(source.flight.known().state.follow_leaving());
         loop {
@@ -369,19 +368,19 @@
                         Moved::Elsewhere(ready, moved) => {
                             source = *moved;
                             following = Some(source.flight.known().state.follow_leaving());
-                            yield Ok(Frame::data(ready));
+                            yield Ok(ready);
                             continue;
                         }
                         Moved::Ended(ready) => {
-                            yield Ok(Frame::data(ready));
+                            yield Ok(ready);
                             break;
                         }
                         Moved::Stays(ready) => {
-                            yield Ok(Frame::data(ready));
+                            yield Ok(ready);
                             continue;
                         }
                         Moved::Lost(ready) => {
-                            yield Ok(Frame::data(ready));
+                            yield Ok(ready);
                             Err(SendFault::Broke("the run could not be moved".to_owned()))
                         }
                     }
@@ -390,7 +389,7 @@
             let fault = match came {
                 Ok(Some(ready)) => {
                     if !ready.is_empty() {
-                        yield Ok(Frame::data(ready));
+                        yield Ok(ready);
                     }
                     continue;
                 }
@@ -435,7 +434,7 @@
                 Some((ready, next)) => {
                     source = next;
                     if !ready.is_empty() {
-                        yield Ok(Frame::data(ready));
+                        yield Ok(ready);
                     }
                 }
                 None => {
@@ -445,7 +444,8 @@
             }
         }
     };
-    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(events)));
+    let (relay, call, route) = passing;
+    let mut response = Response::new(taking::stream(relay, call, route, kept, events));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/tests/distance_relay.rs
+++ b/tests/distance_relay.rs
@@ -75,7 +75,7 @@
 fn fill(relay: &TestRelay, names: &[&str]) -> Vec<Flight> {
     let servers = relay.relay.servers.of(&"svc".parse().unwrap());
     let there = servers.iter().filter(|it| names.contains(&it.server.data_centre.as_str()));
-    there.flat_map(|known| (0..20).map(|_| known.begin(0))).collect()
+    there.flat_map(|known| (0..20).map(|_| known.begin(0, 0))).collect()
 }
 
 /// Where 60 calls go.
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -114,6 +114,7 @@
                 unread: 0,
                 uncached: 3_000,
                 distance: Distance::default(),
+                full: false,
                 ejected: false,
             })
             .collect();
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -103,6 +103,7 @@
     unread: 0,
     uncached: 1_000,
     distance: Distance { time: 0.0, weight: 0.0 },
+    full: false,
     ejected: false,
 };
 
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -51,6 +51,8 @@
     CutAfter(u64),
     /// Events up to this one, then nothing until its run is moved, which cuts the stream.
     UntilMoved(u64),
+    /// Events up to this one, of so many bytes and more, as fast as they are taken.
+    Large(u64, usize),
     /// One event, then the rest up to this one after a pause.
     PauseAfterFirst(u64, Duration),
 }
@@ -282,6 +284,11 @@
     format!("id: {number}\ndata: piece {number}\n\n")
 }
 
+/// The text of an event of `size` bytes and more.
+pub fn large_event(number: u64, size: usize) -> String {
+    format!("id: {number}\ndata: {}\n\n", "x".repeat(size))
+}
+
 /// The text of a stream up to an event.
 pub fn events(last: u64) -> String {
     (1..=last).map(event).collect()
@@ -355,6 +362,13 @@
             let _ = waiting.wait_for(|moved| *moved).await;
             return Ok(false);
         }
+        Act::Large(last, size) => {
+            stream.write_all(stream_head.as_bytes()).await?;
+            for number in resumed + 1..=*last {
+                stream.write_all(chunk(&large_event(number, *size)).as_bytes()).await?;
+            }
+            stream.write_all(b"0\r\n\r\n").await?;
+        }
         Act::PauseAfterFirst(last, pause) => {
             stream.write_all((format!("{stream_head}{}", chunk(&event(1)))).as_bytes()).await?;
             tokio::time::sleep(*pause).await;
@@ -421,7 +435,17 @@
     pub relay: Arc<Relay>,
     /// The list as its leader has it.
     leader: Mutex<ListBook>,
-    _closing: watch::Sender<bool>,
+    closing: watch::Sender<bool>,
+}
+
+/// Waits until something holds that no event tells of.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.unwrap_or_else(|_| panic!("not in time: {what}"));
 }
 
 /// An address nobody listens at.
@@ -435,12 +459,22 @@
         Self::empty_with("").await
     }
 
-    /// Starts a relay that knows nothing yet, with more settings.
-    pub async fn empty_with(more: &str) -> Self {
+    /// Starts a relay that knows nothing yet, with further lines among its settings.
+    pub async fn empty_with(extra: &str) -> Self {
+        // An address that was free may be taken meanwhile, by a connection of another test.
+        for _ in 0..16 {
+            if let Some(relay) = Self::try_empty(extra).await {
+                return relay;
+            }
+        }
+        panic!("no free address");
+    }
+
+    async fn try_empty(extra: &str) -> Option<Self> {
         let (addr, ready) = (free_addr(), free_addr());
         let text = format!(
             "[node]\nbox_id = relay\ndata_centre = here\nroles = relay\n[replicas]\nr = 127.0.0.1:1\n\
-             [relay]\nlisten = {addr}\nready = {ready}\n{more}"
+             [relay]\nlisten = {addr}\nready = {ready}\n{extra}"
         );
         let settings = Settings::parse("relay.ini", &text).unwrap();
         let board = Arc::new(Blackboard::new("relay".parse().unwrap()));
@@ -454,9 +488,9 @@
             metrics: Arc::new(Metrics::new().unwrap()),
             closing: follow,
         }));
-        Listeners::open(&relay).await.unwrap().serve(&relay);
+        Listeners::open(&relay).await.ok()?.serve(&relay);
         tokio::spawn(lives::run(relay.clone()));
-        Self { addr, ready, board, relay, leader: Mutex::default(), _closing: closing }
+        Some(Self { addr, ready, board, relay, leader: Mutex::default(), closing })
     }
 
     /// Starts a relay that is sure of the usual routes and knows the stand-ins.
@@ -467,6 +501,17 @@
         relay
     }
 
+    /// Has the relay take nothing new.
+    pub fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Whether metrics tell of an outcome of requests.
+    pub fn has_counted(&self, outcome: &str) -> bool {
+        let text = self.relay.parts.metrics.render().unwrap();
+        String::from_utf8(text).unwrap().contains(&format!("outcome=\"{outcome}\""))
+    }
+
     /// Puts a document in force, confirmed now, under a leader that allows each team much.
     pub fn publish(&self, value: &Value) {
         self.put(value);
