Pressure: an engine's wait counts while it lasts; answers reserve their length at once; refusals are read off

Not mended, listed as open: a body of which nothing has come is judged after a quarter of its time (tests/memory.rs has it so); an answer whose engine is free is let go after seconds of silence also where there is room.

--- a/src/decide/slowness.rs
+++ b/src/decide/slowness.rs
@@ -37,7 +37,7 @@
     pub silent: Duration,
     /// The longest silence after which it went on.
     pub longest: Duration,
-    /// For how long in all its engine was not read, as there was no room.
+    /// For how long its engine has not been read, as there is no room.
     pub held: Duration,
     /// The time that the caller has left.
     pub left: Duration,
--- a/src/relay/keeping.rs
+++ b/src/relay/keeping.rs
@@ -128,16 +128,6 @@
         let mut look = began + time / LOOKS;
         loop {
             let frame = tokio::time::timeout_at(look.into(), body.frame()).await;
-            if Instant::now() >= look {
-                let (came, passed) = (self.held.len() as u64, began.elapsed());
-                let length = length.unwrap_or_default();
-                if !can_arrive(&Arriving { came, length, passed, time }) {
-                    let what = if passed < time { "cannot" } else { "did not" };
-                    let text = format!("the body {what} arrive in time: {came} bytes came");
-                    return Err(Failure::new(Kind::SlowCaller, text));
-                }
-                look = (Instant::now() + time / LOOKS).min(until);
-            }
             match frame {
                 Err(_) => {}
                 Ok(None) => return Ok((self.held.freeze(), self.reserved)),
@@ -151,6 +141,16 @@
                     return Err(Failure::new(Kind::BadRequest, text));
                 }
             }
+            if Instant::now() >= look {
+                let (came, passed) = (self.held.len() as u64, began.elapsed());
+                let length = length.unwrap_or_default();
+                if !can_arrive(&Arriving { came, length, passed, time }) {
+                    let what = if passed < time { "cannot" } else { "did not" };
+                    let text = format!("the body {what} arrive in time: {came} bytes came");
+                    return Err(Failure::new(Kind::SlowCaller, text));
+                }
+                look = (Instant::now() + time / LOOKS).min(until);
+            }
         }
     }
 
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -199,11 +199,20 @@
     let Reply { mut exchange, failed } = reply;
     let mut held = BytesMut::new();
     let mut charge = None;
+    // Its whole length at once: answers that each had a part of their room would wait for each other.
+    if let Some(length) = length(&exchange.headers).filter(|it| *it > FIRST_BYTES) {
+        if length > limit as u64 {
+            return Err(Miss::of_fault(SendFault::TooLarge(limit)));
+        }
+        make_room(relay, &mut charge, length).await;
+    }
     while let Some(piece) = exchange.next(ANSWER_TIME).await.map_err(Miss::of_fault)? {
         if held.len() + piece.len() > limit {
             return Err(Miss::of_fault(SendFault::TooLarge(limit)));
         }
-        if (held.len() + piece.len()) as u64 > FIRST_BYTES {
+        let needed = (held.len() + piece.len()) as u64;
+        let room = charge.as_ref().map_or(FIRST_BYTES, Reserved::bytes);
+        if needed > room {
             make_room(relay, &mut charge, piece.len() as u64).await;
         }
         held.extend_from_slice(&piece);
@@ -217,6 +226,11 @@
     Ok((Answer { status, headers, body }, failed))
 }
 
+/// The length that an answer's head tells.
+fn length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 /// Charges more of an answer, once there is room: it has run, so it is not refused.
 async fn make_room(relay: &Relay, charge: &mut Option<Reserved>, bytes: u64) {
     loop {
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -80,8 +80,8 @@
                 if matches!(failure.kind, Kind::NoMemory | Kind::TooLarge | Kind::SlowCaller) {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                // A slow caller's bytes have all been read; another one's would make the close a reset.
-                if !waits_for_word && failure.kind != Kind::SlowCaller {
+                // Bytes that are not read would make the close a reset, and the refusal would be lost.
+                if !waits_for_word {
                     server::drain(busy, body);
                 }
             }
@@ -287,7 +287,7 @@
     let Some(team) = team else {
         return Ok(0.0);
     };
-    let tokens = call.head.size.map(|size| size.prompt + size.output);
+    let tokens = call.head.size.map(|_| call.tokens());
     let cost = team.cost(tokens);
     let until = tokio::time::Instant::now() + ASK_TIME;
     let short = loop {
--- a/src/relay/taking.rs
+++ b/src/relay/taking.rs
@@ -172,9 +172,8 @@
     /// A piece for which there was no room.
     waiting: Option<Bytes>,
     look: Pin<Box<Sleep>>,
-    /// How long the engine has not been read in all, and since when it is not.
-    held: Duration,
-    held_since: Option<Instant>,
+    /// Since when the engine is not read.
+    held: Option<Instant>,
 }
 
 impl Passage {
@@ -186,8 +185,7 @@
             shared: Shared::new(kept),
             waiting: None,
             look: Box::pin(sleep(LOOK_TIME)),
-            held: Duration::ZERO,
-            held_since: None,
+            held: None,
         }
     }
 
@@ -277,17 +275,18 @@
     }
 
     fn count_held(&mut self, has_room: bool) {
-        if !has_room {
-            self.held_since.get_or_insert_with(Instant::now);
-        } else if let Some(since) = self.held_since.take() {
-            self.held += since.elapsed();
+        match has_room {
+            true => self.held = None,
+            false => {
+                self.held.get_or_insert_with(Instant::now);
+            }
         }
     }
 
     /// Looks at the caller; whether it was let go.
     fn lets_go(&mut self) -> bool {
         self.look = Box::pin(sleep(LOOK_TIME));
-        let held = self.held + self.held_since.map_or(Duration::ZERO, |since| since.elapsed());
+        let held = self.held.map_or(Duration::ZERO, |since| since.elapsed());
         let taking = self.shared.taking(held, self.call.left());
         let Some(slow) = judge(&taking, self.route.gap, self.route.repeat.is_repeatable()) else {
             return false;
