The house: a server as a box knows it in a file of its own, answers below all that give them; a less cautious prior of dry spells

Change: relay/known; http/answer (relay no longer uses entry); the prior of dry spells is one loss in 600 s of a data centre and one in four that another follows within an absence (120 s, as likely as not).

--- a/src/control/work.rs
+++ b/src/control/work.rs
@@ -10,9 +10,9 @@
 use tokio::task::JoinHandle;
 
 use crate::blackboard::Phase;
-use crate::entry::answer::failure_value;
 use crate::entry::keep::run_kept;
 use crate::error::{Failure, Kind, RunState};
+use crate::http::answer::failure_value;
 use crate::ids::Fence;
 use crate::node::Node;
 use crate::state::ledger::{Owner, RecordedAnswer};
--- a/src/decide/hazard.rs
+++ b/src/decide/hazard.rs
@@ -19,11 +19,16 @@
 use crate::ids::DataCentre;
 
 /// Seconds of one data centre, with none gone, in which one is taken to have been lost before anything was
-/// seen: no market is taken to be safe, and a few quiet minutes outweigh it.
-const PRIOR_CALM: f64 = 120.0;
+/// seen: no market is taken to be safe. At 120 s callers of a service with three data centres paid for a reserve
+/// that served nobody (worth 0.607 for 0.636 on a day with two losses, one play each).
+const PRIOR_CALM: f64 = 600.0;
 
-/// The same while others are gone: within one absence each of the others is lost as likely as not.
-const PRIOR_FOLLOW: f64 = 12.0;
+/// The same while others are gone: within one absence each of the others is lost with a chance of one in four.
+/// The first spell of a market is met late by that; as likely as not would have it paid for where none follows.
+const PRIOR_FOLLOW: f64 = 48.0;
+
+/// Seconds of such time that the prior weighs: one spell outweighs it.
+const PRIOR_WEIGHT: f64 = 12.0;
 
 /// Seconds since the last loss at which the first phase of a spell ends; each is twice as long as the one
 /// before. Engines boot in one to some twenty seconds, so phases up to that length are told apart.
@@ -225,9 +230,9 @@
             losses: sum.losses + phases[phase].losses,
             time: sum.time + phases[phase].time,
         });
-        let all = all.with_prior(1.0 / PRIOR_FOLLOW, PRIOR_FOLLOW / PHASES as f64);
+        let all = all.with_prior(1.0 / PRIOR_FOLLOW, PRIOR_WEIGHT / PHASES as f64);
         let own = self.learned.follow.get(place).map(|phases| phases[phase]);
-        own.unwrap_or_default().with_prior(all, PRIOR_FOLLOW)
+        own.unwrap_or_default().with_prior(all, PRIOR_WEIGHT)
     }
 
     /// What may be lost before an engine that boots for `boot` seconds serves. What has notice by then may
--- a/src/entry/complete.rs
+++ b/src/entry/complete.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use hyper::Response;
 
-use super::answer::Body;
 use super::generate::{self, LINGER, Plan};
 use super::generation::{Generation, Origin, Reader, Shape};
 use super::ground::{Ground, need};
@@ -18,6 +17,7 @@
 use crate::backend::engine::Piece;
 use crate::decide::route;
 use crate::error::{Failure, Kind};
+use crate::http::answer::Body;
 use crate::ids::{RequestKey, TeamName};
 use crate::node::Node;
 use crate::state::config::ServiceKind;
--- a/src/entry/hand_over.rs
+++ b/src/entry/hand_over.rs
@@ -14,13 +14,13 @@
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use super::answer::{Body, RUN_HEADER};
 use super::complete::resume_handed;
 use super::generation::{End, Generation};
 use super::request::{Head, PASSED_HEADER};
 use crate::backend::Reuse;
 use crate::backend::engine::Piece;
 use crate::error::{Failure, Kind};
+use crate::http::answer::{Body, RUN_HEADER};
 use crate::ids::{BoxId, RequestKey, TeamName};
 use crate::member::home;
 use crate::member::table::BoxState;
--- a/src/entry/keep.rs
+++ b/src/entry/keep.rs
@@ -9,12 +9,12 @@
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
-use super::answer::{self, Body};
 use super::complete::completion;
 use super::ground::Ground;
 use super::request::Head;
 use super::serve::{KEPT, SERVICES, service};
 use crate::error::{Failure, Kind};
+use crate::http::answer::{self, Body};
 use crate::ids::RequestKey;
 use crate::node::Node;
 use crate::state::config::Class;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,7 +12,6 @@
 //! - [`hand_over`] moves streams to a peer when the node stops.
 //! - [`unrepeatable`] puts the ledger around attempts that may run once.
 
-pub mod answer;
 pub(crate) mod complete;
 pub mod dispatch;
 pub(crate) mod drain;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -8,12 +8,12 @@
 use hyper::header::{ACCEPT, CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
-use super::answer::{self, Body};
 use super::dispatch::{Chosen, Wanted};
 use super::request::Head;
 use super::unrepeatable::{Once, Permission};
 use crate::backend::{Reuse, SendFault};
 use crate::error::{Failure, Kind, RunState};
+use crate::http::answer::{self, Body};
 use crate::ids::AttemptId;
 use crate::node::Node;
 use crate::state::ledger::{Outcome, RecordedAnswer};
--- a/src/entry/respond.rs
+++ b/src/entry/respond.rs
@@ -12,9 +12,9 @@
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use serde_json::Value;
 
-use super::answer::{self, Body};
 use super::generation::{End, Item, Reader};
 use crate::error::Failure;
+use crate::http::answer::{self, Body};
 use crate::ids::TeamName;
 use crate::node::Node;
 use crate::state::ledger::RecordedAnswer;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -9,7 +9,6 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
-use super::answer::{self, Body, TRACE_HEADER};
 use super::complete::completion;
 use super::ground::{Ground, need};
 use super::keep::{fetch_work, keep};
@@ -18,6 +17,7 @@
 use super::unrepeatable::{Once, digest};
 use crate::blackboard::RequestGuard;
 use crate::error::{Failure, Kind};
+use crate::http::answer::{self, Body, TRACE_HEADER};
 use crate::http::head;
 use crate::ids::ServiceName;
 use crate::node::Node;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 //! are to go, [`head`] refuses heads that break the protocol or a limit, [`charged`] charges bytes to
 //! the box's memory.
 
+pub mod answer;
 pub mod charged;
 pub mod gate;
 pub mod head;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -10,7 +10,7 @@
 use super::Relay;
 
 use super::call::{Call, Hop, Load, ReplyHead, RunCopy};
-use super::servers::Known;
+use super::known::Known;
 use super::table::Route;
 use crate::backend::{Exchange, Reuse, SendFault};
 use crate::decide::budget::RetryLimit;
--- a/src/relay/lives.rs
+++ b/src/relay/lives.rs
@@ -11,7 +11,7 @@
 
 use super::Relay;
 use super::call::Report;
-use super::servers::Known;
+use super::known::Known;
 use crate::backend::{Reuse, SendFault};
 use crate::decide::lives::Heard;
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,7 +8,7 @@
 //! - [`dialect`] is the edge to the words of callers and backend servers: pure functions from heads
 //!   to types and back.
 //! - [`listing`] is a reading of the list of backend servers, [`list_book`] the leader's list, [`list`] what
-//!   goes from it to boxes, [`servers`] what is known of them, [`engines`] what was learned of them.
+//!   goes from it to boxes, [`known`] one server as a box knows it and [`servers`] all of them, [`engines`] what was learned of them.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send, [`course`] all sends of one call; [`pick`] finds the server for a send,
 //!   [`placed`] are the servers by how far they are, [`traffic`] counts what goes how far.
@@ -29,6 +29,7 @@
 pub mod engines;
 pub(crate) mod events;
 pub(crate) mod keeping;
+pub mod known;
 pub mod list;
 pub mod list_book;
 pub mod listen;
@@ -74,9 +75,10 @@
 use dialect::Dialect;
 use engines::EngineBook;
 
+use known::Known;
 use list::{ListIndex, ListPart};
 use offered::OfferedBook;
-use servers::{Known, ServerBook};
+use servers::ServerBook;
 use table::RouteTable;
 use traffic::Traffic;
 use usage::UsageCounter;
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -18,7 +18,7 @@
 use super::attempt::Origin;
 use super::call::{Call, MoveAnswer, RunCopy};
 use super::course::Course;
-use super::servers::Known;
+use super::known::Known;
 use super::stream::{Opening, Progress, Source, next, open};
 use super::table::{EngineSpec, Route};
 use crate::backend::{Reuse, SendFault};
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -7,8 +7,8 @@
 use super::Relay;
 use super::call::{Call, PromptPart};
 use super::course::Reading;
+use super::known::Known;
 use super::placed::{Placed, PlacedServer};
-use super::servers::Known;
 use super::table::Route;
 use crate::decide::choose::{
     Candidate, affinity, choose, choose_over_regions, compares_all, drawn, looks_further,
--- a/src/relay/placed.rs
+++ b/src/relay/placed.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::servers::Known;
+use super::known::Known;
 use crate::decide::topology::{Reach, Topology};
 
 /// A server, and where it stands as seen from this box.
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -13,7 +13,7 @@
 use super::attempt::{Miss, Origin, Reply, restarted, seconds_since, send};
 use super::call::Call;
 use super::course::Course;
-use super::servers::Known;
+use super::known::Known;
 use super::table::Route;
 use super::taking::FIRST_BYTES;
 use crate::backend::SendFault;
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -2,24 +2,21 @@
 //! this box has seen of each server.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use super::call::Report;
-use super::list::{ListIndex, ListPart, ListVersion, Listed, PartId, Print, Server, ToldLife};
+use super::known::{Known, end, update};
+use super::list::{ListIndex, ListPart, ListVersion, Listed, PartId, Print, ToldLife};
 use super::part_loads::{self, PartLoads};
 use super::placed::Placed;
-use crate::blackboard::fleet::{BackendState, FlightGuard, Leaving};
-use crate::decide::choose::LoadWord;
 use crate::decide::lives::{DoubtBook, Heard, Life, Speaker};
 use crate::decide::loads::ToldLoad;
 use crate::decide::topology::Topology;
-use crate::ids::{BackendId, Incarnation, ServerKey, ServiceName};
-use crate::member::table::fingerprint;
+use crate::ids::{BackendId, Incarnation, ServiceName};
 use crate::units::{Millis, UnixMillis};
 
 /// How long a server that leaves is taken to stay when nothing says so.
@@ -31,124 +28,6 @@
 /// Servers remembered beside those that are listed: one may be back within a few readings of the list.
 const GONE_LIMIT: usize = 1_024;
 
-/// What a box knows of one backend server in one life. A later life of the server has another one.
-#[derive(Debug)]
-pub struct Known {
-    /// What the platform lists.
-    pub server: Server,
-    /// A hash of its id: its place in the order of its service's servers.
-    pub hash: u64,
-    /// The life, as far as it is known.
-    life: Life,
-    /// What this box has seen of this life.
-    pub state: Arc<BackendState>,
-    /// Prompt tokens of this box's requests that have not begun to run there.
-    unread: Arc<AtomicU64>,
-    /// Tokens that this box's requests keep there at most.
-    tokens: Arc<AtomicU64>,
-}
-
-/// Counts a request in flight to a server until dropped; its prompt until it has begun to run.
-pub struct Flight {
-    known: Arc<Known>,
-    prompt: u64,
-    tokens: u64,
-    over: watch::Receiver<bool>,
-    _guard: FlightGuard,
-}
-
-impl Flight {
-    /// The server.
-    pub fn known(&self) -> &Arc<Known> {
-        &self.known
-    }
-
-    /// Waits until the server is known to have started again: the request will not be answered.
-    pub async fn ended(&mut self) {
-        // The sender is in the state that this flight keeps, so the wait ends only with the life.
-        let _ = self.over.wait_for(|over| *over).await;
-    }
-
-    /// Notes that the request has begun to run: its prompt is read.
-    pub fn begun(&mut self) {
-        self.known.unread.fetch_sub(self.prompt, Ordering::SeqCst);
-        self.prompt = 0;
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.known.unread.fetch_sub(self.prompt, Ordering::SeqCst);
-        self.known.tokens.fetch_sub(self.tokens, Ordering::SeqCst);
-    }
-}
-
-impl Known {
-    /// Counts a request in flight, with so many prompt tokens and so many that it keeps at most.
-    pub fn begin(self: &Arc<Self>, prompt: u64, tokens: u64) -> Flight {
-        self.unread.fetch_add(prompt, Ordering::SeqCst);
-        self.tokens.fetch_add(tokens, Ordering::SeqCst);
-        let (over, guard) = (self.state.follow_end(), self.state.begin());
-        Flight { known: self.clone(), prompt, tokens, over, _guard: guard }
-    }
-
-    /// Tokens that this box's requests keep there at most.
-    pub fn tokens(&self) -> u64 {
-        self.tokens.load(Ordering::SeqCst)
-    }
-
-    /// Prompt tokens of this box's requests that it has still to read.
-    pub fn unread(&self) -> u64 {
-        self.unread.load(Ordering::SeqCst)
-    }
-
-    /// Requests there by its last word, corrected by what this box has sent and finished since.
-    pub fn requests(&self) -> u32 {
-        self.others().map_or(0, |(others, _)| others) + self.state.in_flight()
-    }
-
-    /// Its last word of its load, without this box's requests.
-    pub fn load_word(&self) -> Option<LoadWord> {
-        let (others, at) = self.others()?;
-        Some(LoadWord { requests: f64::from(others), age: at.elapsed().as_secs_f64() })
-    }
-
-    /// Requests of others there by its last word, and when that was true.
-    fn others(&self) -> Option<(u32, Instant)> {
-        let load = self.state.load()?;
-        Some(((load.running + load.waiting).saturating_sub(load.own), load.at))
-    }
-
-    /// The life; 0 where nothing has told it.
-    pub fn life(&self) -> Incarnation {
-        self.life.told()
-    }
-
-    /// The server in this life.
-    pub fn key(&self) -> ServerKey {
-        ServerKey { id: self.server.id.clone(), life: self.life() }
-    }
-
-    /// Notes that it is gone: its address answers for another server.
-    pub fn leave_at_once(&self) {
-        if self.leave(Duration::ZERO) {
-            tracing::info!(event = "backend_server_gone", backend_server = %self.server.id);
-        }
-    }
-
-    /// Takes word that this life leaves within a time; `true` if new.
-    fn leave(&self, left: Duration) -> bool {
-        // The state is of this life alone, whatever it is called.
-        let life = Incarnation::default();
-        self.state.leave(Leaving { life, gone: Instant::now() + left })
-    }
-
-    /// Whether it takes new requests.
-    pub fn is_open(&self) -> bool {
-        self.state.leaving().is_none()
-    }
-}
-
 /// The servers of a service, in the order of their hashes.
 pub type Servers = Arc<Vec<Arc<Known>>>;
 
@@ -538,56 +417,3 @@
         leaving
     }
 }
-
-impl Known {
-    /// A life of a server of which nothing is known.
-    fn fresh(server: Server, life: Life) -> Self {
-        let (hash, state) = (fingerprint(server.id.as_str()), Arc::default());
-        let (unread, tokens) = (Arc::default(), Arc::default());
-        Self { server, hash, life, state, unread, tokens }
-    }
-
-    /// The same life of the server, with what is known of it.
-    fn with(&self, server: Server, life: Life) -> Self {
-        let (state, unread) = (self.state.clone(), self.unread.clone());
-        let (hash, tokens) = (self.hash, self.tokens.clone());
-        Self { server, hash, life, state, unread, tokens }
-    }
-}
-
-/// The entry for a listed server with what was known of its life, if the list shows the same one. `life` is
-/// what was known of it when it was listed last.
-fn update(before: Option<&Arc<Known>>, life: Option<Life>, listed: &Listed) -> Arc<Known> {
-    let now = UnixMillis::now();
-    let mut life = life.unwrap_or_else(|| Life::seen_at(now));
-    let heard = life.hear(listed.life, Speaker::Other, now);
-    let Some(known) = before else {
-        return Arc::new(Known::fresh(listed.server.clone(), life));
-    };
-    if heard == Heard::Earlier {
-        return known.clone();
-    }
-    let is_named = !listed.life.is_none() && listed.life == known.life();
-    // A server keeps its address for its life, so at another address it is another one, told or not.
-    let moved = known.server.addr != listed.server.addr && !is_named;
-    if heard == Heard::Another || moved {
-        if moved && listed.life.is_none() {
-            life.restart(now);
-        }
-        end(known, &life);
-        return Arc::new(Known::fresh(listed.server.clone(), life));
-    }
-    match known.server == listed.server && known.life == life {
-        true => known.clone(),
-        false => Arc::new(known.with(listed.server.clone(), life)),
-    }
-}
-
-/// Ends what runs in a life that is over.
-fn end(known: &Known, next: &Life) {
-    known.state.end();
-    tracing::info!(
-        event = "backend_server_restarted", backend_server = %known.server.id, life = %next.told(),
-        before = %known.life(), in_flight = known.state.in_flight(),
-    );
-}
--- a/tests/server_lives.rs
+++ b/tests/server_lives.rs
@@ -12,9 +12,10 @@
 use emberturn::decide::loads::{LoadPool, ToldLoad};
 use emberturn::ids::{BackendId, Incarnation, ServerKey, ServiceName, Term};
 use emberturn::relay::call::{Load, Report};
+use emberturn::relay::known::Known;
 use emberturn::relay::list::{ListIndex, ListPart, ListVersion, Listed, Print, Server, ToldLife};
 use emberturn::relay::list_book::ListBook;
-use emberturn::relay::servers::{Known, ServerBook};
+use emberturn::relay::servers::ServerBook;
 use emberturn::units::{Millis, UnixMillis};
 use platform::{Act, PATIENCE, Reply, StandIn, Tells, TestRelay, events};
 use proptest::prelude::*;
