A connection is at its request although an earlier answer is given up late

A connection counted as at rest once the last piece of an answer was given up, also where the next request had begun by then; the next bytes of that request's body then began a head, whose time ended the answer.

Change: a connection counts its requests and rests after the last of them; no head is timed while one is answered.

--- a/src/http/gate.rs
+++ b/src/http/gate.rs
@@ -1,7 +1,7 @@
 //! The connections of one side: how many there may be, which of them rest, and which are to go.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -42,6 +42,8 @@
 pub struct Link {
     gate: Arc<Gate>,
     stage: AtomicU8,
+    /// Requests that are not over: the next one may begin before the last piece of an answer is given up.
+    requests: AtomicU32,
     /// Its place in the order of those at rest.
     order: AtomicU64,
     head: Mutex<Head>,
@@ -119,11 +121,13 @@
 
     /// Since when a head has been arriving.
     pub(super) fn head_since(&self) -> Option<Instant> {
-        self.is_at(Stage::Head).then(|| self.head().since).flatten()
+        let is_due = self.is_at(Stage::Head) && self.requests.load(Ordering::SeqCst) == 0;
+        is_due.then(|| self.head().since).flatten()
     }
 
     /// A request has arrived.
     fn begin(&self) {
+        self.requests.fetch_add(1, Ordering::SeqCst);
         if self.is_at(Stage::Resting) {
             self.gate.book().resting.remove(&self.order.load(Ordering::SeqCst));
         }
@@ -131,10 +135,11 @@
         *self.head() = Head::default();
     }
 
-    /// Its answer has been taken, or given up.
+    /// An answer has been taken, or given up; the connection rests unless another request has begun.
     fn rest(self: &Arc<Self>) {
         let mut book = self.gate.book();
-        if self.ended.load(Ordering::SeqCst) {
+        let others = self.requests.fetch_sub(1, Ordering::SeqCst) > 1;
+        if others || self.ended.load(Ordering::SeqCst) {
             return;
         }
         book.next += 1;
@@ -268,6 +273,7 @@
         let link = Arc::new(Link {
             gate: self.clone(),
             stage: AtomicU8::new(Stage::Head as u8),
+            requests: AtomicU32::new(0),
             order: AtomicU64::new(0),
             head: Mutex::new(Head { since: Some(Instant::now()), ..Head::default() }),
             cut: AtomicBool::new(false),
