One way to lock, one reading of the time of day

Change: crate::sync::lock, the lowest floor in tests/imports.rs; UnixMillis::now everywhere; Incarnation::is_none.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 
 use crate::http::silence::limit_silence;
+use crate::sync::lock;
 
 /// How long a connection may take to stand.
 const CONNECT_TIME: Duration = Duration::from_millis(1_000);
@@ -258,7 +259,7 @@
     }
 
     fn lists(&self) -> MutexGuard<'_, IdleLists> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.idle)
     }
 
     /// Idle connections.
--- a/src/blackboard/fleet.rs
+++ b/src/blackboard/fleet.rs
@@ -11,6 +11,7 @@
 use crate::ids::{BackendId, BoxId, Incarnation, ServiceName};
 use crate::member::table::fingerprint;
 use crate::state::config::Configuration;
+use crate::sync::lock;
 
 /// Failures in a row after which a backend server is set aside for a while.
 const EJECT_AFTER: u32 = 3;
@@ -81,7 +82,7 @@
 
 impl BackendState {
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner)
     }
 
     /// This node's requests in flight there.
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -35,6 +35,7 @@
 use crate::relay::table::RouteTable;
 use crate::settings::CloudSettings;
 use crate::state::notes::{LowTeams, Models, Spells};
+use crate::sync::lock;
 
 /// How long a relay without a list waits for the first one in a call: less than it waits for the answer.
 const LIST_WAIT: Duration = Duration::from_millis(250);
@@ -487,7 +488,7 @@
             surge: cloud.surge,
         });
         let weights = weights.unwrap_or_default();
-        let mut held = crate::node::lock(&self.lead);
+        let mut held = lock(&self.lead);
         if held.as_ref().is_none_or(|lead| lead.term != term) {
             tracing::info!(event = "leading", term = %term);
             *held = None;
--- a/src/control/rollouts.rs
+++ b/src/control/rollouts.rs
@@ -17,7 +17,7 @@
 use crate::settings::RolloutSettings;
 use crate::state::rollout::{OrderReply, Phase, Rollout, RolloutBook, RolloutOrder, RolloutStep};
 use crate::state::{Command, Reply};
-use crate::telemetry::hops::unix_millis;
+use crate::units::UnixMillis;
 
 /// How long the group may take to accept an order.
 const ORDER_TIME: Duration = Duration::from_millis(2_500);
@@ -261,7 +261,7 @@
         }
         let list = &lead.list;
         let is_ready = |order: &RolloutOrder| list.serves(&order.service, &order.release);
-        let (step, facts) = lead.rollouts.next(now, unix_millis(), limit, is_ready)?;
+        let (step, facts) = lead.rollouts.next(now, UnixMillis::now().0, limit, is_ready)?;
         tracing::info!(
             event = "rollout_step", service = %step.service, phase = %step.phase, exposed = step.exposed,
             passed = facts.passed, came = facts.came, verdict = ?facts.verdict, term = %term,
--- a/src/decide/lives.rs
+++ b/src/decide/lives.rs
@@ -82,7 +82,7 @@
 impl Life {
     /// The life, not told yet, of a server that is first known now.
     pub fn seen_at(now: UnixMillis) -> Self {
-        let (told, past) = (Incarnation(0), Incarnation(0));
+        let (told, past) = Default::default();
         Self { told, sure: false, seen: now, renewed: false, past }
     }
 
@@ -94,7 +94,7 @@
     /// Whether a word that names `life`, or none, is of this life. Where the server is known to have started
     /// again, a word that names none may be of an earlier one.
     pub fn is_of(&self, life: Incarnation) -> bool {
-        life == self.told || (life.0 == 0 && !self.renewed)
+        life == self.told || (life.is_none() && !self.renewed)
     }
 
     /// Takes a word of the life that the server is in.
@@ -102,7 +102,7 @@
     /// One that began before the server was known is the life that is known, whatever an older word had
     /// named it; unless the server itself had named another since.
     pub fn hear(&mut self, life: Incarnation, speaker: Speaker, now: UnixMillis) -> Heard {
-        if life.0 == 0 {
+        if life.is_none() {
             return Heard::Same;
         }
         if life < self.told || life <= self.past {
@@ -127,7 +127,7 @@
     /// Takes that the server is in another life, which is not told yet.
     pub fn restart(&mut self, now: UnixMillis) {
         let past = self.told.max(self.past);
-        *self = Self { told: Incarnation(0), sure: false, seen: now, renewed: true, past };
+        *self = Self { told: Incarnation::default(), sure: false, seen: now, renewed: true, past };
     }
 
     /// Whether a listing that was read at `read` is of this life as well: the list lags, and may show what
@@ -135,7 +135,7 @@
     /// holds a notice back no longer than this.
     pub fn is_listed(&self, read: UnixMillis, known: Duration) -> bool {
         let lag = LIST_LAG.as_millis() as u64;
-        self.told.0 == 0 || read.0 >= self.told.0 + lag || known >= LIST_LAG
+        self.told.is_none() || read.0 >= self.told.0 + lag || known >= LIST_LAG
     }
 }
 
--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -11,9 +11,10 @@
 //! An accepted request is never given up for room: its answer may use what the others leave free.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use crate::ids::TeamName;
+use crate::sync::lock;
 use crate::units::ByteSize;
 
 /// What the program itself needs: 4 to 10 MB at rest with a large fleet's routes and servers, and twice
@@ -195,7 +196,7 @@
     }
 
     fn book(&self) -> MutexGuard<'_, Book> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.book)
     }
 
     /// Reserves memory until the reservation is dropped.
--- a/src/entry/complete.rs
+++ b/src/entry/complete.rs
@@ -21,8 +21,8 @@
 use crate::ids::{RequestKey, TeamName};
 use crate::node::Node;
 use crate::state::config::ServiceKind;
-use crate::telemetry::hops::unix_millis;
 use crate::units::Tokens;
+use crate::units::UnixMillis;
 
 /// How long a stream that was handed over goes on without its caller.
 const HANDED_LINGER: Duration = Duration::from_secs(60);
@@ -128,7 +128,7 @@
         id: format!("{prefix}-{}", RequestKey::random()),
         service: completion.service.clone(),
         chat: completion.chat,
-        created: unix_millis() / 1_000,
+        created: UnixMillis::now().0 / 1_000,
         prompt: prompt.0,
     }
 }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,7 +1,7 @@
 //! Finds a backend server for a request, or has the request wait for one.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
@@ -14,6 +14,7 @@
 use crate::error::{Failure, Kind};
 use crate::ids::{BackendId, ServiceName, TeamName};
 use crate::state::config::{BackendServer, Class};
+use crate::sync::lock;
 use crate::units::Tokens;
 
 /// How long a cached prefix is believed in without being used.
@@ -126,7 +127,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<ServiceName, Line>> {
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.lines)
     }
 
     fn millis(&self, at: Instant) -> u64 {
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -2,7 +2,7 @@
 //! come and go, each from the place it asks for.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -13,6 +13,7 @@
 use crate::error::Failure;
 use crate::ids::ServiceName;
 use crate::state::ledger::RecordedAnswer;
+use crate::sync::lock;
 
 /// How a generation ended.
 #[derive(Debug, Clone)]
@@ -93,7 +94,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Piece>> {
-        self.pieces.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.pieces)
     }
 
     /// Adds a piece.
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use ractor::ActorRef;
@@ -25,6 +25,7 @@
 use crate::relay::list::{ListPart, PartId};
 use crate::state::work::{WorkId, WorkView};
 use crate::state::{Command, Reply};
+use crate::sync::lock;
 
 /// How long one replica is waited for.
 const CALL_TIME: Duration = Duration::from_millis(1_500);
@@ -184,7 +185,7 @@
     }
 
     fn leader(&self) -> Option<BoxId> {
-        self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.leader).clone()
     }
 
     /// The leader where known, else the replicas in turn, beginning with this box's own.
@@ -201,7 +202,7 @@
 
     /// A line for another leader than the one before.
     fn note_answered(&self, box_id: &BoxId) {
-        let mut answered = self.answered.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut answered = lock(&self.answered);
         if answered.as_ref() != Some(box_id) {
             tracing::info!(event = "leader_followed", replica = %box_id);
             *answered = Some(box_id.clone());
@@ -209,6 +210,6 @@
     }
 
     fn remember(&self, leader: Option<BoxId>) {
-        *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
+        *lock(&self.leader) = leader;
     }
 }
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -24,7 +24,7 @@
 use crate::peer::method::GroupStatus;
 use crate::state::work::{WorkId, WorkView};
 use crate::state::{Command, Machine, Reply};
-use crate::telemetry::hops::unix_millis;
+use crate::units::UnixMillis;
 
 /// Time between two looks at the clock.
 const TICK: Duration = Duration::from_millis(30);
@@ -256,7 +256,7 @@
             Ok(text) => text,
             Err(_) => return,
         };
-        match self.core.propose(unix_millis(), text) {
+        match self.core.propose(UnixMillis::now().0, text) {
             Ok(place) => self.wait(place, WaiterPort::Reply(port)),
             Err(refusal) => {
                 let _ = port.send(Err(refusal.into()));
@@ -265,7 +265,7 @@
     }
 
     fn change_members(&mut self, change: &MemberChange, port: Port<Result<(), Unanswered>>) {
-        match self.core.change_members(unix_millis(), change) {
+        match self.core.change_members(UnixMillis::now().0, change) {
             Ok(place) => self.wait(place, WaiterPort::Members(port)),
             Err(refusal) => {
                 let _ = port.send(Err(refusal.into()));
@@ -317,7 +317,7 @@
     fn note_work(&mut self) {
         if self.looked.elapsed() >= LOOK_TIME {
             self.looked = Instant::now();
-            self.board.note_work(self.machine.has_waiting(unix_millis()));
+            self.board.note_work(self.machine.has_waiting(UnixMillis::now().0));
         }
     }
 
@@ -327,11 +327,11 @@
             return;
         }
         self.expired = Instant::now();
-        if !self.machine.has_expired(unix_millis()) {
+        if !self.machine.has_expired(UnixMillis::now().0) {
             return;
         }
         if let Ok(text) = serde_json::to_string(&Command::Expire) {
-            let _ = self.core.propose(unix_millis(), text);
+            let _ = self.core.propose(UnixMillis::now().0, text);
         }
     }
 
--- a/src/group/storage.rs
+++ b/src/group/storage.rs
@@ -5,7 +5,7 @@
 //! refused with a clear error, while a torn last transaction is dropped by the database itself.
 
 use std::path::{Path, PathBuf};
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use serde::Serialize;
@@ -14,6 +14,7 @@
 use super::core::Stored;
 use super::message::{Entry, HardState, Snapshot};
 use crate::ids::{BoxId, Incarnation};
+use crate::sync::lock;
 
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
@@ -121,7 +122,7 @@
         &self,
         f: impl FnOnce(&Database) -> Result<R, StorageError>,
     ) -> Result<R, StorageError> {
-        let mut held = self.database.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut held = lock(&self.database);
         let database = match held.take() {
             Some(database) => database,
             None => Database::create(&self.path).map_err(|error| wrap(&self.path, error))?,
--- a/src/http/gate.rs
+++ b/src/http/gate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use socket2::SockRef;
@@ -11,6 +11,7 @@
 
 use super::server::Limits;
 use crate::decide::memory::{Claim, Memory, NoRoom, Purpose, Reserved};
+use crate::sync::lock;
 
 /// What a connection takes, as measured at rest: its task, and the buffers with which the library begins.
 pub const CONNECTION_BYTES: u64 = 24 << 10;
@@ -84,7 +85,7 @@
     }
 
     fn head(&self) -> MutexGuard<'_, Head> {
-        self.head.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.head)
     }
 
     fn is_at(&self, stage: Stage) -> bool {
@@ -236,7 +237,7 @@
     }
 
     fn book(&self) -> MutexGuard<'_, Connections> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.book)
     }
 
     /// Time for a head to arrive.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -197,13 +197,13 @@
 impl From<&BackendId> for ServerKey {
     /// The server in a life that nothing tells.
     fn from(id: &BackendId) -> Self {
-        Self { id: id.clone(), life: Incarnation(0) }
+        Self { id: id.clone(), life: Incarnation::default() }
     }
 }
 
 impl From<BackendId> for ServerKey {
     fn from(id: BackendId) -> Self {
-        Self { id, life: Incarnation(0) }
+        Self { id, life: Incarnation::default() }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,5 +52,6 @@
 pub mod relay;
 pub mod settings;
 pub mod state;
+pub(crate) mod sync;
 pub mod telemetry;
 pub mod units;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use eyre::Result;
@@ -37,8 +37,9 @@
 use crate::relay::Relay;
 use crate::relay::dialect::Dialect;
 use crate::settings::{Role, Settings, StaleRule};
+use crate::sync::lock;
 use crate::telemetry::Metrics;
-use crate::telemetry::hops::unix_millis;
+use crate::units::UnixMillis;
 
 pub use requests::AdmissionGuard;
 
@@ -89,10 +90,6 @@
     closing: watch::Sender<bool>,
 }
 
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Node {
     /// Starts a node's parts: its replica, where it has one, and everything that follows the
     /// configuration. It does not listen yet.
@@ -113,7 +110,7 @@
         let node = Arc::new(Self {
             metrics: Arc::new(Metrics::new()?),
             pool: Pool::default(),
-            life: Incarnation(unix_millis()),
+            life: Incarnation(UnixMillis::now().0),
             stop: Notify::new(),
             entry_addr: OnceLock::new(),
             peer_addr: OnceLock::new(),
--- a/src/node/replica.rs
+++ b/src/node/replica.rs
@@ -7,7 +7,7 @@
 use ractor::rpc::CallResult;
 use ractor::{Actor, ActorRef};
 
-use super::{ACTOR_TIME, Node, lock};
+use super::{ACTOR_TIME, Node};
 use crate::blackboard::Blackboard;
 use crate::decide::share::Lessor;
 use crate::group::core::{Core, Identity};
@@ -19,6 +19,7 @@
 use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::state::{Command, Machine, Reply};
+use crate::sync::lock;
 
 /// The group that carries configuration, ledger and kept work today.
 const GROUP: u32 = 0;
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{GenerationKey, Node, lock};
+use super::{GenerationKey, Node};
 use crate::decide::admit::{TeamLimit, TeamUse};
 use crate::entry::generation::Generation;
 use crate::error::{Failure, Kind};
 use crate::ids::{RequestKey, TeamName};
+use crate::sync::lock;
 use crate::units::Tokens;
 
 /// How long a finished generation stays, for callers that come back.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex as SyncMutex, PoisonError};
+use std::sync::{Arc, Mutex as SyncMutex};
 use std::time::Duration;
 
 use jsonrpsee::core::client::{ClientT, Error};
@@ -17,6 +17,8 @@
 
 use super::method::Call;
 
+use crate::sync::lock;
+
 /// Largest message between nodes, in bytes.
 pub(crate) const MESSAGE_LIMIT: u32 = 16 << 20;
 
@@ -133,7 +135,7 @@
     }
 
     fn peer(&self, addr: SocketAddr) -> Arc<Peer> {
-        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut peers = lock(&self.peers);
         let new = || {
             let (client, is_unreadable) = (Mutex::new(None), AtomicBool::new(false));
             let (sent, heard) = (AtomicU64::new(0), AtomicU64::new(0));
@@ -144,7 +146,7 @@
 
     /// Bytes of all calls made to each address, and of their answers, without what frames them.
     pub fn traffic(&self) -> Vec<(SocketAddr, u64, u64)> {
-        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        let peers = lock(&self.peers);
         let of_peer = |peer: &Arc<Peer>| {
             let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
             (peer.addr, of(&peer.sent), of(&peer.heard))
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -51,7 +51,7 @@
 
 use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
@@ -70,6 +70,7 @@
 use crate::http::gate::Gate;
 use crate::ids::BackendId;
 use crate::settings::RelaySettings;
+use crate::sync::lock;
 use crate::telemetry::Metrics;
 
 use dialect::Dialect;
@@ -139,10 +140,6 @@
 /// Relays taken to share the limits before anyone can tell how many do.
 pub(crate) const RELAYS_GUESSED: u32 = 16;
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Relay {
     /// A relay that knows no routes and no backend servers yet.
     pub fn new(parts: RelayParts) -> Self {
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -2,7 +2,7 @@
 //! this box has seen of each server.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -17,6 +17,7 @@
 use crate::decide::loads::ToldLoad;
 use crate::decide::topology::Topology;
 use crate::ids::{BackendId, Incarnation, ServiceName};
+use crate::sync::lock;
 use crate::units::{Millis, UnixMillis};
 
 /// How long a server that leaves is taken to stay when nothing says so.
@@ -140,10 +141,6 @@
     doubted: Notify,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl ServerBook {
     /// The servers as they are seen by a box.
     pub fn new(topology: Topology) -> Self {
@@ -322,7 +319,7 @@
     }
 
     fn parts(&self) -> MutexGuard<'_, Parts> {
-        self.parts.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.parts)
     }
 
     /// Which list the box was told of last.
--- a/src/relay/taking.rs
+++ b/src/relay/taking.rs
@@ -7,7 +7,7 @@
 
 use std::io;
 use std::pin::{Pin, pin};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -27,6 +27,7 @@
 use crate::decide::slowness::{Slow, Taking, judge};
 use crate::http::charged::guarded;
 use crate::http::{Body, whole};
+use crate::sync::lock;
 
 /// Bytes of an answer that need no room of their own: an accepted request gets on also in a full box.
 pub(super) const FIRST_BYTES: u64 = 8 << 10;
@@ -66,7 +67,7 @@
     }
 
     fn book(&self) -> MutexGuard<'_, Book> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.book)
     }
 
     fn is_owing(&self) -> bool {
--- a/src/telemetry/hops.rs
+++ b/src/telemetry/hops.rs
@@ -6,11 +6,14 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::str::FromStr;
-use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use crate::sync::lock;
+use crate::units::UnixMillis;
+
 /// Finished hops a node remembers.
 const RING_LENGTH: usize = 4096;
 
@@ -129,7 +132,7 @@
             name: self.name.to_owned(),
             place: self.place,
             outcome: outcome.to_string(),
-            began: unix_millis().saturating_sub(elapsed.as_millis() as u64),
+            began: UnixMillis::now().0.saturating_sub(elapsed.as_millis() as u64),
             micros: elapsed.as_micros() as u64,
         };
         tracing::debug!(
@@ -154,7 +157,7 @@
 
 impl HopLog {
     fn keep(&self, hop: Hop) {
-        let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ring = lock(&self.ring);
         if ring.len() == RING_LENGTH {
             ring.pop_front();
         }
@@ -163,13 +166,7 @@
 
     /// The hops of one trace, in the order they ended.
     pub fn of_trace(&self, trace: &str) -> Vec<Hop> {
-        let ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
+        let ring = lock(&self.ring);
         ring.iter().filter(|hop| hop.trace == trace).cloned().collect()
     }
 }
-
-/// The time of day, in milliseconds since the Unix epoch.
-pub(crate) fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since.as_millis() as u64
-}
--- a/tests/imports.rs
+++ b/tests/imports.rs
@@ -6,7 +6,8 @@
 use std::path::{Path, PathBuf};
 
 /// The folders and files at the top of the sources, the lowest first.
-const FLOORS: [&str; 19] = [
+const FLOORS: [&str; 20] = [
+    "sync",
     "units",
     "ids",
     "error",
