A pick reads the engines once; a failed send is noted in one place

Cause: the spec of a service's engines was looked up by the same three lines in three places beside the twin in moving, and with the learned model again for each server that might copy a prompt; what follows a failure was written out twice for an answer and three times for a break; an answer's task followed the end of a life by a second receiver. Change: Relay::engine_spec; Picker has spec and model; note_failed and note_fault; Flight::ended in plain; charged() was guarded() under another name and went. Figures: not measured; behaviour is the same but that one pick no longer sees a model change halfway.

--- a/src/http/charged.rs
+++ b/src/http/charged.rs
@@ -2,8 +2,6 @@
 
 use bytes::Bytes;
 
-use crate::decide::memory::Reserved;
-
 struct Charged<B, G> {
     bytes: B,
     _guard: G,
@@ -15,12 +13,7 @@
     }
 }
 
-/// Bytes that give their memory back once the last of them is dropped: written, or given up.
-pub fn charged(bytes: impl AsRef<[u8]> + Send + 'static, reserved: Reserved) -> Bytes {
-    guarded(bytes, reserved)
-}
-
-/// Bytes that drop `guard` with the last of them.
+/// Bytes that drop `guard`, such as their reservation, with the last of them: written, or given up.
 pub fn guarded<G>(bytes: impl AsRef<[u8]> + Send + 'static, guard: G) -> Bytes
 where
     G: Send + 'static,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -149,11 +149,7 @@
     let exchange = match sent {
         Ok(exchange) => counted(relay, call, known, exchange),
         Err(fault) => {
-            note_failure(relay, known);
-            // Silence alone is what load does as well: reports asked for it would add to it.
-            if fault != SendFault::TimedOut {
-                relay.servers.doubt(known);
-            }
+            note_fault(relay, known, fault == SendFault::TimedOut);
             if !matches!(fault, SendFault::NotSent(_)) {
                 relay.note_outcome(known, &route.name, Outcome::Failed);
             }
@@ -172,9 +168,7 @@
                 event = "answer_failed", id = call.head.id, backend_server = %known.server.id,
                 status = exchange.status.as_u16(), left_ms = call.left().as_millis() as u64,
             );
-            note_failure(relay, known);
-            known.state.fail_route(&route.name);
-            relay.note_outcome(known, &route.name, Outcome::Failed);
+            note_failed(relay, known, route);
             Ok(Reply { exchange, failed: true })
         }
         Verdict::NotRun => {
@@ -192,17 +186,14 @@
             Err(Miss::NotRun { arrived: true, detail })
         }
         Verdict::Spoilt(reason) => {
-            note_failure(relay, known);
-            known.state.fail_route(&route.name);
-            relay.note_outcome(known, &route.name, Outcome::Failed);
+            note_failed(relay, known, route);
             Err(Miss::unknown(Kind::BackendInvalid, format!("{}: {reason}", known.server.id)))
         }
     }
 }
 
 /// Counts a request that reached a server, and its answer; a new connection tells how far that is.
-fn counted(relay: &Relay, call: &Call, known: &Known, exchange: Exchange) -> Exchange {
-    let mut exchange = exchange;
+fn counted(relay: &Relay, call: &Call, known: &Known, mut exchange: Exchange) -> Exchange {
     let data_centre = &known.server.data_centre;
     let reach = relay.parts.topology.reach(data_centre);
     relay.traffic.count_send(reach, call.body.len());
@@ -213,8 +204,24 @@
     exchange
 }
 
+/// Notes a server's own word that it failed a request, or a word that is none.
+fn note_failed(relay: &Relay, known: &Known, route: &Route) {
+    note_failure(relay, known);
+    known.state.fail_route(&route.name);
+    relay.note_outcome(known, &route.name, Outcome::Failed);
+}
+
+/// Notes that a send or a stream broke off. Silence alone is what load does as well: reports asked for it
+/// would add to it.
+pub(super) fn note_fault(relay: &Relay, known: &Known, is_silent: bool) {
+    note_failure(relay, known);
+    if !is_silent {
+        relay.servers.doubt(known);
+    }
+}
+
 /// Notes a failure. One that is set aside for a run of them may have started again.
-pub(super) fn note_failure(relay: &Relay, known: &Known) {
+fn note_failure(relay: &Relay, known: &Known) {
     if known.state.fail() {
         tracing::warn!(event = "backend_server_set_aside", backend_server = %known.server.id);
         relay.servers.doubt(known);
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -251,7 +251,9 @@
 
     fn pick(&mut self, relay: &Relay, call: &Call, route: &Route) -> Option<Arc<Known>> {
         let (service, choice, tried) = (&self.service, &self.choice, &self.tried[..]);
-        let picked = Picker { relay, call, route, service, choice, tried }.pick()?;
+        let (engine, model) = (relay.engine_spec(service), relay.engines().model(service));
+        let picker = Picker { relay, call, route, service, engine, model, choice, tried };
+        let picked = picker.pick()?;
         self.fetch = picked.fetch;
         self.reading = picked.reading;
         self.reach = picked.reach;
--- a/src/relay/keeping.rs
+++ b/src/relay/keeping.rs
@@ -13,7 +13,7 @@
 use crate::decide::memory::{Claim, Memory, NoRoom, Purpose, Reserved};
 use crate::decide::slowness::{Arriving, can_arrive};
 use crate::error::{Failure, Kind};
-use crate::http::charged::charged;
+use crate::http::charged::guarded;
 use crate::http::gate::{Busy, Link};
 use crate::http::head;
 use crate::http::server::READ_BYTES;
@@ -103,7 +103,7 @@
     let read = Reading { held: BytesMut::with_capacity(room as usize), reserved, limit };
     let (held, reserved) = read.whole(incoming, length, until).await?;
     *body = None;
-    Ok(charged(held, reserved))
+    Ok(guarded(held, reserved))
 }
 
 fn too_large(limit: usize) -> Failure {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -68,7 +68,7 @@
 use crate::decide::spill::SpillBook;
 use crate::decide::topology::Topology;
 use crate::http::gate::Gate;
-use crate::ids::BackendId;
+use crate::ids::{BackendId, ServiceName};
 use crate::settings::RelaySettings;
 use crate::sync::lock;
 use crate::telemetry::Metrics;
@@ -80,7 +80,7 @@
 use list::{ListIndex, ListPart};
 use offered::OfferedBook;
 use servers::ServerBook;
-use table::RouteTable;
+use table::{EngineSpec, RouteTable};
 use traffic::Traffic;
 use usage::UsageCounter;
 
@@ -253,11 +253,14 @@
         lock(&self.usage)
     }
 
+    /// What is known of a service's engines, where it is a model.
+    pub(crate) fn engine_spec(&self, service: &ServiceName) -> Option<EngineSpec> {
+        self.table()?.services.get(service)?.engine
+    }
+
     /// Whether a server can tell its life: engines do, plain services do not.
     pub(crate) fn tells_lives(&self, known: &Known) -> bool {
-        let table = self.table();
-        let service = table.as_ref().and_then(|table| table.services.get(&known.server.service));
-        service.is_some_and(|service| service.engine.is_some())
+        self.engine_spec(&known.server.service).is_some()
     }
 
     /// What callers bring for each service.
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -77,9 +77,8 @@
     events: u64,
     leaving: &Leaving,
 ) -> bool {
-    let table = relay.table();
-    let spec = table.as_ref().and_then(|table| table.services.get(service)?.engine.as_ref());
-    let (Some(spec), Some(size)) = (spec.filter(|spec| spec.moves), call.head.size) else {
+    let spec = relay.engine_spec(service).filter(|spec| spec.moves);
+    let (Some(spec), Some(size)) = (spec, call.head.size) else {
         return false;
     };
     let delivered = events * spec.event.0;
@@ -90,7 +89,7 @@
         delivered: Tokens(delivered),
         remaining: Tokens(likely).less(Tokens(delivered)),
         between: source.began.elapsed() / u32::try_from(delivered.max(1)).unwrap_or(u32::MAX),
-        export: export_time(spec, size.prompt + delivered),
+        export: export_time(&spec, size.prompt + delivered),
         // The move keeps it one run.
         repeatable: true,
     };
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -9,12 +9,13 @@
 use super::course::Reading;
 use super::known::Known;
 use super::placed::{Placed, PlacedServer};
-use super::table::Route;
+use super::table::{EngineSpec, Route};
 use crate::decide::choose::{
     Candidate, affinity, choose, choose_over_regions, compares_all, drawn, looks_further,
     neighbours, others_by_region,
 };
 use crate::decide::distance::{Copying, Distance, fetch_saves, kilobytes};
+use crate::decide::engine::EngineModel;
 use crate::decide::filling::{Filling, have_room};
 use crate::decide::releases::Choice;
 use crate::decide::topology::Reach;
@@ -41,6 +42,9 @@
     pub(super) call: &'a Call,
     pub(super) route: &'a Route,
     pub(super) service: &'a ServiceName,
+    /// What is known of its engines, where it is a model, and what was learned of them.
+    pub(super) engine: Option<EngineSpec>,
+    pub(super) model: EngineModel,
     /// Which release the send goes to.
     pub(super) choice: &'a Choice,
     /// The servers that had the call before.
@@ -151,11 +155,10 @@
 
     /// The server of those compared that is expected to begin the call first.
     fn choose(&self, compared: Compared, usual: Option<f64>) -> Option<Picked> {
-        let model = self.relay.engines().model(self.service);
         let (candidates, random) = (&compared.candidates, rand::random::<f64>);
         let place = match usual.filter(|_| self.relay.parts.topology.is_split()) {
-            Some(usual) => choose_over_regions(&model, candidates, usual, random),
-            None => choose(&model, candidates, random),
+            Some(usual) => choose_over_regions(&self.model, candidates, usual, random),
+            None => choose(&self.model, candidates, random),
         }?;
         let (chosen, candidate) = (&compared.servers[place], &compared.candidates[place]);
         let shared = self.call.shared_part().map_or(0, |part| part.tokens);
@@ -212,9 +215,7 @@
 
     /// Which servers have memory left for the call, where their memory is known.
     fn have_room(&self, open: &[PlacedServer], others: &[f64]) -> Vec<bool> {
-        let table = self.relay.table();
-        let service = table.as_ref().and_then(|table| table.services.get(self.service));
-        let Some(spec) = service.and_then(|service| service.engine.as_ref()) else {
+        let Some(spec) = &self.engine else {
             return vec![true; open.len()];
         };
         let filling = open.iter().zip(others).map(|(it, others)| Filling {
@@ -281,15 +282,12 @@
 
     /// Whether copying a shared part over a distance between regions saves more than it costs.
     fn copy_saves(&self, part: PromptPart, time: f64) -> bool {
-        let model = self.relay.engines().model(self.service);
-        let table = self.relay.table();
-        let service = table.as_ref().and_then(|table| table.services.get(self.service));
-        let Some(spec) = service.and_then(|it| it.engine.as_ref()) else {
+        let Some(spec) = &self.engine else {
             return false;
         };
         let copying = Copying { rate: spec.copy_rate, token_bytes: spec.token_bytes };
         let weights = &self.relay.parts.settings.weights;
-        fetch_saves(&model, part.tokens, &copying, time, weights)
+        fetch_saves(&self.model, part.tokens, &copying, time, weights)
     }
 }
 
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -23,7 +23,7 @@
 use crate::decide::verdict::Pace;
 use crate::error::Failure;
 use crate::http::Body;
-use crate::http::charged::charged;
+use crate::http::charged::guarded;
 use crate::ids::ServiceName;
 
 /// Bytes of an answer at most.
@@ -157,7 +157,6 @@
 
 async fn pass_to(relay: &Relay, call: &Call, route: &Route, known: &Arc<Known>) -> Passed {
     let mut flight = known.begin(call.prompt(), call.tokens());
-    let mut over = known.state.follow_end();
     let began = Instant::now();
     let limit = call.left();
     let result = tokio::time::timeout(limit, async {
@@ -171,7 +170,7 @@
             Ok(result) => result?,
             Err(_) => return Err(Miss::of_fault(SendFault::TimedOut)),
         },
-        Ok(_) = over.wait_for(|over| *over) => return Err(Miss::of_fault(restarted())),
+        () = flight.ended() => return Err(Miss::of_fault(restarted())),
     };
     flight.begun();
     if !failed {
@@ -220,7 +219,7 @@
     let (status, mut headers) = (exchange.status, exchange.headers);
     strip_hop_headers(&mut headers);
     let body = match charge {
-        Some(charge) => charged(held.freeze(), charge),
+        Some(charge) => guarded(held.freeze(), charge),
         None => held.freeze(),
     };
     Ok((Answer { status, headers, body }, failed))
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -11,7 +11,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{Miss, Origin, note_failure, restarted, seconds_since, send};
+use super::attempt::{Miss, Origin, note_fault, restarted, seconds_since, send};
 use super::call::Call;
 use super::course::Course;
 use super::events::{EventCutter, event_id};
@@ -116,7 +116,7 @@
                     event = "stream_given_up", id = call.head.id, backend_server = %known.server.id,
                     left_ms = call.left().as_millis() as u64,
                 );
-                note_failure(&relay, &known);
+                note_fault(&relay, &known, true);
                 continue;
             }
             Some(Ok(Opening::Stream(opened))) => {
@@ -231,10 +231,7 @@
             }
         }
         Err(Miss::Unknown { kind, .. }) => {
-            note_failure(relay, known);
-            if *kind != Kind::BackendTimeout {
-                relay.servers.doubt(known);
-            }
+            note_fault(relay, known, *kind == Kind::BackendTimeout);
         }
         Ok(Opening::Whole(..)) | Err(Miss::NotRun { .. }) => {}
     }
@@ -498,10 +495,7 @@
     fault: &SendFault,
 ) {
     let known = source.flight.known();
-    note_failure(relay, known);
-    if *fault != SendFault::TimedOut {
-        relay.servers.doubt(known);
-    }
+    note_fault(relay, known, *fault == SendFault::TimedOut);
     relay.note_outcome(known, &route.name, Outcome::Failed);
     tracing::info!(
         event = "stream_broke", id = call.head.id, route = route.name,
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -70,7 +70,7 @@
 }
 
 /// What is known of a service of model engines.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub struct EngineSpec {
     /// Requests that one engine runs at the same time.
     pub slots: u32,
