--- a/src/control/models.rs
+++ b/src/control/models.rs
@@ -35,6 +35,6 @@
         if self.0.as_ref().is_none_or(|word| is_news(&word.models, models)) {
             self.0 = Some(ModelsWord::new(models));
         }
-        self.0.clone().filter(|word| Some(word.print) != held)
+        self.0.as_ref().filter(|word| Some(word.print) != held).cloned()
     }
 }
--- a/src/control/publish.rs
+++ b/src/control/publish.rs
@@ -33,7 +33,7 @@
             tracing::info!(event = "document_published", version = %version, held = %held);
             Ok(held)
         }
-        Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
+        Ok(_) => Err(other_answer()),
         Err(error) => Err(unacknowledged(&error.to_string())),
     }
 }
@@ -46,7 +46,7 @@
 pub async fn read(node: &Node) -> Result<Arc<Document>, Failure> {
     match node.access.propose(Command::ReadDocument, READ_TIME).await {
         Ok(Reply::Document(document)) => Ok(document),
-        Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
+        Ok(_) => Err(other_answer()),
         Err(error) => Err(no_group(&error.to_string())),
     }
 }
@@ -62,6 +62,11 @@
     Failure::new(Kind::NoGroup, text).after(Some(GROUP_WAIT))
 }
 
+/// That the group's answer is none to what was asked.
+pub(super) fn other_answer() -> Failure {
+    Failure::new(Kind::Internal, "the group gave another command's answer")
+}
+
 /// That a change may or may not have been taken: the same change again, at any replica, tells.
 pub(super) fn unacknowledged(text: &str) -> Failure {
     Failure::new(Kind::Unacknowledged, text).after(Some(GROUP_WAIT))
--- a/src/control/rollouts.rs
+++ b/src/control/rollouts.rs
@@ -7,7 +7,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::duties::SETTLE_TIME;
-use super::publish::{self, is_complete, no_group, unacknowledged};
+use super::publish::{self, is_complete, no_group, other_answer, unacknowledged};
 use crate::decide::exposure::ExposureLimit;
 use crate::decide::releases::{ReleaseWord, TrialAllowed, TrialWord};
 use crate::decide::rollout::{Facts, Led, next_step};
@@ -68,7 +68,7 @@
                 Err(Failure::new(Kind::InProgress, text))
             }
         },
-        Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
+        Ok(_) => Err(other_answer()),
         Err(error) => Err(unacknowledged(&error.to_string())),
     }
 }
@@ -93,7 +93,7 @@
     let step = rollout.step(Phase::RolledBack, rollout.exposed);
     match node.access.propose(Command::StepRollout(step), ORDER_TIME).await {
         Ok(Reply::StepRollout(Some(rollout))) => Ok(*rollout),
-        Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
+        Ok(_) => Err(other_answer()),
         Err(error) => Err(unacknowledged(&error.to_string())),
     }
 }
@@ -101,7 +101,7 @@
 async fn read(node: &Node) -> Result<Arc<RolloutBook>, Failure> {
     match node.access.propose(Command::ReadRollouts, READ_TIME).await {
         Ok(Reply::Rollouts(book)) => Ok(book),
-        Ok(_) => Err(Failure::new(Kind::Internal, "the group gave another command's answer")),
+        Ok(_) => Err(other_answer()),
         Err(error) => Err(no_group(&error.to_string())),
     }
 }
@@ -126,8 +126,7 @@
     }
 
     fn running(&self) -> impl Iterator<Item = &Rollout> {
-        let all = self.book.iter().flat_map(|book| book.rollouts.values());
-        all.filter(|rollout| !rollout.phase.is_over())
+        self.book.iter().flat_map(|book| book.running())
     }
 
     /// Whether this leader is sure of what the group knows.
@@ -163,7 +162,7 @@
             (service.clone(), word)
         });
         let mut answers: BTreeMap<_, _> = in_force.collect();
-        for rollout in book.rollouts.values().filter(|it| !it.phase.is_over()) {
+        for rollout in book.running() {
             let service = &rollout.order.service;
             let word = words.get(service).filter(|word| word.ordered == rollout.ordered);
             let permits = word.map_or(0, |word| self.grant(now, key, rollout, word));
@@ -201,8 +200,7 @@
         is_ready: impl Fn(&RolloutOrder) -> bool,
     ) -> Option<(RolloutStep, Facts)> {
         let book = self.book.clone()?;
-        let mut running = book.rollouts.values().filter(|it| !it.phase.is_over());
-        running.find_map(|rollout| {
+        book.running().find_map(|rollout| {
             let passed = at.saturating_sub(rollout.ordered) as f64 / 1_000.0;
             let led = self.led.get_mut(&rollout.order.service);
             next_step(rollout, led, now, passed, is_ready(&rollout.order), limit)
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -106,11 +106,11 @@
         model: &EngineModel,
         servers: &[Server],
     ) -> Vec<Order> {
-        let sites = self.sites(now, &service.name, scaling, servers);
-        let of_service = servers.iter().filter(|it| it.service == service.name);
-        let listed = of_service.filter(|it| !it.spot).count() as u32;
-        self.note_spells(now, &service.name, scaling, servers);
-        let slots = mean_slots(servers.iter().filter(|it| it.service == service.name));
+        let servers: Vec<_> = servers.iter().filter(|it| it.service == service.name).collect();
+        let sites = self.sites(now, &service.name, scaling, &servers);
+        let listed = servers.iter().filter(|it| !it.spot).count() as u32;
+        self.note_spells(now, &service.name, scaling, &servers);
+        let slots = mean_slots(&servers);
         let market = self.market(&service.name, scaling, slots);
         let serving = Serving::of(&sites);
         let need = self.need(now, &service.name, listed, model, &market, serving);
@@ -212,14 +212,13 @@
         now: f64,
         service: &ServiceName,
         scaling: &Scaling,
-        servers: &[Server],
+        servers: &[&Server],
     ) -> Vec<Site> {
         let boot = scaling.boot_time.as_secs_f64();
         let book = self.books.entry(service.clone()).or_default();
         let sites = scaling.prices.iter().map(|(data_centre, price)| {
-            let there = servers.iter().filter(|it| {
-                it.service == *service && it.data_centre == *data_centre && !it.leaving
-            });
+            let there =
+                servers.iter().copied().filter(|it| it.data_centre == *data_centre && !it.leaving);
             let (spot, on_demand): (Vec<_>, Vec<_>) = there.partition(|it| it.spot);
             let mut count = |spot: bool, serving: usize| {
                 let place = Place { data_centre: data_centre.clone(), spot };
@@ -236,10 +235,10 @@
     }
 
     /// Engines at the mean price of the data centres.
-    fn market(&self, service: &ServiceName, scaling: &Scaling, slots: f64) -> Market {
+    fn market(&mut self, service: &ServiceName, scaling: &Scaling, slots: f64) -> Market {
         let places = scaling.prices.len().max(1);
         let on_demand = scaling.prices.values().sum::<f64>() / places as f64;
-        let spells = self.spells.get(service).cloned().unwrap_or_default();
+        let spells = self.spells.entry(service.clone()).or_default();
         let boot = scaling.boot_time.as_secs_f64();
         Market {
             places: places as u32,
@@ -261,12 +260,11 @@
         now: f64,
         service: &ServiceName,
         scaling: &Scaling,
-        servers: &[Server],
+        servers: &[&Server],
     ) {
-        let spots = servers.iter().filter(|it| it.service == *service && it.spot);
         let mut seen: BTreeMap<&DataCentre, Seen> =
             scaling.prices.keys().map(|data_centre| (data_centre, Seen::default())).collect();
-        for server in spots {
+        for server in servers.iter().filter(|it| it.spot) {
             if let Some(seen) = seen.get_mut(&server.data_centre) {
                 let count = if server.leaving { &mut seen.leaving } else { &mut seen.serving };
                 *count += 1;
@@ -318,10 +316,9 @@
 }
 
 /// Requests that an engine runs at the same time, on the mean; 0 where there are none.
-fn mean_slots<'a>(servers: impl Iterator<Item = &'a Server>) -> f64 {
-    let (count, sum) =
-        servers.fold((0.0, 0.0), |(count, sum), it| (count + 1.0, sum + f64::from(it.slots)));
-    sum / f64::max(count, 1.0)
+fn mean_slots(servers: &[&Server]) -> f64 {
+    let sum: f64 = servers.iter().map(|it| f64::from(it.slots)).sum();
+    sum / servers.len().max(1) as f64
 }
 
 fn find<'a>(sites: &'a [Site], plan: &Plan) -> Option<&'a Site> {
--- a/src/decide/distance.rs
+++ b/src/decide/distance.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use super::engine::EngineModel;
+use super::engine::{EngineModel, quantile};
 use super::topology::Reach;
 use crate::ids::DataCentre;
 
@@ -88,10 +88,8 @@
             self.seen.pop_front();
         }
         self.seen.push_back((now, time));
-        let mut times: Vec<_> = self.seen.iter().map(|(_, time)| *time).collect();
-        times.sort_unstable_by(f64::total_cmp);
-        let low = times[(times.len() as f64 * LOW_PART) as usize];
-        self.low = (times.len() >= LEAST).then_some(low);
+        let times = self.seen.iter().map(|(_, time)| *time);
+        self.low = quantile(times, LOW_PART).filter(|_| self.seen.len() >= LEAST);
     }
 
     fn time(&self, now: Instant) -> Option<f64> {
--- a/src/decide/engine.rs
+++ b/src/decide/engine.rs
@@ -238,9 +238,7 @@
             self.paces.pop_front();
         }
         if self.paces.len() >= LEAST && self.paces.len().is_multiple_of(AGAIN) {
-            let mut sorted: Vec<_> = self.paces.iter().copied().collect();
-            sorted.sort_unstable_by(f64::total_cmp);
-            self.model.pace = sorted[(sorted.len() as f64 * LOW_PART) as usize];
+            self.model.pace = quantile(self.paces.iter().copied(), LOW_PART).unwrap_or_default();
         }
     }
 
@@ -309,3 +307,10 @@
 /// The part of their mean square by which prompts differ for a fixed part of the time to be told from
 /// the slope.
 const LEAST_SPREAD: f64 = 0.01;
+
+/// The number below which a part of `numbers` lies; `None` where there are none.
+pub(super) fn quantile(numbers: impl Iterator<Item = f64>, part: f64) -> Option<f64> {
+    let mut sorted: Vec<_> = numbers.collect();
+    sorted.sort_unstable_by(f64::total_cmp);
+    sorted.get((sorted.len() as f64 * part) as usize).copied()
+}
--- a/src/decide/hazard.rs
+++ b/src/decide/hazard.rs
@@ -273,9 +273,6 @@
 }
 
 fn phase(age: f64) -> usize {
-    let phases = (0..PHASES - 1).scan(PHASE, |end, _| {
-        *end += *end;
-        Some(*end / 2.0)
-    });
-    phases.filter(|end| *end <= age).count()
+    let end = |phase: &usize| PHASE * (1 << phase) as f64;
+    (0..PHASES - 1).filter(|phase| end(phase) <= age).count()
 }
--- a/src/group/directory.rs
+++ b/src/group/directory.rs
@@ -95,12 +95,6 @@
         split.then(|| Some(self.topology.reach(self.read().sites.get(box_id)?))).flatten()
     }
 
-    /// How far the replica at an address is, as far as is known.
-    pub fn reach_of(&self, addr: SocketAddr) -> Option<Reach> {
-        let all = self.all();
-        self.reach(&all.iter().find(|(_, it)| *it == addr)?.0)
-    }
-
     /// Takes the seeds of changed settings.
     pub fn reseed(&self, seeds: &[IpAddr]) {
         let Some(port) = self.port else {
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -145,7 +145,7 @@
     /// The span of time under `key`, or `default` when absent. A unit without a number is absent too:
     /// that is what a template makes of a figure that is not given.
     pub(crate) fn time(&mut self, key: &str, default: Millis) -> Millis {
-        self.measure(key, &["ms", "s", "m", "h"], default)
+        self.measure(key, &Millis::UNITS, default)
     }
 
     /// The size under `key`, or `default` when absent, as with times.
@@ -153,13 +153,13 @@
         self.measure(key, &ByteSize::UNITS, default)
     }
 
-    fn measure<T>(&mut self, key: &str, units: &[&str], default: T) -> T
+    fn measure<T>(&mut self, key: &str, units: &[(&str, f64)], default: T) -> T
     where
         T: FromStr,
         T::Err: Display,
     {
         self.known.insert(key.to_owned());
-        match self.text(key).filter(|text| !units.contains(&text.as_str())) {
+        match self.text(key).filter(|text| !units.iter().any(|(unit, _)| unit == text)) {
             Some(text) => self.parse(key, &text).unwrap_or(default),
             None => default,
         }
--- a/src/state/rollout.rs
+++ b/src/state/rollout.rs
@@ -143,6 +143,11 @@
 }
 
 impl RolloutBook {
+    /// The roll-outs under way.
+    pub fn running(&self) -> impl Iterator<Item = &Rollout> {
+        self.rollouts.values().filter(|rollout| !rollout.phase.is_over())
+    }
+
     /// Takes an order at `at`, in milliseconds since the Unix epoch. An order that was taken before is
     /// taken again and changes nothing.
     pub fn order(&mut self, at: u64, order: &RolloutOrder) -> OrderReply {
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -96,9 +96,13 @@
     }
 
     fn record_control(&self, node: &Node) {
+        let directory = node.access.directory();
+        let replicas = directory.all().into_iter();
+        let reaches: BTreeMap<_, _> =
+            replicas.map(|(box_id, addr)| (addr, directory.reach(&box_id))).collect();
         let mut sums: BTreeMap<Option<Reach>, (u64, u64)> = BTreeMap::new();
         for (addr, sent, heard) in node.peers.traffic() {
-            let sum = sums.entry(node.access.directory().reach_of(addr)).or_default();
+            let sum = sums.entry(reaches.get(&addr).copied().flatten()).or_default();
             *sum = (sum.0 + sent, sum.1 + heard);
         }
         for (reach, (sent, heard)) in sums {
--- a/src/units.rs
+++ b/src/units.rs
@@ -89,6 +89,10 @@
 pub struct Millis(pub u64);
 
 impl Millis {
+    /// The units in which it is written, each in milliseconds.
+    pub const UNITS: [(&'static str, f64); 4] =
+        [("ms", 1.0), ("s", 1_000.0), ("m", 60_000.0), ("h", 3_600_000.0)];
+
     /// The span as a [`Duration`].
     pub fn duration(self) -> Duration {
         Duration::from_millis(self.0)
@@ -128,31 +132,32 @@
     /// Reads `250ms`, `0.5s`, `2m` or `1.5e3ms`, to the nearest millisecond; a bare number is
     /// milliseconds.
     fn from_str(text: &str) -> Result<Self, DurationError> {
-        let error = || DurationError(text.to_owned());
-        let number = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
-        let unit = &text[number.len()..];
-        let factor = match unit {
-            "" | "ms" => 1.0,
-            "s" => 1_000.0,
-            "m" => 60_000.0,
-            "h" => 3_600_000.0,
-            _ => return Err(error()),
-        };
-        let Number(number) = number.trim_end().parse().map_err(|_| error())?;
-        let millis = (number * factor).round();
-        // Above this a float no longer holds every whole number.
-        let most = (1u64 << f64::MANTISSA_DIGITS) as f64;
-        if millis <= most { Ok(Self(millis as u64)) } else { Err(error()) }
+        scaled(text, &Self::UNITS).map(Self).ok_or_else(|| DurationError(text.to_owned()))
     }
 }
 
+/// The amount that a text such as `1.5s` names in one of some units, to the nearest whole one of the least; a
+/// bare number is in that.
+fn scaled(text: &str, units: &[(&str, f64)]) -> Option<u64> {
+    let number = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let factor = match &text[number.len()..] {
+        "" => 1.0,
+        unit => units.iter().find(|(name, _)| *name == unit)?.1,
+    };
+    let Number(number) = number.trim_end().parse().ok()?;
+    let amount = (number * factor).round();
+    // Above this a float no longer holds every whole number.
+    let most = (1u64 << f64::MANTISSA_DIGITS) as f64;
+    (amount <= most).then_some(amount as u64)
+}
+
 /// A number of bytes, as written in settings.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ByteSize(pub u64);
 
 impl ByteSize {
-    /// The units of [`ByteSize::from_str`].
-    pub const UNITS: [&'static str; 4] = ["B", "kB", "MB", "GB"];
+    /// The units in which it is written, each in bytes.
+    pub const UNITS: [(&'static str, f64); 4] = [("B", 1.0), ("kB", 1e3), ("MB", 1e6), ("GB", 1e9)];
 }
 
 impl fmt::Display for ByteSize {
@@ -166,20 +171,7 @@
 
     /// Reads `160MB`, `1.5GB`, `64kB` or `512B`, to the nearest byte; a bare number is bytes.
     fn from_str(text: &str) -> Result<Self, ByteSizeError> {
-        let error = || ByteSizeError(text.to_owned());
-        let number = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
-        let factor = match &text[number.len()..] {
-            "" | "B" => 1.0,
-            "kB" => 1e3,
-            "MB" => 1e6,
-            "GB" => 1e9,
-            _ => return Err(error()),
-        };
-        let Number(number) = number.trim_end().parse().map_err(|_| error())?;
-        let bytes = (number * factor).round();
-        // Above this a float no longer holds every whole number.
-        let most = (1u64 << f64::MANTISSA_DIGITS) as f64;
-        if bytes <= most { Ok(Self(bytes as u64)) } else { Err(error()) }
+        scaled(text, &Self::UNITS).map(Self).ok_or_else(|| ByteSizeError(text.to_owned()))
     }
 }
 
