Sight: lines tell which request broke off, and that its server ended

Lines named a call by the id of its attempt, which each repeat changes, and said that an exchange broke, never that its server had ended. A call now has a fingerprint of its caller, method, place and body; send_missed and stream_broke name it where the request may have run. A refused connect has a kind of its own for that.

No decision changes.

--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -77,7 +77,7 @@
 impl From<SendFault> for EngineFault {
     fn from(fault: SendFault) -> Self {
         match fault {
-            SendFault::NotSent(text) => Self::NotRun(text),
+            SendFault::NotSent(text) | SendFault::Refused(text) => Self::NotRun(text),
             SendFault::Broke(text) => Self::Broke(text),
             SendFault::TimedOut => Self::Silent,
             SendFault::TooLarge(_) => Self::Invalid(fault.to_string()),
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -5,6 +5,8 @@
 //! engine learns that a stream is cancelled.
 
 use std::collections::HashMap;
+use std::fmt::Display;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -60,6 +62,9 @@
     /// No byte of the request was sent.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The same, as nobody listens at the address: what ran there has ended.
+    #[error("not sent: {0}")]
+    Refused(String),
     /// The connection broke after bytes may have been sent.
     #[error("broke off: {0}")]
     Broke(String),
@@ -71,6 +76,13 @@
     TooLarge(usize),
 }
 
+impl SendFault {
+    /// Whether no byte of the request was sent.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::Refused(_))
+    }
+}
+
 /// A request that has been answered with a head; the body follows.
 pub struct Exchange {
     /// The status.
@@ -230,6 +242,14 @@
         sent.map(|exchange| Exchange { connect, ..exchange }).map_err(|(fault, _)| fault)
     }
 
+    /// Asks whether anybody listens at an address.
+    ///
+    /// # Errors
+    /// [`SendFault::Refused`] where nobody does, [`SendFault::NotSent`] where that can't be told.
+    pub async fn probe(&self, addr: SocketAddr) -> Result<(), SendFault> {
+        open(addr, self.connect_time).await.map(drop)
+    }
+
     async fn send_on(
         &self,
         addr: SocketAddr,
@@ -312,14 +332,20 @@
     }
 }
 
+async fn open(addr: SocketAddr, limit: Duration) -> Result<TcpStream, SendFault> {
+    let text = |reason: &dyn Display| format!("connect to {addr}: {reason}");
+    match tokio::time::timeout(limit, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            Err(SendFault::Refused(text(&error)))
+        }
+        Ok(Err(error)) => Err(SendFault::NotSent(text(&error))),
+        Err(_) => Err(SendFault::NotSent(text(&"timed out"))),
+    }
+}
+
 async fn connect(addr: SocketAddr, limit: Duration) -> Result<Sender, SendFault> {
-    let connecting = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
-    let not_sent = |text: String| SendFault::NotSent(format!("connect to {addr}: {text}"));
-    let stream = match connecting {
-        Err(_) => return Err(not_sent("timed out".to_owned())),
-        Ok(Err(error)) => return Err(not_sent(error.to_string())),
-        Ok(Ok(stream)) => stream,
-    };
+    let stream = open(addr, limit).await?;
     let options = stream.set_nodelay(true).and_then(|()| limit_silence(&stream));
     if let Err(error) = options {
         tracing::warn!(event = "connection_options_refused", %addr, %error);
@@ -327,7 +353,8 @@
     let mut library = http1::Builder::new();
     library.max_buf_size(BUFFER_BYTES);
     let shaken = library.handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = shaken.map_err(|error| not_sent(error.to_string()))?;
+    let not_sent = |error| SendFault::NotSent(format!("connect to {addr}: {error}"));
+    let (sender, connection) = shaken.map_err(not_sent)?;
     tokio::spawn(async move {
         let _ = connection.await;
     });
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -121,7 +121,7 @@
                 return Ok(given.into_response());
             }
             Err(fault) => {
-                let proven = matches!(fault, SendFault::NotSent(_));
+                let proven = fault.is_not_sent();
                 uncertain |= !proven;
                 let outcome = if proven { Outcome::NotRun } else { Outcome::Unknown };
                 record(node, request, &attempt, outcome).await;
@@ -198,8 +198,8 @@
 
 fn failure(fault: &SendFault, uncertain: bool) -> Failure {
     let kind = match fault {
-        SendFault::NotSent(_) if !uncertain => Kind::NotReached,
-        SendFault::NotSent(_) | SendFault::Broke(_) => Kind::BackendBroke,
+        SendFault::NotSent(_) | SendFault::Refused(_) if !uncertain => Kind::NotReached,
+        SendFault::NotSent(_) | SendFault::Refused(_) | SendFault::Broke(_) => Kind::BackendBroke,
         SendFault::TimedOut => Kind::BackendTimeout,
         SendFault::TooLarge(_) => Kind::BackendInvalid,
     };
@@ -208,7 +208,7 @@
 
 fn fault_text(fault: &SendFault) -> &'static str {
     match fault {
-        SendFault::NotSent(_) => "not_run",
+        SendFault::NotSent(_) | SendFault::Refused(_) => "not_run",
         SendFault::Broke(_) => "broke",
         SendFault::TimedOut => "silent",
         SendFault::TooLarge(_) => "invalid",
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -213,6 +213,36 @@
     }
 }
 
+/// Which request it is, whatever id an attempt at it has: a hash of its caller, path and body. Nobody can make
+/// one that is another caller's.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Fingerprint(pub [u8; 16]);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        if let Some(odd) = text.chars().find(|c| !c.is_ascii_hexdigit()) {
+            return Err(NameError::Character(odd));
+        }
+        let length = NameError::Length(text.len());
+        let number = u128::from_str_radix(text, 16).map_err(|_| length.clone())?;
+        if text.len() != 2 * size_of::<Self>() {
+            return Err(length);
+        }
+        Ok(Self(number.to_be_bytes()))
+    }
+}
+
 /// The longest idempotency key accepted, in bytes.
 pub const KEY_LIMIT: usize = 256;
 
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -11,7 +11,7 @@
 use crate::group::join::Joiner;
 use crate::platform::operator;
 use crate::relay::listen::Listeners;
-use crate::relay::{Relay, RelayParts, lives};
+use crate::relay::{Relay, RelayParts, ends, lives};
 use crate::settings::Role;
 
 /// How long a connection to a backend server may take to stand. Backend servers are a few
@@ -41,6 +41,7 @@
         tokio::spawn(beat::run(relay.clone(), self.access.clone(), box_id, self.life));
         tokio::spawn(fetch::run(relay.clone(), self.access.clone()));
         tokio::spawn(lives::run(relay.clone()));
+        tokio::spawn(ends::run(relay.clone()));
         listeners.serve(&relay);
         Ok(())
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -8,8 +8,8 @@
 use hyper::{Request, StatusCode, Uri};
 
 use super::Relay;
-
 use super::call::{Call, Hop, Load, ReplyHead, RunCopy};
+use super::ends;
 use super::known::Known;
 use super::table::Route;
 use crate::backend::{Exchange, Reuse, SendFault};
@@ -55,13 +55,20 @@
     pub fn of_fault(fault: SendFault) -> Self {
         let detail = fault.to_string();
         match fault {
-            SendFault::NotSent(_) => Self::NotRun { arrived: false, detail },
+            SendFault::NotSent(_) | SendFault::Refused(_) => {
+                Self::NotRun { arrived: false, detail }
+            }
             SendFault::Broke(_) => Self::unknown(Kind::BackendBroke, detail),
             SendFault::TimedOut => Self::unknown(Kind::BackendTimeout, detail),
             SendFault::TooLarge(_) => Self::unknown(Kind::BackendInvalid, detail),
         }
     }
 
+    /// Whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Unknown { .. })
+    }
+
     /// What happened.
     pub fn detail(&self) -> &str {
         match self {
@@ -150,7 +157,10 @@
         Ok(exchange) => counted(relay, call, known, exchange),
         Err(fault) => {
             note_fault(relay, known, fault == SendFault::TimedOut);
-            if !matches!(fault, SendFault::NotSent(_)) {
+            if matches!(fault, SendFault::Refused(_)) {
+                ends::note_end(relay, known);
+            }
+            if !fault.is_not_sent() {
                 relay.note_outcome(known, &route.name, Outcome::Failed);
             }
             return Err(Miss::of_fault(fault));
@@ -174,6 +184,7 @@
         Verdict::NotRun => {
             if exchange.status == StatusCode::MISDIRECTED_REQUEST {
                 // Another server has its address: this one is gone.
+                ends::note_end(relay, known);
                 known.leave_at_once();
                 relay.servers.doubt(known);
             }
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -4,10 +4,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hyper::header::{HOST, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
+use sha2::{Digest, Sha256};
 
-use crate::ids::{BackendId, Incarnation, TeamName};
+use crate::ids::{BackendId, Fingerprint, Incarnation, TeamName};
 
 /// Tokens of a generation.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -68,6 +70,29 @@
 }
 
 impl Call {
+    /// Which request it is, whatever id its caller gives an attempt: those who send the same bytes to the same
+    /// place with a key of the same team send the same request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let caller = self.team.as_ref().map(TeamName::as_str).or(self.head.key.as_deref());
+        let host = self.headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
+        let parts = [
+            caller.unwrap_or_default().as_bytes(),
+            self.method.as_str().as_bytes(),
+            host,
+            self.path.as_str().as_bytes(),
+            &self.body,
+        ];
+        let mut hash = Sha256::new();
+        for part in parts {
+            // With its length, so that no two lists of parts read the same.
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        let mut short = Fingerprint::default();
+        short.0.copy_from_slice(&hash.finalize()[..size_of::<Fingerprint>()]);
+        short
+    }
+
     /// The time left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -170,6 +170,7 @@
         tracing::info!(
             event = "send_missed", id = call.head.id, service = %self.service,
             backend_server = %known.server.id, not_run = matches!(miss, Miss::NotRun { .. }),
+            request = miss.may_have_run().then(|| tracing::field::display(call.fingerprint())),
             detail = miss.detail(), left_ms = call.left().as_millis() as u64,
         );
         match &miss {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,7 +12,7 @@
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
 //!   [`attempt`] is one send, [`course`] all sends of one call; [`pick`] finds the server for a send,
 //!   [`placed`] are the servers by how far they are, [`traffic`] counts what goes how far.
-//! - [`lives`] asks servers in which life they are.
+//! - [`lives`] asks servers in which life they are, [`ends`] finds out which have ended, and under which requests.
 //! - [`moving`] moves running streams off servers that are leaving.
 //! - [`keeping`] is what the box keeps for a request, charged to its memory, and [`taking`] its answer
 //!   until the caller has taken it.
@@ -26,6 +26,7 @@
 pub mod call;
 pub mod course;
 pub mod dialect;
+pub mod ends;
 pub mod engines;
 pub(crate) mod events;
 pub(crate) mod keeping;
@@ -74,6 +75,7 @@
 use crate::telemetry::Metrics;
 
 use dialect::Dialect;
+use ends::EndWatch;
 use engines::EngineBook;
 
 use known::Known;
@@ -123,6 +125,8 @@
     loads: Mutex<LoadPool>,
     distances: Mutex<Distances>,
     spills: Mutex<SpillBook>,
+    /// The exchanges that broke off, until it is known whether their servers have ended.
+    pub ends: EndWatch,
     /// What went to backend servers and came back.
     pub traffic: Traffic,
     /// Relays that share the limits, as the leader last said; 0 before it did.
@@ -162,6 +166,7 @@
             loads: Mutex::default(),
             distances: Mutex::default(),
             spills: Mutex::default(),
+            ends: EndWatch::default(),
             traffic: Traffic::default(),
             relays: AtomicU32::new(0),
             learned: Notify::new(),
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -21,7 +21,7 @@
 use crate::decide::memory::{Claim, Purpose, Reserved};
 use crate::decide::releases::Outcome;
 use crate::decide::verdict::Pace;
-use crate::error::Failure;
+use crate::error::{Failure, Kind};
 use crate::http::Body;
 use crate::http::charged::guarded;
 use crate::ids::ServiceName;
@@ -152,6 +152,9 @@
     known: Arc<Known>,
 ) -> (Arc<Known>, Passed) {
     let passed = pass_to(relay, call, route, &known).await;
+    if let Err(Miss::Unknown { kind: Kind::BackendBroke, .. }) = &passed {
+        relay.ends.note_break(&known, call.fingerprint());
+    }
     (known, passed)
 }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -232,6 +232,9 @@
         }
         Err(Miss::Unknown { kind, .. }) => {
             note_fault(relay, known, *kind == Kind::BackendTimeout);
+            if *kind == Kind::BackendBroke {
+                relay.ends.note_break(known, call.fingerprint());
+            }
         }
         Ok(Opening::Whole(..)) | Err(Miss::NotRun { .. }) => {}
     }
@@ -496,9 +499,12 @@
 ) {
     let known = source.flight.known();
     note_fault(relay, known, *fault == SendFault::TimedOut);
+    if matches!(fault, SendFault::Broke(_)) {
+        relay.ends.note_break(known, call.fingerprint());
+    }
     relay.note_outcome(known, &route.name, Outcome::Failed);
     tracing::info!(
-        event = "stream_broke", id = call.head.id, route = route.name,
+        event = "stream_broke", id = call.head.id, request = %call.fingerprint(), route = route.name,
         backend_server = %known.server.id, detail = %fault, last = progress.last,
         resumable = route.repeat.is_repeatable(), left_ms = call.left().as_millis() as u64,
     );
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -35,6 +35,7 @@
     resumes: Counter<u64>,
     policy_faults: Counter<u64>,
     reports: Counter<u64>,
+    ends: Counter<u64>,
     unread_entries: Counter<u64>,
     gauges: Gauges,
 }
@@ -67,6 +68,10 @@
             resumes: counter("emberturn_resumes", "Streams moved to another engine, by way"),
             policy_faults: counter("emberturn_policy_faults", "Policy runs that failed"),
             reports: counter("emberturn_reports", "Backend servers asked for a report, by outcome"),
+            ends: counter(
+                "emberturn_backend_servers_ended",
+                "Backend servers that ended under requests of this box, by whether they were leaving",
+            ),
             unread_entries: counter(
                 "emberturn_list_entries_unread",
                 "Entries of the list of backend servers that name none, by reason",
@@ -115,6 +120,11 @@
         self.reports.add(1, &[outcome_label(outcome)]);
     }
 
+    /// Counts a backend server that ended under requests.
+    pub fn count_end(&self, leaving: bool) {
+        self.ends.add(1, &[KeyValue::new("leaving", leaving)]);
+    }
+
     /// Counts an entry of the list of backend servers that names none.
     pub fn count_unread_entry(&self, reason: &'static str) {
         self.unread_entries.add(1, &[KeyValue::new("reason", reason)]);
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -14,7 +14,7 @@
 use emberturn::relay::list::{ListIndex, Server, ToldLife};
 use emberturn::relay::list_book::ListBook;
 use emberturn::relay::listen::Listeners;
-use emberturn::relay::{Relay, RelayParts, lives};
+use emberturn::relay::{Relay, RelayParts, ends, lives};
 use emberturn::settings::Settings;
 use emberturn::telemetry::Metrics;
 use serde_json::{Value, json};
@@ -490,6 +490,7 @@
         }));
         Listeners::open(&relay).await.ok()?.serve(&relay);
         tokio::spawn(lives::run(relay.clone()));
+        tokio::spawn(ends::run(relay.clone()));
         Some(Self { addr, ready, board, relay, leader: Mutex::default(), closing })
     }
 
