--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -135,6 +135,11 @@
         }));
     }
 
+    /// Lists entries as they are.
+    pub fn list_entries(&self, entries: Vec<Value>) {
+        self.servers.lock().unwrap().extend(entries);
+    }
+
     /// The calls to a path so far, with their fences.
     pub fn calls(&self, path: &str) -> Vec<(Value, Option<u64>)> {
         let calls = self.calls.lock().unwrap();
