A request under which three servers ended reaches no server from any box

Cause: what is known of a request began anew with each attempt and at each box (sends, tried servers, budget of repeats), while its attempts came with new ids at all boxes. Each of them ended up to two servers more.

Change: a request is known by a hash of its caller, place and body. Boxes tell the leader which servers ended under which requests; the leader holds the request under which most ends are not explained by another one, from three on, has the group note it and tells all boxes. A box that no leader answers goes by its own ends. Servers that were leaving, data centres that go as a whole and requests that any server answered are left out. Operators see and lift it (emberturn quarantine).

Before: tests/quarantine.rs, 12 servers more end by 12 repeats after the third.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -28,6 +28,7 @@
 use crate::member::table::Boxes;
 use crate::state::config::Configuration;
 use crate::state::document::Document;
+use crate::state::quarantine::QuarantineBook;
 use crate::state::rollout::RolloutBook;
 use crate::telemetry::HopLog;
 use fleet::Fleet;
@@ -76,6 +77,7 @@
     in_force: watch::Sender<Arc<InForce>>,
     document: watch::Sender<Arc<Document>>,
     rollouts: watch::Sender<Arc<RolloutBook>>,
+    quarantine: ArcSwap<QuarantineBook>,
     fresh: watch::Sender<Option<Instant>>,
     phase: watch::Sender<Phase>,
     requests: AtomicUsize,
@@ -100,6 +102,7 @@
             in_force: watch::Sender::new(Arc::default()),
             document: watch::Sender::new(Arc::default()),
             rollouts: watch::Sender::new(Arc::default()),
+            quarantine: ArcSwap::default(),
             fresh: watch::Sender::new(None),
             phase: watch::Sender::new(Phase::Starting),
             requests: AtomicUsize::new(0),
@@ -173,6 +176,16 @@
         });
     }
 
+    /// The requests that are kept from all servers, as this process's replica has them.
+    pub fn quarantine(&self) -> Arc<QuarantineBook> {
+        self.quarantine.load_full()
+    }
+
+    /// Takes the requests that are kept from all servers.
+    pub fn put_quarantine(&self, quarantine: Arc<QuarantineBook>) {
+        self.quarantine.store(quarantine);
+    }
+
     /// Follows the published document.
     pub fn follow_document(&self) -> watch::Receiver<Arc<Document>> {
         self.document.subscribe()
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 pub mod members;
 pub mod node;
 pub mod operator;
+pub mod quarantine;
 pub mod rollout;
 pub mod status;
 pub mod trace;
@@ -52,6 +53,8 @@
     Status(status::Arguments),
     /// `rollout`
     Rollout(rollout::Arguments),
+    /// `quarantine`
+    Quarantine(quarantine::Arguments),
     /// `drain`
     Drain(drain::Arguments),
     /// `trace`
@@ -71,11 +74,13 @@
     let history = history::parser().map(Command::History);
     let status = status::parser().map(Command::Status);
     let rollout = rollout::parser().map(Command::Rollout);
+    let quarantine = quarantine::parser().map(Command::Quarantine);
     let drain = drain::parser().map(Command::Drain);
     let trace = trace::parser().map(Command::Trace);
     let ask = ask::parser().map(Command::Ask);
     construct!([
-        node, check, form, members, apply, get, history, status, rollout, drain, trace, ask
+        node, check, form, members, apply, get, history, status, rollout, quarantine, drain, trace,
+        ask
     ])
     .to_options()
     .descr("Serves language models on reclaimable machines")
@@ -108,6 +113,7 @@
             Command::History(arguments) => history::execute(arguments).await,
             Command::Status(arguments) => status::execute(arguments).await,
             Command::Rollout(arguments) => rollout::execute(arguments).await,
+            Command::Quarantine(arguments) => quarantine::execute(arguments).await,
             Command::Drain(arguments) => drain::execute(arguments).await,
             Command::Trace(arguments) => trace::execute(arguments).await,
             Command::Ask(arguments) => ask::execute(arguments).await,
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -12,16 +12,17 @@
 use crate::decide::allowance::{Allowed, TeamDemand};
 use crate::decide::capacity::Offered;
 use crate::decide::loads::ToldLoad;
+use crate::decide::quarantine::{BoxWord, LeaderWord};
 use crate::decide::releases::{ReleaseWord, TrialWord};
 use crate::decide::telling::Telling;
 use crate::group::access::Access;
 use crate::ids::{
     BoxId, DataCentre, Incarnation, Revision, ServiceName, TeamName, Version, Window,
 };
-use crate::relay::Relay;
 use crate::relay::list::{ListIndex, Print, ToldLife};
 use crate::relay::part_loads::PartLoads;
 use crate::relay::usage::Counts;
+use crate::relay::{Relay, quarantine};
 use crate::state::document::Document;
 use crate::state::notes::Models;
 
@@ -74,6 +75,8 @@
     pub loads: Vec<ToldLoad>,
     /// Lives of backend servers that the leader's list did not show.
     pub lives: Vec<ToldLife>,
+    /// Servers that ended under its requests, and what that is news to.
+    pub quarantine: BoxWord,
     /// Which of the words of this life this is.
     pub turn: u64,
     /// The last of them that was answered.
@@ -102,6 +105,8 @@
     pub releases: Option<BTreeMap<ServiceName, ReleaseWord>>,
     /// Loads that backend servers told other boxes.
     pub loads: Vec<PartLoads>,
+    /// Which requests no server gets any more, if that is news to the box.
+    pub quarantine: Option<LeaderWord>,
     /// The last window whose report is fixed.
     pub settled: Window,
     /// Relays that share the limits.
@@ -183,6 +188,7 @@
         trials: relay.releases().tell(asked),
         loads: relay.loads().take(asked),
         lives: relay.servers.lives_to_tell(),
+        quarantine: relay.quarantine().tell(asked),
         turn,
         after: news.after,
         relays: relay.relays_told(),
@@ -197,6 +203,7 @@
             }
             relay.servers.hear_placed_loads(&reply.loads);
             take_document(relay, asked, reply.document, reply.age);
+            quarantine::take_answer(relay, &beat.quarantine, reply.quarantine, reply.lacks);
             relay.usage().forget(reply.settled);
             told.telling.answered(news, reply.lacks, reply.settled);
             if reply.lacks {
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -109,6 +109,8 @@
                 let (count, leaving) =
                     (servers.len(), servers.iter().filter(|it| it.leaving).count());
                 lead.loads.follow(lead.list.keys(), now);
+                let going = servers.iter().filter(|it| it.leaving).map(|it| &it.id);
+                lead.quarantine.hear_leaving(going, now);
                 node.listed.notify_waiters();
                 tracing::info!(
                     event = "list_read", term = %term, place = version.place, servers = count, leaving,
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -20,6 +20,7 @@
 use crate::decide::level::{self, Noted, TeamLevel, Tolerance};
 use crate::decide::lives;
 use crate::decide::loads::{self, LoadPool};
+use crate::decide::quarantine::{BoxWord, FleetQuarantine, LeaderWord};
 use crate::decide::telling::{Heard, News};
 use crate::group::driver::Unanswered;
 use crate::ids::{
@@ -36,6 +37,7 @@
 use crate::settings::CloudSettings;
 use crate::state::notes::{LowTeams, Models, Spells};
 use crate::sync::lock;
+use crate::units::UnixMillis;
 
 /// How long a relay without a list waits for the first one in a call: less than it waits for the answer.
 const LIST_WAIT: Duration = Duration::from_millis(250);
@@ -132,6 +134,7 @@
     /// When the group was asked to keep any of it last.
     pub(super) engines_noted: Option<Instant>,
     pub(super) rollouts: Rollouts,
+    pub(super) quarantine: FleetQuarantine,
 }
 
 impl Lead {
@@ -162,6 +165,7 @@
             spells: None,
             engines_noted: None,
             rollouts: Rollouts::default(),
+            quarantine: FleetQuarantine::default(),
         }
     }
 
@@ -193,6 +197,7 @@
         let before = self.present.insert(beat.box_id, now);
         self.loads.hear(beat.loads, now);
         self.hear_lives(beat.lives, now);
+        let quarantine = self.hear_ends(beat.quarantine, now);
         let (whole, turn, after) = (beat.whole, beat.turn, beat.after);
         let news = News { whole, turn, after, usage: beat.usage, engines: beat.engines };
         let mut told = self.words.remove(&key).map(|word| word.told).unwrap_or_default();
@@ -213,12 +218,28 @@
             lacks,
             releases,
             loads,
+            quarantine,
             settled: self.settled,
             relays,
             data_centre: None,
         }
     }
 
+    /// Takes a box's word of servers that ended; the word of held requests that is news to it.
+    fn hear_ends(&mut self, word: BoxWord, now: Instant) -> Option<LeaderWord> {
+        let (has, unix) = (word.has, UnixMillis::now());
+        self.quarantine.hear(word, now);
+        let changes = self.quarantine.judge(now, unix);
+        for request in &changes.held {
+            let ends = self.quarantine.ends_of(request);
+            tracing::warn!(event = "request_judged", %request, ends, held = true);
+        }
+        for request in &changes.lifted {
+            tracing::warn!(event = "request_judged", %request, held = false);
+        }
+        self.quarantine.word(has, rand::random(), unix)
+    }
+
     /// Some loads of the servers of a box's parts, fewer where it was answered just before.
     fn draw_loads(
         &self,
@@ -430,9 +451,14 @@
     let held = node.board.document();
     let document = Some(held).filter(|held| age.is_some() && held.version > beat.document);
     let data_centre = beat.whole.then(|| node.settings.node.data_centre.clone());
+    let noted = node.board.quarantine();
     let (reply, is_lacking) = node.with_lead(term, |lead| {
+        if lead.quarantine.is_known() {
+            lead.quarantine.follow(noted);
+        }
         let reply = BeatReply { document, age, data_centre, ..lead.hear(beat, tolerance(&node)) };
-        (reply, !lead.lacking.is_empty() || lead.low.is_none())
+        let has_news = lead.low.is_none() || lead.quarantine.to_note().is_some();
+        (reply, has_news || !lead.lacking.is_empty())
     });
     if is_lacking {
         node.lacking.notify_one();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) mod models;
 pub(crate) mod notes;
 pub(crate) mod publish;
+pub(crate) mod quarantine;
 pub(crate) mod rollouts;
 pub(crate) mod share;
 pub(crate) mod spend;
--- a/src/control/notes.rs
+++ b/src/control/notes.rs
@@ -38,11 +38,20 @@
         };
         let pause = if matches!(command, Command::ReadNotes) { Duration::ZERO } else { NOTE_PAUSE };
         match node.propose_here(command, SETTLE_TIME).await {
+            Some(Reply::Quarantine(noted)) => {
+                tracing::info!(event = "quarantine_noted", requests = noted.len(), term = %term);
+                node.with_lead(term, |lead| lead.quarantine.follow(noted));
+            }
             Some(Reply::Notes(notes)) => {
                 tracing::info!(
                     event = "noted", low_teams = notes.low.len(), engines = ?notes.engines, term = %term,
                 );
-                node.with_lead(term, |lead| lead.take_notes(notes));
+                // Behind the answer the blackboard has all that was decided before this term.
+                let quarantine = node.board.quarantine();
+                node.with_lead(term, |lead| {
+                    lead.take_notes(notes);
+                    lead.quarantine.follow(quarantine);
+                });
             }
             Some(_) | None => tracing::warn!(event = "not_noted", term = %term),
         }
@@ -56,6 +65,9 @@
         if self.low.is_none() {
             return Some(Command::ReadNotes);
         }
+        if let Some(change) = self.quarantine.to_note() {
+            return Some(Command::ChangeQuarantine(change));
+        }
         if let Some(low) = self.next_low(tolerance) {
             return Some(Command::NoteLow(low));
         }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 //! - [`choose`]: which engine a relay sends to; [`faults`]: which ones it passes over for a route.
 //! - [`distance`]: how far data centres are, learned; [`spill`]: when requests leave their region.
 //! - [`filling`]: which engines have memory left for a request.
+//! - [`ends`]: under which requests servers ended; [`quarantine`]: which requests no server gets any more.
 //! - [`exposure`], [`verdict`]: how far a new release goes, and whether it is bad; [`releases`] and [`rollout`]
 //!   are what a box and the leader make of it.
 //! - [`budget`]: how often relays may send again.
@@ -35,6 +36,7 @@
 pub mod capacity;
 pub mod choose;
 pub mod distance;
+pub mod ends;
 pub mod engine;
 pub mod exposure;
 pub mod faults;
@@ -47,6 +49,7 @@
 pub mod nearest;
 pub mod orders;
 pub mod policy;
+pub mod quarantine;
 pub mod queue;
 pub mod reclaim;
 pub mod releases;
--- a/src/error.rs
+++ b/src/error.rs
@@ -90,6 +90,8 @@
     LedgerUnavailable,
     /// The ledger holds as many entries as it may.
     LedgerFull,
+    /// Backend servers ended under the request; it is kept from all others.
+    Quarantined,
     /// A backend server broke off after the request may have run.
     BackendBroke,
     /// A backend server did not answer in time after the request may have run.
@@ -130,7 +132,7 @@
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 34] = [
+    pub const ALL: [Self; 35] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotFound,
@@ -157,6 +159,7 @@
         Self::Unacknowledged,
         Self::LedgerUnavailable,
         Self::LedgerFull,
+        Self::Quarantined,
         Self::BackendBroke,
         Self::BackendTimeout,
         Self::BackendInvalid,
@@ -197,6 +200,7 @@
             Self::Unacknowledged => row(504, "unacknowledged", Unknown, true),
             Self::LedgerUnavailable => row(503, "ledger_unavailable", NotRun, true),
             Self::LedgerFull => row(503, "ledger_full", NotRun, true),
+            Self::Quarantined => row(503, "quarantined", NotRun, false),
             Self::BackendBroke => row(502, "backend_broke", Unknown, true),
             Self::BackendTimeout => row(504, "backend_timeout", Unknown, true),
             Self::BackendInvalid => row(502, "backend_invalid", Unknown, false),
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -435,6 +435,7 @@
         self.board.put_in_force(self.machine.configuration().clone());
         self.board.put_document(self.machine.document().clone());
         self.board.put_rollouts(self.machine.rollouts().clone());
+        self.board.put_quarantine(self.machine.quarantine().clone());
     }
 
     /// Has the members' addresses known and the links to others closed, when the members change.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -218,7 +218,7 @@
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-#[serde(transparent)]
+#[serde(try_from = "String", into = "String")]
 pub struct Fingerprint(pub [u8; 16]);
 
 impl fmt::Display for Fingerprint {
@@ -243,6 +243,20 @@
     }
 }
 
+impl TryFrom<String> for Fingerprint {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<Self, NameError> {
+        text.parse()
+    }
+}
+
+impl From<Fingerprint> for String {
+    fn from(request: Fingerprint) -> Self {
+        request.to_string()
+    }
+}
+
 /// The longest idempotency key accepted, in bytes.
 pub const KEY_LIMIT: usize = 256;
 
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -11,10 +11,12 @@
 use crate::error::Kind;
 use crate::group::message::Members;
 use crate::ids::{
-    BackendId, BoxId, DataCentre, Incarnation, Index, Release, Revision, ServiceName, Term,
+    BackendId, BoxId, DataCentre, Fingerprint, Incarnation, Index, Release, Revision, ServiceName,
+    Term,
 };
 use crate::state::config::{Accepted, Configuration};
 use crate::state::document::{Document, Version};
+use crate::state::quarantine::QuarantineBook;
 use crate::state::rollout::Rollout;
 use crate::units::Millis;
 
@@ -51,6 +53,8 @@
 pub const LIST_PARTS: &str = "relay_list_parts";
 /// Takes a [`RolloutAsk`]; answers a [`RolloutAnswer`].
 pub const ROLLOUT: &str = "operator_rollout";
+/// Takes a [`QuarantineAsk`]; answers a [`QuarantineAnswer`].
+pub const QUARANTINE: &str = "operator_quarantine";
 /// Takes a stream that its node cannot finish.
 pub const HAND_OVER: &str = "entry_hand_over";
 
@@ -85,6 +89,19 @@
 /// The roll-out as the group has it, or why there is no answer.
 pub type RolloutAnswer = Result<Rollout, (Kind, String)>;
 
+/// What an operator asks of the requests that no server gets any more.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum QuarantineAsk {
+    /// Asks for all.
+    Show,
+    /// Lets one through again.
+    Lift(Fingerprint),
+}
+
+/// All that are held, or why there is no answer.
+pub type QuarantineAnswer = Result<QuarantineBook, (Kind, String)>;
+
 /// Asks for the configuration's changes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Poll {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -15,10 +15,10 @@
 
 use super::client::MESSAGE_LIMIT;
 use super::method::{
-    self, Beat, BeatReply, Call, GroupStatus, NodeStatus, Poll, PollReply, RolloutAnswer,
-    RolloutAsk, Update,
+    self, Beat, BeatReply, Call, GroupStatus, NodeStatus, Poll, PollReply, QuarantineAnswer,
+    QuarantineAsk, RolloutAnswer, RolloutAsk, Update,
 };
-use crate::control::{lead, rollouts, share};
+use crate::control::{lead, quarantine, rollouts, share};
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
@@ -82,6 +82,7 @@
     register(&mut module, method::BEAT, beat)?;
     register(&mut module, method::LIST_PARTS, list_parts)?;
     register(&mut module, method::ROLLOUT, rollout)?;
+    register(&mut module, method::QUARANTINE, held)?;
     register(&mut module, method::GOSSIP, gossip)?;
     register(&mut module, method::PROBE, probe)?;
     register(&mut module, method::HAND_OVER, hand_over::take)?;
@@ -248,6 +249,15 @@
     Ok(answer.map_err(|failure| (failure.kind, failure.detail)))
 }
 
+async fn held(node: Arc<Node>, ask: QuarantineAsk) -> Result<QuarantineAnswer, String> {
+    replica(&node)?;
+    let answer = match ask {
+        QuarantineAsk::Show => quarantine::show(&node).await,
+        QuarantineAsk::Lift(request) => quarantine::lift(&node, request).await,
+    };
+    Ok(answer.map_err(|failure| (failure.kind, failure.detail)))
+}
+
 async fn drain(node: Arc<Node>, (): ()) -> Result<(), String> {
     node.stop.notify_one();
     Ok(())
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -10,6 +10,7 @@
 use super::call::Call;
 use super::known::Known;
 use super::pick::Picker;
+use super::quarantine;
 use super::table::Route;
 use crate::decide::choose::has_room;
 use crate::decide::releases::Choice;
@@ -133,6 +134,10 @@
         let Some(known) = self.pick_by_release(relay, call, route) else {
             return Err(self.failure(relay));
         };
+        // What ended the server of an earlier send would end the next one's as well.
+        if self.arrived > 0 && quarantine::check(relay, call).is_err() {
+            return Err(self.failure(relay));
+        }
         if self.arrived > 0 && !relay.retries().spend(&self.service) {
             return Err(self.failure(relay));
         }
--- a/src/relay/ends.rs
+++ b/src/relay/ends.rs
@@ -6,13 +6,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 
 use super::Relay;
 use super::known::Known;
+use super::quarantine;
 use crate::backend::SendFault;
+use crate::decide::ends::ToldEnd;
 use crate::ids::{BackendId, Fingerprint};
 use crate::sync::lock;
 
@@ -35,10 +37,24 @@
 struct Broken {
     known: Arc<Known>,
     requests: BTreeSet<Fingerprint>,
+    /// When the first of it did.
+    at: Instant,
     /// Whether the looks at it have begun.
     watched: bool,
 }
 
+impl Broken {
+    fn told(&self) -> ToldEnd {
+        let server = &self.known.server;
+        ToldEnd {
+            server: server.id.clone(),
+            data_centre: server.data_centre.clone(),
+            requests: self.requests.iter().copied().collect(),
+            age: self.at.elapsed().into(),
+        }
+    }
+}
+
 /// The exchanges that broke off, until it is known whether their servers have ended.
 #[derive(Default)]
 pub struct EndWatch {
@@ -58,6 +74,7 @@
         let held = broken.entry(id.clone()).or_insert_with(|| Broken {
             known: known.clone(),
             requests: BTreeSet::new(),
+            at: Instant::now(),
             watched: false,
         });
         if held.requests.len() < REQUESTS_LIMIT {
@@ -125,6 +142,9 @@
     let leaving = !broken.known.is_open();
     relay.parts.metrics.count_end(leaving);
     let requests: Vec<_> = broken.requests.iter().map(Fingerprint::to_string).collect();
+    if !leaving {
+        quarantine::note_end(relay, broken.told());
+    }
     tracing::warn!(
         event = "backend_server_ended", backend_server = %known.server.id,
         data_centre = %known.server.data_centre, leaving, requests = requests.join(","),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -13,6 +13,7 @@
 //!   [`attempt`] is one send, [`course`] all sends of one call; [`pick`] finds the server for a send,
 //!   [`placed`] are the servers by how far they are, [`traffic`] counts what goes how far.
 //! - [`lives`] asks servers in which life they are, [`ends`] finds out which have ended, and under which requests.
+//! - [`quarantine`] refuses requests that end the servers they run on.
 //! - [`moving`] moves running streams off servers that are leaving.
 //! - [`keeping`] is what the box keeps for a request, charged to its memory, and [`taking`] its answer
 //!   until the caller has taken it.
@@ -42,6 +43,7 @@
 pub(crate) mod pick;
 pub mod placed;
 pub mod plain;
+pub(crate) mod quarantine;
 pub mod serve;
 pub mod servers;
 pub mod stream;
@@ -65,6 +67,7 @@
 use crate::decide::distance::Distances;
 use crate::decide::loads::LoadPool;
 use crate::decide::memory::Memory;
+use crate::decide::quarantine::BoxQuarantine;
 use crate::decide::releases::{Outcome, ReleaseBook};
 use crate::decide::spill::SpillBook;
 use crate::decide::topology::Topology;
@@ -125,6 +128,7 @@
     loads: Mutex<LoadPool>,
     distances: Mutex<Distances>,
     spills: Mutex<SpillBook>,
+    quarantine: Mutex<BoxQuarantine>,
     /// The exchanges that broke off, until it is known whether their servers have ended.
     pub ends: EndWatch,
     /// What went to backend servers and came back.
@@ -166,6 +170,7 @@
             loads: Mutex::default(),
             distances: Mutex::default(),
             spills: Mutex::default(),
+            quarantine: Mutex::default(),
             ends: EndWatch::default(),
             traffic: Traffic::default(),
             relays: AtomicU32::new(0),
@@ -306,6 +311,11 @@
         lock(&self.distances)
     }
 
+    /// The requests that no server gets any more, and what this box knows of such.
+    pub fn quarantine(&self) -> MutexGuard<'_, BoxQuarantine> {
+        lock(&self.quarantine)
+    }
+
     /// Whether services' requests leave the region.
     pub fn spills(&self) -> MutexGuard<'_, SpillBook> {
         lock(&self.spills)
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -19,6 +19,7 @@
 use super::call::{Call, MoveAnswer, RunCopy};
 use super::course::Course;
 use super::known::Known;
+use super::quarantine;
 use super::stream::{Opening, Progress, Source, next, open};
 use super::table::{EngineSpec, Route};
 use crate::backend::{Reuse, SendFault};
@@ -113,6 +114,9 @@
     progress: &mut Progress,
 ) -> Moved {
     let known = source.flight.known().clone();
+    if quarantine::check(relay, call).is_err() {
+        return Moved::Stays(Bytes::new());
+    }
     let Some(target) = course.target(relay, &known) else {
         return Moved::Stays(Bytes::new());
     };
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -14,6 +14,7 @@
 use super::call::Call;
 use super::course::Course;
 use super::known::Known;
+use super::quarantine;
 use super::table::Route;
 use super::taking::FIRST_BYTES;
 use crate::backend::SendFault;
@@ -176,6 +177,7 @@
         () = flight.ended() => return Err(Miss::of_fault(restarted())),
     };
     flight.begun();
+    quarantine::note_well(relay, call);
     if !failed {
         let seconds = seconds_since(began);
         known.state.succeed(seconds);
--- /dev/null
+++ b/src/relay/quarantine.rs
@@ -0,0 +1,67 @@
+//! Refuses requests that end the servers they run on. Which those are is decided in
+//! [`crate::decide::quarantine`].
+
+use std::time::Instant;
+
+use super::Relay;
+use super::call::Call;
+use crate::decide::ends::ToldEnd;
+use crate::decide::quarantine::{BoxWord, Changes, LeaderWord};
+use crate::error::{Failure, Kind};
+
+/// Whether a call's request is kept from all servers.
+///
+/// # Errors
+/// [`Kind::Quarantined`] if it is. It has not run, and it will not: the caller hears that at once, and when it may
+/// run again.
+pub(super) fn check(relay: &Relay, call: &Call) -> Result<(), Failure> {
+    let quarantine = relay.quarantine();
+    // No hash of a body while nothing is held.
+    if quarantine.is_empty() {
+        return Ok(());
+    }
+    match quarantine.left(&call.fingerprint(), Instant::now()) {
+        None => Ok(()),
+        Some(left) => {
+            let text = "backend servers ended under this request: it is not run again for now";
+            Err(Failure::new(Kind::Quarantined, text).after(Some(left)))
+        }
+    }
+}
+
+/// Notes that a server has answered a call, well or not.
+pub(super) fn note_well(relay: &Relay, call: &Call) {
+    let request = call.fingerprint();
+    if relay.quarantine().note_well(request, Instant::now()) {
+        tracing::info!(event = "request_cleared", id = call.head.id, %request);
+        relay.hurry.notify_one();
+    }
+}
+
+/// Takes that a server ended, and has the leader hear of it at once.
+pub(super) fn note_end(relay: &Relay, told: ToldEnd) {
+    let (changes, is_news) = relay.quarantine().note_end(told, Instant::now());
+    say(&changes);
+    if is_news {
+        relay.hurry.notify_one();
+    }
+}
+
+/// Takes the leader's answer to a word.
+pub(crate) fn take_answer(relay: &Relay, told: &BoxWord, word: Option<LeaderWord>, lacks: bool) {
+    let (changes, is_urgent) = relay.quarantine().answered(told, word, lacks, Instant::now());
+    say(&changes);
+    if is_urgent {
+        relay.hurry.notify_one();
+    }
+}
+
+/// One line for each request that is kept from servers from now on, or no longer.
+fn say(changes: &Changes) {
+    for request in &changes.held {
+        tracing::warn!(event = "request_quarantined", %request);
+    }
+    for request in &changes.lifted {
+        tracing::info!(event = "request_let_through", %request);
+    }
+}
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -15,6 +15,7 @@
 use super::call::{Call, CallHead};
 use super::keeping::{Kept, read_body};
 use super::plain::{self, strip_hop_headers};
+use super::quarantine;
 use super::stream;
 use super::table::{Route, RouteTable, Team};
 use super::taking;
@@ -136,6 +137,7 @@
     let until = arrived + waits;
     let read = read_body(&relay.memory, body, table.limits.body, until, claim).await?;
     let call = put_together(team, urgency, head, request, read, arrived, until);
+    quarantine::check(relay, &call)?;
     let spent = take_allowance(relay, team, &call).await?;
     relay.retries().earn(&service, &retry_limit(relay));
     relay.offered().count(&service, call.head.size.unwrap_or_default(), route.objective);
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -19,6 +19,7 @@
 use super::known::{Flight, Known};
 use super::moving::{self, Moved, move_away};
 use super::plain::{read, strip_hop_headers};
+use super::quarantine;
 use super::table::{Repeat, Route};
 use super::taking;
 use crate::backend::{Exchange, SendFault};
@@ -236,7 +237,8 @@
                 relay.ends.note_break(known, call.fingerprint());
             }
         }
-        Ok(Opening::Whole(..)) | Err(Miss::NotRun { .. }) => {}
+        Ok(Opening::Whole(..)) => quarantine::note_well(relay, call),
+        Err(Miss::NotRun { .. }) => {}
     }
     opened
 }
@@ -394,6 +396,7 @@
                 Ok(None) => {
                     let known = source.flight.known();
                     note_end(&call, &route, known, &progress);
+                    quarantine::note_well(&relay, &call);
                     relay.engines().note_served(course.service(), progress.is_late(&route));
                     progress.note_pace(&relay, course.service(), &call);
                     known.state.succeed(seconds_since(source.began));
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -9,6 +9,7 @@
 pub mod document;
 pub mod ledger;
 pub mod notes;
+pub mod quarantine;
 pub mod rollout;
 pub mod usage;
 pub mod work;
@@ -22,6 +23,7 @@
 use document::{Document, Version};
 use ledger::{Begin, BeginReply, End, EndReply, Ledger};
 use notes::{LowTeams, Models, Notes, Spells};
+use quarantine::{QuarantineBook, QuarantineChange};
 use rollout::{OrderReply, Rollout, RolloutBook, RolloutOrder, RolloutStep};
 use usage::{Settle, UsageBook};
 use work::{Claim, ClaimReply, Finish, Keep, KeepReply, WorkId, WorkStore, WorkView};
@@ -56,6 +58,8 @@
     NoteEngines(Models),
     /// Notes what is known of dry spells from now on.
     NoteSpells(Spells),
+    /// Holds requests that end their servers, or lets some through again.
+    ChangeQuarantine(QuarantineChange),
     /// Asks for the notes, in its place among all commands.
     ReadNotes,
     /// An operator orders a roll-out.
@@ -95,6 +99,8 @@
     /// Answers [`Command::NoteLow`], [`Command::NoteEngines`], [`Command::NoteSpells`] and
     /// [`Command::ReadNotes`].
     Notes(Notes),
+    /// Answers [`Command::ChangeQuarantine`]: all that are held.
+    Quarantine(Arc<QuarantineBook>),
     /// Answers [`Command::OrderRollout`].
     OrderRollout(Box<OrderReply>),
     /// Answers [`Command::StepRollout`]: the roll-out as it stands, where there is one.
@@ -119,6 +125,8 @@
     notes: Notes,
     #[serde(default)]
     rollouts: Arc<RolloutBook>,
+    #[serde(default)]
+    quarantine: Arc<QuarantineBook>,
 }
 
 impl Machine {
@@ -149,6 +157,10 @@
                 self.notes.spells = spells.clone();
                 Reply::Notes(self.notes.clone())
             }
+            Command::ChangeQuarantine(change) => {
+                change.apply(Arc::make_mut(&mut self.quarantine));
+                Reply::Quarantine(self.quarantine.clone())
+            }
             Command::ReadNotes => Reply::Notes(self.notes.clone()),
             Command::OrderRollout(order) => {
                 Reply::OrderRollout(Box::new(Arc::make_mut(&mut self.rollouts).order(at, order)))
@@ -183,6 +195,11 @@
         &self.rollouts
     }
 
+    /// The requests that are kept from all servers.
+    pub fn quarantine(&self) -> &Arc<QuarantineBook> {
+        &self.quarantine
+    }
+
     fn expire(&mut self, at: u64) -> usize {
         let limits = &self.configuration.limits;
         let ledger = self.ledger.expire(at, limits.ledger_age);
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -35,6 +35,7 @@
     memory_refused: Gauge<u64>,
     callers: Gauge<u64>,
     callers_closed: Gauge<u64>,
+    quarantined: Gauge<u64>,
 }
 
 impl Gauges {
@@ -65,6 +66,10 @@
             memory_refused: count("emberturn_memory_refused", "How often there was no room"),
             callers: count("emberturn_callers", "Callers' connections by state"),
             callers_closed: count("emberturn_callers_closed", "Connections closed to make room"),
+            quarantined: count(
+                "emberturn_quarantined",
+                "Requests that are refused because servers ended under them",
+            ),
             lines: count("emberturn_log_lines_not_written", "Log lines not written, by reason"),
             distance: meter
                 .f64_gauge("emberturn_distance_ms")
@@ -146,6 +151,7 @@
 
     fn record_relay(&self, relay: &Relay) {
         self.record_memory(relay);
+        self.quarantined.record(relay.quarantine().len() as u64, &[]);
         let list = relay.servers.version();
         self.list_term.record(list.term.0, &[]);
         self.list_place.record(list.place, &[]);
--- a/tests/control_bytes.rs
+++ b/tests/control_bytes.rs
@@ -7,6 +7,7 @@
 use emberturn::decide::capacity::Offered;
 use emberturn::decide::engine::EngineModel;
 use emberturn::decide::loads::ToldLoad;
+use emberturn::decide::quarantine::BoxWord;
 use emberturn::decide::releases::ReleaseWord;
 use emberturn::ids::{
     BackendId, BoxId, Incarnation, Revision, ServerKey, ServiceName, Term, Version, Window,
@@ -138,6 +139,7 @@
         trials: BTreeMap::new(),
         loads: loads(fleet, fleet.told),
         lives: Vec::new(),
+        quarantine: BoxWord::default(),
         turn: 4_000,
         after: 3_999,
         relays: Some(300),
@@ -156,6 +158,7 @@
         lacks: false,
         releases: Some(services().map(|name| (name, word())).collect()),
         loads: part_loads(fleet, 48),
+        quarantine: None,
         settled: Window(353_000_000),
         relays: 300,
         data_centre: None,
--- /dev/null
+++ b/tests/ends.rs
@@ -0,0 +1,279 @@
+//! Under which requests servers ended: who is to blame, who is not, and what becomes of it when boxes and leaders
+//! come and go.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use emberturn::decide::ends::{DEADLY_ENDS, EndBook, ToldEnd};
+use emberturn::decide::quarantine::{
+    BoxQuarantine, BoxWord, FleetQuarantine, HOLD_TIME, LeaderWord,
+};
+use emberturn::ids::Fingerprint;
+use emberturn::state::quarantine::QuarantineBook;
+use emberturn::units::{Millis, UnixMillis};
+use yare::parameterized;
+
+/// More than there is between two judgements.
+const LATER: Duration = Duration::from_secs(1);
+
+const NOW: UnixMillis = UnixMillis(1_764_720_000_000);
+
+fn request(number: u8) -> Fingerprint {
+    Fingerprint([number; 16])
+}
+
+fn end(server: &str, data_centre: &str, requests: &[u8], ago: u64) -> ToldEnd {
+    ToldEnd {
+        server: server.parse().unwrap(),
+        data_centre: data_centre.parse().unwrap(),
+        requests: requests.iter().map(|number| request(*number)).collect(),
+        age: Millis(ago),
+    }
+}
+
+/// Ends of servers of their own, one a second, in data centres by turns.
+fn book(ends: &[&[u8]]) -> EndBook {
+    let (mut book, now) = (EndBook::default(), Instant::now());
+    for (number, requests) in ends.iter().enumerate() {
+        let ago = 1_000 * (ends.len() - number) as u64;
+        book.note(end(&format!("i-{number}"), &format!("dc-{}", number % 4), requests, ago), now);
+    }
+    book
+}
+
+fn held(book: &EndBook) -> Vec<u8> {
+    book.deadly().iter().map(|request| request.0[0]).collect()
+}
+
+#[parameterized(
+    under_two_ends = { &[&[1], &[1]], &[] },
+    under_three = { &[&[1], &[1], &[1]], &[1] },
+    beside_one_that_ended_four = { &[&[1, 2], &[1, 2], &[1, 2], &[1]], &[1] },
+    beside_two_that_ended_three_each = { &[&[1, 3], &[1], &[1], &[2, 3], &[2, 3], &[2], &[1], &[2]], &[1, 2] },
+    two_that_never_ran_together = { &[&[1], &[2], &[1], &[2], &[1], &[2]], &[1, 2] },
+    many_beside_it = { &[&[1, 4, 5, 6], &[1, 5, 6, 7], &[1, 6, 7, 8], &[1, 9]], &[1] },
+)]
+fn request_is_held_for_ends_that_nothing_else_explains(ends: &[&[u8]], wanted: &[u8]) {
+    assert_eq!(held(&book(ends)), wanted);
+}
+
+/// Of two that ran together each time, the one that goes on ending servers is held, whoever was first.
+#[test]
+fn request_that_was_held_for_anothers_ends_is_let_through() {
+    let (mut fleet, now) = (FleetQuarantine::default(), Instant::now());
+    fleet.follow(Arc::default());
+    for number in 0..3 {
+        let ends = vec![end(&format!("i-{number}"), "a", &[1, 2], 9_000 - 1_000 * number)];
+        fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+    }
+    let first = fleet.judge(now, NOW).held;
+    assert_eq!(first.len(), 1);
+    let other = if first[0] == request(1) { 2 } else { 1 };
+    let ends = vec![end("i-9", "b", &[other], 0)];
+    fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+    let changes = fleet.judge(now + LATER, NOW);
+    assert_eq!((changes.held, changes.lifted), (vec![request(other)], first));
+}
+
+/// A data centre goes three times, each time with servers that ran the same request among others.
+#[test]
+fn servers_lost_together_count_only_against_what_ran_on_most_of_them() {
+    let (mut book, now) = (EndBook::default(), Instant::now());
+    for loss in 0..3_u64 {
+        for server in 0..4_u8 {
+            let name = format!("i-{loss}-{server}");
+            // Request 9 is on one server each time, and 8 on all of them.
+            let requests: &[u8] = if server == 0 { &[8, 9] } else { &[8, server] };
+            book.note(end(&name, "a", requests, 9_000 - 2_000 * loss + u64::from(server)), now);
+        }
+    }
+    assert_eq!(held(&book), [8]);
+}
+
+#[test]
+fn end_that_several_boxes_tell_is_one() {
+    let (mut book, now) = (EndBook::default(), Instant::now());
+    for ago in [0, 40, 300] {
+        book.note(end("i-1", "a", &[1], ago), now);
+    }
+    assert_eq!(book.count(&request(1)), 1);
+    // A server that starts again under its id may end again.
+    book.note(end("i-1", "a", &[1], 5_000), now);
+    assert_eq!(book.count(&request(1)), 2);
+}
+
+#[test]
+fn server_that_was_leaving_ended_under_no_request() {
+    let now = Instant::now();
+    for is_known_first in [true, false] {
+        let mut fleet = FleetQuarantine::default();
+        fleet.follow(Arc::default());
+        let servers: Vec<_> = (0..3).map(|number| format!("i-{number}").parse().unwrap()).collect();
+        if is_known_first {
+            fleet.hear_leaving(servers.iter(), now);
+        }
+        for number in 0..3 {
+            let ends = vec![end(&format!("i-{number}"), "a", &[1], 9_000 - 1_000 * number)];
+            fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+        }
+        fleet.judge(now, NOW);
+        fleet.hear_leaving(servers.iter(), now);
+        fleet.judge(now + LATER, NOW);
+        let word = fleet.word(0, 7, NOW).unwrap();
+        assert_eq!(word, LeaderWord { mark: 7, held: Vec::new() }, "{is_known_first}");
+    }
+}
+
+/// A box and a leader, with the words between them.
+#[derive(Default)]
+struct Pair {
+    own: BoxQuarantine,
+    fleet: FleetQuarantine,
+    marks: u64,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let mut pair = Self::default();
+        pair.fleet.follow(Arc::default());
+        pair
+    }
+
+    fn talk(&mut self) {
+        let now = Instant::now();
+        let told = self.own.tell(now);
+        self.fleet.hear(told.clone(), now);
+        self.marks += 1;
+        self.fleet.judge(now + LATER * self.marks as u32, NOW);
+        let word = self.fleet.word(told.has, self.marks, NOW);
+        self.own.answered(&told, word, false, now);
+    }
+
+    fn end(&mut self, server: &str, requests: &[u8]) {
+        self.own.note_end(end(server, "a", requests, 0), Instant::now());
+    }
+
+    fn is_held(&self, number: u8) -> bool {
+        self.own.left(&request(number), Instant::now()).is_some()
+    }
+}
+
+#[test]
+fn box_goes_by_its_own_ends_until_the_leader_has_heard() {
+    let mut pair = Pair::new();
+    for server in ["i-1", "i-2", "i-3"] {
+        pair.end(server, &[1, 2]);
+        // What the leader knows from others: the second request is the one.
+        let ends = vec![end(server, "a", &[2], 0)];
+        pair.fleet.hear(BoxWord { ends, ..BoxWord::default() }, Instant::now());
+    }
+    let ends = vec![end("i-4", "b", &[2], 0)];
+    pair.fleet.hear(BoxWord { ends, ..BoxWord::default() }, Instant::now());
+    assert_eq!(pair.own.len(), 1);
+    pair.talk();
+    assert_eq!((pair.is_held(1), pair.is_held(2)), (false, true));
+}
+
+#[test]
+fn request_that_any_server_answered_is_not_held() {
+    let mut pair = Pair::new();
+    for server in ["i-1", "i-2", "i-3"] {
+        pair.end(server, &[1]);
+    }
+    assert!(pair.is_held(1));
+    pair.talk();
+    assert!(pair.is_held(1));
+    assert!(pair.own.note_well(request(1), Instant::now()));
+    assert!(!pair.is_held(1));
+    pair.talk();
+    pair.talk();
+    assert!(!pair.is_held(1));
+    assert_eq!(pair.fleet.ends_of(&request(1)), 0);
+}
+
+/// Another box has answered it a moment ago and hears only now that it is suspected.
+#[test]
+fn box_that_answered_a_request_lately_has_it_let_through() {
+    let mut pair = Pair::new();
+    pair.own.note_well(request(1), Instant::now());
+    for server in ["i-1", "i-2", "i-3"] {
+        let ends = vec![end(server, "a", &[1], 0)];
+        pair.fleet.hear(BoxWord { ends, ..BoxWord::default() }, Instant::now());
+    }
+    pair.talk();
+    assert!(!pair.is_held(1));
+    pair.talk();
+    assert!(pair.fleet.word(0, 9, NOW).unwrap().held.is_empty());
+}
+
+#[test]
+fn next_leader_holds_what_the_group_noted_and_boxes_keep_it_meanwhile() {
+    let mut pair = Pair::new();
+    for server in ["i-1", "i-2", "i-3"] {
+        pair.end(server, &[1]);
+    }
+    pair.talk();
+    let change = pair.fleet.to_note().unwrap();
+    assert_eq!(change.held.get(&request(1)).unwrap().0, NOW.0 + HOLD_TIME.as_millis() as u64);
+    // A leader that has not read the group's notes tells nothing.
+    pair.fleet = FleetQuarantine::default();
+    pair.talk();
+    assert!(pair.is_held(1));
+    pair.fleet.follow(Arc::new(change.held.clone()));
+    pair.talk();
+    assert!(pair.is_held(1));
+    assert_eq!(pair.fleet.to_note(), None);
+    // A box that has just started hears it with the first answer.
+    pair.own = BoxQuarantine::default();
+    pair.talk();
+    assert!(pair.is_held(1));
+    // What the group no longer holds was lifted.
+    pair.fleet.follow(Arc::new(QuarantineBook::new()));
+    pair.talk();
+    assert!(!pair.is_held(1));
+    assert_eq!(pair.fleet.to_note(), None);
+}
+
+#[test]
+fn request_is_let_through_after_its_time() {
+    let mut pair = Pair::new();
+    for server in ["i-1", "i-2", "i-3"] {
+        pair.end(server, &[1]);
+    }
+    pair.talk();
+    let later = UnixMillis(NOW.0 + HOLD_TIME.as_millis() as u64 + 1);
+    assert_eq!(pair.fleet.judge(Instant::now() + HOLD_TIME, later).lifted, [request(1)]);
+    let after = Instant::now() + HOLD_TIME + Duration::from_secs(1);
+    assert_eq!(pair.own.left(&request(1), after), None);
+}
+
+/// Whatever ends, books and words stay small.
+#[test]
+fn storms_of_ends_stay_within_bounds() {
+    let (mut own, now) = (BoxQuarantine::default(), Instant::now());
+    for server in 0..300_u32 {
+        let requests = (0..64_u32).map(|number| {
+            let mut fingerprint = Fingerprint::default();
+            fingerprint.0[..4].copy_from_slice(&(server * 64 + number).to_be_bytes());
+            fingerprint
+        });
+        let told =
+            ToldEnd { requests: requests.collect(), ..end(&format!("i-{server}"), "a", &[], 0) };
+        own.note_end(told, now);
+    }
+    let word = own.tell(now);
+    assert!(word.ends.len() <= 16, "{}", word.ends.len());
+    assert!(own.is_empty());
+}
+
+#[test]
+fn names_of_requests_are_read_as_they_are_written() {
+    let name = request(0xa7).to_string();
+    assert_eq!(name.parse::<Fingerprint>().unwrap(), request(0xa7));
+    for wrong in ["", "a7", "+a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a", &format!("{name}0")] {
+        assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong}");
+    }
+    let all: BTreeSet<_> = (0..DEADLY_ENDS as u8).map(request).collect();
+    assert_eq!(all.len(), DEADLY_ENDS);
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -20,12 +20,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use platform::{Reply, document, read_request, usual_routes};
+use platform::{Act, Reply, StandIn, TestRelay, document, read_request, until, usual_routes};
 use serde_json::json;
 use system::System;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use yare::parameterized;
 
 /// How long the boxes get to hear of a request: longer than they may take.
 const HEARING_TIME: Duration = Duration::from_secs(10);
@@ -145,8 +146,152 @@
     assert!(servers.ended() < servers.count);
     for place in boxes {
         is_refused(&system, place).await;
-        // Another request to the same place is served.
-        let reply = ask(&system, place, "safe", "harmless").await.unwrap();
-        assert_eq!(reply.status, 200, "{reply:?}");
+        // Another request to the same place is served, once the box finds a server that is still there.
+        system
+            .until("another request is served", || async {
+                let reply = ask(&system, place, "safe", "harmless").await?;
+                (reply.status == 200).then_some(())
+            })
+            .await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn held_request_stays_held_whoever_restarts_and_leads() {
+    let mut system = System::start(2).await;
+    let servers = Fragile::start(&system, 12).await;
+    system.publish(1, &document(1, &usual_routes())).await;
+    for place in [11, 12] {
+        system.wait_status(place, "safe", 200).await;
+    }
+    end_three(&system, &servers, &[11, 12]).await;
+    system.until("the group has noted it", || async { noted(&system).await }).await;
+    // A box that has just started, and then every process at once.
+    system.kill(12).await;
+    let from = system.logged(12);
+    system.launch(12, "relay").await;
+    system.wait_line(12, from, &["event=request_quarantined"]).await;
+    let before = servers.ended();
+    is_refused(&system, 12).await;
+    for place in [1, 2, 3, 4, 5, 11, 12] {
+        system.kill(place).await;
+    }
+    let from = [11, 12].map(|place| system.logged(place));
+    for place in 1..=5 {
+        system.launch(place, "replica").await;
+    }
+    for place in [11, 12] {
+        system.launch(place, "relay").await;
+    }
+    for (place, from) in [11, 12].into_iter().zip(from) {
+        system.wait_line(place, from, &["event=request_quarantined"]).await;
+        system.wait_status(place, "safe", 200).await;
+        is_refused(&system, place).await;
+    }
+    assert_eq!(servers.ended(), before);
+}
+
+/// What the group holds, where it holds something.
+async fn noted(system: &System) -> Option<String> {
+    let output = system.operator(1, &["quarantine", "show"]).await;
+    let text = String::from_utf8(output.stdout).unwrap();
+    let line = text.lines().find(|line| line.starts_with("request="))?;
+    let name = line.split(['=', ' ']).nth(1)?;
+    Some(name.to_owned())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_lets_a_held_request_through() {
+    let system = System::start(1).await;
+    let servers = Fragile::start(&system, 8).await;
+    system.publish(1, &document(1, &usual_routes())).await;
+    system.wait_status(11, "safe", 200).await;
+    end_three(&system, &servers, &[11]).await;
+    let name = system.until("the group has noted it", || async { noted(&system).await }).await;
+    let lifted = system.operator(2, &["quarantine", "lift", &name]).await;
+    assert!(lifted.status.success(), "{lifted:?}");
+    system.wait_line(11, 0, &["event=request_let_through", &name]).await;
+    let before = servers.ended();
+    ask(&system, 11, "safe", DEADLY).await;
+    assert!(servers.ended() > before);
+    let again = system.operator(2, &["quarantine", "lift", &name]).await;
+    assert_eq!(again.status.code(), Some(3), "{again:?}");
+}
+
+/// Streams of which a part was taken up elsewhere: each send begins to run it anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_may_be_taken_up_is_held_like_any_other() {
+    let system = System::start(2).await;
+    let servers = Fragile::start(&system, 12).await;
+    system.publish(1, &document(1, &usual_routes())).await;
+    for place in [11, 12] {
+        system.wait_status(place, "safe", 200).await;
+    }
+    for place in [11, 12, 11] {
+        ask(&system, place, "resumable", DEADLY).await;
+    }
+    for place in [11, 12] {
+        system.wait_line(place, 0, &["event=request_quarantined"]).await;
+    }
+    let before = servers.ended();
+    let reply = ask(&system, 12, "resumable", DEADLY).await.unwrap();
+    assert_eq!((reply.status, servers.ended()), (503, before), "{reply:?}");
+}
+
+/// Connections that break while their servers stand, and servers that end while they leave, are nobody's doing.
+#[parameterized(
+    connections = { false },
+    leaving = { true },
+)]
+fn request_that_servers_did_not_end_under_is_sent_on(leaving: bool) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let relay = TestRelay::start(&[]).await;
+        for number in 0..5 {
+            let mut server =
+                StandIn::start(&format!("i-{number}"), &[Act::Close, Act::Silent]).await;
+            let mut listed = server.listed("svc");
+            relay.list_as(vec![listed.clone()]);
+            if leaving {
+                // It ends under the second attempt, once it has said that it leaves.
+                relay.ask("POST", "once").await;
+                let ended = async {
+                    server.wait_seen(2).await;
+                    listed.leaving = true;
+                    relay.list_as(vec![listed]);
+                    server.kill().await;
+                };
+                let (reply, _) = tokio::join!(relay.ask("POST", "once"), ended);
+                assert_eq!(reply.status, 502, "{reply:?}");
+            } else {
+                let reply = relay.ask("POST", "once").await;
+                assert_eq!(reply.status, 502, "{reply:?}");
+                server.wait_seen(1).await;
+            }
+        }
+        assert!(relay.relay.quarantine().is_empty());
+    });
+}
+
+/// The box alone: servers that are gone behind the break count, without any word of a leader.
+#[tokio::test]
+async fn box_that_no_leader_answers_goes_by_what_it_has_seen() {
+    let relay = TestRelay::start(&[]).await;
+    for number in 0..3 {
+        let mut server = StandIn::start(&format!("i-{number}"), &[Act::Silent]).await;
+        relay.list(&[&server]);
+        let ended = async {
+            server.wait_seen(1).await;
+            server.kill().await;
+        };
+        let (reply, _) = tokio::join!(relay.ask("POST", "once"), ended);
+        assert_eq!(reply.status, 502, "{reply:?}");
+    }
+    until("the request is held", || !relay.relay.quarantine().is_empty()).await;
+    let server = StandIn::start("i-9", &[Act::Answer]).await;
+    relay.list(&[&server]);
+    let reply = relay.ask("POST", "once").await;
+    assert_eq!((reply.status, server.seen().len()), (503, 0), "{reply:?}");
+    // The same body at another place is another request.
+    assert_eq!(relay.ask("POST", "safe").await.status, 200);
+}
