Ages and leases count the time for which a machine was suspended

Cause: the steady clock stands still while a machine is suspended, so a box that wakes takes routes, keys, allowances and a leader's confirmations to be as new as before.

Change: a clock of our own goes on by what the clock that counts suspensions gains on the steady one. By it go the age of routes and keys, allowances of teams, shares of entry nodes, and the replicated group's leases.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -22,6 +22,7 @@
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
 
+use crate::clock;
 use crate::decide::policy::Policies;
 use crate::decide::share::Shares;
 use crate::ids::{BoxId, Revision, Term};
@@ -206,7 +207,7 @@
         }
     }
 
-    /// Notes that the configuration in force was certainly the newest anywhere at `at`.
+    /// Notes that the configuration in force was certainly the newest anywhere at `at`, by [`clock::now`].
     pub fn note_fresh(&self, at: Instant) {
         self.fresh.send_if_modified(|held| {
             let later = held.is_none_or(|held| at > held);
@@ -227,7 +228,7 @@
 
     /// How old the configuration in force may be; `None`: not known.
     pub fn age(&self) -> Option<Duration> {
-        self.fresh.borrow().map(|at| at.elapsed())
+        self.fresh.borrow().map(clock::since)
     }
 
     /// Follows the time at which the configuration was last certainly the newest.
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::models::ModelsWord;
+use crate::clock;
 use crate::decide::allowance::{Allowed, TeamDemand};
 use crate::decide::capacity::Offered;
 use crate::decide::loads::ToldLoad;
@@ -168,7 +169,7 @@
     box_id: &BoxId,
     life: Incarnation,
 ) -> bool {
-    let asked = Instant::now();
+    let asked = clock::now();
     let demand = relay.allowances().tell(asked);
     let turn = relay.allowances().turn();
     let news = told.telling.news(turn, relay.usage().counts(), relay.engines().learned());
@@ -185,17 +186,17 @@
         engines: news.engines.clone(),
         models: told.models,
         demand,
-        trials: relay.releases().tell(asked),
-        loads: relay.loads().take(asked),
+        trials: relay.releases().tell(Instant::now()),
+        loads: relay.loads().take(Instant::now()),
         lives: relay.servers.lives_to_tell(),
-        quarantine: relay.quarantine().tell(asked),
+        quarantine: relay.quarantine().tell(Instant::now()),
         turn,
         after: news.after,
         relays: relay.relays_told(),
     };
     match access.beat(&beat, ANSWER_TIME).await {
         Ok(reply) => {
-            relay.allowances().hear(&reply.allowed, Instant::now());
+            relay.allowances().hear(&reply.allowed, clock::now());
             relay.releases().hear(reply.releases);
             if let Some(word) = reply.engines {
                 told.models = Some(word.print);
--- a/src/control/share.rs
+++ b/src/control/share.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock;
 use crate::decide::admit::TeamUse;
 use crate::decide::share::{LEASE, Share, Shares, even_part};
 use crate::group::driver::Unanswered;
@@ -40,7 +41,7 @@
 /// the question went out.
 pub(crate) async fn run(node: Arc<Node>) {
     let mut timer = tokio::time::interval(ASK_TIME);
-    let mut until = Instant::now();
+    let mut until = clock::now();
     loop {
         timer.tick().await;
         let configuration = node.board.in_force().configuration.clone();
@@ -51,13 +52,13 @@
         if !is_needed(&request, &node.board.shares.load()) {
             continue;
         }
-        let asked = Instant::now();
+        let asked = clock::now();
         match node.access.lease_shares(&request, ANSWER_TIME).await {
             Ok(leased) => {
                 node.board.shares.store(Arc::new(Shares { leased }));
                 until = asked + Duration::from_millis(LEASE);
             }
-            Err(_) if Instant::now() >= until => {
+            Err(_) if clock::now() >= until => {
                 node.board.shares.store(Arc::default());
             }
             Err(_) => {}
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -20,6 +20,7 @@
 use super::message::{Entry, Envelope, MemberChange, Members, Payload, Snapshot};
 use super::storage::{Batch, Storage};
 use crate::blackboard::Blackboard;
+use crate::clock;
 use crate::ids::{BoxId, Index, Term};
 use crate::peer::method::GroupStatus;
 use crate::state::work::{WorkId, WorkView};
@@ -204,7 +205,8 @@
         message: GroupMessage,
         state: &mut DriverState,
     ) -> Result<(), ActorProcessingErr> {
-        let now = core_clock(state.epoch, Instant::now());
+        // A leader that was suspended must not count on confirmations from before.
+        let now = core_clock(state.epoch, clock::now());
         match message {
             GroupMessage::Step(envelopes) => {
                 for envelope in envelopes {
--- a/src/group/follow.rs
+++ b/src/group/follow.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::blackboard::Blackboard;
+use crate::clock;
 use crate::decide::nearest::Nearest;
 use crate::decide::topology::Reach;
 use crate::group::directory::Directory;
@@ -96,7 +97,7 @@
     box_id: &BoxId,
     addr: SocketAddr,
 ) -> Result<bool, PeerError> {
-    let asked = Instant::now();
+    let asked = clock::now();
     let document = board.document().version;
     let unsure = board.age().is_none_or(|age| age > OLD);
     let poll = Poll { from: board.revision(), document, wait: WAIT, unsure };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 //! work. It is replicated by [`group`], our own Raft. Which boxes are there and which backend servers
 //! are leaving travels by gossip, in [`member`]. [`boxlist`] is the cloud's box list. Nodes and
 //! operators talk through [`peer`]; [`cmd`] is the command line, [`telemetry`] logs, metrics and
-//! traces.
+//! traces. Leases and ages go by [`clock`], which counts the time of suspensions.
 //!
 //! # An example
 //!
@@ -36,6 +36,7 @@
 pub mod backend;
 pub mod blackboard;
 pub mod boxlist;
+pub mod clock;
 pub mod cmd;
 pub(crate) mod control;
 pub mod decide;
--- a/src/node/replica.rs
+++ b/src/node/replica.rs
@@ -1,7 +1,7 @@
 //! A node's replica: opens its storage and starts its actor; asks it whether it leads.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use ractor::rpc::CallResult;
@@ -9,6 +9,7 @@
 
 use super::{ACTOR_TIME, Node};
 use crate::blackboard::Blackboard;
+use crate::clock;
 use crate::decide::share::Lessor;
 use crate::group::core::{Core, Identity};
 use crate::group::directory::Directory;
@@ -39,8 +40,8 @@
         None => Machine::default(),
     };
     let identity = Identity { group: GROUP, box_id: own.clone(), life };
-    let epoch = Instant::now();
-    let now = core_clock(epoch, Instant::now());
+    let epoch = clock::now();
+    let now = core_clock(epoch, epoch);
     let core = Core::new(identity.clone(), stored, now, rand::random());
     tracing::info!(event = "replica_opened", life = %life, last = %core.log().last_index());
     let links = Links::new(peers.clone(), directory.clone());
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -55,13 +55,14 @@
 use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::{Notify, watch};
 
 use crate::backend::Pool;
 use crate::blackboard::Blackboard;
+use crate::clock;
 use crate::decide::allowance::Allowances;
 use crate::decide::budget::RetryBudgets;
 use crate::decide::distance::Distances;
@@ -161,7 +162,7 @@
             memory,
             gate,
             table: ArcSwapOption::empty(),
-            allowances: Mutex::new(Allowances::new(Instant::now())),
+            allowances: Mutex::new(Allowances::new(clock::now())),
             retries: Mutex::default(),
             usage: Mutex::new(usage),
             offered: Mutex::default(),
@@ -197,7 +198,7 @@
             teams = table.teams.len(),
         );
         let limited = table.teams.values().filter(|team| team.rate.is_some());
-        self.allowances().follow(limited.map(|team| &team.name), Instant::now());
+        self.allowances().follow(limited.map(|team| &team.name), clock::now());
         self.gate.set_head_time(table.limits.head_time);
         self.table.store(Some(table));
         self.learned.notify_waiters();
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -19,6 +19,7 @@
 use super::stream;
 use super::table::{Route, RouteTable, Team};
 use super::taking;
+use crate::clock;
 use crate::decide::choose::split;
 use crate::decide::memory::{Claim, LEAST_URGENT};
 use crate::error::{Failure, Kind};
@@ -295,7 +296,7 @@
     let short = loop {
         let mut heard = pin!(relay.heard.notified());
         heard.as_mut().enable();
-        let short = match relay.allowances().take(&team.name, cost, Instant::now()) {
+        let short = match relay.allowances().take(&team.name, cost, clock::now()) {
             Ok(()) => return Ok(cost),
             Err(short) => short,
         };
--- a/tests/imports.rs
+++ b/tests/imports.rs
@@ -6,8 +6,9 @@
 use std::path::{Path, PathBuf};
 
 /// The folders and files at the top of the sources, the lowest first.
-const FLOORS: [&str; 20] = [
+const FLOORS: [&str; 21] = [
     "sync",
+    "clock",
     "units",
     "ids",
     "error",
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -7,6 +7,7 @@
 
 use emberturn::backend::Pool;
 use emberturn::blackboard::Blackboard;
+use emberturn::clock;
 use emberturn::decide::allowance::Allowed;
 use emberturn::ids::{Incarnation, ServerKey, Term};
 use emberturn::platform::{PlatformDialect, document};
@@ -523,17 +524,17 @@
     pub fn put(&self, value: &Value) {
         let table = document::read(&value.to_string()).unwrap();
         self.relay.put_table(Arc::new(table));
-        self.board.note_fresh(Instant::now());
+        self.board.note_fresh(clock::now());
     }
 
     /// The leader's word: each team may use so much.
     pub fn allow(&self, amount: f64) {
         let table = self.relay.table().unwrap();
         let mut allowances = self.relay.allowances();
-        allowances.tell(Instant::now());
+        allowances.tell(clock::now());
         let allowed = Allowed { amount, rate: 0.0, wait: 0.0 };
         let allowed = table.teams.keys().map(|team| (team.clone(), allowed)).collect();
-        allowances.hear(&allowed, Instant::now());
+        allowances.hear(&allowed, clock::now());
     }
 
     /// Has the relay know just these servers.
