A lifted request stays lifted, a held one held, whoever leads and whatever ends

Cause, found by reading the mend: boxes tell a new leader all their ends again, those of a lifted request among them; and a request was let through when its ends were only forgotten, after 256 others.

Change: a box forgets the ends of what is no longer held; the leader lets through only what other requests explain, what a server answered and what ended as its server left. Two tests, both seen to fail before. The operators' call loses a result in a result.

--- a/src/control/quarantine.rs
+++ b/src/control/quarantine.rs
@@ -18,7 +18,7 @@
 /// # Errors
 /// [`Kind::NoGroup`] when the group does not answer.
 pub async fn show(node: &Node) -> Result<QuarantineBook, Failure> {
-    change(node, QuarantineChange::default()).await.map_err(|error| no_group(&error))?
+    change(node, QuarantineChange::default(), no_group).await
 }
 
 /// Lets a request through again; all that are held then.
@@ -31,18 +31,20 @@
         return Err(Failure::new(Kind::NotFound, format!("{request} is not held")));
     }
     let lifted = QuarantineChange { lifted: BTreeSet::from([request]), ..Default::default() };
-    let book = change(node, lifted).await.map_err(|error| unacknowledged(&error))??;
+    let book = change(node, lifted, unacknowledged).await?;
     tracing::info!(event = "quarantine_lifted", %request);
     Ok(book)
 }
 
+/// Has the group make a change; `unanswered` is what is said when it does not answer.
 async fn change(
     node: &Node,
     change: QuarantineChange,
-) -> Result<Result<QuarantineBook, Failure>, String> {
+    unanswered: fn(&str) -> Failure,
+) -> Result<QuarantineBook, Failure> {
     match node.access.propose(Command::ChangeQuarantine(change), GROUP_TIME).await {
-        Ok(Reply::Quarantine(book)) => Ok(Ok(book.as_ref().clone())),
-        Ok(_) => Ok(Err(other_answer())),
-        Err(error) => Err(error.to_string()),
+        Ok(Reply::Quarantine(book)) => Ok(book.as_ref().clone()),
+        Ok(_) => Err(other_answer()),
+        Err(error) => Err(unanswered(&error.to_string())),
     }
 }
--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -110,11 +110,13 @@
         self.ends.iter_mut().fold(false, |any, end| end.requests.remove(request) | any)
     }
 
-    /// Forgets the ends of servers that were leaving; whether there were any.
-    pub fn pardon(&mut self, was_leaving: impl Fn(&BackendId) -> bool) -> bool {
-        let before = self.ends.len();
-        self.ends.retain(|end| !was_leaving(&end.server));
-        self.ends.len() < before
+    /// Forgets the ends of a server that was leaving; what ran there.
+    pub fn pardon(&mut self, server: &BackendId) -> BTreeSet<Fingerprint> {
+        let (gone, rest) = std::mem::take(&mut self.ends)
+            .into_iter()
+            .partition::<Vec<_>, _>(|end| end.server == *server);
+        self.ends = rest;
+        gone.into_iter().flat_map(|end| end.requests).collect()
     }
 
     /// Whether nothing ended.
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ends::{EndBook, ToldEnd};
+use super::ends::{DEADLY_ENDS, EndBook, ToldEnd};
 use crate::ids::{BackendId, Fingerprint};
 use crate::state::quarantine::{QuarantineBook, QuarantineChange};
 use crate::units::{Millis, UnixMillis};
@@ -206,7 +206,12 @@
     fn take(&mut self, word: LeaderWord, now: Instant) {
         self.mark = word.mark;
         let until = |held: ToldHeld| (held.request, now + held.left.duration());
-        self.told = word.held.into_iter().map(until).collect();
+        let told: BTreeMap<_, _> = word.held.into_iter().map(until).collect();
+        // What was lifted starts anew: told again, its ends would have the next leader hold it.
+        for request in self.told.keys().filter(|request| !told.contains_key(request)) {
+            self.ends.clear(request);
+        }
+        self.told = told;
         let wrong: Vec<_> =
             self.told.keys().filter(|request| self.well.has(request, now)).copied().collect();
         for request in wrong {
@@ -283,8 +288,15 @@
     pub fn hear_leaving<'a>(&mut self, leaving: impl Iterator<Item = &'a BackendId>, now: Instant) {
         self.left.retain(|_, at| *at + LEFT_TIME > now);
         for server in leaving {
-            if self.left.insert(server.clone(), now).is_none() {
-                self.due |= self.ends.pardon(|it| it == server);
+            if self.left.insert(server.clone(), now).is_some() {
+                continue;
+            }
+            for request in self.ends.pardon(server) {
+                self.due = true;
+                if self.judged.contains(&request) && self.ends.count(&request) < DEADLY_ENDS {
+                    self.judged.remove(&request);
+                    self.held.remove(&request);
+                }
             }
         }
     }
@@ -312,7 +324,11 @@
     fn judge_ends(&mut self, unix: UnixMillis) {
         let deadly = self.ends.deadly();
         for request in self.judged.difference(&deadly) {
-            self.held.remove(request);
+            // Its ends are another one's. Where they were only forgotten, as after a great many others, it
+            // stays held.
+            if self.ends.count(request) >= DEADLY_ENDS {
+                self.held.remove(request);
+            }
         }
         let until = UnixMillis(unix.0 + HOLD_TIME.as_millis() as u64);
         for request in deadly.difference(&self.judged) {
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -277,3 +277,43 @@
     let all: BTreeSet<_> = (0..DEADLY_ENDS as u8).map(request).collect();
     assert_eq!(all.len(), DEADLY_ENDS);
 }
+
+/// The next leader hears all ends again; what an operator lifted is not among them.
+#[test]
+fn request_that_was_lifted_is_not_held_by_the_next_leader() {
+    let mut pair = Pair::new();
+    for server in ["i-1", "i-2", "i-3"] {
+        pair.end(server, &[1]);
+    }
+    pair.talk();
+    let noted = pair.fleet.to_note().unwrap().held;
+    pair.fleet.follow(Arc::new(noted));
+    pair.fleet.follow(Arc::new(QuarantineBook::new()));
+    pair.talk();
+    pair.fleet = FleetQuarantine::default();
+    pair.fleet.follow(Arc::new(QuarantineBook::new()));
+    let now = Instant::now();
+    let told = pair.own.tell(now);
+    pair.own.answered(&told, None, true, now);
+    pair.talk();
+    pair.talk();
+    assert!(!pair.is_held(1));
+}
+
+/// More servers end than are remembered, all of them under other requests.
+#[test]
+fn request_stays_held_when_its_ends_are_forgotten() {
+    let (mut fleet, now) = (FleetQuarantine::default(), Instant::now());
+    fleet.follow(Arc::default());
+    for number in 0..3 {
+        let ends = vec![end(&format!("i-{number}"), "a", &[1], 90_000 - 1_000 * number)];
+        fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+    }
+    assert_eq!(fleet.judge(now, NOW).held, [request(1)]);
+    for number in 0..400 {
+        let ends = vec![end(&format!("j-{number}"), "b", &[], 0)];
+        fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+    }
+    assert!(fleet.judge(now + LATER, NOW).lifted.is_empty());
+    assert_eq!(fleet.ends_of(&request(1)), 0);
+}
