--- a/tests/control_bytes.rs
+++ b/tests/control_bytes.rs
@@ -7,10 +7,11 @@
 use emberturn::decide::capacity::Offered;
 use emberturn::decide::engine::EngineModel;
 use emberturn::decide::loads::ToldLoad;
-use emberturn::decide::quarantine::BoxWord;
+use emberturn::decide::quarantine::{BoxWord, LeaderWord, ToldHeld};
 use emberturn::decide::releases::ReleaseWord;
 use emberturn::ids::{
-    BackendId, BoxId, Incarnation, Revision, ServerKey, ServiceName, Term, Version, Window,
+    BackendId, BoxId, Fingerprint, Incarnation, Revision, ServerKey, ServiceName, Term, Version,
+    Window,
 };
 use emberturn::peer::method::{Beat, BeatReply, Call, ModelsWord, Poll, PollReply, Update};
 use emberturn::peer::packed::Packed;
@@ -324,3 +325,19 @@
     let known: Vec<_> = drawn.iter().filter(|load| load.age.0 >= 3).cloned().collect();
     assert_eq!(named(&sent, lacking), known);
 }
+
+/// While nothing is held, a word carries the mark of the last answer, and an answer says that there is no news.
+#[test]
+fn held_requests_cost_nothing_to_speak_of_while_there_are_none() {
+    let fleet = &FLEETS[0].1;
+    let quarantine = BoxWord { has: u64::MAX, ..BoxWord::default() };
+    let more = packed(&Beat { quarantine, ..beat(fleet) }) - packed(&beat(fleet));
+    assert!(more <= 12, "{more} bytes");
+    let held =
+        |number: u8| ToldHeld { request: Fingerprint([number; 16]), left: Millis(24 * 3_600_000) };
+    let word = LeaderWord { mark: u64::MAX, held: (0..3).map(held).collect() };
+    let told = packed(&BeatReply { quarantine: Some(word), ..reply(fleet) });
+    let news = told - packed(&reply(fleet));
+    println!("{more} bytes of each word, {news} of an answer that tells three");
+    assert!(news <= 200, "{news} bytes");
+}
