The body is hashed outside the lock; the clock keeps one count

Read once more: check() hashed a body while it held the lock that every other call takes, and the clock kept the time of suspensions twice, in an atomic and in the watch under its own lock. The hash goes before the lock, the atomic is gone.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -5,7 +5,6 @@
 //! others' do.
 
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::time::{ClockId, clock_gettime};
@@ -19,19 +18,18 @@
 /// What is shorter is no suspension: the two clocks are not read at the same moment.
 const LEAST_TIME: Duration = Duration::from_millis(10);
 
-/// Milliseconds for which the machine was suspended since this process first looked.
-static SUSPENDED: AtomicU64 = AtomicU64::new(0);
-
 static WATCH: Mutex<SuspendWatch> = Mutex::new(SuspendWatch::new());
 
 /// Now. It never goes back, and goes on while the machine is suspended.
 pub fn now() -> Instant {
-    let known = SUSPENDED.load(Ordering::Relaxed);
-    let found = lock(&WATCH).look(read());
-    if found > known && SUSPENDED.fetch_max(found, Ordering::Relaxed) < found {
-        tracing::warn!(event = "machine_was_suspended", ms = found - known);
+    let (before, suspended) = {
+        let mut watch = lock(&WATCH);
+        (watch.suspended(), watch.look(read()))
+    };
+    if suspended > before {
+        tracing::warn!(event = "machine_was_suspended", ms = suspended - before);
     }
-    Instant::now() + Duration::from_millis(SUSPENDED.load(Ordering::Relaxed).max(found))
+    Instant::now() + Duration::from_millis(suspended)
 }
 
 /// How long ago something was by [`now`].
@@ -95,6 +93,11 @@
                 self.apart = Some(apart);
             }
         }
+        self.suspended()
+    }
+
+    /// Milliseconds for which the machine was suspended, as far as was seen.
+    fn suspended(&self) -> u64 {
         self.past.as_millis() as u64
     }
 }
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -15,12 +15,13 @@
 /// [`Kind::Quarantined`] if it is. It has not run, and it will not: the caller hears that at once, and when it may
 /// run again.
 pub(super) fn check(relay: &Relay, call: &Call) -> Result<(), Failure> {
-    let quarantine = relay.quarantine();
-    // No hash of a body while nothing is held.
-    if quarantine.is_empty() {
+    // No hash of a body while nothing is held, and none while other calls wait for the lock.
+    if relay.quarantine().is_empty() {
         return Ok(());
     }
-    match quarantine.left(&call.fingerprint(), Instant::now()) {
+    let request = call.fingerprint();
+    let left = relay.quarantine().left(&request, Instant::now());
+    match left {
         None => Ok(()),
         Some(left) => {
             let text = "backend servers ended under this request: it is not run again for now";
