Sight: a call that had no answer, and the size of a document that is held

An answer that is too large for its time left no trace: the box threw it away and asked again. One line when calls to an address begin to go unanswered (call_unanswered: method, time waited), and the bytes of each document held. No logic is changed.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -194,7 +194,7 @@
 
     /// Takes a published document. One that is not newer is passed over: nothing reverts.
     pub fn put_document(&self, document: Arc<Document>) {
-        let version = document.version;
+        let (version, bytes) = (document.version, document.text.len());
         let changed = self.document.send_if_modified(|held| {
             let newer = version > held.version;
             if newer {
@@ -203,7 +203,7 @@
             newer
         });
         if changed {
-            tracing::info!(event = "document_held", version = %version);
+            tracing::info!(event = "document_held", version = %version, bytes);
         }
     }
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex as SyncMutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jsonrpsee::core::client::{ClientT, Error};
 use jsonrpsee::core::params::ArrayParams;
@@ -63,6 +63,8 @@
     client: Mutex<Option<Arc<WsClient>>>,
     /// Whether the last call failed as one side could not read the other.
     is_unreadable: AtomicBool,
+    /// Whether the last call that was sent had no answer.
+    is_silent: AtomicBool,
     /// Bytes of the calls made and of their answers.
     sent: AtomicU64,
     heard: AtomicU64,
@@ -112,6 +114,18 @@
         }
     }
 
+    /// Notes that a call which was sent had no answer: one line when that begins, as an answer that is too
+    /// large for its time leaves no other trace.
+    fn unanswered(&self, method: &str, waited: Duration, detail: String) -> PeerError {
+        if !self.is_silent.swap(true, Ordering::Relaxed) {
+            let waited = waited.as_millis() as u64;
+            tracing::warn!(
+                event = "call_unanswered", addr = %self.addr, method, waited_ms = waited, detail,
+            );
+        }
+        PeerError::NoAnswer { addr: self.addr, detail }
+    }
+
     /// Drops the connection, if it is still the one that failed.
     async fn forget(&self, failed: &Arc<WsClient>) {
         let mut held = self.client.lock().await;
@@ -137,9 +151,10 @@
     fn peer(&self, addr: SocketAddr) -> Arc<Peer> {
         let mut peers = lock(&self.peers);
         let new = || {
-            let (client, is_unreadable) = (Mutex::new(None), AtomicBool::new(false));
+            let client = Mutex::new(None);
+            let (is_unreadable, is_silent) = (AtomicBool::new(false), AtomicBool::new(false));
             let (sent, heard) = (AtomicU64::new(0), AtomicU64::new(0));
-            Arc::new(Peer { addr, client, is_unreadable, sent, heard })
+            Arc::new(Peer { addr, client, is_unreadable, is_silent, sent, heard })
         };
         peers.entry(addr).or_insert_with(new).clone()
     }
@@ -180,8 +195,12 @@
         peer.sent.fetch_add(call.get().len() as u64, Ordering::Relaxed);
         params.insert(call).map_err(|error| PeerError::Refused(error.to_string()))?;
         let asking = client.request::<Box<RawValue>, _>(method, params);
+        let asked = Instant::now();
         match tokio::time::timeout(limit, asking).await {
-            Ok(Ok(answer)) => peer.read(method, &answer),
+            Ok(Ok(answer)) => {
+                peer.is_silent.store(false, Ordering::Relaxed);
+                peer.read(method, &answer)
+            }
             Ok(Err(Error::Call(error))) if error.code() == INVALID_PARAMS_CODE => {
                 let detail = error.data().map_or(error.message(), RawValue::get);
                 Err(peer.unreadable(method, detail))
@@ -189,11 +208,11 @@
             Ok(Err(Error::Call(error))) => Err(PeerError::Refused(error.message().to_owned())),
             Ok(Err(error)) => {
                 peer.forget(&client).await;
-                Err(PeerError::NoAnswer { addr, detail: error.to_string() })
+                Err(peer.unanswered(method, asked.elapsed(), error.to_string()))
             }
             Err(_) => {
                 peer.forget(&client).await;
-                Err(PeerError::NoAnswer { addr, detail: "timed out".to_owned() })
+                Err(peer.unanswered(method, asked.elapsed(), "timed out".to_owned()))
             }
         }
     }
