A box that knows of newer routes goes by its own no longer than a change may take

Found while mending: a box that has been told of a newer document still denied routes and keys by its own, though what the caller asks for may be what has changed, and ran requests by it for as long as keys are trusted; and a box counted as sure of its routes from when it held a document's text, some 30 ms before its routes were in force. Change: such a box waits a moment for the routes, then says 503 and when to come back, where it would have said 404 or 401; past apply_time it runs nothing by the old ones and is not ready. Routes come into force before the document counts as held. A box that hears nothing goes on as before: it can't tell whether anything has changed, and its callers are served meanwhile. Tests: box_that_knows_of_a_newer_document_denies_nothing, ..._runs_nothing_by_its_own, callers_of_a_new_route_are_never_turned_away_for_good_while_it_arrives (the first two failed before by reading: the state they set up did not exist).

--- a/src/control/document_fetch.rs
+++ b/src/control/document_fetch.rs
@@ -14,6 +14,7 @@
 use crate::decide::nearest::Nearest;
 use crate::group::directory::Directory;
 use crate::ids::BoxId;
+use crate::node::Node;
 use crate::peer::method::{self, DocumentAsk, DocumentPiece};
 use crate::peer::packed::Packed;
 use crate::peer::{PeerError, Peers};
@@ -70,22 +71,30 @@
 }
 
 /// A box's way to the document.
-pub(crate) struct DocumentFetch {
-    pub(crate) board: Arc<Blackboard>,
-    pub(crate) peers: Peers,
-    pub(crate) directory: Arc<Directory>,
+struct DocumentFetch {
+    board: Arc<Blackboard>,
+    peers: Peers,
+    directory: Arc<Directory>,
+    /// Has a document in force on this box.
+    apply: Box<dyn Fn(&Document) + Send + Sync>,
 }
 
-impl DocumentFetch {
-    /// Fetches each document that the box is told of, until dropped.
-    pub(crate) async fn run(self) {
-        let mut nearest = Nearest::new(rand::random());
-        loop {
-            self.board.wait_behind().await;
-            self.fetch(&mut nearest).await;
-        }
+/// Fetches each document that the node is told of, until dropped.
+pub(crate) async fn run(node: Arc<Node>) {
+    let fetch = DocumentFetch {
+        board: node.board.clone(),
+        peers: node.peers.clone(),
+        directory: node.access.directory().clone(),
+        apply: Box::new(move |document| node.put_routes(document)),
+    };
+    let mut nearest = Nearest::new(rand::random());
+    loop {
+        fetch.board.wait_behind().await;
+        fetch.fetch(&mut nearest).await;
     }
+}
 
+impl DocumentFetch {
     /// Fetches until the box is no longer behind.
     async fn fetch(&self, nearest: &mut Nearest) {
         let begun = Instant::now();
@@ -108,6 +117,8 @@
                         event = "document_fetched", version = %version, former = %former,
                         bytes = pieces.bytes.len(), ms,
                     );
+                    // The routes first: a box that holds a document counts as sure of its routes.
+                    (self.apply)(&document);
                     self.board.put_document(Arc::new(document));
                     is_unfit = false;
                 }
--- a/src/decide/certainty.rs
+++ b/src/decide/certainty.rs
@@ -26,16 +26,29 @@
     pub aims: Aims,
     /// How long ago they were certainly the newest; `None`: that is not known.
     pub age: Option<Duration>,
+    /// Whether it was told that there are newer ones.
+    pub behind: bool,
 }
 
 impl Certainty {
     /// Whether the box may refuse a request for good because it holds no such route or key.
     pub fn may_deny(&self) -> bool {
-        self.age.is_some_and(|age| age < self.aims.change)
+        !self.behind && self.is_within(self.aims.change)
+    }
+
+    /// Whether a request may run where the routes held say. A box that hears nothing goes on: it can't tell
+    /// whether anything has changed. One that knows of a change goes by the old routes no longer than the change
+    /// may take.
+    pub fn may_run(&self) -> bool {
+        !self.behind || self.is_within(self.aims.change)
     }
 
     /// Whether a key that the box holds may be taken to hold still.
     pub fn may_trust_keys(&self) -> bool {
-        self.age.is_some_and(|age| age < self.aims.revoke.mul_f64(KEY_MARGIN))
+        self.is_within(self.aims.revoke.mul_f64(KEY_MARGIN))
+    }
+
+    fn is_within(&self, bound: Duration) -> bool {
+        self.age.is_some_and(|age| age < bound)
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,7 +17,7 @@
 use crate::backend::Pool;
 use crate::blackboard::{Blackboard, Phase};
 use crate::control;
-use crate::control::document_fetch::DocumentFetch;
+use crate::control::document_fetch;
 use crate::control::document_source::DocumentSource;
 use crate::control::lead::Lead;
 use crate::decide::admit::Admission;
@@ -140,12 +140,7 @@
         });
         if node.access.local().is_none() {
             let (board, peers) = (node.board.clone(), node.peers.clone());
-            let fetch = DocumentFetch {
-                board: board.clone(),
-                peers: peers.clone(),
-                directory: directory.clone(),
-            };
-            tokio::spawn(fetch.run());
+            tokio::spawn(document_fetch::run(node.clone()));
             tokio::spawn(follow::run(board, peers, directory));
         }
         node.start_joining();
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -13,6 +13,7 @@
 use crate::relay::listen::Listeners;
 use crate::relay::{Relay, RelayParts, ends, lives};
 use crate::settings::Role;
+use crate::state::document::{Document, Version};
 
 /// How long a connection to a backend server may take to stand. Backend servers are a few
 /// milliseconds away; a first packet that is dropped is sent again only after a second.
@@ -36,7 +37,7 @@
         }));
         let _ = self.relay.set(relay.clone());
         let listeners = Listeners::open(&relay).await?;
-        tokio::spawn(follow_routes(relay.clone()));
+        tokio::spawn(follow_routes(self.clone()));
         let box_id = self.settings.node.box_id.clone();
         tokio::spawn(beat::run(relay.clone(), self.access.clone(), box_id, self.life));
         tokio::spawn(fetch::run(relay.clone(), self.access.clone()));
@@ -51,6 +52,23 @@
         self.relay.get().map(Arc::as_ref)
     }
 
+    /// Puts a published document in force on the relay, where the node is one that has started.
+    pub(crate) fn put_routes(&self, document: &Document) {
+        let Some(relay) = self.relay() else {
+            return;
+        };
+        let held = relay.table().map_or(Version(0), |table| table.version);
+        if document.version <= held {
+            return;
+        }
+        match relay.parts.dialect.read_table(&document.text) {
+            Ok(table) => relay.put_table(Arc::new(table)),
+            Err(reason) => {
+                tracing::error!(event = "document_invalid", version = %document.version, reason);
+            }
+        }
+    }
+
     /// Lets operators publish routes, where the settings say so.
     pub(super) async fn start_operator(self: &Arc<Self>) -> Result<()> {
         match self.settings.operator.clone() {
@@ -78,18 +96,11 @@
 }
 
 /// Puts each published document in force on the relay.
-async fn follow_routes(relay: Arc<Relay>) {
-    let mut documents = relay.parts.board.follow_document();
+async fn follow_routes(node: Arc<Node>) {
+    let mut documents = node.board.follow_document();
     loop {
         let document = documents.borrow_and_update().clone();
-        if document.version.0 > 0 {
-            match relay.parts.dialect.read_table(&document.text) {
-                Ok(table) => relay.put_table(Arc::new(table)),
-                Err(reason) => {
-                    tracing::error!(event = "document_invalid", version = %document.version, reason);
-                }
-            }
-        }
+        node.put_routes(&document);
         if documents.changed().await.is_err() {
             return;
         }
--- a/src/relay/listen.rs
+++ b/src/relay/listen.rs
@@ -106,7 +106,9 @@
     if relay.table().is_none() {
         return Some("no routes are known yet");
     }
-    (!relay.certainty().may_trust_keys()).then_some("the routes may be out of date")
+    let certainty = relay.certainty();
+    let is_sure = certainty.may_trust_keys() && certainty.may_run();
+    (!is_sure).then_some("the routes may be out of date")
 }
 
 fn ready(relay: &Relay) -> Response<Body> {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -74,7 +74,7 @@
 use crate::decide::spill::SpillBook;
 use crate::decide::topology::Topology;
 use crate::http::gate::Gate;
-use crate::ids::{BackendId, ServiceName};
+use crate::ids::{BackendId, ServiceName, Version};
 use crate::settings::RelaySettings;
 use crate::sync::lock;
 use crate::telemetry::Metrics;
@@ -231,6 +231,12 @@
         self.table.load().is_some() && self.servers.is_complete()
     }
 
+    /// Whether the box was told of newer routes than those in force.
+    fn is_behind(&self) -> bool {
+        let held = self.table.load().as_ref().map_or(Version(0), |table| table.version);
+        held < self.parts.board.newest()
+    }
+
     /// How sure the box is of its routes and keys.
     pub(crate) fn certainty(&self) -> Certainty {
         let settings = &self.parts.settings;
@@ -238,26 +244,36 @@
             change: settings.apply_time.duration(),
             revoke: settings.revoke_time.duration(),
         };
-        Certainty { aims, age: self.parts.board.age() }
+        Certainty { aims, age: self.parts.board.age(), behind: self.is_behind() }
     }
 
     /// Waits until the box is initialized, at most `limit`.
     pub(crate) async fn wait_initialized(&self, limit: Duration) {
+        self.wait_learned(limit, || self.is_initialized()).await;
+    }
+
+    /// Waits until the newest routes that the box was told of are in force, at most `limit`.
+    pub(crate) async fn wait_newest(&self, limit: Duration) {
+        self.wait_learned(limit, || !self.is_behind()).await;
+    }
+
+    /// Waits until something holds that comes with new routes or backend servers, at most `limit`.
+    async fn wait_learned(&self, limit: Duration, holds: impl Fn() -> bool) {
         // No timer for the calls of a box that has long been initialized.
-        if self.is_initialized() {
+        if holds() {
             return;
         }
-        let initialized = async {
+        let waiting = async {
             loop {
                 let mut learned = pin!(self.learned.notified());
                 learned.as_mut().enable();
-                if self.is_initialized() {
+                if holds() {
                     return;
                 }
                 learned.await;
             }
         };
-        let _ = tokio::time::timeout(limit, initialized).await;
+        let _ = tokio::time::timeout(limit, waiting).await;
     }
 
     /// The teams' allowances on this box.
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -33,13 +33,13 @@
 /// power everywhere, about the time until the group has a leader again.
 const UNSURE_WAIT: Duration = Duration::from_millis(1_000);
 
-/// The longest that a call waits for a box that has just started. After a stop of everything the
-/// group has a leader, and boxes know routes and backend servers, about that long after their start.
-const START_PATIENCE: Duration = Duration::from_millis(400);
+/// The longest that a call waits for a box to learn. After a stop of everything the group has a leader,
+/// and boxes know routes and backend servers, about that long after their start.
+const PATIENCE: Duration = Duration::from_millis(400);
 
 /// Of its deadline, one part in so many a call waits at most for that: the routes that would tell its
 /// objective are not known.
-const START_PART: u32 = 30;
+const PATIENCE_PART: u32 = 30;
 
 /// When to come back to another box, when this one stops.
 const CLOSING_WAIT: Duration = Duration::from_millis(50);
@@ -129,10 +129,18 @@
     arrived: Instant,
 ) -> Result<Response<Body>, Failure> {
     let guard = relay.parts.board.begin_request();
-    relay.wait_initialized(start_patience(&head)).await;
-    let table = relay.table().ok_or_else(|| unsure("no routes are known yet"))?;
+    relay.wait_initialized(patience(&head)).await;
+    let mut table = relay.table().ok_or_else(|| unsure("no routes are known yet"))?;
+    if is_denied(&table, &request, &head) {
+        // The route or key may be what has changed.
+        relay.wait_newest(patience(&head)).await;
+        table = relay.table().unwrap_or(table);
+    }
     head::check(&request, table.limits.head)?;
     let route = find_route(&table, &request)?;
+    if !relay.certainty().may_run() {
+        return Err(unsure("newer routes are in force than those known here"));
+    }
     let team = find_team(relay, &table, &route, &head)?;
     if relay.is_closing() {
         let text = "the box is stopping; ask another";
@@ -206,10 +214,10 @@
     );
 }
 
-/// How long a call may wait for a box that has just started to learn routes and backend servers.
-fn start_patience(head: &CallHead) -> Duration {
+/// How long a call may wait for a box to learn routes and backend servers.
+fn patience(head: &CallHead) -> Duration {
     let deadline = head.deadline.unwrap_or_default();
-    (deadline / START_PART).min(START_PATIENCE)
+    (deadline / PATIENCE_PART).min(PATIENCE)
 }
 
 fn unsure(text: &str) -> Failure {
@@ -239,6 +247,15 @@
     }
 }
 
+/// Whether a request has no route, or no team where its route asks for one.
+fn is_denied(table: &RouteTable, request: &Request<()>, head: &CallHead) -> bool {
+    let Ok(route) = find_route(table, request) else {
+        return true;
+    };
+    let has_team = || head.key.as_deref().is_some_and(|key| table.team_of(key).is_some());
+    table.has_teams() && !route.public && !has_team()
+}
+
 fn choose_service(route: &Route) -> Result<ServiceName, Failure> {
     let weights: Vec<_> = route.splits.iter().map(|split| split.weight).collect();
     let place = split(&weights, rand::random::<f64>());
--- a/tests/behind.rs
+++ b/tests/behind.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use emberturn::clock;
-use platform::{Act, StandIn, TestRelay, document, route, usual_routes};
+use emberturn::ids::Version;
+use platform::{Act, StandIn, TestRelay, document, route, until, usual_routes};
 use serde_json::Value;
 use system::System;
 
@@ -111,3 +112,61 @@
     println!("{took} bytes for one route of a document of {whole}");
     assert!(took < whole / 10, "{took} bytes for one route of a document of {whole}");
 }
+
+/// A box that was told of a newer document: what the caller asks for may be what has changed.
+#[tokio::test]
+async fn box_that_knows_of_a_newer_document_denies_nothing() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    relay.board.note_answer(Version(2), clock::now(), Some(Duration::ZERO));
+    assert_eq!(relay.ask("POST", "new").await.status, 503);
+    assert_eq!(relay.ask_with("POST", "once", "Api-Key: key-b\r\n").await.status, 503);
+    // The change may still be on its way everywhere, so the old routes serve.
+    assert_eq!(relay.ask("POST", "once").await.status, 200);
+    let mut routes = usual_routes();
+    routes.push(route("new", "unsafe", 1));
+    relay.publish(&document(2, &routes));
+    assert_eq!(relay.ask("POST", "new").await.status, 200);
+    assert_eq!(relay.ask_with("POST", "once", "Api-Key: key-b\r\n").await.status, 401);
+}
+
+/// The time in which the change comes into force is over: nothing runs where only the old routes say.
+#[tokio::test]
+async fn box_that_has_long_known_of_a_newer_document_runs_nothing_by_its_own() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let mut open = route("open", "safe", 1);
+    open["public"] = true.into();
+    let relay = TestRelay::empty().await;
+    let table = emberturn::platform::document::read(&document(1, &[open]).to_string());
+    relay.relay.put_table(std::sync::Arc::new(table.unwrap()));
+    relay.list(&[&server]);
+    relay.allow(1e9);
+    relay.board.note_fresh(clock::now() - Duration::from_millis(2_600));
+    assert_eq!(relay.ask("GET", "open").await.status, 200);
+    relay.board.note_answer(Version(2), clock::now(), Some(Duration::ZERO));
+    assert_eq!(relay.ask("GET", "open").await.status, 503);
+    assert_eq!(server.seen().len(), 1);
+}
+
+/// Callers that come while the change arrives get the new route, or word to come back.
+#[tokio::test]
+async fn callers_of_a_new_route_are_never_turned_away_for_good_while_it_arrives() {
+    let server = StandIn::start("i-1", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    relay.board.note_answer(Version(2), clock::now(), Some(Duration::ZERO));
+    let asking = async {
+        let mut served = 0;
+        while served < 3 {
+            let status = relay.ask("POST", "new").await.status;
+            assert!([200, 503].contains(&status), "{status}");
+            served += u32::from(status == 200);
+        }
+    };
+    let publishing = async {
+        until("a caller waits", || relay.board.requests() > 0).await;
+        let mut routes = usual_routes();
+        routes.push(route("new", "unsafe", 1));
+        relay.publish(&document(2, &routes));
+    };
+    tokio::join!(asking, publishing);
+}
