Documents travel and lie packed in the group's log

Seen by operators in tests: a large document was not taken for 20 s, and leaders changed every 1.5 s. An entry of 1.0 MB takes longer over the connection of the heartbeats than an election (350 ms). A read asks the group for the newest number, and gives the replica's own text once it has it. Logs of the release before are still read. What is left: a document whose packed text takes longer than an election.

--- a/src/control/publish.rs
+++ b/src/control/publish.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::error::{Failure, Kind};
 use crate::node::Node;
-use crate::state::document::{Document, Version};
+use crate::state::document::{Document, PackedDocument, Version};
 use crate::state::{Command, Reply};
 
 /// How long the group may take to accept a document.
@@ -27,9 +29,10 @@
     if !is_complete(node) {
         return Err(no_group("the group of replicas is not complete yet"));
     }
-    let command = Command::Publish(Arc::new(document));
-    match node.access.propose(command, PUBLISH_TIME).await {
-        Ok(Reply::Publish(held)) => {
+    let packed = tokio::task::spawn_blocking(move || PackedDocument::pack(&document)).await;
+    let packed = packed.map_err(|error| Failure::new(Kind::Internal, error.to_string()))?;
+    match node.access.propose(Command::PublishPacked(packed), PUBLISH_TIME).await {
+        Ok(Reply::Publish(held)) if held >= version => {
             tracing::info!(event = "document_published", version = %version, held = %held);
             Ok(held)
         }
@@ -39,15 +42,22 @@
 }
 
 /// The newest document. The read takes its place among all commands, so it is never an older one,
-/// whatever this process has missed.
+/// whatever this process has missed; the text is this process's own, once it has it.
 ///
 /// # Errors
 /// [`Kind::NoGroup`] when the group does not answer.
 pub async fn read(node: &Node) -> Result<Arc<Document>, Failure> {
-    match node.access.propose(Command::ReadDocument, READ_TIME).await {
-        Ok(Reply::Document(document)) => Ok(document),
-        Ok(_) => Err(other_answer()),
-        Err(error) => Err(no_group(&error.to_string())),
+    let until = Instant::now() + READ_TIME;
+    let newest = match node.access.propose(Command::ReadDocument, READ_TIME).await {
+        Ok(Reply::Document(newest)) => newest,
+        Ok(_) => return Err(other_answer()),
+        Err(error) => return Err(no_group(&error.to_string())),
+    };
+    let mut documents = node.board.follow_document();
+    let held = documents.wait_for(|document| document.version >= newest);
+    match tokio::time::timeout_at(until, held).await {
+        Ok(Ok(document)) => Ok(document.clone()),
+        Ok(Err(_)) | Err(_) => Err(no_group("this replica does not have the newest document yet")),
     }
 }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use config::{Change, ChangeReply, Configuration};
-use document::{Document, Version};
+use document::{Document, PackedDocument, Version};
 use ledger::{Begin, BeginReply, End, EndReply, Ledger};
 use notes::{LowTeams, Models, Notes, Spells};
 use quarantine::{QuarantineBook, QuarantineChange};
@@ -47,8 +47,10 @@
     Claim(Claim),
     /// A node has run kept work.
     Finish(Finish),
-    /// An operator publishes a document.
+    /// An operator publishes a document. Former releases wrote this.
     Publish(Arc<Document>),
+    /// An operator publishes a document.
+    PublishPacked(PackedDocument),
     /// Asks for the published document, in its place among all commands.
     ReadDocument,
     /// Fixes what a usage window's report says.
@@ -91,10 +93,10 @@
     Claim(Box<ClaimReply>),
     /// Answers [`Command::Finish`]: whether the fence was still the owner's.
     Finish(bool),
-    /// Answers [`Command::Publish`]: the version held after it.
+    /// Answers [`Command::Publish`] and [`Command::PublishPacked`]: the version held after it.
     Publish(Version),
-    /// Answers [`Command::ReadDocument`].
-    Document(Arc<Document>),
+    /// Answers [`Command::ReadDocument`]: the version that is the newest. Its text a replica has itself.
+    Document(Version),
     /// Answers [`Command::Settle`]: the counts that stand for the window.
     Settle(Settle),
     /// Answers [`Command::NoteLow`], [`Command::NoteEngines`], [`Command::NoteSpells`] and
@@ -144,7 +146,12 @@
             Command::Claim(claim) => Reply::Claim(Box::new(self.work.claim(at, claim))),
             Command::Finish(finish) => Reply::Finish(self.work.finish(at, finish)),
             Command::Publish(document) => Reply::Publish(self.publish(document)),
-            Command::ReadDocument => Reply::Document(self.document.clone()),
+            Command::PublishPacked(packed) => Reply::Publish(match packed.unpack() {
+                Ok(document) => self.publish(&Arc::new(document)),
+                // The log is checked by sums, so it was written so, and is so on every replica.
+                Err(_) => self.document.version,
+            }),
+            Command::ReadDocument => Reply::Document(self.document.version),
             Command::Settle(settle) => Reply::Settle(self.usage.settle(settle)),
             Command::NoteLow(teams) => {
                 self.notes.low = teams.clone();
