A box asks the replica that told of a document for it

Change: it asks the one whose word named the newest document last, which has it and was there just now; another one when that fails.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -15,8 +15,9 @@
 
 pub mod fleet;
 
+use std::cmp::Ordering;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{self, AtomicBool, AtomicUsize};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -73,19 +74,21 @@
 }
 
 /// Which document this node was told to be the newest.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 struct Newest {
     version: Version,
     /// When it certainly was, by [`clock::now`]; `None`: that was not told.
     at: Option<Instant>,
+    /// The replica that told so last.
+    teller: Option<BoxId>,
 }
 
 impl Newest {
-    fn hear(&mut self, version: Version, at: Option<Instant>) {
-        match version.cmp(&self.version) {
-            std::cmp::Ordering::Less => {}
-            std::cmp::Ordering::Equal => self.at = self.at.max(at),
-            std::cmp::Ordering::Greater => *self = Self { version, at },
+    fn hear(&mut self, told: Self) {
+        match told.version.cmp(&self.version) {
+            Ordering::Less => {}
+            Ordering::Equal => *self = Self { at: self.at.max(told.at), ..told },
+            Ordering::Greater => *self = told,
         }
     }
 }
@@ -226,8 +229,8 @@
             tracing::info!(event = "document_held", version = %version, bytes);
         }
         // Word of it may have come long before it did.
-        let newest = *self.newest.borrow();
-        if let Some(at) = newest.at.filter(|_| newest.version <= version) {
+        let at = Some(self.newest.borrow()).filter(|it| it.version <= version).and_then(|it| it.at);
+        if let Some(at) = at {
             self.note_fresh(at);
         }
     }
@@ -246,14 +249,20 @@
     /// Notes which document is the newest by an answer to what was asked at `asked`, and that this and the
     /// configuration in force certainly were the newest `age` before it: whoever answered spoke later than that.
     /// What this node holds is as new only if it has that document.
-    pub fn note_answer(&self, newest: Version, asked: Instant, age: Option<Duration>) {
+    pub fn note_answer(
+        &self,
+        version: Version,
+        teller: Option<BoxId>,
+        asked: Instant,
+        age: Option<Duration>,
+    ) {
         let at = age.and_then(|age| asked.checked_sub(age));
         self.newest.send_if_modified(|held| {
             let before = held.version;
-            held.hear(newest, at);
+            held.hear(Newest { version, at, teller });
             held.version != before
         });
-        if let Some(at) = at.filter(|_| self.document().version >= newest) {
+        if let Some(at) = at.filter(|_| self.document().version >= version) {
             self.note_fresh(at);
         }
     }
@@ -268,6 +277,11 @@
         self.newest.borrow().version > self.document().version
     }
 
+    /// The replica that told of the newest document last: it has it, and was there just now.
+    pub fn teller(&self) -> Option<BoxId> {
+        self.newest.borrow().teller.clone()
+    }
+
     /// Waits until this node is told of a newer document than it holds.
     pub async fn wait_behind(&self) {
         let mut newest = self.newest.subscribe();
@@ -314,22 +328,22 @@
 
     /// Whether kept work waited to be claimed when last heard.
     pub fn work_waiting(&self) -> bool {
-        self.work_waiting.load(Ordering::Relaxed)
+        self.work_waiting.load(atomic::Ordering::Relaxed)
     }
 
     /// Notes whether kept work waits to be claimed.
     pub fn note_work(&self, waiting: bool) {
-        self.work_waiting.store(waiting, Ordering::Relaxed);
+        self.work_waiting.store(waiting, atomic::Ordering::Relaxed);
     }
 
     /// How many voters the group has, as far as this replica knows; 0 elsewhere.
     pub fn voters(&self) -> usize {
-        self.voters.load(Ordering::Relaxed)
+        self.voters.load(atomic::Ordering::Relaxed)
     }
 
     /// Notes how many voters the group has.
     pub fn note_voters(&self, voters: usize) {
-        self.voters.store(voters, Ordering::Relaxed);
+        self.voters.store(voters, atomic::Ordering::Relaxed);
     }
 
     /// Notes in which term this process's replica leads, as it last found.
@@ -350,12 +364,12 @@
 
     /// Requests under way.
     pub fn requests(&self) -> usize {
-        self.requests.load(Ordering::SeqCst)
+        self.requests.load(atomic::Ordering::SeqCst)
     }
 
     /// Counts a request until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
-        self.requests.fetch_add(1, Ordering::SeqCst);
+        self.requests.fetch_add(1, atomic::Ordering::SeqCst);
         RequestGuard { board: self.clone() }
     }
 }
@@ -367,6 +381,6 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.board.requests.fetch_sub(1, Ordering::SeqCst);
+        self.board.requests.fetch_sub(1, atomic::Ordering::SeqCst);
     }
 }
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -193,7 +193,7 @@
             relay.servers.hear_placed_loads(&reply.loads);
             // After a stop of everything the leader knows this about 0.3 s before the other replicas can be sure.
             let age = reply.age.map(Duration::from_millis);
-            relay.parts.board.note_answer(reply.document, asked, age);
+            relay.parts.board.note_answer(reply.document, access.leader(), asked, age);
             quarantine::take_answer(relay, &beat.quarantine, reply.quarantine, reply.lacks);
             relay.usage().forget(reply.settled);
             told.telling.answered(news, reply.lacks, reply.settled);
--- a/src/control/document_fetch.rs
+++ b/src/control/document_fetch.rs
@@ -10,14 +10,12 @@
 
 use rand::Rng;
 
-use crate::blackboard::Blackboard;
 use crate::decide::nearest::Nearest;
-use crate::group::directory::Directory;
 use crate::ids::BoxId;
 use crate::node::Node;
+use crate::peer::Peers;
 use crate::peer::method::{self, DocumentAsk, DocumentPiece};
 use crate::peer::packed::Packed;
-use crate::peer::{PeerError, Peers};
 use crate::state::difference::{Difference, TEXT_LIMIT, Unfit};
 use crate::state::document::{Document, Version};
 
@@ -72,108 +70,115 @@
 
 /// A box's way to the document.
 struct DocumentFetch {
-    board: Arc<Blackboard>,
-    peers: Peers,
-    directory: Arc<Directory>,
-    /// Has a document in force on this box.
-    apply: Box<dyn Fn(&Document) + Send + Sync>,
+    node: Arc<Node>,
+    nearest: Nearest,
+    /// The replica that had no piece last.
+    failed: Option<BoxId>,
+    pieces: Pieces,
+    /// When the box was found to be behind.
+    begun: Instant,
+    /// Whether the last difference did not fit what the box holds.
+    is_unfit: bool,
 }
 
 /// Fetches each document that the node is told of, until dropped.
 pub(crate) async fn run(node: Arc<Node>) {
-    let fetch = DocumentFetch {
-        board: node.board.clone(),
-        peers: node.peers.clone(),
-        directory: node.access.directory().clone(),
-        apply: Box::new(move |document| node.put_routes(document)),
+    let mut fetch = DocumentFetch {
+        node,
+        nearest: Nearest::new(rand::random()),
+        failed: None,
+        pieces: Pieces::default(),
+        begun: Instant::now(),
+        is_unfit: false,
     };
-    let mut nearest = Nearest::new(rand::random());
     loop {
-        fetch.board.wait_behind().await;
-        fetch.fetch(&mut nearest).await;
+        fetch.node.board.wait_behind().await;
+        fetch.begun = Instant::now();
+        while fetch.node.board.is_behind() {
+            fetch.step().await;
+        }
     }
 }
 
 impl DocumentFetch {
-    /// Fetches until the box is no longer behind.
-    async fn fetch(&self, nearest: &mut Nearest) {
-        let begun = Instant::now();
-        let mut pieces = Pieces::default();
-        let mut is_unfit = false;
-        while self.board.is_behind() {
-            let held = if is_unfit { Arc::default() } else { self.board.document() };
-            let ask = pieces.ask(held.version, self.board.newest());
-            if let Some(piece) = self.ask(nearest, ask).await {
-                pieces.take(piece);
+    /// Asks for a piece, and puts the document together if that was the last one.
+    async fn step(&mut self) {
+        let board = &self.node.board;
+        let held = if self.is_unfit { Arc::default() } else { board.document() };
+        let ask = self.pieces.ask(held.version, board.newest());
+        match self.next_piece(ask).await {
+            Some(piece) => self.pieces.take(piece),
+            None => pause().await,
+        }
+        let Some(head) = self.pieces.whole() else {
+            return;
+        };
+        let (version, former) = (head.version, head.former);
+        match self.pieces.put_together(head, &held) {
+            Ok(document) => {
+                tracing::info!(
+                    event = "document_fetched", version = %version, former = %former,
+                    bytes = self.pieces.bytes.len(), ms = self.begun.elapsed().as_millis() as u64,
+                );
+                // The routes first: a box that holds a document counts as sure of its routes.
+                self.node.put_routes(&document);
+                self.node.board.put_document(Arc::new(document));
+                self.is_unfit = false;
             }
-            let Some(head) = pieces.whole() else {
-                continue;
-            };
-            let (version, former) = (head.version, head.former);
-            match pieces.put_together(head, &held) {
-                Ok(document) => {
-                    let ms = begun.elapsed().as_millis() as u64;
-                    tracing::info!(
-                        event = "document_fetched", version = %version, former = %former,
-                        bytes = pieces.bytes.len(), ms,
-                    );
-                    // The routes first: a box that holds a document counts as sure of its routes.
-                    (self.apply)(&document);
-                    self.board.put_document(Arc::new(document));
-                    is_unfit = false;
-                }
-                Err(reason) => {
-                    tracing::warn!(
-                        event = "document_unfit", version = %version, former = %former, %reason,
-                    );
-                    is_unfit = true;
-                    pause().await;
-                }
+            Err(reason) => {
+                tracing::warn!(
+                    event = "document_unfit", version = %version, former = %former, %reason,
+                );
+                self.is_unfit = true;
+                pause().await;
             }
-            pieces = Pieces::default();
         }
+        self.pieces = Pieces::default();
     }
 
-    /// Asks the nearest replica that answers for a piece.
-    async fn ask(&self, nearest: &mut Nearest, ask: DocumentAsk) -> Option<DocumentPiece> {
-        let directory = &self.directory;
-        let replicas: Vec<_> = directory.all().into_iter().map(|(box_id, _)| box_id).collect();
-        let chosen = nearest.choose(&replicas, |it| directory.reach(it), Instant::now());
-        let found = chosen.and_then(|it| Some((it.clone(), directory.find(&it)?)));
-        let Some((box_id, addr)) = found else {
-            pause().await;
-            return None;
-        };
-        match self.ask_at(addr, ask).await {
-            Ok(Some(piece)) => {
-                nearest.answered(&box_id);
-                Some(piece)
+    async fn next_piece(&mut self, ask: DocumentAsk) -> Option<DocumentPiece> {
+        let (box_id, addr) = self.choose()?;
+        let piece = ask_at(&self.node.peers, &box_id, addr, ask).await;
+        match piece {
+            Some(_) => self.nearest.answered(&box_id),
+            None => {
+                self.nearest.failed(&box_id, Instant::now());
+                self.failed = Some(box_id);
             }
-            Ok(None) => self.failed(nearest, &box_id, "it does not have the document yet").await,
-            Err(error) => self.failed(nearest, &box_id, &error.to_string()).await,
         }
+        piece
     }
 
-    async fn ask_at(
-        &self,
-        addr: SocketAddr,
-        ask: DocumentAsk,
-    ) -> Result<Option<DocumentPiece>, PeerError> {
-        let asked = self.peers.call(addr, method::DOCUMENT, &Packed(ask), PIECE_TIME).await;
-        asked.map(|Packed(piece)| piece)
+    /// The replica that told of the document last, unless it failed last; else the nearest that answers.
+    fn choose(&mut self) -> Option<(BoxId, SocketAddr)> {
+        let directory = self.node.access.directory();
+        let teller = self.node.board.teller().filter(|it| Some(it) != self.failed.as_ref());
+        let told = teller.and_then(|it| Some((directory.find(&it)?, it)));
+        if let Some((addr, box_id)) = told {
+            return Some((box_id, addr));
+        }
+        let replicas: Vec<_> = directory.all().into_iter().map(|(box_id, _)| box_id).collect();
+        let reach = |box_id: &BoxId| directory.reach(box_id);
+        let chosen = self.nearest.choose(&replicas, reach, Instant::now())?;
+        let addr = directory.find(&chosen)?;
+        Some((chosen, addr))
     }
+}
 
-    async fn failed(
-        &self,
-        nearest: &mut Nearest,
-        box_id: &BoxId,
-        reason: &str,
-    ) -> Option<DocumentPiece> {
-        tracing::info!(event = "document_piece_missing", replica = %box_id, reason);
-        nearest.failed(box_id, Instant::now());
-        pause().await;
-        None
-    }
+/// Asks a replica for a piece.
+async fn ask_at(
+    peers: &Peers,
+    box_id: &BoxId,
+    addr: SocketAddr,
+    ask: DocumentAsk,
+) -> Option<DocumentPiece> {
+    let reason = match peers.call(addr, method::DOCUMENT, &Packed(ask), PIECE_TIME).await {
+        Ok(Packed(Some(piece))) => return Some(piece),
+        Ok(Packed(None)) => "it does not have the document yet".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    tracing::info!(event = "document_piece_missing", replica = %box_id, reason);
+    None
 }
 
 async fn pause() {
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -184,7 +184,8 @@
         Err(NoGroup)
     }
 
-    fn leader(&self) -> Option<BoxId> {
+    /// The leader, where known.
+    pub(crate) fn leader(&self) -> Option<BoxId> {
         lock(&self.leader).clone()
     }
 
--- a/tests/behind.rs
+++ b/tests/behind.rs
@@ -120,7 +120,7 @@
 async fn box_that_knows_of_a_newer_document_denies_nothing() {
     let server = StandIn::start("i-1", &[Act::Answer]).await;
     let relay = TestRelay::start(&[&server]).await;
-    relay.board.note_answer(Version(2), clock::now(), Some(Duration::ZERO));
+    relay.board.note_answer(Version(2), None, clock::now(), Some(Duration::ZERO));
     assert_eq!(relay.ask("POST", "new").await.status, 503);
     assert_eq!(relay.ask_with("POST", "once", "Api-Key: key-b\r\n").await.status, 503);
     // The change may still be on its way everywhere, so the old routes serve.
@@ -145,7 +145,7 @@
     relay.allow(1e9);
     relay.board.note_fresh(clock::now() - Duration::from_millis(2_600));
     assert_eq!(relay.ask("GET", "open").await.status, 200);
-    relay.board.note_answer(Version(2), clock::now(), Some(Duration::ZERO));
+    relay.board.note_answer(Version(2), None, clock::now(), Some(Duration::ZERO));
     assert_eq!(relay.ask("GET", "open").await.status, 503);
     assert_eq!(server.seen().len(), 1);
 }
@@ -155,7 +155,7 @@
 async fn callers_of_a_new_route_are_never_turned_away_for_good_while_it_arrives() {
     let server = StandIn::start("i-1", &[Act::Answer]).await;
     let relay = TestRelay::start(&[&server]).await;
-    relay.board.note_answer(Version(2), clock::now(), Some(Duration::ZERO));
+    relay.board.note_answer(Version(2), None, clock::now(), Some(Duration::ZERO));
     let asking = async {
         let mut served = 0;
         while served < 3 {
@@ -210,6 +210,27 @@
     assert!(took < most, "{took} bytes for {size} packed");
 }
 
+/// Four of five replicas are silent to the box. The one that tells of a document is the one that has it: the others
+/// would each cost the time of a piece, and two in a row the time in which a change is to be in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn document_comes_from_the_replica_that_told_of_it() {
+    let mut routes = usual_routes();
+    let (system, proxies, _server) = serving(&document(1, &routes)).await;
+    let followed = system.wait_line(11, 0, &["event=replica_followed"]).await;
+    let follows = |place: &u8| followed.contains(&format!("replica={} ", system.ip(*place)));
+    let kept = (1..=5).find(|place| !follows(place)).unwrap();
+    let from = system.logged(11);
+    for (place, proxy) in (1..=5).zip(&proxies) {
+        proxy.set(if place == kept { Fault::None } else { Fault::Silent });
+    }
+    let kept_line = format!("event=replica_followed replica={} ", system.ip(kept));
+    system.wait_line(11, from, &[&kept_line]).await;
+    routes.push(route("new", "safe", 2));
+    system.publish(kept, &document(2, &routes)).await;
+    system.wait_status(11, "new", 200).await;
+    assert!(!system.has_line(11, from, "event=document_piece_missing"));
+}
+
 /// Operators change the document faster than the link carries it: the box ends with the newest, by few steps.
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_in_a_row_end_in_the_newest_document() {
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -359,6 +359,12 @@
         self.boxes[&self.ip(place)].log.lock().unwrap().len()
     }
 
+    /// Whether a box has logged a line that holds `part`, from line `from` on.
+    pub fn has_line(&self, place: u8, from: usize, part: &str) -> bool {
+        let log = self.boxes[&self.ip(place)].log.lock().unwrap();
+        log.iter().skip(from).any(|line| line.contains(part))
+    }
+
     /// Waits for a line of a box's log that holds all of `parts`, from line `from` on.
     pub async fn wait_line(&self, place: u8, from: usize, parts: &[&str]) -> String {
         let it = &self.boxes[&self.ip(place)];
