A difference that nobody waits for any more is made to its end

Seen in a test beside load: a box had no piece of a document for 20 s. Making the difference took longer than a piece may; when the box's call ended, what was made for it was thrown away, and the next call began anew, at each replica. Change: a difference is made beside the runtime to its end, once, and whoever asks waits for that. From nothing there is nothing to look for: the text goes as it is. Test: pieces_that_came_stay_when_their_replica_falls_silent failed beside five playing processes (no piece in 20 s); passed beside them after.

--- a/src/control/document_source.rs
+++ b/src/control/document_source.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use tokio::sync::OnceCell;
+use tokio::sync::watch;
 
 use crate::node::Node;
 use crate::peer::method::{DocumentAsk, DocumentPiece};
@@ -30,10 +30,11 @@
 const MADE: usize = 8;
 
 /// A packed difference from one document to a later one.
+#[derive(Clone)]
 struct Made {
-    former: Arc<Document>,
-    document: Arc<Document>,
-    packed: OnceCell<Packed>,
+    former: Version,
+    version: Version,
+    packed: watch::Receiver<Option<Arc<Packed>>>,
 }
 
 struct Packed {
@@ -42,18 +43,24 @@
 }
 
 impl Made {
-    /// Its bytes; whoever asks first has them made, and the others wait for that.
-    async fn packed(&self) -> &Packed {
-        let (former, document) = (self.former.clone(), self.document.clone());
-        let make = move || Packed {
-            digest: Digest::of(&document.text),
-            bytes: Difference::between(&former.text, &document.text).pack(),
-        };
-        let made = || async {
-            // Beside the runtime: for a megabyte it takes as long as the group's heartbeats may wait.
-            tokio::task::spawn_blocking(make).await.expect("a difference can always be made")
-        };
-        self.packed.get_or_init(made).await
+    /// Has it made beside the runtime: for a megabyte that takes as long as the group's heartbeats may wait. It
+    /// goes on when those who asked have gone, as what is thrown away then is asked for again.
+    fn begin(former: &Arc<Document>, document: &Arc<Document>) -> Self {
+        let (sender, packed) = watch::channel(None);
+        let made = Self { former: former.version, version: document.version, packed };
+        let (former, document) = (former.clone(), document.clone());
+        tokio::task::spawn_blocking(move || {
+            let digest = Digest::of(&document.text);
+            let bytes = Difference::between(&former.text, &document.text).pack();
+            sender.send_replace(Some(Arc::new(Packed { digest, bytes })));
+        });
+        made
+    }
+
+    /// Its bytes, once they are made.
+    async fn packed(&mut self) -> Option<Arc<Packed>> {
+        let made = self.packed.wait_for(Option::is_some).await.ok()?;
+        made.clone()
     }
 }
 
@@ -61,7 +68,7 @@
 struct Kept {
     /// The documents, the newest last.
     documents: VecDeque<Arc<Document>>,
-    made: VecDeque<Arc<Made>>,
+    made: VecDeque<Made>,
 }
 
 impl Kept {
@@ -85,20 +92,18 @@
     }
 
     /// The difference to a document from the one of a version, or from nothing where that is not kept.
-    fn difference(&mut self, former: Version, document: &Arc<Document>) -> Arc<Made> {
+    fn difference(&mut self, former: Version, document: &Arc<Document>) -> Made {
         let former = self.find(former).cloned().unwrap_or_default();
-        let same = |made: &&Arc<Made>| {
-            made.former.version == former.version && made.document.version == document.version
-        };
+        let same = |made: &&Made| (made.former, made.version) == (former.version, document.version);
         if let Some(made) = self.made.iter().find(same) {
             return made.clone();
         }
-        let made = Made { former, document: document.clone(), packed: OnceCell::new() };
-        self.made.push_back(Arc::new(made));
+        let made = Made::begin(&former, document);
+        self.made.push_back(made.clone());
         if self.made.len() > MADE {
             self.made.pop_front();
         }
-        self.made[self.made.len() - 1].clone()
+        made
     }
 }
 
@@ -127,20 +132,20 @@
     let mut documents = node.board.follow_document();
     let wanted = documents.wait_for(|document| document.version >= ask.wanted);
     let newest = tokio::time::timeout(WAIT, wanted).await.ok()?.ok()?.clone();
-    let made = {
+    let mut made = {
         let mut kept = lock(&node.documents.kept);
         // What was begun goes on to its end, though there may be a newer document by now.
         let begun = kept.find(ask.wanted).cloned().filter(|_| ask.offset > 0);
         kept.difference(ask.held, &begun.unwrap_or(newest))
     };
-    let packed = made.packed().await;
+    let packed = made.packed().await?;
     let size = packed.bytes.len();
-    let goes_on = made.document.version == ask.wanted && (ask.offset as usize) < size;
+    let goes_on = made.version == ask.wanted && (ask.offset as usize) < size;
     let offset = if goes_on { ask.offset as usize } else { 0 };
     let bytes = packed.bytes[offset..size.min(offset + PIECE_BYTES)].to_vec();
     Some(DocumentPiece {
-        former: made.former.version,
-        version: made.document.version,
+        former: made.former,
+        version: made.version,
         digest: packed.digest,
         size: size as u32,
         offset: offset as u32,
--- a/src/state/difference.rs
+++ b/src/state/difference.rs
@@ -67,7 +67,9 @@
         let (former, text) = (former.as_bytes(), text.as_bytes());
         let blocks = index(former);
         let mut steps = Vec::new();
-        let (mut at, mut done) = (0, 0);
+        // Without a former text there is nothing to look for.
+        let mut at = if blocks.is_empty() { text.len() } else { 0 };
+        let mut done = 0;
         // Where the text at `at` would stand in the former one, had nothing changed since the last stretch.
         let mut expected = 0;
         while at + BLOCK <= text.len() {
