--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -359,6 +359,12 @@
         self.boxes[&self.ip(place)].log.lock().unwrap().len()
     }
 
+    /// How many lines of a box's log hold `part`.
+    pub fn count_lines(&self, place: u8, part: &str) -> usize {
+        let log = self.boxes[&self.ip(place)].log.lock().unwrap();
+        log.iter().filter(|line| line.contains(part)).count()
+    }
+
     /// Whether a box has logged a line that holds `part`, from line `from` on.
     pub fn has_line(&self, place: u8, from: usize, part: &str) -> bool {
         let log = self.boxes[&self.ip(place)].log.lock().unwrap();
