Tests: documents over links that break, seeded; stand-ins for backend servers have a file of their own

Three seeds of changes in a row while a drawn link breaks in the middle of an answer after each: the box ends with the newest, and nothing damaged was put in force.

--- a/tests/behind.rs
+++ b/tests/behind.rs
@@ -17,6 +17,7 @@
 use platform::{Act, StandIn, TestRelay, document, route, until, usual_routes};
 use serde_json::Value;
 use system::System;
+use yare::parameterized;
 
 /// Seen by callers: a route was refused with 404 seconds after operators had the word that it is in force. The box
 /// had been out of touch with the group for 3.6 s, and held the document before.
@@ -328,3 +329,36 @@
     system.publish(2, &large).await;
     assert_eq!(system.read(3).await, large);
 }
+
+/// Links that break in the middle of answers, a drawn one after each change, while the document changes on and on: the
+/// box ends with the newest, and what it held meanwhile was always whole.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+)]
+fn changes_over_links_that_break_end_in_the_newest_document(seed: u64) {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.unwrap().block_on(async {
+        let mut routes = incompressible_routes(600);
+        let (system, proxies, _server) = serving(&document(1, &routes)).await;
+        let mut state = seed;
+        for version in 2..=16 {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let (place, bytes) = ((state >> 33) as usize % 5, 1_000 + (state >> 40) % 90_000);
+            proxies[place].set(Fault::CutAnswer(bytes));
+            // Half of the changes are large, so that they come in pieces.
+            match version % 2 {
+                0 => routes = incompressible_routes(600 + 10 * version),
+                _ => routes.push(route(&format!("added-{version}"), "safe", 2)),
+            }
+            system.publish(1 + (version % 5) as u8, &document(version, &routes)).await;
+            proxies[(place + 1) % 5].set(Fault::None);
+        }
+        proxies.iter().for_each(|proxy| proxy.set(Fault::None));
+        system.wait_line(11, 0, &["event=routes_in_force version=16 "]).await;
+        assert!(!system.has_line(11, 0, "event=document_unfit"));
+        assert!(!system.has_line(11, 0, "event=document_invalid"));
+    });
+}
--- /dev/null
+++ b/tests/support/stand_in.rs
@@ -0,0 +1,370 @@
+//! A stand-in for a backend server that speaks the users' platform's words.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use emberturn::relay::list::Server;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+use super::PATIENCE;
+
+/// What a stand-in does with a request.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Answers whole and signed.
+    Answer,
+    /// Answers whole, signed, with this id in place of the request's.
+    AnswerAs(&'static str),
+    /// Answers whole without a signature.
+    Unsigned,
+    /// Answers with this status, signed, as run.
+    Fail(u16),
+    /// Says that it has not run the request.
+    Refuse,
+    /// Another engine has the address.
+    Misdirected,
+    /// Reads the request and closes.
+    Close,
+    /// Reads the request and says nothing until the caller goes.
+    Silent,
+    /// A stream of events from the one after the last the caller has, up to this one.
+    Events(u64),
+    /// The same, but cut inside the event behind this one.
+    CutAfter(u64),
+    /// Events up to this one, then nothing until its run is moved, which cuts the stream.
+    UntilMoved(u64),
+    /// Events up to this one, of so many bytes and more, as fast as they are taken.
+    Large(u64, usize),
+    /// One event, then the rest up to this one after a pause.
+    PauseAfterFirst(u64, Duration),
+}
+
+/// What a stand-in says of its life.
+#[derive(Debug, Clone, Copy)]
+pub enum Tells {
+    /// Nothing, and it moves runs that it is asked to move.
+    Nothing,
+    /// Its life; it knows no run to move.
+    Life(u64),
+    /// The same, but it gives no report.
+    LifeInMoves(u64),
+}
+
+/// A request as it reached a stand-in.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// The first line.
+    pub line: String,
+    /// The headers, in lower case.
+    pub headers: HashMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A stand-in for a backend server.
+pub struct StandIn {
+    /// Its id.
+    pub id: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    count: watch::Receiver<usize>,
+    gone: watch::Receiver<usize>,
+    reports: watch::Receiver<usize>,
+    running: JoinHandle<()>,
+}
+
+impl StandIn {
+    /// Starts one that does the acts in turn, and the last of them from then on.
+    pub async fn start(id: &str, acts: &[Act]) -> Self {
+        Self::start_at(id, "127.0.0.1:0".parse().unwrap(), Tells::Nothing, acts).await
+    }
+
+    /// Starts one in a life that it tells, at an address.
+    pub async fn start_at(id: &str, addr: SocketAddr, tells: Tells, acts: &[Act]) -> Self {
+        let listener = TcpListener::bind(addr).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
+        let (counted, count) = watch::channel(0);
+        let (left, gone) = watch::channel(0);
+        let (acts, held) = (acts.to_vec(), seen.clone());
+        let (counted, left) = (Arc::new(counted), Arc::new(left));
+        let itself = Arc::new(Itself { tells, ..Itself::default() });
+        let reports = itself.reports.subscribe();
+        let running = tokio::spawn(async move {
+            // With this task all connections end.
+            let mut connections = JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                let (acts, held) = (acts.clone(), held.clone());
+                let (counted, left, itself) = (counted.clone(), left.clone(), itself.clone());
+                connections.spawn(async move {
+                    let _ = talk(stream, &acts, &held, &counted, &itself).await;
+                    left.send_modify(|count| *count += 1);
+                });
+            }
+        });
+        Self { id: id.to_owned(), addr, seen, count, gone, reports, running }
+    }
+
+    /// Kills it: its connections break, and nobody listens at its address.
+    pub async fn kill(self) -> SocketAddr {
+        self.running.abort();
+        let _ = self.running.await;
+        self.addr
+    }
+
+    /// Waits until it was asked for a report so many times.
+    pub async fn wait_reports(&mut self, wanted: usize) {
+        let waiting = self.reports.wait_for(|count| *count >= wanted);
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap().unwrap();
+    }
+
+    /// The requests so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Waits for so many requests.
+    pub async fn wait_seen(&mut self, wanted: usize) {
+        let waiting = self.count.wait_for(|count| *count >= wanted);
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap().unwrap();
+    }
+
+    /// Waits until so many connections have ended.
+    pub async fn wait_gone(&mut self, wanted: usize) {
+        let waiting = self.gone.wait_for(|count| *count >= wanted);
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap().unwrap();
+    }
+
+    /// How the platform lists it.
+    pub fn listed(&self, service: &str) -> Server {
+        Server {
+            id: self.id.parse().unwrap(),
+            service: service.parse().unwrap(),
+            addr: self.addr,
+            data_centre: "here".parse().unwrap(),
+            release: "v1".parse().unwrap(),
+            slots: 8,
+            leaving: false,
+            leaves_in: None,
+            spot: false,
+        }
+    }
+}
+
+/// What a stand-in says of itself.
+struct Itself {
+    /// Its life, where it tells it.
+    tells: Tells,
+    /// Whether a run was moved.
+    moved: watch::Sender<bool>,
+    /// Reports it was asked for.
+    reports: watch::Sender<usize>,
+}
+
+impl Default for Itself {
+    fn default() -> Self {
+        let (moved, reports) = (watch::Sender::new(false), watch::Sender::new(0));
+        Self { tells: Tells::Nothing, moved, reports }
+    }
+}
+
+impl Itself {
+    /// Its report, or a word that there is none.
+    fn report(&self) -> String {
+        self.reports.send_modify(|count| *count += 1);
+        let Tells::Life(born) = self.tells else {
+            return "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_owned();
+        };
+        let body = json!({"born": born, "state": "ready", "num_running": 1, "num_waiting": 0});
+        Self::answer("200 OK", &body)
+    }
+
+    /// Its answer to a move: in a life that it tells, it knows no run.
+    fn moved(&self) -> String {
+        match self.tells {
+            Tells::Nothing => Self::answer("200 OK", &json!({"handle": "h-1", "made": 2})),
+            Tells::Life(born) | Tells::LifeInMoves(born) => {
+                Self::answer("404 Not Found", &json!({ "born": born }))
+            }
+        }
+    }
+
+    fn answer(status: &str, body: &Value) -> String {
+        let body = body.to_string();
+        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    }
+}
+
+/// Reads one request; `None` at the end of the connection.
+pub async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<Seen>> {
+    let mut held = Vec::new();
+    let end = loop {
+        if let Some(place) = held.windows(4).position(|four| four == b"\r\n\r\n") {
+            break place;
+        }
+        let mut piece = [0; 4096];
+        let read = stream.read(&mut piece).await?;
+        if read == 0 {
+            return Ok(None);
+        }
+        held.extend_from_slice(&piece[..read]);
+    };
+    let head = String::from_utf8_lossy(&held[..end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let line = lines.next().unwrap_or_default().to_owned();
+    let headers: HashMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let length: usize = headers.get("content-length").map_or(0, |text| text.parse().unwrap());
+    let mut body = held[end + 4..].to_vec();
+    while body.len() < length {
+        let mut piece = [0; 4096];
+        let read = stream.read(&mut piece).await?;
+        if read == 0 {
+            return Ok(None);
+        }
+        body.extend_from_slice(&piece[..read]);
+    }
+    Ok(Some(Seen { line, headers, body }))
+}
+
+async fn talk(
+    mut stream: TcpStream,
+    acts: &[Act],
+    seen: &Mutex<Vec<Seen>>,
+    counted: &watch::Sender<usize>,
+    itself: &Itself,
+) -> std::io::Result<()> {
+    while let Some(request) = read_request(&mut stream).await? {
+        if request.line.starts_with("GET /report ") {
+            stream.write_all(itself.report().as_bytes()).await?;
+            continue;
+        }
+        if request.line.starts_with("POST /kv-move ") {
+            itself.moved.send_replace(true);
+            stream.write_all(itself.moved().as_bytes()).await?;
+            continue;
+        }
+        let place = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(request.clone());
+            seen.len()
+        };
+        counted.send_replace(place);
+        let act = acts.get(place - 1).or(acts.last()).unwrap();
+        if !perform(&mut stream, act, &request, &itself.moved).await? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// The text of one event.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+/// The text of an event of `size` bytes and more.
+pub fn large_event(number: u64, size: usize) -> String {
+    format!("id: {number}\ndata: {}\n\n", "x".repeat(size))
+}
+
+/// The text of a stream up to an event.
+pub fn events(last: u64) -> String {
+    (1..=last).map(event).collect()
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Performs an act; whether the connection goes on.
+async fn perform(
+    stream: &mut TcpStream,
+    act: &Act,
+    request: &Seen,
+    moved: &watch::Sender<bool>,
+) -> std::io::Result<bool> {
+    let id = request.headers.get("request-id").cloned().unwrap_or_default();
+    let whole = |status: &str, id: &str, extra: &str, body: &str| {
+        format!(
+            "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    let signed = "Response-Signature: sig\r\nInstance-Load: 1,0,8\r\n";
+    let stream_head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Type: text/event-stream\r\n{signed}Transfer-Encoding: chunked\r\n\r\n"
+    );
+    let resumed = request.headers.get("last-event-id").map_or(0, |text| text.parse().unwrap());
+    match act {
+        Act::Answer => stream.write_all(whole("200 OK", &id, signed, "answer").as_bytes()).await?,
+        Act::AnswerAs(other) => {
+            stream.write_all(whole("200 OK", other, signed, "answer").as_bytes()).await?;
+        }
+        Act::Unsigned => stream.write_all(whole("200 OK", &id, "", "answer").as_bytes()).await?,
+        Act::Fail(status) => {
+            let status = format!("{status} Failed");
+            stream.write_all(whole(&status, &id, signed, "failed").as_bytes()).await?;
+        }
+        Act::Refuse => {
+            let text = whole("503 Service Unavailable", &id, "Not-Executed: 1\r\n", "");
+            stream.write_all(text.as_bytes()).await?;
+        }
+        Act::Misdirected => {
+            let text = whole("421 Misdirected Request", "", "Instance-Id: other\r\n", "");
+            stream.write_all(text.as_bytes()).await?;
+        }
+        Act::Close => return Ok(false),
+        Act::Silent => {
+            let mut rest = [0; 64];
+            while stream.read(&mut rest).await? > 0 {}
+            return Ok(false);
+        }
+        Act::Events(last) => {
+            let mut text = stream_head;
+            (resumed + 1..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
+            text.push_str("0\r\n\r\n");
+            stream.write_all(text.as_bytes()).await?;
+        }
+        Act::CutAfter(last) => {
+            let mut text = stream_head;
+            (resumed + 1..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
+            text.push_str(&chunk(&event(last + 1)[..6]));
+            stream.write_all(text.as_bytes()).await?;
+            return Ok(false);
+        }
+        Act::UntilMoved(last) => {
+            let mut text = stream_head;
+            (resumed + 1..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
+            stream.write_all(text.as_bytes()).await?;
+            let mut waiting = moved.subscribe();
+            let _ = waiting.wait_for(|moved| *moved).await;
+            return Ok(false);
+        }
+        Act::Large(last, size) => {
+            stream.write_all(stream_head.as_bytes()).await?;
+            for number in resumed + 1..=*last {
+                stream.write_all(chunk(&large_event(number, *size)).as_bytes()).await?;
+            }
+            stream.write_all(b"0\r\n\r\n").await?;
+        }
+        Act::PauseAfterFirst(last, pause) => {
+            stream.write_all((format!("{stream_head}{}", chunk(&event(1)))).as_bytes()).await?;
+            tokio::time::sleep(*pause).await;
+            let mut text = String::new();
+            (2..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
+            text.push_str("0\r\n\r\n");
+            stream.write_all(text.as_bytes()).await?;
+        }
+    }
+    Ok(true)
+}
