What boxes may hold while nobody reports is no room for more

Cause by its trace, two faults of one kind: what a box has on lease grows by its rate while nobody reports. 1. The level let 6.8 s of the rate in at once, after it had forgotten the box whose lease had just ended: full again (183,234) beside the 331,400 that the box had spent. It comes in step by step now, held against what the box may hold meanwhile. 2. The leader looks at levels ten times a second now, reports or not.

The World of the test looks as the leader does, without a number drawn more. With the steps off the new test of the level fails (1,000 left, -3,610 at most). Lead::next_low looked every 500 ms, now every 100: a walk over the boxes of each level, as a report makes.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -297,7 +297,7 @@
     }
 
     /// Relays that this leader has not heard and a former one had.
-    fn unheard(&self) -> u32 {
+    pub(super) fn unheard(&self) -> u32 {
         self.told.saturating_sub((self.present.len() as u32).max(1))
     }
 
--- a/src/control/notes.rs
+++ b/src/control/notes.rs
@@ -7,14 +7,15 @@
 use super::duties::SETTLE_TIME;
 use super::lead::{Lead, follow_table, tolerance};
 use crate::decide::hazard::Learned;
-use crate::decide::level::Tolerance;
+use crate::decide::level::{Noted, Tolerance};
 use crate::ids::{ServiceName, TeamName};
 use crate::node::Node;
+use crate::relay::table::RouteTable;
 use crate::state::notes::{LowTeams, Notes, Spells};
 use crate::state::{Command, Reply};
 
-/// Time between two looks at whether levels have recovered.
-const LOW_TIME: Duration = Duration::from_millis(500);
+/// Time between two looks at the levels.
+const LOOK_TIME: Duration = Duration::from_millis(100);
 
 /// Time between two notes: each is a synced entry of the group's log, beside the ones that operators
 /// wait for. Levels are noted that long before they are low.
@@ -27,7 +28,7 @@
 /// Keeps the group's notes while this process leads.
 pub(super) async fn keep(node: Arc<Node>) {
     loop {
-        let _ = tokio::time::timeout(LOW_TIME, node.lacking.notified()).await;
+        let _ = tokio::time::timeout(LOOK_TIME, node.lacking.notified()).await;
         let Some(term) = node.leading_term().await else {
             continue;
         };
@@ -109,11 +110,29 @@
         spells.iter().any(differs).then_some(spells)
     }
 
+    /// Looks at the levels of the teams that are not noted as low.
+    fn look_at_levels(&mut self, now: f64, table: &RouteTable, tolerance: Tolerance) {
+        let unheard = self.unheard();
+        let Some(low) = &self.low else {
+            return;
+        };
+        for (name, level) in self.levels.iter_mut().filter(|(name, _)| !low.contains(*name)) {
+            let limit = table.teams.get(name).and_then(|team| team.limit());
+            if let Some(limit) = limit {
+                level.look(now, limit.with(tolerance), Noted::Reserve, unheard);
+                if level.is_lacking() {
+                    self.lacking.insert(name.clone());
+                }
+            }
+        }
+    }
+
     /// Which teams' levels are to be noted as low, if not those that are. Teams that have recovered
     /// are held to their reserve at once: the group may take any time to forget them.
     fn next_low(&mut self, tolerance: Tolerance) -> Option<LowTeams> {
         let now = self.since.elapsed().as_secs_f64();
         let table = self.table.clone()?;
+        self.look_at_levels(now, &table, tolerance);
         let low = self.low.as_mut()?;
         let recovered = |name: &TeamName| {
             let limit = table.teams.get(name).and_then(|team| team.limit());
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -35,6 +35,10 @@
 /// low: a team at its rate uses it up in a tenth of a second, several times what a note takes.
 const NEAR_PART: f64 = 0.05;
 
+/// Seconds ahead for which a bucket is to stay above its reserve: until the leader's next look, and until the
+/// group has noted what it finds.
+const AHEAD_TIME: f64 = 0.4;
+
 /// Seconds for which a level was not near its reserve before the group may forget that it was low: one
 /// that moves around it would have the group note it each time.
 const LOW_TIME: f64 = 5.0;
@@ -300,15 +304,32 @@
         (key, holder)
     }
 
+    /// Looks at the bucket at `now`, also where no box reports: what boxes may hold grows by their rates all
+    /// the same, and the group is to note in time that less than the reserve is left beside that.
+    pub fn look(&mut self, now: f64, limit: Limit, noted: Noted, unheard: u32) {
+        self.fill(now, limit, unheard);
+        let ahead = self.left - self.sums.leased * AHEAD_TIME;
+        if ahead < (RESERVE_PART + NEAR_PART) * limit.burst && !self.holders.is_empty() {
+            self.near = now;
+            self.lacking |= noted == Noted::Reserve;
+        }
+    }
+
     /// Whether the group is to note that the level may be low.
     pub fn is_lacking(&self) -> bool {
         self.lacking
     }
 
     /// Whether the level is for long so far above its reserve that the group may forget that it was low.
+    /// What boxes hold does not count: the next leader begins with the reserve beside that.
     pub fn has_recovered(&self, now: f64, limit: Limit) -> bool {
-        let calm = now - self.near > LOW_TIME;
-        calm && self.whole() >= RECOVERED_PART * limit.burst
+        let is_calm = now - self.near > LOW_TIME && !self.is_near(limit);
+        is_calm && self.whole() >= RECOVERED_PART * limit.burst
+    }
+
+    /// Whether what nobody holds is near the reserve, or below it.
+    fn is_near(&self, limit: Limit) -> bool {
+        self.left < (RESERVE_PART + NEAR_PART) * limit.burst
     }
 
     /// What nobody has been allowed; below nothing after boxes were silent.
@@ -323,31 +344,44 @@
 
     /// Notes whether the level is near its reserve, and whether the group is to know.
     fn note_near(&mut self, now: f64, limit: Limit, is_held: bool, is_short: bool) {
-        let is_near = self.left < (RESERVE_PART + NEAR_PART) * limit.burst;
+        let is_near = self.is_near(limit);
         if is_near {
             self.near = now;
         }
         self.lacking = is_held && (is_near || is_short);
     }
 
-    /// Lets the rate come in up to `now`; the rate.
+    /// Lets the rate come in up to `now`; the rate. It comes in step by step: while a box's lease holds, what
+    /// comes in beside all that the box may hold goes no higher than the burst, also where nobody reported in
+    /// all that time.
     fn fill(&mut self, now: f64, limit: Limit, unheard: u32) -> f64 {
+        while self.at + WALK_TIME < now && !self.holders.is_empty() {
+            self.fill_to(self.at + WALK_TIME, limit, unheard);
+        }
+        self.fill_to(now.max(self.at), limit, unheard)
+    }
+
+    fn fill_to(&mut self, now: f64, limit: Limit, unheard: u32) -> f64 {
         if now >= self.walked {
             self.walk(now);
         }
-        // Boxes that are not heard may have on lease what those that are do not.
-        let is_new = now - self.first < LEASE_TIME.as_secs_f64();
-        let income = match unheard > 0 && is_new {
-            true => self.claimed.min(limit.rate),
-            false => limit.rate,
-        };
-        let came = income * (now - self.at).max(0.0);
+        let income = self.income(now, limit, unheard);
+        let came = income * (now - self.at);
         let over = (self.whole() + came - limit.burst).max(0.0);
         self.left += came - over;
         self.at = now;
         income
     }
 
+    /// What comes in a second. Boxes that are not heard may have on lease what those that are do not.
+    fn income(&self, now: f64, limit: Limit, unheard: u32) -> f64 {
+        let is_new = now - self.first < LEASE_TIME.as_secs_f64();
+        match unheard > 0 && is_new {
+            true => self.claimed.min(limit.rate),
+            false => limit.rate,
+        }
+    }
+
     /// Takes the boxes' rates off the level up to the next walk, forgets the boxes whose leases have
     /// ended (what they may have used stays off the level), and adds up the others.
     fn walk(&mut self, now: f64) {
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -268,3 +268,43 @@
     let kept = Notes { low: teams, ..Notes::default() };
     assert_eq!(machine.apply(3, &Command::ReadNotes), Reply::Notes(kept));
 }
+
+/// A level with one box, which has all of the rate on lease that a box may have, reported last at 1 s.
+fn level_with_a_lease() -> (TeamLevel, f64) {
+    let box_id: BoxId = "box-0".parse().unwrap();
+    let mut level = TeamLevel::new(0.0);
+    let mut rate = 0.0;
+    for (turn, at) in [(1, 0.0), (2, 0.5), (3, 1.0)] {
+        let mut word = Word { turn, ..word(0.0, 0.0) };
+        word.demand.usual = 2_000.0;
+        rate = level.hear(at, LIMIT, Noted::Low, 0, &box_id, word).unwrap().rate;
+    }
+    assert!(rate >= 0.8 * LIMIT.rate, "{rate}");
+    (level, rate)
+}
+
+#[test]
+fn lease_that_grows_while_nobody_reports_is_no_room_for_more() {
+    // The box may use all of its lease at its end; what comes in meanwhile stands against that.
+    let (mut level, rate) = level_with_a_lease();
+    let other: BoxId = "box-1".parse().unwrap();
+    let word = Word { turn: 1, ..word(0.0, 0.0) };
+    level.hear(7.5, LIMIT, Noted::Low, 0, &other, word).unwrap();
+    let held = 5.9 * rate;
+    let most = LIMIT.burst - held + 0.7 * LIMIT.rate;
+    assert!(level.whole() <= most, "{} left, {most} at most", level.whole());
+}
+
+#[test]
+fn reserve_that_boxes_eat_into_without_a_report_is_noted_as_low() {
+    let (mut level, _) = level_with_a_lease();
+    let mut lacking = Vec::new();
+    for step in 0..40 {
+        let now = 1.0 + 0.1 * f64::from(step);
+        level.look(now, LIMIT, Noted::Reserve, 0);
+        lacking.push(level.is_lacking());
+        assert!(level.left() >= 0.4 * LIMIT.burst || level.is_lacking(), "{now}");
+    }
+    assert!(lacking.contains(&true));
+    assert!(!level.has_recovered(5.0, LIMIT));
+}
--- a/tests/team_limit.rs
+++ b/tests/team_limit.rs
@@ -13,6 +13,7 @@
 
 const STEP: f64 = 0.02;
 const BEAT: f64 = 0.4;
+const LOOK: f64 = 0.1;
 const HURRY: f64 = 0.06;
 const ASK: f64 = 0.15;
 const SIZES: [f64; 3] = [200.0, 2_400.0, 12_000.0];
@@ -72,6 +73,8 @@
     /// What the group has noted, and from when on a note to come counts.
     noted: Noted,
     notes: Option<f64>,
+    /// When the leader looked at the level last.
+    looked: f64,
     /// From when there is a leader.
     leads_from: f64,
     heard: BTreeMap<BoxId, f64>,
@@ -104,6 +107,7 @@
             level: None,
             noted: Noted::Reserve,
             notes: None,
+            looked: 0.0,
             leads_from: 0.0,
             heard: BTreeMap::new(),
             told: 0,
@@ -139,10 +143,7 @@
             let until = now + self.rng.random_range(0.1..1.5);
             self.lose_leader(until);
         }
-        let limit = kept(&self.day);
-        if self.level.as_ref().is_some_and(|level| level.has_recovered(now, limit)) {
-            self.noted = Noted::Reserve;
-        }
+        self.look(now);
         if self.notes.is_some_and(|at| at <= now) {
             (self.noted, self.notes) = (Noted::Low, None);
         }
@@ -161,6 +162,23 @@
         }
     }
 
+    /// The leader's look at the level, ten times a second.
+    fn look(&mut self, now: f64) {
+        let limit = kept(&self.day);
+        let unheard = self.told.saturating_sub(self.heard.len().max(1) as u32);
+        let Some(level) = self.level.as_mut().filter(|_| now >= self.looked + LOOK) else {
+            return;
+        };
+        self.looked = now;
+        level.look(now, limit, self.noted, unheard);
+        if level.is_lacking() && self.notes.is_none() {
+            self.notes = Some(now + 0.04);
+        }
+        if level.has_recovered(now, limit) {
+            self.noted = Noted::Reserve;
+        }
+    }
+
     /// The leader is lost; the next one leads from `until` on.
     fn lose_leader(&mut self, until: f64) {
         self.level = None;
