A server that is back in a box's part of the list is asked only if its life may be another

Cause: each part that splits or joins as the list grows takes servers out of a box's parts and brings others back, and each that was back was asked for a report, over a connection of its own. Where nobody ever named its life, or the list names the one that is known, nothing that was believed of it can be of another life.

--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -291,6 +291,11 @@
         }
     }
 
+    /// Whether servers are to be asked for a report, now or later.
+    pub fn has_doubts(&self) -> bool {
+        lock(&self.doubts).next().is_some()
+    }
+
     /// The servers to ask for a report now; waits until there is one.
     pub(super) async fn doubtful(&self) -> Vec<Arc<Known>> {
         loop {
@@ -383,7 +388,9 @@
                 // What the leader told last may be of the former life.
                 self.told.store(Arc::default());
             }
-            let is_back = before.is_none() && life.is_some();
+            // What nobody has named, or what the list names alike, gives no reason to ask.
+            let is_back = before.is_none()
+                && life.is_some_and(|it| !it.told().is_none() && it.told() != listed.life);
             if is_back || before.is_some_and(|it| it.server.addr != known.server.addr) {
                 self.doubt(&known);
             }
--- a/tests/server_lives.rs
+++ b/tests/server_lives.rs
@@ -593,3 +593,25 @@
     let service: ServiceName = "svc".parse().unwrap();
     assert_eq!(one.book.of(&service)[0].life(), later);
 }
+
+/// Has a box take a list without any server.
+fn take_none(book: &ServerBook, place: u64) {
+    let version = ListVersion { term: Term(1), place };
+    book.take_index(ListIndex::new(version, Vec::new()));
+}
+
+#[test]
+fn server_that_is_back_in_a_boxs_part_of_the_list_is_asked_only_if_its_life_may_be_another() {
+    let life = former();
+    // Nobody ever named its life; the list names the one that is known; the list names none any more.
+    for (listed, named, asks) in [(NONE, false, false), (life, true, false), (NONE, true, true)] {
+        let book = ServerBook::default();
+        take(&book, 1, server(false), listed);
+        if named {
+            book.hear_life(&known(&book), life);
+        }
+        take_none(&book, 2);
+        take(&book, 3, server(false), listed);
+        assert_eq!(book.has_doubts(), asks, "listed as {listed}, named {named}");
+    }
+}
