Parts of the list are packed once for all boxes

Cause: each box that asks for a part had its servers copied, encoded and written as text anew. When the list changes, all boxes ask for all parts within a second: boxes times parts, 27 KB each, on the leader that answers demands meanwhile. And each new list had each box's parts found by hashing the names of all parts: boxes times parts again.

A part is packed when the first box asks, and stays packed while it does not change; its place is hashed once. The time left of leaving servers goes beside the parts.

--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -8,6 +8,7 @@
 
 use crate::group::access::Access;
 use crate::relay::Relay;
+use crate::relay::list::PackedParts;
 use crate::relay::list_book::PARTS_LIMIT;
 
 /// How long an answer may take: 50 KB beside a box's traffic on a link of 10 Mbit/s, and the search for
@@ -28,11 +29,7 @@
         }
         wanted.truncate(PARTS_LIMIT);
         let came = match access.list_parts(&wanted, ANSWER_TIME).await {
-            Ok(parts) => {
-                let came = parts.len();
-                relay.put_parts(parts);
-                came
-            }
+            Ok(packed) => put(&relay, &packed),
             Err(error) => {
                 tracing::debug!(event = "list_parts_unanswered", %error);
                 0
@@ -44,3 +41,18 @@
         }
     }
 }
+
+/// Takes parts; how many came.
+fn put(relay: &Relay, packed: &PackedParts) -> usize {
+    match packed.unpack() {
+        Ok(parts) => {
+            let came = parts.len();
+            relay.put_parts(parts);
+            came
+        }
+        Err(error) => {
+            tracing::warn!(event = "list_parts_unreadable", %error);
+            0
+        }
+    }
+}
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -29,7 +29,7 @@
 use crate::node::Node;
 use crate::platform::client::Order;
 use crate::relay::RELAYS_GUESSED;
-use crate::relay::list::{ListPart, PartId, Print, Server, ToldLife};
+use crate::relay::list::{PackedParts, PartId, Print, Server, ToldLife};
 use crate::relay::list_book::ListBook;
 use crate::relay::listing::Unread;
 use crate::relay::part_loads::{self, PartLoads};
@@ -482,9 +482,9 @@
 pub(crate) async fn give_parts(
     node: Arc<Node>,
     wanted: Vec<PartId>,
-) -> Result<Vec<ListPart>, Unanswered> {
+) -> Result<PackedParts, Unanswered> {
     let term = node.leading_term().await.ok_or(Unanswered::NotLeader(None))?;
-    Ok(node.with_lead(term, |lead| lead.list.contents(&wanted, Instant::now())))
+    Ok(node.with_lead(term, |lead| lead.list.packed_contents(&wanted, Instant::now())))
 }
 
 pub(super) fn tolerance(node: &Node) -> Tolerance {
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -22,7 +22,7 @@
 use crate::ids::{BoxId, TeamName};
 use crate::peer::packed::Packed;
 use crate::peer::{Peers, method};
-use crate::relay::list::{ListPart, PartId};
+use crate::relay::list::{PackedParts, PartId};
 use crate::state::work::{WorkId, WorkView};
 use crate::state::{Command, Reply};
 use crate::sync::lock;
@@ -117,10 +117,9 @@
         &self,
         wanted: &[PartId],
         limit: Duration,
-    ) -> Result<Vec<ListPart>, NoGroup> {
+    ) -> Result<PackedParts, NoGroup> {
         let wanted = Packed(wanted);
-        let answer = self.until_answered(method::LIST_PARTS, &wanted, limit, CALL_TIME).await;
-        answer.map(|Packed(parts)| parts)
+        self.until_answered(method::LIST_PARTS, &wanted, limit, CALL_TIME).await
     }
 
     /// Reads kept work at the leader.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -26,7 +26,7 @@
 use crate::member::table::News;
 use crate::node::Node;
 use crate::peer::packed::Packed;
-use crate::relay::list::{ListPart, PartId};
+use crate::relay::list::{PackedParts, PartId};
 use crate::state::rollout::RolloutOrder;
 use crate::state::work::{WorkId, WorkView};
 use crate::state::{Command, Reply};
@@ -174,8 +174,8 @@
 async fn list_parts(
     node: Arc<Node>,
     Packed(wanted): Packed<Vec<PartId>>,
-) -> Result<Result<Packed<Vec<ListPart>>, Unanswered>, String> {
-    Ok(lead::give_parts(node, wanted).await.map(Packed))
+) -> Result<Result<PackedParts, Unanswered>, String> {
+    Ok(lead::give_parts(node, wanted).await)
 }
 
 async fn document_piece(
--- a/src/relay/list.rs
+++ b/src/relay/list.rs
@@ -9,12 +9,14 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{BackendId, DataCentre, Incarnation, Release, ServerKey, ServiceName, Term};
 use crate::member::table::fingerprint;
+use crate::peer::packed::{Unreadable, pack, unpack};
 use crate::units::Millis;
 
 /// A backend server as the platform lists it.
@@ -240,7 +242,43 @@
     servers: Vec<PartServer>,
 }
 
+/// Parts of the list, each packed once for all boxes that ask for it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedParts {
+    /// Milliseconds since the parts were read.
+    pub passed: Millis,
+    /// The parts, each packed.
+    pub parts: Vec<Arc<str>>,
+}
+
+impl PackedParts {
+    /// The parts as they are now.
+    ///
+    /// # Errors
+    /// What cannot be read.
+    pub fn unpack(&self) -> Result<Vec<ListPart>, Unreadable> {
+        let unpacked = self.parts.iter().map(|part| {
+            let part: ListPart = unpack(part)?;
+            Ok(part.after(self.passed))
+        });
+        unpacked.collect()
+    }
+}
+
 impl ListPart {
+    /// The part as it goes into a call.
+    pub(super) fn packed(&self) -> Arc<str> {
+        pack(self).expect("a part has a packed form").into()
+    }
+
+    /// The part once `passed` of the time left is over.
+    fn after(mut self, passed: Millis) -> Self {
+        for left in self.servers.iter_mut().filter_map(|server| server.leaves_in.as_mut()) {
+            left.0 = left.0.saturating_sub(passed.0);
+        }
+        self
+    }
+
     /// The part of these servers, of which `passed` of the time left is over since they were listed.
     pub fn new(id: PartId, print: Print, servers: &[Listed], passed: Millis) -> Self {
         let servers = servers.iter().map(|Listed { server, life }| PartServer {
--- a/src/relay/list_book.rs
+++ b/src/relay/list_book.rs
@@ -2,16 +2,19 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use super::list::{ListIndex, ListPart, ListVersion, Listed, PartId, Print, Server, ToldLife};
+use super::list::{
+    ListIndex, ListPart, ListVersion, Listed, PackedParts, PartId, Print, Server, ToldLife,
+};
 use super::listing::{Listing, Unread};
 use crate::decide::lives::{Heard, Life, Moment, Speaker};
 use crate::decide::subset::{SUBSET, chosen, part_bits, part_place, parts_taken, shares};
 use crate::decide::topology::{Reach, Topology};
 use crate::ids::{BackendId, BoxId, DataCentre, Region, Release, ServerKey, ServiceName, Term};
 use crate::member::table::fingerprint;
+use crate::units::Millis;
 
 /// Parts that an answer brings at most: 24 of up to 24 servers are 50 KB, 40 ms of a link of 10 Mbit/s.
 pub const PARTS_LIMIT: usize = 24;
@@ -27,7 +30,24 @@
 
 struct Part {
     print: Print,
+    /// A hash of its id: by it boxes take some parts and not others.
+    hash: u64,
     servers: Vec<Listed>,
+    /// Its content as it goes to boxes, once one has asked.
+    packed: OnceLock<Arc<str>>,
+}
+
+impl Part {
+    fn new(id: &PartId, servers: Vec<Listed>) -> Self {
+        let (print, hash) = (Print::of(&servers), fingerprint(&id.to_string()));
+        Self { print, hash, servers, packed: OnceLock::new() }
+    }
+
+    /// Packs the content, once for all boxes: hundreds ask for the same part when the list changes.
+    fn packed(&self, id: &PartId) -> Arc<str> {
+        let pack = || ListPart::new(id.clone(), self.print, &self.servers, Millis(0)).packed();
+        self.packed.get_or_init(pack).clone()
+    }
 }
 
 /// The life in which a server was last known.
@@ -176,7 +196,7 @@
             && parts
                 .iter()
                 .all(|(id, it)| self.parts.get(id).is_some_and(|held| held.print == it.print));
-        self.parts = parts;
+        self.keep_packed(parts);
         if is_same && !self.is_empty() {
             return None;
         }
@@ -189,6 +209,19 @@
         Some(self.version)
     }
 
+    /// Takes the parts of a new list. What of them has not changed, and has no time left that passes, need not
+    /// be packed again.
+    fn keep_packed(&mut self, mut parts: BTreeMap<PartId, Part>) {
+        for (id, part) in &mut parts {
+            let is_timed = part.servers.iter().any(|it| it.server.leaves_in.is_some());
+            let held = self.parts.remove(id).filter(|held| held.print == part.print && !is_timed);
+            if let Some(held) = held {
+                part.packed = held.packed;
+            }
+        }
+        self.parts = parts;
+    }
+
     /// The servers that were read, each as it is in its life: a notice of leaving that may be of an earlier
     /// one is held back until the platform has gone on showing it.
     fn in_lives(&mut self, now: Moment) -> Vec<Listed> {
@@ -254,7 +287,7 @@
                 }
                 _ => (SUBSET, self.counts.get(service).copied().unwrap_or(0)),
             };
-            let hashes: Vec<_> = group.iter().map(|(id, _)| fingerprint(&id.to_string())).collect();
+            let hashes: Vec<_> = group.iter().map(|(_, part)| part.hash).collect();
             let places = chosen(hash, &hashes, parts_taken(group.len(), wanted, there));
             taken.extend(
                 places.into_iter().map(|place| (group[place].0.clone(), group[place].1.print)),
@@ -283,6 +316,15 @@
         parts.map(of_part).collect()
     }
 
+    /// The contents of some parts as they go to boxes, [`PARTS_LIMIT`] at most; those that are no longer there
+    /// are left out.
+    pub fn packed_contents(&self, wanted: &[PartId], now: Instant) -> PackedParts {
+        let passed = self.read_at.map(|read| now.saturating_duration_since(read.at));
+        let wanted = wanted.iter().take(PARTS_LIMIT);
+        let parts = wanted.filter_map(|id| Some(self.parts.get(id)?.packed(id))).collect();
+        PackedParts { passed: passed.unwrap_or_default().into(), parts }
+    }
+
     /// The contents of some parts, [`PARTS_LIMIT`] at most; those that are no longer there are left out.
     pub fn contents(&self, wanted: &[PartId], now: Instant) -> Vec<ListPart> {
         let passed = self.read_at.map(|read| now.saturating_duration_since(read.at));
@@ -314,7 +356,8 @@
         servers.sort_unstable_by(|a, b| a.server.id.cmp(&b.server.id));
         let (service, data_centre) = (service.clone(), data_centre.clone());
         let id = PartId { service, data_centre, bits, place };
-        (id, Part { print: Print::of(&servers), servers })
+        let part = Part::new(&id, servers);
+        (id, part)
     });
     parts.collect()
 }
--- a/tests/server_list.rs
+++ b/tests/server_list.rs
@@ -1,6 +1,7 @@
 //! The list of backend servers as it goes from the leader to the boxes: in parts that stay.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Instant;
 
 use emberturn::decide::subset::{SUBSET, chosen, part_bits, parts_taken, shares};
@@ -381,3 +382,28 @@
     assert!(some.iter().all(|place| chosen(1, &parts, 9).contains(place)));
     assert_eq!(chosen(1, &parts, 100).len(), 64);
 }
+
+#[test]
+fn parts_are_packed_once_for_all_boxes_and_say_what_contents_says() {
+    let (mut leader, now) = (ListBook::default(), Instant::now());
+    let mut listed = servers(&(0..200).map(|id| (id, id == 7)).collect::<Vec<_>>());
+    leader.put(Term(1), listed.clone(), now).unwrap();
+    let ids: Vec<_> = leader.index(&box_id(1)).parts.iter().map(|(id, _)| id.clone()).collect();
+    let ids = &ids[..PARTS_LIMIT.min(ids.len())];
+    let later = now + std::time::Duration::from_millis(500);
+    let packed = leader.packed_contents(ids, later);
+    assert_eq!(packed.unpack().unwrap(), leader.contents(ids, later));
+    // The next box gets the same bytes, and after another reading all that has not changed stays packed.
+    let same =
+        |a: &[Arc<str>], b: &[Arc<str>]| a.iter().zip(b).filter(|(a, b)| Arc::ptr_eq(a, b)).count();
+    let again = leader.packed_contents(ids, later);
+    assert_eq!(same(&packed.parts, &again.parts), ids.len());
+    let place = listed.iter().position(|it| !it.leaving).unwrap();
+    listed.remove(place);
+    leader.put(Term(1), listed, later).unwrap();
+    let next = leader.packed_contents(ids, later);
+    let kept = same(&packed.parts, &next.parts);
+    // One part lost a server, and one holds the server that leaves, whose time left passes.
+    assert!((ids.len() - 2..ids.len()).contains(&kept), "{kept} of {}", ids.len());
+    assert_eq!(next.unpack().unwrap(), leader.contents(ids, later));
+}
