--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod decisions;
+mod limits;
 mod overhead;
 mod process;
 mod report;
@@ -29,6 +30,12 @@
     /// The replicated group and control traffic: appends, failover, catch-up, cost per node
     #[bpaf(command)]
     Control(#[bpaf(external(control::arguments))] control::Arguments),
+    /// A model of the teams' limits over fleets of many sizes, in virtual time
+    #[bpaf(command)]
+    Fleet {
+        /// One JSON object a size
+        json: bool,
+    },
     /// The pure decisions: time of a route and of a policy
     #[bpaf(command)]
     Decisions,
@@ -42,6 +49,10 @@
             Command::Serving(arguments) => serving::execute(arguments).await,
             Command::Overhead(arguments) => overhead::execute(arguments).await,
             Command::Control(arguments) => control::execute(arguments).await,
+            Command::Fleet { json } => {
+                limits::execute(json);
+                Ok(())
+            }
             Command::Decisions => {
                 decisions::execute();
                 Ok(())
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -10,9 +10,11 @@
 
 use super::models::ModelsWord;
 use crate::clock;
-use crate::decide::allowance::{Allowed, TeamDemand};
+use crate::decide::allowance::{Grant, TeamDemand};
 use crate::decide::capacity::Offered;
+use crate::decide::engine::Sample;
 use crate::decide::loads::ToldLoad;
+use crate::decide::pace::retry_time;
 use crate::decide::quarantine::{BoxWord, LeaderWord};
 use crate::decide::releases::{ReleaseWord, TrialWord};
 use crate::decide::telling::Telling;
@@ -25,17 +27,12 @@
 use crate::relay::usage::Counts;
 use crate::relay::{Relay, quarantine};
 use crate::state::notes::Models;
-
-/// Time between two beats.
-const BEAT_TIME: Duration = Duration::from_millis(400);
-
-/// Time between two beats while no leader answers, or this box has no list of backend servers yet.
-const LOST_TIME: Duration = Duration::from_millis(50);
+use crate::units::Millis;
 
 /// Time between two beats while a roll-out is about to change.
 const SOON_TIME: Duration = Duration::from_millis(200);
 
-/// Least time between two beats, also when a team has run out of its allowance.
+/// Least time between two beats, also when something is to be told at once.
 const HURRY_TIME: Duration = Duration::from_millis(60);
 
 /// How long the leader may take, with the search for it.
@@ -65,6 +62,8 @@
     pub offered: BTreeMap<ServiceName, Offered>,
     /// What this box has learned of engines, if it is news.
     pub engines: Option<Models>,
+    /// What requests showed of engines of which the box knows too little for a fit of its own.
+    pub samples: BTreeMap<ServiceName, Vec<Sample>>,
     /// The print of what it was told of engines last.
     pub models: Option<Print>,
     /// What the teams that come to this box used and were refused.
@@ -96,7 +95,7 @@
     /// milliseconds; nothing is said to a relay with another configuration.
     pub age: Option<u64>,
     /// What the teams may use on this box.
-    pub allowed: BTreeMap<TeamName, Allowed>,
+    pub allowed: BTreeMap<TeamName, Grant>,
     /// What all boxes have learned of engines, if it is news to the box.
     pub engines: Option<ModelsWord>,
     /// Whether the leader lacks what earlier words of this life of the box told.
@@ -111,6 +110,8 @@
     pub settled: Window,
     /// Relays that share the limits.
     pub relays: u32,
+    /// Time until the box's next heartbeat.
+    pub interval: Millis,
     /// The leader's data centre, to a word that tells all.
     pub data_centre: Option<DataCentre>,
 }
@@ -125,7 +126,7 @@
 
 /// Beats until the task is dropped.
 pub(crate) async fn run(relay: Arc<Relay>, access: Access, box_id: BoxId, life: Incarnation) {
-    let mut lost = false;
+    let (mut lost, mut failed) = (false, 0);
     let mut told = Told::default();
     loop {
         let heard = beat(&relay, &access, &mut told, &box_id, life).await;
@@ -135,10 +136,11 @@
         }
         lost = !heard;
         let listed = relay.servers.index_print().is_some();
-        let pause = match (heard && listed, relay.releases().is_soon()) {
-            (false, _) => LOST_TIME,
-            (true, true) => SOON_TIME,
-            (true, false) => BEAT_TIME,
+        failed = if heard && listed { 0 } else { failed + 1 };
+        let pause = match (failed > 0, relay.releases().is_soon()) {
+            (true, _) => retry_time(relay.relays(), failed - 1),
+            (false, true) => SOON_TIME,
+            (false, false) => relay.interval(),
         };
         let jitter = rand::rng().random_range(0.85..1.15);
         let hurried = async {
@@ -158,8 +160,8 @@
     life: Incarnation,
 ) -> bool {
     let asked = clock::now();
-    let demand = relay.allowances().tell(asked);
-    let turn = relay.allowances().turn();
+    let report = relay.allowances().report(asked);
+    let turn = report.turn;
     let news = told.telling.news(turn, relay.usage().counts(), relay.engines().learned());
     let beat = Beat {
         box_id: box_id.clone(),
@@ -172,8 +174,9 @@
         usage: news.usage.clone(),
         offered: relay.offered().rates(Instant::now()),
         engines: news.engines.clone(),
+        samples: relay.engines().take_samples(),
         models: told.models,
-        demand,
+        demand: report.teams.clone(),
         trials: relay.releases().tell(Instant::now()),
         loads: relay.loads().take(Instant::now()),
         lives: relay.servers.lives_to_tell(),
@@ -184,7 +187,8 @@
     };
     match access.beat(&beat, ANSWER_TIME).await {
         Ok(reply) => {
-            relay.allowances().hear(&reply.allowed, clock::now());
+            relay.set_interval(reply.interval.duration());
+            relay.allowances().apply_grants(&report, &reply.allowed, clock::now());
             relay.releases().hear(reply.releases);
             if let Some(word) = reply.engines {
                 told.models = Some(word.print);
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -14,12 +14,13 @@
 use super::models::Spread;
 use super::rollouts::Rollouts;
 use super::spend::{Spender, Weights};
-use crate::decide::allowance::Allowed;
+use crate::decide::allowance::{Grant, TeamDemand};
 use crate::decide::capacity::Offered;
-use crate::decide::engine::EngineModel;
-use crate::decide::level::{self, Noted, TeamLevel, Tolerance};
+use crate::decide::engine::{EngineLearner, EngineModel, Sample};
+use crate::decide::level::{self, Noted, TokenBucket, Tolerance};
 use crate::decide::lives;
 use crate::decide::loads::{self, LoadPool};
+use crate::decide::pace::heartbeat_time;
 use crate::decide::quarantine::{BoxWord, FleetQuarantine, LeaderWord};
 use crate::decide::telling::{Heard, News};
 use crate::group::driver::Unanswered;
@@ -84,12 +85,12 @@
 
 impl Missed {
     /// One line for a team that is refused, at most one in [`SAY_TIME`].
-    fn note(&mut self, team: &TeamName, refused: f64, level: &TeamLevel) {
+    fn note(&mut self, team: &TeamName, refused: f64, level: &TokenBucket) {
         self.sum += refused;
         let due = self.said.is_none_or(|said| said.elapsed() > SAY_TIME);
         if self.sum > 0.0 && due {
             tracing::info!(
-                event = "team_refused", %team, units = self.sum as u64, left = level.left() as i64,
+                event = "team_refused", %team, units = self.sum as u64, left = level.available() as i64,
                 whole = level.whole() as i64,
             );
             *self = Self { sum: 0.0, said: Some(Instant::now()) };
@@ -107,7 +108,7 @@
     /// The relays that were heard lately, and when.
     present: BTreeMap<BoxId, Instant>,
     swept: Instant,
-    pub(super) levels: BTreeMap<TeamName, TeamLevel>,
+    pub(super) levels: BTreeMap<TeamName, TokenBucket>,
     /// The table whose teams have levels.
     levelled: Option<Version>,
     missed: BTreeMap<TeamName, Missed>,
@@ -129,6 +130,8 @@
     pub(super) spender: Spender,
     /// What is known of engines, and what of it the group has kept.
     pub(super) engines: Models,
+    /// What the leader learns itself, from the samples of boxes without a fit of their own.
+    learners: BTreeMap<ServiceName, EngineLearner>,
     spread: Spread,
     pub(super) kept: Models,
     /// What the group has kept of dry spells; `None` until that is known.
@@ -162,6 +165,7 @@
             settled: Window(0),
             spender: Spender::new(first, weights),
             engines: Models::new(),
+            learners: BTreeMap::new(),
             spread: Spread::default(),
             kept: Models::new(),
             spells: None,
@@ -193,11 +197,12 @@
             // Later words tell what this leader has said itself.
             self.told = self.told.max(beat.relays.unwrap_or(0));
         }
-        let allowed = self.allow(&beat, tolerance);
+        let allowed = self.grant(&beat.box_id, beat.life, beat.turn, &beat.demand, tolerance);
         let since = self.since.elapsed().as_secs_f64();
         let releases = self.rollouts.hear(since, &key, &beat.trials);
         let before = self.present.insert(beat.box_id, now);
         self.loads.hear(beat.loads, now);
+        self.record_samples(beat.samples);
         self.hear_lives(beat.lives, now);
         let quarantine = self.hear_ends(beat.quarantine, now);
         let (whole, turn, after) = (beat.whole, beat.turn, beat.after);
@@ -224,6 +229,7 @@
             quarantine,
             settled: self.settled,
             relays,
+            interval: heartbeat_time(relays).into(),
             data_centre: None,
         }
     }
@@ -267,6 +273,19 @@
         first
     }
 
+    /// Learns from a relay's samples; of services that no document names nothing is kept.
+    fn record_samples(&mut self, samples: BTreeMap<ServiceName, Vec<Sample>>) {
+        let Some(table) = &self.table else {
+            return;
+        };
+        for (service, samples) in samples {
+            if table.services.contains_key(&service) {
+                let learner = self.learners.entry(service).or_default();
+                samples.into_iter().for_each(|sample| learner.record(sample));
+            }
+        }
+    }
+
     /// Takes a relay's words of lives. All relays hear of them with the next reading of the list.
     fn hear_lives(&mut self, lives: Vec<ToldLife>, now: Instant) {
         for told in lives {
@@ -301,7 +320,15 @@
         self.told.saturating_sub((self.present.len() as u32).max(1))
     }
 
-    fn allow(&mut self, beat: &Beat, tolerance: Tolerance) -> BTreeMap<TeamName, Allowed> {
+    /// What a box may use of its teams' limits, by its demand in report `turn`.
+    pub(super) fn grant(
+        &mut self,
+        box_id: &BoxId,
+        life: Incarnation,
+        turn: u64,
+        teams: &BTreeMap<TeamName, TeamDemand>,
+        tolerance: Tolerance,
+    ) -> BTreeMap<TeamName, Grant> {
         let now = self.since.elapsed().as_secs_f64();
         let Some(table) = self.table.clone() else {
             return BTreeMap::new();
@@ -309,13 +336,13 @@
         self.follow_teams(&table, now);
         let unheard = self.unheard();
         let mut allowed = BTreeMap::new();
-        for (name, demand) in &beat.demand {
+        for (name, demand) in teams {
             let Some(limit) = table.teams.get(name).and_then(|team| team.limit()) else {
                 continue;
             };
             let limit = limit.with(tolerance);
-            let level = self.levels.entry(name.clone()).or_insert_with(|| TeamLevel::new(now));
-            let word = level::Word { life: beat.life, turn: beat.turn, demand: *demand };
+            let level = self.levels.entry(name.clone()).or_insert_with(|| TokenBucket::new(now));
+            let report = level::TeamReport { life, turn, demand: *demand };
             let missed = self.missed.entry(name.clone()).or_default();
             missed.note(name, demand.refused, level);
             let noted = match &self.low {
@@ -323,8 +350,8 @@
                 Some(low) if low.contains(name) => Noted::Low,
                 Some(_) => Noted::Reserve,
             };
-            if let Some(amount) = level.hear(now, limit, noted, unheard, &beat.box_id, word) {
-                allowed.insert(name.clone(), amount);
+            if let Some(grant) = level.handle_report(now, limit, noted, unheard, box_id, report) {
+                allowed.insert(name.clone(), grant);
             }
             if level.is_lacking() {
                 self.lacking.insert(name.clone());
@@ -333,6 +360,11 @@
         allowed
     }
 
+    /// Whether something waits for the group to note it.
+    pub(super) fn has_notes(&mut self) -> bool {
+        self.low.is_none() || !self.lacking.is_empty() || self.quarantine.to_note().is_some()
+    }
+
     /// Keeps a level for each team of the table, from the first word that this leader hears on: one
     /// that nobody speaks of fills up.
     fn follow_teams(&mut self, table: &RouteTable, now: f64) {
@@ -343,7 +375,7 @@
         self.levels.retain(|name, _| table.teams.contains_key(name));
         self.missed.retain(|name, _| table.teams.contains_key(name));
         for name in table.teams.keys() {
-            self.levels.entry(name.clone()).or_insert_with(|| TeamLevel::new(now));
+            self.levels.entry(name.clone()).or_insert_with(|| TokenBucket::new(now));
         }
     }
 
@@ -355,7 +387,8 @@
             let sum = sums.entry(service.clone()).or_default();
             *sum = *sum + *offered;
         }
-        self.spender.note(self.since.elapsed().as_secs_f64(), &sums);
+        let age = heartbeat_time(self.relays()).as_secs_f64() / 2.0;
+        self.spender.note(self.since.elapsed().as_secs_f64(), age, &sums);
         self.pool_engines();
     }
 
@@ -365,9 +398,12 @@
         let now = Instant::now();
         let present = || self.words.values().filter(move |word| word.heard + ABSENT_TIME > now);
         let words = || present().map(|word| &word.told.engines);
-        let services: BTreeSet<_> = words().flat_map(|models| models.keys().cloned()).collect();
+        let own: Models =
+            self.learners.iter().map(|(name, it)| (name.clone(), it.model())).collect();
+        let all = || words().chain([&own]);
+        let services: BTreeSet<_> = all().flat_map(|models| models.keys().cloned()).collect();
         for service in services {
-            let model = EngineModel::pool(words().filter_map(|models| models.get(&service)));
+            let model = EngineModel::pool(all().filter_map(|models| models.get(&service)));
             if model.is_learned() {
                 self.engines.insert(service, model);
             }
@@ -459,8 +495,7 @@
             lead.quarantine.follow(noted);
         }
         let reply = BeatReply { document, age, data_centre, ..lead.hear(beat, tolerance(&node)) };
-        let has_news = lead.low.is_none() || lead.quarantine.to_note().is_some();
-        (reply, has_news || !lead.lacking.is_empty())
+        (reply, lead.has_notes())
     });
     if is_lacking {
         node.lacking.notify_one();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`beat`] is a relay's word to the leader; [`lead`] is what the leader makes of it,
 //!   [`duties`] what it does towards the platform. [`publish`] is what operators ask of the published document.
+//! - [`demand`] asks the leader for what the teams of waiting requests may use.
 //! - [`document_fetch`] gets a box the published document, [`document_source`] is what replicas give of it.
 //! - [`fetch`] gets a relay its parts of the list of backend servers.
 //! - [`models`] is what of engines is news to relays.
@@ -13,6 +14,7 @@
 
 pub(crate) mod beat;
 pub(crate) mod boxlist;
+pub(crate) mod demand;
 pub(crate) mod document_fetch;
 pub(crate) mod document_source;
 pub(crate) mod duties;
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -62,10 +62,11 @@
         Self { knows_start, weights, ..Self::default() }
     }
 
-    /// Notes what is offered to each service over all boxes, at `now` in seconds.
-    pub(crate) fn note(&mut self, now: f64, sums: &BTreeMap<ServiceName, Offered>) {
+    /// Notes what is offered to each service over all boxes, at `now` in seconds, as reports of `age` seconds
+    /// on the mean have it.
+    pub(crate) fn note(&mut self, now: f64, age: f64, sums: &BTreeMap<ServiceName, Offered>) {
         for (service, sum) in sums {
-            self.demands.entry(service.clone()).or_default().note(now, *sum);
+            self.demands.entry(service.clone()).or_default().note(now, age, *sum);
         }
     }
 
--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -1,23 +1,34 @@
 //! What each team may use on this box.
 //!
-//! A team's limit is one over all boxes. The leader keeps its level ([`super::level`]) and, with every
-//! answer to a box's word, leases the box an amount and a rate on top, by what the team usually uses
-//! there. A request that finds too little asks for more. Without word from the leader a box goes on
-//! with both until the lease ends: a change of leader is over by then, and a box that hears none for
-//! longer can be sure of no configuration either.
+//! A team's limit is one over all boxes. The leader keeps its token bucket ([`super::level`]) and, with
+//! every reply to a heartbeat, leases the box an amount and a rate on top, by what the team usually uses
+//! there. Without a reply from the leader a box goes on with both until the lease ends: a change of
+//! leader is over by then, and a box without a leader for longer can be sure of no configuration either.
 //!
-//! A box has nothing of a team that does not come to it, and does not speak of it.
+//! Where a fleet has many more boxes and teams than requests a second, most requests meet a box that
+//! holds nothing of their team. Such a request asks the leader for its team alone, at once and beside
+//! the heartbeats: what that costs grows with the requests, not with boxes times teams.
+//!
+//! A box holds nothing of a team that does not come to it, and does not report it.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use super::pace::HEARTBEAT_TIME;
 use crate::ids::TeamName;
 
-/// How long after a word that was answered a leader is taken to answer: two beats of a box and their
-/// answers. No request waits for one that does not.
-const ANSWER_TIME: Duration = Duration::from_millis(900);
+/// How long after the last report that was answered the leader is taken to answer, beyond the time
+/// between two heartbeats. No request waits for a leader that does not answer.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+
+/// How long a demand may be without an answer before the leader is taken to be silent.
+const SILENT_TIME: Duration = Duration::from_millis(150);
+
+/// Demands of one box that may wait for the leader at the same time. The teams of further ones join the
+/// next demand, so a box with many teams never sends more than one demand for each answer.
+const DEMAND_LIMIT: usize = 8;
 
 /// How long a lease holds after the word that it answers: an election after the loss of a leader, or of
 /// power everywhere, takes about half of it, and keys are no longer sure at its end.
@@ -27,8 +38,9 @@
 /// seconds, short enough to follow a wave.
 const USUAL_TIME: f64 = 4.0;
 
-/// How long after its last request a team still counts as coming to a box.
-const IDLE_TIME: Duration = Duration::from_secs(20);
+/// Requests of a team that are expected at a box while a lease holds, below which the box holds nothing
+/// ahead of them. What lies at boxes to which a team comes once in minutes is missing elsewhere.
+const LEAST_CALLS: f64 = 1.5;
 
 /// The longest and shortest wait told to a caller whose team is over its limit.
 const WAIT_LIMITS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(4));
@@ -55,20 +67,33 @@
     pub left: f64,
 }
 
+/// What a box reports of its teams in one message.
+#[derive(Debug, Clone)]
+pub struct DemandReport {
+    /// Which of the reports of the process this is.
+    pub turn: u64,
+    /// When it was made: leases that answer it begin then.
+    pub sent: Instant,
+    /// The demand by team.
+    pub teams: BTreeMap<TeamName, TeamDemand>,
+}
+
 /// Why a request is not within its team's allowance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Short {
     /// How long until there likely is enough.
     pub wait: Duration,
-    /// Whether the leader is to be asked at once: it answers, and by its last word it had more.
+    /// Whether the leader is to be asked at once: it answers, and by its last reply it had more.
     pub ask: bool,
     /// Whether a leader has said anything of the teams to this box yet.
     pub known: bool,
+    /// Whether the leader has said that the team's limit is reached.
+    pub exhausted: bool,
 }
 
 /// What the leader allows a box of one team's limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Allowed {
+pub struct Grant {
     /// Units, for [`LEASE_TIME`] or until the next answer.
     #[serde(with = "crate::units::thin")]
     pub amount: f64,
@@ -86,15 +111,21 @@
     rate: f64,
     wait: f64,
     demand: TeamDemand,
-    /// The total that was told last, and when.
+    /// Units a second, as the mean of the last seconds.
+    usual: f64,
+    /// Requests a second, as the mean of the last seconds, and those since the last report.
+    calls: f64,
+    fresh: f64,
+    /// The total that was reported last, in which report, and when.
     told: f64,
+    turn: u64,
     told_at: Instant,
-    /// When the word went out whose answer allowed what is left.
+    /// Whether a demand for this team alone waits for its answer.
+    pending: bool,
+    /// When the report was made whose reply allowed what is left.
     heard: Instant,
     /// Up to when the rate has come in.
     filled: Instant,
-    /// When the last request came.
-    came: Instant,
     /// Whether the leader was told that nothing is left here.
     is_given_up: bool,
 }
@@ -106,11 +137,15 @@
             rate: 0.0,
             wait: 0.0,
             demand: TeamDemand::default(),
+            usual: 0.0,
+            calls: 0.0,
+            fresh: 0.0,
             told: 0.0,
+            turn: 0,
             told_at: now,
+            pending: false,
             heard: now,
             filled: now,
-            came: now,
             is_given_up: true,
         }
     }
@@ -127,17 +162,19 @@
         self.filled = now;
     }
 
-    /// What is to be told, averaged up to `now`.
-    fn tell(&mut self, now: Instant) -> TeamDemand {
+    /// What is to be reported in report `turn`, averaged up to `now`.
+    fn report(&mut self, turn: u64, now: Instant) -> TeamDemand {
         self.pass(now);
+        self.turn = turn;
         let came = self.demand.total - self.told + self.demand.refused;
         let passed = now.saturating_duration_since(self.told_at).as_secs_f64();
         let passed = passed.clamp(0.01, USUAL_TIME);
         let weight = 1.0 - (-passed / USUAL_TIME).exp();
-        self.demand.usual += weight * (came.max(0.0) / passed - self.demand.usual);
-        if now.saturating_duration_since(self.came) > IDLE_TIME {
-            self.demand.usual = 0.0;
-        }
+        self.usual += weight * (came.max(0.0) / passed - self.usual);
+        self.calls += weight * (self.fresh / passed - self.calls);
+        self.fresh = 0.0;
+        let is_frequent = self.calls * LEASE_TIME.as_secs_f64() >= LEAST_CALLS;
+        self.demand.usual = if is_frequent { self.usual } else { 0.0 };
         (self.demand.rate, self.demand.left) = (self.rate, self.left);
         (self.told, self.told_at) = (self.demand.total, now);
         let told = self.demand;
@@ -147,28 +184,48 @@
         told
     }
 
-    /// Whether there is anything to say of the team.
+    /// Whether there is nothing to report of the team.
     fn is_silent(&self) -> bool {
         let told = &self.demand;
         self.is_given_up && told.total == self.told && told.refused + told.wanted == 0.0
     }
 }
 
+impl Default for Allowances {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// The allowances of all teams on this box.
 #[derive(Debug)]
 pub struct Allowances {
     teams: BTreeMap<TeamName, Allowance>,
-    /// The words told.
+    /// The reports made.
     turn: u64,
-    sent: Instant,
-    /// When the word went out that was answered last; `None` before any was.
+    /// The demands that wait for an answer, by turn.
+    waiting: BTreeMap<u64, Instant>,
+    /// When the report was made that was answered last; `None` before any was.
     heard: Option<Instant>,
+    /// The time between two heartbeats.
+    interval: Duration,
 }
 
 impl Allowances {
-    /// Those of a box that starts at `now` and knows no teams yet.
-    pub fn new(now: Instant) -> Self {
-        Self { teams: BTreeMap::new(), turn: 0, sent: now, heard: None }
+    /// Those of a box that knows no teams yet.
+    pub fn new() -> Self {
+        Self {
+            teams: BTreeMap::new(),
+            turn: 0,
+            waiting: BTreeMap::new(),
+            heard: None,
+            interval: HEARTBEAT_TIME,
+        }
+    }
+
+    /// Takes the time between two heartbeats.
+    pub fn set_interval(&mut self, interval: Duration) {
+        self.interval = interval;
     }
 
     /// Keeps the teams that have a limit; new ones begin with nothing.
@@ -180,21 +237,21 @@
         }
     }
 
-    /// Takes `cost` of a team's allowance, if so much of it is left. A team without a limit has none.
+    /// Claims `cost` of a team's allowance, if so much of it is left. A team without a limit has none.
     ///
     /// # Errors
     /// That too little is left.
-    pub fn take(&mut self, team: &TeamName, cost: f64, now: Instant) -> Result<(), Short> {
-        let answers = self.heard.is_none_or(|heard| now < heard + ANSWER_TIME);
+    pub fn claim(&mut self, team: &TeamName, cost: f64, now: Instant) -> Result<(), Short> {
+        let answers = self.is_answered(now);
         let known = self.heard.is_some();
         let Some(allowance) = self.teams.get_mut(team) else {
             return Ok(());
         };
         allowance.pass(now);
-        allowance.came = now;
         if allowance.left >= cost {
             allowance.left -= cost;
             allowance.demand.total += cost;
+            allowance.fresh += 1.0;
             return Ok(());
         }
         allowance.demand.wanted += cost;
@@ -205,49 +262,101 @@
         };
         let wait = Duration::from_secs_f64(wait.clamp(0.0, 60.0));
         let wait = wait.clamp(WAIT_LIMITS.0, WAIT_LIMITS.1);
-        Err(Short { wait, ask: answers && allowance.wait == 0.0, known })
+        let exhausted = allowance.wait > 0.0;
+        Err(Short { wait, ask: answers && !exhausted, known, exhausted })
+    }
+
+    /// Whether a leader is taken to answer.
+    fn is_answered(&self, now: Instant) -> bool {
+        let silent = self.waiting.values().any(|sent| now >= *sent + SILENT_TIME);
+        !silent && self.heard.is_none_or(|heard| now < heard + self.interval + ANSWER_TIME)
     }
 
-    /// Notes that a request was refused for want of `cost`.
-    pub fn note_refused(&mut self, team: &TeamName, cost: f64) {
+    /// Records that a request was refused for want of `cost`.
+    pub fn record_refusal(&mut self, team: &TeamName, cost: f64) {
         if let Some(allowance) = self.teams.get_mut(team) {
             allowance.demand.refused += cost;
+            allowance.fresh += 1.0;
         }
     }
 
-    /// Gives an amount back: the request was not run.
-    pub fn give_back(&mut self, team: &TeamName, cost: f64) {
+    /// Refunds an amount: the request was not run.
+    pub fn refund(&mut self, team: &TeamName, cost: f64) {
         if let Some(allowance) = self.teams.get_mut(team) {
             allowance.left += cost;
             allowance.demand.total -= cost;
         }
     }
 
-    /// The words told so far.
-    pub fn turn(&self) -> u64 {
-        self.turn
+    /// Whether a demand for this team alone waits for its answer.
+    pub fn is_pending(&self, team: &TeamName) -> bool {
+        self.teams.get(team).is_some_and(|allowance| allowance.pending)
     }
 
-    /// The demand to tell the leader: of the teams that come to this box.
-    pub fn tell(&mut self, now: Instant) -> BTreeMap<TeamName, TeamDemand> {
+    /// The demand to report with a heartbeat: of the teams that come to this box. A team whose own demand
+    /// waits for its answer is left out: a later report would overtake it and withdraw what it asks for.
+    pub fn report(&mut self, now: Instant) -> DemandReport {
+        self.report_of(now, |allowance| !allowance.pending && !allowance.is_silent())
+    }
+
+    /// The demand of the teams that requests wait for and that are not asked for yet; `None` where there
+    /// is none, or enough demands wait for an answer.
+    pub fn demand(&mut self, now: Instant) -> Option<DemandReport> {
+        let is_wanted = |it: &Allowance| it.demand.wanted > 0.0 && !it.pending;
+        if self.waiting.len() >= DEMAND_LIMIT || !self.teams.values().any(is_wanted) {
+            return None;
+        }
+        let report = self.report_of(now, is_wanted);
+        for team in report.teams.keys() {
+            if let Some(allowance) = self.teams.get_mut(team) {
+                allowance.pending = true;
+            }
+        }
+        self.waiting.insert(report.turn, now);
+        Some(report)
+    }
+
+    fn report_of(&mut self, now: Instant, is_told: impl Fn(&Allowance) -> bool) -> DemandReport {
         self.turn += 1;
-        self.sent = now;
-        let speaking = self.teams.iter_mut().filter(|(_, allowance)| !allowance.is_silent());
-        speaking.map(|(name, allowance)| (name.clone(), allowance.tell(now))).collect()
+        let turn = self.turn;
+        let told = self.teams.iter_mut().filter(|(_, allowance)| is_told(allowance));
+        let teams = told.map(|(name, allowance)| (name.clone(), allowance.report(turn, now)));
+        DemandReport { turn, sent: now, teams: teams.collect() }
     }
 
-    /// Takes the leader's answer to what was told. What was used meanwhile counts against it.
-    pub fn hear(&mut self, allowed: &BTreeMap<TeamName, Allowed>, now: Instant) {
-        self.heard = Some(self.sent);
-        for (name, allowed) in allowed {
-            let Some(allowance) = self.teams.get_mut(name) else {
+    /// Takes the leader's reply to a report. What was used since the report counts against it. A team that
+    /// was reported again since is passed over: the later report's reply takes the place of this one.
+    pub fn apply_grants(
+        &mut self,
+        report: &DemandReport,
+        grants: &BTreeMap<TeamName, Grant>,
+        now: Instant,
+    ) {
+        self.close(report);
+        self.heard = self.heard.max(Some(report.sent));
+        for (name, grant) in grants {
+            let allowance = self.teams.get_mut(name).filter(|it| it.turn <= report.turn);
+            let Some(allowance) = allowance else {
                 continue;
             };
-            allowance.left = allowed.amount - (allowance.demand.total - allowance.told);
-            allowance.rate = allowed.rate;
-            allowance.wait = allowed.wait;
-            allowance.heard = self.sent;
+            allowance.left = grant.amount - (allowance.demand.total - allowance.told);
+            allowance.rate = grant.rate;
+            allowance.wait = grant.wait;
+            allowance.heard = report.sent;
             allowance.filled = now;
         }
     }
+
+    /// Takes that a report had no reply.
+    pub fn close(&mut self, report: &DemandReport) {
+        if self.waiting.remove(&report.turn).is_none() {
+            return;
+        }
+        for team in report.teams.keys() {
+            let asked = self.teams.get_mut(team).filter(|it| it.turn == report.turn);
+            if let Some(allowance) = asked {
+                allowance.pending = false;
+            }
+        }
+    }
 }
--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -24,8 +24,11 @@
 /// gains less than the one before, whatever binds.
 const LATE_PARTS: [f64; 3] = [1.0, 0.4, 0.1];
 
+/// Numbers of engines that are compared at a time.
+const COMPARED: u32 = 256;
+
 /// Seconds over which what is offered is averaged: a few, since an engine takes about as long to boot.
-const MEAN_TIME: f64 = 2.5;
+pub(super) const MEAN_TIME: f64 = 2.5;
 
 /// Seconds in which a peak of the offered tokens loses most of its weight: waves return, and an
 /// engine takes some seconds to boot.
@@ -88,6 +91,18 @@
         self.peak = (self.peak * (-passed / PEAK_TIME).exp()).max(self.mean);
     }
 
+    /// So many times as much of the same requests.
+    pub fn scaled(&self, times: f64) -> Self {
+        Self {
+            mean: self.mean * times,
+            peak: self.peak * times,
+            calls: self.calls * times,
+            squares: self.squares * times,
+            objectives: self.objectives * times,
+            output: self.output * times,
+        }
+    }
+
     /// The peak once `passed` seconds have gone by.
     pub fn faded(peak: f64, passed: f64) -> f64 {
         peak * (-passed.max(0.0) / PEAK_TIME).exp()
@@ -238,8 +253,7 @@
             let late = cases.iter().map(|(left, chance)| chance * self.late(left + count));
             price * f64::from(*count) + market.late * late.sum::<f64>()
         };
-        let counts = least.saturating_sub(spots)..=most.saturating_sub(spots);
-        counts.min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(0)
+        cheapest(least.saturating_sub(spots), most.saturating_sub(spots), |count| cost(&count))
     }
 
     /// How many reclaimable engines over all data centres cost the least, with what late requests cost
@@ -251,10 +265,9 @@
         let most = market.most * places;
         let bare = self.engines(0, most, market.on_demand_price(), market.late);
         let least = market.with_spare(bare).min(most);
-        let cost = |count: &u32| self.cost(*count, market);
-        let best = (least..=most).min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        let best = best.unwrap_or(least);
-        let gain = cost(&held) - cost(&best);
+        let cost = |count| self.cost(count, market);
+        let best = cheapest(least, most, cost);
+        let gain = cost(held) - cost(best);
         let stays =
             (least..=most).contains(&held) && gain < KEEP_PART * market.spot * f64::from(held);
         if stays { held } else { best }
@@ -285,6 +298,22 @@
     }
 }
 
+/// The number from `least` to `most` of the least cost. Of many numbers some are compared, spread evenly, and
+/// then ever closer ones around the best of them: what that takes hardly grows with a fleet.
+fn cheapest(least: u32, most: u32, cost: impl Fn(u32) -> f64) -> u32 {
+    let (mut low, mut high) = (least, most.max(least));
+    loop {
+        let step = (high - low).div_ceil(COMPARED).max(1);
+        let counts = (low..=high).step_by(step as usize).chain([high]);
+        let costs = counts.map(|count| (count, cost(count)));
+        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1)).map_or(least, |(count, _)| count);
+        if step == 1 {
+            return best;
+        }
+        (low, high) = (best.saturating_sub(step).max(low), (best + step).min(high));
+    }
+}
+
 /// The first number from `from` on that `holds`, which all after it do as well; else `to`.
 fn first(from: u32, to: u32, holds: impl Fn(u32) -> bool) -> u32 {
     let (mut low, mut high) = (from, to.max(from));
@@ -339,9 +368,12 @@
         (engines * places).div_ceil((places - 1).max(1))
     }
 
-    /// Reclaimable engines while nothing is known of the load, where there were so many engines.
+    /// Reclaimable engines while nothing is known of the load, where there were so many engines. What is
+    /// held beside those stands for variation, which grows with the root of a large number.
     pub fn at_start(&self, engines: u32) -> u32 {
-        self.with_spare((f64::from(engines) * self.surge).ceil() as u32)
+        let spare = self.with_spare((f64::from(engines) * self.surge).ceil() as u32) - engines;
+        let part = (VARIED_ENGINES / f64::from(engines.max(1))).sqrt().min(1.0);
+        engines + (f64::from(spare) * part).ceil() as u32
     }
 
     /// The price of a second of service of an engine on demand that stands in during an absence: it is
@@ -361,6 +393,9 @@
     }
 }
 
+/// Engines up to which what is held for variation before any traffic grows with their number.
+const VARIED_ENGINES: f64 = 64.0;
+
 /// The part of what reclaimable engines cost that a change of their number must gain.
 const KEEP_PART: f64 = 0.1;
 
--- a/src/decide/engine.rs
+++ b/src/decide/engine.rs
@@ -7,7 +7,9 @@
 //! only what a prompt has of its own is read for certain. Where shared parts are hardly ever cached,
 //! the rate comes out too low, never too high.
 //!
-//! A box learns from its own requests. The leader pools what boxes tell and passes it on.
+//! A box learns from its own requests. The leader pools what boxes tell and passes it on. Where each box
+//! has few requests, a fit of its own takes minutes; so a box that has none yet reports its samples, and
+//! the leader learns from those of all boxes together.
 
 use std::collections::VecDeque;
 
@@ -170,7 +172,7 @@
 }
 
 /// One request's way to its first event.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Observation {
     /// Prompt tokens that the engine had to read, as far as can be told.
     pub tokens: f64,
@@ -182,7 +184,28 @@
     pub is_clear: bool,
 }
 
-/// Learns the model of one service's engines on one box.
+/// What one request showed of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum Sample {
+    /// Its way to its first event.
+    First(Observation),
+    /// Whether it was served late.
+    Served {
+        /// Whether it came late.
+        late: bool,
+    },
+    /// A stream that ended well.
+    Stream {
+        /// Its events.
+        events: f64,
+        /// The tokens that might have come out.
+        output: f64,
+        /// The seconds from its first event to its last.
+        seconds: f64,
+    },
+}
+
+/// Learns the model of one service's engines from samples.
 #[derive(Debug, Default)]
 pub struct EngineLearner {
     clear: VecDeque<(f64, f64)>,
@@ -192,6 +215,15 @@
 }
 
 impl EngineLearner {
+    /// Takes a sample of any kind.
+    pub fn record(&mut self, sample: Sample) {
+        match sample {
+            Sample::First(seen) => self.note(seen),
+            Sample::Served { late } => self.note_served(late),
+            Sample::Stream { events, output, seconds } => self.note_stream(events, output, seconds),
+        }
+    }
+
     /// Takes an observation.
     pub fn note(&mut self, seen: Observation) {
         let model = &mut self.model;
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -20,7 +20,7 @@
 
 use std::collections::BTreeMap;
 
-use super::allowance::{Allowed, LEASE_TIME, TeamDemand};
+use super::allowance::{Grant, LEASE_TIME, TeamDemand};
 use crate::ids::{BoxId, Incarnation};
 
 /// The part of a level, with what is allowed of it, that boxes hold ahead of requests. More of it lies
@@ -130,7 +130,7 @@
 
 /// A box's word of one team, and what the leader knows of the box.
 #[derive(Debug, Clone, Copy)]
-pub struct Word {
+pub struct TeamReport {
     /// The life of the box's process.
     pub life: Incarnation,
     /// Which of the words of that life it is.
@@ -158,9 +158,9 @@
 
 impl Holder {
     /// A box as its word says it is.
-    fn new(now: f64, word: &Word) -> Self {
+    fn new(now: f64, word: &TeamReport) -> Self {
         let TeamDemand { total, left, rate, usual, .. } = word.demand;
-        let Word { life, turn, .. } = *word;
+        let TeamReport { life, turn, .. } = *word;
         Self { life, turn, total, possible: left, rate, heard: now, usual }
     }
 
@@ -202,7 +202,7 @@
 
 /// What is left of one team's limit.
 #[derive(Debug, Clone)]
-pub struct TeamLevel {
+pub struct TokenBucket {
     /// What nobody has used or may be using.
     left: f64,
     /// When the leader began to hear boxes.
@@ -223,7 +223,7 @@
     sums: Sums,
 }
 
-impl TeamLevel {
+impl TokenBucket {
     /// The level of a leader that hears its first box at `now`.
     pub fn new(now: f64) -> Self {
         Self {
@@ -243,15 +243,15 @@
     /// Takes a box's word at `now` (seconds on the leader's clock), and allows it an amount until its
     /// next one; `None` for a word that a later one of the same life has overtaken. `unheard`: how many
     /// boxes this leader has not heard that may go by what a former one leased them.
-    pub fn hear(
+    pub fn handle_report(
         &mut self,
         now: f64,
         limit: Limit,
         noted: Noted,
         unheard: u32,
         box_id: &BoxId,
-        word: Word,
-    ) -> Option<Allowed> {
+        word: TeamReport,
+    ) -> Option<Grant> {
         let held = self.holders.get(box_id);
         if held.is_some_and(|held| held.life == word.life && held.turn >= word.turn) {
             return None;
@@ -283,12 +283,12 @@
             self.sums.add(&holder);
             self.holders.insert(key, holder);
         }
-        Some(Allowed { amount, rate, wait })
+        Some(Grant { amount, rate, wait })
     }
 
     /// Takes what a box has used since its last word, and has left, off what it may have used: the rest
     /// returns. The box as it is now, out of the level.
-    fn settle(&mut self, now: f64, box_id: &BoxId, word: &Word) -> (BoxId, Holder) {
+    fn settle(&mut self, now: f64, box_id: &BoxId, word: &TeamReport) -> (BoxId, Holder) {
         let holder = Holder::new(now, word);
         let Some((key, held)) = self.holders.remove_entry(box_id) else {
             // What a former leader leased it is off that one's level.
@@ -320,7 +320,7 @@
         self.lacking
     }
 
-    /// Whether the level is for long so far above its reserve that the group may forget that it was low.
+    /// Whether the bucket is for long so far above its reserve that the group may forget that it was low.
     /// What boxes hold does not count: the next leader begins with the reserve beside that.
     pub fn has_recovered(&self, now: f64, limit: Limit) -> bool {
         let is_calm = now - self.near > LOW_TIME && !self.is_near(limit);
@@ -333,7 +333,7 @@
     }
 
     /// What nobody has been allowed; below nothing after boxes were silent.
-    pub fn left(&self) -> f64 {
+    pub fn available(&self) -> f64 {
         self.left
     }
 
@@ -402,14 +402,14 @@
         self.walked = next;
     }
 
-    /// What a box is to hold ahead of requests.
+    /// What a box is to hold ahead of requests; nothing where the team comes too seldom.
     fn ahead(&self, holder: &Holder) -> f64 {
+        if holder.usual <= 0.0 {
+            return 0.0;
+        }
         let count = (self.holders.len() + 1) as f64;
         let usual = self.sums.usual + holder.usual;
-        let part = match usual > 0.0 {
-            true => EVEN_PART / count + (1.0 - EVEN_PART) * holder.usual / usual,
-            false => 1.0 / count,
-        };
+        let part = EVEN_PART / count + (1.0 - EVEN_PART) * holder.usual / usual;
         AHEAD_PART * (self.whole() + holder.possible).max(0.0) * part
     }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -26,6 +26,7 @@
 //! - [`share`]: which part of a fleet-wide limit each node may use.
 //! - [`orders`]: what orders for engines stand for until the list shows it.
 //! - [`spend`]: how many engines a service is to have, where, of which kind.
+//! - [`pace`]: how often boxes report to the leader.
 //! - [`nearest`]: which replica a box follows the configuration at.
 //! - [`telling`]: what of a box's word is news to the leader.
 //! - [`topology`]: which data centres make up which region, and how far they are.
@@ -50,6 +51,7 @@
 pub mod memory;
 pub mod nearest;
 pub mod orders;
+pub mod pace;
 pub mod policy;
 pub mod quarantine;
 pub mod queue;
--- a/src/decide/spend.rs
+++ b/src/decide/spend.rs
@@ -9,7 +9,7 @@
 
 use std::cmp::Ordering;
 
-use super::capacity::{Load, Market, Offered};
+use super::capacity::{Load, MEAN_TIME, Market, Offered};
 use super::engine::EngineModel;
 use crate::ids::DataCentre;
 
@@ -19,6 +19,12 @@
 /// The part of the boxes' peaks, summed, that stands for the peak of their sum.
 const PEAK_PART: f64 = 0.8;
 
+/// Requests in the mean of what is offered from which on its rate is known within a twentieth.
+const ENOUGH_CALLS: f64 = 400.0;
+
+/// Seconds of traffic that boxes have reported, before their mean says something of more than a clump.
+const LEAST_SEEN: f64 = 1.0;
+
 /// What a load was like before a data centre was gone.
 #[derive(Debug, Clone, Copy)]
 struct Calm {
@@ -36,17 +42,21 @@
     offered: Offered,
     peak: f64,
     at: f64,
+    /// Seconds since the boxes' reports, on the mean.
+    age: f64,
     first: Option<f64>,
     /// The peak, and how many times more come late than a queue explains, before data centres were gone.
     calm: Option<Calm>,
 }
 
 impl Demand {
-    /// Takes the sum of what the boxes say, at `now` in seconds.
+    /// Takes the sum of what the boxes report, at `now` in seconds; their reports are `age` seconds old on
+    /// the mean.
     ///
     /// Their peaks come at different times, so a part of the sum stands for the peak of the sum; a new
     /// leader has nothing else to go by.
-    pub fn note(&mut self, now: f64, sum: Offered) {
+    pub fn note(&mut self, now: f64, age: f64, sum: Offered) {
+        self.age = age;
         let faded = Offered::faded(self.peak, now - self.at);
         let told = if self.first.is_none() { sum.peak * PEAK_PART } else { 0.0 };
         self.peak = faded.max(told).max(sum.mean);
@@ -80,10 +90,14 @@
         held: u32,
     ) -> Option<Need> {
         let seen = now - self.first?;
-        if seen < wait || !model.is_learned() {
+        if !model.is_learned() {
             return None;
         }
-        let load = Load::new(&self.offered, self.peak, model, serving.total, market.slots)?;
+        let (offered, peak) = match seen < wait {
+            true => self.early(seen)?,
+            false => (self.offered, self.peak),
+        };
+        let load = Load::new(&offered, peak, model, serving.total, market.slots)?;
         let load = self.as_in_calm(load, market, serving);
         let bought = load.stand_in(serving.spot, serving.on_demand, market);
         let bare = if bought > 0 { serving.spot + bought } else { 0 };
@@ -92,6 +106,18 @@
         Some(Need { ample, bare, traffic: true, scarce })
     }
 
+    /// What is offered and its peak `seen` seconds after the first traffic, where so many requests came that
+    /// their rate is known. The means begin at nothing; what they lack yet is made up for.
+    fn early(&self, seen: f64) -> Option<(Offered, f64)> {
+        let told = seen - self.age;
+        if told < LEAST_SEEN || self.offered.calls * MEAN_TIME < ENOUGH_CALLS {
+            return None;
+        }
+        let part = 1.0 - (-told / MEAN_TIME).exp();
+        let offered = self.offered.scaled(1.0 / part);
+        Some((offered, offered.mean.max(self.peak)))
+    }
+
     /// What a load is to be met with while data centres are gone. Few requests are served then, which
     /// teaches nothing, and those that can't be come back before an engine has booted: the gap is ordered as
     /// a whole, not step by step as they do.
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -17,6 +17,7 @@
 use super::driver::{GroupMessage, Unanswered};
 use super::message::MemberChange;
 use crate::control::beat::{Beat, BeatReply};
+use crate::control::demand::{Demand, DemandReply};
 use crate::control::share::ShareRequest;
 use crate::decide::share::Share;
 use crate::ids::{BoxId, TeamName};
@@ -109,6 +110,18 @@
         Ok(reply)
     }
 
+    /// Asks the leader for what some teams may use.
+    ///
+    /// # Errors
+    /// When `limit` is over.
+    pub(crate) async fn demand(
+        &self,
+        demand: &Demand,
+        limit: Duration,
+    ) -> Result<DemandReply, NoGroup> {
+        self.until_answered(method::DEMAND, demand, limit, BEAT_TIME).await
+    }
+
     /// Asks the leader for parts of the list of backend servers.
     ///
     /// # Errors
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -15,10 +15,11 @@
 
 use super::client::MESSAGE_LIMIT;
 use super::method::{
-    self, Beat, BeatReply, Call, DocumentAsk, DocumentPiece, GroupStatus, NodeStatus, Poll,
-    PollReply, QuarantineAnswer, QuarantineAsk, RolloutAnswer, RolloutAsk, Update,
+    self, Beat, BeatReply, Call, Demand, DemandReply, DocumentAsk, DocumentPiece, GroupStatus,
+    NodeStatus, Poll, PollReply, QuarantineAnswer, QuarantineAsk, RolloutAnswer, RolloutAsk,
+    Update,
 };
-use crate::control::{document_source, lead, quarantine, rollouts, share};
+use crate::control::{demand, document_source, lead, quarantine, rollouts, share};
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
@@ -80,6 +81,7 @@
     register(&mut module, method::READ_WORK, read_work)?;
     register(&mut module, method::SHARE, share::lease)?;
     register(&mut module, method::BEAT, beat)?;
+    register(&mut module, method::DEMAND, demanded)?;
     register(&mut module, method::LIST_PARTS, list_parts)?;
     register(&mut module, method::DOCUMENT, document_piece)?;
     register(&mut module, method::ROLLOUT, rollout)?;
@@ -171,6 +173,13 @@
     Ok(lead::hear(node, word).await.map(Packed))
 }
 
+async fn demanded(
+    node: Arc<Node>,
+    teams: Demand,
+) -> Result<Result<DemandReply, Unanswered>, String> {
+    Ok(demand::answer(node, teams).await)
+}
+
 async fn list_parts(
     node: Arc<Node>,
     Packed(wanted): Packed<Vec<PartId>>,
--- a/src/relay/engines.rs
+++ b/src/relay/engines.rs
@@ -2,42 +2,61 @@
 
 use std::collections::BTreeMap;
 
-use crate::decide::engine::{EngineLearner, EngineModel, Observation};
+use crate::decide::engine::{EngineLearner, EngineModel, Observation, Sample};
 use crate::ids::ServiceName;
 use crate::state::notes::Models;
 
+/// Samples of a service that wait to be reported at most: half a kilobyte of a report.
+const SAMPLE_LIMIT: usize = 16;
+
 /// The learners of one box.
 #[derive(Debug, Default)]
 pub struct EngineBook {
     learners: BTreeMap<ServiceName, EngineLearner>,
+    /// What the services without a fit of this box's own have shown since the last report.
+    samples: BTreeMap<ServiceName, Vec<Sample>>,
     pooled: Models,
 }
 
 impl EngineBook {
     /// Takes an observation of a service's engine.
     pub fn note(&mut self, service: &ServiceName, seen: Observation) {
-        match self.learners.get_mut(service) {
-            Some(learner) => learner.note(seen),
-            None => {
-                let mut learner = EngineLearner::default();
-                learner.note(seen);
-                self.learners.insert(service.clone(), learner);
-            }
+        if !self.learners.contains_key(service) {
+            self.learners.insert(service.clone(), EngineLearner::default());
+        }
+        self.record(service, Sample::First(seen));
+    }
+
+    /// Takes a sample of a service of which something was observed before.
+    fn record(&mut self, service: &ServiceName, sample: Sample) {
+        let Some(learner) = self.learners.get_mut(service) else {
+            return;
+        };
+        learner.record(sample);
+        if learner.model().is_learned() {
+            self.samples.remove(service);
+            return;
+        }
+        let samples = self.samples.entry(service.clone()).or_default();
+        if samples.len() < SAMPLE_LIMIT {
+            samples.push(sample);
         }
     }
 
+    /// The samples to report, each once.
+    pub fn take_samples(&mut self) -> BTreeMap<ServiceName, Vec<Sample>> {
+        std::mem::take(&mut self.samples)
+    }
+
     /// Takes whether a request that a service's engine served came late.
     pub fn note_served(&mut self, service: &ServiceName, is_late: bool) {
-        if let Some(learner) = self.learners.get_mut(service) {
-            learner.note_served(is_late);
-        }
+        self.record(service, Sample::Served { late: is_late });
     }
 
     /// Takes a stream that ended well at an engine of a service.
     pub fn note_stream(&mut self, service: &ServiceName, events: u64, output: u64, seconds: f64) {
-        if let Some(learner) = self.learners.get_mut(service) {
-            learner.note_stream(events as f64, output as f64, seconds);
-        }
+        let (events, output) = (events as f64, output as f64);
+        self.record(service, Sample::Stream { events, output, seconds });
     }
 
     /// What is known of a service's engines: what all boxes have learned, else what this one has.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -53,7 +53,7 @@
 pub mod usage;
 
 use std::pin::pin;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -69,6 +69,7 @@
 use crate::decide::distance::Distances;
 use crate::decide::loads::LoadPool;
 use crate::decide::memory::Memory;
+use crate::decide::pace::{HEARTBEAT_TIME, LONGEST_TIME};
 use crate::decide::quarantine::BoxQuarantine;
 use crate::decide::releases::{Outcome, ReleaseBook};
 use crate::decide::spill::SpillBook;
@@ -143,8 +144,12 @@
     pub(crate) wanted: Notify,
     /// Asks for a beat before the next one is due.
     pub(crate) hurry: Notify,
-    /// Told of each beat that was answered.
+    /// Asks for a demand for the teams that requests wait for.
+    pub(crate) demanded: Notify,
+    /// Told of each beat and each demand that was answered.
     pub(crate) heard: Notify,
+    /// Milliseconds between two beats.
+    interval: AtomicU64,
 }
 
 /// Relays taken to share the limits before anyone can tell how many do.
@@ -163,7 +168,7 @@
             memory,
             gate,
             table: ArcSwapOption::empty(),
-            allowances: Mutex::new(Allowances::new(clock::now())),
+            allowances: Mutex::new(Allowances::new()),
             retries: Mutex::default(),
             usage: Mutex::new(usage),
             offered: Mutex::default(),
@@ -179,7 +184,9 @@
             learned: Notify::new(),
             wanted: Notify::new(),
             hurry: Notify::new(),
+            demanded: Notify::new(),
             heard: Notify::new(),
+            interval: AtomicU64::new(HEARTBEAT_TIME.as_millis() as u64),
         }
     }
 
@@ -364,6 +371,18 @@
         self.relays.store(relays.max(1), Ordering::Relaxed);
     }
 
+    /// The time between two beats.
+    pub(crate) fn interval(&self) -> Duration {
+        Duration::from_millis(self.interval.load(Ordering::Relaxed))
+    }
+
+    /// Takes the leader's word of the time between two beats.
+    pub(crate) fn set_interval(&self, interval: Duration) {
+        let interval = interval.clamp(HEARTBEAT_TIME, LONGEST_TIME);
+        self.interval.store(interval.as_millis() as u64, Ordering::Relaxed);
+        self.allowances().set_interval(interval);
+    }
+
     /// Whether the node is about to stop and takes nothing new.
     pub fn is_closing(&self) -> bool {
         *self.parts.closing.borrow()
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -26,7 +26,7 @@
 use crate::http::answer;
 use crate::http::gate::Busy;
 use crate::http::{Body, head, server};
-use crate::ids::ServiceName;
+use crate::ids::{ServiceName, TeamName};
 use crate::telemetry::volume;
 
 /// When to come back to a box that knows no routes yet, or cannot be sure of them: after the loss of
@@ -44,10 +44,17 @@
 /// When to come back to another box, when this one stops.
 const CLOSING_WAIT: Duration = Duration::from_millis(50);
 
-/// How long a call waits for the leader's word on its team's limit: two words of a box, which keep a
-/// distance, and the way to another data centre and back. A leader that is gone takes longer to replace.
+/// How long a call waits for the leader's answer on its team's limit: several times the way to another
+/// data centre and back. A leader that is gone takes longer to replace.
 const ASK_TIME: Duration = Duration::from_millis(150);
 
+/// Pause before a team's demand is repeated that brought too little: the group may be noting meanwhile that
+/// more of the limit may be used.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// A wait for an allowance that is said in the log.
+const LONG_WAIT: Duration = Duration::from_millis(20);
+
 /// Connections at rest that are closed for one request where memory is short: about as much as it takes
 /// itself beside its body.
 const CLOSED_AT_ONCE: usize = 2;
@@ -183,7 +190,7 @@
             if failure.kind.answer().run == crate::error::RunState::NotRun
                 && let Some(team) = team
             {
-                relay.allowances().give_back(&team.name, spent);
+                relay.allowances().refund(&team.name, spent);
             }
             Err(failure)
         }
@@ -306,26 +313,65 @@
     };
     let tokens = call.head.size.map(|_| call.tokens());
     let cost = team.cost(tokens);
-    let until = tokio::time::Instant::now() + ASK_TIME;
+    let began = tokio::time::Instant::now();
+    let mut pause = Duration::ZERO;
     let short = loop {
-        let mut heard = pin!(relay.heard.notified());
-        heard.as_mut().enable();
-        let short = match relay.allowances().take(&team.name, cost, clock::now()) {
-            Ok(()) => return Ok(cost),
+        let short = match relay.allowances().claim(&team.name, cost, clock::now()) {
+            Ok(()) => {
+                record_wait(relay, &call.head.id, team, began);
+                return Ok(cost);
+            }
             Err(short) => short,
         };
-        if !short.ask {
-            break short;
-        }
-        relay.hurry.notify_one();
-        if tokio::time::timeout_at(until, heard).await.is_err() {
+        if !short.ask || !wait_demand(relay, &team.name, began + ASK_TIME, pause).await {
             break short;
         }
+        pause = (pause * 2).max(RETRY_PAUSE);
     };
-    relay.allowances().note_refused(&team.name, cost);
-    if !short.known {
-        return Err(unsure("what the team may use is not known yet"));
+    relay.allowances().record_refusal(&team.name, cost);
+    let waited = began.elapsed().as_millis() as u64;
+    tracing::info!(
+        event = "allowance_refused", id = call.head.id, team = %team.name, units = cost as u64,
+        exhausted = short.exhausted, known = short.known, waited_ms = waited,
+    );
+    if !short.exhausted {
+        // Nobody has said that the limit is reached, so it is not claimed.
+        return Err(unsure("what the team may use is not known, as no leader answers in time"));
     }
     let text = format!("team {} is over its limit: {cost} asked for", team.name);
     Err(Failure::new(Kind::RateLimit, text).after(Some(short.wait)))
 }
+
+/// Has the leader asked for a team after `pause`, and waits for its answer; `false` if there is none by
+/// `until`.
+async fn wait_demand(
+    relay: &Relay,
+    team: &TeamName,
+    until: tokio::time::Instant,
+    pause: Duration,
+) -> bool {
+    if !pause.is_zero() {
+        tokio::time::sleep_until(until.min(tokio::time::Instant::now() + pause)).await;
+    }
+    loop {
+        let mut heard = pin!(relay.heard.notified());
+        heard.as_mut().enable();
+        relay.demanded.notify_one();
+        if tokio::time::timeout_at(until, heard).await.is_err() {
+            return false;
+        }
+        if !relay.allowances().is_pending(team) {
+            return true;
+        }
+    }
+}
+
+/// Records how long a request waited for its team's allowance, and says so where callers feel it.
+fn record_wait(relay: &Relay, id: &str, team: &Team, began: tokio::time::Instant) {
+    let waited = began.elapsed();
+    relay.parts.metrics.record_allowance_wait(waited);
+    if waited >= LONG_WAIT {
+        let (team, waited) = (&team.name, waited.as_millis() as u64);
+        tracing::info!(event = "allowance_waited", id, %team, waited_ms = waited);
+    }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -30,6 +31,8 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     first_token: Histogram<f64>,
+    allowance_wait: Histogram<f64>,
+    demands: Counter<u64>,
     tokens: Counter<u64>,
     attempts: Counter<u64>,
     resumes: Counter<u64>,
@@ -58,6 +61,11 @@
             .with_description("Time from a request's head to the first token given to the caller")
             .with_boundaries(LATENCY_BOUNDS.to_vec())
             .build();
+        let allowance_wait = meter
+            .f64_histogram("emberturn_allowance_wait_seconds")
+            .with_description("Time that requests waited for their team's allowance")
+            .with_boundaries(LATENCY_BOUNDS.to_vec())
+            .build();
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
@@ -76,7 +84,12 @@
                 "emberturn_list_entries_unread",
                 "Entries of the list of backend servers that name none, by reason",
             ),
+            demands: counter(
+                "emberturn_demands",
+                "Demands for allowances, by whether they were answered",
+            ),
             first_token,
+            allowance_wait,
             gauges: Gauges::new(&meter),
             registry,
             _provider: provider,
@@ -94,6 +107,16 @@
         self.first_token.record(seconds, &[KeyValue::new("team", team.to_owned())]);
     }
 
+    /// Records how long a request waited for its team's allowance.
+    pub fn record_allowance_wait(&self, waited: Duration) {
+        self.allowance_wait.record(waited.as_secs_f64(), &[]);
+    }
+
+    /// Counts a demand for allowances.
+    pub fn count_demand(&self, outcome: &str) {
+        self.demands.add(1, &[outcome_label(outcome)]);
+    }
+
     /// Counts tokens given to callers.
     pub fn count_tokens(&self, team: &str, tokens: u64) {
         self.tokens.add(tokens, &[KeyValue::new("team", team.to_owned())]);
--- a/tests/control_bytes.rs
+++ b/tests/control_bytes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use emberturn::decide::allowance::{Allowed, TeamDemand};
+use emberturn::decide::allowance::{Grant, TeamDemand};
 use emberturn::decide::capacity::Offered;
 use emberturn::decide::engine::EngineModel;
 use emberturn::decide::loads::ToldLoad;
@@ -135,6 +135,7 @@
         usage: windows.collect(),
         offered: services().zip([70, 90]).map(|(name, seed)| (name, offered(seed))).collect(),
         engines: None,
+        samples: BTreeMap::new(),
         models: Some(Print(0x9e37_79b9_7f4a_7c15)),
         demand: by_team(fleet, demand),
         trials: BTreeMap::new(),
@@ -148,7 +149,7 @@
 }
 
 fn reply(fleet: &Fleet) -> BeatReply {
-    let allowed = |seed| Allowed { amount: drawn(seed), rate: drawn(seed + 9), wait: 0.0 };
+    let allowed = |seed| Grant { amount: drawn(seed), rate: drawn(seed + 9), wait: 0.0 };
     let word = || ReleaseWord { in_force: Some("v1".parse().unwrap()), trial: None };
     BeatReply {
         list: None,
@@ -162,6 +163,7 @@
         quarantine: None,
         settled: Window(353_000_000),
         relays: 300,
+        interval: emberturn::units::Millis(400),
         data_centre: None,
     }
 }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -1,6 +1,8 @@
 //! Engines learned from what their answers show: drawn over two orders of magnitude of speed.
 
 use emberturn::decide::engine::{EngineLearner, EngineModel, Observation};
+use emberturn::ids::ServiceName;
+use emberturn::relay::engines::EngineBook;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -132,3 +134,36 @@
     assert_eq!(pooled.weight, 100.0);
     assert!(!EngineModel::pool([].iter()).is_learned());
 }
+
+#[test]
+fn many_boxes_with_two_requests_each_teach_what_one_busy_box_learns() {
+    let engine = Engine { rate: 64_200.0, base: 0.005, busy: 0.3, crowd: 0.5, grey: 0.02 };
+    let service: ServiceName = "svc".parse().unwrap();
+    let (mut rng, mut pooled) = (SmallRng::seed_from_u64(11), EngineLearner::default());
+    for _ in 0..500 {
+        let mut book = EngineBook::default();
+        for _ in 0..2 {
+            book.note(&service, seen(&engine, &mut rng));
+            book.note_served(&service, false);
+            book.note_stream(&service, 20, 100, 0.3);
+        }
+        assert!(book.learned().is_empty());
+        let samples = book.take_samples();
+        samples[&service].iter().for_each(|sample| pooled.record(*sample));
+        // Each sample is reported once.
+        assert!(book.take_samples().is_empty());
+    }
+    let model = pooled.model();
+    assert!(model.is_learned() && (model.rate / engine.rate - 1.0).abs() < 0.15, "{model:?}");
+    assert!(model.pace > 0.0 && model.events > 0.0, "{model:?}");
+}
+
+#[test]
+fn box_with_a_fit_of_its_own_reports_no_samples() {
+    let engine = Engine { rate: 64_200.0, base: 0.005, busy: 0.0, crowd: 0.5, grey: 0.0 };
+    let service: ServiceName = "svc".parse().unwrap();
+    let (mut rng, mut book) = (SmallRng::seed_from_u64(3), EngineBook::default());
+    (0..100).for_each(|_| book.note(&service, seen(&engine, &mut rng)));
+    assert!(book.learned()[&service].is_learned());
+    assert!(book.take_samples().is_empty());
+}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
-use emberturn::decide::allowance::{Allowances, Allowed, TeamDemand};
+use emberturn::decide::allowance::{Allowances, Grant, TeamDemand};
 use emberturn::decide::budget::{RetryBudgets, RetryLimit};
-use emberturn::decide::level::{Limit, Noted, TeamLevel, Tolerance, Word};
+use emberturn::decide::level::{Limit, Noted, TeamReport, TokenBucket, Tolerance};
 use emberturn::ids::{BoxId, Incarnation, ServiceName, TeamName, Window};
 use emberturn::relay::usage::{UsageCounter, window_at};
 use emberturn::state::document::{Document, PackedDocument, Version};
@@ -16,15 +16,15 @@
 const LIMIT: Limit = Limit { rate: 1_000.0, burst: 1_000.0 };
 
 /// A box's word, the first of its life.
-fn word(total: f64, wanted: f64) -> Word {
+fn word(total: f64, wanted: f64) -> TeamReport {
     let demand = TeamDemand { total, wanted, usual: 100.0, ..TeamDemand::default() };
-    Word { life: Incarnation(1), turn: 1, demand }
+    TeamReport { life: Incarnation(1), turn: 1, demand }
 }
 
 #[test]
 fn what_is_left_goes_to_the_box_that_wants_it() {
     let all: Vec<BoxId> = (0..4).map(|place| format!("box-{place}").parse().unwrap()).collect();
-    let mut level = TeamLevel::new(0.0);
+    let mut level = TokenBucket::new(0.0);
     let mut amounts = BTreeMap::new();
     for round in 0..40_u32 {
         for box_id in &all {
@@ -32,9 +32,10 @@
             // Less than the rate, so that something is left.
             let total = if busy { 300.0 * f64::from(round) } else { 0.0 };
             let turn = u64::from(round) + 1;
-            let mut word = Word { turn, ..word(total, 0.0) };
+            let mut word = TeamReport { turn, ..word(total, 0.0) };
             word.demand.usual = if busy { 750.0 } else { 10.0 };
-            let allowed = level.hear(f64::from(round) * 0.4, LIMIT, Noted::Low, 0, box_id, word);
+            let allowed =
+                level.handle_report(f64::from(round) * 0.4, LIMIT, Noted::Low, 0, box_id, word);
             amounts.insert(box_id.clone(), allowed.unwrap().amount);
         }
     }
@@ -45,13 +46,13 @@
 #[test]
 fn team_beyond_its_limit_hears_when_to_come_back() {
     let box_id: BoxId = "box-0".parse().unwrap();
-    let mut level = TeamLevel::new(0.0);
-    level.hear(0.0, LIMIT, Noted::Low, 0, &box_id, word(0.0, 0.0)).unwrap();
-    let wanting = Word { turn: 2, ..word(0.0, 800.0) };
-    let allowed = level.hear(1.0, LIMIT, Noted::Low, 0, &box_id, wanting).unwrap();
+    let mut level = TokenBucket::new(0.0);
+    level.handle_report(0.0, LIMIT, Noted::Low, 0, &box_id, word(0.0, 0.0)).unwrap();
+    let wanting = TeamReport { turn: 2, ..word(0.0, 800.0) };
+    let allowed = level.handle_report(1.0, LIMIT, Noted::Low, 0, &box_id, wanting).unwrap();
     assert!(allowed.amount >= 800.0 && allowed.wait == 0.0, "{allowed:?}");
-    let spent = Word { turn: 3, ..word(allowed.amount + 2_000.0, 500.0) };
-    let allowed = level.hear(1.0, LIMIT, Noted::Low, 0, &box_id, spent).unwrap();
+    let spent = TeamReport { turn: 3, ..word(allowed.amount + 2_000.0, 500.0) };
+    let allowed = level.handle_report(1.0, LIMIT, Noted::Low, 0, &box_id, spent).unwrap();
     assert_eq!(allowed.amount, 0.0);
     assert!((1.4..2.6).contains(&allowed.wait), "{allowed:?}");
 }
@@ -59,14 +60,37 @@
 #[test]
 fn word_that_comes_late_or_twice_changes_nothing() {
     let box_id: BoxId = "box-0".parse().unwrap();
-    let mut level = TeamLevel::new(0.0);
-    level.hear(0.0, LIMIT, Noted::Low, 0, &box_id, Word { turn: 4, ..word(100.0, 0.0) }).unwrap();
+    let mut level = TokenBucket::new(0.0);
+    level
+        .handle_report(
+            0.0,
+            LIMIT,
+            Noted::Low,
+            0,
+            &box_id,
+            TeamReport { turn: 4, ..word(100.0, 0.0) },
+        )
+        .unwrap();
     assert_eq!(
-        level.hear(1.0, LIMIT, Noted::Low, 0, &box_id, Word { turn: 4, ..word(100.0, 0.0) }),
+        level.handle_report(
+            1.0,
+            LIMIT,
+            Noted::Low,
+            0,
+            &box_id,
+            TeamReport { turn: 4, ..word(100.0, 0.0) }
+        ),
         None
     );
     assert_eq!(
-        level.hear(1.0, LIMIT, Noted::Low, 0, &box_id, Word { turn: 3, ..word(0.0, 0.0) }),
+        level.handle_report(
+            1.0,
+            LIMIT,
+            Noted::Low,
+            0,
+            &box_id,
+            TeamReport { turn: 3, ..word(0.0, 0.0) }
+        ),
         None
     );
 }
@@ -153,13 +177,13 @@
 fn box_asks_at_once_when_a_team_runs_out_of_what_the_leader_may_have_more_of() {
     let team: TeamName = "team-a".parse().unwrap();
     let now = Instant::now();
-    let mut allowances = Allowances::new(now);
+    let mut allowances = Allowances::new();
     allowances.follow([&team].into_iter(), now);
     let mut word = |amount, wait| {
-        allowances.tell(now);
-        let allowed = BTreeMap::from([(team.clone(), Allowed { amount, rate: 0.0, wait })]);
-        allowances.hear(&allowed, now);
-        [100.0, 100.0].map(|cost| allowances.take(&team, cost, now).map_err(|short| short.ask))
+        let report = allowances.report(now);
+        let allowed = BTreeMap::from([(team.clone(), Grant { amount, rate: 0.0, wait })]);
+        allowances.apply_grants(&report, &allowed, now);
+        [100.0, 100.0].map(|cost| allowances.claim(&team, cost, now).map_err(|short| short.ask))
     };
     assert_eq!(word(150.0, 0.0), [Ok(()), Err(true)]);
     assert_eq!(word(500.0, 0.0), [Ok(()), Ok(())]);
@@ -171,16 +195,16 @@
 fn silent_leader_leaves_a_box_its_lease_and_no_more() {
     let team: TeamName = "team-a".parse().unwrap();
     let start = Instant::now();
-    let mut allowances = Allowances::new(start);
+    let mut allowances = Allowances::new();
     allowances.follow([&team].into_iter(), start);
-    allowances.tell(start);
-    let allowed = Allowed { amount: 5_000.0, rate: 100.0, wait: 0.0 };
-    allowances.hear(&BTreeMap::from([(team.clone(), allowed)]), start);
+    let report = allowances.report(start);
+    let allowed = Grant { amount: 5_000.0, rate: 100.0, wait: 0.0 };
+    allowances.apply_grants(&report, &BTreeMap::from([(team.clone(), allowed)]), start);
     let mut used = 0.0;
     for step in 1..=600_u32 {
         let now = start + Duration::from_millis(1_000) + Duration::from_millis(50) * step;
         let short = loop {
-            match allowances.take(&team, 10.0, now) {
+            match allowances.claim(&team, 10.0, now) {
                 Ok(()) => used += 10.0,
                 Err(short) => break short,
             }
@@ -192,52 +216,67 @@
     assert!((5_560.0..=5_590.0).contains(&used), "{used}");
 }
 
-#[test]
-fn box_to_which_a_team_no_longer_comes_gives_all_back_and_says_no_more_of_it() {
+/// Reports a team to which 100 units are brought in each of the rounds, every 0.4 s, and to which nobody
+/// comes after them; the last round in which it is reported.
+fn last_reported(rounds: std::ops::RangeInclusive<u32>) -> u32 {
     let (team, box_id): (TeamName, BoxId) = ("team-a".parse().unwrap(), "box-0".parse().unwrap());
     let start = Instant::now();
-    let mut allowances = Allowances::new(start);
+    let mut allowances = Allowances::new();
     allowances.follow([&team].into_iter(), start);
-    let mut level = TeamLevel::new(0.0);
-    let mut spoken = 0;
+    let mut level = TokenBucket::new(0.0);
+    let (mut spoken, mut used) = (0, 0.0);
     for round in 0..100_u32 {
         let seconds = 0.4 * f64::from(round);
         let now = start + Duration::from_secs_f64(seconds);
-        if round == 10 {
-            // Too little is there; with the answer there is more.
-            allowances.take(&team, 100.0, now).unwrap_err();
-        }
-        if round == 11 {
-            allowances.take(&team, 100.0, now).unwrap();
+        let mut claim = || allowances.claim(&team, 100.0, now).is_ok();
+        // The first time too little is there; with the reply there is more.
+        if rounds.contains(&round) && claim()
+            || round > 0 && rounds.contains(&(round - 1)) && claim()
+        {
+            used += 100.0;
         }
-        let told = allowances.tell(now);
-        spoken = if told.is_empty() { spoken } else { round };
-        let word = told.get(&team).map(|demand| Word {
+        let told = allowances.report(now);
+        spoken = if told.teams.is_empty() { spoken } else { round };
+        let word = told.teams.get(&team).map(|demand| TeamReport {
             life: Incarnation(1),
-            turn: allowances.turn(),
+            turn: told.turn,
             demand: *demand,
         });
         let allowed =
-            word.map(|it| level.hear(seconds, LIMIT, Noted::Low, 0, &box_id, it).unwrap());
+            word.map(|it| level.handle_report(seconds, LIMIT, Noted::Low, 0, &box_id, it).unwrap());
         let allowed = allowed.map(|it| (team.clone(), it)).into_iter().collect();
-        allowances.hear(&allowed, now);
+        allowances.apply_grants(&told, &allowed, now);
     }
-    assert!((60..70).contains(&spoken), "it spoke until round {spoken}");
+    assert!(used >= 100.0);
     // All but what was used has come back.
     let word = word(0.0, 900.0);
     let other: BoxId = "box-1".parse().unwrap();
-    let allowed = level.hear(40.0, LIMIT, Noted::Low, 0, &other, word).unwrap();
+    let allowed = level.handle_report(40.0, LIMIT, Noted::Low, 0, &other, word).unwrap();
     assert!(allowed.amount >= 900.0, "{allowed:?}");
     assert_eq!(level.whole().round(), LIMIT.burst);
+    spoken
+}
+
+#[test]
+fn box_to_which_a_team_no_longer_comes_gives_all_back_and_says_no_more_of_it() {
+    // For a lease after the last request at least, and for 20 s at most.
+    let spoken = last_reported(2..=10);
+    assert!((25..60).contains(&spoken), "it spoke until round {spoken}");
+}
+
+#[test]
+fn box_to_which_a_team_comes_once_holds_nothing_for_it_beyond_two_heartbeats() {
+    let spoken = last_reported(10..=10);
+    assert!((11..=13).contains(&spoken), "it spoke until round {spoken}");
 }
 
 #[test]
 fn level_stays_above_its_reserve_until_the_group_has_noted_that_it_may_not() {
     let box_id: BoxId = "box-0".parse().unwrap();
-    let mut level = TeamLevel::new(0.0);
+    let mut level = TokenBucket::new(0.0);
     let mut allowed = |noted, turn, total, wanted| {
-        let word = Word { turn, ..word(total, wanted) };
-        let allowed = level.hear(0.0, LIMIT, noted, 0, &box_id, word).unwrap();
+        let word = TeamReport { turn, ..word(total, wanted) };
+        let allowed = level.handle_report(0.0, LIMIT, noted, 0, &box_id, word).unwrap();
         (allowed.amount, level.is_lacking())
     };
     // A former leader's reserve, and nothing on top of it yet.
@@ -249,10 +288,10 @@
 #[test]
 fn new_leader_begins_with_nothing_for_a_team_that_was_low() {
     let box_id: BoxId = "box-0".parse().unwrap();
-    let mut level = TeamLevel::new(0.0);
+    let mut level = TokenBucket::new(0.0);
     for (turn, noted) in [(1, Noted::Unknown), (2, Noted::Low), (3, Noted::Low)] {
-        let word = Word { turn, ..word(0.0, 100.0) };
-        let allowed = level.hear(0.0, LIMIT, noted, 0, &box_id, word).unwrap();
+        let word = TeamReport { turn, ..word(0.0, 100.0) };
+        let allowed = level.handle_report(0.0, LIMIT, noted, 0, &box_id, word).unwrap();
         assert_eq!(allowed.amount, 0.0);
         // While the group's note is on its way nobody is told that the team is over its limit.
         assert_eq!(allowed.wait == 0.0, noted == Noted::Unknown);
@@ -270,14 +309,14 @@
 }
 
 /// A level with one box, which has all of the rate on lease that a box may have, reported last at 1 s.
-fn level_with_a_lease() -> (TeamLevel, f64) {
+fn level_with_a_lease() -> (TokenBucket, f64) {
     let box_id: BoxId = "box-0".parse().unwrap();
-    let mut level = TeamLevel::new(0.0);
+    let mut level = TokenBucket::new(0.0);
     let mut rate = 0.0;
     for (turn, at) in [(1, 0.0), (2, 0.5), (3, 1.0)] {
-        let mut word = Word { turn, ..word(0.0, 0.0) };
+        let mut word = TeamReport { turn, ..word(0.0, 0.0) };
         word.demand.usual = 2_000.0;
-        rate = level.hear(at, LIMIT, Noted::Low, 0, &box_id, word).unwrap().rate;
+        rate = level.handle_report(at, LIMIT, Noted::Low, 0, &box_id, word).unwrap().rate;
     }
     assert!(rate >= 0.8 * LIMIT.rate, "{rate}");
     (level, rate)
@@ -288,8 +327,8 @@
     // The box may use all of its lease at its end; what comes in meanwhile stands against that.
     let (mut level, rate) = level_with_a_lease();
     let other: BoxId = "box-1".parse().unwrap();
-    let word = Word { turn: 1, ..word(0.0, 0.0) };
-    level.hear(7.5, LIMIT, Noted::Low, 0, &other, word).unwrap();
+    let word = TeamReport { turn: 1, ..word(0.0, 0.0) };
+    level.handle_report(7.5, LIMIT, Noted::Low, 0, &other, word).unwrap();
     let held = 5.9 * rate;
     let most = LIMIT.burst - held + 0.7 * LIMIT.rate;
     assert!(level.whole() <= most, "{} left, {most} at most", level.whole());
@@ -303,7 +342,7 @@
         let now = 1.0 + 0.1 * f64::from(step);
         level.look(now, LIMIT, Noted::Reserve, 0);
         lacking.push(level.is_lacking());
-        assert!(level.left() >= 0.4 * LIMIT.burst || level.is_lacking(), "{now}");
+        assert!(level.available() >= 0.4 * LIMIT.burst || level.is_lacking(), "{now}");
     }
     assert!(lacking.contains(&true));
     assert!(!level.has_recovered(5.0, LIMIT));
--- a/tests/spend.rs
+++ b/tests/spend.rs
@@ -110,7 +110,7 @@
 #[test]
 fn engines_that_boot_take_none_on_demand_away() {
     let mut demand = Demand::default();
-    demand.note(0.0, offered(1.0));
+    demand.note(0.0, 0.0, offered(1.0));
     let mut sites = sites([0; 4], [3; 4]);
     sites.iter_mut().for_each(|site| site.spot.coming = 6);
     let need = demand.need(0.0, 0.0, &MODEL, &MARKET, Serving::of(&sites), 24).unwrap();
@@ -225,7 +225,7 @@
     let relay = offered(0.5);
     let mut demand = Demand::default();
     assert_eq!(demand.need(0.0, 0.0, &MODEL, &MARKET, Serving::default(), 0), None);
-    demand.note(0.0, relay + relay);
+    demand.note(0.0, 0.0, relay + relay);
     let need = demand.need(1.5, 1.2, &MODEL, &MARKET, Serving::default(), 0).unwrap();
     assert!(need.ample > need.bare && need.bare > 0, "{need:?}");
     // With enough reclaimable ones, none is needed on demand.
@@ -244,13 +244,13 @@
 fn whole_gap_is_ordered_at_once() {
     let model = EngineModel { late: 0.02, ..MODEL };
     let mut demand = Demand::default();
-    demand.note(0.0, offered(1.0));
+    demand.note(0.0, 0.0, offered(1.0));
     demand.need(0.0, 0.0, &model, &MARKET, all(30), 30).unwrap();
     let gone = Market { surge: 1.5, outlook: Outlook { gone: 4, ..Outlook::calm(0) }, ..MARKET };
     let orders: Vec<u32> = (0..=8)
         .map(|look| {
             let passed = f64::from(look) * 0.5;
-            demand.note(passed, offered(1.0 + passed / 8.0));
+            demand.note(passed, 0.0, offered(1.0 + passed / 8.0));
             let booting = Serving { on_demand: 5, ..Serving::default() };
             demand.need(passed, 0.0, &model, &gone, booting, 30).unwrap().bare
         })
@@ -266,17 +266,17 @@
 #[test]
 fn long_absence_does_not_hold_the_need_at_the_days_peak() {
     let mut demand = Demand::default();
-    demand.note(0.0, offered(2.0));
+    demand.note(0.0, 0.0, offered(2.0));
     demand.need(0.0, 0.0, &MODEL, &MARKET, all(30), 30).unwrap();
     let gone = Market { outlook: Outlook { gone: 1, ..Outlook::calm(3) }, ..MARKET };
     let ample = |demand: &mut Demand, now, market: &Market| {
-        demand.note(now, offered(0.2));
+        demand.note(now, 0.0, offered(0.2));
         demand.need(now, 0.0, &MODEL, market, all(30), 0).unwrap().ample
     };
     let high = ample(&mut demand, 1.0, &gone);
     let long = ample(&mut demand, 300.0, &gone);
     let mut calm = Demand::default();
-    calm.note(0.0, offered(0.2));
+    calm.note(0.0, 0.0, offered(0.2));
     let low = ample(&mut calm, 300.0, &MARKET);
     assert!(high > 2 * long && long <= low + 1, "{high}, {long} after long, {low} without it");
 }
@@ -300,11 +300,11 @@
     let ample = |demand: &mut Demand, now| {
         demand.need(now, 0.0, &MODEL, &MARKET, Serving::default(), 0).unwrap().ample
     };
-    demand.note(0.0, offered(2.0));
+    demand.note(0.0, 0.0, offered(2.0));
     let high = ample(&mut demand, 0.0);
-    demand.note(5.0, offered(0.2));
+    demand.note(5.0, 0.0, offered(0.2));
     let later = ample(&mut demand, 5.0);
-    demand.note(200.0, offered(0.2));
+    demand.note(200.0, 0.0, offered(0.2));
     let end = ample(&mut demand, 200.0);
     assert!(high > later && later > end, "{high} {later} {end}");
 }
@@ -493,3 +493,64 @@
     assert!((load.work - busy).abs() < 1e-6 && (load.residue - read / 2.0).abs() < 1e-6);
     assert!((mean - calls * read * read / (2.0 * (1.0 - busy))).abs() < 1e-6);
 }
+
+#[test]
+fn what_is_held_before_any_traffic_is_a_smaller_part_of_a_larger_fleet() {
+    let market = Market { most: 10_000, places: 6, surge: 1.5, ..MARKET };
+    let over = |engines: u32| f64::from(market.at_start(engines)) / f64::from(engines) - 1.0;
+    // A few engines may all be needed, and those of one data centre lost.
+    assert!(over(9) >= 0.7, "{}", over(9));
+    assert!(over(60) >= 0.7, "{}", over(60));
+    assert!(over(2_930) < 0.15, "{}", over(2_930));
+    assert!(over(5_860) < over(2_930));
+    let counts: Vec<_> = (1..3_000).map(|engines| market.at_start(engines)).collect();
+    assert!(counts.is_sorted());
+}
+
+/// What boxes report when `calls` requests a second have come since `first`, as a mean that began at nothing.
+fn rising(calls: f64, since: f64) -> Offered {
+    let part = 1.0 - (-since / 2.5_f64).exp();
+    let tokens = 4_000.0;
+    Offered {
+        mean: calls * tokens * part,
+        peak: calls * tokens * part,
+        calls: calls * part,
+        squares: calls * tokens * tokens * part,
+        objectives: calls * part,
+        output: calls * 100.0 * part,
+    }
+}
+
+#[test]
+fn need_of_a_large_fleet_is_known_within_its_first_seconds() {
+    let market = Market { most: 10_000, places: 6, ..MARKET };
+    let need_at = |calls: f64, at: f64, age: f64| {
+        let mut demand = Demand::default();
+        demand.note(0.0, age, rising(calls, 0.01));
+        demand.note(at, age, rising(calls, at - age));
+        demand.need(at, 5.0, &MODEL, &market, Serving::default(), 0).map(|need| need.ample)
+    };
+    // Some requests a second say nothing in so short a time.
+    assert_eq!(need_at(50.0, 2.0, 0.2), None);
+    let late = need_at(500.0, 30.0, 0.5).unwrap();
+    for (at, age) in [(1.6, 0.2), (2.0, 0.5), (3.0, 0.5), (4.0, 1.0)] {
+        let early = need_at(500.0, at, age).unwrap();
+        let times = f64::from(early) / f64::from(late);
+        assert!((0.9..1.15).contains(&times), "{early} after {at} s, {late} later");
+    }
+}
+
+#[test]
+fn number_of_thousands_is_found_by_comparing_hundreds() {
+    // Wherever numbers are compared that are spread, the best one costs as little as if all had been.
+    for times in [1.0, 7.0, 40.0, 160.0] {
+        let load = load(times, &MODEL);
+        let few = Market { most: 40, places: 6, ..MARKET };
+        let many = Market { most: 985, ..few };
+        let (all, spread) = (load.spots(&few, 0), load.spots(&many, 0));
+        if all < 200 {
+            assert_eq!(all, spread, "{times} times the load");
+        }
+        assert!(spread < 985 * 6, "{times} times the load: {spread}");
+    }
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -8,7 +8,7 @@
 use emberturn::backend::Pool;
 use emberturn::blackboard::Blackboard;
 use emberturn::clock;
-use emberturn::decide::allowance::Allowed;
+use emberturn::decide::allowance::Grant;
 use emberturn::ids::{Incarnation, ServerKey, Term};
 use emberturn::platform::{PlatformDialect, document};
 use emberturn::relay::known::Known;
@@ -180,10 +180,10 @@
     pub fn allow(&self, amount: f64) {
         let table = self.relay.table().unwrap();
         let mut allowances = self.relay.allowances();
-        allowances.tell(clock::now());
-        let allowed = Allowed { amount, rate: 0.0, wait: 0.0 };
+        let report = allowances.report(clock::now());
+        let allowed = Grant { amount, rate: 0.0, wait: 0.0 };
         let allowed = table.teams.keys().map(|team| (team.clone(), allowed)).collect();
-        allowances.hear(&allowed, clock::now());
+        allowances.apply_grants(&report, &allowed, clock::now());
     }
 
     /// Has the relay know just these servers.
--- a/tests/team_limit.rs
+++ b/tests/team_limit.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use emberturn::decide::allowance::{Allowances, Allowed};
-use emberturn::decide::level::{Limit, Noted, TeamLevel, Tolerance, Word};
+use emberturn::decide::allowance::{Allowances, DemandReport, Grant};
+use emberturn::decide::level::{Limit, Noted, TeamReport, TokenBucket, Tolerance};
 use emberturn::ids::{BoxId, Incarnation, TeamName};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -14,8 +14,9 @@
 const STEP: f64 = 0.02;
 const BEAT: f64 = 0.4;
 const LOOK: f64 = 0.1;
-const HURRY: f64 = 0.06;
 const ASK: f64 = 0.15;
+/// When a box gives up on a demand without an answer.
+const GIVE_UP: f64 = 0.4;
 const SIZES: [f64; 3] = [200.0, 2_400.0, 12_000.0];
 const WINDOW: f64 = 8.0;
 
@@ -43,9 +44,11 @@
     flight: f64,
 }
 
+/// The reply to a report at its arrival, or its loss as the box finds out.
 struct Answer {
     at: f64,
-    allowed: BTreeMap<TeamName, Allowed>,
+    report: DemandReport,
+    grants: Option<BTreeMap<TeamName, Grant>>,
 }
 
 struct Entry {
@@ -54,11 +57,10 @@
     allowances: Allowances,
     cut_until: f64,
     next_beat: f64,
-    told_at: f64,
-    asks: bool,
     /// Requests that wait for the leader's word, each with the end of its wait.
     waiting: Vec<(f64, f64)>,
     answer: Option<Answer>,
+    demands: Vec<Answer>,
     relays: u32,
 }
 
@@ -69,7 +71,7 @@
     base: Instant,
     boxes: Vec<Entry>,
     /// The leader's, from the first word that it hears.
-    level: Option<TeamLevel>,
+    level: Option<TokenBucket>,
     /// What the group has noted, and from when on a note to come counts.
     noted: Noted,
     notes: Option<f64>,
@@ -89,13 +91,12 @@
         let boxes = (0..day.boxes).map(|place| Entry {
             id: format!("box-{place}").parse().unwrap(),
             life: 1,
-            allowances: Allowances::new(base),
+            allowances: Allowances::new(),
             cut_until: 0.0,
             next_beat: 0.4 * place as f64 / day.boxes as f64,
-            told_at: -1.0,
-            asks: false,
             waiting: Vec::new(),
             answer: None,
+            demands: Vec::new(),
             relays: 0,
         });
         let mut world = Self {
@@ -132,6 +133,7 @@
             for place in 0..self.boxes.len() {
                 self.hear(place, now);
                 self.ask(place, now);
+                self.demand(place, now);
                 self.beat(place, now);
             }
             now += STEP;
@@ -154,9 +156,10 @@
             }
             if self.rng.random_bool(self.day.restart * STEP) {
                 entry.life += 1;
-                entry.allowances = Allowances::new(at);
+                entry.allowances = Allowances::new();
                 entry.allowances.follow([&self.team].into_iter(), at);
                 entry.answer = None;
+                entry.demands.clear();
                 entry.relays = 0;
             }
         }
@@ -218,14 +221,15 @@
     fn admit(&mut self, place: usize, now: f64, size: f64, until: f64) {
         let at = self.instant(now);
         let entry = &mut self.boxes[place];
-        match entry.allowances.take(&self.team, size, at) {
+        if entry.allowances.is_pending(&self.team) && now < until {
+            entry.waiting.push((size, until));
+            return;
+        }
+        match entry.allowances.claim(&self.team, size, at) {
             Ok(()) => self.uses.push((now, size)),
-            Err(short) if short.ask && now < until => {
-                entry.asks = true;
-                entry.waiting.push((size, until));
-            }
+            Err(short) if short.ask && now < until => entry.waiting.push((size, until)),
             Err(_) => {
-                entry.allowances.note_refused(&self.team, size);
+                entry.allowances.record_refusal(&self.team, size);
                 self.refused += size;
             }
         }
@@ -234,40 +238,77 @@
     fn hear(&mut self, place: usize, now: f64) {
         let at = self.instant(now);
         let entry = &mut self.boxes[place];
-        if entry.answer.as_ref().is_some_and(|answer| answer.at <= now)
-            && let Some(answer) = entry.answer.take()
-        {
-            entry.allowances.hear(&answer.allowed, at);
+        let mut due = Vec::new();
+        if entry.answer.as_ref().is_some_and(|answer| answer.at <= now) {
+            due.extend(entry.answer.take());
+        }
+        due.extend(entry.demands.extract_if(.., |answer| answer.at <= now));
+        for answer in due {
+            match answer.grants {
+                Some(grants) => entry.allowances.apply_grants(&answer.report, &grants, at),
+                None => entry.allowances.close(&answer.report),
+            }
         }
     }
 
-    fn beat(&mut self, place: usize, now: f64) {
+    /// Whether a box reaches a leader.
+    fn reaches(&self, place: usize, now: f64) -> bool {
+        self.boxes[place].cut_until <= now && self.leads_from <= now
+    }
+
+    /// A box's demand for the team alone, beside its beats.
+    fn demand(&mut self, place: usize, now: f64) {
         let at = self.instant(now);
-        let entry = &mut self.boxes[place];
-        let due = now >= entry.next_beat || (entry.asks && now >= entry.told_at + HURRY);
-        if !due || entry.answer.is_some() || entry.cut_until > now || self.leads_from > now {
+        let Some(report) = self.boxes[place].allowances.demand(at) else {
             return;
-        }
-        (entry.next_beat, entry.told_at, entry.asks) = (now + BEAT, now, false);
-        let demand = entry.allowances.tell(at).get(&self.team).copied();
-        let (life, turn) = (Incarnation(entry.life), entry.allowances.turn());
-        let (id, limit) = (entry.id.clone(), kept(&self.day));
-        self.told = self.told.max(entry.relays);
+        };
+        let grants = self.reaches(place, now).then(|| self.grant(place, now, &report));
+        let flight = self.rng.random_range(0.0..self.day.flight);
+        let grants = grants.filter(|_| !self.rng.random_bool(self.day.lost));
+        let at = now + if grants.is_some() { flight } else { GIVE_UP };
+        self.boxes[place].demands.push(Answer { at, report, grants });
+    }
+
+    /// What the leader grants a box by its report.
+    fn grant(
+        &mut self,
+        place: usize,
+        now: f64,
+        report: &DemandReport,
+    ) -> BTreeMap<TeamName, Grant> {
+        let entry = &self.boxes[place];
+        let (life, id, limit) = (Incarnation(entry.life), entry.id.clone(), kept(&self.day));
         let unheard = self.told.saturating_sub(self.heard.len().max(1) as u32);
-        let level = self.level.get_or_insert_with(|| TeamLevel::new(now));
-        let word = demand.map(|demand| Word { life, turn, demand });
-        let allowed = word.and_then(|it| level.hear(now, limit, self.noted, unheard, &id, it));
+        let level = self.level.get_or_insert_with(|| TokenBucket::new(now));
+        let demand = report.teams.get(&self.team).copied();
+        let told = demand.map(|demand| TeamReport { life, turn: report.turn, demand });
+        let grant =
+            told.and_then(|it| level.handle_report(now, limit, self.noted, unheard, &id, it));
         if level.is_lacking() && self.notes.is_none() {
             self.notes = Some(now + 0.04);
         }
+        grant.map(|it| (self.team.clone(), it)).into_iter().collect()
+    }
+
+    fn beat(&mut self, place: usize, now: f64) {
+        let at = self.instant(now);
+        let entry = &self.boxes[place];
+        if now < entry.next_beat || entry.answer.is_some() || !self.reaches(place, now) {
+            return;
+        }
+        let entry = &mut self.boxes[place];
+        entry.next_beat = now + BEAT;
+        let report = entry.allowances.report(at);
+        self.told = self.told.max(entry.relays);
+        let id = entry.id.clone();
+        let grants = self.grant(place, now, &report);
         self.heard.insert(id, now);
         let relays = self.told.max(self.heard.len() as u32);
         let entry = &mut self.boxes[place];
         let flight = self.rng.random_range(0.0..self.day.flight);
         if !self.rng.random_bool(self.day.lost) {
             entry.relays = relays;
-            let allowed = allowed.map(|it| (self.team.clone(), it)).into_iter().collect();
-            entry.answer = Some(Answer { at: now + flight, allowed });
+            entry.answer = Some(Answer { at: now + flight, report, grants: Some(grants) });
         }
     }
 
