--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -7,8 +7,9 @@
 
 use emberturn::decide::allowance::TeamDemand;
 use emberturn::decide::choose::{
-    Candidate as ServerCandidate, LoadWord, affinity, choose as choose_server, choose_over_regions,
-    compares_all, drawn, looks_further, neighbours, others_by_region, others_now,
+    Candidate as ServerCandidate, LoadEstimate, affinity, choose as choose_server,
+    choose_over_regions, compares_all, drawn, looks_further, neighbours, others_by_region,
+    others_now,
 };
 use emberturn::decide::distance::{ByteWeights, Distance, Distances, kilobytes};
 use emberturn::decide::engine::EngineModel;
@@ -123,7 +124,7 @@
         let home = near.max_by_key(|place| affinity(part, hashes[*place]));
         let mut places = if compares_all(count) { (0..count).collect() } else { few(count) };
         places.extend(home);
-        let word = |place: &usize| Some(LoadWord { requests: (*place % 12) as f64, age: 0.4 });
+        let word = |place: &usize| Some(LoadEstimate { requests: (*place % 12) as f64, age: 0.4 });
         let words: Vec<_> = places.iter().map(word).collect();
         let candidates: Vec<_> = others_now(&words, Some(1.0)).into_iter().map(server).collect();
         black_box(choose_server(&model, &candidates, rand::random::<f64>));
@@ -182,7 +183,8 @@
 /// What a relay knows of servers: that all are full.
 fn known(servers: &[Remote], distances: &Distances, names: &[DataCentre]) -> Vec<ServerCandidate> {
     let (now, weights) = (Instant::now(), ByteWeights { regional: 0.1, remote: 1.0 });
-    let word = |it: &Remote| Some(LoadWord { requests: 12.0 + (it.hash % 12) as f64, age: 0.4 });
+    let word =
+        |it: &Remote| Some(LoadEstimate { requests: 12.0 + (it.hash % 12) as f64, age: 0.4 });
     let words: Vec<_> = servers.iter().map(word).collect();
     let regions: Vec<_> = servers.iter().map(|it| REGIONS[it.data_centre]).collect();
     let distance = |it: &Remote| Distance {
--- a/src/control/demand.rs
+++ b/src/control/demand.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::lead::{self, Lead};
+use super::lead::{self, LeaderState};
 use crate::clock;
 use crate::decide::allowance::{DemandReport, Grant, TeamDemand};
 use crate::group::access::Access;
@@ -30,7 +30,7 @@
 
 /// A box's demand for some teams.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Demand {
+pub struct DemandRequest {
     /// The version of this message.
     #[serde(default)]
     pub version: u32,
@@ -76,7 +76,7 @@
     report: DemandReport,
 ) {
     let (turn, teams) = (report.turn, report.teams.clone());
-    let demand = Demand { version: VERSION, box_id, life, turn, teams };
+    let demand = DemandRequest { version: VERSION, box_id, life, turn, teams };
     let answer = access.demand(&demand, ANSWER_TIME).await;
     relay.parts.metrics.count_demand(if answer.is_ok() { "answered" } else { "unanswered" });
     match answer {
@@ -92,11 +92,14 @@
 }
 
 /// Answers a box's demand, if this process leads.
-pub(crate) async fn answer(node: Arc<Node>, demand: Demand) -> Result<DemandReply, Unanswered> {
+pub(crate) async fn answer(
+    node: Arc<Node>,
+    demand: DemandRequest,
+) -> Result<DemandReply, Unanswered> {
     let term = node.leading_term().await.ok_or(Unanswered::NotLeader(None))?;
     let tolerance = lead::tolerance(&node);
-    let (grants, notes) = node.with_lead(term, |lead: &mut Lead| {
-        let Demand { box_id, life, turn, teams, .. } = &demand;
+    let (grants, notes) = node.with_lead(term, |lead: &mut LeaderState| {
+        let DemandRequest { box_id, life, turn, teams, .. } = &demand;
         let grants = lead.grant(box_id, *life, *turn, teams, tolerance);
         (grants, lead.has_notes())
     });
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::{Interval, MissedTickBehavior};
 
-use super::lead::Lead;
+use super::lead::LeaderState;
 use super::spend::OrderAnswer;
 use super::{notes, rollouts};
 use crate::ids::{BackendId, Term, Window};
@@ -142,7 +142,7 @@
 /// Orders the engines that are due.
 async fn order(node: &Node, client: &Client, term: Term) {
     let duty = Duty { holder: node.settings.node.box_id.clone(), fence: term };
-    let orders = node.with_lead(term, Lead::orders);
+    let orders = node.with_lead(term, LeaderState::orders);
     let asked = orders.into_iter().map(|order| async {
         let answer = client.order(&duty, &order, CLOUD_TIME).await;
         (order, answer)
@@ -159,7 +159,7 @@
                 Ok(DutyAnswer::Fenced) => OrderAnswer::Fenced,
                 Err(_) => OrderAnswer::Unknown,
             };
-            lead.spender.note_answer(lead.since.elapsed().as_secs_f64(), &order, answer);
+            lead.spender.record_answer(lead.since.elapsed().as_secs_f64(), &order, answer);
         });
     }
 }
--- a/src/control/beat.rs
+++ b/src/control/heartbeat.rs
@@ -8,21 +8,21 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use super::models::ModelsWord;
+use super::models::ModelsUpdate;
 use crate::clock;
 use crate::decide::allowance::{Grant, TeamDemand};
 use crate::decide::capacity::Offered;
 use crate::decide::engine::Sample;
-use crate::decide::loads::ToldLoad;
+use crate::decide::loads::LoadSample;
 use crate::decide::pace::retry_time;
-use crate::decide::quarantine::{BoxWord, LeaderWord};
-use crate::decide::releases::{ReleaseWord, TrialWord};
+use crate::decide::quarantine::{EndReport, QuarantineUpdate};
+use crate::decide::releases::{ReleaseUpdate, TrialReport};
 use crate::decide::telling::Telling;
 use crate::group::access::Access;
 use crate::ids::{
     BoxId, DataCentre, Incarnation, Revision, ServiceName, TeamName, Version, Window,
 };
-use crate::relay::list::{ListIndex, Print, ToldLife};
+use crate::relay::list::{ContentHash, IncarnationReport, ListIndex};
 use crate::relay::part_loads::PartLoads;
 use crate::relay::usage::Counts;
 use crate::relay::{Relay, quarantine};
@@ -40,7 +40,7 @@
 
 /// What a relay tells the leader.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Beat {
+pub struct BoxHeartbeat {
     /// The box.
     pub box_id: BoxId,
     /// Its data centre: it is to know mostly the servers near it.
@@ -48,7 +48,7 @@
     /// The life of its process: counts of different lives add up.
     pub life: Incarnation,
     /// The print of the index it has of its parts of the list of backend servers.
-    pub list: Option<Print>,
+    pub list: Option<ContentHash>,
     /// The configuration it has.
     pub revision: Revision,
     /// The published document it has.
@@ -65,17 +65,17 @@
     /// What requests showed of engines of which the box knows too little for a fit of its own.
     pub samples: BTreeMap<ServiceName, Vec<Sample>>,
     /// The print of what it was told of engines last.
-    pub models: Option<Print>,
+    pub models: Option<ContentHash>,
     /// What the teams that come to this box used and were refused.
     pub demand: BTreeMap<TeamName, TeamDemand>,
     /// What it saw of the releases that are being tried.
-    pub trials: BTreeMap<ServiceName, TrialWord>,
+    pub trials: BTreeMap<ServiceName, TrialReport>,
     /// Loads that backend servers told it since its last word.
-    pub loads: Vec<ToldLoad>,
+    pub loads: Vec<LoadSample>,
     /// Lives of backend servers that the leader's list did not show.
-    pub lives: Vec<ToldLife>,
+    pub lives: Vec<IncarnationReport>,
     /// Servers that ended under its requests, and what that is news to.
-    pub quarantine: BoxWord,
+    pub quarantine: EndReport,
     /// Which of the words of this life this is.
     pub turn: u64,
     /// The last of them that was answered.
@@ -86,7 +86,7 @@
 
 /// What the leader answers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct BeatReply {
+pub struct HeartbeatReply {
     /// Which parts of the list of backend servers the relay is to have, if that is news to it.
     pub list: Option<Arc<ListIndex>>,
     /// The newest published document.
@@ -97,15 +97,15 @@
     /// What the teams may use on this box.
     pub allowed: BTreeMap<TeamName, Grant>,
     /// What all boxes have learned of engines, if it is news to the box.
-    pub engines: Option<ModelsWord>,
+    pub engines: Option<ModelsUpdate>,
     /// Whether the leader lacks what earlier words of this life of the box told.
     pub lacks: bool,
     /// Which releases get the services' requests; nothing while the leader is not sure.
-    pub releases: Option<BTreeMap<ServiceName, ReleaseWord>>,
+    pub releases: Option<BTreeMap<ServiceName, ReleaseUpdate>>,
     /// Loads that backend servers told other boxes.
     pub loads: Vec<PartLoads>,
     /// Which requests no server gets any more, if that is news to the box.
-    pub quarantine: Option<LeaderWord>,
+    pub quarantine: Option<QuarantineUpdate>,
     /// The last window whose report is fixed.
     pub settled: Window,
     /// Relays that share the limits.
@@ -121,7 +121,7 @@
 struct Told {
     telling: Telling,
     /// The print of what the leader told of engines last.
-    models: Option<Print>,
+    models: Option<ContentHash>,
 }
 
 /// Beats until the task is dropped.
@@ -163,7 +163,7 @@
     let report = relay.allowances().report(asked);
     let turn = report.turn;
     let news = told.telling.news(turn, relay.usage().counts(), relay.engines().learned());
-    let beat = Beat {
+    let beat = BoxHeartbeat {
         box_id: box_id.clone(),
         data_centre: Some(relay.parts.topology.own().clone()),
         life,
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::beat::{Beat, BeatReply};
-use super::models::Spread;
+use super::heartbeat::{BoxHeartbeat, HeartbeatReply};
+use super::models::ModelsBroadcast;
 use super::rollouts::Rollouts;
 use super::spend::{Spender, Weights};
 use crate::decide::allowance::{Grant, TeamDemand};
@@ -21,7 +21,7 @@
 use crate::decide::lives;
 use crate::decide::loads::{self, LoadPool};
 use crate::decide::pace::heartbeat_time;
-use crate::decide::quarantine::{BoxWord, FleetQuarantine, LeaderWord};
+use crate::decide::quarantine::{EndReport, FleetQuarantine, QuarantineUpdate};
 use crate::decide::telling::{Heard, News};
 use crate::group::driver::Unanswered;
 use crate::ids::{
@@ -30,7 +30,7 @@
 use crate::node::Node;
 use crate::platform::client::Order;
 use crate::relay::RELAYS_GUESSED;
-use crate::relay::list::{PackedParts, PartId, Print, Server, ToldLife};
+use crate::relay::list::{ContentHash, IncarnationReport, PackedParts, PartId, Server};
 use crate::relay::list_book::ListBook;
 use crate::relay::listing::Unread;
 use crate::relay::part_loads::{self, PartLoads};
@@ -68,7 +68,7 @@
 const UNREAD_LIMIT: usize = 256;
 
 /// What one life of a relay has told.
-struct Word {
+struct BoxState {
     heard: Instant,
     /// The published document that it had.
     document: Version,
@@ -99,12 +99,12 @@
 }
 
 /// The soft state of one term.
-pub(crate) struct Lead {
+pub(crate) struct LeaderState {
     term: Term,
     pub(super) since: Instant,
     /// Whether nobody can have carried out a duty before: nothing was published yet.
     first: bool,
-    words: BTreeMap<(BoxId, Incarnation), Word>,
+    words: BTreeMap<(BoxId, Incarnation), BoxState>,
     /// The relays that were heard lately, and when.
     present: BTreeMap<BoxId, Instant>,
     swept: Instant,
@@ -132,7 +132,7 @@
     pub(super) engines: Models,
     /// What the leader learns itself, from the samples of boxes without a fit of their own.
     learners: BTreeMap<ServiceName, EngineLearner>,
-    spread: Spread,
+    spread: ModelsBroadcast,
     pub(super) kept: Models,
     /// What the group has kept of dry spells; `None` until that is known.
     pub(super) spells: Option<Spells>,
@@ -142,7 +142,7 @@
     pub(super) quarantine: FleetQuarantine,
 }
 
-impl Lead {
+impl LeaderState {
     fn new(term: Term, first: bool, weights: Weights) -> Self {
         Self {
             term,
@@ -166,7 +166,7 @@
             spender: Spender::new(first, weights),
             engines: Models::new(),
             learners: BTreeMap::new(),
-            spread: Spread::default(),
+            spread: ModelsBroadcast::default(),
             kept: Models::new(),
             spells: None,
             engines_noted: None,
@@ -187,7 +187,7 @@
     }
 
     /// Takes a relay's word and answers it.
-    fn hear(&mut self, beat: Beat, tolerance: Tolerance) -> BeatReply {
+    fn handle_heartbeat(&mut self, beat: BoxHeartbeat, tolerance: Tolerance) -> HeartbeatReply {
         let now = Instant::now();
         self.sweep(now);
         let box_id = beat.box_id.clone();
@@ -203,13 +203,13 @@
         let before = self.present.insert(beat.box_id, now);
         self.loads.hear(beat.loads, now);
         self.record_samples(beat.samples);
-        self.hear_lives(beat.lives, now);
-        let quarantine = self.hear_ends(beat.quarantine, now);
+        self.record_incarnations(beat.lives, now);
+        let quarantine = self.record_ends(beat.quarantine, now);
         let (whole, turn, after) = (beat.whole, beat.turn, beat.after);
         let news = News { whole, turn, after, usage: beat.usage, engines: beat.engines };
         let mut told = self.words.remove(&key).map(|word| word.told).unwrap_or_default();
         let lacks = told.take(news, self.settled);
-        let word = Word { heard: now, document: beat.document, offered: beat.offered, told };
+        let word = BoxState { heard: now, document: beat.document, offered: beat.offered, told };
         self.words.insert(key, word);
         let relays = self.relays();
         let index = self.is_informed().then(|| self.list.index_at(&box_id, own.as_ref()));
@@ -217,7 +217,7 @@
         let loads = self.draw_loads(&parts, now, before);
         let list = index.filter(|index| beat.list != Some(index.print));
         let engines = self.spread.news(&self.engines, beat.models);
-        BeatReply {
+        HeartbeatReply {
             list,
             document: Version(0),
             age: None,
@@ -235,7 +235,7 @@
     }
 
     /// Takes a box's word of servers that ended; the word of held requests that is news to it.
-    fn hear_ends(&mut self, word: BoxWord, now: Instant) -> Option<LeaderWord> {
+    fn record_ends(&mut self, word: EndReport, now: Instant) -> Option<QuarantineUpdate> {
         let (has, unix) = (word.has, UnixMillis::now());
         self.quarantine.hear(word, now);
         let changes = self.quarantine.judge(now, unix);
@@ -252,7 +252,7 @@
     /// Some loads of the servers of a box's parts, fewer where it was answered just before.
     fn draw_loads(
         &self,
-        parts: &[(Print, Vec<&BackendId>)],
+        parts: &[(ContentHash, Vec<&BackendId>)],
         now: Instant,
         before: Option<Instant>,
     ) -> Vec<PartLoads> {
@@ -287,7 +287,7 @@
     }
 
     /// Takes a relay's words of lives. All relays hear of them with the next reading of the list.
-    fn hear_lives(&mut self, lives: Vec<ToldLife>, now: Instant) {
+    fn record_incarnations(&mut self, lives: Vec<IncarnationReport>, now: Instant) {
         for told in lives {
             if self.list.hear_life(&told, now) == lives::Heard::Another {
                 tracing::info!(event = "backend_server_restarted", backend_server = %told.server);
@@ -380,7 +380,7 @@
     }
 
     /// Takes what the relays that are present say of the services' demand.
-    fn note_demand(&mut self) {
+    fn record_demand(&mut self) {
         let mut sums: BTreeMap<ServiceName, Offered> = BTreeMap::new();
         let present = self.words.values().filter(|word| word.heard.elapsed() < ABSENT_TIME);
         for (service, offered) in present.flat_map(|word| &word.offered) {
@@ -479,7 +479,10 @@
 /// Answers a relay's beat, if this process leads. One from a relay without a list waits for the first list
 /// of this term: a relay that has just started asks once, and hears as soon as there is something to
 /// hear.
-pub(crate) async fn hear(node: Arc<Node>, beat: Beat) -> Result<BeatReply, Unanswered> {
+pub(crate) async fn handle_heartbeat(
+    node: Arc<Node>,
+    beat: BoxHeartbeat,
+) -> Result<HeartbeatReply, Unanswered> {
     let term = node.leading_term().await.ok_or(Unanswered::NotLeader(None))?;
     if beat.list.is_none() {
         wait_listed(&node, term).await;
@@ -494,7 +497,12 @@
         if lead.quarantine.is_known() {
             lead.quarantine.follow(noted);
         }
-        let reply = BeatReply { document, age, data_centre, ..lead.hear(beat, tolerance(&node)) };
+        let reply = HeartbeatReply {
+            document,
+            age,
+            data_centre,
+            ..lead.handle_heartbeat(beat, tolerance(&node))
+        };
         (reply, lead.has_notes())
     });
     if is_lacking {
@@ -537,7 +545,7 @@
         let term = self.leading_term().await?;
         follow_table(self, term);
         let may_act = self.with_lead(term, |lead| {
-            lead.note_demand();
+            lead.record_demand();
             lead.may_act(settings.lease.duration())
         });
         may_act.then_some(term)
@@ -553,7 +561,7 @@
     }
 
     /// Runs `f` with the soft state of the term this process leads in.
-    pub(super) fn with_lead<R>(&self, term: Term, f: impl FnOnce(&mut Lead) -> R) -> R {
+    pub(super) fn with_lead<R>(&self, term: Term, f: impl FnOnce(&mut LeaderState) -> R) -> R {
         let first = self.board.document().version.0 == 0;
         let weights = self.settings.cloud.as_ref().map(|cloud| Weights {
             late: cloud.late_weight.duration().as_secs_f64(),
@@ -567,7 +575,7 @@
         }
         let new = || {
             let list = ListBook::new(self.settings.regions.clone());
-            Lead { list, ..Lead::new(term, first, weights) }
+            LeaderState { list, ..LeaderState::new(term, first, weights) }
         };
         f(held.get_or_insert_with(new))
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,6 @@
 //! The controllers that run beside the request path: each reads and writes the blackboard.
 //!
-//! - [`beat`] is a relay's word to the leader; [`lead`] is what the leader makes of it,
+//! - [`heartbeat`] is a relay's word to the leader; [`lead`] is what the leader makes of it,
 //!   [`duties`] what it does towards the platform. [`publish`] is what operators ask of the published document.
 //! - [`demand`] asks the leader for what the teams of waiting requests may use.
 //! - [`document_fetch`] gets a box the published document, [`document_source`] is what replicas give of it.
@@ -12,13 +12,13 @@
 //! - [`share`] renews this node's shares of the teams' limits, and leases them out at the leader.
 //! - [`work`] runs kept work.
 
-pub(crate) mod beat;
 pub(crate) mod boxlist;
 pub(crate) mod demand;
 pub(crate) mod document_fetch;
 pub(crate) mod document_source;
 pub(crate) mod duties;
 pub(crate) mod fetch;
+pub(crate) mod heartbeat;
 pub(crate) mod lead;
 pub(crate) mod load;
 pub(crate) mod models;
--- a/src/control/models.rs
+++ b/src/control/models.rs
@@ -6,34 +6,38 @@
 
 use crate::decide::telling::is_news;
 use crate::member::table::fingerprint;
-use crate::relay::list::Print;
+use crate::relay::list::ContentHash;
 use crate::state::notes::Models;
 
 /// What the leader tells of engines.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ModelsWord {
+pub struct ModelsUpdate {
     /// Tells it from others; a box says which one it has.
-    pub print: Print,
+    pub print: ContentHash,
     /// The models.
     pub models: Models,
 }
 
-impl ModelsWord {
+impl ModelsUpdate {
     fn new(models: &Models) -> Self {
         // Debug output of a number is the shortest text that reads as the same number.
-        Self { print: Print(fingerprint(&format!("{models:?}"))), models: models.clone() }
+        Self { print: ContentHash(fingerprint(&format!("{models:?}"))), models: models.clone() }
     }
 }
 
 /// The leader's side: what boxes are to have.
 #[derive(Debug, Default)]
-pub(crate) struct Spread(Option<ModelsWord>);
+pub(crate) struct ModelsBroadcast(Option<ModelsUpdate>);
 
-impl Spread {
+impl ModelsBroadcast {
     /// The word for a box that has the one of print `held`, if it lacks something.
-    pub(crate) fn news(&mut self, models: &Models, held: Option<Print>) -> Option<ModelsWord> {
+    pub(crate) fn news(
+        &mut self,
+        models: &Models,
+        held: Option<ContentHash>,
+    ) -> Option<ModelsUpdate> {
         if self.0.as_ref().is_none_or(|word| is_news(&word.models, models)) {
-            self.0 = Some(ModelsWord::new(models));
+            self.0 = Some(ModelsUpdate::new(models));
         }
         self.0.as_ref().filter(|word| Some(word.print) != held).cloned()
     }
--- a/src/control/notes.rs
+++ b/src/control/notes.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::duties::SETTLE_TIME;
-use super::lead::{Lead, follow_table, tolerance};
+use super::lead::{LeaderState, follow_table, tolerance};
 use crate::decide::hazard::Learned;
 use crate::decide::level::{Noted, Tolerance};
 use crate::ids::{ServiceName, TeamName};
@@ -60,7 +60,7 @@
     }
 }
 
-impl Lead {
+impl LeaderState {
     /// What the group is to note, or to be asked for at the beginning of a term.
     fn next_note(&mut self, tolerance: Tolerance) -> Option<Command> {
         if self.low.is_none() {
--- a/src/control/rollouts.rs
+++ b/src/control/rollouts.rs
@@ -9,7 +9,7 @@
 use super::duties::SETTLE_TIME;
 use super::publish::{self, is_complete, no_group, other_answer, unacknowledged};
 use crate::decide::exposure::ExposureLimit;
-use crate::decide::releases::{ReleaseWord, TrialAllowed, TrialWord};
+use crate::decide::releases::{ReleaseUpdate, TrialAllowed, TrialReport};
 use crate::decide::rollout::{Facts, Led, next_step};
 use crate::error::{Failure, Kind};
 use crate::ids::{BoxId, Incarnation, Release, ServiceName, Term};
@@ -154,11 +154,11 @@
         &mut self,
         now: f64,
         key: &(BoxId, Incarnation),
-        words: &BTreeMap<ServiceName, TrialWord>,
-    ) -> Option<BTreeMap<ServiceName, ReleaseWord>> {
+        words: &BTreeMap<ServiceName, TrialReport>,
+    ) -> Option<BTreeMap<ServiceName, ReleaseUpdate>> {
         let book = self.book.clone()?;
         let in_force = book.in_force.iter().map(|(service, release)| {
-            let word = ReleaseWord { in_force: Some(release.clone()), trial: None };
+            let word = ReleaseUpdate { in_force: Some(release.clone()), trial: None };
             (service.clone(), word)
         });
         let mut answers: BTreeMap<_, _> = in_force.collect();
@@ -184,7 +184,7 @@
         now: f64,
         key: &(BoxId, Incarnation),
         rollout: &Rollout,
-        word: &TrialWord,
+        word: &TrialReport,
     ) -> u64 {
         let led =
             self.led.entry(rollout.order.service.clone()).or_insert_with(|| Led::new(rollout));
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -278,13 +278,13 @@
     }
 
     /// Notes what became of an order.
-    pub(crate) fn note_answer(&mut self, now: f64, order: &Order, answer: OrderAnswer) {
+    pub(crate) fn record_answer(&mut self, now: f64, order: &Order, answer: OrderAnswer) {
         let book = self.books.entry(order.service.clone()).or_default();
         match answer {
             OrderAnswer::Taken | OrderAnswer::Unknown => {
-                book.note_placed(now, place_of(order), order.count);
+                book.record_order(now, place_of(order), order.count);
             }
-            OrderAnswer::Unavailable => book.note_refused(now, place_of(order)),
+            OrderAnswer::Unavailable => book.record_refusal(now, place_of(order)),
             // Another leader acts: that says nothing of engines.
             OrderAnswer::Fenced => {}
         }
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -115,7 +115,7 @@
 
 /// A server's last word of its load.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LoadWord {
+pub struct LoadEstimate {
     /// Requests there, without this box's.
     pub requests: f64,
     /// Seconds since that was true.
@@ -130,7 +130,7 @@
 /// How many requests of other boxes are at each server now, where `regions` are the servers' regions: a
 /// region that is full says nothing of another. As [`others_now`].
 pub fn others_by_region(
-    words: &[Option<LoadWord>],
+    words: &[Option<LoadEstimate>],
     regions: &[usize],
     stay: Option<f64>,
 ) -> Vec<f64> {
@@ -151,13 +151,13 @@
 /// How many requests of other boxes are at each server now. Requests stay for about `stay` seconds, so
 /// an old word says less and less of its server, and what the new ones say of all of them counts more.
 /// One that has told nothing yet has just come, and is taken to be idle.
-pub fn others_now(words: &[Option<LoadWord>], stay: Option<f64>) -> Vec<f64> {
-    let weight = |word: &LoadWord| fresh_part(word.age, stay);
+pub fn others_now(words: &[Option<LoadEstimate>], stay: Option<f64>) -> Vec<f64> {
+    let weight = |word: &LoadEstimate| fresh_part(word.age, stay);
     let known = || words.iter().flatten();
     let sum: f64 = known().map(|word| weight(word) * word.requests).sum();
     let weights: f64 = known().map(weight).sum();
     let mean = if weights > f64::MIN_POSITIVE { sum / weights } else { 0.0 };
-    let now = |word: &LoadWord| mean + weight(word) * (word.requests - mean);
+    let now = |word: &LoadEstimate| mean + weight(word) * (word.requests - mean);
     words.iter().map(|word| word.as_ref().map_or(0.0, now)).collect()
 }
 
--- a/src/decide/loads.rs
+++ b/src/decide/loads.rs
@@ -31,7 +31,7 @@
 
 /// A server's load, as somebody was told it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldLoad {
+pub struct LoadSample {
     /// The server.
     pub server: BackendId,
     /// The life in which it told it; 0 where nothing tells lives.
@@ -42,7 +42,7 @@
     pub age: Millis,
 }
 
-impl ToldLoad {
+impl LoadSample {
     /// Requests that are still there, where nothing was sent to the server since and one stays for about
     /// `stay` seconds.
     pub fn faded(&self, stay: Option<f64>) -> f64 {
@@ -59,10 +59,10 @@
 }
 
 impl Load {
-    fn told(&self, server: &BackendId, now: Instant) -> ToldLoad {
+    fn told(&self, server: &BackendId, now: Instant) -> LoadSample {
         let age = now.saturating_duration_since(self.at).min(OLD_TIME);
         let (server, life) = (server.clone(), self.life);
-        ToldLoad { server, life, requests: self.requests, age: age.into() }
+        LoadSample { server, life, requests: self.requests, age: age.into() }
     }
 }
 
@@ -94,7 +94,7 @@
     }
 
     /// Takes what a box was told.
-    pub fn hear(&mut self, told: Vec<ToldLoad>, now: Instant) {
+    pub fn hear(&mut self, told: Vec<LoadSample>, now: Instant) {
         for load in told {
             let at = now.checked_sub(load.age.duration()).unwrap_or(now);
             let server = ServerKey { id: load.server, life: load.life };
@@ -106,7 +106,7 @@
     /// are among them where servers stand in that order; `random` is a number from 0 to 1. Those of which
     /// nobody hears are among them: whatever is sent to a server is answered with its load, so they have got
     /// nothing since their last word.
-    pub fn draw(&self, servers: &[&BackendId], now: Instant, random: f64) -> Vec<ToldLoad> {
+    pub fn draw(&self, servers: &[&BackendId], now: Instant, random: f64) -> Vec<LoadSample> {
         let count = servers.len();
         let first = (random * count as f64) as usize;
         let drawn = count.min(DRAWN);
@@ -116,7 +116,7 @@
     }
 
     /// All loads, and none of them any more.
-    pub fn take(&mut self, now: Instant) -> Vec<ToldLoad> {
+    pub fn take(&mut self, now: Instant) -> Vec<LoadSample> {
         self.places.clear();
         self.loads.drain(..).map(|(server, load)| load.told(&server, now)).collect()
     }
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -70,13 +70,13 @@
 
 impl OrderBook {
     /// Notes that an order for `count` engines was taken at `now`, or may have been.
-    pub fn note_placed(&mut self, now: f64, place: Place, count: u32) {
+    pub fn record_order(&mut self, now: f64, place: Place, count: u32) {
         self.placed.insert(place, Placed { count, at: now, seen: 0, lost: 0 });
     }
 
     /// Notes that an order was refused. While engines serve there, it says that there are no further ones,
     /// and what was ordered before stands; where none do, that there are none.
-    pub fn note_refused(&mut self, now: f64, place: Place) {
+    pub fn record_refusal(&mut self, now: f64, place: Place) {
         if self.placed.get(&place).is_some_and(|placed| placed.seen == 0) {
             self.placed.remove(&place);
         }
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -55,7 +55,7 @@
 
 /// What a box tells the leader.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BoxWord {
+pub struct EndReport {
     /// Servers that ended under its requests, as far as that is news.
     pub ends: Vec<ToldEnd>,
     /// Requests that are held or suspected and that a server has answered.
@@ -66,7 +66,7 @@
 
 /// What the leader tells a box.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaderWord {
+pub struct QuarantineUpdate {
     /// Which word this is; not 0.
     pub mark: u64,
     /// All requests that are held.
@@ -175,17 +175,17 @@
     }
 
     /// What the leader is to be told.
-    pub fn tell(&self, now: Instant) -> BoxWord {
+    pub fn tell(&self, now: Instant) -> EndReport {
         let ends = self.ends.news(now, TOLD_LIMIT);
-        BoxWord { ends, cleared: self.cleared.iter().copied().collect(), has: self.mark }
+        EndReport { ends, cleared: self.cleared.iter().copied().collect(), has: self.mark }
     }
 
     /// Takes the answer to a word: the leader has heard it, and may have told something. One that `lacks` what
     /// it was told before is told all again. The changes, and whether something is left to tell at once.
     pub fn answered(
         &mut self,
-        told: &BoxWord,
-        word: Option<LeaderWord>,
+        told: &EndReport,
+        word: Option<QuarantineUpdate>,
         lacks: bool,
         now: Instant,
     ) -> (Changes, bool) {
@@ -203,7 +203,7 @@
         (changes, !self.cleared.is_empty())
     }
 
-    fn take(&mut self, word: LeaderWord, now: Instant) {
+    fn take(&mut self, word: QuarantineUpdate, now: Instant) {
         self.mark = word.mark;
         let until = |held: ToldHeld| (held.request, now + held.left.duration());
         let told: BTreeMap<_, _> = word.held.into_iter().map(until).collect();
@@ -272,7 +272,7 @@
     }
 
     /// Takes a box's word.
-    pub fn hear(&mut self, word: BoxWord, now: Instant) {
+    pub fn hear(&mut self, word: EndReport, now: Instant) {
         for told in word.ends {
             if !self.left.contains_key(&told.server) {
                 self.due |= self.ends.note(told, now);
@@ -356,7 +356,7 @@
 
     /// The word for a box that has the one marked `has`; none before this leader knows what the group has
     /// noted, so that a box keeps what it was told before. `mark` is for a new word.
-    pub fn word(&mut self, has: u64, mark: u64, unix: UnixMillis) -> Option<LeaderWord> {
+    pub fn word(&mut self, has: u64, mark: u64, unix: UnixMillis) -> Option<QuarantineUpdate> {
         self.noted.as_ref()?;
         let same = |(_, told): &(u64, BTreeSet<Fingerprint>)| self.held.keys().eq(told.iter());
         if !self.told.as_ref().is_some_and(same) {
@@ -367,6 +367,6 @@
             request: *request,
             left: Millis(until.0.saturating_sub(unix.0)),
         };
-        (mark != has).then(|| LeaderWord { mark, held: self.held.iter().map(left).collect() })
+        (mark != has).then(|| QuarantineUpdate { mark, held: self.held.iter().map(left).collect() })
     }
 }
--- a/src/decide/releases.rs
+++ b/src/decide/releases.rs
@@ -13,7 +13,7 @@
 
 /// What a box tells the leader of a service that has a roll-out.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct TrialWord {
+pub struct TrialReport {
     /// When the roll-out was ordered, which tells it from others.
     pub ordered: u64,
     /// Requests that came since the box knows of it.
@@ -26,7 +26,7 @@
 
 /// What the leader tells a box of a service's releases.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct ReleaseWord {
+pub struct ReleaseUpdate {
     /// The release in force; none while nobody knows which one ran before the first order.
     pub in_force: Option<Release>,
     /// The release that is being tried.
@@ -169,13 +169,13 @@
     }
 
     /// What to tell the leader.
-    pub fn tell(&mut self, now: Instant) -> BTreeMap<ServiceName, TrialWord> {
+    pub fn tell(&mut self, now: Instant) -> BTreeMap<ServiceName, TrialReport> {
         let trials = self
             .services
             .iter_mut()
             .filter_map(|(service, it)| Some((service, it.trial.as_mut()?)));
         let words = trials.map(|(service, trial)| {
-            let word = TrialWord {
+            let word = TrialReport {
                 ordered: trial.ordered,
                 came: trial.came,
                 permits: trial.permits.tell(now),
@@ -188,7 +188,7 @@
 
     /// Takes the leader's answer to what was told. One that does not know yet says nothing, and what the box
     /// knows stands: what is in force changes only by word of it.
-    pub fn hear(&mut self, words: Option<BTreeMap<ServiceName, ReleaseWord>>) {
+    pub fn hear(&mut self, words: Option<BTreeMap<ServiceName, ReleaseUpdate>>) {
         for (service, word) in words.into_iter().flatten() {
             let standing = self.services.entry(service).or_default();
             standing.in_force = word.in_force.or(standing.in_force.take());
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::exposure::{Exposure, ExposureLimit, WHOLE_PART};
-use super::releases::TrialWord;
+use super::releases::TrialReport;
 use super::verdict::{Pair, ROUTE_ODDS, Verdict, judge};
 use crate::ids::{BoxId, Incarnation};
 use crate::state::rollout::{Phase, Rollout, RolloutStep};
@@ -99,7 +99,7 @@
 /// What a box told last, and when.
 #[derive(Debug, Default)]
 struct Told {
-    word: TrialWord,
+    word: TrialReport,
     at: f64,
     /// Requests a second at the box.
     rate: f64,
@@ -161,7 +161,7 @@
         &mut self,
         now: f64,
         key: (BoxId, Incarnation),
-        word: &TrialWord,
+        word: &TrialReport,
         rollout: &Rollout,
         random: f64,
     ) -> u64 {
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -16,8 +16,8 @@
 use super::directory::Directory;
 use super::driver::{GroupMessage, Unanswered};
 use super::message::MemberChange;
-use crate::control::beat::{Beat, BeatReply};
-use crate::control::demand::{Demand, DemandReply};
+use crate::control::demand::{DemandReply, DemandRequest};
+use crate::control::heartbeat::{BoxHeartbeat, HeartbeatReply};
 use crate::control::share::ShareRequest;
 use crate::decide::share::Share;
 use crate::ids::{BoxId, TeamName};
@@ -101,9 +101,13 @@
     ///
     /// # Errors
     /// When `limit` is over.
-    pub(crate) async fn beat(&self, beat: &Beat, limit: Duration) -> Result<BeatReply, NoGroup> {
+    pub(crate) async fn beat(
+        &self,
+        beat: &BoxHeartbeat,
+        limit: Duration,
+    ) -> Result<HeartbeatReply, NoGroup> {
         let answer = self.until_answered(method::BEAT, &Packed(beat), limit, BEAT_TIME).await;
-        let Packed(mut reply): Packed<BeatReply> = answer?;
+        let Packed(mut reply): Packed<HeartbeatReply> = answer?;
         if let (Some(data_centre), Some(leader)) = (reply.data_centre.take(), self.leader()) {
             self.directory.note_site(&leader, data_centre);
         }
@@ -116,7 +120,7 @@
     /// When `limit` is over.
     pub(crate) async fn demand(
         &self,
-        demand: &Demand,
+        demand: &DemandRequest,
         limit: Duration,
     ) -> Result<DemandReply, NoGroup> {
         self.until_answered(method::DEMAND, demand, limit, BEAT_TIME).await
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,7 +19,7 @@
 use crate::control;
 use crate::control::document_fetch;
 use crate::control::document_source::DocumentSource;
-use crate::control::lead::Lead;
+use crate::control::lead::LeaderState;
 use crate::decide::admit::Admission;
 use crate::decide::retry::RetryBudget;
 use crate::decide::share::Lessor;
@@ -84,7 +84,7 @@
     pub(crate) lacking: Notify,
     /// The published documents that boxes are given differences from.
     pub(crate) documents: DocumentSource,
-    pub(crate) lead: Mutex<Option<Lead>>,
+    pub(crate) lead: Mutex<Option<LeaderState>>,
     /// Told when the leader has read another list of backend servers.
     pub(crate) listed: Notify,
     stop_by: Mutex<Option<Instant>>,
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -7,7 +7,7 @@
 
 use super::Node;
 use crate::backend::Pool;
-use crate::control::{beat, demand, fetch};
+use crate::control::{demand, fetch, heartbeat};
 use crate::group::join::Joiner;
 use crate::platform::operator;
 use crate::relay::listen::Listeners;
@@ -39,7 +39,7 @@
         let listeners = Listeners::open(&relay).await?;
         tokio::spawn(follow_routes(self.clone()));
         let box_id = self.settings.node.box_id.clone();
-        tokio::spawn(beat::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
+        tokio::spawn(heartbeat::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
         tokio::spawn(demand::run(relay.clone(), self.access.clone(), box_id, self.life));
         tokio::spawn(fetch::run(relay.clone(), self.access.clone()));
         tokio::spawn(lives::run(relay.clone()));
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -6,9 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use crate::control::beat::{Beat, BeatReply};
-pub use crate::control::demand::{Demand, DemandReply};
-pub use crate::control::models::ModelsWord;
+pub use crate::control::demand::{DemandReply, DemandRequest};
+pub use crate::control::heartbeat::{BoxHeartbeat, HeartbeatReply};
+pub use crate::control::models::ModelsUpdate;
 use crate::error::Kind;
 use crate::group::message::Members;
 use crate::ids::{
@@ -51,7 +51,7 @@
 /// Takes a relay's word; answers its allowances and which parts of the list of
 /// backend servers it is to have.
 pub const BEAT: &str = "relay_beat";
-/// Takes a [`Demand`]; answers a [`DemandReply`].
+/// Takes a [`DemandRequest`]; answers a [`DemandReply`].
 pub const DEMAND: &str = "relay_demand";
 /// Takes the names of parts of the list of backend servers; answers their contents.
 pub const LIST_PARTS: &str = "relay_list_parts";
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -15,9 +15,9 @@
 
 use super::client::MESSAGE_LIMIT;
 use super::method::{
-    self, Beat, BeatReply, Call, Demand, DemandReply, DocumentAsk, DocumentPiece, GroupStatus,
-    NodeStatus, Poll, PollReply, QuarantineAnswer, QuarantineAsk, RolloutAnswer, RolloutAsk,
-    Update,
+    self, BoxHeartbeat, Call, DemandReply, DemandRequest, DocumentAsk, DocumentPiece, GroupStatus,
+    HeartbeatReply, NodeStatus, Poll, PollReply, QuarantineAnswer, QuarantineAsk, RolloutAnswer,
+    RolloutAsk, Update,
 };
 use crate::control::{demand, document_source, lead, quarantine, rollouts, share};
 use crate::entry::hand_over;
@@ -168,14 +168,14 @@
 
 async fn beat(
     node: Arc<Node>,
-    Packed(word): Packed<Beat>,
-) -> Result<Result<Packed<BeatReply>, Unanswered>, String> {
-    Ok(lead::hear(node, word).await.map(Packed))
+    Packed(word): Packed<BoxHeartbeat>,
+) -> Result<Result<Packed<HeartbeatReply>, Unanswered>, String> {
+    Ok(lead::handle_heartbeat(node, word).await.map(Packed))
 }
 
 async fn demanded(
     node: Arc<Node>,
-    teams: Demand,
+    teams: DemandRequest,
 ) -> Result<Result<DemandReply, Unanswered>, String> {
     Ok(demand::answer(node, teams).await)
 }
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -8,7 +8,7 @@
 
 use super::list::{Listed, Server};
 use crate::blackboard::fleet::{BackendState, FlightGuard, Leaving};
-use crate::decide::choose::LoadWord;
+use crate::decide::choose::LoadEstimate;
 use crate::decide::lives::{Heard, Life, Speaker};
 use crate::ids::{Incarnation, ServerKey};
 use crate::member::table::fingerprint;
@@ -91,9 +91,9 @@
     }
 
     /// Its last word of its load, without this box's requests.
-    pub fn load_word(&self) -> Option<LoadWord> {
+    pub fn load_word(&self) -> Option<LoadEstimate> {
         let (others, at) = self.others()?;
-        Some(LoadWord { requests: f64::from(others), age: at.elapsed().as_secs_f64() })
+        Some(LoadEstimate { requests: f64::from(others), age: at.elapsed().as_secs_f64() })
     }
 
     /// Requests of others there by its last word, and when that was true.
--- a/src/relay/list.rs
+++ b/src/relay/list.rs
@@ -73,7 +73,7 @@
 
 /// A box's word of the life that a server is in.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldLife {
+pub struct IncarnationReport {
     /// The server in its life.
     pub server: ServerKey,
     /// Where it answered: at another address it is in another life.
@@ -159,9 +159,9 @@
 /// A fingerprint of a part's content: of all that is listed but the time that is left.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct Print(pub u64);
+pub struct ContentHash(pub u64);
 
-impl Print {
+impl ContentHash {
     /// The print of these servers.
     pub fn of(servers: &[Listed]) -> Self {
         let mut text = String::new();
@@ -197,23 +197,23 @@
     /// The list that it is of.
     pub version: ListVersion,
     /// The print of `parts`.
-    pub print: Print,
+    pub print: ContentHash,
     /// The parts, each with the print of its content.
-    pub parts: Vec<(PartId, Print)>,
+    pub parts: Vec<(PartId, ContentHash)>,
 }
 
 impl ListIndex {
     /// The index of some parts.
-    pub fn new(version: ListVersion, parts: Vec<(PartId, Print)>) -> Self {
-        Self { version, print: Print::of_index(&parts), parts }
+    pub fn new(version: ListVersion, parts: Vec<(PartId, ContentHash)>) -> Self {
+        Self { version, print: ContentHash::of_index(&parts), parts }
     }
 
     /// Notes that a part's content has another print by now.
-    pub(super) fn renew(&mut self, part: &PartId, print: Print) {
+    pub(super) fn renew(&mut self, part: &PartId, print: ContentHash) {
         let held = self.parts.iter_mut().find(|(id, _)| id == part);
         if let Some((_, held)) = held.filter(|(_, held)| *held != print) {
             *held = print;
-            self.print = Print::of_index(&self.parts);
+            self.print = ContentHash::of_index(&self.parts);
         }
     }
 }
@@ -238,7 +238,7 @@
     /// Which part.
     pub id: PartId,
     /// The print of its content.
-    pub print: Print,
+    pub print: ContentHash,
     servers: Vec<PartServer>,
 }
 
@@ -280,7 +280,7 @@
     }
 
     /// The part of these servers, of which `passed` of the time left is over since they were listed.
-    pub fn new(id: PartId, print: Print, servers: &[Listed], passed: Millis) -> Self {
+    pub fn new(id: PartId, print: ContentHash, servers: &[Listed], passed: Millis) -> Self {
         let servers = servers.iter().map(|Listed { server, life }| PartServer {
             id: server.id.clone(),
             addr: server.addr,
--- a/src/relay/list_book.rs
+++ b/src/relay/list_book.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use super::list::{
-    ListIndex, ListPart, ListVersion, Listed, PackedParts, PartId, Print, Server, ToldLife,
+    ContentHash, IncarnationReport, ListIndex, ListPart, ListVersion, Listed, PackedParts, PartId,
+    Server,
 };
 use super::listing::{Listing, Unread};
 use crate::decide::lives::{Heard, Life, Moment, Speaker};
@@ -29,7 +30,7 @@
 const LEFT_SLACK: Duration = Duration::from_millis(200);
 
 struct Part {
-    print: Print,
+    print: ContentHash,
     /// A hash of its id: by it boxes take some parts and not others.
     hash: u64,
     servers: Vec<Listed>,
@@ -39,7 +40,7 @@
 
 impl Part {
     fn new(id: &PartId, servers: Vec<Listed>) -> Self {
-        let (print, hash) = (Print::of(&servers), fingerprint(&id.to_string()));
+        let (print, hash) = (ContentHash::of(&servers), fingerprint(&id.to_string()));
         Self { print, hash, servers, packed: OnceLock::new() }
     }
 
@@ -158,7 +159,7 @@
 
     /// Takes a box's word of the life that a server is in. What it changes of the list is told with the
     /// next [`ListBook::renew`].
-    pub fn hear_life(&mut self, told: &ToldLife, now: impl Into<Moment>) -> Heard {
+    pub fn hear_life(&mut self, told: &IncarnationReport, now: impl Into<Moment>) -> Heard {
         let now = now.into();
         let held = self.lives.get_mut(&told.server.id);
         let Some(held) = held.filter(|held| held.addr == told.addr) else {
@@ -267,7 +268,7 @@
         index
     }
 
-    fn parts_of(&self, box_id: &BoxId, own: Option<&DataCentre>) -> Vec<(PartId, Print)> {
+    fn parts_of(&self, box_id: &BoxId, own: Option<&DataCentre>) -> Vec<(PartId, ContentHash)> {
         let topology = own.map(|own| Topology::new(own.clone(), self.regions.clone()));
         let topology = topology.filter(Topology::is_split);
         let near = topology.as_ref().map(|topology| self.by_reach(topology));
@@ -307,7 +308,7 @@
     }
 
     /// The servers of an index's parts, by the prints of the contents that are held.
-    pub fn listed_parts<'a>(&'a self, index: &ListIndex) -> Vec<(Print, Vec<&'a BackendId>)> {
+    pub fn listed_parts<'a>(&'a self, index: &ListIndex) -> Vec<(ContentHash, Vec<&'a BackendId>)> {
         let parts = index.parts.iter().filter_map(|(id, _)| self.parts.get(id));
         let of_part = |part: &'a Part| {
             let ids = part.servers.iter().map(|listed| &listed.server.id);
--- a/src/relay/part_loads.rs
+++ b/src/relay/part_loads.rs
@@ -7,8 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::list::Print;
-use crate::decide::loads::ToldLoad;
+use super::list::ContentHash;
+use crate::decide::loads::LoadSample;
 use crate::ids::{BackendId, ServerKey};
 use crate::units::Millis;
 
@@ -27,14 +27,14 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartLoads {
     /// The print of the part's content.
-    pub part: Print,
+    pub part: ContentHash,
     /// The loads.
     pub loads: Vec<PlacedLoad>,
 }
 
 /// The loads by the places of their servers in `parts`. They come in the order of the parts, from anywhere
 /// on, as they are drawn.
-pub fn placed(loads: &[ToldLoad], parts: &[(Print, Vec<&BackendId>)]) -> Vec<PartLoads> {
+pub fn placed(loads: &[LoadSample], parts: &[(ContentHash, Vec<&BackendId>)]) -> Vec<PartLoads> {
     let all: Vec<_> = parts
         .iter()
         .flat_map(|(part, servers)| servers.iter().zip(0..).map(|(id, at)| (*part, at, *id)))
@@ -57,12 +57,12 @@
 /// The loads by the ids of their servers; `find` gives the server at a place of a part.
 pub fn named(
     loads: &[PartLoads],
-    find: impl Fn(Print, usize) -> Option<ServerKey>,
-) -> Vec<ToldLoad> {
+    find: impl Fn(ContentHash, usize) -> Option<ServerKey>,
+) -> Vec<LoadSample> {
     let of_part = |it: &PartLoads| {
         let told = it.loads.iter().filter_map(|load| {
             let ServerKey { id, life } = find(it.part, load.place as usize)?;
-            Some(ToldLoad { server: id, life, requests: load.requests, age: load.age })
+            Some(LoadSample { server: id, life, requests: load.requests, age: load.age })
         });
         told.collect::<Vec<_>>()
     };
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -6,7 +6,7 @@
 use super::Relay;
 use super::call::Call;
 use crate::decide::ends::ToldEnd;
-use crate::decide::quarantine::{BoxWord, Changes, LeaderWord};
+use crate::decide::quarantine::{Changes, EndReport, QuarantineUpdate};
 use crate::error::{Failure, Kind};
 
 /// Whether a call's request is kept from all servers.
@@ -49,7 +49,12 @@
 }
 
 /// Takes the leader's answer to a word.
-pub(crate) fn take_answer(relay: &Relay, told: &BoxWord, word: Option<LeaderWord>, lacks: bool) {
+pub(crate) fn take_answer(
+    relay: &Relay,
+    told: &EndReport,
+    word: Option<QuarantineUpdate>,
+    lacks: bool,
+) {
     let (changes, is_urgent) = relay.quarantine().answered(told, word, lacks, Instant::now());
     say(&changes);
     if is_urgent {
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -10,11 +10,13 @@
 
 use super::call::Report;
 use super::known::{Known, end, update};
-use super::list::{ListIndex, ListPart, ListVersion, Listed, PartId, Print, ToldLife};
+use super::list::{
+    ContentHash, IncarnationReport, ListIndex, ListPart, ListVersion, Listed, PartId,
+};
 use super::part_loads::{self, PartLoads};
 use super::placed::Placed;
 use crate::decide::lives::{DoubtBook, Heard, Life, Speaker};
-use crate::decide::loads::ToldLoad;
+use crate::decide::loads::LoadSample;
 use crate::decide::topology::Topology;
 use crate::ids::{BackendId, Incarnation, ServiceName};
 use crate::sync::lock;
@@ -93,7 +95,7 @@
 }
 
 impl Parts {
-    fn has(&self, part: &PartId, print: Print) -> bool {
+    fn has(&self, part: &PartId, print: ContentHash) -> bool {
         self.held.get(part).is_some_and(|held| held.print == print)
     }
 
@@ -185,7 +187,7 @@
 
     /// Takes the loads of servers that other boxes were told. One that was told by another life than the known
     /// one says nothing of it.
-    pub fn hear_loads(&self, loads: &[ToldLoad]) {
+    pub fn hear_loads(&self, loads: &[LoadSample]) {
         let listed = self.listed.load();
         let mut told: BTreeMap<ServiceName, Vec<_>> = BTreeMap::new();
         for load in loads {
@@ -316,10 +318,11 @@
     }
 
     /// Lives that this box knows and the leader's list does not show, [`LIVES_TOLD`] at most.
-    pub fn lives_to_tell(&self) -> Vec<ToldLife> {
+    pub fn lives_to_tell(&self) -> Vec<IncarnationReport> {
         let news = lock(&self.news);
         let known = news.iter().filter_map(|id| self.find(id));
-        let lives = known.map(|known| ToldLife { server: known.key(), addr: known.server.addr });
+        let lives =
+            known.map(|known| IncarnationReport { server: known.key(), addr: known.server.addr });
         lives.take(LIVES_TOLD).collect()
     }
 
@@ -333,7 +336,7 @@
     }
 
     /// The print of the index that the box has.
-    pub fn index_print(&self) -> Option<Print> {
+    pub fn index_print(&self) -> Option<ContentHash> {
         self.parts().index.as_ref().map(|index| index.print)
     }
 
--- a/tests/control_bytes.rs
+++ b/tests/control_bytes.rs
@@ -6,16 +6,20 @@
 use emberturn::decide::allowance::{Grant, TeamDemand};
 use emberturn::decide::capacity::Offered;
 use emberturn::decide::engine::EngineModel;
-use emberturn::decide::loads::ToldLoad;
-use emberturn::decide::quarantine::{BoxWord, LeaderWord, ToldHeld};
-use emberturn::decide::releases::ReleaseWord;
+use emberturn::decide::loads::LoadSample;
+use emberturn::decide::quarantine::{EndReport, QuarantineUpdate, ToldHeld};
+use emberturn::decide::releases::ReleaseUpdate;
 use emberturn::ids::{
     BackendId, BoxId, Fingerprint, Incarnation, Revision, ServerKey, ServiceName, Term, Version,
     Window,
 };
-use emberturn::peer::method::{Beat, BeatReply, Call, ModelsWord, Poll, PollReply, Update};
+use emberturn::peer::method::{
+    BoxHeartbeat, Call, HeartbeatReply, ModelsUpdate, Poll, PollReply, Update,
+};
 use emberturn::peer::packed::Packed;
-use emberturn::relay::list::{ListIndex, ListPart, ListVersion, Listed, PartId, Print, Server};
+use emberturn::relay::list::{
+    ContentHash, ListIndex, ListPart, ListVersion, Listed, PartId, Server,
+};
 use emberturn::relay::part_loads::{PartLoads, PlacedLoad, named, placed};
 use emberturn::units::Millis;
 use serde::Serialize;
@@ -66,8 +70,8 @@
     (0..fleet.teams).map(|team| (format!("hule{team:03}").parse().unwrap(), of(team))).collect()
 }
 
-fn loads(fleet: &Fleet, count: u64) -> Vec<ToldLoad> {
-    let load = |place: u64| ToldLoad {
+fn loads(fleet: &Fleet, count: u64) -> Vec<LoadSample> {
+    let load = |place: u64| LoadSample {
         server: server(place % fleet.servers),
         life: LIFE,
         requests: (place % 12) as u32,
@@ -85,7 +89,7 @@
     };
     let size = fleet.servers.min(13 * fleet.parts) / fleet.parts;
     let part = |part: u64| PartLoads {
-        part: Print(0x9e37_79b9_7f4a_7c15 ^ part),
+        part: ContentHash(0x9e37_79b9_7f4a_7c15 ^ part),
         loads: (0..size).map(load).collect(),
     };
     (0..count.div_ceil(size)).map(part).collect()
@@ -105,7 +109,7 @@
     services().zip([1, 20]).map(|(service, seed)| (service, model(seed))).collect()
 }
 
-fn beat(fleet: &Fleet) -> Beat {
+fn beat(fleet: &Fleet) -> BoxHeartbeat {
     let offered = |seed| Offered {
         mean: drawn(seed),
         peak: drawn(seed + 1),
@@ -124,11 +128,11 @@
     };
     let windows =
         (0..3).map(|window| (Window(353_000_000 + window), by_team(fleet, |team| team + 9)));
-    Beat {
+    BoxHeartbeat {
         box_id: "10.1.0.35".parse().unwrap(),
         data_centre: Some("egs-hall".parse().unwrap()),
         life: Incarnation(1_764_720_000_000),
-        list: Some(Print(0x9e37_79b9_7f4a_7c15)),
+        list: Some(ContentHash(0x9e37_79b9_7f4a_7c15)),
         revision: Revision(3),
         document: Version(7),
         whole: false,
@@ -136,22 +140,22 @@
         offered: services().zip([70, 90]).map(|(name, seed)| (name, offered(seed))).collect(),
         engines: None,
         samples: BTreeMap::new(),
-        models: Some(Print(0x9e37_79b9_7f4a_7c15)),
+        models: Some(ContentHash(0x9e37_79b9_7f4a_7c15)),
         demand: by_team(fleet, demand),
         trials: BTreeMap::new(),
         loads: loads(fleet, fleet.told),
         lives: Vec::new(),
-        quarantine: BoxWord::default(),
+        quarantine: EndReport::default(),
         turn: 4_000,
         after: 3_999,
         relays: Some(300),
     }
 }
 
-fn reply(fleet: &Fleet) -> BeatReply {
+fn reply(fleet: &Fleet) -> HeartbeatReply {
     let allowed = |seed| Grant { amount: drawn(seed), rate: drawn(seed + 9), wait: 0.0 };
-    let word = || ReleaseWord { in_force: Some("v1".parse().unwrap()), trial: None };
-    BeatReply {
+    let word = || ReleaseUpdate { in_force: Some("v1".parse().unwrap()), trial: None };
+    HeartbeatReply {
         list: None,
         document: Version(7),
         age: Some(40),
@@ -176,7 +180,7 @@
             bits: 6,
             place,
         };
-        (id, Print(place.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+        (id, ContentHash(place.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
     };
     ListIndex::new(ListVersion { term: Term(4), place: 12 }, (0..fleet.parts).map(part).collect())
 }
@@ -196,7 +200,7 @@
     let servers: Vec<_> =
         (0..count).map(|number| Listed { server: listed(number), life: LIFE }).collect();
     let id = format!("svc/{name}/0/0").parse().unwrap();
-    ListPart::new(id, Print::of(&servers), &servers, Millis(0))
+    ListPart::new(id, ContentHash::of(&servers), &servers, Millis(0))
 }
 
 fn json(message: &impl Serialize) -> usize {
@@ -265,12 +269,12 @@
 #[test]
 fn packed_words_come_out_as_they_went_in() {
     let (_, fleet) = &FLEETS[0];
-    let word = ModelsWord { print: Print(7), models: models() };
+    let word = ModelsUpdate { print: ContentHash(7), models: models() };
     let list = Some(Arc::new(index(fleet)));
-    let sent = BeatReply { list, engines: Some(word), ..reply(fleet) };
+    let sent = HeartbeatReply { list, engines: Some(word), ..reply(fleet) };
     let came = there_and_back(sent.clone());
     assert_eq!(serde_json::to_value(&came).unwrap(), serde_json::to_value(&sent).unwrap());
-    let sent = Beat { engines: Some(models()), ..beat(fleet) };
+    let sent = BoxHeartbeat { engines: Some(models()), ..beat(fleet) };
     let came = there_and_back(sent.clone());
     assert_eq!(serde_json::to_value(&came).unwrap(), serde_json::to_value(&sent).unwrap());
 }
@@ -279,8 +283,8 @@
 fn word_that_is_not_packed_as_here_is_refused() {
     let name: BoxId = "10.1.0.35".parse().unwrap();
     let text = serde_json::to_string(&Packed(name)).unwrap();
-    assert!(serde_json::from_str::<Packed<Beat>>(&text).is_err());
-    assert!(serde_json::from_str::<Packed<Beat>>("\"?\"").is_err());
+    assert!(serde_json::from_str::<Packed<BoxHeartbeat>>(&text).is_err());
+    assert!(serde_json::from_str::<Packed<BoxHeartbeat>>("\"?\"").is_err());
 }
 
 /// A part of the list goes out with all that it tells, also of servers that stay and of none that can be
@@ -306,11 +310,12 @@
 #[test]
 fn loads_by_place_are_those_of_the_servers() {
     let ids: Vec<_> = (0..9).map(server).collect();
-    let parts: Vec<(Print, Vec<&BackendId>)> =
-        (0..3).map(|part| (Print(part), ids[3 * part as usize..][..3].iter().collect())).collect();
+    let parts: Vec<(ContentHash, Vec<&BackendId>)> = (0..3)
+        .map(|part| (ContentHash(part), ids[3 * part as usize..][..3].iter().collect()))
+        .collect();
     // Drawn from the eighth on and around, the second of all unheard of.
     let drawn: Vec<_> = [7, 8, 0, 2, 3]
-        .map(|place| ToldLoad {
+        .map(|place| LoadSample {
             server: server(place),
             life: LIFE,
             requests: 4,
@@ -318,12 +323,13 @@
         })
         .into();
     let sent = placed(&drawn, &parts);
-    let find = |print: Print, place: usize| {
+    let find = |print: ContentHash, place: usize| {
         let id = parts[print.0 as usize].1.get(place).copied().cloned()?;
         Some(ServerKey { id, life: LIFE })
     };
     assert_eq!(named(&sent, find), drawn);
-    let lacking = |print: Print, place| find(print, place).filter(|_| print != Print(0));
+    let lacking =
+        |print: ContentHash, place| find(print, place).filter(|_| print != ContentHash(0));
     let known: Vec<_> = drawn.iter().filter(|load| load.age.0 >= 3).cloned().collect();
     assert_eq!(named(&sent, lacking), known);
 }
@@ -332,13 +338,13 @@
 #[test]
 fn held_requests_cost_nothing_to_speak_of_while_there_are_none() {
     let fleet = &FLEETS[0].1;
-    let quarantine = BoxWord { has: u64::MAX, ..BoxWord::default() };
-    let more = packed(&Beat { quarantine, ..beat(fleet) }) - packed(&beat(fleet));
+    let quarantine = EndReport { has: u64::MAX, ..EndReport::default() };
+    let more = packed(&BoxHeartbeat { quarantine, ..beat(fleet) }) - packed(&beat(fleet));
     assert!(more <= 12, "{more} bytes");
     let held =
         |number: u8| ToldHeld { request: Fingerprint([number; 16]), left: Millis(24 * 3_600_000) };
-    let word = LeaderWord { mark: u64::MAX, held: (0..3).map(held).collect() };
-    let told = packed(&BeatReply { quarantine: Some(word), ..reply(fleet) });
+    let word = QuarantineUpdate { mark: u64::MAX, held: (0..3).map(held).collect() };
+    let told = packed(&HeartbeatReply { quarantine: Some(word), ..reply(fleet) });
     let news = told - packed(&reply(fleet));
     println!("{more} bytes of each word, {news} of an answer that tells three");
     assert!(news <= 200, "{news} bytes");
--- a/tests/distance.rs
+++ b/tests/distance.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use emberturn::decide::choose::{
-    Candidate, LoadWord, choose, choose_over_regions, drawn, expected_wait, looks_further,
+    Candidate, LoadEstimate, choose, choose_over_regions, drawn, expected_wait, looks_further,
     others_by_region, others_now,
 };
 use emberturn::decide::distance::{
@@ -192,7 +192,7 @@
     fn candidates(&self, place: usize, of: &[usize]) -> Vec<Candidate> {
         let word = |engine: &usize| {
             let (requests, at) = self.known[place].get(engine)?;
-            Some(LoadWord { requests: *requests, age: self.now - at })
+            Some(LoadEstimate { requests: *requests, age: self.now - at })
         };
         let words: Vec<_> = of.iter().map(word).collect();
         let regions: Vec<_> = of.iter().map(|engine| region(*engine)).collect();
@@ -415,7 +415,7 @@
     fn one_region_is_taken_as_a_whole(
         words in prop::collection::vec(prop::option::of((0.0..20.0_f64, 0.0..5.0_f64)), 0..40),
     ) {
-        let word = |(requests, age)| LoadWord { requests, age };
+        let word = |(requests, age)| LoadEstimate { requests, age };
         let words: Vec<_> = words.into_iter().map(|it| it.map(word)).collect();
         let regions = vec![0; words.len()];
         prop_assert_eq!(
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -7,7 +7,7 @@
 
 use emberturn::decide::ends::{DEADLY_ENDS, EndBook, ToldEnd};
 use emberturn::decide::quarantine::{
-    BoxQuarantine, BoxWord, FleetQuarantine, HOLD_TIME, LeaderWord,
+    BoxQuarantine, EndReport, FleetQuarantine, HOLD_TIME, QuarantineUpdate,
 };
 use emberturn::ids::Fingerprint;
 use emberturn::state::quarantine::QuarantineBook;
@@ -65,13 +65,13 @@
     fleet.follow(Arc::default());
     for number in 0..3 {
         let ends = vec![end(&format!("i-{number}"), "a", &[1, 2], 9_000 - 1_000 * number)];
-        fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+        fleet.hear(EndReport { ends, ..EndReport::default() }, now);
     }
     let first = fleet.judge(now, NOW).held;
     assert_eq!(first.len(), 1);
     let other = if first[0] == request(1) { 2 } else { 1 };
     let ends = vec![end("i-9", "b", &[other], 0)];
-    fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+    fleet.hear(EndReport { ends, ..EndReport::default() }, now);
     let changes = fleet.judge(now + LATER, NOW);
     assert_eq!((changes.held, changes.lifted), (vec![request(other)], first));
 }
@@ -115,13 +115,13 @@
         }
         for number in 0..3 {
             let ends = vec![end(&format!("i-{number}"), "a", &[1], 9_000 - 1_000 * number)];
-            fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+            fleet.hear(EndReport { ends, ..EndReport::default() }, now);
         }
         fleet.judge(now, NOW);
         fleet.hear_leaving(servers.iter(), now);
         fleet.judge(now + LATER, NOW);
         let word = fleet.word(0, 7, NOW).unwrap();
-        assert_eq!(word, LeaderWord { mark: 7, held: Vec::new() }, "{is_known_first}");
+        assert_eq!(word, QuarantineUpdate { mark: 7, held: Vec::new() }, "{is_known_first}");
     }
 }
 
@@ -166,10 +166,10 @@
         pair.end(server, &[1, 2]);
         // What the leader knows from others: the second request is the one.
         let ends = vec![end(server, "a", &[2], 0)];
-        pair.fleet.hear(BoxWord { ends, ..BoxWord::default() }, Instant::now());
+        pair.fleet.hear(EndReport { ends, ..EndReport::default() }, Instant::now());
     }
     let ends = vec![end("i-4", "b", &[2], 0)];
-    pair.fleet.hear(BoxWord { ends, ..BoxWord::default() }, Instant::now());
+    pair.fleet.hear(EndReport { ends, ..EndReport::default() }, Instant::now());
     assert_eq!(pair.own.len(), 1);
     pair.talk();
     assert_eq!((pair.is_held(1), pair.is_held(2)), (false, true));
@@ -199,7 +199,7 @@
     pair.own.note_well(request(1), Instant::now());
     for server in ["i-1", "i-2", "i-3"] {
         let ends = vec![end(server, "a", &[1], 0)];
-        pair.fleet.hear(BoxWord { ends, ..BoxWord::default() }, Instant::now());
+        pair.fleet.hear(EndReport { ends, ..EndReport::default() }, Instant::now());
     }
     pair.talk();
     assert!(!pair.is_held(1));
@@ -307,12 +307,12 @@
     fleet.follow(Arc::default());
     for number in 0..3 {
         let ends = vec![end(&format!("i-{number}"), "a", &[1], 90_000 - 1_000 * number)];
-        fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+        fleet.hear(EndReport { ends, ..EndReport::default() }, now);
     }
     assert_eq!(fleet.judge(now, NOW).held, [request(1)]);
     for number in 0..400 {
         let ends = vec![end(&format!("j-{number}"), "b", &[], 0)];
-        fleet.hear(BoxWord { ends, ..BoxWord::default() }, now);
+        fleet.hear(EndReport { ends, ..EndReport::default() }, now);
     }
     assert!(fleet.judge(now + LATER, NOW).lifted.is_empty());
     assert_eq!(fleet.ends_of(&request(1)), 0);
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use emberturn::decide::choose::{
-    Candidate, LoadWord, affinity, choose, drawn, neighbours, others_now,
+    Candidate, LoadEstimate, affinity, choose, drawn, neighbours, others_now,
 };
 use emberturn::decide::distance::Distance;
 use emberturn::decide::engine::EngineModel;
-use emberturn::decide::loads::{LoadPool, ToldLoad};
+use emberturn::decide::loads::{LoadPool, LoadSample};
 use emberturn::ids::{BackendId, Incarnation};
 use emberturn::units::Millis;
 use proptest::prelude::*;
@@ -102,7 +102,7 @@
         let drawn: Vec<_> = drawn.into_iter().map(|it| list[it]).collect();
         let word = |engine: &usize| {
             let (requests, at) = self.known[place].get(engine)?;
-            Some(LoadWord { requests: *requests, age: now - at })
+            Some(LoadEstimate { requests: *requests, age: now - at })
         };
         let words: Vec<_> = drawn.iter().map(word).collect();
         let candidates: Vec<_> = others_now(&words, Some(1.0))
@@ -207,10 +207,10 @@
     fn old_word_fades_to_what_new_ones_say(
         requests in 0.0..100.0_f64, others in prop::collection::vec(0.0..20.0_f64, 1..8),
     ) {
-        let new = |requests| Some(LoadWord { requests, age: 0.0 });
+        let new = |requests| Some(LoadEstimate { requests, age: 0.0 });
         let mut words: Vec<_> = others.iter().map(|it| new(*it)).collect();
         let mean = others.iter().sum::<f64>() / others.len() as f64;
-        words.push(Some(LoadWord { requests, age: 60.0 }));
+        words.push(Some(LoadEstimate { requests, age: 60.0 }));
         words.push(None);
         let now = others_now(&words, Some(1.0));
         prop_assert!((now[others.len()] - mean).abs() < 1e-6);
@@ -231,7 +231,7 @@
         let mut newest = HashMap::new();
         for (server, requests, age) in words {
             let life = Incarnation(0);
-            let told = ToldLoad { server: id(server), life, requests, age: Millis(age) };
+            let told = LoadSample { server: id(server), life, requests, age: Millis(age) };
             pool.hear(vec![told], now);
             let held = newest.entry(id(server)).or_insert((age, requests));
             if age < held.0 {
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use emberturn::decide::exposure::{Exposure, ExposureLimit, PERMIT_TIME, Permits};
-use emberturn::decide::releases::{Outcome, ReleaseBook, ReleaseWord, TrialAllowed};
+use emberturn::decide::releases::{Outcome, ReleaseBook, ReleaseUpdate, TrialAllowed};
 use emberturn::decide::rollout::{Led, next_step};
 use emberturn::decide::verdict::{Pace, Pair, Verdict, judge};
 use emberturn::ids::{BoxId, Incarnation, Release, ServiceName};
@@ -178,7 +178,7 @@
     let mut book = ReleaseBook::default();
     let now = Instant::now();
     assert!(book.choose(&service(), true, now).takes(&release("v9")), "nothing is known yet");
-    let word = ReleaseWord { in_force: Some(release("v1")), trial: None };
+    let word = ReleaseUpdate { in_force: Some(release("v1")), trial: None };
     book.hear(Some(BTreeMap::from([(service(), word)])));
     let choice = book.choose(&service(), true, now);
     assert!(choice.takes(&release("v1")) && !choice.takes(&release("v9")));
@@ -187,7 +187,7 @@
 #[test]
 fn box_keeps_what_it_knows_while_a_new_leader_knows_nothing_yet() {
     let mut book = ReleaseBook::default();
-    let word = ReleaseWord { in_force: Some(release("v1")), trial: None };
+    let word = ReleaseUpdate { in_force: Some(release("v1")), trial: None };
     book.hear(Some(BTreeMap::from([(service(), word)])));
     for unknown in [None, Some(BTreeMap::new())] {
         book.hear(unknown);
@@ -218,13 +218,13 @@
 }
 
 /// The leader's word of a trial.
-fn words(trial: TrialAllowed) -> BTreeMap<ServiceName, ReleaseWord> {
-    let word = ReleaseWord { in_force: Some(release("v1")), trial: Some(trial) };
+fn words(trial: TrialAllowed) -> BTreeMap<ServiceName, ReleaseUpdate> {
+    let word = ReleaseUpdate { in_force: Some(release("v1")), trial: Some(trial) };
     BTreeMap::from([(service(), word)])
 }
 
 /// A box that was told of a trial, and again with the permits of its second word.
-fn trying(words: &BTreeMap<ServiceName, ReleaseWord>, now: Instant) -> ReleaseBook {
+fn trying(words: &BTreeMap<ServiceName, ReleaseUpdate>, now: Instant) -> ReleaseBook {
     let mut book = ReleaseBook::default();
     for _ in 0..2 {
         book.tell(now);
@@ -424,7 +424,7 @@
                     soon: led.is_soon(),
                 });
                 let in_force = Some(group.in_force[&service()].clone());
-                let word = ReleaseWord { in_force, trial };
+                let word = ReleaseUpdate { in_force, trial };
                 books[place].hear(Some(BTreeMap::from([(service(), word)])));
             }
             if now >= look {
--- a/tests/server_lives.rs
+++ b/tests/server_lives.rs
@@ -9,11 +9,13 @@
 use std::time::{Duration, Instant};
 
 use emberturn::decide::lives::{DoubtBook, Heard, LIST_LAG, Life, Moment, Speaker};
-use emberturn::decide::loads::{LoadPool, ToldLoad};
+use emberturn::decide::loads::{LoadPool, LoadSample};
 use emberturn::ids::{BackendId, Incarnation, ServerKey, ServiceName, Term};
 use emberturn::relay::call::{Load, Report};
 use emberturn::relay::known::Known;
-use emberturn::relay::list::{ListIndex, ListPart, ListVersion, Listed, Print, Server, ToldLife};
+use emberturn::relay::list::{
+    ContentHash, IncarnationReport, ListIndex, ListPart, ListVersion, Listed, Server,
+};
 use emberturn::relay::list_book::ListBook;
 use emberturn::relay::servers::ServerBook;
 use emberturn::units::{Millis, UnixMillis};
@@ -56,14 +58,14 @@
     ServerKey { id: server(false).id, life }
 }
 
-fn told(life: Incarnation) -> ToldLife {
-    ToldLife { server: key(life), addr: addr(1) }
+fn told(life: Incarnation) -> IncarnationReport {
+    IncarnationReport { server: key(life), addr: addr(1) }
 }
 
 /// Has a box take a list with the server as some leader knows it.
 fn take(book: &ServerBook, place: u64, server: Server, life: Incarnation) {
     let listed = [Listed { server, life }];
-    let (print, id) = (Print::of(&listed), "svc/here/0/0".parse().unwrap());
+    let (print, id) = (ContentHash::of(&listed), "svc/here/0/0".parse().unwrap());
     let version = ListVersion { term: Term(1), place };
     book.take_index(ListIndex::new(version, vec![(id, print)]));
     let id = "svc/here/0/0".parse().unwrap();
@@ -127,7 +129,7 @@
             }
             Word::Load(requests) => {
                 let (server, age) = (server(false).id, Millis(0));
-                self.book.hear_loads(&[ToldLoad { server, life, requests, age }]);
+                self.book.hear_loads(&[LoadSample { server, life, requests, age }]);
             }
             Word::Failed if life == self.first.life() => {
                 while !self.first.state.fail() {}
@@ -213,7 +215,7 @@
         let mut pool = LoadPool::default();
         for (life, age, requests) in &words {
             let (life, age) = (Incarnation(*life), Millis(*age));
-            let told = ToldLoad { server: server(false).id, life, requests: *requests, age };
+            let told = LoadSample { server: server(false).id, life, requests: *requests, age };
             pool.hear(vec![told], now);
         }
         let best = words.iter().map(|(life, age, _)| (*life, 1_000 - age)).max().unwrap();
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -12,7 +12,7 @@
 use emberturn::ids::{Incarnation, ServerKey, Term};
 use emberturn::platform::{PlatformDialect, document};
 use emberturn::relay::known::Known;
-use emberturn::relay::list::{ListIndex, Server, ToldLife};
+use emberturn::relay::list::{IncarnationReport, ListIndex, Server};
 use emberturn::relay::list_book::ListBook;
 use emberturn::relay::listen::Listeners;
 use emberturn::relay::{Relay, RelayParts, ends, lives};
@@ -205,7 +205,7 @@
     /// Has the leader hear a box's word of the life of a server, which goes out with the next list.
     pub fn tell_life(&self, server: &StandIn, life: u64) {
         let key = ServerKey { id: server.id.parse().unwrap(), life: Incarnation(life) };
-        let told = ToldLife { server: key, addr: server.addr };
+        let told = IncarnationReport { server: key, addr: server.addr };
         self.leader.lock().unwrap().hear_life(&told, Instant::now());
     }
 
