The leader's own fit of the engines ends where the boxes' fits weigh as much

Cause: boxes with a fit report no samples any more, so the leader's fit stood still and was pooled for ever with what boxes learned since.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -400,10 +400,10 @@
         let words = || present().map(|word| &word.told.engines);
         let own: Models =
             self.learners.iter().map(|(name, it)| (name.clone(), it.model())).collect();
-        let all = || words().chain([&own]);
-        let services: BTreeSet<_> = all().flat_map(|models| models.keys().cloned()).collect();
-        for service in services {
-            let model = EngineModel::pool(all().filter_map(|models| models.get(&service)));
+        let named = words().chain([&own]).flat_map(|models| models.keys().cloned());
+        for service in named.collect::<BTreeSet<_>>() {
+            let told = words().filter_map(|models| models.get(&service));
+            let model = EngineModel::pool_with(told, own.get(&service));
             if model.is_learned() {
                 self.engines.insert(service, model);
             }
--- a/src/decide/engine.rs
+++ b/src/decide/engine.rs
@@ -151,6 +151,16 @@
         }
     }
 
+    /// Several boxes' models as one, with the leader's own from the samples of boxes without one. That one
+    /// stands only until the boxes' fits weigh as much: it learns nothing more from boxes that have a fit.
+    pub fn pool_with<'a>(models: impl Iterator<Item = &'a Self>, own: Option<&Self>) -> Self {
+        let pooled = Self::pool(models);
+        match own.filter(|own| own.weight > pooled.weight) {
+            Some(own) => Self::pool([&pooled, own].into_iter()),
+            None => pooled,
+        }
+    }
+
     /// Whether a later model says something that whoever knows this one should hear of.
     pub fn is_passed(&self, later: &Self) -> bool {
         let moved = |a: f64, b: f64, slight: f64| (a - b).abs() > slight.max(NEWS_PART * a.max(b));
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -167,3 +167,14 @@
     assert!(book.learned()[&service].is_learned());
     assert!(book.take_samples().is_empty());
 }
+
+#[test]
+fn fit_of_samples_stands_until_the_boxes_own_fits_weigh_as_much() {
+    let model = |rate, weight| EngineModel { rate, weight, ..EngineModel::default() };
+    let (own, box_fit) = (model(20_000.0, 256.0), model(60_000.0, 128.0));
+    assert_eq!(EngineModel::pool_with([].iter(), Some(&own)).rate, 20_000.0);
+    let some = EngineModel::pool_with([box_fit].iter(), Some(&own)).rate;
+    assert!((20_000.0..60_000.0).contains(&some), "{some}");
+    assert_eq!(EngineModel::pool_with([box_fit; 2].iter(), Some(&own)).rate, 60_000.0);
+    assert!(!EngineModel::pool_with([].iter(), None).is_learned());
+}
