--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -7,6 +7,7 @@
 use emberturn::decide::budget::{RetryBudgets, RetryLimit};
 use emberturn::decide::level::{Limit, Noted, TeamReport, TokenBucket, Tolerance};
 use emberturn::ids::{BoxId, Incarnation, ServiceName, TeamName, Window};
+use emberturn::peer::method::{DemandReply, DemandRequest};
 use emberturn::relay::usage::{UsageCounter, window_at};
 use emberturn::state::document::{Document, PackedDocument, Version};
 use emberturn::state::notes::Notes;
@@ -347,3 +348,86 @@
     assert!(lacking.contains(&true));
     assert!(!level.has_recovered(5.0, LIMIT));
 }
+
+/// The allowances of a box that knows one team, and the team.
+fn allowances() -> (Allowances, TeamName, Instant) {
+    let (team, now): (TeamName, _) = ("team-a".parse().unwrap(), Instant::now());
+    let mut allowances = Allowances::new();
+    allowances.follow([&team].into_iter(), now);
+    (allowances, team, now)
+}
+
+fn grant(team: &TeamName, amount: f64) -> BTreeMap<TeamName, Grant> {
+    BTreeMap::from([(team.clone(), Grant { amount, rate: 0.0, wait: 0.0 })])
+}
+
+#[test]
+fn waiting_team_is_asked_for_at_once_and_left_out_of_heartbeats_until_the_reply() {
+    let (mut allowances, team, now) = allowances();
+    assert!(allowances.demand(now).is_none());
+    allowances.claim(&team, 100.0, now).unwrap_err();
+    let demand = allowances.demand(now).unwrap();
+    assert_eq!(demand.teams[&team].wanted, 100.0);
+    // One demand of a team is under way; a heartbeat would withdraw what it asks for.
+    assert!(allowances.is_pending(&team) && allowances.demand(now).is_none());
+    assert!(allowances.report(now).teams.is_empty());
+    allowances.apply_grants(&demand, &grant(&team, 100.0), now);
+    assert!(!allowances.is_pending(&team));
+    allowances.claim(&team, 100.0, now).unwrap();
+    assert!(allowances.report(now).teams.contains_key(&team));
+}
+
+#[test]
+fn reply_to_a_report_that_a_later_one_has_overtaken_grants_nothing() {
+    let (mut allowances, team, now) = allowances();
+    allowances.claim(&team, 100.0, now).unwrap_err();
+    let heartbeat = allowances.report(now);
+    allowances.claim(&team, 100.0, now).unwrap_err();
+    let demand = allowances.demand(now).unwrap();
+    allowances.apply_grants(&heartbeat, &grant(&team, 900.0), now);
+    allowances.claim(&team, 100.0, now).unwrap_err();
+    allowances.apply_grants(&demand, &grant(&team, 150.0), now);
+    // The grant is of the later report alone.
+    allowances.claim(&team, 100.0, now).unwrap();
+    allowances.claim(&team, 100.0, now).unwrap_err();
+}
+
+#[test]
+fn demand_without_a_reply_is_no_reason_to_wait_and_is_made_again() {
+    let (mut allowances, team, now) = allowances();
+    allowances.claim(&team, 100.0, now).unwrap_err();
+    let lost = allowances.demand(now).unwrap();
+    let later = now + Duration::from_millis(200);
+    assert!(!allowances.claim(&team, 100.0, later).unwrap_err().ask);
+    allowances.close(&lost);
+    assert!(allowances.claim(&team, 100.0, later).unwrap_err().ask);
+    let again = allowances.demand(later).unwrap();
+    assert!(again.turn > lost.turn);
+    allowances.apply_grants(&again, &grant(&team, 300.0), later);
+    allowances.claim(&team, 300.0, later).unwrap();
+}
+
+#[test]
+fn refusal_says_whether_the_limit_is_certainly_reached() {
+    let (mut allowances, team, now) = allowances();
+    let short = allowances.claim(&team, 100.0, now).unwrap_err();
+    assert!(!short.exhausted && !short.known);
+    let report = allowances.report(now);
+    let none = BTreeMap::from([(team.clone(), Grant { amount: 0.0, rate: 0.0, wait: 1.5 })]);
+    allowances.apply_grants(&report, &none, now);
+    let short = allowances.claim(&team, 100.0, now).unwrap_err();
+    assert!(short.exhausted && short.known && !short.ask);
+}
+
+#[test]
+fn demands_of_neighbouring_releases_are_understood() {
+    // One more field than is known here, and one fewer.
+    let text = r#"{"version":9,"box_id":"box-1","life":7,"turn":3,"teams":{},"hue":"blue"}"#;
+    let request: DemandRequest = serde_json::from_str(text).unwrap();
+    assert_eq!((request.version, request.turn), (9, 3));
+    let text = r#"{"box_id":"box-1","life":7,"turn":3}"#;
+    let request: DemandRequest = serde_json::from_str(text).unwrap();
+    assert!(request.version == 0 && request.teams.is_empty());
+    let reply: DemandReply = serde_json::from_str(r#"{"shed":true}"#).unwrap();
+    assert!(reply.grants.is_empty());
+}
