Test of refusals: over the limit, and not known to be over it

Its leader granted 10 units and a wait of 0, which says that more is there now; a relay asks again for that, and without an answer it no longer claims that the limit is reached. A leader whose bucket has no more tells a wait (level.rs), so the case says that now and the check stays: 429. The former word is a case of its own: 503.

--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -82,6 +82,7 @@
 #[parameterized(
     no_server = { "no_server", 503 },
     over_the_limit = { "limit", 429 },
+    unsure_of_the_limit = { "unheard", 503 },
     unsure_of_the_routes = { "unsure", 503 },
     slow_body = { "slow", 408 },
 )]
@@ -96,6 +97,11 @@
     relay.list(&listed);
     let reply = match case {
         "limit" => {
+            relay.allow_only(10.0);
+            relay.ask("POST", "once").await
+        }
+        // More may be left, but no leader answers.
+        "unheard" => {
             relay.allow(10.0);
             relay.ask("POST", "once").await
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -348,7 +348,7 @@
     value["tenants"][0]["rate_per_s"] = 1_000.0.into();
     value["tenants"][0]["burst"] = 1_000.0.into();
     relay.publish(&value);
-    relay.allow(1_500.0);
+    relay.allow_only(1_500.0);
     relay.list(&[&server]);
     let headers = "Api-Key: key-a\r\nToken-Usage: 900,100\r\n";
     let mut statuses = Vec::new();
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -176,12 +176,21 @@
         self.board.note_fresh(clock::now());
     }
 
-    /// The leader's word: each team may use so much.
+    /// The leader's reply: each team may use so much, and has more.
     pub fn allow(&self, amount: f64) {
+        self.grant(amount, 0.0);
+    }
+
+    /// The leader's reply: each team may use so much, and its limit is reached then.
+    pub fn allow_only(&self, amount: f64) {
+        self.grant(amount, 1.0);
+    }
+
+    fn grant(&self, amount: f64, wait: f64) {
         let table = self.relay.table().unwrap();
         let mut allowances = self.relay.allowances();
         let report = allowances.report(clock::now());
-        let allowed = Grant { amount, rate: 0.0, wait: 0.0 };
+        let allowed = Grant { amount, rate: 0.0, wait };
         let allowed = table.teams.keys().map(|team| (team.clone(), allowed)).collect();
         allowances.apply_grants(&report, &allowed, clock::now());
     }
