--- a/src/control/demand.rs
+++ b/src/control/demand.rs
@@ -40,6 +40,9 @@
     pub life: Incarnation,
     /// Which of the reports of this life this is, heartbeats counted.
     pub turn: u64,
+    /// Relays that share the limits, as a leader said last.
+    #[serde(default)]
+    pub relays: Option<u32>,
     /// The demand by team.
     #[serde(default)]
     pub teams: BTreeMap<TeamName, TeamDemand>,
@@ -76,7 +79,8 @@
     report: DemandReport,
 ) {
     let (turn, teams) = (report.turn, report.teams.clone());
-    let demand = DemandRequest { version: VERSION, box_id, life, turn, teams };
+    let relays = relay.relays_told();
+    let demand = DemandRequest { version: VERSION, box_id, life, turn, relays, teams };
     let answer = access.demand(&demand, ANSWER_TIME).await;
     relay.parts.metrics.count_demand(if answer.is_ok() { "answered" } else { "unanswered" });
     match answer {
@@ -99,7 +103,8 @@
     let term = node.leading_term().await.ok_or(Unanswered::NotLeader(None))?;
     let tolerance = lead::tolerance(&node);
     let (grants, notes) = node.with_lead(term, |lead: &mut LeaderState| {
-        let DemandRequest { box_id, life, turn, teams, .. } = &demand;
+        let DemandRequest { box_id, life, turn, teams, relays, .. } = &demand;
+        lead.learn_relays(box_id, *life, *relays);
         let grants = lead.grant(box_id, *life, *turn, teams, tolerance);
         (grants, lead.has_notes())
     });
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -193,10 +193,7 @@
         let box_id = beat.box_id.clone();
         let own = beat.data_centre.clone();
         let key = (box_id.clone(), beat.life);
-        if !self.words.contains_key(&key) {
-            // Later words tell what this leader has said itself.
-            self.told = self.told.max(beat.relays.unwrap_or(0));
-        }
+        self.learn_relays(&box_id, beat.life, beat.relays);
         let allowed = self.grant(&beat.box_id, beat.life, beat.turn, &beat.demand, tolerance);
         let since = self.since.elapsed().as_secs_f64();
         let releases = self.rollouts.hear(since, &key, &beat.trials);
@@ -320,6 +317,15 @@
         self.told.saturating_sub((self.present.len() as u32).max(1))
     }
 
+    /// Takes how many relays a former leader told a box of, with its first message of any kind: what the
+    /// others may still have on lease stands against what comes in. Later ones tell what this leader has said
+    /// itself.
+    pub(super) fn learn_relays(&mut self, box_id: &BoxId, life: Incarnation, relays: Option<u32>) {
+        if !self.words.contains_key(&(box_id.clone(), life)) {
+            self.told = self.told.max(relays.unwrap_or(0));
+        }
+    }
+
     /// What a box may use of its teams' limits, by its demand in report `turn`.
     pub(super) fn grant(
         &mut self,
--- a/tests/team_limit.rs
+++ b/tests/team_limit.rs
@@ -262,6 +262,9 @@
         let Some(report) = self.boxes[place].allowances.demand(at) else {
             return;
         };
+        if self.reaches(place, now) {
+            self.told = self.told.max(self.boxes[place].relays);
+        }
         let grants = self.reaches(place, now).then(|| self.grant(place, now, &report));
         let flight = self.rng.random_range(0.0..self.day.flight);
         let grants = grants.filter(|_| !self.rng.random_bool(self.day.lost));
