--- a/bench/src/control.rs
+++ b/bench/src/control.rs
@@ -37,7 +37,7 @@
     seconds: u64,
     /// Only the slopes
     slopes: bool,
-    /// ContentHash JSON
+    /// Print JSON
     json: bool,
 }
 
--- a/bench/src/overhead.rs
+++ b/bench/src/overhead.rs
@@ -25,7 +25,7 @@
     /// Seconds of each part
     #[bpaf(argument("S"), fallback(10), display_fallback)]
     seconds: u64,
-    /// ContentHash JSON
+    /// Print JSON
     json: bool,
 }
 
--- a/bench/src/serving/mod.rs
+++ b/bench/src/serving/mod.rs
@@ -54,7 +54,7 @@
     entry_price: f64,
     /// Leave the baselines out
     alone: bool,
-    /// ContentHash JSON
+    /// Print JSON
     json: bool,
 }
 
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -21,14 +21,14 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options().command("get").help("ContentHash the configuration in force, as JSON")
+    options().command("get").help("Print the configuration in force, as JSON")
 }
 
 fn options() -> OptionParser<Arguments> {
     let contact = contact();
     construct!(Arguments { contact })
         .to_options()
-        .descr("ContentHash the configuration in force on a replica, as JSON")
+        .descr("Print the configuration in force on a replica, as JSON")
 }
 
 /// Prints the configuration without its history.
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -21,7 +21,7 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    options().command("history").help("ContentHash the accepted changes")
+    options().command("history").help("Print the accepted changes")
 }
 
 fn options() -> OptionParser<Arguments> {
@@ -32,9 +32,7 @@
         .argument("N")
         .fallback(20)
         .display_fallback();
-    construct!(Arguments { contact, json, count })
-        .to_options()
-        .descr("ContentHash the accepted changes")
+    construct!(Arguments { contact, json, count }).to_options().descr("Print the accepted changes")
 }
 
 /// Prints the newest accepted changes.
--- a/src/cmd/operator.rs
+++ b/src/cmd/operator.rs
@@ -40,7 +40,7 @@
 
 /// Reads `--json`.
 pub fn json() -> impl Parser<bool> {
-    long("json").help("ContentHash JSON").switch()
+    long("json").help("Print JSON").switch()
 }
 
 impl Contact {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -27,6 +27,17 @@
     assert!(said > 0, "it said nothing");
 }
 
+#[parameterized(
+    get = { "get", "Print the configuration in force on a replica, as JSON" },
+    history = { "history", "Print the accepted changes" },
+    json = { "status", "Print JSON" },
+)]
+fn help_says_what_a_command_prints(command: &str, text: &str) {
+    let output = Command::new(binary("emberturn")).args([command, "--help"]).output().unwrap();
+    let help = String::from_utf8_lossy(&output.stdout);
+    assert!(help.contains(text), "{help}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_secret_and_unknown_trace_are_refused() {
     let cluster = Cluster::start(&[BoxPlan::replica("a")]).await;
