Whether a team's demand is pending follows from the demands that wait

Each allowance kept a flag beside the list of demands that wait for an answer, set and cleared in two loops. A team is pending while the report that named it last waits, so the flag and the loops go. Found by reading the change once more.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -120,8 +120,6 @@
     told: f64,
     turn: u64,
     told_at: Instant,
-    /// Whether a demand for this team alone waits for its answer.
-    pending: bool,
     /// When the report was made whose reply allowed what is left.
     heard: Instant,
     /// Up to when the rate has come in.
@@ -143,7 +141,6 @@
             told: 0.0,
             turn: 0,
             told_at: now,
-            pending: false,
             heard: now,
             filled: now,
             is_given_up: true,
@@ -290,36 +287,35 @@
 
     /// Whether a demand for this team alone waits for its answer.
     pub fn is_pending(&self, team: &TeamName) -> bool {
-        self.teams.get(team).is_some_and(|allowance| allowance.pending)
+        self.teams.get(team).is_some_and(|it| self.waiting.contains_key(&it.turn))
     }
 
     /// The demand to report with a heartbeat: of the teams that come to this box. A team whose own demand
     /// waits for its answer is left out: a later report would overtake it and withdraw what it asks for.
     pub fn report(&mut self, now: Instant) -> DemandReport {
-        self.report_of(now, |allowance| !allowance.pending && !allowance.is_silent())
+        self.report_of(now, |allowance| !allowance.is_silent())
     }
 
     /// The demand of the teams that requests wait for and that are not asked for yet; `None` where there
     /// is none, or enough demands wait for an answer.
     pub fn demand(&mut self, now: Instant) -> Option<DemandReport> {
-        let is_wanted = |it: &Allowance| it.demand.wanted > 0.0 && !it.pending;
-        if self.waiting.len() >= DEMAND_LIMIT || !self.teams.values().any(is_wanted) {
+        let is_wanted = |it: &Allowance| it.demand.wanted > 0.0;
+        let mut asked = self.teams.values().filter(|it| !self.waiting.contains_key(&it.turn));
+        if self.waiting.len() >= DEMAND_LIMIT || !asked.any(is_wanted) {
             return None;
         }
         let report = self.report_of(now, is_wanted);
-        for team in report.teams.keys() {
-            if let Some(allowance) = self.teams.get_mut(team) {
-                allowance.pending = true;
-            }
-        }
         self.waiting.insert(report.turn, now);
         Some(report)
     }
 
+    /// A report of some teams; those whose own demand waits are in none.
     fn report_of(&mut self, now: Instant, is_told: impl Fn(&Allowance) -> bool) -> DemandReport {
         self.turn += 1;
         let turn = self.turn;
-        let told = self.teams.iter_mut().filter(|(_, allowance)| is_told(allowance));
+        let waiting = &self.waiting;
+        let told = self.teams.iter_mut();
+        let told = told.filter(|(_, it)| !waiting.contains_key(&it.turn) && is_told(it));
         let teams = told.map(|(name, allowance)| (name.clone(), allowance.report(turn, now)));
         DemandReport { turn, sent: now, teams: teams.collect() }
     }
@@ -349,14 +345,6 @@
 
     /// Takes that a report had no reply.
     pub fn close(&mut self, report: &DemandReport) {
-        if self.waiting.remove(&report.turn).is_none() {
-            return;
-        }
-        for team in report.teams.keys() {
-            let asked = self.teams.get_mut(team).filter(|it| it.turn == report.turn);
-            if let Some(allowance) = asked {
-                allowance.pending = false;
-            }
-        }
+        self.waiting.remove(&report.turn);
     }
 }
