Tests that read the sources share how they find them

names, platform_words and imports each walked the folders in a loop of their own. Found by reading the change once more.

--- a/tests/imports.rs
+++ b/tests/imports.rs
@@ -1,10 +1,15 @@
 //! The order of the top folders: each uses those below it. What still goes up is listed here, and the list
 //! may only become shorter.
 
+#[path = "support/sources.rs"]
+mod sources;
+
 use std::collections::BTreeSet;
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use sources::sources;
+
 /// The folders and files at the top of the sources, the lowest first.
 const FLOORS: [&str; 21] = [
     "sync",
@@ -59,7 +64,7 @@
 /// Uses of a higher floor by the sources' texts.
 fn upward() -> BTreeSet<(String, String)> {
     let mut found = BTreeSet::new();
-    for (folder, path) in sources() {
+    for (folder, path) in placed() {
         let Some(own) = place(&folder) else {
             assert!(TOP.contains(&folder.as_str()), "{folder} has no place in the order");
             continue;
@@ -78,25 +83,15 @@
 }
 
 /// Each source with the folder or file at the top that it is in.
-fn sources() -> Vec<(String, PathBuf)> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let mut found = Vec::new();
-    for (top, folder) in [(None, root.join("src")), (Some("platform"), root.join("platform"))] {
-        let mut folders = vec![(top.map(str::to_owned), folder)];
-        while let Some((top, folder)) = folders.pop() {
-            for entry in fs::read_dir(folder).unwrap() {
-                let path = entry.unwrap().path();
-                let stem = path.file_stem().unwrap().to_string_lossy().into_owned();
-                let top = top.clone().unwrap_or(stem);
-                if path.is_dir() {
-                    folders.push((Some(top), path));
-                } else if path.extension().is_some_and(|it| it == "rs") {
-                    found.push((top, path));
-                }
-            }
-        }
-    }
-    found
+fn placed() -> Vec<(String, PathBuf)> {
+    let src = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let top = |path: &Path| {
+        let first = path.strip_prefix(&src).unwrap().components().next().unwrap();
+        Path::new(&first).file_stem().unwrap().to_string_lossy().into_owned()
+    };
+    let of_src = sources("src").into_iter().map(|path| (top(&path), path));
+    let platform = sources("platform").into_iter().map(|path| ("platform".to_owned(), path));
+    of_src.chain(platform).collect()
 }
 
 /// What a source names behind `crate::`, outside comments.
--- a/tests/names.rs
+++ b/tests/names.rs
@@ -1,10 +1,15 @@
 //! The names of types: none stands for two things, and names that were given up for the field's terms do not
 //! come back. The table in `docs/glossary.md` says what each became.
 
+#[path = "support/sources.rs"]
+mod sources;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use sources::sources;
+
 /// Folders of which the rooms are done: no former name stands in them.
 const DONE: [&str; 2] = ["src/control", "src/decide"];
 
@@ -37,21 +42,12 @@
     "Team",
 ];
 
-fn sources(folder: &str) -> Vec<(PathBuf, String)> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let (mut folders, mut found) = (vec![root.join(folder)], Vec::new());
-    while let Some(folder) = folders.pop() {
-        for entry in fs::read_dir(folder).unwrap() {
-            let path = entry.unwrap().path();
-            if path.is_dir() {
-                folders.push(path);
-            } else if path.extension().is_some_and(|it| it == "rs") {
-                let text = fs::read_to_string(&path).unwrap();
-                found.push((path, text));
-            }
-        }
-    }
-    found
+/// The sources of a folder, each with its text.
+fn texts(folder: &str) -> impl Iterator<Item = (PathBuf, String)> {
+    sources(folder).into_iter().map(|path| {
+        let text = fs::read_to_string(&path).unwrap();
+        (path, text)
+    })
 }
 
 /// The names of the types that a source declares for others than itself.
@@ -83,7 +79,7 @@
 #[test]
 fn no_type_name_stands_for_two_things_but_those_listed() {
     let mut places: BTreeMap<String, Vec<PathBuf>> = BTreeMap::new();
-    for (path, text) in sources("src").into_iter().chain(sources("platform")) {
+    for (path, text) in texts("src").chain(texts("platform")) {
         for name in declared(&text) {
             places.entry(name.to_owned()).or_default().push(path.clone());
         }
@@ -97,7 +93,7 @@
 fn names_that_were_given_up_do_not_come_back() {
     let former = former();
     assert!(former.len() > 10);
-    for (path, text) in DONE.iter().flat_map(|folder| sources(folder)) {
+    for (path, text) in DONE.iter().flat_map(|folder| texts(folder)) {
         let held: Vec<_> = former.iter().filter(|name| is_word_in(&text, name)).collect();
         assert!(held.is_empty(), "{} holds former names: {held:?}", path.display());
     }
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -1,7 +1,12 @@
 //! The platform's words stay in the adapter, and the adapter stays small.
 
+#[path = "support/sources.rs"]
+mod sources;
+
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
+
+use sources::sources;
 
 /// Names that only the platform's pages use.
 const WORDS: [&str; 17] = [
@@ -27,23 +32,6 @@
 /// Lines that the adapter may have.
 const LINE_LIMIT: usize = 2_500;
 
-fn sources(folder: &str) -> Vec<PathBuf> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
-    let mut found = Vec::new();
-    let mut folders = vec![root];
-    while let Some(folder) = folders.pop() {
-        for entry in fs::read_dir(folder).unwrap() {
-            let path = entry.unwrap().path();
-            if path.is_dir() {
-                folders.push(path);
-            } else if path.extension().is_some_and(|it| it == "rs") {
-                found.push(path);
-            }
-        }
-    }
-    found
-}
-
 #[test]
 fn platform_words_stay_in_the_adapter() {
     for path in sources("src") {
