One copy each: the heartbeat's interval, the margin above the reserve, a report's teams

Relay kept the interval in an atomic beside the allowances; look() wrote the margin of the reserve anew beside is_near; heartbeats and demands copied their teams into the message, since closing a report needed them, which it no longer does. The model's Box hid the language's: Entry.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -123,7 +123,7 @@
     since: f64,
 }
 
-struct Box {
+struct Entry {
     id: BoxId,
     allowances: Allowances,
     waiting: Vec<Waiting>,
@@ -139,7 +139,7 @@
     events: BinaryHeap<Reverse<Event>>,
     names: Vec<TeamName>,
     limit: Limit,
-    boxes: Vec<Box>,
+    boxes: Vec<Entry>,
     messages: Vec<Message>,
     queue: VecDeque<usize>,
     busy: bool,
@@ -187,7 +187,7 @@
             let mut allowances = Allowances::new();
             allowances.follow(names.iter(), base);
             let id = format!("box-{place}").parse().expect("a name");
-            Box { id, allowances, waiting: Vec::new(), failed: 0 }
+            Entry { id, allowances, waiting: Vec::new(), failed: 0 }
         };
         let boxes = (0..fleet.boxes).map(new).collect();
         Self {
--- a/src/control/demand.rs
+++ b/src/control/demand.rs
@@ -76,9 +76,9 @@
     access: Access,
     box_id: BoxId,
     life: Incarnation,
-    report: DemandReport,
+    mut report: DemandReport,
 ) {
-    let (turn, teams) = (report.turn, report.teams.clone());
+    let (turn, teams) = (report.turn, std::mem::take(&mut report.teams));
     let relays = relay.relays_told();
     let demand = DemandRequest { version: VERSION, box_id, life, turn, relays, teams };
     let answer = access.demand(&demand, ANSWER_TIME).await;
--- a/src/control/heartbeat.rs
+++ b/src/control/heartbeat.rs
@@ -160,7 +160,7 @@
     life: Incarnation,
 ) -> bool {
     let asked = clock::now();
-    let report = relay.allowances().report(asked);
+    let mut report = relay.allowances().report(asked);
     let turn = report.turn;
     let news = told.telling.news(turn, relay.usage().counts(), relay.engines().learned());
     let beat = BoxHeartbeat {
@@ -176,7 +176,7 @@
         engines: news.engines.clone(),
         samples: relay.engines().take_samples(),
         models: told.models,
-        demand: report.teams.clone(),
+        demand: std::mem::take(&mut report.teams),
         trials: relay.releases().tell(Instant::now()),
         loads: relay.loads().take(Instant::now()),
         lives: relay.servers.lives_to_tell(),
--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// The time between two heartbeats.
+    pub fn interval(&self) -> Duration {
+        self.interval
+    }
+
     /// Takes the time between two heartbeats.
     pub fn set_interval(&mut self, interval: Duration) {
         self.interval = interval;
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -309,7 +309,7 @@
     pub fn look(&mut self, now: f64, limit: Limit, noted: Noted, unheard: u32) {
         self.fill(now, limit, unheard);
         let ahead = self.left - self.sums.leased * AHEAD_TIME;
-        if ahead < (RESERVE_PART + NEAR_PART) * limit.burst && !self.holders.is_empty() {
+        if is_near(ahead, limit) && !self.holders.is_empty() {
             self.near = now;
             self.lacking |= noted == Noted::Reserve;
         }
@@ -323,15 +323,10 @@
     /// Whether the bucket is for long so far above its reserve that the group may forget that it was low.
     /// What boxes hold does not count: the next leader begins with the reserve beside that.
     pub fn has_recovered(&self, now: f64, limit: Limit) -> bool {
-        let is_calm = now - self.near > LOW_TIME && !self.is_near(limit);
+        let is_calm = now - self.near > LOW_TIME && !is_near(self.left, limit);
         is_calm && self.whole() >= RECOVERED_PART * limit.burst
     }
 
-    /// Whether what nobody holds is near the reserve, or below it.
-    fn is_near(&self, limit: Limit) -> bool {
-        self.left < (RESERVE_PART + NEAR_PART) * limit.burst
-    }
-
     /// What nobody has been allowed; below nothing after boxes were silent.
     pub fn available(&self) -> f64 {
         self.left
@@ -344,7 +339,7 @@
 
     /// Notes whether the level is near its reserve, and whether the group is to know.
     fn note_near(&mut self, now: f64, limit: Limit, is_held: bool, is_short: bool) {
-        let is_near = self.is_near(limit);
+        let is_near = is_near(self.left, limit);
         if is_near {
             self.near = now;
         }
@@ -435,3 +430,8 @@
         }
     }
 }
+
+/// Whether what nobody holds is near the reserve, or below it.
+fn is_near(left: f64, limit: Limit) -> bool {
+    left < (RESERVE_PART + NEAR_PART) * limit.burst
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -53,7 +53,7 @@
 pub mod usage;
 
 use std::pin::pin;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -148,8 +148,6 @@
     pub(crate) demanded: Notify,
     /// Told of each beat and each demand that was answered.
     pub(crate) heard: Notify,
-    /// Milliseconds between two beats.
-    interval: AtomicU64,
 }
 
 /// Relays taken to share the limits before anyone can tell how many do.
@@ -186,7 +184,6 @@
             hurry: Notify::new(),
             demanded: Notify::new(),
             heard: Notify::new(),
-            interval: AtomicU64::new(HEARTBEAT_TIME.as_millis() as u64),
         }
     }
 
@@ -373,14 +370,12 @@
 
     /// The time between two beats.
     pub(crate) fn interval(&self) -> Duration {
-        Duration::from_millis(self.interval.load(Ordering::Relaxed))
+        self.allowances().interval()
     }
 
     /// Takes the leader's word of the time between two beats.
     pub(crate) fn set_interval(&self, interval: Duration) {
-        let interval = interval.clamp(HEARTBEAT_TIME, LONGEST_TIME);
-        self.interval.store(interval.as_millis() as u64, Ordering::Relaxed);
-        self.allowances().set_interval(interval);
+        self.allowances().set_interval(interval.clamp(HEARTBEAT_TIME, LONGEST_TIME));
     }
 
     /// Whether the node is about to stop and takes nothing new.
