Sight: limits that backend servers name, in lines

Cause: no line told whether a box had been told of a server's limit, so the incident's hypotheses could not be told apart.

Change: the limit is read at the adapter (unreadable and doubled ones say nothing), kept by incarnation, and said when it changes; server_chosen names it and is always written for a limited server. Nothing is decided by it.

Conclusion: which box was told, and what it sent afterwards, is in the lines.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -29,6 +29,7 @@
 //! - [`pace`]: how often boxes report to the leader.
 //! - [`nearest`]: which replica a box follows the configuration at.
 //! - [`telling`]: what of a box's word is news to the leader.
+//! - [`throttle`]: the limits that backend servers name.
 //! - [`topology`]: which data centres make up which region, and how far they are.
 
 pub mod absence;
@@ -66,5 +67,6 @@
 pub mod spill;
 pub mod subset;
 pub mod telling;
+pub mod throttle;
 pub mod topology;
 pub mod verdict;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, Uri};
+use tracing::field;
 
 use super::Relay;
 use super::call::{Call, Hop, Load, ReplyHead, RunCopy};
@@ -15,6 +16,7 @@
 use crate::backend::{Exchange, Reuse, SendFault};
 use crate::decide::budget::RetryLimit;
 use crate::decide::releases::Outcome;
+use crate::decide::throttle::{LimitChange, LimitNotice};
 use crate::error::Kind;
 
 /// A connection on which an unrepeatable request goes has rested no longer than this: the other side
@@ -170,6 +172,7 @@
     if let Some(load) = head.load {
         note_load(relay, known, load);
     }
+    record_limit(relay, known, head.limit);
     let encoded = exchange.headers.contains_key(hyper::header::CONTENT_ENCODING);
     match judge(exchange.status, &head, encoded) {
         Verdict::Pass => Ok(Reply { exchange, failed: false }),
@@ -239,6 +242,19 @@
     }
 }
 
+/// Records what an answer says of its server's limit.
+fn record_limit(relay: &Relay, known: &Known, notice: LimitNotice) {
+    let server = known.key();
+    if notice == LimitNotice::Unreadable {
+        tracing::warn!(event = "server_limit_unreadable", backend_server = %server.id);
+    }
+    let change = relay.throttles().record_notice(&server, notice);
+    if let Some(LimitChange { before, now }) = change {
+        let (before, now) = (before.map(field::display), now.map(field::display));
+        tracing::info!(event = "server_limit_changed", backend_server = %server.id, before, now);
+    }
+}
+
 fn note_load(relay: &Relay, known: &Known, load: Load) {
     known.state.report(load.running, load.waiting, Duration::ZERO);
     let requests = load.running + load.waiting;
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Method};
 use sha2::{Digest, Sha256};
 
+use crate::decide::throttle::LimitNotice;
 use crate::ids::{BackendId, Fingerprint, Incarnation, TeamName};
 
 /// Tokens of a generation.
@@ -172,7 +173,7 @@
 }
 
 /// What an answer's head says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReplyHead {
     /// Whether it answers the request that was sent.
     pub own: bool,
@@ -182,4 +183,6 @@
     pub not_run: bool,
     /// The load it tells.
     pub load: Option<Load>,
+    /// The limit that it names.
+    pub limit: LimitNotice,
 }
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -141,12 +141,13 @@
         if self.arrived > 0 && !relay.retries().spend(&self.service) {
             return Err(self.failure(relay));
         }
-        if self.arrived > 0 || volume::allows_ordinary() {
+        let limit = relay.throttles().limit(&known.key());
+        if self.arrived > 0 || limit.is_some() || volume::allows_ordinary() {
             tracing::info!(
                 event = "server_chosen", id = call.head.id, backend_server = %known.server.id,
                 requests = known.requests(), unread = known.unread(), slots = known.server.slots,
                 reach = %self.reach, load_age_ms = known.state.load().map(|load| load.at.elapsed().as_millis() as u64),
-                send = self.arrived + 1,
+                send = self.arrived + 1, limit = limit.map(tracing::field::display),
             );
         }
         self.note_spill(relay);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -73,6 +73,7 @@
 use crate::decide::quarantine::BoxQuarantine;
 use crate::decide::releases::{Outcome, ReleaseBook};
 use crate::decide::spill::SpillBook;
+use crate::decide::throttle::Throttles;
 use crate::decide::topology::Topology;
 use crate::http::gate::Gate;
 use crate::ids::{BackendId, ServiceName, Version};
@@ -132,6 +133,7 @@
     distances: Mutex<Distances>,
     spills: Mutex<SpillBook>,
     quarantine: Mutex<BoxQuarantine>,
+    throttles: Mutex<Throttles>,
     /// The exchanges that broke off, until it is known whether their servers have ended.
     pub ends: EndWatch,
     /// What went to backend servers and came back.
@@ -176,6 +178,7 @@
             distances: Mutex::default(),
             spills: Mutex::default(),
             quarantine: Mutex::default(),
+            throttles: Mutex::default(),
             ends: EndWatch::default(),
             traffic: Traffic::default(),
             relays: AtomicU32::new(0),
@@ -348,6 +351,11 @@
         lock(&self.quarantine)
     }
 
+    /// The limits that servers named.
+    pub fn throttles(&self) -> MutexGuard<'_, Throttles> {
+        lock(&self.throttles)
+    }
+
     /// Whether services' requests leave the region.
     pub fn spills(&self) -> MutexGuard<'_, SpillBook> {
         lock(&self.spills)
--- a/src/units.rs
+++ b/src/units.rs
@@ -213,6 +213,25 @@
     }
 }
 
+/// A number of requests a second, from 0 up.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestRate(pub f64);
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = NumberError;
+
+    fn from_str(text: &str) -> Result<Self, NumberError> {
+        text.parse().map(|Number(rate)| Self(rate))
+    }
+}
+
 /// A text that is not a number from 0 up.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{0:?} is not a number from 0 up, such as 3, 0.25 or 1e-3")]
