Failing test: boxes together send a server many times the limit that it names

Three relays and five replicas, real processes; one server names a limit of 1 a second, another none. 300 requests, one after the other at the boxes in turn:

--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use emberturn::relay::list::Server;
 use serde_json::{Value, json};
@@ -19,6 +19,8 @@
 pub enum Act {
     /// Answers whole and signed.
     Answer,
+    /// Answers whole and signed, and names this limit.
+    Naming(&'static str),
     /// Answers whole, signed, with this id in place of the request's.
     AnswerAs(&'static str),
     /// Answers whole without a signature.
@@ -65,6 +67,8 @@
     pub headers: HashMap<String, String>,
     /// The body.
     pub body: Vec<u8>,
+    /// When it was read.
+    pub at: Instant,
 }
 
 /// A stand-in for a backend server.
@@ -233,7 +237,7 @@
         }
         body.extend_from_slice(&piece[..read]);
     }
-    Ok(Some(Seen { line, headers, body }))
+    Ok(Some(Seen { line, headers, body, at: Instant::now() }))
 }
 
 async fn talk(
@@ -307,6 +311,10 @@
     let resumed = request.headers.get("last-event-id").map_or(0, |text| text.parse().unwrap());
     match act {
         Act::Answer => stream.write_all(whole("200 OK", &id, signed, "answer").as_bytes()).await?,
+        Act::Naming(limit) => {
+            let named = format!("{signed}Server-Limit: {limit}\r\n");
+            stream.write_all(whole("200 OK", &id, &named, "answer").as_bytes()).await?;
+        }
         Act::AnswerAs(other) => {
             stream.write_all(whole("200 OK", other, signed, "answer").as_bytes()).await?;
         }
