Limits that backend servers name hold over all boxes, by leases of the leader

What callers and servers saw: a server that named a limit of 1 a second got 12 requests in 4 s and more, as before it named it.

Cause: nothing read the limit; each box chose servers by load and prompt parts alone. Class: a bound over all boxes that nobody divides.

Why it works: shares of a server add up to one at most whatever is lost, a new lease begins empty, and reports are dated by the leader's clock.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -14,15 +14,17 @@
 use super::models::ModelsBroadcast;
 use super::rollouts::Rollouts;
 use super::spend::{Spender, Weights};
-use crate::decide::allowance::{Grant, TeamDemand};
+use crate::decide::allowance::{Grant, LEASE_TIME, TeamDemand};
 use crate::decide::capacity::Offered;
 use crate::decide::engine::{EngineLearner, EngineModel, Sample};
 use crate::decide::level::{self, Noted, TokenBucket, Tolerance};
+use crate::decide::limit_leases::{LimitLeases, ReportOrigin};
 use crate::decide::lives;
 use crate::decide::loads::{self, LoadPool};
 use crate::decide::pace::heartbeat_time;
 use crate::decide::quarantine::{EndReport, FleetQuarantine, QuarantineUpdate};
 use crate::decide::telling::{Heard, News};
+use crate::decide::throttle::{LimitLease, LimitReport};
 use crate::group::driver::Unanswered;
 use crate::ids::{
     BackendId, BoxId, Incarnation, Release, ServiceName, TeamName, Term, Version, Window,
@@ -140,6 +142,7 @@
     pub(super) engines_noted: Option<Instant>,
     pub(super) rollouts: Rollouts,
     pub(super) quarantine: FleetQuarantine,
+    limit_leases: LimitLeases,
 }
 
 impl LeaderState {
@@ -172,6 +175,7 @@
             engines_noted: None,
             rollouts: Rollouts::default(),
             quarantine: FleetQuarantine::default(),
+            limit_leases: LimitLeases::default(),
         }
     }
 
@@ -246,6 +250,17 @@
         self.quarantine.word(has, rand::random(), unix)
     }
 
+    /// Leases a box shares of the limits that servers named to it.
+    pub(super) fn lease_limits(
+        &mut self,
+        origin: ReportOrigin<'_>,
+        reports: &[LimitReport],
+        now: Instant,
+    ) -> Vec<LimitLease> {
+        let is_taking_over = !self.first && self.since.elapsed() < LEASE_TIME;
+        self.limit_leases.handle_reports(origin, reports, is_taking_over, now)
+    }
+
     /// Some loads of the servers of a box's parts, fewer where it was answered just before.
     fn draw_loads(
         &self,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 //! - [`load`] asks engines for their load.
 //! - [`boxlist`] follows the platform's box list.
 //! - [`share`] renews this node's shares of the teams' limits, and leases them out at the leader.
+//! - [`throttle`] reports the limits that backend servers name, and leases shares of them.
 //! - [`work`] runs kept work.
 
 pub(crate) mod boxlist;
@@ -28,6 +29,7 @@
 pub(crate) mod rollouts;
 pub(crate) mod share;
 pub(crate) mod spend;
+pub(crate) mod throttle;
 pub(crate) mod work;
 
 use std::sync::Arc;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -29,7 +29,7 @@
 //! - [`pace`]: how often boxes report to the leader.
 //! - [`nearest`]: which replica a box follows the configuration at.
 //! - [`telling`]: what of a box's word is news to the leader.
-//! - [`throttle`]: the limits that backend servers name.
+//! - [`throttle`], [`limit_leases`]: the limits that backend servers name, at a box and over all boxes.
 //! - [`topology`]: which data centres make up which region, and how far they are.
 
 pub mod absence;
@@ -47,6 +47,7 @@
 pub mod filling;
 pub mod hazard;
 pub mod level;
+pub mod limit_leases;
 pub mod lives;
 pub mod loads;
 pub mod memory;
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -19,6 +19,7 @@
 use crate::control::demand::{DemandReply, DemandRequest};
 use crate::control::heartbeat::{BoxHeartbeat, HeartbeatReply};
 use crate::control::share::ShareRequest;
+use crate::control::throttle::{ThrottleReply, ThrottleRequest};
 use crate::decide::share::Share;
 use crate::ids::{BoxId, TeamName};
 use crate::peer::packed::Packed;
@@ -126,6 +127,18 @@
         self.until_answered(method::DEMAND, demand, limit, BEAT_TIME).await
     }
 
+    /// Reports limits that backend servers named, and takes leases of them.
+    ///
+    /// # Errors
+    /// When `limit` is over.
+    pub(crate) async fn throttle(
+        &self,
+        request: &ThrottleRequest,
+        limit: Duration,
+    ) -> Result<ThrottleReply, NoGroup> {
+        self.until_answered(method::THROTTLE, request, limit, BEAT_TIME).await
+    }
+
     /// Asks the leader for parts of the list of backend servers.
     ///
     /// # Errors
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -7,7 +7,7 @@
 
 use super::Node;
 use crate::backend::Pool;
-use crate::control::{demand, fetch, heartbeat};
+use crate::control::{demand, fetch, heartbeat, throttle};
 use crate::group::join::Joiner;
 use crate::platform::operator;
 use crate::relay::listen::Listeners;
@@ -40,7 +40,8 @@
         tokio::spawn(follow_routes(self.clone()));
         let box_id = self.settings.node.box_id.clone();
         tokio::spawn(heartbeat::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
-        tokio::spawn(demand::run(relay.clone(), self.access.clone(), box_id, self.life));
+        tokio::spawn(demand::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
+        tokio::spawn(throttle::run(relay.clone(), self.access.clone(), box_id, self.life));
         tokio::spawn(fetch::run(relay.clone(), self.access.clone()));
         tokio::spawn(lives::run(relay.clone()));
         tokio::spawn(ends::run(relay.clone()));
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -17,9 +17,9 @@
 use super::method::{
     self, BoxHeartbeat, Call, DemandReply, DemandRequest, DocumentAsk, DocumentPiece, GroupStatus,
     HeartbeatReply, NodeStatus, Poll, PollReply, QuarantineAnswer, QuarantineAsk, RolloutAnswer,
-    RolloutAsk, Update,
+    RolloutAsk, ThrottleReply, ThrottleRequest, Update,
 };
-use crate::control::{demand, document_source, lead, quarantine, rollouts, share};
+use crate::control::{demand, document_source, lead, quarantine, rollouts, share, throttle};
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
@@ -82,6 +82,7 @@
     register(&mut module, method::SHARE, share::lease)?;
     register(&mut module, method::BEAT, beat)?;
     register(&mut module, method::DEMAND, demanded)?;
+    register(&mut module, method::THROTTLE, throttled)?;
     register(&mut module, method::LIST_PARTS, list_parts)?;
     register(&mut module, method::DOCUMENT, document_piece)?;
     register(&mut module, method::ROLLOUT, rollout)?;
@@ -180,6 +181,13 @@
     Ok(demand::answer(node, teams).await)
 }
 
+async fn throttled(
+    node: Arc<Node>,
+    limits: ThrottleRequest,
+) -> Result<Result<ThrottleReply, Unanswered>, String> {
+    Ok(throttle::answer(node, limits).await)
+}
+
 async fn list_parts(
     node: Arc<Node>,
     Packed(wanted): Packed<Vec<PartId>>,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -14,6 +14,7 @@
 use super::known::Known;
 use super::table::Route;
 use crate::backend::{Exchange, Reuse, SendFault};
+use crate::clock;
 use crate::decide::budget::RetryLimit;
 use crate::decide::releases::Outcome;
 use crate::decide::throttle::{LimitChange, LimitNotice};
@@ -172,7 +173,9 @@
     if let Some(load) = head.load {
         note_load(relay, known, load);
     }
-    record_limit(relay, known, head.limit);
+    if exchange.status != StatusCode::MISDIRECTED_REQUEST {
+        record_limit(relay, known, &head);
+    }
     let encoded = exchange.headers.contains_key(hyper::header::CONTENT_ENCODING);
     match judge(exchange.status, &head, encoded) {
         Verdict::Pass => Ok(Reply { exchange, failed: false }),
@@ -242,16 +245,22 @@
     }
 }
 
-/// Records what an answer says of its server's limit.
-fn record_limit(relay: &Relay, known: &Known, notice: LimitNotice) {
+/// Records what an answer says of its server's limit. Only an answer that the server vouches for shows that its limit
+/// has ended.
+fn record_limit(relay: &Relay, known: &Known, head: &ReplyHead) {
+    if head.limit == LimitNotice::None && !(head.own && head.vouched) {
+        return;
+    }
     let server = known.key();
-    if notice == LimitNotice::Unreadable {
+    if head.limit == LimitNotice::Unreadable {
         tracing::warn!(event = "server_limit_unreadable", backend_server = %server.id);
     }
-    let change = relay.throttles().record_notice(&server, notice);
+    let service = &known.server.service;
+    let change = relay.throttles().record_notice(&server, service, head.limit, clock::now());
     if let Some(LimitChange { before, now }) = change {
         let (before, now) = (before.map(field::display), now.map(field::display));
         tracing::info!(event = "server_limit_changed", backend_server = %server.id, before, now);
+        relay.limited.notify_one();
     }
 }
 
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -12,6 +12,7 @@
 use super::pick::Picker;
 use super::quarantine;
 use super::table::Route;
+use crate::clock;
 use crate::decide::choose::has_room;
 use crate::decide::releases::Choice;
 use crate::decide::topology::Reach;
@@ -28,6 +29,9 @@
 /// Sends that servers refused before a call is given up: the others are likely full as well.
 const REFUSED_LIMIT: u32 = 3;
 
+/// How often a server is looked for where another call claimed the place that was found.
+const CLAIMS: u32 = 3;
+
 /// When to come back if no backend server is there at all: about the time one takes to appear.
 const ABSENT_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -206,7 +210,9 @@
         let servers = relay.servers.of(&self.service);
         let Some(last) = &self.last else {
             let text = format!("no backend server of {} takes work", self.service);
-            return Failure::new(Kind::NoBackend, text).after(Some(ABSENT_WAIT));
+            let wait = relay.throttles().wait(&self.service, clock::now());
+            let wait = wait.map_or(ABSENT_WAIT, |wait| wait.clamp(REFUSED_WAIT.0, REFUSED_WAIT.1));
+            return Failure::new(Kind::NoBackend, text).after(Some(wait));
         };
         Failure::new(Kind::NotReached, last.detail()).after(Some(refused_wait(&servers)))
     }
@@ -219,10 +225,16 @@
         let topology = &relay.parts.topology;
         let region = topology.region_or_own(&source.server.data_centre);
         let servers = relay.servers.of(&self.service);
+        let limited = relay.throttles().admissions(&self.service, clock::now());
+        let takes = |known: &Known| {
+            let limit = limited.get(&known.server.id).filter(|limit| limit.is_of(known.life()));
+            limit.is_none_or(|limit| limit.open)
+        };
         let open: Vec<_> = servers
             .iter()
             .filter(|known| {
                 known.is_open()
+                    && takes(known)
                     && known.server.id != source.server.id
                     && known.server.release == source.server.release
                     && !known.state.is_ejected()
@@ -237,7 +249,8 @@
         let has_near = topology.is_split() && open.iter().any(|known| is_near(known));
         let elsewhere = |known: &Known| known.server.data_centre != source.server.data_centre;
         let wanted = open.into_iter().filter(|known| !has_near || is_near(known));
-        wanted.min_by_key(|known| (!elsewhere(known), known.requests())).cloned()
+        let found = wanted.min_by_key(|known| (!elsewhere(known), known.requests()));
+        found.filter(|known| relay.throttles().claim(&known.key(), clock::now())).cloned()
     }
 
     /// A server of the release that gets this send; one of the release in force where none of the release
@@ -259,8 +272,14 @@
     fn pick(&mut self, relay: &Relay, call: &Call, route: &Route) -> Option<Arc<Known>> {
         let (service, choice, tried) = (&self.service, &self.choice, &self.tried[..]);
         let (engine, model) = (relay.engine_spec(service), relay.engines().model(service));
-        let picker = Picker { relay, call, route, service, engine, model, choice, tried };
-        let picked = picker.pick()?;
+        let pick = |_| {
+            let limited = &relay.throttles().admissions(service, clock::now());
+            let picker =
+                Picker { relay, call, route, service, engine, model, choice, tried, limited };
+            let picked = picker.pick()?;
+            relay.throttles().claim(&picked.known.key(), clock::now()).then_some(picked)
+        };
+        let picked = (0..CLAIMS).find_map(pick)?;
         self.fetch = picked.fetch;
         self.reading = picked.reading;
         self.reach = picked.reach;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -148,6 +148,8 @@
     pub(crate) hurry: Notify,
     /// Asks for a demand for the teams that requests wait for.
     pub(crate) demanded: Notify,
+    /// Told of each change of a server's limit.
+    pub(crate) limited: Notify,
     /// Told of each beat and each demand that was answered.
     pub(crate) heard: Notify,
 }
@@ -186,6 +188,7 @@
             wanted: Notify::new(),
             hurry: Notify::new(),
             demanded: Notify::new(),
+            limited: Notify::new(),
             heard: Notify::new(),
         }
     }
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -1,5 +1,6 @@
 //! The backend server for one send of a call: which are compared, and what is known of each.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,6 +19,7 @@
 use crate::decide::engine::EngineModel;
 use crate::decide::filling::{Filling, have_room};
 use crate::decide::releases::Choice;
+use crate::decide::throttle::ThrottleState;
 use crate::decide::topology::Reach;
 use crate::ids::{BackendId, ServiceName};
 
@@ -49,6 +51,8 @@
     pub(super) choice: &'a Choice,
     /// The servers that had the call before.
     pub(super) tried: &'a [BackendId],
+    /// The servers that limit themselves.
+    pub(super) limited: &'a BTreeMap<BackendId, ThrottleState>,
 }
 
 /// The server for a send.
@@ -102,7 +106,8 @@
     fn home(&self, servers: &[PlacedServer], part: PromptPart) -> Option<PlacedServer> {
         let at = servers.partition_point(|it| it.known.hash < affinity(part.id, 0));
         let near = neighbours(servers.len(), at).into_iter().map(|place| &servers[place]);
-        let open = near.filter(|it| self.may_take(&it.known));
+        // A server that limits itself takes a few of the calls that share a part.
+        let open = near.filter(|it| self.may_take(&it.known) && self.limit_of(&it.known).is_none());
         open.max_by_key(|it| affinity(part.id, it.known.hash)).cloned()
     }
 
@@ -151,6 +156,13 @@
         known.is_open()
             && self.choice.takes(&known.server.release)
             && !self.tried.contains(&known.server.id)
+            && self.limit_of(known).is_none_or(|limit| limit.open)
+    }
+
+    /// What is known of a server that limits itself.
+    fn limit_of(&self, known: &Known) -> Option<&ThrottleState> {
+        let limit = self.limited.get(&known.server.id);
+        limit.filter(|limit| limit.is_of(known.life()))
     }
 
     /// The server of those compared that is expected to begin the call first.
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -38,6 +38,7 @@
     callers: Gauge<u64>,
     callers_closed: Gauge<u64>,
     quarantined: Gauge<u64>,
+    limited: Gauge<u64>,
 }
 
 impl Gauges {
@@ -74,6 +75,10 @@
                 "emberturn_quarantined",
                 "Requests that are refused because servers ended under them",
             ),
+            limited: count(
+                "emberturn_backend_servers_limited",
+                "Backend servers that name a limit of their own",
+            ),
             lines: count("emberturn_log_lines_not_written", "Log lines not written, by reason"),
             distance: meter
                 .f64_gauge("emberturn_distance_ms")
@@ -160,6 +165,7 @@
     fn record_relay(&self, relay: &Relay) {
         self.record_memory(relay);
         self.quarantined.record(relay.quarantine().len() as u64, &[]);
+        self.limited.record(relay.throttles().count() as u64, &[]);
         let list = relay.servers.version();
         self.list_term.record(list.term.0, &[]);
         self.list_place.record(list.place, &[]);
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -73,3 +73,73 @@
     assert!(!limited.seen().is_empty());
     assert_kept(&limited);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_is_kept_while_the_leader_is_killed_and_boxes_restart() {
+    let limited = StandIn::start("i-limited", &[Act::Naming("1")]).await;
+    let other = StandIn::start("i-other", &[Act::Answer]).await;
+    let mut system = start(&[&limited, &other]).await;
+    ask(&system, 60).await;
+    system.kill(leader(&system).await).await;
+    ask(&system, 60).await;
+    system.kill(BOXES[0]).await;
+    system.launch(BOXES[0], "relay").await;
+    system.wait_status(BOXES[0], "safe", 200).await;
+    let replies = ask(&system, 180).await;
+    assert!(replies.iter().all(|reply| reply.status == 200), "{replies:?}");
+    assert_kept(&limited);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_server_takes_is_refused_as_not_run_and_the_limit_is_used() {
+    let limited = StandIn::start("i-limited", &[Act::Naming("20")]).await;
+    let system = start(&[&limited]).await;
+    let is_refused = |reply: &&Reply| reply.status == 503;
+    let refused = system
+        .until("some are served and some refused", || async {
+            let replies = ask(&system, 30).await;
+            let refused = replies.iter().filter(is_refused).count();
+            assert!(replies.iter().all(|it| [200, 503].contains(&it.status)), "{replies:?}");
+            let all_wait = replies.iter().filter(is_refused).all(|reply| {
+                let wait = reply.headers["retry-after"].parse::<f64>().unwrap();
+                reply.body.contains("not_run") && wait > 0.0
+            });
+            assert!(all_wait, "{replies:?}");
+            (limited.seen().len() > 20 && refused > 0).then_some(refused)
+        })
+        .await;
+    assert!(refused > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_ends_at_all_boxes_once_the_server_names_none() {
+    let mut acts = vec![Act::Naming("5"); 8];
+    acts.push(Act::Answer);
+    let mut limited = StandIn::start("i-limited", &acts).await;
+    let system = start(&[&limited]).await;
+    for place in BOXES {
+        system.wait_status(place, "safe", 200).await;
+    }
+    system
+        .until("every box is served again", || async {
+            let replies = ask(&system, 30).await;
+            (replies.iter().all(|reply| reply.status == 200)).then_some(())
+        })
+        .await;
+    limited.wait_seen(30).await;
+}
+
+/// The replica that leads.
+async fn leader(system: &System) -> u8 {
+    system
+        .until("a replica leads", || async {
+            for place in 1..=5 {
+                let output = system.operator(place, &["status"]).await;
+                if String::from_utf8_lossy(&output.stdout).contains("role=leader") {
+                    return Some(place);
+                }
+            }
+            None
+        })
+        .await
+}
