Sight: pauses that backend servers ask for, and their own word that they leave

Cause: a refusal's line did not tell whether the server asked for a pause, so the incident's hypotheses could not be told apart.

Change: Retry-After of a 503 and Server-Leaving are read at the adapter and said in the lines of refusals and in server_says_it_leaves. Nothing is decided by them.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -176,6 +176,9 @@
     if exchange.status != StatusCode::MISDIRECTED_REQUEST {
         record_limit(relay, known, &head);
     }
+    if head.leaving && known.is_open() {
+        tracing::info!(event = "server_says_it_leaves", backend_server = %known.server.id);
+    }
     let encoded = exchange.headers.contains_key(hyper::header::CONTENT_ENCODING);
     match judge(exchange.status, &head, encoded) {
         Verdict::Pass => Ok(Reply { exchange, failed: false }),
@@ -198,7 +201,10 @@
                 // Full: the next request is to know.
                 note_load(relay, known, Load { running: known.server.slots, waiting: 1 });
             }
-            let detail = format!("{} refused with {}", known.server.id, exchange.status);
+            let mut detail = format!("{} refused with {}", known.server.id, exchange.status);
+            if let Some(pause) = head.pause {
+                detail += &format!(" and asks for a pause of {} ms", pause.as_millis());
+            }
             let _ = exchange.read_whole(REFUSAL_BYTES, REFUSAL_TIME).await;
             Err(Miss::NotRun { arrived: true, detail })
         }
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -185,4 +185,8 @@
     pub load: Option<Load>,
     /// The limit that it names.
     pub limit: LimitNotice,
+    /// The pause that it asks this box for, where it turned the request away.
+    pub pause: Option<Duration>,
+    /// Whether it says that it is leaving.
+    pub leaving: bool,
 }
