--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -29,6 +29,10 @@
     Fail(u16),
     /// Says that it has not run the request.
     Refuse,
+    /// Says that it has not run the request, that it is idle, and asks for a pause of so many seconds.
+    Pause(&'static str),
+    /// Answers whole and signed, and says that it is leaving.
+    Leaving,
     /// Another engine has the address.
     Misdirected,
     /// Reads the request and closes.
@@ -327,6 +331,16 @@
             let text = whole("503 Service Unavailable", &id, "Not-Executed: 1\r\n", "");
             stream.write_all(text.as_bytes()).await?;
         }
+        Act::Pause(seconds) => {
+            let asked =
+                format!("Not-Executed: 1\r\nInstance-Load: 0,0,8\r\nRetry-After: {seconds}\r\n");
+            let text = whole("503 Service Unavailable", &id, &asked, "");
+            stream.write_all(text.as_bytes()).await?;
+        }
+        Act::Leaving => {
+            let leaving = format!("{signed}Server-Leaving: 1\r\n");
+            stream.write_all(whole("200 OK", &id, &leaving, "answer").as_bytes()).await?;
+        }
         Act::Misdirected => {
             let text = whole("421 Misdirected Request", "", "Instance-Id: other\r\n", "");
             stream.write_all(text.as_bytes()).await?;
