A server that asks a box for a pause gets nothing more until its end

What callers and servers saw: seven servers turned every request away and asked for 3 s each time; boxes went on choosing them, and calls that met them ended with 503 while other servers had room.

Cause: nothing read the pause. What a box keeps of a refusal is the load that it names, and a server that takes nothing names none, so it was the best choice at once. Class: a server's own word about its load that says less than its refusal does.

Change: decide/pause keeps the pause by server and incarnation; a server is not chosen, nor a run moved to it, until the end. relay/restraint puts limits and pauses together for one choice.

Pauses that cannot be read, that are endless, and a list without the server have a test each.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! - [`absence`], [`hazard`]: which data centres have no reclaimable engines, for how long, and which may be
 //!   next.
 //! - [`memory`]: what a box keeps in memory, and when it takes no more; [`slowness`]: whom it lets go.
+//! - [`pause`]: which servers a box leaves alone because they asked for it.
 //! - [`policy`]: operators' short programs that say where work goes and what may wait.
 //! - [`admit`]: whether a request may run now, within its team's limits.
 //! - [`allowance`], [`level`]: what a team may use on one box, and over all boxes.
@@ -54,6 +55,7 @@
 pub mod nearest;
 pub mod orders;
 pub mod pace;
+pub mod pause;
 pub mod policy;
 pub mod quarantine;
 pub mod queue;
--- a/src/decide/throttle.rs
+++ b/src/decide/throttle.rs
@@ -92,7 +92,7 @@
 }
 
 /// Whether two incarnations may be the same: one that nobody has told may be any.
-pub(super) fn may_be_same(a: Incarnation, b: Incarnation) -> bool {
+pub(crate) fn may_be_same(a: Incarnation, b: Incarnation) -> bool {
     a == b || a.is_none() || b.is_none()
 }
 
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -176,6 +176,10 @@
     if exchange.status != StatusCode::MISDIRECTED_REQUEST {
         record_limit(relay, known, &head);
     }
+    if let Some(pause) = head.pause {
+        let service = &known.server.service;
+        relay.pauses().record(&known.key(), service, pause, clock::now());
+    }
     if head.leaving && known.is_open() {
         tracing::info!(event = "server_says_it_leaves", backend_server = %known.server.id);
     }
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -11,8 +11,8 @@
 use super::known::Known;
 use super::pick::Picker;
 use super::quarantine;
+use super::restraint::{self, Restraints};
 use super::table::Route;
-use crate::clock;
 use crate::decide::choose::has_room;
 use crate::decide::releases::Choice;
 use crate::decide::topology::Reach;
@@ -208,13 +208,25 @@
             return Failure::new(Kind::BackendTimeout, "a server that did not answer was given up");
         }
         let servers = relay.servers.of(&self.service);
+        let wait = self.restrained_wait(relay, &servers);
         let Some(last) = &self.last else {
             let text = format!("no backend server of {} takes work", self.service);
-            let wait = relay.throttles().wait(&self.service, clock::now());
-            let wait = wait.map_or(ABSENT_WAIT, |wait| wait.clamp(REFUSED_WAIT.0, REFUSED_WAIT.1));
-            return Failure::new(Kind::NoBackend, text).after(Some(wait));
+            return Failure::new(Kind::NoBackend, text).after(Some(wait.unwrap_or(ABSENT_WAIT)));
         };
-        Failure::new(Kind::NotReached, last.detail()).after(Some(refused_wait(&servers)))
+        let wait = wait.unwrap_or_else(|| refused_wait(&servers));
+        Failure::new(Kind::NotReached, last.detail()).after(Some(wait))
+    }
+
+    /// When to come back where all servers that are there are left alone for now: when the first of them no longer
+    /// is. Another box may send to them earlier.
+    fn restrained_wait(&self, relay: &Relay, servers: &[Arc<Known>]) -> Option<Duration> {
+        let restraints = Restraints::now(relay, &self.service);
+        let mut open = servers.iter().filter(|known| known.is_open());
+        if open.any(|known| restraints.allows(known)) {
+            return None;
+        }
+        let wait = restraint::wait(relay, &self.service)?;
+        Some(wait.clamp(REFUSED_WAIT.0, REFUSED_WAIT.1))
     }
 
     /// A server to which a run may be moved: another one of the same release, in another data centre if
@@ -225,16 +237,12 @@
         let topology = &relay.parts.topology;
         let region = topology.region_or_own(&source.server.data_centre);
         let servers = relay.servers.of(&self.service);
-        let limited = relay.throttles().admissions(&self.service, clock::now());
-        let takes = |known: &Known| {
-            let limit = limited.get(&known.server.id).filter(|limit| limit.is_of(known.life()));
-            limit.is_none_or(|limit| limit.open)
-        };
+        let restraints = Restraints::now(relay, &self.service);
         let open: Vec<_> = servers
             .iter()
             .filter(|known| {
                 known.is_open()
-                    && takes(known)
+                    && restraints.allows(known)
                     && known.server.id != source.server.id
                     && known.server.release == source.server.release
                     && !known.state.is_ejected()
@@ -250,7 +258,7 @@
         let elsewhere = |known: &Known| known.server.data_centre != source.server.data_centre;
         let wanted = open.into_iter().filter(|known| !has_near || is_near(known));
         let found = wanted.min_by_key(|known| (!elsewhere(known), known.requests()));
-        found.filter(|known| relay.throttles().claim(&known.key(), clock::now())).cloned()
+        found.filter(|known| restraint::claim(relay, known)).cloned()
     }
 
     /// A server of the release that gets this send; one of the release in force where none of the release
@@ -273,11 +281,11 @@
         let (service, choice, tried) = (&self.service, &self.choice, &self.tried[..]);
         let (engine, model) = (relay.engine_spec(service), relay.engines().model(service));
         let pick = |_| {
-            let limited = &relay.throttles().admissions(service, clock::now());
+            let restraints = &Restraints::now(relay, service);
             let picker =
-                Picker { relay, call, route, service, engine, model, choice, tried, limited };
+                Picker { relay, call, route, service, engine, model, choice, tried, restraints };
             let picked = picker.pick()?;
-            relay.throttles().claim(&picked.known.key(), clock::now()).then_some(picked)
+            restraint::claim(relay, &picked.known).then_some(picked)
         };
         let picked = (0..CLAIMS).find_map(pick)?;
         self.fetch = picked.fetch;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -14,6 +14,7 @@
 //!   [`placed`] are the servers by how far they are, [`traffic`] counts what goes how far.
 //! - [`lives`] asks servers in which life they are, [`ends`] finds out which have ended, and under which requests.
 //! - [`quarantine`] refuses requests that end the servers they run on.
+//! - [`restraint`] is what servers asked of this box: limits and pauses.
 //! - [`moving`] moves running streams off servers that are leaving.
 //! - [`keeping`] is what the box keeps for a request, charged to its memory, and [`taking`] its answer
 //!   until the caller has taken it.
@@ -44,6 +45,7 @@
 pub mod placed;
 pub mod plain;
 pub(crate) mod quarantine;
+pub(crate) mod restraint;
 pub mod serve;
 pub mod servers;
 pub mod stream;
@@ -70,6 +72,7 @@
 use crate::decide::loads::LoadPool;
 use crate::decide::memory::Memory;
 use crate::decide::pace::{HEARTBEAT_TIME, LONGEST_TIME};
+use crate::decide::pause::Pauses;
 use crate::decide::quarantine::BoxQuarantine;
 use crate::decide::releases::{Outcome, ReleaseBook};
 use crate::decide::spill::SpillBook;
@@ -134,6 +137,7 @@
     spills: Mutex<SpillBook>,
     quarantine: Mutex<BoxQuarantine>,
     throttles: Mutex<Throttles>,
+    pauses: Mutex<Pauses>,
     /// The exchanges that broke off, until it is known whether their servers have ended.
     pub ends: EndWatch,
     /// What went to backend servers and came back.
@@ -181,6 +185,7 @@
             spills: Mutex::default(),
             quarantine: Mutex::default(),
             throttles: Mutex::default(),
+            pauses: Mutex::default(),
             ends: EndWatch::default(),
             traffic: Traffic::default(),
             relays: AtomicU32::new(0),
@@ -354,6 +359,11 @@
         lock(&self.quarantine)
     }
 
+    /// The pauses that servers asked this box for.
+    pub fn pauses(&self) -> MutexGuard<'_, Pauses> {
+        lock(&self.pauses)
+    }
+
     /// The limits that servers named.
     pub fn throttles(&self) -> MutexGuard<'_, Throttles> {
         lock(&self.throttles)
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -1,6 +1,5 @@
 //! The backend server for one send of a call: which are compared, and what is known of each.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,6 +9,7 @@
 use super::course::Reading;
 use super::known::Known;
 use super::placed::{Placed, PlacedServer};
+use super::restraint::Restraints;
 use super::table::{EngineSpec, Route};
 use crate::decide::choose::{
     Candidate, affinity, choose, choose_over_regions, compares_all, drawn, looks_further,
@@ -19,7 +19,6 @@
 use crate::decide::engine::EngineModel;
 use crate::decide::filling::{Filling, have_room};
 use crate::decide::releases::Choice;
-use crate::decide::throttle::ThrottleState;
 use crate::decide::topology::Reach;
 use crate::ids::{BackendId, ServiceName};
 
@@ -51,8 +50,8 @@
     pub(super) choice: &'a Choice,
     /// The servers that had the call before.
     pub(super) tried: &'a [BackendId],
-    /// The servers that limit themselves.
-    pub(super) limited: &'a BTreeMap<BackendId, ThrottleState>,
+    /// What servers asked of this box.
+    pub(super) restraints: &'a Restraints,
 }
 
 /// The server for a send.
@@ -107,7 +106,8 @@
         let at = servers.partition_point(|it| it.known.hash < affinity(part.id, 0));
         let near = neighbours(servers.len(), at).into_iter().map(|place| &servers[place]);
         // A server that limits itself takes a few of the calls that share a part.
-        let open = near.filter(|it| self.may_take(&it.known) && self.limit_of(&it.known).is_none());
+        let open =
+            near.filter(|it| self.may_take(&it.known) && !self.restraints.is_limited(&it.known));
         open.max_by_key(|it| affinity(part.id, it.known.hash)).cloned()
     }
 
@@ -156,13 +156,7 @@
         known.is_open()
             && self.choice.takes(&known.server.release)
             && !self.tried.contains(&known.server.id)
-            && self.limit_of(known).is_none_or(|limit| limit.open)
-    }
-
-    /// What is known of a server that limits itself.
-    fn limit_of(&self, known: &Known) -> Option<&ThrottleState> {
-        let limit = self.limited.get(&known.server.id);
-        limit.filter(|limit| limit.is_of(known.life()))
+            && self.restraints.allows(known)
     }
 
     /// The server of those compared that is expected to begin the call first.
--- /dev/null
+++ b/src/relay/restraint.rs
@@ -0,0 +1,56 @@
+//! What backend servers have asked of this box, for one choice of a server: whom it leaves alone for now.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Relay;
+use super::known::Known;
+use crate::clock;
+use crate::decide::throttle::{ThrottleState, may_be_same};
+use crate::ids::{BackendId, Incarnation, ServiceName};
+
+/// The servers of one service that limit themselves or asked for a pause.
+pub(super) struct Restraints {
+    limited: BTreeMap<BackendId, ThrottleState>,
+    paused: BTreeMap<BackendId, Incarnation>,
+}
+
+impl Restraints {
+    /// Those that hold now, for a request that is to be sent.
+    pub(super) fn now(relay: &Relay, service: &ServiceName) -> Self {
+        let now = clock::now();
+        let limited = relay.throttles().admissions(service, now);
+        let paused = relay.pauses().active(service, now);
+        Self { limited, paused }
+    }
+
+    fn limit_of(&self, known: &Known) -> Option<&ThrottleState> {
+        let limit = self.limited.get(&known.server.id);
+        limit.filter(|limit| limit.is_of(known.life()))
+    }
+
+    /// Whether a server limits itself.
+    pub(super) fn is_limited(&self, known: &Known) -> bool {
+        self.limit_of(known).is_some()
+    }
+
+    /// Whether a server may get a request of this box.
+    pub(super) fn allows(&self, known: &Known) -> bool {
+        let life = self.paused.get(&known.server.id);
+        let is_paused = life.is_some_and(|life| may_be_same(*life, known.life()));
+        !is_paused && self.limit_of(known).is_none_or(|limit| limit.open)
+    }
+}
+
+/// Claims the place of one request at a server; whether there is one.
+pub(super) fn claim(relay: &Relay, known: &Known) -> bool {
+    relay.throttles().claim(&known.key(), clock::now())
+}
+
+/// The time until one of a service's servers that are left alone may get a request, where that is known.
+pub(super) fn wait(relay: &Relay, service: &ServiceName) -> Option<Duration> {
+    let now = clock::now();
+    let limited = relay.throttles().wait(service, now);
+    let paused = relay.pauses().wait(service, now);
+    limited.into_iter().chain(paused).min()
+}
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::{Gauge, Meter};
 
 use super::{logs, volume};
+use crate::clock;
 use crate::decide::memory::Purpose;
 use crate::decide::topology::Reach;
 use crate::node::Node;
@@ -39,6 +40,7 @@
     callers_closed: Gauge<u64>,
     quarantined: Gauge<u64>,
     limited: Gauge<u64>,
+    paused: Gauge<u64>,
 }
 
 impl Gauges {
@@ -79,6 +81,10 @@
                 "emberturn_backend_servers_limited",
                 "Backend servers that name a limit of their own",
             ),
+            paused: count(
+                "emberturn_backend_servers_paused",
+                "Backend servers that asked this box for a pause",
+            ),
             lines: count("emberturn_log_lines_not_written", "Log lines not written, by reason"),
             distance: meter
                 .f64_gauge("emberturn_distance_ms")
@@ -166,6 +172,7 @@
         self.record_memory(relay);
         self.quarantined.record(relay.quarantine().len() as u64, &[]);
         self.limited.record(relay.throttles().count() as u64, &[]);
+        self.paused.record(relay.pauses().count(clock::now()) as u64, &[]);
         let list = relay.servers.version();
         self.list_term.record(list.term.0, &[]);
         self.list_place.record(list.place, &[]);
--- a/tests/server_pauses.rs
+++ b/tests/server_pauses.rs
@@ -4,7 +4,12 @@
 #[allow(dead_code, reason = "each test takes what it needs")]
 mod platform;
 
+use std::time::{Duration, Instant};
+
+use emberturn::decide::pause::Pauses;
+use emberturn::ids::{Incarnation, ServerKey, ServiceName};
 use platform::{Act, StandIn, TestRelay};
+use yare::parameterized;
 
 /// Requests of one box that may reach a server in a pause that it asked for.
 const ALLOWED: usize = 2;
@@ -26,3 +31,69 @@
     assert!(reached <= ALLOWED, "{reached} requests in the pause, {ALLOWED} allowed");
     assert!(replies.iter().all(|reply| reply.status == 200), "{replies:?}");
 }
+
+#[tokio::test]
+async fn what_no_server_takes_in_its_pause_is_refused_at_once() {
+    let resting = StandIn::start("i-resting", &[Act::Pause(LONG)]).await;
+    let relay = TestRelay::start(&[&resting]).await;
+    for _ in 0..10 {
+        let reply = relay.ask("POST", "safe").await;
+        assert_eq!(reply.status, 503, "{reply:?}");
+        assert!(reply.body.contains("not_run"), "{reply:?}");
+        assert!(reply.headers["retry-after"].parse::<f64>().unwrap() > 0.0, "{reply:?}");
+    }
+    assert_eq!(resting.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn pause_outlasts_a_list_without_the_server() {
+    let resting = StandIn::start("i-resting", &[Act::Pause(LONG)]).await;
+    let other = StandIn::start("i-other", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[&resting]).await;
+    relay.ask("POST", "safe").await;
+    relay.list(&[&other]);
+    relay.list(&[&resting, &other]);
+    for _ in 0..20 {
+        assert_eq!(relay.ask("POST", "safe").await.status, 200);
+    }
+    assert_eq!(resting.seen().len(), 1);
+}
+
+/// Words that are no number of seconds ask for nothing; the server is tried again.
+#[parameterized(
+    word = { "soon" },
+    date = { "Thu, 03 Dec 2026 11:00:00 GMT" },
+    negative = { "-3" },
+    empty = { "" },
+)]
+fn pause_that_cannot_be_read_is_none(text: &'static str) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let resting = StandIn::start("i-resting", &[Act::Pause(text), Act::Answer]).await;
+        let relay = TestRelay::start(&[&resting]).await;
+        assert_eq!(relay.ask("POST", "safe").await.status, 503);
+        assert_eq!(relay.ask("POST", "safe").await.status, 200);
+    });
+}
+
+/// Pauses in seconds, asked for one after the other at the same moment, and what is left of them.
+#[parameterized(
+    one = { &[3.0], 3.0 },
+    shorter = { &[3.0, 1.0], 3.0 },
+    longer = { &[1.0, 3.0], 3.0 },
+    none = { &[0.0], 0.0 },
+    endless = { &[1e300], 3_600.0 },
+)]
+fn longest_pause_counts(asked: &[f64], left: f64) {
+    let (mut pauses, now) = (Pauses::default(), Instant::now());
+    let server = ServerKey { id: "i-1".parse().unwrap(), life: Incarnation(7) };
+    let service: ServiceName = "svc".parse().unwrap();
+    for seconds in asked {
+        let pause = Duration::try_from_secs_f64(*seconds).unwrap_or(Duration::MAX);
+        pauses.record(&server, &service, pause, now);
+    }
+    let wait = pauses.wait(&service, now).map_or(0.0, |wait| wait.as_secs_f64());
+    assert_eq!(wait, left);
+    let end = now + Duration::from_secs_f64(left);
+    assert!(pauses.active(&service, end).is_empty());
+}
