A server's own word in an answer that it leaves holds for its incarnation

Cause: Server-Leaving was not gone by; and a report that is some hundred milliseconds old, or a list that lags, would have taken it back.

Change: the word is kept with the incarnation's state, nothing takes it back, and a list that shows the server again after one without it finds it left.

Evidence: three of the four tests in tests/server_leaves.rs failed before, with 10 to 12 requests behind the word (the fourth, a later incarnation that takes work again, passed); all pass now. server_lives, server_list, relay pass.

--- a/src/blackboard/fleet.rs
+++ b/src/blackboard/fleet.rs
@@ -51,6 +51,8 @@
 struct Inner {
     load: Option<LoadReport>,
     leaving: Option<Leaving>,
+    /// Whether the server itself said so in an answer.
+    departs: bool,
     life: Incarnation,
     failures: u32,
     ejections: u32,
@@ -131,9 +133,25 @@
         true
     }
 
+    /// Records that the server itself said in an answer that it is leaving; `true` if new. Nothing takes that back
+    /// for this life.
+    pub fn depart(&self) -> bool {
+        !std::mem::replace(&mut self.lock().departs, true)
+    }
+
+    /// Whether the server itself said in an answer that it is leaving.
+    pub fn departs(&self) -> bool {
+        self.lock().departs
+    }
+
     /// Takes the server's own word that it is not leaving, against an earlier word of others; `true` if new.
     pub fn stay(&self) -> bool {
-        let left = self.lock().leaving.take().is_some();
+        let mut inner = self.lock();
+        if inner.departs {
+            return false;
+        }
+        let left = inner.leaving.take().is_some();
+        drop(inner);
         if left {
             self.leave_signal.send_replace(None);
         }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -180,8 +180,8 @@
         let service = &known.server.service;
         relay.pauses().record(&known.key(), service, pause, clock::now());
     }
-    if head.leaving && known.is_open() {
-        tracing::info!(event = "server_says_it_leaves", backend_server = %known.server.id);
+    if head.leaving && exchange.status != StatusCode::MISDIRECTED_REQUEST {
+        known.depart();
     }
     let encoded = exchange.headers.contains_key(hyper::header::CONTENT_ENCODING);
     match judge(exchange.status, &head, encoded) {
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -14,6 +14,9 @@
 use crate::member::table::fingerprint;
 use crate::units::UnixMillis;
 
+/// How long a server that leaves is taken to stay when nothing says so.
+pub(super) const LEAVE_TIME: Duration = Duration::from_secs(30);
+
 /// What a box knows of one backend server in one life. A later life of the server has another one.
 #[derive(Debug)]
 pub struct Known {
@@ -119,6 +122,14 @@
         }
     }
 
+    /// Records its own word, in an answer, that it is leaving.
+    pub(super) fn depart(&self) {
+        if self.state.depart() {
+            tracing::info!(event = "server_says_it_leaves", backend_server = %self.server.id);
+            self.leave(LEAVE_TIME);
+        }
+    }
+
     /// Takes word that this life leaves within a time; `true` if new.
     pub(super) fn leave(&self, left: Duration) -> bool {
         // The state is of this life alone, whatever it is called.
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use super::call::Report;
-use super::known::{Known, end, update};
+use super::known::{Known, LEAVE_TIME, end, update};
 use super::list::{
     ContentHash, IncarnationReport, ListIndex, ListPart, ListVersion, Listed, PartId,
 };
@@ -22,9 +22,6 @@
 use crate::sync::lock;
 use crate::units::{Millis, UnixMillis};
 
-/// How long a server that leaves is taken to stay when nothing says so.
-const LEAVE_TIME: Duration = Duration::from_secs(30);
-
 /// Lives that one word to the leader tells at most: 2 KB. The others follow with the next words.
 const LIVES_TOLD: usize = 32;
 
@@ -138,6 +135,8 @@
     lives: Mutex<HashMap<BackendId, Life>>,
     /// The servers whose lives the leader's list does not show.
     news: Mutex<BTreeSet<BackendId>>,
+    /// The servers that are no longer listed and had said that they leave: lists of other parts bring some back.
+    departed: Mutex<HashMap<BackendId, Arc<Known>>>,
     doubts: Mutex<DoubtBook>,
     /// Told of each doubt.
     doubted: Notify,
@@ -380,13 +379,14 @@
         let held = self.listed.load();
         let (mut by_id, mut leaving) = (HashMap::new(), Vec::new());
         let (mut lives, mut news) = (lock(&self.lives), BTreeSet::new());
+        let mut departed = lock(&self.departed);
         // Where parts of before and after a split are held, a server may stand in both: the wanted part's
         // entry counts.
         let all: HashMap<_, _> = parts.listed().map(|it| (it.server.id.clone(), it)).collect();
         for (id, listed) in all {
             let before = by_id.get(&id).or(held.by_id.get(&id));
             let life = lives.get(&id).copied();
-            let known = update(before, life, &listed);
+            let known = update(before.or(departed.get(&id)), life, &listed);
             if before.is_some_and(|it| it.state.is_over()) {
                 // What the leader told last may be of the former life.
                 self.told.store(Arc::default());
@@ -418,6 +418,14 @@
         if lives.len() > 2 * by_id.len() + GONE_LIMIT {
             lives.retain(|id, _| by_id.contains_key(id));
         }
+        departed.retain(|id, _| !by_id.contains_key(id));
+        let gone =
+            held.by_id.iter().filter(|(id, it)| it.state.departs() && !by_id.contains_key(*id));
+        departed.extend(gone.map(|(id, known)| (id.clone(), known.clone())));
+        if departed.len() > GONE_LIMIT {
+            departed.clear();
+        }
+        drop(departed);
         lock(&self.doubts).keep(|id| by_id.contains_key(id));
         *lock(&self.news) = news;
         self.listed.store(Arc::new(KnownServers::new(self.topology.as_ref(), by_id)));
