A box that no leader has told how many share the retry floor has one repeat

Change: before the leader's word a box may save one repeat of a service; its part of the floor comes once, when it hears how many boxes there are.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -300,7 +300,7 @@
     RetryLimit {
         ratio: relay.parts.settings.retry_ratio,
         floor: relay.parts.settings.retry_floor,
-        boxes: relay.relays(),
+        boxes: relay.relays_told(),
     }
 }
 
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -109,20 +109,54 @@
 #[test]
 fn repeats_keep_the_budget_over_all_boxes() {
     let service: ServiceName = "svc".parse().unwrap();
-    let limit = RetryLimit { ratio: 0.2, floor: 50.0, boxes: 8 };
+    let boxes = 8;
+    let limit = RetryLimit { ratio: 0.2, floor: 50.0, boxes: Some(boxes) };
     let (mut spent, requests) = (0, 400);
-    for _ in 0..limit.boxes {
+    for _ in 0..boxes {
         let mut budgets = RetryBudgets::default();
         for _ in 0..requests {
             budgets.earn(&service, &limit);
             spent += u32::from(budgets.spend(&service)) + u32::from(budgets.spend(&service));
         }
     }
-    let bound = 0.2 * f64::from(requests * limit.boxes) + 50.0;
+    let bound = 0.2 * f64::from(requests * boxes) + 50.0;
     assert!(f64::from(spent) <= bound, "{spent} repeats, {bound} allowed");
     assert!(spent > 0);
 }
 
+#[test]
+fn boxes_that_start_at_once_keep_the_retry_budget_before_any_leader_speaks() {
+    let service: ServiceName = "svc".parse().unwrap();
+    let (boxes, floor) = (986, 1_040.0);
+    let mut spent = 0;
+    for _ in 0..boxes {
+        let mut budgets = RetryBudgets::default();
+        budgets.earn(&service, &RetryLimit { ratio: 0.2, floor, boxes: None });
+        while budgets.spend(&service) {
+            spent += 1;
+        }
+    }
+    let bound = 0.2 * f64::from(boxes) + floor;
+    assert!(f64::from(spent) <= bound, "{spent} repeats, {bound} allowed");
+}
+
+#[test]
+fn box_gets_its_part_of_the_retry_floor_once_the_leader_tells_how_many_share_it() {
+    let service: ServiceName = "svc".parse().unwrap();
+    let mut budgets = RetryBudgets::default();
+    let mut limit = RetryLimit { ratio: 0.0, floor: 100.0, boxes: None };
+    let mut spent = 0;
+    // The part is 7, and a number that goes to and fro brings no more.
+    for boxes in [None, Some(10), Some(20), Some(10), Some(10)] {
+        limit.boxes = boxes;
+        budgets.earn(&service, &limit);
+        while budgets.spend(&service) {
+            spent += 1;
+        }
+    }
+    assert_eq!(spent, 7);
+}
+
 #[test]
 fn usage_falls_into_the_window_of_its_time() {
     let length = Duration::from_secs(5);
