A new leader knows how many boxes there are by a note of the group

Change: the group notes how many relays there are, more at once and fewer after 10 s (their leases have ended by then); decide/presence holds what a leader knows of their number, taken out of control/lead. Until the note is read one box at least counts as unheard.

The test's model of what boxes tell a new leader is as the product's now: with their first message only, and with the guess at a first start.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -22,6 +22,7 @@
 use crate::decide::lives;
 use crate::decide::loads::{self, LoadPool};
 use crate::decide::pace::heartbeat_time;
+use crate::decide::presence::{ABSENT_TIME, Presence};
 use crate::decide::quarantine::{EndReport, FleetQuarantine, QuarantineUpdate};
 use crate::decide::telling::{Heard, News};
 use crate::decide::throttle::{LimitLease, LimitReport};
@@ -31,7 +32,6 @@
 };
 use crate::node::Node;
 use crate::platform::client::Order;
-use crate::relay::RELAYS_GUESSED;
 use crate::relay::list::{ContentHash, IncarnationReport, PackedParts, PartId, Server};
 use crate::relay::list_book::ListBook;
 use crate::relay::listing::Unread;
@@ -45,13 +45,6 @@
 /// How long a relay without a list waits for the first one in a call: less than it waits for the answer.
 const LIST_WAIT: Duration = Duration::from_millis(250);
 
-/// A relay that has not been heard for this long does not share the limits.
-const ABSENT_TIME: Duration = Duration::from_secs(3);
-
-/// Time in which relays that a new leader has not heard may still go by a former one's word: until it
-/// is over, one that no relay can tell their number takes them to be [`RELAYS_GUESSED`].
-const LEARN_TIME: Duration = Duration::from_secs(6);
-
 /// Time between two lines about a team that is refused.
 const SAY_TIME: Duration = Duration::from_millis(500);
 
@@ -107,8 +100,7 @@
     /// Whether nobody can have carried out a duty before: nothing was published yet.
     first: bool,
     words: BTreeMap<(BoxId, Incarnation), BoxState>,
-    /// The relays that were heard lately, and when.
-    present: BTreeMap<BoxId, Instant>,
+    pub(super) presence: Presence,
     swept: Instant,
     pub(super) levels: BTreeMap<TeamName, TokenBucket>,
     /// The table whose teams have levels.
@@ -118,8 +110,6 @@
     pub(super) low: Option<LowTeams>,
     /// Those that are to be noted.
     pub(super) lacking: LowTeams,
-    /// The most relays that a former leader told any of them of.
-    told: u32,
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) list: ListBook,
     /// Services that are listed and were not published when their release was noted.
@@ -152,14 +142,13 @@
             since: Instant::now(),
             first,
             words: BTreeMap::new(),
-            present: BTreeMap::new(),
+            presence: Presence::new(Instant::now()),
             swept: Instant::now(),
             levels: BTreeMap::new(),
             levelled: None,
             missed: BTreeMap::new(),
             low: None,
             lacking: LowTeams::new(),
-            told: 0,
             table: None,
             list: ListBook::default(),
             unnamed: BTreeSet::new(),
@@ -201,7 +190,7 @@
         let allowed = self.grant(&beat.box_id, beat.life, beat.turn, &beat.demand, tolerance);
         let since = self.since.elapsed().as_secs_f64();
         let releases = self.rollouts.hear(since, &key, &beat.trials);
-        let before = self.present.insert(beat.box_id, now);
+        let before = self.presence.record(&beat.box_id, now);
         self.loads.hear(beat.loads, now);
         self.record_samples(beat.samples);
         self.record_incarnations(beat.lives, now);
@@ -212,7 +201,7 @@
         let lacks = told.take(news, self.settled);
         let word = BoxState { heard: now, document: beat.document, offered: beat.offered, told };
         self.words.insert(key, word);
-        let relays = self.relays();
+        let relays = self.presence.relays(now);
         let index = self.is_informed().then(|| self.list.index_at(&box_id, own.as_ref()));
         let parts = index.as_ref().map(|index| self.list.listed_parts(index)).unwrap_or_default();
         let loads = self.draw_loads(&parts, now, before);
@@ -314,30 +303,16 @@
             return;
         }
         self.swept = now;
-        self.present.retain(|_, heard| *heard + ABSENT_TIME > now);
+        self.presence.sweep(now);
         self.words.retain(|_, word| word.heard + FORGET_TIME > now);
     }
 
-    /// Relays that share what is shared evenly, as far as can be told.
-    fn relays(&self) -> u32 {
-        let heard = (self.present.len() as u32).max(1);
-        match self.told {
-            0 if self.since.elapsed() < LEARN_TIME => heard.max(RELAYS_GUESSED),
-            told => heard.max(told),
-        }
-    }
-
-    /// Relays that this leader has not heard and a former one had.
-    pub(super) fn unheard(&self) -> u32 {
-        self.told.saturating_sub((self.present.len() as u32).max(1))
-    }
-
     /// Takes how many relays a former leader told a box of, with its first message of any kind: what the
     /// others may still have on lease stands against what comes in. Later ones tell what this leader has said
     /// itself.
     pub(super) fn learn_relays(&mut self, box_id: &BoxId, life: Incarnation, relays: Option<u32>) {
         if !self.words.contains_key(&(box_id.clone(), life)) {
-            self.told = self.told.max(relays.unwrap_or(0));
+            self.presence.learn(relays.unwrap_or(0));
         }
     }
 
@@ -355,7 +330,7 @@
             return BTreeMap::new();
         };
         self.follow_teams(&table, now);
-        let unheard = self.unheard();
+        let unheard = self.presence.unheard();
         let mut allowed = BTreeMap::new();
         for (name, demand) in teams {
             let Some(limit) = table.teams.get(name).and_then(|team| team.limit()) else {
@@ -383,7 +358,10 @@
 
     /// Whether something waits for the group to note it.
     pub(super) fn has_notes(&mut self) -> bool {
-        self.low.is_none() || !self.lacking.is_empty() || self.quarantine.to_note().is_some()
+        self.low.is_none()
+            || !self.lacking.is_empty()
+            || self.quarantine.to_note().is_some()
+            || self.presence.next_note(Instant::now()).is_some()
     }
 
     /// Keeps a level for each team of the table, from the first word that this leader hears on: one
@@ -408,7 +386,7 @@
             let sum = sums.entry(service.clone()).or_default();
             *sum = *sum + *offered;
         }
-        let age = heartbeat_time(self.relays()).as_secs_f64() / 2.0;
+        let age = heartbeat_time(self.presence.relays(Instant::now())).as_secs_f64() / 2.0;
         self.spender.note(self.since.elapsed().as_secs_f64(), age, &sums);
         self.pool_engines();
     }
--- a/src/control/notes.rs
+++ b/src/control/notes.rs
@@ -69,6 +69,9 @@
         if let Some(change) = self.quarantine.to_note() {
             return Some(Command::ChangeQuarantine(change));
         }
+        if let Some(relays) = self.presence.next_note(Instant::now()) {
+            return Some(Command::NoteRelays(relays));
+        }
         if let Some(low) = self.next_low(tolerance) {
             return Some(Command::NoteLow(low));
         }
@@ -90,6 +93,7 @@
 
     fn take_notes(&mut self, notes: Notes) {
         self.low = Some(notes.low);
+        self.presence.restore(notes.relays);
         for (service, model) in &notes.engines {
             self.engines.entry(service.clone()).or_insert(*model);
         }
@@ -112,7 +116,7 @@
 
     /// Looks at the levels of the teams that are not noted as low.
     fn look_at_levels(&mut self, now: f64, table: &RouteTable, tolerance: Tolerance) {
-        let unheard = self.unheard();
+        let unheard = self.presence.unheard();
         let Some(low) = &self.low else {
             return;
         };
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 //! - [`ends`]: under which requests servers ended; [`quarantine`]: which requests no server gets any more.
 //! - [`exposure`], [`verdict`]: how far a new release goes, and whether it is bad; [`releases`] and [`rollout`]
 //!   are what a box and the leader make of it.
+//! - [`presence`]: how many relays there are, as a leader can tell.
 //! - [`budget`]: how often relays may send again.
 //! - [`lives`]: which life a server is in, and when a box asks it.
 //! - [`loads`]: what servers' loads a box is told.
@@ -57,6 +58,7 @@
 pub mod pace;
 pub mod pause;
 pub mod policy;
+pub mod presence;
 pub mod quarantine;
 pub mod queue;
 pub mod reclaim;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -73,6 +73,7 @@
 use crate::decide::memory::Memory;
 use crate::decide::pace::{HEARTBEAT_TIME, LONGEST_TIME};
 use crate::decide::pause::Pauses;
+use crate::decide::presence::RELAYS_GUESSED;
 use crate::decide::quarantine::BoxQuarantine;
 use crate::decide::releases::{Outcome, ReleaseBook};
 use crate::decide::spill::SpillBook;
@@ -158,9 +159,6 @@
     pub(crate) heard: Notify,
 }
 
-/// Relays taken to share the limits before anyone can tell how many do.
-pub(crate) const RELAYS_GUESSED: u32 = 16;
-
 impl Relay {
     /// A relay that knows no routes and no backend servers yet.
     pub fn new(parts: RelayParts) -> Self {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -57,6 +57,8 @@
     Settle(Settle),
     /// Notes which teams' levels may be low from now on.
     NoteLow(LowTeams),
+    /// Notes how many relays there are.
+    NoteRelays(u32),
     /// Notes what is known of engines from now on.
     NoteEngines(Models),
     /// Notes what is known of dry spells from now on.
@@ -99,7 +101,7 @@
     Document(Version),
     /// Answers [`Command::Settle`]: the counts that stand for the window.
     Settle(Settle),
-    /// Answers [`Command::NoteLow`], [`Command::NoteEngines`], [`Command::NoteSpells`] and
+    /// Answers [`Command::NoteLow`], [`Command::NoteRelays`], [`Command::NoteEngines`], [`Command::NoteSpells`] and
     /// [`Command::ReadNotes`].
     Notes(Notes),
     /// Answers [`Command::ChangeQuarantine`]: all that are held.
@@ -157,6 +159,10 @@
                 self.notes.low = teams.clone();
                 Reply::Notes(self.notes.clone())
             }
+            Command::NoteRelays(relays) => {
+                self.notes.relays = *relays;
+                Reply::Notes(self.notes.clone())
+            }
             Command::NoteEngines(models) => {
                 self.notes.engines = models.clone();
                 Reply::Notes(self.notes.clone())
--- a/src/state/notes.rs
+++ b/src/state/notes.rs
@@ -24,6 +24,9 @@
 pub struct Notes {
     /// Teams whose levels may be low.
     pub low: LowTeams,
+    /// How many relays there are.
+    #[serde(default)]
+    pub relays: u32,
     /// What is known of engines.
     pub engines: Models,
     /// What is known of dry spells.
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
-use emberturn::decide::allowance::{Allowances, Grant, TeamDemand};
+use emberturn::decide::allowance::{Allowances, Grant, LEASE_TIME, TeamDemand};
 use emberturn::decide::budget::{RetryBudgets, RetryLimit};
 use emberturn::decide::level::{Limit, Noted, TeamReport, TokenBucket, Tolerance};
+use emberturn::decide::presence::Presence;
 use emberturn::ids::{BoxId, Incarnation, ServiceName, TeamName, Window};
 use emberturn::peer::method::{DemandReply, DemandRequest};
 use emberturn::relay::usage::{UsageCounter, window_at};
@@ -465,3 +466,40 @@
     let reply: DemandReply = serde_json::from_str(r#"{"shed":true}"#).unwrap();
     assert!(reply.grants.is_empty());
 }
+
+/// A leader that begins at `now` and hears these boxes.
+fn presence(boxes: &[&str], now: Instant) -> Presence {
+    let mut presence = Presence::new(now);
+    for name in boxes {
+        presence.record(&name.parse().unwrap(), now);
+    }
+    presence
+}
+
+#[test]
+fn new_leader_that_hears_only_a_box_that_has_just_started_knows_of_the_others_by_the_note() {
+    let now = Instant::now();
+    let mut leader = presence(&["box-1"], now);
+    // Such a box was told nothing by the former leader.
+    leader.learn(0);
+    assert_eq!(leader.unheard(), 1, "before the note is known");
+    leader.restore(4);
+    assert_eq!(leader.unheard(), 3);
+    assert_eq!(leader.relays(now), 4);
+}
+
+#[test]
+fn more_boxes_are_noted_at_once_and_fewer_only_once_their_leases_have_ended() {
+    let now = Instant::now();
+    let mut leader = presence(&["box-1", "box-2", "box-3"], now);
+    assert_eq!(leader.next_note(now), None, "before the note is known");
+    leader.restore(2);
+    assert_eq!(leader.next_note(now), Some(3));
+    leader.restore(3);
+    let later = now + Duration::from_secs(60);
+    leader.record(&"box-1".parse().unwrap(), later);
+    leader.sweep(later);
+    assert_eq!(leader.next_note(later), None);
+    assert_eq!(leader.next_note(later + LEASE_TIME), None);
+    assert_eq!(leader.next_note(later + LEASE_TIME * 2), Some(1));
+}
--- a/tests/team_limit.rs
+++ b/tests/team_limit.rs
@@ -1,11 +1,12 @@
 //! A team's limit over all boxes, under cuts, restarts, changes of leader and lost answers: boxes and
 //! leader run the product's own code, driven by one seed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use emberturn::decide::allowance::{Allowances, DemandReport, Grant};
 use emberturn::decide::level::{Limit, Noted, TeamReport, TokenBucket, Tolerance};
+use emberturn::decide::presence::Presence;
 use emberturn::ids::{BoxId, Incarnation, TeamName};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -79,8 +80,12 @@
     looked: f64,
     /// From when there is a leader.
     leads_from: f64,
-    heard: BTreeMap<BoxId, f64>,
-    told: u32,
+    presence: Presence,
+    /// The lives of boxes that this leader has heard: what they were told counts once.
+    lives: BTreeSet<(usize, u64)>,
+    /// How many boxes the group has noted, and a number that it is to note from a moment on.
+    relays: u32,
+    relays_note: Option<(f64, u32)>,
     uses: Vec<(f64, f64)>,
     refused: f64,
 }
@@ -110,11 +115,14 @@
             notes: None,
             looked: 0.0,
             leads_from: 0.0,
-            heard: BTreeMap::new(),
-            told: 0,
+            presence: Presence::new(base),
+            lives: BTreeSet::new(),
+            relays: 0,
+            relays_note: None,
             uses: Vec::new(),
             refused: 0.0,
         };
+        world.presence.restore(0);
         let team = world.team.clone();
         for entry in &mut world.boxes {
             entry.allowances.follow([&team].into_iter(), base);
@@ -168,7 +176,8 @@
     /// The leader's look at the level, ten times a second.
     fn look(&mut self, now: f64) {
         let limit = kept(&self.day);
-        let unheard = self.told.saturating_sub(self.heard.len().max(1) as u32);
+        self.note_relays(now);
+        let unheard = self.presence.unheard();
         let Some(level) = self.level.as_mut().filter(|_| now >= self.looked + LOOK) else {
             return;
         };
@@ -182,13 +191,32 @@
         }
     }
 
+    /// The leader has the group note how many boxes there are, once it has read what was noted.
+    fn note_relays(&mut self, now: f64) {
+        let at = self.instant(now);
+        if now < self.leads_from {
+            return;
+        }
+        if let Some((_, relays)) = self.relays_note.take_if(|(due, _)| *due <= now) {
+            self.relays = relays;
+            self.presence.restore(relays);
+        }
+        if self.relays_note.is_none() {
+            let next = self.presence.next_note(at);
+            self.relays_note = next.map(|relays| (now + 0.04, relays));
+        }
+    }
+
     /// The leader is lost; the next one leads from `until` on.
     fn lose_leader(&mut self, until: f64) {
         self.level = None;
         self.notes = None;
         self.leads_from = until;
-        self.heard.clear();
-        self.told = 0;
+        // What it asked the group to note may be lost with it. The next one reads the notes first.
+        self.relays_note = None;
+        self.lives.clear();
+        self.presence = Presence::new(self.instant(until));
+        self.presence.restore(self.relays);
     }
 
     /// Callers' requests at one box.
@@ -263,7 +291,7 @@
             return;
         };
         if self.reaches(place, now) {
-            self.told = self.told.max(self.boxes[place].relays);
+            self.learn(place);
         }
         let grants = self.reaches(place, now).then(|| self.grant(place, now, &report));
         let flight = self.rng.random_range(0.0..self.day.flight);
@@ -272,6 +300,14 @@
         self.boxes[place].demands.push(Answer { at, report, grants });
     }
 
+    /// Takes how many boxes a former leader told a box of, with its first message.
+    fn learn(&mut self, place: usize) {
+        let entry = &self.boxes[place];
+        if self.lives.insert((place, entry.life)) {
+            self.presence.learn(entry.relays);
+        }
+    }
+
     /// What the leader grants a box by its report.
     fn grant(
         &mut self,
@@ -281,7 +317,7 @@
     ) -> BTreeMap<TeamName, Grant> {
         let entry = &self.boxes[place];
         let (life, id, limit) = (Incarnation(entry.life), entry.id.clone(), kept(&self.day));
-        let unheard = self.told.saturating_sub(self.heard.len().max(1) as u32);
+        let unheard = self.presence.unheard();
         let level = self.level.get_or_insert_with(|| TokenBucket::new(now));
         let demand = report.teams.get(&self.team).copied();
         let told = demand.map(|demand| TeamReport { life, turn: report.turn, demand });
@@ -302,11 +338,11 @@
         let entry = &mut self.boxes[place];
         entry.next_beat = now + BEAT;
         let report = entry.allowances.report(at);
-        self.told = self.told.max(entry.relays);
         let id = entry.id.clone();
+        self.learn(place);
         let grants = self.grant(place, now, &report);
-        self.heard.insert(id, now);
-        let relays = self.told.max(self.heard.len() as u32);
+        self.presence.record(&id, at);
+        let relays = self.presence.relays(at);
         let entry = &mut self.boxes[place];
         let flight = self.rng.random_range(0.0..self.day.flight);
         if !self.rng.random_bool(self.day.lost) {
