A heartbeat tells what a box holds of a team whose demand is under way

Change: the heartbeat tells what is held of such a team, marked as asking for nothing; the bucket of a leader that does not know the box takes it as on lease, and answers the demand all the same when it comes. The layout of heartbeats stays.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -53,7 +53,8 @@
     /// Units refused since the last word.
     #[serde(with = "crate::units::thin")]
     pub refused: f64,
-    /// Units of the requests that found too little since the last word and wait for the answer.
+    /// Units of the requests that found too little since the last word and wait for the answer; below 0 where
+    /// the team's own demand is under way.
     #[serde(with = "crate::units::thin")]
     pub wanted: f64,
     /// Units a second that callers usually bring; 0 for a team that no longer comes.
@@ -67,6 +68,16 @@
     pub left: f64,
 }
 
+/// The [`TeamDemand::wanted`] of a team whose own demand is under way: what it wants is told there.
+const UNDER_WAY: f64 = -1.0;
+
+impl TeamDemand {
+    /// Whether the team's own demand is under way, so that this tells only what the box holds.
+    pub fn is_under_way(&self) -> bool {
+        self.wanted < 0.0
+    }
+}
+
 /// What a box reports of its teams in one message.
 #[derive(Debug, Clone)]
 pub struct DemandReport {
@@ -181,6 +192,13 @@
         told
     }
 
+    /// What the box holds of the team, beside a demand that is under way.
+    fn held(&mut self, now: Instant) -> TeamDemand {
+        self.pass(now);
+        let (rate, left) = (self.rate, self.left);
+        TeamDemand { refused: 0.0, wanted: UNDER_WAY, rate, left, ..self.demand }
+    }
+
     /// Whether there is nothing to report of the team.
     fn is_silent(&self) -> bool {
         let told = &self.demand;
@@ -295,10 +313,15 @@
         self.teams.get(team).is_some_and(|it| self.waiting.contains_key(&it.turn))
     }
 
-    /// The demand to report with a heartbeat: of the teams that come to this box. A team whose own demand
-    /// waits for its answer is left out: a later report would overtake it and withdraw what it asks for.
+    /// The demand to report with a heartbeat: of the teams that come to this box. Of a team whose own demand
+    /// waits for its answer only what is held: a later report would overtake the demand and withdraw what it asks for,
+    /// and without any a new leader would take the box to hold nothing.
     pub fn report(&mut self, now: Instant) -> DemandReport {
-        self.report_of(now, |allowance| !allowance.is_silent())
+        let mut report = self.report_of(now, |allowance| !allowance.is_silent());
+        let waiting = &self.waiting;
+        let waiting = self.teams.iter_mut().filter(|(_, it)| waiting.contains_key(&it.turn));
+        report.teams.extend(waiting.map(|(name, it)| (name.clone(), it.held(now))));
+        report
     }
 
     /// The demand of the teams that requests wait for and that are not asked for yet; `None` where there
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -256,6 +256,10 @@
         if held.is_some_and(|held| held.life == word.life && held.turn >= word.turn) {
             return None;
         }
+        if word.demand.is_under_way() {
+            self.record_held(now, limit, unheard, box_id, word);
+            return None;
+        }
         let reserve = RESERVE_PART * limit.burst;
         if noted == Noted::Reserve && !self.begun {
             self.left += reserve;
@@ -286,6 +290,29 @@
         Some(Grant { amount, rate, wait })
     }
 
+    /// Takes what a box holds whose demand is under way. Of one that is known the demand tells more.
+    fn record_held(
+        &mut self,
+        now: f64,
+        limit: Limit,
+        unheard: u32,
+        box_id: &BoxId,
+        report: TeamReport,
+    ) {
+        if self.holders.contains_key(box_id) {
+            return;
+        }
+        self.fill(now, limit, unheard);
+        // Its demand was made earlier, and counts when it comes.
+        let mut holder = Holder { turn: 0, ..Holder::new(now, &report) };
+        self.claimed += holder.rate;
+        let came = holder.came(self.walked);
+        self.left -= came;
+        holder.possible += came;
+        self.sums.add(&holder);
+        self.holders.insert(box_id.clone(), holder);
+    }
+
     /// Takes what a box has used since its last word, and has left, off what it may have used: the rest
     /// returns. The box as it is now, out of the level.
     fn settle(&mut self, now: f64, box_id: &BoxId, word: &TeamReport) -> (BoxId, Holder) {
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
-use emberturn::decide::allowance::{Allowances, Grant, LEASE_TIME, TeamDemand};
+use emberturn::decide::allowance::{Allowances, DemandReport, Grant, LEASE_TIME, TeamDemand};
 use emberturn::decide::budget::{RetryBudgets, RetryLimit};
 use emberturn::decide::level::{Limit, Noted, TeamReport, TokenBucket, Tolerance};
 use emberturn::decide::presence::Presence;
@@ -397,7 +397,7 @@
 }
 
 #[test]
-fn waiting_team_is_asked_for_at_once_and_left_out_of_heartbeats_until_the_reply() {
+fn waiting_team_is_asked_for_at_once_and_heartbeats_tell_only_what_it_holds_until_the_reply() {
     let (mut allowances, team, now) = allowances();
     assert!(allowances.demand(now).is_none());
     allowances.claim(&team, 100.0, now).unwrap_err();
@@ -405,7 +405,17 @@
     assert_eq!(demand.teams[&team].wanted, 100.0);
     // One demand of a team is under way; a heartbeat would withdraw what it asks for.
     assert!(allowances.is_pending(&team) && allowances.demand(now).is_none());
-    assert!(allowances.report(now).teams.is_empty());
+    let held = allowances.report(now);
+    assert!(held.teams[&team].is_under_way());
+    // A leader that hears it first answers nothing, and still the demand behind it.
+    let (mut level, box_id) = (TokenBucket::new(0.0), "box-1".parse().unwrap());
+    let mut answer = |report: &DemandReport| {
+        let (life, turn, demand) = (Incarnation(1), report.turn, report.teams[&team]);
+        let report = TeamReport { life, turn, demand };
+        level.handle_report(1.0, LIMIT, Noted::Reserve, 0, &box_id, report)
+    };
+    assert_eq!(answer(&held), None);
+    assert!(answer(&demand).unwrap().amount >= 100.0);
     allowances.apply_grants(&demand, &grant(&team, 100.0), now);
     assert!(!allowances.is_pending(&team));
     allowances.claim(&team, 100.0, now).unwrap();
