--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -34,6 +34,10 @@
 /// power everywhere, takes about half of it, and keys are no longer sure at its end.
 pub const LEASE_TIME: Duration = Duration::from_millis(5_900);
 
+/// The longest time for which a box saves up a rate that nobody uses. A new leader does not know what boxes have
+/// saved, so all of them together may save hardly more than a usual burst, a second of the rate with its tolerance.
+const SAVE_TIME: Duration = Duration::from_millis(1_700);
+
 /// Seconds over which a team's use of a box is averaged: long enough for callers that come every few
 /// seconds, short enough to follow a wave.
 const USUAL_TIME: f64 = 4.0;
@@ -120,6 +124,8 @@
 struct Allowance {
     left: f64,
     rate: f64,
+    /// The amount of the last grant.
+    granted: f64,
     wait: f64,
     demand: TeamDemand,
     /// Units a second, as the mean of the last seconds.
@@ -144,6 +150,7 @@
         Self {
             left: 0.0,
             rate: 0.0,
+            granted: 0.0,
             wait: 0.0,
             demand: TeamDemand::default(),
             usual: 0.0,
@@ -162,7 +169,9 @@
     fn pass(&mut self, now: Instant) {
         let end = self.heard + LEASE_TIME;
         let passed = now.min(end).saturating_duration_since(self.filled);
-        self.left += self.rate * passed.as_secs_f64();
+        let most = self.granted + self.rate * SAVE_TIME.as_secs_f64();
+        let came = self.rate * passed.as_secs_f64();
+        self.left = self.left.max((self.left + came).min(most));
         if now > end {
             self.left = self.left.min(0.0);
             self.rate = 0.0;
@@ -364,7 +373,7 @@
                 continue;
             };
             allowance.left = grant.amount - (allowance.demand.total - allowance.told);
-            allowance.rate = grant.rate;
+            (allowance.rate, allowance.granted) = (grant.rate, grant.amount);
             allowance.wait = grant.wait;
             allowance.heard = report.sent;
             allowance.filled = now;
