--- a/src/blackboard/fleet.rs
+++ b/src/blackboard/fleet.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::watch;
 
-use crate::decide::faults::FaultBook;
+use crate::decide::faults::FaultTracker;
 use crate::ids::{BackendId, BoxId, Incarnation, ServiceName};
 use crate::member::table::fingerprint;
 use crate::state::config::Configuration;
@@ -59,7 +59,7 @@
     ejected: Option<Instant>,
     service_time: Option<f64>,
     prefixes: HashMap<u64, Instant>,
-    faults: FaultBook,
+    faults: FaultTracker,
 }
 
 /// What is known of one backend server.
@@ -240,7 +240,7 @@
     }
 
     /// Notes that a prompt whose leading blocks have these hashes was computed there.
-    pub fn note_prefixes(&self, hashes: &[u64], limit: usize) {
+    pub fn record_prefixes(&self, hashes: &[u64], limit: usize) {
         let now = Instant::now();
         let mut inner = self.lock();
         inner.prefixes.extend(hashes.iter().map(|hash| (*hash, now)));
--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -231,12 +231,12 @@
         // Word of it may have come long before it did.
         let at = Some(self.newest.borrow()).filter(|it| it.version <= version).and_then(|it| it.at);
         if let Some(at) = at {
-            self.note_fresh(at);
+            self.record_fresh(at);
         }
     }
 
     /// Notes that the configuration in force was certainly the newest anywhere at `at`, by [`clock::now`].
-    pub fn note_fresh(&self, at: Instant) {
+    pub fn record_fresh(&self, at: Instant) {
         self.fresh.send_if_modified(|held| {
             let later = held.is_none_or(|held| at > held);
             if later {
@@ -249,7 +249,7 @@
     /// Notes which document is the newest by an answer to what was asked at `asked`, and that this and the
     /// configuration in force certainly were the newest `age` before it: whoever answered spoke later than that.
     /// What this node holds is as new only if it has that document.
-    pub fn note_answer(
+    pub fn record_answer(
         &self,
         version: Version,
         teller: Option<BoxId>,
@@ -263,7 +263,7 @@
             held.version != before
         });
         if let Some(at) = at.filter(|_| self.document().version >= version) {
-            self.note_fresh(at);
+            self.record_fresh(at);
         }
     }
 
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -110,7 +110,7 @@
                     (servers.len(), servers.iter().filter(|it| it.leaving).count());
                 lead.loads.follow(lead.list.keys(), now);
                 let going = servers.iter().filter(|it| it.leaving).map(|it| &it.id);
-                lead.quarantine.hear_leaving(going, now);
+                lead.quarantine.record_leaving(going, now);
                 node.listed.notify_waiters();
                 tracing::info!(
                     event = "list_read", term = %term, place = version.place, servers = count, leaving,
--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -9,7 +9,7 @@
 use crate::group::access::Access;
 use crate::relay::Relay;
 use crate::relay::list::PackedParts;
-use crate::relay::list_book::PARTS_LIMIT;
+use crate::relay::list_registry::PARTS_LIMIT;
 
 /// How long an answer may take: 50 KB beside a box's traffic on a link of 10 Mbit/s, and the search for
 /// the leader.
--- a/src/control/heartbeat.rs
+++ b/src/control/heartbeat.rs
@@ -179,7 +179,7 @@
         demand: std::mem::take(&mut report.teams),
         trials: relay.releases().tell(Instant::now()),
         loads: relay.loads().take(Instant::now()),
-        lives: relay.servers.lives_to_tell(),
+        lives: relay.servers.unreported_incarnations(),
         quarantine: relay.quarantine().tell(Instant::now()),
         turn,
         after: news.after,
@@ -194,17 +194,17 @@
                 told.models = Some(word.print);
                 relay.engines().take(word.models);
             }
-            relay.servers.hear_placed_loads(&reply.loads);
+            relay.servers.apply_placed_loads(&reply.loads);
             // After a stop of everything the leader knows this about 0.3 s before the other replicas can be sure.
             let age = reply.age.map(Duration::from_millis);
-            relay.parts.board.note_answer(reply.document, access.leader(), asked, age);
+            relay.parts.board.record_answer(reply.document, access.leader(), asked, age);
             quarantine::take_answer(relay, &beat.quarantine, reply.quarantine, reply.lacks);
             relay.usage().forget(reply.settled);
             told.telling.answered(news, reply.lacks, reply.settled);
             if reply.lacks {
                 relay.hurry.notify_one();
             }
-            relay.note_relays(reply.relays);
+            relay.set_relays(reply.relays);
             relay.heard.notify_waiters();
             if let Some(news) = reply.list {
                 relay.put_index(Arc::unwrap_or_clone(news));
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -33,7 +33,7 @@
 use crate::node::Node;
 use crate::platform::client::Order;
 use crate::relay::list::{ContentHash, IncarnationReport, PackedParts, PartId, Server};
-use crate::relay::list_book::ListBook;
+use crate::relay::list_registry::ListRegistry;
 use crate::relay::listing::Unread;
 use crate::relay::part_loads::{self, PartLoads};
 use crate::relay::table::RouteTable;
@@ -111,7 +111,7 @@
     /// Those that are to be noted.
     pub(super) lacking: LowTeams,
     pub(super) table: Option<Arc<RouteTable>>,
-    pub(super) list: ListBook,
+    pub(super) list: ListRegistry,
     /// Services that are listed and were not published when their release was noted.
     unnamed: BTreeSet<ServiceName>,
     /// The entries that cannot be read and were said.
@@ -150,7 +150,7 @@
             low: None,
             lacking: LowTeams::new(),
             table: None,
-            list: ListBook::default(),
+            list: ListRegistry::default(),
             unnamed: BTreeSet::new(),
             unread: BTreeSet::new(),
             loads: LoadPool::default(),
@@ -290,7 +290,7 @@
     /// Takes a relay's words of lives. All relays hear of them with the next reading of the list.
     fn record_incarnations(&mut self, lives: Vec<IncarnationReport>, now: Instant) {
         for told in lives {
-            if self.list.hear_life(&told, now) == lives::Heard::Another {
+            if self.list.apply_incarnation(&told, now) == lives::Heard::Another {
                 tracing::info!(event = "backend_server_restarted", backend_server = %told.server);
                 self.loads.restart(told.server, now);
             }
@@ -573,7 +573,7 @@
             *held = None;
         }
         let new = || {
-            let list = ListBook::new(self.settings.regions.clone());
+            let list = ListRegistry::new(self.settings.regions.clone());
             LeaderState { list, ..LeaderState::new(term, first, weights) }
         };
         f(held.get_or_insert_with(new))
--- a/src/control/spend.rs
+++ b/src/control/spend.rs
@@ -8,7 +8,7 @@
 use crate::decide::capacity::{Market, Offered};
 use crate::decide::engine::EngineModel;
 use crate::decide::hazard::DrySpells;
-use crate::decide::orders::{OrderBook, Place};
+use crate::decide::orders::{OrderTracker, Place};
 use crate::decide::spend::{Bounds, Demand, Need, Plan, Serving, Site, plan};
 use crate::ids::{DataCentre, ServiceName};
 use crate::platform::client::Order;
@@ -33,7 +33,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Spender {
     demands: BTreeMap<ServiceName, Demand>,
-    books: BTreeMap<ServiceName, OrderBook>,
+    books: BTreeMap<ServiceName, OrderTracker>,
     spells: BTreeMap<ServiceName, DrySpells>,
     /// What was last said of the need.
     said: BTreeMap<ServiceName, Need>,
@@ -127,7 +127,7 @@
         let plans = plan(&sites, need, bounds);
         let spells = self.spells.entry(service.name.clone()).or_default();
         for plan in plans.iter().filter(|plan| plan.spot == 0) {
-            spells.note_unwanted(&plan.data_centre);
+            spells.record_unwanted(&plan.data_centre);
         }
         let boot = scaling.boot_time.as_secs_f64();
         let book = self.books.entry(service.name.clone()).or_default();
--- a/src/decide/absence.rs
+++ b/src/decide/absence.rs
@@ -123,7 +123,7 @@
 
     /// Takes that no reclaimable engines are wanted in a data centre: none being there says nothing from now
     /// on, and an absence under way is not seen to its end.
-    pub fn note_unwanted(&mut self, data_centre: &DataCentre) {
+    pub fn record_unwanted(&mut self, data_centre: &DataCentre) {
         self.set(data_centre, State::Unwanted);
     }
 
--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -70,11 +70,11 @@
 
 /// The ends that count.
 #[derive(Debug, Default)]
-pub struct EndBook {
+pub struct EndTracker {
     ends: Vec<End>,
 }
 
-impl EndBook {
+impl EndTracker {
     /// Takes an end; whether anything about it is new.
     pub fn note(&mut self, told: ToldEnd, now: Instant) -> bool {
         let at = now.checked_sub(told.age.duration()).unwrap_or(now);
--- a/src/decide/engine.rs
+++ b/src/decide/engine.rs
@@ -229,8 +229,10 @@
     pub fn record(&mut self, sample: Sample) {
         match sample {
             Sample::First(seen) => self.note(seen),
-            Sample::Served { late } => self.note_served(late),
-            Sample::Stream { events, output, seconds } => self.note_stream(events, output, seconds),
+            Sample::Served { late } => self.record_served(late),
+            Sample::Stream { events, output, seconds } => {
+                self.record_stream(events, output, seconds)
+            }
         }
     }
 
@@ -258,14 +260,14 @@
     }
 
     /// Takes whether a request that was served came late.
-    pub fn note_served(&mut self, is_late: bool) {
+    pub fn record_served(&mut self, is_late: bool) {
         let late = if is_late { 1.0 } else { 0.0 };
         self.model.late += MEAN_WEIGHT * (late - self.model.late);
     }
 
     /// Takes a stream that ended well: its events, the tokens that might have come out, and the seconds from
     /// its first event to its last.
-    pub fn note_stream(&mut self, events: f64, output: f64, seconds: f64) {
+    pub fn record_stream(&mut self, events: f64, output: f64, seconds: f64) {
         if output <= 0.0 {
             return;
         }
--- a/src/decide/faults.rs
+++ b/src/decide/faults.rs
@@ -24,11 +24,11 @@
 
 /// The faults that this box has seen of one server in one life, by route.
 #[derive(Debug, Default)]
-pub struct FaultBook {
+pub struct FaultTracker {
     faults: HashMap<String, Fault>,
 }
 
-impl FaultBook {
+impl FaultTracker {
     /// Notes that the server failed a request of a route.
     pub fn fail(&mut self, route: &str, now: Instant) {
         if self.faults.len() >= LIMIT {
--- a/src/decide/hazard.rs
+++ b/src/decide/hazard.rs
@@ -165,7 +165,7 @@
             self.tally(gone, age).time += passed * f64::from(self.places.saturating_sub(gone));
         }
         let lost = self.absences.look(now, seen);
-        self.note_end(gone + lost);
+        self.record_end(gone + lost);
         if lost == 0 {
             return;
         }
@@ -193,18 +193,18 @@
     pub fn note_taken(&mut self, now: f64, data_centre: &DataCentre) {
         let gone = self.gone();
         self.absences.note_taken(now, data_centre);
-        self.note_end(gone);
+        self.record_end(gone);
     }
 
     /// Takes that no reclaimable engines are wanted in a data centre.
-    pub fn note_unwanted(&mut self, data_centre: &DataCentre) {
+    pub fn record_unwanted(&mut self, data_centre: &DataCentre) {
         let gone = self.gone();
-        self.absences.note_unwanted(data_centre);
-        self.note_end(gone);
+        self.absences.record_unwanted(data_centre);
+        self.record_end(gone);
     }
 
     /// Takes whether fewer are gone than `before`.
-    fn note_end(&mut self, before: u32) {
+    fn record_end(&mut self, before: u32) {
         let gone = self.gone();
         self.ends = gone > 0 && (self.ends || gone < before);
     }
--- a/src/decide/level.rs
+++ b/src/decide/level.rs
@@ -1,7 +1,7 @@
 //! How much of a team's limit is left, over all boxes, and how much of it a box may use next.
 //!
 //! The leader keeps one level for each team. It fills at the team's rate up to its burst, and an amount
-//! that a box is leased is taken off it at once. The box's next word says what it has used and what is
+//! that a box is leased is taken off it at once. The box's next report says what it has used and what is
 //! left there, and the rest returns. A box is also leased a part of the rate, which is taken off as it
 //! comes in, whether the box is in touch or not. So what boxes can have used is always off the level,
 //! and no cut, restart or change of leader lets them pass the limit together.
@@ -12,10 +12,10 @@
 //!
 //! A new leader does not know what was used before it. The former one brings a level below its reserve
 //! ([`RESERVE_PART`]) only once the group has noted so; for all other teams the new one begins with the
-//! reserve, also after a loss of everything. What boxes have on lease they tell with their first word,
+//! reserve, also after a loss of everything. What boxes have on lease they tell with their first report,
 //! and until all are heard no more than that comes in.
 //!
-//! A word costs the same with 30 boxes and with 3,000: sums over boxes are kept by differences, and a
+//! A report costs the same with 30 boxes and with 3,000: sums over boxes are kept by differences, and a
 //! walk over all of them is made ten times a second, whatever they say.
 
 use std::collections::BTreeMap;
@@ -24,7 +24,7 @@
 use crate::ids::{BoxId, Incarnation};
 
 /// The part of a level, with what is allowed of it, that boxes hold ahead of requests. More of it lies
-/// where it may not be wanted; with less of it more requests wait for a word of the leader.
+/// where it may not be wanted; with less of it more requests wait for a reply of the leader.
 const AHEAD_PART: f64 = 0.2;
 
 /// The part of the burst that is left of a level unless the group has noted that it may be less. With
@@ -58,7 +58,7 @@
 const USUAL_TIMES: f64 = 2.0;
 
 /// Seconds between the moment a request is counted and its arrival at a backend server, with the time
-/// between a box's word and the leader's answer: it moves use from one window to the next.
+/// between a box's report and the leader's reply: it moves use from one window to the next.
 const SKEW_TIME: f64 = 0.3;
 
 /// The part of the tolerance that stays unused: for two leaders at once until the former one knows, and
@@ -128,12 +128,12 @@
     Low,
 }
 
-/// A box's word of one team, and what the leader knows of the box.
+/// A box's report of one team.
 #[derive(Debug, Clone, Copy)]
 pub struct TeamReport {
     /// The life of the box's process.
     pub life: Incarnation,
-    /// Which of the words of that life it is.
+    /// Its number among the reports of that life.
     pub turn: u64,
     /// The demand it tells.
     pub demand: TeamDemand,
@@ -144,23 +144,23 @@
 struct Holder {
     life: Incarnation,
     turn: u64,
-    /// Used in its life, by its last word.
+    /// Used in its life, by its last report.
     total: f64,
     /// What it may have used since: of the amounts it was allowed, and of its rate up to the next walk.
     possible: f64,
     /// The highest rate that may be in force there.
     rate: f64,
-    /// When it was heard last.
+    /// When it reported last.
     heard: f64,
     /// What callers usually bring it each second.
     usual: f64,
 }
 
 impl Holder {
-    /// A box as its word says it is.
-    fn new(now: f64, word: &TeamReport) -> Self {
-        let TeamDemand { total, left, rate, usual, .. } = word.demand;
-        let TeamReport { life, turn, .. } = *word;
+    /// A box by its report.
+    fn new(now: f64, report: &TeamReport) -> Self {
+        let TeamDemand { total, left, rate, usual, .. } = report.demand;
+        let TeamReport { life, turn, .. } = *report;
         Self { life, turn, total, possible: left, rate, heard: now, usual }
     }
 
@@ -178,7 +178,7 @@
 /// Sums over the boxes of a level.
 #[derive(Debug, Clone, Copy, Default)]
 struct Sums {
-    /// What they may have used since their words, or can use.
+    /// What they may have used since their reports, or can use.
     possible: f64,
     /// What callers usually bring them, a second.
     usual: f64,
@@ -193,7 +193,7 @@
         self.leased += held.rate;
     }
 
-    fn take(&mut self, held: &Holder) {
+    fn remove(&mut self, held: &Holder) {
         self.possible -= held.possible;
         self.usual -= held.usual;
         self.leased -= held.rate;
@@ -240,8 +240,8 @@
         }
     }
 
-    /// Takes a box's word at `now` (seconds on the leader's clock), and allows it an amount until its
-    /// next one; `None` for a word that a later one of the same life has overtaken. `unheard`: how many
+    /// Handles a box's report at `now` (seconds on the leader's clock), and grants it an amount until its
+    /// next one; `None` for a report that a later one of the same life has overtaken. `unheard`: how many
     /// boxes this leader has not heard that may go by what a former one leased them.
     pub fn handle_report(
         &mut self,
@@ -250,14 +250,14 @@
         noted: Noted,
         unheard: u32,
         box_id: &BoxId,
-        word: TeamReport,
+        report: TeamReport,
     ) -> Option<Grant> {
         let held = self.holders.get(box_id);
-        if held.is_some_and(|held| held.life == word.life && held.turn >= word.turn) {
+        if held.is_some_and(|held| held.life == report.life && held.turn >= report.turn) {
             return None;
         }
-        if word.demand.is_under_way() {
-            self.record_held(now, limit, unheard, box_id, word);
+        if report.demand.is_under_way() {
+            self.record_held(now, limit, unheard, box_id, report);
             return None;
         }
         let reserve = RESERVE_PART * limit.burst;
@@ -266,10 +266,10 @@
         }
         self.begun |= noted != Noted::Unknown;
         let income = self.fill(now, limit, unheard);
-        let (key, mut holder) = self.settle(now, box_id, &word);
+        let (key, mut holder) = self.settle(now, box_id, &report);
         let floor = if noted == Noted::Reserve { reserve } else { 0.0 };
         let free = (self.left - floor + holder.possible).max(0.0);
-        let TeamDemand { wanted, usual, .. } = word.demand;
+        let TeamDemand { wanted, usual, .. } = report.demand;
         let comes = wanted > 0.0 || usual > 0.0;
         let amount = if comes { self.ahead(&holder).max(wanted).min(free) } else { 0.0 };
         let rate = if comes { self.leasable(income, &holder) } else { 0.0 };
@@ -278,7 +278,7 @@
         let charged = amount.max(holder.possible) + holder.came(self.walked);
         self.left -= charged - holder.possible;
         holder.possible = charged;
-        self.note_near(now, limit, noted == Noted::Reserve, amount < wanted);
+        self.check_reserve(now, limit, noted == Noted::Reserve, amount < wanted);
         let wait = match self.lacking || noted == Noted::Unknown {
             true => 0.0,
             false => self.wait(limit, wanted - amount),
@@ -313,18 +313,18 @@
         self.holders.insert(box_id.clone(), holder);
     }
 
-    /// Takes what a box has used since its last word, and has left, off what it may have used: the rest
+    /// Takes what a box has used since its last report, and has left, off what it may have used: the rest
     /// returns. The box as it is now, out of the level.
-    fn settle(&mut self, now: f64, box_id: &BoxId, word: &TeamReport) -> (BoxId, Holder) {
-        let holder = Holder::new(now, word);
+    fn settle(&mut self, now: f64, box_id: &BoxId, report: &TeamReport) -> (BoxId, Holder) {
+        let holder = Holder::new(now, report);
         let Some((key, held)) = self.holders.remove_entry(box_id) else {
             // What a former leader leased it is off that one's level.
             self.claimed += holder.rate;
             return (box_id.clone(), holder);
         };
-        self.sums.take(&held);
-        if held.life == word.life {
-            let used = word.demand.total - held.total;
+        self.sums.remove(&held);
+        if held.life == report.life {
+            let used = report.demand.total - held.total;
             self.left += held.possible - used - holder.possible;
         }
         // What a former life of the box may have used stays off the level.
@@ -365,7 +365,7 @@
     }
 
     /// Notes whether the level is near its reserve, and whether the group is to know.
-    fn note_near(&mut self, now: f64, limit: Limit, is_held: bool, is_short: bool) {
+    fn check_reserve(&mut self, now: f64, limit: Limit, is_held: bool, is_short: bool) {
         let is_near = is_near(self.left, limit);
         if is_near {
             self.near = now;
--- a/src/decide/lives.rs
+++ b/src/decide/lives.rs
@@ -169,11 +169,11 @@
 
 /// The servers that may have started again, and when they are asked.
 #[derive(Debug, Default)]
-pub struct DoubtBook {
+pub struct DoubtQueue {
     doubts: BTreeMap<BackendId, Doubt>,
 }
 
-impl DoubtBook {
+impl DoubtQueue {
     /// Notes that something makes doubt whether a server is in the life that is known; whether that is
     /// news. `random` is a number from 0 to 1.
     pub fn raise(&mut self, server: &BackendId, now: Instant, random: f64) -> bool {
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -63,12 +63,12 @@
 
 /// The orders of one service.
 #[derive(Debug, Clone, Default)]
-pub struct OrderBook {
+pub struct OrderTracker {
     placed: BTreeMap<Place, Placed>,
     refused: BTreeMap<Place, f64>,
 }
 
-impl OrderBook {
+impl OrderTracker {
     /// Notes that an order for `count` engines was taken at `now`, or may have been.
     pub fn record_order(&mut self, now: f64, place: Place, count: u32) {
         self.placed.insert(place, Placed { count, at: now, seen: 0, lost: 0 });
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ends::{DEADLY_ENDS, EndBook, ToldEnd};
+use super::ends::{DEADLY_ENDS, EndTracker, ToldEnd};
 use crate::ids::{BackendId, Fingerprint};
 use crate::state::quarantine::{QuarantineBook, QuarantineChange};
 use crate::units::{Millis, UnixMillis};
@@ -124,7 +124,7 @@
     told: BTreeMap<Fingerprint, Instant>,
     mark: u64,
     /// Servers that ended under this box's requests.
-    ends: EndBook,
+    ends: EndTracker,
     /// What ends its servers by those ends, and the leader has not heard of.
     own: BTreeSet<Fingerprint>,
     well: WellBook,
@@ -150,7 +150,7 @@
     }
 
     /// Takes that a server ended; the changes, and whether that is news for the leader.
-    pub fn note_end(&mut self, told: ToldEnd, now: Instant) -> (Changes, bool) {
+    pub fn record_end(&mut self, told: ToldEnd, now: Instant) -> (Changes, bool) {
         let before = self.requests();
         let news = self.ends.note(told, now);
         self.judge_own();
@@ -159,7 +159,7 @@
 
     /// Takes that a server answered a request, well or not: it did not end under it. Whether that is news for
     /// the leader.
-    pub fn note_well(&mut self, request: Fingerprint, now: Instant) -> bool {
+    pub fn record_success(&mut self, request: Fingerprint, now: Instant) -> bool {
         self.well.note(request, now);
         let suspected = !self.ends.is_empty() && self.ends.clear(&request);
         if suspected || self.told.contains_key(&request) {
@@ -234,7 +234,7 @@
 /// The leader's side.
 #[derive(Debug, Default)]
 pub struct FleetQuarantine {
-    ends: EndBook,
+    ends: EndTracker,
     held: QuarantineBook,
     /// What is held by the ends that this leader knows.
     judged: BTreeSet<Fingerprint>,
@@ -285,7 +285,11 @@
     }
 
     /// Takes which servers the platform shows as leaving: their ends are no request's doing.
-    pub fn hear_leaving<'a>(&mut self, leaving: impl Iterator<Item = &'a BackendId>, now: Instant) {
+    pub fn record_leaving<'a>(
+        &mut self,
+        leaving: impl Iterator<Item = &'a BackendId>,
+        now: Instant,
+    ) {
         self.left.retain(|_, at| *at + LEFT_TIME > now);
         for server in leaving {
             if self.left.insert(server.clone(), now).is_some() {
--- a/src/decide/releases.rs
+++ b/src/decide/releases.rs
@@ -94,11 +94,11 @@
 
 /// The releases of all services, as far as the leader told.
 #[derive(Debug, Default)]
-pub struct ReleaseBook {
+pub struct ReleaseTable {
     services: BTreeMap<ServiceName, Standing>,
 }
 
-impl ReleaseBook {
+impl ReleaseTable {
     /// Where a request for a service goes. The first send of a request counts as one that came.
     pub fn choose(&mut self, service: &ServiceName, is_first: bool, now: Instant) -> Choice {
         let Some(standing) = self.services.get_mut(service) else {
--- a/src/decide/spill.rs
+++ b/src/decide/spill.rs
@@ -55,11 +55,11 @@
 
 /// The services' windows on one box.
 #[derive(Debug, Default)]
-pub struct SpillBook {
+pub struct SpillTracker {
     windows: BTreeMap<ServiceName, Window>,
 }
 
-impl SpillBook {
+impl SpillTracker {
     /// Takes where a request goes; what the window that has ended before it showed, if that is news.
     pub fn note(&mut self, service: &ServiceName, reach: Reach, now: Instant) -> Option<SpillNews> {
         if !self.windows.contains_key(service) {
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -370,7 +370,7 @@
     match end {
         AttemptEnd::Whole | AttemptEnd::Move(_) => {
             chosen.state.succeed(took.as_secs_f64());
-            chosen.state.note_prefixes(&wanted.prefixes, PREFIX_LIMIT);
+            chosen.state.record_prefixes(&wanted.prefixes, PREFIX_LIMIT);
         }
         AttemptEnd::Fault(fault) if is_callers_fault(fault) => {}
         AttemptEnd::Fault(fault) => {
--- a/src/group/core/follow.rs
+++ b/src/group/core/follow.rs
@@ -19,7 +19,7 @@
         self.take_entries(&append);
         let known = last.max(self.log.base());
         self.commit = self.commit.max(append.commit.min(known));
-        self.note_fresh(&append, known);
+        self.record_fresh(&append, known);
         self.answer_append(from, true, known, sent);
     }
 
@@ -56,7 +56,7 @@
 
     /// When the leader spoke, it had been confirmed `age` ago; it spoke after this replica's clock
     /// showed `echo`. So what it had committed then was the newest at `echo - age` at least.
-    fn note_fresh(&mut self, append: &Append, known: Index) {
+    fn record_fresh(&mut self, append: &Append, known: Index) {
         let whole = self.commit >= append.commit && known >= append.commit;
         if let Some(age) = append.age.filter(|_| whole && append.echo > 0) {
             let at = append.echo.saturating_sub(age);
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -353,7 +353,7 @@
             }
             self.carry_out(output).await?;
         }
-        self.note_fresh();
+        self.record_fresh();
         self.board.note_leading(self.core.leads_whole().then(|| self.core.term()));
         self.note_members();
         if was_leader != (*self.core.role() == Role::Leader) {
@@ -457,12 +457,12 @@
     }
 
     /// Says on the blackboard how fresh the state is, if all that is committed has been applied.
-    fn note_fresh(&self) {
+    fn record_fresh(&self) {
         if self.core.applied() < self.core.commit() {
             return;
         }
         if let Some(at) = self.core.fresh() {
-            self.board.note_fresh(self.epoch + Duration::from_millis(at.saturating_sub(1)));
+            self.board.record_fresh(self.epoch + Duration::from_millis(at.saturating_sub(1)));
         }
     }
 
--- a/src/group/follow.rs
+++ b/src/group/follow.rs
@@ -114,7 +114,7 @@
     };
     board.put_in_force(configuration);
     let age = reply.age.map(Duration::from_millis);
-    board.note_answer(reply.document, Some(box_id.clone()), asked, age);
+    board.record_answer(reply.document, Some(box_id.clone()), asked, age);
     Ok(age.is_some_and(|age| age < OLD))
 }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -152,7 +152,7 @@
         tokio::select! {
             // The timer of a head is right only behind the connection's own look at what arrived.
             biased;
-            result = connection.as_mut() => return note_end(result),
+            result = connection.as_mut() => return record_end(result),
             () = head_timer.expire(&gate, &link) => {
                 return tracing::debug!(event = "head_too_slow");
             }
@@ -305,7 +305,7 @@
     }
 }
 
-fn note_end(result: hyper::Result<()>) {
+fn record_end(result: hyper::Result<()>) {
     if let Err(error) = result {
         tracing::debug!(event = "caller_connection_ended", %error);
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,4 +1,4 @@
-//! One send of a call to one backend server, and the course of all its sends.
+//! One send of a call to one backend server, and what a failed one proves.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -32,7 +32,7 @@
 
 /// Why a send gave no answer to pass on.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Miss {
+pub enum SendFailure {
     /// There is proof that the request has not run. `arrived`: the server itself said so.
     NotRun {
         /// Whether it reached a server.
@@ -49,7 +49,7 @@
     },
 }
 
-impl Miss {
+impl SendFailure {
     fn unknown(kind: Kind, detail: impl Into<String>) -> Self {
         Self::Unknown { kind, detail: detail.into() }
     }
@@ -145,10 +145,10 @@
     known: &Known,
     origin: Origin<'_>,
     limit: Duration,
-) -> Result<Reply, Miss> {
+) -> Result<Reply, SendFailure> {
     if known.state.is_over() {
         let detail = format!("{} has started again", known.server.id);
-        return Err(Miss::NotRun { arrived: false, detail });
+        return Err(SendFailure::NotRun { arrived: false, detail });
     }
     let request = request(relay, call, known, origin);
     let reuse = match route.repeat.is_repeatable() {
@@ -159,19 +159,19 @@
     let exchange = match sent {
         Ok(exchange) => counted(relay, call, known, exchange),
         Err(fault) => {
-            note_fault(relay, known, fault == SendFault::TimedOut);
+            record_fault(relay, known, fault == SendFault::TimedOut);
             if matches!(fault, SendFault::Refused(_)) {
-                ends::note_end(relay, known);
+                ends::record_end(relay, known);
             }
             if !fault.is_not_sent() {
-                relay.note_outcome(known, &route.name, Outcome::Failed);
+                relay.record_outcome(known, &route.name, Outcome::Failed);
             }
-            return Err(Miss::of_fault(fault));
+            return Err(SendFailure::of_fault(fault));
         }
     };
     let head = relay.parts.dialect.read_reply(call, exchange.status, &exchange.headers);
     if let Some(load) = head.load {
-        note_load(relay, known, load);
+        record_load(relay, known, load);
     }
     if exchange.status != StatusCode::MISDIRECTED_REQUEST {
         record_limit(relay, known, &head);
@@ -191,30 +191,33 @@
                 event = "answer_failed", id = call.head.id, backend_server = %known.server.id,
                 status = exchange.status.as_u16(), left_ms = call.left().as_millis() as u64,
             );
-            note_failed(relay, known, route);
+            record_failed_answer(relay, known, route);
             Ok(Reply { exchange, failed: true })
         }
         Verdict::NotRun => {
             if exchange.status == StatusCode::MISDIRECTED_REQUEST {
                 // Another server has its address: this one is gone.
-                ends::note_end(relay, known);
+                ends::record_end(relay, known);
                 known.leave_at_once();
                 relay.servers.doubt(known);
             }
             if head.load.is_none() && exchange.status == StatusCode::SERVICE_UNAVAILABLE {
                 // Full: the next request is to know.
-                note_load(relay, known, Load { running: known.server.slots, waiting: 1 });
+                record_load(relay, known, Load { running: known.server.slots, waiting: 1 });
             }
             let mut detail = format!("{} refused with {}", known.server.id, exchange.status);
             if let Some(pause) = head.pause {
                 detail += &format!(" and asks for a pause of {} ms", pause.as_millis());
             }
             let _ = exchange.read_whole(REFUSAL_BYTES, REFUSAL_TIME).await;
-            Err(Miss::NotRun { arrived: true, detail })
+            Err(SendFailure::NotRun { arrived: true, detail })
         }
         Verdict::Spoilt(reason) => {
-            note_failed(relay, known, route);
-            Err(Miss::unknown(Kind::BackendInvalid, format!("{}: {reason}", known.server.id)))
+            record_failed_answer(relay, known, route);
+            Err(SendFailure::unknown(
+                Kind::BackendInvalid,
+                format!("{}: {reason}", known.server.id),
+            ))
         }
     }
 }
@@ -232,23 +235,23 @@
 }
 
 /// Notes a server's own word that it failed a request, or a word that is none.
-fn note_failed(relay: &Relay, known: &Known, route: &Route) {
-    note_failure(relay, known);
+fn record_failed_answer(relay: &Relay, known: &Known, route: &Route) {
+    record_failure(relay, known);
     known.state.fail_route(&route.name);
-    relay.note_outcome(known, &route.name, Outcome::Failed);
+    relay.record_outcome(known, &route.name, Outcome::Failed);
 }
 
 /// Notes that a send or a stream broke off. Silence alone is what load does as well: reports asked for it
 /// would add to it.
-pub(super) fn note_fault(relay: &Relay, known: &Known, is_silent: bool) {
-    note_failure(relay, known);
+pub(super) fn record_fault(relay: &Relay, known: &Known, is_silent: bool) {
+    record_failure(relay, known);
     if !is_silent {
         relay.servers.doubt(known);
     }
 }
 
 /// Notes a failure. One that is set aside for a run of them may have started again.
-fn note_failure(relay: &Relay, known: &Known) {
+fn record_failure(relay: &Relay, known: &Known) {
     if known.state.fail() {
         tracing::warn!(event = "backend_server_set_aside", backend_server = %known.server.id);
         relay.servers.doubt(known);
@@ -274,7 +277,7 @@
     }
 }
 
-fn note_load(relay: &Relay, known: &Known, load: Load) {
+fn record_load(relay: &Relay, known: &Known, load: Load) {
     known.state.report(load.running, load.waiting, Duration::ZERO);
     let requests = load.running + load.waiting;
     relay.loads().note(known.key(), requests, Instant::now());
--- a/src/relay/course.rs
+++ b/src/relay/attempts.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::Relay;
-use super::attempt::Miss;
+use super::attempt::SendFailure;
 use super::call::Call;
 use super::known::Known;
 use super::pick::Picker;
@@ -40,7 +40,7 @@
     (Duration::from_millis(100), Duration::from_millis(1_500));
 
 /// All sends of one call.
-pub struct Course {
+pub struct CallAttempts {
     service: ServiceName,
     tried: Vec<BackendId>,
     /// Sends that may have run, or are under way.
@@ -51,8 +51,8 @@
     unreached: u32,
     /// Sends that a server refused.
     refused: u32,
-    unknown: Option<Miss>,
-    last: Option<Miss>,
+    unknown: Option<SendFailure>,
+    last: Option<SendFailure>,
     /// The server from which the one chosen last is to copy a part of the prompt.
     fetch: Option<SocketAddr>,
     /// What the server chosen last has to read.
@@ -74,7 +74,7 @@
     pub is_clear: bool,
 }
 
-impl Course {
+impl CallAttempts {
     /// No send yet.
     pub fn new(service: ServiceName) -> Self {
         let tried = Vec::new();
@@ -154,7 +154,7 @@
                 send = self.arrived + 1, limit = limit.map(tracing::field::display),
             );
         }
-        self.note_spill(relay);
+        self.record_spill(relay);
         self.sent += 1;
         self.arrived += 1;
         self.tried.push(known.server.id.clone());
@@ -162,7 +162,7 @@
     }
 
     /// Notes whether the send leaves the region; one line when such sends begin and end to be many.
-    fn note_spill(&self, relay: &Relay) {
+    fn record_spill(&self, relay: &Relay) {
         if !relay.parts.topology.is_split() {
             return;
         }
@@ -176,32 +176,32 @@
     }
 
     /// Notes how a send to a server ended without an answer to pass on.
-    pub fn note(&mut self, call: &Call, known: &Known, miss: Miss) {
+    pub fn record_failure(&mut self, call: &Call, known: &Known, failure: SendFailure) {
         tracing::info!(
             event = "send_missed", id = call.head.id, service = %self.service,
-            backend_server = %known.server.id, not_run = matches!(miss, Miss::NotRun { .. }),
-            request = miss.may_have_run().then(|| tracing::field::display(call.fingerprint())),
-            detail = miss.detail(), left_ms = call.left().as_millis() as u64,
+            backend_server = %known.server.id, not_run = matches!(failure, SendFailure::NotRun { .. }),
+            request = failure.may_have_run().then(|| tracing::field::display(call.fingerprint())),
+            detail = failure.detail(), left_ms = call.left().as_millis() as u64,
         );
-        match &miss {
-            Miss::NotRun { arrived: false, .. } => {
+        match &failure {
+            SendFailure::NotRun { arrived: false, .. } => {
                 self.sent -= 1;
                 self.arrived -= 1;
                 self.unreached += 1;
             }
-            Miss::NotRun { arrived: true, .. } => {
+            SendFailure::NotRun { arrived: true, .. } => {
                 self.sent -= 1;
                 self.refused += 1;
             }
-            Miss::Unknown { .. } => self.unknown = Some(miss.clone()),
+            SendFailure::Unknown { .. } => self.unknown = Some(failure.clone()),
         }
-        self.last = Some(miss);
+        self.last = Some(failure);
     }
 
     /// What is said of the call: that it has not run only if no send may have run. One that was given up
     /// without an answer, for a server that refused then, may still be running.
     pub fn failure(&self, relay: &Relay) -> Failure {
-        if let Some(Miss::Unknown { kind, detail }) = &self.unknown {
+        if let Some(SendFailure::Unknown { kind, detail }) = &self.unknown {
             return Failure::new(*kind, detail.clone());
         }
         if self.sent > 0 {
--- a/src/relay/ends.rs
+++ b/src/relay/ends.rs
@@ -64,7 +64,7 @@
 
 impl EndWatch {
     /// Notes that an exchange broke off behind which the request may have run.
-    pub fn note_break(&self, known: &Arc<Known>, request: Fingerprint) {
+    pub fn record_break(&self, known: &Arc<Known>, request: Fingerprint) {
         let mut broken = lock(&self.broken);
         let id = &known.server.id;
         if broken.len() >= BROKEN_LIMIT && !broken.contains_key(id) {
@@ -127,7 +127,7 @@
                 Err(SendFault::Refused(_))
             );
         if has_ended {
-            note_end(&relay, &known);
+            record_end(&relay, &known);
             return;
         }
     }
@@ -135,7 +135,7 @@
 }
 
 /// Notes that a server has ended; what broke off there ran on it when it did.
-pub(super) fn note_end(relay: &Relay, known: &Known) {
+pub(super) fn record_end(relay: &Relay, known: &Known) {
     let Some(broken) = relay.ends.take(&known.server.id) else {
         return;
     };
@@ -143,7 +143,7 @@
     relay.parts.metrics.count_end(leaving);
     let requests: Vec<_> = broken.requests.iter().map(Fingerprint::to_string).collect();
     if !leaving {
-        quarantine::note_end(relay, broken.told());
+        quarantine::record_end(relay, broken.told());
     }
     tracing::warn!(
         event = "backend_server_ended", backend_server = %known.server.id,
--- a/src/relay/engines.rs
+++ b/src/relay/engines.rs
@@ -11,14 +11,14 @@
 
 /// The learners of one box.
 #[derive(Debug, Default)]
-pub struct EngineBook {
+pub struct EngineTracker {
     learners: BTreeMap<ServiceName, EngineLearner>,
     /// What the services without a fit of this box's own have shown since the last report.
     samples: BTreeMap<ServiceName, Vec<Sample>>,
     pooled: Models,
 }
 
-impl EngineBook {
+impl EngineTracker {
     /// Takes an observation of a service's engine.
     pub fn note(&mut self, service: &ServiceName, seen: Observation) {
         if !self.learners.contains_key(service) {
@@ -49,12 +49,12 @@
     }
 
     /// Takes whether a request that a service's engine served came late.
-    pub fn note_served(&mut self, service: &ServiceName, is_late: bool) {
+    pub fn record_served(&mut self, service: &ServiceName, is_late: bool) {
         self.record(service, Sample::Served { late: is_late });
     }
 
     /// Takes a stream that ended well at an engine of a service.
-    pub fn note_stream(&mut self, service: &ServiceName, events: u64, output: u64, seconds: f64) {
+    pub fn record_stream(&mut self, service: &ServiceName, events: u64, output: u64, seconds: f64) {
         let (events, output) = (events as f64, output as f64);
         self.record(service, Sample::Stream { events, output, seconds });
     }
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -94,7 +94,7 @@
     }
 
     /// Its last word of its load, without this box's requests.
-    pub fn load_word(&self) -> Option<LoadEstimate> {
+    pub fn load_estimate(&self) -> Option<LoadEstimate> {
         let (others, at) = self.others()?;
         Some(LoadEstimate { requests: f64::from(others), age: at.elapsed().as_secs_f64() })
     }
--- a/src/relay/list_book.rs
+++ b/src/relay/list_registry.rs
@@ -61,7 +61,7 @@
 
 /// The newest list.
 #[derive(Default)]
-pub struct ListBook {
+pub struct ListRegistry {
     /// The region of each data centre; empty where there is one.
     regions: BTreeMap<DataCentre, Region>,
     version: ListVersion,
@@ -84,7 +84,7 @@
     indexes: HashMap<BoxId, Arc<ListIndex>>,
 }
 
-impl ListBook {
+impl ListRegistry {
     /// No list yet, of a fleet with these regions.
     pub fn new(regions: BTreeMap<DataCentre, Region>) -> Self {
         Self { regions, ..Self::default() }
@@ -158,8 +158,8 @@
     }
 
     /// Takes a box's word of the life that a server is in. What it changes of the list is told with the
-    /// next [`ListBook::renew`].
-    pub fn hear_life(&mut self, told: &IncarnationReport, now: impl Into<Moment>) -> Heard {
+    /// next [`ListRegistry::renew`].
+    pub fn apply_incarnation(&mut self, told: &IncarnationReport, now: impl Into<Moment>) -> Heard {
         let now = now.into();
         let held = self.lives.get_mut(&told.server.id);
         let Some(held) = held.filter(|held| held.addr == told.addr) else {
--- a/src/relay/lives.rs
+++ b/src/relay/lives.rs
@@ -35,7 +35,7 @@
 async fn ask(relay: Arc<Relay>, known: Arc<Known>) {
     match report(&relay, &known).await {
         Ok(Some(report)) => {
-            let heard = relay.servers.hear_report(&known, &report);
+            let heard = relay.servers.apply_report(&known, &report);
             relay.parts.metrics.count_report("read");
             // The others hear it with this box's next word.
             if heard == Heard::Another {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,10 +7,10 @@
 //! - [`table`] is the table of routes, checked as a whole; [`call`] a request and what is known of it.
 //! - [`dialect`] is the edge to the words of callers and backend servers: pure functions from heads
 //!   to types and back.
-//! - [`listing`] is a reading of the list of backend servers, [`list_book`] the leader's list, [`list`] what
+//! - [`listing`] is a reading of the list of backend servers, [`list_registry`] the leader's list, [`list`] what
 //!   goes from it to boxes, [`known`] one server as a box knows it and [`servers`] all of them, [`engines`] what was learned of them.
 //! - [`serve`] is the life of a request; [`plain`] passes whole answers, [`stream`] streams of events,
-//!   [`attempt`] is one send, [`course`] all sends of one call; [`pick`] finds the server for a send,
+//!   [`attempt`] is one send, [`attempts`] all sends of one call; [`pick`] finds the server for a send,
 //!   [`placed`] are the servers by how far they are, [`traffic`] counts what goes how far.
 //! - [`lives`] asks servers in which life they are, [`ends`] finds out which have ended, and under which requests.
 //! - [`quarantine`] refuses requests that end the servers they run on.
@@ -25,8 +25,9 @@
 //! has not run. A status that promises *not run* is given only with proof.
 
 pub mod attempt;
+pub mod attempts;
 pub mod call;
-pub mod course;
+
 pub mod dialect;
 pub mod ends;
 pub mod engines;
@@ -34,7 +35,7 @@
 pub(crate) mod keeping;
 pub mod known;
 pub mod list;
-pub mod list_book;
+pub mod list_registry;
 pub mod listen;
 pub mod listing;
 pub mod lives;
@@ -75,8 +76,8 @@
 use crate::decide::pause::Pauses;
 use crate::decide::presence::RELAYS_GUESSED;
 use crate::decide::quarantine::BoxQuarantine;
-use crate::decide::releases::{Outcome, ReleaseBook};
-use crate::decide::spill::SpillBook;
+use crate::decide::releases::{Outcome, ReleaseTable};
+use crate::decide::spill::SpillTracker;
 use crate::decide::throttle::Throttles;
 use crate::decide::topology::Topology;
 use crate::http::gate::Gate;
@@ -87,12 +88,12 @@
 
 use dialect::Dialect;
 use ends::EndWatch;
-use engines::EngineBook;
+use engines::EngineTracker;
 
 use known::Known;
 use list::{ListIndex, ListPart};
-use offered::OfferedBook;
-use servers::ServerBook;
+use offered::OfferedTracker;
+use servers::ServerTable;
 use table::{EngineSpec, RouteTable};
 use traffic::Traffic;
 use usage::UsageCounter;
@@ -120,7 +121,7 @@
     /// What it started with.
     pub parts: RelayParts,
     /// The backend servers known.
-    pub servers: ServerBook,
+    pub servers: ServerTable,
     /// The memory that the box has for callers.
     pub memory: Memory,
     /// Callers' connections.
@@ -130,12 +131,12 @@
     allowances: Mutex<Allowances>,
     retries: Mutex<RetryBudgets>,
     usage: Mutex<UsageCounter>,
-    offered: Mutex<OfferedBook>,
-    engines: Mutex<EngineBook>,
-    releases: Mutex<ReleaseBook>,
+    offered: Mutex<OfferedTracker>,
+    engines: Mutex<EngineTracker>,
+    releases: Mutex<ReleaseTable>,
     loads: Mutex<LoadPool>,
     distances: Mutex<Distances>,
-    spills: Mutex<SpillBook>,
+    spills: Mutex<SpillTracker>,
     quarantine: Mutex<BoxQuarantine>,
     throttles: Mutex<Throttles>,
     pauses: Mutex<Pauses>,
@@ -163,7 +164,7 @@
     /// A relay that knows no routes and no backend servers yet.
     pub fn new(parts: RelayParts) -> Self {
         let usage = UsageCounter::new(parts.settings.usage_window.duration());
-        let servers = ServerBook::new(parts.topology.clone());
+        let servers = ServerTable::new(parts.topology.clone());
         let memory = Memory::within(parts.settings.memory);
         let gate = Gate::charged(listen::limits(&parts.settings), memory.clone());
         Self {
@@ -220,7 +221,7 @@
 
     /// Takes the leader's word of which parts of the list of backend servers this box is to have.
     pub fn put_index(&self, index: ListIndex) {
-        self.servers.take_index(index);
+        self.servers.apply_index(index);
         self.learned.notify_waiters();
         self.wanted.notify_one();
     }
@@ -228,7 +229,7 @@
     /// Takes parts of the list of backend servers. One line says which servers are leaving: with a data
     /// centre dozens go at once, and a line for each of them in each box was 26,598 lines in 48 s.
     pub fn put_parts(&self, parts: Vec<ListPart>) {
-        let leaving = self.servers.take_parts(parts);
+        let leaving = self.servers.apply_parts(parts);
         if !leaving.is_empty() {
             let names: Vec<_> = leaving.iter().map(BackendId::as_str).collect();
             tracing::info!(
@@ -315,23 +316,23 @@
     }
 
     /// What callers bring for each service.
-    pub fn offered(&self) -> MutexGuard<'_, OfferedBook> {
+    pub fn offered(&self) -> MutexGuard<'_, OfferedTracker> {
         lock(&self.offered)
     }
 
     /// What was learned of engines.
-    pub fn engines(&self) -> MutexGuard<'_, EngineBook> {
+    pub fn engines(&self) -> MutexGuard<'_, EngineTracker> {
         lock(&self.engines)
     }
 
     /// The releases of services.
-    pub fn releases(&self) -> MutexGuard<'_, ReleaseBook> {
+    pub fn releases(&self) -> MutexGuard<'_, ReleaseTable> {
         lock(&self.releases)
     }
 
     /// Notes how a server answered a request of a route, for the judgement of its release. A box that finds
     /// the release bad by what it has seen itself says so at once.
-    pub fn note_outcome(&self, known: &Known, route: &str, outcome: Outcome) {
+    pub fn record_outcome(&self, known: &Known, route: &str, outcome: Outcome) {
         let server = &known.server;
         let stops = self.releases().note(&server.service, &server.release, route, outcome);
         if stops {
@@ -368,7 +369,7 @@
     }
 
     /// Whether services' requests leave the region.
-    pub fn spills(&self) -> MutexGuard<'_, SpillBook> {
+    pub fn spills(&self) -> MutexGuard<'_, SpillTracker> {
         lock(&self.spills)
     }
 
@@ -383,7 +384,7 @@
     }
 
     /// Takes the leader's word of how many relays there are.
-    pub fn note_relays(&self, relays: u32) {
+    pub fn set_relays(&self, relays: u32) {
         self.relays.store(relays.max(1), Ordering::Relaxed);
     }
 
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -16,8 +16,8 @@
 
 use super::Relay;
 use super::attempt::Origin;
+use super::attempts::CallAttempts;
 use super::call::{Call, MoveAnswer, RunCopy};
-use super::course::Course;
 use super::known::Known;
 use super::quarantine;
 use super::stream::{Opening, Progress, Source, next, open};
@@ -109,7 +109,7 @@
     relay: &Relay,
     call: &Call,
     route: &Route,
-    course: &Course,
+    attempts: &CallAttempts,
     source: &mut Source,
     progress: &mut Progress,
 ) -> Moved {
@@ -117,7 +117,7 @@
     if quarantine::check(relay, call).is_err() {
         return Moved::Stays(Bytes::new());
     }
-    let Some(target) = course.target(relay, &known) else {
+    let Some(target) = attempts.target(relay, &known) else {
         return Moved::Stays(Bytes::new());
     };
     let mut ready = BytesMut::new();
@@ -181,8 +181,8 @@
                 event = "move_refused", id = call.head.id, backend_server = %place.server.id,
                 status = response.status().as_u16(),
             ),
-            Err(miss) => tracing::info!(
-                event = "move_refused", id = call.head.id, backend_server = %place.server.id, ?miss,
+            Err(failure) => tracing::info!(
+                event = "move_refused", id = call.head.id, backend_server = %place.server.id, ?failure,
             ),
         }
     }
@@ -217,7 +217,7 @@
             let MoveAnswer { life, handle } = relay.parts.dialect.read_move(&body);
             // Another server may have its address by now: one that is not meant says so.
             if status != StatusCode::MISDIRECTED_REQUEST {
-                relay.servers.hear_life(source, life);
+                relay.servers.apply_incarnation(source, life);
             }
             if handle.is_none() {
                 tracing::info!(
--- a/src/relay/offered.rs
+++ b/src/relay/offered.rs
@@ -9,19 +9,19 @@
 
 /// What came by service, since the last word and as a rate.
 #[derive(Debug)]
-pub struct OfferedBook {
+pub struct OfferedTracker {
     came: BTreeMap<ServiceName, Arrivals>,
     rates: BTreeMap<ServiceName, Offered>,
     at: Instant,
 }
 
-impl Default for OfferedBook {
+impl Default for OfferedTracker {
     fn default() -> Self {
         Self { came: BTreeMap::new(), rates: BTreeMap::new(), at: Instant::now() }
     }
 }
 
-impl OfferedBook {
+impl OfferedTracker {
     /// A call for a service arrived.
     pub fn count(&mut self, service: &ServiceName, size: Size, objective: Duration) {
         let (tokens, output) = (size.prompt as f64, size.output as f64);
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use super::Relay;
+use super::attempts::Reading;
 use super::call::{Call, PromptPart};
-use super::course::Reading;
 use super::known::Known;
 use super::placed::{Placed, PlacedServer};
 use super::restraint::Restraints;
@@ -81,7 +81,7 @@
     pub(super) fn pick(&self) -> Option<Picked> {
         let placed = self.relay.servers.placed(self.service);
         let homes = self.homes(&placed);
-        let told = self.relay.servers.told(self.service);
+        let told = self.relay.servers.loaded(self.service);
         let (compared, usual) = match compares_all(placed.all.len()) {
             true => (self.compare(self.open(&placed), &homes), usual(&placed)),
             false => {
@@ -194,7 +194,7 @@
         let stays = servers.iter().filter_map(|it| it.known.state.service_time());
         let stays: Vec<_> = stays.collect();
         let stay = (!stays.is_empty()).then(|| stays.iter().sum::<f64>() / stays.len() as f64);
-        let words: Vec<_> = servers.iter().map(|it| it.known.load_word()).collect();
+        let words: Vec<_> = servers.iter().map(|it| it.known.load_estimate()).collect();
         let regions: Vec<_> = servers.iter().map(|it| it.region).collect();
         let others = others_by_region(&words, &regions, stay);
         let now = Instant::now();
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -10,9 +10,9 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{Miss, Origin, Reply, restarted, seconds_since, send};
+use super::attempt::{Origin, Reply, SendFailure, restarted, seconds_since, send};
+use super::attempts::CallAttempts;
 use super::call::Call;
-use super::course::Course;
 use super::known::Known;
 use super::quarantine;
 use super::table::Route;
@@ -106,7 +106,7 @@
     route: &Route,
     service: &ServiceName,
 ) -> Result<Answer, Failure> {
-    let mut course = Course::new(service.clone());
+    let mut attempts = CallAttempts::new(service.clone());
     let mut failed: Option<Answer> = None;
     let mut running = FuturesUnordered::new();
     let patience = tokio::time::sleep(patience(route));
@@ -114,7 +114,7 @@
     let mut waited = false;
     loop {
         if running.is_empty() {
-            match course.next(relay, call, route) {
+            match attempts.next(relay, call, route) {
                 Ok(known) => running.push(pass(relay, call, route, known)),
                 // A server's own word that the request failed is worth more than ours.
                 Err(failure) => return failed.ok_or(failure),
@@ -123,15 +123,15 @@
         tokio::select! {
             Some((known, result)) = running.next() => match result {
                 Ok((answer, false)) => return Ok(answer),
-                Ok((answer, true)) if !course.may_repeat(route) && running.is_empty() => {
+                Ok((answer, true)) if !attempts.may_repeat(route) && running.is_empty() => {
                     return Ok(answer);
                 }
                 Ok((answer, true)) => failed = Some(answer),
-                Err(miss) => course.note(call, &known, miss),
+                Err(failure) => attempts.record_failure(call, &known, failure),
             },
-            () = &mut patience, if !waited && course.may_repeat(route) => {
+            () = &mut patience, if !waited && attempts.may_repeat(route) => {
                 waited = true;
-                if let Ok(known) = course.next(relay, call, route) {
+                if let Ok(known) = attempts.next(relay, call, route) {
                     running.push(pass(relay, call, route, known));
                 }
             }
@@ -143,7 +143,7 @@
     route.objective.mul_f64(PATIENCE).max(LEAST_PATIENCE)
 }
 
-type Passed = Result<(Answer, bool), Miss>;
+type Passed = Result<(Answer, bool), SendFailure>;
 
 /// Sends a call once; the answer, and whether the server says that it failed.
 async fn pass(
@@ -153,8 +153,8 @@
     known: Arc<Known>,
 ) -> (Arc<Known>, Passed) {
     let passed = pass_to(relay, call, route, &known).await;
-    if let Err(Miss::Unknown { kind: Kind::BackendBroke, .. }) = &passed {
-        relay.ends.note_break(&known, call.fingerprint());
+    if let Err(SendFailure::Unknown { kind: Kind::BackendBroke, .. }) = &passed {
+        relay.ends.record_break(&known, call.fingerprint());
     }
     (known, passed)
 }
@@ -172,12 +172,12 @@
         biased;
         result = result => match result {
             Ok(result) => result?,
-            Err(_) => return Err(Miss::of_fault(SendFault::TimedOut)),
+            Err(_) => return Err(SendFailure::of_fault(SendFault::TimedOut)),
         },
-        () = flight.ended() => return Err(Miss::of_fault(restarted())),
+        () = flight.ended() => return Err(SendFailure::of_fault(restarted())),
     };
     flight.begun();
-    quarantine::note_well(relay, call);
+    quarantine::record_success(relay, call);
     if !failed {
         let seconds = seconds_since(began);
         known.state.succeed(seconds);
@@ -185,7 +185,7 @@
         relay.engines().note(&known.server.service, seen);
         known.state.succeed_route(&route.name);
         let part = seconds / route.objective.as_secs_f64();
-        relay.note_outcome(known, &route.name, Outcome::Answered(Pace { factor: seconds, part }));
+        relay.record_outcome(known, &route.name, Outcome::Answered(Pace { factor: seconds, part }));
     }
     if let Some(team) = &call.team {
         relay.usage().count(team, SystemTime::now());
@@ -199,20 +199,20 @@
     relay: &Relay,
     reply: Reply,
     limit: usize,
-) -> Result<(Answer, bool), Miss> {
+) -> Result<(Answer, bool), SendFailure> {
     let Reply { mut exchange, failed } = reply;
     let mut held = BytesMut::new();
     let mut charge = None;
     // Its whole length at once: answers that each had a part of their room would wait for each other.
     if let Some(length) = length(&exchange.headers).filter(|it| *it > FIRST_BYTES) {
         if length > limit as u64 {
-            return Err(Miss::of_fault(SendFault::TooLarge(limit)));
+            return Err(SendFailure::of_fault(SendFault::TooLarge(limit)));
         }
         make_room(relay, &mut charge, length).await?;
     }
-    while let Some(piece) = exchange.next(ANSWER_TIME).await.map_err(Miss::of_fault)? {
+    while let Some(piece) = exchange.next(ANSWER_TIME).await.map_err(SendFailure::of_fault)? {
         if held.len() + piece.len() > limit {
-            return Err(Miss::of_fault(SendFault::TooLarge(limit)));
+            return Err(SendFailure::of_fault(SendFault::TooLarge(limit)));
         }
         let needed = (held.len() + piece.len()) as u64;
         let room = charge.as_ref().map_or(FIRST_BYTES, Reserved::bytes);
@@ -237,10 +237,14 @@
 
 /// Charges more of an answer, once there is room: it has run, so it is not refused.
 /// One that is larger than all the room there is will never be kept.
-async fn make_room(relay: &Relay, charge: &mut Option<Reserved>, bytes: u64) -> Result<(), Miss> {
+async fn make_room(
+    relay: &Relay,
+    charge: &mut Option<Reserved>,
+    bytes: u64,
+) -> Result<(), SendFailure> {
     let whole = charge.as_ref().map_or(0, Reserved::bytes) + bytes;
     if whole > relay.memory.size() {
-        return Err(Miss::of_fault(SendFault::TooLarge(relay.memory.size() as usize)));
+        return Err(SendFailure::of_fault(SendFault::TooLarge(relay.memory.size() as usize)));
     }
     loop {
         let taken = match charge {
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -31,17 +31,17 @@
 }
 
 /// Notes that a server has answered a call, well or not.
-pub(super) fn note_well(relay: &Relay, call: &Call) {
+pub(super) fn record_success(relay: &Relay, call: &Call) {
     let request = call.fingerprint();
-    if relay.quarantine().note_well(request, Instant::now()) {
+    if relay.quarantine().record_success(request, Instant::now()) {
         tracing::info!(event = "request_cleared", id = call.head.id, %request);
         relay.hurry.notify_one();
     }
 }
 
 /// Takes that a server ended, and has the leader hear of it at once.
-pub(super) fn note_end(relay: &Relay, told: ToldEnd) {
-    let (changes, is_news) = relay.quarantine().note_end(told, Instant::now());
+pub(super) fn record_end(relay: &Relay, told: ToldEnd) {
+    let (changes, is_news) = relay.quarantine().record_end(told, Instant::now());
     say(&changes);
     if is_news {
         relay.hurry.notify_one();
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -178,14 +178,14 @@
     match answered {
         Ok(response) => {
             let name = team.map_or("-", |team| team.name.as_str());
-            note_answer(relay, &table, &route, name, &response, &id, arrived);
+            log_answer(relay, &table, &route, name, &response, &id, arrived);
             relay.parts.metrics.count_request(name, "answered");
             relay.parts.metrics.record_first_token(name, seconds_since(arrived));
             Ok(response)
         }
         Err(failure) => {
             if failure.kind == Kind::BackendTimeout {
-                relay.engines().note_served(&service, true);
+                relay.engines().record_served(&service, true);
             }
             if failure.kind.answer().run == crate::error::RunState::NotRun
                 && let Some(team) = team
@@ -199,7 +199,7 @@
 
 /// One line for an answer that was passed on: always when it is late or a failure, else as far as the
 /// volume of the log allows.
-fn note_answer(
+fn log_answer(
     relay: &Relay,
     table: &RouteTable,
     route: &Route,
--- a/src/relay/servers.rs
+++ b/src/relay/servers.rs
@@ -15,7 +15,7 @@
 };
 use super::part_loads::{self, PartLoads};
 use super::placed::Placed;
-use crate::decide::lives::{DoubtBook, Heard, Life, Speaker};
+use crate::decide::lives::{DoubtQueue, Heard, Life, Speaker};
 use crate::decide::loads::LoadSample;
 use crate::decide::topology::Topology;
 use crate::ids::{BackendId, Incarnation, ServiceName};
@@ -65,18 +65,18 @@
 }
 
 /// How long the loads that an answer of the leader brought are the newest there are: three beats.
-const TOLD_TIME: Duration = Duration::from_millis(1_200);
+const LOADS_TIME: Duration = Duration::from_millis(1_200);
 
 /// The servers whose loads the leader told, and when.
 #[derive(Debug)]
-struct Told {
+struct RecentLoads {
     at: Instant,
     /// Loads that the answer brought.
     count: usize,
     by_service: BTreeMap<ServiceName, Arc<Placed>>,
 }
 
-impl Default for Told {
+impl Default for RecentLoads {
     fn default() -> Self {
         Self { at: Instant::now(), count: 0, by_service: BTreeMap::new() }
     }
@@ -125,11 +125,11 @@
 
 /// The backend servers known.
 #[derive(Debug, Default)]
-pub struct ServerBook {
+pub struct ServerTable {
     /// How far servers are; where absent, none is farther than another.
     topology: Option<Topology>,
     listed: ArcSwap<KnownServers>,
-    told: ArcSwap<Told>,
+    told: ArcSwap<RecentLoads>,
     parts: Mutex<Parts>,
     /// The lives of the servers that are known, or were a while ago.
     lives: Mutex<HashMap<BackendId, Life>>,
@@ -137,12 +137,12 @@
     news: Mutex<BTreeSet<BackendId>>,
     /// The servers that are no longer listed and had said that they leave: lists of other parts bring some back.
     departed: Mutex<HashMap<BackendId, Arc<Known>>>,
-    doubts: Mutex<DoubtBook>,
-    /// Told of each doubt.
+    doubts: Mutex<DoubtQueue>,
+    /// RecentLoads of each doubt.
     doubted: Notify,
 }
 
-impl ServerBook {
+impl ServerTable {
     /// The servers as they are seen by a box.
     pub fn new(topology: Topology) -> Self {
         Self { topology: Some(topology), ..Self::default() }
@@ -159,9 +159,9 @@
     }
 
     /// The servers of a service whose loads the leader's last answer brought; none where that is long ago.
-    pub fn told(&self, service: &ServiceName) -> Arc<Placed> {
+    pub fn loaded(&self, service: &ServiceName) -> Arc<Placed> {
         let told = self.told.load();
-        match told.at.elapsed() < TOLD_TIME {
+        match told.at.elapsed() < LOADS_TIME {
             true => told.by_service.get(service).cloned().unwrap_or_default(),
             false => Arc::default(),
         }
@@ -173,7 +173,7 @@
     }
 
     /// Takes the loads of servers that other boxes were told, by their places in the list.
-    pub fn hear_placed_loads(&self, loads: &[PartLoads]) {
+    pub fn apply_placed_loads(&self, loads: &[PartLoads]) {
         let told = {
             let parts = self.parts();
             part_loads::named(loads, |print, place| {
@@ -181,12 +181,12 @@
                 held.key_at(place)
             })
         };
-        self.hear_loads(&told);
+        self.apply_loads(&told);
     }
 
     /// Takes the loads of servers that other boxes were told. One that was told by another life than the known
     /// one says nothing of it.
-    pub fn hear_loads(&self, loads: &[LoadSample]) {
+    pub fn apply_loads(&self, loads: &[LoadSample]) {
         let listed = self.listed.load();
         let mut told: BTreeMap<ServiceName, Vec<_>> = BTreeMap::new();
         for load in loads {
@@ -198,7 +198,7 @@
             }
         }
         let former = self.told.load();
-        if loads.len() < former.count && former.at.elapsed() < TOLD_TIME {
+        if loads.len() < former.count && former.at.elapsed() < LOADS_TIME {
             // An answer soon after another brings a few: they join those of that one.
             return;
         }
@@ -206,14 +206,14 @@
         let place = |servers: Vec<_>| Arc::new(Placed::new(self.topology.as_ref(), &servers));
         let by_service = told.into_iter().map(|(service, servers)| (service, place(servers)));
         let by_service = by_service.collect();
-        self.told.store(Arc::new(Told { at: Instant::now(), count, by_service }));
+        self.told.store(Arc::new(RecentLoads { at: Instant::now(), count, by_service }));
     }
 
     /// Takes a server's own word of the life that it is in, as it answered where `asked` has it.
     ///
     /// Where it has started again, nothing that was known of it holds: it is open, and what runs in the
     /// earlier life is over.
-    pub fn hear_life(&self, asked: &Known, told: Incarnation) -> Heard {
+    pub fn apply_incarnation(&self, asked: &Known, told: Incarnation) -> Heard {
         // No two words change the servers at the same time.
         let _parts = self.parts();
         let id = &asked.server.id;
@@ -247,9 +247,9 @@
     }
 
     /// Takes a server's report on itself, which it was asked for when `asked` was what was known of it.
-    pub fn hear_report(&self, asked: &Known, report: &Report) -> Heard {
+    pub fn apply_report(&self, asked: &Known, report: &Report) -> Heard {
         let id = &asked.server.id;
-        let heard = self.hear_life(asked, report.life);
+        let heard = self.apply_incarnation(asked, report.life);
         match report.life.is_none() {
             true => lock(&self.doubts).settle_untold(id, Instant::now()),
             false => lock(&self.doubts).settle(id),
@@ -317,7 +317,7 @@
     }
 
     /// Lives that this box knows and the leader's list does not show, [`LIVES_TOLD`] at most.
-    pub fn lives_to_tell(&self) -> Vec<IncarnationReport> {
+    pub fn unreported_incarnations(&self) -> Vec<IncarnationReport> {
         let news = lock(&self.news);
         let known = news.iter().filter_map(|id| self.find(id));
         let lives =
@@ -350,7 +350,7 @@
     }
 
     /// Takes the leader's word of which parts this box is to have; that of an older list is passed over.
-    pub fn take_index(&self, index: ListIndex) {
+    pub fn apply_index(&self, index: ListIndex) {
         let mut parts = self.parts();
         if parts.index.as_ref().is_some_and(|held| held.version > index.version) {
             return;
@@ -362,7 +362,7 @@
 
     /// Takes parts of the list; the servers that are first seen leaving. A life once seen leaving leaves
     /// for good, unless the server itself says that it stays.
-    pub fn take_parts(&self, news: Vec<ListPart>) -> Vec<BackendId> {
+    pub fn apply_parts(&self, news: Vec<ListPart>) -> Vec<BackendId> {
         let mut parts = self.parts();
         for part in news {
             if let Some(index) = &mut parts.index {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -11,9 +11,9 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{Miss, Origin, note_fault, restarted, seconds_since, send};
+use super::attempt::{Origin, SendFailure, record_fault, restarted, seconds_since, send};
+use super::attempts::CallAttempts;
 use super::call::Call;
-use super::course::Course;
 use super::events::{EventCutter, event_id};
 use super::keeping::Kept;
 use super::known::{Flight, Known};
@@ -89,19 +89,19 @@
     service: &ServiceName,
     kept: Kept,
 ) -> Result<Response<Body>, Failure> {
-    let mut course = Course::new(service.clone());
+    let mut attempts = CallAttempts::new(service.clone());
     let mut failed = None;
-    let mut chosen = course.next(&relay, &call, &route)?;
+    let mut chosen = attempts.next(&relay, &call, &route)?;
     loop {
         let known = chosen.clone();
         // The connection to a server that is given up is closed before another one gets the call.
         let opened = {
             let mut opening =
-                pin!(open(&relay, &call, &route, &known, origin(call.head.resume, &course)));
+                pin!(open(&relay, &call, &route, &known, origin(call.head.resume, &attempts)));
             tokio::select! {
                 opened = &mut opening => Some(opened),
-                () = tokio::time::sleep(patience(&route)), if course.may_repeat(&route) => {
-                    match course.next(&relay, &call, &route) {
+                () = tokio::time::sleep(patience(&route)), if attempts.may_repeat(&route) => {
+                    match attempts.next(&relay, &call, &route) {
                         Ok(other) => {
                             chosen = other;
                             None
@@ -117,21 +117,21 @@
                     event = "stream_given_up", id = call.head.id, backend_server = %known.server.id,
                     left_ms = call.left().as_millis() as u64,
                 );
-                note_fault(&relay, &known, true);
+                record_fault(&relay, &known, true);
                 continue;
             }
             Some(Ok(Opening::Stream(opened))) => {
                 count(&relay, &call);
-                observe(&relay, &course, &opened);
-                return Ok(respond(relay, call, route, course, *opened, kept));
+                observe(&relay, &attempts, &opened);
+                return Ok(respond(relay, call, route, attempts, *opened, kept));
             }
-            Some(Ok(Opening::Whole(response, true))) if course.may_repeat(&route) => {
+            Some(Ok(Opening::Whole(response, true))) if attempts.may_repeat(&route) => {
                 failed = Some(response);
             }
             Some(Ok(Opening::Whole(response, _))) => return Ok(response),
-            Some(Err(miss)) => course.note(&call, &known, miss),
+            Some(Err(failure)) => attempts.record_failure(&call, &known, failure),
         }
-        chosen = match course.next(&relay, &call, &route) {
+        chosen = match attempts.next(&relay, &call, &route) {
             Ok(known) => known,
             Err(failure) => return failed.ok_or(failure),
         };
@@ -150,8 +150,8 @@
     }
 }
 
-fn origin(resume: Option<u64>, course: &Course) -> Origin<'static> {
-    Origin { resume, fetch: course.fetch(), copy: None }
+fn origin(resume: Option<u64>, attempts: &CallAttempts) -> Origin<'static> {
+    Origin { resume, fetch: attempts.fetch(), copy: None }
 }
 
 fn count(relay: &Relay, call: &Call) {
@@ -161,22 +161,22 @@
 }
 
 /// Notes how long the engine took to its first event.
-fn observe(relay: &Relay, course: &Course, opened: &Opened) {
-    let reading = course.reading();
+fn observe(relay: &Relay, attempts: &CallAttempts, opened: &Opened) {
+    let reading = attempts.reading();
     let seen = Observation {
         tokens: reading.tokens as f64,
         own: reading.own as f64,
         seconds: seconds_since(opened.source.began),
         is_clear: reading.is_clear,
     };
-    relay.engines().note(course.service(), seen);
+    relay.engines().note(attempts.service(), seen);
 }
 
 /// Seconds that a stream is expected to take: the reading of its prompt, and [`EVENT_TIME`] an event. Only
 /// the comparison of two releases goes by it, and both have the same error.
-fn expected_time(relay: &Relay, course: &Course, progress: &Progress) -> f64 {
-    let model = relay.engines().model(course.service());
-    let read = model.base + model.read_time(course.reading().tokens as f64);
+fn expected_time(relay: &Relay, attempts: &CallAttempts, progress: &Progress) -> f64 {
+    let model = relay.engines().model(attempts.service());
+    let read = model.base + model.read_time(attempts.reading().tokens as f64);
     read + EVENT_TIME * progress.events as f64
 }
 
@@ -196,7 +196,7 @@
     route: &Route,
     known: &Arc<Known>,
     origin: Origin<'_>,
-) -> Result<Opening, Miss> {
+) -> Result<Opening, SendFailure> {
     let limit = call.left();
     let flight = known.begin(call.prompt(), call.tokens());
     let mut over = known.state.follow_end();
@@ -221,24 +221,24 @@
         biased;
         opened = tokio::time::timeout(limit, opening) => match opened {
             Ok(result) => result,
-            Err(_) => Err(Miss::of_fault(SendFault::TimedOut)),
+            Err(_) => Err(SendFailure::of_fault(SendFault::TimedOut)),
         },
-        Ok(_) = over.wait_for(|over| *over) => Err(Miss::of_fault(restarted())),
+        Ok(_) = over.wait_for(|over| *over) => Err(SendFailure::of_fault(restarted())),
     };
     match &opened {
         Ok(Opening::Stream(_)) => {
             if let Some(part) = call.shared_part() {
-                known.state.note_prefixes(&[part.id], PARTS_KEPT);
+                known.state.record_prefixes(&[part.id], PARTS_KEPT);
             }
         }
-        Err(Miss::Unknown { kind, .. }) => {
-            note_fault(relay, known, *kind == Kind::BackendTimeout);
+        Err(SendFailure::Unknown { kind, .. }) => {
+            record_fault(relay, known, *kind == Kind::BackendTimeout);
             if *kind == Kind::BackendBroke {
-                relay.ends.note_break(known, call.fingerprint());
+                relay.ends.record_break(known, call.fingerprint());
             }
         }
-        Ok(Opening::Whole(..)) => quarantine::note_well(relay, call),
-        Err(Miss::NotRun { .. }) => {}
+        Ok(Opening::Whole(..)) => quarantine::record_success(relay, call),
+        Err(SendFailure::NotRun { .. }) => {}
     }
     opened
 }
@@ -246,23 +246,23 @@
 /// Parts of prompts remembered for each engine.
 const PARTS_KEPT: usize = 1_024;
 
-async fn first_event(source: &mut Source, limit: Duration) -> Result<Bytes, Miss> {
+async fn first_event(source: &mut Source, limit: Duration) -> Result<Bytes, SendFailure> {
     loop {
         match source.cutter.next_event() {
             Ok(Some(event)) => return Ok(event),
             Ok(None) => {}
             Err(error) => {
-                return Err(Miss::Unknown {
+                return Err(SendFailure::Unknown {
                     kind: Kind::BackendInvalid,
                     detail: error.to_string(),
                 });
             }
         }
-        match source.exchange.next(limit).await.map_err(Miss::of_fault)? {
+        match source.exchange.next(limit).await.map_err(SendFailure::of_fault)? {
             Some(piece) => source.cutter.push(&piece),
             None => {
                 let fault = SendFault::Broke("the stream ended before its first event".to_owned());
-                return Err(Miss::of_fault(fault));
+                return Err(SendFailure::of_fault(fault));
             }
         }
     }
@@ -295,10 +295,10 @@
     }
 
     /// Has the learner of the service's engines take the stream's pace, where it came from one of them whole.
-    fn note_pace(&self, relay: &Relay, service: &ServiceName, call: &Call) {
+    fn record_pace(&self, relay: &Relay, service: &ServiceName, call: &Call) {
         if let (None, Some(size)) = (call.head.resume, call.head.size) {
             let seconds = self.at.saturating_duration_since(self.began).as_secs_f64();
-            relay.engines().note_stream(service, self.events, size.output, seconds);
+            relay.engines().record_stream(service, self.events, size.output, seconds);
         }
     }
 
@@ -338,7 +338,7 @@
     relay: Arc<Relay>,
     call: Arc<Call>,
     route: Arc<Route>,
-    mut course: Course,
+    mut attempts: CallAttempts,
     opened: Opened,
     kept: Kept,
 ) -> Response<Body> {
@@ -360,11 +360,11 @@
                 Ok(came) => came,
                 Err(leaving) => {
                     following = None;
-                    let service = course.service();
+                    let service = attempts.service();
                     if !moving::is_worth(&relay, &call, service, &source, progress.events, &leaving) {
                         continue;
                     }
-                    match move_away(&relay, &call, &route, &course, &mut source, &mut progress).await {
+                    match move_away(&relay, &call, &route, &attempts, &mut source, &mut progress).await {
                         Moved::Elsewhere(ready, moved) => {
                             source = *moved;
                             following = Some(source.flight.known().state.follow_leaving());
@@ -395,25 +395,25 @@
                 }
                 Ok(None) => {
                     let known = source.flight.known();
-                    note_end(&call, &route, known, &progress);
-                    quarantine::note_well(&relay, &call);
-                    relay.engines().note_served(course.service(), progress.is_late(&route));
-                    progress.note_pace(&relay, course.service(), &call);
+                    record_end(&call, &route, known, &progress);
+                    quarantine::record_success(&relay, &call);
+                    relay.engines().record_served(attempts.service(), progress.is_late(&route));
+                    progress.record_pace(&relay, attempts.service(), &call);
                     known.state.succeed(seconds_since(source.began));
                     known.state.succeed_route(&route.name);
                     let seconds = seconds_since(source.began);
                     let pace = Pace {
-                        factor: seconds / expected_time(&relay, &course, &progress),
+                        factor: seconds / expected_time(&relay, &attempts, &progress),
                         part: seconds / allowed_time(&route, &progress),
                     };
-                    relay.note_outcome(known, &route.name, Outcome::Answered(pace));
+                    relay.record_outcome(known, &route.name, Outcome::Answered(pace));
                     break;
                 }
                 Err(fault) => fault,
             };
-            note_break(&relay, &call, &route, &source, &progress, &fault);
+            record_break(&relay, &call, &route, &source, &progress, &fault);
             let other = match route.repeat {
-                Repeat::ResumableStream => course.next(&relay, &call, &route).ok(),
+                Repeat::ResumableStream => attempts.next(&relay, &call, &route).ok(),
                 Repeat::Stream | Repeat::Safe | Repeat::Once => None,
             };
             let Some(other) = other else {
@@ -431,7 +431,7 @@
             };
             // Before another server goes on, the connection to this one is closed.
             drop(source);
-            match take_up(&relay, &call, &route, &mut course, &mut progress, other).await {
+            match take_up(&relay, &call, &route, &mut attempts, &mut progress, other).await {
                 Some((ready, next)) => {
                     source = next;
                     if !ready.is_empty() {
@@ -481,7 +481,7 @@
 
 /// One line for a stream that ended well: always when a pause made it late, else as far as the volume
 /// of the log allows.
-fn note_end(call: &Call, route: &Route, known: &Known, progress: &Progress) {
+fn record_end(call: &Call, route: &Route, known: &Known, progress: &Progress) {
     let late = progress.is_late(route);
     if late || volume::allows_ordinary() {
         tracing::info!(
@@ -492,7 +492,7 @@
     }
 }
 
-fn note_break(
+fn record_break(
     relay: &Relay,
     call: &Call,
     route: &Route,
@@ -501,11 +501,11 @@
     fault: &SendFault,
 ) {
     let known = source.flight.known();
-    note_fault(relay, known, *fault == SendFault::TimedOut);
+    record_fault(relay, known, *fault == SendFault::TimedOut);
     if matches!(fault, SendFault::Broke(_)) {
-        relay.ends.note_break(known, call.fingerprint());
+        relay.ends.record_break(known, call.fingerprint());
     }
-    relay.note_outcome(known, &route.name, Outcome::Failed);
+    relay.record_outcome(known, &route.name, Outcome::Failed);
     tracing::info!(
         event = "stream_broke", id = call.head.id, request = %call.fingerprint(), route = route.name,
         backend_server = %known.server.id, detail = %fault, last = progress.last,
@@ -519,13 +519,13 @@
     relay: &Relay,
     call: &Call,
     route: &Route,
-    course: &mut Course,
+    attempts: &mut CallAttempts,
     progress: &mut Progress,
     known: Arc<Known>,
 ) -> Option<(Bytes, Source)> {
     let mut known = known;
     loop {
-        match open(relay, call, route, &known, origin(progress.last, course)).await {
+        match open(relay, call, route, &known, origin(progress.last, attempts)).await {
             Ok(Opening::Stream(opened)) => {
                 relay.parts.metrics.count_resume("elsewhere");
                 tracing::info!(
@@ -541,8 +541,8 @@
                 return Some((ready.freeze(), source));
             }
             Ok(Opening::Whole(..)) => {}
-            Err(miss) => course.note(call, &known, miss),
+            Err(failure) => attempts.record_failure(call, &known, failure),
         }
-        known = course.next(relay, call, route).ok()?;
+        known = attempts.next(relay, call, route).ok()?;
     }
 }
--- a/tests/absence.rs
+++ b/tests/absence.rs
@@ -145,7 +145,7 @@
         learner.look(now, &[(a.clone(), Seen { serving, leaving, notice: None })])
     };
     assert_eq!(look(&mut learner, 0.0, 6, 0), 0);
-    learner.note_unwanted(&a);
+    learner.record_unwanted(&a);
     for (now, serving, leaving) in [(0.5, 6, 0), (1.0, 0, 6), (1.5, 0, 0)] {
         assert_eq!(look(&mut learner, now, serving, leaving), 0);
         assert_eq!(learner.gone(), 0);
@@ -163,7 +163,7 @@
     learner.look(1.0, &[(a.clone(), Seen { leaving: 6, ..Seen::default() })]);
     assert_eq!(learner.gone(), 1);
     let before = learner.absence().length;
-    learner.note_unwanted(&a);
+    learner.record_unwanted(&a);
     assert_eq!(learner.gone(), 0);
     learner.look(1_000.0, &[(a.clone(), Seen::default())]);
     assert_eq!(learner.absence().length, before, "nobody has seen how long it was");
--- a/tests/behind.rs
+++ b/tests/behind.rs
@@ -35,7 +35,7 @@
     relay.relay.put_table(std::sync::Arc::new(table.unwrap()));
     relay.list(&[&server]);
     relay.allow(1e9);
-    relay.board.note_fresh(clock::now() - Duration::from_millis(3_600));
+    relay.board.record_fresh(clock::now() - Duration::from_millis(3_600));
     let reply = relay.ask("POST", "elsewhere").await;
     assert_eq!(reply.status, 503, "{reply:?}");
     assert!(reply.headers["retry-after"].parse::<f64>().unwrap() > 0.0);
@@ -45,7 +45,7 @@
     // A route and a key that it holds are not in doubt yet.
     assert_eq!(relay.ask("POST", "once").await.status, 200);
     // Sure again, it says what it knows.
-    relay.board.note_fresh(clock::now());
+    relay.board.record_fresh(clock::now());
     assert_eq!(relay.ask("POST", "elsewhere").await.status, 404);
     assert_eq!(relay.ask_with("POST", "once", "Api-Key: no-such\r\n").await.status, 401);
     assert_eq!(relay.ask_with("POST", "once", &long).await.status, 431);
@@ -121,7 +121,7 @@
 async fn box_that_knows_of_a_newer_document_denies_nothing() {
     let server = StandIn::start("i-1", &[Act::Answer]).await;
     let relay = TestRelay::start(&[&server]).await;
-    relay.board.note_answer(Version(2), None, clock::now(), Some(Duration::ZERO));
+    relay.board.record_answer(Version(2), None, clock::now(), Some(Duration::ZERO));
     assert_eq!(relay.ask("POST", "new").await.status, 503);
     assert_eq!(relay.ask_with("POST", "once", "Api-Key: key-b\r\n").await.status, 503);
     // The change may still be on its way everywhere, so the old routes serve.
@@ -144,9 +144,9 @@
     relay.relay.put_table(std::sync::Arc::new(table.unwrap()));
     relay.list(&[&server]);
     relay.allow(1e9);
-    relay.board.note_fresh(clock::now() - Duration::from_millis(2_600));
+    relay.board.record_fresh(clock::now() - Duration::from_millis(2_600));
     assert_eq!(relay.ask("GET", "open").await.status, 200);
-    relay.board.note_answer(Version(2), None, clock::now(), Some(Duration::ZERO));
+    relay.board.record_answer(Version(2), None, clock::now(), Some(Duration::ZERO));
     assert_eq!(relay.ask("GET", "open").await.status, 503);
     assert_eq!(server.seen().len(), 1);
 }
@@ -156,7 +156,7 @@
 async fn callers_of_a_new_route_are_never_turned_away_for_good_while_it_arrives() {
     let server = StandIn::start("i-1", &[Act::Answer]).await;
     let relay = TestRelay::start(&[&server]).await;
-    relay.board.note_answer(Version(2), None, clock::now(), Some(Duration::ZERO));
+    relay.board.record_answer(Version(2), None, clock::now(), Some(Duration::ZERO));
     let asking = async {
         let mut served = 0;
         while served < 3 {
--- a/tests/certainty.rs
+++ b/tests/certainty.rs
@@ -41,7 +41,7 @@
 
 /// Word that a document is the newest, certainly so `age` before `asked`.
 fn tell(board: &Blackboard, version: u64, asked: Instant, age: Option<Duration>) {
-    board.note_answer(Version(version), None, asked, age);
+    board.record_answer(Version(version), None, asked, age);
 }
 
 /// A moment so long ago.
--- a/tests/distance.rs
+++ b/tests/distance.rs
@@ -11,7 +11,7 @@
     ByteWeights, Copying, Distance, Distances, fetch_saves, kilobytes,
 };
 use emberturn::decide::engine::EngineModel;
-use emberturn::decide::spill::SpillBook;
+use emberturn::decide::spill::SpillTracker;
 use emberturn::decide::topology::Reach;
 use emberturn::ids::DataCentre;
 use proptest::prelude::*;
@@ -484,7 +484,7 @@
 
 #[test]
 fn spill_is_told_when_it_begins_and_when_it_ends() {
-    let (mut book, begin) = (SpillBook::default(), Instant::now());
+    let (mut book, begin) = (SpillTracker::default(), Instant::now());
     let service = "svc".parse().unwrap();
     let mut told = Vec::new();
     for step in 0..3_000_u64 {
--- a/tests/distance_relay.rs
+++ b/tests/distance_relay.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use emberturn::relay::attempts::CallAttempts;
 use emberturn::relay::call::{Call, CallHead, PromptPart, Size};
-use emberturn::relay::course::Course;
 use emberturn::relay::known::{Flight, Known};
 use emberturn::relay::list::Server;
 use emberturn::relay::table::Route;
@@ -66,7 +66,7 @@
 
 /// The server for a call, and whether it copies the shared part.
 fn chosen(relay: &TestRelay, part: Option<u64>) -> (Arc<Known>, bool) {
-    let mut course = Course::new("svc".parse().unwrap());
+    let mut course = CallAttempts::new("svc".parse().unwrap());
     let known = course.next(&relay.relay, &call(part), &stream_route(relay)).unwrap();
     (known, course.fetch().is_some())
 }
@@ -134,7 +134,7 @@
     let relay = relay_of_two_regions().await;
     relay.list_as(servers(&["here", "near", "far"], 4));
     let all = relay.relay.servers.of(&"svc".parse().unwrap());
-    let course = Course::new("svc".parse().unwrap());
+    let course = CallAttempts::new("svc".parse().unwrap());
     let from = |name: &str| {
         let source = all.iter().find(|it| it.server.data_centre.as_str() == name).unwrap();
         course.target(&relay.relay, source).unwrap().server.data_centre.to_string()
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use emberturn::decide::ends::{DEADLY_ENDS, EndBook, ToldEnd};
+use emberturn::decide::ends::{DEADLY_ENDS, EndTracker, ToldEnd};
 use emberturn::decide::quarantine::{
     BoxQuarantine, EndReport, FleetQuarantine, HOLD_TIME, QuarantineUpdate,
 };
@@ -33,8 +33,8 @@
 }
 
 /// Ends of servers of their own, one a second, in data centres by turns.
-fn book(ends: &[&[u8]]) -> EndBook {
-    let (mut book, now) = (EndBook::default(), Instant::now());
+fn book(ends: &[&[u8]]) -> EndTracker {
+    let (mut book, now) = (EndTracker::default(), Instant::now());
     for (number, requests) in ends.iter().enumerate() {
         let ago = 1_000 * (ends.len() - number) as u64;
         book.note(end(&format!("i-{number}"), &format!("dc-{}", number % 4), requests, ago), now);
@@ -42,7 +42,7 @@
     book
 }
 
-fn held(book: &EndBook) -> Vec<u8> {
+fn held(book: &EndTracker) -> Vec<u8> {
     book.deadly().iter().map(|request| request.0[0]).collect()
 }
 
@@ -79,7 +79,7 @@
 /// A data centre goes three times, each time with servers that ran the same request among others.
 #[test]
 fn servers_lost_together_count_only_against_what_ran_on_most_of_them() {
-    let (mut book, now) = (EndBook::default(), Instant::now());
+    let (mut book, now) = (EndTracker::default(), Instant::now());
     for loss in 0..3_u64 {
         for server in 0..4_u8 {
             let name = format!("i-{loss}-{server}");
@@ -93,7 +93,7 @@
 
 #[test]
 fn end_that_several_boxes_tell_is_one() {
-    let (mut book, now) = (EndBook::default(), Instant::now());
+    let (mut book, now) = (EndTracker::default(), Instant::now());
     for ago in [0, 40, 300] {
         book.note(end("i-1", "a", &[1], ago), now);
     }
@@ -111,14 +111,14 @@
         fleet.follow(Arc::default());
         let servers: Vec<_> = (0..3).map(|number| format!("i-{number}").parse().unwrap()).collect();
         if is_known_first {
-            fleet.hear_leaving(servers.iter(), now);
+            fleet.record_leaving(servers.iter(), now);
         }
         for number in 0..3 {
             let ends = vec![end(&format!("i-{number}"), "a", &[1], 9_000 - 1_000 * number)];
             fleet.hear(EndReport { ends, ..EndReport::default() }, now);
         }
         fleet.judge(now, NOW);
-        fleet.hear_leaving(servers.iter(), now);
+        fleet.record_leaving(servers.iter(), now);
         fleet.judge(now + LATER, NOW);
         let word = fleet.word(0, 7, NOW).unwrap();
         assert_eq!(word, QuarantineUpdate { mark: 7, held: Vec::new() }, "{is_known_first}");
@@ -151,7 +151,7 @@
     }
 
     fn end(&mut self, server: &str, requests: &[u8]) {
-        self.own.note_end(end(server, "a", requests, 0), Instant::now());
+        self.own.record_end(end(server, "a", requests, 0), Instant::now());
     }
 
     fn is_held(&self, number: u8) -> bool {
@@ -184,7 +184,7 @@
     assert!(pair.is_held(1));
     pair.talk();
     assert!(pair.is_held(1));
-    assert!(pair.own.note_well(request(1), Instant::now()));
+    assert!(pair.own.record_success(request(1), Instant::now()));
     assert!(!pair.is_held(1));
     pair.talk();
     pair.talk();
@@ -196,7 +196,7 @@
 #[test]
 fn box_that_answered_a_request_lately_has_it_let_through() {
     let mut pair = Pair::new();
-    pair.own.note_well(request(1), Instant::now());
+    pair.own.record_success(request(1), Instant::now());
     for server in ["i-1", "i-2", "i-3"] {
         let ends = vec![end(server, "a", &[1], 0)];
         pair.fleet.hear(EndReport { ends, ..EndReport::default() }, Instant::now());
@@ -260,7 +260,7 @@
         });
         let told =
             ToldEnd { requests: requests.collect(), ..end(&format!("i-{server}"), "a", &[], 0) };
-        own.note_end(told, now);
+        own.record_end(told, now);
     }
     let word = own.tell(now);
     assert!(word.ends.len() <= 16, "{}", word.ends.len());
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -2,7 +2,7 @@
 
 use emberturn::decide::engine::{EngineLearner, EngineModel, Observation};
 use emberturn::ids::ServiceName;
-use emberturn::relay::engines::EngineBook;
+use emberturn::relay::engines::EngineTracker;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -141,11 +141,11 @@
     let service: ServiceName = "svc".parse().unwrap();
     let (mut rng, mut pooled) = (SmallRng::seed_from_u64(11), EngineLearner::default());
     for _ in 0..500 {
-        let mut book = EngineBook::default();
+        let mut book = EngineTracker::default();
         for _ in 0..2 {
             book.note(&service, seen(&engine, &mut rng));
-            book.note_served(&service, false);
-            book.note_stream(&service, 20, 100, 0.3);
+            book.record_served(&service, false);
+            book.record_stream(&service, 20, 100, 0.3);
         }
         assert!(book.learned().is_empty());
         let samples = book.take_samples();
@@ -162,7 +162,7 @@
 fn box_with_a_fit_of_its_own_reports_no_samples() {
     let engine = Engine { rate: 64_200.0, base: 0.005, busy: 0.0, crowd: 0.5, grey: 0.0 };
     let service: ServiceName = "svc".parse().unwrap();
-    let (mut rng, mut book) = (SmallRng::seed_from_u64(3), EngineBook::default());
+    let (mut rng, mut book) = (SmallRng::seed_from_u64(3), EngineTracker::default());
     (0..100).for_each(|_| book.note(&service, seen(&engine, &mut rng)));
     assert!(book.learned()[&service].is_learned());
     assert!(book.take_samples().is_empty());
--- a/tests/names.rs
+++ b/tests/names.rs
@@ -11,7 +11,7 @@
 use sources::sources;
 
 /// Folders of which the rooms are done: no former name stands in them.
-const DONE: [&str; 2] = ["src/control", "src/decide"];
+const DONE: [&str; 3] = ["src/control", "src/decide", "src/relay"];
 
 /// Type names that still stand for two things, each to go.
 const DOUBLED: [&str; 25] = [
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -15,7 +15,7 @@
 use emberturn::platform::list::read_page;
 use emberturn::platform::{document, headers, moves, report};
 use emberturn::relay::list::Server;
-use emberturn::relay::list_book::ListBook;
+use emberturn::relay::list_registry::ListRegistry;
 use emberturn::relay::listing::{EntryFault, Listing, Unread};
 use emberturn_fakes::http;
 use hyper::StatusCode;
@@ -299,7 +299,7 @@
 }
 
 /// The ids that a leader lists.
-fn listed(book: &ListBook) -> Vec<&str> {
+fn listed(book: &ListRegistry) -> Vec<&str> {
     let mut ids = ids(book.servers());
     ids.sort_unstable();
     ids
@@ -322,7 +322,7 @@
     addr: Option<SocketAddr>,
     stays: bool,
 ) {
-    let mut book = ListBook::default();
+    let mut book = ListRegistry::default();
     book.put(Term(1), servers(&[0, 1]), Instant::now());
     for _ in 0..3 {
         book.put(Term(1), unread(id, addr), Instant::now());
@@ -338,10 +338,10 @@
     let (known, mut other) = (servers(&[0, 1]), servers(&[1]));
     other[0].addr = ([10, 0, 0, 9], 9).into();
     let both = [other.clone(), known.clone()].concat();
-    let mut book = ListBook::default();
+    let mut book = ListRegistry::default();
     book.put(Term(1), both.clone(), Instant::now());
     assert_eq!(listed(&book), ["i-0"], "nothing tells which one is meant");
-    let mut book = ListBook::default();
+    let mut book = ListRegistry::default();
     book.put(Term(1), known.clone(), Instant::now());
     book.put(Term(1), both, Instant::now());
     assert_eq!(book.servers().iter().map(|it| it.addr).collect::<Vec<_>>().len(), 2);
@@ -351,7 +351,7 @@
 #[test]
 fn entry_that_is_there_twice_is_one_and_leaving_if_one_says_so() {
     let mut both = servers(&[0, 1, 1]);
-    let mut book = ListBook::default();
+    let mut book = ListRegistry::default();
     book.put(Term(1), both.clone(), Instant::now());
     assert_eq!(listed(&book), ["i-0", "i-1"]);
     both[2].leaving = true;
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use emberturn::decide::exposure::{Exposure, ExposureLimit, PERMIT_TIME, Permits};
-use emberturn::decide::releases::{Outcome, ReleaseBook, ReleaseUpdate, TrialAllowed};
+use emberturn::decide::releases::{Outcome, ReleaseTable, ReleaseUpdate, TrialAllowed};
 use emberturn::decide::rollout::{Led, next_step};
 use emberturn::decide::verdict::{Pace, Pair, Verdict, judge};
 use emberturn::ids::{BoxId, Incarnation, Release, ServiceName};
@@ -175,7 +175,7 @@
 
 #[test]
 fn release_that_nobody_ordered_gets_nothing() {
-    let mut book = ReleaseBook::default();
+    let mut book = ReleaseTable::default();
     let now = Instant::now();
     assert!(book.choose(&service(), true, now).takes(&release("v9")), "nothing is known yet");
     let word = ReleaseUpdate { in_force: Some(release("v1")), trial: None };
@@ -186,7 +186,7 @@
 
 #[test]
 fn box_keeps_what_it_knows_while_a_new_leader_knows_nothing_yet() {
-    let mut book = ReleaseBook::default();
+    let mut book = ReleaseTable::default();
     let word = ReleaseUpdate { in_force: Some(release("v1")), trial: None };
     book.hear(Some(BTreeMap::from([(service(), word)])));
     for unknown in [None, Some(BTreeMap::new())] {
@@ -224,8 +224,8 @@
 }
 
 /// A box that was told of a trial, and again with the permits of its second word.
-fn trying(words: &BTreeMap<ServiceName, ReleaseUpdate>, now: Instant) -> ReleaseBook {
-    let mut book = ReleaseBook::default();
+fn trying(words: &BTreeMap<ServiceName, ReleaseUpdate>, now: Instant) -> ReleaseTable {
+    let mut book = ReleaseTable::default();
     for _ in 0..2 {
         book.tell(now);
         book.hear(Some(words.clone()));
@@ -359,7 +359,7 @@
         let mut group = running("v1");
         let mut rollout = taken(group.order(0, &order("v2", (self.whole * 1_000.0) as u64)));
         let mut led = Led::new(&rollout);
-        let mut books: Vec<_> = (0..boxes).map(|_| ReleaseBook::default()).collect();
+        let mut books: Vec<_> = (0..boxes).map(|_| ReleaseTable::default()).collect();
         let (mut played, mut fiftieth) = (Played::default(), f64::INFINITY);
         // Answers come half a second after their requests.
         let mut pending: BTreeMap<u64, Vec<Answer>> = BTreeMap::new();
--- a/tests/server_list.rs
+++ b/tests/server_list.rs
@@ -8,8 +8,8 @@
 use emberturn::ids::{BackendId, BoxId, DataCentre, Region, Term};
 use emberturn::peer::packed::Packed;
 use emberturn::relay::list::{ListIndex, PartId, Server};
-use emberturn::relay::list_book::{ListBook, PARTS_LIMIT};
-use emberturn::relay::servers::ServerBook;
+use emberturn::relay::list_registry::{ListRegistry, PARTS_LIMIT};
+use emberturn::relay::servers::ServerTable;
 use emberturn::units::Millis;
 use proptest::prelude::*;
 
@@ -55,7 +55,7 @@
 }
 
 /// The ids that a box knows, with whether they are open.
-fn known(book: &ServerBook) -> Vec<(BackendId, bool)> {
+fn known(book: &ServerTable) -> Vec<(BackendId, bool)> {
     let services = (0..3).map(|place| format!("svc-{place}").parse().unwrap());
     let mut known: Vec<_> = services
         .flat_map(|service| book.of(&service).to_vec())
@@ -66,13 +66,13 @@
 }
 
 /// The ids that a box knows.
-fn ids(book: &ServerBook) -> Vec<BackendId> {
+fn ids(book: &ServerTable) -> Vec<BackendId> {
     known(book).into_iter().map(|(id, _)| id).collect()
 }
 
 /// That a box holds a bounded part of `count` engines, and all of a few; how many of each data centre.
 fn bounded_part(
-    book: &ServerBook,
+    book: &ServerTable,
     count: usize,
 ) -> Result<BTreeMap<DataCentre, usize>, TestCaseError> {
     let held = book.of(&"ember-assist".parse().unwrap());
@@ -89,18 +89,18 @@
 }
 
 /// A box takes what it lacks; the bytes of the index, if it is news, and of the answers.
-fn follow(book: &ServerBook, leader: &mut ListBook, box_id: &BoxId) -> Vec<usize> {
+fn follow(book: &ServerTable, leader: &mut ListRegistry, box_id: &BoxId) -> Vec<usize> {
     let index = leader.index(box_id);
     take(book, leader, &index)
 }
 
 /// As [`follow`], with an index that the leader gave.
-fn take(book: &ServerBook, leader: &mut ListBook, index: &ListIndex) -> Vec<usize> {
+fn take(book: &ServerTable, leader: &mut ListRegistry, index: &ListIndex) -> Vec<usize> {
     if book.index_print() == Some(index.print) && book.lacking().is_empty() {
         return Vec::new();
     }
     let mut bytes = vec![serde_json::to_string(&Packed(index)).unwrap().len()];
-    book.take_index(index.clone());
+    book.apply_index(index.clone());
     loop {
         let lacking = book.lacking();
         if lacking.is_empty() {
@@ -109,7 +109,7 @@
         let parts = leader.contents(&lacking, Instant::now());
         assert!(!parts.is_empty() && parts.len() <= PARTS_LIMIT);
         bytes.push(serde_json::to_string(&Packed(&parts)).unwrap().len());
-        book.take_parts(parts);
+        book.apply_parts(parts);
     }
 }
 
@@ -122,8 +122,8 @@
         ),
         heard in prop::collection::vec(any::<bool>(), 30),
     ) {
-        let (mut leader, mut term, box_id) = (ListBook::default(), 1, box_id(1));
-        let (at_times, always) = (ServerBook::default(), ServerBook::default());
+        let (mut leader, mut term, box_id) = (ListRegistry::default(), 1, box_id(1));
+        let (at_times, always) = (ServerTable::default(), ServerTable::default());
         for (numbers, heard) in lists.iter().zip(heard) {
             leader.put(Term(term), servers(numbers), Instant::now());
             follow(&always, &mut leader, &box_id);
@@ -140,7 +140,7 @@
             prop_assert_eq!(ids(&at_times), ids(&always));
             if numbers.len() % 3 == 1 {
                 // Another leader reads the list anew.
-                (leader, term) = (ListBook::default(), term + 1);
+                (leader, term) = (ListRegistry::default(), term + 1);
             }
         }
     }
@@ -149,9 +149,9 @@
     /// a box more or less changes nothing for the others.
     #[test]
     fn box_holds_a_bounded_part(count in 1_u32..3_000, place in 0_u32..500) {
-        let mut leader = ListBook::default();
+        let mut leader = ListRegistry::default();
         leader.put(Term(1), engines(count), Instant::now());
-        let book = ServerBook::default();
+        let book = ServerTable::default();
         follow(&book, &mut leader, &box_id(place));
         let by_centre = bounded_part(&book, count as usize)?;
         prop_assert!(count < 100 || by_centre.values().all(|held_there| *held_there > 0 && by_centre.len() == 7));
@@ -161,11 +161,11 @@
     #[test]
     fn box_holds_mostly_what_is_near(count in 1_u32..3_000, place in 0_u32..500) {
         let regions = (0..7).map(|it| (format!("dc-{it}").parse().unwrap(), region(it)));
-        let mut leader = ListBook::new(regions.collect());
+        let mut leader = ListRegistry::new(regions.collect());
         leader.put(Term(1), engines(count), Instant::now());
         let own = format!("dc-{}", place % 7).parse().unwrap();
         let index = leader.index_at(&box_id(place), Some(&own));
-        let book = ServerBook::default();
+        let book = ServerTable::default();
         take(&book, &mut leader, &index);
         let by_centre = bounded_part(&book, count as usize)?;
         prop_assert!(count < 100 || by_centre.len() == 7);
@@ -202,7 +202,7 @@
 
 #[test]
 fn box_that_has_the_list_before_hears_only_of_the_parts_that_changed() {
-    let (mut leader, book) = (ListBook::default(), ServerBook::default());
+    let (mut leader, book) = (ListRegistry::default(), ServerTable::default());
     let all: Vec<_> = (0..204).map(|number| (number, false)).collect();
     leader.put(Term(1), servers(&all), Instant::now()).unwrap();
     assert!(leader.put(Term(1), servers(&all), Instant::now()).is_none());
@@ -211,14 +211,14 @@
     let mut next = all.clone();
     (next[3].1, next[9].0) = (true, 300);
     leader.put(Term(1), servers(&next), Instant::now()).unwrap();
-    book.take_index(ListIndex::clone(&leader.index(&box_id(1))));
+    book.apply_index(ListIndex::clone(&leader.index(&box_id(1))));
     // One is leaving, one is gone and one has come, in three parts at most.
     assert!((1..=3).contains(&book.lacking().len()), "{:?}", book.lacking());
 }
 
 #[test]
 fn time_that_passes_until_a_server_goes_is_no_news() {
-    let (mut leader, now) = (ListBook::default(), Instant::now());
+    let (mut leader, now) = (ListRegistry::default(), Instant::now());
     let mut listed = servers(&[(1, true), (2, false)]);
     leader.put(Term(1), listed.clone(), now).unwrap();
     listed[0].leaves_in = Some(Millis(3_500));
@@ -234,9 +234,9 @@
 
 #[test]
 fn another_leader_with_the_same_list_sends_no_part_again() {
-    let book = ServerBook::default();
+    let book = ServerTable::default();
     for term in 1..4 {
-        let mut leader = ListBook::default();
+        let mut leader = ListRegistry::default();
         leader.put(Term(term), engines(900), Instant::now());
         let bytes = follow(&book, &mut leader, &box_id(7));
         assert_eq!(bytes.is_empty(), term > 1, "{bytes:?}");
@@ -245,7 +245,7 @@
 
 #[test]
 fn server_that_was_seen_leaving_leaves_for_good() {
-    let (mut leader, book) = (ListBook::default(), ServerBook::default());
+    let (mut leader, book) = (ListRegistry::default(), ServerTable::default());
     for leaving in [false, true, false] {
         leader.put(Term(1), servers(&[(1, leaving), (2, false)]), Instant::now());
         follow(&book, &mut leader, &box_id(1));
@@ -257,43 +257,43 @@
 /// The servers that leave at once are told of together, and once.
 #[test]
 fn servers_that_leave_are_told_of_once() {
-    let (mut leader, book) = (ListBook::default(), ServerBook::default());
+    let (mut leader, book) = (ListRegistry::default(), ServerTable::default());
     let all = |leaving| (0..20).map(|number| (number, leaving && number != 3)).collect::<Vec<_>>();
     leader.put(Term(1), servers(&all(false)), Instant::now());
     follow(&book, &mut leader, &box_id(1));
     leader.put(Term(1), servers(&all(true)), Instant::now());
-    book.take_index(ListIndex::clone(&leader.index(&box_id(1))));
+    book.apply_index(ListIndex::clone(&leader.index(&box_id(1))));
     let news = leader.contents(&book.lacking(), Instant::now());
-    assert_eq!(book.take_parts(news.clone()).len(), 19);
-    assert!(book.take_parts(news).is_empty());
+    assert_eq!(book.apply_parts(news.clone()).len(), 19);
+    assert!(book.apply_parts(news).is_empty());
 }
 
 #[test]
 fn word_of_an_older_list_is_passed_over() {
     let (mut old, mut new, book) =
-        (ListBook::default(), ListBook::default(), ServerBook::default());
+        (ListRegistry::default(), ListRegistry::default(), ServerTable::default());
     old.put(Term(1), servers(&[(1, false)]), Instant::now()).unwrap();
     new.put(Term(2), servers(&[(2, false)]), Instant::now()).unwrap();
     follow(&book, &mut new, &box_id(1));
     let held = ids(&book);
-    book.take_index(ListIndex::clone(&old.index(&box_id(1))));
+    book.apply_index(ListIndex::clone(&old.index(&box_id(1))));
     assert_eq!((book.version().term, ids(&book)), (Term(2), held));
 }
 
 #[test]
 fn former_parts_serve_until_all_of_the_new_ones_are_there() {
-    let (mut leader, book) = (ListBook::default(), ServerBook::default());
+    let (mut leader, book) = (ListRegistry::default(), ServerTable::default());
     leader.put(Term(1), servers(&[(0, false)]), Instant::now());
     follow(&book, &mut leader, &box_id(1));
     leader.put(Term(1), servers(&[(1, false), (2, false)]), Instant::now());
-    book.take_index(ListIndex::clone(&leader.index(&box_id(1))));
+    book.apply_index(ListIndex::clone(&leader.index(&box_id(1))));
     assert_eq!(
         ids(&book),
         servers(&[(0, false)]).iter().map(|it| it.id.clone()).collect::<Vec<_>>()
     );
-    book.take_parts(leader.contents(&book.lacking()[..1], Instant::now()));
+    book.apply_parts(leader.contents(&book.lacking()[..1], Instant::now()));
     assert_eq!(ids(&book).len(), 2);
-    book.take_parts(leader.contents(&book.lacking(), Instant::now()));
+    book.apply_parts(leader.contents(&book.lacking(), Instant::now()));
     assert_eq!(
         ids(&book),
         servers(&[(1, false), (2, false)]).iter().map(|it| it.id.clone()).collect::<Vec<_>>()
@@ -302,7 +302,7 @@
 
 #[test]
 fn part_that_is_no_longer_there_is_left_out() {
-    let mut leader = ListBook::default();
+    let mut leader = ListRegistry::default();
     leader.put(Term(1), servers(&[(1, false)]), Instant::now());
     let gone: PartId = "svc-1/dc-1/3/5".parse().unwrap();
     assert!(leader.contents(&[gone], Instant::now()).is_empty());
@@ -315,11 +315,11 @@
 /// list, as it went out before, is 778 KB for each box and 373 MB for all; the parts are 27 KB and 13 MB.
 #[test]
 fn start_takes_few_bytes_however_large_the_fleet() {
-    let mut leader = ListBook::default();
+    let mut leader = ListRegistry::default();
     leader.put(Term(1), engines(5_200), Instant::now());
     let mut all = 0;
     for place in 0..480 {
-        let bytes = follow(&ServerBook::default(), &mut leader, &box_id(place));
+        let bytes = follow(&ServerTable::default(), &mut leader, &box_id(place));
         let sum: usize = bytes.iter().sum();
         assert!(sum < 48 << 10, "box {place} takes {bytes:?}");
         assert!(bytes.iter().all(|it| *it < 40 << 10), "{bytes:?}");
@@ -331,7 +331,7 @@
 /// Each server is known by about as many boxes as any other, so that none is left aside.
 #[test]
 fn each_server_is_known_by_some_boxes() {
-    let mut leader = ListBook::default();
+    let mut leader = ListRegistry::default();
     leader.put(Term(1), engines(3_000), Instant::now());
     let mut counts: BTreeMap<BackendId, u32> = BTreeMap::new();
     for place in 0..300 {
@@ -349,7 +349,7 @@
 #[test]
 fn each_server_is_known_by_some_boxes_near_and_far() {
     let regions = (0..7).map(|it| (format!("dc-{it}").parse().unwrap(), region(it)));
-    let mut leader = ListBook::new(regions.collect());
+    let mut leader = ListRegistry::new(regions.collect());
     let all = engines(3_000);
     leader.put(Term(1), all.clone(), Instant::now());
     let mut counts: BTreeMap<BackendId, (u32, u32)> = BTreeMap::new();
@@ -385,7 +385,7 @@
 
 #[test]
 fn parts_are_packed_once_for_all_boxes_and_say_what_contents_says() {
-    let (mut leader, now) = (ListBook::default(), Instant::now());
+    let (mut leader, now) = (ListRegistry::default(), Instant::now());
     let mut listed = servers(&(0..200).map(|id| (id, id == 7)).collect::<Vec<_>>());
     leader.put(Term(1), listed.clone(), now).unwrap();
     let ids: Vec<_> = leader.index(&box_id(1)).parts.iter().map(|(id, _)| id.clone()).collect();
--- a/tests/server_lives.rs
+++ b/tests/server_lives.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use emberturn::decide::lives::{DoubtBook, Heard, LIST_LAG, Life, Moment, Speaker};
+use emberturn::decide::lives::{DoubtQueue, Heard, LIST_LAG, Life, Moment, Speaker};
 use emberturn::decide::loads::{LoadPool, LoadSample};
 use emberturn::ids::{BackendId, Incarnation, ServerKey, ServiceName, Term};
 use emberturn::relay::call::{Load, Report};
@@ -16,8 +16,8 @@
 use emberturn::relay::list::{
     ContentHash, IncarnationReport, ListIndex, ListPart, ListVersion, Listed, Server,
 };
-use emberturn::relay::list_book::ListBook;
-use emberturn::relay::servers::ServerBook;
+use emberturn::relay::list_registry::ListRegistry;
+use emberturn::relay::servers::ServerTable;
 use emberturn::units::{Millis, UnixMillis};
 use platform::{Act, PATIENCE, Reply, StandIn, Tells, TestRelay, events};
 use proptest::prelude::*;
@@ -63,16 +63,16 @@
 }
 
 /// Has a box take a list with the server as some leader knows it.
-fn take(book: &ServerBook, place: u64, server: Server, life: Incarnation) {
+fn take(book: &ServerTable, place: u64, server: Server, life: Incarnation) {
     let listed = [Listed { server, life }];
     let (print, id) = (ContentHash::of(&listed), "svc/here/0/0".parse().unwrap());
     let version = ListVersion { term: Term(1), place };
-    book.take_index(ListIndex::new(version, vec![(id, print)]));
+    book.apply_index(ListIndex::new(version, vec![(id, print)]));
     let id = "svc/here/0/0".parse().unwrap();
-    book.take_parts(vec![ListPart::new(id, print, &listed, Millis(0))]);
+    book.apply_parts(vec![ListPart::new(id, print, &listed, Millis(0))]);
 }
 
-fn known(book: &ServerBook) -> Arc<Known> {
+fn known(book: &ServerTable) -> Arc<Known> {
     book.find(&server(false).id).unwrap()
 }
 
@@ -105,16 +105,16 @@
 
 /// A box that has known a server in one life, `life`, which it was told by itself.
 struct Hearer {
-    book: ServerBook,
+    book: ServerTable,
     first: Arc<Known>,
     place: u64,
 }
 
 impl Hearer {
     fn new(life: Incarnation) -> Self {
-        let book = ServerBook::default();
+        let book = ServerTable::default();
         take(&book, 1, server(false), NONE);
-        book.hear_life(&known(&book), life);
+        book.apply_incarnation(&known(&book), life);
         Self { first: known(&book), book, place: 1 }
     }
 
@@ -125,11 +125,11 @@
                 take(&self.book, self.place, server(leaving), life);
             }
             Word::Report(running, leaving) => {
-                self.book.hear_report(&self.first, &report(life, running, leaving));
+                self.book.apply_report(&self.first, &report(life, running, leaving));
             }
             Word::Load(requests) => {
                 let (server, age) = (server(false).id, Millis(0));
-                self.book.hear_loads(&[LoadSample { server, life, requests, age }]);
+                self.book.apply_loads(&[LoadSample { server, life, requests, age }]);
             }
             Word::Failed if life == self.first.life() => {
                 while !self.first.state.fail() {}
@@ -194,10 +194,10 @@
         other.sort_by_key(|life| life.wrapping_mul(seed | 1));
         let newest = *lives.iter().max().unwrap();
         for lives in [&lives, &other] {
-            let mut leader = ListBook::default();
+            let mut leader = ListRegistry::default();
             leader.put(Term(1), vec![server(false)], moment(0));
             for life in lives {
-                leader.hear_life(&told(Incarnation(base.0 + life * 2_000)), moment(50_000));
+                leader.apply_incarnation(&told(Incarnation(base.0 + life * 2_000)), moment(50_000));
             }
             leader.renew(Term(1), moment(50_000));
             let keys: Vec<_> = leader.keys().collect();
@@ -226,11 +226,11 @@
 
 #[test]
 fn first_life_told_is_the_one_that_is_known() {
-    let book = ServerBook::default();
+    let book = ServerTable::default();
     take(&book, 1, server(true), NONE);
     let before = known(&book);
     while !before.state.fail() {}
-    assert_eq!(book.hear_life(&before, former()), Heard::Named);
+    assert_eq!(book.apply_incarnation(&before, former()), Heard::Named);
     let after = known(&book);
     assert!(Arc::ptr_eq(&before.state, &after.state));
     assert!(!after.is_open() && after.state.is_ejected() && !after.state.is_over());
@@ -238,10 +238,10 @@
 
 #[test]
 fn first_life_told_that_began_since_is_another() {
-    let book = ServerBook::default();
+    let book = ServerTable::default();
     take(&book, 1, server(true), NONE);
     let before = known(&book);
-    assert_eq!(book.hear_life(&before, later()), Heard::Another);
+    assert_eq!(book.apply_incarnation(&before, later()), Heard::Another);
     assert!(known(&book).is_open() && before.state.is_over());
 }
 
@@ -257,22 +257,22 @@
     let (earlier, later) = (former(), later());
     let hearer = Hearer::new(earlier);
     let asked = hearer.first.clone();
-    hearer.book.hear_life(&asked, later);
-    assert_eq!(hearer.book.hear_report(&asked, &report(earlier, 8, true)), Heard::Earlier);
+    hearer.book.apply_incarnation(&asked, later);
+    assert_eq!(hearer.book.apply_report(&asked, &report(earlier, 8, true)), Heard::Earlier);
     assert_eq!(hearer.sees(), (later, true, false, false, None));
     // One that names no life is of the life that was asked.
-    hearer.book.hear_report(&asked, &report(NONE, 8, true));
+    hearer.book.apply_report(&asked, &report(NONE, 8, true));
     assert_eq!(hearer.sees(), (later, true, false, false, None));
 }
 
 #[test]
 fn servers_own_word_counts_against_a_notice_that_the_list_no_longer_shows() {
-    let book = ServerBook::default();
+    let book = ServerTable::default();
     take(&book, 1, server(true), NONE);
-    book.hear_report(&known(&book), &report(former(), 0, false));
+    book.apply_report(&known(&book), &report(former(), 0, false));
     assert!(!known(&book).is_open(), "the list still shows it leaving");
     take(&book, 2, server(false), NONE);
-    book.hear_report(&known(&book), &report(former(), 0, false));
+    book.apply_report(&known(&book), &report(former(), 0, false));
     assert!(known(&book).is_open());
 }
 
@@ -280,16 +280,16 @@
 fn box_tells_the_lives_that_the_leaders_list_does_not_show() {
     let (earlier, later) = (former(), later());
     let hearer = Hearer::new(earlier);
-    assert_eq!(hearer.book.lives_to_tell(), [told(earlier)]);
+    assert_eq!(hearer.book.unreported_incarnations(), [told(earlier)]);
     take(&hearer.book, 2, server(false), earlier);
-    assert!(hearer.book.lives_to_tell().is_empty());
-    hearer.book.hear_life(&hearer.first, later);
-    assert_eq!(hearer.book.lives_to_tell(), [told(later)]);
+    assert!(hearer.book.unreported_incarnations().is_empty());
+    hearer.book.apply_incarnation(&hearer.first, later);
+    assert_eq!(hearer.book.unreported_incarnations(), [told(later)]);
     take(&hearer.book, 3, server(false), later);
-    assert!(hearer.book.lives_to_tell().is_empty());
+    assert!(hearer.book.unreported_incarnations().is_empty());
     // Another leader knows of none.
     take(&hearer.book, 4, server(false), NONE);
-    assert_eq!(hearer.book.lives_to_tell(), [told(later)]);
+    assert_eq!(hearer.book.unreported_incarnations(), [told(later)]);
 }
 
 #[test]
@@ -306,7 +306,7 @@
 }
 
 /// What a leader tells of the server: its life, and whether it is leaving.
-fn shown(leader: &mut ListBook) -> (Incarnation, bool) {
+fn shown(leader: &mut ListRegistry) -> (Incarnation, bool) {
     let index = leader.index(&"box".parse().unwrap());
     let parts: Vec<_> = index.parts.iter().map(|(part, _)| part.clone()).collect();
     let contents = leader.contents(&parts, Instant::now());
@@ -326,15 +326,15 @@
     };
     let lag = LIST_LAG.as_millis() as u64;
     let began = Incarnation(base.0 + 10_000);
-    let mut leader = ListBook::default();
+    let mut leader = ListRegistry::default();
     leader.put(Term(1), vec![server(true)], moment(0));
     assert_eq!(shown(&mut leader), (NONE, true));
-    leader.hear_life(&told(began), moment(10_500));
+    leader.apply_incarnation(&told(began), moment(10_500));
     leader.put(Term(1), vec![server(true)], moment(10_600));
     assert_eq!(shown(&mut leader), (began, false));
-    let mut other = ListBook::default();
+    let mut other = ListRegistry::default();
     other.put(Term(2), vec![server(true)], moment(10_000 + lag - 1));
-    other.hear_life(&told(began), moment(10_000 + lag - 1));
+    other.apply_incarnation(&told(began), moment(10_000 + lag - 1));
     other.renew(Term(2), moment(10_000 + lag - 1));
     assert_eq!(shown(&mut other), (began, false), "a new leader");
     for leader in [&mut leader, &mut other] {
@@ -348,28 +348,28 @@
 fn clock_that_is_behind_holds_no_notice_back_for_long() {
     let (start, base) = (Instant::now(), UnixMillis::now());
     let moment = |time: Duration| Moment { at: start + time, unix: UnixMillis(base.0 - 3_600_000) };
-    let mut leader = ListBook::default();
+    let mut leader = ListRegistry::default();
     leader.put(Term(1), vec![server(false)], moment(Duration::ZERO));
-    leader.hear_life(&told(Incarnation(base.0)), moment(Duration::ZERO));
+    leader.apply_incarnation(&told(Incarnation(base.0)), moment(Duration::ZERO));
     leader.put(Term(1), vec![server(true)], moment(LIST_LAG));
     assert_eq!(shown(&mut leader), (Incarnation(base.0), true));
 }
 
 #[test]
 fn word_from_another_address_is_of_another_life() {
-    let mut leader = ListBook::default();
+    let mut leader = ListRegistry::default();
     leader.put(Term(1), vec![server(false)], Instant::now());
-    leader.hear_life(&told(former()), Instant::now());
+    leader.apply_incarnation(&told(former()), Instant::now());
     let moved = Server { addr: addr(2), ..server(false) };
     leader.put(Term(1), vec![moved.clone()], Instant::now());
-    assert_eq!(leader.hear_life(&told(former()), Instant::now()), Heard::Earlier);
+    assert_eq!(leader.apply_incarnation(&told(former()), Instant::now()), Heard::Earlier);
     assert_eq!(shown(&mut leader), (NONE, false));
-    let mut new = ListBook::default();
+    let mut new = ListRegistry::default();
     new.put(Term(2), vec![moved.clone()], Instant::now());
-    assert_eq!(new.hear_life(&told(former()), Instant::now()), Heard::Earlier);
+    assert_eq!(new.apply_incarnation(&told(former()), Instant::now()), Heard::Earlier);
     new.renew(Term(2), Instant::now());
     assert_eq!(shown(&mut new), (NONE, false));
-    let book = ServerBook::default();
+    let book = ServerTable::default();
     take(&book, 1, server(true), former());
     take(&book, 2, moved, NONE);
     assert!(known(&book).is_open());
@@ -377,7 +377,7 @@
 
 #[test]
 fn doubted_server_is_asked_once_in_a_while_and_not_for_ever() {
-    let (mut doubts, start) = (DoubtBook::default(), Instant::now());
+    let (mut doubts, start) = (DoubtQueue::default(), Instant::now());
     let id: BackendId = server(false).id;
     assert!(doubts.raise(&id, start, 0.0) && !doubts.raise(&id, start, 0.0));
     let mut asked = Vec::new();
@@ -396,7 +396,7 @@
 
 #[test]
 fn server_that_tells_no_life_is_rarely_asked() {
-    let (mut doubts, start) = (DoubtBook::default(), Instant::now());
+    let (mut doubts, start) = (DoubtQueue::default(), Instant::now());
     let id: BackendId = server(false).id;
     doubts.raise(&id, start, 0.0);
     assert_eq!(doubts.due(start), std::slice::from_ref(&id));
@@ -410,12 +410,12 @@
     let mut hearer = Hearer::new(former());
     let (load, service) = (Word::Load(3), "svc".parse().unwrap());
     hearer.hear(hearer.first.life(), load);
-    assert_eq!(hearer.book.told(&service).all.len(), 1);
+    assert_eq!(hearer.book.loaded(&service).all.len(), 1);
     hearer.hear(later(), Word::List(false));
-    assert!(hearer.book.told(&service).all.is_empty());
+    assert!(hearer.book.loaded(&service).all.is_empty());
     hearer.hear(hearer.sees().0, load);
-    hearer.book.hear_life(&known(&hearer.book), Incarnation(later().0 + 5_000));
-    assert!(hearer.book.told(&service).all.is_empty());
+    hearer.book.apply_incarnation(&known(&hearer.book), Incarnation(later().0 + 5_000));
+    assert!(hearer.book.loaded(&service).all.is_empty());
 }
 
 fn listed(server: &StandIn, leaving: bool) -> Server {
@@ -597,9 +597,9 @@
 }
 
 /// Has a box take a list without any server.
-fn take_none(book: &ServerBook, place: u64) {
+fn take_none(book: &ServerTable, place: u64) {
     let version = ListVersion { term: Term(1), place };
-    book.take_index(ListIndex::new(version, Vec::new()));
+    book.apply_index(ListIndex::new(version, Vec::new()));
 }
 
 #[test]
@@ -607,10 +607,10 @@
     let life = former();
     // Nobody ever named its life; the list names the one that is known; the list names none any more.
     for (listed, named, asks) in [(NONE, false, false), (life, true, false), (NONE, true, true)] {
-        let book = ServerBook::default();
+        let book = ServerTable::default();
         take(&book, 1, server(false), listed);
         if named {
-            book.hear_life(&known(&book), life);
+            book.apply_incarnation(&known(&book), life);
         }
         take_none(&book, 2);
         take(&book, 3, server(false), listed);
--- a/tests/spend.rs
+++ b/tests/spend.rs
@@ -435,7 +435,7 @@
             let events = rng.random_range(1..80);
             let held = if rng.random_bool(busy) { rng.random_range(0.5..4.0) } else { 0.0 };
             let seconds = pace * f64::from(events - 1) * rng.random_range(0.95..1.05) + held;
-            learner.note_stream(f64::from(events), 400.0, seconds);
+            learner.record_stream(f64::from(events), 400.0, seconds);
         }
         let learned = learner.model().pace;
         prop_assert!((learned / pace - 1.0).abs() < 0.15, "{learned} for {pace}");
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -13,7 +13,7 @@
 use emberturn::platform::{PlatformDialect, document};
 use emberturn::relay::known::Known;
 use emberturn::relay::list::{IncarnationReport, ListIndex, Server};
-use emberturn::relay::list_book::ListBook;
+use emberturn::relay::list_registry::ListRegistry;
 use emberturn::relay::listen::Listeners;
 use emberturn::relay::{Relay, RelayParts, ends, lives};
 use emberturn::settings::Settings;
@@ -84,7 +84,7 @@
     /// The relay.
     pub relay: Arc<Relay>,
     /// The list as its leader has it.
-    leader: Mutex<ListBook>,
+    leader: Mutex<ListRegistry>,
     closing: watch::Sender<bool>,
 }
 
@@ -173,7 +173,7 @@
     pub fn put(&self, value: &Value) {
         let table = document::read(&value.to_string()).unwrap();
         self.relay.put_table(Arc::new(table));
-        self.board.note_fresh(clock::now());
+        self.board.record_fresh(clock::now());
     }
 
     /// The leader's reply: each team may use so much, and has more.
@@ -215,7 +215,7 @@
     pub fn tell_life(&self, server: &StandIn, life: u64) {
         let key = ServerKey { id: server.id.parse().unwrap(), life: Incarnation(life) };
         let told = IncarnationReport { server: key, addr: server.addr };
-        self.leader.lock().unwrap().hear_life(&told, Instant::now());
+        self.leader.lock().unwrap().apply_incarnation(&told, Instant::now());
     }
 
     /// What the relay knows of a server.
--- a/tests/team_limit.rs
+++ b/tests/team_limit.rs
@@ -176,7 +176,7 @@
     /// The leader's look at the level, ten times a second.
     fn look(&mut self, now: f64) {
         let limit = kept(&self.day);
-        self.note_relays(now);
+        self.set_relays(now);
         let unheard = self.presence.unheard();
         let Some(level) = self.level.as_mut().filter(|_| now >= self.looked + LOOK) else {
             return;
@@ -192,7 +192,7 @@
     }
 
     /// The leader has the group note how many boxes there are, once it has read what was noted.
-    fn note_relays(&mut self, now: f64) {
+    fn set_relays(&mut self, now: f64) {
         let at = self.instant(now);
         if now < self.leads_from {
             return;
