No name of a server is copied for a send while no server limits itself

Cause: by reading; each send and each answer built a server's key for a lookup in a table that is empty nearly always. No time measured. Behaviour the same.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -261,7 +261,8 @@
 /// Records what an answer says of its server's limit. Only an answer that the server vouches for shows that its limit
 /// has ended.
 fn record_limit(relay: &Relay, known: &Known, head: &ReplyHead) {
-    if head.limit == LimitNotice::None && !(head.own && head.vouched) {
+    let is_silent = head.limit == LimitNotice::None;
+    if is_silent && (!(head.own && head.vouched) || relay.throttles().is_empty()) {
         return;
     }
     let server = known.key();
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -145,7 +145,7 @@
         if self.arrived > 0 && !relay.retries().spend(&self.service) {
             return Err(self.failure(relay));
         }
-        let limit = relay.throttles().limit(&known.key());
+        let limit = restraint::limit(relay, &known);
         if self.arrived > 0 || limit.is_some() || volume::allows_ordinary() {
             tracing::info!(
                 event = "server_chosen", id = call.head.id, backend_server = %known.server.id,
--- a/src/relay/restraint.rs
+++ b/src/relay/restraint.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::decide::throttle::{ThrottleState, may_be_same};
 use crate::ids::{BackendId, Incarnation, ServiceName};
+use crate::units::RequestRate;
 
 /// The servers of one service that limit themselves or asked for a pause.
 pub(super) struct Restraints {
@@ -44,7 +45,14 @@
 
 /// Claims the place of one request at a server; whether there is one.
 pub(super) fn claim(relay: &Relay, known: &Known) -> bool {
-    relay.throttles().claim(&known.key(), clock::now())
+    let mut throttles = relay.throttles();
+    throttles.is_empty() || throttles.claim(&known.key(), clock::now())
+}
+
+/// The limit that a server named.
+pub(super) fn limit(relay: &Relay, known: &Known) -> Option<RequestRate> {
+    let mut throttles = relay.throttles();
+    if throttles.is_empty() { None } else { throttles.limit(&known.key()) }
 }
 
 /// The time until one of a service's servers that are left alone may get a request, where that is known.
