--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -316,7 +316,7 @@
         for place in [11, 12] {
             system.wait_status(place, "safe", 200).await;
         }
-        let leader = leader(&system).await;
+        let leader = system.leader().await;
         for place in [11, 12].iter().cycle() {
             ask(&system, *place, "safe", DEADLY).await;
             if servers.ended() >= 3 {
@@ -335,18 +335,3 @@
         system.signal(leader, "KILL");
     });
 }
-
-/// The replica that leads.
-async fn leader(system: &System) -> u8 {
-    system
-        .until("a replica leads", || async {
-            for place in 1..=5 {
-                let output = system.operator(place, &["status"]).await;
-                if String::from_utf8_lossy(&output.stdout).contains("role=leader") {
-                    return Some(place);
-                }
-            }
-            None
-        })
-        .await
-}
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -80,7 +80,8 @@
     let other = StandIn::start("i-other", &[Act::Answer]).await;
     let mut system = start(&[&limited, &other]).await;
     ask(&system, 60).await;
-    system.kill(leader(&system).await).await;
+    let leader = system.leader().await;
+    system.kill(leader).await;
     ask(&system, 60).await;
     system.kill(BOXES[0]).await;
     system.launch(BOXES[0], "relay").await;
@@ -128,18 +129,3 @@
         .await;
     limited.wait_seen(30).await;
 }
-
-/// The replica that leads.
-async fn leader(system: &System) -> u8 {
-    system
-        .until("a replica leads", || async {
-            for place in 1..=5 {
-                let output = system.operator(place, &["status"]).await;
-                if String::from_utf8_lossy(&output.stdout).contains("role=leader") {
-                    return Some(place);
-                }
-            }
-            None
-        })
-        .await
-}
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -385,6 +385,20 @@
         process.output().await.unwrap()
     }
 
+    /// The replica that leads.
+    pub async fn leader(&self) -> u8 {
+        self.until("a replica leads", || async {
+            for place in 1..=5 {
+                let output = self.operator(place, &["status"]).await;
+                if String::from_utf8_lossy(&output.stdout).contains("role=leader") {
+                    return Some(place);
+                }
+            }
+            None
+        })
+        .await
+    }
+
     /// Orders a roll-out at a replica; its answer.
     pub async fn order_rollout(&self, place: u8, body: &Value) -> Option<Reply> {
         let body = body.to_string();
