A report of limits names 24 servers at most

Cause: by a test of its bytes: 64 servers and the reply take 13,148 bytes, 32,870 a second at the fastest pace, where a node has 29,000 for control.

Change: 24 servers a report, 4.9 kB with the reply; the others follow in turn.

--- a/src/decide/throttle.rs
+++ b/src/decide/throttle.rs
@@ -18,8 +18,8 @@
 /// Servers whose limits are kept at most.
 const SERVER_LIMIT: usize = 1_024;
 
-/// Servers in one report at most: 8 KB. The others follow with the next reports.
-const REPORTED: usize = 64;
+/// Servers in one report at most: with the reply 5 KB, several times a second. The others follow with the next reports.
+const REPORTED: usize = 24;
 
 /// The least rate at which a limited server is sent to: no other way shows that its limit has ended.
 const PROBE_RATE: RequestRate = RequestRate(0.1);
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -9,7 +9,7 @@
 pub use crate::control::demand::{DemandReply, DemandRequest};
 pub use crate::control::heartbeat::{BoxHeartbeat, HeartbeatReply};
 pub use crate::control::models::ModelsUpdate;
-pub use crate::control::throttle::{ThrottleReply, ThrottleRequest};
+pub use crate::control::throttle::{LeaderClock, ThrottleReply, ThrottleRequest};
 use crate::error::Kind;
 use crate::group::message::Members;
 use crate::ids::{
--- a/tests/control_bytes.rs
+++ b/tests/control_bytes.rs
@@ -2,26 +2,30 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use emberturn::decide::allowance::{Grant, TeamDemand};
 use emberturn::decide::capacity::Offered;
 use emberturn::decide::engine::EngineModel;
 use emberturn::decide::loads::LoadSample;
+use emberturn::decide::pace::HEARTBEAT_TIME;
 use emberturn::decide::quarantine::{EndReport, QuarantineUpdate, ToldHeld};
 use emberturn::decide::releases::ReleaseUpdate;
+use emberturn::decide::throttle::{LimitLease, LimitNotice, LimitReport, Throttles};
 use emberturn::ids::{
     BackendId, BoxId, Fingerprint, Incarnation, Revision, ServerKey, ServiceName, Term, Version,
     Window,
 };
 use emberturn::peer::method::{
-    BoxHeartbeat, Call, HeartbeatReply, ModelsUpdate, Poll, PollReply, Update,
+    BoxHeartbeat, Call, HeartbeatReply, LeaderClock, ModelsUpdate, Poll, PollReply, ThrottleReply,
+    ThrottleRequest, Update,
 };
 use emberturn::peer::packed::Packed;
 use emberturn::relay::list::{
     ContentHash, ListIndex, ListPart, ListVersion, Listed, PartId, Server,
 };
 use emberturn::relay::part_loads::{PartLoads, PlacedLoad, named, placed};
-use emberturn::units::Millis;
+use emberturn::units::{Millis, RequestRate};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -349,3 +353,32 @@
     println!("{more} bytes of each word, {news} of an answer that tells three");
     assert!(news <= 200, "{news} bytes");
 }
+
+/// Bytes of a request and a reply about as many limited servers as one report holds, sent at the fastest pace of
+/// heartbeats: beside those they stay within what a box's link bears for control.
+#[test]
+fn limits_of_many_servers_leave_a_box_s_link_to_heartbeats_and_callers() {
+    let (mut throttles, now) = (Throttles::default(), Instant::now());
+    let service = services().next().unwrap();
+    let limited = LimitNotice::Limited(RequestRate(1.2));
+    for place in 0..500 {
+        let server = ServerKey { id: server(place), life: LIFE };
+        throttles.record_notice(&server, &service, limited, now);
+    }
+    let limits = throttles.report(now);
+    let lease = |report: &LimitReport| LimitLease {
+        server: report.server.clone(),
+        limit: report.limit,
+        age: Millis(3_999),
+        share: drawn(1),
+    };
+    let leases: Vec<_> = limits.iter().map(lease).collect();
+    let clock = LeaderClock { term: Term(12), at: Millis(123_456_789) };
+    let box_id: BoxId = "10.128.0.9".parse().unwrap();
+    let request =
+        ThrottleRequest { version: 1, box_id, life: LIFE, turn: 9, clock: Some(clock), limits };
+    let reply = ThrottleReply { version: 1, clock, leases };
+    let bytes = call(&request) + json(&reply);
+    let a_second = bytes as f64 / HEARTBEAT_TIME.as_secs_f64();
+    assert!(a_second < LIMIT as f64 / 2.0, "{bytes} bytes a call, {a_second:.0} a second");
+}
