After a loss of all power no leader waits for boxes that hold nothing

Change: where half of the boxes that were noted have been heard and none of them had been told anything by any leader, all of them have started anew, and the others are taken to hold nothing either.

Weighed: a share of the rate for those heard (passes the limit where demand is skewed); to credit later what was withheld (refuses meanwhile all the same).

--- a/src/decide/presence.rs
+++ b/src/decide/presence.rs
@@ -30,6 +30,9 @@
     heard: BTreeMap<BoxId, Instant>,
     /// The most relays that a former leader told any of them of, or had the group note.
     former: u32,
+    /// Lives of relays that no leader had told anything, and of those that one had.
+    started: u32,
+    informed: u32,
     /// What the group has noted; `None` until that is known.
     noted: Option<u32>,
     /// Since when there are fewer than noted, and the most since then.
@@ -39,7 +42,15 @@
 impl Presence {
     /// That of a leader which begins at `now`.
     pub fn new(now: Instant) -> Self {
-        Self { began: now, heard: BTreeMap::new(), former: 0, noted: None, fewer: None }
+        Self {
+            began: now,
+            heard: BTreeMap::new(),
+            former: 0,
+            started: 0,
+            informed: 0,
+            noted: None,
+            fewer: None,
+        }
     }
 
     /// Records that a relay was heard; when it was heard before.
@@ -52,9 +63,21 @@
         self.heard.retain(|_, heard| *heard + ABSENT_TIME > now);
     }
 
-    /// Takes how many relays a former leader told a relay of.
-    pub fn learn(&mut self, relays: u32) {
-        self.former = self.former.max(relays);
+    /// Takes how many relays a former leader told a relay of; `None` from one that has just started.
+    pub fn learn(&mut self, relays: Option<u32>) {
+        match relays {
+            Some(relays) => {
+                self.informed += 1;
+                self.former = self.former.max(relays);
+            }
+            None => self.started += 1,
+        }
+    }
+
+    /// Whether all relays have started anew, as after a loss of all power: half of them have, and none that was
+    /// heard had been told anything. None of them holds anything on lease then.
+    fn all_started(&self) -> bool {
+        self.informed == 0 && 2 * self.started >= self.former
     }
 
     /// Takes what the group has noted. Only the note of a former leader counts as its word.
@@ -80,6 +103,9 @@
 
     /// Relays that this leader has not heard and a former one had. One at least until the group's note is known.
     pub fn unheard(&self) -> u32 {
+        if self.noted.is_some() && self.all_started() {
+            return 0;
+        }
         let least = u32::from(self.noted.is_none());
         self.former.saturating_sub(self.count().max(1)).max(least)
     }
