--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -173,15 +173,9 @@
     if let Some(load) = head.load {
         record_load(relay, known, load);
     }
+    // A misdirected answer is another server's.
     if exchange.status != StatusCode::MISDIRECTED_REQUEST {
-        record_limit(relay, known, &head);
-    }
-    if let Some(pause) = head.pause {
-        let service = &known.server.service;
-        relay.pauses().record(&known.key(), service, pause, clock::now());
-    }
-    if head.leaving && exchange.status != StatusCode::MISDIRECTED_REQUEST {
-        known.depart();
+        record_restraints(relay, known, &head);
     }
     let encoded = exchange.headers.contains_key(hyper::header::CONTENT_ENCODING);
     match judge(exchange.status, &head, encoded) {
@@ -258,6 +252,18 @@
     }
 }
 
+/// Records what a server asks of this box with an answer: a limit, a pause, or nothing more as it leaves.
+fn record_restraints(relay: &Relay, known: &Known, head: &ReplyHead) {
+    record_limit(relay, known, head);
+    if let Some(pause) = head.pause {
+        let service = &known.server.service;
+        relay.pauses().record(&known.key(), service, pause, clock::now());
+    }
+    if head.leaving {
+        known.depart();
+    }
+}
+
 /// Records what an answer says of its server's limit. Only an answer that the server vouches for shows that its limit
 /// has ended.
 fn record_limit(relay: &Relay, known: &Known, head: &ReplyHead) {
