A leader counts boxes that have started anew, not their messages

Cause, found by reading the change again: each message of a box before its first heartbeat counted as another box that has started anew, and so did each of its lives.

Change: boxes are counted by their names.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -312,7 +312,7 @@
     /// itself.
     pub(super) fn learn_relays(&mut self, box_id: &BoxId, life: Incarnation, relays: Option<u32>) {
         if !self.words.contains_key(&(box_id.clone(), life)) {
-            self.presence.learn(relays);
+            self.presence.learn(box_id, relays);
         }
     }
 
--- a/src/decide/presence.rs
+++ b/src/decide/presence.rs
@@ -4,7 +4,7 @@
 //! many there were it learns from the group's note, and from what relays were told. The note alone holds where a relay
 //! that has just started is the first to be heard: it was told nothing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::ids::BoxId;
@@ -30,9 +30,10 @@
     heard: BTreeMap<BoxId, Instant>,
     /// The most relays that a former leader told any of them of, or had the group note.
     former: u32,
-    /// Lives of relays that no leader had told anything, and of those that one had.
-    started: u32,
-    informed: u32,
+    /// The relays that no leader had told anything yet.
+    started: BTreeSet<BoxId>,
+    /// Whether one was heard that a leader had told something.
+    informed: bool,
     /// What the group has noted; `None` until that is known.
     noted: Option<u32>,
     /// Since when there are fewer than noted, and the most since then.
@@ -46,8 +47,8 @@
             began: now,
             heard: BTreeMap::new(),
             former: 0,
-            started: 0,
-            informed: 0,
+            started: BTreeSet::new(),
+            informed: false,
             noted: None,
             fewer: None,
         }
@@ -64,20 +65,20 @@
     }
 
     /// Takes how many relays a former leader told a relay of; `None` from one that has just started.
-    pub fn learn(&mut self, relays: Option<u32>) {
+    pub fn learn(&mut self, box_id: &BoxId, relays: Option<u32>) {
         match relays {
             Some(relays) => {
-                self.informed += 1;
+                self.informed = true;
                 self.former = self.former.max(relays);
             }
-            None => self.started += 1,
+            None => drop(self.started.insert(box_id.clone())),
         }
     }
 
     /// Whether all relays have started anew, as after a loss of all power: half of them have, and none that was
     /// heard had been told anything. None of them holds anything on lease then.
     fn all_started(&self) -> bool {
-        self.informed == 0 && 2 * self.started >= self.former
+        !self.informed && 2 * self.started.len() as u32 >= self.former
     }
 
     /// Takes what the group has noted. Only the note of a former leader counts as its word.
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -491,7 +491,7 @@
     let now = Instant::now();
     let mut leader = presence(&["box-1"], now);
     // Such a box was told nothing by the former leader.
-    leader.learn(None);
+    leader.learn(&"box-1".parse().unwrap(), None);
     assert_eq!(leader.unheard(), 1, "before the note is known");
     leader.restore(4);
     assert_eq!(leader.unheard(), 3);
@@ -519,13 +519,17 @@
     let now = Instant::now();
     let mut leader = presence(&["box-1"], now);
     leader.restore(4);
-    leader.learn(None);
+    leader.learn(&"box-1".parse().unwrap(), None);
+    assert_eq!(leader.unheard(), 3);
+    // Its next demands before its first heartbeat, and its next life, are no other box.
+    leader.learn(&"box-1".parse().unwrap(), None);
+    leader.learn(&"box-1".parse().unwrap(), None);
     assert_eq!(leader.unheard(), 3);
     leader.record(&"box-2".parse().unwrap(), now);
-    leader.learn(None);
+    leader.learn(&"box-2".parse().unwrap(), None);
     assert_eq!(leader.unheard(), 0);
     // One that a former leader had told something shows that not all have.
     leader.record(&"box-3".parse().unwrap(), now);
-    leader.learn(Some(4));
+    leader.learn(&"box-3".parse().unwrap(), Some(4));
     assert_eq!(leader.unheard(), 1);
 }
--- a/tests/team_limit.rs
+++ b/tests/team_limit.rs
@@ -304,7 +304,7 @@
     fn learn(&mut self, place: usize) {
         let entry = &self.boxes[place];
         if self.lives.insert((place, entry.life)) {
-            self.presence.learn(Some(entry.relays).filter(|relays| *relays > 0));
+            self.presence.learn(&entry.id, Some(entry.relays).filter(|relays| *relays > 0));
         }
     }
 
