--- a/src/decide/limit_leases.rs
+++ b/src/decide/limit_leases.rs
@@ -66,7 +66,7 @@
             Some(named) if is_later || named >= self.named => {
                 (self.limit, self.named) = (report.limit, named);
             }
-            None if is_later => (self.limit, self.named) = (report.limit, self.named),
+            None if is_later => self.limit = report.limit,
             Some(_) | None => {}
         }
         self.life = self.life.max(report.server.life);
