Test of a server where nobody listens holds its port

Cause, by the answer and by reading: another test's server took the port in between. Not reproduced.

Change: the port stays bound without listening, which refuses connects. Checks as before; the tests of this file pass.

--- a/tests/run_state.rs
+++ b/tests/run_state.rs
@@ -61,9 +61,10 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn nobody_listening_is_not_run() {
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = free.local_addr().unwrap();
-    drop(free);
+    // Bound and not listening: nobody else can take the port, and connects to it are refused.
+    let held = tokio::net::TcpSocket::new_v4().unwrap();
+    held.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = held.local_addr().unwrap();
     let cluster = Cluster::start(&[BoxPlan::replica("a")]).await;
     cluster.apply(&base_change(&[("d1", "desk", addr)])).await;
     cluster.wait_revision("a", 1).await;
