--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -158,6 +158,7 @@
         false => Reuse::Rested(MAX_IDLE_TIME),
     };
     let sent = relay.context.pool.send(known.server.addr, request, limit, reuse).await;
+    count_connect(relay, known, &sent);
     let exchange = match sent {
         Ok(exchange) => count_exchange(relay, call, known, exchange),
         Err(fault) => {
@@ -218,6 +219,17 @@
     }
 }
 
+/// Counts a new connection to a server, or the failure to open one.
+fn count_connect(relay: &Relay, known: &KnownServer, sent: &Result<Exchange, SendFault>) {
+    let outcome = match sent {
+        Ok(exchange) if exchange.connect.is_some() => "open",
+        Err(SendFault::Refused(_)) => "refused",
+        Err(SendFault::NotSent(_)) => "failed",
+        Ok(_) | Err(_) => return,
+    };
+    relay.context.metrics.count_connect(known.server.service.as_str(), outcome);
+}
+
 /// Counts the request and has the bytes of its reply counted. The connect time of a new connection
 /// is a distance sample.
 fn count_exchange(
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -39,6 +39,7 @@
     policy_faults: Counter<u64>,
     reports: Counter<u64>,
     ends: Counter<u64>,
+    connects: Counter<u64>,
     unread_entries: Counter<u64>,
     gauges: Gauges,
 }
@@ -80,6 +81,10 @@
                 "emberturn_backend_servers_ended",
                 "Backend servers that ended under requests of this box, by whether they were leaving",
             ),
+            connects: counter(
+                "emberturn_server_connects",
+                "Sends to backend servers that needed a connection, by service and outcome",
+            ),
             unread_entries: counter(
                 "emberturn_list_entries_unread",
                 "Entries of the list of backend servers that name none, by reason",
@@ -148,6 +153,12 @@
         self.ends.add(1, &[KeyValue::new("leaving", leaving)]);
     }
 
+    /// Counts a send that needed a new connection to a server of `service`.
+    pub fn count_connect(&self, service: &str, outcome: &'static str) {
+        let labels = [KeyValue::new("service", service.to_owned()), outcome_label(outcome)];
+        self.connects.add(1, &labels);
+    }
+
     /// Counts an entry of the list of backend servers that names none.
     pub fn count_unread_entry(&self, reason: &'static str) {
         self.unread_entries.add(1, &[KeyValue::new("reason", reason)]);
