Relay: a box that reaches no backend server has another box send its requests

What callers saw: at boxes that had lost their links to all backend servers nearly every request was refused, or held until a connect or the deadline ran out, while other boxes served theirs.

Cause: a box's only path to a server is its own.

Change: a failed connect is tried through another box, whose word tells whether path or server is at fault. Where several servers of a service are blocked for this box only, its path counts as lost and requests go through other boxes at once, until probes connect again. The leader assigns the boxes. Everything about a request is decided, charged and counted where its caller is. A refused connect ends a server, breaks count against a release, and late answers count for orders only if the path is sound.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -8,4 +8,4 @@
 pub mod pool;
 pub mod sse;
 
-pub use pool::{Exchange, IDLE_TOTAL, Pool, Reuse, SendFault};
+pub use pool::{Exchange, IDLE_TOTAL, Pool, Reuse, SendFault, Unsent};
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::decide::proxies::ProxyLease;
 use crate::http::silence::limit_silence;
 use crate::sync::lock;
 
@@ -83,6 +84,15 @@
     }
 }
 
+/// A request without an answer.
+#[derive(Debug)]
+pub struct Unsent {
+    /// What is known of it.
+    pub fault: SendFault,
+    /// The request, if no byte of it was sent.
+    pub request: Option<Request<Full<Bytes>>>,
+}
+
 /// A request that has been answered with a head; the body follows.
 pub struct Exchange {
     /// The status.
@@ -91,6 +101,8 @@
     pub headers: HeaderMap,
     /// How long the connect took; `None` on a connection that stood already.
     pub connect: Option<Duration>,
+    /// The box that forwarded the request, if this one has no path to the server.
+    pub lease: Option<ProxyLease>,
     body: Incoming,
     home: Option<(Pool, SocketAddr, Sender)>,
     keep: Duration,
@@ -149,6 +161,11 @@
         }
     }
 
+    /// Has the connection closed behind the answer, as what follows on it can't be relied on.
+    pub fn close_after(&mut self) {
+        self.home = None;
+    }
+
     fn count(&self, bytes: usize) {
         self.counter.fetch_add(bytes as u64, Ordering::Relaxed);
     }
@@ -220,6 +237,20 @@
         silence: Duration,
         reuse: Reuse,
     ) -> Result<Exchange, SendFault> {
+        self.send_or_return(addr, request, silence, reuse).await.map_err(|unsent| unsent.fault)
+    }
+
+    /// The same, but gives the request back when no byte of it was sent.
+    ///
+    /// # Errors
+    /// What is known of the request then.
+    pub async fn send_or_return(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        silence: Duration,
+        reuse: Reuse,
+    ) -> Result<Exchange, Box<Unsent>> {
         let mut request = request;
         let rest = match reuse {
             Reuse::Any => Some(Duration::MAX),
@@ -230,16 +261,28 @@
             while let Some(sender) = self.take(addr, rest) {
                 match self.send_on(addr, sender, request, silence).await {
                     Ok(exchange) => return Ok(exchange),
-                    Err((SendFault::NotSent(_), Some(unsent))) => request = unsent,
-                    Err((fault, _)) => return Err(fault),
+                    Err(Unsent { fault: SendFault::NotSent(_), request: Some(unsent) }) => {
+                        request = unsent;
+                    }
+                    Err(unsent) => return Err(Box::new(unsent)),
                 }
             }
         }
         let began = Instant::now();
-        let sender = connect(addr, self.connect_time.min(silence)).await?;
+        let sender = match connect(addr, self.connect_time.min(silence)).await {
+            Ok(sender) => sender,
+            Err(fault) => return Err(Box::new(Unsent { fault, request: Some(request) })),
+        };
         let connect = Some(began.elapsed());
         let sent = self.send_on(addr, sender, request, silence).await;
-        sent.map(|exchange| Exchange { connect, ..exchange }).map_err(|(fault, _)| fault)
+        sent.map(|exchange| Exchange { connect, ..exchange }).map_err(Box::new)
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        let mut lists = self.lists();
+        let closed = lists.by_addr.remove(&addr).map_or(0, |list| list.len());
+        lists.count -= closed;
     }
 
     /// Asks whether anybody listens at an address.
@@ -256,24 +299,29 @@
         mut sender: Sender,
         request: Request<Full<Bytes>>,
         silence: Duration,
-    ) -> Result<Exchange, (SendFault, Option<Request<Full<Bytes>>>)> {
+    ) -> Result<Exchange, Unsent> {
         let sending = tokio::time::timeout(silence, sender.try_send_request(request)).await;
         match sending {
-            Err(_) => Err((SendFault::TimedOut, None)),
+            Err(_) => Err(Unsent { fault: SendFault::TimedOut, request: None }),
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
                 let home = Some((self.clone(), addr, sender));
                 let keep = keep_time(&parts.headers);
                 let counter = Arc::default();
                 let (status, headers, connect) = (parts.status, parts.headers, None);
-                Ok(Exchange { status, headers, connect, body, home, keep, counter })
+                let lease = None;
+                Ok(Exchange { status, headers, connect, lease, body, home, keep, counter })
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The library gives the request back only when it wrote nothing of it.
                 Some(unsent) => {
-                    Err((SendFault::NotSent(error.into_error().to_string()), Some(unsent)))
+                    let fault = SendFault::NotSent(error.into_error().to_string());
+                    Err(Unsent { fault, request: Some(unsent) })
+                }
+                None => {
+                    let fault = SendFault::Broke(error.into_error().to_string());
+                    Err(Unsent { fault, request: None })
                 }
-                None => Err((SendFault::Broke(error.into_error().to_string()), None)),
             },
         }
     }
--- a/src/blackboard/fleet.rs
+++ b/src/blackboard/fleet.rs
@@ -58,6 +58,7 @@
     ejections: u32,
     ejected: Option<Instant>,
     service_time: Option<f64>,
+    heard_at: Option<Instant>,
     prefixes: HashMap<u64, Instant>,
     faults: FaultTracker,
 }
@@ -205,6 +206,16 @@
         inner.service_time = Some(mean + MEAN_WEIGHT * (seconds - mean));
     }
 
+    /// Takes note that something of the server arrived over this box's own connections.
+    pub fn hear(&self) {
+        self.lock().heard_at = Some(Instant::now());
+    }
+
+    /// When something of the server arrived last over this box's own connections.
+    pub fn heard_at(&self) -> Option<Instant> {
+        self.lock().heard_at
+    }
+
     /// Takes note of a failure; `true` when it is set aside for it.
     pub fn fail(&self) -> bool {
         let mut inner = self.lock();
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -23,6 +23,7 @@
 use crate::decide::lives;
 use crate::decide::loads::{self, LoadPool};
 use crate::decide::presence::{ABSENCE_TIMEOUT, RelayPresence};
+use crate::decide::proxy_directory::ProxyDirectory;
 use crate::decide::quarantine::{FleetQuarantine, QuarantineReport, QuarantineUpdate};
 use crate::decide::report_delta::{DeltaReceiver, ReportDelta};
 use crate::decide::throttle::{LimitLease, LimitReport};
@@ -139,6 +140,8 @@
     pub(super) rollouts: LeaderRollouts,
     pub(super) quarantine: FleetQuarantine,
     limit_leases: LimitLeases,
+    /// The boxes that send requests for others.
+    pub(super) proxies: ProxyDirectory,
 }
 
 impl LeaderState {
@@ -171,6 +174,7 @@
             rollouts: LeaderRollouts::default(),
             quarantine: FleetQuarantine::default(),
             limit_leases: LimitLeases::default(),
+            proxies: ProxyDirectory::default(),
         }
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 //! - [`document_fetch`] fetches the published document for a box, and [`document_source`] serves it from replicas.
 //! - [`fetch`] fetches a relay's parts of the list of backend servers.
 //! - [`models`] builds the updates of the engine models for relays.
+//! - [`proxies`] has the leader assign the boxes through which a relay reaches servers that it does not reach itself.
 //! - [`quarantine`] handles operators' requests on quarantined requests.
 //! - [`rollouts`] handles operators' requests on rollouts, and advances the rollouts at the leader.
 //! - [`load`] polls engines for their load.
@@ -27,6 +28,7 @@
 pub(crate) mod load;
 pub(crate) mod models;
 pub(crate) mod notes;
+pub(crate) mod proxies;
 pub(crate) mod publish;
 pub(crate) mod quarantine;
 pub(crate) mod rollouts;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,8 @@
 //! - [`memory`]: memory accounting of a box, and when it accepts no more; [`slowness`]: which slow
 //!   callers it disconnects.
 //! - [`pause`]: the pauses that servers ask a box for.
+//! - [`paths`]: which servers a box reaches over its own links; [`proxies`], [`proxy_directory`]: through which boxes it
+//!   reaches the others.
 //! - [`policy`]: operators' programs that decide where requests may run and whether they may wait.
 //! - [`admission`]: whether a request may run now, within its team's limits.
 //! - [`allowance`], [`token_bucket`]: a team's rate limit, on one box and over all boxes.
@@ -58,9 +60,12 @@
 pub mod memory;
 pub mod nearest;
 pub mod orders;
+pub mod paths;
 pub mod pause;
 pub mod policy;
 pub mod presence;
+pub mod proxies;
+pub mod proxy_directory;
 pub mod quarantine;
 pub mod queue;
 pub mod reclaim;
--- a/src/decide/releases.rs
+++ b/src/decide/releases.rs
@@ -137,6 +137,11 @@
         ReleaseChoice { release: releases.in_force.clone(), uses_permit: false }
     }
 
+    /// Whether a release of a service is on trial.
+    pub fn has_trial(&self, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|releases| releases.trial.is_some())
+    }
+
     /// Records how a server answered a request on a route. Returns `true` if the box stops using
     /// the release because of it.
     pub fn record_outcome(
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -18,6 +18,7 @@
 use super::message::MemberChange;
 use crate::control::demand::{DemandReply, DemandRequest};
 use crate::control::heartbeat::{BoxHeartbeat, HeartbeatReply};
+use crate::control::proxies::{ProxyReply, ProxyRequest};
 use crate::control::share::ShareRequest;
 use crate::control::throttle::{ThrottleReply, ThrottleRequest};
 use crate::decide::share::Share;
@@ -139,6 +140,29 @@
         self.until_answered(method::THROTTLE, request, limit, BEAT_TIME).await
     }
 
+    /// Reports this box to the leader and has it assign proxies. Asks only the leader that is known: one of a former
+    /// release does not know the method, which must not have the box look for another leader.
+    ///
+    /// # Errors
+    /// When no leader is known, or it does not answer within `limit`.
+    pub(crate) async fn assign_proxies(
+        &self,
+        report: &ProxyRequest,
+        limit: Duration,
+    ) -> Result<ProxyReply, NoGroup> {
+        let (_, addr) = self
+            .leader()
+            .and_then(|id| Some((id.clone(), self.directory.find(&id)?)))
+            .ok_or(NoGroup)?;
+        let call = self.peers.call::<_, Result<ProxyReply, Unanswered>>(
+            addr,
+            method::PROXIES,
+            report,
+            limit,
+        );
+        call.await.ok().and_then(Result::ok).ok_or(NoGroup)
+    }
+
     /// Asks the leader for parts of the list of backend servers.
     ///
     /// # Errors
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -7,11 +7,11 @@
 
 use super::Node;
 use crate::backend::Pool;
-use crate::control::{demand, fetch, heartbeat, throttle};
+use crate::control::{demand, fetch, heartbeat, proxies, throttle};
 use crate::group::join::Joiner;
 use crate::platform::operator;
 use crate::relay::listen::Listeners;
-use crate::relay::{Relay, RelayContext, ends, lives};
+use crate::relay::{Relay, RelayContext, ends, lives, reach};
 use crate::settings::Role;
 use crate::state::document::{Document, Version};
 
@@ -32,6 +32,7 @@
             board: self.board.clone(),
             pool: Pool::new(CONNECT_TIME),
             dialect: self.dialect.clone(),
+            secret: self.settings.peer.secret.clone(),
             metrics: self.metrics.clone(),
             closing: self.follow_closing(),
         }));
@@ -41,7 +42,9 @@
         let box_id = self.settings.node.box_id.clone();
         tokio::spawn(heartbeat::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
         tokio::spawn(demand::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
-        tokio::spawn(throttle::run(relay.clone(), self.access.clone(), box_id, self.life));
+        tokio::spawn(throttle::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
+        tokio::spawn(proxies::run(relay.clone(), self.access.clone(), box_id));
+        tokio::spawn(reach::run(relay.clone()));
         tokio::spawn(fetch::run(relay.clone(), self.access.clone()));
         tokio::spawn(lives::run(relay.clone()));
         tokio::spawn(ends::run(relay.clone()));
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -9,6 +9,7 @@
 pub use crate::control::demand::{DemandReply, DemandRequest};
 pub use crate::control::heartbeat::{BoxHeartbeat, HeartbeatReply};
 pub use crate::control::models::ModelsUpdate;
+pub use crate::control::proxies::{ProxyReply, ProxyRequest};
 pub use crate::control::throttle::{LeaderClock, ThrottleReply, ThrottleRequest};
 use crate::error::Kind;
 use crate::group::message::Members;
@@ -56,6 +57,8 @@
 pub const DEMAND: &str = "relay_demand";
 /// Takes a [`ThrottleRequest`]; answers a [`ThrottleReply`].
 pub const THROTTLE: &str = "relay_throttle";
+/// Takes a [`ProxyRequest`]; answers a [`ProxyReply`].
+pub const PROXIES: &str = "relay_proxies";
 /// Takes the names of parts of the list of backend servers; answers their contents.
 pub const LIST_PARTS: &str = "relay_list_parts";
 /// Takes a [`DocumentAsk`]; answers a [`DocumentPiece`], or nothing where this replica does not have the document
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -16,10 +16,12 @@
 use super::client::MESSAGE_LIMIT;
 use super::method::{
     self, BoxHeartbeat, Call, DemandReply, DemandRequest, DocumentAsk, DocumentPiece, GroupStatus,
-    HeartbeatReply, NodeStatus, Poll, PollReply, QuarantineAnswer, QuarantineAsk, RolloutAnswer,
-    RolloutAsk, ThrottleReply, ThrottleRequest, Update,
+    HeartbeatReply, NodeStatus, Poll, PollReply, ProxyReply, ProxyRequest, QuarantineAnswer,
+    QuarantineAsk, RolloutAnswer, RolloutAsk, ThrottleReply, ThrottleRequest, Update,
+};
+use crate::control::{
+    demand, document_source, lead, proxies, quarantine, rollouts, share, throttle,
 };
-use crate::control::{demand, document_source, lead, quarantine, rollouts, share, throttle};
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
@@ -83,6 +85,7 @@
     register(&mut module, method::BEAT, beat)?;
     register(&mut module, method::DEMAND, demanded)?;
     register(&mut module, method::THROTTLE, throttled)?;
+    register(&mut module, method::PROXIES, assign_proxies)?;
     register(&mut module, method::LIST_PARTS, list_parts)?;
     register(&mut module, method::DOCUMENT, document_piece)?;
     register(&mut module, method::ROLLOUT, rollout)?;
@@ -188,6 +191,13 @@
     Ok(throttle::answer(node, limits).await)
 }
 
+async fn assign_proxies(
+    node: Arc<Node>,
+    report: ProxyRequest,
+) -> Result<Result<ProxyReply, Unanswered>, String> {
+    Ok(proxies::answer(node, report).await)
+}
+
 async fn list_parts(
     node: Arc<Node>,
     Packed(wanted): Packed<Vec<PartId>>,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,6 +1,7 @@
 //! A single send of a call to a backend server, and what a failed send proves about the request.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use super::call::{Call, KvCacheExport, ReplyHead, SendContext, ServerLoad};
 use super::ends;
 use super::known::KnownServer;
+use super::reach;
 use super::table::Route;
 use crate::backend::{Exchange, Reuse, SendFault};
 use crate::clock;
@@ -19,6 +21,7 @@
 use crate::decide::retry_budgets::RetryLimit;
 use crate::decide::throttle::{LimitChange, LimitNotice};
 use crate::error::Kind;
+use crate::telemetry::volume;
 
 /// Longest idle time of a pooled connection that carries a non-repeatable request. The server is
 /// unlikely to close a connection that was used this recently at the moment it is reused.
@@ -144,7 +147,7 @@
     relay: &Relay,
     call: &Call,
     route: &Route,
-    known: &KnownServer,
+    known: &Arc<KnownServer>,
     start: StartState<'_>,
     limit: Duration,
 ) -> Result<CheckedReply, SendFailure> {
@@ -157,8 +160,7 @@
         true => Reuse::Any,
         false => Reuse::Rested(MAX_IDLE_TIME),
     };
-    let sent = relay.context.pool.send(known.server.addr, request, limit, reuse).await;
-    count_connect(relay, known, &sent);
+    let sent = reach::send(relay, known, request, limit, reuse).await;
     let exchange = match sent {
         Ok(exchange) => count_exchange(relay, call, known, exchange),
         Err(fault) => {
@@ -167,19 +169,14 @@
                 ends::record_end(relay, known);
             }
             if !fault.is_not_sent() {
-                relay.record_outcome(known, &route.name, AnswerOutcome::Failed);
+                reach::record_break(relay, known, &route.name);
             }
             return Err(SendFailure::from_fault(fault));
         }
     };
+    log_proxy(call, known, &exchange);
     let head = relay.context.dialect.read_reply(call, exchange.status, &exchange.headers);
-    if let Some(load) = head.load {
-        record_load(relay, known, load);
-    }
-    // A misdirected request was answered by a different server.
-    if exchange.status != StatusCode::MISDIRECTED_REQUEST {
-        record_server_notices(relay, known, &head);
-    }
+    record_reply(relay, known, exchange.status, &head);
     let encoded = exchange.headers.contains_key(hyper::header::CONTENT_ENCODING);
     match classify_reply(exchange.status, &head, encoded) {
         ReplyClass::Forward => Ok(CheckedReply { exchange, failed: false }),
@@ -219,17 +216,6 @@
     }
 }
 
-/// Counts a new connection to a server, or the failure to open one.
-fn count_connect(relay: &Relay, known: &KnownServer, sent: &Result<Exchange, SendFault>) {
-    let outcome = match sent {
-        Ok(exchange) if exchange.connect.is_some() => "open",
-        Err(SendFault::Refused(_)) => "refused",
-        Err(SendFault::NotSent(_)) => "failed",
-        Ok(_) | Err(_) => return,
-    };
-    relay.context.metrics.count_connect(known.server.service.as_str(), outcome);
-}
-
 /// Counts the request and has the bytes of its reply counted. The connect time of a new connection
 /// is a distance sample.
 fn count_exchange(
@@ -273,6 +259,32 @@
     }
 }
 
+/// Records what a reply says of its server.
+pub(super) fn record_reply(
+    relay: &Relay,
+    known: &KnownServer,
+    status: StatusCode,
+    head: &ReplyHead,
+) {
+    if let Some(load) = head.load {
+        record_load(relay, known, load);
+    }
+    // A misdirected request was answered by a different server.
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        record_server_notices(relay, known, head);
+    }
+}
+
+/// Logs which box forwarded a request, within the log's volume limit.
+fn log_proxy(call: &Call, known: &KnownServer, exchange: &Exchange) {
+    if let Some(lease) = exchange.lease.as_ref().filter(|_| volume::allows_ordinary()) {
+        tracing::info!(
+            event = "request_proxied", id = call.head.id, backend_server = %known.server.id,
+            proxy = %lease.proxy.box_id,
+        );
+    }
+}
+
 /// Records what a reply asks of this box: a rate limit, a pause, or no further requests because the
 /// server is shutting down.
 fn record_server_notices(relay: &Relay, known: &KnownServer, head: &ReplyHead) {
--- a/src/relay/ends.rs
+++ b/src/relay/ends.rs
@@ -14,6 +14,7 @@
 use super::Relay;
 use super::known::KnownServer;
 use super::quarantine;
+use super::reach;
 use crate::backend::SendFault;
 use crate::decide::ends::CrashReport;
 use crate::ids::{BackendId, Fingerprint};
@@ -120,14 +121,16 @@
 }
 
 async fn probe(relay: Arc<Relay>, known: Arc<KnownServer>) {
+    let broke_at = Instant::now();
     for pause in PROBE_DELAYS {
         tokio::time::sleep(pause).await;
-        let has_ended = known.state.is_over()
-            || matches!(
-                relay.context.pool.probe(known.server.addr).await,
-                Err(SendFault::Refused(_))
-            );
-        if has_ended {
+        let is_refused = || async {
+            let probed = relay.context.pool.probe(known.server.addr).await;
+            matches!(probed, Err(SendFault::Refused(_)))
+        };
+        if known.state.is_over()
+            || (is_refused().await && reach::has_ended(&relay, &known, broke_at).await)
+        {
             record_end(&relay, &known);
             return;
         }
--- a/src/relay/listen.rs
+++ b/src/relay/listen.rs
@@ -1,4 +1,4 @@
-//! The listeners for callers and for the platform's load balancer.
+//! The listeners for callers, for other boxes and for the platform's load balancer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use super::{Relay, serve};
+use super::{Relay, forward, serve};
 use crate::backend::IDLE_TOTAL;
 use crate::blackboard::Phase;
 use crate::error::{Failure, Kind};
@@ -54,9 +54,10 @@
     }
 }
 
-/// The two listeners of a relay.
+/// The listeners of a relay.
 pub struct Listeners {
     callers: TcpListener,
+    boxes: TcpListener,
     balancer: TcpListener,
 }
 
@@ -69,9 +70,12 @@
     pub async fn open(relay: &Relay) -> Result<Self> {
         let callers = server::listen(relay.context.settings.listen, "callers").await?;
         let balancer = server::listen(relay.context.settings.ready, "the balancer").await?;
+        let boxes = forward::open(relay.context.settings.forward).await?;
+        let _ = relay.forward_addr.set(boxes.local_addr()?);
         tracing::info!(event = "listening", side = "relay", addr = %callers.local_addr()?);
         tracing::info!(event = "listening", side = "ready", addr = %balancer.local_addr()?);
-        Ok(Self { callers, balancer })
+        tracing::info!(event = "listening", side = "forward", addr = %boxes.local_addr()?);
+        Ok(Self { callers, boxes, balancer })
     }
 
     /// Serves both listeners until the process ends.
@@ -81,6 +85,7 @@
         let closing = relay.context.closing.clone();
         let gate = relay.gate.clone();
         tokio::spawn(server::run(self.callers, gate, closing, handler, too_many_callers));
+        forward::serve(relay, self.boxes);
         let asked = relay.clone();
         let answer_readiness = move |_: Request<Incoming>| {
             let answer = readiness(&asked);
--- a/src/relay/lives.rs
+++ b/src/relay/lives.rs
@@ -12,6 +12,7 @@
 use super::Relay;
 use super::call::ServerReport;
 use super::known::KnownServer;
+use super::reach;
 use crate::backend::{Reuse, SendFault};
 use crate::decide::lives::IncarnationUpdate;
 
@@ -56,7 +57,7 @@
 
 async fn fetch_report(
     relay: &Relay,
-    known: &KnownServer,
+    known: &Arc<KnownServer>,
 ) -> Result<Option<ServerReport>, SendFault> {
     let addr = known.server.addr;
     let (path, mut headers) = relay.context.dialect.write_report(&known.server.id);
@@ -66,7 +67,7 @@
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(path);
     *request.headers_mut() = headers;
-    let exchange = relay.context.pool.send(addr, request, REPORT_TIMEOUT, Reuse::Any).await?;
+    let exchange = reach::send(relay, known, request, REPORT_TIMEOUT, Reuse::Any).await?;
     let status = exchange.status;
     let body = exchange.read_whole(MAX_REPORT_BYTES, REPORT_TIMEOUT).await?;
     Ok(if status.is_success() { relay.context.dialect.read_report(&body) } else { None })
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,6 +19,8 @@
 //!   requests that ran on them.
 //! - [`quarantine`] refuses requests that crash the servers they run on.
 //! - [`restraint`] holds the rate limits and pauses that servers requested of this box.
+//! - [`reach`] connects to servers, through another box if this one has no path to them; [`hop`] is the form in which
+//!   boxes hand requests to each other, and [`forward`] sends those of other boxes.
 //! - [`moving`] migrates running streams off servers that are shutting down.
 //! - [`keeping`] accounts for the memory that a request occupies, and [`taking`] buffers its answer
 //!   until the caller has received it.
@@ -38,6 +40,8 @@
 pub mod ends;
 pub mod engines;
 pub(crate) mod events;
+pub(crate) mod forward;
+pub mod hop;
 pub(crate) mod keeping;
 pub mod known;
 pub mod list;
@@ -51,6 +55,7 @@
 pub(crate) mod pick;
 pub mod plain;
 pub(crate) mod quarantine;
+pub mod reach;
 pub(crate) mod restraint;
 pub mod serve;
 pub mod servers;
@@ -60,9 +65,10 @@
 pub mod traffic;
 pub mod usage;
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -77,8 +83,10 @@
 use crate::decide::intervals::{HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL};
 use crate::decide::loads::LoadPool;
 use crate::decide::memory::MemoryBudget;
+use crate::decide::paths::Paths;
 use crate::decide::pause::Pauses;
 use crate::decide::presence::ASSUMED_RELAYS;
+use crate::decide::proxies::ProxyPool;
 use crate::decide::quarantine::BoxQuarantine;
 use crate::decide::releases::{AnswerOutcome, ReleaseTable};
 use crate::decide::retry_budgets::RetryBudgets;
@@ -86,7 +94,7 @@
 use crate::decide::throttle::Throttles;
 use crate::decide::topology::Topology;
 use crate::http::gate::Gate;
-use crate::ids::{BackendId, ServiceName, Version};
+use crate::ids::{BackendId, Release, ServiceName, Version};
 use crate::settings::RelaySettings;
 use crate::sync::lock;
 use crate::telemetry::Metrics;
@@ -115,6 +123,8 @@
     pub pool: Pool,
     /// Parser and writer of the wire formats.
     pub dialect: Arc<dyn Dialect>,
+    /// The secret that boxes share.
+    pub secret: String,
     /// The node's metrics.
     pub metrics: Arc<Metrics>,
     /// Becomes `true` when the node shuts down and connections close after their current request.
@@ -145,6 +155,13 @@
     quarantine: Mutex<BoxQuarantine>,
     throttles: Mutex<Throttles>,
     pauses: Mutex<Pauses>,
+    paths: Mutex<Paths>,
+    proxies: Mutex<ProxyPool>,
+    /// Where requests of other boxes are taken, once that is so.
+    pub forward_addr: OnceLock<SocketAddr>,
+    path_checks: reach::PathChecks,
+    /// Notified when a path to a service is lost or restored.
+    pub(crate) paths_changed: Notify,
     /// Exchanges that broke off, kept until it is known whether their server has ended.
     pub ends: EndDetector,
     /// Requests and bytes exchanged with backend servers.
@@ -191,6 +208,11 @@
             quarantine: Mutex::default(),
             throttles: Mutex::default(),
             pauses: Mutex::default(),
+            paths: Mutex::default(),
+            proxies: Mutex::default(),
+            forward_addr: OnceLock::new(),
+            path_checks: reach::PathChecks::default(),
+            paths_changed: Notify::new(),
             ends: EndDetector::default(),
             traffic: TrafficCounters::default(),
             relay_count: AtomicU32::new(0),
@@ -352,13 +374,20 @@
     /// Records how a server answered a request of a route, to judge the server's release. If this
     /// box's own observations show that the release is bad, it reports to the leader at once.
     pub fn record_outcome(&self, known: &KnownServer, route: &str, outcome: AnswerOutcome) {
-        let server = &known.server;
-        let stops =
-            self.releases().record_outcome(&server.service, &server.release, route, outcome);
+        self.record_release_outcome(&known.server.service, &known.server.release, route, outcome);
+    }
+
+    /// The same, by the server's service and release.
+    fn record_release_outcome(
+        &self,
+        service: &ServiceName,
+        release: &Release,
+        route: &str,
+        outcome: AnswerOutcome,
+    ) {
+        let stops = self.releases().record_outcome(service, release, route, outcome);
         if stops {
-            tracing::warn!(
-                event = "release_stopped", service = %server.service, release = %server.release, route,
-            );
+            tracing::warn!(event = "release_stopped", %service, %release, route);
             self.heartbeat_requested.notify_one();
         }
     }
@@ -383,6 +412,16 @@
         lock(&self.pauses)
     }
 
+    /// Which servers this box reaches over its own links.
+    pub fn paths(&self) -> MutexGuard<'_, Paths> {
+        lock(&self.paths)
+    }
+
+    /// The boxes through which it reaches the others.
+    pub fn proxies(&self) -> MutexGuard<'_, ProxyPool> {
+        lock(&self.proxies)
+    }
+
     /// Rate limits announced by servers.
     pub fn throttles(&self) -> MutexGuard<'_, Throttles> {
         lock(&self.throttles)
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -6,6 +6,7 @@
 //! is still the same run, so it uses up no retry and does not count as a repetition.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -20,6 +21,7 @@
 use super::call::{Call, KvCacheExport, MoveReply};
 use super::known::KnownServer;
 use super::quarantine;
+use super::reach;
 use super::stream::{EventSource, StartOutcome, StreamProgress, next_events, start_stream};
 use super::table::{EngineSpec, Route};
 use crate::backend::{Reuse, SendFault};
@@ -202,7 +204,7 @@
 async fn request_export(
     relay: &Relay,
     call: &Call,
-    source: &KnownServer,
+    source: &Arc<KnownServer>,
     target: SocketAddr,
 ) -> Option<(StatusCode, String)> {
     let (path, headers, body) = relay.context.dialect.write_move(call, &source.server.id, target);
@@ -215,8 +217,7 @@
         .ok()?;
     request.headers_mut().extend(headers);
     let answered = async {
-        let addr = source.server.addr;
-        let exchange = relay.context.pool.send(addr, request, MOVE_TIMEOUT, Reuse::Any).await?;
+        let exchange = reach::send(relay, source, request, MOVE_TIMEOUT, Reuse::Any).await?;
         let status = exchange.status;
         let body = exchange.read_whole(MAX_REPLY_BYTES, MOVE_TIMEOUT).await?;
         Ok::<_, SendFault>((status, body))
--- a/src/relay/restraint.rs
+++ b/src/relay/restraint.rs
@@ -36,12 +36,15 @@
         self.limit_state(known).is_some()
     }
 
+    /// Whether a server asked this box for a pause that has not ended.
+    pub(super) fn is_paused(&self, known: &KnownServer) -> bool {
+        let life = self.paused.get(&known.server.id);
+        life.is_some_and(|life| may_be_same_incarnation(*life, known.incarnation()))
+    }
+
     /// Whether this box may send a request to a server.
     pub(super) fn allows(&self, known: &KnownServer) -> bool {
-        let life = self.paused.get(&known.server.id);
-        let is_paused =
-            life.is_some_and(|life| may_be_same_incarnation(*life, known.incarnation()));
-        !is_paused && self.limit_state(known).is_none_or(|state| state.is_open)
+        !self.is_paused(known) && self.limit_state(known).is_none_or(|state| state.is_open)
     }
 }
 
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -181,7 +181,9 @@
             Ok(response)
         }
         Err(failure) => {
-            if failure.kind == Kind::BackendTimeout {
+            // Time lost to this box's own links is not the engines'.
+            let is_reached = || !relay.paths().was_impaired(&service, arrived);
+            if failure.kind == Kind::BackendTimeout && is_reached() {
                 relay.engines().record_served(&service, true);
             }
             refund(&failure);
@@ -229,7 +231,7 @@
     urgency.saturating_add(route.priority).min(LOWEST_URGENCY)
 }
 
-fn build_call(
+pub(super) fn build_call(
     team: Option<&Team>,
     urgency: u8,
     head: CallHead,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -20,6 +20,7 @@
 use super::moving::{self, MoveOutcome, move_stream};
 use super::plain::{read_whole, strip_hop_by_hop_headers};
 use super::quarantine;
+use super::reach;
 use super::table::{Repeat, Route};
 use super::taking;
 use crate::backend::{Exchange, SendFault};
@@ -486,6 +487,9 @@
     };
     match received {
         Some(piece) => {
+            if source.exchange.lease.is_none() {
+                source.flight.server().state.hear();
+            }
             source.cutter.push(&piece);
             progress.take_events(source).map(Some)
         }
@@ -522,7 +526,7 @@
     if matches!(fault, SendFault::Broke(_)) {
         relay.ends.record_break(known, call.fingerprint());
     }
-    relay.record_outcome(known, &route.name, AnswerOutcome::Failed);
+    reach::record_break(relay, known, &route.name);
     tracing::info!(
         event = "stream_broke", id = call.head.id, request = %call.fingerprint(), route = route.name,
         backend_server = %known.server.id, detail = %fault, last = progress.last_event_id,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -281,7 +281,7 @@
         let regions = read_regions(&mut reader, node.as_ref());
         let platform = read_platform(&mut reader);
         let group = service::read_group(&mut reader);
-        let relay = service::read_relay(&mut reader);
+        let relay = service::read_relay(&mut reader, peer.listen);
         let quota = service::read_quota(&mut reader);
         let rollout = service::read_rollout(&mut reader);
         let operator = service::read_operator(&mut reader);
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -37,6 +37,8 @@
     pub listen: SocketAddr,
     /// Address at which the platform's balancer asks whether the node takes callers.
     pub ready: SocketAddr,
+    /// Address at which requests are taken of boxes that do not reach backend servers themselves.
+    pub forward: SocketAddr,
     /// Within this time after a change was acknowledged, no request is handled as only older routes have it.
     pub apply_time: Millis,
     /// Within this time after a key was taken away, no request with it may begin to run.
@@ -132,13 +134,15 @@
     settings
 }
 
-pub(super) fn read_relay(reader: &mut Reader) -> Option<RelaySettings> {
+pub(super) fn read_relay(reader: &mut Reader, peer: SocketAddr) -> Option<RelaySettings> {
     if !reader.has("relay") {
         return None;
     }
     let mut section = reader.section("relay");
     let listen = section.required("listen");
     let ready = section.required("ready");
+    let next = SocketAddr::new(peer.ip(), peer.port().checked_add(1).unwrap_or(0));
+    let forward = section.value("forward", next);
     let apply_time = section.time("apply_time", Millis(2_000));
     let revoke_time = section.time("revoke_time", Millis(5_000));
     let retry_ratio = section.number("retry_ratio", 0.2);
@@ -162,6 +166,7 @@
     Some(RelaySettings {
         listen: listen?,
         ready: ready?,
+        forward,
         apply_time,
         revoke_time,
         retry_ratio,
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -41,6 +41,9 @@
     quarantined: Gauge<u64>,
     limited: Gauge<u64>,
     paused: Gauge<u64>,
+    paths_lost: Gauge<u64>,
+    blocked: Gauge<u64>,
+    proxies: Gauge<u64>,
 }
 
 impl Gauges {
@@ -85,6 +88,15 @@
                 "emberturn_backend_servers_paused",
                 "Backend servers that asked this box for a pause",
             ),
+            paths_lost: count(
+                "emberturn_server_paths_lost",
+                "Services whose servers this box reaches through other boxes only",
+            ),
+            blocked: count(
+                "emberturn_backend_servers_blocked",
+                "Backend servers of other services that other boxes reach and this one does not",
+            ),
+            proxies: count("emberturn_proxies", "Boxes that send requests for this one if need be"),
             lines: count("emberturn_log_lines_not_written", "Log lines not written, by reason"),
             distance: meter
                 .f64_gauge("emberturn_distance_ms")
@@ -173,6 +185,9 @@
         self.quarantined.record(relay.quarantine().len() as u64, &[]);
         self.limited.record(relay.throttles().limited_count() as u64, &[]);
         self.paused.record(relay.pauses().active_count(clock::now()) as u64, &[]);
+        self.paths_lost.record(relay.paths().lost_services().len() as u64, &[]);
+        self.blocked.record(relay.paths().blocked_count() as u64, &[]);
+        self.proxies.record(relay.proxies().len() as u64, &[]);
         let list = relay.servers.version();
         self.list_term.record(list.term.0, &[]);
         self.list_place.record(list.sequence, &[]);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -40,6 +40,8 @@
     reports: Counter<u64>,
     ends: Counter<u64>,
     connects: Counter<u64>,
+    forwards: Counter<u64>,
+    proxied: Counter<u64>,
     unread_entries: Counter<u64>,
     gauges: Gauges,
 }
@@ -81,6 +83,14 @@
                 "emberturn_backend_servers_ended",
                 "Backend servers that ended under requests of this box, by whether they were leaving",
             ),
+            forwards: counter(
+                "emberturn_forwards",
+                "Requests of other boxes that this one was asked to send, by outcome",
+            ),
+            proxied: counter(
+                "emberturn_proxied",
+                "Requests that this box handed to another one, by outcome",
+            ),
             connects: counter(
                 "emberturn_server_connects",
                 "Sends to backend servers that needed a connection, by service and outcome",
@@ -159,6 +169,16 @@
         self.connects.add(1, &labels);
     }
 
+    /// Counts a request of another box.
+    pub fn count_forward(&self, outcome: &'static str) {
+        self.forwards.add(1, &[outcome_label(outcome)]);
+    }
+
+    /// Counts a request that was handed to another box.
+    pub fn count_proxied(&self, outcome: &'static str) {
+        self.proxied.add(1, &[outcome_label(outcome)]);
+    }
+
     /// Counts an entry of the list of backend servers that names none.
     pub fn count_unread_entry(&self, reason: &'static str) {
         self.unread_entries.add(1, &[KeyValue::new("reason", reason)]);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -116,7 +116,7 @@
     let text = fill(&template("relay.ini"), &fields(&Map::new()));
     let filled = Settings::parse("relay.ini", &text).unwrap();
     let defaults = "[node]\nbox_id = 10.1.0.16\ndata_centre = north\nroles = relay\n\
-        [group]\nseeds = 10.1.0.16:8229\n\
+        [peer]\nlisten = 10.1.0.16:7600\n[group]\nseeds = 10.1.0.16:8229\n\
         [relay]\nlisten = 10.1.0.16:8221\nready = 10.1.0.16:8224\n";
     let bare = Settings::parse("relay.ini", defaults).unwrap();
     assert_eq!(format!("{:?}", filled.relay), format!("{:?}", bare.relay));
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -15,7 +15,7 @@
 use emberturn::relay::list::{IncarnationReport, ListIndex, Server};
 use emberturn::relay::list_registry::ListRegistry;
 use emberturn::relay::listen::Listeners;
-use emberturn::relay::{Relay, RelayContext, ends, lives};
+use emberturn::relay::{Relay, RelayContext, ends, lives, reach};
 use emberturn::settings::Settings;
 use emberturn::telemetry::Metrics;
 use serde_json::{Value, json};
@@ -124,7 +124,7 @@
         let (addr, ready) = (free_addr(), free_addr());
         let text = format!(
             "[node]\nbox_id = relay\ndata_centre = here\nroles = relay\n[replicas]\nr = 127.0.0.1:1\n\
-             [relay]\nlisten = {addr}\nready = {ready}\n{extra}"
+             [relay]\nlisten = {addr}\nready = {ready}\nforward = 127.0.0.1:0\n{extra}"
         );
         let settings = Settings::parse("relay.ini", &text).unwrap();
         let board = Arc::new(Blackboard::new("relay".parse().unwrap()));
@@ -135,12 +135,14 @@
             board: board.clone(),
             pool: Pool::default(),
             dialect: Arc::new(PlatformDialect),
+            secret: String::new(),
             metrics: Arc::new(Metrics::new().unwrap()),
             closing: follow,
         }));
         Listeners::open(&relay).await.ok()?.serve(&relay);
         tokio::spawn(lives::run(relay.clone()));
         tokio::spawn(ends::run(relay.clone()));
+        tokio::spawn(reach::run(relay.clone()));
         Some(Self { addr, ready, board, relay, leader: Mutex::default(), closing })
     }
 
