Limits: servers that fall over when they reject too much get no more than they can run

Cause: a box sends to a server until that one rejects, and offers a rejected request to two more. Over all boxes a full service rejects far more requests in a second than a server may bear that names Server-Brittle.

Change: while a server of a service says so, each box keeps to a share of three quarters of each server's slots, that differs by box so that all together leave some free; few boxes also use what a recent report shows to be free. A rejection beyond the box's share of the number closes the server for it, and a rejected request is offered to no second one.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,7 +5,7 @@
 //!   which may be next.
 //! - [`memory`]: memory accounting of a box, and when it accepts no more; [`slowness`]: which slow
 //!   callers it disconnects.
-//! - [`pause`]: the pauses that servers ask a box for.
+//! - [`pause`]: the pauses that servers ask a box for; [`brittle`]: servers that fall over when they reject too much.
 //! - [`paths`]: which servers a box reaches over its own links; [`proxies`], [`proxy_directory`]: through which boxes it
 //!   reaches the others.
 //! - [`policy`]: operators' programs that decide where requests may run and whether they may wait.
@@ -43,6 +43,7 @@
 pub mod absence;
 pub mod admission;
 pub mod allowance;
+pub mod brittle;
 pub mod capacity;
 pub mod certainty;
 pub mod choose;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -195,6 +195,11 @@
                 known.mark_gone();
                 relay.servers.mark_suspect(known);
             }
+            if exchange.status == StatusCode::SERVICE_UNAVAILABLE && head.requested_pause.is_none()
+            {
+                let id = &known.server.id;
+                relay.brittle().record_rejection(id, relay.relay_count(), clock::now());
+            }
             if head.load.is_none() && exchange.status == StatusCode::SERVICE_UNAVAILABLE {
                 // The server is full. Recording this keeps the next request from choosing it.
                 record_load(relay, known, ServerLoad { running: known.server.slots, waiting: 1 });
@@ -289,6 +294,7 @@
 /// server is shutting down.
 fn record_server_notices(relay: &Relay, known: &KnownServer, head: &ReplyHead) {
     record_limit(relay, known, head);
+    record_brittle(relay, known, head);
     if let Some(pause) = head.requested_pause {
         let service = &known.server.service;
         relay.pauses().record(&known.key(), service, pause, clock::now());
@@ -318,6 +324,21 @@
     }
 }
 
+/// Records how many rejections a server bears. Only a signed reply without a number shows that it is sound again.
+fn record_brittle(relay: &Relay, known: &KnownServer, head: &ReplyHead) {
+    let mut brittle = relay.brittle();
+    let limit = head.rejection_limit;
+    if limit.is_none() && (!(head.matches_request && head.signed) || brittle.is_empty()) {
+        return;
+    }
+    let (key, service) = (known.key(), &known.server.service);
+    if brittle.record_notice(&key, service, limit, relay.relay_count(), clock::now()) {
+        tracing::info!(
+            event = "server_brittle", backend_server = %key.id, rejections = limit.map(field::display),
+        );
+    }
+}
+
 fn record_load(relay: &Relay, known: &KnownServer, load: ServerLoad) {
     known.state.report(load.running, load.waiting, Duration::ZERO);
     let requests = load.running + load.waiting;
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -129,7 +129,10 @@
         }
         let min_time_left =
             (route.objective / MIN_TIME_LEFT_DIVISOR).min(route.timeout / MIN_TIME_LEFT_DIVISOR);
-        let gives_up = self.unreached >= MAX_UNREACHED || self.refused >= MAX_REFUSED;
+        // A server of a brittle service may fall over with the next rejection.
+        let is_brittle = self.refused > 0 && restraint::is_brittle(relay, &self.service);
+        let max_refused = if is_brittle { 1 } else { MAX_REFUSED };
+        let gives_up = self.unreached >= MAX_UNREACHED || self.refused >= max_refused;
         if call.time_left() <= min_time_left || gives_up {
             return Err(self.final_failure(relay));
         }
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -190,6 +190,8 @@
     pub load: Option<ServerLoad>,
     /// The rate limit that the reply announces.
     pub limit_notice: LimitNotice,
+    /// How many requests a second the server may turn away, from all boxes together, before it falls over.
+    pub rejection_limit: Option<f64>,
     /// How long the server asks this box not to send to it, if it refused the request.
     pub requested_pause: Option<Duration>,
     /// Whether the server reports that it is shutting down.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -78,6 +78,7 @@
 use crate::blackboard::Blackboard;
 use crate::clock;
 use crate::decide::allowance::Allowances;
+use crate::decide::brittle::BrittleServers;
 use crate::decide::certainty::{ConfigFreshness, PropagationTargets};
 use crate::decide::distance::Distances;
 use crate::decide::intervals::{HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL};
@@ -155,6 +156,9 @@
     quarantine: Mutex<BoxQuarantine>,
     throttles: Mutex<Throttles>,
     pauses: Mutex<Pauses>,
+    brittle: Mutex<BrittleServers>,
+    /// A random number that tells this box from others.
+    seed: u64,
     paths: Mutex<Paths>,
     proxies: Mutex<ProxyPool>,
     /// Where requests of other boxes are taken, once that is so.
@@ -208,6 +212,8 @@
             quarantine: Mutex::default(),
             throttles: Mutex::default(),
             pauses: Mutex::default(),
+            brittle: Mutex::default(),
+            seed: rand::random(),
             paths: Mutex::default(),
             proxies: Mutex::default(),
             forward_addr: OnceLock::new(),
@@ -412,6 +418,11 @@
         lock(&self.pauses)
     }
 
+    /// Servers that fall over when they reject too much.
+    pub fn brittle(&self) -> MutexGuard<'_, BrittleServers> {
+        lock(&self.brittle)
+    }
+
     /// Which servers this box reaches over its own links.
     pub fn paths(&self) -> MutexGuard<'_, Paths> {
         lock(&self.paths)
--- a/src/relay/restraint.rs
+++ b/src/relay/restraint.rs
@@ -1,12 +1,14 @@
 //! The rate limits and pauses that backend servers have requested of this box, as they apply to the
 //! selection of a server.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use super::Relay;
 use super::known::KnownServer;
 use crate::clock;
+use crate::decide::brittle::KnownLoad;
 use crate::decide::throttle::{ThrottleState, may_be_same_incarnation};
 use crate::ids::{BackendId, Incarnation, ServiceName};
 use crate::units::RequestRate;
@@ -15,6 +17,8 @@
 pub(super) struct SendRestrictions {
     limited: BTreeMap<BackendId, ThrottleState>,
     paused: BTreeMap<BackendId, Incarnation>,
+    /// The servers without room for another request of this box, if rejections make them fall over.
+    brittle_full: BTreeSet<BackendId>,
 }
 
 impl SendRestrictions {
@@ -23,7 +27,8 @@
         let now = clock::now();
         let limited = relay.throttles().states(service, now);
         let paused = relay.pauses().active(service, now);
-        Self { limited, paused }
+        let brittle_full = full_brittle_servers(relay, service, now);
+        Self { limited, paused, brittle_full }
     }
 
     fn limit_state(&self, known: &KnownServer) -> Option<&ThrottleState> {
@@ -44,10 +49,39 @@
 
     /// Whether this box may send a request to a server.
     pub(super) fn allows(&self, known: &KnownServer) -> bool {
-        !self.is_paused(known) && self.limit_state(known).is_none_or(|state| state.is_open)
+        !self.is_paused(known)
+            && !self.brittle_full.contains(&known.server.id)
+            && self.limit_state(known).is_none_or(|state| state.is_open)
     }
 }
 
+/// The servers of a service that may reject another request of this box, if their service is brittle.
+fn full_brittle_servers(relay: &Relay, service: &ServiceName, now: Instant) -> BTreeSet<BackendId> {
+    let brittle = relay.brittle();
+    if brittle.is_empty() || !brittle.is_brittle(service, now) {
+        return BTreeSet::new();
+    }
+    let relays = relay.relay_count();
+    let servers = relay.servers.for_service(service);
+    let is_full = |known: &&Arc<KnownServer>| {
+        let load = known.state.load();
+        let load = KnownLoad {
+            reported: load.map(|load| load.running + load.waiting),
+            own_then: load.map_or(0, |load| load.own),
+            own_now: known.state.in_flight(),
+            slots: known.server.slots,
+        };
+        !brittle.admits(&known.server.id, load, relays, relay.seed, now)
+    };
+    servers.iter().filter(is_full).map(|known| known.server.id.clone()).collect()
+}
+
+/// Whether a service's servers fall over when they reject too much.
+pub(super) fn is_brittle(relay: &Relay, service: &ServiceName) -> bool {
+    let brittle = relay.brittle();
+    !brittle.is_empty() && brittle.is_brittle(service, clock::now())
+}
+
 /// Claims one request of a server's rate limit. Returns whether one was available.
 pub(super) fn claim_slot(relay: &Relay, known: &KnownServer) -> bool {
     let mut throttles = relay.throttles();
--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -31,6 +31,8 @@
     Refuse,
     /// Says that it has not run the request, that it is idle, and asks for a pause of so many seconds.
     Pause(&'static str),
+    /// Says that it has not run the request, that it is full, and how many rejections it bears.
+    Brittle(&'static str),
     /// Answers whole and signed, and says that it is leaving.
     Leaving,
     /// Another engine has the address.
@@ -337,6 +339,13 @@
             let text = whole("503 Service Unavailable", &id, &asked, "");
             stream.write_all(text.as_bytes()).await?;
         }
+        Act::Brittle(rejections) => {
+            let named = format!(
+                "Not-Executed: 1\r\nInstance-Load: 8,4,8\r\nServer-Brittle: {rejections}\r\n"
+            );
+            let text = whole("503 Service Unavailable", &id, &named, "");
+            stream.write_all(text.as_bytes()).await?;
+        }
         Act::Leaving => {
             let leaving = format!("{signed}Server-Leaving: 1\r\n");
             stream.write_all(whole("200 OK", &id, &leaving, "answer").as_bytes()).await?;
