Lost paths: a slow answer has one connection checked, more only if it does not open

Cause: any answer that took 250 ms while nothing was heard of its service had three servers connected to. A box of a large fleet hears of a service about once a second, so that most slow answers would have cost three connections to servers.

Change: 400 ms, one connection; two further servers only if it does not open and another box reaches the server.

--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -42,13 +42,13 @@
 
 /// A request without an answer for this long has the paths of its service checked, unless a server of the service was
 /// heard from in the meantime. Connections that were open when a path was lost may hang without any other sign.
-const SILENCE_DELAY: Duration = Duration::from_millis(250);
+const SILENCE_DELAY: Duration = Duration::from_millis(400);
 
 /// Time between two checks of a service's paths.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How many servers of a service are checked at a time.
-const SERVERS_CHECKED: usize = 3;
+/// How many further servers of a service are checked when one turns out to be blocked.
+const FURTHER_CHECKS: usize = 2;
 
 /// How long another box may take to answer a probe: it may wait for a connection itself.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -420,25 +420,36 @@
         if !is_silent || !relay.paths().begin_check(service, now, CHECK_INTERVAL) {
             continue;
         }
-        let open = servers.iter().filter(|it| it.is_open() && it.server.id != known.server.id);
-        let others = open.cloned().choose_multiple(&mut rand::rng(), SERVERS_CHECKED - 1);
-        for it in others.into_iter().chain([known.clone()]) {
-            tokio::spawn(check(relay.clone(), it));
-        }
+        tokio::spawn(check_path(relay.clone(), known));
     }
 }
 
-/// Checks whether this box, and if not, another one reaches a server.
-async fn check(relay: Arc<Relay>, known: Arc<KnownServer>) {
-    let (service, id) = (&known.server.service, &known.server.id);
-    match relay.context.pool.probe(known.server.addr).await {
-        Ok(()) => relay.paths().record_open(service, id, Instant::now()),
-        Err(_) => {
-            if is_reached_by_others(&relay, &known).await == Some(true) {
-                note_blocked(&relay, &known);
-            }
-        }
+/// Checks a silent server, and others of its service if it is blocked. Slow answers are common, so a single connection
+/// has to do as long as it opens.
+async fn check_path(relay: Arc<Relay>, known: Arc<KnownServer>) {
+    if !is_blocked(&relay, &known).await {
+        return;
+    }
+    let servers = relay.servers.for_service(&known.server.service);
+    let others = servers.iter().filter(|it| it.is_open() && it.server.id != known.server.id);
+    for other in others.cloned().choose_multiple(&mut rand::rng(), FURTHER_CHECKS) {
+        let relay = relay.clone();
+        tokio::spawn(async move { is_blocked(&relay, &other).await });
+    }
+}
+
+/// Checks whether another box reaches a server that this one does not, and records the result.
+async fn is_blocked(relay: &Relay, known: &Arc<KnownServer>) -> bool {
+    if relay.context.pool.probe(known.server.addr).await.is_ok() {
+        let server = &known.server;
+        relay.paths().record_open(&server.service, &server.id, Instant::now());
+        return false;
+    }
+    let is_blocked = is_reached_by_others(relay, known).await == Some(true);
+    if is_blocked {
+        note_blocked(relay, known);
     }
+    is_blocked
 }
 
 /// Finds out whether a lost path is back.
