--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -424,7 +424,7 @@
     }
 }
 
-/// Checks a silent server, and others of its service if it is blocked. Slow answers are common, so a single connection
+/// Checks a silent server, and others of its service if it is blocked. Many answers take long, so a single connection
 /// has to do as long as it opens.
 async fn check_path(relay: Arc<Relay>, known: Arc<KnownServer>) {
     if !is_blocked(&relay, &known).await {
