Answers: how a server marks the end of an answer is logged and counted

The logs could not tell a stream that ended by its framing from one whose connection merely closed, nor that a stream ended while it was being moved. `framing` in stream_ended and stream_broke, the line stream_ended_while_moving, and emberturn_answer_ends_total{framing,outcome} do. No logic is changed.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -14,12 +14,14 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::TRANSFER_ENCODING;
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::decide::completeness::Framing;
 use crate::decide::proxies::ProxyLease;
 use crate::http::silence::limit_silence;
 use crate::sync::lock;
@@ -99,6 +101,8 @@
     pub status: StatusCode,
     /// The headers.
     pub headers: HeaderMap,
+    /// How the end of the body is marked.
+    pub framing: Framing,
     /// How long the connect took; `None` on a connection that stood already.
     pub connect: Option<Duration>,
     /// The box that forwarded the request, if this one has no path to the server.
@@ -307,10 +311,11 @@
                 let (parts, body) = response.into_parts();
                 let home = Some((self.clone(), addr, sender));
                 let keep = keep_time(&parts.headers);
+                let framing = framing(&parts.headers, &body);
                 let counter = Arc::default();
                 let (status, headers, connect) = (parts.status, parts.headers, None);
                 let lease = None;
-                Ok(Exchange { status, headers, connect, lease, body, home, keep, counter })
+                Ok(Exchange { status, headers, framing, connect, lease, body, home, keep, counter })
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The library gives the request back only when it wrote nothing of it.
@@ -367,6 +372,14 @@
     }
 }
 
+fn framing(headers: &HeaderMap, body: &Incoming) -> Framing {
+    match body.size_hint().exact() {
+        Some(_) => Framing::Length,
+        None if headers.contains_key(TRANSFER_ENCODING) => Framing::Chunked,
+        None => Framing::Close,
+    }
+}
+
 /// How long an idle connection is kept, by the other side's word where it gives one.
 fn keep_time(headers: &HeaderMap) -> Duration {
     let word = headers.get("keep-alive").and_then(|value| value.to_str().ok());
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 //! - [`allowance`], [`token_bucket`]: a team's rate limit, on one box and over all boxes.
 //! - [`engine`], [`capacity`]: learned performance of engines, and how many engines a load requires.
 //! - [`certainty`]: which answers a box may give, depending on the age of its routes and keys.
+//! - [`completeness`]: whether an answer whose bytes have ended is complete.
 //! - [`choose`]: which backend server a relay sends a request to; [`faults`]: which servers it avoids
 //!   for a route.
 //! - [`distance`]: learned network distances between data centres; [`spill`]: when requests leave
@@ -47,6 +48,7 @@
 pub mod capacity;
 pub mod certainty;
 pub mod choose;
+pub mod completeness;
 pub mod distance;
 pub mod ends;
 pub mod engine;
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -136,7 +136,14 @@
                 answered = &mut exporting, if answer.is_none() => answer = Some(answered),
                 received = next_events(source, progress, MOVE_TIMEOUT), if end.is_none() => match received {
                     Ok(Some(events)) => ready.extend_from_slice(&events),
-                    Ok(None) => return MoveOutcome::Ended(ready.freeze()),
+                    Ok(None) => {
+                        tracing::info!(
+                            event = "stream_ended_while_moving", id = call.head.id,
+                            backend_server = %known.server.id, framing = %source.exchange.framing,
+                            last = progress.last_event_id, answered = answer.is_some(),
+                        );
+                        return MoveOutcome::Ended(ready.freeze());
+                    }
                     Err(fault) => end = Some(fault),
                 },
             }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -63,7 +63,7 @@
 
 /// The server connection that a stream's events currently come from.
 pub(super) struct EventSource {
-    exchange: Exchange,
+    pub(super) exchange: Exchange,
     cutter: EventSplitter,
     /// The request in flight to the server.
     pub(super) flight: InFlightRequest,
@@ -413,7 +413,7 @@
                 }
                 Ok(None) => {
                     let known = source.flight.server();
-                    record_end(&call, &route, known, &progress);
+                    record_end(&relay, &call, &route, &source, &progress);
                     quarantine::record_success(&relay, &call);
                     relay.engines().record_served(attempts.service(), progress.is_late(&route));
                     progress.record_pace(&relay, attempts.service(), &call);
@@ -502,12 +502,20 @@
 
 /// Logs a stream that ended normally: always if it was late, otherwise within the log's volume
 /// limit.
-fn record_end(call: &Call, route: &Route, known: &KnownServer, progress: &StreamProgress) {
+fn record_end(
+    relay: &Relay,
+    call: &Call,
+    route: &Route,
+    source: &EventSource,
+    progress: &StreamProgress,
+) {
+    let (known, framing) = (source.flight.server(), source.exchange.framing);
+    relay.context.metrics.count_answer_end(framing, "complete");
     let late = progress.is_late(route);
     if late || volume::allows_ordinary() {
         tracing::info!(
             event = "stream_ended", id = call.head.id, backend_server = %known.server.id,
-            last = progress.last_event_id, late, pause_ms = progress.longest_gap.as_millis() as u64,
+            last = progress.last_event_id, %framing, late, pause_ms = progress.longest_gap.as_millis() as u64,
             ms = call.arrived.elapsed().as_millis() as u64,
         );
     }
@@ -521,7 +529,8 @@
     progress: &StreamProgress,
     fault: &SendFault,
 ) {
-    let known = source.flight.server();
+    let (known, framing) = (source.flight.server(), source.exchange.framing);
+    relay.context.metrics.count_answer_end(framing, "broken_off");
     record_fault(relay, known, *fault == SendFault::TimedOut);
     if matches!(fault, SendFault::Broke(_)) {
         relay.ends.record_break(known, call.fingerprint());
@@ -529,7 +538,7 @@
     reach::record_break(relay, known, &route.name);
     tracing::info!(
         event = "stream_broke", id = call.head.id, request = %call.fingerprint(), route = route.name,
-        backend_server = %known.server.id, detail = %fault, last = progress.last_event_id,
+        backend_server = %known.server.id, detail = %fault, %framing, last = progress.last_event_id,
         resumable = route.repeat.is_repeatable(), left_ms = call.time_left().as_millis() as u64,
     );
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpListener;
 
 use super::gauges::Gauges;
+use crate::decide::completeness::Framing;
 use crate::node::Node;
 
 /// Bounds of the latency histograms, in seconds.
@@ -40,6 +41,7 @@
     reports: Counter<u64>,
     ends: Counter<u64>,
     connects: Counter<u64>,
+    answer_ends: Counter<u64>,
     forwards: Counter<u64>,
     proxied: Counter<u64>,
     unread_entries: Counter<u64>,
@@ -95,6 +97,10 @@
                 "emberturn_server_connects",
                 "Sends to backend servers that needed a connection, by service and outcome",
             ),
+            answer_ends: counter(
+                "emberturn_answer_ends",
+                "Answers of backend servers whose bytes have ended, by framing and outcome",
+            ),
             unread_entries: counter(
                 "emberturn_list_entries_unread",
                 "Entries of the list of backend servers that name none, by reason",
@@ -169,6 +175,12 @@
         self.connects.add(1, &labels);
     }
 
+    /// Counts an answer of a backend server whose bytes have ended.
+    pub fn count_answer_end(&self, framing: Framing, outcome: &'static str) {
+        let labels = [KeyValue::new("framing", framing.name()), outcome_label(outcome)];
+        self.answer_ends.add(1, &labels);
+    }
+
     /// Counts a request of another box.
     pub fn count_forward(&self, outcome: &'static str) {
         self.forwards.add(1, &[outcome_label(outcome)]);
