Tests: streams without a length that stop to be moved reach their callers as complete; known to fail

A stand-in sends a stream with neither a length nor chunks, and closes its connection when it is asked to stop and move the run.

--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -47,6 +47,12 @@
     CutAfter(u64),
     /// Events up to this one, then nothing until its run is moved, which cuts the stream.
     UntilMoved(u64),
+    /// Events up to this one without a length or chunks, then the connection closes.
+    Unframed(u64),
+    /// The same, but the connection closes once the run was asked to move.
+    UnframedUntilMoved(u64),
+    /// The same, but it closes this long after that.
+    UnframedLongAfterMove(u64, Duration),
     /// Events up to this one, of so many bytes and more, as fast as they are taken.
     Large(u64, usize),
     /// One event, then the rest up to this one after a pause.
@@ -64,6 +70,23 @@
     LifeInMoves(u64),
 }
 
+/// What a stand-in answers when it is asked to stop a run and to move it.
+#[derive(Debug, Clone, Copy)]
+pub enum Moves {
+    /// That it has stopped the run and copied it.
+    Copied,
+    /// That it has stopped the run, but the target has no room.
+    NoRoom,
+    /// That it knows no such run.
+    NotFound,
+    /// That a move is under way.
+    Busy,
+    /// Nothing, and it closes the connection.
+    Close,
+    /// Nothing.
+    Silent,
+}
+
 /// A request as it reached a stand-in.
 #[derive(Debug, Clone)]
 pub struct Seen {
@@ -96,8 +119,18 @@
         Self::start_at(id, "127.0.0.1:0".parse().unwrap(), Tells::Nothing, acts).await
     }
 
+    /// Starts one that answers so when it is asked to move a run.
+    pub async fn start_moving(id: &str, moves: Moves, acts: &[Act]) -> Self {
+        let itself = Itself { moves: Some(moves), ..Itself::default() };
+        Self::start_as(id, "127.0.0.1:0".parse().unwrap(), itself, acts).await
+    }
+
     /// Starts one in a life that it tells, at an address.
     pub async fn start_at(id: &str, addr: SocketAddr, tells: Tells, acts: &[Act]) -> Self {
+        Self::start_as(id, addr, Itself { tells, ..Itself::default() }, acts).await
+    }
+
+    async fn start_as(id: &str, addr: SocketAddr, itself: Itself, acts: &[Act]) -> Self {
         let listener = TcpListener::bind(addr).await.unwrap();
         let addr = listener.local_addr().unwrap();
         let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
@@ -105,7 +138,7 @@
         let (left, gone) = watch::channel(0);
         let (acts, held) = (acts.to_vec(), seen.clone());
         let (counted, left) = (Arc::new(counted), Arc::new(left));
-        let itself = Arc::new(Itself { tells, ..Itself::default() });
+        let itself = Arc::new(itself);
         let reports = itself.reports.subscribe();
         let running = tokio::spawn(async move {
             // With this task all connections end.
@@ -172,6 +205,8 @@
 struct Itself {
     /// Its life, where it tells it.
     tells: Tells,
+    /// What it answers to a move, if that does not follow from its life.
+    moves: Option<Moves>,
     /// Whether a run was moved.
     moved: watch::Sender<bool>,
     /// Reports it was asked for.
@@ -181,7 +216,7 @@
 impl Default for Itself {
     fn default() -> Self {
         let (moved, reports) = (watch::Sender::new(false), watch::Sender::new(0));
-        Self { tells: Tells::Nothing, moved, reports }
+        Self { tells: Tells::Nothing, moves: None, moved, reports }
     }
 }
 
@@ -196,8 +231,21 @@
         Self::answer("200 OK", &body)
     }
 
-    /// Its answer to a move: in a life that it tells, it knows no run.
-    fn moved(&self) -> String {
+    /// Its answer to a move, if it gives one: in a life that it tells, it knows no run.
+    fn moved(&self) -> Option<String> {
+        let handle = json!({"handle": "h-1", "made": 2});
+        let (status, body) = match self.moves {
+            None => return Some(self.moved_in_its_life()),
+            Some(Moves::Copied) => ("200 OK", handle),
+            Some(Moves::NoRoom) => ("503 Service Unavailable", handle),
+            Some(Moves::NotFound) => ("404 Not Found", json!({})),
+            Some(Moves::Busy) => ("409 Conflict", json!({})),
+            Some(Moves::Close | Moves::Silent) => return None,
+        };
+        Some(Self::answer(status, &body))
+    }
+
+    fn moved_in_its_life(&self) -> String {
         match self.tells {
             Tells::Nothing => Self::answer("200 OK", &json!({"handle": "h-1", "made": 2})),
             Tells::Life(born) | Tells::LifeInMoves(born) => {
@@ -260,7 +308,11 @@
         }
         if request.line.starts_with("POST /kv-move ") {
             itself.moved.send_replace(true);
-            stream.write_all(itself.moved().as_bytes()).await?;
+            match (itself.moved(), itself.moves) {
+                (Some(text), _) => stream.write_all(text.as_bytes()).await?,
+                (None, Some(Moves::Silent)) => return wait_for_end(&mut stream).await,
+                (None, _) => return Ok(()),
+            }
             continue;
         }
         let place = {
@@ -277,6 +329,13 @@
     Ok(())
 }
 
+/// Waits until the other side closes.
+async fn wait_for_end(stream: &mut TcpStream) -> std::io::Result<()> {
+    let mut rest = [0; 64];
+    while stream.read(&mut rest).await? > 0 {}
+    Ok(())
+}
+
 /// The text of one event.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: piece {number}\n\n")
@@ -314,6 +373,7 @@
     let stream_head = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Type: text/event-stream\r\n{signed}Transfer-Encoding: chunked\r\n\r\n"
     );
+    let unframed_head = stream_head.replace("Transfer-Encoding: chunked\r\n", "");
     let resumed = request.headers.get("last-event-id").map_or(0, |text| text.parse().unwrap());
     match act {
         Act::Answer => stream.write_all(whole("200 OK", &id, signed, "answer").as_bytes()).await?,
@@ -356,8 +416,7 @@
         }
         Act::Close => return Ok(false),
         Act::Silent => {
-            let mut rest = [0; 64];
-            while stream.read(&mut rest).await? > 0 {}
+            wait_for_end(stream).await?;
             return Ok(false);
         }
         Act::Events(last) => {
@@ -381,6 +440,21 @@
             let _ = waiting.wait_for(|moved| *moved).await;
             return Ok(false);
         }
+        Act::Unframed(last) => {
+            let text: String = (resumed + 1..=*last).map(event).collect();
+            stream.write_all(format!("{unframed_head}{text}").as_bytes()).await?;
+            return Ok(false);
+        }
+        Act::UnframedUntilMoved(last) | Act::UnframedLongAfterMove(last, _) => {
+            let text: String = (resumed + 1..=*last).map(event).collect();
+            stream.write_all(format!("{unframed_head}{text}").as_bytes()).await?;
+            let mut waiting = moved.subscribe();
+            let _ = waiting.wait_for(|moved| *moved).await;
+            if let Act::UnframedLongAfterMove(_, pause) = act {
+                tokio::time::sleep(*pause).await;
+            }
+            return Ok(false);
+        }
         Act::Large(last, size) => {
             stream.write_all(stream_head.as_bytes()).await?;
             for number in resumed + 1..=*last {
