Answers: events that are ready reach the caller before the answer breaks off

Callers saw one event of two when the second arrived together with the end that broke the stream off: the connection discards what it has not written when its body fails. The error now waits until the connection has written what is kept, or the caller is given up as too slow.

--- a/src/relay/taking.rs
+++ b/src/relay/taking.rs
@@ -228,8 +228,10 @@
                 event = events.next(), if has_room => match event {
                     Some(Ok(piece)) => self.waiting_piece = Some(piece),
                     Some(Err(error)) => {
+                        // The connection discards what it has not written when its body fails.
+                        self.wait_until_taken().await;
                         let _ = sender.send(Err(error));
-                        break;
+                        return;
                     }
                     None => break,
                 },
@@ -247,6 +249,10 @@
 
     /// Waits until the caller has taken everything or is given up as too slow.
     async fn finish(mut self) {
+        self.wait_until_taken().await;
+    }
+
+    async fn wait_until_taken(&mut self) {
         self.track_held(true);
         while self.state.has_untaken() {
             tokio::select! {
