Streams: a close counts as the end only if the run was not stopped

Cause: a stream on a leaving server is moved right after its first event. The server is asked to stop the run and closes the stream without its end. With chunks that is an error of the body; without a length or chunks it is an orderly close between two events, and the box took it for the stream's own end.

Change: a read of a stream tells an end that the framing marks from a mere close. A close is judged by what is known (decide/completeness): whether the server was asked to stop the run and what it replied, whether it has ended. While the server is asked, the box waits for the reply: an export means that the run goes on elsewhere, 'no such run' that the stream was complete, no clear reply that it may have been stopped, also if the close comes long after.

--- a/src/decide/completeness.rs
+++ b/src/decide/completeness.rs
@@ -29,3 +29,52 @@
         formatter.write_str(self.name())
     }
 }
+
+/// What is known of a request to stop the run behind an answer, so that it continues elsewhere.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StopState {
+    /// None was sent, or the server did not stop the run.
+    #[default]
+    Running,
+    /// It may have reached the server, which has not said whether it stopped the run.
+    Unanswered,
+    /// The server stopped the run.
+    Stopped,
+}
+
+/// What is known when the connection of an answer without a length or chunks has closed in order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CloseFacts {
+    /// Whether the run was stopped.
+    pub stop: StopState,
+    /// Whether the server has ended, or has started again.
+    pub server_ended: bool,
+}
+
+/// Why an answer counts as broken off although its connection closed in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BreakCause {
+    /// The server was asked to stop the run.
+    #[error("its run was stopped")]
+    Stopped,
+    /// The server may have stopped the run.
+    #[error("its run may have been stopped")]
+    MaybeStopped,
+    /// The server has ended.
+    #[error("its backend server has ended")]
+    ServerEnded,
+}
+
+/// Judges an answer whose connection has closed in order, with nothing else to mark its end. Without evidence of a
+/// break it is complete: a sound answer of this form ends in the same way.
+///
+/// # Errors
+/// Why it counts as broken off.
+pub fn judge_close(facts: &CloseFacts) -> Result<(), BreakCause> {
+    match (facts.stop, facts.server_ended) {
+        (StopState::Stopped, _) => Err(BreakCause::Stopped),
+        (StopState::Unanswered, _) => Err(BreakCause::MaybeStopped),
+        (StopState::Running, true) => Err(BreakCause::ServerEnded),
+        (StopState::Running, false) => Ok(()),
+    }
+}
--- /dev/null
+++ b/src/relay/export.rs
@@ -0,0 +1,96 @@
+//! How a stream ends while its server is asked to stop the run and to export its KV cache.
+
+use std::fmt;
+use std::pin::pin;
+
+use bytes::BytesMut;
+use hyper::StatusCode;
+
+use super::moving::MOVE_TIMEOUT;
+use super::stream::{EventSource, Received, StreamProgress, next_events};
+use crate::backend::SendFault;
+use crate::decide::completeness::StopState;
+
+/// A server's reply to the request to stop a run and export its KV cache.
+pub(super) enum ExportReply {
+    /// The run was stopped; the handle is that of the export.
+    Stopped { status: StatusCode, handle: String },
+    /// The run was not stopped: the server knows no such run, or refuses.
+    NotStopped,
+    /// The run may have been stopped.
+    Unknown,
+}
+
+impl ExportReply {
+    /// Interprets the status and the handle of an answer.
+    pub(super) fn from_answer(status: StatusCode, handle: Option<String>) -> Self {
+        match (handle, status) {
+            (Some(handle), _) => Self::Stopped { status, handle },
+            // A request to stop the run may be under way, or the server may be gone from its address.
+            (None, StatusCode::CONFLICT | StatusCode::MISDIRECTED_REQUEST) => Self::Unknown,
+            (None, status) if status.is_client_error() => Self::NotStopped,
+            (None, _) => Self::Unknown,
+        }
+    }
+
+    /// What the reply proves of the run.
+    pub(super) fn stop_state(&self) -> StopState {
+        match self {
+            Self::Stopped { .. } => StopState::Stopped,
+            Self::NotStopped => StopState::Running,
+            Self::Unknown => StopState::Unanswered,
+        }
+    }
+}
+
+/// How a stream ended while its server was being asked to stop the run.
+pub(super) enum StreamEnd {
+    /// As marked by the framing of the answer, which makes it complete.
+    Marked,
+    /// Its connection closed in order, and nothing else marks its end.
+    Closed,
+    /// It broke off.
+    Broke(SendFault),
+}
+
+impl fmt::Display for StreamEnd {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Marked => formatter.write_str("complete"),
+            Self::Closed => formatter.write_str("closed"),
+            Self::Broke(fault) => fault.fmt(formatter),
+        }
+    }
+}
+
+/// Reads a stream until its server has replied to the export request, and up to the stream's end if the run was
+/// stopped.
+pub(super) async fn read_until_stopped(
+    source: &mut EventSource,
+    progress: &mut StreamProgress,
+    ready: &mut BytesMut,
+    exporting: impl Future<Output = ExportReply>,
+) -> (ExportReply, Option<StreamEnd>) {
+    let mut exporting = pin!(exporting);
+    let mut reply = None;
+    let end = loop {
+        tokio::select! {
+            replied = &mut exporting, if reply.is_none() => match replied {
+                ExportReply::Stopped { .. } => reply = Some(replied),
+                ExportReply::NotStopped | ExportReply::Unknown => return (replied, None),
+            },
+            received = next_events(source, progress, MOVE_TIMEOUT) => match received {
+                Ok(Received::Events(events)) => ready.extend_from_slice(&events),
+                // The stream is complete, whatever the reply.
+                Ok(Received::End) => return (ExportReply::Unknown, Some(StreamEnd::Marked)),
+                Ok(Received::Closed) => break StreamEnd::Closed,
+                Err(fault) => break StreamEnd::Broke(fault),
+            },
+        }
+    };
+    let reply = match reply {
+        Some(reply) => reply,
+        None => exporting.await,
+    };
+    (reply, Some(end))
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -21,7 +21,8 @@
 //! - [`restraint`] holds the rate limits and pauses that servers requested of this box.
 //! - [`reach`] connects to servers, through another box if this one has no path to them; [`hop`] is the form in which
 //!   boxes hand requests to each other, and [`forward`] sends those of other boxes.
-//! - [`moving`] migrates running streams off servers that are shutting down.
+//! - [`moving`] migrates running streams off servers that are shutting down; [`export`] is what such a server replies
+//!   and how its stream ends.
 //! - [`keeping`] accounts for the memory that a request occupies, and [`taking`] buffers its answer
 //!   until the caller has received it.
 //! - [`usage`] counts the requests that ran and [`offered`] those that arrived. The decision logic
@@ -40,6 +41,7 @@
 pub mod ends;
 pub mod engines;
 pub(crate) mod events;
+pub(crate) mod export;
 pub(crate) mod forward;
 pub mod hop;
 pub(crate) mod keeping;
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -4,6 +4,9 @@
 //! The server is asked to stop the run and to copy its KV cache to another server. Its stream is
 //! read up to the point where it stopped, and the other server continues after the last event. This
 //! is still the same run, so it uses up no retry and does not count as a repetition.
+//!
+//! A stream without a length or chunks ends in the same way whether its run was stopped or complete.
+//! The server's reply tells the two apart; without it, such an end counts as broken off.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,19 +22,21 @@
 use super::attempt::StartState;
 use super::attempts::CallAttempts;
 use super::call::{Call, KvCacheExport, MoveReply};
+use super::export::{ExportReply, StreamEnd, read_until_stopped};
 use super::known::KnownServer;
 use super::quarantine;
 use super::reach;
-use super::stream::{EventSource, StartOutcome, StreamProgress, next_events, start_stream};
+use super::stream::{EventSource, StartOutcome, StreamProgress, start_stream};
 use super::table::{EngineSpec, Route};
 use crate::backend::{Reuse, SendFault};
 use crate::blackboard::fleet::Leaving;
+use crate::decide::completeness::StopState;
 use crate::decide::reclaim::{self, LeavingStream, ReclaimAction};
 use crate::ids::ServiceName;
 use crate::units::Tokens;
 
 /// How long a server may take to stop a run and copy its KV cache, and then to end its stream.
-const MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Largest reply to the export request, in bytes.
 const MAX_REPLY_BYTES: usize = 64 << 10;
@@ -51,8 +56,8 @@
     Ended(Bytes),
     /// Nothing was moved, and the stream continues on its server.
     NotMoved(Bytes),
-    /// The run was stopped, but no server could continue it.
-    Lost(Bytes),
+    /// The stream broke off, or its run was stopped and no server could continue it.
+    Lost(Bytes, SendFault),
 }
 
 /// Waits until the watched server is shutting down; forever if no server is watched.
@@ -127,42 +132,27 @@
         return MoveOutcome::NotMoved(Bytes::new());
     };
     let mut ready = BytesMut::new();
-    let mut answer = None;
-    let mut end = None;
-    {
-        let mut exporting = std::pin::pin!(request_export(relay, call, &known, target.server.addr));
-        while answer.is_none() || end.is_none() {
-            tokio::select! {
-                answered = &mut exporting, if answer.is_none() => answer = Some(answered),
-                received = next_events(source, progress, MOVE_TIMEOUT), if end.is_none() => match received {
-                    Ok(Some(events)) => ready.extend_from_slice(&events),
-                    Ok(None) => {
-                        tracing::info!(
-                            event = "stream_ended_while_moving", id = call.head.id,
-                            backend_server = %known.server.id, framing = %source.exchange.framing,
-                            last = progress.last_event_id, answered = answer.is_some(),
-                        );
-                        return MoveOutcome::Ended(ready.freeze());
-                    }
-                    Err(fault) => end = Some(fault),
-                },
-            }
-            if let Some(None) = answer {
-                break;
-            }
+    let (reply, end) = {
+        // From here on the run may be stopped, also if this box never learns of it.
+        source.stop = StopState::Unanswered;
+        let exporting = request_export(relay, call, &known, target.server.addr);
+        read_until_stopped(source, progress, &mut ready, exporting).await
+    };
+    source.stop = reply.stop_state();
+    let (status, handle) = match (reply, end) {
+        (_, Some(StreamEnd::Marked)) => return MoveOutcome::Ended(ready.freeze()),
+        (ExportReply::Stopped { status, handle }, end) => {
+            tracing::info!(
+                event = "stream_stopped_to_move", id = call.head.id, from = %known.server.id,
+                to = %target.server.id, status = status.as_u16(), last = progress.last_event_id,
+                framing = %source.exchange.framing, end = end.as_ref().map(StreamEnd::to_string),
+            );
+            (status, handle)
+        }
+        (ExportReply::NotStopped | ExportReply::Unknown, end) => {
+            return without_export(call, source, progress, ready.freeze(), end);
         }
-    }
-    let Some(Some((status, handle))) = answer else {
-        return match end {
-            None => MoveOutcome::NotMoved(ready.freeze()),
-            Some(_) => MoveOutcome::Lost(ready.freeze()),
-        };
     };
-    tracing::info!(
-        event = "stream_stopped_to_move", id = call.head.id, from = %known.server.id,
-        to = %target.server.id, status = status.as_u16(), last = progress.last_event_id,
-        end = end.as_ref().map(SendFault::to_string),
-    );
     let export = KvCacheExport { source: known.server.addr, handle };
     // Without room at the target, the source keeps the KV cache and may continue the run itself.
     let candidates = match status.is_success() {
@@ -191,7 +181,7 @@
                         ready.extend_from_slice(&events);
                         MoveOutcome::Moved(ready.freeze(), Box::new(moved))
                     }
-                    Err(_) => MoveOutcome::Lost(ready.freeze()),
+                    Err(fault) => MoveOutcome::Lost(ready.freeze(), fault),
                 };
             }
             Ok(StartOutcome::Whole(response, _)) => tracing::info!(
@@ -203,25 +193,54 @@
             ),
         }
     }
-    MoveOutcome::Lost(ready.freeze())
+    let fault = SendFault::Broke("the run could not be moved".to_owned());
+    MoveOutcome::Lost(ready.freeze(), fault)
+}
+
+/// The outcome for a stream whose server made no export.
+fn without_export(
+    call: &Call,
+    source: &EventSource,
+    progress: &StreamProgress,
+    ready: Bytes,
+    end: Option<StreamEnd>,
+) -> MoveOutcome {
+    let Some(end) = end else {
+        return MoveOutcome::NotMoved(ready);
+    };
+    tracing::info!(
+        event = "stream_ended_while_moving", id = call.head.id,
+        backend_server = %source.flight.server().server.id, framing = %source.exchange.framing,
+        last = progress.last_event_id, stop = ?source.stop, end = %end,
+    );
+    let judged = match end {
+        StreamEnd::Marked => Ok(()),
+        StreamEnd::Closed => source.judge_close(),
+        StreamEnd::Broke(fault) => Err(fault),
+    };
+    match judged {
+        Ok(()) => MoveOutcome::Ended(ready),
+        Err(fault) => MoveOutcome::Lost(ready, fault),
+    }
 }
 
-/// Asks a server to stop the run and export its KV cache. Returns the status and the export's
-/// handle; `None` if no export was made.
+/// Asks a server to stop the run and export its KV cache.
 async fn request_export(
     relay: &Relay,
     call: &Call,
     source: &Arc<KnownServer>,
     target: SocketAddr,
-) -> Option<(StatusCode, String)> {
+) -> ExportReply {
     let (path, headers, body) = relay.context.dialect.write_move(call, &source.server.id, target);
-    let mut request = Request::builder()
+    let request = Request::builder()
         .method(Method::POST)
         .uri(path)
         .header(HOST, source.server.addr.to_string())
         .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
-        .body(Full::new(Bytes::from(body)))
-        .ok()?;
+        .body(Full::new(Bytes::from(body)));
+    let Ok(mut request) = request else {
+        return ExportReply::NotStopped;
+    };
     request.headers_mut().extend(headers);
     let answered = async {
         let exchange = reach::send(relay, source, request, MOVE_TIMEOUT, Reuse::Any).await?;
@@ -244,11 +263,14 @@
                     status = status.as_u16()
                 );
             }
-            handle.map(|handle| (status, handle))
+            ExportReply::from_answer(status, handle)
         }
         Err(fault) => {
             tracing::info!(event = "move_not_made", id = call.head.id, detail = %fault);
-            None
+            match fault.is_not_sent() {
+                true => ExportReply::NotStopped,
+                false => ExportReply::Unknown,
+            }
         }
     }
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -24,6 +24,7 @@
 use super::table::{Repeat, Route};
 use super::taking;
 use crate::backend::{Exchange, SendFault};
+use crate::decide::completeness::{CloseFacts, Framing, StopState, judge_close};
 use crate::decide::engine::Observation;
 use crate::decide::releases::AnswerOutcome;
 use crate::decide::verdict::RelativeLatency;
@@ -69,6 +70,35 @@
     pub(super) flight: InFlightRequest,
     /// When the request was sent to the server.
     pub(super) sent_at: Instant,
+    /// Whether the server stopped the run.
+    pub(super) stop: StopState,
+}
+
+impl EventSource {
+    fn new(exchange: Exchange, flight: InFlightRequest, sent_at: Instant) -> Self {
+        let cutter = EventSplitter::default();
+        Self { exchange, cutter, flight, sent_at, stop: StopState::default() }
+    }
+
+    /// Judges the stream after its connection closed in order with nothing else to mark its end.
+    ///
+    /// # Errors
+    /// [`SendFault::Broke`] if something shows that it was broken off.
+    pub(super) fn judge_close(&self) -> Result<(), SendFault> {
+        let server_ended = self.flight.server().state.is_over();
+        judge_close(&CloseFacts { stop: self.stop, server_ended })
+            .map_err(|cause| SendFault::Broke(cause.to_string()))
+    }
+}
+
+/// What a read of a stream's events returned.
+pub(super) enum Received {
+    /// Complete events.
+    Events(Bytes),
+    /// The end, as marked by the framing of the answer.
+    End,
+    /// The connection closed in order after a complete event, and nothing else marks the end.
+    Closed,
 }
 
 /// Outcome of an attempt to start a stream.
@@ -216,8 +246,7 @@
             return Ok(StartOutcome::Whole(answer.response(whole), failed));
         }
         let exchange = reply.exchange;
-        let mut source =
-            EventSource { exchange, cutter: EventSplitter::default(), flight, sent_at: began };
+        let mut source = EventSource::new(exchange, flight, began);
         let first_event = read_first_event(&mut source, limit).await?;
         source.flight.mark_started();
         let status = source.exchange.status;
@@ -397,21 +426,26 @@
                             yield Ok(ready);
                             continue;
                         }
-                        MoveOutcome::Lost(ready) => {
+                        MoveOutcome::Lost(ready, fault) => {
                             yield Ok(ready);
-                            Err(SendFault::Broke("the run could not be moved".to_owned()))
+                            Err(fault)
                         }
                     }
                 }
             };
-            let fault = match received {
-                Ok(Some(ready)) => {
+            let ended = match received {
+                Ok(Received::Events(ready)) => {
                     if !ready.is_empty() {
                         yield Ok(ready);
                     }
                     continue;
                 }
-                Ok(None) => {
+                Ok(Received::End) => Ok(()),
+                Ok(Received::Closed) => source.judge_close(),
+                Err(fault) => Err(fault),
+            };
+            let fault = match ended {
+                Ok(()) => {
                     let known = source.flight.server();
                     record_end(&relay, &call, &route, &source, &progress);
                     quarantine::record_success(&relay, &call);
@@ -470,15 +504,15 @@
     response
 }
 
-/// Reads the next complete events; `None` at the end of the stream. Cancel safe.
+/// Reads the next complete events. Cancel safe.
 pub(super) async fn next_events(
     source: &mut EventSource,
     progress: &mut StreamProgress,
     silence: Duration,
-) -> Result<Option<Bytes>, SendFault> {
+) -> Result<Received, SendFault> {
     let ready = progress.take_events(source)?;
     if !ready.is_empty() {
-        return Ok(Some(ready));
+        return Ok(Received::Events(ready));
     }
     let received = tokio::select! {
         biased;
@@ -491,12 +525,15 @@
                 source.flight.server().state.hear();
             }
             source.cutter.push(&piece);
-            progress.take_events(source).map(Some)
+            progress.take_events(source).map(Received::Events)
         }
         None if source.cutter.has_partial_event() => {
             Err(SendFault::Broke("the stream ended inside an event".to_owned()))
         }
-        None => Ok(None),
+        None => Ok(match source.exchange.framing {
+            Framing::Length | Framing::Chunked => Received::End,
+            Framing::Close => Received::Closed,
+        }),
     }
 }
 
