Streams: a blank line behind the last event breaks nothing off

Callers saw a complete stream as broken off if its server wrote a further blank line behind the last event: any byte left over counted as part of an event.

--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -42,9 +42,9 @@
         Ok(Some(self.held.split_to(end).freeze()))
     }
 
-    /// Whether part of an incomplete event is buffered.
+    /// Whether part of an incomplete event is buffered. Blank lines alone are part of none.
     pub(crate) fn has_partial_event(&self) -> bool {
-        !self.held.is_empty()
+        self.held.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
     /// The offset after the blank line that ends the first event.
--- a/tests/broken_off.rs
+++ b/tests/broken_off.rs
@@ -113,6 +113,25 @@
     assert_eq!((reply.status, reply.body, reply.whole), (200, events(5), true));
 }
 
+#[tokio::test]
+async fn blank_line_behind_the_last_event_does_not_break_a_stream_off() {
+    let server = StandIn::start("i-1", &[Act::BlankLineBehind(5)]).await;
+    let relay = TestRelay::start(&[&server]).await;
+    let reply = relay.ask("POST", "stream").await;
+    assert_eq!((reply.status, reply.whole), (200, true));
+    assert_eq!(reply.body.trim_end(), events(5).trim_end());
+}
+
+/// The server's reply to the move never arrives whole, and the stream goes on after that.
+#[tokio::test]
+async fn stream_that_pauses_while_its_move_is_unanswered_is_not_cut() {
+    let moves = Moves::HeadAfter(Duration::from_millis(500));
+    let act = Act::PauseAfterFirst(4, Duration::from_millis(3_000));
+    let (reply, _, second) = ask_while_leaving("stream", moves, act).await;
+    assert_eq!((reply.status, reply.body, reply.whole), (200, events(4), true));
+    assert!(second.seen().is_empty());
+}
+
 #[tokio::test]
 async fn stream_without_length_of_a_restarted_server_is_not_complete() {
     let mut server = StandIn::start("i-1", &[Act::UnframedUntilMoved(3)]).await;
--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -53,6 +53,8 @@
     UnframedUntilMoved(u64),
     /// The same, but it closes this long after that.
     UnframedLongAfterMove(u64, Duration),
+    /// Events up to this one in chunks, with a further blank line behind the last one.
+    BlankLineBehind(u64),
     /// Events up to this one, of so many bytes and more, as fast as they are taken.
     Large(u64, usize),
     /// One event, then the rest up to this one after a pause.
@@ -85,6 +87,8 @@
     Close,
     /// Nothing.
     Silent,
+    /// The head of an answer after this long, and nothing of its body.
+    HeadAfter(Duration),
 }
 
 /// A request as it reached a stand-in.
@@ -240,7 +244,7 @@
             Some(Moves::NoRoom) => ("503 Service Unavailable", handle),
             Some(Moves::NotFound) => ("404 Not Found", json!({})),
             Some(Moves::Busy) => ("409 Conflict", json!({})),
-            Some(Moves::Close | Moves::Silent) => return None,
+            Some(Moves::Close | Moves::Silent | Moves::HeadAfter(_)) => return None,
         };
         Some(Self::answer(status, &body))
     }
@@ -311,6 +315,11 @@
             match (itself.moved(), itself.moves) {
                 (Some(text), _) => stream.write_all(text.as_bytes()).await?,
                 (None, Some(Moves::Silent)) => return wait_for_end(&mut stream).await,
+                (None, Some(Moves::HeadAfter(delay))) => {
+                    tokio::time::sleep(delay).await;
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n").await?;
+                    return wait_for_end(&mut stream).await;
+                }
                 (None, _) => return Ok(()),
             }
             continue;
@@ -455,6 +464,13 @@
             }
             return Ok(false);
         }
+        Act::BlankLineBehind(last) => {
+            let mut text = stream_head;
+            (resumed + 1..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
+            text.push_str(&chunk("\n"));
+            text.push_str("0\r\n\r\n");
+            stream.write_all(text.as_bytes()).await?;
+        }
         Act::Large(last, size) => {
             stream.write_all(stream_head.as_bytes()).await?;
             for number in resumed + 1..=*last {
