Forwarded answers: the box that asked learns what marked the end at the server

Callers got the end of an answer that another box forwarded as proved, although its server had given neither a length nor chunks: such an answer ends with its connection, also when the server stops early.

Cause: the other box sends each answer on in chunks and ends them in order, so the first box saw "chunked" whatever the server's own framing was.

Change: the mark of a forwarded answer has a second line with the server's framing, from which the first box sets that of the exchange. A header of its own was ruled out: a box of the former release would send it on to callers, and pass a server's header of that name on to us. The former release reads the first line alone and removes both; its own answers have no second line, so nothing vouches for their end. The version stays. Tests of both directions, and of a server that sends the header itself.

That a close between two events counts as the end is left to the box that asked, which knows more than the framing.

--- a/src/decide/completeness.rs
+++ b/src/decide/completeness.rs
@@ -1,6 +1,7 @@
 //! Whether an answer is complete once its bytes have ended.
 
 use std::fmt;
+use std::str::FromStr;
 
 /// How an answer marks its end (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,6 +14,11 @@
     Close,
 }
 
+/// A text that is no framing's name.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("unknown framing {0:?}")]
+pub struct UnknownFraming(String);
+
 impl Framing {
     /// The name in logs and metrics.
     pub fn name(self) -> &'static str {
@@ -30,6 +36,16 @@
     }
 }
 
+impl FromStr for Framing {
+    type Err = UnknownFraming;
+
+    fn from_str(text: &str) -> Result<Self, UnknownFraming> {
+        let all = [Self::Length, Self::Chunked, Self::Close];
+        let named = all.into_iter().find(|framing| framing.name() == text);
+        named.ok_or_else(|| UnknownFraming(text.to_owned()))
+    }
+}
+
 /// What is known of a request to stop the run behind an answer, so that it continues elsewhere.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum StopState {
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -30,6 +30,7 @@
 use super::restraint::SendRestrictions;
 use super::serve::build_call;
 use crate::backend::{Exchange, SendFault};
+use crate::decide::completeness::Framing;
 use crate::decide::memory::{LOWEST_URGENCY, MemoryClaim};
 use crate::decide::paths::Path;
 use crate::http::gate::Gate;
@@ -153,7 +154,7 @@
     opened.map_err(|fault| explain(relay, known, &fault))?;
     known.state.hear();
     let mut response = Response::new(whole(Bytes::new()));
-    HopReply::Forwarded.write(response.headers_mut());
+    HopReply::Forwarded(Framing::Length).write(response.headers_mut());
     Ok(response)
 }
 
@@ -183,7 +184,7 @@
     let (status, mut headers) = (exchange.status, exchange.headers.clone());
     strip_hop_by_hop_headers(&mut headers);
     hop::strip(&mut headers);
-    HopReply::Forwarded.write(&mut headers);
+    HopReply::Forwarded(exchange.framing).write(&mut headers);
     let mut exchange = exchange;
     let pieces = stream! {
         let _held = held;
--- a/src/relay/hop.rs
+++ b/src/relay/hop.rs
@@ -3,6 +3,9 @@
 //! The request keeps the form in which the server gets it. Headers beside it, which the other box removes, name the
 //! server, the time left and the connection that may be used. The answer is the server's own, marked as forwarded, or
 //! says why there is none and what that proves. An answer that is neither proves nothing.
+//!
+//! The other box ends the answer by its last chunk, whatever marked its end at the server. It therefore names the
+//! server's framing, without which an early end would pass for a complete answer.
 
 use std::time::Duration;
 
@@ -10,6 +13,7 @@
 use hyper::header::HeaderValue;
 
 use crate::backend::{Reuse, SendFault};
+use crate::decide::completeness::Framing;
 use crate::ids::BackendId;
 
 /// The version of these headers. It changes when one of them changes its meaning.
@@ -24,6 +28,8 @@
 /// The longest idle time, in milliseconds, of a pooled connection that may carry the request; 0 if none may.
 const MAX_IDLE: &str = "emberturn-hop-max-idle";
 const FAULT: &str = "emberturn-hop-fault";
+/// The version, then the framing of the server's answer in a line of its own. A box of the former release reads only
+/// the first line, and removes both.
 const FORWARDED: &str = "emberturn-hop-forwarded";
 
 /// All headers of this module.
@@ -126,8 +132,8 @@
 /// What the other box answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HopReply {
-    /// The answer of the server, or to a probe that it can connect.
-    Forwarded,
+    /// The answer of the server, and what marked its end there; or to a probe that it can connect.
+    Forwarded(Framing),
     /// There is none.
     Failed(HopFault),
     /// Neither: the answer is not of a box, or of an unknown release.
@@ -201,8 +207,9 @@
     /// Adds the headers.
     pub fn write(self, headers: &mut HeaderMap) {
         match self {
-            Self::Forwarded => {
+            Self::Forwarded(framing) => {
                 headers.insert(FORWARDED, HeaderValue::from_static(VERSION));
+                headers.append(FORWARDED, HeaderValue::from_static(framing.name()));
             }
             Self::Failed(fault) => {
                 headers.insert(FAULT, HeaderValue::from_static(fault.name()));
@@ -216,15 +223,25 @@
     pub fn take(headers: &mut HeaderMap) -> Self {
         let fault = headers.remove(FAULT);
         let fault = fault.and_then(|value| HopFault::from_name(value.to_str().ok()?));
-        let is_forwarded = headers.remove(FORWARDED).is_some_and(|value| value == VERSION);
-        match (fault, is_forwarded) {
-            (Some(fault), false) => Self::Failed(fault),
-            (None, true) => Self::Forwarded,
-            (Some(_), true) | (None, false) => Self::Unknown,
+        let forwarded = forwarded_framing(headers);
+        headers.remove(FORWARDED);
+        match (fault, forwarded) {
+            (Some(fault), None) => Self::Failed(fault),
+            (None, Some(framing)) => Self::Forwarded(framing),
+            (Some(_), Some(_)) | (None, None) => Self::Unknown,
         }
     }
 }
 
+/// The framing of a forwarded answer; `None` if it is not forwarded. Nothing vouches for the end of an answer whose
+/// framing is missing, as from a box of the former release, or unknown.
+fn forwarded_framing(headers: &HeaderMap) -> Option<Framing> {
+    let mut values = headers.get_all(FORWARDED).iter();
+    values.next().filter(|value| *value == VERSION)?;
+    let named = values.next().and_then(|value| value.to_str().ok()?.parse().ok());
+    Some(named.unwrap_or(Framing::Close))
+}
+
 /// Removes the headers of this module from the answer of a server.
 pub fn strip(headers: &mut HeaderMap) {
     HEADERS.iter().for_each(|name| drop(headers.remove(*name)));
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -19,6 +19,7 @@
 use super::hop::{HopAction, HopFault, HopReply, HopRequest};
 use super::known::KnownServer;
 use crate::backend::{Exchange, Reuse, SendFault, Unsent};
+use crate::decide::completeness::Framing;
 use crate::decide::paths::{Path, PathChange};
 use crate::decide::proxies::ProxyLease;
 use crate::decide::releases::AnswerOutcome;
@@ -263,7 +264,12 @@
         Err(fault) => return taken(Err(fault), false),
     };
     match HopReply::take(&mut exchange.headers) {
-        HopReply::Forwarded => {
+        HopReply::Forwarded(framing) => {
+            // The end of the other box's answer proves nothing of the server's.
+            exchange.framing = match exchange.framing {
+                Framing::Close => Framing::Close,
+                Framing::Length | Framing::Chunked => framing,
+            };
             // The connect was to the other box, which says nothing of the distance to the server.
             (exchange.connect, exchange.lease) = (None, Some(lease));
             taken(Ok(Box::new(exchange)), true)
--- a/tests/paths.rs
+++ b/tests/paths.rs
@@ -5,11 +5,12 @@
 use std::time::{Duration, Instant};
 
 use emberturn::backend::Reuse;
+use emberturn::decide::completeness::Framing;
 use emberturn::decide::paths::{Path, PathChange, Paths};
 use emberturn::decide::proxies::{Proxy, ProxyPool};
 use emberturn::decide::proxy_directory::{PROXIES_PER_BOX, ProxyDirectory, ProxyReport};
 use emberturn::ids::{BackendId, BoxId, DataCentre, ServiceName};
-use emberturn::relay::hop::{HopAction, HopFault, HopReply, HopRequest};
+use emberturn::relay::hop::{self, HopAction, HopFault, HopReply, HopRequest};
 use hyper::HeaderMap;
 use proptest::prelude::*;
 use yare::parameterized;
@@ -238,13 +239,20 @@
     assert_eq!(headers.len(), 1, "{headers:?}");
 }
 
+/// The first line of an answer that a box forwards.
+const FORWARDED: (&str, &str) = ("emberturn-hop-forwarded", "1");
+
 #[parameterized(
     nothing = { &[], HopReply::Unknown },
-    forwarded = { &[("emberturn-hop-forwarded", "1")], HopReply::Forwarded },
+    former_release = { &[("emberturn-hop-forwarded", "1")], HopReply::Forwarded(Framing::Close) },
+    length = { &[FORWARDED, ("emberturn-hop-forwarded", "length")], HopReply::Forwarded(Framing::Length) },
+    unknown_framing = { &[FORWARDED, ("emberturn-hop-forwarded", "datagram")], HopReply::Forwarded(Framing::Close) },
+    framing_alone = { &[("emberturn-hop-forwarded", "chunked")], HopReply::Unknown },
+    framing_before_version = { &[("emberturn-hop-forwarded", "chunked"), FORWARDED], HopReply::Unknown },
     of_a_later_release = { &[("emberturn-hop-forwarded", "2")], HopReply::Unknown },
     fault = { &[("emberturn-hop-fault", "not_sent")], HopReply::Failed(HopFault::NotSent) },
     unknown_fault = { &[("emberturn-hop-fault", "tired")], HopReply::Unknown },
-    both = { &[("emberturn-hop-fault", "busy"), ("emberturn-hop-forwarded", "1")], HopReply::Unknown },
+    both = { &[("emberturn-hop-fault", "busy"), FORWARDED], HopReply::Unknown },
 )]
 fn answer_that_a_box_does_not_understand_proves_nothing(
     headers: &[(&'static str, &str)],
@@ -252,7 +260,27 @@
 ) {
     let mut map = HeaderMap::new();
     for (name, value) in headers {
-        map.insert(*name, value.parse().unwrap());
+        map.append(*name, value.parse().unwrap());
     }
     assert_eq!(HopReply::take(&mut map), wanted);
+    assert!(map.is_empty(), "{map:?}");
+}
+
+#[parameterized(length = { Framing::Length }, chunked = { Framing::Chunked }, close = { Framing::Close })]
+fn framing_of_a_forwarded_answer_is_read_as_it_was_written(framing: Framing) {
+    let mut headers = HeaderMap::new();
+    HopReply::Forwarded(framing).write(&mut headers);
+    assert_eq!(HopReply::take(&mut headers.clone()), HopReply::Forwarded(framing));
+    // A box of the former release reads the first value, and forwards no header of another name.
+    assert_eq!(headers.remove("emberturn-hop-forwarded").unwrap(), "1");
+    assert!(headers.is_empty(), "{headers:?}");
+}
+
+#[test]
+fn headers_of_this_kind_are_removed_from_the_answer_of_a_server() {
+    let mut headers = HeaderMap::new();
+    headers.append("emberturn-hop-forwarded", "1".parse().unwrap());
+    headers.append("emberturn-hop-forwarded", "length".parse().unwrap());
+    hop::strip(&mut headers);
+    assert!(headers.is_empty(), "{headers:?}");
 }
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -1,5 +1,8 @@
 //! A box that loses its paths to backend servers which other boxes reach.
 
+#[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test takes what it needs")]
+mod fleet;
 #[path = "support/link.rs"]
 mod link;
 #[path = "support/platform.rs"]
@@ -8,12 +11,12 @@
 
 use std::time::Instant;
 
-use emberturn::clock;
 use emberturn::decide::proxies::Proxy;
 use emberturn::relay::list::Server;
 use emberturn_fakes::proxy::{Fault, Proxy as FaultProxy};
+use fleet::{Fleet, listed_behind, proxy};
 use link::{Link, LinkFault};
-use platform::{Act, PATIENCE, Reply, StandIn, TestRelay, until};
+use platform::{Act, StandIn, TestRelay, until};
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -22,81 +25,6 @@
 /// Requests after a lost path is known, each of which is to be served.
 const REQUESTS: usize = 10;
 
-/// A box behind links that can fail, a box that reaches the servers itself, and the servers.
-struct Fleet {
-    cut: TestRelay,
-    other: TestRelay,
-    links: Vec<Link>,
-    servers: Vec<StandIn>,
-}
-
-fn proxy(relay: &TestRelay, name: &str) -> Proxy {
-    Proxy { box_id: name.parse().unwrap(), addr: *relay.relay.forward_addr.get().unwrap() }
-}
-
-/// Lists each server at the address of its link.
-fn listed_behind(servers: &[StandIn], links: &[Link]) -> Vec<Server> {
-    let behind =
-        servers.iter().zip(links).map(|(it, link)| Server { addr: link.addr, ..it.listed("svc") });
-    behind.collect()
-}
-
-impl Fleet {
-    async fn start(acts: &[Act]) -> Self {
-        let mut servers = Vec::new();
-        let mut links = Vec::new();
-        for name in ["i-1", "i-2", "i-3"] {
-            let server = StandIn::start(name, acts).await;
-            links.push(Link::start(server.addr).await);
-            servers.push(server);
-        }
-        let other = TestRelay::start(&servers.iter().collect::<Vec<_>>()).await;
-        let cut = TestRelay::start(&[]).await;
-        cut.list_as(listed_behind(&servers, &links));
-        cut.relay.proxies().assign(vec![proxy(&other, "other")]);
-        Self { cut, other, links, servers }
-    }
-
-    async fn fail(&mut self, fault: LinkFault) {
-        for link in &mut self.links {
-            link.fail(fault).await;
-        }
-    }
-
-    async fn heal(&mut self) {
-        for link in &mut self.links {
-            link.heal().await;
-        }
-    }
-
-    fn is_lost(&self) -> bool {
-        self.cut.relay.paths().is_lost(&"svc".parse().unwrap())
-    }
-
-    /// Sends requests that may fail until the box knows that its path is lost.
-    async fn lose(&mut self, fault: LinkFault) {
-        self.fail(fault).await;
-        // No request is given up, as it could still arrive later.
-        let asking = async {
-            while !self.is_lost() {
-                self.ask("safe").await;
-            }
-        };
-        tokio::time::timeout(PATIENCE, asking).await.expect("the path is lost in time");
-    }
-
-    /// Sends a request to the box that was cut off, which has just heard from its leader.
-    async fn ask(&self, route: &str) -> Reply {
-        self.cut.board.record_fresh(clock::now());
-        self.cut.allow(1e9);
-        self.cut.ask("POST", route).await
-    }
-
-    fn arrivals(&self) -> usize {
-        self.servers.iter().map(|server| server.seen().len()).sum()
-    }
-}
-
 #[parameterized(
     hang_safe = { LinkFault::Hang, "safe" },
     hang_once = { LinkFault::Hang, "once" },
