Forwarded answers: a server that has restarted ends them as broken off

A caller waited for the whole time of its request when the server behind another box had restarted and only that box knew, and got an answer that had neither a length nor chunks as complete if its connection closed then.

Cause: the box that forwards followed the server's end nowhere. It waited for each piece for up to an hour, and took every close in order for the end.

Evidence: on the code without the change the four new tests wait until their time is over ("no end in time"): a stream with a length, chunks and neither, and a request without an answer.

Change: waits for the head and for each piece end with the server's incarnation, as in the box that asked, and a close in order is judged by the same decision (judge_close), with what this box knows. Bytes that have arrived count. Whether the run was stopped is known only to the box that asked. A path of its own that the box knows to be lost is no evidence: lost paths hang or reset, so what closes in order is a connection that still works.

No test holds the one case apart in which the close and the news of the restart are read in the same turn.

--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -19,18 +19,18 @@
 use tokio::sync::watch;
 
 use super::Relay;
-use super::attempt::record_reply;
+use super::attempt::{record_reply, restart_fault};
 use super::call::Call;
 use super::hop::{self, HopAction, HopFault, HopReply, HopRequest};
 use super::keeping::{RequestReservation, read_body};
-use super::known::KnownServer;
+use super::known::{InFlightRequest, KnownServer};
 use super::listen;
 use super::plain::strip_hop_by_hop_headers;
 use super::reach;
 use super::restraint::SendRestrictions;
 use super::serve::build_call;
 use crate::backend::{Exchange, SendFault};
-use crate::decide::completeness::Framing;
+use crate::decide::completeness::{CloseFacts, Framing, judge_close};
 use crate::decide::memory::{LOWEST_URGENCY, MemoryClaim};
 use crate::decide::paths::Path;
 use crate::http::gate::Gate;
@@ -119,17 +119,18 @@
     let read = read_body(memory, &mut Some(body), limit, until, claim).await;
     let read = read.map_err(|_| HopFault::Busy)?;
     let call = build_call(None, LOWEST_URGENCY, head, request, read, arrived, until);
-    let flight = known.start_request(0, 0);
+    let mut flight = known.start_request(0, 0);
     let sent =
         relay.context.pool.send(known.server.addr, to_request(&call), call.time_left(), hop.reuse);
-    let mut exchange = sent.await.map_err(|fault| explain(relay, &known, &fault))?;
+    let sent = unless_restarted(&mut flight, sent).await;
+    let mut exchange = sent.map_err(|fault| explain(relay, &known, &fault))?;
     reach::record_direct(relay, &known, &exchange);
     let head = relay.context.dialect.read_reply(&call, exchange.status, &exchange.headers);
     if !head.matches_request {
         exchange.close_after();
     }
     record_reply(relay, &known, exchange.status, &head);
-    Ok(answer(exchange, (kept, flight)))
+    Ok(answer(exchange, flight, kept))
 }
 
 /// The server, if this box would send to it.
@@ -178,18 +179,51 @@
     request
 }
 
+/// Waits for a server until it is known to have restarted: it sends nothing more then.
+async fn unless_restarted<T>(
+    flight: &mut InFlightRequest,
+    received: impl Future<Output = Result<T, SendFault>>,
+) -> Result<T, SendFault> {
+    tokio::select! {
+        // What has arrived counts even if the server has restarted since.
+        biased;
+        received = received => received,
+        () = flight.server_restarted() => Err(restart_fault()),
+    }
+}
+
+/// The next piece of an answer; `None` at its end. The box that asked does not know all that this one knows of the
+/// server, so an end that may be none is an error here.
+async fn next_piece(
+    exchange: &mut Exchange,
+    flight: &mut InFlightRequest,
+) -> Result<Option<Bytes>, SendFault> {
+    let piece = unless_restarted(flight, exchange.next(READ_TIMEOUT)).await?;
+    if piece.is_none() && exchange.framing == Framing::Close {
+        let server_ended = flight.server().state.is_over();
+        // Only the box that asked knows whether the run was stopped.
+        let facts = CloseFacts { server_ended, ..CloseFacts::default() };
+        judge_close(&facts).map_err(|cause| SendFault::Broke(cause.to_string()))?;
+    }
+    Ok(piece)
+}
+
 /// The answer as it arrives. What is `held` is released at its end, or when the other box closes its connection, which
 /// cancels the request at the server.
-fn answer(exchange: Exchange, held: impl Send + 'static) -> Response<Body> {
+fn answer(
+    exchange: Exchange,
+    flight: InFlightRequest,
+    held: impl Send + 'static,
+) -> Response<Body> {
     let (status, mut headers) = (exchange.status, exchange.headers.clone());
     strip_hop_by_hop_headers(&mut headers);
     hop::strip(&mut headers);
     HopReply::Forwarded(exchange.framing).write(&mut headers);
-    let mut exchange = exchange;
+    let (mut exchange, mut flight) = (exchange, flight);
     let pieces = stream! {
         let _held = held;
         loop {
-            match exchange.next(READ_TIMEOUT).await {
+            match next_piece(&mut exchange, &mut flight).await {
                 Ok(Some(piece)) => yield Ok(Frame::data(piece)),
                 Ok(None) => break,
                 Err(fault) => {
--- a/tests/forwarded_ends.rs
+++ b/tests/forwarded_ends.rs
@@ -37,6 +37,9 @@
 /// The time a caller gives, in milliseconds: that of each answer that falls silent.
 const DEADLINE_MS: u32 = 1_500;
 
+/// More time than a test has, in milliseconds.
+const LONG_MS: u32 = 60_000;
+
 /// A whole stream.
 fn stream() -> Script {
     Script {
@@ -132,6 +135,19 @@
         reply
     }
 
+    /// Has the first box give requests more time than a test has.
+    fn allow_long_requests(&self) {
+        let mut routes = platform::usual_routes();
+        routes.iter_mut().for_each(|route| route["timeout_ms"] = LONG_MS.into());
+        self.fleet.cut.publish(&platform::document(2, &routes));
+    }
+
+    /// Has only the other box learn that the server has restarted: it is listed there at another address.
+    async fn restart_at_other(&self) {
+        let at = self.fleet.servers[0].listed("svc");
+        self.fleet.other.list_as(vec![Server { id: "i-9".parse().unwrap(), ..at }]);
+    }
+
     /// Has the first box's budget of retries grow by one at least.
     fn allow_retry(&self) {
         let limit = RetryLimit { ratio: 2.0, floor: 100.0, boxes: Some(1) };
@@ -291,6 +307,35 @@
     assert!(ours.iter().all(|line| line.starts_with("emberturn-hop-forwarded: ")), "{answer}");
 }
 
+#[parameterized(length = { Framing::Length }, chunked = { Framing::Chunked }, close = { Framing::Close })]
+fn answer_of_a_server_that_only_the_other_box_knows_to_have_restarted_is_not_complete(
+    framing: Framing,
+) {
+    run(async move {
+        let hop = Hop::start().await;
+        let script = Script { framing, sent: events(2).len(), end: End::Silence, ..stream() };
+        let server = Breaking::start(script).await;
+        hop.list(&[("i-9", server.addr)]);
+        hop.allow_long_requests();
+        let reply = hop.ask_within(LONG_MS, "stream", "piece 1", hop.restart_at_other()).await;
+        assert_eq!((reply.status, reply.whole), (200, false), "{reply:?}");
+    });
+}
+
+#[tokio::test]
+async fn request_to_a_server_that_only_the_other_box_knows_to_have_restarted_is_given_up() {
+    let hop = Hop::start().await;
+    let mut server = StandIn::start("i-9", &[Act::Silent]).await;
+    hop.list(&[("i-9", server.addr)]);
+    hop.allow_long_requests();
+    let restart = async {
+        server.wait_seen(1).await;
+        hop.restart_at_other().await;
+    };
+    let (reply, ()) = tokio::join!(hop.ask_within(LONG_MS, "once", "", async {}), restart);
+    assert_eq!(reply.status, 502, "{reply:?}");
+}
+
 #[parameterized(length = { Framing::Length }, chunked = { Framing::Chunked }, close = { Framing::Close })]
 fn stream_of_a_box_that_is_killed_is_not_complete(framing: Framing) {
     run(async move {
