Tests: streams behind another box that stop to be moved

The form of the incident on the way through another box: a stream without a length or chunks whose server is asked to stop the run. Moved, resumable, no room elsewhere, ended before the move, and a move that broke off, is under way or is unanswered, each through a box that forwards; and a stream in chunks beside them.

All eight pass.

--- a/tests/forwarded_ends.rs
+++ b/tests/forwarded_ends.rs
@@ -23,10 +23,11 @@
 use emberturn::decide::proxies::Proxy;
 use emberturn::decide::retry_budgets::RetryLimit;
 use emberturn::relay::list::Server;
+use emberturn::units::Millis;
 use emberturn_fakes::proxy::{Fault, Proxy as FaultProxy};
 use fleet::{Fleet, proxy};
 use link::{Link, LinkFault};
-use platform::{Act, PATIENCE, Reply, StandIn, TestRelay, event, events};
+use platform::{Act, Moves, PATIENCE, Reply, StandIn, TestRelay, event, events};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use yare::parameterized;
@@ -106,7 +107,7 @@
         let number = self.asked.fetch_add(1, Ordering::Relaxed);
         let text = format!(
             "POST /{route}/{number} HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-1\r\n\
-             Deadline-Ms: {deadline_ms}\r\nApi-Key: key-a\r\nContent-Length: 0\r\n\
+             Deadline-Ms: {deadline_ms}\r\nApi-Key: key-a\r\nToken-Usage: 1000,100000\r\nContent-Length: 0\r\n\
              Connection: close\r\n\r\n"
         );
         caller.write_all(text.as_bytes()).await.unwrap();
@@ -432,6 +433,66 @@
     }
 }
 
+/// Asks for a stream at a server that is asked to stop its run as soon as it has sent two events, beside a second one.
+async fn ask_while_leaving(route: &str, moves: Moves, act: Act) -> (Reply, StandIn, StandIn) {
+    let hop = Hop::start().await;
+    let first = StandIn::start_moving("i-9", moves, &[act, Act::Events(6)]).await;
+    let second = StandIn::start("i-8", &[Act::Events(6)]).await;
+    hop.list(&[("i-9", first.addr)]);
+    let leaving = async {
+        hop.list(&[("i-9", first.addr), ("i-8", second.addr)]);
+        // The other box does not know yet that the server leaves: it takes nothing for one that does.
+        let listed = |server: &StandIn| Server { addr: hop.dead.addr, ..server.listed("svc") };
+        let leaves_in = Some(Millis(2_500));
+        let first = Server { leaving: true, leaves_in, ..listed(&first) };
+        hop.fleet.cut.list_as(vec![first, listed(&second)]);
+    };
+    let reply = hop.ask_within(8_000, route, "piece 2", leaving).await;
+    (reply, first, second)
+}
+
+#[parameterized(
+    stream = { "stream", Act::UnframedUntilMoved(2) },
+    resumable = { "resumable", Act::UnframedUntilMoved(2) },
+    chunked = { "stream", Act::UntilMoved(2) },
+)]
+fn stream_behind_another_box_that_stops_to_be_moved_is_not_complete(route: &'static str, act: Act) {
+    run(async move {
+        let (reply, _, second) = ask_while_leaving(route, Moves::Copied, act).await;
+        assert_eq!((reply.status, reply.body, reply.whole), (200, events(6), true));
+        let moved = &second.seen()[0];
+        assert!(moved.headers["kv-from"].ends_with("/h-1"), "{moved:?}");
+        assert_eq!(moved.headers["last-event-id"], "2");
+    });
+}
+
+#[parameterized(close = { Moves::Close }, busy = { Moves::Busy }, silent = { Moves::Silent })]
+fn stream_behind_another_box_that_may_have_been_stopped_is_not_complete(moves: Moves) {
+    run(async move {
+        let (reply, _, second) =
+            ask_while_leaving("stream", moves, Act::UnframedUntilMoved(2)).await;
+        assert_eq!((reply.status, reply.body, reply.whole), (200, events(2), false));
+        assert!(second.seen().is_empty());
+    });
+}
+
+#[tokio::test]
+async fn stream_behind_another_box_that_found_no_room_elsewhere_continues_on_its_server() {
+    let (reply, first, second) =
+        ask_while_leaving("stream", Moves::NoRoom, Act::UnframedUntilMoved(2)).await;
+    assert_eq!((reply.status, reply.body, reply.whole), (200, events(6), true));
+    assert_eq!(first.seen()[1].headers["last-event-id"], "2");
+    assert!(second.seen().is_empty());
+}
+
+#[tokio::test]
+async fn stream_behind_another_box_that_ended_before_its_move_is_complete() {
+    let (reply, _, second) =
+        ask_while_leaving("stream", Moves::NotFound, Act::UnframedUntilMoved(2)).await;
+    assert_eq!((reply.status, reply.body, reply.whole), (200, events(2), true));
+    assert!(second.seen().is_empty());
+}
+
 /// Has the first box reach the other one through a link that can fail.
 async fn between(hop: &Hop) -> FaultProxy {
     let forward = hop.fleet.other.relay.forward_addr.get().copied();
