Relay: a plain answer without a length is not complete if its server is known to have restarted

Callers got status 200 with the part of a plain answer that a server had written before its process ended: the connections of a process that ends are closed in order, and without a length or chunks that is how an answer ends as well. The relay let a read that had finished win over the restart, whatever marked the end of the answer.

A test lets the relay read the close and learn of the restart in the same step. Now it gets 502 and nothing is counted as a success. An answer with a length or chunks stays complete, also if its server has restarted since.

The rest of the new tests walks plain answers that end early, by every framing, by close, reset and silence, at places in the head and at every byte behind it, on a route that repeats and on one that does not: 440 cells. They passed before the change.

--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -18,6 +18,7 @@
 use super::table::Route;
 use super::taking::UNCHARGED_BYTES;
 use crate::backend::SendFault;
+use crate::decide::completeness::Framing;
 use crate::decide::engine::Observation;
 use crate::decide::memory::{MemoryClaim, MemoryReservation, Purpose};
 use crate::decide::releases::AnswerOutcome;
@@ -170,10 +171,13 @@
     let limit = call.time_left();
     let result = tokio::time::timeout(limit, async {
         let reply = send(relay, call, route, known, StartState::default(), limit).await?;
-        read_whole(relay, reply, MAX_ANSWER_BYTES).await
+        let framing = reply.exchange.framing;
+        let read = read_whole(relay, reply, MAX_ANSWER_BYTES).await?;
+        check_end(framing, known.state.is_over()).map_err(SendFailure::from_fault)?;
+        Ok(read)
     });
     let (answer, failed) = tokio::select! {
-        // An answer that has arrived counts even if its server has restarted since.
+        // An answer whose end is marked counts even if its server has restarted since.
         biased;
         result = result => match result {
             Ok(result) => result?,
@@ -207,6 +211,15 @@
     Ok((answer, failed))
 }
 
+/// Checks that an answer whose body has ended is complete. The connections of a server process that ends are closed in
+/// order as well, so that without a length or chunks the end of the server can't be told from the end of its answer.
+fn check_end(framing: Framing, has_restarted: bool) -> Result<(), SendFault> {
+    match framing {
+        Framing::Close if has_restarted => Err(restart_fault()),
+        Framing::Length | Framing::Chunked | Framing::Close => Ok(()),
+    }
+}
+
 /// Reads an answer of at most `limit` bytes to its end, reserving memory for it. Also returns
 /// whether the server reports that the request failed.
 pub(super) async fn read_whole(
