Relay: a plain answer that breaks off in its body counts against its server

A server that sent heads and then broke its answers off was chosen as often as a sound one, was not asked for its incarnation, and a release under trial did not answer for it: only faults before the end of the head were recorded, while streams and heads that break off count.

A test has a server break off two answers inside their bodies, once by close and once by reset, and looks whether a third failure sets the server aside. It failed before the change. Now a break in the body is recorded as one in the head is; a time-out in the body still is not, since it may be this box that has no memory for the answer.

--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -10,11 +10,14 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{CheckedReply, SendFailure, StartState, restart_fault, seconds_since, send};
+use super::attempt::{
+    CheckedReply, SendFailure, StartState, record_fault, restart_fault, seconds_since, send,
+};
 use super::attempts::CallAttempts;
 use super::call::Call;
-use super::known::KnownServer;
+use super::known::{InFlightRequest, KnownServer};
 use super::quarantine;
+use super::reach;
 use super::table::Route;
 use super::taking::UNCHARGED_BYTES;
 use crate::backend::SendFault;
@@ -169,22 +172,17 @@
     let mut flight = known.start_request(call.prompt_tokens(), call.max_tokens());
     let began = Instant::now();
     let limit = call.time_left();
-    let result = tokio::time::timeout(limit, async {
-        let reply = send(relay, call, route, known, StartState::default(), limit).await?;
-        let framing = reply.exchange.framing;
-        let read = read_whole(relay, reply, MAX_ANSWER_BYTES).await?;
-        check_end(framing, known.state.is_over()).map_err(SendFailure::from_fault)?;
-        Ok(read)
-    });
-    let (answer, failed) = tokio::select! {
-        // An answer whose end is marked counts even if its server has restarted since.
+    let reply = tokio::select! {
         biased;
-        result = result => match result {
-            Ok(result) => result?,
-            Err(_) => return Err(SendFailure::from_fault(SendFault::TimedOut)),
-        },
+        reply = send(relay, call, route, known, StartState::default(), limit) => reply?,
         () = flight.server_restarted() => return Err(SendFailure::from_fault(restart_fault())),
     };
+    let read = read_answer(relay, call, reply, &mut flight).await;
+    if let Err(SendFailure::Unknown { kind: Kind::BackendBroke, .. }) = &read {
+        record_fault(relay, known, false);
+        reach::record_break(relay, known, &route.name);
+    }
+    let (answer, failed) = read?;
     flight.mark_started();
     quarantine::record_success(relay, call);
     if !failed {
@@ -211,6 +209,29 @@
     Ok((answer, failed))
 }
 
+/// Reads an answer to its end, within the time that the call has left.
+async fn read_answer(
+    relay: &Relay,
+    call: &Call,
+    reply: CheckedReply,
+    flight: &mut InFlightRequest,
+) -> Result<(Answer, bool), SendFailure> {
+    let framing = reply.exchange.framing;
+    let reading = read_whole(relay, reply, MAX_ANSWER_BYTES);
+    let read = tokio::select! {
+        // An answer whose end is marked counts even if its server has restarted since.
+        biased;
+        read = tokio::time::timeout(call.time_left(), reading) => match read {
+            Ok(read) => read?,
+            Err(_) => return Err(SendFailure::from_fault(SendFault::TimedOut)),
+        },
+        () = flight.server_restarted() => return Err(SendFailure::from_fault(restart_fault())),
+    };
+    let has_restarted = flight.server().state.is_over();
+    check_end(framing, has_restarted).map_err(SendFailure::from_fault)?;
+    Ok(read)
+}
+
 /// Checks that an answer whose body has ended is complete. The connections of a server process that ends are closed in
 /// order as well, so that without a length or chunks the end of the server can't be told from the end of its answer.
 fn check_end(framing: Framing, has_restarted: bool) -> Result<(), SendFault> {
--- a/tests/answer_ends.rs
+++ b/tests/answer_ends.rs
@@ -237,3 +237,21 @@
         assert_relayed(&relay, &reply, Some(BODY.as_bytes()), &format!("{form:?}"));
     }
 }
+
+/// A server that breaks off one answer after the other would otherwise be chosen like any other.
+#[tokio::test]
+async fn plain_answer_that_breaks_off_in_its_body_counts_against_its_server() {
+    for end in [End::Close, End::Reset] {
+        let form = Form { version: "HTTP/1.1", framing: Framing::Length };
+        let script = move |seen: &platform::Seen, _| {
+            let wire = form.write(&signed(&seen.headers["request-id"]), BODY);
+            wire.cut(wire.body_at + 4, end)
+        };
+        let server = RawServer::start(script);
+        let relay = relay_of(&[&server]).await;
+        for _ in 0..2 {
+            assert_eq!(ask_relay(&relay, "once", LONG).await.status, 502);
+        }
+        assert!(relay.known("i-0").state.fail(), "{end:?}: two failures were not counted");
+    }
+}
--- a/tests/support/raw.rs
+++ b/tests/support/raw.rs
@@ -100,7 +100,7 @@
         load.clone_into(&mut self.shared.load.lock().unwrap());
     }
 
-    /// How many requests came since the script began.
+    /// How many requests came since the script began, besides those for its load or a report.
     pub fn seen(&self) -> usize {
         *self.shared.seen.borrow()
     }
@@ -168,12 +168,16 @@
             stream.write_all(format!("{head}{body}").as_bytes()).await?;
             continue;
         }
+        if request.line.starts_with("GET /report ") {
+            stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await?;
+            continue;
+        }
         let script = shared.script.lock().unwrap().clone();
         let number = *shared.seen.borrow();
         let Written { bytes, end } = script(&request, number);
         let mut told = shared.told.subscribe();
-        stream.write_all(&bytes).await?;
         shared.seen.send_modify(|count| *count += 1);
+        stream.write_all(&bytes).await?;
         match end {
             End::Close => {}
             End::Reset => socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))?,
