Backend: an answer with a transfer coding other than chunked ends with its connection

The framing of an answer was taken for chunks as soon as it named any transfer coding. Behind a last coding other than chunked (RFC 9112, section 6.3) hyper reads until the connection closes, so that such an answer counted as one whose end is marked, and the checks of answers without a mark passed it over.

A test names `gzip` and `chunked, gzip`; it failed before the change.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -375,11 +375,19 @@
 fn framing(headers: &HeaderMap, body: &Incoming) -> Framing {
     match body.size_hint().exact() {
         Some(_) => Framing::Length,
-        None if headers.contains_key(TRANSFER_ENCODING) => Framing::Chunked,
+        None if is_chunked(headers) => Framing::Chunked,
         None => Framing::Close,
     }
 }
 
+/// Whether the last transfer coding is chunked. Behind any other, the body ends with its connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last_field = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = last_field.and_then(|value| value.to_str().ok());
+    let last = codings.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// How long an idle connection is kept, by the other side's word where it gives one.
 fn keep_time(headers: &HeaderMap) -> Duration {
     let word = headers.get("keep-alive").and_then(|value| value.to_str().ok());
--- a/tests/answer_ends.rs
+++ b/tests/answer_ends.rs
@@ -10,8 +10,10 @@
 
 use std::time::Duration;
 
+use emberturn::backend::{Pool, Reuse};
+use emberturn::decide::completeness;
 use futures_util::future::join_all;
-use platform::{Reply, TestRelay, document, route};
+use platform::{PATIENCE, Reply, TestRelay, document, route};
 use raw::{End, RawServer, Written};
 
 /// How a server marks the end of its answer.
@@ -255,3 +257,24 @@
         assert!(relay.known("i-0").state.fail(), "{end:?}: two failures were not counted");
     }
 }
+
+/// RFC 9112, section 6.3: only chunks mark the end, whatever other transfer coding is named.
+#[tokio::test]
+async fn answer_whose_last_transfer_coding_is_not_chunked_ends_with_its_connection() {
+    let coded = [
+        ("gzip", completeness::Framing::Close),
+        ("chunked, gzip", completeness::Framing::Close),
+        ("gzip, Chunked", completeness::Framing::Chunked),
+    ];
+    for (coding, framing) in coded {
+        let server = RawServer::start(move |_, _| {
+            let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: {coding}\r\n\r\n");
+            let bytes = format!("{head}5\r\n01234\r\n0\r\n\r\n").into_bytes();
+            Written { bytes, end: End::Close }
+        });
+        let request = hyper::Request::get("/x").header("host", "x");
+        let request = request.body(http_body_util::Full::new(bytes::Bytes::new())).unwrap();
+        let sent = Pool::default().send(server.addr, request, PATIENCE, Reuse::Never).await;
+        assert_eq!(sent.unwrap().framing, framing, "{coding}");
+    }
+}
