Bodies: a body that another task writes ends only where that task says so

What callers saw: an answer whose delivery stopped in the middle had the end of a complete one.

Cause: the task that reads an answer and the connection to its caller shared a channel, and the channel's close was the end of the body. It closes as well when a slow caller is given up with pieces waiting, and when the task panics or is aborted. A connection is looked at before it is told to close, so the end went out first.

A caller that is given up as slow was not made to see a complete answer by a test: it has to take all that is buffered at that very moment.

Change: `http::channel`: data, failure and end are messages, and a channel that closes without an end is an error of the body. The delivery of streams uses it.

Conclusion: an end that nobody said cannot reach a caller through this channel. An answer that only the close of its connection ends still looks complete when its body fails; that is a fault of its own.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! Nothing here knows what is asked. [`server`] runs connections, [`gate`] counts them and says which
 //! are to go, [`head`] refuses heads that break the protocol or a limit, [`charged`] charges bytes to
-//! the box's memory.
+//! the box's memory, [`channel`] makes bodies that another task writes.
 
 pub mod answer;
+pub mod channel;
 pub mod charged;
 pub mod gate;
 pub mod head;
--- a/src/relay/taking.rs
+++ b/src/relay/taking.rs
@@ -12,12 +12,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::stream::poll_fn;
 use futures_util::{Stream, StreamExt};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
 use tokio::sync::Notify;
-use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio::time::{Sleep, sleep};
 
 use super::Relay;
@@ -26,6 +22,7 @@
 use super::table::Route;
 use crate::decide::memory::{MemoryClaim, MemoryReservation, Purpose};
 use crate::decide::slowness::{ReadProgress, Slowness, check_progress};
+use crate::http::channel::{BodyWriter, channel};
 use crate::http::charged::guarded;
 use crate::http::{Body, whole};
 use crate::sync::lock;
@@ -157,11 +154,10 @@
     kept: RequestReservation,
     events: impl Stream<Item = io::Result<Bytes>> + Send + 'static,
 ) -> Body {
-    let (sender, mut pieces) = mpsc::unbounded_channel();
+    let (writer, body) = channel();
     let delivery = Delivery::new(relay, call, route, kept);
-    tokio::spawn(delivery.run(events, sender));
-    let pieces = poll_fn(move |context| pieces.poll_recv(context));
-    BodyExt::boxed_unsync(StreamBody::new(pieces.map(|piece| piece.map(Frame::data))))
+    tokio::spawn(delivery.run(events, writer));
+    body
 }
 
 /// The response body of a complete answer, which no longer occupies its engine.
@@ -216,24 +212,19 @@
     async fn run(
         mut self,
         events: impl Stream<Item = io::Result<Bytes>> + Send,
-        sender: UnboundedSender<io::Result<Bytes>>,
+        writer: BodyWriter,
     ) {
         let mut events = pin!(events);
-        loop {
-            let has_room = self.send_waiting(&sender);
+        let end = loop {
+            let has_room = self.send_waiting(&writer);
             let has_untaken = self.state.has_untaken();
             tokio::select! {
                 biased;
-                () = sender.closed() => return,
+                () = writer.closed() => return,
                 event = events.next(), if has_room => match event {
                     Some(Ok(piece)) => self.waiting_piece = Some(piece),
-                    Some(Err(error)) => {
-                        // The connection discards what it has not written when its body fails.
-                        self.wait_until_taken().await;
-                        let _ = sender.send(Err(error));
-                        return;
-                    }
-                    None => break,
+                    Some(Err(error)) => break Err(error),
+                    None => break Ok(()),
                 },
                 () = self.state.taken.notified(), if !has_room => {}
                 () = self.check_timer.as_mut(), if has_untaken || !has_room => {
@@ -242,8 +233,15 @@
                     }
                 }
             }
+        };
+        match end {
+            Ok(()) => writer.finish(),
+            Err(error) => {
+                // The connection discards what it has not written when its body fails.
+                self.wait_until_taken().await;
+                writer.fail(error);
+            }
         }
-        drop(sender);
         self.finish().await;
     }
 
@@ -267,20 +265,20 @@
     }
 
     /// Sends the waiting chunk if there is room. Returns whether there is room for another one.
-    fn send_waiting(&mut self, sender: &UnboundedSender<io::Result<Bytes>>) -> bool {
+    fn send_waiting(&mut self, writer: &BodyWriter) -> bool {
         let kept = self.state.progress().kept_bytes;
         let passed = match self.waiting_piece.take() {
             None => true,
             Some(mut piece) => match self.reserve(kept, piece.len() as u64) {
                 Ok(charge) => {
-                    let _ = sender.send(Ok(self.state.keep(piece, charge)));
+                    writer.send(self.state.keep(piece, charge));
                     true
                 }
                 Err(()) => {
                     let free = UNCHARGED_BYTES.saturating_sub(kept) as usize;
                     if free > 0 {
                         let part = piece.split_to(free);
-                        let _ = sender.send(Ok(self.state.keep(part, None)));
+                        writer.send(self.state.keep(part, None));
                     }
                     self.waiting_piece = Some(piece);
                     false
