Streams: one that ends while its server is asked to stop it is counted like any other

A stream that reached its end during a move was in no metric and no log, and counted for neither its server's latencies nor its release nor the quarantine.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -420,7 +420,7 @@
                         }
                         MoveOutcome::Ended(ready) => {
                             yield Ok(ready);
-                            break;
+                            Ok(Received::End)
                         }
                         MoveOutcome::NotMoved(ready) => {
                             yield Ok(ready);
