Moves: a reply that the request was not executed leaves the stream running

A server that turns the request to stop a run away with Not-Executed has not stopped it. Its sound stream without a length was reported as broken off, as a 503 without a handle counted as no clear reply.

--- a/src/relay/export.rs
+++ b/src/relay/export.rs
@@ -22,10 +22,11 @@
 }
 
 impl ExportReply {
-    /// Interprets the status and the handle of an answer.
-    pub(super) fn from_answer(status: StatusCode, handle: Option<String>) -> Self {
+    /// Interprets an answer. `not_run` is whether the server says that it did not execute the request.
+    pub(super) fn from_answer(status: StatusCode, not_run: bool, handle: Option<String>) -> Self {
         match (handle, status) {
             (Some(handle), _) => Self::Stopped { status, handle },
+            (None, _) if not_run => Self::NotStopped,
             // A request to stop the run may be under way, or the server may be gone from its address.
             (None, StatusCode::CONFLICT | StatusCode::MISDIRECTED_REQUEST) => Self::Unknown,
             (None, status) if status.is_client_error() => Self::NotStopped,
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -245,11 +245,12 @@
     let answered = async {
         let exchange = reach::send(relay, source, request, MOVE_TIMEOUT, Reuse::Any).await?;
         let status = exchange.status;
+        let head = relay.context.dialect.read_reply(call, status, &exchange.headers);
         let body = exchange.read_whole(MAX_REPLY_BYTES, MOVE_TIMEOUT).await?;
-        Ok::<_, SendFault>((status, body))
+        Ok::<_, SendFault>((status, head.not_run, body))
     };
     match answered.await {
-        Ok((status, body)) => {
+        Ok((status, not_run, body)) => {
             let MoveReply { incarnation, handle } = relay.context.dialect.read_move_reply(&body);
             // A misdirected request was answered by a different server, whose incarnation does not
             // concern this one.
@@ -263,7 +264,7 @@
                     status = status.as_u16()
                 );
             }
-            ExportReply::from_answer(status, handle)
+            ExportReply::from_answer(status, not_run, handle)
         }
         Err(fault) => {
             tracing::info!(event = "move_not_made", id = call.head.id, detail = %fault);
