Callers: an answer that its connection's close ends is reset if it broke off

What callers saw: to callers of HTTP/1.0, streams that broke off ended with an orderly close, as complete ones do.

Cause: an answer of unknown length to HTTP/1.0 has neither a length nor chunks, with and without `Connection: keep-alive`. When its body fails, the HTTP library drops the connection, which closes it in order. So does everything else that drops it: a caller that is given up, a write time-out, the end of the process. HTTP/1.1 callers see the missing last chunk in all of these cases, and answers with a length their missing bytes.

Change: `http::close_delimited`. The socket has zero linger from the first byte of such an answer until all of it has been written and its body has ended as complete. Whatever ends the connection in between resets it, without anybody having to notice. Other answers keep their orderly close: a reset could take from callers what was delivered and not yet read.

What has not left the box when such an answer breaks off is lost with the reset.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! Nothing here knows what is asked. [`server`] runs connections, [`gate`] counts them and says which
 //! are to go, [`head`] refuses heads that break the protocol or a limit, [`charged`] charges bytes to
-//! the box's memory, [`channel`] makes bodies that another task writes.
+//! the box's memory, [`channel`] makes bodies that another task writes,
+//! [`close_delimited`] resets connections whose close would complete an answer that broke off.
 
 pub mod answer;
 pub mod channel;
 pub mod charged;
+mod close_delimited;
 pub mod gate;
 pub mod head;
 pub mod server;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -24,6 +24,7 @@
 use tokio_io_timeout::TimeoutStream;
 
 use super::Body;
+use super::close_delimited::{CloseDelimited, is_close_delimited};
 use super::gate::{Busy, Gate, Link, Place};
 use crate::decide::memory::MemoryClaim;
 
@@ -131,13 +132,23 @@
     let link = place.link.clone();
     let mut stream = TimeoutStream::new(stream);
     stream.set_write_timeout(Some(limits.write_time));
-    let io = TokioIo::new(Heard { stream: Box::pin(stream), link: link.clone() });
+    let delimited = Arc::new(CloseDelimited::default());
+    let heard =
+        Heard { stream: Box::pin(stream), link: link.clone(), delimited: delimited.clone() };
+    let io = TokioIo::new(heard);
     let serving = link.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
         let busy = Busy::begin(&serving);
         request.extensions_mut().insert(busy.clone());
-        let answering = handler(request);
-        async move { Ok::<_, Infallible>(until_taken(answering.await, busy)) }
+        let (version, method) = (request.version(), request.method().clone());
+        let (answering, delimited) = (handler(request), delimited.clone());
+        async move {
+            let response = answering.await;
+            if is_close_delimited(version, &method, &response) {
+                delimited.begin();
+            }
+            Ok::<_, Infallible>(until_taken(response, delimited, busy))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -190,10 +201,11 @@
     }
 }
 
-/// Has a connection's link hear what arrives.
+/// Has a connection's link hear what arrives, and its close say whether its answer is complete.
 struct Heard {
     stream: Pin<Box<TimeoutStream<TcpStream>>>,
     link: Arc<Link>,
+    delimited: Arc<CloseDelimited>,
 }
 
 impl AsyncRead for Heard {
@@ -219,7 +231,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.get_mut().stream.as_mut().poll_write(context, bytes)
+        let heard = self.get_mut();
+        heard.delimited.before_write(heard.stream.get_ref())?;
+        heard.stream.as_mut().poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -227,7 +241,9 @@
         context: &mut Context<'_>,
         pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.get_mut().stream.as_mut().poll_write_vectored(context, pieces)
+        let heard = self.get_mut();
+        heard.delimited.before_write(heard.stream.get_ref())?;
+        heard.stream.as_mut().poll_write_vectored(context, pieces)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -239,17 +255,24 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.get_mut().stream.as_mut().poll_shutdown(context)
+        let heard = self.get_mut();
+        heard.delimited.before_shutdown(heard.stream.get_ref())?;
+        heard.stream.as_mut().poll_shutdown(context)
     }
 }
 
 /// An answer whose connection is busy until its body has been taken.
-fn until_taken(response: Response<Body>, busy: Arc<Busy>) -> Response<Body> {
-    response.map(|body| BodyExt::boxed_unsync(Taken { body, _busy: busy }))
+fn until_taken(
+    response: Response<Body>,
+    delimited: Arc<CloseDelimited>,
+    busy: Arc<Busy>,
+) -> Response<Body> {
+    response.map(|body| BodyExt::boxed_unsync(Taken { body, delimited, _busy: busy }))
 }
 
 struct Taken {
     body: Body,
+    delimited: Arc<CloseDelimited>,
     _busy: Arc<Busy>,
 }
 
@@ -261,7 +284,18 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(context)
+        let taken = self.get_mut();
+        let frame = ready!(Pin::new(&mut taken.body).poll_frame(context));
+        let has_ended = match &frame {
+            None => true,
+            // The library does not ask for another frame.
+            Some(Ok(_)) => taken.body.is_end_stream(),
+            Some(Err(_)) => false,
+        };
+        if has_ended {
+            taken.delimited.end();
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
