Forwarded answers: how each one ended is logged and counted

Operators saw a request of another box as answered as soon as its head had arrived: an answer that broke off afterwards was counted like a complete one, and no line said how many bytes had gone or what marked the end.

Change: forward_ended and forward_broke name the server's framing and the bytes passed on, and emberturn_answer_ends_total counts the end at the box that forwards too. emberturn_forwards_total counts a forwarded answer once it is over: answered, broken_off, or cancelled when the box that asked closed its connection first.

Tests: behind another box, an answer that broke off (a stream and a plain one, three framings) is counted as such, gives its server no service time and, if plain, no usage; the complete one does. A hedge that breaks off (three framings) does not win, and only the server that answered gets a service time.

--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -36,6 +36,7 @@
 use crate::http::gate::Gate;
 use crate::http::server::{self, Limits};
 use crate::http::{Body, whole};
+use crate::telemetry::volume;
 
 /// The most connections of other boxes. Each keeps a few, and more while it forwards.
 const MAX_CONNECTIONS: usize = 512;
@@ -46,6 +47,15 @@
 /// Longest wait for the next piece of an answer. The deadline of the box that asked ends it earlier.
 const READ_TIMEOUT: Duration = Duration::from_secs(3_600);
 
+/// Outcome of a request whose answer came to its end.
+const ANSWERED: &str = "answered";
+
+/// Outcome of a request whose answer broke off behind its head.
+const BROKEN_OFF: &str = "broken_off";
+
+/// Outcome of a request whose answer the box that asked did not read to its end.
+const CANCELLED: &str = "cancelled";
+
 /// Opens the listener for other boxes, at another port if the one asked for is taken. The leader tells other boxes
 /// where it is.
 ///
@@ -78,10 +88,7 @@
 
 async fn handle(relay: Arc<Relay>, request: Request<Incoming>) -> Response<Body> {
     match forward(&relay, request).await {
-        Ok(response) => {
-            relay.context.metrics.count_forward("answered");
-            response
-        }
+        Ok(response) => response,
         Err(fault) => {
             relay.context.metrics.count_forward(fault.name());
             fault_answer(fault)
@@ -130,7 +137,16 @@
         exchange.close_after();
     }
     record_reply(relay, &known, exchange.status, &head);
-    Ok(answer(exchange, flight, kept))
+    let answer = ForwardedAnswer {
+        relay: relay.clone(),
+        id: call.head.id.clone(),
+        exchange,
+        flight,
+        bytes: 0,
+        outcome: CANCELLED,
+        _kept: kept,
+    };
+    Ok(answer.respond())
 }
 
 /// The server, if this box would send to it.
@@ -156,6 +172,7 @@
     known.state.hear();
     let mut response = Response::new(whole(Bytes::new()));
     HopReply::Forwarded(Framing::Length).write(response.headers_mut());
+    relay.context.metrics.count_forward(ANSWERED);
     Ok(response)
 }
 
@@ -192,50 +209,91 @@
     }
 }
 
-/// The next piece of an answer; `None` at its end. The box that asked does not know all that this one knows of the
-/// server, so an end that may be none is an error here.
-async fn next_piece(
-    exchange: &mut Exchange,
-    flight: &mut InFlightRequest,
-) -> Result<Option<Bytes>, SendFault> {
-    let piece = unless_restarted(flight, exchange.next(READ_TIMEOUT)).await?;
-    if piece.is_none() && exchange.framing == Framing::Close {
-        let server_ended = flight.server().state.is_over();
-        // Only the box that asked knows whether the run was stopped.
-        let facts = CloseFacts { server_ended, ..CloseFacts::default() };
-        judge_close(&facts).map_err(|cause| SendFault::Broke(cause.to_string()))?;
-    }
-    Ok(piece)
-}
-
-/// The answer as it arrives. What is `held` is released at its end, or when the other box closes its connection, which
-/// cancels the request at the server.
-fn answer(
+/// An answer on its way to the box that asked. What it holds is released at its end, or when that box closes its
+/// connection, which cancels the request at the server.
+struct ForwardedAnswer {
+    relay: Arc<Relay>,
+    /// The request's id.
+    id: String,
     exchange: Exchange,
     flight: InFlightRequest,
-    held: impl Send + 'static,
-) -> Response<Body> {
-    let (status, mut headers) = (exchange.status, exchange.headers.clone());
-    strip_hop_by_hop_headers(&mut headers);
-    hop::strip(&mut headers);
-    HopReply::Forwarded(exchange.framing).write(&mut headers);
-    let (mut exchange, mut flight) = (exchange, flight);
-    let pieces = stream! {
-        let _held = held;
-        loop {
-            match next_piece(&mut exchange, &mut flight).await {
-                Ok(Some(piece)) => yield Ok(Frame::data(piece)),
-                Ok(None) => break,
-                Err(fault) => {
-                    // Ends the connection without the end of the answer.
-                    yield Err(io::Error::other(fault.to_string()));
-                    break;
+    /// Bytes passed on.
+    bytes: u64,
+    /// How it ended, counted when it is dropped.
+    outcome: &'static str,
+    _kept: RequestReservation,
+}
+
+impl ForwardedAnswer {
+    /// The answer as it arrives.
+    fn respond(mut self) -> Response<Body> {
+        let (status, mut headers) = (self.exchange.status, self.exchange.headers.clone());
+        strip_hop_by_hop_headers(&mut headers);
+        hop::strip(&mut headers);
+        HopReply::Forwarded(self.exchange.framing).write(&mut headers);
+        let pieces = stream! {
+            loop {
+                match self.next_piece().await {
+                    Ok(Some(piece)) => yield Ok(Frame::data(piece)),
+                    Ok(None) => {
+                        self.record_end();
+                        break;
+                    }
+                    Err(fault) => {
+                        self.record_break(&fault);
+                        // Ends the connection without the end of the answer.
+                        yield Err(io::Error::other(fault.to_string()));
+                        break;
+                    }
                 }
             }
+        };
+        let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(pieces)));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// The next piece; `None` at the end. The box that asked does not know all that this one knows of the server, so
+    /// an end that may be none is an error here.
+    async fn next_piece(&mut self) -> Result<Option<Bytes>, SendFault> {
+        let received = self.exchange.next(READ_TIMEOUT);
+        let piece = unless_restarted(&mut self.flight, received).await?;
+        if piece.is_none() && self.exchange.framing == Framing::Close {
+            let server_ended = self.flight.server().state.is_over();
+            // Only the box that asked knows whether the run was stopped.
+            let facts = CloseFacts { server_ended, ..CloseFacts::default() };
+            judge_close(&facts).map_err(|cause| SendFault::Broke(cause.to_string()))?;
         }
-    };
-    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(pieces)));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
+        self.bytes += piece.as_ref().map_or(0, |piece| piece.len() as u64);
+        Ok(piece)
+    }
+
+    fn record_end(&mut self) {
+        self.outcome = ANSWERED;
+        let framing = self.exchange.framing;
+        self.relay.context.metrics.count_answer_end(framing, "complete");
+        if volume::allows_ordinary() {
+            tracing::info!(
+                event = "forward_ended", id = self.id, %framing, bytes = self.bytes,
+                backend_server = %self.flight.server().server.id,
+            );
+        }
+    }
+
+    fn record_break(&mut self, fault: &SendFault) {
+        self.outcome = BROKEN_OFF;
+        let framing = self.exchange.framing;
+        self.relay.context.metrics.count_answer_end(framing, "broken_off");
+        tracing::info!(
+            event = "forward_broke", id = self.id, %framing, bytes = self.bytes, detail = %fault,
+            backend_server = %self.flight.server().server.id,
+        );
+    }
+}
+
+impl Drop for ForwardedAnswer {
+    fn drop(&mut self) {
+        self.relay.context.metrics.count_forward(self.outcome);
+    }
 }
--- a/tests/forwarded_ends.rs
+++ b/tests/forwarded_ends.rs
@@ -27,7 +27,7 @@
 use emberturn_fakes::proxy::{Fault, Proxy as FaultProxy};
 use fleet::{Fleet, proxy};
 use link::{Link, LinkFault};
-use platform::{Act, Moves, PATIENCE, Reply, StandIn, TestRelay, event, events};
+use platform::{Act, Moves, PATIENCE, Reply, StandIn, TestRelay, event, events, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use yare::parameterized;
@@ -154,13 +154,19 @@
         let limit = RetryLimit { ratio: 2.0, floor: 100.0, boxes: Some(1) };
         self.fleet.cut.relay.retries().deposit(&"svc".parse().unwrap(), &limit);
     }
+}
 
-    /// The metrics of the first box on ends of answers.
-    fn ends(&self) -> String {
-        let text = self.fleet.cut.relay.context.metrics.render().unwrap();
-        let text = String::from_utf8(text).unwrap();
-        text.lines().filter(|line| line.contains("answer_ends")).collect()
-    }
+/// A counter of a box by its name and first labels; 0 if it was never raised.
+fn count(relay: &TestRelay, labelled: &str) -> u64 {
+    let text = relay.relay.context.metrics.render().unwrap();
+    let text = String::from_utf8(text).unwrap();
+    let line = text.lines().find(|line| line.starts_with(labelled));
+    line.map_or(0, |line| line.rsplit(' ').next().unwrap().parse().unwrap())
+}
+
+/// The name of the counter of ends with these labels.
+fn ends_counter(framing: Framing, outcome: &str) -> String {
+    format!("emberturn_answer_ends_total{{framing=\"{framing}\",outcome=\"{outcome}\"")
 }
 
 /// All places and ways in which an answer of a kind may end.
@@ -261,11 +267,12 @@
         // A server that names another framing in the other box's header has no say.
         let headers = "Content-Type: text/event-stream\r\nEmberturn-Hop-Forwarded: 1\r\n\
                        Emberturn-Hop-Forwarded: length\r\n";
+        let ends = ends_counter(framing, "complete");
+        let before = count(&hop.fleet.cut, &ends);
         let reply = hop.play("stream", &Script { framing, headers, ..stream() }).await;
         assert!(reply.whole, "{reply:?}");
         assert!(!reply.headers.keys().any(|name| name.starts_with("emberturn")), "{reply:?}");
-        let label = format!("framing=\"{framing}\"");
-        assert!(hop.ends().contains(&label), "{}", hop.ends());
+        assert_eq!(count(&hop.fleet.cut, &ends), before + 1);
     });
 }
 
@@ -281,7 +288,7 @@
     hop.fleet.cut.relay.proxies().assign(vec![Proxy { box_id, addr }]);
     let reply = hop.ask("stream", "", async {}).await;
     assert!(reply.whole, "{reply:?}");
-    assert!(hop.ends().contains("framing=\"close\""), "{}", hop.ends());
+    assert_eq!(count(&hop.fleet.cut, &ends_counter(Framing::Close, "complete")), 1);
 }
 
 /// It reads the first value of the header, removes both, and passes on headers of any other name.
@@ -433,6 +440,70 @@
     }
 }
 
+#[parameterized(
+    stream_length = { "stream", Script { framing: Framing::Length, ..stream() } },
+    stream_chunked = { "stream", Script { framing: Framing::Chunked, ..stream() } },
+    stream_close = { "stream", Script { framing: Framing::Close, ..stream() } },
+    plain_length = { "once", Script { framing: Framing::Length, ..plain() } },
+    plain_chunked = { "once", Script { framing: Framing::Chunked, ..plain() } },
+    plain_close = { "once", Script { framing: Framing::Close, ..plain() } },
+)]
+fn end_that_broke_off_is_no_success_of_either_box(route: &'static str, whole: Script) {
+    run(async move {
+        let hop = Hop::start().await;
+        let (cut, other) = (&hop.fleet.cut, &hop.fleet.other);
+        let usage = || cut.relay.usage().counts();
+        let used = usage();
+        let complete = ends_counter(whole.framing, "complete");
+        let broken_off = ends_counter(whole.framing, "broken_off");
+        let before = count(other, &complete);
+        let broken = Script { sent: whole.first, end: End::Reset, ..whole.clone() };
+        hop.play(route, &broken).await;
+        until("the break is counted", || {
+            count(other, &broken_off) == 1
+                && count(other, "emberturn_forwards_total{outcome=\"broken_off\"") == 1
+        })
+        .await;
+        assert_eq!(count(other, &complete), before);
+        assert_eq!(cut.known("i-9").state.service_time(), None);
+        if route == "once" {
+            assert_eq!(usage(), used);
+        }
+        hop.play(route, &whole).await;
+        until("the end is counted", || count(other, &complete) == before + 1).await;
+        assert!(cut.known("i-9").state.service_time().is_some());
+    });
+}
+
+#[parameterized(length = { Framing::Length }, chunked = { Framing::Chunked }, close = { Framing::Close })]
+fn hedge_whose_answer_broke_off_behind_another_box_does_not_win(framing: Framing) {
+    run(async move {
+        let hop = Hop::start().await;
+        let first = Breaking::start(Script { framing, ..plain() }).await;
+        let hedge =
+            Script { framing, body: "broken".to_owned(), sent: 4, end: End::Reset, ..plain() };
+        let hedge = Breaking::start(hedge).await;
+        hedge.release();
+        hop.list(&[("i-9", first.addr)]);
+        let mut routes = platform::usual_routes();
+        routes.iter_mut().for_each(|route| route["target_latency_ms"] = 100.into());
+        let cut = &hop.fleet.cut;
+        cut.publish(&platform::document(2, &routes));
+        hop.allow_retry();
+        let hedging = async {
+            first.wait_seen().await;
+            hop.list(&[("i-9", first.addr), ("i-8", hedge.addr)]);
+            hedge.wait_seen().await;
+            until("the hedge is over", || cut.known("i-8").state.in_flight() == 0).await;
+            first.release();
+        };
+        let (reply, ()) = tokio::join!(hop.ask_within(8_000, "safe", "", async {}), hedging);
+        assert_eq!((reply.status, reply.body.as_str()), (200, "answer"), "{reply:?}");
+        assert_eq!(cut.known("i-8").state.service_time(), None);
+        assert!(cut.known("i-9").state.service_time().is_some());
+    });
+}
+
 /// Asks for a stream at a server that is asked to stop its run as soon as it has sent two events, beside a second one.
 async fn ask_while_leaving(route: &str, moves: Moves, act: Act) -> (Reply, StandIn, StandIn) {
     let hop = Hop::start().await;
--- a/tests/support/breaking.rs
+++ b/tests/support/breaking.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::platform::{Seen, read_request};
+use crate::platform::{PATIENCE, Seen, read_request};
 
 /// How a connection ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -114,6 +114,13 @@
         self.released.send_replace(true);
     }
 
+    /// Waits for a request.
+    pub async fn wait_seen(&self) {
+        let mut seen = self.seen.clone();
+        let waiting = seen.wait_for(|count| *count > 0);
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap().unwrap();
+    }
+
     /// The number of requests so far.
     pub fn seen(&self) -> usize {
         *self.seen.borrow()
