Streams: resumed only at the release that began them

Callers saw one answer made of events of two software releases of a service: when a server broke a resumable stream off, the next server was selected like that of a new request, whatever it ran.

Cause: the release of a send was chosen anew for each attempt and never from what the caller already had.

Change: the release of the server of the first event is kept with the call; from then on only its servers are selected, and if none of them accepts the send, the stream ends as broken off. Before the first event any release may take it. `decide/releases` decides: a release on trial needs a permit or the shift, as a resumption is one more request to it, and one that was rolled back gets none. Other releases need nothing, so that streams go on at the former release after a roll-out, and where several releases serve with no order.

Conclusion: within one answer no stream joins two releases. A client that comes back with its last event is not covered by this.

--- a/src/decide/releases.rs
+++ b/src/decide/releases.rs
@@ -93,9 +93,25 @@
 #[derive(Debug, Default)]
 struct ServiceReleases {
     in_force: Option<Release>,
+    /// The release that was rolled back last.
+    rejected: Option<Release>,
     trial: Option<Trial>,
 }
 
+impl ServiceReleases {
+    /// Records the release in force, if the leader names one, and ends a trial other than the one ordered at
+    /// `ordered`.
+    fn update(&mut self, in_force: Option<Release>, ordered: Option<u64>) {
+        self.in_force = in_force.or(self.in_force.take());
+        if let Some(ended) = self.trial.take_if(|trial| Some(trial.ordered) != ordered) {
+            self.rejected = ended.release;
+        }
+        if self.rejected == self.in_force {
+            self.rejected = None;
+        }
+    }
+}
+
 /// The releases of all services, as far as the leader has announced them.
 #[derive(Debug, Default)]
 pub struct ReleaseTable {
@@ -125,16 +141,42 @@
         }
     }
 
-    /// Returns the choice for a request when no server of the release on trial can take it. A
-    /// permit that was used is returned.
-    pub fn fall_back(&mut self, service: &ServiceName, choice: &ReleaseChoice) -> ReleaseChoice {
+    /// Chooses the release for a stream that a server of `release` began. Other releases cannot continue it, as
+    /// what they generate does not fit. `None` if no further request may go to `release`.
+    pub fn choose_for_begun(
+        &mut self,
+        service: &ServiceName,
+        release: &Release,
+        now: Instant,
+    ) -> Option<ReleaseChoice> {
+        let only = |uses_permit| ReleaseChoice { release: Some(release.clone()), uses_permit };
         let Some(releases) = self.services.get_mut(service) else {
-            return ReleaseChoice::default();
+            return Some(only(false));
         };
-        if let Some(trial) = releases.trial.as_mut().filter(|_| choice.uses_permit) {
+        let trial = releases.trial.as_mut().filter(|it| it.release.as_ref() == Some(release));
+        match trial {
+            None => (releases.rejected.as_ref() != Some(release)).then(|| only(false)),
+            Some(trial) if trial.stopped || !trial.permits.is_valid(now) => None,
+            Some(trial) if trial.all_traffic => Some(only(false)),
+            Some(trial) => trial.permits.take(now).then(|| only(true)),
+        }
+    }
+
+    /// Returns the permit of a choice, if it used one, when no server can take the request.
+    pub fn give_back(&mut self, service: &ServiceName, choice: &ReleaseChoice) {
+        let trial = self.services.get_mut(service).and_then(|releases| releases.trial.as_mut());
+        if let Some(trial) = trial.filter(|_| choice.uses_permit) {
             trial.permits.give_back();
         }
-        ReleaseChoice { release: releases.in_force.clone(), uses_permit: false }
+    }
+
+    /// Returns the choice for a request when no server of the release on trial can take it. A
+    /// permit that was used is returned.
+    pub fn fall_back(&mut self, service: &ServiceName, choice: &ReleaseChoice) -> ReleaseChoice {
+        self.give_back(service, choice);
+        let releases = self.services.get(service);
+        let release = releases.and_then(|releases| releases.in_force.clone());
+        ReleaseChoice { release, uses_permit: false }
     }
 
     /// Whether a release of a service is on trial.
@@ -204,12 +246,11 @@
     pub fn apply_updates(&mut self, updates: Option<BTreeMap<ServiceName, ReleaseUpdate>>) {
         for (service, update) in updates.into_iter().flatten() {
             let releases = self.services.entry(service).or_default();
-            releases.in_force = update.in_force.or(releases.in_force.take());
+            releases.update(update.in_force, update.trial.as_ref().map(|grant| grant.ordered));
             let Some(grant) = update.trial else {
-                releases.trial = None;
                 continue;
             };
-            let known = releases.trial.take().filter(|trial| trial.ordered == grant.ordered);
+            let known = releases.trial.take();
             // The first update of a roll-out starts the request count. Permits come with the reply
             // to the next report.
             let is_new = known.is_none();
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -17,7 +17,7 @@
 use crate::decide::releases::ReleaseChoice;
 use crate::decide::topology::Reach;
 use crate::error::{Failure, Kind};
-use crate::ids::{BackendId, ServiceName};
+use crate::ids::{BackendId, Release, ServiceName};
 use crate::telemetry::volume;
 
 /// A request is not sent once less than this fraction of its objective or timeout is left, as 1 /
@@ -62,6 +62,8 @@
     reach: Reach,
     /// The release that the next send goes to.
     release_choice: ReleaseChoice,
+    /// The release that began the stream; `None` before its first event.
+    begun_by: Option<Release>,
 }
 
 /// The part of a prompt that a server has to process, as far as this box can tell.
@@ -91,9 +93,16 @@
             prefill_work: PrefillWork::default(),
             reach: Reach::Local,
             release_choice: ReleaseChoice::default(),
+            begun_by: None,
         }
     }
 
+    /// Records the server of the stream's first event. From then on only servers of its release are selected: what
+    /// two releases generate does not fit together, and servers do not check this.
+    pub fn record_first_event(&mut self, known: &KnownServer) {
+        self.begun_by.get_or_insert_with(|| known.server.release.clone());
+    }
+
     /// The service that the call goes to.
     pub fn service(&self) -> &ServiceName {
         &self.service
@@ -236,8 +245,8 @@
         Some(wait.clamp(REFUSED_RETRY_AFTER.0, REFUSED_RETRY_AFTER.1))
     }
 
-    /// Selects the server that a run is moved to: one of the same release, preferably in another
-    /// data centre. The KV cache leaves the region only if no server in the region has room. When a
+    /// Selects the server that a run is moved to: one of the same release, as another one cannot continue what it
+    /// generated, preferably in another data centre. The KV cache leaves the region only if no server in the region has room. When a
     /// whole data centre shuts down, all its runs move at once and would overload the few remaining
     /// servers of the region. A moved run counts as the same send.
     pub fn move_target(&self, relay: &Relay, source: &KnownServer) -> Option<Arc<KnownServer>> {
@@ -282,6 +291,9 @@
         call: &Call,
         route: &Route,
     ) -> Option<Arc<KnownServer>> {
+        if let Some(release) = self.begun_by.clone() {
+            return self.pick_of_begun(relay, call, route, &release);
+        }
         let is_first = self.tried_servers.is_empty();
         self.release_choice = relay.releases().choose(&self.service, is_first, Instant::now());
         if let Some(known) = self.pick_of_release(relay, call, route) {
@@ -295,6 +307,24 @@
         self.pick_of_release(relay, call, route)
     }
 
+    /// Selects a server that continues a stream which `release` began; `None` if no server of that release accepts
+    /// the send.
+    fn pick_of_begun(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        route: &Route,
+        release: &Release,
+    ) -> Option<Arc<KnownServer>> {
+        let choice = relay.releases().choose_for_begun(&self.service, release, Instant::now())?;
+        self.release_choice = choice;
+        let picked = self.pick_of_release(relay, call, route);
+        if picked.is_none() {
+            relay.releases().give_back(&self.service, &self.release_choice);
+        }
+        picked
+    }
+
     fn pick_of_release(
         &mut self,
         relay: &Relay,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -159,6 +159,7 @@
             }
             Some(Ok(StartOutcome::Stream(opened))) => {
                 count_usage(&relay, &call);
+                attempts.record_first_event(opened.source.flight.server());
                 record_time_to_first_event(&relay, &attempts, &opened);
                 return Ok(respond(relay, call, route, attempts, *opened, kept));
             }
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -578,3 +578,97 @@
     (0..4).for_each(|_| comparison.new.record_success(EXPECTED));
     assert_eq!(evaluate([comparison].iter()), Verdict::Open);
 }
+
+/// A stream that was begun by a release goes on there or not at all.
+fn goes_on(table: &mut ReleaseTable, by: &str, now: Instant) -> bool {
+    let Some(choice) = table.choose_for_begun(&service(), &release(by), now) else {
+        return false;
+    };
+    assert!(choice.takes(&release(by)) && !choice.takes(&release("v9")), "{choice:?}");
+    true
+}
+
+/// The service's servers run several releases, of which the leader has named none, then one, then another.
+#[test]
+fn begun_stream_goes_on_at_its_own_release_whichever_is_in_force() {
+    let now = Instant::now();
+    let mut table = ReleaseTable::default();
+    for in_force in [None, Some("v1"), Some("v1"), Some("v2")] {
+        let update = ReleaseUpdate { in_force: in_force.map(release), trial: None };
+        table.apply_updates(Some(BTreeMap::from([(service(), update)])));
+        assert!(["v1", "v2", "v3"].into_iter().all(|by| goes_on(&mut table, by, now)));
+    }
+}
+
+#[test]
+fn begun_stream_of_a_release_on_trial_needs_a_permit() {
+    let now = Instant::now();
+    let trial = |permits, all_traffic| TrialGrant {
+        ordered: 1,
+        release: release("v2"),
+        all_traffic,
+        permits,
+        report_often: false,
+    };
+    let mut table = table_with_trial(&updates(trial(1, false)), now);
+    assert!(goes_on(&mut table, "v1", now), "the release in force needs none");
+    let choice = table.choose_for_begun(&service(), &release("v2"), now).unwrap();
+    assert!(choice.uses_permit);
+    assert!(!goes_on(&mut table, "v2", now));
+    table.give_back(&service(), &choice);
+    assert!(goes_on(&mut table, "v2", now));
+    let mut table = table_with_trial(&updates(trial(0, true)), now);
+    assert!(goes_on(&mut table, "v2", now));
+    assert!(!goes_on(&mut table, "v2", now + 2 * PERMIT_TIME), "a leader was not heard for long");
+}
+
+#[parameterized(
+    rolled_back = { "v1", None, false },
+    replaced_by_another_roll_out = { "v1", Some("v3"), false },
+    completed = { "v2", None, true },
+    completed_and_another_roll_out_began = { "v2", Some("v3"), true },
+    ordered_again = { "v1", Some("v2"), true },
+)]
+fn begun_stream_goes_on_after_a_roll_out_unless_it_failed(
+    in_force: &str,
+    next: Option<&str>,
+    expected: bool,
+) {
+    let now = Instant::now();
+    let grant = |ordered, by| TrialGrant {
+        ordered,
+        release: release(by),
+        all_traffic: true,
+        permits: 0,
+        report_often: false,
+    };
+    let mut table = table_with_trial(&updates(grant(1, "v2")), now);
+    assert!(goes_on(&mut table, "v2", now));
+    let trial = next.map(|by| grant(2, by));
+    let update = ReleaseUpdate { in_force: Some(release(in_force)), trial };
+    for _ in 0..2 {
+        table.build_reports(now);
+        table.apply_updates(Some(BTreeMap::from([(service(), update.clone())])));
+    }
+    assert_eq!(goes_on(&mut table, "v2", now), expected);
+}
+
+#[test]
+fn begun_stream_goes_on_at_a_release_that_came_into_force_at_the_second_order() {
+    let now = Instant::now();
+    let grant = |ordered| TrialGrant {
+        ordered,
+        release: release("v2"),
+        all_traffic: true,
+        permits: 0,
+        report_often: false,
+    };
+    let mut table = ReleaseTable::default();
+    for (in_force, trial) in
+        [("v1", Some(grant(1))), ("v1", None), ("v1", Some(grant(2))), ("v2", None)]
+    {
+        let update = ReleaseUpdate { in_force: Some(release(in_force)), trial };
+        table.apply_updates(Some(BTreeMap::from([(service(), update)])));
+    }
+    assert!(goes_on(&mut table, "v2", now));
+}
--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -59,6 +59,8 @@
     Large(u64, usize),
     /// One event, then the rest up to this one after a pause.
     PauseAfterFirst(u64, Duration),
+    /// The same, but the stream is cut during the pause if its run is moved.
+    PauseUnlessMoved(u64, Duration),
 }
 
 /// What a stand-in says of its life.
@@ -478,9 +480,15 @@
             }
             stream.write_all(b"0\r\n\r\n").await?;
         }
-        Act::PauseAfterFirst(last, pause) => {
+        Act::PauseAfterFirst(last, pause) | Act::PauseUnlessMoved(last, pause) => {
             stream.write_all((format!("{stream_head}{}", chunk(&event(1)))).as_bytes()).await?;
-            tokio::time::sleep(*pause).await;
+            let mut waiting = moved.subscribe();
+            tokio::select! {
+                () = tokio::time::sleep(*pause) => {}
+                _ = waiting.wait_for(|moved| *moved), if matches!(act, Act::PauseUnlessMoved(..)) => {
+                    return Ok(false);
+                }
+            }
             let mut text = String::new();
             (2..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
             text.push_str("0\r\n\r\n");
