Prefixes: copied only between servers of one release

Callers got streams that a server generated from a prompt prefix which a server of another release had computed.

Cause: the server to copy a prefix from was the prefix's home, or one where this box had it computed, whatever release it runs.

Change: a source runs the release of the server that copies; otherwise that server computes the prefix itself. The home of a prefix is still one per region, not one per release: where several releases serve with no order, servers of the other ones compute it anew.

Evidence: the test that the other release is sent without a source failed before (it was told to copy from the first server); that of one release passes before and after.

--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -284,7 +284,8 @@
     }
 
     /// The server from which `server` would copy the call's shared prefix: a server of its own region,
-    /// or one of another region if copying saves more than it costs. The servers in `seen` are
+    /// or one of another region if copying saves more than it costs. It runs the same release, as a server cannot use
+    /// what another release computed. The servers in `seen` are
     /// known to have computed the prefix for this box; that a home has it is only assumed. Times
     /// are round trips from this box in milliseconds; for a copy between two regions the longer one
     /// counts.
@@ -300,8 +301,8 @@
         let home = homes
             .get(server.region_index)
             .and_then(Option::as_ref)
-            .filter(|home| !is_same_server(home, server));
-        let mut others = seen.iter().filter(|(other, _)| !is_same_server(other, server));
+            .filter(|home| can_copy(home, server));
+        let mut others = seen.iter().filter(|(other, _)| can_copy(other, server));
         let near = others.clone().find(|(other, _)| other.region_index == server.region_index);
         let near = near.map(|(other, _)| *other).or(home);
         near.or_else(|| {
@@ -343,7 +344,7 @@
     homes: &'a PrefixHomes,
 ) -> Option<&'a LocatedServer> {
     let first = homes.iter().flatten().max_by_key(|home| affinity(prefix.id, home.known.hash));
-    first.filter(|home| !is_same_server(home, server))
+    first.filter(|home| can_copy(home, server))
 }
 
 fn is_home(server: &LocatedServer, homes: &PrefixHomes) -> bool {
@@ -353,6 +354,11 @@
         .is_some_and(|home| is_same_server(home, server))
 }
 
+/// Whether `server` can use a prefix that `source` computed.
+fn can_copy(source: &LocatedServer, server: &LocatedServer) -> bool {
+    !is_same_server(source, server) && source.known.server.release == server.known.server.release
+}
+
 fn is_same_server(a: &LocatedServer, b: &LocatedServer) -> bool {
     a.known.hash == b.known.hash
 }
--- a/tests/releases_of_streams.rs
+++ b/tests/releases_of_streams.rs
@@ -137,3 +137,29 @@
     assert_complete(&reply, 4);
     assert!(second.seen().is_empty());
 }
+
+/// Asks twice with a shared prompt prefix; the first server is overloaded by then. Returns from where the other one,
+/// of a release, was told to copy the prefix.
+async fn prefix_source_of(release: &str) -> (Option<String>, StandIn) {
+    let first = StandIn::start("i-1", &[Act::Events(1)]).await;
+    let second = StandIn::start("i-2", &[Act::Events(1)]).await;
+    let relay = relay_with(&[(&first, "v1")]).await;
+    let headers = "Api-Key: key-a\r\nToken-Usage: 5000,10\r\nPrompt-Prefix: aa:4000,bb:1000\r\n";
+    assert_eq!(relay.ask_with("POST", "stream", headers).await.status, 200);
+    relay.list_as(vec![listed_as(&first, "v1"), listed_as(&second, release)]);
+    relay.known("i-1").state.report(50, 50, Duration::ZERO);
+    assert_eq!(relay.ask_with("POST", "stream", headers).await.status, 200);
+    (second.seen()[0].headers.get("kv-fetch").cloned(), first)
+}
+
+#[tokio::test]
+async fn prefix_is_copied_within_a_release() {
+    let (source, first) = prefix_source_of("v1").await;
+    assert_eq!(source, Some(first.addr.to_string()));
+}
+
+#[tokio::test]
+async fn prefix_is_not_copied_between_releases() {
+    let (source, _first) = prefix_source_of("v2").await;
+    assert_eq!(source, None);
+}
