Streams: a test that a release the box has stopped resumes none

Change: one more assertion in box_stops_by_itself_on_bad_answers; it fails with that rule left out, and passes with it.

Conclusion: no change of behaviour.

--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -274,6 +274,7 @@
     table.build_reports(now);
     table.apply_updates(Some(updates.clone()));
     assert!(!table.choose(&service(), true, now).uses_permit);
+    assert!(!goes_on(&mut table, "v2", now), "nor does it resume streams there");
 }
 
 /// The behaviour of a release on trial.
