Moves: what came first is said by a type; a move does not outlast its call; stand-ins in a fixed order

After a review: a stream that completes before the reply was an invented reply beside an end. The time of a move, 1.5 s for the head of the reply and again for its body, is bounded by the time that the call has left.

--- a/src/relay/export.rs
+++ b/src/relay/export.rs
@@ -2,11 +2,11 @@
 
 use std::fmt;
 use std::pin::pin;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use hyper::StatusCode;
 
-use super::moving::MOVE_TIMEOUT;
 use super::stream::{EventSource, Received, StreamProgress, next_events};
 use crate::backend::SendFault;
 use crate::decide::completeness::StopState;
@@ -44,10 +44,8 @@
     }
 }
 
-/// How a stream ended while its server was being asked to stop the run.
+/// How a stream ended whose framing does not prove that it is complete.
 pub(super) enum StreamEnd {
-    /// As marked by the framing of the answer, which makes it complete.
-    Marked,
     /// Its connection closed in order, and nothing else marks its end.
     Closed,
     /// It broke off.
@@ -57,33 +55,42 @@
 impl fmt::Display for StreamEnd {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Marked => formatter.write_str("complete"),
             Self::Closed => formatter.write_str("closed"),
             Self::Broke(fault) => fault.fmt(formatter),
         }
     }
 }
 
+/// What came first when a server was asked to stop a run.
+pub(super) enum StopOutcome {
+    /// The end of the stream, as marked by the framing of the answer: it is complete.
+    Complete,
+    /// The server's reply. The stream has been read to its end, except if its run was not stopped and it goes on.
+    Replied(ExportReply, Option<StreamEnd>),
+}
+
 /// Reads a stream until its server has replied to the export request, and up to the stream's end if the run was
-/// stopped.
+/// stopped. A silence of `limit` ends it as well.
 pub(super) async fn read_until_stopped(
     source: &mut EventSource,
     progress: &mut StreamProgress,
     ready: &mut BytesMut,
+    limit: Duration,
     exporting: impl Future<Output = ExportReply>,
-) -> (ExportReply, Option<StreamEnd>) {
+) -> StopOutcome {
     let mut exporting = pin!(exporting);
     let mut reply = None;
     let end = loop {
         tokio::select! {
             replied = &mut exporting, if reply.is_none() => match replied {
                 ExportReply::Stopped { .. } => reply = Some(replied),
-                ExportReply::NotStopped | ExportReply::Unknown => return (replied, None),
+                ExportReply::NotStopped | ExportReply::Unknown => {
+                    return StopOutcome::Replied(replied, None);
+                }
             },
-            received = next_events(source, progress, MOVE_TIMEOUT) => match received {
+            received = next_events(source, progress, limit) => match received {
                 Ok(Received::Events(events)) => ready.extend_from_slice(&events),
-                // The stream is complete, whatever the reply.
-                Ok(Received::End) => return (ExportReply::Unknown, Some(StreamEnd::Marked)),
+                Ok(Received::End) => return StopOutcome::Complete,
                 Ok(Received::Closed) => break StreamEnd::Closed,
                 Err(fault) => break StreamEnd::Broke(fault),
             },
@@ -93,5 +100,5 @@
         Some(reply) => reply,
         None => exporting.await,
     };
-    (reply, Some(end))
+    StopOutcome::Replied(reply, Some(end))
 }
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -22,7 +22,7 @@
 use super::attempt::StartState;
 use super::attempts::CallAttempts;
 use super::call::{Call, KvCacheExport, MoveReply};
-use super::export::{ExportReply, StreamEnd, read_until_stopped};
+use super::export::{ExportReply, StopOutcome, StreamEnd, read_until_stopped};
 use super::known::KnownServer;
 use super::quarantine;
 use super::reach;
@@ -36,7 +36,7 @@
 use crate::units::Tokens;
 
 /// How long a server may take to stop a run and copy its KV cache, and then to end its stream.
-pub(super) const MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Largest reply to the export request, in bytes.
 const MAX_REPLY_BYTES: usize = 64 << 10;
@@ -132,27 +132,29 @@
         return MoveOutcome::NotMoved(Bytes::new());
     };
     let mut ready = BytesMut::new();
-    let (reply, end) = {
+    let limit = MOVE_TIMEOUT.min(call.time_left());
+    let outcome = {
         // From here on the run may be stopped, also if this box never learns of it.
         source.stop = StopState::Unanswered;
-        let exporting = request_export(relay, call, &known, target.server.addr);
-        read_until_stopped(source, progress, &mut ready, exporting).await
+        let exporting = request_export(relay, call, &known, target.server.addr, limit);
+        read_until_stopped(source, progress, &mut ready, limit, exporting).await
+    };
+    let (reply, end) = match outcome {
+        StopOutcome::Complete => return MoveOutcome::Ended(ready.freeze()),
+        StopOutcome::Replied(reply, end) => (reply, end),
     };
     source.stop = reply.stop_state();
-    let (status, handle) = match (reply, end) {
-        (_, Some(StreamEnd::Marked)) => return MoveOutcome::Ended(ready.freeze()),
-        (ExportReply::Stopped { status, handle }, end) => {
-            tracing::info!(
-                event = "stream_stopped_to_move", id = call.head.id, from = %known.server.id,
-                to = %target.server.id, status = status.as_u16(), last = progress.last_event_id,
-                framing = %source.exchange.framing, end = end.as_ref().map(StreamEnd::to_string),
-            );
-            (status, handle)
-        }
-        (ExportReply::NotStopped | ExportReply::Unknown, end) => {
+    let (status, handle) = match reply {
+        ExportReply::Stopped { status, handle } => (status, handle),
+        ExportReply::NotStopped | ExportReply::Unknown => {
             return without_export(call, source, progress, ready.freeze(), end);
         }
     };
+    tracing::info!(
+        event = "stream_stopped_to_move", id = call.head.id, from = %known.server.id,
+        to = %target.server.id, status = status.as_u16(), last = progress.last_event_id,
+        framing = %source.exchange.framing, end = end.as_ref().map(StreamEnd::to_string),
+    );
     let export = KvCacheExport { source: known.server.addr, handle };
     // Without room at the target, the source keeps the KV cache and may continue the run itself.
     let candidates = match status.is_success() {
@@ -214,7 +216,6 @@
         last = progress.last_event_id, stop = ?source.stop, end = %end,
     );
     let judged = match end {
-        StreamEnd::Marked => Ok(()),
         StreamEnd::Closed => source.judge_close(),
         StreamEnd::Broke(fault) => Err(fault),
     };
@@ -224,12 +225,14 @@
     }
 }
 
-/// Asks a server to stop the run and export its KV cache.
+/// Asks a server to stop the run and export its KV cache. It may take `limit` for the head of its reply, and again for
+/// the body.
 async fn request_export(
     relay: &Relay,
     call: &Call,
     source: &Arc<KnownServer>,
     target: SocketAddr,
+    limit: Duration,
 ) -> ExportReply {
     let (path, headers, body) = relay.context.dialect.write_move(call, &source.server.id, target);
     let request = Request::builder()
@@ -243,10 +246,10 @@
     };
     request.headers_mut().extend(headers);
     let answered = async {
-        let exchange = reach::send(relay, source, request, MOVE_TIMEOUT, Reuse::Any).await?;
+        let exchange = reach::send(relay, source, request, limit, Reuse::Any).await?;
         let status = exchange.status;
         let head = relay.context.dialect.read_reply(call, status, &exchange.headers);
-        let body = exchange.read_whole(MAX_REPLY_BYTES, MOVE_TIMEOUT).await?;
+        let body = exchange.read_whole(MAX_REPLY_BYTES, limit).await?;
         Ok::<_, SendFault>((status, head.not_run, body))
     };
     match answered.await {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -70,7 +70,7 @@
     pub(super) flight: InFlightRequest,
     /// When the request was sent to the server.
     pub(super) sent_at: Instant,
-    /// Whether the server stopped the run.
+    /// What is known of a request to stop the run.
     pub(super) stop: StopState,
 }
 
--- a/tests/broken_off.rs
+++ b/tests/broken_off.rs
@@ -55,7 +55,7 @@
         ask_while_leaving("stream", Moves::NoRoom, Act::UnframedUntilMoved(2)).await;
     assert_eq!((reply.status, reply.body, reply.whole), (200, events(6), true));
     assert_eq!(first.seen()[1].headers["last-event-id"], "2");
-    assert!(second.seen().is_empty());
+    assert!(second.seen().is_empty(), "{:?}", second.seen());
 }
 
 #[tokio::test]
@@ -63,14 +63,14 @@
     let (reply, _, second) =
         ask_while_leaving("stream", Moves::NotFound, Act::UnframedUntilMoved(2)).await;
     assert_eq!((reply.status, reply.body, reply.whole), (200, events(2), true));
-    assert!(second.seen().is_empty());
+    assert!(second.seen().is_empty(), "{:?}", second.seen());
 }
 
 /// Asserts that a stream is reported as broken off if its server may have stopped its run.
 async fn assert_broken_off(moves: Moves) {
     let (reply, _, second) = ask_while_leaving("stream", moves, Act::UnframedUntilMoved(2)).await;
     assert_eq!((reply.status, reply.body, reply.whole), (200, events(2), false));
-    assert!(second.seen().is_empty());
+    assert!(second.seen().is_empty(), "{:?}", second.seen());
 }
 
 #[tokio::test]
@@ -102,7 +102,7 @@
     let act = Act::UnframedLongAfterMove(2, Duration::from_millis(2_500));
     let (reply, _, second) = ask_while_leaving("stream", Moves::Silent, act).await;
     assert_eq!((reply.status, reply.body, reply.whole), (200, events(2), false));
-    assert!(second.seen().is_empty());
+    assert!(second.seen().is_empty(), "{:?}", second.seen());
 }
 
 #[tokio::test]
@@ -129,7 +129,7 @@
     let act = Act::PauseAfterFirst(4, Duration::from_millis(3_000));
     let (reply, _, second) = ask_while_leaving("stream", moves, act).await;
     assert_eq!((reply.status, reply.body, reply.whole), (200, events(4), true));
-    assert!(second.seen().is_empty());
+    assert!(second.seen().is_empty(), "{:?}", second.seen());
 }
 
 #[tokio::test]
--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -215,6 +215,8 @@
     moves: Option<Moves>,
     /// Whether a run was moved.
     moved: watch::Sender<bool>,
+    /// The streams that end once a run was moved. The answer to the move comes after their end.
+    ending: watch::Sender<usize>,
     /// Reports it was asked for.
     reports: watch::Sender<usize>,
 }
@@ -222,7 +224,7 @@
 impl Default for Itself {
     fn default() -> Self {
         let (moved, reports) = (watch::Sender::new(false), watch::Sender::new(0));
-        Self { tells: Tells::Nothing, moves: None, moved, reports }
+        Self { tells: Tells::Nothing, moves: None, moved, ending: watch::Sender::new(0), reports }
     }
 }
 
@@ -251,6 +253,10 @@
         Some(Self::answer(status, &body))
     }
 
+    async fn wait_moved(&self) {
+        let _ = self.moved.subscribe().wait_for(|moved| *moved).await;
+    }
+
     fn moved_in_its_life(&self) -> String {
         match self.tells {
             Tells::Nothing => Self::answer("200 OK", &json!({"handle": "h-1", "made": 2})),
@@ -314,6 +320,7 @@
         }
         if request.line.starts_with("POST /kv-move ") {
             itself.moved.send_replace(true);
+            let _ = itself.ending.subscribe().wait_for(|count| *count == 0).await;
             match (itself.moved(), itself.moves) {
                 (Some(text), _) => stream.write_all(text.as_bytes()).await?,
                 (None, Some(Moves::Silent)) => return wait_for_end(&mut stream).await,
@@ -333,7 +340,7 @@
         };
         counted.send_replace(place);
         let act = acts.get(place - 1).or(acts.last()).unwrap();
-        if !perform(&mut stream, act, &request, &itself.moved).await? {
+        if !perform(&mut stream, act, &request, itself).await? {
             return Ok(());
         }
     }
@@ -371,7 +378,7 @@
     stream: &mut TcpStream,
     act: &Act,
     request: &Seen,
-    moved: &watch::Sender<bool>,
+    itself: &Itself,
 ) -> std::io::Result<bool> {
     let id = request.headers.get("request-id").cloned().unwrap_or_default();
     let whole = |status: &str, id: &str, extra: &str, body: &str| {
@@ -447,8 +454,7 @@
             let mut text = stream_head;
             (resumed + 1..=*last).for_each(|number| text.push_str(&chunk(&event(number))));
             stream.write_all(text.as_bytes()).await?;
-            let mut waiting = moved.subscribe();
-            let _ = waiting.wait_for(|moved| *moved).await;
+            itself.wait_moved().await;
             return Ok(false);
         }
         Act::Unframed(last) => {
@@ -456,14 +462,26 @@
             stream.write_all(format!("{unframed_head}{text}").as_bytes()).await?;
             return Ok(false);
         }
-        Act::UnframedUntilMoved(last) | Act::UnframedLongAfterMove(last, _) => {
+        Act::UnframedUntilMoved(last) => {
+            itself.ending.send_modify(|count| *count += 1);
             let text: String = (resumed + 1..=*last).map(event).collect();
             stream.write_all(format!("{unframed_head}{text}").as_bytes()).await?;
-            let mut waiting = moved.subscribe();
-            let _ = waiting.wait_for(|moved| *moved).await;
-            if let Act::UnframedLongAfterMove(_, pause) = act {
-                tokio::time::sleep(*pause).await;
-            }
+            itself.wait_moved().await;
+            // The box closes its side once it has read the end.
+            let ended = async {
+                stream.shutdown().await?;
+                wait_for_end(stream).await
+            };
+            let ended = ended.await;
+            itself.ending.send_modify(|count| *count -= 1);
+            ended?;
+            return Ok(false);
+        }
+        Act::UnframedLongAfterMove(last, pause) => {
+            let text: String = (resumed + 1..=*last).map(event).collect();
+            stream.write_all(format!("{unframed_head}{text}").as_bytes()).await?;
+            itself.wait_moved().await;
+            tokio::time::sleep(*pause).await;
             return Ok(false);
         }
         Act::BlankLineBehind(last) => {
@@ -482,7 +500,7 @@
         }
         Act::PauseAfterFirst(last, pause) | Act::PauseUnlessMoved(last, pause) => {
             stream.write_all((format!("{stream_head}{}", chunk(&event(1)))).as_bytes()).await?;
-            let mut waiting = moved.subscribe();
+            let mut waiting = itself.moved.subscribe();
             tokio::select! {
                 () = tokio::time::sleep(*pause) => {}
                 _ = waiting.wait_for(|moved| *moved), if matches!(act, Act::PauseUnlessMoved(..)) => {
