Kept work: a stream that broke off is not stored as the answer

What callers saw: `GET /kept/ID` answered 200 and `Emberturn-Run: done` with the beginning of a stream, where the backend server had broken it off. The work was not run again where it might have been.

Cause: a stream's answer begins with its first piece, and its body says by an `error` event that it failed. Kept work collects that body, which ends in order, and stored it with the status of its head.

Change: work that emberturn runs on a caller's behalf is answered when its generation has ended, so that a failure at any point is a failure of the work. Nobody reads such an answer while it is generated.

--- a/src/entry/complete.rs
+++ b/src/entry/complete.rs
@@ -12,7 +12,7 @@
 use super::hand_over::{self, HandOver};
 use super::keep::keep;
 use super::request::{Completion, Head};
-use super::respond::{Tally, answer_from};
+use super::respond::{Tally, answer_from, answer_when_ended};
 use super::unrepeatable::{Once, digest};
 use crate::backend::engine::Piece;
 use crate::decide::route;
@@ -157,7 +157,11 @@
     stream: bool,
 ) -> Result<Response<Body>, Failure> {
     let tally = Tally { node: node.clone(), team: team.clone(), arrived: head.arrived };
-    answer_from(reader, stream, Some(tally)).await
+    match head.digest {
+        Some(_) => answer_from(reader, stream, Some(tally)).await,
+        // Work that emberturn runs on a caller's behalf.
+        None => answer_when_ended(reader, stream, tally).await,
+    }
 }
 
 /// Goes on with a stream that another node has handed over.
--- a/src/entry/respond.rs
+++ b/src/entry/respond.rs
@@ -70,6 +70,22 @@
     }
 }
 
+/// Waits for the end, so that a failure at any point has its own status, then answers. For kept work: nobody
+/// reads it while it is generated, and a stream that failed must not be stored as its answer.
+pub(super) async fn answer_when_ended(
+    reader: Reader,
+    stream: bool,
+    tally: Tally,
+) -> Result<Response<Body>, Failure> {
+    let generation = reader.generation().clone();
+    generation.ended().await;
+    if let Some(end @ End::Failed(failure)) = generation.end() {
+        tally.end(generation.len(), end);
+        return Err(failure.clone());
+    }
+    answer_from(reader, stream, Some(tally)).await
+}
+
 async fn whole_answer(
     mut reader: Reader,
     first: Item,
--- a/tests/kept_work.rs
+++ b/tests/kept_work.rs
@@ -131,3 +131,35 @@
     assert_eq!(answer.json()["error"]["code"], "outcome_unknown", "{}", answer.text());
     assert_eq!(service.journal().len(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_stream_that_broke_off_is_not_stored_as_its_answer() {
+    let options = Options { decode: Duration::from_millis(15), ..Options::default() };
+    let (engine, addr, task) = Engine::start_mortal(options).await.unwrap();
+    let cluster = Cluster::start(&["a", "b", "c"].map(BoxPlan::replica)).await;
+    cluster.apply(&base_change(&[("e1", "small", addr)])).await;
+    cluster.wait_revision("a", 1).await;
+    let headers = [RESPOND_ASYNC, ("emberturn-repeatable", "no")];
+    let kept = cluster.complete("a", &headers, &prompt("fault history", 600, true)).await;
+    assert_eq!(kept.status, 202, "{}", kept.text());
+    wait_for("the engine to generate", || async { (engine.counters().decoded > 2).then_some(()) })
+        .await;
+    task.abort();
+    let answer = wait_answer(&cluster, "b", kept.header("location")).await;
+    assert_eq!(answer.status, 502, "{}", answer.text());
+    assert_eq!(answer.json()["error"]["code"], "backend_broke");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_stream_that_ended_is_stored_as_its_answer() {
+    let (_engine, addr) = Engine::start(Options::default()).await.unwrap();
+    let cluster = Cluster::start(&["a", "b", "c"].map(BoxPlan::replica)).await;
+    cluster.apply(&base_change(&[("e1", "small", addr)])).await;
+    cluster.wait_revision("a", 1).await;
+    let headers = [RESPOND_ASYNC, ("emberturn-repeatable", "no")];
+    let kept = cluster.complete("a", &headers, &prompt("fault history", 8, true)).await;
+    let answer = wait_answer(&cluster, "b", kept.header("location")).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("content-type"), "text/event-stream");
+    assert!(answer.text().ends_with("data: [DONE]\n\n"), "{}", answer.text());
+}
