Entry: a plain answer without a length is not complete if its server is known to have restarted

Callers of the entry got status 200 with what a server had written before its process ended, and under a key that part was stored and given again as the answer: the connections of a process that ends are closed in order, and the entry did not look at what marks the end of an answer, nor at what it knows of the server.

A test has the node hear of incarnation 7, then of 8 while an answer without a length is under way, and then lets the server close. Before the change the caller got 200; now it gets 502, and the same key `outcome_unknown`. Answers with a length or chunks stay complete, and so does one of a server whose former incarnation was not known. The state of a server counts the restarts that are proven, since the entry keeps one state over all incarnations.

Open: the platform's list lags. A server that restarted before the request, and of which the node learns only while the answer is under way, has a sound answer without a length reported as unknown.

--- a/src/blackboard/fleet.rs
+++ b/src/blackboard/fleet.rs
@@ -54,6 +54,7 @@
     /// Whether the server itself said so in an answer.
     departs: bool,
     life: Incarnation,
+    restarts: u32,
     failures: u32,
     ejections: u32,
     ejected: Option<Instant>,
@@ -63,6 +64,13 @@
     faults: FaultTracker,
 }
 
+impl Inner {
+    /// Restarts that word of a life proves, beside those that are known.
+    fn restarts_until(&self, life: Incarnation) -> u32 {
+        u32::from(!self.life.is_none() && life > self.life)
+    }
+}
+
 /// What is known of one backend server.
 #[derive(Debug)]
 pub struct BackendState {
@@ -127,6 +135,7 @@
         if leaving.life < inner.life || inner.leaving.is_some_and(|it| it.life >= leaving.life) {
             return false;
         }
+        inner.restarts += inner.restarts_until(leaving.life);
         inner.life = leaving.life;
         inner.leaving = Some(leaving);
         drop(inner);
@@ -180,7 +189,8 @@
         if life <= inner.life {
             return false;
         }
-        *inner = Inner { life, ..Inner::default() };
+        let restarts = inner.restarts + inner.restarts_until(life);
+        *inner = Inner { life, restarts, ..Inner::default() };
         drop(inner);
         self.leave_signal.send_replace(None);
         true
@@ -191,6 +201,11 @@
         self.lock().life
     }
 
+    /// How often it is known to have started again. A life that follows an unknown one proves nothing.
+    pub fn restarts(&self) -> u32 {
+        self.lock().restarts
+    }
+
     /// Whether it is set aside for its failures.
     pub fn is_ejected(&self) -> bool {
         self.lock().ejected.is_some_and(|until| Instant::now() < until)
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -11,7 +11,8 @@
 use super::dispatch::{Chosen, Wanted};
 use super::request::Head;
 use super::unrepeatable::{Once, Permission};
-use crate::backend::{Reuse, SendFault};
+use crate::backend::{Exchange, Reuse, SendFault};
+use crate::decide::completeness::Framing;
 use crate::error::{Failure, Kind, RunState};
 use crate::http::answer::{self, Body};
 use crate::ids::AttemptId;
@@ -145,15 +146,15 @@
     let left = wanted.deadline.saturating_duration_since(Instant::now());
     let silence = request.silence.min(left);
     let outgoing = outgoing(chosen, request, &hop)?;
-    let began = Instant::now();
+    let (began, restarts) = (Instant::now(), chosen.state.restarts());
     let reuse = if request.repeatable { Reuse::Any } else { Reuse::Never };
     let sent = node.pool.send(chosen.server.addr, outgoing, silence, reuse).await;
     let result = match sent {
         Ok(exchange) => {
-            let status = exchange.status;
-            let content = exchange.headers.get(CONTENT_TYPE).cloned();
-            let body = exchange.read_whole(ANSWER_LIMIT, silence).await;
-            body.map(|body| PlainAnswer { status, content, body })
+            let framing = exchange.framing;
+            let read = read_answer(exchange, silence).await;
+            let has_restarted = chosen.state.restarts() != restarts;
+            read.and_then(|answer| check_end(framing, has_restarted).map(|()| answer))
         }
         Err(fault) => Err(fault),
     };
@@ -167,6 +168,24 @@
     result
 }
 
+async fn read_answer(exchange: Exchange, silence: Duration) -> Result<PlainAnswer, SendFault> {
+    let status = exchange.status;
+    let content = exchange.headers.get(CONTENT_TYPE).cloned();
+    let body = exchange.read_whole(ANSWER_LIMIT, silence).await?;
+    Ok(PlainAnswer { status, content, body })
+}
+
+/// Checks that an answer whose body has ended is complete. The connections of a server process that ends are closed in
+/// order as well, so that without a length or chunks the end of the server can't be told from the end of its answer.
+fn check_end(framing: Framing, has_restarted: bool) -> Result<(), SendFault> {
+    match framing {
+        Framing::Close if has_restarted => {
+            Err(SendFault::Broke("the backend server has started again".to_owned()))
+        }
+        Framing::Length | Framing::Chunked | Framing::Close => Ok(()),
+    }
+}
+
 fn outgoing(
     chosen: &Chosen,
     request: &PlainRequest,
--- a/tests/answer_ends.rs
+++ b/tests/answer_ends.rs
@@ -16,6 +16,7 @@
 use emberturn::decide::completeness;
 use emberturn::ids::AttemptId;
 use emberturn_fakes::http::Answer;
+use emberturn_fakes::platform::Platform;
 use futures_util::future::join_all;
 use platform::{PATIENCE, Reply, Seen, TestRelay, document, route};
 use raw::{End, RawServer, Written};
@@ -645,3 +646,51 @@
     assert_eq!(streamed_text(&answer), (text_of(2), false));
     assert!(answer.text().contains("event: error"), "{}", answer.text());
 }
+
+/// Asks for a plain answer under a key. Before its connection closes the node learns which incarnation of the server
+/// there is; it knew `before`.
+async fn ask_entry_of_restarted(form: Form, before: Option<u64>) -> Answer {
+    let (platform, watched) = Platform::start().await.unwrap();
+    let watching = format!("[platform]\naddr = {watched}\npoll = 20ms\n");
+    let server = RawServer::start(move |_, _| {
+        let wire = form.plain(JSON_TYPE);
+        wire.cut(wire.bytes.len(), End::CloseWhenTold)
+    });
+    let cluster = entry_before(&server, BoxPlan::replica("a").extra(&watching)).await;
+    let list = async |life: u64| {
+        platform.list("d1", "live", life, 0);
+        let line = ["event=backend_news", "backend_server=d1", &format!("life={life} ")];
+        cluster.boxes["a"].log.wait_from(0, &line).await;
+    };
+    if let Some(life) = before {
+        list(life).await;
+    }
+    let restart = async {
+        server.wait_seen(1).await;
+        list(8).await;
+        server.tell();
+    };
+    let (answer, ()) = tokio::join!(ask_entry(&cluster, "desk", Some("k-1")), restart);
+    let sent = (answer.status == 200).then_some(BODY);
+    assert_recorded(&cluster, "desk", "k-1", sent).await;
+    answer
+}
+
+#[tokio::test]
+async fn plain_answer_of_the_entry_without_length_whose_server_has_restarted_is_not_complete() {
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        let form = Form { version, framing: Framing::Close };
+        assert_broken_off(&ask_entry_of_restarted(form, Some(7)).await, version);
+    }
+}
+
+#[tokio::test]
+async fn plain_answer_of_the_entry_is_complete_if_no_restart_is_known_or_its_end_is_marked() {
+    let unmarked = Form { version: "HTTP/1.1", framing: Framing::Close };
+    let marked = FORMS.into_iter().filter(|form| form.framing != Framing::Close);
+    let marked = marked.map(|form| (form, Some(7)));
+    for (form, before) in marked.chain([(unmarked, None)]) {
+        let answer = ask_entry_of_restarted(form, before).await;
+        assert_eq!((answer.status.as_u16(), &*answer.text()), (200, BODY), "{form:?}");
+    }
+}
