Answers: one judgement of an end for streams, plain answers and answers of other boxes

Three places repeated that a close is no proof when the server has ended. judge_end takes the framing with the other facts. No change of behaviour; a plain answer's break names its cause in other words.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -21,7 +21,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::decide::completeness::Framing;
+use crate::decide::completeness::{BreakCause, Framing};
 use crate::decide::proxies::ProxyLease;
 use crate::http::silence::limit_silence;
 use crate::sync::lock;
@@ -86,6 +86,12 @@
     }
 }
 
+impl From<BreakCause> for SendFault {
+    fn from(cause: BreakCause) -> Self {
+        Self::Broke(cause.to_string())
+    }
+}
+
 /// A request without an answer.
 #[derive(Debug)]
 pub struct Unsent {
--- a/src/decide/completeness.rs
+++ b/src/decide/completeness.rs
@@ -58,9 +58,11 @@
     Stopped,
 }
 
-/// What is known when the connection of an answer without a length or chunks has closed in order.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct CloseFacts {
+/// What is known when the bytes of an answer have ended in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndFacts {
+    /// How the answer marks its end.
+    pub framing: Framing,
     /// Whether the run was stopped.
     pub stop: StopState,
     /// Whether the server has ended, or has started again.
@@ -81,16 +83,17 @@
     ServerEnded,
 }
 
-/// Judges an answer whose connection has closed in order, with nothing else to mark its end. Without evidence of a
-/// break it is complete: a sound answer of this form ends in the same way.
+/// Judges an answer whose bytes have ended in order. A length or the last chunk proves that it is complete. A mere close
+/// does not, but a sound answer of this form ends in the same way: without evidence of a break it is complete.
 ///
 /// # Errors
 /// Why it counts as broken off.
-pub fn judge_close(facts: &CloseFacts) -> Result<(), BreakCause> {
-    match (facts.stop, facts.server_ended) {
-        (StopState::Stopped, _) => Err(BreakCause::Stopped),
-        (StopState::Unanswered, _) => Err(BreakCause::MaybeStopped),
-        (StopState::Running, true) => Err(BreakCause::ServerEnded),
-        (StopState::Running, false) => Ok(()),
+pub fn judge_end(facts: &EndFacts) -> Result<(), BreakCause> {
+    match (facts.framing, facts.stop, facts.server_ended) {
+        (Framing::Length | Framing::Chunked, _, _) => Ok(()),
+        (Framing::Close, StopState::Stopped, _) => Err(BreakCause::Stopped),
+        (Framing::Close, StopState::Unanswered, _) => Err(BreakCause::MaybeStopped),
+        (Framing::Close, StopState::Running, true) => Err(BreakCause::ServerEnded),
+        (Framing::Close, StopState::Running, false) => Ok(()),
     }
 }
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -12,7 +12,7 @@
 use super::request::Head;
 use super::unrepeatable::{Once, Permission};
 use crate::backend::{Exchange, Reuse, SendFault};
-use crate::decide::completeness::Framing;
+use crate::decide::completeness::{EndFacts, StopState, judge_end};
 use crate::error::{Failure, Kind, RunState};
 use crate::http::answer::{self, Body};
 use crate::ids::AttemptId;
@@ -153,8 +153,9 @@
         Ok(exchange) => {
             let framing = exchange.framing;
             let read = read_answer(exchange, silence).await;
-            let has_restarted = chosen.state.restarts() != restarts;
-            read.and_then(|answer| check_end(framing, has_restarted).map(|()| answer))
+            let server_ended = chosen.state.restarts() != restarts;
+            let facts = EndFacts { framing, stop: StopState::Running, server_ended };
+            read.and_then(|answer| Ok(judge_end(&facts).map(|()| answer)?))
         }
         Err(fault) => Err(fault),
     };
@@ -175,17 +176,6 @@
     Ok(PlainAnswer { status, content, body })
 }
 
-/// Checks that an answer whose body has ended is complete. The connections of a server process that ends are closed in
-/// order as well, so that without a length or chunks the end of the server can't be told from the end of its answer.
-fn check_end(framing: Framing, has_restarted: bool) -> Result<(), SendFault> {
-    match framing {
-        Framing::Close if has_restarted => {
-            Err(SendFault::Broke("the backend server has started again".to_owned()))
-        }
-        Framing::Length | Framing::Chunked | Framing::Close => Ok(()),
-    }
-}
-
 fn outgoing(
     chosen: &Chosen,
     request: &PlainRequest,
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -30,7 +30,7 @@
 use super::restraint::SendRestrictions;
 use super::serve::build_call;
 use crate::backend::{Exchange, SendFault};
-use crate::decide::completeness::{CloseFacts, Framing, judge_close};
+use crate::decide::completeness::{EndFacts, Framing, StopState, judge_end};
 use crate::decide::memory::{LOWEST_URGENCY, MemoryClaim};
 use crate::decide::paths::Path;
 use crate::http::gate::Gate;
@@ -259,11 +259,11 @@
     async fn next_piece(&mut self) -> Result<Option<Bytes>, SendFault> {
         let received = self.exchange.next(READ_TIMEOUT);
         let piece = unless_restarted(&mut self.flight, received).await?;
-        if piece.is_none() && self.exchange.framing == Framing::Close {
+        if piece.is_none() {
             let server_ended = self.flight.server().state.is_over();
             // Only the box that asked knows whether the run was stopped.
-            let facts = CloseFacts { server_ended, ..CloseFacts::default() };
-            judge_close(&facts).map_err(|cause| SendFault::Broke(cause.to_string()))?;
+            let stop = StopState::Running;
+            judge_end(&EndFacts { framing: self.exchange.framing, stop, server_ended })?;
         }
         self.bytes += piece.as_ref().map_or(0, |piece| piece.len() as u64);
         Ok(piece)
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -216,7 +216,7 @@
         last = progress.last_event_id, stop = ?source.stop, end = %end,
     );
     let judged = match end {
-        StreamEnd::Closed => source.judge_close(),
+        StreamEnd::Closed => source.judge_end(),
         StreamEnd::Broke(fault) => Err(fault),
     };
     match judged {
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -21,7 +21,7 @@
 use super::table::Route;
 use super::taking::UNCHARGED_BYTES;
 use crate::backend::SendFault;
-use crate::decide::completeness::Framing;
+use crate::decide::completeness::{EndFacts, StopState, judge_end};
 use crate::decide::engine::Observation;
 use crate::decide::memory::{MemoryClaim, MemoryReservation, Purpose};
 use crate::decide::releases::AnswerOutcome;
@@ -227,20 +227,12 @@
         },
         () = flight.server_restarted() => return Err(SendFailure::from_fault(restart_fault())),
     };
-    let has_restarted = flight.server().state.is_over();
-    check_end(framing, has_restarted).map_err(SendFailure::from_fault)?;
+    let server_ended = flight.server().state.is_over();
+    let judged = judge_end(&EndFacts { framing, stop: StopState::Running, server_ended });
+    judged.map_err(|cause| SendFailure::from_fault(cause.into()))?;
     Ok(read)
 }
 
-/// Checks that an answer whose body has ended is complete. The connections of a server process that ends are closed in
-/// order as well, so that without a length or chunks the end of the server can't be told from the end of its answer.
-fn check_end(framing: Framing, has_restarted: bool) -> Result<(), SendFault> {
-    match framing {
-        Framing::Close if has_restarted => Err(restart_fault()),
-        Framing::Length | Framing::Chunked | Framing::Close => Ok(()),
-    }
-}
-
 /// Reads an answer of at most `limit` bytes to its end, reserving memory for it. Also returns
 /// whether the server reports that the request failed.
 pub(super) async fn read_whole(
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -24,7 +24,7 @@
 use super::table::{Repeat, Route};
 use super::taking;
 use crate::backend::{Exchange, SendFault};
-use crate::decide::completeness::{CloseFacts, Framing, StopState, judge_close};
+use crate::decide::completeness::{EndFacts, Framing, StopState, judge_end};
 use crate::decide::engine::Observation;
 use crate::decide::releases::AnswerOutcome;
 use crate::decide::verdict::RelativeLatency;
@@ -80,14 +80,14 @@
         Self { exchange, cutter, flight, sent_at, stop: StopState::default() }
     }
 
-    /// Judges the stream after its connection closed in order with nothing else to mark its end.
+    /// Judges the stream after its bytes have ended in order.
     ///
     /// # Errors
     /// [`SendFault::Broke`] if something shows that it was broken off.
-    pub(super) fn judge_close(&self) -> Result<(), SendFault> {
+    pub(super) fn judge_end(&self) -> Result<(), SendFault> {
         let server_ended = self.flight.server().state.is_over();
-        judge_close(&CloseFacts { stop: self.stop, server_ended })
-            .map_err(|cause| SendFault::Broke(cause.to_string()))
+        let facts = EndFacts { framing: self.exchange.framing, stop: self.stop, server_ended };
+        Ok(judge_end(&facts)?)
     }
 }
 
@@ -442,7 +442,7 @@
                     continue;
                 }
                 Ok(Received::End) => Ok(()),
-                Ok(Received::Closed) => source.judge_close(),
+                Ok(Received::Closed) => source.judge_end(),
                 Err(fault) => Err(fault),
             };
             let fault = match ended {
--- a/tests/broken_off.rs
+++ b/tests/broken_off.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use emberturn::decide::completeness::{BreakCause, CloseFacts, StopState, judge_close};
+use emberturn::decide::completeness::{BreakCause, EndFacts, Framing, StopState, judge_end};
 use emberturn::units::{Millis, UnixMillis};
 use platform::{Act, Moves, Reply, StandIn, TestRelay, events};
 use yare::parameterized;
@@ -159,5 +159,7 @@
     server_ended: bool,
     judged: Result<(), BreakCause>,
 ) {
-    assert_eq!(judge_close(&CloseFacts { stop, server_ended }), judged);
+    let judge = |framing| judge_end(&EndFacts { framing, stop, server_ended });
+    assert_eq!(judge(Framing::Close), judged);
+    assert_eq!((judge(Framing::Length), judge(Framing::Chunked)), (Ok(()), Ok(())));
 }
