Callers: what came before a break is written before the answer is broken off

What callers saw: of a stream that broke off right behind some events, none of these, and not even the head.

Cause: when a body fails, the HTTP library drops what it has buffered and not yet written.

Change: a failure is handed to the library one turn later, so that it writes first.

Conclusion: the events reach a caller that reads. What does not fit into the socket's buffer is still dropped; the answer is seen as broken off either way.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -267,11 +267,15 @@
     delimited: Arc<CloseDelimited>,
     busy: Arc<Busy>,
 ) -> Response<Body> {
-    response.map(|body| BodyExt::boxed_unsync(Taken { body, delimited, _busy: busy }))
+    let taken = |body| Taken { body, failure: None, delimited, _busy: busy };
+    response.map(|body| BodyExt::boxed_unsync(taken(body)))
 }
 
 struct Taken {
     body: Body,
+    /// What the body failed with. The library drops what it has not written when it learns of a failure, so it
+    /// gets a turn to write first.
+    failure: Option<io::Error>,
     delimited: Arc<CloseDelimited>,
     _busy: Arc<Busy>,
 }
@@ -285,17 +289,22 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let taken = self.get_mut();
-        let frame = ready!(Pin::new(&mut taken.body).poll_frame(context));
-        let has_ended = match &frame {
-            None => true,
-            // The library does not ask for another frame.
-            Some(Ok(_)) => taken.body.is_end_stream(),
-            Some(Err(_)) => false,
+        if let Some(error) = taken.failure.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        let frame = match ready!(Pin::new(&mut taken.body).poll_frame(context)).transpose() {
+            Ok(frame) => frame,
+            Err(error) => {
+                taken.failure = Some(error);
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
         };
-        if has_ended {
+        // The library asks for no other frame behind one with which the body ends.
+        if frame.is_none() || taken.body.is_end_stream() {
             taken.delimited.end();
         }
-        Poll::Ready(frame)
+        Poll::Ready(frame.map(Ok))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -435,3 +435,16 @@
         assert_eq!((seen.body, seen.is_complete), (events(3), true));
     }
 }
+
+/// The library drops what it has not written when a body fails.
+#[tokio::test]
+async fn events_before_a_break_reach_the_caller() {
+    for caller in CALLERS {
+        let server = Server::start().await;
+        let (mut connection, writer) = server.ask(caller).await;
+        send_events(&writer, 3);
+        writer.fail(io::Error::other("the stream broke off"));
+        let seen = connection.read_answer().await;
+        assert_eq!((seen.body, seen.is_complete), (events(3), false), "{caller:?}");
+    }
+}
