Tests: a request that no server of its own has seen is shown with its answer

plain_answer_is_complete_only_if_its_end_was_seen::length failed in one run of twelve of the whole file (the server saw no request, where one was expected), beside builds and loops of other tests, and in none of six further runs of the whole file and nine of the two walks alone. Nothing showed what the caller got instead. The assertion prints it now; it is as strict as before.

--- a/tests/forwarded_ends.rs
+++ b/tests/forwarded_ends.rs
@@ -132,7 +132,7 @@
         self.list(&[("i-9", server.addr)]);
         let part = if script.headers.is_empty() { "" } else { "piece 1" };
         let reply = self.ask(route, part, async { server.release() }).await;
-        assert_eq!(server.seen(), 1, "{script:?}");
+        assert_eq!(server.seen(), 1, "{script:?} {reply:?}");
         reply
     }
 
