--- a/tests/answer_ends.rs
+++ b/tests/answer_ends.rs
@@ -9,6 +9,7 @@
 mod support;
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -236,6 +237,41 @@
     }
 }
 
+/// Cuts off the answer of whichever server is asked first; the other one answers in full.
+async fn walk_second_send(form: Form, place: usize, end: End) {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let start = || {
+        let asked = asked.clone();
+        RawServer::start(move |seen, _| {
+            let wire = form.plain(&signed(&seen.headers["request-id"]));
+            match asked.fetch_add(1, Ordering::SeqCst) {
+                0 => wire.cut(place, end),
+                _ => wire.cut(wire.bytes.len(), End::Close),
+            }
+        })
+    };
+    let servers = [start(), start()];
+    let relay = relay_of(&[&servers[0], &servers[1]]).await;
+    let reply = ask_relay(&relay, "safe", LONG).await;
+    let cell = format!("{form:?} {end:?} behind {place}");
+    assert_relayed(&relay, &reply, Some(BODY), &cell);
+    assert_eq!(asked.load(Ordering::SeqCst), 2, "{cell}");
+}
+
+/// After a break the request is sent again; beside a silent server it is hedged.
+#[test]
+fn plain_answer_that_breaks_off_is_not_preferred_to_a_second_one_that_is_complete() {
+    for (form, end) in FORMS
+        .into_iter()
+        .flat_map(|form| [End::Close, End::Reset, End::Silence].map(|end| (form, end)))
+    {
+        let wire = form.plain(&signed("r-1"));
+        let places = wire.few_places().into_iter();
+        let cut = places.filter(|place| !form.is_complete(&wire, *place, end));
+        run(join_all(cut.map(|place| walk_second_send(form, place, end))));
+    }
+}
+
 /// Lets a relay read the end of an answer in the same step in which it learns that the server is over: everything else
 /// waits while both happen, as the test has a single thread.
 async fn ask_of_restarted(form: Form) -> (TestRelay, Reply) {
