Tests: the address of servers that a box does not reach is never another test's

Tests of forwarded ends failed now and then while the machine was short of ports: a caller got 401, a stream was not resumed, or the server saw no request. Seen in the log of two such runs: server_paths_restored 503 ms after the loss, and the request then went directly to a stranger. The dead address came from the system and was only reserved; with ports scarce, the system gave it to a listener of another test, so that the first probe of the path succeeded.

Change: it is port 1 of the loopback address, at which nobody listens. No assertion is changed.

--- a/tests/forwarded_ends.rs
+++ b/tests/forwarded_ends.rs
@@ -62,8 +62,9 @@
 /// A box without paths, one that sends for it, and servers that only the latter reaches.
 struct Hop {
     fleet: Fleet,
-    /// Where the box without paths looks for servers.
-    dead: Link,
+    /// Where the box without paths looks for servers. A port that the system hands out could be taken by a listener of
+    /// another test, behind which the path would seem to be back.
+    dead: SocketAddr,
     /// Requests so far. They differ: one that breaks off again and again counts as the cause.
     asked: AtomicU32,
 }
@@ -72,8 +73,7 @@
     async fn start() -> Self {
         let mut fleet = Fleet::start(&[Act::Answer]).await;
         fleet.lose(LinkFault::Reset).await;
-        let mut dead = Link::start(fleet.servers[0].addr).await;
-        dead.fail(LinkFault::Reset).await;
+        let dead = "127.0.0.1:1".parse().unwrap();
         Self { fleet, dead, asked: AtomicU32::new(0) }
     }
 
@@ -86,7 +86,7 @@
         };
         let at_other = servers.iter().map(|(id, addr)| listed(id, *addr));
         self.fleet.other.list_as(at_other.collect());
-        let at_cut = servers.iter().map(|(id, _)| listed(id, self.dead.addr));
+        let at_cut = servers.iter().map(|(id, _)| listed(id, self.dead));
         self.fleet.cut.list_as(at_cut.collect());
     }
 
@@ -513,7 +513,7 @@
     let leaving = async {
         hop.list(&[("i-9", first.addr), ("i-8", second.addr)]);
         // The other box does not know yet that the server leaves: it takes nothing for one that does.
-        let listed = |server: &StandIn| Server { addr: hop.dead.addr, ..server.listed("svc") };
+        let listed = |server: &StandIn| Server { addr: hop.dead, ..server.listed("svc") };
         let leaves_in = Some(Millis(2_500));
         let first = Server { leaving: true, leaves_in, ..listed(&first) };
         hop.fleet.cut.list_as(vec![first, listed(&second)]);
