Tests: addresses of dead servers and failing links are held, so that no other test gets them

Tests of servers that are gone and of links that refuse failed now and then beside other tests: server_that_no_box_reaches_has_ended in 4 of 12 runs of its file, refused_connection_is_reported_as_not_run in 1 of 11. The port that a test had freed, or reserved in a way that shares it, went to a listener of another test, behind which the server seemed to run on or the path to be back (server_paths_restored in the log of such a run). Links and stand-ins now hold their address by a socket that shares it only while they listen themselves, and a stand-in that ends for good keeps it. No assertion is changed.

--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -268,7 +268,7 @@
                     server.wait_seen(2).await;
                     listed.leaving = true;
                     relay.list_as(vec![listed]);
-                    server.kill().await;
+                    server.end().await;
                 };
                 let (reply, _) = tokio::join!(relay.ask("POST", "once"), ended);
                 assert_eq!(reply.status, 502, "{reply:?}");
@@ -292,7 +292,7 @@
         relay.list(&[&server]);
         let ended = async {
             server.wait_seen(1).await;
-            server.kill().await;
+            server.end().await;
         };
         let (reply, _) = tokio::join!(relay.ask("POST", "once"), ended);
         assert_eq!(reply.status, 502, "{reply:?}");
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -111,7 +111,7 @@
     fleet.other.ask("POST", "safe").await;
     let server = fleet.servers.remove(0);
     let id = server.id.clone();
-    server.kill().await;
+    server.end().await;
     fleet.links[0].fail(LinkFault::Reset).await;
     for _ in 0..REQUESTS {
         assert_eq!(fleet.ask("safe").await.status, 200);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -156,7 +156,8 @@
     let relay = TestRelay::start(&[&server]).await;
     let mut dead = server.listed("svc");
     dead.id = "i-2".parse().unwrap();
-    dead.addr = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // A port that was free may be taken by a listener of another test.
+    dead.addr = "127.0.0.1:1".parse().unwrap();
     relay.list_as(vec![dead]);
     let reply = relay.ask("POST", "once").await;
     assert_eq!(reply.status, 503, "{reply:?}");
--- a/tests/support/link.rs
+++ b/tests/support/link.rs
@@ -4,9 +4,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
+use super::platform::ReservedAddr;
+
 /// How long a connect attempt may take that fills the queue of a listener.
 const FILL_TIME: Duration = Duration::from_millis(100);
 
@@ -37,26 +39,26 @@
     /// Connections that fill a listener's queue, and the listener.
     held: Vec<TcpStream>,
     listener: Option<TcpListener>,
-    /// Keeps the address while nobody listens there: a listener of another test must not get it.
-    _reserved: TcpSocket,
+    /// A listener of another test must not get the address while nobody listens there.
+    reserved: ReservedAddr,
 }
 
 impl Link {
     /// A link that works.
     pub async fn start(upstream: SocketAddr) -> Self {
-        let reserved = bind("127.0.0.1:0".parse().unwrap());
-        let addr = reserved.local_addr().unwrap();
+        let reserved = ReservedAddr::new();
+        let listener = reserved.listen(1);
         let mut link = Self {
-            addr,
+            addr: reserved.addr,
             upstream,
             accepting: None,
             stop: Arc::default(),
             pumps: Arc::default(),
             held: Vec::new(),
             listener: None,
-            _reserved: reserved,
+            reserved,
         };
-        link.accept(listen(addr));
+        link.accept(listener);
         link
     }
 
@@ -97,7 +99,7 @@
     pub async fn heal(&mut self) {
         self.held.clear();
         self.abort_pumps(true);
-        let listener = self.listener.take().unwrap_or_else(|| listen(self.addr));
+        let listener = self.listener.take().unwrap_or_else(|| self.reserved.listen(1));
         self.accept(listener);
     }
 
@@ -124,17 +126,6 @@
     }
 }
 
-fn bind(addr: SocketAddr) -> TcpSocket {
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.set_reuseaddr(true).unwrap();
-    socket.bind(addr).unwrap();
-    socket
-}
-
-fn listen(addr: SocketAddr) -> TcpListener {
-    bind(addr).listen(1).unwrap()
-}
-
 /// Forwards bytes both ways until one side ends.
 async fn pump(near: Arc<TcpStream>, far: Arc<TcpStream>) {
     tokio::select! {
--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -14,6 +14,14 @@
 
 use super::PATIENCE;
 
+#[path = "reserved.rs"]
+mod reserved;
+
+pub use reserved::ReservedAddr;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// What a stand-in does with a request.
 #[derive(Debug, Clone)]
 pub enum Act {
@@ -117,6 +125,7 @@
     gone: watch::Receiver<usize>,
     reports: watch::Receiver<usize>,
     running: JoinHandle<()>,
+    reserved: Option<ReservedAddr>,
 }
 
 impl StandIn {
@@ -137,7 +146,11 @@
     }
 
     async fn start_as(id: &str, addr: SocketAddr, itself: Itself, acts: &[Act]) -> Self {
-        let listener = TcpListener::bind(addr).await.unwrap();
+        let reserved = (addr.port() == 0).then(ReservedAddr::new);
+        let listener = match &reserved {
+            Some(reserved) => reserved.listen(BACKLOG),
+            None => TcpListener::bind(addr).await.unwrap(),
+        };
         let addr = listener.local_addr().unwrap();
         let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
         let (counted, count) = watch::channel(0);
@@ -158,7 +171,7 @@
                 });
             }
         });
-        Self { id: id.to_owned(), addr, seen, count, gone, reports, running }
+        Self { id: id.to_owned(), addr, seen, count, gone, reports, running, reserved }
     }
 
     /// Kills it: its connections break, and nobody listens at its address.
@@ -168,6 +181,12 @@
         self.addr
     }
 
+    /// Kills it for good: no listener of another test gets its address, at which it would seem to run on.
+    pub async fn end(mut self) {
+        std::mem::forget(self.reserved.take());
+        self.kill().await;
+    }
+
     /// Waits until it was asked for a report so many times.
     pub async fn wait_reports(&mut self, wanted: usize) {
         let waiting = self.reports.wait_for(|count| *count >= wanted);
