Brittle servers: a choice of server copies no entry

Each look at a server of a brittle service cloned its entry, with the service's name, to refill the copy. The budget at a time is a function now, which recording a rejection uses as well. No change of behaviour; tests as before.

--- a/src/decide/brittle.rs
+++ b/src/decide/brittle.rs
@@ -59,7 +59,7 @@
     }
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct BrittleServer {
     service: ServiceName,
     incarnation: Incarnation,
@@ -72,12 +72,11 @@
 }
 
 impl BrittleServer {
-    fn refill(&mut self, relays: u32, now: Instant) {
+    fn budget_at(&self, relays: u32, now: Instant) -> f64 {
         let share = self.limit / f64::from(relays.max(1));
         let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
         let least = -share * MAX_CLOSED_TIME.as_secs_f64();
-        self.budget = (self.budget.max(least) + share * elapsed).min(share);
-        self.refilled_at = now;
+        (self.budget.max(least) + share * elapsed).min(share)
     }
 }
 
@@ -132,8 +131,8 @@
     /// Records that a server turned a request of this box away for want of room.
     pub fn record_rejection(&mut self, server: &BackendId, relays: u32, now: Instant) {
         if let Some(known) = self.servers.get_mut(server) {
-            known.refill(relays, now);
-            known.budget -= 1.0;
+            known.budget = known.budget_at(relays, now) - 1.0;
+            known.refilled_at = now;
         }
     }
 
@@ -152,11 +151,8 @@
         seed: u64,
         now: Instant,
     ) -> bool {
-        let mut known = self.servers.get(server).cloned();
-        if let Some(known) = &mut known {
-            known.refill(relays, now);
-        }
-        let is_closed = known.is_some_and(|it| it.budget < 0.0);
+        let known = self.servers.get(server);
+        let is_closed = known.is_some_and(|it| it.budget_at(relays, now) < 0.0);
         !is_closed
             && (load.has_shared_room(relays, place(server, seed)) || load.has_reported_room(relays))
     }
