Relay: one wait for a server that may restart; a store that nothing reads is gone

Streams, plain answers and answers of other boxes each had the same select over what arrives and the restart of the server. It is InFlightRequest::unless_restarted now. The stop state that a move set before its reply was overwritten in every case, and nothing read it in between: left out. No change of behaviour.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -366,11 +366,6 @@
     request
 }
 
-/// The fault of everything that runs on a server that has restarted: the same as after a crash.
-pub(super) fn restart_fault() -> SendFault {
-    SendFault::Broke("the backend server has started again".to_owned())
-}
-
 /// The operators' retry limit, as it applies to this box.
 pub fn retry_limit(relay: &Relay) -> RetryLimit {
     RetryLimit {
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use super::Relay;
-use super::attempt::{record_reply, restart_fault};
+use super::attempt::record_reply;
 use super::call::Call;
 use super::hop::{self, HopAction, HopFault, HopReply, HopRequest};
 use super::keeping::{RequestReservation, read_body};
@@ -129,7 +129,7 @@
     let mut flight = known.start_request(0, 0);
     let sent =
         relay.context.pool.send(known.server.addr, to_request(&call), call.time_left(), hop.reuse);
-    let sent = unless_restarted(&mut flight, sent).await;
+    let sent = flight.unless_restarted(sent).await.flatten();
     let mut exchange = sent.map_err(|fault| explain(relay, &known, &fault))?;
     reach::record_direct(relay, &known, &exchange);
     let head = relay.context.dialect.read_reply(&call, exchange.status, &exchange.headers);
@@ -196,19 +196,6 @@
     request
 }
 
-/// Waits for a server until it is known to have restarted: it sends nothing more then.
-async fn unless_restarted<T>(
-    flight: &mut InFlightRequest,
-    received: impl Future<Output = Result<T, SendFault>>,
-) -> Result<T, SendFault> {
-    tokio::select! {
-        // What has arrived counts even if the server has restarted since.
-        biased;
-        received = received => received,
-        () = flight.server_restarted() => Err(restart_fault()),
-    }
-}
-
 /// An answer on its way to the box that asked. What it holds is released at its end, or when that box closes its
 /// connection, which cancels the request at the server.
 struct ForwardedAnswer {
@@ -258,7 +245,7 @@
     /// an end that may be none is an error here.
     async fn next_piece(&mut self) -> Result<Option<Bytes>, SendFault> {
         let received = self.exchange.next(READ_TIMEOUT);
-        let piece = unless_restarted(&mut self.flight, received).await?;
+        let piece = self.flight.unless_restarted(received).await??;
         if piece.is_none() {
             let server_ended = self.flight.server().state.is_over();
             // Only the box that asked knows whether the run was stopped.
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use super::list::{ListedServer, Server};
+use crate::backend::SendFault;
 use crate::blackboard::fleet::{BackendState, FlightGuard, Leaving};
 use crate::decide::choose::LoadEstimate;
 use crate::decide::lives::{IncarnationSource, IncarnationUpdate, ServerIncarnation};
@@ -53,12 +54,28 @@
 
     /// Waits until the server is known to have restarted, in which case it will not answer the
     /// request.
-    pub async fn server_restarted(&mut self) {
+    async fn server_restarted(&mut self) {
         // The sender is part of the state that this value holds, so the wait ends only with the
         // incarnation.
         let _ = self.restarted.wait_for(|restarted| *restarted).await;
     }
 
+    /// Waits for something that the server sends, unless it is known to have restarted before it arrives.
+    ///
+    /// # Errors
+    /// The same fault as after a crash, if the server has restarted.
+    pub async fn unless_restarted<T>(
+        &mut self,
+        received: impl Future<Output = T>,
+    ) -> Result<T, SendFault> {
+        tokio::select! {
+            // What has arrived counts even if the server has restarted since.
+            biased;
+            received = received => Ok(received),
+            () = self.server_restarted() => Err(restart_fault()),
+        }
+    }
+
     /// Marks the request as running: its prompt tokens are no longer queued.
     pub fn mark_started(&mut self) {
         self.server.queued_prompt_tokens.fetch_sub(self.prompt, Ordering::SeqCst);
@@ -199,6 +216,11 @@
     }
 }
 
+/// The fault of everything that runs on a server that has restarted: the same as after a crash.
+pub(super) fn restart_fault() -> SendFault {
+    SendFault::Broke("the backend server has started again".to_owned())
+}
+
 /// Ends the requests in flight to an incarnation that is over.
 pub(super) fn end_incarnation(known: &KnownServer, next: &ServerIncarnation) {
     known.state.end();
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -30,7 +30,6 @@
 use super::table::{EngineSpec, Route};
 use crate::backend::{Reuse, SendFault};
 use crate::blackboard::fleet::Leaving;
-use crate::decide::completeness::StopState;
 use crate::decide::reclaim::{self, LeavingStream, ReclaimAction};
 use crate::ids::ServiceName;
 use crate::units::Tokens;
@@ -133,16 +132,13 @@
     };
     let mut ready = BytesMut::new();
     let limit = MOVE_TIMEOUT.min(call.time_left());
-    let outcome = {
-        // From here on the run may be stopped, also if this box never learns of it.
-        source.stop = StopState::Unanswered;
-        let exporting = request_export(relay, call, &known, target.server.addr, limit);
-        read_until_stopped(source, progress, &mut ready, limit, exporting).await
-    };
+    let exporting = request_export(relay, call, &known, target.server.addr, limit);
+    let outcome = read_until_stopped(source, progress, &mut ready, limit, exporting).await;
     let (reply, end) = match outcome {
         StopOutcome::Complete => return MoveOutcome::Ended(ready.freeze()),
         StopOutcome::Replied(reply, end) => (reply, end),
     };
+    // Without a clear reply the run may be stopped later, too.
     source.stop = reply.stop_state();
     let (status, handle) = match reply {
         ExportReply::Stopped { status, handle } => (status, handle),
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -10,9 +10,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{
-    CheckedReply, SendFailure, StartState, record_fault, restart_fault, seconds_since, send,
-};
+use super::attempt::{CheckedReply, SendFailure, StartState, record_fault, seconds_since, send};
 use super::attempts::CallAttempts;
 use super::call::Call;
 use super::known::{InFlightRequest, KnownServer};
@@ -172,11 +170,8 @@
     let mut flight = known.start_request(call.prompt_tokens(), call.max_tokens());
     let began = Instant::now();
     let limit = call.time_left();
-    let reply = tokio::select! {
-        biased;
-        reply = send(relay, call, route, known, StartState::default(), limit) => reply?,
-        () = flight.server_restarted() => return Err(SendFailure::from_fault(restart_fault())),
-    };
+    let sent = send(relay, call, route, known, StartState::default(), limit);
+    let reply = flight.unless_restarted(sent).await.map_err(SendFailure::from_fault)??;
     let read = read_answer(relay, call, reply, &mut flight).await;
     if let Err(SendFailure::Unknown { kind: Kind::BackendBroke, .. }) = &read {
         record_fault(relay, known, false);
@@ -218,14 +213,10 @@
 ) -> Result<(Answer, bool), SendFailure> {
     let framing = reply.exchange.framing;
     let reading = read_whole(relay, reply, MAX_ANSWER_BYTES);
-    let read = tokio::select! {
-        // An answer whose end is marked counts even if its server has restarted since.
-        biased;
-        read = tokio::time::timeout(call.time_left(), reading) => match read {
-            Ok(read) => read?,
-            Err(_) => return Err(SendFailure::from_fault(SendFault::TimedOut)),
-        },
-        () = flight.server_restarted() => return Err(SendFailure::from_fault(restart_fault())),
+    let reading = tokio::time::timeout(call.time_left(), reading);
+    let read = match flight.unless_restarted(reading).await.map_err(SendFailure::from_fault)? {
+        Ok(read) => read?,
+        Err(_) => return Err(SendFailure::from_fault(SendFault::TimedOut)),
     };
     let server_ended = flight.server().state.is_over();
     let judged = judge_end(&EndFacts { framing, stop: StopState::Running, server_ended });
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -11,12 +11,12 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::Relay;
-use super::attempt::{SendFailure, StartState, record_fault, restart_fault, seconds_since, send};
+use super::attempt::{SendFailure, StartState, record_fault, seconds_since, send};
 use super::attempts::CallAttempts;
 use super::call::Call;
 use super::events::{EventSplitter, event_id};
 use super::keeping::RequestReservation;
-use super::known::{InFlightRequest, KnownServer};
+use super::known::{InFlightRequest, KnownServer, restart_fault};
 use super::moving::{self, MoveOutcome, move_stream};
 use super::plain::{read_whole, strip_hop_by_hop_headers};
 use super::quarantine;
@@ -515,12 +515,7 @@
     if !ready.is_empty() {
         return Ok(Received::Events(ready));
     }
-    let received = tokio::select! {
-        biased;
-        received = source.exchange.next(silence) => received?,
-        () = source.flight.server_restarted() => return Err(restart_fault()),
-    };
-    match received {
+    match source.flight.unless_restarted(source.exchange.next(silence)).await?? {
         Some(piece) => {
             if source.exchange.lease.is_none() {
                 source.flight.server().state.hear();
