--- a/tests/broken_off.rs
+++ b/tests/broken_off.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use emberturn::decide::completeness::{BreakCause, EndFacts, Framing, StopState, judge_end};
-use emberturn::units::{Millis, UnixMillis};
-use platform::{Act, Moves, Reply, StandIn, TestRelay, events};
+use emberturn::units::UnixMillis;
+use platform::{Act, Moves, Reply, StandIn, TestRelay, as_leaving, events};
 use yare::parameterized;
 
 /// Asks for a stream at a server that announces that it leaves as soon as it has the request, beside a second server.
@@ -29,10 +29,7 @@
     let request = relay.ask_with("POST", route, headers);
     let leaving = async {
         first.wait_seen(1).await;
-        let mut listed = first.listed("svc");
-        listed.leaving = true;
-        listed.leaves_in = Some(Millis(2_500));
-        relay.list_as(vec![listed, second.listed("svc")]);
+        relay.list_as(vec![as_leaving(first.listed("svc")), second.listed("svc")]);
     };
     let (reply, ()) = tokio::join!(request, leaving);
     (reply, first, second)
--- a/tests/forwarded_ends.rs
+++ b/tests/forwarded_ends.rs
@@ -23,11 +23,10 @@
 use emberturn::decide::proxies::Proxy;
 use emberturn::decide::retry_budgets::RetryLimit;
 use emberturn::relay::list::Server;
-use emberturn::units::Millis;
 use emberturn_fakes::proxy::{Fault, Proxy as FaultProxy};
 use fleet::{Fleet, proxy};
 use link::{Link, LinkFault};
-use platform::{Act, Moves, PATIENCE, Reply, StandIn, TestRelay, event, events, until};
+use platform::{Act, Moves, PATIENCE, Reply, StandIn, TestRelay, as_leaving, event, events, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use yare::parameterized;
@@ -514,9 +513,7 @@
         hop.list(&[("i-9", first.addr), ("i-8", second.addr)]);
         // The other box does not know yet that the server leaves: it takes nothing for one that does.
         let listed = |server: &StandIn| Server { addr: hop.dead, ..server.listed("svc") };
-        let leaves_in = Some(Millis(2_500));
-        let first = Server { leaving: true, leaves_in, ..listed(&first) };
-        hop.fleet.cut.list_as(vec![first, listed(&second)]);
+        hop.fleet.cut.list_as(vec![as_leaving(listed(&first)), listed(&second)]);
     };
     let reply = hop.ask_within(8_000, route, "piece 2", leaving).await;
     (reply, first, second)
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
-use emberturn::units::Millis;
-use platform::{Act, Reply, StandIn, TestRelay, document, event, events, route, usual_routes};
+use platform::{
+    Act, Reply, StandIn, TestRelay, as_leaving, document, event, events, route, usual_routes,
+};
 use yare::parameterized;
 
 fn run(test: impl Future<Output = ()>) {
@@ -202,10 +203,7 @@
     let request = relay.ask_with("POST", "stream", headers);
     let leaving = async {
         first.wait_seen(1).await;
-        let mut listed = first.listed("svc");
-        listed.leaving = true;
-        listed.leaves_in = Some(Millis(2_500));
-        relay.list_as(vec![listed, second.listed("svc")]);
+        relay.list_as(vec![as_leaving(first.listed("svc")), second.listed("svc")]);
     };
     let (reply, ()) = tokio::join!(request, leaving);
     assert_eq!((reply.status, reply.body, reply.whole), (200, events(6), true));
--- a/tests/releases_of_streams.rs
+++ b/tests/releases_of_streams.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use emberturn::relay::list::Server;
-use emberturn::units::Millis;
-use platform::{Act, PATIENCE, Reply, StandIn, TestRelay, document, events, route};
+use platform::{Act, PATIENCE, Reply, StandIn, TestRelay, as_leaving, document, events, route};
 
 /// How the platform lists a stand-in that runs a release.
 fn listed_as(server: &StandIn, release: &str) -> Server {
@@ -115,9 +114,7 @@
     let request = relay.ask_with("POST", "stream", headers);
     let leaving = async {
         first.wait_seen(1).await;
-        let (leaving, leaves_in) = (true, Some(Millis(2_500)));
-        let listed = Server { leaving, leaves_in, ..listed_as(&first, "v1") };
-        relay.list_as(vec![listed, listed_as(&second, release)]);
+        relay.list_as(vec![as_leaving(listed_as(&first, "v1")), listed_as(&second, release)]);
     };
     let (reply, ()) = tokio::join!(request, leaving);
     (reply, first, second)
--- a/tests/review_ends.rs
+++ b/tests/review_ends.rs
@@ -11,9 +11,10 @@
 
 use emberturn::decide::proxies::Proxy;
 use emberturn::relay::list::Server;
-use emberturn::units::Millis;
 use link::{Link, LinkFault};
-use platform::{Act, Moves, Reply, StandIn, TestRelay, event, events, read_request};
+use platform::{
+    Act, Moves, Reply, StandIn, TestRelay, as_leaving, event, events, listed_server, read_request,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -21,10 +22,6 @@
 
 const HEADERS: &str = "Api-Key: key-a\r\nToken-Usage: 1000,100000\r\n";
 
-fn leaving(server: Server) -> Server {
-    Server { leaving: true, leaves_in: Some(Millis(2_500)), ..server }
-}
-
 /// Asks for a stream that reaches its server through another box, and has the server listed as leaving meanwhile.
 /// The other box has not heard of that yet.
 async fn ask_through_another_box(moves: Moves) -> Reply {
@@ -42,7 +39,7 @@
     let request = cut.ask_with("POST", "stream", HEADERS);
     let notice = async {
         first.wait_seen(1).await;
-        cut.list_as(vec![leaving(listed), second.listed("svc")]);
+        cut.list_as(vec![as_leaving(listed), second.listed("svc")]);
     };
     let (reply, ()) = tokio::join!(request, notice);
     reply
@@ -117,17 +114,7 @@
     }
 
     fn listed(&self) -> Server {
-        Server {
-            id: "i-1".parse().unwrap(),
-            service: "svc".parse().unwrap(),
-            addr: self.addr,
-            data_centre: "here".parse().unwrap(),
-            release: "v1".parse().unwrap(),
-            slots: 8,
-            leaving: false,
-            leaves_in: None,
-            spot: false,
-        }
+        listed_server("i-1", "svc", self.addr)
     }
 
     /// Asks for a stream and has the server listed as leaving meanwhile, beside a second one.
@@ -135,7 +122,7 @@
         let second = StandIn::start("i-2", &[Act::Events(6)]).await;
         let relay = TestRelay::start(&[]).await;
         relay.list_as(vec![self.listed()]);
-        let listed = vec![leaving(self.listed()), second.listed("svc")];
+        let listed = vec![as_leaving(self.listed()), second.listed("svc")];
         let notice = async {
             self.seen.wait_for(|seen| *seen > 0).await.unwrap();
             relay.list_as(listed);
--- a/tests/support/raw.rs
+++ b/tests/support/raw.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 
-use super::platform::{PATIENCE, Seen, read_request};
+use super::platform::{PATIENCE, Seen, listed_server, read_request};
 
 /// What the server does once the bytes are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -142,17 +142,7 @@
 
     /// How the platform lists it.
     pub fn listed(&self, id: &str) -> Server {
-        Server {
-            id: id.parse().unwrap(),
-            service: "svc".parse().unwrap(),
-            addr: self.addr,
-            data_centre: "here".parse().unwrap(),
-            release: "v1".parse().unwrap(),
-            slots: 8,
-            leaving: false,
-            leaves_in: None,
-            spot: false,
-        }
+        listed_server(id, "svc", self.addr)
     }
 }
 
--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use emberturn::relay::list::Server;
+use emberturn::units::Millis;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -219,20 +220,30 @@
 
     /// How the platform lists it.
     pub fn listed(&self, service: &str) -> Server {
-        Server {
-            id: self.id.parse().unwrap(),
-            service: service.parse().unwrap(),
-            addr: self.addr,
-            data_centre: "here".parse().unwrap(),
-            release: "v1".parse().unwrap(),
-            slots: 8,
-            leaving: false,
-            leaves_in: None,
-            spot: false,
-        }
+        listed_server(&self.id, service, self.addr)
+    }
+}
+
+/// How the platform lists a server.
+pub fn listed_server(id: &str, service: &str, addr: SocketAddr) -> Server {
+    Server {
+        id: id.parse().unwrap(),
+        service: service.parse().unwrap(),
+        addr,
+        data_centre: "here".parse().unwrap(),
+        release: "v1".parse().unwrap(),
+        slots: 8,
+        leaving: false,
+        leaves_in: None,
+        spot: false,
     }
 }
 
+/// How the platform lists a server that leaves in 2.5 s.
+pub fn as_leaving(server: Server) -> Server {
+    Server { leaving: true, leaves_in: Some(Millis(2_500)), ..server }
+}
+
 /// What a stand-in says of itself.
 struct Itself {
     /// Its life, where it tells it.
