--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -30,7 +30,7 @@
 use crate::member::table::Boxes;
 use crate::state::config::Configuration;
 use crate::state::document::{Document, Version};
-use crate::state::quarantine::QuarantinedRequests;
+use crate::state::quarantine::QuarantinedSuspects;
 use crate::state::rollout::RolloutState;
 use crate::telemetry::HopLog;
 use fleet::Fleet;
@@ -101,7 +101,7 @@
     in_force: watch::Sender<Arc<InForce>>,
     document: watch::Sender<Arc<Document>>,
     rollouts: watch::Sender<Arc<RolloutState>>,
-    quarantine: ArcSwap<QuarantinedRequests>,
+    quarantine: ArcSwap<QuarantinedSuspects>,
     newest: watch::Sender<Newest>,
     fresh: watch::Sender<Option<Instant>>,
     phase: watch::Sender<Phase>,
@@ -203,12 +203,12 @@
     }
 
     /// The requests that are kept from all servers, as this process's replica has them.
-    pub fn quarantine(&self) -> Arc<QuarantinedRequests> {
+    pub fn quarantine(&self) -> Arc<QuarantinedSuspects> {
         self.quarantine.load_full()
     }
 
     /// Takes the requests that are kept from all servers.
-    pub fn put_quarantine(&self, quarantine: Arc<QuarantinedRequests>) {
+    pub fn put_quarantine(&self, quarantine: Arc<QuarantinedSuspects>) {
         self.quarantine.store(quarantine);
     }
 
--- a/src/cmd/quarantine.rs
+++ b/src/cmd/quarantine.rs
@@ -1,4 +1,4 @@
-//! `emberturn quarantine`: shows the requests that no server gets any more, and lets one through again.
+//! `emberturn quarantine`: shows the requests and prompt segments that no server gets any more, and lets one through again.
 
 use std::process::ExitCode;
 
@@ -8,7 +8,7 @@
 use super::exit;
 use super::operator::{Contact, contact, exit_with, json, print_json};
 use crate::error::{Failure, Kind};
-use crate::ids::Fingerprint;
+use crate::ids::Suspect;
 use crate::peer::method::{self, QuarantineAnswer, QuarantineAsk};
 
 /// What is asked for.
@@ -18,8 +18,8 @@
     Show,
     /// Let one through.
     Lift {
-        /// The request, as lines name it.
-        request: Fingerprint,
+        /// The request or segment, as lines name it.
+        suspect: Suspect,
     },
 }
 
@@ -36,7 +36,8 @@
 
 /// The parser.
 pub fn parser() -> impl Parser<Arguments> {
-    let text = "Show requests that no server gets any more, or let one through again";
+    let text =
+        "Show requests and prompt segments that no server gets any more, or let one through again";
     let (contact, json) = (contact(), json());
     let action = construct!([show(), lift()]);
     let options = construct!(Arguments { contact, json, action }).to_options().descr(text);
@@ -48,8 +49,9 @@
 }
 
 fn lift() -> impl Parser<Action> {
-    let request = positional::<Fingerprint>("REQUEST").help("The request, as lines name it");
-    construct!(Action::Lift { request })
+    let text = "The request or segment, as lines name it";
+    let suspect = positional::<Suspect>("SUSPECT").help(text);
+    construct!(Action::Lift { suspect })
         .to_options()
         .descr("Let one through again")
         .command("lift")
@@ -63,16 +65,21 @@
 pub async fn execute(arguments: Arguments) -> Result<ExitCode> {
     let ask = match arguments.action {
         Action::Show => QuarantineAsk::Show,
-        Action::Lift { request } => QuarantineAsk::Lift(request),
+        Action::Lift { suspect } => QuarantineAsk::Lift(suspect),
     };
     let answer: QuarantineAnswer = arguments.contact.ask(method::QUARANTINE, &ask).await?;
     match answer {
         Ok(book) if arguments.json => print_json(&book).and_then(|()| exit_with(exit::DONE)),
         Ok(book) => {
-            for (request, until) in &book {
-                println!("request={request} until_unix_ms={}", until.0);
+            for (suspect, until) in &book {
+                let kind = match suspect {
+                    Suspect::Request(_) => "request",
+                    Suspect::Segment(_) => "segment",
+                };
+                println!("{kind}={suspect} until_unix_ms={}", until.0);
             }
-            println!("requests={}", book.len());
+            let segments = book.keys().filter_map(Suspect::segment).count();
+            println!("requests={} segments={segments}", book.len() - segments);
             exit_with(exit::DONE)
         }
         Err((kind, detail)) => {
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -265,12 +265,15 @@
         let (known_version, unix) = (report.known_version, UnixMillis::now());
         self.quarantine.apply_report(report, now);
         let changes = self.quarantine.evaluate(now, unix);
-        for request in &changes.added {
-            let ends = self.quarantine.crash_count(request);
-            tracing::warn!(event = "request_judged", %request, ends, held = true);
-        }
-        for request in &changes.lifted {
-            tracing::warn!(event = "request_judged", %request, held = false);
+        for (suspect, held) in changes
+            .added
+            .iter()
+            .map(|it| (it, true))
+            .chain(changes.lifted.iter().map(|it| (it, false)))
+        {
+            let ends = held.then(|| self.quarantine.crash_count(suspect));
+            let (request, segment) = suspect.names();
+            tracing::warn!(event = "request_judged", request, segment, ends, held);
         }
         self.quarantine.update_for(known_version, rand::random(), unix)
     }
--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -1,27 +1,29 @@
-//! Records which backend servers crashed under which requests, and finds the poison requests: those
-//! that crash their servers.
+//! Records which backend servers crashed under which requests, and finds what crashes them: a poison
+//! request, or a segment that the prompts of different requests have in common.
 //!
-//! When a server crashes, every request that ran on it is a suspect, but usually only one is to
-//! blame. So not every crash counts against every request:
+//! When a server crashes, every request that ran on it is a suspect, and so are the shared segments of the
+//! prompts whose answers it had not begun. Usually only one of them is to blame. So not every crash counts
+//! against every suspect:
 //!
-//! - A crash is attributed to the request under which the most servers crashed, and counts against
-//!   no other.
+//! - A crash is attributed to the suspect with the strongest evidence, and counts against no other.
 //! - Servers of one data centre that crash at the same moment are treated as an outage, which
-//!   counts only against requests that ran on most of them.
+//!   counts only against suspects that ran on most of them.
 //! - Crashes of a server that was leaving are removed, and a request that any server has answered
 //!   is cleared.
+//! - Sound requests share segments with poison ones, so a segment is not cleared by a single answer.
+//!   Prompts with it whose answers went on ("survivals") are weighed against its crashes.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BackendId, DataCentre, Fingerprint};
+use crate::ids::{BackendId, DataCentre, SegmentKey, Suspect};
 use crate::units::Millis;
 
-/// Number of servers that have to crash under a request before it is quarantined. One or two
-/// crashes also happen to other requests that run beside a poison request, and each further one
-/// costs everything that runs on the server.
+/// Number of servers that have to crash under a suspect before it is quarantined. One or two
+/// crashes also happen to what runs beside a poison request, and each further one costs everything
+/// that runs on the server.
 pub const CRASHES_TO_QUARANTINE: usize = 3;
 
 /// How long a crash counts. A caller that sends a poison request less often crashes only a few
@@ -32,8 +34,8 @@
 /// crashed 64 servers before it was stopped.
 const MAX_CRASHES: usize = 256;
 
-/// Maximum number of requests remembered for one crash: more than run on a server at the same time.
-const MAX_REQUESTS_PER_CRASH: usize = 256;
+/// Maximum number of suspects remembered for one crash: more than a server runs at the same time.
+const MAX_SUSPECTS_PER_CRASH: usize = 256;
 
 /// Reports of boxes on the same crash lie within this time of each other. No server restarts and
 /// crashes again within it.
@@ -46,6 +48,28 @@
 /// outage rather than the effect of one request.
 const MIN_OUTAGE_SERVERS: usize = 3;
 
+/// Weight of a crash against a segment, where a survival weighs 1 in its favour. The ratio of the log-likelihoods
+/// of both outcomes for a segment that crashes a third of the servers it begins on, against one that is beside a
+/// crash in a twentieth of its starts.
+const CRASH_WEIGHT: i64 = 6;
+
+/// Weight from which a suspect is quarantined: three crashes with at most two survivals.
+const MIN_WEIGHT: i64 = 16;
+
+/// Survivals that are assumed of each suspect, so that a few crashes do not outweigh many with some survivals.
+const PRIOR_SURVIVALS: i64 = 5;
+
+/// Survivals within this time before a crash count as well. When servers crash that have nothing in common but an
+/// outage, there are none between the crashes.
+pub const SURVIVAL_WINDOW: Duration = Duration::from_secs(5);
+
+/// Maximum number of segments whose survivals are counted, and of entries for each.
+const MAX_COUNTED_SEGMENTS: usize = 1_024;
+const MAX_SURVIVAL_ENTRIES: usize = 64;
+
+/// Survivals within this time of each other are counted in one entry.
+const SURVIVAL_RESOLUTION: Duration = Duration::from_millis(500);
+
 /// A crash as reported by a box.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -53,8 +77,8 @@
     pub server: BackendId,
     /// Its data centre.
     pub data_centre: DataCentre,
-    /// The requests that ran on it.
-    pub requests: Vec<Fingerprint>,
+    /// The requests that ran on it, and the shared segments of the prompts it had not begun to answer.
+    pub suspects: Vec<Suspect>,
     /// Time since the crash.
     pub age: Millis,
 }
@@ -64,8 +88,8 @@
     server: BackendId,
     data_centre: DataCentre,
     at: Instant,
-    requests: BTreeSet<Fingerprint>,
-    /// Whether the crash has been reported with all its requests.
+    suspects: BTreeSet<Suspect>,
+    /// Whether the crash has been reported with all its suspects.
     is_reported: bool,
 }
 
@@ -76,10 +100,59 @@
     }
 }
 
+/// A crash, and the suspects that it counts against.
+struct SuspectedCrash<'a> {
+    crash: &'a Crash,
+    suspects: BTreeSet<&'a Suspect>,
+}
+
+/// What speaks against a suspect, and for it.
+#[derive(Debug, Clone, Copy)]
+struct Evidence {
+    crashes: i64,
+    survivals: i64,
+}
+
+impl Evidence {
+    fn weight(&self) -> i64 {
+        CRASH_WEIGHT * self.crashes - self.survivals
+    }
+
+    /// The share of crashes, in millionths. A segment of many prompts has the crashes of all poison among them, but
+    /// also their survivals, so its share is lower than that of the poison.
+    fn share(&self) -> i64 {
+        1_000_000 * self.crashes / (self.crashes + self.survivals + PRIOR_SURVIVALS)
+    }
+}
+
+/// Survivals of a segment, in the order of time.
+#[derive(Debug, Clone, Default)]
+struct Survivals(Vec<(Instant, u32)>);
+
+impl Survivals {
+    fn record(&mut self, count: u32, now: Instant) {
+        match self.0.last_mut() {
+            Some((at, sum)) if now < *at + SURVIVAL_RESOLUTION => *sum = sum.saturating_add(count),
+            _ => self.0.push((now, count)),
+        }
+        if self.0.len() > MAX_SURVIVAL_ENTRIES {
+            // Counted as later than they were, they can only speak for the segment.
+            let (_, oldest) = self.0.remove(0);
+            self.0[0].1 = self.0[0].1.saturating_add(oldest);
+        }
+    }
+
+    fn count_since(&self, since: Option<Instant>) -> i64 {
+        let counted = self.0.iter().rev().take_while(|(at, _)| since.is_none_or(|it| *at >= it));
+        counted.map(|(_, count)| i64::from(*count)).sum()
+    }
+}
+
 /// The crashes that currently count.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     crashes: Vec<Crash>,
+    survivals: BTreeMap<SegmentKey, Survivals>,
 }
 
 impl CrashTracker {
@@ -93,15 +166,15 @@
                 self.drop_oldest();
             }
             let (server, data_centre) = (report.server, report.data_centre);
-            let requests = BTreeSet::new();
-            self.crashes.push(Crash { server, data_centre, at, requests, is_reported: false });
+            let suspects = BTreeSet::new();
+            self.crashes.push(Crash { server, data_centre, at, suspects, is_reported: false });
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[index];
-        let before = crash.requests.len();
-        let free = MAX_REQUESTS_PER_CRASH.saturating_sub(before);
-        crash.requests.extend(report.requests.into_iter().take(free));
-        let is_new = known.is_none() || crash.requests.len() > before;
+        let before = crash.suspects.len();
+        let free = MAX_SUSPECTS_PER_CRASH.saturating_sub(before);
+        crash.suspects.extend(report.suspects.into_iter().take(free));
+        let is_new = known.is_none() || crash.suspects.len() > before;
         crash.is_reported &= !is_new;
         is_new
     }
@@ -111,20 +184,43 @@
         if let Some(oldest) = oldest {
             self.crashes.swap_remove(oldest);
         }
+        let suspects: BTreeSet<_> = self.crashes.iter().flat_map(|crash| &crash.suspects).collect();
+        self.survivals.retain(|segment, _| suspects.contains(&Suspect::Segment(segment.clone())));
     }
 
-    /// Clears a request of all crashes. Returns whether it was a suspect of any.
-    pub fn clear_request(&mut self, request: &Fingerprint) -> bool {
-        self.crashes.iter_mut().fold(false, |any, crash| crash.requests.remove(request) | any)
+    /// Records prompts with a segment whose answers went on after they had begun. Only segments that are suspects of a
+    /// crash are counted.
+    pub fn record_survivals(&mut self, segment: &SegmentKey, count: u32, now: Instant) {
+        if let Some(survivals) = self.survivals.get_mut(segment) {
+            survivals.record(count, now);
+        } else if self.survivals.len() < MAX_COUNTED_SEGMENTS && self.is_suspect(segment) {
+            self.survivals.entry(segment.clone()).or_default().record(count, now);
+        }
+    }
+
+    /// Whether any survivals of the segment have been recorded.
+    pub fn has_survivals(&self, segment: &SegmentKey) -> bool {
+        self.survivals.contains_key(segment)
     }
 
-    /// Removes the crashes of a server that was leaving. Returns the requests that ran on it.
-    pub fn remove_server(&mut self, server: &BackendId) -> BTreeSet<Fingerprint> {
+    /// Whether a server crashed under prompts with the segment.
+    pub fn is_suspect(&self, segment: &SegmentKey) -> bool {
+        let suspect = Suspect::Segment(segment.clone());
+        self.crashes.iter().any(|crash| crash.suspects.contains(&suspect))
+    }
+
+    /// Clears a suspect of all crashes. Returns whether it was a suspect of any.
+    pub fn clear(&mut self, suspect: &Suspect) -> bool {
+        self.crashes.iter_mut().fold(false, |any, crash| crash.suspects.remove(suspect) | any)
+    }
+
+    /// Removes the crashes of a server that was leaving. Returns their suspects.
+    pub fn remove_server(&mut self, server: &BackendId) -> BTreeSet<Suspect> {
         let (removed, rest) = std::mem::take(&mut self.crashes)
             .into_iter()
             .partition::<Vec<_>, _>(|crash| crash.server == *server);
         self.crashes = rest;
-        removed.into_iter().flat_map(|crash| crash.requests).collect()
+        removed.into_iter().flat_map(|crash| crash.suspects).collect()
     }
 
     /// Whether no crash is known.
@@ -132,14 +228,31 @@
         self.crashes.is_empty()
     }
 
-    /// Number of servers that crashed under a request, including crashes attributed to another one.
-    pub fn crash_count(&self, request: &Fingerprint) -> usize {
-        self.crashes.iter().filter(|crash| crash.requests.contains(request)).count()
+    /// Number of servers that crashed under a suspect, including crashes attributed to another one.
+    pub fn crash_count(&self, suspect: &Suspect) -> usize {
+        self.crashes.iter().filter(|crash| crash.suspects.contains(suspect)).count()
+    }
+
+    /// The segments under which at least `min_crashes` servers crashed, those with the most crashes first.
+    pub fn suspected_segments(&self, min_crashes: usize, limit: usize) -> Vec<SegmentKey> {
+        let mut counts: Vec<_> =
+            count_suspects(self.crashes.iter().flat_map(|crash| &crash.suspects))
+                .into_iter()
+                .filter(|(_, count)| *count >= min_crashes)
+                .filter_map(|(suspect, count)| Some((count, suspect.segment()?.clone())))
+                .collect();
+        counts.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        counts.into_iter().take(limit).map(|(_, segment)| segment).collect()
+    }
+
+    /// Whether any crash has not been reported yet.
+    pub fn has_any_unreported(&self) -> bool {
+        self.crashes.iter().any(|crash| !crash.is_reported)
     }
 
-    /// Whether a crash under the request has not been reported yet.
-    pub fn has_unreported(&self, request: &Fingerprint) -> bool {
-        self.crashes.iter().any(|crash| !crash.is_reported && crash.requests.contains(request))
+    /// Whether a crash under the suspect has not been reported yet.
+    pub fn has_unreported(&self, suspect: &Suspect) -> bool {
+        self.crashes.iter().any(|crash| !crash.is_reported && crash.suspects.contains(suspect))
     }
 
     /// Returns the crashes that have not been reported yet, at most `limit`.
@@ -149,7 +262,7 @@
             .map(|crash| CrashReport {
                 server: crash.server.clone(),
                 data_centre: crash.data_centre.clone(),
-                requests: crash.requests.iter().copied().collect(),
+                suspects: crash.suspects.iter().cloned().collect(),
                 age: now.saturating_duration_since(crash.at).into(),
             })
             .collect()
@@ -159,7 +272,7 @@
     pub fn mark_reported(&mut self, report: &[CrashReport]) {
         for crash in &mut self.crashes {
             let same = report.iter().find(|it| it.server == crash.server);
-            crash.is_reported |= same.is_some_and(|it| it.requests.len() >= crash.requests.len());
+            crash.is_reported |= same.is_some_and(|it| it.suspects.len() >= crash.suspects.len());
         }
     }
 
@@ -168,34 +281,55 @@
         self.crashes.iter_mut().for_each(|crash| crash.is_reported = false);
     }
 
-    /// Returns the poison requests. Repeatedly picks the request with the most crashes that are not
-    /// attributed yet, as long as there are at least [`CRASHES_TO_QUARANTINE`] of them.
-    pub fn poison_requests(&self) -> BTreeSet<Fingerprint> {
-        let mut unexplained: Vec<BTreeSet<Fingerprint>> = self.suspects();
+    /// Returns what is to blame for the crashes. Repeatedly picks the suspect with the strongest evidence by the
+    /// crashes that are not attributed yet, as long as there is enough.
+    pub fn poison(&self) -> BTreeSet<Suspect> {
+        let mut unexplained = self.suspects();
         let mut poison = BTreeSet::new();
-        loop {
-            let counts = count_requests(unexplained.iter());
-            // Of several requests with equally many crashes, pick the one whose last crash is the
-            // most recent, as a poison request goes on crashing servers.
-            let last_crash = |request: &Fingerprint| {
-                let crashes = self.crashes.iter().filter(|crash| crash.requests.contains(request));
-                crashes.map(|crash| crash.at).max()
-            };
-            let most = counts.values().copied().max().unwrap_or(0);
-            let most_frequent = counts.iter().filter(|(_, count)| **count == most);
-            let worst_request =
-                most_frequent.max_by_key(|(request, _)| (last_crash(request), **request));
-            let Some((worst_request, _)) = worst_request.filter(|_| most >= CRASHES_TO_QUARANTINE)
-            else {
-                return poison;
-            };
-            unexplained.retain(|requests| !requests.contains(worst_request));
-            poison.insert(*worst_request);
+        while let Some(worst) = self.worst(&unexplained) {
+            unexplained.retain(|it| !it.suspects.contains(worst));
+            poison.insert(worst.clone());
         }
+        poison
     }
 
-    /// Returns the suspects of each crash.
-    fn suspects(&self) -> Vec<BTreeSet<Fingerprint>> {
+    /// The suspect with the strongest evidence, if it is enough. If it is equal, a single request rather than a segment
+    /// of many, and then the suspect whose last crash is the most recent, as poison goes on crashing servers.
+    fn worst<'a>(&self, unexplained: &[SuspectedCrash<'a>]) -> Option<&'a Suspect> {
+        let counts = count_suspects(unexplained.iter().flat_map(|it| it.suspects.iter().copied()));
+        let frequent = counts.into_iter().filter(|(_, count)| *count >= CRASHES_TO_QUARANTINE);
+        let weighed = frequent.filter_map(|(suspect, _)| {
+            let crashes = unexplained.iter().filter(|it| it.suspects.contains(suspect));
+            let evidence = self.evidence(suspect, crashes.map(|it| it.crash).collect())?;
+            let all = self.crashes.iter().filter(|it| it.suspects.contains(suspect));
+            let last_crash = all.map(|it| it.at).max();
+            Some((evidence.share(), suspect.request().is_some(), last_crash, suspect))
+        });
+        weighed.max().map(|(.., worst)| worst)
+    }
+
+    /// The crashes of a suspect and its survivals, since that crash from which on the evidence is the strongest: a
+    /// segment may have been sound before. `None` if it is too weak.
+    fn evidence(&self, suspect: &Suspect, mut crashes: Vec<&Crash>) -> Option<Evidence> {
+        crashes.sort_by_key(|crash| crash.at);
+        let (crashes, survivals) = match suspect {
+            Suspect::Request(_) => (crashes.iter().map(|crash| crash.at).collect(), None),
+            Suspect::Segment(segment) => (separate(&crashes), self.survivals.get(segment)),
+        };
+        let starts = crashes.len().checked_sub(CRASHES_TO_QUARANTINE)?;
+        let since = |start: usize| {
+            let window_start = crashes[start].checked_sub(SURVIVAL_WINDOW);
+            Evidence {
+                crashes: (crashes.len() - start) as i64,
+                survivals: survivals.map_or(0, |survivals| survivals.count_since(window_start)),
+            }
+        };
+        let strongest = (0..=starts).map(since).max_by_key(Evidence::weight);
+        strongest.filter(|evidence| evidence.weight() >= MIN_WEIGHT)
+    }
+
+    /// Returns the crashes, each with the suspects that it counts against.
+    fn suspects(&self) -> Vec<SuspectedCrash<'_>> {
         let mut ordered: Vec<&Crash> = self.crashes.iter().collect();
         ordered.sort_by(|a, b| (&a.data_centre, a.at).cmp(&(&b.data_centre, b.at)));
         let in_same_outage =
@@ -204,25 +338,42 @@
     }
 }
 
-/// Counts in how many of the sets each request is.
-fn count_requests<'a>(
-    sets: impl Iterator<Item = &'a BTreeSet<Fingerprint>>,
-) -> HashMap<Fingerprint, usize> {
+/// Returns the times of those of the crashes, which are in the order of time, that count against a segment. Servers that
+/// crash at the same moment under requests that have nothing to do with each other count as one: what they have in
+/// common may be an outage, and prompts with the segment were waiting on each of them.
+fn separate(crashes: &[&Crash]) -> Vec<Instant> {
+    let groups = crashes.chunk_by(|a, b| b.at - a.at < OUTAGE_WINDOW);
+    let counted = groups.flat_map(|group| {
+        // A request that was sent on from one server to the next crashed both.
+        let unrelated = group.windows(2).filter(|pair| !have_common_request(pair[0], pair[1]));
+        let is_outage = 1 + unrelated.count() >= MIN_OUTAGE_SERVERS;
+        group.iter().take(if is_outage { 1 } else { group.len() })
+    });
+    counted.map(|crash| crash.at).collect()
+}
+
+fn have_common_request(a: &Crash, b: &Crash) -> bool {
+    a.suspects.intersection(&b.suspects).any(|suspect| suspect.request().is_some())
+}
+
+/// Counts how often each suspect occurs.
+fn count_suspects<'a>(suspects: impl Iterator<Item = &'a Suspect>) -> HashMap<&'a Suspect, usize> {
     let mut counts = HashMap::new();
-    for request in sets.flatten() {
-        *counts.entry(*request).or_default() += 1;
+    for suspect in suspects {
+        *counts.entry(suspect).or_default() += 1;
     }
     counts
 }
 
-/// Returns the suspects of each of a group of crashes that happened at the same moment in one data
-/// centre.
-fn suspects_in_group(crashes: &[&Crash]) -> Vec<BTreeSet<Fingerprint>> {
-    let all = crashes.iter().map(|crash| crash.requests.clone());
-    if crashes.len() < MIN_OUTAGE_SERVERS {
-        return all.collect();
-    }
-    let counts = count_requests(crashes.iter().map(|crash| &crash.requests));
-    let ran_on_most = |request: &Fingerprint| 2 * counts[request] > crashes.len();
-    all.map(|requests| requests.into_iter().filter(ran_on_most).collect()).collect()
+/// Returns a group of crashes that happened at the same moment in one data centre, each with the suspects that it
+/// counts against.
+fn suspects_in_group<'a>(crashes: &[&'a Crash]) -> Vec<SuspectedCrash<'a>> {
+    let counts = count_suspects(crashes.iter().flat_map(|crash| &crash.suspects));
+    let is_outage = crashes.len() >= MIN_OUTAGE_SERVERS;
+    let counts_against = |suspect: &&Suspect| !is_outage || 2 * counts[*suspect] > crashes.len();
+    let suspected = crashes.iter().map(|crash| SuspectedCrash {
+        crash,
+        suspects: crash.suspects.iter().filter(counts_against).collect(),
+    });
+    suspected.collect()
 }
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -1,29 +1,31 @@
-//! Quarantines poison requests: requests that crash the backend servers they run on are no longer
-//! sent to any server. The box that sees it stops at once, and all other boxes as soon as the
-//! leader knows.
+//! Quarantines what crashes the backend servers it runs on: poison requests, and segments that the prompts of
+//! different requests have in common. Requests with them are no longer sent to any server. The box that sees it
+//! stops at once, and all other boxes as soon as the leader knows.
 //!
-//! A caller that retries may reach any box, so crashes have to be counted over the whole fleet.
-//! Boxes report to the leader which servers crashed under which requests. The leader finds the
-//! poison requests ([`super::ends`]), has the group replicate the list and announces it to all
-//! boxes. A box that cannot reach a leader acts on what it has seen itself.
+//! Callers may send to any box, so crashes have to be counted over the whole fleet. Boxes report to
+//! the leader which servers crashed, and under what. The leader finds what is to blame
+//! ([`super::ends`]), has the group replicate the list and announces it to all boxes. A box that
+//! cannot reach a leader acts on what it has seen itself.
+//!
+//! Whether a segment is sound shows in the prompts with it that were answered. Each box counts them for
+//! itself, and reports the counts of those segments only under which servers have crashed.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use super::ends::{CRASHES_TO_QUARANTINE, CrashReport, CrashTracker};
-use crate::ids::{BackendId, Fingerprint};
-use crate::state::quarantine::{QuarantineChange, QuarantinedRequests};
+use super::ends::{CRASHES_TO_QUARANTINE, CrashReport, CrashTracker, SURVIVAL_WINDOW};
+use crate::ids::{BackendId, Fingerprint, SegmentKey, Suspect};
+use crate::state::quarantine::{QuarantineChange, QuarantinedSuspects};
 use crate::units::{Millis, UnixMillis};
 
-/// How long a request is quarantined. Software that crashes under a request is seldom fixed sooner,
+/// How long a suspect is quarantined. Software that crashes under a request is seldom fixed sooner,
 /// and each new try costs three servers. Once it is fixed, operators can lift the quarantine.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(24 * 3_600);
 
-/// Maximum number of quarantined requests. Once it is reached, further poison requests are not
-/// quarantined.
+/// Maximum number of quarantined suspects. Once it is reached, no further ones are quarantined.
 const MAX_QUARANTINED: usize = 1_024;
 
 /// Maximum number of crashes in one report to the leader. The others follow in later reports.
@@ -37,6 +39,16 @@
 /// Number of slots for answered requests: enough for [`ANSWERED_TIME`] at 100 requests per second.
 const ANSWERED_SLOTS: usize = 1_024;
 
+/// Maximum number of segments whose answers a box counts.
+const MAX_COUNTED_SEGMENTS: usize = 1_024;
+
+/// Maximum number of segments whose answers boxes report: the segments under which the most servers crashed.
+const MAX_WATCHED_SEGMENTS: usize = 64;
+
+/// Number of crashes from which all boxes report the answers for a segment, so that the counts are
+/// there when it may be quarantined.
+const CRASHES_TO_WATCH: usize = 2;
+
 /// How long servers that are shown as leaving are remembered. Within this time the leader must have
 /// read the platform's list to tell a server that left from one that crashed.
 const LEAVING_MEMORY: Duration = Duration::from_secs(60);
@@ -49,16 +61,25 @@
 /// Maximum number of answered requests that a box keeps until it has reported them.
 const MAX_CLEARED: usize = 64;
 
-/// A quarantined request as announced to a box.
+/// A quarantined suspect as announced to a box.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantinedRequest {
-    /// The request.
-    pub request: Fingerprint,
+pub struct QuarantinedSuspect {
+    /// The suspect.
+    pub suspect: Suspect,
     /// For how much longer it is quarantined.
     #[serde(rename = "left")]
     pub remaining: Millis,
 }
 
+/// Prompts with a segment whose answers went on after they had begun.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SegmentSurvivals {
+    /// The segment.
+    pub segment: SegmentKey,
+    /// Their number since the last report.
+    pub count: u32,
+}
+
 /// What a box reports to the leader.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineReport {
@@ -67,6 +88,8 @@
     pub crashes: Vec<CrashReport>,
     /// Requests that were quarantined or suspected and that a server has answered.
     pub cleared: Vec<Fingerprint>,
+    /// Survivals of segments under which servers crashed.
+    pub survivals: Vec<SegmentSurvivals>,
     /// Version of the last update that the box has received; 0 if none.
     #[serde(rename = "has")]
     pub known_version: u64,
@@ -78,24 +101,26 @@
     /// Version of this update; never 0.
     #[serde(rename = "mark")]
     pub version: u64,
-    /// All quarantined requests.
+    /// Everything that is quarantined.
     #[serde(rename = "held")]
-    pub requests: Vec<QuarantinedRequest>,
+    pub suspects: Vec<QuarantinedSuspect>,
+    /// Segments whose survivals boxes report.
+    pub watched: Vec<SegmentKey>,
 }
 
 /// The difference between two states of the quarantine, for logging.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct QuarantineDelta {
-    /// Requests that are now quarantined.
-    pub added: Vec<Fingerprint>,
-    /// Requests that are no longer quarantined.
-    pub lifted: Vec<Fingerprint>,
+    /// What is now quarantined.
+    pub added: Vec<Suspect>,
+    /// What is no longer quarantined.
+    pub lifted: Vec<Suspect>,
 }
 
 impl QuarantineDelta {
-    fn between(before: &BTreeSet<Fingerprint>, after: &BTreeSet<Fingerprint>) -> Self {
-        let added = after.difference(before).copied().collect();
-        Self { added, lifted: before.difference(after).copied().collect() }
+    fn between(before: &BTreeSet<Suspect>, after: &BTreeSet<Suspect>) -> Self {
+        let added = after.difference(before).cloned().collect();
+        Self { added, lifted: before.difference(after).cloned().collect() }
     }
 }
 
@@ -127,35 +152,96 @@
     }
 }
 
+/// Survivals of one segment within about [`SURVIVAL_WINDOW`].
+#[derive(Debug, Clone, Copy)]
+struct RecentCount {
+    window_start: Instant,
+    current: u32,
+    previous: u32,
+}
+
+impl RecentCount {
+    fn advance(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.window_start);
+        if elapsed >= SURVIVAL_WINDOW {
+            let is_next = elapsed < 2 * SURVIVAL_WINDOW;
+            self.previous = if is_next { self.current } else { 0 };
+            (self.current, self.window_start) = (0, now);
+        }
+    }
+}
+
+/// Survivals of the segments of this box's prompts.
+#[derive(Debug, Default)]
+struct RecentSurvivals(HashMap<SegmentKey, RecentCount>);
+
+impl RecentSurvivals {
+    fn record(&mut self, segment: &SegmentKey, now: Instant) {
+        if let Some(count) = self.0.get_mut(segment) {
+            count.advance(now);
+            count.current = count.current.saturating_add(1);
+            return;
+        }
+        if self.0.len() >= MAX_COUNTED_SEGMENTS {
+            let is_recent = |count: &RecentCount| count.window_start + 2 * SURVIVAL_WINDOW > now;
+            self.0.retain(|_, count| is_recent(count));
+            // Segments of many prompts are kept rather than those of few.
+            if self.0.len() >= MAX_COUNTED_SEGMENTS {
+                self.0.retain(|_, count| count.current + count.previous > 1);
+            }
+        }
+        if self.0.len() < MAX_COUNTED_SEGMENTS {
+            let count = RecentCount { window_start: now, current: 1, previous: 0 };
+            self.0.insert(segment.clone(), count);
+        }
+    }
+
+    fn count(&self, segment: &SegmentKey, now: Instant) -> u32 {
+        let Some(mut count) = self.0.get(segment).copied() else {
+            return 0;
+        };
+        count.advance(now);
+        count.current.saturating_add(count.previous)
+    }
+}
+
 /// The quarantine at a box.
 #[derive(Debug, Default)]
 pub struct BoxQuarantine {
-    /// Requests that the leader has announced, and until when each is quarantined.
-    announced: BTreeMap<Fingerprint, Instant>,
+    /// What the leader has announced, and until when each is quarantined.
+    announced: BTreeMap<Suspect, Instant>,
     version: u64,
     /// Servers that crashed under this box's requests.
     crashes: CrashTracker,
-    /// Poison requests by these crashes, as long as the leader does not know of the crashes.
-    local: BTreeSet<Fingerprint>,
+    /// What is to blame for these crashes, as long as the leader does not know of them.
+    local: BTreeSet<Suspect>,
     answered: RecentAnswers,
     cleared: BTreeSet<Fingerprint>,
+    survivals: RecentSurvivals,
+    /// Segments whose survivals are reported, and their number that has not been.
+    watched: BTreeMap<SegmentKey, u32>,
 }
 
 impl BoxQuarantine {
-    /// For how much longer a request is quarantined; `None` if it is not.
-    pub fn remaining(&self, request: &Fingerprint, now: Instant) -> Option<Duration> {
+    /// For how much longer a suspect is quarantined; `None` if it is not.
+    pub fn remaining(&self, suspect: &Suspect, now: Instant) -> Option<Duration> {
         let announced =
-            self.announced.get(request).map(|until| until.saturating_duration_since(now));
-        let local = self.local.contains(request).then_some(QUARANTINE_TIME);
+            self.announced.get(suspect).map(|until| until.saturating_duration_since(now));
+        let local = self.local.contains(suspect).then_some(QUARANTINE_TIME);
         announced.max(local).filter(|remaining| !remaining.is_zero())
     }
 
-    /// Whether no request is quarantined.
+    /// Whether nothing is quarantined.
     pub fn is_empty(&self) -> bool {
         self.announced.is_empty() && self.local.is_empty()
     }
 
-    /// Number of quarantined requests.
+    /// Whether any request is quarantined, rather than segments only.
+    pub fn has_requests(&self) -> bool {
+        self.announced.keys().chain(&self.local).any(|it| it.request().is_some())
+    }
+
+    /// Number of quarantined suspects.
     pub fn len(&self) -> usize {
         self.announced.len()
             + self.local.iter().filter(|it| !self.announced.contains_key(it)).count()
@@ -164,35 +250,70 @@
     /// Records a crash. Returns what changes, and whether there is something new to report to the
     /// leader.
     pub fn record_crash(&mut self, report: CrashReport, now: Instant) -> (QuarantineDelta, bool) {
-        let before = self.all_requests();
+        let before = self.all_suspects();
+        let segments: Vec<_> =
+            report.suspects.iter().filter_map(Suspect::segment).cloned().collect();
         let is_new = self.crashes.record(report, now);
+        for segment in segments {
+            let count = self.survivals.count(&segment, now);
+            if count > 0 && !self.crashes.has_survivals(&segment) {
+                self.crashes.record_survivals(&segment, count, now);
+            }
+            self.watch(segment, now);
+        }
         self.update_local();
-        (QuarantineDelta::between(&before, &self.all_requests()), is_new)
+        (QuarantineDelta::between(&before, &self.all_suspects()), is_new)
     }
 
     /// Records that a server answered a request, successfully or not, and hence did not crash under
     /// it. Returns whether there is something new to report to the leader.
     pub fn record_success(&mut self, request: Fingerprint, now: Instant) -> bool {
         self.answered.record(request, now);
-        let suspected = !self.crashes.is_empty() && self.crashes.clear_request(&request);
-        if suspected || self.announced.contains_key(&request) {
+        let suspect = Suspect::Request(request);
+        let suspected = !self.crashes.is_empty() && self.crashes.clear(&suspect);
+        if suspected || self.announced.contains_key(&suspect) {
             return self.clear(request);
         }
         false
     }
 
+    /// Records that the answer to a prompt with the segment went on after it had begun.
+    pub fn record_survival(&mut self, segment: &SegmentKey, now: Instant) {
+        self.survivals.record(segment, now);
+        if let Some(unreported) = self.watched.get_mut(segment) {
+            *unreported = unreported.saturating_add(1);
+            self.crashes.record_survivals(segment, 1, now);
+        }
+    }
+
+    /// Has the survivals of a segment reported from now on, and those of the last time at once.
+    fn watch(&mut self, segment: SegmentKey, now: Instant) {
+        if self.watched.len() < MAX_WATCHED_SEGMENTS || self.watched.contains_key(&segment) {
+            let recent = self.survivals.count(&segment, now);
+            self.watched.entry(segment).or_insert(recent);
+        }
+    }
+
     fn clear(&mut self, request: Fingerprint) -> bool {
-        self.announced.remove(&request);
-        self.local.remove(&request);
+        let suspect = Suspect::Request(request);
+        self.announced.remove(&suspect);
+        self.local.remove(&suspect);
         self.cleared.len() < MAX_CLEARED && self.cleared.insert(request)
     }
 
     /// Builds the report to the leader.
     pub fn report(&self, now: Instant) -> QuarantineReport {
         let crashes = self.crashes.unreported(now, MAX_REPORTED_CRASHES);
+        let unreported = self.watched.iter().filter(|(_, count)| **count > 0);
         QuarantineReport {
             crashes,
             cleared: self.cleared.iter().copied().collect(),
+            survivals: unreported
+                .map(|(segment, count)| SegmentSurvivals {
+                    segment: segment.clone(),
+                    count: *count,
+                })
+                .collect(),
             known_version: self.version,
         }
     }
@@ -209,51 +330,71 @@
         now: Instant,
     ) -> (QuarantineDelta, bool) {
         self.crashes.mark_reported(&report.crashes);
+        for SegmentSurvivals { segment, count } in &report.survivals {
+            if let Some(unreported) = self.watched.get_mut(segment) {
+                *unreported = unreported.saturating_sub(*count);
+            }
+        }
         if resend {
             self.crashes.mark_all_unreported();
+            let recent = |segment: &SegmentKey| self.survivals.count(segment, now);
+            self.watched.iter_mut().for_each(|(segment, count)| *count = recent(segment));
         }
         self.cleared.retain(|request| !report.cleared.contains(request));
-        let before = self.all_requests();
+        let before = self.all_suspects();
         if let Some(update) = update {
             self.apply_update(update, now);
         }
         self.update_local();
-        let delta = QuarantineDelta::between(&before, &self.all_requests());
-        (delta, !self.cleared.is_empty())
+        let delta = QuarantineDelta::between(&before, &self.all_suspects());
+        let is_sound = |suspect: &Suspect| suspect.segment().is_some_and(|it| self.has_news(it));
+        let is_urgent = !self.cleared.is_empty() || delta.added.iter().any(is_sound);
+        (delta, is_urgent)
+    }
+
+    fn has_news(&self, segment: &SegmentKey) -> bool {
+        self.watched.get(segment).is_some_and(|count| *count > 0)
     }
 
     fn apply_update(&mut self, update: QuarantineUpdate, now: Instant) {
         self.version = update.version;
-        let until = |it: QuarantinedRequest| (it.request, now + it.remaining.duration());
-        let announced: BTreeMap<_, _> = update.requests.into_iter().map(until).collect();
-        // A request whose quarantine was lifted starts afresh. If its crashes were reported again,
-        // the next leader would quarantine it again.
-        for request in self.announced.keys().filter(|request| !announced.contains_key(request)) {
-            self.crashes.clear_request(request);
+        let until = |it: QuarantinedSuspect| (it.suspect, now + it.remaining.duration());
+        let announced: BTreeMap<_, _> = update.suspects.into_iter().map(until).collect();
+        // What was lifted starts afresh. If its crashes were reported again, the next leader would
+        // quarantine it again.
+        for suspect in self.announced.keys().filter(|suspect| !announced.contains_key(suspect)) {
+            self.crashes.clear(suspect);
         }
         self.announced = announced;
-        let cleared: Vec<_> = self
-            .announced
-            .keys()
-            .filter(|request| self.answered.contains(request, now))
-            .copied()
-            .collect();
+        self.watched.retain(|segment, _| {
+            update.watched.contains(segment) || self.crashes.is_suspect(segment)
+        });
+        for segment in update.watched {
+            self.watch(segment, now);
+        }
+        let requests = self.announced.keys().filter_map(Suspect::request);
+        let cleared: Vec<_> =
+            requests.filter(|request| self.answered.contains(request, now)).copied().collect();
         for request in cleared {
-            self.crashes.clear_request(&request);
+            self.crashes.clear(&Suspect::Request(request));
             self.clear(request);
         }
     }
 
-    /// Recomputes the poison requests known only to this box. Crashes that the leader knows of are
-    /// left to the leader, which sees more than this box.
+    /// Recomputes what is to blame for crashes known only to this box. Crashes that the leader knows
+    /// of are left to the leader, which sees more than this box.
     fn update_local(&mut self) {
-        let poison = self.crashes.poison_requests();
+        if !self.crashes.has_any_unreported() {
+            self.local.clear();
+            return;
+        }
+        let poison = self.crashes.poison();
         self.local =
-            poison.into_iter().filter(|request| self.crashes.has_unreported(request)).collect();
+            poison.into_iter().filter(|suspect| self.crashes.has_unreported(suspect)).collect();
     }
 
-    fn all_requests(&self) -> BTreeSet<Fingerprint> {
-        self.announced.keys().chain(&self.local).copied().collect()
+    fn all_suspects(&self) -> BTreeSet<Suspect> {
+        self.announced.keys().chain(&self.local).cloned().collect()
     }
 }
 
@@ -261,20 +402,22 @@
 #[derive(Debug, Default)]
 pub struct FleetQuarantine {
     crashes: CrashTracker,
-    quarantined: QuarantinedRequests,
-    /// Poison requests by the crashes that this leader knows of.
-    poison: BTreeSet<Fingerprint>,
+    quarantined: QuarantinedSuspects,
+    /// What is to blame for the crashes that this leader knows of.
+    poison: BTreeSet<Suspect>,
     /// Whether there were changes since the last evaluation, and when that was.
     is_dirty: bool,
     evaluated_at: Option<Instant>,
     /// Servers that were shown as leaving, and when.
     leaving: BTreeMap<BackendId, Instant>,
     /// The quarantine as replicated by the group; `None` until it is known.
-    replicated: Option<Arc<QuarantinedRequests>>,
+    replicated: Option<Arc<QuarantinedSuspects>>,
     /// What was quarantined at the last evaluation.
-    last_evaluated: BTreeSet<Fingerprint>,
-    /// The version of the last update for boxes, and the requests in it.
-    announced: Option<(u64, BTreeSet<Fingerprint>)>,
+    last_evaluated: BTreeSet<Suspect>,
+    /// Segments whose survivals boxes report.
+    watched: Vec<SegmentKey>,
+    /// The version of the last update for boxes, and its content.
+    announced: Option<(u64, BTreeSet<Suspect>, Vec<SegmentKey>)>,
 }
 
 impl FleetQuarantine {
@@ -283,20 +426,20 @@
         self.replicated.is_some()
     }
 
-    /// Applies the replicated quarantine. Requests that it no longer contains were lifted by an
-    /// operator or a former leader.
-    pub fn apply_replicated(&mut self, replicated: Arc<QuarantinedRequests>) {
+    /// Applies the replicated quarantine. What it no longer contains was lifted by an operator or a
+    /// former leader.
+    pub fn apply_replicated(&mut self, replicated: Arc<QuarantinedSuspects>) {
         if self.replicated.as_ref().is_some_and(|known| Arc::ptr_eq(known, &replicated)) {
             return;
         }
         let former = self.replicated.replace(replicated.clone()).unwrap_or_default();
-        for (request, until) in
-            replicated.iter().filter(|(request, _)| !former.contains_key(request))
+        for (suspect, until) in
+            replicated.iter().filter(|(suspect, _)| !former.contains_key(suspect))
         {
-            self.quarantined.entry(*request).or_insert(*until);
+            self.quarantined.entry(suspect.clone()).or_insert(*until);
         }
-        for request in former.keys().filter(|request| !replicated.contains_key(request)) {
-            self.lift(request);
+        for suspect in former.keys().filter(|suspect| !replicated.contains_key(suspect)) {
+            self.lift(suspect);
         }
     }
 
@@ -309,7 +452,12 @@
         }
         for request in &report.cleared {
             self.is_dirty = true;
-            self.lift(request);
+            self.lift(&Suspect::Request(*request));
+        }
+        for SegmentSurvivals { segment, count } in &report.survivals {
+            // Without further crashes, survivals change nothing but a verdict that was wrong.
+            self.is_dirty |= self.poison.contains(&Suspect::Segment(segment.clone()));
+            self.crashes.record_survivals(segment, *count, now);
         }
     }
 
@@ -325,22 +473,22 @@
             if self.leaving.insert(server.clone(), now).is_some() {
                 continue;
             }
-            for request in self.crashes.remove_server(server) {
+            for suspect in self.crashes.remove_server(server) {
                 self.is_dirty = true;
-                if self.poison.contains(&request)
-                    && self.crashes.crash_count(&request) < CRASHES_TO_QUARANTINE
+                if self.poison.contains(&suspect)
+                    && self.crashes.crash_count(&suspect) < CRASHES_TO_QUARANTINE
                 {
-                    self.poison.remove(&request);
-                    self.quarantined.remove(&request);
+                    self.poison.remove(&suspect);
+                    self.quarantined.remove(&suspect);
                 }
             }
         }
     }
 
-    fn lift(&mut self, request: &Fingerprint) {
-        self.crashes.clear_request(request);
-        self.poison.remove(request);
-        self.quarantined.remove(request);
+    fn lift(&mut self, suspect: &Suspect) {
+        self.crashes.clear(suspect);
+        self.poison.remove(suspect);
+        self.quarantined.remove(suspect);
     }
 
     /// Re-evaluates the crashes if there are new ones. Returns what changed since the last call.
@@ -351,43 +499,45 @@
             (self.is_dirty, self.evaluated_at) = (false, Some(now));
             self.evaluate_crashes(unix);
         }
-        let quarantined: BTreeSet<_> = self.quarantined.keys().copied().collect();
+        let quarantined: BTreeSet<_> = self.quarantined.keys().cloned().collect();
         let delta = QuarantineDelta::between(&self.last_evaluated, &quarantined);
         self.last_evaluated = quarantined;
         delta
     }
 
     fn evaluate_crashes(&mut self, unix: UnixMillis) {
-        let poison = self.crashes.poison_requests();
-        for request in self.poison.difference(&poison) {
-            // The crashes are now explained by another request. If they were only forgotten, for
-            // instance because there were a great many others, the request stays quarantined.
-            if self.crashes.crash_count(request) >= CRASHES_TO_QUARANTINE {
-                self.quarantined.remove(request);
+        let poison = self.crashes.poison();
+        for suspect in self.poison.difference(&poison) {
+            // The crashes are now explained by another suspect, or answers speak for this one. If they
+            // were only forgotten, for instance because there were a great many others, it stays
+            // quarantined.
+            if self.crashes.crash_count(suspect) >= CRASHES_TO_QUARANTINE {
+                self.quarantined.remove(suspect);
             }
         }
         let until = UnixMillis(unix.0 + QUARANTINE_TIME.as_millis() as u64);
-        for request in poison.difference(&self.poison) {
+        for suspect in poison.difference(&self.poison) {
             if self.quarantined.len() < MAX_QUARANTINED {
-                self.quarantined.insert(*request, until);
+                self.quarantined.insert(suspect.clone(), until);
             }
         }
         self.poison = poison;
+        self.watched = self.crashes.suspected_segments(CRASHES_TO_WATCH, MAX_WATCHED_SEGMENTS);
     }
 
-    /// Number of servers that crashed under a request, as far as this leader knows.
-    pub fn crash_count(&self, request: &Fingerprint) -> usize {
-        self.crashes.crash_count(request)
+    /// Number of servers that crashed under a suspect, as far as this leader knows.
+    pub fn crash_count(&self, suspect: &Suspect) -> usize {
+        self.crashes.crash_count(suspect)
     }
 
     /// The change that the group has to replicate, if its state differs.
     pub fn pending_change(&self) -> Option<QuarantineChange> {
         let replicated = self.replicated.as_ref()?;
         let added =
-            self.quarantined.iter().filter(|(request, _)| !replicated.contains_key(request));
-        let held = added.map(|(request, until)| (*request, *until)).collect();
-        let lifted = replicated.keys().filter(|request| !self.quarantined.contains_key(request));
-        let change = QuarantineChange { held, lifted: lifted.copied().collect() };
+            self.quarantined.iter().filter(|(suspect, _)| !replicated.contains_key(suspect));
+        let held = added.map(|(suspect, until)| (suspect.clone(), *until)).collect();
+        let lifted = replicated.keys().filter(|suspect| !self.quarantined.contains_key(suspect));
+        let change = QuarantineChange { held, lifted: lifted.cloned().collect() };
         (!change.is_empty()).then_some(change)
     }
 
@@ -401,20 +551,22 @@
         unix: UnixMillis,
     ) -> Option<QuarantineUpdate> {
         self.replicated.as_ref()?;
-        let same = |(_, requests): &(u64, BTreeSet<Fingerprint>)| {
-            self.quarantined.keys().eq(requests.iter())
+        let is_same = |(_, suspects, watched): &(u64, BTreeSet<Suspect>, Vec<SegmentKey>)| {
+            self.quarantined.keys().eq(suspects.iter()) && self.watched == *watched
         };
-        if !self.announced.as_ref().is_some_and(same) {
-            self.announced = Some((new_version.max(1), self.quarantined.keys().copied().collect()));
+        if !self.announced.as_ref().is_some_and(is_same) {
+            let suspects = self.quarantined.keys().cloned().collect();
+            self.announced = Some((new_version.max(1), suspects, self.watched.clone()));
         }
-        let version = self.announced.as_ref().map_or(1, |(version, _)| *version);
-        let entry = |(request, until): (&Fingerprint, &UnixMillis)| QuarantinedRequest {
-            request: *request,
+        let version = self.announced.as_ref().map_or(1, |(version, ..)| *version);
+        let entry = |(suspect, until): (&Suspect, &UnixMillis)| QuarantinedSuspect {
+            suspect: suspect.clone(),
             remaining: Millis(until.0.saturating_sub(unix.0)),
         };
         (version != known_version).then(|| QuarantineUpdate {
             version,
-            requests: self.quarantined.iter().map(entry).collect(),
+            suspects: self.quarantined.iter().map(entry).collect(),
+            watched: self.watched.clone(),
         })
     }
 }
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -14,13 +14,12 @@
 use crate::error::Kind;
 use crate::group::message::Members;
 use crate::ids::{
-    BackendId, BoxId, DataCentre, Fingerprint, Incarnation, Index, Release, Revision, ServiceName,
-    Term,
+    BackendId, BoxId, DataCentre, Incarnation, Index, Release, Revision, ServiceName, Suspect, Term,
 };
 use crate::state::config::{Accepted, Configuration};
 use crate::state::difference::Digest;
 use crate::state::document::Version;
-use crate::state::quarantine::QuarantinedRequests;
+use crate::state::quarantine::QuarantinedSuspects;
 use crate::state::rollout::Rollout;
 use crate::units::Millis;
 
@@ -109,11 +108,11 @@
     /// Asks for all.
     Show,
     /// Lets one through again.
-    Lift(Fingerprint),
+    Lift(Suspect),
 }
 
 /// All that are held, or why there is no answer.
-pub type QuarantineAnswer = Result<QuarantinedRequests, (Kind, String)>;
+pub type QuarantineAnswer = Result<QuarantinedSuspects, (Kind, String)>;
 
 /// Asks for the configuration's changes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -151,9 +151,11 @@
         let Some(known) = self.pick_server(relay, call, route) else {
             return Err(self.final_failure(relay));
         };
-        // A request that crashed the server of an earlier send would crash the next one as well.
-        if self.reached > 0 && quarantine::check(relay, call).is_err() {
-            return Err(self.final_failure(relay));
+        // What crashed the server of an earlier send would crash the next one as well. It may also have been
+        // quarantined while the call waited.
+        if let Err(failure) = quarantine::check(relay, call, &self.service) {
+            let has_run = self.maybe_run > 0 || self.unknown_outcome.is_some();
+            return Err(if has_run { self.final_failure(relay) } else { failure });
         }
         if self.reached > 0 && !relay.retries().try_withdraw(&self.service) {
             return Err(self.final_failure(relay));
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -10,7 +10,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::decide::throttle::LimitNotice;
-use crate::ids::{BackendId, Fingerprint, Incarnation, TeamName};
+use crate::ids::{BackendId, Fingerprint, Incarnation, SegmentKey, ServiceName, TeamName};
 
 /// Size of a generation in tokens, as stated by the caller.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -100,6 +100,12 @@
         self.head.prompt_segments.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// The shared segments as those of the prompts that a service is sent.
+    pub fn segment_keys(&self, service: &ServiceName) -> impl Iterator<Item = SegmentKey> {
+        let key = |it: &PromptSegment| SegmentKey { service: service.clone(), id: it.id };
+        self.shared_segments().iter().map(key)
+    }
+
     /// The ids of the shared segments as logged; `None` if there are none.
     pub fn segments_text(&self) -> Option<String> {
         let ids: Vec<_> =
--- a/src/relay/ends.rs
+++ b/src/relay/ends.rs
@@ -12,12 +12,13 @@
 use tokio::sync::Notify;
 
 use super::Relay;
+use super::call::Call;
 use super::known::KnownServer;
 use super::quarantine;
 use super::reach;
 use crate::backend::SendFault;
 use crate::decide::ends::CrashReport;
-use crate::ids::{BackendId, Fingerprint};
+use crate::ids::{BackendId, Fingerprint, SegmentKey, Suspect};
 use crate::sync::lock;
 
 /// Delays before each probe of a server after a broken exchange. A server that ends stays
@@ -32,13 +33,22 @@
 /// How many servers are probed at the same time. If more end at once, a request is not the cause.
 const MAX_WATCHED_SERVERS: usize = 64;
 
-/// How many requests are recorded for one server. A single box has fewer in flight there.
-const MAX_REQUESTS_PER_SERVER: usize = 64;
+/// How many suspects are recorded for one server. A single box has fewer in flight there.
+const MAX_SUSPECTS_PER_SERVER: usize = 128;
+
+/// How far an answer was when its exchange broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnswerProgress {
+    /// It had not begun, or had only just.
+    NotBegun,
+    /// It had gone on after it had begun.
+    WentOn,
+}
 
 /// A server with broken exchanges, until the probes have a result.
 struct BrokenServer {
     known: Arc<KnownServer>,
-    requests: BTreeSet<Fingerprint>,
+    suspects: BTreeSet<Suspect>,
     /// When the first exchange broke off.
     at: Instant,
     /// Whether the probes have started.
@@ -51,7 +61,7 @@
         CrashReport {
             server: server.id.clone(),
             data_centre: server.data_centre.clone(),
-            requests: self.requests.iter().copied().collect(),
+            suspects: self.suspects.iter().cloned().collect(),
             age: self.at.elapsed().into(),
         }
     }
@@ -65,8 +75,14 @@
 }
 
 impl EndDetector {
-    /// Records an exchange that broke off after the server may have run the request.
-    pub fn record_break(&self, known: &Arc<KnownServer>, request: Fingerprint) {
+    /// Records an exchange that broke off after the server may have run the request. A server that crashes under a
+    /// segment of a prompt does so when it begins to answer, so the segments are no suspects of an answer that went on.
+    pub(super) fn record_break(
+        &self,
+        known: &Arc<KnownServer>,
+        call: &Call,
+        progress: AnswerProgress,
+    ) {
         let mut broken = lock(&self.broken);
         let id = &known.server.id;
         if broken.len() >= MAX_WATCHED_SERVERS && !broken.contains_key(id) {
@@ -75,13 +91,19 @@
         }
         let held = broken.entry(id.clone()).or_insert_with(|| BrokenServer {
             known: known.clone(),
-            requests: BTreeSet::new(),
+            suspects: BTreeSet::new(),
             at: Instant::now(),
             probing: false,
         });
-        if held.requests.len() < MAX_REQUESTS_PER_SERVER {
-            held.requests.insert(request);
-        }
+        let segments = match progress {
+            AnswerProgress::NotBegun => call.shared_segments().len(),
+            AnswerProgress::WentOn => 0,
+        };
+        let segments = call.segment_keys(&known.server.service).take(segments);
+        let suspects = std::iter::once(Suspect::Request(call.fingerprint()))
+            .chain(segments.map(Suspect::Segment));
+        let free = MAX_SUSPECTS_PER_SERVER.saturating_sub(held.suspects.len());
+        held.suspects.extend(suspects.take(free));
         drop(broken);
         self.broke.notify_one();
     }
@@ -146,12 +168,16 @@
     };
     let leaving = !broken.known.is_open();
     relay.context.metrics.count_end(leaving);
-    let requests: Vec<_> = broken.requests.iter().map(Fingerprint::to_string).collect();
+    let requests: Vec<_> =
+        broken.suspects.iter().filter_map(Suspect::request).map(Fingerprint::to_string).collect();
+    let segments: Vec<_> =
+        broken.suspects.iter().filter_map(Suspect::segment).map(SegmentKey::to_string).collect();
     if !leaving {
         quarantine::record_end(relay, broken.to_report());
     }
     tracing::warn!(
         event = "backend_server_ended", backend_server = %known.server.id,
         data_centre = %known.server.data_centre, leaving, requests = requests.join(","),
+        segments = (!segments.is_empty()).then(|| segments.join(",")),
     );
 }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -26,6 +26,7 @@
 use super::known::{InFlightRequest, KnownServer};
 use super::listen;
 use super::plain::strip_hop_by_hop_headers;
+use super::quarantine;
 use super::reach;
 use super::restraint::SendRestrictions;
 use super::serve::build_call;
@@ -126,6 +127,8 @@
     let read = read_body(memory, &mut Some(body), limit, until, claim).await;
     let read = read.map_err(|_| HopFault::Busy)?;
     let call = build_call(None, LOWEST_URGENCY, head, request, read, arrived, until);
+    // This box may know of a quarantined segment that the other one, cut off, does not.
+    quarantine::check(relay, &call, &known.server.service).map_err(|_| HopFault::Unavailable)?;
     let mut flight = known.start_request(0, 0);
     let sent =
         relay.context.pool.send(known.server.addr, to_request(&call), call.time_left(), hop.reuse);
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -124,7 +124,7 @@
     progress: &mut StreamProgress,
 ) -> MoveOutcome {
     let known = source.flight.server().clone();
-    if quarantine::check(relay, call).is_err() {
+    if quarantine::check(relay, call, attempts.service()).is_err() {
         return MoveOutcome::NotMoved(Bytes::new());
     }
     let Some(target) = attempts.move_target(relay, &known) else {
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -13,6 +13,7 @@
 use super::attempt::{CheckedReply, SendFailure, StartState, record_fault, seconds_since, send};
 use super::attempts::CallAttempts;
 use super::call::Call;
+use super::ends::AnswerProgress;
 use super::known::{InFlightRequest, KnownServer};
 use super::quarantine;
 use super::reach;
@@ -156,7 +157,7 @@
 ) -> (Arc<KnownServer>, SendResult) {
     let result = send_and_read(relay, call, route, &known).await;
     if let Err(SendFailure::Unknown { kind: Kind::BackendBroke, .. }) = &result {
-        relay.ends.record_break(&known, call.fingerprint());
+        relay.ends.record_break(&known, call, AnswerProgress::NotBegun);
     }
     (known, result)
 }
@@ -181,6 +182,7 @@
     flight.mark_started();
     quarantine::record_success(relay, call);
     if !failed {
+        quarantine::record_survival(relay, call, &known.server.service);
         let seconds = seconds_since(began);
         known.state.succeed(seconds);
         let seen = Observation {
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -150,7 +150,7 @@
     let until = arrived + timeout;
     let read = read_body(&relay.memory, body, table.limits.body, until, claim).await?;
     let call = build_call(team, urgency, head, request, read, arrived, until);
-    quarantine::check(relay, &call)?;
+    quarantine::check_route(relay, &call, route)?;
     let charged = take_allowance(relay, team, &call).await?;
     let name = team.map(|team| team.name.clone());
     let refund = |failure: &Failure| {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -14,6 +14,7 @@
 use super::attempt::{SendFailure, StartState, record_fault, seconds_since, send};
 use super::attempts::CallAttempts;
 use super::call::Call;
+use super::ends::AnswerProgress;
 use super::events::{EventSplitter, event_id};
 use super::keeping::RequestReservation;
 use super::known::{InFlightRequest, KnownServer, restart_fault};
@@ -47,6 +48,10 @@
 /// another server.
 const START_TIMEOUT_FACTOR: f64 = 1.5;
 
+/// Number of events from which a server has gone on after it began to answer. The first one may be sent just before a
+/// crash.
+const MIN_EVENTS_GONE_ON: u64 = 2;
+
 /// A stream that has delivered its first event.
 pub(super) struct StartedStream {
     status: StatusCode,
@@ -72,12 +77,40 @@
     pub(super) sent_at: Instant,
     /// What is known of a request to stop the run.
     pub(super) stop: StopState,
+    /// Events read from this server.
+    events: u64,
+    /// Whether it is recorded that the server went on after it had begun to answer.
+    is_survival_recorded: bool,
 }
 
 impl EventSource {
     fn new(exchange: Exchange, flight: InFlightRequest, sent_at: Instant) -> Self {
         let cutter = EventSplitter::default();
-        Self { exchange, cutter, flight, sent_at, stop: StopState::default() }
+        Self {
+            exchange,
+            cutter,
+            flight,
+            sent_at,
+            stop: StopState::default(),
+            events: 0,
+            is_survival_recorded: false,
+        }
+    }
+
+    /// Records once that the server went on after it had begun to answer.
+    fn record_survival(&mut self, relay: &Relay, call: &Call, is_complete: bool) {
+        let went_on = is_complete || self.progress() == AnswerProgress::WentOn;
+        if went_on && !self.is_survival_recorded {
+            self.is_survival_recorded = true;
+            quarantine::record_survival(relay, call, &self.flight.server().server.service);
+        }
+    }
+
+    fn progress(&self) -> AnswerProgress {
+        match self.events >= MIN_EVENTS_GONE_ON {
+            true => AnswerProgress::WentOn,
+            false => AnswerProgress::NotBegun,
+        }
     }
 
     /// Judges the stream after its bytes have ended in order.
@@ -249,6 +282,7 @@
         let exchange = reply.exchange;
         let mut source = EventSource::new(exchange, flight, began);
         let first_event = read_first_event(&mut source, limit).await?;
+        source.events = 1;
         source.flight.mark_started();
         let status = source.exchange.status;
         let mut headers = source.exchange.headers.clone();
@@ -273,7 +307,7 @@
         Err(SendFailure::Unknown { kind, .. }) => {
             record_fault(relay, known, *kind == Kind::BackendTimeout);
             if *kind == Kind::BackendBroke {
-                relay.ends.record_break(known, call.fingerprint());
+                relay.ends.record_break(known, call, AnswerProgress::NotBegun);
             }
         }
         Ok(StartOutcome::Whole(..)) => quarantine::record_success(relay, call),
@@ -356,6 +390,7 @@
         loop {
             match source.cutter.next_event() {
                 Ok(Some(event)) => {
+                    source.events += 1;
                     if self.record_event(&event) {
                         ready.extend_from_slice(&event);
                     }
@@ -436,6 +471,7 @@
             };
             let ended = match received {
                 Ok(Received::Events(ready)) => {
+                    source.record_survival(&relay, &call, false);
                     if !ready.is_empty() {
                         yield Ok(ready);
                     }
@@ -447,6 +483,7 @@
             };
             let fault = match ended {
                 Ok(()) => {
+                    source.record_survival(&relay, &call, true);
                     let known = source.flight.server();
                     record_end(&relay, &call, &route, &source, &progress);
                     quarantine::record_success(&relay, &call);
@@ -566,7 +603,7 @@
     relay.context.metrics.count_answer_end(framing, "broken_off");
     record_fault(relay, known, *fault == SendFault::TimedOut);
     if matches!(fault, SendFault::Broke(_)) {
-        relay.ends.record_break(known, call.fingerprint());
+        relay.ends.record_break(known, call, source.progress());
     }
     reach::record_break(relay, known, &route.name);
     tracing::info!(
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -24,7 +24,7 @@
 use document::{Document, PackedDocument, Version};
 use ledger::{Begin, BeginReply, End, EndReply, Ledger};
 use notes::{LowTeams, Models, Notes, OutageHistories};
-use quarantine::{QuarantineChange, QuarantinedRequests};
+use quarantine::{QuarantineChange, QuarantinedSuspects};
 use rollout::{OrderReply, Rollout, RolloutOrder, RolloutState, RolloutStep};
 use usage::{Settle, UsageWindows};
 use work::{Claim, ClaimReply, Finish, Keep, KeepReply, WorkId, WorkStore, WorkView};
@@ -107,7 +107,7 @@
     /// [`Command::NoteOutages`] and [`Command::ReadNotes`].
     Notes(Notes),
     /// Answers [`Command::ChangeQuarantine`]: all quarantined requests.
-    Quarantine(Arc<QuarantinedRequests>),
+    Quarantine(Arc<QuarantinedSuspects>),
     /// Answers [`Command::OrderRollout`].
     OrderRollout(Box<OrderReply>),
     /// Answers [`Command::StepRollout`]: the resulting roll-out, if the service has one.
@@ -133,7 +133,7 @@
     #[serde(default)]
     rollouts: Arc<RolloutState>,
     #[serde(default)]
-    quarantine: Arc<QuarantinedRequests>,
+    quarantine: Arc<QuarantinedSuspects>,
 }
 
 impl Machine {
@@ -213,7 +213,7 @@
     }
 
     /// The quarantined requests, which are sent to no backend server.
-    pub fn quarantine(&self) -> &Arc<QuarantinedRequests> {
+    pub fn quarantine(&self) -> &Arc<QuarantinedSuspects> {
         &self.quarantine
     }
 
--- a/src/state/quarantine.rs
+++ b/src/state/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantined requests, which are sent to no backend server.
+//! Quarantined requests and prompt segments, which are sent to no backend server.
 //!
 //! The group stores them, so they survive a change of leader and a loss of power on all boxes.
 
@@ -6,19 +6,19 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::Fingerprint;
+use crate::ids::Suspect;
 use crate::units::UnixMillis;
 
-/// The quarantined requests, and the time until which each is quarantined.
-pub type QuarantinedRequests = BTreeMap<Fingerprint, UnixMillis>;
+/// The quarantined suspects, and the time until which each is quarantined.
+pub type QuarantinedSuspects = BTreeMap<Suspect, UnixMillis>;
 
-/// A change of the quarantined requests.
+/// A change of the quarantined suspects.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct QuarantineChange {
-    /// Requests to quarantine, or whose time changes.
-    pub held: QuarantinedRequests,
-    /// Requests to release from quarantine.
-    pub lifted: BTreeSet<Fingerprint>,
+    /// Suspects to quarantine, or whose time changes.
+    pub held: QuarantinedSuspects,
+    /// Suspects to release from quarantine.
+    pub lifted: BTreeSet<Suspect>,
 }
 
 impl QuarantineChange {
@@ -28,8 +28,8 @@
     }
 
     /// Applies the change to `book`.
-    pub(super) fn apply(&self, book: &mut QuarantinedRequests) {
-        book.retain(|request, _| !self.lifted.contains(request));
-        book.extend(&self.held);
+    pub(super) fn apply(&self, book: &mut QuarantinedSuspects) {
+        book.retain(|suspect, _| !self.lifted.contains(suspect));
+        book.extend(self.held.clone());
     }
 }
--- a/tests/control_bytes.rs
+++ b/tests/control_bytes.rs
@@ -9,12 +9,12 @@
 use emberturn::decide::engine::EngineModel;
 use emberturn::decide::intervals::HEARTBEAT_INTERVAL;
 use emberturn::decide::loads::LoadSample;
-use emberturn::decide::quarantine::{QuarantineReport, QuarantineUpdate, QuarantinedRequest};
+use emberturn::decide::quarantine::{QuarantineReport, QuarantineUpdate, QuarantinedSuspect};
 use emberturn::decide::releases::ReleaseUpdate;
 use emberturn::decide::throttle::{LimitLease, LimitNotice, LimitReport, Throttles};
 use emberturn::ids::{
-    BackendId, BoxId, Fingerprint, Incarnation, Revision, ServerKey, ServiceName, Term, Version,
-    Window,
+    BackendId, BoxId, Fingerprint, Incarnation, Revision, ServerKey, ServiceName, Suspect, Term,
+    Version, Window,
 };
 use emberturn::peer::method::{
     BoxHeartbeat, Call, HeartbeatReply, LeaderClock, ModelsUpdate, Poll, PollReply, ThrottleReply,
@@ -353,12 +353,15 @@
     let heartbeat_bytes =
         packed(&BoxHeartbeat { quarantine, ..heartbeat(fleet) }) - packed(&heartbeat(fleet));
     assert!(heartbeat_bytes <= 12, "{heartbeat_bytes} bytes");
-    let quarantined = |number: u8| QuarantinedRequest {
-        request: Fingerprint([number; 16]),
+    let quarantined = |number: u8| QuarantinedSuspect {
+        suspect: Suspect::Request(Fingerprint([number; 16])),
         remaining: Millis(24 * 3_600_000),
     };
-    let update =
-        QuarantineUpdate { version: u64::MAX, requests: (0..3).map(quarantined).collect() };
+    let update = QuarantineUpdate {
+        version: u64::MAX,
+        suspects: (0..3).map(quarantined).collect(),
+        watched: Vec::new(),
+    };
     let with_update = packed(&HeartbeatReply { quarantine: Some(update), ..reply(fleet) });
     let reply_bytes = with_update - packed(&reply(fleet));
     println!(
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -9,8 +9,8 @@
 use emberturn::decide::quarantine::{
     BoxQuarantine, FleetQuarantine, QUARANTINE_TIME, QuarantineReport, QuarantineUpdate,
 };
-use emberturn::ids::Fingerprint;
-use emberturn::state::quarantine::QuarantinedRequests;
+use emberturn::ids::{Fingerprint, Suspect};
+use emberturn::state::quarantine::QuarantinedSuspects;
 use emberturn::units::{Millis, UnixMillis};
 use yare::parameterized;
 
@@ -23,11 +23,15 @@
     Fingerprint([number; 16])
 }
 
+fn suspect(number: u8) -> Suspect {
+    Suspect::Request(request(number))
+}
+
 fn crash(server: &str, data_centre: &str, requests: &[u8], ago: u64) -> CrashReport {
     CrashReport {
         server: server.parse().unwrap(),
         data_centre: data_centre.parse().unwrap(),
-        requests: requests.iter().map(|number| request(*number)).collect(),
+        suspects: requests.iter().map(|number| suspect(*number)).collect(),
         age: Millis(ago),
     }
 }
@@ -46,7 +50,7 @@
 }
 
 fn poison(tracker: &CrashTracker) -> Vec<u8> {
-    tracker.poison_requests().iter().map(|request| request.0[0]).collect()
+    tracker.poison().iter().map(|it| it.request().unwrap().0[0]).collect()
 }
 
 #[parameterized(
@@ -73,11 +77,11 @@
     }
     let first = fleet.evaluate(now, NOW).added;
     assert_eq!(first.len(), 1);
-    let other = if first[0] == request(1) { 2 } else { 1 };
+    let other = if first[0] == suspect(1) { 2 } else { 1 };
     let crashes = vec![crash("i-9", "b", &[other], 0)];
     fleet.apply_report(QuarantineReport { crashes, ..QuarantineReport::default() }, now);
     let delta = fleet.evaluate(now + LATER, NOW);
-    assert_eq!((delta.added, delta.lifted), (vec![request(other)], first));
+    assert_eq!((delta.added, delta.lifted), (vec![suspect(other)], first));
 }
 
 /// A data centre fails three times, each time with servers that ran the same request among others.
@@ -102,10 +106,10 @@
     for ago in [0, 40, 300] {
         tracker.record(crash("i-1", "a", &[1], ago), now);
     }
-    assert_eq!(tracker.crash_count(&request(1)), 1);
+    assert_eq!(tracker.crash_count(&suspect(1)), 1);
     // A server that restarts under its ID may crash again.
     tracker.record(crash("i-1", "a", &[1], 5_000), now);
-    assert_eq!(tracker.crash_count(&request(1)), 2);
+    assert_eq!(tracker.crash_count(&suspect(1)), 2);
 }
 
 #[test]
@@ -128,7 +132,7 @@
         let update = fleet.update_for(0, 7, NOW).unwrap();
         assert_eq!(
             update,
-            QuarantineUpdate { version: 7, requests: Vec::new() },
+            QuarantineUpdate { version: 7, suspects: Vec::new(), watched: Vec::new() },
             "{is_known_first}"
         );
     }
@@ -164,7 +168,7 @@
     }
 
     fn is_quarantined(&self, number: u8) -> bool {
-        self.own.remaining(&request(number), Instant::now()).is_some()
+        self.own.remaining(&suspect(number), Instant::now()).is_some()
     }
 }
 
@@ -202,7 +206,7 @@
     pair.heartbeat();
     pair.heartbeat();
     assert!(!pair.is_quarantined(1));
-    assert_eq!(pair.fleet.crash_count(&request(1)), 0);
+    assert_eq!(pair.fleet.crash_count(&suspect(1)), 0);
 }
 
 /// Another box answered the request a moment ago and only now learns that it is suspected.
@@ -220,7 +224,7 @@
     pair.heartbeat();
     assert!(!pair.is_quarantined(1));
     pair.heartbeat();
-    assert!(pair.fleet.update_for(0, 9, NOW).unwrap().requests.is_empty());
+    assert!(pair.fleet.update_for(0, 9, NOW).unwrap().suspects.is_empty());
 }
 
 #[test]
@@ -231,7 +235,7 @@
     }
     pair.heartbeat();
     let change = pair.fleet.pending_change().unwrap();
-    assert_eq!(change.held.get(&request(1)).unwrap().0, NOW.0 + QUARANTINE_TIME.as_millis() as u64);
+    assert_eq!(change.held.get(&suspect(1)).unwrap().0, NOW.0 + QUARANTINE_TIME.as_millis() as u64);
     // A leader that has not read the replicated quarantine sends no update.
     pair.fleet = FleetQuarantine::default();
     pair.heartbeat();
@@ -245,7 +249,7 @@
     pair.heartbeat();
     assert!(pair.is_quarantined(1));
     // What the replicated quarantine no longer contains was lifted.
-    pair.fleet.apply_replicated(Arc::new(QuarantinedRequests::new()));
+    pair.fleet.apply_replicated(Arc::new(QuarantinedSuspects::new()));
     pair.heartbeat();
     assert!(!pair.is_quarantined(1));
     assert_eq!(pair.fleet.pending_change(), None);
@@ -259,9 +263,9 @@
     }
     pair.heartbeat();
     let later = UnixMillis(NOW.0 + QUARANTINE_TIME.as_millis() as u64 + 1);
-    assert_eq!(pair.fleet.evaluate(Instant::now() + QUARANTINE_TIME, later).lifted, [request(1)]);
+    assert_eq!(pair.fleet.evaluate(Instant::now() + QUARANTINE_TIME, later).lifted, [suspect(1)]);
     let after = Instant::now() + QUARANTINE_TIME + Duration::from_secs(1);
-    assert_eq!(pair.own.remaining(&request(1), after), None);
+    assert_eq!(pair.own.remaining(&suspect(1), after), None);
 }
 
 /// The state and the reports remain small, however many servers crash.
@@ -272,10 +276,10 @@
         let requests = (0..64_u32).map(|number| {
             let mut fingerprint = Fingerprint::default();
             fingerprint.0[..4].copy_from_slice(&(server * 64 + number).to_be_bytes());
-            fingerprint
+            Suspect::Request(fingerprint)
         });
         let report = CrashReport {
-            requests: requests.collect(),
+            suspects: requests.collect(),
             ..crash(&format!("i-{server}"), "a", &[], 0)
         };
         own.record_crash(report, now);
@@ -307,10 +311,10 @@
     pair.heartbeat();
     let replicated = pair.fleet.pending_change().unwrap().held;
     pair.fleet.apply_replicated(Arc::new(replicated));
-    pair.fleet.apply_replicated(Arc::new(QuarantinedRequests::new()));
+    pair.fleet.apply_replicated(Arc::new(QuarantinedSuspects::new()));
     pair.heartbeat();
     pair.fleet = FleetQuarantine::default();
-    pair.fleet.apply_replicated(Arc::new(QuarantinedRequests::new()));
+    pair.fleet.apply_replicated(Arc::new(QuarantinedSuspects::new()));
     let now = Instant::now();
     let report = pair.own.report(now);
     pair.own.apply_reply(&report, None, true, now);
@@ -328,11 +332,11 @@
         let crashes = vec![crash(&format!("i-{number}"), "a", &[1], 90_000 - 1_000 * number)];
         fleet.apply_report(QuarantineReport { crashes, ..QuarantineReport::default() }, now);
     }
-    assert_eq!(fleet.evaluate(now, NOW).added, [request(1)]);
+    assert_eq!(fleet.evaluate(now, NOW).added, [suspect(1)]);
     for number in 0..400 {
         let crashes = vec![crash(&format!("j-{number}"), "b", &[], 0)];
         fleet.apply_report(QuarantineReport { crashes, ..QuarantineReport::default() }, now);
     }
     assert!(fleet.evaluate(now + LATER, NOW).lifted.is_empty());
-    assert_eq!(fleet.crash_count(&request(1)), 0);
+    assert_eq!(fleet.crash_count(&suspect(1)), 0);
 }
--- /dev/null
+++ b/tests/segments.rs
@@ -0,0 +1,342 @@
+//! Decisions on prompt segments that crash servers: what the quarantine blames when unlike requests have a segment in
+//! common, and what sound requests with the same other segments show.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use emberturn::decide::ends::CrashReport;
+use emberturn::decide::quarantine::{
+    BoxQuarantine, FleetQuarantine, QuarantineReport, SegmentSurvivals,
+};
+use emberturn::ids::{Fingerprint, SegmentKey, Suspect};
+use emberturn::units::{Millis, UnixMillis};
+use yare::parameterized;
+
+const NOW: UnixMillis = UnixMillis(1_764_720_000_000);
+
+/// A segment that every prompt begins with, and one that crashes servers.
+const FIRST: u64 = 0xc0;
+const POISON: u64 = 0xbad;
+
+fn key(id: u64) -> SegmentKey {
+    SegmentKey { service: "svc".parse().unwrap(), id }
+}
+
+fn segment(id: u64) -> Suspect {
+    Suspect::Segment(key(id))
+}
+
+fn request(number: u8) -> Suspect {
+    Suspect::Request(Fingerprint([number; 16]))
+}
+
+/// A box and a leader on a clock of their own.
+struct Fleet {
+    boxes: Vec<BoxQuarantine>,
+    leader: FleetQuarantine,
+    now: Instant,
+    version: u64,
+    servers: u32,
+}
+
+impl Fleet {
+    fn new(boxes: usize) -> Self {
+        let mut leader = FleetQuarantine::default();
+        leader.apply_replicated(Arc::default());
+        let boxes = (0..boxes).map(|_| BoxQuarantine::default()).collect();
+        Self { boxes, leader, now: Instant::now(), version: 0, servers: 0 }
+    }
+
+    /// Has every box exchange a heartbeat with the leader, and time pass.
+    fn beat(&mut self) {
+        for own in &mut self.boxes {
+            self.now += Duration::from_millis(100);
+            self.version += 1;
+            let report = own.report(self.now);
+            self.leader.apply_report(report.clone(), self.now);
+            self.leader.evaluate(self.now, NOW);
+            let update = self.leader.update_for(report.known_version, self.version, NOW);
+            own.apply_reply(&report, update, false, self.now);
+        }
+    }
+
+    fn crash_in(&mut self, place: usize, data_centre: &str, suspects: Vec<Suspect>) {
+        self.servers += 1;
+        let report = CrashReport {
+            server: format!("i-{}", self.servers).parse().unwrap(),
+            data_centre: data_centre.parse().unwrap(),
+            suspects,
+            age: Millis(0),
+        };
+        self.boxes[place].record_crash(report, self.now);
+    }
+
+    /// A server crashes as it begins an unlike request with these segments, which came to a box.
+    fn crash(&mut self, place: usize, segments: &[u64]) {
+        let own = request((self.servers % 200) as u8 + 50);
+        let suspects = segments.iter().map(|id| segment(*id)).chain([own]).collect();
+        self.crash_in(place, &format!("dc-{}", self.servers), suspects);
+    }
+
+    fn answer(&mut self, place: usize, segments: &[u64]) {
+        for id in segments {
+            self.boxes[place].record_survival(&key(*id), self.now);
+        }
+    }
+
+    fn is_held(&self, place: usize, id: u64) -> bool {
+        self.boxes[place].remaining(&segment(id), self.now).is_some()
+    }
+
+    fn held(&self) -> Vec<Suspect> {
+        let changes = self.leader.pending_change().unwrap_or_default();
+        changes.held.into_keys().collect()
+    }
+}
+
+#[test]
+fn segment_of_unlike_requests_is_held_by_all_boxes_after_three_crashes() {
+    let mut fleet = Fleet::new(9);
+    for place in 0..9 {
+        fleet.answer(place, &[FIRST, 0xa1]);
+    }
+    for place in [0, 3, 6] {
+        assert!(!fleet.is_held(8, POISON));
+        fleet.crash(place, &[FIRST, POISON]);
+        fleet.beat();
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+    assert!((0..9).all(|place| fleet.is_held(place, POISON)));
+    assert!(!(0..9).any(|place| fleet.is_held(place, FIRST)));
+}
+
+/// The boxes that see the crashes have not answered anything; another one has, and reports it once the segments are
+/// suspected.
+#[test]
+fn first_segment_of_all_prompts_is_let_through_when_another_box_has_answered_with_it() {
+    for number in 0..8 {
+        let (first, poison) = (0x10 + number, 0x19 - number);
+        let mut fleet = Fleet::new(9);
+        for _ in 0..6 {
+            fleet.answer(8, &[first, 0xa1]);
+        }
+        for place in [0, 1, 2] {
+            fleet.crash(place, &[first, poison]);
+            fleet.beat();
+        }
+        fleet.beat();
+        assert_eq!(fleet.held(), [segment(poison)], "{number}");
+        assert!(!fleet.is_held(8, first));
+    }
+}
+
+/// Sound requests of the same caller wait on each server that crashes.
+#[test]
+fn segments_of_what_waits_beside_each_crash_are_not_held() {
+    let mut fleet = Fleet::new(4);
+    for round in 0..8_u64 {
+        for place in 0..4 {
+            fleet.answer(place, &[FIRST, 0xa1]);
+        }
+        // Of the prompts beside it, 0xa1 is frequent and each of the others is rare.
+        let place = round as usize % 4;
+        fleet.crash(place, &[FIRST, POISON, 0xa1, 0xe0 + round % 3]);
+        fleet.beat();
+    }
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
+/// Prompts with the segment crash only every other server.
+#[test]
+fn segment_that_crashes_half_of_its_servers_is_held() {
+    let mut fleet = Fleet::new(3);
+    for crash in 0..5 {
+        fleet.answer(crash % 3, &[FIRST, POISON]);
+        fleet.answer((crash + 1) % 3, &[FIRST, 0xa1]);
+        fleet.answer((crash + 2) % 3, &[FIRST, 0xa2]);
+        fleet.crash(crash % 3, &[FIRST, POISON]);
+        fleet.beat();
+    }
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
+#[test]
+fn two_poison_segments_at_once_are_both_held() {
+    let mut fleet = Fleet::new(3);
+    for round in 0..3 {
+        fleet.answer(round, &[FIRST, 0xa1]);
+        fleet.crash(round, &[FIRST, POISON]);
+        fleet.beat();
+        fleet.answer(round, &[FIRST, 0xa1]);
+        fleet.crash(round, &[FIRST, 0xbee]);
+        fleet.beat();
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON), segment(0xbee)]);
+}
+
+/// Servers crash at the same moment in all data centres, with prompts that begin alike waiting on each.
+#[test]
+fn outage_of_many_servers_holds_no_segment() {
+    let mut fleet = Fleet::new(3);
+    for place in 0..3 {
+        for _ in 0..4 {
+            fleet.answer(place, &[FIRST, 0xa1]);
+        }
+    }
+    for place in 0..3 {
+        for _ in 0..2 {
+            fleet.crash(place, &[FIRST, 0xa1]);
+        }
+    }
+    fleet.beat();
+    fleet.beat();
+    assert_eq!(fleet.held(), []);
+}
+
+/// The crashes that count are those since the segment has become harmful.
+#[test]
+fn segment_that_was_sound_for_long_is_held_once_it_crashes_servers() {
+    let mut fleet = Fleet::new(3);
+    for round in 0..400 {
+        fleet.answer(round % 3, &[FIRST, POISON]);
+        // A crash of long ago, which other prompts had to do with.
+        if round == 30 {
+            fleet.crash(0, &[FIRST, POISON]);
+        }
+        fleet.beat();
+    }
+    fleet.now += Duration::from_secs(11);
+    for place in 0..3 {
+        fleet.answer(place, &[FIRST, 0xa1]);
+        fleet.crash(place, &[FIRST, POISON]);
+        fleet.beat();
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
+#[test]
+fn segment_held_for_anothers_crashes_is_let_through_by_answers() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..3 {
+        fleet.crash(0, &[0xa1]);
+        fleet.beat();
+    }
+    assert!(fleet.is_held(1, 0xa1));
+    // Prompts with it were on their way, and are answered.
+    for _ in 0..4 {
+        fleet.answer(1, &[0xa1]);
+    }
+    fleet.beat();
+    fleet.beat();
+    assert!(!fleet.is_held(0, 0xa1) && !fleet.is_held(1, 0xa1));
+}
+
+/// A caller repeats one request; only once other requests crash servers as well is the segment to blame.
+#[test]
+fn segment_is_not_held_for_the_crashes_of_one_request() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..3 {
+        let suspects = vec![request(1), segment(FIRST), segment(POISON)];
+        fleet.answer(1, &[FIRST]);
+        fleet.crash_in(0, &format!("dc-{}", fleet.servers), suspects);
+        fleet.beat();
+    }
+    assert_eq!(fleet.held(), [request(1)]);
+    fleet.crash(0, &[FIRST, POISON]);
+    fleet.beat();
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
+#[test]
+fn segment_of_one_service_is_not_held_at_another() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..3 {
+        fleet.crash(0, &[POISON]);
+        fleet.beat();
+    }
+    let other = SegmentKey { service: "other".parse().unwrap(), id: POISON };
+    let quarantine = &fleet.boxes[0];
+    assert!(fleet.is_held(0, POISON));
+    assert_eq!(quarantine.remaining(&Suspect::Segment(other), fleet.now), None);
+}
+
+/// The next leader knows nothing of the crashes, and has not stored anything; boxes report both sides again.
+#[parameterized(
+    at_the_third_crash = { 3 },
+    before_it = { 2 },
+)]
+fn segment_is_held_although_the_leader_changes(crashes: usize) {
+    let mut fleet = Fleet::new(3);
+    for place in 0..3 {
+        for _ in 0..4 {
+            fleet.answer(place, &[FIRST, 0xa1]);
+        }
+    }
+    for number in 0..3 {
+        fleet.crash(number, &[FIRST, POISON]);
+        if number + 1 == crashes {
+            fleet.leader = FleetQuarantine::default();
+            fleet.leader.apply_replicated(Arc::default());
+            for own in &mut fleet.boxes {
+                let report = own.report(fleet.now);
+                own.apply_reply(&report, None, true, fleet.now);
+            }
+        }
+        fleet.beat();
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+    assert!((0..3).all(|place| fleet.is_held(place, POISON) && !fleet.is_held(place, FIRST)));
+}
+
+/// A box without a leader goes by its own crashes and answers.
+#[test]
+fn box_without_a_leader_holds_the_segment_and_not_the_first() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..4 {
+        fleet.answer(0, &[FIRST, 0xa1]);
+    }
+    for _ in 0..3 {
+        fleet.now += Duration::from_millis(200);
+        fleet.crash(0, &[FIRST, POISON]);
+    }
+    assert!(fleet.is_held(0, POISON) && !fleet.is_held(0, FIRST));
+}
+
+/// Hundreds of unlike prompts, each with segments of its own.
+#[test]
+fn counts_of_segments_stay_within_bounds() {
+    let mut fleet = Fleet::new(2);
+    for number in 0..2_000 {
+        fleet.answer(0, &[FIRST, 0x1_0000 + number]);
+        if number % 20 == 0 {
+            let segments: Vec<_> = (0..60).map(|it| 0x2_0000 + number * 60 + it).collect();
+            fleet.crash(0, &segments);
+            fleet.beat();
+        }
+        let report = fleet.boxes[0].report(fleet.now);
+        assert!(report.survivals.len() <= 64, "{}", report.survivals.len());
+    }
+    assert_eq!(fleet.held(), []);
+    let report = QuarantineReport {
+        survivals: vec![SegmentSurvivals { segment: key(FIRST), count: u32::MAX }],
+        ..QuarantineReport::default()
+    };
+    fleet.leader.apply_report(report.clone(), fleet.now);
+    fleet.leader.apply_report(report, fleet.now);
+}
+
+#[test]
+fn names_of_suspects_are_read_as_they_are_written() {
+    for (suspect, text) in [(segment(0x5c1e), "svc/5c1e"), (request(0xa7), &"a7".repeat(16))] {
+        assert_eq!(suspect.to_string(), text);
+        assert_eq!(text.parse::<Suspect>().unwrap(), suspect);
+    }
+    for wrong in ["svc/", "svc/+1", "/1", "svc/12345678901234567", "svc/xyz", "a b/1", "a7"] {
+        assert!(wrong.parse::<Suspect>().is_err(), "{wrong}");
+    }
+}
