Quarantine: a segment is let through after ten minutes, and held again by one crash

A wrong verdict on a segment costs every request with it, and no answer can speak against it while it is held. It is held for 10 minutes first, and twice as long each further time; two of its crashes stay counted, so the first crash behind that holds it again. Requests stay at 24 hours. A call that broke off is not sent to a second server if its prompt has a segment under which two servers crashed and that this box has not seen answered lately. Crashes that go on without a pause are no outage: a group of crashes at the same moment ends 100 ms after its first. The test of it failed before (12 crashes 40 ms apart counted as one). Tests: leader killed and frozen at that moment, box without a leader, streams that had gone on.

--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -209,6 +209,17 @@
         self.crashes.iter().any(|crash| crash.suspects.contains(&suspect))
     }
 
+    /// Clears a suspect of all crashes but the latest `kept`.
+    pub fn forget(&mut self, suspect: &Suspect, kept: usize) {
+        let mut crashes: Vec<_> =
+            self.crashes.iter_mut().filter(|it| it.suspects.contains(suspect)).collect();
+        crashes.sort_by_key(|crash| crash.at);
+        let forgotten = crashes.len().saturating_sub(kept);
+        for crash in crashes.into_iter().take(forgotten) {
+            crash.suspects.remove(suspect);
+        }
+    }
+
     /// Clears a suspect of all crashes. Returns whether it was a suspect of any.
     pub fn clear(&mut self, suspect: &Suspect) -> bool {
         self.crashes.iter_mut().fold(false, |any, crash| crash.suspects.remove(suspect) | any)
@@ -342,14 +353,20 @@
 /// crash at the same moment under requests that have nothing to do with each other count as one: what they have in
 /// common may be an outage, and prompts with the segment were waiting on each of them.
 fn separate(crashes: &[&Crash]) -> Vec<Instant> {
-    let groups = crashes.chunk_by(|a, b| b.at - a.at < OUTAGE_WINDOW);
-    let counted = groups.flat_map(|group| {
+    let mut counted = Vec::with_capacity(crashes.len());
+    let mut rest = crashes;
+    while let [first, ..] = rest {
+        // Counted from the first crash, so that crashes that go on without a pause are not one group for ever.
+        let is_same_moment = |crash: &&Crash| crash.at - first.at < OUTAGE_WINDOW;
+        let (group, later) = rest.split_at(rest.partition_point(is_same_moment));
         // A request that was sent on from one server to the next crashed both.
         let unrelated = group.windows(2).filter(|pair| !have_common_request(pair[0], pair[1]));
         let is_outage = 1 + unrelated.count() >= MIN_OUTAGE_SERVERS;
-        group.iter().take(if is_outage { 1 } else { group.len() })
-    });
-    counted.map(|crash| crash.at).collect()
+        let counting = if is_outage { &group[..1] } else { group };
+        counted.extend(counting.iter().map(|crash| crash.at));
+        rest = later;
+    }
+    counted
 }
 
 fn have_common_request(a: &Crash, b: &Crash) -> bool {
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -21,10 +21,14 @@
 use crate::state::quarantine::{QuarantineChange, QuarantinedSuspects};
 use crate::units::{Millis, UnixMillis};
 
-/// How long a suspect is quarantined. Software that crashes under a request is seldom fixed sooner,
+/// How long a request is quarantined. Software that crashes under a request is seldom fixed sooner,
 /// and each new try costs three servers. Once it is fixed, operators can lift the quarantine.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(24 * 3_600);
 
+/// How long a segment is quarantined first; twice as long each further time, up to [`QUARANTINE_TIME`]. A wrong
+/// verdict costs every request with the segment. The first crash after this time quarantines it again.
+pub const FIRST_SEGMENT_TIME: Duration = Duration::from_secs(600);
+
 /// Maximum number of quarantined suspects. Once it is reached, no further ones are quarantined.
 const MAX_QUARANTINED: usize = 1_024;
 
@@ -218,6 +222,8 @@
     answered: RecentAnswers,
     cleared: BTreeSet<Fingerprint>,
     survivals: RecentSurvivals,
+    /// Segments under which several servers crashed, by the leader's word.
+    suspected: BTreeSet<SegmentKey>,
     /// Segments whose survivals are reported, and their number that has not been.
     watched: BTreeMap<SegmentKey, u32>,
 }
@@ -231,6 +237,12 @@
         announced.max(local).filter(|remaining| !remaining.is_zero())
     }
 
+    /// Whether several servers crashed under a segment, and this box has seen none go on with it lately. A call with it
+    /// that broke off is not sent to another server.
+    pub fn is_suspected(&self, segment: &SegmentKey, now: Instant) -> bool {
+        self.suspected.contains(segment) && self.survivals.count(segment, now) == 0
+    }
+
     /// Whether nothing is quarantined.
     pub fn is_empty(&self) -> bool {
         self.announced.is_empty() && self.local.is_empty()
@@ -369,6 +381,7 @@
         self.watched.retain(|segment, _| {
             update.watched.contains(segment) || self.crashes.is_suspect(segment)
         });
+        self.suspected = update.watched.iter().cloned().collect();
         for segment in update.watched {
             self.watch(segment, now);
         }
@@ -414,6 +427,8 @@
     replicated: Option<Arc<QuarantinedSuspects>>,
     /// What was quarantined at the last evaluation.
     last_evaluated: BTreeSet<Suspect>,
+    /// How often this leader has quarantined each segment.
+    terms: BTreeMap<Suspect, u32>,
     /// Segments whose survivals boxes report.
     watched: Vec<SegmentKey>,
     /// The version of the last update for boxes, and its content.
@@ -493,7 +508,7 @@
 
     /// Re-evaluates the crashes if there are new ones. Returns what changed since the last call.
     pub fn evaluate(&mut self, now: Instant, unix: UnixMillis) -> QuarantineDelta {
-        self.quarantined.retain(|_, until| *until > unix);
+        self.release_expired(unix);
         let is_due = self.evaluated_at.is_none_or(|at| at + EVALUATION_INTERVAL <= now);
         if self.is_dirty && is_due {
             (self.is_dirty, self.evaluated_at) = (false, Some(now));
@@ -505,6 +520,31 @@
         delta
     }
 
+    fn release_expired(&mut self, unix: UnixMillis) {
+        let expired = self.quarantined.extract_if(.., |_, until| *until <= unix);
+        let expired: Vec<_> = expired.map(|(suspect, _)| suspect).collect();
+        for suspect in expired {
+            self.poison.remove(&suspect);
+            self.crashes.forget(&suspect, CRASHES_TO_QUARANTINE - 1);
+        }
+    }
+
+    /// Until when a suspect that is to blame now is quarantined.
+    fn quarantine_end(&mut self, suspect: &Suspect, unix: UnixMillis) -> UnixMillis {
+        let time = match suspect {
+            Suspect::Request(_) => QUARANTINE_TIME,
+            Suspect::Segment(_) => {
+                if self.terms.len() >= MAX_QUARANTINED {
+                    self.terms.clear();
+                }
+                let terms = self.terms.entry(suspect.clone()).or_default();
+                *terms = terms.saturating_add(1);
+                FIRST_SEGMENT_TIME.saturating_mul(1 << (*terms - 1).min(16)).min(QUARANTINE_TIME)
+            }
+        };
+        UnixMillis(unix.0 + time.as_millis() as u64)
+    }
+
     fn evaluate_crashes(&mut self, unix: UnixMillis) {
         let poison = self.crashes.poison();
         for suspect in self.poison.difference(&poison) {
@@ -515,9 +555,9 @@
                 self.quarantined.remove(suspect);
             }
         }
-        let until = UnixMillis(unix.0 + QUARANTINE_TIME.as_millis() as u64);
-        for suspect in poison.difference(&self.poison) {
+        for suspect in poison.difference(&self.poison.clone()) {
             if self.quarantined.len() < MAX_QUARANTINED {
+                let until = self.quarantine_end(suspect, unix);
                 self.quarantined.insert(suspect.clone(), until);
             }
         }
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -157,6 +157,10 @@
             let has_run = self.maybe_run > 0 || self.unknown_outcome.is_some();
             return Err(if has_run { self.final_failure(relay) } else { failure });
         }
+        let broke_off = self.maybe_run > 0 && self.unknown_outcome.is_some();
+        if broke_off && quarantine::is_suspected(relay, call, &self.service) {
+            return Err(self.final_failure(relay));
+        }
         if self.reached > 0 && !relay.retries().try_withdraw(&self.service) {
             return Err(self.final_failure(relay));
         }
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -57,6 +57,16 @@
     refused
 }
 
+/// Whether a call that broke off at a server may crash another one: its prompt has a segment under which several
+/// servers crashed.
+pub(super) fn is_suspected(relay: &Relay, call: &Call, service: &ServiceName) -> bool {
+    if call.shared_segments().is_empty() {
+        return false;
+    }
+    let (quarantine, now) = (relay.quarantine(), Instant::now());
+    call.segment_keys(service).any(|segment| quarantine.is_suspected(&segment, now))
+}
+
 /// Records that a server answered a call, with success or an error: the request did not end the
 /// server.
 pub(super) fn record_success(relay: &Relay, call: &Call) {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -26,7 +26,7 @@
 };
 use serde_json::json;
 use system::System;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use yare::parameterized;
@@ -342,13 +342,33 @@
     assert_eq!(relay.ask("POST", "safe").await.status, 200);
 }
 
+/// What the requests that crash servers have in common.
+#[derive(Debug, Clone, Copy)]
+enum Harm {
+    /// They are the same.
+    Request,
+    /// A segment of their prompts.
+    Segment,
+}
+
+impl Harm {
+    async fn ask(self, system: &System, place: u8) -> Option<Reply> {
+        match self {
+            Self::Request => ask(system, place, "safe", POISON).await,
+            Self::Segment => prompt(system, place, "safe", POISON_SEGMENT).await,
+        }
+    }
+}
+
 /// The leader is killed or stopped as soon as the third server has crashed: nothing is replicated
 /// yet, and the next leader learns of the crashes from the boxes.
 #[parameterized(
-    killed = { "KILL" },
-    frozen = { "STOP" },
+    killed = { "KILL", Harm::Request },
+    frozen = { "STOP", Harm::Request },
+    killed_after_unlike_requests = { "KILL", Harm::Segment },
+    frozen_after_unlike_requests = { "STOP", Harm::Segment },
 )]
-fn request_is_held_although_the_leader_goes_at_that_moment(signal: &str) {
+fn request_is_held_although_the_leader_goes_at_that_moment(signal: &str, harm: Harm) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
     runtime.block_on(async {
         let system = System::start(2).await;
@@ -359,7 +379,7 @@
         }
         let leader = system.leader().await;
         for place in [11, 12].iter().cycle() {
-            ask(&system, *place, "safe", POISON).await;
+            harm.ask(&system, *place).await;
             if servers.ended() >= 3 {
                 break;
             }
@@ -370,7 +390,9 @@
         }
         let before = servers.ended();
         for place in [11, 12, 11, 12] {
-            is_refused(&system, place).await;
+            let reply = harm.ask(&system, place).await.expect("no answer");
+            assert_eq!(reply.status, 503, "{reply:?}");
+            assert!(reply.body.contains("quarantined"), "{reply:?}");
         }
         assert_eq!(servers.ended(), before);
         system.signal(leader, "KILL");
@@ -425,3 +447,99 @@
 async fn prompt_segment_of_streams_under_which_three_servers_crashed_reaches_no_server() {
     check_prompt_segment_is_held("resumable").await;
 }
+
+/// A request with a prompt, unlike any other, as bytes.
+fn prompt_text(route: &str, segments: &str) -> String {
+    let own = 0x0a00_0000 + next_number();
+    let body = format!("body {own:x}");
+    format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-{own}\r\nDeadline-Ms: 8000\r\n\
+         Api-Key: key-a\r\nPrompt-Prefix: {segments},{own:x}:10\r\nContent-Length: {}\r\n\
+         Connection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Ends a server once it has got a request.
+async fn end_when_asked(mut server: StandIn) {
+    server.wait_seen(1).await;
+    server.end().await;
+}
+
+/// The crashes that the metrics of a relay count.
+fn counted_crashes(relay: &TestRelay) -> usize {
+    let text = relay.relay.context.metrics.render().unwrap();
+    let text = String::from_utf8(text).unwrap();
+    let counted = text.lines().find(|line| {
+        line.starts_with("emberturn_backend_servers_ended_total") && line.contains("\"false\"")
+    });
+    counted.map_or(0, |line| line.rsplit(' ').next().unwrap().parse().unwrap())
+}
+
+/// A box that no leader answers, with unlike requests of one team.
+#[tokio::test]
+async fn box_that_no_leader_answers_holds_the_segment_that_its_requests_have_in_common() {
+    let relay = TestRelay::start(&[]).await;
+    let ask = async |route: &str, segments: &str| {
+        Reply::parse(&relay.raw(&prompt_text(route, segments)).await)
+    };
+    let sound = StandIn::start("i-8", &[Act::Answer]).await;
+    relay.list(&[&sound]);
+    for _ in 0..3 {
+        assert_eq!(ask("once", "c0:100,ab:50").await.status, 200);
+    }
+    let [a, b, c] = [
+        StandIn::start("i-1", &[Act::Silent]).await,
+        StandIn::start("i-2", &[Act::Silent]).await,
+        StandIn::start("i-3", &[Act::Silent]).await,
+    ];
+    // The first request is sent on to a second server.
+    relay.list(&[&a, &b]);
+    let (reply, (), ()) =
+        tokio::join!(ask("safe", "c0:100,bad:50"), end_when_asked(a), end_when_asked(b));
+    assert_eq!(reply.status, 502, "{reply:?}");
+    relay.list(&[&c]);
+    let (reply, ()) = tokio::join!(ask("once", "c0:100,bad:50"), end_when_asked(c));
+    assert_eq!(reply.status, 502, "{reply:?}");
+    until("the segment is held", || !relay.relay.quarantine().is_empty()).await;
+    relay.list(&[&sound]);
+    let before = sound.seen().len();
+    for route in ["once", "safe", "stream", "resumable"] {
+        let reply = ask(route, "c0:100,bad:50").await;
+        assert_eq!((reply.status, sound.seen().len()), (503, before), "{reply:?}");
+        assert!(reply.headers.contains_key("retry-after"), "{reply:?}");
+    }
+    // As the last one, the segment belongs to one request alone.
+    let own =
+        prompt_text("once", "c0:100").replace("Prompt-Prefix: c0:100,", "Prompt-Prefix: bad:");
+    assert_eq!(Reply::parse(&relay.raw(&own).await).status, 200, "{own}");
+    assert_eq!(ask("once", "c0:100,ab:50").await.status, 200);
+}
+
+/// Streams that have begun and are cut when their servers crash.
+#[tokio::test]
+async fn segments_of_streams_that_had_gone_on_are_not_held() {
+    let relay = TestRelay::start(&[]).await;
+    for number in 0..4 {
+        let server = StandIn::start(&format!("i-{number}"), &[Act::UntilMoved(3)]).await;
+        relay.list(&[&server]);
+        let mut caller = TcpStream::connect(relay.addr).await.unwrap();
+        let text = prompt_text("stream", "c0:100,ab:50");
+        caller.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        while !answer.contains("piece 3") {
+            let mut piece = [0; 1_024];
+            let length = caller.read(&mut piece).await.unwrap();
+            assert!(length > 0, "{answer}");
+            answer.push_str(&String::from_utf8_lossy(&piece[..length]));
+        }
+        server.end().await;
+        let _ = caller.read_to_string(&mut answer).await;
+        until("the crash is known", || counted_crashes(&relay) > number).await;
+    }
+    let server = StandIn::start("i-9", &[Act::Answer]).await;
+    relay.list(&[&server]);
+    let reply = Reply::parse(&relay.raw(&prompt_text("once", "c0:100,ab:50")).await);
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert!(relay.relay.quarantine().is_empty());
+}
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -6,7 +6,7 @@
 
 use emberturn::decide::ends::CrashReport;
 use emberturn::decide::quarantine::{
-    BoxQuarantine, FleetQuarantine, QuarantineReport, SegmentSurvivals,
+    BoxQuarantine, FIRST_SEGMENT_TIME, FleetQuarantine, QuarantineReport, SegmentSurvivals,
 };
 use emberturn::ids::{Fingerprint, SegmentKey, Suspect};
 use emberturn::units::{Millis, UnixMillis};
@@ -35,6 +35,7 @@
     boxes: Vec<BoxQuarantine>,
     leader: FleetQuarantine,
     now: Instant,
+    unix: UnixMillis,
     version: u64,
     servers: u32,
 }
@@ -44,7 +45,7 @@
         let mut leader = FleetQuarantine::default();
         leader.apply_replicated(Arc::default());
         let boxes = (0..boxes).map(|_| BoxQuarantine::default()).collect();
-        Self { boxes, leader, now: Instant::now(), version: 0, servers: 0 }
+        Self { boxes, leader, now: Instant::now(), unix: NOW, version: 0, servers: 0 }
     }
 
     /// Has every box exchange a heartbeat with the leader, and time pass.
@@ -54,8 +55,8 @@
             self.version += 1;
             let report = own.report(self.now);
             self.leader.apply_report(report.clone(), self.now);
-            self.leader.evaluate(self.now, NOW);
-            let update = self.leader.update_for(report.known_version, self.version, NOW);
+            self.leader.evaluate(self.now, self.unix);
+            let update = self.leader.update_for(report.known_version, self.version, self.unix);
             own.apply_reply(&report, update, false, self.now);
         }
     }
@@ -195,6 +196,20 @@
     assert_eq!(fleet.held(), []);
 }
 
+/// In a large fleet unlike requests crash a server every 40 ms, without a pause.
+#[test]
+fn segment_that_crashes_servers_without_a_pause_is_held() {
+    let mut fleet = Fleet::new(3);
+    fleet.answer(0, &[FIRST, 0xa1]);
+    for number in 0..12 {
+        fleet.now += Duration::from_millis(40);
+        fleet.crash(number % 3, &[FIRST, POISON]);
+    }
+    fleet.beat();
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
 /// The crashes that count are those since the segment has become harmful.
 #[test]
 fn segment_that_was_sound_for_long_is_held_once_it_crashes_servers() {
@@ -307,6 +322,47 @@
     assert!(fleet.is_held(0, POISON) && !fleet.is_held(0, FIRST));
 }
 
+/// After its time a segment is let through; the first crash quarantines it again, for longer.
+#[test]
+fn segment_is_let_through_after_its_time_and_held_again_by_one_crash() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..5 {
+        fleet.crash(0, &[POISON]);
+        fleet.beat();
+    }
+    let first = FIRST_SEGMENT_TIME.as_millis() as u64;
+    assert_eq!(fleet.leader.pending_change().unwrap().held[&segment(POISON)].0, NOW.0 + first);
+    fleet.now += FIRST_SEGMENT_TIME;
+    fleet.unix.0 += first;
+    fleet.beat();
+    fleet.beat();
+    assert!(!fleet.is_held(0, POISON) && !fleet.is_held(1, POISON));
+    // Crashes that have nothing to do with it change nothing.
+    fleet.crash(0, &[FIRST]);
+    fleet.beat();
+    assert_eq!(fleet.held(), []);
+    fleet.crash(1, &[FIRST, POISON]);
+    fleet.beat();
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+    let until = fleet.leader.pending_change().unwrap().held[&segment(POISON)];
+    assert_eq!(until.0, fleet.unix.0 + 2 * first);
+}
+
+/// What crashed two servers is not sent to a further one by the box that it broke off at.
+#[test]
+fn segment_of_two_crashes_is_suspected_by_boxes_that_have_not_seen_it_answered() {
+    let mut fleet = Fleet::new(2);
+    fleet.answer(1, &[FIRST]);
+    for _ in 0..2 {
+        fleet.crash(0, &[FIRST, POISON]);
+        fleet.beat();
+    }
+    let is_suspected = |place: usize, id| fleet.boxes[place].is_suspected(&key(id), fleet.now);
+    assert!(is_suspected(0, POISON) && is_suspected(1, POISON));
+    assert!(!is_suspected(1, FIRST));
+}
+
 /// Hundreds of unlike prompts, each with segments of its own.
 #[test]
 fn counts_of_segments_stay_within_bounds() {
