--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -521,9 +521,10 @@
     }
 
     fn release_expired(&mut self, unix: UnixMillis) {
-        let expired = self.quarantined.extract_if(.., |_, until| *until <= unix);
-        let expired: Vec<_> = expired.map(|(suspect, _)| suspect).collect();
+        let expired = self.quarantined.iter().filter(|(_, until)| **until <= unix);
+        let expired: Vec<_> = expired.map(|(suspect, _)| suspect.clone()).collect();
         for suspect in expired {
+            self.quarantined.remove(&suspect);
             self.poison.remove(&suspect);
             self.crashes.forget(&suspect, CRASHES_TO_QUARANTINE - 1);
         }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -448,13 +448,18 @@
     check_prompt_segment_is_held("resumable").await;
 }
 
-/// A request with a prompt, unlike any other, as bytes.
+/// A request, unlike any other, with a prompt of these segments and one of its own, as bytes.
 fn prompt_text(route: &str, segments: &str) -> String {
+    prompt_without_own(route, &format!("{segments},{:x}:10", 0x0a00_0000 + next_number()))
+}
+
+/// The same with these segments alone.
+fn prompt_without_own(route: &str, segments: &str) -> String {
     let own = 0x0a00_0000 + next_number();
     let body = format!("body {own:x}");
     format!(
         "POST /{route}/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-{own}\r\nDeadline-Ms: 8000\r\n\
-         Api-Key: key-a\r\nPrompt-Prefix: {segments},{own:x}:10\r\nContent-Length: {}\r\n\
+         Api-Key: key-a\r\nPrompt-Prefix: {segments}\r\nContent-Length: {}\r\n\
          Connection: close\r\n\r\n{body}",
         body.len()
     )
@@ -510,8 +515,7 @@
         assert!(reply.headers.contains_key("retry-after"), "{reply:?}");
     }
     // As the last one, the segment belongs to one request alone.
-    let own =
-        prompt_text("once", "c0:100").replace("Prompt-Prefix: c0:100,", "Prompt-Prefix: bad:");
+    let own = prompt_without_own("once", "c0:100,bad:50");
     assert_eq!(Reply::parse(&relay.raw(&own).await).status, 200, "{own}");
     assert_eq!(ask("once", "c0:100,ab:50").await.status, 200);
 }
