--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 
 #![warn(missing_docs)]
 
+mod blame;
 mod control;
 mod decisions;
 mod limits;
@@ -36,6 +37,12 @@
         /// One JSON object a size
         json: bool,
     },
+    /// A model of which prompt segments are blamed for crashes of servers, in virtual time
+    #[bpaf(command)]
+    Blame {
+        /// One JSON object a scenario
+        json: bool,
+    },
     /// The pure decisions: time of a route and of a policy
     #[bpaf(command)]
     Decisions,
@@ -53,6 +60,10 @@
                 limits::execute(json);
                 Ok(())
             }
+            Command::Blame { json } => {
+                blame::execute(json);
+                Ok(())
+            }
             Command::Decisions => {
                 decisions::execute();
                 Ok(())
