Quarantine: a crash that a slow heartbeat reports and a further one repeats is one crash

The leader judged a request by three crashes, of two that the box had logged. Cause: a report says how long ago a crash was when it was built. Under way for 1.2 s to a leader that is frozen, it arrives that much too late, the box repeats it to the next leader with the true age, and crashes of one server more than 1 s apart were two. Callers: a request may be held after two crashes. Change: reports within 3 s are of one crash. The new test fails with 1 s; a server that restarts under its id and crashes again within 3 s now counts once.

--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -37,9 +37,10 @@
 /// Maximum number of suspects remembered for one crash: more than a server runs at the same time.
 const MAX_SUSPECTS_PER_CRASH: usize = 256;
 
-/// Reports of boxes on the same crash lie within this time of each other. No server restarts and
-/// crashes again within it.
-const SAME_CRASH_WINDOW: Duration = Duration::from_secs(1);
+/// Reports on the same crash lie within this time of each other: a heartbeat may be under way for longer than a second
+/// while the leader changes, and its crashes then seem to be that much later. A server that restarts under its id
+/// and crashes again within it counts once.
+const SAME_CRASH_WINDOW: Duration = Duration::from_secs(3);
 
 /// Servers that fail in the same outage crash within this time of each other, as seen by boxes.
 const OUTAGE_WINDOW: Duration = Duration::from_millis(100);
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -112,6 +112,22 @@
     assert_eq!(tracker.crash_count(&suspect(1)), 2);
 }
 
+/// The first report arrived late, when the leader had changed, and the box sent it again.
+#[test]
+fn crash_that_is_reported_again_after_a_slow_heartbeat_is_one() {
+    let mut fleet = FleetQuarantine::default();
+    fleet.apply_replicated(Arc::default());
+    let began = Instant::now();
+    for (server, arrives_ms) in [("i-1", 1_250), ("i-2", 1_250), ("i-1", 1_700), ("i-2", 1_700)] {
+        let now = began + Duration::from_millis(arrives_ms);
+        let age = if arrives_ms == 1_250 { 50 } else { 1_700 };
+        let crashes = vec![crash(server, "a", &[1], age)];
+        fleet.apply_report(QuarantineReport { crashes, ..QuarantineReport::default() }, now);
+        assert!(fleet.evaluate(now + LATER, NOW).added.is_empty());
+    }
+    assert_eq!(fleet.crash_count(&suspect(1)), 2);
+}
+
 #[test]
 fn server_that_was_leaving_ended_under_no_request() {
     let now = Instant::now();
