Quarantine: segments of old crashes no longer push out those that answers speak for

Found by reading. Change: segments of a crash are watched where answers speak for them, until reported; those with the most answers come first. The tracker keeps those answered last. Test: 200 crashes with rare segments, then a new first segment.

--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -143,6 +143,10 @@
         }
     }
 
+    fn last(&self) -> Option<Instant> {
+        self.0.last().map(|(at, _)| *at)
+    }
+
     fn count_since(&self, since: Option<Instant>) -> i64 {
         let counted = self.0.iter().rev().take_while(|(at, _)| since.is_none_or(|it| *at >= it));
         counted.map(|(_, count)| i64::from(*count)).sum()
@@ -153,6 +157,9 @@
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     crashes: Vec<Crash>,
+    /// The segments that are suspects of any crash.
+    segments: BTreeSet<SegmentKey>,
+    /// Of these, the segments that have survivals.
     survivals: BTreeMap<SegmentKey, Survivals>,
 }
 
@@ -177,26 +184,39 @@
         crash.suspects.extend(report.suspects.into_iter().take(free));
         let is_new = known.is_none() || crash.suspects.len() > before;
         crash.is_reported &= !is_new;
+        if is_new {
+            self.index_segments();
+        }
         is_new
     }
 
+    /// Brings the segments up to date with the crashes.
+    fn index_segments(&mut self) {
+        let suspects = self.crashes.iter().flat_map(|crash| &crash.suspects);
+        self.segments = suspects.filter_map(Suspect::segment).cloned().collect();
+        self.survivals.retain(|segment, _| self.segments.contains(segment));
+    }
+
     fn drop_oldest(&mut self) {
         let oldest = (0..self.crashes.len()).min_by_key(|index| self.crashes[*index].at);
         if let Some(oldest) = oldest {
             self.crashes.swap_remove(oldest);
         }
-        let suspects: BTreeSet<_> = self.crashes.iter().flat_map(|crash| &crash.suspects).collect();
-        self.survivals.retain(|segment, _| suspects.contains(&Suspect::Segment(segment.clone())));
     }
 
     /// Records prompts with a segment whose answers went on after they had begun. Only segments that are suspects of a
     /// crash are counted.
     pub fn record_survivals(&mut self, segment: &SegmentKey, count: u32, now: Instant) {
-        if let Some(survivals) = self.survivals.get_mut(segment) {
-            survivals.record(count, now);
-        } else if self.survivals.len() < MAX_COUNTED_SEGMENTS && self.is_suspect(segment) {
-            self.survivals.entry(segment.clone()).or_default().record(count, now);
+        if count == 0 || !self.segments.contains(segment) {
+            return;
         }
+        if self.survivals.len() >= MAX_COUNTED_SEGMENTS && !self.survivals.contains_key(segment) {
+            let last = |(_, survivals): &(&SegmentKey, &Survivals)| survivals.last();
+            let stalest =
+                self.survivals.iter().min_by_key(last).map(|(segment, _)| segment.clone());
+            stalest.map(|segment| self.survivals.remove(&segment));
+        }
+        self.survivals.entry(segment.clone()).or_default().record(count, now);
     }
 
     /// Whether any survivals of the segment have been recorded.
@@ -204,12 +224,6 @@
         self.survivals.contains_key(segment)
     }
 
-    /// Whether a server crashed under prompts with the segment.
-    pub fn is_suspect(&self, segment: &SegmentKey) -> bool {
-        let suspect = Suspect::Segment(segment.clone());
-        self.crashes.iter().any(|crash| crash.suspects.contains(&suspect))
-    }
-
     /// Clears a suspect of all crashes but the latest `kept`.
     pub fn forget(&mut self, suspect: &Suspect, kept: usize) {
         let mut crashes: Vec<_> =
@@ -219,11 +233,17 @@
         for crash in crashes.into_iter().take(forgotten) {
             crash.suspects.remove(suspect);
         }
+        self.index_segments();
     }
 
     /// Clears a suspect of all crashes. Returns whether it was a suspect of any.
     pub fn clear(&mut self, suspect: &Suspect) -> bool {
-        self.crashes.iter_mut().fold(false, |any, crash| crash.suspects.remove(suspect) | any)
+        let removed =
+            self.crashes.iter_mut().fold(false, |any, crash| crash.suspects.remove(suspect) | any);
+        if removed && suspect.segment().is_some() {
+            self.index_segments();
+        }
+        removed
     }
 
     /// Removes the crashes of a server that was leaving. Returns their suspects.
@@ -232,6 +252,9 @@
             .into_iter()
             .partition::<Vec<_>, _>(|crash| crash.server == *server);
         self.crashes = rest;
+        if !removed.is_empty() {
+            self.index_segments();
+        }
         removed.into_iter().flat_map(|crash| crash.suspects).collect()
     }
 
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -268,10 +268,12 @@
         let is_new = self.crashes.record(report, now);
         for segment in segments {
             let count = self.survivals.count(&segment, now);
-            if count > 0 && !self.crashes.has_survivals(&segment) {
+            if !self.crashes.has_survivals(&segment) {
                 self.crashes.record_survivals(&segment, count, now);
             }
-            self.watch(segment, now);
+            if count > 0 {
+                self.watch(segment, now);
+            }
         }
         self.update_local();
         (QuarantineDelta::between(&before, &self.all_suspects()), is_new)
@@ -294,16 +296,26 @@
         self.survivals.record(segment, now);
         if let Some(unreported) = self.watched.get_mut(segment) {
             *unreported = unreported.saturating_add(1);
-            self.crashes.record_survivals(segment, 1, now);
         }
+        self.crashes.record_survivals(segment, 1, now);
     }
 
-    /// Has the survivals of a segment reported from now on, and those of the last time at once.
+    /// Has the survivals of a segment reported from now on, and those of the last time at once. If there are too many
+    /// segments, those with the most survivals are.
     fn watch(&mut self, segment: SegmentKey, now: Instant) {
-        if self.watched.len() < MAX_WATCHED_SEGMENTS || self.watched.contains_key(&segment) {
-            let recent = self.survivals.count(&segment, now);
-            self.watched.entry(segment).or_insert(recent);
+        if self.watched.contains_key(&segment) {
+            return;
+        }
+        let recent = self.survivals.count(&segment, now);
+        if self.watched.len() >= MAX_WATCHED_SEGMENTS {
+            let fewest = self.watched.iter().min_by_key(|(_, count)| **count);
+            let Some(fewest) = fewest.filter(|(_, count)| **count < recent) else {
+                return;
+            };
+            let fewest = fewest.0.clone();
+            self.watched.remove(&fewest);
         }
+        self.watched.insert(segment, recent);
     }
 
     fn clear(&mut self, request: Fingerprint) -> bool {
@@ -378,9 +390,7 @@
             self.crashes.clear(suspect);
         }
         self.announced = announced;
-        self.watched.retain(|segment, _| {
-            update.watched.contains(segment) || self.crashes.is_suspect(segment)
-        });
+        self.watched.retain(|segment, count| *count > 0 || update.watched.contains(segment));
         self.suspected = update.watched.iter().cloned().collect();
         for segment in update.watched {
             self.watch(segment, now);
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -386,6 +386,29 @@
     fleet.leader.apply_report(report, fleet.now);
 }
 
+/// A day of crashes with rare segments beside them does not push out the first segment of another kind of prompts.
+#[test]
+fn answers_for_a_new_first_segment_count_after_many_crashes() {
+    let mut fleet = Fleet::new(2);
+    for number in 0..200 {
+        let rare: Vec<_> = (0..10).map(|it| 0x2_0000 + number * 10 + it).collect();
+        fleet.answer(0, &rare);
+        fleet.now += Duration::from_secs(1);
+        fleet.crash(0, &rare);
+        fleet.beat();
+    }
+    for _ in 0..8 {
+        fleet.answer(0, &[0xf0]);
+        fleet.answer(1, &[0xf0]);
+    }
+    for place in [0, 1, 0, 1] {
+        fleet.crash(place, &[0xf0, POISON]);
+        fleet.beat();
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
 #[test]
 fn names_of_suspects_are_read_as_they_are_written() {
     for (suspect, text) in [(segment(0x5c1e), "svc/5c1e"), (request(0xa7), &"a7".repeat(16))] {
