--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -12,7 +12,10 @@
 use std::time::Instant;
 
 use emberturn::decide::proxies::Proxy;
+use emberturn::decide::quarantine::{QuarantineReport, QuarantineUpdate, QuarantinedSuspect};
+use emberturn::ids::Suspect;
 use emberturn::relay::list::Server;
+use emberturn::units::Millis;
 use emberturn_fakes::proxy::{Fault, Proxy as FaultProxy};
 use fleet::{Fleet, listed_behind, proxy};
 use link::{Link, LinkFault};
@@ -269,6 +272,41 @@
     assert_eq!(resting.seen().len(), 1);
 }
 
+#[tokio::test]
+async fn server_that_says_to_the_other_box_that_it_leaves_gets_nothing_more_from_both() {
+    let mut fleet = Fleet::start(&[Act::Answer]).await;
+    fleet.lose(LinkFault::Reset).await;
+    let leaving = StandIn::start("i-4", &[Act::Leaving]).await;
+    fleet.other.list(&[&leaving]);
+    let link = Link::start(leaving.addr).await;
+    fleet.cut.list_as(listed_behind(std::slice::from_ref(&leaving), std::slice::from_ref(&link)));
+    assert_eq!(fleet.ask("safe").await.status, 200);
+    assert_eq!(fleet.ask("safe").await.status, 503);
+    assert_eq!(fleet.other.ask("POST", "safe").await.status, 503);
+    assert_eq!(leaving.seen().len(), 1);
+}
+
+/// The box without paths does not know of it.
+#[tokio::test]
+async fn segment_that_is_quarantined_at_the_other_box_reaches_no_server_through_it() {
+    let mut fleet = Fleet::start(&[Act::Answer]).await;
+    fleet.lose(LinkFault::Reset).await;
+    let suspect = QuarantinedSuspect {
+        suspect: Suspect::Segment("svc/bad".parse().unwrap()),
+        remaining: Millis(600_000),
+    };
+    let update = QuarantineUpdate { version: 1, suspects: vec![suspect], watched: Vec::new() };
+    let (report, now) = (QuarantineReport::default(), Instant::now());
+    fleet.other.relay.quarantine().apply_reply(&report, Some(update), false, now);
+    let before = fleet.arrivals();
+    for (segment, status, arrivals) in [("bad", 503, 0), ("ab", 200, 1)] {
+        fleet.refresh();
+        let headers = format!("Api-Key: key-a\r\nPrompt-Prefix: c0:100,{segment}:50,1:10\r\n");
+        let reply = fleet.cut.ask_with("POST", "once", &headers).await;
+        assert_eq!((reply.status, fleet.arrivals() - before), (status, arrivals), "{reply:?}");
+    }
+}
+
 #[tokio::test]
 async fn revoked_key_and_reached_limit_hold_at_a_box_without_paths() {
     let mut fleet = Fleet::start(&[Act::Answer]).await;
