Tests: requests of the cut box are sent one after the other, as a link queues one connect

Cause: the stand-in link listens with a queue of one place, which the test of hanging connects needs. Of connects at the same moment one gets no answer, is given up after 1 s and goes through the other box, as it should; the cut of the links then does not break it, and it waits for its deadline. Change: each request arrives before the next is sent; all three wait at servers at the cut, and the assertions stay.

--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -86,9 +86,14 @@
 async fn box_without_paths_blames_no_server_and_no_request() {
     let mut fleet = Fleet::start(&[Act::Silent]).await;
     let cut = &fleet.cut;
-    let waiting = futures_util::future::join_all((0..3).map(|_| cut.ask("POST", "once")));
+    let arrivals = || fleet.servers.iter().map(|server| server.seen().len()).sum::<usize>();
+    // One after the other, as the queue of a link's listener has one place: a connect that finds it full would go through
+    // the other box.
+    let waiting = futures_util::future::join_all((0..3).map(async |number| {
+        until("the request before has arrived", || arrivals() >= number).await;
+        cut.ask("POST", "once").await
+    }));
     let cutting = async {
-        let arrivals = || fleet.servers.iter().map(|server| server.seen().len()).sum::<usize>();
         until("all requests have arrived", || arrivals() == 3).await;
         for link in &mut fleet.links {
             link.fail(LinkFault::Reset).await;
