Moves: a stream that found no room elsewhere is moved again after a second at the earliest

Callers saw a further pause each time: a stream that goes on at its own leaving server was stopped again at once, as it followed the same word of the same server anew. Cause: a stream that continues is watched as a new one, whichever server it continues on. Weighed: never again at that server (the stream is lost with it when room appears meanwhile); after a second, as long as a move is worth it: taken.

--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -37,6 +37,10 @@
 /// How long a server may take to stop a run and copy its KV cache, and then to end its stream.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time until a stream is moved again that continues on its own leaving server, as no other had room for it. Each move
+/// interrupts it.
+pub(super) const MOVE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Largest reply to the export request, in bytes.
 const MAX_REPLY_BYTES: usize = 64 << 10;
 
@@ -59,15 +63,18 @@
     Lost(Bytes, SendFault),
 }
 
-/// Waits until the watched server is shutting down; forever if no server is watched.
+/// Waits until the watched server is shutting down, at least until `earliest`; forever if no server is watched.
 pub(super) async fn wait_until_leaving(
     leave_signal: &mut Option<watch::Receiver<Option<Leaving>>>,
+    earliest: Instant,
 ) -> Leaving {
     let Some(leave_signal) = leave_signal else {
         return std::future::pending().await;
     };
     loop {
-        if let Some(leaving) = *leave_signal.borrow_and_update() {
+        let leaving = *leave_signal.borrow_and_update();
+        if let Some(leaving) = leaving {
+            tokio::time::sleep_until(earliest.into()).await;
             return leaving;
         }
         if leave_signal.changed().await.is_err() {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -434,9 +434,10 @@
         yield Ok::<_, io::Error>(first_event);
         let mut limit = silence_limit(&route, &call);
         let mut leave_signal = Some(source.flight.server().state.follow_leaving());
+        let mut earliest_move = Instant::now();
         loop {
             let step = tokio::select! {
-                leaving = moving::wait_until_leaving(&mut leave_signal) => Err(leaving),
+                leaving = moving::wait_until_leaving(&mut leave_signal, earliest_move) => Err(leaving),
                 received = next_events(&mut source, &mut progress, limit.min(call.time_left())) => Ok(received),
             };
             let received = match step {
@@ -449,6 +450,9 @@
                     }
                     match move_stream(&relay, &call, &route, &attempts, &mut source, &mut progress).await {
                         MoveOutcome::Moved(ready, moved) => {
+                            if Arc::ptr_eq(moved.flight.server(), source.flight.server()) {
+                                earliest_move = Instant::now() + moving::MOVE_RETRY_DELAY;
+                            }
                             source = *moved;
                             leave_signal = Some(source.flight.server().state.follow_leaving());
                             yield Ok(ready);
