Quarantine: two segments that crash servers of one data centre in turn are both held

Found by reading. Crashes of one data centre less than 100 ms apart were one outage however long they went on, and an outage counts only against what ran on most of its servers: neither of two poison segments did, and the first segment of all prompts was held in their place. The new test fails so on the code before. Change: an outage lasts 100 ms from its first crash; what is held explains also those of its crashes that do not count against it.

--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -49,9 +49,7 @@
 /// outage rather than the effect of one request.
 const MIN_OUTAGE_SERVERS: usize = 3;
 
-/// Weight of a crash against a segment, where a survival weighs 1 in its favour. The ratio of the log-likelihoods
-/// of both outcomes for a segment that crashes a third of the servers it begins on, against one that is beside a
-/// crash in a twentieth of its starts.
+/// Weight of a crash against a segment, where a survival weighs 1 in its favour.
 const CRASH_WEIGHT: i64 = 6;
 
 /// Weight from which a suspect is quarantined: three crashes with at most two survivals.
@@ -322,7 +320,8 @@
         let mut unexplained = self.suspects();
         let mut poison = BTreeSet::new();
         while let Some(worst) = self.worst(&unexplained) {
-            unexplained.retain(|it| !it.suspects.contains(worst));
+            // Also the crashes of an outage that do not count against it.
+            unexplained.retain(|it| !it.crash.suspects.contains(worst));
             poison.insert(worst.clone());
         }
         poison
@@ -367,9 +366,8 @@
     fn suspects(&self) -> Vec<SuspectedCrash<'_>> {
         let mut ordered: Vec<&Crash> = self.crashes.iter().collect();
         ordered.sort_by(|a, b| (&a.data_centre, a.at).cmp(&(&b.data_centre, b.at)));
-        let in_same_outage =
-            |a: &&Crash, b: &&Crash| a.data_centre == b.data_centre && b.at - a.at < OUTAGE_WINDOW;
-        ordered.chunk_by(in_same_outage).flat_map(suspects_in_group).collect()
+        let by_data_centre = ordered.chunk_by(|a, b| a.data_centre == b.data_centre);
+        by_data_centre.flat_map(moments).flat_map(suspects_in_group).collect()
     }
 }
 
@@ -377,20 +375,25 @@
 /// crash at the same moment under requests that have nothing to do with each other count as one: what they have in
 /// common may be an outage, and prompts with the segment were waiting on each of them.
 fn separate(crashes: &[&Crash]) -> Vec<Instant> {
-    let mut counted = Vec::with_capacity(crashes.len());
-    let mut rest = crashes;
-    while let [first, ..] = rest {
-        // Counted from the first crash, so that crashes that go on without a pause are not one group for ever.
-        let is_same_moment = |crash: &&Crash| crash.at - first.at < OUTAGE_WINDOW;
-        let (group, later) = rest.split_at(rest.partition_point(is_same_moment));
+    let counted = moments(crashes).flat_map(|group| {
         // A request that was sent on from one server to the next crashed both.
         let unrelated = group.windows(2).filter(|pair| !have_common_request(pair[0], pair[1]));
         let is_outage = 1 + unrelated.count() >= MIN_OUTAGE_SERVERS;
-        let counting = if is_outage { &group[..1] } else { group };
-        counted.extend(counting.iter().map(|crash| crash.at));
+        if is_outage { &group[..1] } else { group }
+    });
+    counted.map(|crash| crash.at).collect()
+}
+
+/// Splits crashes, which are in the order of time, into groups that happened at the same moment. Each lasts from its first
+/// crash, so that crashes that go on without a pause are not one group for ever.
+fn moments<'a, 'b>(mut rest: &'b [&'a Crash]) -> impl Iterator<Item = &'b [&'a Crash]> {
+    std::iter::from_fn(move || {
+        let first = rest.first()?;
+        let end = rest.partition_point(|crash| crash.at - first.at < OUTAGE_WINDOW);
+        let (group, later) = rest.split_at(end);
         rest = later;
-    }
-    counted
+        Some(group)
+    })
 }
 
 fn have_common_request(a: &Crash, b: &Crash) -> bool {
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -210,6 +210,24 @@
     assert_eq!(fleet.held(), [segment(POISON)]);
 }
 
+/// Two poison segments crash servers of one data centre every 40 ms in turn, without a pause.
+#[test]
+fn two_segments_that_crash_servers_of_one_data_centre_in_turn_are_held() {
+    let mut fleet = Fleet::new(3);
+    fleet.answer(0, &[FIRST, 0xa1]);
+    for number in 0..24 {
+        fleet.now += Duration::from_millis(40);
+        let segments = [FIRST, if number % 2 == 0 { POISON } else { 0xbee }];
+        let own = request(number + 50);
+        let suspects = segments.iter().map(|id| segment(*id)).chain([own]).collect();
+        fleet.answer(usize::from(number) % 3, &[FIRST, 0xa1]);
+        fleet.crash_in(usize::from(number) % 3, "a", suspects);
+    }
+    fleet.beat();
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON), segment(0xbee)]);
+}
+
 /// The crashes that count are those since the segment has become harmful.
 #[test]
 fn segment_that_was_sound_for_long_is_held_once_it_crashes_servers() {
