--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -202,12 +202,12 @@
         });
     }
 
-    /// The requests that are kept from all servers, as this process's replica has them.
+    /// What is quarantined, as this process's replica has them.
     pub fn quarantine(&self) -> Arc<QuarantinedSuspects> {
         self.quarantine.load_full()
     }
 
-    /// Takes the requests that are kept from all servers.
+    /// Takes what is quarantined.
     pub fn put_quarantine(&self, quarantine: Arc<QuarantinedSuspects>) {
         self.quarantine.store(quarantine);
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -65,7 +65,7 @@
     /// Replaces the noted spot outages.
     #[serde(rename = "note_spells")]
     NoteOutages(OutageHistories),
-    /// Quarantines requests that crash their servers, or releases some.
+    /// Quarantines requests and prompt segments that crash their servers, or releases some.
     ChangeQuarantine(QuarantineChange),
     /// Reads the notes, linearizably.
     ReadNotes,
@@ -106,7 +106,7 @@
     /// Answers [`Command::NoteLow`], [`Command::NoteRelays`], [`Command::NoteEngines`],
     /// [`Command::NoteOutages`] and [`Command::ReadNotes`].
     Notes(Notes),
-    /// Answers [`Command::ChangeQuarantine`]: all quarantined requests.
+    /// Answers [`Command::ChangeQuarantine`]: everything that is quarantined.
     Quarantine(Arc<QuarantinedSuspects>),
     /// Answers [`Command::OrderRollout`].
     OrderRollout(Box<OrderReply>),
@@ -212,7 +212,7 @@
         &self.rollouts
     }
 
-    /// The quarantined requests, which are sent to no backend server.
+    /// The quarantined requests and prompt segments, which are sent to no backend server.
     pub fn quarantine(&self) -> &Arc<QuarantinedSuspects> {
         &self.quarantine
     }
