--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,9 +5,11 @@
 
 mod extra;
 mod http;
+mod release;
 mod replaced;
 mod server;
 mod system;
+mod versions;
 
 use std::process::exit;
 use std::thread;
@@ -37,6 +39,8 @@
     let running = thread::spawn(move || match case.as_str() {
         "extra" => extra::run(&folder),
         "replaced" => replaced::run(&folder),
+        "release" => release::run(&folder),
+        "versions" => versions::run(&folder),
         _ => Outcome::CouldNotRun,
     });
     let steps = LIMIT.as_millis() / 50;
