Group: a learner gets the vote of a voter that is gone, or that stops, at once

Cause: a voter that was gone kept its vote until the leader had not heard it for 6 s, counted anew by each leader, beside a level learner; a replica that was asked to stop kept it as well. The next loss met a list of five voters of which two were gone. Ruled out: learners that were not level (they were promoted at once when allowed), refused changes (no line of one).

Change: decide/membership. A level learner is promoted once a voter is silent for 1 s or says that it stops; the voter is removed afterwards, if it is still doubted. A replica that stops says so in its answers and ends once it has no vote, after 4 s at most. A joining replica asks the leader first that the newest answer names; learners that are gone are removed. The leader tells how many losses the group bears (gauge emberturn_tolerated_losses, group_tolerance_low).

Conclusion: the group's tolerance is that of its voters' list, so the list has to follow its machines.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -108,6 +108,7 @@
     requests: AtomicUsize,
     work_waiting: AtomicBool,
     voters: AtomicUsize,
+    tolerated_losses: ArcSwap<Option<usize>>,
     leading: watch::Sender<Option<Term>>,
     /// What is known of backend servers.
     pub fleet: Fleet,
@@ -134,6 +135,7 @@
             requests: AtomicUsize::new(0),
             work_waiting: AtomicBool::new(false),
             voters: AtomicUsize::new(0),
+            tolerated_losses: ArcSwap::default(),
             leading: watch::Sender::new(None),
             fleet: Fleet::default(),
             boxes: ArcSwap::default(),
@@ -370,6 +372,16 @@
         self.voters.store(voters, atomic::Ordering::Relaxed);
     }
 
+    /// How many more voters may be lost at once, as this leader sees it; `None` elsewhere.
+    pub fn tolerated_losses(&self) -> Option<usize> {
+        **self.tolerated_losses.load()
+    }
+
+    /// Notes how many more voters may be lost at once. Returns whether that is a change.
+    pub fn note_tolerated_losses(&self, losses: Option<usize>) -> bool {
+        *self.tolerated_losses.swap(Arc::new(losses)) != losses
+    }
+
     /// Notes in which term this process's replica leads, as it last found.
     pub fn note_leading(&self, term: Option<Term>) {
         self.leading.send_if_modified(|held| std::mem::replace(held, term) != term);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -36,6 +36,7 @@
 //! - [`orders`]: ordered engines that the platform's list does not show yet.
 //! - [`spend`]: how many engines of which kind each service gets, and where.
 //! - [`intervals`]: how often boxes report to the leader and look for a lost one.
+//! - [`membership`]: which voters of the replicated group are replaced, and by which learners.
 //! - [`nearest`]: from which replica a box follows the configuration.
 //! - [`report_delta`]: incremental reports of a box to the leader.
 //! - [`throttle`], [`limit_leases`]: the request limits that backend servers announce, at a box and over all boxes.
@@ -60,6 +61,7 @@
 pub mod limit_leases;
 pub mod lives;
 pub mod loads;
+pub mod membership;
 pub mod memory;
 pub mod nearest;
 pub mod orders;
--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -2,7 +2,7 @@
 //!
 //! 1. The node says that it is leaving and is not ready; the platform's balancer gets time to see
 //!    that, and callers that still come are served.
-//! 2. New requests are refused as not run; those under way finish.
+//! 2. New requests are refused as not run; those under way finish. A replica's vote goes to a learner.
 //! 3. What outlasts the drain time and came under a key is handed over to a peer.
 //! 4. A planned stop waits for the rest to end. A reclaimed box has no such time: step 3 begins as
 //!    long before the end of its notice as the handing over may take.
@@ -42,7 +42,7 @@
         tokio::time::sleep_until(limits.refuse.into()).await;
     }
     node.close_connections();
-    wait_for_requests(node, limits.hand_over).await;
+    tokio::join!(node.hand_over_vote(), wait_for_requests(node, limits.hand_over));
     hand_over_rest(node).await;
     wait_for_requests(node, limits.end).await;
     tokio::time::sleep(LAST_BYTES).await;
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -263,7 +263,8 @@
         }
     }
 
-    fn remember(&self, leader: Option<BoxId>) {
+    /// Has the next call go to this replica first.
+    pub(crate) fn remember(&self, leader: Option<BoxId>) {
         *lock(&self.leader) = leader;
     }
 }
--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -136,6 +136,8 @@
     random: SmallRng,
     early: Vec<Envelope>,
     late: Vec<Envelope>,
+    /// Whether this process is about to stop.
+    stopping: bool,
 }
 
 impl Core {
@@ -172,6 +174,7 @@
             random,
             early: Vec::new(),
             late: Vec::new(),
+            stopping: false,
         };
         core.reset_deadline();
         core
@@ -238,6 +241,16 @@
         self.now.saturating_sub(progress.heard)
     }
 
+    /// Has the leader told that this replica is about to stop.
+    pub fn announce_stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Whether this replica is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
     /// What a leader knows of the others.
     pub fn progress(&self) -> &BTreeMap<BoxId, Progress> {
         &self.progress
@@ -385,7 +398,8 @@
             Message::Append(_) | Message::Install(_) => {
                 let index = self.log.last_index();
                 let clock = self.now;
-                let appended = Appended { matched: false, index, sent: 0, clock };
+                let stopping = self.stopping;
+                let appended = Appended { matched: false, index, sent: 0, clock, stopping };
                 self.send_late(to, self.hard.term, Message::Appended(appended));
             }
             Message::Vote { .. } | Message::Appended(_) | Message::Installing { .. } => {}
--- a/src/group/core/follow.rs
+++ b/src/group/core/follow.rs
@@ -65,7 +65,8 @@
     }
 
     fn answer_append(&mut self, to: (BoxId, Incarnation), matched: bool, index: Index, sent: u64) {
-        let appended = Appended { matched, index, sent, clock: self.now };
+        let stopping = self.stopping;
+        let appended = Appended { matched, index, sent, clock: self.now, stopping };
         self.send_late(to, self.hard.term, Message::Appended(appended));
     }
 
--- a/src/group/core/lead.rs
+++ b/src/group/core/lead.rs
@@ -150,6 +150,7 @@
         progress.heard = now;
         progress.acked = progress.acked.max(appended.sent);
         progress.clock = progress.clock.max(appended.clock);
+        progress.stopping = appended.stopping;
         let installing = matches!(progress.stream, Stream::Installing { .. });
         match appended.matched {
             true if installing && appended.index < covered => {}
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -81,6 +81,8 @@
     ChangeMembers(MemberChange, Port<Result<(), Unanswered>>),
     /// The first members of a new group.
     Form(Members, Port<Result<(), String>>),
+    /// Has the leader told that this replica is about to stop.
+    AnnounceStop,
     /// Asks for the replica's status.
     Status(Port<GroupStatus>),
     /// Asks for kept work, at the leader only.
@@ -218,6 +220,7 @@
             GroupMessage::Form(members, port) => {
                 let _ = port.send(state.core.form(members));
             }
+            GroupMessage::AnnounceStop => state.core.announce_stop(),
             GroupMessage::Status(port) => {
                 let _ = port.send(state.status());
                 return Ok(());
@@ -300,6 +303,8 @@
             Role::PreCandidate | Role::Candidate => "candidate",
         };
         let progress = self.core.progress().iter();
+        let stopping = progress.clone().filter(|(_, it)| it.stopping).map(|(id, _)| id);
+        let own = self.core.is_stopping().then_some(&self.identity.box_id);
         GroupStatus {
             box_id: self.identity.box_id.clone(),
             life: self.identity.life,
@@ -311,6 +316,7 @@
             commit: self.core.commit(),
             members: self.core.members().clone(),
             matched: progress.clone().map(|(id, it)| (id.clone(), it.matched)).collect(),
+            stopping: stopping.chain(own).cloned().collect(),
             silent: progress.map(|(id, it)| (id.clone(), self.core.silent_for(it))).collect(),
         }
     }
--- a/src/group/join.rs
+++ b/src/group/join.rs
@@ -3,12 +3,13 @@
 //!
 //! At the very first start the seeds name the first members: once all of them have answered who they
 //! are, each writes the same first entry. Every other replica, and every one that lost its disk, asks
-//! to be let in as a learner. The leader makes a level learner a voter while votes are missing, and
-//! lets a voter go that has been silent for long, but only when a level learner can take its place.
+//! to be let in as a learner. The leader carries out what [`GroupView`] decides. A replica that stops
+//! announces it, and waits a moment for a learner to get its vote.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use ractor::ActorRef;
 use ractor::rpc::CallResult;
@@ -17,10 +18,13 @@
 use super::access::Access;
 use super::driver::GroupMessage;
 use super::message::{MemberChange, Members};
-use crate::ids::BoxId;
+use crate::blackboard::Blackboard;
+use crate::decide::membership::{GroupView, MemberState, Step};
+use crate::ids::{BoxId, Incarnation};
 use crate::peer::method::GroupStatus;
 use crate::peer::{Peers, method};
 use crate::settings::GroupSettings;
+use crate::units::Millis;
 
 /// Time between two looks while the replica is no voter, or leads.
 const LOOK: Duration = Duration::from_millis(250);
@@ -34,9 +38,11 @@
 /// How long this process's own actor may take.
 const ACTOR_TIME: Duration = Duration::from_millis(2_000);
 
-/// How long a voter is silent before a level learner takes its place, in milliseconds. Longer than a
-/// restart takes.
-const SILENT_TIME: u64 = 6_000;
+/// How long a replica that stops waits for a learner to get its vote.
+const HAND_OVER_TIME: Duration = Duration::from_millis(4_000);
+
+/// Time between two looks at whether the vote was handed over.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What the joining needs.
 pub struct Joiner {
@@ -48,6 +54,8 @@
     pub peers: Peers,
     /// The settings of the group.
     pub settings: GroupSettings,
+    /// Where it is noted how many losses the group tolerates.
+    pub board: Arc<Blackboard>,
 }
 
 impl Joiner {
@@ -61,13 +69,49 @@
                 continue;
             };
             if own.role == "leader" {
-                self.mend(&own).await;
-            } else if !is_voter(&own.members, &own) || own.leader.is_none() {
+                // A member that is replaced takes two changes; the second one follows at once.
+                if self.mend(&own).await {
+                    timer.reset_immediately();
+                }
+                continue;
+            }
+            self.board.note_tolerated_losses(None);
+            let is_stopping = own.stopping.contains(&own.box_id);
+            if !is_stopping && (!is_voter(&own.members, &own) || own.leader.is_none()) {
                 self.join(&own).await;
             }
         }
     }
 
+    /// Announces that this replica stops, and waits until a learner has its vote, or no learner can get it.
+    pub async fn hand_over(&self) {
+        if self.replica.cast(GroupMessage::AnnounceStop).is_err() {
+            return;
+        }
+        let began = Instant::now();
+        while began.elapsed() < HAND_OVER_TIME {
+            let Some(own) = self.status().await else {
+                return;
+            };
+            let mut known = self.ask_others(&own).await;
+            known.push(own.clone());
+            let formed = known.iter().filter(|it| it.formed);
+            let Some(newest) = formed.max_by_key(|it| (it.term, it.commit)) else {
+                return;
+            };
+            if !is_voter(&newest.members, &own) {
+                tracing::info!(event = "vote_handed_over", box_id = %own.box_id);
+                return;
+            }
+            let voters = newest.members.voters.len();
+            if newest.members.learners.is_empty() && voters <= self.settings.voters() {
+                return;
+            }
+            tokio::time::sleep(HAND_OVER_INTERVAL).await;
+        }
+        tracing::warn!(event = "vote_not_handed_over");
+    }
+
     async fn status(&self) -> Option<GroupStatus> {
         match self.replica.call(GroupMessage::Status, Some(ACTOR_TIME)).await {
             Ok(CallResult::Success(status)) => Some(status),
@@ -89,6 +133,7 @@
             // The leader brings the log.
             return;
         }
+        self.access.remember(newest.leader.clone());
         match newest.members.incarnation(&own.box_id) {
             Some(life) if life == own.life => {}
             Some(life) => {
@@ -145,30 +190,48 @@
         }
     }
 
-    /// At the leader: one step towards a full set of voters that answer.
-    async fn mend(&self, own: &GroupStatus) {
-        let level = own.members.learners.keys().find(|id| is_level(own, id)).cloned();
-        let Some(learner) = level else {
-            return;
+    /// At the leader: one change towards a full set of voters that answer. Returns whether one was made.
+    async fn mend(&self, own: &GroupStatus) -> bool {
+        let view = view(own, self.settings.voters());
+        self.note_tolerance(&view);
+        let Some(step) = view.next_step() else {
+            return false;
         };
-        if own.members.voters.len() < self.settings.voters() {
-            tracing::info!(event = "replica_promoted", box_id = %learner);
-            self.change(MemberChange::Promote(learner)).await;
+        self.access.remember(Some(own.box_id.clone()));
+        match step {
+            Step::Promote { learner, doubted } => {
+                let doubted = doubted.as_ref().map(tracing::field::display);
+                tracing::info!(event = "replica_promoted", box_id = %learner, doubted);
+                self.change(MemberChange::Promote(learner)).await
+            }
+            Step::Remove { member, cause } => {
+                let silent_ms = own.silent.get(&member);
+                tracing::warn!(event = "replica_removed", box_id = %member, %cause, silent_ms);
+                self.change(MemberChange::Remove(member)).await
+            }
+        }
+    }
+
+    /// Notes how many more voters may be lost, with a line when that changes.
+    fn note_tolerance(&self, view: &GroupView) {
+        let losses = view.tolerated_losses();
+        if !self.board.note_tolerated_losses(Some(losses)) {
             return;
         }
-        let voters = own.members.voters.keys().filter(|id| **id != own.box_id);
-        let silent = |id: &BoxId| own.silent.get(id).copied().unwrap_or(0);
-        let gone = voters.max_by_key(|id| silent(id)).filter(|id| silent(id) > SILENT_TIME);
-        if let Some(gone) = gone.cloned() {
-            tracing::warn!(event = "silent_replica_removed", box_id = %gone, in_favour = %learner);
-            self.change(MemberChange::Remove(gone)).await;
+        let (wanted, voters) = (self.settings.failures, view.voters.len());
+        if losses < wanted as usize {
+            tracing::warn!(event = "group_tolerance_low", losses, wanted, voters);
+        } else {
+            tracing::info!(event = "group_tolerance", losses, wanted, voters);
         }
     }
 
-    async fn change(&self, change: MemberChange) {
-        if self.access.change_members(&change, CHANGE_TIME).await.is_err() {
+    async fn change(&self, change: MemberChange) -> bool {
+        let changed = self.access.change_members(&change, CHANGE_TIME).await.is_ok();
+        if !changed {
             tracing::warn!(event = "members_unchanged", ?change);
         }
+        changed
     }
 }
 
@@ -183,9 +246,18 @@
     Members { voters, ..Members::default() }
 }
 
-/// Whether a learner holds all that is committed and answers.
-fn is_level(own: &GroupStatus, learner: &BoxId) -> bool {
-    let matched = own.matched.get(learner).is_some_and(|index| *index >= own.commit);
-    let answers = own.silent.get(learner).is_some_and(|silent| *silent < SILENT_TIME / 4);
-    matched && answers
+/// The group as its leader sees it.
+fn view(own: &GroupStatus, size: usize) -> GroupView {
+    let state = |id: &BoxId| {
+        let is_own = *id == own.box_id;
+        let silent = own.silent.get(id).copied().unwrap_or(0);
+        let matched = own.matched.get(id).is_some_and(|index| *index >= own.commit);
+        let stopping = own.stopping.contains(id);
+        MemberState { silent: Millis(silent), level: is_own || matched, stopping }
+    };
+    let states = |members: &BTreeMap<BoxId, Incarnation>| {
+        members.keys().map(|id| (id.clone(), state(id))).collect()
+    };
+    let members = &own.members;
+    GroupView { voters: states(&members.voters), learners: states(&members.learners), size }
 }
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -223,6 +223,9 @@
     pub sent: u64,
     /// The answerer's own clock, in milliseconds.
     pub clock: u64,
+    /// Whether the answerer is about to stop.
+    #[serde(default)]
+    pub stopping: bool,
 }
 
 /// A piece of a snapshot.
--- a/src/group/progress.rs
+++ b/src/group/progress.rs
@@ -43,6 +43,8 @@
     pub sent: u64,
     /// When the replica last answered at all, on the leader's clock.
     pub heard: u64,
+    /// Whether the replica has said that it is about to stop.
+    pub stopping: bool,
 }
 
 impl Progress {
@@ -57,6 +59,7 @@
             clock: 0,
             sent: 0,
             heard: now,
+            stopping: false,
         }
     }
 
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -84,19 +84,28 @@
 
     /// Has a replica that knows only seeds find its group.
     pub(super) fn start_joining(self: &Arc<Self>) {
-        let Some(replica) = self.access.local().cloned() else {
-            return;
-        };
-        if !self.access.directory().is_seeded() {
-            return;
+        if let Some(joiner) = self.joiner() {
+            tokio::spawn(joiner.run());
+        }
+    }
+
+    /// Has a learner take the vote of this process's replica, where there is one.
+    pub(crate) async fn hand_over_vote(&self) {
+        if let Some(joiner) = self.joiner() {
+            joiner.hand_over().await;
         }
-        let joiner = Joiner {
+    }
+
+    /// What finds the group of a replica that knows only seeds.
+    fn joiner(&self) -> Option<Joiner> {
+        let replica = self.access.local()?.clone();
+        self.access.directory().is_seeded().then(|| Joiner {
             replica,
             access: self.access.clone(),
             peers: self.peers.clone(),
             settings: self.settings.group.clone(),
-        };
-        tokio::spawn(joiner.run());
+            board: self.board.clone(),
+        })
     }
 }
 
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -1,6 +1,6 @@
 //! The methods nodes and operators call, by name, with their types.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -213,6 +213,9 @@
     /// At the leader: for how long each other member has not answered, in milliseconds.
     #[serde(default)]
     pub silent: BTreeMap<BoxId, u64>,
+    /// The members that have announced that they stop; the others are known at the leader only.
+    #[serde(default)]
+    pub stopping: BTreeSet<BoxId>,
 }
 
 /// A node's state, for operators.
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -21,6 +21,7 @@
     behind: Gauge<u64>,
     leading: Gauge<u64>,
     voters: Gauge<u64>,
+    tolerated_losses: Gauge<u64>,
     requests: Gauge<u64>,
     list_term: Gauge<u64>,
     list_place: Gauge<u64>,
@@ -61,6 +62,10 @@
             behind: count("emberturn_boxes_behind", "At the leader: boxes with an older document"),
             leading: count("emberturn_leading_term", "Term this replica leads in; 0: it does not"),
             voters: count("emberturn_voters", "Voters of the group, as this replica knows them"),
+            tolerated_losses: count(
+                "emberturn_tolerated_losses",
+                "At the leader: voters that may be lost at once beside those that do not answer",
+            ),
             requests: count("emberturn_requests_under_way", "Requests under way"),
             list_term: count("emberturn_list_term", "Term of the leader whose list is held"),
             list_place: count("emberturn_list_place", "Place of that list among the leader's"),
@@ -121,6 +126,9 @@
         }
         self.leading.record(board.leading().map_or(0, |term| term.0), &[]);
         self.voters.record(board.voters() as u64, &[]);
+        if let Some(losses) = board.tolerated_losses() {
+            self.tolerated_losses.record(losses as u64, &[]);
+        }
         self.requests.record(board.requests() as u64, &[]);
         let reason = |name: &'static str| [KeyValue::new("reason", name)];
         self.lines.record(logs::dropped() as u64, &reason("queue_full"));
--- a/tests/core/world.rs
+++ b/tests/core/world.rs
@@ -225,7 +225,9 @@
             if self.cut.contains(&(envelope.from.clone(), envelope.to.clone())) {
                 continue;
             }
-            let one = self.boxes.get_mut(&envelope.to).unwrap();
+            let Some(one) = self.boxes.get_mut(&envelope.to) else {
+                continue;
+            };
             let clock = now + one.offset;
             if let Some(core) = &mut one.core {
                 core.step(clock, envelope);
@@ -439,3 +441,7 @@
         }
     }
 }
+
+#[allow(dead_code, reason = "only the tests of membership use it")]
+#[path = "replacing.rs"]
+pub mod replacing;
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -112,6 +112,25 @@
     assert_eq!(system.read(6).await["version"], 2);
 }
 
+/// Guards against a group that loses its majority for good: a replica that was stopped kept its vote beside the one
+/// that had come in its place.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_may_be_lost_as_soon_as_a_replaced_leader_has_ended() {
+    let mut system = System::start(0).await;
+    system.publish(1, &document(2, &usual_routes())).await;
+    let leader = system.leader().await;
+    let from = system.logged(leader);
+    system.launch(6, "replica").await;
+    system.wait_line(leader, from, &["event=group_members", "voters=5 learners=1"]).await;
+    system.signal(leader, "TERM");
+    assert_eq!(system.ended(leader).await, Some(0));
+    let others: Vec<_> = (1..=5).filter(|place| *place != leader).collect();
+    system.kill(others[0]).await;
+    system.kill(others[1]).await;
+    system.publish(6, &document(5, &usual_routes())).await;
+    assert_eq!(system.read(others[2]).await["version"], 5);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn document_that_is_not_valid_is_refused_and_the_held_one_stays() {
     let system = System::start(0).await;
