Relay: an answer is read only once it is known whose it is

Cause: a server sends the copy of an earlier refusal in the place where the next answer is due. The relay read "not run" and 421, and what the head says of load, pauses, limits and leaving, before it looked at the id that the answer names.

Change: relay/call::Reply gives its head only to who says what the reply is to answer. Another's answer, or one without an id that is not the first on its connection, leaves the request unknown and closes the connection; nothing of it is recorded. The same where another box sends the request. The reply to a request to stop a run is read on a connection of its own. New line answer_foreign. Ruled out: answers off by one (no series of wrong answers), retries of broken connections (the second server's run follows a refusal each time).

Conclusion: whose an answer is comes before all else in it.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -120,6 +120,11 @@
 }
 
 impl Exchange {
+    /// Whether no other answer can have been due on the connection. A box that forwards an answer vouches for it.
+    pub fn is_first(&self) -> bool {
+        self.connect.is_some() || self.lease.is_some()
+    }
+
     /// Has the bytes of the body counted as they come.
     pub fn count_into(&mut self, counter: Arc<AtomicU64>) {
         self.counter = counter;
@@ -171,11 +176,6 @@
         }
     }
 
-    /// Has the connection closed behind the answer, as what follows on it can't be relied on.
-    pub fn close_after(&mut self) {
-        self.home = None;
-    }
-
     fn count(&self, bytes: usize) {
         self.counter.fetch_add(bytes as u64, Ordering::Relaxed);
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -10,7 +10,7 @@
 use tracing::field;
 
 use super::Relay;
-use super::call::{Call, KvCacheExport, ReplyHead, SendContext, ServerLoad};
+use super::call::{Call, KvCacheExport, NamedRequest, ReplyHead, SendContext, ServerLoad};
 use super::ends;
 use super::known::KnownServer;
 use super::reach;
@@ -98,9 +98,6 @@
     if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return ReplyClass::NotRun;
     }
-    if !head.matches_request {
-        return ReplyClass::Invalid("the answer belongs to another request");
-    }
     if status.is_success() {
         return match (head.signed, encoded) {
             (true, false) => ReplyClass::Forward,
@@ -175,7 +172,14 @@
         }
     };
     log_proxy(call, known, &exchange);
-    let head = relay.context.dialect.read_reply(call, exchange.status, &exchange.headers);
+    let reply = relay.context.dialect.read_reply(call, exchange.status, &exchange.headers);
+    // Dropping the exchange closes the connection, on which the answer to this call is still due.
+    let Some(head) = reply.to_call(&exchange) else {
+        log_foreign(call, known, &exchange, reply.named);
+        record_failed_answer(relay, known, route);
+        let detail = format!("{}: the answer belongs to another request", known.server.id);
+        return Err(SendFailure::unknown(Kind::BackendInvalid, detail));
+    };
     record_reply(relay, known, exchange.status, &head);
     let encoded = exchange.headers.contains_key(hyper::header::CONTENT_ENCODING);
     match classify_reply(exchange.status, &head, encoded) {
@@ -280,6 +284,19 @@
     }
 }
 
+/// Logs a reply that came in the place of the one to a call.
+pub(super) fn log_foreign(
+    call: &Call,
+    known: &KnownServer,
+    exchange: &Exchange,
+    named: NamedRequest,
+) {
+    tracing::warn!(
+        event = "answer_foreign", id = call.head.id, backend_server = %known.server.id,
+        status = exchange.status.as_u16(), ?named,
+    );
+}
+
 /// Logs which box forwarded a request, within the log's volume limit.
 fn log_proxy(call: &Call, known: &KnownServer, exchange: &Exchange) {
     if let Some(lease) = exchange.lease.as_ref().filter(|_| volume::allows_ordinary()) {
@@ -308,7 +325,7 @@
 /// earlier limit has ended.
 fn record_limit(relay: &Relay, known: &KnownServer, head: &ReplyHead) {
     let names_no_limit = head.limit_notice == LimitNotice::None;
-    if names_no_limit && (!(head.matches_request && head.signed) || relay.throttles().is_empty()) {
+    if names_no_limit && (!head.signed || relay.throttles().is_empty()) {
         return;
     }
     let server = known.key();
@@ -328,7 +345,7 @@
 fn record_brittle(relay: &Relay, known: &KnownServer, head: &ReplyHead) {
     let mut brittle = relay.brittle();
     let limit = head.rejection_limit;
-    if limit.is_none() && (!(head.matches_request && head.signed) || brittle.is_empty()) {
+    if limit.is_none() && (!head.signed || brittle.is_empty()) {
         return;
     }
     let (key, service) = (known.key(), &known.server.service);
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Method};
 use sha2::{Digest, Sha256};
 
+use crate::backend::Exchange;
 use crate::decide::throttle::LimitNotice;
 use crate::ids::{BackendId, Fingerprint, Incarnation, SegmentKey, ServiceName, TeamName};
 
@@ -195,11 +196,53 @@
     pub handle: Option<String>,
 }
 
+/// Which request a backend server's reply names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NamedRequest {
+    /// The one that was sent.
+    Sent,
+    /// Another one.
+    Other,
+    /// None.
+    None,
+}
+
+/// A backend server's reply. A server may send a copy of an earlier reply in the place where the next one is due, so
+/// the head can be read only once it is known which request the reply answers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reply {
+    /// The request that it names.
+    pub named: NamedRequest,
+    head: ReplyHead,
+}
+
+impl Reply {
+    /// A reply with its head.
+    pub fn new(named: NamedRequest, head: ReplyHead) -> Self {
+        Self { named, head }
+    }
+
+    /// The head, if this answers the call that was sent. A reply without an id may be an earlier one unless it is the
+    /// first on its connection, and is never an answer with content.
+    pub fn to_call(self, exchange: &Exchange) -> Option<ReplyHead> {
+        let is_own = match self.named {
+            NamedRequest::Sent => true,
+            NamedRequest::Other => false,
+            NamedRequest::None => exchange.is_first() && !exchange.status.is_success(),
+        };
+        is_own.then_some(self.head)
+    }
+
+    /// The head, if this answers a request that was sent without an id: only a new connection shows that.
+    pub fn to_unnamed(self, exchange: &Exchange) -> Option<ReplyHead> {
+        let is_own = exchange.is_first() && self.named != NamedRequest::Other;
+        is_own.then_some(self.head)
+    }
+}
+
 /// The interpreted head of a backend server's reply.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReplyHead {
-    /// Whether the reply belongs to the request that was sent.
-    pub matches_request: bool,
     /// Whether the backend server signed its reply.
     pub signed: bool,
     /// Whether the backend server reports that it did not run the request.
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use super::Relay;
-use super::attempt::record_reply;
+use super::attempt::{log_foreign, record_reply};
 use super::call::Call;
 use super::hop::{self, HopAction, HopFault, HopReply, HopRequest};
 use super::keeping::{RequestReservation, read_body};
@@ -133,12 +133,13 @@
     let sent =
         relay.context.pool.send(known.server.addr, to_request(&call), call.time_left(), hop.reuse);
     let sent = flight.unless_restarted(sent).await.flatten();
-    let mut exchange = sent.map_err(|fault| explain(relay, &known, &fault))?;
+    let exchange = sent.map_err(|fault| explain(relay, &known, &fault))?;
     reach::record_direct(relay, &known, &exchange);
-    let head = relay.context.dialect.read_reply(&call, exchange.status, &exchange.headers);
-    if !head.matches_request {
-        exchange.close_after();
-    }
+    let reply = relay.context.dialect.read_reply(&call, exchange.status, &exchange.headers);
+    let Some(head) = reply.to_call(&exchange) else {
+        log_foreign(&call, &known, &exchange, reply.named);
+        return Err(HopFault::Broke);
+    };
     record_reply(relay, &known, exchange.status, &head);
     let answer = ForwardedAnswer {
         relay: relay.clone(),
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use super::Relay;
-use super::attempt::StartState;
+use super::attempt::{StartState, log_foreign};
 use super::attempts::CallAttempts;
 use super::call::{Call, KvCacheExport, MoveReply};
 use super::export::{ExportReply, StopOutcome, StreamEnd, read_until_stopped};
@@ -249,11 +249,16 @@
     };
     request.headers_mut().extend(headers);
     let answered = async {
-        let exchange = reach::send(relay, source, request, limit, Reuse::Any).await?;
+        // The request has no id that its reply could name, so the reply must be the first on its connection.
+        let exchange = reach::send(relay, source, request, limit, Reuse::Never).await?;
         let status = exchange.status;
-        let head = relay.context.dialect.read_reply(call, status, &exchange.headers);
+        let reply = relay.context.dialect.read_reply(call, status, &exchange.headers);
+        let Some(head) = reply.to_unnamed(&exchange) else {
+            log_foreign(call, source, &exchange, reply.named);
+            return Err(SendFault::Broke("the reply belongs to another request".to_owned()));
+        };
         let body = exchange.read_whole(MAX_REPLY_BYTES, limit).await?;
-        Ok::<_, SendFault>((status, head.not_run, body))
+        Ok((status, head.not_run, body))
     };
     match answered.await {
         Ok((status, not_run, body)) => {
