Relay: a refusal without an id is believed, and its connection is not used again

But a copy repeats an earlier answer of its connection, so one without an id can come only where a refusal without an id came before.

Change: such a refusal is the request's own, and its connection is closed behind it; the same after a report or a request to stop a run that fails.

Conclusion: as strict for copies, and true refusals stay refusals.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -125,6 +125,11 @@
         self.connect.is_some() || self.lease.is_some()
     }
 
+    /// Has the connection closed behind the answer, as a copy of it could come in the place of the next one.
+    pub fn close_after(&mut self) {
+        self.home = None;
+    }
+
     /// Has the bytes of the body counted as they come.
     pub fn count_into(&mut self, counter: Arc<AtomicU64>) {
         self.counter = counter;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -158,7 +158,7 @@
         false => Reuse::Rested(MAX_IDLE_TIME),
     };
     let sent = reach::send(relay, known, request, limit, reuse).await;
-    let exchange = match sent {
+    let mut exchange = match sent {
         Ok(exchange) => count_exchange(relay, call, known, exchange),
         Err(fault) => {
             record_fault(relay, known, fault == SendFault::TimedOut);
@@ -174,7 +174,7 @@
     log_proxy(call, known, &exchange);
     let reply = relay.context.dialect.read_reply(call, exchange.status, &exchange.headers);
     // Dropping the exchange closes the connection, on which the answer to this call is still due.
-    let Some(head) = reply.to_call(&exchange) else {
+    let Some(head) = reply.to_call(&mut exchange) else {
         log_foreign(call, known, &exchange, reply.named);
         record_failed_answer(relay, known, route);
         let detail = format!("{}: the answer belongs to another request", known.server.id);
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -222,19 +222,25 @@
         Self { named, head }
     }
 
-    /// The head, if this answers the call that was sent. A reply without an id may be an earlier one unless it is the
-    /// first on its connection, and is never an answer with content.
-    pub fn to_call(self, exchange: &Exchange) -> Option<ReplyHead> {
+    /// The head, if this answers the call that was sent. A refusal may come without an id. As a copy of it would have
+    /// none either, its connection is not used again.
+    pub fn to_call(self, exchange: &mut Exchange) -> Option<ReplyHead> {
         let is_own = match self.named {
             NamedRequest::Sent => true,
             NamedRequest::Other => false,
-            NamedRequest::None => exchange.is_first() && !exchange.status.is_success(),
+            NamedRequest::None => !exchange.status.is_success(),
         };
+        if self.named == NamedRequest::None {
+            exchange.close_after();
+        }
         is_own.then_some(self.head)
     }
 
     /// The head, if this answers a request that was sent without an id: only a new connection shows that.
-    pub fn to_unnamed(self, exchange: &Exchange) -> Option<ReplyHead> {
+    pub fn to_unnamed(self, exchange: &mut Exchange) -> Option<ReplyHead> {
+        if !exchange.status.is_success() {
+            exchange.close_after();
+        }
         let is_own = exchange.is_first() && self.named != NamedRequest::Other;
         is_own.then_some(self.head)
     }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -133,10 +133,10 @@
     let sent =
         relay.context.pool.send(known.server.addr, to_request(&call), call.time_left(), hop.reuse);
     let sent = flight.unless_restarted(sent).await.flatten();
-    let exchange = sent.map_err(|fault| explain(relay, &known, &fault))?;
+    let mut exchange = sent.map_err(|fault| explain(relay, &known, &fault))?;
     reach::record_direct(relay, &known, &exchange);
     let reply = relay.context.dialect.read_reply(&call, exchange.status, &exchange.headers);
-    let Some(head) = reply.to_call(&exchange) else {
+    let Some(head) = reply.to_call(&mut exchange) else {
         log_foreign(&call, &known, &exchange, reply.named);
         return Err(HopFault::Broke);
     };
--- a/src/relay/lives.rs
+++ b/src/relay/lives.rs
@@ -67,8 +67,11 @@
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(path);
     *request.headers_mut() = headers;
-    let exchange = reach::send(relay, known, request, REPORT_TIMEOUT, Reuse::Any).await?;
+    let mut exchange = reach::send(relay, known, request, REPORT_TIMEOUT, Reuse::Any).await?;
     let status = exchange.status;
+    if !status.is_success() {
+        exchange.close_after();
+    }
     let body = exchange.read_whole(MAX_REPORT_BYTES, REPORT_TIMEOUT).await?;
     Ok(if status.is_success() { relay.context.dialect.read_report(&body) } else { None })
 }
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -250,10 +250,10 @@
     request.headers_mut().extend(headers);
     let answered = async {
         // The request has no id that its reply could name, so the reply must be the first on its connection.
-        let exchange = reach::send(relay, source, request, limit, Reuse::Never).await?;
+        let mut exchange = reach::send(relay, source, request, limit, Reuse::Never).await?;
         let status = exchange.status;
         let reply = relay.context.dialect.read_reply(call, status, &exchange.headers);
-        let Some(head) = reply.to_unnamed(&exchange) else {
+        let Some(head) = reply.to_unnamed(&mut exchange) else {
             log_foreign(call, source, &exchange, reply.named);
             return Err(SendFault::Broke("the reply belongs to another request".to_owned()));
         };
