--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -13,7 +13,8 @@
 
 use super::heartbeat::{BoxHeartbeat, HeartbeatReply};
 use super::models::ModelsBroadcast;
-use super::rollouts::LeaderRollouts;
+use super::rollouts::{LeaderRollouts, SoleWord};
+use super::serving::ServingTracker;
 use super::spend::{Autoscaler, CostWeights};
 use crate::decide::allowance::{Grant, LEASE_DURATION, TeamDemand};
 use crate::decide::capacity::OfferedLoad;
@@ -22,6 +23,7 @@
 use crate::decide::limit_leases::{LimitLeases, ReportOrigin};
 use crate::decide::lives;
 use crate::decide::loads::{self, LoadPool};
+use crate::decide::origins::{MAX_LEADER_ORIGINS, StreamOrigins};
 use crate::decide::presence::{ABSENCE_TIMEOUT, RelayPresence};
 use crate::decide::proxy_directory::ProxyDirectory;
 use crate::decide::quarantine::{FleetQuarantine, QuarantineReport, QuarantineUpdate};
@@ -73,6 +75,8 @@
     offered: BTreeMap<ServiceName, OfferedLoad>,
     /// The usage counts and engine models merged from its delta reports.
     deltas: DeltaReceiver,
+    /// The services of which it knows that several releases may have begun streams.
+    shared: BTreeSet<ServiceName>,
 }
 
 /// Sums up what a team was refused and limits how often that is logged.
@@ -142,6 +146,9 @@
     limit_leases: LimitLeases,
     /// The boxes that send requests for others.
     pub(super) proxies: ProxyDirectory,
+    /// The streams that boxes began, of services with several releases.
+    pub(super) origins: StreamOrigins,
+    pub(super) serving: ServingTracker,
 }
 
 impl LeaderState {
@@ -175,6 +182,8 @@
             quarantine: FleetQuarantine::default(),
             limit_leases: LimitLeases::default(),
             proxies: ProxyDirectory::default(),
+            origins: StreamOrigins::new(MAX_LEADER_ORIGINS),
+            serving: ServingTracker::default(),
         }
     }
 
@@ -209,7 +218,15 @@
             tolerance,
         );
         let elapsed = self.started_at.elapsed().as_secs_f64();
-        let releases = self.rollouts.record_reports(elapsed, &key, &heartbeat.trials);
+        for report in heartbeat.streams {
+            let until = now + report.left.duration();
+            self.origins.record(report.key, report.origin, until, now);
+        }
+        let serving = &self.serving;
+        let word = |service: &ServiceName| serving.word(service);
+        let releases = self.rollouts.record_reports(elapsed, &key, &heartbeat.trials, word);
+        let mut shared = heartbeat.shared;
+        shared.retain(|service| serving.word(service) != SoleWord::Given);
         let last_heard = self.presence.record(&heartbeat.box_id, now);
         self.loads.record_samples(heartbeat.loads, now);
         self.record_samples(heartbeat.samples);
@@ -230,6 +247,7 @@
             document: heartbeat.document,
             offered: heartbeat.offered,
             deltas,
+            shared,
         };
         self.relay_states.insert(key, state);
         let relays = self.presence.estimated_relays(now);
@@ -495,6 +513,14 @@
         self.spender.due_orders(now, table, &self.models, &servers)
     }
 
+    /// For each incarnation of a relay, the services of which it knows that several releases may have begun streams,
+    /// and when it was heard last.
+    pub(super) fn relay_states(
+        &self,
+    ) -> impl Iterator<Item = (&BTreeSet<ServiceName>, Instant)> + '_ {
+        self.relay_states.values().map(|state| (&state.shared, state.received_at))
+    }
+
     /// Whether the group may store releases of a service: of each published one, and of up to
     /// [`MAX_UNPUBLISHED_SERVICES`] others, so that these serve as soon as they are published.
     fn may_store_releases(&mut self, service: &ServiceName) -> bool {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 //! - [`proxies`] has the leader assign the boxes through which a relay reaches servers that it does not reach itself.
 //! - [`quarantine`] handles operators' requests on quarantined requests.
 //! - [`rollouts`] handles operators' requests on rollouts, and advances the rollouts at the leader.
+//! - [`serving`] finds which releases serve without an order, and [`origins`] answers boxes which release began a stream.
 //! - [`load`] polls engines for their load.
 //! - [`boxlist`] polls the platform's box list.
 //! - [`share`] renews this node's shares of the teams' limits, and leases them out at the leader.
@@ -28,10 +29,12 @@
 pub(crate) mod load;
 pub(crate) mod models;
 pub(crate) mod notes;
+pub(crate) mod origins;
 pub(crate) mod proxies;
 pub(crate) mod publish;
 pub(crate) mod quarantine;
 pub(crate) mod rollouts;
+pub(crate) mod serving;
 pub(crate) mod share;
 pub(crate) mod spend;
 pub(crate) mod throttle;
--- a/src/control/rollouts.rs
+++ b/src/control/rollouts.rs
@@ -106,6 +106,17 @@
     }
 }
 
+/// The leader's word that only the release in force of a service has begun streams whose callers may come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SoleWord {
+    /// Boxes are told so.
+    Given,
+    /// Boxes are no longer told so, but some may still rely on it.
+    Ending,
+    /// No box relies on it.
+    Withdrawn,
+}
+
 /// The leader's state of all rollouts.
 #[derive(Default)]
 pub(super) struct LeaderRollouts {
@@ -149,23 +160,37 @@
         self.running().any(|it| it.order.service == *service && it.order.release == *release)
     }
 
+    /// The state that the group stores, if this leader has read it.
+    pub(super) fn book(&self) -> Option<&Arc<RolloutState>> {
+        self.book.as_ref()
+    }
+
     /// Records a box's trial reports and returns the release updates to answer with, or `None` until this leader
-    /// has read the stored state.
+    /// has read the stored state. `words` tells for a service what boxes are told and rely on.
     pub(super) fn record_reports(
         &mut self,
         now: f64,
         key: &(BoxId, Incarnation),
         reports: &BTreeMap<ServiceName, TrialReport>,
+        words: impl Fn(&ServiceName) -> SoleWord,
     ) -> Option<BTreeMap<ServiceName, ReleaseUpdate>> {
         let book = self.book.clone()?;
         let in_force = book.in_force.iter().map(|(service, release)| {
-            let update = ReleaseUpdate { in_force: Some(release.clone()), trial: None };
+            let update = ReleaseUpdate {
+                in_force: Some(release.clone()),
+                trial: None,
+                beside: book.beside.get(service).cloned().unwrap_or_default(),
+                is_sole: words(service) == SoleWord::Given,
+            };
             (service.clone(), update)
         });
         let mut updates: BTreeMap<_, _> = in_force.collect();
         for rollout in book.running() {
             let service = &rollout.order.service;
+            // A box that takes all streams for those of one release would continue one of the trial at that release.
+            let may_begin = words(service) == SoleWord::Withdrawn;
             let report = reports.get(service).filter(|report| report.ordered == rollout.ordered);
+            let report = report.filter(|_| may_begin);
             let permits = report.map_or(0, |report| self.grant(now, key, rollout, report));
             let trial = TrialGrant {
                 ordered: rollout.ordered,
@@ -257,16 +282,32 @@
     let applied = node.board.rollouts();
     node.with_lead(term, |lead| {
         let now = lead.started_at.elapsed().as_secs_f64();
-        match &lead.rollouts.book {
+        let is_new = match &lead.rollouts.book {
             None => return Some(Command::ReadRollouts),
-            Some(book) if !Arc::ptr_eq(book, &applied) => lead.rollouts.update(applied),
-            Some(_) => {}
+            Some(book) => !Arc::ptr_eq(book, &applied),
+        };
+        if is_new {
+            lead.rollouts.update(applied);
         }
+        lead.refresh_serving(is_new);
         if let Some(running) = lead.releases_to_store() {
             return Some(Command::NoteReleases(running));
         }
-        let list = &lead.list;
-        let is_ready = |order: &RolloutOrder| list.can_serve(&order.service, &order.release);
+        if let Some(serving) = lead.serving_to_store() {
+            for (service, it) in &serving {
+                let beside: Vec<_> = it.beside.iter().map(Release::as_str).collect();
+                tracing::info!(
+                    event = "releases_serving", %service, in_force = %it.in_force, beside = beside.join(","), term = %term,
+                );
+            }
+            return Some(Command::NoteServing(serving));
+        }
+        let (list, serving) = (&lead.list, &lead.serving);
+        // Nothing is noted as exposed while a box may take the trial's streams for those of the former release.
+        let is_ready = |order: &RolloutOrder| {
+            list.can_serve(&order.service, &order.release)
+                && serving.word(&order.service) == SoleWord::Withdrawn
+        };
         let (step, status) = lead.rollouts.due_step(now, UnixMillis::now().0, limit, is_ready)?;
         tracing::info!(
             event = "rollout_step", service = %step.service, phase = %step.phase, exposed = step.exposed,
--- /dev/null
+++ b/src/control/serving.rs
@@ -0,0 +1,214 @@
+//! The leader's view of which releases serve without an order: which ones the list shows beside the release in force,
+//! when they may get new requests, and which ones are gone.
+//!
+//! A release that the list shows gets new requests only once no box still takes all streams for those of one release.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use super::lead::LeaderState;
+use super::rollouts::SoleWord;
+use crate::decide::origins::{CLAIM_LIFETIME, Origin, OriginAnswer, StreamKey};
+use crate::ids::{Release, ServiceName};
+use crate::relay::table::Repeat;
+use crate::state::rollout::{Rollout, RolloutState, ServingReleases};
+use crate::units::UnixMillis;
+
+/// A caller comes back for a stream within this many times the longest timeout of a route.
+const RETURN_TIMEOUTS: u32 = 2;
+
+/// The longest time for which callers come back while no route is known.
+const UNKNOWN_RETURN_TIME: Duration = Duration::from_secs(60);
+
+/// Time between two looks at the list, which may have thousands of servers.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Which releases serve, as last found.
+#[derive(Debug, Default)]
+pub(crate) struct ServingTracker {
+    refreshed_at: Option<Instant>,
+    /// When each release of a service was listed last.
+    listed: BTreeMap<ServiceName, BTreeMap<Release, Instant>>,
+    /// What boxes are told and rely on.
+    words: BTreeMap<ServiceName, SoleWord>,
+    /// The services whose releases the group is to store.
+    changed: BTreeMap<ServiceName, ServingReleases>,
+}
+
+impl ServingTracker {
+    /// What boxes are told of a service, and rely on.
+    pub(super) fn word(&self, service: &ServiceName) -> SoleWord {
+        self.words.get(service).copied().unwrap_or(SoleWord::Ending)
+    }
+}
+
+/// How many servers run a release.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServerCount {
+    all: usize,
+    /// Those that are not leaving.
+    open: usize,
+}
+
+type ServerCounts = BTreeMap<ServiceName, BTreeMap<Release, ServerCount>>;
+
+impl LeaderState {
+    /// Looks at the list and at what boxes have reported, if that is due. `is_new` marks a changed state of the group.
+    pub(super) fn refresh_serving(&mut self, is_new: bool) {
+        let now = Instant::now();
+        let is_due = self.serving.refreshed_at.is_none_or(|at| now >= at + REFRESH_INTERVAL);
+        let Some(book) = self.rollouts.book().cloned().filter(|_| is_new || is_due) else {
+            return;
+        };
+        let counts = self.count_servers();
+        for (service, releases) in &counts {
+            let listed = self.serving.listed.entry(service.clone()).or_default();
+            listed.extend(releases.keys().map(|release| (release.clone(), now)));
+        }
+        let word = |service: &ServiceName| match self.is_sole(&book, &counts, service) {
+            true => SoleWord::Given,
+            false if self.is_withdrawn(&book, service, now) => SoleWord::Withdrawn,
+            false => SoleWord::Ending,
+        };
+        let words = book.in_force.keys().map(|service| (service.clone(), word(service))).collect();
+        let idle = book.in_force.keys().filter(|service| !is_rolled_out(&book, service));
+        let changed = idle.filter_map(|service| {
+            let serving = self.serving(&book, &counts, service, now)?;
+            Some((service.clone(), serving))
+        });
+        let changed = if self.list.is_empty() { BTreeMap::new() } else { changed.collect() };
+        self.serving.refreshed_at = Some(now);
+        (self.serving.words, self.serving.changed) = (words, changed);
+    }
+
+    /// The releases that serve, of services where these have changed without an order, to be stored by the group;
+    /// `None` if there is no such service.
+    pub(super) fn serving_to_store(&mut self) -> Option<BTreeMap<ServiceName, ServingReleases>> {
+        let changed = std::mem::take(&mut self.serving.changed);
+        (!changed.is_empty()).then_some(changed)
+    }
+
+    /// What this leader knows of the origin of a stream of a service.
+    pub(super) fn find_origin(&self, key: StreamKey, service: &ServiceName) -> OriginAnswer {
+        if let Some(origin) = self.origins.find(key, Instant::now()) {
+            return OriginAnswer::Known(Origin::clone(origin));
+        }
+        let book = self.rollouts.book();
+        let sole = book.filter(|book| self.is_admitted_alone(book, service));
+        match sole.and_then(|book| book.in_force.get(service)) {
+            Some(release) => OriginAnswer::Sole(release.clone()),
+            None => OriginAnswer::Unknown,
+        }
+    }
+
+    fn count_servers(&self) -> ServerCounts {
+        let mut flat: HashMap<(&ServiceName, &Release), ServerCount> = HashMap::new();
+        for server in self.list.servers() {
+            let count = flat.entry((&server.service, &server.release)).or_default();
+            count.all += 1;
+            count.open += usize::from(!server.leaving);
+        }
+        let mut counts = ServerCounts::new();
+        for ((service, release), count) in flat {
+            counts.entry(service.clone()).or_default().insert(release.clone(), count);
+        }
+        counts
+    }
+
+    /// Whether a release that is not listed has not been for as long as callers of its streams come back.
+    fn is_over(&self, service: &ServiceName, release: &Release, now: Instant) -> bool {
+        let releases = self.serving.listed.get(service);
+        let listed = releases.and_then(|releases| releases.get(release)).copied();
+        now >= listed.unwrap_or(self.started_at) + self.return_time()
+    }
+
+    /// For how long callers come back for a stream.
+    fn return_time(&self) -> Duration {
+        let Some(table) = &self.table else {
+            return UNKNOWN_RETURN_TIME;
+        };
+        let resumable = table.routes().filter(|route| route.repeat == Repeat::ResumableStream);
+        let longest = resumable.map(|route| route.timeout).max().unwrap_or_default();
+        longest * RETURN_TIMEOUTS
+    }
+
+    /// Whether the release in force is the only one that gets new requests, and streams of others are over.
+    fn is_admitted_alone(&self, book: &RolloutState, service: &ServiceName) -> bool {
+        let is_over = book.rollouts.get(service).is_none_or(|rollout| {
+            let end = rollout.ordered + rollout.order.time.0;
+            let return_time = self.return_time().as_millis() as u64;
+            rollout.phase.is_finished() && UnixMillis::now().0 >= end + return_time
+        });
+        is_over && book.admitted(service).count() == 1
+    }
+
+    /// Whether boxes are told that only the release in force has begun streams: the list shows no other one either.
+    fn is_sole(&self, book: &RolloutState, counts: &ServerCounts, service: &ServiceName) -> bool {
+        let others = |releases: &BTreeMap<Release, ServerCount>| {
+            releases.keys().any(|release| Some(release) != book.in_force.get(service))
+        };
+        self.is_admitted_alone(book, service) && !counts.get(service).is_some_and(others)
+    }
+
+    /// Whether no box relies on the word that only one release has begun streams: each knows better, or has not been
+    /// told so for as long as it may rely on it. That of a former leader has ended if that leader had several releases
+    /// used.
+    fn is_withdrawn(&self, book: &RolloutState, service: &ServiceName, now: Instant) -> bool {
+        let is_exposed = |rollout: &Rollout| !rollout.phase.is_finished() && rollout.exposed > 0;
+        let was_withdrawn = book.admitted(service).count() > 1
+            || book.rollouts.get(service).is_some_and(is_exposed);
+        let mut boxes = self.relay_states();
+        (was_withdrawn || now >= self.started_at + CLAIM_LIFETIME)
+            && boxes
+                .all(|(shared, heard)| shared.contains(service) || now >= heard + CLAIM_LIFETIME)
+    }
+
+    /// The releases that are to serve a service, if they differ from those that do.
+    fn serving(
+        &self,
+        book: &RolloutState,
+        counts: &ServerCounts,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Option<ServingReleases> {
+        let in_force = book.in_force.get(service)?;
+        let replaced = book.replaced.get(service).cloned().unwrap_or_default();
+        let empty = BTreeMap::new();
+        let listed = counts.get(service).unwrap_or(&empty);
+        let mut admitted: BTreeSet<Release> = book.admitted(service).cloned().collect();
+        let count = |release: &Release| listed.get(release).copied().unwrap_or_default();
+        let is_served = admitted.iter().any(|release| count(release).open > 0);
+        let may_begin = !is_served || self.is_withdrawn(book, service, now);
+        let open = listed.iter().filter(|(_, count)| count.open > 0);
+        let new = open.filter(|(release, _)| {
+            let is_refused = match is_served {
+                true => replaced.contains(*release),
+                false => book.is_rolled_back(service, release),
+            };
+            may_begin && !is_refused && !admitted.contains(*release)
+        });
+        let new: Vec<Release> = new.map(|(release, _)| Release::clone(release)).collect();
+        admitted.extend(new);
+        let most = admitted.iter().max_by_key(|release| count(release).open)?.clone();
+        let is_lost = count(in_force).all == 0 && count(&most).open > 0;
+        let next = if is_lost { most } else { in_force.clone() };
+        let keeps =
+            |release: &Release| count(release).all > 0 || !self.is_over(service, release, now);
+        let beside = admitted.into_iter().filter(|release| *release != next && keeps(release));
+        let beside: BTreeSet<_> = beside.collect();
+        let keeps_replaced =
+            |release: &Release| keeps(release) && *release != next && !beside.contains(release);
+        let replaced = replaced.into_iter().filter(|release| keeps_replaced(release)).collect();
+        let serving = ServingReleases { in_force: next, beside, replaced };
+        let held = ServingReleases {
+            in_force: in_force.clone(),
+            beside: book.beside.get(service).cloned().unwrap_or_default(),
+            replaced: book.replaced.get(service).cloned().unwrap_or_default(),
+        };
+        (serving != held).then_some(serving)
+    }
+}
+
+fn is_rolled_out(book: &RolloutState, service: &ServiceName) -> bool {
+    book.running().any(|rollout| rollout.order.service == *service)
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -23,6 +23,7 @@
 //!   any server.
 //! - [`exposure`], [`verdict`]: how many requests a release on trial may get, and whether it is bad;
 //!   [`releases`] and [`rollout`]: roll-outs at a box and at the leader.
+//! - [`origins`]: which release began a stream, for callers that come back for its rest.
 //! - [`presence`]: how many relays there are, as far as a leader knows.
 //! - [`retry_budgets`]: how many requests a relay may retry, by service.
 //! - [`lives`]: which incarnation a server is in, and when to check for a restart.
@@ -65,6 +66,7 @@
 pub mod memory;
 pub mod nearest;
 pub mod orders;
+pub mod origins;
 pub mod paths;
 pub mod pause;
 pub mod policy;
--- /dev/null
+++ b/src/decide/origins.rs
@@ -0,0 +1,192 @@
+//! Remembers which release began each stream. A caller that comes back for the rest of a stream names the request that
+//! brought its first event, and may reach any box, but only servers of that release can continue it.
+//!
+//! A box remembers the streams that began there. While several releases of a service may serve, it reports them to the
+//! leader, which answers the other boxes. This module does no I/O.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::ids::{Release, ServiceName, TeamName};
+use crate::units::Millis;
+
+/// The most streams that a box remembers.
+pub const MAX_BOX_ORIGINS: usize = 1 << 14;
+
+/// The most streams that the leader remembers.
+pub const MAX_LEADER_ORIGINS: usize = 1 << 17;
+
+/// The most streams in one report.
+pub const MAX_REPORTED: usize = 1_024;
+
+/// How long a box may rely on the leader's word that only one release of a service serves, counted from when it asked:
+/// two heartbeats of the largest fleet, and longer than an election. While a box is cut off, a release that nobody has
+/// used yet waits for as long.
+pub const CLAIM_LIFETIME: Duration = Duration::from_millis(4_500);
+
+/// Identifies a stream: the hash of its team and of the id of the request that brought its first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StreamKey(u128);
+
+impl StreamKey {
+    /// The key of the stream that a request of a team began.
+    pub fn new(team: Option<&TeamName>, request: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update(team.map_or("", TeamName::as_str));
+        hash.update([0]);
+        hash.update(request);
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hash.finalize()[..16]);
+        Self(u128::from_be_bytes(bytes))
+    }
+}
+
+impl fmt::Display for StreamKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+/// What began a stream.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Origin {
+    /// The service.
+    pub service: ServiceName,
+    /// The release of the server.
+    pub release: Release,
+}
+
+/// A box's report of a stream that began there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReport {
+    /// The stream.
+    pub key: StreamKey,
+    /// What began it.
+    pub origin: Origin,
+    /// For how long its caller may come back.
+    pub left: Millis,
+}
+
+#[derive(Debug)]
+struct Entry {
+    /// `None` if two streams of different origins have the key.
+    origin: Option<Arc<Origin>>,
+    until: Instant,
+    is_reported: bool,
+}
+
+/// The origins of streams, each until its caller comes back no more.
+#[derive(Debug)]
+pub struct StreamOrigins {
+    entries: BTreeMap<StreamKey, Entry>,
+    /// The origins of all entries: a few, each of many streams.
+    shared: BTreeSet<Arc<Origin>>,
+    expiry: BTreeSet<(Instant, StreamKey)>,
+    capacity: usize,
+}
+
+impl StreamOrigins {
+    /// Remembers at most `capacity` streams; beyond it those that expire first are removed.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            shared: BTreeSet::new(),
+            expiry: BTreeSet::new(),
+            capacity,
+        }
+    }
+
+    /// Records what began a stream. If that differs from what is known, the origin counts as unknown: the caller has
+    /// used an id twice.
+    pub fn record(&mut self, key: StreamKey, origin: Origin, until: Instant, now: Instant) {
+        self.remove_expired(now);
+        let origin = self.share(origin);
+        let entry = match self.entries.remove(&key) {
+            Some(known) => {
+                self.expiry.remove(&(known.until, key));
+                let is_same = known.origin.as_ref() == Some(&origin);
+                let until = known.until.max(until);
+                Entry { origin: is_same.then_some(origin), until, ..known }
+            }
+            None => Entry { origin: Some(origin), until, is_reported: false },
+        };
+        self.expiry.insert((entry.until, key));
+        self.entries.insert(key, entry);
+        if self.entries.len() > self.capacity
+            && let Some((_, first)) = self.expiry.pop_first()
+        {
+            self.entries.remove(&first);
+        }
+    }
+
+    /// What began a stream, if that is known.
+    pub fn find(&self, key: StreamKey, now: Instant) -> Option<&Origin> {
+        let entry = self.entries.get(&key).filter(|entry| now < entry.until)?;
+        entry.origin.as_deref()
+    }
+
+    fn share(&mut self, origin: Origin) -> Arc<Origin> {
+        if let Some(shared) = self.shared.get(&origin) {
+            return shared.clone();
+        }
+        // Those that no stream has any more are as few as the releases that come and go.
+        self.shared.retain(|shared| Arc::strong_count(shared) > 1);
+        let origin = Arc::new(origin);
+        self.shared.insert(origin.clone());
+        origin
+    }
+
+    /// Some of the streams that the leader has not been told of, of the services for which `is_asked` holds.
+    pub fn unreported(
+        &mut self,
+        is_asked: impl Fn(&ServiceName) -> bool,
+        now: Instant,
+    ) -> Vec<OriginReport> {
+        self.remove_expired(now);
+        let waiting = self.entries.iter().filter(|(_, entry)| !entry.is_reported);
+        let reports = waiting.filter_map(|(key, entry)| {
+            let origin = entry.origin.as_ref().filter(|origin| is_asked(&origin.service))?;
+            let left = entry.until.saturating_duration_since(now);
+            Some(OriginReport { key: *key, origin: Origin::clone(origin), left: left.into() })
+        });
+        reports.take(MAX_REPORTED).collect()
+    }
+
+    /// Records that the leader has these reports.
+    pub fn mark_reported(&mut self, reports: &[OriginReport]) {
+        for report in reports {
+            if let Some(entry) = self.entries.get_mut(&report.key) {
+                entry.is_reported = true;
+            }
+        }
+    }
+
+    /// Has everything reported again, as another leader knows nothing yet.
+    pub fn forget_reports(&mut self) {
+        self.entries.values_mut().for_each(|entry| entry.is_reported = false);
+    }
+
+    fn remove_expired(&mut self, now: Instant) {
+        while self.expiry.first().is_some_and(|(until, _)| *until <= now) {
+            if let Some((_, key)) = self.expiry.pop_first() {
+                self.entries.remove(&key);
+            }
+        }
+    }
+}
+
+/// The leader's word on a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginAnswer {
+    /// What began it.
+    Known(Origin),
+    /// It is not known, but only this release can have begun it.
+    Sole(Release),
+    /// Any of several releases may have begun it.
+    Unknown,
+}
--- a/src/decide/releases.rs
+++ b/src/decide/releases.rs
@@ -3,7 +3,7 @@
 //!
 //! The leader's side is [`super::rollout`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
@@ -33,6 +33,10 @@
     pub in_force: Option<Release>,
     /// The release on trial, if any.
     pub trial: Option<TrialGrant>,
+    /// Releases that get new requests beside the one in force.
+    pub beside: BTreeSet<Release>,
+    /// Whether only the release in force has begun streams whose callers may still come back.
+    pub is_sole: bool,
 }
 
 /// To what extent a box may use a release on trial.
@@ -57,6 +61,8 @@
 pub struct ReleaseChoice {
     /// Only servers of this release may take it. `None`: any server may, as no release is known.
     pub release: Option<Release>,
+    /// Releases whose servers may take it as well.
+    pub beside: BTreeSet<Release>,
     /// Whether the request uses up a permit.
     pub uses_permit: bool,
 }
@@ -64,7 +70,12 @@
 impl ReleaseChoice {
     /// Whether a server running `release` may take the request.
     pub fn takes(&self, release: &Release) -> bool {
-        self.release.as_ref().is_none_or(|it| it == release)
+        self.release.as_ref().is_none_or(|it| it == release) || self.beside.contains(release)
+    }
+
+    /// Only servers of this release.
+    fn only(release: Option<Release>, uses_permit: bool) -> Self {
+        Self { release, beside: BTreeSet::new(), uses_permit }
     }
 }
 
@@ -93,12 +104,24 @@
 #[derive(Debug, Default)]
 struct ServiceReleases {
     in_force: Option<Release>,
+    beside: BTreeSet<Release>,
+    /// Until when this box may rely on the leader's word that only the release in force has begun streams.
+    sole_until: Option<Instant>,
     /// The release that was rolled back last.
     rejected: Option<Release>,
     trial: Option<Trial>,
 }
 
 impl ServiceReleases {
+    /// The choice of a request that does not go to the release on trial.
+    fn former(&self) -> ReleaseChoice {
+        let mut beside = self.beside.clone();
+        if let Some(release) = self.trial.as_ref().and_then(|trial| trial.release.as_ref()) {
+            beside.remove(release);
+        }
+        ReleaseChoice { release: self.in_force.clone(), beside, uses_permit: false }
+    }
+
     /// Records the release in force, if the leader names one, and ends a trial other than the one ordered at
     /// `ordered`.
     fn update(&mut self, in_force: Option<Release>, ordered: Option<u64>) {
@@ -125,7 +148,7 @@
         let Some(releases) = self.services.get_mut(service) else {
             return ReleaseChoice::default();
         };
-        let former = ReleaseChoice { release: releases.in_force.clone(), uses_permit: false };
+        let former = releases.former();
         let Some(trial) = &mut releases.trial else {
             return former;
         };
@@ -133,7 +156,7 @@
         if trial.stopped || !trial.permits.is_valid(now) {
             return former;
         }
-        let new = |uses_permit| ReleaseChoice { release: trial.release.clone(), uses_permit };
+        let new = |uses_permit| ReleaseChoice::only(trial.release.clone(), uses_permit);
         match trial.all_traffic {
             true => new(false),
             false if trial.permits.take(now) => new(true),
@@ -149,7 +172,7 @@
         release: &Release,
         now: Instant,
     ) -> Option<ReleaseChoice> {
-        let only = |uses_permit| ReleaseChoice { release: Some(release.clone()), uses_permit };
+        let only = |uses_permit| ReleaseChoice::only(Some(release.clone()), uses_permit);
         let Some(releases) = self.services.get_mut(service) else {
             return Some(only(false));
         };
@@ -174,9 +197,24 @@
     /// permit that was used is returned.
     pub fn fall_back(&mut self, service: &ServiceName, choice: &ReleaseChoice) -> ReleaseChoice {
         self.give_back(service, choice);
-        let releases = self.services.get(service);
-        let release = releases.and_then(|releases| releases.in_force.clone());
-        ReleaseChoice { release, uses_permit: false }
+        self.services.get(service).map(ServiceReleases::former).unwrap_or_default()
+    }
+
+    /// Whether the leader has named the releases of a service.
+    pub fn knows(&self, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|releases| releases.in_force.is_some())
+    }
+
+    /// The only release that can have begun a stream whose caller comes back, if there is one.
+    pub fn sole(&self, service: &ServiceName, now: Instant) -> Option<&Release> {
+        let releases = self.services.get(service)?;
+        releases.in_force.as_ref().filter(|_| releases.sole_until.is_some_and(|until| now < until))
+    }
+
+    /// The services of which several releases may have begun streams.
+    pub fn shared_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let shared = self.services.iter().filter(|(_, releases)| releases.sole_until.is_none());
+        shared.map(|(service, _)| service)
     }
 
     /// Whether a release of a service is on trial.
@@ -194,8 +232,8 @@
         outcome: AnswerOutcome,
     ) -> bool {
         let releases = self.services.get_mut(service);
-        let Some((in_force, trial)) =
-            releases.and_then(|it| Some((&it.in_force, it.trial.as_mut()?)))
+        let Some((in_force, beside, trial)) =
+            releases.and_then(|it| Some((&it.in_force, &it.beside, it.trial.as_mut()?)))
         else {
             return false;
         };
@@ -207,7 +245,9 @@
         };
         let stats: &mut AnswerStats = match () {
             () if trial.release.as_ref() == Some(release) => &mut comparison.new,
-            () if in_force.as_ref().is_none_or(|it| it == release) => &mut comparison.former,
+            () if in_force.as_ref().is_none_or(|it| it == release) || beside.contains(release) => {
+                &mut comparison.former
+            }
             () => return false,
         };
         match outcome {
@@ -242,10 +282,16 @@
 
     /// Applies the leader's reply to a report. A leader that does not know the releases yet sends
     /// `None`, and the box keeps what it knows: the release in force changes only when the leader
-    /// says so.
-    pub fn apply_updates(&mut self, updates: Option<BTreeMap<ServiceName, ReleaseUpdate>>) {
+    /// says so. The box relies until `sole_until` on the word that only one release serves.
+    pub fn apply_updates(
+        &mut self,
+        updates: Option<BTreeMap<ServiceName, ReleaseUpdate>>,
+        sole_until: Instant,
+    ) {
         for (service, update) in updates.into_iter().flatten() {
             let releases = self.services.entry(service).or_default();
+            releases.beside = update.beside;
+            releases.sole_until = update.is_sole.then_some(sole_until);
             releases.update(update.in_force, update.trial.as_ref().map(|grant| grant.ordered));
             let Some(grant) = update.trial else {
                 continue;
--- a/src/error.rs
+++ b/src/error.rs
@@ -71,6 +71,8 @@
     PolicyRefused,
     /// No backend server of the service takes work.
     NoBackend,
+    /// Several releases may have begun the stream that the caller comes back for.
+    OriginUnknown,
     /// Every backend server tried was not reached or refused with proof.
     NotReached,
     /// The node is stopping.
@@ -132,7 +134,7 @@
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: [Self; 36] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotFound,
@@ -150,6 +152,7 @@
         Self::DeadlineUnreachable,
         Self::PolicyRefused,
         Self::NoBackend,
+        Self::OriginUnknown,
         Self::NotReached,
         Self::Draining,
         Self::TooManyCallers,
@@ -191,6 +194,7 @@
             Self::DeadlineUnreachable => row(503, "deadline_unreachable", NotRun, true),
             Self::PolicyRefused => row(403, "policy_refused", NotRun, false),
             Self::NoBackend => row(503, "no_backend", NotRun, true),
+            Self::OriginUnknown => row(503, "origin_unknown", NotRun, true),
             Self::NotReached => row(503, "not_reached", NotRun, true),
             Self::Draining => row(503, "draining", NotRun, true),
             Self::TooManyCallers => row(503, "too_many_callers", NotRun, true),
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -18,9 +18,11 @@
 use super::message::MemberChange;
 use crate::control::demand::{DemandReply, DemandRequest};
 use crate::control::heartbeat::{BoxHeartbeat, HeartbeatReply};
+use crate::control::origins::OriginRequest;
 use crate::control::proxies::{ProxyReply, ProxyRequest};
 use crate::control::share::ShareRequest;
 use crate::control::throttle::{ThrottleReply, ThrottleRequest};
+use crate::decide::origins::OriginAnswer;
 use crate::decide::share::Share;
 use crate::ids::{BoxId, TeamName};
 use crate::peer::packed::Packed;
@@ -163,6 +165,29 @@
         call.await.ok().and_then(Result::ok).ok_or(NoGroup)
     }
 
+    /// Asks the leader which release began a stream; only one that is known.
+    ///
+    /// # Errors
+    /// When no leader is known, or it does not answer within `limit`.
+    pub(crate) async fn stream_origin(
+        &self,
+        request: &OriginRequest,
+        limit: Duration,
+    ) -> Result<OriginAnswer, NoGroup> {
+        let addr = self.leader().and_then(|id| self.directory.find(&id)).ok_or(NoGroup)?;
+        let request = Packed(request);
+        let call = self.peers.call::<_, Result<Packed<OriginAnswer>, Unanswered>>(
+            addr,
+            method::STREAM_ORIGIN,
+            &request,
+            limit,
+        );
+        match call.await {
+            Ok(Ok(Packed(answer))) => Ok(answer),
+            Ok(Err(_)) | Err(_) => Err(NoGroup),
+        }
+    }
+
     /// Asks the leader for parts of the list of backend servers.
     ///
     /// # Errors
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -7,7 +7,7 @@
 
 use super::Node;
 use crate::backend::Pool;
-use crate::control::{demand, fetch, heartbeat, proxies, throttle};
+use crate::control::{demand, fetch, heartbeat, origins, proxies, throttle};
 use crate::group::join::Joiner;
 use crate::platform::operator;
 use crate::relay::listen::Listeners;
@@ -44,6 +44,7 @@
         tokio::spawn(demand::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
         tokio::spawn(throttle::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
         tokio::spawn(proxies::run(relay.clone(), self.access.clone(), box_id));
+        tokio::spawn(origins::run(relay.clone(), self.access.clone()));
         tokio::spawn(reach::run(relay.clone()));
         tokio::spawn(fetch::run(relay.clone(), self.access.clone()));
         tokio::spawn(lives::run(relay.clone()));
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -58,6 +58,9 @@
 pub const THROTTLE: &str = "relay_throttle";
 /// Takes a [`ProxyRequest`]; answers a [`ProxyReply`].
 pub const PROXIES: &str = "relay_proxies";
+
+/// Answers which release began a stream: at the leader only. Packed both ways.
+pub const STREAM_ORIGIN: &str = "relay_stream_origin";
 /// Takes the names of parts of the list of backend servers; answers their contents.
 pub const LIST_PARTS: &str = "relay_list_parts";
 /// Takes a [`DocumentAsk`]; answers a [`DocumentPiece`], or nothing where this replica does not have the document
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -19,9 +19,11 @@
     HeartbeatReply, NodeStatus, Poll, PollReply, ProxyReply, ProxyRequest, QuarantineAnswer,
     QuarantineAsk, RolloutAnswer, RolloutAsk, ThrottleReply, ThrottleRequest, Update,
 };
+use crate::control::origins::OriginRequest;
 use crate::control::{
-    demand, document_source, lead, proxies, quarantine, rollouts, share, throttle,
+    demand, document_source, lead, origins, proxies, quarantine, rollouts, share, throttle,
 };
+use crate::decide::origins::OriginAnswer;
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
@@ -86,6 +88,7 @@
     register(&mut module, method::DEMAND, demanded)?;
     register(&mut module, method::THROTTLE, throttled)?;
     register(&mut module, method::PROXIES, assign_proxies)?;
+    register(&mut module, method::STREAM_ORIGIN, stream_origin)?;
     register(&mut module, method::LIST_PARTS, list_parts)?;
     register(&mut module, method::DOCUMENT, document_piece)?;
     register(&mut module, method::ROLLOUT, rollout)?;
@@ -198,6 +201,13 @@
     Ok(proxies::answer(node, report).await)
 }
 
+async fn stream_origin(
+    node: Arc<Node>,
+    Packed(request): Packed<OriginRequest>,
+) -> Result<Result<Packed<OriginAnswer>, Unanswered>, String> {
+    Ok(origins::answer(node, request).await.map(Packed))
+}
+
 async fn list_parts(
     node: Arc<Node>,
     Packed(wanted): Packed<Vec<PartId>>,
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -80,6 +80,11 @@
 impl CallAttempts {
     /// Creates the state of a call that has not been sent.
     pub fn new(service: ServiceName) -> Self {
+        Self::continuing(service, None)
+    }
+
+    /// Creates the state of a call that has not been sent and continues a stream which `begun_by` began, if any.
+    pub fn continuing(service: ServiceName, begun_by: Option<Release>) -> Self {
         Self {
             service,
             tried_servers: Vec::new(),
@@ -93,14 +98,14 @@
             prefill_work: PrefillWork::default(),
             reach: Reach::Local,
             release_choice: ReleaseChoice::default(),
-            begun_by: None,
+            begun_by,
         }
     }
 
-    /// Records the server of the stream's first event. From then on only servers of its release are selected: what
+    /// Records the release that brought the stream's first event. From then on only its servers are selected: what
     /// two releases generate does not fit together, and servers do not check this.
-    pub fn record_first_event(&mut self, known: &KnownServer) {
-        self.begun_by.get_or_insert_with(|| known.server.release.clone());
+    pub fn record_first_event(&mut self, release: &Release) {
+        self.begun_by.get_or_insert_with(|| release.clone());
     }
 
     /// The service that the call goes to.
@@ -307,7 +312,7 @@
             return Some(known);
         }
         let other = relay.releases().fall_back(&self.service, &self.release_choice);
-        if other.release == self.release_choice.release {
+        if other == self.release_choice {
             return None;
         }
         self.release_choice = other;
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -47,6 +47,8 @@
     pub prompt_segments: Vec<PromptSegment>,
     /// Id of the last event the caller has received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// The id of the request that brought the first event of that stream, if the caller names it.
+    pub first_request: Option<String>,
 }
 
 /// A request with its complete body.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -59,6 +59,7 @@
 pub(crate) mod quarantine;
 pub mod reach;
 pub(crate) mod restraint;
+pub(crate) mod resume;
 pub mod serve;
 pub mod servers;
 pub mod stream;
@@ -74,11 +75,12 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::backend::Pool;
 use crate::blackboard::Blackboard;
 use crate::clock;
+use crate::control::origins::OriginRequest;
 use crate::decide::allowance::Allowances;
 use crate::decide::brittle::BrittleServers;
 use crate::decide::certainty::{ConfigFreshness, PropagationTargets};
@@ -86,6 +88,7 @@
 use crate::decide::intervals::{HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL};
 use crate::decide::loads::LoadPool;
 use crate::decide::memory::MemoryBudget;
+use crate::decide::origins::{MAX_BOX_ORIGINS, OriginAnswer, StreamOrigins};
 use crate::decide::paths::Paths;
 use crate::decide::pause::Pauses;
 use crate::decide::presence::ASSUMED_RELAYS;
@@ -134,6 +137,12 @@
     pub closing: watch::Receiver<bool>,
 }
 
+/// A question for the leader, and where its answer goes.
+pub(crate) type OriginQuestion = (OriginRequest, oneshot::Sender<OriginAnswer>);
+
+/// The most questions for the leader that wait; a caller that comes back waits for room.
+const MAX_ORIGIN_QUESTIONS: usize = 256;
+
 /// State shared by all tasks of the relay.
 pub struct Relay {
     /// Settings and services that the relay was created with.
@@ -152,6 +161,10 @@
     offered: Mutex<OfferedTracker>,
     engines: Mutex<EngineTracker>,
     releases: Mutex<ReleaseTable>,
+    origins: Mutex<StreamOrigins>,
+    /// Questions for the leader on streams whose callers come back.
+    pub(crate) origin_questions: mpsc::Sender<OriginQuestion>,
+    origin_receiver: Mutex<Option<mpsc::Receiver<OriginQuestion>>>,
     loads: Mutex<LoadPool>,
     distances: Mutex<Distances>,
     spills: Mutex<SpillTracker>,
@@ -196,6 +209,7 @@
         let servers = ServerTable::new(context.topology.clone());
         let memory = MemoryBudget::for_process_limit(context.settings.memory);
         let gate = Gate::charged(listen::limits(&context.settings), memory.clone());
+        let (origin_questions, receiver) = mpsc::channel(MAX_ORIGIN_QUESTIONS);
         Self {
             context,
             servers,
@@ -208,6 +222,9 @@
             offered: Mutex::default(),
             engines: Mutex::default(),
             releases: Mutex::default(),
+            origins: Mutex::new(StreamOrigins::new(MAX_BOX_ORIGINS)),
+            origin_questions,
+            origin_receiver: Mutex::new(Some(receiver)),
             loads: Mutex::default(),
             distances: Mutex::default(),
             spills: Mutex::default(),
@@ -374,6 +391,16 @@
         lock(&self.engines)
     }
 
+    /// The streams that began at this box.
+    pub(crate) fn origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        lock(&self.origins)
+    }
+
+    /// Returns the receiver of the questions for the leader, once.
+    pub(crate) fn take_origin_questions(&self) -> Option<mpsc::Receiver<OriginQuestion>> {
+        lock(&self.origin_receiver).take()
+    }
+
     /// Rollout state of the services' releases.
     pub fn releases(&self) -> MutexGuard<'_, ReleaseTable> {
         lock(&self.releases)
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -12,6 +12,7 @@
 
 use super::Relay;
 use super::attempt::{retry_limit, seconds_since};
+use super::attempts::CallAttempts;
 use super::authorize::{
     Authorization, RequestTarget, authorize, configuration_wait, uncertain, wait_for_newest,
 };
@@ -19,6 +20,7 @@
 use super::keeping::{RequestReservation, read_body};
 use super::plain::{self, strip_hop_by_hop_headers};
 use super::quarantine;
+use super::resume;
 use super::stream;
 use super::table::{Route, RouteTable, Team};
 use super::taking;
@@ -161,12 +163,19 @@
     let renewed = authorized.renew(relay, &target, &call.head).await;
     let Authorization { table, route, team } = renewed.inspect_err(refund)?;
     let service = choose_service(&route)?;
+    let origin = resume::find_origin(relay, &call, &route, &service).await;
+    let origin = origin.inspect_err(refund)?;
+    let service = origin.as_ref().map_or(service, |origin| origin.service.clone());
     relay.retries().deposit(&service, &retry_limit(relay));
     relay.offered().count(&service, call.head.generation.unwrap_or_default(), route.objective);
     let call = Arc::new(call);
     let (relay_kept, call_kept, route_kept) = (relay.clone(), call.clone(), route.clone());
     let answered = match route.repeat.is_stream() {
-        true => stream::answer(relay_kept, call_kept, route_kept, &service, kept).await,
+        true => {
+            let begun_by = origin.map(|origin| origin.release);
+            let attempts = CallAttempts::continuing(service.clone(), begun_by);
+            stream::answer(relay_kept, call_kept, route_kept, attempts, kept).await
+        }
         false => plain::answer(relay, &call, &route, &service).await.map(|answer| {
             answer
                 .response(|body| taking::whole_body(relay_kept, call_kept, route_kept, kept, body))
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -22,11 +22,13 @@
 use super::plain::{read_whole, strip_hop_by_hop_headers};
 use super::quarantine;
 use super::reach;
+use super::resume;
 use super::table::{Repeat, Route};
 use super::taking;
 use crate::backend::{Exchange, SendFault};
 use crate::decide::completeness::{EndFacts, Framing, StopState, judge_end};
 use crate::decide::engine::Observation;
+use crate::decide::origins::Origin;
 use crate::decide::releases::AnswerOutcome;
 use crate::decide::verdict::RelativeLatency;
 use crate::error::{Failure, Kind};
@@ -150,10 +152,9 @@
     relay: Arc<Relay>,
     call: Arc<Call>,
     route: Arc<Route>,
-    service: &ServiceName,
+    mut attempts: CallAttempts,
     kept: RequestReservation,
 ) -> Result<Response<Body>, Failure> {
-    let mut attempts = CallAttempts::new(service.clone());
     let mut failed = None;
     let mut chosen = attempts.next_server(&relay, &call, &route)?;
     loop {
@@ -192,7 +193,11 @@
             }
             Some(Ok(StartOutcome::Stream(opened))) => {
                 count_usage(&relay, &call);
-                attempts.record_first_event(opened.source.flight.server());
+                let server = &opened.source.flight.server().server;
+                attempts.record_first_event(&server.release);
+                let origin =
+                    Origin { service: server.service.clone(), release: server.release.clone() };
+                resume::record_origin(&relay, &call, &route, origin);
                 record_time_to_first_event(&relay, &attempts, &opened);
                 return Ok(respond(relay, call, route, attempts, *opened, kept));
             }
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -303,6 +303,11 @@
         self.hosts.is_empty()
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flat_map(|host| host.routes.values())
+    }
+
     /// The route of a request: of the host's routes, the one with the longest prefix of the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -25,7 +25,7 @@
 use ledger::{Begin, BeginReply, End, EndReply, Ledger};
 use notes::{LowTeams, Models, Notes, OutageHistories};
 use quarantine::{QuarantineChange, QuarantinedSuspects};
-use rollout::{OrderReply, Rollout, RolloutOrder, RolloutState, RolloutStep};
+use rollout::{OrderReply, Rollout, RolloutOrder, RolloutState, RolloutStep, ServingReleases};
 use usage::{Settle, UsageWindows};
 use work::{Claim, ClaimReply, Finish, Keep, KeepReply, WorkId, WorkStore, WorkView};
 
@@ -75,6 +75,8 @@
     StepRollout(RolloutStep),
     /// Records the releases that were running before any order.
     NoteReleases(BTreeMap<ServiceName, Release>),
+    /// Records the releases that serve without an order.
+    NoteServing(BTreeMap<ServiceName, ServingReleases>),
     /// Reads the releases and roll-outs, linearizably.
     ReadRollouts,
     /// Removes ledger entries and finished work that have exceeded their maximum age.
@@ -112,7 +114,7 @@
     OrderRollout(Box<OrderReply>),
     /// Answers [`Command::StepRollout`]: the resulting roll-out, if the service has one.
     StepRollout(Option<Box<Rollout>>),
-    /// Answers [`Command::NoteReleases`] and [`Command::ReadRollouts`].
+    /// Answers [`Command::NoteReleases`], [`Command::NoteServing`] and [`Command::ReadRollouts`].
     Rollouts(Arc<RolloutState>),
     /// Answers [`Command::Expire`]: how many entries were removed.
     Expire(usize),
@@ -189,6 +191,10 @@
                 Arc::make_mut(&mut self.rollouts).note_running(running);
                 Reply::Rollouts(self.rollouts.clone())
             }
+            Command::NoteServing(services) => {
+                Arc::make_mut(&mut self.rollouts).note_serving(services);
+                Reply::Rollouts(self.rollouts.clone())
+            }
             Command::ReadRollouts => Reply::Rollouts(self.rollouts.clone()),
             Command::Expire => Reply::Expire(self.expire(at)),
         }
--- a/src/state/rollout.rs
+++ b/src/state/rollout.rs
@@ -4,7 +4,7 @@
 //! operators stay valid. Phases only move forward: from the trial to the shift of all traffic and then
 //! to completion, or from either one to a rollback to the release that was in force.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -133,6 +133,17 @@
     Conflict(Rollout),
 }
 
+/// The releases of a service outside a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServingReleases {
+    /// The release in force.
+    pub in_force: Release,
+    /// Further releases that get new requests.
+    pub beside: BTreeSet<Release>,
+    /// Releases that get none, as a roll-out has replaced them or was rolled back from them.
+    pub replaced: BTreeSet<Release>,
+}
+
 /// The releases in force and the roll-outs.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutState {
@@ -140,6 +151,12 @@
     pub in_force: BTreeMap<ServiceName, Release>,
     /// The latest roll-out of each service.
     pub rollouts: BTreeMap<ServiceName, Rollout>,
+    /// Releases that run beside the one in force without an order, and get new requests as well.
+    #[serde(default)]
+    pub beside: BTreeMap<ServiceName, BTreeSet<Release>>,
+    /// Releases that a roll-out has replaced or was rolled back from, while they may still be listed.
+    #[serde(default)]
+    pub replaced: BTreeMap<ServiceName, BTreeSet<Release>>,
 }
 
 impl RolloutState {
@@ -168,6 +185,12 @@
         let former = self.in_force.get(&order.service).cloned();
         let is_done = former.as_ref() == Some(&order.release);
         let phase = if is_done { Phase::Completed } else { Phase::Trial };
+        if is_done && let Some(beside) = self.beside.remove(&order.service) {
+            self.replaced.entry(order.service.clone()).or_default().extend(beside);
+        }
+        if let Some(replaced) = self.replaced.get_mut(&order.service) {
+            replaced.remove(&order.release);
+        }
         let rollout = Rollout { order: order.clone(), former, ordered: at, phase, exposed: 0 };
         self.rollouts.insert(order.service.clone(), rollout.clone());
         OrderReply::Taken(rollout)
@@ -181,13 +204,57 @@
             if held.phase.can_move_to(step.phase) {
                 held.phase = step.phase;
             }
-            if held.phase == Phase::Completed {
-                self.in_force.insert(step.service.clone(), held.order.release.clone());
+            match held.phase {
+                Phase::Completed => {
+                    let release = held.order.release.clone();
+                    let former = self.in_force.insert(step.service.clone(), release.clone());
+                    let beside = self.beside.remove(&step.service).unwrap_or_default();
+                    let replaced = self.replaced.entry(step.service.clone()).or_default();
+                    replaced.extend(former.into_iter().chain(beside));
+                    replaced.remove(&release);
+                }
+                Phase::RolledBack => {
+                    let release = held.order.release.clone();
+                    if let Some(beside) = self.beside.get_mut(&step.service) {
+                        beside.remove(&release);
+                    }
+                    self.replaced.entry(step.service.clone()).or_default().insert(release);
+                }
+                Phase::Trial | Phase::Shift => {}
             }
         }
         Some(held.clone())
     }
 
+    /// The releases of a service that get new requests outside a roll-out, if any is known.
+    pub fn admitted<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a Release> + 'a {
+        let beside = self.beside.get(service).into_iter().flatten();
+        self.in_force.get(service).into_iter().chain(beside)
+    }
+
+    /// Whether a release was rolled back by the last roll-out of its service.
+    pub fn is_rolled_back(&self, service: &ServiceName, release: &Release) -> bool {
+        let rollout = self.rollouts.get(service);
+        rollout.is_some_and(|it| it.phase == Phase::RolledBack && it.order.release == *release)
+    }
+
+    /// Records the releases that serve a service, unless it is being rolled out or is unknown.
+    pub fn note_serving(&mut self, services: &BTreeMap<ServiceName, ServingReleases>) {
+        for (service, serving) in services {
+            let is_running = self.running().any(|rollout| rollout.order.service == *service);
+            if is_running || !self.in_force.contains_key(service) {
+                continue;
+            }
+            let ServingReleases { in_force, beside, replaced } = serving.clone();
+            self.in_force.insert(service.clone(), in_force);
+            set_or_remove(&mut self.beside, service, beside);
+            set_or_remove(&mut self.replaced, service, replaced);
+        }
+    }
+
     /// Records the releases that were running before any order. The first record of a service stays.
     pub fn note_running(&mut self, running: &BTreeMap<ServiceName, Release>) {
         for (service, release) in running {
@@ -198,3 +265,14 @@
         }
     }
 }
+
+fn set_or_remove(
+    map: &mut BTreeMap<ServiceName, BTreeSet<Release>>,
+    service: &ServiceName,
+    releases: BTreeSet<Release>,
+) {
+    match releases.is_empty() {
+        true => drop(map.remove(service)),
+        false => drop(map.insert(service.clone(), releases)),
+    }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -43,6 +43,7 @@
     connects: Counter<u64>,
     answer_ends: Counter<u64>,
     forwards: Counter<u64>,
+    returns: Counter<u64>,
     proxied: Counter<u64>,
     unread_entries: Counter<u64>,
     gauges: Gauges,
@@ -85,6 +86,10 @@
                 "emberturn_backend_servers_ended",
                 "Backend servers that ended under requests of this box, by whether they were leaving",
             ),
+            returns: counter(
+                "emberturn_returns",
+                "Callers that came back for the rest of a stream, by whether its origin was known",
+            ),
             forwards: counter(
                 "emberturn_forwards",
                 "Requests of other boxes that this one was asked to send, by outcome",
@@ -186,6 +191,11 @@
         self.forwards.add(1, &[outcome_label(outcome)]);
     }
 
+    /// Counts a caller that came back for the rest of a stream.
+    pub fn count_return(&self, outcome: &'static str) {
+        self.returns.add(1, &[outcome_label(outcome)]);
+    }
+
     /// Counts a request that was handed to another box.
     pub fn count_proxied(&self, outcome: &'static str) {
         self.proxied.add(1, &[outcome_label(outcome)]);
--- /dev/null
+++ b/tests/origins.rs
@@ -0,0 +1,241 @@
+//! Which release began a stream, as a box and the leader remember it, and which releases get new requests.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use emberturn::decide::origins::{
+    CLAIM_LIFETIME, MAX_REPORTED, Origin, OriginReport, StreamKey, StreamOrigins,
+};
+use emberturn::decide::releases::{ReleaseTable, ReleaseUpdate, TrialGrant};
+use emberturn::ids::{Release, ServiceName};
+use emberturn::state::rollout::{Phase, RolloutOrder, RolloutState, RolloutStep, ServingReleases};
+use emberturn::units::Millis;
+
+const LIFETIME: Duration = Duration::from_secs(20);
+
+fn service() -> ServiceName {
+    "svc".parse().unwrap()
+}
+
+fn release(name: &str) -> Release {
+    name.parse().unwrap()
+}
+
+fn origin(name: &str) -> Origin {
+    Origin { service: service(), release: release(name) }
+}
+
+fn key(request: &str) -> StreamKey {
+    StreamKey::new(Some(&"team-a".parse().unwrap()), request)
+}
+
+fn all(_: &ServiceName) -> bool {
+    true
+}
+
+#[test]
+fn streams_of_teams_that_use_the_same_id_are_not_mistaken_for_each_other() {
+    let other = StreamKey::new(Some(&"team-b".parse().unwrap()), "r-1");
+    assert_ne!(key("r-1"), other);
+    assert_ne!(key("r-1"), StreamKey::new(None, "r-1"));
+    assert_eq!(key("r-1").to_string().len(), 32);
+}
+
+#[test]
+fn origin_is_known_until_its_caller_comes_back_no_more() {
+    let (mut origins, now) = (StreamOrigins::new(8), Instant::now());
+    origins.record(key("r-1"), origin("v1"), now + LIFETIME, now);
+    assert_eq!(origins.find(key("r-1"), now + LIFETIME / 2), Some(&origin("v1")));
+    assert_eq!(origins.find(key("r-1"), now + LIFETIME), None);
+    assert_eq!(origins.find(key("r-2"), now), None);
+}
+
+#[test]
+fn id_that_was_used_for_streams_of_two_releases_names_neither() {
+    let (mut origins, now) = (StreamOrigins::new(8), Instant::now());
+    for name in ["v1", "v2", "v1"] {
+        origins.record(key("r-1"), origin(name), now + LIFETIME, now);
+    }
+    assert_eq!(origins.find(key("r-1"), now), None);
+    assert_eq!(origins.unreported(all, now), []);
+}
+
+#[test]
+fn oldest_origins_give_way_when_there_are_too_many() {
+    let (mut origins, now) = (StreamOrigins::new(2), Instant::now());
+    for (number, name) in ["a", "b", "c"].into_iter().enumerate() {
+        let until = now + LIFETIME + Duration::from_millis(number as u64);
+        origins.record(key(name), origin("v1"), until, now);
+    }
+    let known = ["a", "b", "c"].map(|name| origins.find(key(name), now).is_some());
+    assert_eq!(known, [false, true, true]);
+}
+
+#[test]
+fn origin_is_reported_once_and_again_to_another_leader() {
+    let (mut origins, now) = (StreamOrigins::new(8), Instant::now());
+    origins.record(key("r-1"), origin("v1"), now + LIFETIME, now);
+    assert_eq!(origins.unreported(|_| false, now), []);
+    let reports = origins.unreported(all, now + LIFETIME / 4);
+    let left = Millis(15_000);
+    assert_eq!(reports, [OriginReport { key: key("r-1"), origin: origin("v1"), left }]);
+    // Until the leader has it, the report is made again.
+    assert_eq!(origins.unreported(all, now).len(), 1);
+    origins.mark_reported(&reports);
+    assert_eq!(origins.unreported(all, now), []);
+    origins.forget_reports();
+    assert_eq!(origins.unreported(all, now).len(), 1);
+}
+
+#[test]
+fn reports_are_bounded() {
+    let (mut origins, now) = (StreamOrigins::new(4 * MAX_REPORTED), Instant::now());
+    for number in 0..=MAX_REPORTED {
+        origins.record(key(&number.to_string()), origin("v1"), now + LIFETIME, now);
+    }
+    let first = origins.unreported(all, now);
+    assert_eq!(first.len(), MAX_REPORTED);
+    origins.mark_reported(&first);
+    assert_eq!(origins.unreported(all, now).len(), 1);
+}
+
+fn update(beside: &[&str], is_sole: bool) -> BTreeMap<ServiceName, ReleaseUpdate> {
+    let beside = beside.iter().copied().map(release).collect();
+    let update = ReleaseUpdate {
+        in_force: Some(release("v1")),
+        beside,
+        is_sole,
+        ..ReleaseUpdate::default()
+    };
+    [(service(), update)].into()
+}
+
+#[test]
+fn box_relies_on_a_sole_release_for_a_time_and_until_it_hears_otherwise() {
+    let (mut table, now) = (ReleaseTable::default(), Instant::now());
+    assert!(!table.knows(&service()));
+    let until = now + CLAIM_LIFETIME;
+    table.apply_updates(Some(update(&[], true)), until);
+    assert_eq!(table.sole(&service(), now), Some(&release("v1")));
+    assert_eq!(table.sole(&service(), until), None);
+    // What has only expired was not withdrawn: nothing is reported.
+    assert_eq!(table.shared_services().count(), 0);
+    table.apply_updates(Some(update(&[], false)), until);
+    assert_eq!(table.sole(&service(), now), None);
+    assert_eq!(table.shared_services().collect::<Vec<_>>(), [&service()]);
+}
+
+#[test]
+fn new_requests_go_to_all_releases_that_serve_but_the_one_on_trial() {
+    let (mut table, now) = (ReleaseTable::default(), Instant::now());
+    table.apply_updates(Some(update(&["v2", "v3"], false)), now);
+    let takes = |table: &mut ReleaseTable| {
+        let choice = table.choose(&service(), true, now);
+        ["v1", "v2", "v3", "v4"].map(|name| choice.takes(&release(name)))
+    };
+    assert_eq!(takes(&mut table), [true, true, true, false]);
+    let mut updates = update(&["v2", "v3"], false);
+    let trial = TrialGrant {
+        ordered: 1,
+        release: release("v3"),
+        all_traffic: false,
+        permits: 0,
+        report_often: false,
+    };
+    updates.get_mut(&service()).unwrap().trial = Some(trial);
+    table.apply_updates(Some(updates), now);
+    assert_eq!(takes(&mut table), [true, true, false, false]);
+}
+
+#[test]
+fn stream_goes_on_at_its_own_release_only() {
+    let (mut table, now) = (ReleaseTable::default(), Instant::now());
+    table.apply_updates(Some(update(&["v2"], false)), now);
+    let choice = table.choose_for_begun(&service(), &release("v2"), now).unwrap();
+    assert_eq!(["v1", "v2"].map(|name| choice.takes(&release(name))), [false, true]);
+}
+
+fn set(names: &[&str]) -> BTreeSet<Release> {
+    names.iter().copied().map(release).collect()
+}
+
+fn serving(in_force: &str, beside: &[&str]) -> BTreeMap<ServiceName, ServingReleases> {
+    let it = ServingReleases {
+        in_force: release(in_force),
+        beside: set(beside),
+        replaced: BTreeSet::new(),
+    };
+    [(service(), it)].into()
+}
+
+fn order(state: &mut RolloutState, name: &str, at: u64) {
+    let order = RolloutOrder {
+        service: service(),
+        release: release(name),
+        time: Millis(10_000),
+        repeats: Millis(0),
+    };
+    state.order(at, &order);
+}
+
+fn step(state: &mut RolloutState, phase: Phase, ordered: u64) {
+    state.step(&RolloutStep { service: service(), ordered, phase, exposed: 0 });
+}
+
+fn running() -> RolloutState {
+    let mut state = RolloutState::default();
+    state.note_running(&[(service(), release("v1"))].into());
+    state.note_serving(&serving("v1", &["v2", "v3"]));
+    state
+}
+
+fn admitted(state: &RolloutState) -> BTreeSet<Release> {
+    state.admitted(&service()).cloned().collect()
+}
+
+#[test]
+fn releases_beside_the_one_in_force_are_stored_unless_a_rollout_runs() {
+    let mut state = running();
+    assert_eq!(admitted(&state), set(&["v1", "v2", "v3"]));
+    order(&mut state, "v4", 1);
+    state.note_serving(&serving("v3", &[]));
+    assert_eq!(admitted(&state), set(&["v1", "v2", "v3"]));
+    let mut unknown = RolloutState::default();
+    unknown.note_serving(&serving("v1", &["v2"]));
+    assert_eq!(unknown, RolloutState::default());
+}
+
+#[test]
+fn completed_rollout_replaces_all_others() {
+    let mut state = running();
+    order(&mut state, "v2", 1);
+    step(&mut state, Phase::Shift, 1);
+    step(&mut state, Phase::Completed, 1);
+    assert_eq!(admitted(&state), set(&["v2"]));
+    assert_eq!(state.replaced[&service()], set(&["v1", "v3"]));
+    // An order of the one in force has nothing to do but that.
+    state.note_serving(&serving("v2", &["v5"]));
+    order(&mut state, "v2", 2);
+    assert_eq!(admitted(&state), set(&["v2"]));
+}
+
+#[test]
+fn release_that_is_rolled_back_serves_no_more_also_if_it_did_before() {
+    let mut state = running();
+    order(&mut state, "v2", 1);
+    step(&mut state, Phase::RolledBack, 1);
+    assert_eq!(admitted(&state), set(&["v1", "v3"]));
+    assert!(state.is_rolled_back(&service(), &release("v2")));
+    assert_eq!(state.replaced[&service()], set(&["v2"]));
+    // Ordered again, it is tried again.
+    order(&mut state, "v2", 2);
+    assert!(!state.replaced[&service()].contains(&release("v2")));
+}
+
+/// A group of the version before stores neither field.
+#[test]
+fn state_of_the_version_before_is_read() {
+    let text = r#"{"in_force":{"svc":"v1"},"rollouts":{}}"#;
+    let state: RolloutState = serde_json::from_str(text).unwrap();
+    assert_eq!(admitted(&state), set(&["v1"]));
+}
--- a/tests/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -80,6 +80,11 @@
         self.servers.lock().unwrap().extend(entries);
     }
 
+    /// Lists a server no longer.
+    pub fn unlist(&self, id: &str) {
+        self.servers.lock().unwrap().retain(|listed| listed["id"] != id);
+    }
+
     /// The calls to a path so far, with their fences.
     pub fn calls(&self, path: &str) -> Vec<(Value, Option<u64>)> {
         let calls = self.calls.lock().unwrap();
