Relay: the reply to a request to stop a run passes through another box again

Cause: a box that sends for another one judged the reply to a request without an id by the rule for calls, for which a success without an id is another's, and reported a broken exchange. Streams behind such a box were no longer moved.

Change: of requests without an id it holds back only answers that name one; the box that asks says whether a new connection is needed.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -240,11 +240,17 @@
 
     /// The head, if this answers a request that was sent without an id: only a new connection shows that.
     pub fn to_unnamed(self, exchange: &mut Exchange) -> Option<ReplyHead> {
+        let is_first = exchange.is_first();
+        self.unless_other(exchange).filter(|_| is_first)
+    }
+
+    /// The head, unless this names another request: for a request without an id that a box sends for another one,
+    /// which asks for a new connection where it needs one.
+    pub fn unless_other(self, exchange: &mut Exchange) -> Option<ReplyHead> {
         if !exchange.status.is_success() {
             exchange.close_after();
         }
-        let is_own = exchange.is_first() && self.named != NamedRequest::Other;
-        is_own.then_some(self.head)
+        (self.named != NamedRequest::Other).then_some(self.head)
     }
 }
 
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -136,7 +136,11 @@
     let mut exchange = sent.map_err(|fault| explain(relay, &known, &fault))?;
     reach::record_direct(relay, &known, &exchange);
     let reply = relay.context.dialect.read_reply(&call, exchange.status, &exchange.headers);
-    let Some(head) = reply.to_call(&mut exchange) else {
+    let head = match call.head.id.is_empty() {
+        true => reply.unless_other(&mut exchange),
+        false => reply.to_call(&mut exchange),
+    };
+    let Some(head) = head else {
         log_foreign(&call, &known, &exchange, reply.named);
         return Err(HopFault::Broke);
     };
