Releases: which ones get new requests without an order is decided without a network

Change: decide/serving takes what the leader sees of a service's releases and says which are to get new requests; control/serving gathers that. A new leader looks at its list as soon as it has read the group's state. StreamOrigin and ServerReply in place of Origin and Reply. Behaviour is otherwise the same.

--- a/src/control/rollouts.rs
+++ b/src/control/rollouts.rs
@@ -267,7 +267,10 @@
         match node.propose_here(command, PROPOSE_TIMEOUT).await {
             // Once the reply is here, the blackboard contains everything committed before this term.
             Some(Reply::Rollouts(_)) => {
-                node.with_lead(term, |lead| lead.rollouts.update(node.board.rollouts()));
+                node.with_lead(term, |lead| {
+                    lead.rollouts.update(node.board.rollouts());
+                    lead.refresh_serving(true);
+                });
                 node.listed.notify_waiters();
             }
             Some(_) => {}
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -1,14 +1,13 @@
-//! The leader's view of which releases serve without an order: which ones the list shows beside the release in force,
-//! when they may get new requests, and which ones are gone.
-//!
-//! A release that the list shows gets new requests only once no box still takes all streams for those of one release.
+//! The leader's view of which releases serve without an order, for [`crate::decide::serving`]: which ones the list
+//! shows, which ones are over, and whether all boxes know that streams may be of several.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::lead::LeaderState;
 use super::rollouts::SoleWord;
-use crate::decide::origins::{CLAIM_LIFETIME, Origin, OriginAnswer, StreamKey};
+use crate::decide::origins::{CLAIM_LIFETIME, OriginAnswer, StreamKey, StreamOrigin};
+use crate::decide::serving::{ReleaseView, ServiceView};
 use crate::ids::{Release, ServiceName};
 use crate::relay::table::Repeat;
 use crate::state::rollout::{Rollout, RolloutState, ServingReleases};
@@ -42,6 +41,9 @@
     }
 }
 
+/// The listed servers by service and release.
+type ServerCounts = BTreeMap<ServiceName, BTreeMap<Release, ServerCount>>;
+
 /// How many servers run a release.
 #[derive(Debug, Clone, Copy, Default)]
 struct ServerCount {
@@ -50,8 +52,6 @@
     open: usize,
 }
 
-type ServerCounts = BTreeMap<ServiceName, BTreeMap<Release, ServerCount>>;
-
 impl LeaderState {
     /// Looks at the list and at what boxes have reported, if that is due. `is_new` marks a changed state of the group.
     pub(super) fn refresh_serving(&mut self, is_new: bool) {
@@ -72,11 +72,12 @@
         };
         let words = book.in_force.keys().map(|service| (service.clone(), word(service))).collect();
         let idle = book.in_force.keys().filter(|service| !is_rolled_out(&book, service));
+        let idle = idle.filter(|_| !self.list.is_empty());
         let changed = idle.filter_map(|service| {
-            let serving = self.serving(&book, &counts, service, now)?;
-            Some((service.clone(), serving))
+            let view = self.service_view(&book, &counts, service, now)?;
+            Some((service.clone(), view.next_serving()?))
         });
-        let changed = if self.list.is_empty() { BTreeMap::new() } else { changed.collect() };
+        let changed = changed.collect();
         self.serving.refreshed_at = Some(now);
         (self.serving.words, self.serving.changed) = (words, changed);
     }
@@ -91,7 +92,7 @@
     /// What this leader knows of the origin of a stream of a service.
     pub(super) fn find_origin(&self, key: StreamKey, service: &ServiceName) -> OriginAnswer {
         if let Some(origin) = self.origins.find(key, Instant::now()) {
-            return OriginAnswer::Known(Origin::clone(origin));
+            return OriginAnswer::Known(StreamOrigin::clone(origin));
         }
         let book = self.rollouts.book();
         let sole = book.filter(|book| self.is_admitted_alone(book, service));
@@ -163,49 +164,31 @@
                 .all(|(shared, heard)| shared.contains(service) || now >= heard + CLAIM_LIFETIME)
     }
 
-    /// The releases that are to serve a service, if they differ from those that do.
-    fn serving(
+    /// The releases of a service, if one is in force.
+    fn service_view(
         &self,
         book: &RolloutState,
         counts: &ServerCounts,
         service: &ServiceName,
         now: Instant,
-    ) -> Option<ServingReleases> {
-        let in_force = book.in_force.get(service)?;
-        let replaced = book.replaced.get(service).cloned().unwrap_or_default();
-        let empty = BTreeMap::new();
-        let listed = counts.get(service).unwrap_or(&empty);
-        let mut admitted: BTreeSet<Release> = book.admitted(service).cloned().collect();
-        let count = |release: &Release| listed.get(release).copied().unwrap_or_default();
-        let is_served = admitted.iter().any(|release| count(release).open > 0);
-        let may_begin = !is_served || self.is_withdrawn(book, service, now);
-        let open = listed.iter().filter(|(_, count)| count.open > 0);
-        let new = open.filter(|(release, _)| {
-            let is_refused = match is_served {
-                true => replaced.contains(*release),
-                false => book.is_rolled_back(service, release),
-            };
-            may_begin && !is_refused && !admitted.contains(*release)
-        });
-        let new: Vec<Release> = new.map(|(release, _)| Release::clone(release)).collect();
-        admitted.extend(new);
-        let most = admitted.iter().max_by_key(|release| count(release).open)?.clone();
-        let is_lost = count(in_force).all == 0 && count(&most).open > 0;
-        let next = if is_lost { most } else { in_force.clone() };
-        let keeps =
-            |release: &Release| count(release).all > 0 || !self.is_over(service, release, now);
-        let beside = admitted.into_iter().filter(|release| *release != next && keeps(release));
-        let beside: BTreeSet<_> = beside.collect();
-        let keeps_replaced =
-            |release: &Release| keeps(release) && *release != next && !beside.contains(release);
-        let replaced = replaced.into_iter().filter(|release| keeps_replaced(release)).collect();
-        let serving = ServingReleases { in_force: next, beside, replaced };
-        let held = ServingReleases {
-            in_force: in_force.clone(),
+    ) -> Option<ServiceView> {
+        let stored = ServingReleases {
+            in_force: book.in_force.get(service)?.clone(),
             beside: book.beside.get(service).cloned().unwrap_or_default(),
             replaced: book.replaced.get(service).cloned().unwrap_or_default(),
         };
-        (serving != held).then_some(serving)
+        let listed = counts.get(service);
+        let names = listed.into_iter().flat_map(BTreeMap::keys);
+        let names = names.chain(book.admitted(service)).chain(&stored.replaced);
+        let view = |release: &Release| {
+            let count = listed.and_then(|listed| listed.get(release)).copied().unwrap_or_default();
+            let is_over = self.is_over(service, release, now);
+            let is_bad = book.is_rolled_back(service, release);
+            ReleaseView { listed: count.all, open: count.open, is_over, is_bad }
+        };
+        let releases = names.map(|release| (release.clone(), view(release))).collect();
+        let may_share = self.is_withdrawn(book, service, now);
+        Some(ServiceView { stored, releases, may_share })
     }
 }
 
--- a/src/decide/origins.rs
+++ b/src/decide/origins.rs
@@ -54,7 +54,7 @@
 
 /// What began a stream.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Origin {
+pub struct StreamOrigin {
     /// The service.
     pub service: ServiceName,
     /// The release of the server.
@@ -67,7 +67,7 @@
     /// The stream.
     pub key: StreamKey,
     /// What began it.
-    pub origin: Origin,
+    pub origin: StreamOrigin,
     /// For how long its caller may come back.
     pub left: Millis,
 }
@@ -75,7 +75,7 @@
 #[derive(Debug)]
 struct Entry {
     /// `None` if two streams of different origins have the key.
-    origin: Option<Arc<Origin>>,
+    origin: Option<Arc<StreamOrigin>>,
     until: Instant,
     is_reported: bool,
 }
@@ -85,7 +85,7 @@
 pub struct StreamOrigins {
     entries: BTreeMap<StreamKey, Entry>,
     /// The origins of all entries: a few, each of many streams.
-    shared: BTreeSet<Arc<Origin>>,
+    shared: BTreeSet<Arc<StreamOrigin>>,
     expiry: BTreeSet<(Instant, StreamKey)>,
     capacity: usize,
 }
@@ -103,7 +103,7 @@
 
     /// Records what began a stream. If that differs from what is known, the origin counts as unknown: the caller has
     /// used an id twice.
-    pub fn record(&mut self, key: StreamKey, origin: Origin, until: Instant, now: Instant) {
+    pub fn record(&mut self, key: StreamKey, origin: StreamOrigin, until: Instant, now: Instant) {
         self.remove_expired(now);
         let origin = self.share(origin);
         let entry = match self.entries.remove(&key) {
@@ -125,12 +125,12 @@
     }
 
     /// What began a stream, if that is known.
-    pub fn find(&self, key: StreamKey, now: Instant) -> Option<&Origin> {
+    pub fn find(&self, key: StreamKey, now: Instant) -> Option<&StreamOrigin> {
         let entry = self.entries.get(&key).filter(|entry| now < entry.until)?;
         entry.origin.as_deref()
     }
 
-    fn share(&mut self, origin: Origin) -> Arc<Origin> {
+    fn share(&mut self, origin: StreamOrigin) -> Arc<StreamOrigin> {
         if let Some(shared) = self.shared.get(&origin) {
             return shared.clone();
         }
@@ -152,7 +152,7 @@
         let reports = waiting.filter_map(|(key, entry)| {
             let origin = entry.origin.as_ref().filter(|origin| is_asked(&origin.service))?;
             let left = entry.until.saturating_duration_since(now);
-            Some(OriginReport { key: *key, origin: Origin::clone(origin), left: left.into() })
+            Some(OriginReport { key: *key, origin: StreamOrigin::clone(origin), left: left.into() })
         });
         reports.take(MAX_REPORTED).collect()
     }
@@ -184,7 +184,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginAnswer {
     /// What began it.
-    Known(Origin),
+    Known(StreamOrigin),
     /// It is not known, but only this release can have begun it.
     Sole(Release),
     /// Any of several releases may have begun it.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -212,13 +212,13 @@
 /// A backend server's reply. A server may send a copy of an earlier reply in the place where the next one is due, so
 /// the head can be read only once it is known which request the reply answers.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Reply {
+pub struct ServerReply {
     /// The request that it names.
     pub named: NamedRequest,
     head: ReplyHead,
 }
 
-impl Reply {
+impl ServerReply {
     /// A reply with its head.
     pub fn new(named: NamedRequest, head: ReplyHead) -> Self {
         Self { named, head }
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -9,7 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode};
 
-use super::call::{Call, CallHead, MoveReply, Reply, SendContext, ServerReport};
+use super::call::{Call, CallHead, MoveReply, SendContext, ServerReply, ServerReport};
 use super::table::RouteTable;
 use crate::error::Failure;
 use crate::ids::BackendId;
@@ -26,7 +26,7 @@
     fn write_call(&self, call: &Call, context: &SendContext<'_>) -> HeaderMap;
 
     /// Parses the head of a backend server's reply, sent on a connection on which one to a call is due.
-    fn read_reply(&self, call: &Call, status: StatusCode, headers: &HeaderMap) -> Reply;
+    fn read_reply(&self, call: &Call, status: StatusCode, headers: &HeaderMap) -> ServerReply;
 
     /// Writes the path, headers and body that ask `server`, and no other server at its address, to
     /// stop a call's run and to copy its KV cache to `target`.
--- a/src/relay/resume.rs
+++ b/src/relay/resume.rs
@@ -9,7 +9,7 @@
 use super::table::{Repeat, Route};
 use crate::clock;
 use crate::control::origins::OriginRequest;
-use crate::decide::origins::{Origin, OriginAnswer, StreamKey};
+use crate::decide::origins::{OriginAnswer, StreamKey, StreamOrigin};
 use crate::error::{Failure, Kind};
 use crate::ids::{Release, ServiceName};
 
@@ -29,12 +29,13 @@
     call: &Call,
     route: &Route,
     service: &ServiceName,
-) -> Result<Option<Origin>, Failure> {
+) -> Result<Option<StreamOrigin>, Failure> {
     if call.head.last_event_id.is_none() || !route.repeat.is_stream() {
         return Ok(None);
     }
     let found = search(relay, call, service).await;
-    let leads_there = |origin: &Origin| route.splits.iter().any(|it| it.service == origin.service);
+    let leads_there =
+        |origin: &StreamOrigin| route.splits.iter().any(|it| it.service == origin.service);
     let way = if found.is_some() { "known" } else { "unknown" };
     relay.context.metrics.count_return(way);
     match found.filter(leads_there) {
@@ -50,13 +51,13 @@
     }
 }
 
-async fn search(relay: &Relay, call: &Call, service: &ServiceName) -> Option<Origin> {
+async fn search(relay: &Relay, call: &Call, service: &ServiceName) -> Option<StreamOrigin> {
     let key = call.head.first_request.as_ref().map(|id| StreamKey::new(call.team.as_ref(), id));
     let own = key.and_then(|key| relay.origins().find(key, Instant::now()).cloned());
     if own.is_some() {
         return own;
     }
-    let of = |release: Release| Some(Origin { service: service.clone(), release });
+    let of = |release: Release| Some(StreamOrigin { service: service.clone(), release });
     let sole = relay.releases().sole(service, clock::now()).cloned();
     if let Some(release) = sole.or_else(|| listed_release(relay, service)) {
         return of(release);
@@ -84,7 +85,7 @@
 }
 
 /// Remembers which release began a stream whose caller may come back.
-pub(super) fn record_origin(relay: &Relay, call: &Call, route: &Route, origin: Origin) {
+pub(super) fn record_origin(relay: &Relay, call: &Call, route: &Route, origin: StreamOrigin) {
     let is_new = call.head.last_event_id.is_none() && !call.head.id.is_empty();
     if !is_new || route.repeat != Repeat::ResumableStream {
         return;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -28,7 +28,7 @@
 use crate::backend::{Exchange, SendFault};
 use crate::decide::completeness::{EndFacts, Framing, StopState, judge_end};
 use crate::decide::engine::Observation;
-use crate::decide::origins::Origin;
+use crate::decide::origins::StreamOrigin;
 use crate::decide::releases::AnswerOutcome;
 use crate::decide::verdict::RelativeLatency;
 use crate::error::{Failure, Kind};
@@ -195,8 +195,10 @@
                 count_usage(&relay, &call);
                 let server = &opened.source.flight.server().server;
                 attempts.record_first_event(&server.release);
-                let origin =
-                    Origin { service: server.service.clone(), release: server.release.clone() };
+                let origin = StreamOrigin {
+                    service: server.service.clone(),
+                    release: server.release.clone(),
+                };
                 resume::record_origin(&relay, &call, &route, origin);
                 record_time_to_first_event(&relay, &attempts, &opened);
                 return Ok(respond(relay, call, route, attempts, *opened, kept));
--- a/tests/origins.rs
+++ b/tests/origins.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use emberturn::decide::origins::{
-    CLAIM_LIFETIME, MAX_REPORTED, Origin, OriginReport, StreamKey, StreamOrigins,
+    CLAIM_LIFETIME, MAX_REPORTED, OriginReport, StreamKey, StreamOrigin, StreamOrigins,
 };
 use emberturn::decide::releases::{ReleaseTable, ReleaseUpdate, TrialGrant};
+use emberturn::decide::serving::{ReleaseView, ServiceView};
 use emberturn::ids::{Release, ServiceName};
 use emberturn::state::rollout::{Phase, RolloutOrder, RolloutState, RolloutStep, ServingReleases};
 use emberturn::units::Millis;
@@ -21,8 +22,8 @@
     name.parse().unwrap()
 }
 
-fn origin(name: &str) -> Origin {
-    Origin { service: service(), release: release(name) }
+fn origin(name: &str) -> StreamOrigin {
+    StreamOrigin { service: service(), release: release(name) }
 }
 
 fn key(request: &str) -> StreamKey {
@@ -239,3 +240,59 @@
     let state: RolloutState = serde_json::from_str(text).unwrap();
     assert_eq!(admitted(&state), set(&["v1"]));
 }
+
+/// A service of which `v1` is in force, with these servers listed, of which none leaves.
+fn view(listed: &[(&str, usize)], may_share: bool) -> ServiceView {
+    let known = |(name, open): &(&str, usize)| {
+        let view = ReleaseView { listed: *open, open: *open, ..ReleaseView::default() };
+        (release(name), view)
+    };
+    let stored = serving("v1", &[]).remove(&service()).unwrap();
+    ServiceView { stored, releases: listed.iter().map(known).collect(), may_share }
+}
+
+fn next(view: &ServiceView) -> Option<(Release, BTreeSet<Release>, BTreeSet<Release>)> {
+    view.next_serving().map(|it| (it.in_force, it.beside, it.replaced))
+}
+
+#[test]
+fn listed_release_gets_new_requests_once_all_boxes_know_of_several() {
+    assert_eq!(next(&view(&[("v1", 4)], true)), None);
+    assert_eq!(next(&view(&[("v1", 4), ("v2", 1)], false)), None);
+    let expected = (release("v1"), set(&["v2"]), set(&[]));
+    assert_eq!(next(&view(&[("v1", 4), ("v2", 1)], true)), Some(expected));
+}
+
+#[test]
+fn release_is_admitted_at_once_where_nothing_else_serves() {
+    let mut view = view(&[("v1", 2), ("v2", 1)], false);
+    view.releases.get_mut(&release("v1")).unwrap().open = 0;
+    assert_eq!(next(&view), Some((release("v1"), set(&["v2"]), set(&[]))));
+    // The one in force is not listed any more, but its streams may still be taken up.
+    view.releases.insert(release("v1"), ReleaseView::default());
+    assert_eq!(next(&view), Some((release("v2"), set(&["v1"]), set(&[]))));
+    view.releases.insert(release("v1"), ReleaseView { is_over: true, ..ReleaseView::default() });
+    assert_eq!(next(&view), Some((release("v2"), set(&[]), set(&[]))));
+}
+
+#[test]
+fn release_that_was_replaced_is_admitted_only_where_nothing_else_serves() {
+    let mut view = view(&[("v1", 2), ("v0", 2)], true);
+    view.stored.replaced = set(&["v0"]);
+    assert_eq!(next(&view), None);
+    view.releases.insert(release("v1"), ReleaseView::default());
+    assert_eq!(next(&view), Some((release("v0"), set(&["v1"]), set(&[]))));
+    // Its servers have stopped, as was to be expected.
+    view.releases =
+        [(release("v1"), ReleaseView { listed: 2, open: 2, ..ReleaseView::default() })].into();
+    view.releases.insert(release("v0"), ReleaseView { is_over: true, ..ReleaseView::default() });
+    assert_eq!(next(&view), Some((release("v1"), set(&[]), set(&[]))));
+}
+
+#[test]
+fn release_that_was_rolled_back_is_never_admitted() {
+    let mut view = view(&[("v1", 0), ("v2", 3)], true);
+    view.stored.replaced = set(&["v2"]);
+    view.releases.get_mut(&release("v2")).unwrap().is_bad = true;
+    assert_eq!(next(&view), None);
+}
