Origins: the question on a stream stands with its answer in decide

Cause: relay used control for it, against the order of the folders (tests/imports.rs, failed on the commit before). Change: a type is moved; nothing else. Evidence: imports and names pass.

--- a/src/control/origins.rs
+++ b/src/control/origins.rs
@@ -5,12 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
-use crate::decide::origins::{OriginAnswer, StreamKey};
+use crate::decide::origins::{OriginAnswer, OriginRequest};
 use crate::group::access::Access;
 use crate::group::driver::Unanswered;
-use crate::ids::ServiceName;
 use crate::node::Node;
 use crate::relay::Relay;
 
@@ -23,15 +20,6 @@
 /// How often the leader is asked.
 const MAX_ATTEMPTS: u32 = 3;
 
-/// A box's question.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OriginRequest {
-    /// The stream.
-    pub key: StreamKey,
-    /// The service that it is to be continued by, if that is not known.
-    pub service: ServiceName,
-}
-
 /// Answers the questions of a relay's requests until the task is dropped.
 pub(crate) async fn run(relay: Arc<Relay>, access: Access) {
     let Some(mut questions) = relay.take_origin_questions() else {
--- a/src/decide/origins.rs
+++ b/src/decide/origins.rs
@@ -180,6 +180,15 @@
     }
 }
 
+/// A box's question on a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginRequest {
+    /// The stream.
+    pub key: StreamKey,
+    /// The service that it is to be continued by, if that is not known.
+    pub service: ServiceName,
+}
+
 /// The leader's word on a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginAnswer {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -19,11 +19,10 @@
     HeartbeatReply, NodeStatus, Poll, PollReply, ProxyReply, ProxyRequest, QuarantineAnswer,
     QuarantineAsk, RolloutAnswer, RolloutAsk, ThrottleReply, ThrottleRequest, Update,
 };
-use crate::control::origins::OriginRequest;
 use crate::control::{
     demand, document_source, lead, origins, proxies, quarantine, rollouts, share, throttle,
 };
-use crate::decide::origins::OriginAnswer;
+use crate::decide::origins::{OriginAnswer, OriginRequest};
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
--- a/src/relay/resume.rs
+++ b/src/relay/resume.rs
@@ -8,8 +8,7 @@
 use super::call::Call;
 use super::table::{Repeat, Route};
 use crate::clock;
-use crate::control::origins::OriginRequest;
-use crate::decide::origins::{OriginAnswer, StreamKey, StreamOrigin};
+use crate::decide::origins::{OriginAnswer, OriginRequest, StreamKey, StreamOrigin};
 use crate::error::{Failure, Kind};
 use crate::ids::{Release, ServiceName};
 
