Serving: the first leader does not wait for words of a former one; a test of a trial no longer depends on luck

Traced in its logs: the order came 0.8 s after the leader began, so the trial waited until 4.5 s after the leader's start for words that a former leader might have given; and only one request in eleven of the test was a stream, so that none of the 28 permits went to one before the order's 8 s were over.

Change: a leader that begins before anything was published has no former leader to wait for.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -106,7 +106,7 @@
     term: Term,
     pub(super) started_at: Instant,
     /// Whether no leader can have called the platform before this one, as nothing was published when the term began.
-    is_first: bool,
+    pub(super) is_first: bool,
     relay_states: BTreeMap<(BoxId, Incarnation), RelayState>,
     pub(super) presence: RelayPresence,
     swept_at: Instant,
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -152,11 +152,12 @@
     }
 
     /// Whether no box relies on the word that only one release has begun streams: each knows better, or has not been
-    /// told so for as long as it may rely on it. That of a former leader has ended if that leader had several releases
-    /// used.
+    /// told so for as long as it may rely on it. That of a former leader has ended if there was none, or if it had several
+    /// releases used.
     fn is_withdrawn(&self, book: &RolloutState, service: &ServiceName, now: Instant) -> bool {
         let is_exposed = |rollout: &Rollout| !rollout.phase.is_finished() && rollout.exposed > 0;
-        let was_withdrawn = book.admitted(service).count() > 1
+        let was_withdrawn = self.is_first
+            || book.admitted(service).count() > 1
             || book.rollouts.get(service).is_some_and(is_exposed);
         let mut boxes = self.relay_states();
         (was_withdrawn || now >= self.started_at + CLAIM_LIFETIME)
