--- a/tests/returning_callers.rs
+++ b/tests/returning_callers.rs
@@ -350,3 +350,32 @@
     system.launch(11, "relay").await;
     wait_release(&system, 11, "v2").await;
 }
+
+/// Of streams that are taken up again while servers of their release serve, at least half go on where new ones all
+/// begin: a box reports its streams in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn most_streams_go_on_though_a_third_of_the_boxes_is_killed() {
+    let (mut system, ..) = two_releases().await;
+    for place in 13..=16 {
+        system.launch(place, "relay").await;
+        wait_release(&system, place, "v2").await;
+    }
+    let mut begun = Vec::new();
+    for number in 0..240 {
+        let place = 11 + number % 6;
+        let id = format!("s-{number}");
+        let release = begin(&system, place, &id).await;
+        if place < 13 {
+            begun.push((13 + number % 4, id, release));
+        }
+    }
+    system.kill(11).await;
+    system.kill(12).await;
+    let mut served = 0;
+    for (place, id, release) in &begun {
+        let reply = come_back(&system, *place, id).await.unwrap();
+        assert!(releases(&reply).iter().all(|it| it == release), "{id}: {reply:?}");
+        served += usize::from(reply.status == 200);
+    }
+    assert!(2 * served >= begun.len(), "{served} of {}", begun.len());
+}
