Origins: one figure for how long callers come back, and one question whether a service is rolled out

The box and the leader each had a RETURN_TIMEOUTS, which must agree: the leader takes a release for over after the time for which boxes remember its streams. Whether a service is being rolled out was asked twice, by a walk over all.

Change: decide/origins has the one figure, RolloutState::is_rolled_out the one question. Behaviour as before.

Evidence: clippy; origins 17, returning_callers 10, rollouts 9, rollout 26, releases_of_streams 20, control_bytes 8, imports, names, docs and run_state pass.

--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -6,16 +6,15 @@
 
 use super::lead::LeaderState;
 use super::rollouts::SoleWord;
-use crate::decide::origins::{CLAIM_LIFETIME, OriginAnswer, StreamKey, StreamOrigin};
+use crate::decide::origins::{
+    CLAIM_LIFETIME, OriginAnswer, RETURN_TIMEOUTS, StreamKey, StreamOrigin,
+};
 use crate::decide::serving::{ReleaseView, ServiceView};
 use crate::ids::{Release, ServiceName};
 use crate::relay::table::Repeat;
 use crate::state::rollout::{Rollout, RolloutState, ServingReleases};
 use crate::units::UnixMillis;
 
-/// A caller comes back for a stream within this many times the longest timeout of a route.
-const RETURN_TIMEOUTS: u32 = 2;
-
 /// The longest time for which callers come back while no route is known.
 const UNKNOWN_RETURN_TIME: Duration = Duration::from_secs(60);
 
@@ -71,7 +70,7 @@
             false => SoleWord::Ending,
         };
         let words = book.in_force.keys().map(|service| (service.clone(), word(service))).collect();
-        let idle = book.in_force.keys().filter(|service| !is_rolled_out(&book, service));
+        let idle = book.in_force.keys().filter(|service| !book.is_rolled_out(service));
         let idle = idle.filter(|_| !self.list.is_empty());
         let changed = idle.filter_map(|service| {
             let view = self.service_view(&book, &counts, service, now)?;
@@ -192,7 +191,3 @@
         Some(ServiceView { stored, releases, may_share })
     }
 }
-
-fn is_rolled_out(book: &RolloutState, service: &ServiceName) -> bool {
-    book.running().any(|rollout| rollout.order.service == *service)
-}
--- a/src/decide/origins.rs
+++ b/src/decide/origins.rs
@@ -21,6 +21,9 @@
 /// The most streams that the leader remembers.
 pub const MAX_LEADER_ORIGINS: usize = 1 << 17;
 
+/// A caller comes back for a stream within this many times its route's timeout.
+pub const RETURN_TIMEOUTS: u32 = 2;
+
 /// The most streams in one report.
 pub const MAX_REPORTED: usize = 1_024;
 
--- a/src/relay/resume.rs
+++ b/src/relay/resume.rs
@@ -8,13 +8,12 @@
 use super::call::Call;
 use super::table::{Repeat, Route};
 use crate::clock;
-use crate::decide::origins::{OriginAnswer, OriginRequest, StreamKey, StreamOrigin};
+use crate::decide::origins::{
+    OriginAnswer, OriginRequest, RETURN_TIMEOUTS, StreamKey, StreamOrigin,
+};
 use crate::error::{Failure, Kind};
 use crate::ids::{Release, ServiceName};
 
-/// A caller comes back for a stream within this many times its route's timeout.
-const RETURN_TIMEOUTS: u32 = 2;
-
 /// Retry-After for a stream of unknown origin: about the time until the leader has heard of it.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(400);
 
--- a/src/state/rollout.rs
+++ b/src/state/rollout.rs
@@ -226,6 +226,11 @@
         Some(held.clone())
     }
 
+    /// Whether a roll-out of a service is in progress.
+    pub fn is_rolled_out(&self, service: &ServiceName) -> bool {
+        self.rollouts.get(service).is_some_and(|rollout| !rollout.phase.is_finished())
+    }
+
     /// The releases of a service that get new requests outside a roll-out, if any is known.
     pub fn admitted<'a>(
         &'a self,
@@ -244,8 +249,7 @@
     /// Records the releases that serve a service, unless it is being rolled out or is unknown.
     pub fn note_serving(&mut self, services: &BTreeMap<ServiceName, ServingReleases>) {
         for (service, serving) in services {
-            let is_running = self.running().any(|rollout| rollout.order.service == *service);
-            if is_running || !self.in_force.contains_key(service) {
+            if self.is_rolled_out(service) || !self.in_force.contains_key(service) {
                 continue;
             }
             let ServingReleases { in_force, beside, replaced } = serving.clone();
