Relay: what proves that a send did not run is one type, told in logs and metrics

Change: decide/sends holds the sends of a request and what is proven of each; a failure that says 'not run' is given only through CallAttempts::fail_with, which asks it. send_missed tells proof=not_sent, first_answer, named_answer or unnamed_answer; emberturn_sends_not_run_total{proof}; answer_foreign tells whether it was the first answer of its connection, and emberturn_foreign_answers_total{named} counts them.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -33,6 +33,7 @@
 //! - [`route`]: which backend server takes a generation request.
 //! - [`retry`]: how many further attempts an entry node may make.
 //! - [`reclaim`]: what happens to a stream whose engine is being reclaimed.
+//! - [`sends`]: what the sends of a request prove about it.
 //! - [`serving`]: which releases get new requests without an order.
 //! - [`share`]: which share of a fleet-wide limit each node may use.
 //! - [`orders`]: ordered engines that the platform's list does not show yet.
@@ -83,6 +84,7 @@
 pub mod retry_budgets;
 pub mod rollout;
 pub mod route;
+pub mod sends;
 pub mod serving;
 pub mod share;
 pub mod slowness;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -10,7 +10,7 @@
 use tracing::field;
 
 use super::Relay;
-use super::call::{Call, KvCacheExport, NamedRequest, ReplyHead, SendContext, ServerLoad};
+use super::call::{Call, KvCacheExport, ReplyHead, SendContext, ServerLoad};
 use super::ends;
 use super::known::KnownServer;
 use super::reach;
@@ -19,6 +19,7 @@
 use crate::clock;
 use crate::decide::releases::AnswerOutcome;
 use crate::decide::retry_budgets::RetryLimit;
+use crate::decide::sends::{NamedRequest, NotRunProof};
 use crate::decide::throttle::{LimitChange, LimitNotice};
 use crate::error::Kind;
 use crate::telemetry::volume;
@@ -38,8 +39,8 @@
 pub enum SendFailure {
     /// It is proven that the request did not run.
     NotRun {
-        /// Whether a server received the request and refused it; otherwise it never reached one.
-        arrived: bool,
+        /// What proves it.
+        proof: NotRunProof,
         /// Description of the failure.
         detail: String,
     },
@@ -53,6 +54,10 @@
 }
 
 impl SendFailure {
+    fn not_sent(detail: String) -> Self {
+        Self::NotRun { proof: NotRunProof::NotSent, detail }
+    }
+
     fn unknown(kind: Kind, detail: impl Into<String>) -> Self {
         Self::Unknown { kind, detail: detail.into() }
     }
@@ -61,18 +66,19 @@
     pub fn from_fault(fault: SendFault) -> Self {
         let detail = fault.to_string();
         match fault {
-            SendFault::NotSent(_) | SendFault::Refused(_) => {
-                Self::NotRun { arrived: false, detail }
-            }
+            SendFault::NotSent(_) | SendFault::Refused(_) => Self::not_sent(detail),
             SendFault::Broke(_) => Self::unknown(Kind::BackendBroke, detail),
             SendFault::TimedOut => Self::unknown(Kind::BackendTimeout, detail),
             SendFault::TooLarge(_) => Self::unknown(Kind::BackendInvalid, detail),
         }
     }
 
-    /// Whether the request may have run.
-    pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Unknown { .. })
+    /// What proves that the request did not run; `None` if it may have run.
+    pub fn proof(&self) -> Option<NotRunProof> {
+        match self {
+            Self::NotRun { proof, .. } => Some(*proof),
+            Self::Unknown { .. } => None,
+        }
     }
 
     /// Description of the failure.
@@ -150,7 +156,7 @@
 ) -> Result<CheckedReply, SendFailure> {
     if known.state.is_over() {
         let detail = format!("{} has started again", known.server.id);
-        return Err(SendFailure::NotRun { arrived: false, detail });
+        return Err(SendFailure::not_sent(detail));
     }
     let request = build_request(relay, call, known, start);
     let reuse = match route.repeat.is_repeatable() {
@@ -175,7 +181,7 @@
     let reply = relay.context.dialect.read_reply(call, exchange.status, &exchange.headers);
     // Dropping the exchange closes the connection, on which the answer to this call is still due.
     let Some(head) = reply.to_call(&mut exchange) else {
-        log_foreign(call, known, &exchange, reply.named);
+        record_foreign(relay, call, known, &exchange, reply.named);
         record_failed_answer(relay, known, route);
         let detail = format!("{}: the answer belongs to another request", known.server.id);
         return Err(SendFailure::unknown(Kind::BackendInvalid, detail));
@@ -212,8 +218,13 @@
             if let Some(pause) = head.requested_pause {
                 detail += &format!(" and asks for a pause of {} ms", pause.as_millis());
             }
+            let proof = match (exchange.is_first(), reply.named) {
+                (true, _) => NotRunProof::FirstAnswer,
+                (false, NamedRequest::Sent | NamedRequest::Other) => NotRunProof::NamedAnswer,
+                (false, NamedRequest::None) => NotRunProof::UnnamedAnswer,
+            };
             let _ = exchange.read_whole(MAX_REFUSAL_BYTES, REFUSAL_READ_TIME).await;
-            Err(SendFailure::NotRun { arrived: true, detail })
+            Err(SendFailure::NotRun { proof, detail })
         }
         ReplyClass::Invalid(reason) => {
             record_failed_answer(relay, known, route);
@@ -284,16 +295,18 @@
     }
 }
 
-/// Logs a reply that came in the place of the one to a call.
-pub(super) fn log_foreign(
+/// Records a reply that came in the place of the one to a call.
+pub(super) fn record_foreign(
+    relay: &Relay,
     call: &Call,
     known: &KnownServer,
     exchange: &Exchange,
     named: NamedRequest,
 ) {
+    relay.context.metrics.count_foreign_answer(named);
     tracing::warn!(
         event = "answer_foreign", id = call.head.id, backend_server = %known.server.id,
-        status = exchange.status.as_u16(), ?named,
+        status = exchange.status.as_u16(), ?named, first = exchange.is_first(),
     );
 }
 
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use tracing::field;
+
 use super::Relay;
 use super::attempt::SendFailure;
 use super::call::Call;
@@ -15,6 +17,7 @@
 use super::table::Route;
 use crate::decide::choose::has_room;
 use crate::decide::releases::ReleaseChoice;
+use crate::decide::sends::SendLedger;
 use crate::decide::topology::Reach;
 use crate::error::{Failure, Kind};
 use crate::ids::{BackendId, Release, ServiceName};
@@ -44,14 +47,8 @@
 pub struct CallAttempts {
     service: ServiceName,
     tried_servers: Vec<BackendId>,
-    /// Sends that may have run or are in progress.
-    maybe_run: u32,
-    /// Sends that reached a server, whatever their outcome.
-    reached: u32,
-    /// Sends that reached no server.
-    unreached: u32,
-    /// Sends that a server refused.
-    refused: u32,
+    sends: SendLedger,
+    /// The last send that failed and may have run.
     unknown_outcome: Option<SendFailure>,
     last_failure: Option<SendFailure>,
     /// The server from whose KV cache the last chosen server copies part of the prompt.
@@ -88,10 +85,7 @@
         Self {
             service,
             tried_servers: Vec::new(),
-            maybe_run: 0,
-            reached: 0,
-            unreached: 0,
-            refused: 0,
+            sends: SendLedger::default(),
             unknown_outcome: None,
             last_failure: None,
             prefix_source: None,
@@ -125,7 +119,7 @@
 
     /// Whether the call may be sent again although an earlier send may have run.
     pub fn may_retry(&self, route: &Route) -> bool {
-        route.repeat.is_repeatable() && self.maybe_run < route.attempts
+        route.repeat.is_repeatable() && self.sends.may_have_run() < route.attempts
     }
 
     /// Selects the server for the next send.
@@ -144,13 +138,14 @@
         let min_time_left =
             (route.objective / MIN_TIME_LEFT_DIVISOR).min(route.timeout / MIN_TIME_LEFT_DIVISOR);
         // A server of a brittle service may fall over with the next rejection.
-        let is_brittle = self.refused > 0 && restraint::is_brittle(relay, &self.service);
+        let is_brittle = self.sends.refused() > 0 && restraint::is_brittle(relay, &self.service);
         let max_refused = if is_brittle { 1 } else { MAX_REFUSED };
-        let gives_up = self.unreached >= MAX_UNREACHED || self.refused >= max_refused;
+        let gives_up =
+            self.sends.not_sent() >= MAX_UNREACHED || self.sends.refused() >= max_refused;
         if call.time_left() <= min_time_left || gives_up {
             return Err(self.final_failure(relay));
         }
-        if self.maybe_run >= route.attempts.max(1) {
+        if self.sends.may_have_run() >= route.attempts.max(1) {
             return Err(self.final_failure(relay));
         }
         let Some(known) = self.pick_server(relay, call, route) else {
@@ -159,28 +154,25 @@
         // What crashed the server of an earlier send would crash the next one as well. It may also have been
         // quarantined while the call waited.
         if let Err(failure) = quarantine::check(relay, call, &self.service) {
-            let has_run = self.maybe_run > 0 || self.unknown_outcome.is_some();
-            return Err(if has_run { self.final_failure(relay) } else { failure });
+            return Err(self.fail_with(failure));
         }
-        let broke_off = self.maybe_run > 0 && self.unknown_outcome.is_some();
-        if broke_off && quarantine::is_suspected(relay, call, &self.service) {
+        if self.unknown_outcome.is_some() && quarantine::is_suspected(relay, call, &self.service) {
             return Err(self.final_failure(relay));
         }
-        if self.reached > 0 && !relay.retries().try_withdraw(&self.service) {
+        if self.sends.reached() > 0 && !relay.retries().try_withdraw(&self.service) {
             return Err(self.final_failure(relay));
         }
         let limit = restraint::advertised_limit(relay, &known);
-        if self.reached > 0 || limit.is_some() || volume::allows_ordinary() {
+        if self.sends.reached() > 0 || limit.is_some() || volume::allows_ordinary() {
             tracing::info!(
                 event = "server_chosen", id = call.head.id, backend_server = %known.server.id,
                 requests = known.estimated_requests(), unread = known.queued_prompt_tokens(), slots = known.server.slots,
                 reach = %self.reach, load_age_ms = known.state.load().map(|load| load.at.elapsed().as_millis() as u64),
-                send = self.reached + 1, limit = limit.map(tracing::field::display),
+                send = self.sends.reached() + 1, limit = limit.map(field::display),
             );
         }
         self.track_spill(relay);
-        self.maybe_run += 1;
-        self.reached += 1;
+        self.sends.begin();
         self.tried_servers.push(known.server.id.clone());
         Ok(known)
     }
@@ -201,39 +193,52 @@
     }
 
     /// Records a send that produced no answer to forward.
-    pub fn record_failure(&mut self, call: &Call, known: &KnownServer, failure: SendFailure) {
+    pub fn record_failure(
+        &mut self,
+        relay: &Relay,
+        call: &Call,
+        known: &KnownServer,
+        failure: SendFailure,
+    ) {
+        let proof = failure.proof();
         tracing::info!(
             event = "send_missed", id = call.head.id, service = %self.service,
-            backend_server = %known.server.id, not_run = matches!(failure, SendFailure::NotRun { .. }),
-            request = failure.may_have_run().then(|| tracing::field::display(call.fingerprint())),
-            segments = failure.may_have_run().then(|| call.segments_text()).flatten(),
+            backend_server = %known.server.id, not_run = proof.is_some(), proof = proof.map(field::display),
+            request = proof.is_none().then(|| field::display(call.fingerprint())),
+            segments = proof.is_none().then(|| call.segments_text()).flatten(),
             detail = failure.detail(), left_ms = call.time_left().as_millis() as u64,
         );
-        match &failure {
-            SendFailure::NotRun { arrived: false, .. } => {
-                self.maybe_run -= 1;
-                self.reached -= 1;
-                self.unreached += 1;
-            }
-            SendFailure::NotRun { arrived: true, .. } => {
-                self.maybe_run -= 1;
-                self.refused += 1;
+        match proof {
+            Some(proof) => {
+                self.sends.prove_not_run(proof);
+                relay.context.metrics.count_proof(proof);
             }
-            SendFailure::Unknown { .. } => self.unknown_outcome = Some(failure.clone()),
+            None => self.unknown_outcome = Some(failure.clone()),
         }
         self.last_failure = Some(failure);
     }
 
-    /// The failure that is reported to the caller. It states that the call did not run only if no
-    /// send may have run: a server that was given up for another one, which then refused, may still
-    /// be running it.
-    pub fn final_failure(&self, relay: &Relay) -> Failure {
-        if let Some(SendFailure::Unknown { kind, detail }) = &self.unknown_outcome {
-            return Failure::new(*kind, detail.clone());
-        }
-        if self.maybe_run > 0 {
-            return Failure::new(Kind::BackendTimeout, "a server that did not answer was given up");
+    /// The failure that is reported to the caller: `not_run` only if no send may have run. A server
+    /// that was given up for another one, which then refused, may still be running the call.
+    fn fail_with(&self, not_run: Failure) -> Failure {
+        match (self.sends.is_proven_not_run(), &self.unknown_outcome) {
+            (true, _) => not_run,
+            (false, Some(SendFailure::Unknown { kind, detail })) => {
+                Failure::new(*kind, detail.clone())
+            }
+            (false, Some(SendFailure::NotRun { .. }) | None) => {
+                Failure::new(Kind::BackendTimeout, "a server that did not answer was given up")
+            }
         }
+    }
+
+    /// The failure of a call that is not sent again.
+    fn final_failure(&self, relay: &Relay) -> Failure {
+        self.fail_with(self.not_run_failure(relay))
+    }
+
+    /// The failure of a call none of whose sends ran.
+    fn not_run_failure(&self, relay: &Relay) -> Failure {
         let servers = relay.servers.for_service(&self.service);
         let wait = self.restraint_wait(relay, &servers);
         let Some(last) = &self.last_failure else {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -10,6 +10,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::backend::Exchange;
+use crate::decide::sends::NamedRequest;
 use crate::decide::throttle::LimitNotice;
 use crate::ids::{BackendId, Fingerprint, Incarnation, SegmentKey, ServiceName, TeamName};
 
@@ -198,17 +199,6 @@
     pub handle: Option<String>,
 }
 
-/// Which request a backend server's reply names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NamedRequest {
-    /// The one that was sent.
-    Sent,
-    /// Another one.
-    Other,
-    /// None.
-    None,
-}
-
 /// A backend server's reply. A server may send a copy of an earlier reply in the place where the next one is due, so
 /// the head can be read only once it is known which request the reply answers.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use super::Relay;
-use super::attempt::{log_foreign, record_reply};
+use super::attempt::{record_foreign, record_reply};
 use super::call::Call;
 use super::hop::{self, HopAction, HopFault, HopReply, HopRequest};
 use super::keeping::{RequestReservation, read_body};
@@ -141,7 +141,7 @@
         false => reply.to_call(&mut exchange),
     };
     let Some(head) = head else {
-        log_foreign(&call, &known, &exchange, reply.named);
+        record_foreign(relay, &call, &known, &exchange, reply.named);
         return Err(HopFault::Broke);
     };
     record_reply(relay, &known, exchange.status, &head);
--- a/src/relay/moving.rs
+++ b/src/relay/moving.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use super::Relay;
-use super::attempt::{StartState, log_foreign};
+use super::attempt::{StartState, record_foreign};
 use super::attempts::CallAttempts;
 use super::call::{Call, KvCacheExport, MoveReply};
 use super::export::{ExportReply, StopOutcome, StreamEnd, read_until_stopped};
@@ -254,7 +254,7 @@
         let status = exchange.status;
         let reply = relay.context.dialect.read_reply(call, status, &exchange.headers);
         let Some(head) = reply.to_unnamed(&mut exchange) else {
-            log_foreign(call, source, &exchange, reply.named);
+            record_foreign(relay, call, source, &exchange, reply.named);
             return Err(SendFault::Broke("the reply belongs to another request".to_owned()));
         };
         let body = exchange.read_whole(MAX_REPLY_BYTES, limit).await?;
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -130,7 +130,7 @@
                     return Ok(answer);
                 }
                 Ok((answer, true)) => failed = Some(answer),
-                Err(failure) => attempts.record_failure(call, &known, failure),
+                Err(failure) => attempts.record_failure(relay, call, &known, failure),
             },
             () = &mut hedge_delay, if !hedged && attempts.may_retry(route) => {
                 hedged = true;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -207,7 +207,7 @@
                 failed = Some(response);
             }
             Some(Ok(StartOutcome::Whole(response, _))) => return Ok(response),
-            Some(Err(failure)) => attempts.record_failure(&call, &known, failure),
+            Some(Err(failure)) => attempts.record_failure(&relay, &call, &known, failure),
         }
         chosen = match attempts.next_server(&relay, &call, &route) {
             Ok(known) => known,
@@ -661,7 +661,7 @@
                 return Some((ready.freeze(), source));
             }
             Ok(StartOutcome::Whole(..)) => {}
-            Err(failure) => attempts.record_failure(call, &known, failure),
+            Err(failure) => attempts.record_failure(relay, call, &known, failure),
         }
         known = attempts.next_server(relay, call, route).ok()?;
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -20,6 +20,7 @@
 
 use super::gauges::Gauges;
 use crate::decide::completeness::Framing;
+use crate::decide::sends::{NamedRequest, NotRunProof};
 use crate::node::Node;
 
 /// Bounds of the latency histograms, in seconds.
@@ -42,6 +43,8 @@
     ends: Counter<u64>,
     connects: Counter<u64>,
     answer_ends: Counter<u64>,
+    foreign_answers: Counter<u64>,
+    proofs: Counter<u64>,
     forwards: Counter<u64>,
     returns: Counter<u64>,
     proxied: Counter<u64>,
@@ -106,6 +109,14 @@
                 "emberturn_answer_ends",
                 "Answers of backend servers whose bytes have ended, by framing and outcome",
             ),
+            foreign_answers: counter(
+                "emberturn_foreign_answers",
+                "Answers of backend servers that came in the place of another one, by the request they name",
+            ),
+            proofs: counter(
+                "emberturn_sends_not_run",
+                "Sends to backend servers that did not run, by what proves it",
+            ),
             unread_entries: counter(
                 "emberturn_list_entries_unread",
                 "Entries of the list of backend servers that name none, by reason",
@@ -186,6 +197,16 @@
         self.answer_ends.add(1, &labels);
     }
 
+    /// Counts an answer that came in the place of another one.
+    pub fn count_foreign_answer(&self, named: NamedRequest) {
+        self.foreign_answers.add(1, &[KeyValue::new("named", named.name())]);
+    }
+
+    /// Counts a send that did not run.
+    pub fn count_proof(&self, proof: NotRunProof) {
+        self.proofs.add(1, &[KeyValue::new("proof", proof.name())]);
+    }
+
     /// Counts a request of another box.
     pub fn count_forward(&self, outcome: &'static str) {
         self.forwards.add(1, &[outcome_label(outcome)]);
