Relay: an answer without an id proves something only as the first one on its connection

What callers saw (before, in the test): 503 'not run', or another server's answer, for an unsafe request that ran; another's 404 or 500 as their own. Cause: a failure without an id was believed on any connection. The reason given was that a copy repeats an earlier answer of its connection, and a connection that carried a refusal without an id is closed. Bytes behind a whole answer need not repeat one, and refused reports, which have no id either, went over the same connections. Change: such an answer counts only where no other one can have been due; elsewhere the request is unknown and the connection is closed. Servers name the request in each answer, so sound ones lose nothing.

--- a/src/decide/sends.rs
+++ b/src/decide/sends.rs
@@ -35,8 +35,6 @@
     FirstAnswer,
     /// A refusal that names the request, on a connection that has carried other answers.
     NamedAnswer,
-    /// A refusal that names no request, on a connection that has carried other answers.
-    UnnamedAnswer,
 }
 
 impl NotRunProof {
@@ -44,7 +42,7 @@
     pub fn is_refusal(self) -> bool {
         match self {
             Self::NotSent => false,
-            Self::FirstAnswer | Self::NamedAnswer | Self::UnnamedAnswer => true,
+            Self::FirstAnswer | Self::NamedAnswer => true,
         }
     }
 
@@ -54,7 +52,6 @@
             Self::NotSent => "not_sent",
             Self::FirstAnswer => "first_answer",
             Self::NamedAnswer => "named_answer",
-            Self::UnnamedAnswer => "unnamed_answer",
         }
     }
 }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -218,10 +218,9 @@
             if let Some(pause) = head.requested_pause {
                 detail += &format!(" and asks for a pause of {} ms", pause.as_millis());
             }
-            let proof = match (exchange.is_first(), reply.named) {
-                (true, _) => NotRunProof::FirstAnswer,
-                (false, NamedRequest::Sent | NamedRequest::Other) => NotRunProof::NamedAnswer,
-                (false, NamedRequest::None) => NotRunProof::UnnamedAnswer,
+            let proof = match exchange.is_first() {
+                true => NotRunProof::FirstAnswer,
+                false => NotRunProof::NamedAnswer,
             };
             let _ = exchange.read_whole(MAX_REFUSAL_BYTES, REFUSAL_READ_TIME).await;
             Err(SendFailure::NotRun { proof, detail })
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -214,13 +214,13 @@
         Self { named, head }
     }
 
-    /// The head, if this answers the call that was sent. A refusal may come without an id. As a copy of it would have
-    /// none either, its connection is not used again.
+    /// The head, if this answers the call that was sent. A failure may come without an id, but only as the first answer
+    /// on its connection. As a copy of it would have none either, that connection is not used again.
     pub fn to_call(self, exchange: &mut Exchange) -> Option<ReplyHead> {
         let is_own = match self.named {
             NamedRequest::Sent => true,
             NamedRequest::Other => false,
-            NamedRequest::None => !exchange.status.is_success(),
+            NamedRequest::None => exchange.is_first() && !exchange.status.is_success(),
         };
         if self.named == NamedRequest::None {
             exchange.close_after();
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -180,6 +180,36 @@
     assert_eq!(server.runs(), 1);
 }
 
+/// Guards against a request that ran although its caller was told that it did not, or whose caller got another one's
+/// failure: bytes behind a whole answer made an answer that names no request.
+#[parameterized(
+    full = { UNNAMED.to_owned() },
+    limited = { "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_owned() },
+    of_another_server = { "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n".to_owned() },
+    invalid = { "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_owned() },
+    missing = { "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_owned() },
+    failed = { "HTTP/1.1 500 Internal Server Error\r\nResponse-Signature: sig\r\nContent-Length: 0\r\n\r\n".to_owned() },
+    with_an_empty_name = {
+        "HTTP/1.1 503 Service Unavailable\r\nRequest-Id:\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+    },
+)]
+fn answer_without_an_id_on_a_used_connection_says_nothing_of_the_request(extra: String) {
+    run(async {
+        let server = CopyingServer::start().await;
+        let second = StandIn::start("i-2", &[Act::Answer]).await;
+        let relay = TestRelay::start(&[]).await;
+        let first = listed_server("i-1", "svc", server.addr);
+        relay.list_as(vec![first.clone()]);
+        assert_eq!(relay.ask("POST", "once").await.status, 200);
+        server.copy(&extra);
+        relay.list_as(vec![first, second.listed("svc")]);
+        relay.set_aside("i-2");
+        let reply = relay.ask("POST", "once").await;
+        assert_eq!(reply.status, 502, "{reply:?}");
+        assert_eq!((server.runs(), second.seen().len()), (2, 0));
+    });
+}
+
 /// The box that sends for another one judges whose the answer is, on the connection that it came on.
 #[tokio::test]
 async fn copy_of_another_answer_that_reaches_the_other_box_says_nothing_either() {
