Relay: a request is not sent on a connection on which it got a failure before

What callers saw (before, in the test): an unsafe request that was refused and came back ran at two servers, or ran although it was answered 503. Cause: an id names a request, not a send. The copy of the refusal of one send names the same request as the answer to the next send on that connection, so whose it is could not be told: by callers that come back with their id, and by a run that its source is asked twice to go on with. Change: a connection remembers the requests that got a failure on it, and carries none of them again; it is closed after 64. Requests with ids have connections of their own, so that no answer without one is due on them.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -8,4 +8,4 @@
 pub mod pool;
 pub mod sse;
 
-pub use pool::{Exchange, IDLE_TOTAL, Pool, Reuse, SendFault, Unsent};
+pub use pool::{ConnectionUse, Exchange, IDLE_TOTAL, Pool, RequestTag, Reuse, SendFault, Unsent};
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Display;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -45,6 +46,9 @@
 /// Subtracted from the time for which the other side says it keeps an idle connection.
 const KEEP_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// Failure answers that a connection carries before it is closed: each is remembered as long as it is open.
+const MAX_FAILURES: usize = 64;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Whether a request may go on a pooled connection. The other side may close such a connection at
@@ -59,6 +63,35 @@
     Never,
 }
 
+/// Stands for the id of a request. The same for all of its sends, and for others only by chance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct RequestTag(u64);
+
+impl RequestTag {
+    /// The tag of an id; `None` if it is empty.
+    pub fn of(id: &str) -> Option<Self> {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        (!id.is_empty()).then(|| Self(hasher.finish()))
+    }
+}
+
+/// Which connection may carry a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Whether it may be a pooled one.
+    pub reuse: Reuse,
+    /// The request, if answers name it. Such requests have connections of their own, where each answer has to name one. None
+    /// of them gets a failure answer to two sends of the same request: a copy of the first one would pass for the second.
+    pub tag: Option<RequestTag>,
+}
+
+impl From<Reuse> for ConnectionUse {
+    fn from(reuse: Reuse) -> Self {
+        Self { reuse, tag: None }
+    }
+}
+
 /// Why there is no answer, and what that proves.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SendFault {
@@ -114,7 +147,7 @@
     /// The box that forwarded the request, if this one has no path to the server.
     pub lease: Option<ProxyLease>,
     body: Incoming,
-    home: Option<(Pool, SocketAddr, Sender)>,
+    home: Option<(Pool, Lane, Connection)>,
     keep: Duration,
     counter: Arc<AtomicU64>,
 }
@@ -186,39 +219,62 @@
     }
 
     fn give_back(&mut self) {
-        if let Some((pool, addr, sender)) = self.home.take() {
-            pool.put(addr, sender, self.keep);
+        if let Some((pool, lane, connection)) = self.home.take() {
+            pool.put(lane, connection, self.keep);
         }
     }
 }
 
-struct Idle {
+/// A connection, and which requests got a failure answer on it.
+struct Connection {
     sender: Sender,
+    failed: Vec<RequestTag>,
+}
+
+impl Connection {
+    fn new(sender: Sender) -> Self {
+        Self { sender, failed: Vec::new() }
+    }
+
+    fn may_carry(&self, tag: Option<RequestTag>) -> bool {
+        tag.is_none_or(|tag| !self.failed.contains(&tag))
+    }
+}
+
+/// The connections to an address that carry requests with ids, or those that carry requests without.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Lane {
+    addr: SocketAddr,
+    is_named: bool,
+}
+
+struct Idle {
+    connection: Connection,
     since: Instant,
     until: Instant,
 }
 
 impl Idle {
     fn is_usable(&self, now: Instant) -> bool {
-        !self.sender.is_closed() && now < self.until
+        !self.connection.sender.is_closed() && now < self.until
     }
 }
 
-/// The idle connections by address, and their number.
+/// The idle connections, and their number.
 #[derive(Default)]
 struct IdleLists {
-    by_addr: HashMap<SocketAddr, Vec<Idle>>,
+    by_lane: HashMap<Lane, Vec<Idle>>,
     count: usize,
 }
 
 impl IdleLists {
     /// Drops what can't be used any more, everywhere.
     fn clear_out(&mut self, now: Instant) {
-        self.by_addr.retain(|_, list| {
+        self.by_lane.retain(|_, list| {
             list.retain(|held| held.is_usable(now));
             !list.is_empty()
         });
-        self.count = self.by_addr.values().map(Vec::len).sum();
+        self.count = self.by_lane.values().map(Vec::len).sum();
     }
 }
 
@@ -250,9 +306,10 @@
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
         silence: Duration,
-        reuse: Reuse,
+        connection: impl Into<ConnectionUse>,
     ) -> Result<Exchange, SendFault> {
-        self.send_or_return(addr, request, silence, reuse).await.map_err(|unsent| unsent.fault)
+        let sent = self.send_or_return(addr, request, silence, connection.into()).await;
+        sent.map_err(|unsent| unsent.fault)
     }
 
     /// The same, but gives the request back when no byte of it was sent.
@@ -264,17 +321,19 @@
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
         silence: Duration,
-        reuse: Reuse,
+        connection: ConnectionUse,
     ) -> Result<Exchange, Box<Unsent>> {
         let mut request = request;
+        let ConnectionUse { reuse, tag } = connection;
+        let lane = Lane { addr, is_named: tag.is_some() };
         let rest = match reuse {
             Reuse::Any => Some(Duration::MAX),
             Reuse::Rested(rest) => Some(rest),
             Reuse::Never => None,
         };
         if let Some(rest) = rest {
-            while let Some(sender) = self.take(addr, rest) {
-                match self.send_on(addr, sender, request, silence).await {
+            while let Some(held) = self.take(lane, rest, tag) {
+                match self.send_on(lane, held, request, silence, tag).await {
                     Ok(exchange) => return Ok(exchange),
                     Err(Unsent { fault: SendFault::NotSent(_), request: Some(unsent) }) => {
                         request = unsent;
@@ -284,20 +343,23 @@
             }
         }
         let began = Instant::now();
-        let sender = match connect(addr, self.connect_time.min(silence)).await {
-            Ok(sender) => sender,
+        let opened = match connect(addr, self.connect_time.min(silence)).await {
+            Ok(sender) => Connection::new(sender),
             Err(fault) => return Err(Box::new(Unsent { fault, request: Some(request) })),
         };
         let connect = Some(began.elapsed());
-        let sent = self.send_on(addr, sender, request, silence).await;
+        let sent = self.send_on(lane, opened, request, silence, tag).await;
         sent.map(|exchange| Exchange { connect, ..exchange }).map_err(Box::new)
     }
 
     /// Closes the idle connections to an address.
     pub fn forget(&self, addr: SocketAddr) {
         let mut lists = self.lists();
-        let closed = lists.by_addr.remove(&addr).map_or(0, |list| list.len());
-        lists.count -= closed;
+        for is_named in [true, false] {
+            let closed =
+                lists.by_lane.remove(&Lane { addr, is_named }).map_or(0, |list| list.len());
+            lists.count -= closed;
+        }
     }
 
     /// Asks whether anybody listens at an address.
@@ -310,17 +372,22 @@
 
     async fn send_on(
         &self,
-        addr: SocketAddr,
-        mut sender: Sender,
+        lane: Lane,
+        mut connection: Connection,
         request: Request<Full<Bytes>>,
         silence: Duration,
+        tag: Option<RequestTag>,
     ) -> Result<Exchange, Unsent> {
-        let sending = tokio::time::timeout(silence, sender.try_send_request(request)).await;
-        match sending {
+        let sending = connection.sender.try_send_request(request);
+        match tokio::time::timeout(silence, sending).await {
             Err(_) => Err(Unsent { fault: SendFault::TimedOut, request: None }),
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
-                let home = Some((self.clone(), addr, sender));
+                if !parts.status.is_success() {
+                    connection.failed.extend(tag);
+                }
+                let is_kept = connection.failed.len() < MAX_FAILURES;
+                let home = is_kept.then(|| (self.clone(), lane, connection));
                 let keep = keep_time(&parts.headers);
                 let framing = framing(&parts.headers, &body);
                 let counter = Arc::default();
@@ -351,22 +418,24 @@
         self.lists().count
     }
 
-    fn take(&self, addr: SocketAddr, rest: Duration) -> Option<Sender> {
+    /// The connection that was used last, as the others may rest until they are closed.
+    fn take(&self, lane: Lane, rest: Duration, tag: Option<RequestTag>) -> Option<Connection> {
         let mut lists = self.lists();
-        let list = lists.by_addr.get_mut(&addr)?;
+        let list = lists.by_lane.get_mut(&lane)?;
         let now = Instant::now();
         let before = list.len();
         list.retain(|held| held.is_usable(now));
-        // The one used last: the others may rest until they are closed.
-        let fresh = list.last().is_some_and(|held| now < held.since + rest.min(IDLE_TIME));
-        let taken = fresh.then(|| list.pop()).flatten().map(|held| held.sender);
+        let is_fit =
+            |held: &Idle| now < held.since + rest.min(IDLE_TIME) && held.connection.may_carry(tag);
+        let at = list.iter().rposition(is_fit);
+        let taken = at.map(|at| list.remove(at).connection);
         let gone = before - list.len();
         lists.count -= gone;
         taken
     }
 
-    fn put(&self, addr: SocketAddr, sender: Sender, keep: Duration) {
-        if sender.is_closed() {
+    fn put(&self, lane: Lane, connection: Connection, keep: Duration) {
+        if connection.sender.is_closed() {
             return;
         }
         let mut lists = self.lists();
@@ -375,9 +444,9 @@
             lists.clear_out(since);
         }
         let is_full = lists.count >= IDLE_TOTAL;
-        let list = lists.by_addr.entry(addr).or_default();
+        let list = lists.by_lane.entry(lane).or_default();
         if list.len() < IDLE_LIMIT && !is_full {
-            list.push(Idle { sender, since, until: since + keep });
+            list.push(Idle { connection, since, until: since + keep });
             lists.count += 1;
         }
     }
--- a/src/decide/sends.rs
+++ b/src/decide/sends.rs
@@ -33,7 +33,7 @@
     NotSent,
     /// A refusal in the first answer on its connection, where no other one can have been due.
     FirstAnswer,
-    /// A refusal that names the request, on a connection that has carried other answers.
+    /// A refusal that names the request, on a connection on which it got no failure before.
     NamedAnswer,
 }
 
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -15,7 +15,7 @@
 use super::known::KnownServer;
 use super::reach;
 use super::table::Route;
-use crate::backend::{Exchange, Reuse, SendFault};
+use crate::backend::{ConnectionUse, Exchange, RequestTag, Reuse, SendFault};
 use crate::clock;
 use crate::decide::releases::AnswerOutcome;
 use crate::decide::retry_budgets::RetryLimit;
@@ -163,7 +163,8 @@
         true => Reuse::Any,
         false => Reuse::Rested(MAX_IDLE_TIME),
     };
-    let sent = reach::send(relay, known, request, limit, reuse).await;
+    let connection = ConnectionUse { reuse, tag: RequestTag::of(&call.head.id) };
+    let sent = reach::send(relay, known, request, limit, connection).await;
     let mut exchange = match sent {
         Ok(exchange) => count_exchange(relay, call, known, exchange),
         Err(fault) => {
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -30,7 +30,7 @@
 use super::reach;
 use super::restraint::SendRestrictions;
 use super::serve::build_call;
-use crate::backend::{Exchange, SendFault};
+use crate::backend::{ConnectionUse, Exchange, RequestTag, SendFault};
 use crate::decide::completeness::{EndFacts, Framing, StopState, judge_end};
 use crate::decide::memory::{LOWEST_URGENCY, MemoryClaim};
 use crate::decide::paths::Path;
@@ -130,8 +130,9 @@
     // This box may know of a quarantined segment that the other one, cut off, does not.
     quarantine::check(relay, &call, &known.server.service).map_err(|_| HopFault::Unavailable)?;
     let mut flight = known.start_request(0, 0);
-    let sent =
-        relay.context.pool.send(known.server.addr, to_request(&call), call.time_left(), hop.reuse);
+    let connection = ConnectionUse { reuse: hop.reuse, tag: RequestTag::of(&call.head.id) };
+    let (addr, limit) = (known.server.addr, call.time_left());
+    let sent = relay.context.pool.send(addr, to_request(&call), limit, connection);
     let sent = flight.unless_restarted(sent).await.flatten();
     let mut exchange = sent.map_err(|fault| explain(relay, &known, &fault))?;
     reach::record_direct(relay, &known, &exchange);
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -18,7 +18,7 @@
 use super::Relay;
 use super::hop::{HopAction, HopFault, HopReply, HopRequest};
 use super::known::KnownServer;
-use crate::backend::{Exchange, Reuse, SendFault, Unsent};
+use crate::backend::{ConnectionUse, Exchange, Reuse, SendFault, Unsent};
 use crate::decide::completeness::Framing;
 use crate::decide::paths::{Path, PathChange};
 use crate::decide::proxies::ProxyLease;
@@ -94,19 +94,22 @@
     known: &Arc<KnownServer>,
     request: Request<Full<Bytes>>,
     limit: Duration,
-    reuse: Reuse,
+    connection: impl Into<ConnectionUse>,
 ) -> Result<Exchange, SendFault> {
+    let connection = connection.into();
     let began = Instant::now();
     let (service, id) = (&known.server.service, &known.server.id);
     if relay.paths().path(service, id) == Path::Proxied {
-        return match send_through(relay, known, &request, HopAction::Send, limit, reuse).await {
+        return match send_through(relay, known, &request, HopAction::Send, limit, connection.reuse)
+            .await
+        {
             Proxied::Taken { result, .. } => result.map(|exchange| *exchange),
             Proxied::Untaken => Err(SendFault::NotSent(format!(
                 "{id} is not reached, and no other box sends the request"
             ))),
         };
     }
-    match send_direct(relay, known, request, limit, reuse).await {
+    match send_direct(relay, known, request, limit, connection).await {
         Ok(exchange) => {
             record_direct(relay, known, &exchange);
             Ok(exchange)
@@ -115,7 +118,7 @@
             Unsent { fault, request: Some(request) } => {
                 count_connect(relay, known, &fault);
                 let left = limit.saturating_sub(began.elapsed());
-                send_instead(relay, known, request, fault, left, reuse).await
+                send_instead(relay, known, request, fault, left, connection.reuse).await
             }
             Unsent { fault, request: None } => Err(fault),
         },
@@ -128,10 +131,10 @@
     known: &Arc<KnownServer>,
     request: Request<Full<Bytes>>,
     limit: Duration,
-    reuse: Reuse,
+    connection: ConnectionUse,
 ) -> Result<Exchange, Box<Unsent>> {
-    let mut sending =
-        pin!(relay.context.pool.send_or_return(known.server.addr, request, limit, reuse));
+    let pool = &relay.context.pool;
+    let mut sending = pin!(pool.send_or_return(known.server.addr, request, limit, connection));
     tokio::select! {
         biased;
         sent = &mut sending => return sent,
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -210,6 +210,36 @@
     });
 }
 
+/// Guards against a request that runs twice after its caller came back: the copy of the refusal of its first send was
+/// taken for the answer to the next one.
+#[parameterized(
+    full = { "503 Service Unavailable" },
+    limited = { "429 Too Many Requests" },
+    of_another_server = { "421 Misdirected Request" },
+    invalid = { "400 Bad Request" },
+)]
+fn refusal_of_one_send_is_not_taken_for_the_answer_to_the_next_one(status: &str) {
+    run(async {
+        let refusal = refusal(status, "Content-Length: 0\r\n", "").replace("r-0", "r-1");
+        let server = CopyingServer::start().await;
+        *server.first.lock().unwrap() = Some(refusal.clone());
+        let second = StandIn::start("i-2", &[Act::Answer]).await;
+        let relay = TestRelay::start(&[]).await;
+        let first = listed_server("i-1", "svc", server.addr);
+        relay.list_as(vec![first]);
+        assert_eq!(relay.ask("POST", "once").await.status, 503);
+        *server.first.lock().unwrap() = None;
+        server.copy(&refusal);
+        // What is the first server's own refusal is not its end.
+        let again = listed_server("i-3", "svc", server.addr);
+        relay.list_as(vec![again, second.listed("svc")]);
+        relay.set_aside("i-2");
+        let reply = relay.ask("POST", "once").await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!((server.runs(), second.seen().len()), (1, 0));
+    });
+}
+
 /// The box that sends for another one judges whose the answer is, on the connection that it came on.
 #[tokio::test]
 async fn copy_of_another_answer_that_reaches_the_other_box_says_nothing_either() {
