Backend: what comes before the head of an answer is bounded

What callers saw: behind a server that sends interim answers without end, 504 at the timeout of the route, for repeatable requests too, while the box read without a bound. Cause: the library drops interim answers and reads on, without a limit on their number or bytes. Change: a stream under the library counts bytes and interim answers of the answer that is due, and its reads fail behind 16 interim answers or 128 KiB. The request is unknown (backend_invalid); the server counts as failed. All users of the pool have it: calls, reports, requests to stop a run, other boxes, the platform's list and entry/.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod engine;
 pub mod fields;
+pub mod head;
 pub mod pool;
 pub mod sse;
 
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -22,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use super::head::{HeadExcess, HeadLimited, HeadProgress};
 use crate::decide::completeness::{BreakCause, Framing};
 use crate::decide::proxies::ProxyLease;
 use crate::http::silence::limit_silence;
@@ -110,6 +111,9 @@
     /// The answer is larger than allowed.
     #[error("the answer is larger than {0} bytes")]
     TooLarge(usize),
+    /// What came is not the beginning of an answer.
+    #[error(transparent)]
+    Headless(HeadExcess),
 }
 
 impl SendFault {
@@ -228,12 +232,13 @@
 /// A connection, and which requests got a failure answer on it.
 struct Connection {
     sender: Sender,
+    progress: Arc<HeadProgress>,
     failed: Vec<RequestTag>,
 }
 
 impl Connection {
-    fn new(sender: Sender) -> Self {
-        Self { sender, failed: Vec::new() }
+    fn new(sender: Sender, progress: Arc<HeadProgress>) -> Self {
+        Self { sender, progress, failed: Vec::new() }
     }
 
     fn may_carry(&self, tag: Option<RequestTag>) -> bool {
@@ -344,7 +349,7 @@
         }
         let began = Instant::now();
         let opened = match connect(addr, self.connect_time.min(silence)).await {
-            Ok(sender) => Connection::new(sender),
+            Ok(opened) => opened,
             Err(fault) => return Err(Box::new(Unsent { fault, request: Some(request) })),
         };
         let connect = Some(began.elapsed());
@@ -374,14 +379,16 @@
         &self,
         lane: Lane,
         mut connection: Connection,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         silence: Duration,
         tag: Option<RequestTag>,
     ) -> Result<Exchange, Unsent> {
+        connection.progress.begin(&mut request);
         let sending = connection.sender.try_send_request(request);
         match tokio::time::timeout(silence, sending).await {
             Err(_) => Err(Unsent { fault: SendFault::TimedOut, request: None }),
             Ok(Ok(response)) => {
+                connection.progress.end();
                 let (parts, body) = response.into_parts();
                 if !parts.status.is_success() {
                     connection.failed.extend(tag);
@@ -402,7 +409,10 @@
                     Err(Unsent { fault, request: Some(unsent) })
                 }
                 None => {
-                    let fault = SendFault::Broke(error.into_error().to_string());
+                    let fault = match connection.progress.excess() {
+                        Some(excess) => headless(lane.addr, excess),
+                        None => SendFault::Broke(error.into_error().to_string()),
+                    };
                     Err(Unsent { fault, request: None })
                 }
             },
@@ -493,7 +503,13 @@
     }
 }
 
-async fn connect(addr: SocketAddr, limit: Duration) -> Result<Sender, SendFault> {
+fn headless(addr: SocketAddr, excess: HeadExcess) -> SendFault {
+    let HeadExcess { bytes, interim } = excess;
+    tracing::warn!(event = "answer_headless", %addr, bytes, interim);
+    SendFault::Headless(excess)
+}
+
+async fn connect(addr: SocketAddr, limit: Duration) -> Result<Connection, SendFault> {
     let stream = open(addr, limit).await?;
     let options = stream.set_nodelay(true).and_then(|()| limit_silence(&stream));
     if let Err(error) = options {
@@ -501,11 +517,13 @@
     }
     let mut library = http1::Builder::new();
     library.max_buf_size(BUFFER_BYTES);
-    let shaken = library.handshake(TokioIo::new(stream)).await;
+    let progress = Arc::new(HeadProgress::default());
+    let limited = HeadLimited::new(stream, progress.clone());
+    let shaken = library.handshake(TokioIo::new(limited)).await;
     let not_sent = |error| SendFault::NotSent(format!("connect to {addr}: {error}"));
     let (sender, connection) = shaken.map_err(not_sent)?;
     tokio::spawn(async move {
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Connection::new(sender, progress))
 }
