Backend: a head into which the next one ran is no answer

Cause: bytes behind a whole answer may end anywhere; whose an answer is was judged by its id alone. Change: a head whose reason or a header value holds the beginning of a status line is no answer; the request is unknown. A cut behind a line, in a name or before the status is an error of the library already.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod fields;
 pub mod head;
+mod joined;
 pub mod pool;
 pub mod sse;
 
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 
 use super::head::{HeadExcess, HeadLimited, HeadProgress};
+use super::joined::is_joined;
 use crate::decide::completeness::{BreakCause, Framing};
 use crate::decide::proxies::ProxyLease;
 use crate::http::silence::limit_silence;
@@ -390,6 +391,11 @@
             Ok(Ok(response)) => {
                 connection.progress.end();
                 let (parts, body) = response.into_parts();
+                if is_joined(&parts) {
+                    let text = "the head of an answer holds the beginning of another one";
+                    let fault = SendFault::Broke(text.to_owned());
+                    return Err(Unsent { fault, request: None });
+                }
                 if !parts.status.is_success() {
                     connection.failed.extend(tag);
                 }
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -328,3 +328,30 @@
     assert_eq!(before, Some(0));
     assert_eq!((reply.status, reply.body, reply.whole), (200, events(2), true));
 }
+
+/// Guards against a request that runs twice, or whose caller gets a status that its server did not give: bytes behind a
+/// whole answer ended inside a line, and the head of the next answer ran into them.
+#[parameterized(
+    full = { "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nInstance-Load: 8,2" },
+    limited = { "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: " },
+    of_another_server = { "HTTP/1.1 421 Misdir" },
+    failed = { "HTTP/1.1 500 Internal " },
+    missing = { "HTTP/1.1 404 Not" },
+    empty = { "HTTP/1.1 204 No" },
+)]
+fn head_that_was_cut_off_is_not_joined_with_that_of_the_next_answer(cut: &str) {
+    run(async {
+        let server = CopyingServer::start().await;
+        let second = StandIn::start("i-2", &[Act::Answer]).await;
+        let relay = TestRelay::start(&[]).await;
+        let first = listed_server("i-1", "svc", server.addr);
+        relay.list_as(vec![first.clone()]);
+        assert_eq!(relay.ask("POST", "once").await.status, 200);
+        server.copy(cut);
+        relay.list_as(vec![first, second.listed("svc")]);
+        relay.set_aside("i-2");
+        let reply = relay.ask("POST", "once").await;
+        assert_eq!(reply.status, 502, "{reply:?}");
+        assert_eq!((server.runs(), second.seen().len()), (2, 0));
+    });
+}
