Relay: a success that says it was not executed is not followed by the same request on its connection

What callers saw (before, in the test): a request that must run once ran at a second server when its caller came back. Cause: Not-Executed is believed whatever the status, but a connection remembers a request by a failure status only. Change: behind such an answer the connection is closed. Evidence: success_that_says_it_was_not_executed_is_not_taken_for_the_answer_to_the_next_send, 2 of 2 cases failed on, 2 of 2 pass.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -221,6 +221,10 @@
             if let Some(pause) = head.requested_pause {
                 detail += &format!(" and asks for a pause of {} ms", pause.as_millis());
             }
+            if exchange.status.is_success() {
+                // The pool remembers requests by their failure answers only.
+                exchange.close_after();
+            }
             let proof = match exchange.is_first() {
                 true => NotRunProof::FirstAnswer,
                 false => NotRunProof::NamedAnswer,
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -355,3 +355,31 @@
         assert_eq!((server.runs(), second.seen().len()), (2, 0));
     });
 }
+
+/// Guards against a request that runs twice after its caller came back: a success that says that it was not executed is
+/// believed as a refusal, but its connection is used again for the same request.
+#[parameterized(
+    unsigned = { "" },
+    signed = { "Response-Signature: sig\r\n" },
+)]
+fn success_that_says_it_was_not_executed_is_not_taken_for_the_answer_to_the_next_send(lines: &str) {
+    run(async {
+        let refusal = refusal("200 OK", &format!("{lines}Content-Length: 0\r\n"), "");
+        let refusal = refusal.replace("r-0", "r-1");
+        let server = CopyingServer::start().await;
+        *server.first.lock().unwrap() = Some(refusal.clone());
+        let second = StandIn::start("i-2", &[Act::Answer]).await;
+        let relay = TestRelay::start(&[]).await;
+        let first = listed_server("i-1", "svc", server.addr);
+        relay.list_as(vec![first.clone()]);
+        let reply = relay.ask("POST", "once").await;
+        assert!(matches!(reply.status, 502 | 503), "{reply:?}");
+        *server.first.lock().unwrap() = None;
+        server.copy(&refusal);
+        relay.list_as(vec![first, second.listed("svc")]);
+        relay.set_aside("i-2");
+        let reply = relay.ask("POST", "once").await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!((server.runs(), second.seen().len()), (1, 0));
+    });
+}
