Relay: an unrepeatable request without an id has a connection of its own

What callers saw (before, in the test): a request without an id that went through another box ran at two servers. Cause: no answer can name such a request, and the box that sends for another one believes an answer without an id on any connection, while the box that asked takes it for the first one on its connection. Change: the box that asks has it sent on a new connection, itself or through another box.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -161,11 +161,14 @@
         return Err(SendFailure::not_sent(detail));
     }
     let request = build_request(relay, call, known, start);
-    let reuse = match route.repeat.is_repeatable() {
-        true => Reuse::Any,
-        false => Reuse::Rested(MAX_IDLE_TIME),
+    let tag = RequestTag::of(&call.head.id);
+    let reuse = match (route.repeat.is_repeatable(), tag) {
+        (true, _) => Reuse::Any,
+        (false, Some(_)) => Reuse::Rested(MAX_IDLE_TIME),
+        // No answer can name it, so no other one may be due.
+        (false, None) => Reuse::Never,
     };
-    let connection = ConnectionUse { reuse, tag: RequestTag::of(&call.head.id) };
+    let connection = ConnectionUse { reuse, tag };
     let sent = reach::send(relay, known, request, limit, connection).await;
     let mut exchange = match sent {
         Ok(exchange) => count_exchange(relay, call, known, exchange),
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -15,7 +15,9 @@
 
 use emberturn::decide::proxies::Proxy;
 use link::{Link, LinkFault};
-use platform::{Act, StandIn, TestRelay, as_leaving, event, events, listed_server, read_request};
+use platform::{
+    Act, Reply, StandIn, TestRelay, as_leaving, event, events, listed_server, read_request, until,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Barrier, mpsc, watch};
@@ -383,3 +385,55 @@
         assert_eq!((server.runs(), second.seen().len()), (1, 0));
     });
 }
+
+/// A server that gives reports, runs each request, and writes a refusal without an id before an answer on a connection
+/// that has carried another one.
+async fn refuse_behind_reports(listener: TcpListener, runs: Arc<AtomicUsize>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let runs = runs.clone();
+        tokio::spawn(async move {
+            let mut extra = "";
+            while let Ok(Some(request)) = read_request(&mut stream).await {
+                let body = if request.line.starts_with("POST") {
+                    runs.fetch_add(1, Ordering::SeqCst);
+                    "done"
+                } else {
+                    extra = "";
+                    "{}"
+                };
+                let head = "HTTP/1.1 200 OK\r\nResponse-Signature: sig\r\nContent-Length: ";
+                let answer = format!("{extra}{head}{}\r\n\r\n{body}", body.len());
+                stream.write_all(answer.as_bytes()).await.unwrap();
+                extra = UNNAMED;
+            }
+        });
+    }
+}
+
+/// Guards against a request without an id that runs twice: the box that sends for another one takes a refusal without
+/// an id on a used connection for its own, and the box that asked takes it for the first answer.
+#[tokio::test]
+async fn request_without_an_id_is_not_refused_by_the_other_box_on_a_used_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let runs = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(refuse_behind_reports(listener, runs.clone()));
+    let second = StandIn::start("i-2", &[Act::Answer]).await;
+    let mut link = Link::start(addr).await;
+    link.fail(LinkFault::Refuse).await;
+    let other = TestRelay::start(&[]).await;
+    other.list_as(vec![listed_server("i-1", "svc", addr)]);
+    other.relay.servers.mark_suspect(&other.known("i-1"));
+    until("the report was read", || other.relay.context.pool.idle() == 1).await;
+    let cut = TestRelay::start(&[]).await;
+    let proxy =
+        Proxy { box_id: "other".parse().unwrap(), addr: *other.relay.forward_addr.get().unwrap() };
+    cut.relay.proxies().assign(vec![proxy]);
+    cut.list_as(vec![listed_server("i-1", "svc", link.addr), second.listed("svc")]);
+    cut.set_aside("i-2");
+    let text = "POST /once/x HTTP/1.1\r\nHost: app.example\r\nDeadline-Ms: 8000\r\nApi-Key: key-a\r\n\
+                Content-Length: 4\r\nConnection: close\r\n\r\nbody";
+    let reply = Reply::parse(&cut.raw(text).await);
+    assert_eq!(reply.status, 502, "{reply:?}");
+    assert_eq!((runs.load(Ordering::SeqCst), second.seen().len()), (1, 0));
+}
