Entry: each request to a plain service has a connection of its own

What callers saw (before, in the test): the answer to another caller's repeatable request. Cause: answers of plain services name no request, and repeatable requests went on connections that had carried others. Change: each has a new connection, as unrepeatable ones had, which is closed behind its answer. Costs a connect a request.

--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -147,10 +147,11 @@
     let silence = request.silence.min(left);
     let outgoing = outgoing(chosen, request, &hop)?;
     let (began, restarts) = (Instant::now(), chosen.state.restarts());
-    let reuse = if request.repeatable { Reuse::Any } else { Reuse::Never };
-    let sent = node.pool.send(chosen.server.addr, outgoing, silence, reuse).await;
+    // Answers name no request, so that no other one may be due on the connection.
+    let sent = node.pool.send(chosen.server.addr, outgoing, silence, Reuse::Never).await;
     let result = match sent {
-        Ok(exchange) => {
+        Ok(mut exchange) => {
+            exchange.close_after();
             let framing = exchange.framing;
             let read = read_answer(exchange, silence).await;
             let server_ended = chosen.state.restarts() != restarts;
