Backend: what a body holds beside its data is bounded

What callers saw: behind a server that sends the size of a chunk without end, 504 at the timeout of the route, while the box read on. Cause: the library bounds extensions and trailers, but takes any number of zeros and blanks in the size of a chunk. Change: the stream under the library also counts what comes of a body; its reads fail once more than 128 KiB and 8 bytes for each byte of data are none of it (a chunk of one byte needs five). The request is unknown (backend_invalid). All users of the pool have it.

--- a/src/backend/head.rs
+++ b/src/backend/head.rs
@@ -2,16 +2,11 @@
 //!
 //! The library drops interim answers and reads on, so only the stream under it sees that they have no end.
 
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::task::{Context, Poll};
 
 use hyper::Request;
 use hyper::ext::on_informational;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Interim answers to one request. A server that expects a body sends one, others a few.
 pub const MAX_INTERIM_ANSWERS: u32 = 16;
@@ -40,6 +35,11 @@
         });
     }
 
+    /// Counts bytes that the connection brought.
+    pub fn count_bytes(&self, bytes: u64) {
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+
     /// Records that the head is complete.
     pub fn end(&self) {
         self.is_due.store(false, Ordering::Relaxed);
@@ -65,63 +65,3 @@
     /// Interim answers among them.
     pub interim: u32,
 }
-
-/// A connection whose reads fail once too much has come before the head of an answer.
-pub struct HeadLimited {
-    stream: TcpStream,
-    progress: Arc<HeadProgress>,
-}
-
-impl HeadLimited {
-    /// Counts what is read from `stream`.
-    pub fn new(stream: TcpStream, progress: Arc<HeadProgress>) -> Self {
-        Self { stream, progress }
-    }
-}
-
-impl AsyncRead for HeadLimited {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if let Some(excess) = self.progress.excess() {
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, excess)));
-        }
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let bytes = (buf.filled().len() - before) as u64;
-        self.progress.bytes.fetch_add(bytes, Ordering::Relaxed);
-        read
-    }
-}
-
-impl AsyncWrite for HeadLimited {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- /dev/null
+++ b/src/backend/limited.rs
@@ -0,0 +1,85 @@
+//! The stream under the library, which counts what comes of an answer and ends one without an end.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::head::HeadProgress;
+use super::marks::BodyProgress;
+
+/// What has come of the answer that is due on a connection.
+#[derive(Debug, Default)]
+pub struct AnswerProgress {
+    /// What came before its head was complete.
+    pub head: Arc<HeadProgress>,
+    /// What came behind it.
+    pub body: BodyProgress,
+}
+
+/// A connection whose reads fail once a bound is passed.
+pub struct LimitedStream {
+    stream: TcpStream,
+    progress: Arc<AnswerProgress>,
+}
+
+impl LimitedStream {
+    /// Counts what is read from `stream`.
+    pub fn new(stream: TcpStream, progress: Arc<AnswerProgress>) -> Self {
+        Self { stream, progress }
+    }
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if let Some(excess) = self.progress.head.excess() {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, excess)));
+        }
+        if let Some(excess) = self.progress.body.excess() {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, excess)));
+        }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let bytes = (buf.filled().len() - before) as u64;
+        self.progress.head.count_bytes(bytes);
+        self.progress.body.count_bytes(bytes);
+        read
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -6,6 +6,8 @@
 pub mod engine;
 pub mod fields;
 pub mod head;
+mod limited;
+pub mod marks;
 pub mod pool;
 pub mod sse;
 
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -13,8 +13,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::TRANSFER_ENCODING;
@@ -22,7 +22,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use super::head::{HeadExcess, HeadLimited, HeadProgress};
+use super::head::HeadExcess;
+use super::limited::{AnswerProgress, LimitedStream};
+use super::marks::MarkExcess;
 use crate::decide::completeness::{BreakCause, Framing};
 use crate::decide::proxies::ProxyLease;
 use crate::http::silence::limit_silence;
@@ -114,6 +116,9 @@
     /// What came is not the beginning of an answer.
     #[error(transparent)]
     Headless(HeadExcess),
+    /// What came is not the data of a body.
+    #[error(transparent)]
+    Endless(MarkExcess),
 }
 
 impl SendFault {
@@ -152,6 +157,7 @@
     pub lease: Option<ProxyLease>,
     body: Incoming,
     home: Option<(Pool, Lane, Connection)>,
+    progress: Arc<AnswerProgress>,
     keep: Duration,
     counter: Arc<AtomicU64>,
 }
@@ -178,18 +184,28 @@
     /// [`SendFault::Broke`] when the connection breaks, [`SendFault::TimedOut`] when no piece comes
     /// within `silence`.
     pub async fn next(&mut self, silence: Duration) -> Result<Option<Bytes>, SendFault> {
+        match tokio::time::timeout(silence, self.next_piece()).await {
+            Ok(piece) => piece,
+            Err(_) => Err(SendFault::TimedOut),
+        }
+    }
+
+    async fn next_piece(&mut self) -> Result<Option<Bytes>, SendFault> {
         loop {
-            let frame = tokio::time::timeout(silence, self.body.frame()).await;
-            match frame {
-                Err(_) => return Err(SendFault::TimedOut),
-                Ok(Some(Ok(frame))) => {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.count(data.len());
                         return Ok(Some(data));
                     }
                 }
-                Ok(Some(Err(error))) => return Err(SendFault::Broke(error.to_string())),
-                Ok(None) => {
+                Some(Err(error)) => {
+                    return Err(match self.progress.body.excess() {
+                        Some(excess) => SendFault::Endless(excess),
+                        None => SendFault::Broke(error.to_string()),
+                    });
+                }
+                None => {
                     self.give_back();
                     return Ok(None);
                 }
@@ -202,27 +218,29 @@
     /// # Errors
     /// As [`Exchange::next`], and when the body is larger than `limit` bytes.
     pub async fn read_whole(mut self, limit: usize, silence: Duration) -> Result<Bytes, SendFault> {
-        let body = Limited::new(&mut self.body, limit).collect();
-        match tokio::time::timeout(silence, body).await {
-            Err(_) => Err(SendFault::TimedOut),
-            Ok(Ok(collected)) => {
-                self.give_back();
-                let body = collected.to_bytes();
-                self.count(body.len());
-                Ok(body)
-            }
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(SendFault::TooLarge(limit))
+        let reading = async {
+            let mut held = BytesMut::new();
+            while let Some(piece) = self.next_piece().await? {
+                if held.len() + piece.len() > limit {
+                    return Err(SendFault::TooLarge(limit));
+                }
+                held.extend_from_slice(&piece);
             }
-            Ok(Err(error)) => Err(SendFault::Broke(error.to_string())),
+            Ok(held.freeze())
+        };
+        match tokio::time::timeout(silence, reading).await {
+            Ok(read) => read,
+            Err(_) => Err(SendFault::TimedOut),
         }
     }
 
     fn count(&self, bytes: usize) {
+        self.progress.body.count_data(bytes as u64);
         self.counter.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
     fn give_back(&mut self) {
+        self.progress.body.end();
         if let Some((pool, lane, connection)) = self.home.take() {
             pool.put(lane, connection, self.keep);
         }
@@ -232,12 +250,12 @@
 /// A connection, and which requests got a failure answer on it.
 struct Connection {
     sender: Sender,
-    progress: Arc<HeadProgress>,
+    progress: Arc<AnswerProgress>,
     failed: Vec<RequestTag>,
 }
 
 impl Connection {
-    fn new(sender: Sender, progress: Arc<HeadProgress>) -> Self {
+    fn new(sender: Sender, progress: Arc<AnswerProgress>) -> Self {
         Self { sender, progress, failed: Vec::new() }
     }
 
@@ -383,16 +401,18 @@
         silence: Duration,
         tag: Option<RequestTag>,
     ) -> Result<Exchange, Unsent> {
-        connection.progress.begin(&mut request);
+        connection.progress.head.begin(&mut request);
         let sending = connection.sender.try_send_request(request);
         match tokio::time::timeout(silence, sending).await {
             Err(_) => Err(Unsent { fault: SendFault::TimedOut, request: None }),
             Ok(Ok(response)) => {
-                connection.progress.end();
+                connection.progress.head.end();
+                connection.progress.body.begin();
                 let (parts, body) = response.into_parts();
                 if !parts.status.is_success() {
                     connection.failed.extend(tag);
                 }
+                let progress = connection.progress.clone();
                 let is_kept = connection.failed.len() < MAX_FAILURES;
                 let home = is_kept.then(|| (self.clone(), lane, connection));
                 let keep = keep_time(&parts.headers);
@@ -400,7 +420,18 @@
                 let counter = Arc::default();
                 let (status, headers, connect) = (parts.status, parts.headers, None);
                 let lease = None;
-                Ok(Exchange { status, headers, framing, connect, lease, body, home, keep, counter })
+                Ok(Exchange {
+                    status,
+                    headers,
+                    framing,
+                    connect,
+                    lease,
+                    body,
+                    home,
+                    progress,
+                    keep,
+                    counter,
+                })
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The library gives the request back only when it wrote nothing of it.
@@ -409,7 +440,7 @@
                     Err(Unsent { fault, request: Some(unsent) })
                 }
                 None => {
-                    let fault = match connection.progress.excess() {
+                    let fault = match connection.progress.head.excess() {
                         Some(excess) => headless(lane.addr, excess),
                         None => SendFault::Broke(error.into_error().to_string()),
                     };
@@ -517,8 +548,8 @@
     }
     let mut library = http1::Builder::new();
     library.max_buf_size(BUFFER_BYTES);
-    let progress = Arc::new(HeadProgress::default());
-    let limited = HeadLimited::new(stream, progress.clone());
+    let progress = Arc::new(AnswerProgress::default());
+    let limited = LimitedStream::new(stream, progress.clone());
     let shaken = library.handshake(TokioIo::new(limited)).await;
     let not_sent = |error| SendFault::NotSent(format!("connect to {addr}: {error}"));
     let (sender, connection) = shaken.map_err(not_sent)?;
