Streams: blank lines and comments between two events are bounded

What callers saw: a stream that a server fills with blank lines or comments goes on until its timeout, and the box passes all of it on. Cause: each is taken for an event. Change: behind 1 MiB without an event a stream counts as broken off: it is cut, or resumed elsewhere. The reader of engines' streams, which passes over what has no data, has the same bound. Evidence: endless_bytes, stream_without_end::blank_lines and resumable_stream::{blank_lines, comments} failed before and pass.

--- a/src/backend/sse.rs
+++ b/src/backend/sse.rs
@@ -5,7 +5,7 @@
 /// Bytes of one event at most.
 const EVENT_LIMIT: usize = 1 << 20;
 
-/// An event larger than the limit, or one that is not UTF-8.
+/// An event larger than the limit, as much between two events, or one that is not UTF-8.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the stream holds a malformed event")]
 pub struct MalformedEvent;
@@ -15,6 +15,8 @@
 pub struct EventReader {
     held: BytesMut,
     searched: usize,
+    /// Bytes without data since the last event.
+    filling: usize,
 }
 
 impl EventReader {
@@ -26,7 +28,7 @@
     /// The data of the next whole event, if there is one.
     ///
     /// # Errors
-    /// When an event is too large or not UTF-8; the stream cannot be read on then.
+    /// When an event or what comes before it is too large or not UTF-8; the stream cannot be read on then.
     pub fn next_event(&mut self) -> Result<Option<String>, MalformedEvent> {
         loop {
             let Some((end, gap)) = self.find_end() else {
@@ -39,8 +41,13 @@
             self.searched = 0;
             let text = std::str::from_utf8(&event[..end]).map_err(|_| MalformedEvent)?;
             if let Some(data) = data_of(text) {
+                self.filling = 0;
                 return Ok(Some(data));
             }
+            self.filling += event.len();
+            if self.filling > EVENT_LIMIT {
+                return Err(MalformedEvent);
+            }
         }
     }
 
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -8,16 +8,27 @@
 /// The largest event accepted, in bytes.
 const MAX_EVENT_BYTES: usize = 4 << 20;
 
-/// The error for an event larger than [`MAX_EVENT_BYTES`].
+/// Bytes of blank lines and comments between two events at most. Comments keep a connection alive.
+const MAX_FILLING_BYTES: usize = 1 << 20;
+
+/// Why a stream cannot be read on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the stream holds an event larger than {MAX_EVENT_BYTES} bytes")]
-pub(crate) struct EventTooLarge;
+pub(crate) enum StreamExcess {
+    /// An event has no end within the limit.
+    #[error("the stream holds an event larger than {MAX_EVENT_BYTES} bytes")]
+    Event,
+    /// No event follows within the limit.
+    #[error("the stream holds more than {MAX_FILLING_BYTES} bytes between two events")]
+    Filling,
+}
 
 /// Splits a byte stream into events, regardless of how the bytes are divided into pieces.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     held: BytesMut,
     searched: usize,
+    /// Bytes of blank lines and comments since the last event.
+    filling: usize,
 }
 
 impl EventSplitter {
@@ -30,16 +41,21 @@
     ///
     /// # Errors
     ///
-    /// [`EventTooLarge`] if an event exceeds the limit; the rest of the stream cannot be read.
-    pub(crate) fn next_event(&mut self) -> Result<Option<Bytes>, EventTooLarge> {
+    /// [`StreamExcess`] if a limit is exceeded; the rest of the stream cannot be read.
+    pub(crate) fn next_event(&mut self) -> Result<Option<Bytes>, StreamExcess> {
         let Some(end) = self.find_end() else {
             return match self.held.len() > MAX_EVENT_BYTES {
-                true => Err(EventTooLarge),
+                true => Err(StreamExcess::Event),
                 false => Ok(None),
             };
         };
         self.searched = 0;
-        Ok(Some(self.held.split_to(end).freeze()))
+        let event = self.held.split_to(end).freeze();
+        self.filling = if is_filling(&event) { self.filling + event.len() } else { 0 };
+        match self.filling > MAX_FILLING_BYTES {
+            true => Err(StreamExcess::Filling),
+            false => Ok(Some(event)),
+        }
     }
 
     /// Whether part of an incomplete event is buffered. Blank lines alone are part of none.
@@ -67,6 +83,11 @@
     }
 }
 
+/// Whether each line is blank or a comment.
+fn is_filling(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Parses the number in an event's `id` field.
 pub(crate) fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
