Relay: a body or an event without end counts as its server's failure

What callers saw: a server that sends a body without end, or a byte of it now and then, is not ejected: each request gets 502 or 504 in turn. A resumable stream waits for its timeout behind an event that goes on byte by byte, although another server could resume it. Cause: only a broken connection counted as a failure while a body was read, as a timeout may be due to the box, which waits for memory; and each piece of an event ended the silence behind which a stream is resumed. Change: the reader of a whole answer tells apart whether the server or the box took too long, and records all failures of the server. The silence of a stream is counted from its last event, or since its caller has taken it.

--- a/src/relay/export.rs
+++ b/src/relay/export.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::pin::pin;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use hyper::StatusCode;
@@ -70,7 +70,7 @@
 }
 
 /// Reads a stream until its server has replied to the export request, and up to the stream's end if the run was
-/// stopped. A silence of `limit` ends it as well.
+/// stopped. A time of `limit` without an event ends it as well.
 pub(super) async fn read_until_stopped(
     source: &mut EventSource,
     progress: &mut StreamProgress,
@@ -80,7 +80,11 @@
 ) -> StopOutcome {
     let mut exporting = pin!(exporting);
     let mut reply = None;
+    let began = Instant::now();
     let end = loop {
+        // Pieces of an event are no sign that it will end.
+        let silent = progress.last_event_at().max(began).elapsed();
+        let silence = limit.saturating_sub(silent);
         tokio::select! {
             replied = &mut exporting, if reply.is_none() => match replied {
                 ExportReply::Stopped { .. } => reply = Some(replied),
@@ -88,7 +92,7 @@
                     return StopOutcome::Replied(replied, None);
                 }
             },
-            received = next_events(source, progress, limit) => match received {
+            received = next_events(source, progress, silence) => match received {
                 Ok(Received::Events(events)) => ready.extend_from_slice(&events),
                 Ok(Received::End) => return StopOutcome::Complete,
                 Ok(Received::Closed) => break StreamEnd::Closed,
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -19,7 +19,7 @@
 use super::reach;
 use super::table::Route;
 use super::taking::UNCHARGED_BYTES;
-use crate::backend::SendFault;
+use crate::backend::{Exchange, SendFault};
 use crate::decide::completeness::{EndFacts, StopState, judge_end};
 use crate::decide::engine::Observation;
 use crate::decide::memory::{MemoryClaim, MemoryReservation, Purpose};
@@ -33,9 +33,6 @@
 /// Largest answer that is forwarded, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
-/// Longest wait for the next chunk of an answer. The call's deadline ends it earlier.
-const READ_TIMEOUT: Duration = Duration::from_secs(3_600);
-
 /// Pause between attempts to reserve memory on a full box. Other callers receive their answers in
 /// the meantime, which frees memory.
 const MEMORY_RETRY_PAUSE: Duration = Duration::from_millis(20);
@@ -174,8 +171,8 @@
     let sent = send(relay, call, route, known, StartState::default(), limit);
     let reply = flight.unless_restarted(sent).await.map_err(SendFailure::from_fault)??;
     let read = read_answer(relay, call, reply, &mut flight).await;
-    if let Err(SendFailure::Unknown { kind: Kind::BackendBroke, .. }) = &read {
-        record_fault(relay, known, false);
+    if let Err(ReadFailure::Server(fault)) = &read {
+        record_fault(relay, known, *fault == SendFault::TimedOut);
         reach::record_break(relay, known, &route.name);
     }
     let (answer, failed) = read?;
@@ -206,52 +203,66 @@
     Ok((answer, failed))
 }
 
+/// Why an answer was not read to its end.
+pub(super) enum ReadFailure {
+    /// The server sent no complete answer that is small enough.
+    Server(SendFault),
+    /// The box had no room for it in time.
+    NoRoom(SendFault),
+}
+
+impl From<ReadFailure> for SendFailure {
+    fn from(failure: ReadFailure) -> Self {
+        match failure {
+            ReadFailure::Server(fault) | ReadFailure::NoRoom(fault) => Self::from_fault(fault),
+        }
+    }
+}
+
 /// Reads an answer to its end, within the time that the call has left.
 async fn read_answer(
     relay: &Relay,
     call: &Call,
     reply: CheckedReply,
     flight: &mut InFlightRequest,
-) -> Result<(Answer, bool), SendFailure> {
+) -> Result<(Answer, bool), ReadFailure> {
     let framing = reply.exchange.framing;
-    let reading = read_whole(relay, reply, MAX_ANSWER_BYTES);
-    let reading = tokio::time::timeout(call.time_left(), reading);
-    let read = match flight.unless_restarted(reading).await.map_err(SendFailure::from_fault)? {
-        Ok(read) => read?,
-        Err(_) => return Err(SendFailure::from_fault(SendFault::TimedOut)),
-    };
+    let reading = read_whole(relay, reply, MAX_ANSWER_BYTES, call.time_left());
+    let read = flight.unless_restarted(reading).await.map_err(ReadFailure::Server)??;
     let server_ended = flight.server().state.is_over();
     let judged = judge_end(&EndFacts { framing, stop: StopState::Running, server_ended });
-    judged.map_err(|cause| SendFailure::from_fault(cause.into()))?;
+    judged.map_err(|cause| ReadFailure::Server(cause.into()))?;
     Ok(read)
 }
 
-/// Reads an answer of at most `limit` bytes to its end, reserving memory for it. Also returns
+/// Reads an answer of at most `limit` bytes to its end within `time`, reserving memory for it. Also returns
 /// whether the server reports that the request failed.
 pub(super) async fn read_whole(
     relay: &Relay,
     reply: CheckedReply,
     limit: usize,
-) -> Result<(Answer, bool), SendFailure> {
+    time: Duration,
+) -> Result<(Answer, bool), ReadFailure> {
     let CheckedReply { mut exchange, failed } = reply;
+    let until = Instant::now() + time;
     let mut held = BytesMut::new();
     let mut charge = None;
     // The whole length is reserved at once: several answers that each held part of their memory
     // would wait for each other.
     if let Some(length) = content_length(&exchange.headers).filter(|it| *it > UNCHARGED_BYTES) {
         if length > limit as u64 {
-            return Err(SendFailure::from_fault(SendFault::TooLarge(limit)));
+            return Err(ReadFailure::Server(SendFault::TooLarge(limit)));
         }
-        reserve_memory(relay, &mut charge, length).await?;
+        reserve_memory(relay, &mut charge, length, until).await?;
     }
-    while let Some(piece) = exchange.next(READ_TIMEOUT).await.map_err(SendFailure::from_fault)? {
+    while let Some(piece) = next_piece(&mut exchange, until).await.map_err(ReadFailure::Server)? {
         if held.len() + piece.len() > limit {
-            return Err(SendFailure::from_fault(SendFault::TooLarge(limit)));
+            return Err(ReadFailure::Server(SendFault::TooLarge(limit)));
         }
         let needed = (held.len() + piece.len()) as u64;
         let room = charge.as_ref().map_or(UNCHARGED_BYTES, MemoryReservation::bytes);
         if needed > room {
-            reserve_memory(relay, &mut charge, piece.len() as u64).await?;
+            reserve_memory(relay, &mut charge, piece.len() as u64, until).await?;
         }
         held.extend_from_slice(&piece);
     }
@@ -264,6 +275,15 @@
     Ok((Answer { status, headers, body }, failed))
 }
 
+/// The next piece of an answer. One that has come in time is not taken afterwards: more could follow without end.
+async fn next_piece(exchange: &mut Exchange, until: Instant) -> Result<Option<Bytes>, SendFault> {
+    let left = until.saturating_duration_since(Instant::now());
+    match left.is_zero() {
+        true => Err(SendFault::TimedOut),
+        false => exchange.next(left).await,
+    }
+}
+
 /// The length stated in an answer's head.
 fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
@@ -275,10 +295,12 @@
     relay: &Relay,
     charge: &mut Option<MemoryReservation>,
     bytes: u64,
-) -> Result<(), SendFailure> {
+    until: Instant,
+) -> Result<(), ReadFailure> {
     let whole = charge.as_ref().map_or(0, MemoryReservation::bytes) + bytes;
     if whole > relay.memory.size() {
-        return Err(SendFailure::from_fault(SendFault::TooLarge(relay.memory.size() as usize)));
+        let size = relay.memory.size() as usize;
+        return Err(ReadFailure::Server(SendFault::TooLarge(size)));
     }
     loop {
         let taken = match charge {
@@ -291,6 +313,9 @@
         if taken {
             return Ok(());
         }
+        if Instant::now() >= until {
+            return Err(ReadFailure::NoRoom(SendFault::TimedOut));
+        }
         tokio::time::sleep(MEMORY_RETRY_PAUSE).await;
     }
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -283,7 +283,7 @@
     let opening = async {
         let reply = send(relay, call, route, known, start, limit).await?;
         if !reply.exchange.status.is_success() {
-            let (answer, failed) = read_whole(relay, reply, MAX_FAILURE_BYTES).await?;
+            let (answer, failed) = read_whole(relay, reply, MAX_FAILURE_BYTES, limit).await?;
             return Ok(StartOutcome::Whole(answer.response(whole), failed));
         }
         let exchange = reply.exchange;
@@ -376,6 +376,11 @@
         }
     }
 
+    /// When the last event arrived.
+    pub(super) fn last_event_at(&self) -> Instant {
+        self.last_event_at
+    }
+
     /// Whether the first event was late, or a gap between events was longer than the route allows.
     fn is_late(&self, route: &Route) -> bool {
         self.first_event_late || route.gap.is_some_and(|gap| self.longest_gap > gap)
@@ -440,12 +445,16 @@
     let events = stream! {
         yield Ok::<_, io::Error>(first_event);
         let mut limit = silence_limit(&route, &call);
+        let mut waiting_since = Instant::now();
         let mut leave_signal = Some(source.flight.server().state.follow_leaving());
         let mut earliest_move = Instant::now();
         loop {
+            // Pieces of an event are no sign that it will end. Time in which the caller was waited for does not count.
+            let silent = progress.last_event_at.max(waiting_since).elapsed();
+            let silence = limit.saturating_sub(silent).min(call.time_left());
             let step = tokio::select! {
                 leaving = moving::wait_until_leaving(&mut leave_signal, earliest_move) => Err(leaving),
-                received = next_events(&mut source, &mut progress, limit.min(call.time_left())) => Ok(received),
+                received = next_events(&mut source, &mut progress, silence) => Ok(received),
             };
             let received = match step {
                 Ok(received) => received,
@@ -463,6 +472,7 @@
                             source = *moved;
                             leave_signal = Some(source.flight.server().state.follow_leaving());
                             yield Ok(ready);
+                            waiting_since = Instant::now();
                             continue;
                         }
                         MoveOutcome::Ended(ready) => {
@@ -471,6 +481,7 @@
                         }
                         MoveOutcome::NotMoved(ready) => {
                             yield Ok(ready);
+                            waiting_since = Instant::now();
                             continue;
                         }
                         MoveOutcome::Lost(ready, fault) => {
@@ -485,6 +496,7 @@
                     source.record_survival(&relay, &call, false);
                     if !ready.is_empty() {
                         yield Ok(ready);
+                        waiting_since = Instant::now();
                     }
                     continue;
                 }
@@ -520,7 +532,7 @@
             let Some(other) = other else {
                 if fault == SendFault::TimedOut && !call.time_left().is_zero() {
                     // No other server can resume the stream, but this one may still continue it.
-                    limit = call.time_left();
+                    (limit, waiting_since) = (call.time_left(), Instant::now());
                     continue;
                 }
                 tracing::warn!(
@@ -538,6 +550,7 @@
                     if !ready.is_empty() {
                         yield Ok(ready);
                     }
+                    waiting_since = Instant::now();
                 }
                 None => {
                     yield Err(io::Error::other("no server could resume the stream"));
