--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -7,6 +7,8 @@
 pub mod fields;
 pub mod head;
 mod joined;
+mod limited;
+pub mod marks;
 pub mod pool;
 pub mod sse;
 
