Relay: a failure without an id that another box forwards proves nothing

What callers saw (before, in the test): while boxes of two versions run, a request that must run once ran at two servers. Cause: every forwarded answer counted as the first on its connection, but a box of the version before judges nothing. Change: a failure without an id is a call's own only on a new connection of this box.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -215,12 +215,12 @@
     }
 
     /// The head, if this answers the call that was sent. A failure may come without an id, but only as the first answer
-    /// on its connection. As a copy of it would have none either, that connection is not used again.
+    /// on a connection of this box. As a copy of it would have none either, that connection is not used again.
     pub fn to_call(self, exchange: &mut Exchange) -> Option<ReplyHead> {
         let is_own = match self.named {
             NamedRequest::Sent => true,
             NamedRequest::Other => false,
-            NamedRequest::None => exchange.is_first() && !exchange.status.is_success(),
+            NamedRequest::None => exchange.connect.is_some() && !exchange.status.is_success(),
         };
         if self.named == NamedRequest::None {
             exchange.close_after();
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -437,3 +437,37 @@
     assert_eq!(reply.status, 502, "{reply:?}");
     assert_eq!((runs.load(Ordering::SeqCst), second.seen().len()), (1, 0));
 }
+
+/// A box of the release before this one, which forwards a refusal without an id whatever its connection has carried.
+async fn forward_unjudged(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            while let Ok(Some(_)) = read_request(&mut stream).await {
+                let marked = UNNAMED.replacen(
+                    "\r\n",
+                    "\r\nEmberturn-Hop-Forwarded: 1\r\nEmberturn-Hop-Forwarded: length\r\n",
+                    1,
+                );
+                stream.write_all(marked.as_bytes()).await.unwrap();
+            }
+        });
+    }
+}
+
+/// Guards against a request that runs twice while boxes of two releases run: what a box forwards is taken for the first
+/// answer on a connection that it does not know.
+#[tokio::test]
+async fn refusal_without_an_id_that_another_box_forwards_proves_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let proxy = Proxy { box_id: "other".parse().unwrap(), addr: listener.local_addr().unwrap() };
+    tokio::spawn(forward_unjudged(listener));
+    let second = StandIn::start("i-2", &[Act::Answer]).await;
+    let dead = "127.0.0.1:1".parse().unwrap();
+    let cut = TestRelay::start(&[]).await;
+    cut.relay.proxies().assign(vec![proxy]);
+    cut.list_as(vec![listed_server("i-1", "svc", dead), second.listed("svc")]);
+    cut.set_aside("i-2");
+    let reply = cut.ask("POST", "once").await;
+    assert_eq!(reply.status, 502, "{reply:?}");
+    assert!(second.seen().is_empty(), "{:?}", second.seen());
+}
