Backend: a first line into which another one ran is found as it came

What callers saw (before, in the test): an unsafe request ran at two servers behind part of a head whose reason is not ASCII: the library gives such a reason as an empty one. Change: the first line of an answer is looked at in the bytes of the stream. send_missed tells proof=first_answer only of connections of this box; what another box forwards is named_answer. Evidence: the seventh case of head_that_was_cut_off_is_not_joined_with_that_of_the_next_answer failed and passes. Found by the review of the mend.

--- a/src/backend/joined.rs
+++ b/src/backend/joined.rs
@@ -15,7 +15,8 @@
     reason.into_iter().chain(values).any(holds_status_line)
 }
 
-fn holds_status_line(text: &[u8]) -> bool {
+/// Whether a text holds the beginning of an answer.
+pub(super) fn holds_status_line(text: &[u8]) -> bool {
     memchr::memmem::find_iter(text, STATUS_LINE).any(|at| {
         let rest = &text[at + STATUS_LINE.len()..];
         matches!(rest, [b'0' | b'1', b' ', status @ ..] if starts_with_status(status))
--- a/src/backend/limited.rs
+++ b/src/backend/limited.rs
@@ -47,9 +47,9 @@
         }
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let bytes = (buf.filled().len() - before) as u64;
-        self.progress.head.count_bytes(bytes);
-        self.progress.body.count_bytes(bytes);
+        let bytes = &buf.filled()[before..];
+        self.progress.head.record(bytes);
+        self.progress.body.count_bytes(bytes.len() as u64);
         read
     }
 }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -410,7 +410,7 @@
                 connection.progress.head.end();
                 connection.progress.body.begin();
                 let (parts, body) = response.into_parts();
-                if is_joined(&parts) {
+                if connection.progress.head.is_line_joined() || is_joined(&parts) {
                     let text = "the head of an answer holds the beginning of another one";
                     let fault = SendFault::Broke(text.to_owned());
                     return Err(Unsent { fault, request: None });
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -228,7 +228,7 @@
                 // The pool remembers requests by their failure answers only.
                 exchange.close_after();
             }
-            let proof = match exchange.is_first() {
+            let proof = match exchange.connect.is_some() {
                 true => NotRunProof::FirstAnswer,
                 false => NotRunProof::NamedAnswer,
             };
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -337,6 +337,7 @@
     full = { "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nInstance-Load: 8,2" },
     limited = { "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: " },
     of_another_server = { "HTTP/1.1 421 Misdir" },
+    with_a_reason_that_is_no_ascii = { "HTTP/1.1 421 Misdirig\u{e9}e " },
     failed = { "HTTP/1.1 500 Internal " },
     missing = { "HTTP/1.1 404 Not" },
     empty = { "HTTP/1.1 204 No" },
