--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -341,6 +341,10 @@
     failed = { "HTTP/1.1 500 Internal " },
     missing = { "HTTP/1.1 404 Not" },
     empty = { "HTTP/1.1 204 No" },
+    success_for_a_failure = {
+        "HTTP/1.1 200 OHTTP/1.1 500 Internal Server Error\r\nRequest-Id: r-1\r\nResponse-Signature: sig\r\n\
+         Content-Length: 4\r\n\r\nfail"
+    },
 )]
 fn head_that_was_cut_off_is_not_joined_with_that_of_the_next_answer(cut: &str) {
     run(async {
