Relay: large answers of unknown length are read in turn

What callers saw: beside eight answers without end, 503 for requests to sound servers (no_memory, 81,100,792 of 102,000,000 bytes kept; 8 of 200 in one run of callers_of_other_servers::body_to_close, debug, load average 26; five other runs before it had none). Cause: each answer may grow to 16 MiB, and as many as there are requests grow at the same time. This is also why a relay held 88 MB. Change: beyond 256 KiB an answer that does not state its length waits for a turn; those that have one fit into three tenths of the memory.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -46,6 +46,7 @@
 pub mod hop;
 pub(crate) mod keeping;
 pub mod known;
+mod large;
 pub mod list;
 pub mod list_registry;
 pub mod listen;
@@ -109,6 +110,7 @@
 use engines::EngineTracker;
 
 use known::KnownServer;
+use large::LargeAnswers;
 use list::{ListIndex, ListPart};
 use offered::OfferedTracker;
 use servers::ServerTable;
@@ -150,6 +152,7 @@
     pub servers: ServerTable,
     /// The memory budget for callers' requests and answers.
     pub memory: MemoryBudget,
+    large_answers: LargeAnswers,
     /// Callers' connections.
     pub gate: Arc<Gate>,
     /// The route table in force; `None` until the first one arrives.
@@ -207,12 +210,14 @@
         let usage = UsageCounter::new(context.settings.usage_window.duration());
         let servers = ServerTable::new(context.topology.clone());
         let memory = MemoryBudget::for_process_limit(context.settings.memory);
+        let large_answers = LargeAnswers::new(memory.size(), plain::MAX_ANSWER_BYTES);
         let gate = Gate::charged(listen::limits(&context.settings), memory.clone());
         let (origin_questions, receiver) = mpsc::channel(MAX_ORIGIN_QUESTIONS);
         Self {
             context,
             servers,
             memory,
+            large_answers,
             gate,
             table: ArcSwapOption::empty(),
             allowances: Mutex::new(Allowances::new()),
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -15,12 +15,13 @@
 use super::call::Call;
 use super::ends::AnswerProgress;
 use super::known::{InFlightRequest, KnownServer};
+use super::large::MAX_SMALL_BYTES;
 use super::quarantine;
 use super::reach;
 use super::table::Route;
 use super::taking::UNCHARGED_BYTES;
 use crate::backend::{Exchange, SendFault};
-use crate::decide::completeness::{EndFacts, StopState, judge_end};
+use crate::decide::completeness::{EndFacts, Framing, StopState, judge_end};
 use crate::decide::engine::Observation;
 use crate::decide::memory::{MemoryClaim, MemoryReservation, Purpose};
 use crate::decide::releases::AnswerOutcome;
@@ -31,7 +32,7 @@
 use crate::ids::ServiceName;
 
 /// Largest answer that is forwarded, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+pub(super) const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Pause between attempts to reserve memory on a full box. Other callers receive their answers in
 /// the meantime, which frees memory.
@@ -247,9 +248,12 @@
     let until = Instant::now() + time;
     let mut held = BytesMut::new();
     let mut charge = None;
+    let mut turn = None;
+    let length = content_length(&exchange.headers);
+    let is_stated = exchange.framing == Framing::Length && length.is_some();
     // The whole length is reserved at once: several answers that each held part of their memory
     // would wait for each other.
-    if let Some(length) = content_length(&exchange.headers).filter(|it| *it > UNCHARGED_BYTES) {
+    if let Some(length) = length.filter(|it| *it > UNCHARGED_BYTES) {
         if length > limit as u64 {
             return Err(ReadFailure::Server(SendFault::TooLarge(limit)));
         }
@@ -260,6 +264,11 @@
             return Err(ReadFailure::Server(SendFault::TooLarge(limit)));
         }
         let needed = (held.len() + piece.len()) as u64;
+        let is_large = !is_stated && needed > MAX_SMALL_BYTES as u64;
+        if is_large && turn.is_none() {
+            let waited = relay.large_answers.turn(until).await;
+            turn = Some(waited.ok_or(ReadFailure::NoRoom(SendFault::TimedOut))?);
+        }
         let room = charge.as_ref().map_or(UNCHARGED_BYTES, MemoryReservation::bytes);
         if needed > room {
             reserve_memory(relay, &mut charge, piece.len() as u64, until).await?;
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -42,6 +42,9 @@
 /// The largest report, and the largest reply to a request to stop a run.
 const REPORT_BYTES: u64 = 256 << 10;
 
+/// What a request keeps of the box's memory besides a large answer.
+const MAX_REQUEST_BYTES: u64 = 512 << 10;
+
 /// Bytes after which a caller gives up that gets an answer without end.
 const CALLER_BYTES: u64 = 64 << 20;
 
@@ -94,7 +97,15 @@
     relay
 }
 
+/// Has the relay hear from its leader.
+fn refresh(relay: &TestRelay) {
+    relay.board.record_fresh(clock::now());
+    relay.allow(1e9);
+}
+
+/// Sends a request to a relay that has just heard from its leader.
 async fn ask(relay: &TestRelay, route: &str, pace: Pace) -> Reply {
+    refresh(relay);
     let text = format!(
         "POST /{route}/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-1\r\nDeadline-Ms: {}\r\n\
          Api-Key: key-a\r\nToken-Usage: 1000,100000\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody",
@@ -188,8 +199,8 @@
         }
         assert!(relay.known("i-1").state.is_ejected());
         server.recover();
-        assert_eq!(ask(&relay, "once", pace).await.status, 200);
-        assert_eq!(server.runs(), 4);
+        let reply = ask(&relay, "once", pace).await;
+        assert_eq!((reply.status, server.runs()), (200, 4), "{reply:?}");
         until("taken back", || !relay.known("i-1").state.is_ejected()).await;
         assert_eq!(ask(&relay, "once", pace).await.status, 200);
         assert_eq!(server.runs(), 5);
@@ -405,8 +416,7 @@
         for _ in 0..REQUESTS {
             let text = "GET /sound/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-2\r\n\
                         Deadline-Ms: 1000\r\nApi-Key: key-a\r\nConnection: close\r\n\r\n";
-            relay.board.record_fresh(clock::now());
-            relay.allow(1e9);
+            refresh(&relay);
             let asking = std::array::from_fn::<_, CALLERS, _>(|_| relay.raw(text));
             let replies = futures_util::future::join_all(asking).await;
             let others = replies.into_iter().filter(|it| Reply::parse(it).status != 200);
@@ -418,6 +428,28 @@
     });
 }
 
+/// Guards against a box that refuses requests for want of memory, which answers without end fill.
+#[parameterized(
+    body_in_chunks = { Place::BodyInChunks },
+    body_to_close = { Place::BodyToClose },
+)]
+fn answers_without_end_leave_room_for_other_requests(place: Place) {
+    const CALLERS: u64 = 6;
+    run(async {
+        let endless = Endless::whole(place, Pace::Fast);
+        let server = EndlessServer::start(Asked::Calls, endless).await;
+        let relay = start_relay().await;
+        relay.list_as(vec![server.listed()]);
+        let asking = (0..CALLERS).map(|_| ask(&relay, "once", Pace::Fast));
+        for reply in futures_util::future::join_all(asking).await {
+            assert_eq!(reply.status, 502, "{reply:?}");
+        }
+        let memory = &relay.relay.memory;
+        let bound = memory.size() * 3 / 10 + CALLERS * MAX_REQUEST_BYTES;
+        assert!(memory.peak() <= bound, "{} of {}", memory.peak(), memory.size());
+    });
+}
+
 mod own_interface {
     //! The readers of the own interface.
 
