Tests: the boxes of the model have heard from the leader before each request

Cause: the boxes heard from the leader with each 16th order. Ruled out: a refusal by the servers or their connections; the kind in the answer says which it is. Change: the model renews the configuration and the allowance before each attempt. No check is changed.

--- a/tests/sends_and_answers.rs
+++ b/tests/sends_and_answers.rs
@@ -331,6 +331,8 @@
 
     /// Asks once, as a caller with a connection of its own.
     async fn ask(&self, number: usize, order: &Order, attempt: Attempt, acts: &[Act]) -> Told {
+        // No request is refused because the box has not heard from the leader for long.
+        self.renew();
         let mut stage = self.world.plan(attempt, acts.to_vec());
         let (head, body) = request_text(number, order, attempt, acts);
         let mut stream = TcpStream::connect(self.asked.addr).await.unwrap();
@@ -485,9 +487,6 @@
                 break;
             };
             let is_turn = number.is_multiple_of(ORDERS_PER_LIST);
-            if is_turn {
-                site.renew();
-            }
             if world.take_misdirected() {
                 site.list_anew();
             } else if is_turn && !profile.is_calm {
