Backend, relay: names that stand for one thing each

Cause: tests/names failed, as BodyProgress and Filling were taken. Evidence: names::no_type_name_stands_for_two_things_but_those_listed passes.

--- a/src/backend/limited.rs
+++ b/src/backend/limited.rs
@@ -9,26 +9,26 @@
 use tokio::net::TcpStream;
 
 use super::head::HeadProgress;
-use super::marks::BodyProgress;
+use super::marks::MarkProgress;
 
 /// What has come of the answer that is due on a connection.
 #[derive(Debug, Default)]
-pub struct AnswerProgress {
+pub struct AnswerBounds {
     /// What came before its head was complete.
     pub head: Arc<HeadProgress>,
     /// What came behind it.
-    pub body: BodyProgress,
+    pub body: MarkProgress,
 }
 
 /// A connection whose reads fail once a bound is passed.
 pub struct LimitedStream {
     stream: TcpStream,
-    progress: Arc<AnswerProgress>,
+    progress: Arc<AnswerBounds>,
 }
 
 impl LimitedStream {
     /// Counts what is read from `stream`.
-    pub fn new(stream: TcpStream, progress: Arc<AnswerProgress>) -> Self {
+    pub fn new(stream: TcpStream, progress: Arc<AnswerBounds>) -> Self {
         Self { stream, progress }
     }
 }
--- a/src/backend/marks.rs
+++ b/src/backend/marks.rs
@@ -14,13 +14,13 @@
 
 /// What has come of the body that is read on a connection.
 #[derive(Debug, Default)]
-pub struct BodyProgress {
+pub struct MarkProgress {
     is_read: AtomicBool,
     bytes: AtomicU64,
     data: AtomicU64,
 }
 
-impl BodyProgress {
+impl MarkProgress {
     /// Begins to count for a body.
     pub fn begin(&self) {
         self.bytes.store(0, Ordering::Relaxed);
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -23,7 +23,7 @@
 use tokio::net::TcpStream;
 
 use super::head::HeadExcess;
-use super::limited::{AnswerProgress, LimitedStream};
+use super::limited::{AnswerBounds, LimitedStream};
 use super::marks::MarkExcess;
 use crate::decide::completeness::{BreakCause, Framing};
 use crate::decide::proxies::ProxyLease;
@@ -157,7 +157,7 @@
     pub lease: Option<ProxyLease>,
     body: Incoming,
     home: Option<(Pool, Lane, Connection)>,
-    progress: Arc<AnswerProgress>,
+    progress: Arc<AnswerBounds>,
     keep: Duration,
     counter: Arc<AtomicU64>,
 }
@@ -250,12 +250,12 @@
 /// A connection, and which requests got a failure answer on it.
 struct Connection {
     sender: Sender,
-    progress: Arc<AnswerProgress>,
+    progress: Arc<AnswerBounds>,
     failed: Vec<RequestTag>,
 }
 
 impl Connection {
-    fn new(sender: Sender, progress: Arc<AnswerProgress>) -> Self {
+    fn new(sender: Sender, progress: Arc<AnswerBounds>) -> Self {
         Self { sender, progress, failed: Vec::new() }
     }
 
@@ -548,7 +548,7 @@
     }
     let mut library = http1::Builder::new();
     library.max_buf_size(BUFFER_BYTES);
-    let progress = Arc::new(AnswerProgress::default());
+    let progress = Arc::new(AnswerBounds::default());
     let limited = LimitedStream::new(stream, progress.clone());
     let shaken = library.handshake(TokioIo::new(limited)).await;
     let not_sent = |error| SendFault::NotSent(format!("connect to {addr}: {error}"));
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -19,7 +19,7 @@
     Event,
     /// No event follows within the limit.
     #[error("the stream holds more than {MAX_FILLING_BYTES} bytes between two events")]
-    Filling,
+    Gap,
 }
 
 /// Splits a byte stream into events, regardless of how the bytes are divided into pieces.
@@ -53,7 +53,7 @@
         let event = self.held.split_to(end).freeze();
         self.filling = if is_filling(&event) { self.filling + event.len() } else { 0 };
         match self.filling > MAX_FILLING_BYTES {
-            true => Err(StreamExcess::Filling),
+            true => Err(StreamExcess::Gap),
             false => Ok(Some(event)),
         }
     }
