--- a/src/relay/export.rs
+++ b/src/relay/export.rs
@@ -82,7 +82,7 @@
     let mut reply = None;
     let began = Instant::now();
     let end = loop {
-        // Pieces of an event are no sign that it will end.
+        // Parts of an event are no sign that it will end.
         let silent = progress.last_event_at().max(began).elapsed();
         let silence = limit.saturating_sub(silent);
         tokio::select! {
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -209,13 +209,13 @@
     /// The server sent no complete answer that is small enough.
     Server(SendFault),
     /// The box had no room for it in time.
-    NoRoom(SendFault),
+    Memory(SendFault),
 }
 
 impl From<ReadFailure> for SendFailure {
     fn from(failure: ReadFailure) -> Self {
         match failure {
-            ReadFailure::Server(fault) | ReadFailure::NoRoom(fault) => Self::from_fault(fault),
+            ReadFailure::Server(fault) | ReadFailure::Memory(fault) => Self::from_fault(fault),
         }
     }
 }
@@ -267,7 +267,7 @@
         let is_large = !is_stated && needed > MAX_SMALL_BYTES as u64;
         if is_large && turn.is_none() {
             let waited = relay.large_answers.turn(until).await;
-            turn = Some(waited.ok_or(ReadFailure::NoRoom(SendFault::TimedOut))?);
+            turn = Some(waited.ok_or(ReadFailure::Memory(SendFault::TimedOut))?);
         }
         let room = charge.as_ref().map_or(UNCHARGED_BYTES, MemoryReservation::bytes);
         if needed > room {
@@ -323,7 +323,7 @@
             return Ok(());
         }
         if Instant::now() >= until {
-            return Err(ReadFailure::NoRoom(SendFault::TimedOut));
+            return Err(ReadFailure::Memory(SendFault::TimedOut));
         }
         tokio::time::sleep(MEMORY_RETRY_PAUSE).await;
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -449,7 +449,7 @@
         let mut leave_signal = Some(source.flight.server().state.follow_leaving());
         let mut earliest_move = Instant::now();
         loop {
-            // Pieces of an event are no sign that it will end. Time in which the caller was waited for does not count.
+            // Parts of an event are no sign that it will end. Time in which the caller was waited for does not count.
             let silent = progress.last_event_at.max(waiting_since).elapsed();
             let silence = limit.saturating_sub(silent).min(call.time_left());
             let step = tokio::select! {
