Relay: the failure of a call that was not run is made only where it is given

Cause: the failure for calls none of whose sends ran asks for the servers and their restrictions, and was made for each call that failed, also where a send may have run and it was thrown away; the former code had returned before. What is unknown of a call was kept as any failure of a send, so that a case that cannot be was matched. Change: fail_with takes a closure, and the unknown outcome is kept as the failure that is reported.

--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -48,8 +48,8 @@
     service: ServiceName,
     tried_servers: Vec<BackendId>,
     sends: SendLedger,
-    /// The last send that failed and may have run.
-    unknown_outcome: Option<SendFailure>,
+    /// The failure of the last send that failed and may have run.
+    unknown_outcome: Option<Failure>,
     last_failure: Option<SendFailure>,
     /// The server from whose KV cache the last chosen server copies part of the prompt.
     prefix_source: Option<SocketAddr>,
@@ -154,7 +154,7 @@
         // What crashed the server of an earlier send would crash the next one as well. It may also have been
         // quarantined while the call waited.
         if let Err(failure) = quarantine::check(relay, call, &self.service) {
-            return Err(self.fail_with(failure));
+            return Err(self.fail_with(|| failure));
         }
         if self.unknown_outcome.is_some() && quarantine::is_suspected(relay, call, &self.service) {
             return Err(self.final_failure(relay));
@@ -208,33 +208,32 @@
             segments = proof.is_none().then(|| call.segments_text()).flatten(),
             detail = failure.detail(), left_ms = call.time_left().as_millis() as u64,
         );
-        match proof {
-            Some(proof) => {
-                self.sends.prove_not_run(proof);
-                relay.context.metrics.count_proof(proof);
+        match &failure {
+            SendFailure::NotRun { proof, .. } => {
+                self.sends.prove_not_run(*proof);
+                relay.context.metrics.count_proof(*proof);
+            }
+            SendFailure::Unknown { kind, detail } => {
+                self.unknown_outcome = Some(Failure::new(*kind, detail.clone()));
             }
-            None => self.unknown_outcome = Some(failure.clone()),
         }
         self.last_failure = Some(failure);
     }
 
     /// The failure that is reported to the caller: `not_run` only if no send may have run. A server
     /// that was given up for another one, which then refused, may still be running the call.
-    fn fail_with(&self, not_run: Failure) -> Failure {
-        match (self.sends.is_proven_not_run(), &self.unknown_outcome) {
-            (true, _) => not_run,
-            (false, Some(SendFailure::Unknown { kind, detail })) => {
-                Failure::new(*kind, detail.clone())
-            }
-            (false, Some(SendFailure::NotRun { .. }) | None) => {
-                Failure::new(Kind::BackendTimeout, "a server that did not answer was given up")
-            }
+    fn fail_with(&self, not_run: impl FnOnce() -> Failure) -> Failure {
+        if self.sends.is_proven_not_run() {
+            return not_run();
         }
+        self.unknown_outcome.clone().unwrap_or_else(|| {
+            Failure::new(Kind::BackendTimeout, "a server that did not answer was given up")
+        })
     }
 
     /// The failure of a call that is not sent again.
     fn final_failure(&self, relay: &Relay) -> Failure {
-        self.fail_with(self.not_run_failure(relay))
+        self.fail_with(|| self.not_run_failure(relay))
     }
 
     /// The failure of a call none of whose sends ran.
