Backend: one fault for what has no end, and one question whether a bound is passed

Cause: two variants of a fault stood side by side in each match, and head and body were asked apart in three places. Change: AnswerBounds::excess is asked by the stream and behind a break; SendFault::Endless holds what it says.

--- a/src/backend/limited.rs
+++ b/src/backend/limited.rs
@@ -8,8 +8,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::head::HeadProgress;
-use super::marks::MarkProgress;
+use super::head::{HeadExcess, HeadProgress};
+use super::marks::{MarkExcess, MarkProgress};
 
 /// What has come of the answer that is due on a connection.
 #[derive(Debug, Default)]
@@ -20,6 +20,25 @@
     pub body: MarkProgress,
 }
 
+impl AnswerBounds {
+    /// What has come, if it is more than any answer needs.
+    pub fn excess(&self) -> Option<AnswerExcess> {
+        let head = self.head.excess().map(AnswerExcess::Head);
+        head.or_else(|| self.body.excess().map(AnswerExcess::Body))
+    }
+}
+
+/// What came in place of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum AnswerExcess {
+    /// What came is not the beginning of an answer.
+    #[error(transparent)]
+    Head(HeadExcess),
+    /// What came is not the data of a body.
+    #[error(transparent)]
+    Body(MarkExcess),
+}
+
 /// A connection whose reads fail once a bound is passed.
 pub struct LimitedStream {
     stream: TcpStream,
@@ -39,10 +58,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if let Some(excess) = self.progress.head.excess() {
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, excess)));
-        }
-        if let Some(excess) = self.progress.body.excess() {
+        if let Some(excess) = self.progress.excess() {
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, excess)));
         }
         let before = buf.filled().len();
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -12,4 +12,5 @@
 pub mod pool;
 pub mod sse;
 
+pub use limited::AnswerExcess;
 pub use pool::{ConnectionUse, Exchange, IDLE_TOTAL, Pool, RequestTag, Reuse, SendFault, Unsent};
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -24,8 +24,7 @@
 
 use super::head::HeadExcess;
 use super::joined::is_joined;
-use super::limited::{AnswerBounds, LimitedStream};
-use super::marks::MarkExcess;
+use super::limited::{AnswerBounds, AnswerExcess, LimitedStream};
 use crate::decide::completeness::{BreakCause, Framing};
 use crate::decide::proxies::ProxyLease;
 use crate::http::silence::limit_silence;
@@ -114,12 +113,9 @@
     /// The answer is larger than allowed.
     #[error("the answer is larger than {0} bytes")]
     TooLarge(usize),
-    /// What came is not the beginning of an answer.
+    /// More came than any answer needs.
     #[error(transparent)]
-    Headless(HeadExcess),
-    /// What came is not the data of a body.
-    #[error(transparent)]
-    Endless(MarkExcess),
+    Endless(AnswerExcess),
 }
 
 impl SendFault {
@@ -200,12 +196,7 @@
                         return Ok(Some(data));
                     }
                 }
-                Some(Err(error)) => {
-                    return Err(match self.progress.body.excess() {
-                        Some(excess) => SendFault::Endless(excess),
-                        None => SendFault::Broke(error.to_string()),
-                    });
-                }
+                Some(Err(error)) => return Err(break_fault(&self.progress, &error)),
                 None => {
                     self.give_back();
                     return Ok(None);
@@ -446,10 +437,8 @@
                     Err(Unsent { fault, request: Some(unsent) })
                 }
                 None => {
-                    let fault = match connection.progress.head.excess() {
-                        Some(excess) => headless(lane.addr, excess),
-                        None => SendFault::Broke(error.into_error().to_string()),
-                    };
+                    let fault = break_fault(&connection.progress, &error.into_error());
+                    log_headless(lane.addr, &fault);
                     Err(Unsent { fault, request: None })
                 }
             },
@@ -540,10 +529,18 @@
     }
 }
 
-fn headless(addr: SocketAddr, excess: HeadExcess) -> SendFault {
-    let HeadExcess { bytes, interim } = excess;
-    tracing::warn!(event = "answer_headless", %addr, bytes, interim);
-    SendFault::Headless(excess)
+/// Why a connection broke: it is this side that ends an answer which has no end.
+fn break_fault(progress: &AnswerBounds, error: &hyper::Error) -> SendFault {
+    match progress.excess() {
+        Some(excess) => SendFault::Endless(excess),
+        None => SendFault::Broke(error.to_string()),
+    }
+}
+
+fn log_headless(addr: SocketAddr, fault: &SendFault) {
+    if let SendFault::Endless(AnswerExcess::Head(HeadExcess { bytes, interim })) = fault {
+        tracing::warn!(event = "answer_headless", %addr, bytes, interim);
+    }
 }
 
 async fn connect(addr: SocketAddr, limit: Duration) -> Result<Connection, SendFault> {
--- a/src/relay/hop.rs
+++ b/src/relay/hop.rs
@@ -123,10 +123,7 @@
         match fault {
             SendFault::NotSent(_) => Self::NotSent,
             SendFault::Refused(_) => Self::Refused,
-            SendFault::Broke(_)
-            | SendFault::TooLarge(_)
-            | SendFault::Headless(_)
-            | SendFault::Endless(_) => Self::Broke,
+            SendFault::Broke(_) | SendFault::TooLarge(_) | SendFault::Endless(_) => Self::Broke,
             SendFault::TimedOut => Self::TimedOut,
         }
     }
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -310,10 +310,7 @@
     let outcome = match fault {
         SendFault::Refused(_) => "refused",
         SendFault::NotSent(_) | SendFault::Broke(_) => "failed",
-        SendFault::TimedOut
-        | SendFault::TooLarge(_)
-        | SendFault::Headless(_)
-        | SendFault::Endless(_) => return,
+        SendFault::TimedOut | SendFault::TooLarge(_) | SendFault::Endless(_) => return,
     };
     relay.context.metrics.count_connect(known.server.service.as_str(), outcome);
 }
