--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -20,7 +20,7 @@
 use link::{Link, LinkFault};
 use platform::{
     Act, PATIENCE, Reply, StandIn, TestRelay, as_leaving, document, events, listed_server, route,
-    until, usual_routes,
+    run, until, usual_routes,
 };
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -54,15 +54,6 @@
 /// More time than a test has, in milliseconds.
 const LONG_MS: u32 = 60_000;
 
-fn run(test: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(3)
-        .enable_all()
-        .build()
-        .unwrap()
-        .block_on(test);
-}
-
 /// The time that a caller gives: where bytes come fast, only a bound in bytes can end its request.
 fn deadline(pace: Pace) -> u32 {
     match pace {
--- a/tests/forwarded_ends.rs
+++ b/tests/forwarded_ends.rs
@@ -26,7 +26,9 @@
 use emberturn_fakes::proxy::{Fault, Proxy as FaultProxy};
 use fleet::{Fleet, proxy};
 use link::{Link, LinkFault};
-use platform::{Act, Moves, PATIENCE, Reply, StandIn, TestRelay, as_leaving, event, events, until};
+use platform::{
+    Act, Moves, PATIENCE, Reply, StandIn, TestRelay, as_leaving, event, events, run, until,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use yare::parameterized;
@@ -570,8 +572,3 @@
     hop.fleet.cut.relay.proxies().assign(vec![Proxy { box_id, addr }]);
     between
 }
-
-fn run(test: impl Future<Output = ()>) {
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    builder.worker_threads(2).enable_all().build().unwrap().block_on(test);
-}
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -19,7 +19,7 @@
 use emberturn_fakes::proxy::{Fault, Proxy as FaultProxy};
 use fleet::{Fleet, listed_behind, proxy};
 use link::{Link, LinkFault};
-use platform::{Act, StandIn, TestRelay, until};
+use platform::{Act, StandIn, TestRelay, run, until};
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -338,8 +338,3 @@
     assert_eq!(fleet.ask("once").await.status, 200);
     assert_eq!((usage(&fleet.cut), usage(&fleet.other)), (cut + 1, other));
 }
-
-fn run(test: impl Future<Output = ()>) {
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    builder.worker_threads(2).enable_all().build().unwrap().block_on(test);
-}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -8,19 +8,10 @@
 use std::time::Duration;
 
 use platform::{
-    Act, Reply, StandIn, TestRelay, as_leaving, document, event, events, route, usual_routes,
+    Act, Reply, StandIn, TestRelay, as_leaving, document, event, events, route, run, usual_routes,
 };
 use yare::parameterized;
 
-fn run(test: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .unwrap()
-        .block_on(test);
-}
-
 #[tokio::test]
 async fn answer_is_forwarded_unchanged_with_its_signature() {
     let server = StandIn::start("i-1", &[Act::Answer]).await;
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -88,6 +88,12 @@
     closing: watch::Sender<bool>,
 }
 
+/// Runs a test to its end on two threads, for those that a macro draws cases for.
+pub fn run(test: impl Future<Output = ()>) {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    builder.worker_threads(2).enable_all().build().unwrap().block_on(test);
+}
+
 /// Waits until something holds that no event tells of.
 pub async fn until(what: &str, holds: impl Fn() -> bool) {
     let waiting = async {
