Tests: what several tests of foreign answers set up and assert stands once

Three tests asserted the same of what comes in the place of an answer, and two of a caller that comes back.

--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -16,7 +16,8 @@
 use emberturn::decide::proxies::Proxy;
 use link::{Link, LinkFault};
 use platform::{
-    Act, Reply, StandIn, TestRelay, as_leaving, event, events, listed_server, read_request, until,
+    Act, Reply, StandIn, TestRelay, as_leaving, event, events, listed_server, read_request, run,
+    until,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -93,13 +94,42 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .unwrap()
-        .block_on(test);
+/// Asserts that what comes in the place of the second answer on a connection says nothing of the request: it runs at
+/// its server, is told as unknown, and no other server is asked.
+async fn assert_says_nothing(extra: &str) -> (CopyingServer, TestRelay) {
+    let server = CopyingServer::start().await;
+    let second = StandIn::start("i-2", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[]).await;
+    let first = listed_server("i-1", "svc", server.addr);
+    relay.list_as(vec![first.clone()]);
+    assert_eq!(relay.ask("POST", "once").await.status, 200);
+    server.copy(extra);
+    relay.list_as(vec![first, second.listed("svc")]);
+    relay.set_aside("i-2");
+    let reply = relay.ask("POST", "once").await;
+    assert_eq!(reply.status, 502, "{reply:?}");
+    assert_eq!((server.runs(), second.seen().len()), (2, 0));
+    (server, relay)
+}
+
+/// Asserts that a request runs once whose caller comes back after `refusal`, while the server sends that refusal again in
+/// the place of the next answer. Gives the reply to the first attempt.
+async fn assert_runs_once_after(refusal: &str) -> Reply {
+    let server = CopyingServer::start().await;
+    *server.first.lock().unwrap() = Some(refusal.to_owned());
+    let second = StandIn::start("i-2", &[Act::Answer]).await;
+    let relay = TestRelay::start(&[]).await;
+    relay.list_as(vec![listed_server("i-1", "svc", server.addr)]);
+    let refused = relay.ask("POST", "once").await;
+    *server.first.lock().unwrap() = None;
+    server.copy(refusal);
+    // Nothing is held against a server that is new.
+    relay.list_as(vec![listed_server("i-3", "svc", server.addr), second.listed("svc")]);
+    relay.set_aside("i-2");
+    let reply = relay.ask("POST", "once").await;
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert_eq!((server.runs(), second.seen().len()), (1, 0));
+    refused
 }
 
 fn refusal(status: &str, lines: &str, body: &str) -> String {
@@ -127,20 +157,9 @@
 )]
 fn copy_of_another_answer_says_nothing_of_the_request_in_whose_place_it_comes(extra: String) {
     run(async {
-        let server = CopyingServer::start().await;
-        let second = StandIn::start("i-2", &[Act::Answer]).await;
-        let relay = TestRelay::start(&[]).await;
-        let first = listed_server("i-1", "svc", server.addr);
-        relay.list_as(vec![first.clone()]);
-        assert_eq!(relay.ask("POST", "once").await.status, 200);
-        server.copy(&extra);
-        relay.list_as(vec![first.clone(), second.listed("svc")]);
-        relay.set_aside("i-2");
-        let reply = relay.ask("POST", "once").await;
-        assert_eq!(reply.status, 502, "{reply:?}");
-        assert_eq!((server.runs(), second.seen().len()), (2, 0));
+        let (server, relay) = assert_says_nothing(&extra).await;
         // The server neither leaves nor is gone, full or paused, and its next answer is the next request's own.
-        relay.list_as(vec![first]);
+        relay.list_as(vec![listed_server("i-1", "svc", server.addr)]);
         let reply = relay.ask("POST", "once").await;
         assert_eq!((reply.status, reply.body.as_str()), (200, "done"));
         assert_eq!(server.runs(), 3);
@@ -197,18 +216,7 @@
 )]
 fn answer_without_an_id_on_a_used_connection_says_nothing_of_the_request(extra: String) {
     run(async {
-        let server = CopyingServer::start().await;
-        let second = StandIn::start("i-2", &[Act::Answer]).await;
-        let relay = TestRelay::start(&[]).await;
-        let first = listed_server("i-1", "svc", server.addr);
-        relay.list_as(vec![first.clone()]);
-        assert_eq!(relay.ask("POST", "once").await.status, 200);
-        server.copy(&extra);
-        relay.list_as(vec![first, second.listed("svc")]);
-        relay.set_aside("i-2");
-        let reply = relay.ask("POST", "once").await;
-        assert_eq!(reply.status, 502, "{reply:?}");
-        assert_eq!((server.runs(), second.seen().len()), (2, 0));
+        assert_says_nothing(&extra).await;
     });
 }
 
@@ -223,22 +231,7 @@
 fn refusal_of_one_send_is_not_taken_for_the_answer_to_the_next_one(status: &str) {
     run(async {
         let refusal = refusal(status, "Content-Length: 0\r\n", "").replace("r-0", "r-1");
-        let server = CopyingServer::start().await;
-        *server.first.lock().unwrap() = Some(refusal.clone());
-        let second = StandIn::start("i-2", &[Act::Answer]).await;
-        let relay = TestRelay::start(&[]).await;
-        let first = listed_server("i-1", "svc", server.addr);
-        relay.list_as(vec![first]);
-        assert_eq!(relay.ask("POST", "once").await.status, 503);
-        *server.first.lock().unwrap() = None;
-        server.copy(&refusal);
-        // What is the first server's own refusal is not its end.
-        let again = listed_server("i-3", "svc", server.addr);
-        relay.list_as(vec![again, second.listed("svc")]);
-        relay.set_aside("i-2");
-        let reply = relay.ask("POST", "once").await;
-        assert_eq!(reply.status, 200, "{reply:?}");
-        assert_eq!((server.runs(), second.seen().len()), (1, 0));
+        assert_eq!(assert_runs_once_after(&refusal).await.status, 503);
     });
 }
 
@@ -348,18 +341,7 @@
 )]
 fn head_that_was_cut_off_is_not_joined_with_that_of_the_next_answer(cut: &str) {
     run(async {
-        let server = CopyingServer::start().await;
-        let second = StandIn::start("i-2", &[Act::Answer]).await;
-        let relay = TestRelay::start(&[]).await;
-        let first = listed_server("i-1", "svc", server.addr);
-        relay.list_as(vec![first.clone()]);
-        assert_eq!(relay.ask("POST", "once").await.status, 200);
-        server.copy(cut);
-        relay.list_as(vec![first, second.listed("svc")]);
-        relay.set_aside("i-2");
-        let reply = relay.ask("POST", "once").await;
-        assert_eq!(reply.status, 502, "{reply:?}");
-        assert_eq!((server.runs(), second.seen().len()), (2, 0));
+        assert_says_nothing(cut).await;
     });
 }
 
@@ -372,24 +354,8 @@
 fn success_that_says_it_was_not_executed_is_not_taken_for_the_answer_to_the_next_send(lines: &str) {
     run(async {
         let refusal = refusal("200 OK", &format!("{lines}Content-Length: 0\r\n"), "");
-        let refusal = refusal.replace("r-0", "r-1");
-        let server = CopyingServer::start().await;
-        *server.first.lock().unwrap() = Some(refusal.clone());
-        let second = StandIn::start("i-2", &[Act::Answer]).await;
-        let relay = TestRelay::start(&[]).await;
-        let first = listed_server("i-1", "svc", server.addr);
-        relay.list_as(vec![first]);
-        let reply = relay.ask("POST", "once").await;
-        assert!(matches!(reply.status, 502 | 503), "{reply:?}");
-        *server.first.lock().unwrap() = None;
-        server.copy(&refusal);
-        // Nothing is held against a server that is new.
-        let again = listed_server("i-3", "svc", server.addr);
-        relay.list_as(vec![again, second.listed("svc")]);
-        relay.set_aside("i-2");
-        let reply = relay.ask("POST", "once").await;
-        assert_eq!(reply.status, 200, "{reply:?}");
-        assert_eq!((server.runs(), second.seen().len()), (1, 0));
+        let refused = assert_runs_once_after(&refusal.replace("r-0", "r-1")).await;
+        assert!(matches!(refused.status, 502 | 503), "{refused:?}");
     });
 }
 
