--- a/tests/support/endless.rs
+++ b/tests/support/endless.rs
@@ -113,6 +113,11 @@
         Self { once, again, pace }
     }
 
+    /// One piece again and again, in place of an answer.
+    pub fn raw(piece: &str, pace: Pace) -> Self {
+        Self { once: String::new(), again: piece.to_owned(), pace }
+    }
+
     /// What follows a whole answer.
     pub fn behind(pace: Pace) -> Self {
         Self { once: served(), again: "x".to_owned(), pace }
