--- a/review/harness-2/small.py
+++ b/review/harness-2/small.py
@@ -10,7 +10,6 @@
 import shutil
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
@@ -189,114 +188,36 @@
 
 
 class Doors:
-    """A proxy in front of each machine's side for the others, which can cut machines from each other.
-
-    Whose a connection is, the proxy finds by the process that holds its other end. A cut holds all bytes back, of
-    open and of new connections, and resets what it held when it heals.
-    """
+    """The proxies of doors.py, which can cut machines from each other."""
 
     def __init__(self, system):
         self.system = system
-        self.port = system.ports["peer"]
-        self.sides = {}
-        self.pairs = []
-        self.lock = threading.Lock()
+        self.sides = set()
+        program = os.path.join(os.path.dirname(os.path.abspath(__file__)), "doors.py")
+        self.process = subprocess.Popen(
+            [sys.executable, program], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+
+    def tell(self, *words):
+        self.process.stdin.write(" ".join(str(word) for word in words) + "\n")
+        self.process.stdin.flush()
+        if not self.process.stdout.readline():
+            raise CannotRun("the proxies have ended")
 
     def open(self, place):
-        door = socket.socket()
-        door.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        door.bind((self.system.ip(place), self.port))
-        door.listen(256)
-        threading.Thread(target=self.accept, args=(door, place), daemon=True).start()
+        self.tell("door", place, self.system.ip(place), self.system.inner_ip(place), self.system.ports["peer"])
 
     def cut(self, places):
         """Cuts these machines from all others."""
-        with self.lock:
-            self.sides = {place: 1 for place in places}
+        self.sides = set(places)
+        self.tell("cut", ",".join(str(place) for place in sorted(places)))
         self.system.record(f"cut: {sorted(places)} from all other machines of the system")
 
     def heal(self):
-        with self.lock:
-            self.sides = {}
-            held = [pair for pair in self.pairs if pair[2]]
-        for near, far, _ in held:
-            for end in (near, far):
-                close_at_once(end)
+        self.sides = set()
+        self.tell("heal")
         self.system.record("the cut heals")
 
-    def is_cut(self, one, other):
-        if one is None:
-            return False
-        with self.lock:
-            return self.sides.get(one) != self.sides.get(other)
-
-    def accept(self, door, place):
-        while True:
-            near, peer = door.accept()
-            threading.Thread(target=self.join, args=(near, peer, place), daemon=True).start()
-
-    def join(self, near, peer, place):
-        source = self.owner(peer)
-        try:
-            while self.is_cut(source, place):
-                time.sleep(0.02)
-            far = socket.create_connection((self.system.inner_ip(place), self.port), timeout=5)
-            far.settimeout(None)
-        except OSError:
-            return close_at_once(near)
-        pair = [near, far, False]
-        with self.lock:
-            self.pairs.append(pair)
-        for end in (near, far):
-            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        threading.Thread(target=self.pump, args=(pair, near, far, source, place), daemon=True).start()
-        self.pump(pair, far, near, source, place)
-
-    def pump(self, pair, come, go, source, place):
-        try:
-            while True:
-                piece = come.recv(65536)
-                while self.is_cut(source, place):
-                    pair[2] = True
-                    time.sleep(0.02)
-                if not piece:
-                    go.shutdown(socket.SHUT_WR)
-                    return
-                go.sendall(piece)
-        except OSError:
-            for end in (come, go):
-                close_at_once(end)
-
-    def owner(self, peer):
-        """The machine whose process holds the other end of a connection; None for an operator's command."""
-        want = f"{struct.unpack('<I', socket.inet_aton(peer[0]))[0]:08X}:{peer[1]:04X}"
-        for _ in range(20):
-            with open("/proc/net/tcp", encoding="ascii") as table:
-                inodes = [line.split()[9] for line in table if line.split()[1] == want]
-            links = {f"socket:[{inode}]" for inode in inodes}
-            for place, process in list(self.system.processes.items()):
-                folder = f"/proc/{process.pid}/fd"
-                try:
-                    names = os.listdir(folder)
-                except OSError:
-                    continue
-                for name in names:
-                    try:
-                        if os.readlink(f"{folder}/{name}") in links:
-                            return place
-                    except OSError:
-                        pass
-            time.sleep(0.005)
-        return None
-
-
-def close_at_once(connection):
-    try:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        connection.close()
-    except OSError:
-        pass
-
 
 class System:
     """Five core machines, three of them seeds, and some front machines."""
@@ -367,6 +288,8 @@
         self.processes[place] = subprocess.Popen(
             [PROGRAM, "node", settings], stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=ROOT
         )
+        if self.doors is not None:
+            self.doors.tell("pid", place, self.processes[place].pid)
         self.record(f"start {role} {place} ({self.ip(place)})")
 
     def start(self, relays):
@@ -393,6 +316,9 @@
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
+        if self.doors is not None:
+            self.doors.process.kill()
+            self.doors.process.wait()
         for process in self.processes.values():
             process.wait()
         if os.environ.get("KEEP"):
