--- a/review/harness-2/doors.py
+++ b/review/harness-2/doors.py
@@ -17,6 +17,21 @@
 import sys
 
 
+def inode(near, far):
+    """The inode of the socket at `near` of the connection with `far`, by the system's socket diagnosis (sock_diag)."""
+    request = struct.pack("=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0, 0xFFFFFFFF)
+    request += struct.pack("!HH", near[1], far[1])
+    request += socket.inet_aton(near[0]) + bytes(12) + socket.inet_aton(far[0]) + bytes(12)
+    request += struct.pack("=III", 0, 0xFFFFFFFF, 0xFFFFFFFF)
+    head = struct.pack("=IHHII", 16 + len(request), 20, 1, 1, 0)
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, 4) as diagnosis:
+        diagnosis.send(head + request)
+        answer = diagnosis.recv(4096)
+    if struct.unpack_from("=H", answer, 4)[0] != 20:
+        return None
+    return struct.unpack_from("=I", answer, 16 + 4 + 48 + 16)[0]
+
+
 class Doors:
     def __init__(self):
         self.pids = {}
@@ -27,11 +42,9 @@
     def is_cut(self, source, place):
         return source is not None and (source in self.cut) != (place in self.cut)
 
-    def owner(self, peer):
+    def owner(self, peer, own):
         """The machine whose process holds the other end of a connection; None for any other process."""
-        want = f"{struct.unpack('<I', socket.inet_aton(peer[0]))[0]:08X}:{peer[1]:04X}"
-        with open("/proc/net/tcp", encoding="ascii") as table:
-            links = {f"socket:[{line.split()[9]}]" for line in table if line.split()[1] == want}
+        links = {f"socket:[{inode(peer, own)}]"}
         for place, pid in list(self.pids.items()):
             try:
                 for name in os.listdir(f"/proc/{pid}/fd"):
@@ -51,7 +64,7 @@
         await asyncio.start_server(joined, outer, port, backlog=256)
 
     async def join(self, reader, writer, place, inner, port):
-        source = self.owner(writer.get_extra_info("peername"))
+        source = self.owner(writer.get_extra_info("peername"), writer.get_extra_info("sockname"))
         far = None
         try:
             if self.is_cut(source, place):
--- a/review/harness-2/small.py
+++ b/review/harness-2/small.py
@@ -10,6 +10,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -120,6 +121,7 @@
 
     def __init__(self, ip, handle, port=0):
         self.handle = handle
+        self.connections = set()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind((ip, port))
@@ -136,8 +138,16 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
+    def close(self):
+        """Ends at once: nobody listens any more, and all connections are reset."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for connection in list(self.connections):
+            reset(connection)
+
     def serve(self, connection):
         stream = connection.makefile("rb")
+        self.connections.add(connection)
         try:
             while True:
                 head = read_head(stream)
@@ -149,9 +159,19 @@
         except (OSError, ValueError):
             pass
         finally:
+            self.connections.discard(connection)
             connection.close()
 
 
+def reset(connection):
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RD)
+        connection.close()
+    except OSError:
+        pass
+
+
 def send_answer(connection, status, headers, body=b""):
     lines = [f"HTTP/1.1 {status} X"] + [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
