--- a/review/harness-2/small.py
+++ b/review/harness-2/small.py
@@ -215,7 +215,7 @@
         self.sides = set()
         program = os.path.join(os.path.dirname(os.path.abspath(__file__)), "doors.py")
         self.process = subprocess.Popen(
-            [sys.executable, program], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+            [sys.executable, "-B", program], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
         )
 
     def tell(self, *words):
