--- a/review/harness-2/doors.py
+++ b/review/harness-2/doors.py
@@ -18,7 +18,24 @@
 
 
 def inode(near, far):
-    """The inode of the socket at `near` of the connection with `far`, by the system's socket diagnosis (sock_diag)."""
+    """The inode of the socket at `near` of the connection with `far`.
+
+    The system's socket diagnosis (sock_diag) tells it at once; where there is none, the table of all sockets does.
+    """
+    try:
+        return diagnosed_inode(near, far)
+    except OSError:
+        return listed_inode(near)
+
+
+def listed_inode(near):
+    want = f"{struct.unpack('<I', socket.inet_aton(near[0]))[0]:08X}:{near[1]:04X}"
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        found = [line.split()[9] for line in table if line.split()[1] == want]
+    return found[0] if found else None
+
+
+def diagnosed_inode(near, far):
     request = struct.pack("=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0, 0xFFFFFFFF)
     request += struct.pack("!HH", near[1], far[1])
     request += socket.inet_aton(near[0]) + bytes(12) + socket.inet_aton(far[0]) + bytes(12)
@@ -28,7 +45,7 @@
         diagnosis.send(head + request)
         answer = diagnosis.recv(4096)
     if struct.unpack_from("=H", answer, 4)[0] != 20:
-        return None
+        raise OSError("no such socket, or no diagnosis")
     return struct.unpack_from("=I", answer, 16 + 4 + 48 + 16)[0]
 
 
--- a/review/harness-2/small.py
+++ b/review/harness-2/small.py
@@ -166,8 +166,9 @@
 def reset(connection):
     try:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        # Wakes whoever reads; the descriptor itself is closed, as a file made of the socket would keep it open.
         connection.shutdown(socket.SHUT_RD)
-        connection.close()
+        os.close(connection.detach())
     except OSError:
         pass
 
