--- a/review/harness-2/small.py
+++ b/review/harness-2/small.py
@@ -466,6 +466,8 @@
 
 def run_case(folder, case, **options):
     """Runs `case(system, record)`, which returns whether the rule held; gives the exit code."""
+    # A script that is ended from outside still ends what it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     record("with the disruption" if TROUBLE else "without the disruption (TROUBLE=0)")
     system = None
