Group: a replica believes only readings of its own process's clock

A replica that was restarted called its state 0 ms old for as long as it had run before, whatever it heard.

Cause: the leader kept the highest clock that a replica ever answered with, and gave it back; a process's clock begins anew. So a claim (echo - age) lay in the future of the new process. Not a message that was under way alone, nor the leader's own confirmation: the seeded model, with a clock for each process and the time at which each process was last sent something by a confirmed leader, shows the first alone for seconds.

Change: a process draws a number at its start (the one of its questions for votes) and names it beside each reading; the leader keeps readings of one process only and gives the number back; a follower believes its own number only. It holds for messages under way over a restart too.

--- a/src/group/core.rs
+++ b/src/group/core.rs
@@ -11,9 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::log::Log;
-use super::message::{
-    Appended, Entry, Envelope, HardState, Install, Members, Message, Payload, Snapshot,
-};
+use super::message::{Entry, Envelope, HardState, Install, Members, Message, Payload, Snapshot};
 use super::progress::Progress;
 use crate::ids::{BoxId, Incarnation, Index, Term};
 
@@ -396,10 +394,7 @@
                 self.send_late(to, self.hard.term, self.vote(pre, false, start));
             }
             Message::Append(_) | Message::Install(_) => {
-                let index = self.log.last_index();
-                let clock = self.now;
-                let stopping = self.stopping;
-                let appended = Appended { matched: false, index, sent: 0, clock, stopping };
+                let appended = self.appended(false, self.log.last_index(), 0);
                 self.send_late(to, self.hard.term, Message::Appended(appended));
             }
             Message::Vote { .. } | Message::Appended(_) | Message::Installing { .. } => {}
--- a/src/group/core/follow.rs
+++ b/src/group/core/follow.rs
@@ -58,18 +58,31 @@
     /// showed `echo`. So what it had committed then was the newest at `echo - age` at least.
     fn record_fresh(&mut self, append: &Append, known: Index) {
         let whole = self.commit >= append.commit && known >= append.commit;
-        if let Some(age) = append.age.filter(|_| whole && append.echo > 0) {
+        if let Some(age) = append.age.filter(|_| whole && self.is_own_reading(append)) {
             let at = append.echo.saturating_sub(age);
             self.fresh = Some(self.fresh.map_or(at, |held| held.max(at)));
         }
     }
 
+    /// Whether the echo is a reading of this process's clock. A leader may still send one of a former process, and
+    /// messages of before the restart may be under way.
+    fn is_own_reading(&self, append: &Append) -> bool {
+        let named = append.echo_start == self.hold.start;
+        // Without a name, a reading that lies ahead is certainly another process's.
+        let unnamed = append.echo_start == 0 && append.echo <= self.now;
+        append.echo > 0 && (named || unnamed)
+    }
+
     fn answer_append(&mut self, to: (BoxId, Incarnation), matched: bool, index: Index, sent: u64) {
-        let stopping = self.stopping;
-        let appended = Appended { matched, index, sent, clock: self.now, stopping };
+        let appended = self.appended(matched, index, sent);
         self.send_late(to, self.hard.term, Message::Appended(appended));
     }
 
+    pub(super) fn appended(&self, matched: bool, index: Index, sent: u64) -> Appended {
+        let (clock, start) = (self.now, self.hold.start);
+        Appended { matched, index, sent, clock, start, stopping: self.stopping }
+    }
+
     fn hear_leader(&mut self, from: &BoxId) {
         if self.role != Role::Follower || self.leader.as_ref() != Some(from) {
             self.become_follower(self.hard.term, Some(from.clone()));
--- a/src/group/core/lead.rs
+++ b/src/group/core/lead.rs
@@ -68,6 +68,7 @@
             commit: self.commit,
             sent: self.now,
             echo: progress.clock,
+            echo_start: progress.start,
             age: self.confirmed().map(|at| self.now.saturating_sub(at)),
         };
         if let Some(progress) = self.progress.get_mut(box_id) {
@@ -92,6 +93,7 @@
             commit: Index(0),
             sent: self.now,
             echo: progress.clock,
+            echo_start: progress.start,
             age: None,
         };
         self.send_member(box_id, Message::Append(append));
@@ -149,7 +151,7 @@
         };
         progress.heard = now;
         progress.acked = progress.acked.max(appended.sent);
-        progress.clock = progress.clock.max(appended.clock);
+        progress.record_clock(appended.start, appended.clock);
         progress.stopping = appended.stopping;
         let installing = matches!(progress.stream, Stream::Installing { .. });
         match appended.matched {
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -207,6 +207,9 @@
     pub sent: u64,
     /// The receiver's clock in its latest answer, given back.
     pub echo: u64,
+    /// `start` of that answer, given back; leaders of 0.1 give none. Another process of the receiver has another clock.
+    #[serde(default)]
+    pub echo_start: u64,
     /// How long ago, when this was sent, a majority last confirmed the leader, in milliseconds;
     /// `None` when the leader cannot say yet.
     pub age: Option<u64>,
@@ -223,6 +226,9 @@
     pub sent: u64,
     /// The answerer's own clock, in milliseconds.
     pub clock: u64,
+    /// Drawn when the answerer's process started; replicas of 0.1 say none.
+    #[serde(default)]
+    pub start: u64,
     /// Whether the answerer is about to stop.
     #[serde(default)]
     pub stopping: bool,
--- a/src/group/progress.rs
+++ b/src/group/progress.rs
@@ -37,8 +37,10 @@
     pub told: Index,
     /// `sent` of the newest message the replica has answered, on the leader's clock.
     pub acked: u64,
-    /// The replica's clock in its newest answer.
+    /// The replica's clock in the newest answer of its process.
     pub clock: u64,
+    /// Drawn when that process started.
+    pub start: u64,
     /// When the last message was sent, on the leader's clock.
     pub sent: u64,
     /// When the replica last answered at all, on the leader's clock.
@@ -57,12 +59,19 @@
             told: Index(0),
             acked: 0,
             clock: 0,
+            start: 0,
             sent: 0,
             heard: now,
             stopping: false,
         }
     }
 
+    /// Records a reading of the replica's clock. Those of two processes of it can't be compared.
+    pub fn record_clock(&mut self, start: u64, clock: u64) {
+        self.clock = if start == self.start { self.clock.max(clock) } else { clock };
+        self.start = start;
+    }
+
     /// Takes note of a match up to `index`.
     pub fn advance(&mut self, index: Index) {
         self.matched = self.matched.max(index);
--- a/tests/core/replacing.rs
+++ b/tests/core/replacing.rs
@@ -143,10 +143,9 @@
         state.next_name += 1;
         self.next_life += 1;
         let life = Incarnation(self.next_life);
-        let (offset, disk) = (self.random.random_range(0..100_000), Stored::default());
-        let new = Box1 { life, offset, disk, core: None, applied: Vec::new(), wake_at: 0 };
-        self.boxes.insert(name.clone(), new);
-        self.start(&name);
+        let first = self.random.random_range(0..100_000);
+        self.boxes.insert(name.clone(), Box1::new(life, first));
+        self.launch(&name);
     }
 
     fn voters(&self) -> BTreeMap<BoxId, Incarnation> {
--- a/tests/core/world.rs
+++ b/tests/core/world.rs
@@ -4,7 +4,7 @@
 
 use emberturn::group::core::{Core, Identity, Role, Stored};
 use emberturn::group::log::Tail;
-use emberturn::group::message::{Entry, Envelope, MemberChange, Members, Payload};
+use emberturn::group::message::{Entry, Envelope, MemberChange, Members, Message, Payload};
 use emberturn::ids::{BoxId, Incarnation, Index, Term};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -18,37 +18,75 @@
     pub crash: f64,
     pub part: f64,
     pub lose_disk: f64,
+    pub pause: f64,
 }
 
 impl Chaos {
-    pub const NONE: Self = Self { loss: 0.0, double: 0.0, crash: 0.0, part: 0.0, lose_disk: 0.0 };
+    pub const NONE: Self =
+        Self { loss: 0.0, double: 0.0, crash: 0.0, part: 0.0, lose_disk: 0.0, pause: 0.0 };
 }
 
 const SNAPSHOT_LENGTH: usize = 24;
 
 struct Box1 {
     life: Incarnation,
-    /// The box's clock is the world's plus this.
-    offset: u64,
+    /// The world's time at which the process started.
+    began: u64,
+    /// What the process's clock showed then. Each process of a box has a clock of its own.
+    first: u64,
     disk: Stored,
     core: Option<Core>,
     applied: Vec<String>,
     wake_at: u64,
+    paused_until: u64,
+    /// When the newest message that this process got from a confirmed leader was sent.
+    last_sent: Option<u64>,
 }
 
 impl Box1 {
+    fn new(life: Incarnation, first: u64) -> Self {
+        Self {
+            life,
+            began: 0,
+            first,
+            disk: Stored::default(),
+            core: None,
+            applied: Vec::new(),
+            wake_at: 0,
+            paused_until: 0,
+            last_sent: None,
+        }
+    }
+
+    fn clock(&self, now: u64) -> u64 {
+        self.first + (now - self.began)
+    }
+
+    /// The world's time at which the process's clock shows `clock`; `None` if that is before all time.
+    fn world_time(&self, clock: u64) -> Option<u64> {
+        (self.began + clock).checked_sub(self.first)
+    }
+
     fn leads(&self) -> bool {
         self.core.as_ref().is_some_and(Core::leads_whole)
     }
 }
 
+struct Mail {
+    sent: u64,
+    due: u64,
+    envelope: Envelope,
+}
+
 pub struct World {
     seed: u64,
     random: SmallRng,
+    /// Draws the clocks of processes that start again, and pauses, so that seeds keep their other events.
+    clocks: SmallRng,
     chaos: Chaos,
     now: u64,
     boxes: BTreeMap<BoxId, Box1>,
-    mail: Vec<(u64, Envelope)>,
+    mail: Vec<Mail>,
     cut: BTreeSet<(BoxId, BoxId)>,
     leaders: BTreeMap<Term, BoxId>,
     history: BTreeMap<Index, Entry>,
@@ -70,14 +108,13 @@
         for (number, name) in names.iter().enumerate() {
             let life = Incarnation(number as u64 + 1);
             members.voters.insert(name.clone(), life);
-            let offset = random.random_range(0..100_000);
-            let disk = Stored::default();
-            let new = Box1 { life, offset, disk, core: None, applied: Vec::new(), wake_at: 0 };
-            boxes.insert(name.clone(), new);
+            let first = random.random_range(0..100_000);
+            boxes.insert(name.clone(), Box1::new(life, first));
         }
         let mut world = Self {
             seed,
             random,
+            clocks: SmallRng::seed_from_u64(!seed),
             chaos,
             now: 1,
             boxes,
@@ -92,18 +129,25 @@
             replacing: None,
         };
         for name in &names {
-            world.start(name);
+            world.launch(name);
             let one = world.boxes.get_mut(name).unwrap();
             one.core.as_mut().unwrap().form(members.clone()).unwrap();
         }
         world
     }
 
+    /// Starts a box again, with another clock than its former process had.
     fn start(&mut self, name: &BoxId) {
+        self.boxes.get_mut(name).unwrap().first = self.clocks.random_range(1..100_000);
+        self.launch(name);
+    }
+
+    fn launch(&mut self, name: &BoxId) {
         let seed = self.random.random();
         let one = self.boxes.get_mut(name).unwrap();
         let own = Identity { group: 0, box_id: name.clone(), life: one.life };
-        let clock = self.now + one.offset;
+        (one.began, one.last_sent, one.paused_until) = (self.now, None, 0);
+        let clock = one.clock(self.now);
         one.applied = match &one.disk.snapshot {
             Some(snapshot) => serde_json::from_str(&snapshot.data).unwrap(),
             None => Vec::new(),
@@ -204,7 +248,10 @@
         let names: Vec<_> = self.boxes.keys().cloned().collect();
         for name in &names {
             let one = self.boxes.get_mut(name).unwrap();
-            let clock = self.now + one.offset;
+            if one.paused_until > self.now {
+                continue;
+            }
+            let clock = one.clock(self.now);
             match &mut one.core {
                 Some(core) => core.tick(clock),
                 None if one.wake_at <= self.now => self.start(name),
@@ -217,20 +264,28 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let (due, later) =
-            std::mem::take(&mut self.mail).into_iter().partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.mail).into_iter().partition(|mail| mail.due <= now);
         self.mail = later;
-        let due: Vec<(u64, Envelope)> = due;
-        for (_, envelope) in due {
-            if self.cut.contains(&(envelope.from.clone(), envelope.to.clone())) {
+        for mail in due {
+            if self.cut.contains(&(mail.envelope.from.clone(), mail.envelope.to.clone())) {
                 continue;
             }
-            let Some(one) = self.boxes.get_mut(&envelope.to) else {
+            let Some(one) = self.boxes.get_mut(&mail.envelope.to) else {
                 continue;
             };
-            let clock = now + one.offset;
+            if one.paused_until > now {
+                self.mail.push(Mail { due: one.paused_until, ..mail });
+                continue;
+            }
+            let clock = one.clock(now);
             if let Some(core) = &mut one.core {
-                core.step(clock, envelope);
+                let confirmed =
+                    matches!(&mail.envelope.message, Message::Append(it) if it.age.is_some());
+                if confirmed && mail.envelope.to_life == one.life {
+                    one.last_sent = one.last_sent.max(Some(mail.sent));
+                }
+                core.step(clock, mail.envelope);
             }
         }
     }
@@ -244,7 +299,8 @@
             for _ in 0..copies {
                 let late = self.random.random_bool(0.02);
                 let delay = self.random.random_range(1..if late { 1_500 } else { 15 });
-                self.mail.push((self.now + delay, envelope.clone()));
+                let envelope = envelope.clone();
+                self.mail.push(Mail { sent: self.now, due: self.now + delay, envelope });
             }
         }
     }
@@ -348,6 +404,12 @@
         {
             self.lose_disk(&names);
         }
+        if self.chaos.pause > 0.0 && self.clocks.random_bool(self.chaos.pause * names.len() as f64)
+        {
+            let name = names.choose(&mut self.clocks).unwrap();
+            let until = self.now + self.clocks.random_range(100..2_500);
+            self.boxes.get_mut(name).unwrap().paused_until = until;
+        }
     }
 
     fn crash(&mut self, name: &BoxId) {
@@ -417,7 +479,7 @@
 
     fn check(&mut self) {
         for (name, one) in &self.boxes {
-            let Some(core) = &one.core else {
+            let Some(core) = one.core.as_ref().filter(|_| one.paused_until <= self.now) else {
                 continue;
             };
             if *core.role() == Role::Leader {
@@ -425,7 +487,14 @@
                 assert_eq!(first, name, "seed {}: two leaders in {}", self.seed, core.term());
             }
             // What was acknowledged before the time a box calls itself fresh at, it has.
-            let fresh = core.fresh().and_then(|at| at.checked_sub(one.offset));
+            let fresh = core.fresh().and_then(|at| one.world_time(at));
+            // A replica is as fresh as what it was sent, and a leader never fresher than now.
+            let last = if *core.role() == Role::Leader { Some(self.now) } else { one.last_sent };
+            assert!(
+                fresh <= last,
+                "seed {}: {name} claims to be fresh at {fresh:?}, and was last sent something at {last:?}",
+                self.seed,
+            );
             let reads = core.may_read().then_some(self.now);
             for (claim, at) in [("fresh", fresh), ("may read", reads)] {
                 let Some(at) = at else { continue };
--- a/tests/group_core.rs
+++ b/tests/group_core.rs
@@ -73,6 +73,20 @@
     assert_eq!(serde_json::from_str::<Message>(answer).unwrap(), expected);
 }
 
+#[test]
+fn entries_and_their_answers_are_read_without_the_fields_of_this_version() {
+    let entries = r#"{"append":{"prev":7,"prev_term":2,"entries":[],"commit":7,"sent":9,"echo":4,"age":1}}"#;
+    let Message::Append(append) = serde_json::from_str(entries).unwrap() else {
+        panic!("not entries");
+    };
+    assert_eq!((append.echo, append.echo_start), (4, 0));
+    let answer = r#"{"appended":{"matched":true,"index":7,"sent":9,"clock":4}}"#;
+    let Message::Appended(appended) = serde_json::from_str(answer).unwrap() else {
+        panic!("not an answer");
+    };
+    assert_eq!((appended.clock, appended.start), (4, 0));
+}
+
 #[test]
 fn safety_holds_while_messages_are_lost_late_and_doubled() {
     each_seed(5, Chaos { loss: 0.1, double: 0.1, ..Chaos::NONE }, 1_500);
@@ -96,7 +110,25 @@
 
 #[test]
 fn safety_holds_under_everything_at_once() {
-    let chaos = Chaos { loss: 0.05, double: 0.05, crash: 0.003, part: 0.005, lose_disk: 0.001 };
+    let chaos = Chaos {
+        loss: 0.05,
+        double: 0.05,
+        crash: 0.003,
+        part: 0.005,
+        lose_disk: 0.001,
+        ..Chaos::NONE
+    };
+    each_seed(5, chaos, 2_500);
+    each_seed(3, chaos, 2_500);
+}
+
+/// The check of each step: no claim is later than the sending of what it rests on. A leader gave a replica
+/// readings of the clock of its former process back.
+#[test]
+fn restarted_box_claims_no_freshness_from_the_clock_of_its_former_process() {
+    let restarts = Chaos { double: 0.1, crash: 0.003, ..Chaos::NONE };
+    each_seed(5, restarts, 1_500);
+    let chaos = Chaos { loss: 0.05, part: 0.005, lose_disk: 0.001, pause: 0.002, ..restarts };
     each_seed(5, chaos, 2_500);
     each_seed(3, chaos, 2_500);
 }
