Quarantine: a draw between suspects is not settled by the order of their ids

Cause: boxes forgot answers after 10 s, so both parts had three crashes and no survival; the larger id was blamed. Shown by the new test with the shared part's id on either side of the other: it failed on the code before on one side only. A crash of another cause beside a prompt that begins alike also had the shared part blamed (failed before).

Evidence: segments, 27 of 27 (3 of the new cases failed before).

--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -58,6 +58,10 @@
 /// Survivals that are assumed of each suspect, so that a few crashes do not outweigh many with some survivals.
 const PRIOR_SURVIVALS: i64 = 5;
 
+/// The most survivals of before that count when suspects are compared: enough to blame a segment that has never been
+/// answered rather than one that was sound and has up to twice as many crashes.
+const MAX_EARLIER_SURVIVALS: i64 = 5;
+
 /// Survivals within this time before a crash count as well. When servers crash that have nothing in common but an
 /// outage, there are none between the crashes.
 pub const SURVIVAL_WINDOW: Duration = Duration::from_secs(5);
@@ -76,7 +80,8 @@
     pub server: BackendId,
     /// Its data centre.
     pub data_centre: DataCentre,
-    /// The requests that ran on it, and the shared segments of the prompts it had not begun to answer.
+    /// The requests that ran on it, and the shared segments of the prompts it had not begun to answer: those with which
+    /// prompts begin come first.
     pub suspects: Vec<Suspect>,
     /// Time since the crash.
     pub age: Millis,
@@ -110,6 +115,17 @@
 struct Evidence {
     crashes: i64,
     survivals: i64,
+    /// Survivals of before, which don't clear it.
+    earlier: i64,
+}
+
+/// What is known of a segment besides its crashes and its survivals since.
+#[derive(Debug, Clone, Copy, Default)]
+struct SegmentHistory {
+    /// Its place among the segments of a report of a crash: a larger one for what is deeper in the prompts.
+    depth: Option<usize>,
+    /// Survivals before those that count as evidence.
+    earlier: u32,
 }
 
 impl Evidence {
@@ -120,7 +136,8 @@
     /// The share of crashes, in millionths. A segment of many prompts has the crashes of all poison among them, but
     /// also their survivals, so its share is lower than that of the poison.
     fn share(&self) -> i64 {
-        1_000_000 * self.crashes / (self.crashes + self.survivals + PRIOR_SURVIVALS)
+        let earlier = self.earlier.min(MAX_EARLIER_SURVIVALS);
+        1_000_000 * self.crashes / (self.crashes + self.survivals + PRIOR_SURVIVALS + earlier)
     }
 }
 
@@ -156,7 +173,7 @@
 pub struct CrashTracker {
     crashes: Vec<Crash>,
     /// The segments that are suspects of any crash.
-    segments: BTreeSet<SegmentKey>,
+    segments: BTreeMap<SegmentKey, SegmentHistory>,
     /// Of these, the segments that have survivals.
     survivals: BTreeMap<SegmentKey, Survivals>,
 }
@@ -179,11 +196,14 @@
         let crash = &mut self.crashes[index];
         let before = crash.suspects.len();
         let free = MAX_SUSPECTS_PER_CRASH.saturating_sub(before);
+        let segments = report.suspects.iter().take(free).filter_map(Suspect::segment);
+        let depths: Vec<_> = segments.cloned().enumerate().collect();
         crash.suspects.extend(report.suspects.into_iter().take(free));
         let is_new = known.is_none() || crash.suspects.len() > before;
         crash.is_reported &= !is_new;
         if is_new {
             self.index_segments();
+            self.record_depths(depths);
         }
         is_new
     }
@@ -191,8 +211,21 @@
     /// Brings the segments up to date with the crashes.
     fn index_segments(&mut self) {
         let suspects = self.crashes.iter().flat_map(|crash| &crash.suspects);
-        self.segments = suspects.filter_map(Suspect::segment).cloned().collect();
-        self.survivals.retain(|segment, _| self.segments.contains(segment));
+        let known = std::mem::take(&mut self.segments);
+        let history = |segment: &SegmentKey| known.get(segment).copied().unwrap_or_default();
+        let segments = suspects.filter_map(Suspect::segment);
+        self.segments = segments.map(|it| (it.clone(), history(it))).collect();
+        self.survivals.retain(|segment, _| self.segments.contains_key(segment));
+    }
+
+    /// Records the places of segments in a report. Where other prompts' segments stand before it, that of a segment is
+    /// larger, so the smallest counts.
+    fn record_depths(&mut self, depths: Vec<(usize, SegmentKey)>) {
+        for (depth, segment) in depths {
+            if let Some(history) = self.segments.get_mut(&segment) {
+                history.depth = Some(history.depth.map_or(depth, |known| known.min(depth)));
+            }
+        }
     }
 
     fn drop_oldest(&mut self) {
@@ -205,7 +238,7 @@
     /// Records prompts with a segment whose answers went on after they had begun. Only segments that are suspects of a
     /// crash are counted.
     pub fn record_survivals(&mut self, segment: &SegmentKey, count: u32, now: Instant) {
-        if count == 0 || !self.segments.contains(segment) {
+        if count == 0 || !self.segments.contains_key(segment) {
             return;
         }
         if self.survivals.len() >= MAX_COUNTED_SEGMENTS && !self.survivals.contains_key(segment) {
@@ -217,6 +250,13 @@
         self.survivals.entry(segment.clone()).or_default().record(count, now);
     }
 
+    /// Records survivals of before. They don't speak against a verdict, but for other suspects as the more likely ones.
+    pub fn record_earlier(&mut self, segment: &SegmentKey, count: u32) {
+        if let Some(history) = self.segments.get_mut(segment) {
+            history.earlier = history.earlier.saturating_add(count);
+        }
+    }
+
     /// Whether any survivals of the segment have been recorded.
     pub fn has_survivals(&self, segment: &SegmentKey) -> bool {
         self.survivals.contains_key(segment)
@@ -295,12 +335,22 @@
             .map(|crash| CrashReport {
                 server: crash.server.clone(),
                 data_centre: crash.data_centre.clone(),
-                suspects: crash.suspects.iter().cloned().collect(),
+                suspects: self.by_depth(&crash.suspects),
                 age: now.saturating_duration_since(crash.at).into(),
             })
             .collect()
     }
 
+    fn by_depth(&self, suspects: &BTreeSet<Suspect>) -> Vec<Suspect> {
+        let mut ordered: Vec<_> = suspects.iter().cloned().collect();
+        ordered.sort_by_key(|suspect| suspect.segment().map(|it| self.history(it).depth));
+        ordered
+    }
+
+    fn history(&self, segment: &SegmentKey) -> SegmentHistory {
+        self.segments.get(segment).copied().unwrap_or_default()
+    }
+
     /// Marks the crashes in `report` as reported.
     pub fn mark_reported(&mut self, report: &[CrashReport]) {
         for crash in &mut self.crashes {
@@ -328,7 +378,8 @@
     }
 
     /// The suspect with the strongest evidence, if it is enough. If it is equal, a single request rather than a segment
-    /// of many, and then the suspect whose last crash is the most recent, as poison goes on crashing servers.
+    /// of many; then the segment that is deeper in the prompts, as fewer others have it; then the suspect whose last crash
+    /// is the most recent, as poison goes on crashing servers.
     fn worst<'a>(&self, unexplained: &[SuspectedCrash<'a>]) -> Option<&'a Suspect> {
         let counts = count_suspects(unexplained.iter().flat_map(|it| it.suspects.iter().copied()));
         let frequent = counts.into_iter().filter(|(_, count)| *count >= CRASHES_TO_QUARANTINE);
@@ -337,7 +388,8 @@
             let evidence = self.evidence(suspect, crashes.map(|it| it.crash).collect())?;
             let all = self.crashes.iter().filter(|it| it.suspects.contains(suspect));
             let last_crash = all.map(|it| it.at).max();
-            Some((evidence.share(), suspect.request().is_some(), last_crash, suspect))
+            let depth = suspect.segment().and_then(|segment| self.history(segment).depth);
+            Some((evidence.share(), suspect.request().is_some(), depth, last_crash, suspect))
         });
         weighed.max().map(|(.., worst)| worst)
     }
@@ -346,9 +398,12 @@
     /// segment may have been sound before. `None` if it is too weak.
     fn evidence(&self, suspect: &Suspect, mut crashes: Vec<&Crash>) -> Option<Evidence> {
         crashes.sort_by_key(|crash| crash.at);
-        let (crashes, survivals) = match suspect {
-            Suspect::Request(_) => (crashes.iter().map(|crash| crash.at).collect(), None),
-            Suspect::Segment(segment) => (separate(&crashes), self.survivals.get(segment)),
+        let (crashes, survivals, earlier) = match suspect {
+            Suspect::Request(_) => (crashes.iter().map(|crash| crash.at).collect(), None, 0),
+            Suspect::Segment(segment) => {
+                let earlier = self.history(segment).earlier;
+                (Self::separate(&crashes), self.survivals.get(segment), earlier)
+            }
         };
         let starts = crashes.len().checked_sub(CRASHES_TO_QUARANTINE)?;
         let since = |start: usize| {
@@ -356,6 +411,7 @@
             Evidence {
                 crashes: (crashes.len() - start) as i64,
                 survivals: survivals.map_or(0, |survivals| survivals.count_since(window_start)),
+                earlier: i64::from(earlier),
             }
         };
         let strongest = (0..=starts).map(since).max_by_key(Evidence::weight);
@@ -369,19 +425,19 @@
         let by_data_centre = ordered.chunk_by(|a, b| a.data_centre == b.data_centre);
         by_data_centre.flat_map(moments).flat_map(suspects_in_group).collect()
     }
-}
 
-/// Returns the times of those of the crashes, which are in the order of time, that count against a segment. Servers that
-/// crash at the same moment under requests that have nothing to do with each other count as one: what they have in
-/// common may be an outage, and prompts with the segment were waiting on each of them.
-fn separate(crashes: &[&Crash]) -> Vec<Instant> {
-    let counted = moments(crashes).flat_map(|group| {
-        // A request that was sent on from one server to the next crashed both.
-        let unrelated = group.windows(2).filter(|pair| !have_common_request(pair[0], pair[1]));
-        let is_outage = 1 + unrelated.count() >= MIN_OUTAGE_SERVERS;
-        if is_outage { &group[..1] } else { group }
-    });
-    counted.map(|crash| crash.at).collect()
+    /// Returns the times of those of the crashes, which are in the order of time, that count against a segment. Servers
+    /// that crash at the same moment under requests that have nothing to do with each other count as one: what they have
+    /// in common may be an outage, and prompts with the segment were waiting on each of them.
+    fn separate(crashes: &[&Crash]) -> Vec<Instant> {
+        let counted = moments(crashes).flat_map(|group| {
+            // A request that was sent on from one server to the next crashed both.
+            let unrelated = group.windows(2).filter(|pair| !have_common_request(pair[0], pair[1]));
+            let is_outage = 1 + unrelated.count() >= MIN_OUTAGE_SERVERS;
+            if is_outage { &group[..1] } else { group }
+        });
+        counted.map(|crash| crash.at).collect()
+    }
 }
 
 /// Splits crashes, which are in the order of time, into groups that happened at the same moment. Each lasts from its first
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -46,6 +46,9 @@
 /// Maximum number of segments whose answers a box counts.
 const MAX_COUNTED_SEGMENTS: usize = 1_024;
 
+/// A segment with so many answers stays counted when it has none for some seconds, as long as there is room.
+const MIN_REMEMBERED_SURVIVALS: u32 = 8;
+
 /// Maximum number of segments whose answers boxes report: the segments under which the most servers crashed.
 const MAX_WATCHED_SEGMENTS: usize = 64;
 
@@ -80,8 +83,10 @@
 pub struct SegmentSurvivals {
     /// The segment.
     pub segment: SegmentKey,
-    /// Their number since the last report.
+    /// Their number since the last report; in the first one, those of the last few seconds.
     pub count: u32,
+    /// In the first report, those before.
+    pub earlier: u32,
 }
 
 /// What a box reports to the leader.
@@ -156,23 +161,34 @@
     }
 }
 
-/// Survivals of one segment within about [`SURVIVAL_WINDOW`].
+/// Survivals of one segment: within about [`SURVIVAL_WINDOW`], and before.
 #[derive(Debug, Clone, Copy)]
 struct RecentCount {
     window_start: Instant,
     current: u32,
     previous: u32,
+    earlier: u32,
 }
 
 impl RecentCount {
+    fn new(now: Instant) -> Self {
+        Self { window_start: now, current: 0, previous: 0, earlier: 0 }
+    }
+
     fn advance(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.window_start);
         if elapsed >= SURVIVAL_WINDOW {
             let is_next = elapsed < 2 * SURVIVAL_WINDOW;
+            let passed = if is_next { 0 } else { self.current };
+            self.earlier = self.earlier.saturating_add(self.previous).saturating_add(passed);
             self.previous = if is_next { self.current } else { 0 };
             (self.current, self.window_start) = (0, now);
         }
     }
+
+    fn recent(&self) -> u32 {
+        self.current.saturating_add(self.previous)
+    }
 }
 
 /// Survivals of the segments of this box's prompts.
@@ -187,25 +203,52 @@
             return;
         }
         if self.0.len() >= MAX_COUNTED_SEGMENTS {
-            let is_recent = |count: &RecentCount| count.window_start + 2 * SURVIVAL_WINDOW > now;
-            self.0.retain(|_, count| is_recent(count));
-            // Segments of many prompts are kept rather than those of few.
-            if self.0.len() >= MAX_COUNTED_SEGMENTS {
-                self.0.retain(|_, count| count.current + count.previous > 1);
-            }
+            self.make_room(now);
         }
         if self.0.len() < MAX_COUNTED_SEGMENTS {
-            let count = RecentCount { window_start: now, current: 1, previous: 0 };
-            self.0.insert(segment.clone(), count);
+            self.0.insert(segment.clone(), RecentCount { current: 1, ..RecentCount::new(now) });
         }
     }
 
-    fn count(&self, segment: &SegmentKey, now: Instant) -> u32 {
-        let Some(mut count) = self.0.get(segment).copied() else {
-            return 0;
-        };
+    /// Drops segments. Those of many prompts are kept rather than those of few, and recent ones rather than others.
+    fn make_room(&mut self, now: Instant) {
+        let is_recent = |count: &RecentCount| count.window_start + 2 * SURVIVAL_WINDOW > now;
+        self.0.retain(|_, count| is_recent(count) || count.earlier >= MIN_REMEMBERED_SURVIVALS);
+        if self.0.len() >= MAX_COUNTED_SEGMENTS {
+            self.0.retain(|_, count| is_recent(count));
+        }
+        if self.0.len() >= MAX_COUNTED_SEGMENTS {
+            self.0.retain(|_, count| count.recent() > 1);
+        }
+    }
+
+    fn get(&self, segment: &SegmentKey, now: Instant) -> RecentCount {
+        let mut count = self.0.get(segment).copied().unwrap_or(RecentCount::new(now));
         count.advance(now);
-        count.current.saturating_add(count.previous)
+        count
+    }
+
+    fn count(&self, segment: &SegmentKey, now: Instant) -> u32 {
+        self.get(segment, now).recent()
+    }
+
+    /// All that is known of a segment, as to be reported.
+    fn all(&self, segment: &SegmentKey, now: Instant) -> UnreportedSurvivals {
+        let count = self.get(segment, now);
+        UnreportedSurvivals { count: count.recent(), earlier: count.earlier }
+    }
+}
+
+/// Survivals of a segment that have not been reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct UnreportedSurvivals {
+    count: u32,
+    earlier: u32,
+}
+
+impl UnreportedSurvivals {
+    fn is_empty(self) -> bool {
+        self.count == 0 && self.earlier == 0
     }
 }
 
@@ -225,7 +268,7 @@
     /// Segments under which several servers crashed, by the leader's word.
     suspected: BTreeSet<SegmentKey>,
     /// Segments whose survivals are reported, and their number that has not been.
-    watched: BTreeMap<SegmentKey, u32>,
+    watched: BTreeMap<SegmentKey, UnreportedSurvivals>,
 }
 
 impl BoxQuarantine {
@@ -267,11 +310,12 @@
             report.suspects.iter().filter_map(Suspect::segment).cloned().collect();
         let is_new = self.crashes.record(report, now);
         for segment in segments {
-            let count = self.survivals.count(&segment, now);
+            let known = self.survivals.all(&segment, now);
             if !self.crashes.has_survivals(&segment) {
-                self.crashes.record_survivals(&segment, count, now);
+                self.crashes.record_survivals(&segment, known.count, now);
+                self.crashes.record_earlier(&segment, known.earlier);
             }
-            if count > 0 {
+            if !known.is_empty() {
                 self.watch(segment, now);
             }
         }
@@ -295,7 +339,7 @@
     pub fn record_survival(&mut self, segment: &SegmentKey, now: Instant) {
         self.survivals.record(segment, now);
         if let Some(unreported) = self.watched.get_mut(segment) {
-            *unreported = unreported.saturating_add(1);
+            unreported.count = unreported.count.saturating_add(1);
         }
         self.crashes.record_survivals(segment, 1, now);
     }
@@ -306,16 +350,16 @@
         if self.watched.contains_key(&segment) {
             return;
         }
-        let recent = self.survivals.count(&segment, now);
+        let known = self.survivals.all(&segment, now);
         if self.watched.len() >= MAX_WATCHED_SEGMENTS {
-            let fewest = self.watched.iter().min_by_key(|(_, count)| **count);
-            let Some(fewest) = fewest.filter(|(_, count)| **count < recent) else {
+            let fewest = self.watched.iter().min_by_key(|(_, it)| it.count);
+            let Some(fewest) = fewest.filter(|(_, it)| it.count < known.count) else {
                 return;
             };
             let fewest = fewest.0.clone();
             self.watched.remove(&fewest);
         }
-        self.watched.insert(segment, recent);
+        self.watched.insert(segment, known);
     }
 
     fn clear(&mut self, request: Fingerprint) -> bool {
@@ -328,14 +372,15 @@
     /// Builds the report to the leader.
     pub fn report(&self, now: Instant) -> QuarantineReport {
         let crashes = self.crashes.unreported(now, MAX_REPORTED_CRASHES);
-        let unreported = self.watched.iter().filter(|(_, count)| **count > 0);
+        let unreported = self.watched.iter().filter(|(_, it)| !it.is_empty());
         QuarantineReport {
             crashes,
             cleared: self.cleared.iter().copied().collect(),
             survivals: unreported
-                .map(|(segment, count)| SegmentSurvivals {
+                .map(|(segment, it)| SegmentSurvivals {
                     segment: segment.clone(),
-                    count: *count,
+                    count: it.count,
+                    earlier: it.earlier,
                 })
                 .collect(),
             known_version: self.version,
@@ -354,15 +399,16 @@
         now: Instant,
     ) -> (QuarantineDelta, bool) {
         self.crashes.mark_reported(&report.crashes);
-        for SegmentSurvivals { segment, count } in &report.survivals {
+        for SegmentSurvivals { segment, count, earlier } in &report.survivals {
             if let Some(unreported) = self.watched.get_mut(segment) {
-                *unreported = unreported.saturating_sub(*count);
+                unreported.count = unreported.count.saturating_sub(*count);
+                unreported.earlier = unreported.earlier.saturating_sub(*earlier);
             }
         }
         if resend {
             self.crashes.mark_all_unreported();
-            let recent = |segment: &SegmentKey| self.survivals.count(segment, now);
-            self.watched.iter_mut().for_each(|(segment, count)| *count = recent(segment));
+            let known = |segment: &SegmentKey| self.survivals.all(segment, now);
+            self.watched.iter_mut().for_each(|(segment, it)| *it = known(segment));
         }
         self.cleared.retain(|request| !report.cleared.contains(request));
         let before = self.all_suspects();
@@ -377,7 +423,7 @@
     }
 
     fn has_news(&self, segment: &SegmentKey) -> bool {
-        self.watched.get(segment).is_some_and(|count| *count > 0)
+        self.watched.get(segment).is_some_and(|it| !it.is_empty())
     }
 
     fn apply_update(&mut self, update: QuarantineUpdate, now: Instant) {
@@ -390,7 +436,7 @@
             self.crashes.clear(suspect);
         }
         self.announced = announced;
-        self.watched.retain(|segment, count| *count > 0 || update.watched.contains(segment));
+        self.watched.retain(|segment, it| !it.is_empty() || update.watched.contains(segment));
         self.suspected = update.watched.iter().cloned().collect();
         for segment in update.watched {
             self.watch(segment, now);
@@ -479,10 +525,11 @@
             self.is_dirty = true;
             self.lift(&Suspect::Request(*request));
         }
-        for SegmentSurvivals { segment, count } in &report.survivals {
+        for SegmentSurvivals { segment, count, earlier } in &report.survivals {
             // Without further crashes, survivals change nothing but a verdict that was wrong.
             self.is_dirty |= self.poison.contains(&Suspect::Segment(segment.clone()));
             self.crashes.record_survivals(segment, *count, now);
+            self.crashes.record_earlier(segment, *earlier);
         }
     }
 
--- a/src/relay/ends.rs
+++ b/src/relay/ends.rs
@@ -5,7 +5,7 @@
 //! has the address, or if it is in another incarnation. So each broken exchange is followed by a
 //! few probes of the server.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -48,7 +48,8 @@
 /// A server with broken exchanges, until the probes have a result.
 struct BrokenServer {
     known: Arc<KnownServer>,
-    suspects: BTreeSet<Suspect>,
+    /// The suspects, each with the place of a segment in its prompt.
+    suspects: BTreeMap<Suspect, usize>,
     /// When the first exchange broke off.
     at: Instant,
     /// Whether the probes have started.
@@ -58,10 +59,12 @@
 impl BrokenServer {
     fn to_report(&self) -> CrashReport {
         let server = &self.known.server;
+        let mut suspects: Vec<_> = self.suspects.keys().cloned().collect();
+        suspects.sort_by_key(|suspect| self.suspects[suspect]);
         CrashReport {
             server: server.id.clone(),
             data_centre: server.data_centre.clone(),
-            suspects: self.suspects.iter().cloned().collect(),
+            suspects,
             age: self.at.elapsed().into(),
         }
     }
@@ -91,7 +94,7 @@
         }
         let held = broken.entry(id.clone()).or_insert_with(|| BrokenServer {
             known: known.clone(),
-            suspects: BTreeSet::new(),
+            suspects: BTreeMap::new(),
             at: Instant::now(),
             probing: false,
         });
@@ -101,7 +104,9 @@
         };
         let segments = call.segment_keys(&known.server.service).take(segments);
         let suspects = std::iter::once(Suspect::Request(call.fingerprint()))
-            .chain(segments.map(Suspect::Segment));
+            .chain(segments.map(Suspect::Segment))
+            .enumerate()
+            .map(|(depth, suspect)| (suspect, depth));
         let free = MAX_SUSPECTS_PER_SERVER.saturating_sub(held.suspects.len());
         held.suspects.extend(suspects.take(free));
         drop(broken);
@@ -169,9 +174,9 @@
     let leaving = !broken.known.is_open();
     relay.context.metrics.count_end(leaving);
     let requests: Vec<_> =
-        broken.suspects.iter().filter_map(Suspect::request).map(Fingerprint::to_string).collect();
+        broken.suspects.keys().filter_map(Suspect::request).map(Fingerprint::to_string).collect();
     let segments: Vec<_> =
-        broken.suspects.iter().filter_map(Suspect::segment).map(SegmentKey::to_string).collect();
+        broken.suspects.keys().filter_map(Suspect::segment).map(SegmentKey::to_string).collect();
     if !leaving {
         quarantine::record_end(relay, broken.to_report());
     }
--- a/tests/group_core.rs
+++ b/tests/group_core.rs
@@ -75,7 +75,8 @@
 
 #[test]
 fn entries_and_their_answers_are_read_without_the_fields_of_this_version() {
-    let entries = r#"{"append":{"prev":7,"prev_term":2,"entries":[],"commit":7,"sent":9,"echo":4,"age":1}}"#;
+    let entries =
+        r#"{"append":{"prev":7,"prev_term":2,"entries":[],"commit":7,"sent":9,"echo":4,"age":1}}"#;
     let Message::Append(append) = serde_json::from_str(entries).unwrap() else {
         panic!("not entries");
     };
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -397,7 +397,11 @@
     }
     assert_eq!(fleet.held(), []);
     let report = QuarantineReport {
-        survivals: vec![SegmentSurvivals { segment: key(FIRST), count: u32::MAX }],
+        survivals: vec![SegmentSurvivals {
+            segment: key(FIRST),
+            count: u32::MAX,
+            earlier: u32::MAX,
+        }],
         ..QuarantineReport::default()
     };
     fleet.leader.apply_report(report.clone(), fleet.now);
@@ -437,3 +441,89 @@
         assert!(wrong.parse::<Suspect>().is_err(), "{wrong}");
     }
 }
+
+/// Equal evidence: nothing sound came for long, and each prompt that crashes a server begins like all others. A shared
+/// segment was blamed for them if its id was the larger one.
+#[parameterized(
+    before_the_poison_in_order = { 0x10 },
+    behind_it = { 0xf_ffff },
+)]
+fn first_segment_is_not_blamed_for_crashes_in_a_quiet_spell(first: u64) {
+    let mut fleet = Fleet::new(3);
+    for place in 0..3 {
+        fleet.answer(place, &[first, 0xa1]);
+    }
+    fleet.now += Duration::from_secs(12);
+    for place in 0..3 {
+        fleet.crash(place, &[first, POISON]);
+        fleet.now += Duration::from_millis(1_500);
+        fleet.beat();
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
+/// A server that crashes beside them leaves the first segment with one crash more.
+#[test]
+fn first_segment_with_a_crash_of_another_cause_is_not_blamed_in_a_quiet_spell() {
+    let mut fleet = Fleet::new(3);
+    for place in 0..3 {
+        for _ in 0..20 {
+            fleet.answer(place, &[FIRST, 0xa1]);
+        }
+    }
+    fleet.now += Duration::from_secs(60);
+    fleet.crash(0, &[FIRST, 0xa1]);
+    for place in 0..3 {
+        fleet.now += Duration::from_millis(1_500);
+        fleet.crash(place, &[FIRST, POISON]);
+        fleet.beat();
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
+/// Without any answer ever, a segment that fewer prompts can have is blamed rather than their common beginning.
+#[parameterized(
+    before_the_poison_in_order = { 0x10 },
+    behind_it = { 0xf_ffff },
+)]
+fn first_segment_is_not_blamed_before_anything_was_answered(first: u64) {
+    let mut fleet = Fleet::new(3);
+    for place in 0..3 {
+        fleet.crash(place, &[first, POISON]);
+        fleet.now += Duration::from_millis(1_500);
+        fleet.beat();
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
+/// The common beginning is poison itself: the deeper segments are blamed no longer than their crashes last.
+#[test]
+fn first_segment_that_crashes_servers_is_held_behind_any_other() {
+    let mut fleet = Fleet::new(3);
+    for number in 0..6 {
+        fleet.crash(number % 3, &[FIRST, if number < 3 { 0xa1 } else { 0xa2 + number as u64 }]);
+        fleet.now += Duration::from_millis(1_500);
+        fleet.beat();
+    }
+    fleet.beat();
+    assert!((0..3).all(|place| fleet.is_held(place, FIRST)));
+}
+
+/// In a quiet spell nobody's answers tell an outage from poison, but the segment has been sound before.
+#[test]
+fn outage_in_a_quiet_spell_holds_no_segment_that_was_sound_before() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..40 {
+        fleet.answer(0, &[FIRST, 0xa1]);
+    }
+    fleet.now += Duration::from_secs(20);
+    for number in 0..6 {
+        fleet.crash(number % 2, &[FIRST, 0xa1]);
+    }
+    fleet.beat();
+    fleet.beat();
+    assert_eq!(fleet.held(), []);
+}
