Quarantine: servers that crash at one moment count one by one against a rare segment that all had

Six requests with a crashing part came at once, every 3.6 s; four to six servers crashed in each of the first three groups, with the sound streams on them.

Cause: three or more crashes within 100 ms under unlike requests counted as one, as in an outage, so a segment was held at the third group. The verdict was not late, nor the part cleared: with nothing but time nothing is held on the code before.

Change: each of them counts if every server that crashed then had the segment, and if it is eight times rarer among answered prompts than another segment of those prompts. An outage does not pick the servers of a rare segment.

--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -62,6 +62,10 @@
 /// answered rather than one that was sound and has up to twice as many crashes.
 const MAX_EARLIER_SURVIVALS: i64 = 5;
 
+/// Servers that crash at the same moment are no outage to a segment that is this many times rarer than another one of
+/// their prompts, if it was on all of them.
+const RARITY: i64 = 8;
+
 /// Survivals within this time before a crash count as well. When servers crash that have nothing in common but an
 /// outage, there are none between the crashes.
 pub const SURVIVAL_WINDOW: Duration = Duration::from_secs(5);
@@ -402,7 +406,7 @@
             Suspect::Request(_) => (crashes.iter().map(|crash| crash.at).collect(), None, 0),
             Suspect::Segment(segment) => {
                 let earlier = self.history(segment).earlier;
-                (Self::separate(&crashes), self.survivals.get(segment), earlier)
+                (self.separate(segment, &crashes), self.survivals.get(segment), earlier)
             }
         };
         let starts = crashes.len().checked_sub(CRASHES_TO_QUARANTINE)?;
@@ -429,15 +433,34 @@
     /// Returns the times of those of the crashes, which are in the order of time, that count against a segment. Servers
     /// that crash at the same moment under requests that have nothing to do with each other count as one: what they have
     /// in common may be an outage, and prompts with the segment were waiting on each of them.
-    fn separate(crashes: &[&Crash]) -> Vec<Instant> {
+    fn separate(&self, segment: &SegmentKey, crashes: &[&Crash]) -> Vec<Instant> {
         let counted = moments(crashes).flat_map(|group| {
             // A request that was sent on from one server to the next crashed both.
             let unrelated = group.windows(2).filter(|pair| !have_common_request(pair[0], pair[1]));
             let is_outage = 1 + unrelated.count() >= MIN_OUTAGE_SERVERS;
-            if is_outage { &group[..1] } else { group }
+            if is_outage && !self.explains(segment, group) { &group[..1] } else { group }
         });
         counted.map(|crash| crash.at).collect()
     }
+
+    /// Whether servers that crashed at the same moment crashed under the segment rather than in an outage: each had it,
+    /// and it is rare among the prompts that are answered. A rare segment is not by chance on all of them.
+    fn explains(&self, segment: &SegmentKey, group: &[&Crash]) -> bool {
+        let began = group[0].at;
+        let is_then =
+            |crash: &&Crash| crash.at < began + OUTAGE_WINDOW && began < crash.at + OUTAGE_WINDOW;
+        if self.crashes.iter().filter(is_then).count() > group.len() {
+            return false;
+        }
+        let since = began.checked_sub(SURVIVAL_WINDOW);
+        let answered = |it: &SegmentKey| {
+            let recent = self.survivals.get(it).map_or(0, |survivals| survivals.count_since(since));
+            recent + i64::from(self.history(it).earlier)
+        };
+        let others = group.iter().flat_map(|crash| &crash.suspects).filter_map(Suspect::segment);
+        let most = others.map(answered).max().unwrap_or_default();
+        answered(segment).saturating_mul(RARITY) < most
+    }
 }
 
 /// Splits crashes, which are in the order of time, into groups that happened at the same moment. Each lasts from its first
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -512,6 +512,40 @@
     assert!((0..3).all(|place| fleet.is_held(place, FIRST)));
 }
 
+/// Six servers crash within a tenth of a second under unlike requests with the segment, while others go on answering.
+/// They counted as one crash, so that three such groups crashed servers.
+#[test]
+fn segment_of_a_group_of_requests_is_held_after_the_first_group() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..40 {
+        fleet.answer(0, &[FIRST, 0xa1]);
+        fleet.answer(1, &[FIRST, 0xa1]);
+    }
+    for number in 0..6 {
+        fleet.crash(number % 2, &[FIRST, POISON]);
+        fleet.now += Duration::from_millis(5);
+    }
+    fleet.beat();
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+    assert!((0..2).all(|place| fleet.is_held(place, POISON)));
+}
+
+/// Servers that crash together with one segment on some of them only may have lost their power.
+#[test]
+fn rare_segment_on_some_servers_of_an_outage_is_not_held() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..40 {
+        fleet.answer(0, &[FIRST, 0xa1]);
+    }
+    for number in 0..6 {
+        fleet.crash(0, &[FIRST, if number < 4 { 0xa2 } else { 0xa3 }]);
+    }
+    fleet.beat();
+    fleet.beat();
+    assert_eq!(fleet.held(), []);
+}
+
 /// In a quiet spell nobody's answers tell an outage from poison, but the segment has been sound before.
 #[test]
 fn outage_in_a_quiet_spell_holds_no_segment_that_was_sound_before() {
