Streams: lowered timeouts do not end the time in which callers come back

What callers could see: a stream that a server of one release began goes on at another one, answered 200, where the release that began it has no servers left, a configuration has lowered the routes' timeouts, and neither box nor leader remembers the stream (all boxes killed within a heartbeat, or with the leader).

Cause: a release counts as over once it was not listed for twice the longest timeout of the routes as published now.

Change: a longer time of before applies for as long as it is itself; a new leader assumes 60 s of what was published before it.

--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -7,7 +7,7 @@
 use super::lead::LeaderState;
 use super::rollouts::SoleWord;
 use crate::decide::origins::{
-    CLAIM_LIFETIME, OriginAnswer, RETURN_TIMEOUTS, StreamKey, StreamOrigin,
+    CLAIM_LIFETIME, OriginAnswer, ReturnTime, StreamKey, StreamOrigin, UNKNOWN_RETURN_TIME,
 };
 use crate::decide::serving::{ReleaseView, ServiceView};
 use crate::ids::{Release, ServiceName};
@@ -15,9 +15,6 @@
 use crate::state::rollout::{Rollout, RolloutState, ServingReleases};
 use crate::units::UnixMillis;
 
-/// The longest time for which callers come back while no route is known.
-const UNKNOWN_RETURN_TIME: Duration = Duration::from_secs(60);
-
 /// Time between two looks at the list, which may have thousands of servers.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -25,6 +22,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServingTracker {
     refreshed_at: Option<Instant>,
+    /// For how long callers come back for a stream; `None` until the routes are known.
+    return_time: Option<ReturnTime>,
     /// When each release of a service was listed last.
     listed: BTreeMap<ServiceName, BTreeMap<Release, Instant>>,
     /// What boxes are told and rely on.
@@ -59,6 +58,7 @@
         let Some(book) = self.rollouts.book().cloned().filter(|_| is_new || is_due) else {
             return;
         };
+        self.update_return_time(now);
         let counts = self.count_servers();
         for (service, releases) in &counts {
             let listed = self.serving.listed.entry(service.clone()).or_default();
@@ -122,14 +122,20 @@
         now >= listed.unwrap_or(self.started_at) + self.return_time()
     }
 
-    /// For how long callers come back for a stream.
-    fn return_time(&self) -> Duration {
+    fn update_return_time(&mut self, now: Instant) {
         let Some(table) = &self.table else {
-            return UNKNOWN_RETURN_TIME;
+            return;
         };
         let resumable = table.routes().filter(|route| route.repeat == Repeat::ResumableStream);
         let longest = resumable.map(|route| route.timeout).max().unwrap_or_default();
-        longest * RETURN_TIMEOUTS
+        let new = || ReturnTime::new(self.is_first, self.started_at);
+        self.serving.return_time.get_or_insert_with(new).update(longest, now);
+    }
+
+    /// For how long callers come back for a stream.
+    fn return_time(&self) -> Duration {
+        let known = self.serving.return_time.as_ref();
+        known.map_or(UNKNOWN_RETURN_TIME, |known| known.get(Instant::now()))
     }
 
     /// Whether the release in force is the only one that gets new requests, and streams of others are over.
--- a/src/decide/origins.rs
+++ b/src/decide/origins.rs
@@ -24,6 +24,9 @@
 /// A caller comes back for a stream within this many times its route's timeout.
 pub const RETURN_TIMEOUTS: u32 = 2;
 
+/// The longest time for which callers come back while the routes are not known.
+pub const UNKNOWN_RETURN_TIME: Duration = Duration::from_secs(60);
+
 /// The most streams in one report.
 pub const MAX_REPORTED: usize = 1_024;
 
@@ -202,3 +205,38 @@
     /// Any of several releases may have begun it.
     Unknown,
 }
+
+/// For how long callers come back for a stream, over changes of the routes' timeouts: streams that began under a longer
+/// one may come back for as long as it allowed.
+#[derive(Debug, Clone)]
+pub struct ReturnTime {
+    current: Duration,
+    /// Longer times of before, and until when each applies.
+    former: Vec<(Duration, Instant)>,
+}
+
+impl ReturnTime {
+    /// The return time at a leader that began at `began`. Unless it `is_first`, others published before it what it does
+    /// not know.
+    pub fn new(is_first: bool, began: Instant) -> Self {
+        let unknown = (UNKNOWN_RETURN_TIME, began + UNKNOWN_RETURN_TIME);
+        let former = if is_first { Vec::new() } else { vec![unknown] };
+        Self { current: Duration::ZERO, former }
+    }
+
+    /// Records the longest timeout of the published routes with resumable streams.
+    pub fn update(&mut self, timeout: Duration, now: Instant) {
+        let next = timeout * RETURN_TIMEOUTS;
+        self.former.retain(|(_, until)| now < *until);
+        if next < self.current {
+            self.former.push((self.current, now + self.current));
+        }
+        self.current = next;
+    }
+
+    /// For how long callers may come back now.
+    pub fn get(&self, now: Instant) -> Duration {
+        let former = self.former.iter().filter(|(_, until)| now < *until);
+        former.map(|(time, _)| *time).fold(self.current, Duration::max)
+    }
+}
--- a/tests/origins.rs
+++ b/tests/origins.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use emberturn::decide::origins::{
-    CLAIM_LIFETIME, MAX_REPORTED, OriginReport, StreamKey, StreamOrigin, StreamOrigins,
+    CLAIM_LIFETIME, MAX_REPORTED, OriginReport, ReturnTime, StreamKey, StreamOrigin, StreamOrigins,
+    UNKNOWN_RETURN_TIME,
 };
 use emberturn::decide::releases::{ReleaseTable, ReleaseUpdate, TrialGrant};
 use emberturn::decide::serving::{ReleaseView, ServiceView};
@@ -296,3 +297,30 @@
     view.releases.get_mut(&release("v2")).unwrap().is_bad = true;
     assert_eq!(next(&view), None);
 }
+
+/// Guards against a stream that goes on at another release: the routes' timeouts were lowered, and the release that began
+/// it counted as over while its callers still came back.
+#[test]
+fn return_time_covers_streams_of_before_timeouts_were_lowered() {
+    let began = Instant::now();
+    let at = |seconds| began + Duration::from_secs(seconds);
+    let mut time = ReturnTime::new(true, began);
+    time.update(Duration::from_secs(12), at(0));
+    time.update(Duration::from_secs(2), at(10));
+    time.update(Duration::from_secs(2), at(11));
+    time.update(Duration::from_secs(1), at(12));
+    assert_eq!(time.get(at(33)), Duration::from_secs(24));
+    assert_eq!(time.get(at(34)), Duration::from_secs(2));
+    time.update(Duration::from_secs(5), at(40));
+    assert_eq!(time.get(at(40)), Duration::from_secs(10));
+}
+
+/// A new leader does not know which timeouts were published before it.
+#[test]
+fn return_time_of_a_new_leader_covers_timeouts_of_before() {
+    let began = Instant::now();
+    let mut time = ReturnTime::new(false, began);
+    time.update(Duration::from_secs(1), began);
+    assert_eq!(time.get(began), UNKNOWN_RETURN_TIME);
+    assert_eq!(time.get(began + UNKNOWN_RETURN_TIME), Duration::from_secs(2));
+}
