--- /dev/null
+++ b/tests/blame_model.rs
@@ -0,0 +1,325 @@
+//! Seeded days of prompts with a segment that crashes servers: alone and in groups, in quiet spells, beside outages, with
+//! lost heartbeats. Held against the two stated bounds: few such prompts reach servers, and sound ones are served.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use emberturn::decide::ends::CrashReport;
+use emberturn::decide::quarantine::{BoxQuarantine, FleetQuarantine};
+use emberturn::ids::{Fingerprint, SegmentKey, Suspect};
+use emberturn::units::{Millis, UnixMillis};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Days for each test. `EMBERTURN_SEEDS` asks for more.
+const SEEDS: u64 = 40;
+
+const STEP: Duration = Duration::from_millis(10);
+const STEPS: u32 = 5_000;
+
+/// The step at which prompts with the poison segment begin to come.
+const POISON_BEGIN: u32 = 1_800;
+
+/// Time from a prompt's arrival at a server to its first event.
+const START_TIME: Duration = Duration::from_millis(100);
+
+/// How long a server that has crashed is gone.
+const DOWN_TIME: Duration = Duration::from_secs(3);
+
+const BEAT_STEPS: u32 = 40;
+const URGENT_STEPS: u32 = 6;
+
+/// The time in which boxes hear of each other.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// The crash from which on the bounds hold.
+const BOUND_CRASH: usize = 5;
+
+/// Prompts with the poison segment that may reach servers once that time has passed behind that crash.
+const MAX_LATE_POISON: usize = 3;
+
+/// Sound prompts, fewer of which say nothing.
+const MIN_SOUND: u32 = 20;
+
+/// What happens on a day.
+#[derive(Debug, Clone)]
+struct Day {
+    boxes: usize,
+    servers: usize,
+    /// Sound prompts per second.
+    rate: f64,
+    /// Steps without sound prompts before and after the poison begins.
+    quiet: (u32, u32),
+    /// Prompts with the poison segment that come at once, and steps between two such groups.
+    group: usize,
+    period: u32,
+    /// Servers that crash by themselves at one moment, every three seconds.
+    outage: usize,
+    /// The chance that a heartbeat or its reply is lost.
+    loss: f64,
+    /// The segments with which all prompts begin, then those of sound ones, and the poison one.
+    firsts: Vec<u64>,
+    subjects: Vec<u64>,
+    poison: u64,
+    /// A deeper segment of all prompts, if there is one.
+    deeper: Option<u64>,
+}
+
+impl Day {
+    fn draw(rng: &mut SmallRng) -> Self {
+        let mut ids: Vec<u64> = (0..30).map(|_| rng.random()).collect();
+        let poison = ids.pop().unwrap();
+        let deeper = ids.pop().filter(|_| rng.random_bool(0.3));
+        let firsts = ids.split_off(ids.len() - rng.random_range(1..3));
+        let quiet = match rng.random_range(0..3) {
+            0 => (0, 0),
+            1 => (1_200, 0),
+            _ => (rng.random_range(300..1_500), rng.random_range(300..1_200)),
+        };
+        Self {
+            boxes: rng.random_range(2..10),
+            servers: rng.random_range(8..20),
+            rate: rng.random_range(10.0..80.0),
+            quiet,
+            group: rng.random_range(1..8),
+            period: rng.random_range(50..400),
+            outage: if rng.random_bool(0.25) { 3 } else { 0 },
+            loss: if rng.random_bool(0.3) { 0.2 } else { 0.0 },
+            firsts,
+            subjects: ids,
+            poison,
+            deeper,
+        }
+    }
+
+    fn is_quiet(&self, step: u32) -> bool {
+        step + self.quiet.0 >= POISON_BEGIN && step < POISON_BEGIN + self.quiet.1
+    }
+}
+
+/// A prompt at a server that has not begun to answer it.
+#[derive(Debug, Clone)]
+struct Prompt {
+    own: Fingerprint,
+    place: usize,
+    segments: Vec<u64>,
+    starts_at: Instant,
+}
+
+struct Play {
+    day: Day,
+    rng: SmallRng,
+    now: Instant,
+    boxes: Vec<BoxQuarantine>,
+    due: Vec<u32>,
+    leader: FleetQuarantine,
+    version: u64,
+    waiting: Vec<Vec<Prompt>>,
+    up_at: Vec<Instant>,
+    lives: u32,
+    /// When servers crashed under the poison segment, and when prompts with it reached servers.
+    crashes: Vec<Instant>,
+    reached: Vec<Instant>,
+    /// Sound prompts, each with whether it was let through.
+    sound: Vec<(Instant, bool)>,
+}
+
+impl Play {
+    fn new(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let day = Day::draw(&mut rng);
+        let now = Instant::now() + Duration::from_secs(60);
+        let mut leader = FleetQuarantine::default();
+        leader.apply_replicated(Arc::default());
+        Self {
+            due: (0..day.boxes).map(|_| rng.random_range(0..BEAT_STEPS)).collect(),
+            boxes: (0..day.boxes).map(|_| BoxQuarantine::default()).collect(),
+            waiting: vec![Vec::new(); day.servers],
+            up_at: vec![now; day.servers],
+            lives: 0,
+            crashes: Vec::new(),
+            reached: Vec::new(),
+            sound: Vec::new(),
+            version: 0,
+            day,
+            rng,
+            now,
+            leader,
+        }
+    }
+
+    fn run(mut self) -> Self {
+        for step in 0..STEPS {
+            self.now += STEP;
+            if self.rng.random_bool(self.day.rate * STEP.as_secs_f64()) && !self.day.is_quiet(step)
+            {
+                let subject = self.day.subjects[self.rng.random_range(0..self.day.subjects.len())];
+                let is_sent = self.offer(subject);
+                self.sound.push((self.now, is_sent));
+            }
+            if step >= POISON_BEGIN && (step - POISON_BEGIN).is_multiple_of(self.day.period) {
+                for _ in 0..self.day.group {
+                    if self.offer(self.day.poison) {
+                        self.reached.push(self.now);
+                    }
+                }
+            }
+            self.start(step);
+            if self.day.outage > 0 && step >= POISON_BEGIN && step % 300 == 0 {
+                for _ in 0..self.day.outage {
+                    let server = self.rng.random_range(0..self.day.servers);
+                    self.crash(server, step);
+                }
+            }
+            self.beat(step);
+        }
+        self
+    }
+
+    /// Sends a prompt to a server that is up, unless its box refuses it.
+    fn offer(&mut self, subject: u64) -> bool {
+        let first = self.day.firsts[self.rng.random_range(0..self.day.firsts.len())];
+        let segments: Vec<_> = [first, subject].into_iter().chain(self.day.deeper).collect();
+        let place = self.rng.random_range(0..self.day.boxes);
+        let is_held = |id: &u64| self.boxes[place].remaining(&segment(*id), self.now).is_some();
+        if segments.iter().any(is_held) {
+            return false;
+        }
+        let up: Vec<_> = (0..self.up_at.len()).filter(|it| self.up_at[*it] <= self.now).collect();
+        if !up.is_empty() {
+            let mut own = Fingerprint::default();
+            self.rng.fill(&mut own.0);
+            let server = up[self.rng.random_range(0..up.len())];
+            let starts_at = self.now + START_TIME;
+            self.waiting[server].push(Prompt { own, place, segments, starts_at });
+        }
+        true
+    }
+
+    /// Has the prompts that are due begin to be answered.
+    fn start(&mut self, step: u32) {
+        for server in 0..self.day.servers {
+            let (now, poison) = (self.now, self.day.poison);
+            if self.waiting[server].iter().any(|it| it.starts_at <= now && it.segments[1] == poison)
+            {
+                self.crashes.push(now);
+                self.crash(server, step);
+                continue;
+            }
+            let due = self.waiting[server].extract_if(.., |it| it.starts_at <= now);
+            for prompt in due.collect::<Vec<_>>() {
+                for id in prompt.segments {
+                    self.boxes[prompt.place].record_survival(&key(id), now);
+                }
+            }
+        }
+    }
+
+    fn crash(&mut self, server: usize, step: u32) {
+        let broken = std::mem::take(&mut self.waiting[server]);
+        self.up_at[server] = self.now + DOWN_TIME;
+        self.lives += 1;
+        let mut by_box: BTreeMap<usize, Vec<Prompt>> = BTreeMap::new();
+        for prompt in broken {
+            by_box.entry(prompt.place).or_default().push(prompt);
+        }
+        for (place, prompts) in by_box {
+            let requests = prompts.iter().map(|it| Suspect::Request(it.own));
+            let depths = 0..prompts.iter().map(|it| it.segments.len()).max().unwrap_or_default();
+            let segments =
+                depths.flat_map(|depth| prompts.iter().map(move |it| it.segments[depth]));
+            let report = CrashReport {
+                server: format!("i-{server}-{}", self.lives).parse().unwrap(),
+                data_centre: format!("dc-{}", server % 4).parse().unwrap(),
+                suspects: requests.chain(segments.map(segment)).collect(),
+                age: Millis(0),
+            };
+            self.boxes[place].record_crash(report, self.now);
+            self.due[place] = self.due[place].min(step + URGENT_STEPS);
+        }
+    }
+
+    fn beat(&mut self, step: u32) {
+        for place in 0..self.day.boxes {
+            if self.due[place] > step {
+                continue;
+            }
+            self.due[place] = step + BEAT_STEPS;
+            if self.rng.random_bool(self.day.loss) {
+                continue;
+            }
+            self.version += 1;
+            let own = &mut self.boxes[place];
+            let report = own.report(self.now);
+            self.leader.apply_report(report.clone(), self.now);
+            let unix = UnixMillis(u64::from(step) * STEP.as_millis() as u64);
+            self.leader.evaluate(self.now, unix);
+            let update = self.leader.update_for(report.known_version, self.version, unix);
+            if self.rng.random_bool(self.day.loss) {
+                continue;
+            }
+            let (_, is_urgent) = own.apply_reply(&report, update, false, self.now);
+            if is_urgent {
+                self.due[place] = step + URGENT_STEPS;
+            }
+        }
+    }
+
+    /// The crash from which on the bounds hold: the last one where there are fewer.
+    fn bound_crash(&self) -> Option<Instant> {
+        self.crashes.get(BOUND_CRASH - 1).or(self.crashes.last()).copied()
+    }
+
+    fn late_poison(&self) -> usize {
+        let bound = self.crashes.get(BOUND_CRASH - 1);
+        let is_late = |at: &&Instant| bound.is_some_and(|fifth| **at > *fifth + CONTACT);
+        self.reached.iter().filter(is_late).count()
+    }
+
+    /// The share of sound prompts let through behind the crashes; `None` if they are too few.
+    fn sound_share(&self) -> Option<f64> {
+        let from = self.bound_crash()? + 2 * CONTACT;
+        let asked = self.sound.iter().filter(|(at, _)| *at > from);
+        let (sum, begun) =
+            asked.fold((0, 0), |(sum, begun), (_, sent)| (sum + 1, begun + u32::from(*sent)));
+        (sum >= MIN_SOUND).then(|| f64::from(begun) / f64::from(sum))
+    }
+}
+
+fn key(id: u64) -> SegmentKey {
+    SegmentKey { service: "svc".parse().unwrap(), id }
+}
+
+fn segment(id: u64) -> Suspect {
+    Suspect::Segment(key(id))
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    let asked = std::env::var("EMBERTURN_SEEDS").ok().and_then(|text| text.parse().ok());
+    0..asked.unwrap_or(SEEDS)
+}
+
+/// Guards against engines that go on crashing: prompts with the segment come in groups, or boxes hear late of each other.
+#[test]
+fn few_prompts_with_a_poison_segment_reach_servers_after_the_fifth_crash() {
+    let plays = seeds().map(|seed| (seed, Play::new(seed).run()));
+    let broken: Vec<_> = plays
+        .filter(|(_, play)| play.late_poison() > MAX_LATE_POISON)
+        .map(|(seed, play)| format!("seed {seed}: {} late, {:?}", play.late_poison(), play.day))
+        .collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against a segment of all prompts that is refused for the crashes of another one.
+#[test]
+fn sound_prompts_are_served_beside_a_poison_segment() {
+    let plays = seeds().map(|seed| (seed, Play::new(seed).run()));
+    let broken: Vec<_> = plays
+        .filter(|(_, play)| play.sound_share().is_some_and(|share| share < 0.5))
+        .map(|(seed, play)| {
+            format!("seed {seed}: {:?} of them, {:?}", play.sound_share(), play.day)
+        })
+        .collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
