--- a/tests/returning_callers.rs
+++ b/tests/returning_callers.rs
@@ -262,6 +262,34 @@
     }
 }
 
+/// Guards against streams that are refused until they end, as nobody is left who knows of them: at least half go on where
+/// new ones all begin.
+#[tokio::test(flavor = "multi_thread")]
+async fn most_streams_go_on_though_their_box_and_the_leader_are_killed_at_once() {
+    let (mut system, ..) = two_releases().await;
+    let begun = begin_streams(&system, 11, "s").await;
+    let (last, _) = begun.last().unwrap();
+    come_back_until_served(&system, 12, last).await;
+    let leader = system.leader().await;
+    system.kill(leader).await;
+    system.kill(11).await;
+    system.leader().await;
+    system
+        .until("new streams begin", || async {
+            let reply = ask(&system, 12, "resumable", "Request-Id: new\r\n").await?;
+            (reply.status == 200).then_some(())
+        })
+        .await;
+    let mut known = 0;
+    for (id, release) in &begun {
+        let reply = come_back(&system, 12, id).await.unwrap();
+        assert!([200, 503].contains(&reply.status), "{id}: {reply:?}");
+        assert!(releases(&reply).iter().all(|it| it == release), "{id}: {reply:?}");
+        known += usize::from(reply.status == 200);
+    }
+    assert!(2 * known >= begun.len(), "{known} of {} went on", begun.len());
+}
+
 /// A stream that no box knows may have begun at either release.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_unknown_origin_is_refused_as_not_run() {
