Quarantine: a box forgets segments of few prompts before those of many

Found by reading: the answers of the last ten seconds that have passed were not counted where a box makes room among its 1,024 segments, and recent segments of one answer each pushed out those of many; answers of before were added again at each crash that a box saw.

first_segment_that_was_answered_long_ago_is_remembered_beside_many_others failed before; segments 30 of 30, ends 20 of 20, blame_model 2 of 2.

--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -261,6 +261,11 @@
         }
     }
 
+    /// Whether any survivals of before have been recorded.
+    pub fn has_earlier(&self, segment: &SegmentKey) -> bool {
+        self.history(segment).earlier > 0
+    }
+
     /// Whether any survivals of the segment have been recorded.
     pub fn has_survivals(&self, segment: &SegmentKey) -> bool {
         self.survivals.contains_key(segment)
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -189,6 +189,10 @@
     fn recent(&self) -> u32 {
         self.current.saturating_add(self.previous)
     }
+
+    fn total(&self) -> u32 {
+        self.recent().saturating_add(self.earlier)
+    }
 }
 
 /// Survivals of the segments of this box's prompts.
@@ -210,15 +214,15 @@
         }
     }
 
-    /// Drops segments. Those of many prompts are kept rather than those of few, and recent ones rather than others.
+    /// Drops segments: those of few prompts rather than those of many, and then those that had none lately.
     fn make_room(&mut self, now: Instant) {
         let is_recent = |count: &RecentCount| count.window_start + 2 * SURVIVAL_WINDOW > now;
-        self.0.retain(|_, count| is_recent(count) || count.earlier >= MIN_REMEMBERED_SURVIVALS);
+        self.0.retain(|_, count| is_recent(count) || count.total() >= MIN_REMEMBERED_SURVIVALS);
         if self.0.len() >= MAX_COUNTED_SEGMENTS {
-            self.0.retain(|_, count| is_recent(count));
+            self.0.retain(|_, count| count.total() > 1);
         }
         if self.0.len() >= MAX_COUNTED_SEGMENTS {
-            self.0.retain(|_, count| count.recent() > 1);
+            self.0.retain(|_, count| is_recent(count));
         }
     }
 
@@ -313,6 +317,8 @@
             let known = self.survivals.all(&segment, now);
             if !self.crashes.has_survivals(&segment) {
                 self.crashes.record_survivals(&segment, known.count, now);
+            }
+            if !self.crashes.has_earlier(&segment) {
                 self.crashes.record_earlier(&segment, known.earlier);
             }
             if !known.is_empty() {
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -483,6 +483,25 @@
     assert_eq!(fleet.held(), [segment(POISON)]);
 }
 
+/// Many segments that were answered once each do not push the first one out of a box's memory.
+#[test]
+fn first_segment_that_was_answered_long_ago_is_remembered_beside_many_others() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..20 {
+        fleet.answer(0, &[FIRST, 0xa1]);
+    }
+    fleet.now += Duration::from_secs(60);
+    fleet.answer(0, &(0x1000..0x1800).collect::<Vec<_>>());
+    fleet.crash(0, &[FIRST, 0xa1]);
+    for _ in 0..3 {
+        fleet.now += Duration::from_millis(1_500);
+        fleet.crash(0, &[FIRST, POISON]);
+        fleet.beat();
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
 /// Without any answer ever, a segment that fewer prompts can have is blamed rather than their common beginning.
 #[parameterized(
     before_the_poison_in_order = { 0x10 },
