--- a/bench/src/blame.rs
+++ b/bench/src/blame.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use emberturn::decide::ends::CrashReport;
+use emberturn::decide::ends::{CrashReport, CrashedPrompt};
 use emberturn::decide::quarantine::{BoxQuarantine, FleetQuarantine};
 use emberturn::ids::{Fingerprint, SegmentKey, Suspect};
 use emberturn::units::{Millis, UnixMillis};
@@ -182,7 +182,7 @@
             self.beat(step);
         }
         let held = self.leader.pending_change().unwrap_or_default().held;
-        let sound = |it: &&Suspect| it.segment().is_some_and(|segment| segment.id != POISON);
+        let sound = |it: &&Suspect| it.request().is_none() && !it.involves(&key(POISON));
         self.outcome.wrongly_held = held.keys().filter(sound).count();
         self.outcome
     }
@@ -220,10 +220,8 @@
     }
 
     fn send(&mut self, prompt: Prompt) -> bool {
-        let is_held = prompt
-            .segments
-            .iter()
-            .any(|id| self.boxes[prompt.place].remaining(&segment(*id), self.now).is_some());
+        let segments = prompt.segments.map(key);
+        let is_held = self.boxes[prompt.place].prompt_remaining(&segments, self.now).is_some();
         let up: Vec<_> = (0..self.up_at.len()).filter(|it| self.up_at[*it] <= self.now).collect();
         if is_held || up.is_empty() {
             return false;
@@ -266,17 +264,16 @@
         if has_poison {
             self.first_crash.get_or_insert(self.now);
         }
-        let mut by_box: BTreeMap<usize, Vec<Suspect>> = BTreeMap::new();
-        for prompt in &broken {
-            let suspects = by_box.entry(prompt.place).or_default();
-            suspects.push(Suspect::Request(prompt.own));
-            suspects.extend(prompt.segments.map(segment));
+        let mut by_box: BTreeMap<usize, Vec<CrashedPrompt>> = BTreeMap::new();
+        for Prompt { own, place, segments, .. } in &broken {
+            let segments = segments.map(key).to_vec();
+            by_box.entry(*place).or_default().push(CrashedPrompt { request: Some(*own), segments });
         }
-        for (place, suspects) in by_box {
+        for (place, prompts) in by_box {
             let report = CrashReport {
                 server: format!("i-{server}-{}", self.lives[server]).parse().expect("a valid name"),
                 data_centre: format!("dc-{}", server % 4).parse().expect("a valid name"),
-                suspects,
+                prompts,
                 age: Millis(0),
             };
             self.boxes[place].record_crash(report, self.now);
@@ -314,7 +311,10 @@
         else {
             return;
         };
-        let is_held = |own: &BoxQuarantine| own.remaining(&segment(POISON), self.now).is_some();
+        let is_held = |own: &BoxQuarantine| {
+            let poison = Suspect::Segment(key(POISON));
+            own.remaining(&poison, self.now).is_some()
+        };
         if self.boxes.iter().all(is_held) {
             let seconds = (self.now - first).as_secs_f64();
             self.outcome.crashes_until_held = Some((self.outcome.crashes, seconds));
@@ -326,10 +326,6 @@
     SegmentKey { service: "svc".parse().expect("a valid name"), id }
 }
 
-fn segment(id: u64) -> Suspect {
-    Suspect::Segment(key(id))
-}
-
 /// Plays each scenario with the same seeds, and prints what became of it.
 pub(crate) fn execute(json: bool) {
     let columns = [
--- a/src/cmd/quarantine.rs
+++ b/src/cmd/quarantine.rs
@@ -75,11 +75,12 @@
                 let kind = match suspect {
                     Suspect::Request(_) => "request",
                     Suspect::Segment(_) => "segment",
+                    Suspect::Combination(_) => "segments",
                 };
                 println!("{kind}={suspect} until_unix_ms={}", until.0);
             }
-            let segments = book.keys().filter_map(Suspect::segment).count();
-            println!("requests={} segments={segments}", book.len() - segments);
+            let requests = book.keys().filter_map(Suspect::request).count();
+            println!("requests={requests} segments={}", book.len() - requests);
             exit_with(exit::DONE)
         }
         Err((kind, detail)) => {
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -18,6 +18,7 @@
 use super::spend::{Autoscaler, CostWeights};
 use crate::decide::allowance::{Grant, LEASE_DURATION, TeamDemand};
 use crate::decide::capacity::OfferedLoad;
+use crate::decide::ends::Evidence;
 use crate::decide::engine::{EngineLearner, EngineModel, Sample};
 use crate::decide::intervals::heartbeat_interval;
 use crate::decide::limit_leases::{LimitLeases, ReportOrigin};
@@ -32,7 +33,7 @@
 use crate::decide::token_bucket::{self, ReserveNote, TokenBucket, Tolerance};
 use crate::group::driver::Unanswered;
 use crate::ids::{
-    BackendId, BoxId, Incarnation, Release, ServiceName, TeamName, Term, Version, Window,
+    BackendId, BoxId, Incarnation, Release, ServiceName, Suspect, TeamName, Term, Version, Window,
 };
 use crate::node::Node;
 use crate::platform::client::Order;
@@ -292,10 +293,26 @@
             let ends = held.then(|| self.quarantine.crash_count(suspect));
             let (request, segment) = suspect.names();
             tracing::warn!(event = "request_judged", request, segment, ends, held);
+            if held {
+                self.log_evidence(suspect);
+            }
         }
         self.quarantine.update_for(known_version, rand::random(), unix)
     }
 
+    /// Writes what is known of each segment that is held, so that a wrong verdict can be told from a right one.
+    fn log_evidence(&self, suspect: &Suspect) {
+        for (part, evidence) in self.quarantine.evidence(suspect) {
+            let Some(segment) = part.segment() else {
+                continue;
+            };
+            let Evidence { crashes, survivals, earlier } = evidence;
+            tracing::info!(
+                event = "segment_evidence", %segment, held_as = %suspect, ends = crashes, survivals, earlier,
+            );
+        }
+    }
+
     /// Leases a box its shares of the request limits that backend servers set.
     pub(super) fn lease_limits(
         &mut self,
--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -12,15 +12,23 @@
 //!   is cleared.
 //! - Sound requests share segments with poison ones, so a segment is not cleared by a single answer.
 //!   Prompts with it whose answers went on ("survivals") are weighed against its crashes.
+//! - Segments that the crashed prompts had together, and that nothing tells apart, are held in combination only: prompts
+//!   with some of them go on, and show which one is sound.
+//!
+//! [`blame`] has these decisions.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BackendId, DataCentre, SegmentKey, Suspect};
+use crate::ids::{BackendId, DataCentre, Fingerprint, SegmentKey, Suspect};
 use crate::units::Millis;
 
+mod blame;
+
+pub use blame::Evidence;
+
 /// Number of servers that have to crash under a suspect before it is quarantined. One or two
 /// crashes also happen to what runs beside a poison request, and each further one costs everything
 /// that runs on the server.
@@ -34,38 +42,15 @@
 /// crashed 64 servers before it was stopped.
 const MAX_CRASHES: usize = 256;
 
-/// Maximum number of suspects remembered for one crash: more than a server runs at the same time.
-const MAX_SUSPECTS_PER_CRASH: usize = 256;
+/// Maximum number of requests and segments of prompts remembered for one crash: more than a server runs at the same
+/// time.
+const MAX_SUSPECTS_PER_CRASH: usize = 512;
 
 /// Reports on the same crash lie within this time of each other: a heartbeat may be under way for longer than a second
 /// while the leader changes, and its crashes then seem to be that much later. A server that restarts under its id
 /// and crashes again within it counts once.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(3);
 
-/// Servers that fail in the same outage crash within this time of each other, as seen by boxes.
-const OUTAGE_WINDOW: Duration = Duration::from_millis(100);
-
-/// Number of servers of one data centre that have to crash at the same moment to be treated as an
-/// outage rather than the effect of one request.
-const MIN_OUTAGE_SERVERS: usize = 3;
-
-/// Weight of a crash against a segment, where a survival weighs 1 in its favour.
-const CRASH_WEIGHT: i64 = 6;
-
-/// Weight from which a suspect is quarantined: three crashes with at most two survivals.
-const MIN_WEIGHT: i64 = 16;
-
-/// Survivals that are assumed of each suspect, so that a few crashes do not outweigh many with some survivals.
-const PRIOR_SURVIVALS: i64 = 5;
-
-/// The most survivals of before that count when suspects are compared: enough to blame a segment that has never been
-/// answered rather than one that was sound and has up to twice as many crashes.
-const MAX_EARLIER_SURVIVALS: i64 = 5;
-
-/// Servers that crash at the same moment are no outage to a segment that is this many times rarer than another one of
-/// their prompts, if it was on all of them.
-const RARITY: i64 = 8;
-
 /// Survivals within this time before a crash count as well. When servers crash that have nothing in common but an
 /// outage, there are none between the crashes.
 pub const SURVIVAL_WINDOW: Duration = Duration::from_secs(5);
@@ -84,45 +69,101 @@
     pub server: BackendId,
     /// Its data centre.
     pub data_centre: DataCentre,
-    /// The requests that ran on it, and the shared segments of the prompts it had not begun to answer: those with which
-    /// prompts begin come first.
-    pub suspects: Vec<Suspect>,
+    /// What ran on it.
+    pub prompts: Vec<CrashedPrompt>,
     /// Time since the crash.
     pub age: Millis,
 }
 
+/// What is suspected of a request that ran on a server when it crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedPrompt {
+    /// The request; `None` once it has been cleared.
+    pub request: Option<Fingerprint>,
+    /// The shared segments of its prompt, in their order; none if its answer had gone on.
+    pub segments: Vec<SegmentKey>,
+}
+
+impl CrashedPrompt {
+    /// Number of suspects.
+    pub fn len(&self) -> usize {
+        usize::from(self.request.is_some()) + self.segments.len()
+    }
+
+    /// Whether nothing is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        let segments = self.segments.iter().cloned().map(Suspect::Segment);
+        self.request.map(Suspect::Request).into_iter().chain(segments)
+    }
+
+    fn remove(&mut self, suspect: &Suspect) {
+        match suspect {
+            Suspect::Request(request) => self.request = self.request.filter(|it| it != request),
+            Suspect::Segment(_) | Suspect::Combination(_) => {
+                self.segments.retain(|it| !suspect.involves(it));
+            }
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Crash {
     server: BackendId,
     data_centre: DataCentre,
     at: Instant,
+    prompts: Vec<CrashedPrompt>,
+    /// All requests and segments of the prompts.
     suspects: BTreeSet<Suspect>,
     /// Whether the crash has been reported with all its suspects.
     is_reported: bool,
 }
 
 impl Crash {
+    /// Adds prompts that are not known yet, as far as there is room. Returns whether there were any.
+    fn add(&mut self, prompts: Vec<CrashedPrompt>) -> bool {
+        let before = self.prompts.len();
+        for prompt in prompts {
+            let has_room = self.len() + prompt.len() <= MAX_SUSPECTS_PER_CRASH;
+            if has_room && !prompt.is_empty() && !self.prompts.contains(&prompt) {
+                self.suspects.extend(prompt.suspects());
+                self.prompts.push(prompt);
+            }
+        }
+        self.prompts.len() > before
+    }
+
+    /// Clears a suspect. Returns whether it was one.
+    fn remove(&mut self, suspect: &Suspect) -> bool {
+        let removed = self.suspects.remove(suspect);
+        if removed {
+            self.prompts.iter_mut().for_each(|prompt| prompt.remove(suspect));
+            self.prompts.retain(|prompt| !prompt.is_empty());
+        }
+        removed
+    }
+
+    fn len(&self) -> usize {
+        self.prompts.iter().map(CrashedPrompt::len).sum()
+    }
+
+    /// Whether the server crashed under a suspect. Under a combination it did if one prompt had all of it.
+    fn is_under(&self, suspect: &Suspect) -> bool {
+        match suspect {
+            Suspect::Request(_) | Suspect::Segment(_) => self.suspects.contains(suspect),
+            Suspect::Combination(set) => self.prompts.iter().any(|it| set.is_within(&it.segments)),
+        }
+    }
+
     fn is_same(&self, server: &BackendId, at: Instant) -> bool {
         let distance = at.max(self.at) - at.min(self.at);
         self.server == *server && distance < SAME_CRASH_WINDOW
     }
 }
 
-/// A crash, and the suspects that it counts against.
-struct SuspectedCrash<'a> {
-    crash: &'a Crash,
-    suspects: BTreeSet<&'a Suspect>,
-}
-
-/// What speaks against a suspect, and for it.
-#[derive(Debug, Clone, Copy)]
-struct Evidence {
-    crashes: i64,
-    survivals: i64,
-    /// Survivals of before, which don't clear it.
-    earlier: i64,
-}
-
 /// What is known of a segment besides its crashes and its survivals since.
 #[derive(Debug, Clone, Copy, Default)]
 struct SegmentHistory {
@@ -132,19 +173,6 @@
     earlier: u32,
 }
 
-impl Evidence {
-    fn weight(&self) -> i64 {
-        CRASH_WEIGHT * self.crashes - self.survivals
-    }
-
-    /// The share of crashes, in millionths. A segment of many prompts has the crashes of all poison among them, but
-    /// also their survivals, so its share is lower than that of the poison.
-    fn share(&self) -> i64 {
-        let earlier = self.earlier.min(MAX_EARLIER_SURVIVALS);
-        1_000_000 * self.crashes / (self.crashes + self.survivals + PRIOR_SURVIVALS + earlier)
-    }
-}
-
 /// Survivals of a segment, in the order of time.
 #[derive(Debug, Clone, Default)]
 struct Survivals(Vec<(Instant, u32)>);
@@ -193,21 +221,17 @@
                 self.drop_oldest();
             }
             let (server, data_centre) = (report.server, report.data_centre);
-            let suspects = BTreeSet::new();
-            self.crashes.push(Crash { server, data_centre, at, suspects, is_reported: false });
+            let (prompts, suspects) = (Vec::new(), BTreeSet::new());
+            let crash = Crash { server, data_centre, at, prompts, suspects, is_reported: false };
+            self.crashes.push(crash);
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[index];
-        let before = crash.suspects.len();
-        let free = MAX_SUSPECTS_PER_CRASH.saturating_sub(before);
-        let segments = report.suspects.iter().take(free).filter_map(Suspect::segment);
-        let depths: Vec<_> = segments.cloned().enumerate().collect();
-        crash.suspects.extend(report.suspects.into_iter().take(free));
-        let is_new = known.is_none() || crash.suspects.len() > before;
+        let is_new = crash.add(report.prompts) || known.is_none();
         crash.is_reported &= !is_new;
         if is_new {
             self.index_segments();
-            self.record_depths(depths);
+            self.record_depths(index);
         }
         is_new
     }
@@ -222,12 +246,13 @@
         self.survivals.retain(|segment, _| self.segments.contains_key(segment));
     }
 
-    /// Records the places of segments in a report. Where other prompts' segments stand before it, that of a segment is
-    /// larger, so the smallest counts.
-    fn record_depths(&mut self, depths: Vec<(usize, SegmentKey)>) {
-        for (depth, segment) in depths {
-            if let Some(history) = self.segments.get_mut(&segment) {
-                history.depth = Some(history.depth.map_or(depth, |known| known.min(depth)));
+    /// Records the places of a crash's segments in their prompts. Where prompts differ, the smallest counts.
+    fn record_depths(&mut self, index: usize) {
+        for prompt in &self.crashes[index].prompts {
+            for (depth, segment) in prompt.segments.iter().enumerate() {
+                if let Some(history) = self.segments.get_mut(segment) {
+                    history.depth = Some(history.depth.map_or(depth, |known| known.min(depth)));
+                }
             }
         }
     }
@@ -271,26 +296,32 @@
         self.survivals.contains_key(segment)
     }
 
-    /// Clears a suspect of all crashes but the latest `kept`.
+    /// Clears a suspect, or each segment of a combination, of all crashes but the latest `kept`.
     pub fn forget(&mut self, suspect: &Suspect, kept: usize) {
-        let mut crashes: Vec<_> =
-            self.crashes.iter_mut().filter(|it| it.suspects.contains(suspect)).collect();
-        crashes.sort_by_key(|crash| crash.at);
-        let forgotten = crashes.len().saturating_sub(kept);
-        for crash in crashes.into_iter().take(forgotten) {
-            crash.suspects.remove(suspect);
+        for part in suspect.parts() {
+            let mut crashes: Vec<_> =
+                self.crashes.iter_mut().filter(|it| it.suspects.contains(&part)).collect();
+            crashes.sort_by_key(|crash| crash.at);
+            let forgotten = crashes.len().saturating_sub(kept);
+            for crash in crashes.into_iter().take(forgotten) {
+                crash.remove(&part);
+            }
         }
         self.index_segments();
     }
 
-    /// Clears a suspect of all crashes. Returns whether it was a suspect of any.
+    /// Clears a suspect, or each segment of a combination, of all crashes. Returns whether it was a suspect of any.
     pub fn clear(&mut self, suspect: &Suspect) -> bool {
-        let removed =
-            self.crashes.iter_mut().fold(false, |any, crash| crash.suspects.remove(suspect) | any);
-        if removed && suspect.segment().is_some() {
+        let mut is_removed = false;
+        for part in suspect.parts() {
+            for crash in &mut self.crashes {
+                is_removed |= crash.remove(&part);
+            }
+        }
+        if is_removed && suspect.request().is_none() {
             self.index_segments();
         }
-        removed
+        is_removed
     }
 
     /// Removes the crashes of a server that was leaving. Returns their suspects.
@@ -312,13 +343,13 @@
 
     /// Number of servers that crashed under a suspect, including crashes attributed to another one.
     pub fn crash_count(&self, suspect: &Suspect) -> usize {
-        self.crashes.iter().filter(|crash| crash.suspects.contains(suspect)).count()
+        self.crashes.iter().filter(|crash| crash.is_under(suspect)).count()
     }
 
     /// The segments under which at least `min_crashes` servers crashed, those with the most crashes first.
     pub fn suspected_segments(&self, min_crashes: usize, limit: usize) -> Vec<SegmentKey> {
         let mut counts: Vec<_> =
-            count_suspects(self.crashes.iter().flat_map(|crash| &crash.suspects))
+            blame::count_suspects(self.crashes.iter().flat_map(|crash| &crash.suspects))
                 .into_iter()
                 .filter(|(_, count)| *count >= min_crashes)
                 .filter_map(|(suspect, count)| Some((count, suspect.segment()?.clone())))
@@ -334,7 +365,7 @@
 
     /// Whether a crash under the suspect has not been reported yet.
     pub fn has_unreported(&self, suspect: &Suspect) -> bool {
-        self.crashes.iter().any(|crash| !crash.is_reported && crash.suspects.contains(suspect))
+        self.crashes.iter().any(|crash| !crash.is_reported && crash.is_under(suspect))
     }
 
     /// Returns the crashes that have not been reported yet, at most `limit`.
@@ -344,18 +375,12 @@
             .map(|crash| CrashReport {
                 server: crash.server.clone(),
                 data_centre: crash.data_centre.clone(),
-                suspects: self.by_depth(&crash.suspects),
+                prompts: crash.prompts.clone(),
                 age: now.saturating_duration_since(crash.at).into(),
             })
             .collect()
     }
 
-    fn by_depth(&self, suspects: &BTreeSet<Suspect>) -> Vec<Suspect> {
-        let mut ordered: Vec<_> = suspects.iter().cloned().collect();
-        ordered.sort_by_key(|suspect| suspect.segment().map(|it| self.history(it).depth));
-        ordered
-    }
-
     fn history(&self, segment: &SegmentKey) -> SegmentHistory {
         self.segments.get(segment).copied().unwrap_or_default()
     }
@@ -364,7 +389,9 @@
     pub fn mark_reported(&mut self, report: &[CrashReport]) {
         for crash in &mut self.crashes {
             let same = report.iter().find(|it| it.server == crash.server);
-            crash.is_reported |= same.is_some_and(|it| it.suspects.len() >= crash.suspects.len());
+            let reported =
+                |it: &CrashReport| it.prompts.iter().map(CrashedPrompt::len).sum::<usize>();
+            crash.is_reported |= same.is_some_and(|it| reported(it) >= crash.len());
         }
     }
 
@@ -372,136 +399,4 @@
     pub fn mark_all_unreported(&mut self) {
         self.crashes.iter_mut().for_each(|crash| crash.is_reported = false);
     }
-
-    /// Returns what is to blame for the crashes. Repeatedly picks the suspect with the strongest evidence by the
-    /// crashes that are not attributed yet, as long as there is enough.
-    pub fn poison(&self) -> BTreeSet<Suspect> {
-        let mut unexplained = self.suspects();
-        let mut poison = BTreeSet::new();
-        while let Some(worst) = self.worst(&unexplained) {
-            // Also the crashes of an outage that do not count against it.
-            unexplained.retain(|it| !it.crash.suspects.contains(worst));
-            poison.insert(worst.clone());
-        }
-        poison
-    }
-
-    /// The suspect with the strongest evidence, if it is enough. If it is equal, a single request rather than a segment
-    /// of many; then the segment that is deeper in the prompts, as fewer others have it; then the suspect whose last crash
-    /// is the most recent, as poison goes on crashing servers.
-    fn worst<'a>(&self, unexplained: &[SuspectedCrash<'a>]) -> Option<&'a Suspect> {
-        let counts = count_suspects(unexplained.iter().flat_map(|it| it.suspects.iter().copied()));
-        let frequent = counts.into_iter().filter(|(_, count)| *count >= CRASHES_TO_QUARANTINE);
-        let weighed = frequent.filter_map(|(suspect, _)| {
-            let crashes = unexplained.iter().filter(|it| it.suspects.contains(suspect));
-            let evidence = self.evidence(suspect, crashes.map(|it| it.crash).collect())?;
-            let all = self.crashes.iter().filter(|it| it.suspects.contains(suspect));
-            let last_crash = all.map(|it| it.at).max();
-            let depth = suspect.segment().and_then(|segment| self.history(segment).depth);
-            Some((evidence.share(), suspect.request().is_some(), depth, last_crash, suspect))
-        });
-        weighed.max().map(|(.., worst)| worst)
-    }
-
-    /// The crashes of a suspect and its survivals, since that crash from which on the evidence is the strongest: a
-    /// segment may have been sound before. `None` if it is too weak.
-    fn evidence(&self, suspect: &Suspect, mut crashes: Vec<&Crash>) -> Option<Evidence> {
-        crashes.sort_by_key(|crash| crash.at);
-        let (crashes, survivals, earlier) = match suspect {
-            Suspect::Request(_) => (crashes.iter().map(|crash| crash.at).collect(), None, 0),
-            Suspect::Segment(segment) => {
-                let earlier = self.history(segment).earlier;
-                (self.separate(segment, &crashes), self.survivals.get(segment), earlier)
-            }
-        };
-        let starts = crashes.len().checked_sub(CRASHES_TO_QUARANTINE)?;
-        let since = |start: usize| {
-            let window_start = crashes[start].checked_sub(SURVIVAL_WINDOW);
-            Evidence {
-                crashes: (crashes.len() - start) as i64,
-                survivals: survivals.map_or(0, |survivals| survivals.count_since(window_start)),
-                earlier: i64::from(earlier),
-            }
-        };
-        let strongest = (0..=starts).map(since).max_by_key(Evidence::weight);
-        strongest.filter(|evidence| evidence.weight() >= MIN_WEIGHT)
-    }
-
-    /// Returns the crashes, each with the suspects that it counts against.
-    fn suspects(&self) -> Vec<SuspectedCrash<'_>> {
-        let mut ordered: Vec<&Crash> = self.crashes.iter().collect();
-        ordered.sort_by(|a, b| (&a.data_centre, a.at).cmp(&(&b.data_centre, b.at)));
-        let by_data_centre = ordered.chunk_by(|a, b| a.data_centre == b.data_centre);
-        by_data_centre.flat_map(moments).flat_map(suspects_in_group).collect()
-    }
-
-    /// Returns the times of those of the crashes, which are in the order of time, that count against a segment. Servers
-    /// that crash at the same moment under requests that have nothing to do with each other count as one: what they have
-    /// in common may be an outage, and prompts with the segment were waiting on each of them.
-    fn separate(&self, segment: &SegmentKey, crashes: &[&Crash]) -> Vec<Instant> {
-        let counted = moments(crashes).flat_map(|group| {
-            // A request that was sent on from one server to the next crashed both.
-            let unrelated = group.windows(2).filter(|pair| !have_common_request(pair[0], pair[1]));
-            let is_outage = 1 + unrelated.count() >= MIN_OUTAGE_SERVERS;
-            if is_outage && !self.explains(segment, group) { &group[..1] } else { group }
-        });
-        counted.map(|crash| crash.at).collect()
-    }
-
-    /// Whether servers that crashed at the same moment crashed under the segment rather than in an outage: each had it,
-    /// and it is rare among the prompts that are answered. A rare segment is not by chance on all of them.
-    fn explains(&self, segment: &SegmentKey, group: &[&Crash]) -> bool {
-        let began = group[0].at;
-        let is_then =
-            |crash: &&Crash| crash.at < began + OUTAGE_WINDOW && began < crash.at + OUTAGE_WINDOW;
-        if self.crashes.iter().filter(is_then).count() > group.len() {
-            return false;
-        }
-        let since = began.checked_sub(SURVIVAL_WINDOW);
-        let answered = |it: &SegmentKey| {
-            let recent = self.survivals.get(it).map_or(0, |survivals| survivals.count_since(since));
-            recent + i64::from(self.history(it).earlier)
-        };
-        let others = group.iter().flat_map(|crash| &crash.suspects).filter_map(Suspect::segment);
-        let most = others.map(answered).max().unwrap_or_default();
-        answered(segment).saturating_mul(RARITY) < most
-    }
-}
-
-/// Splits crashes, which are in the order of time, into groups that happened at the same moment. Each lasts from its first
-/// crash, so that crashes that go on without a pause are not one group for ever.
-fn moments<'a, 'b>(mut rest: &'b [&'a Crash]) -> impl Iterator<Item = &'b [&'a Crash]> {
-    std::iter::from_fn(move || {
-        let first = rest.first()?;
-        let end = rest.partition_point(|crash| crash.at - first.at < OUTAGE_WINDOW);
-        let (group, later) = rest.split_at(end);
-        rest = later;
-        Some(group)
-    })
-}
-
-fn have_common_request(a: &Crash, b: &Crash) -> bool {
-    a.suspects.intersection(&b.suspects).any(|suspect| suspect.request().is_some())
-}
-
-/// Counts how often each suspect occurs.
-fn count_suspects<'a>(suspects: impl Iterator<Item = &'a Suspect>) -> HashMap<&'a Suspect, usize> {
-    let mut counts = HashMap::new();
-    for suspect in suspects {
-        *counts.entry(suspect).or_default() += 1;
-    }
-    counts
-}
-
-/// Returns a group of crashes that happened at the same moment in one data centre, each with the suspects that it
-/// counts against.
-fn suspects_in_group<'a>(crashes: &[&'a Crash]) -> Vec<SuspectedCrash<'a>> {
-    let counts = count_suspects(crashes.iter().flat_map(|crash| &crash.suspects));
-    let is_outage = crashes.len() >= MIN_OUTAGE_SERVERS;
-    let counts_against = |suspect: &&Suspect| !is_outage || 2 * counts[*suspect] > crashes.len();
-    let suspected = crashes.iter().map(|crash| SuspectedCrash {
-        crash,
-        suspects: crash.suspects.iter().filter(counts_against).collect(),
-    });
-    suspected.collect()
 }
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -16,7 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ends::{CRASHES_TO_QUARANTINE, CrashReport, CrashTracker, SURVIVAL_WINDOW};
+use super::ends::{CRASHES_TO_QUARANTINE, CrashReport, CrashTracker, Evidence, SURVIVAL_WINDOW};
 use crate::ids::{BackendId, Fingerprint, SegmentKey, Suspect};
 use crate::state::quarantine::{QuarantineChange, QuarantinedSuspects};
 use crate::units::{Millis, UnixMillis};
@@ -284,6 +284,22 @@
         announced.max(local).filter(|remaining| !remaining.is_zero())
     }
 
+    /// For how much longer a prompt with these shared segments is refused: for the sake of one of them, or of a
+    /// combination that it has whole. `None` if it is not.
+    pub fn prompt_remaining(&self, segments: &[SegmentKey], now: Instant) -> Option<Duration> {
+        let single = segments.iter().cloned().map(Suspect::Segment);
+        let is_within = |it: &&Suspect| it.combination().is_some_and(|it| it.is_within(segments));
+        let combinations = self.combinations().filter(is_within).cloned();
+        single.chain(combinations).filter_map(|suspect| self.remaining(&suspect, now)).max()
+    }
+
+    /// The quarantined combinations, which are behind all other suspects in order.
+    fn combinations(&self) -> impl Iterator<Item = &Suspect> {
+        let is_combination = |it: &&Suspect| it.combination().is_some();
+        let announced = self.announced.keys().rev().take_while(is_combination);
+        announced.chain(self.local.iter().rev().take_while(is_combination))
+    }
+
     /// Whether several servers crashed under a segment, and this box has seen none go on with it lately. A call with it
     /// that broke off is not sent to another server.
     pub fn is_suspected(&self, segment: &SegmentKey, now: Instant) -> bool {
@@ -310,8 +326,8 @@
     /// leader.
     pub fn record_crash(&mut self, report: CrashReport, now: Instant) -> (QuarantineDelta, bool) {
         let before = self.all_suspects();
-        let segments: Vec<_> =
-            report.suspects.iter().filter_map(Suspect::segment).cloned().collect();
+        let segments: BTreeSet<_> =
+            report.prompts.iter().flat_map(|prompt| &prompt.segments).cloned().collect();
         let is_new = self.crashes.record(report, now);
         for segment in segments {
             let known = self.survivals.all(&segment, now);
@@ -423,7 +439,9 @@
         }
         self.update_local();
         let delta = QuarantineDelta::between(&before, &self.all_suspects());
-        let is_sound = |suspect: &Suspect| suspect.segment().is_some_and(|it| self.has_news(it));
+        let is_sound = |suspect: &Suspect| {
+            suspect.parts().iter().filter_map(Suspect::segment).any(|it| self.has_news(it))
+        };
         let is_urgent = !self.cleared.is_empty() || delta.added.iter().any(is_sound);
         (delta, is_urgent)
     }
@@ -437,9 +455,11 @@
         let until = |it: QuarantinedSuspect| (it.suspect, now + it.remaining.duration());
         let announced: BTreeMap<_, _> = update.suspects.into_iter().map(until).collect();
         // What was lifted starts afresh. If its crashes were reported again, the next leader would
-        // quarantine it again.
-        for suspect in self.announced.keys().filter(|suspect| !announced.contains_key(suspect)) {
-            self.crashes.clear(suspect);
+        // quarantine it again. A part of a combination that is still held was not lifted.
+        let held: BTreeSet<_> = announced.keys().flat_map(Suspect::parts).collect();
+        let former = self.announced.keys().flat_map(Suspect::parts);
+        for suspect in former.filter(|suspect| !held.contains(suspect)) {
+            self.crashes.clear(&suspect);
         }
         self.announced = announced;
         self.watched.retain(|segment, it| !it.is_empty() || update.watched.contains(segment));
@@ -503,8 +523,8 @@
         self.replicated.is_some()
     }
 
-    /// Applies the replicated quarantine. What it no longer contains was lifted by an operator or a
-    /// former leader.
+    /// Applies the replicated quarantine. What it no longer contains although it is quarantined here was lifted by an
+    /// operator. What this leader lifted itself keeps its evidence: a part of it may still be to blame.
     pub fn apply_replicated(&mut self, replicated: Arc<QuarantinedSuspects>) {
         if self.replicated.as_ref().is_some_and(|known| Arc::ptr_eq(known, &replicated)) {
             return;
@@ -533,7 +553,7 @@
         }
         for SegmentSurvivals { segment, count, earlier } in &report.survivals {
             // Without further crashes, survivals change nothing but a verdict that was wrong.
-            self.is_dirty |= self.poison.contains(&Suspect::Segment(segment.clone()));
+            self.is_dirty |= self.poison.iter().any(|suspect| suspect.involves(segment));
             self.crashes.record_survivals(segment, *count, now);
             self.crashes.record_earlier(segment, *earlier);
         }
@@ -551,11 +571,12 @@
             if self.leaving.insert(server.clone(), now).is_some() {
                 continue;
             }
-            for suspect in self.crashes.remove_server(server) {
-                self.is_dirty = true;
-                if self.poison.contains(&suspect)
-                    && self.crashes.crash_count(&suspect) < CRASHES_TO_QUARANTINE
-                {
+            let removed = self.crashes.remove_server(server);
+            self.is_dirty |= !removed.is_empty();
+            let is_touched = |it: &&Suspect| it.parts().iter().any(|part| removed.contains(part));
+            let touched: Vec<_> = self.poison.iter().filter(is_touched).cloned().collect();
+            for suspect in touched {
+                if self.crashes.crash_count(&suspect) < CRASHES_TO_QUARANTINE {
                     self.poison.remove(&suspect);
                     self.quarantined.remove(&suspect);
                 }
@@ -597,7 +618,7 @@
     fn quarantine_end(&mut self, suspect: &Suspect, unix: UnixMillis) -> UnixMillis {
         let time = match suspect {
             Suspect::Request(_) => QUARANTINE_TIME,
-            Suspect::Segment(_) => {
+            Suspect::Segment(_) | Suspect::Combination(_) => {
                 if self.terms.len() >= MAX_QUARANTINED {
                     self.terms.clear();
                 }
@@ -611,15 +632,17 @@
 
     fn evaluate_crashes(&mut self, unix: UnixMillis) {
         let poison = self.crashes.poison();
-        for suspect in self.poison.difference(&poison) {
+        let (crashes, former) = (&self.crashes, &self.poison);
+        self.quarantined.retain(|suspect, _| {
             // The crashes are now explained by another suspect, or answers speak for this one. If they
             // were only forgotten, for instance because there were a great many others, it stays
-            // quarantined.
-            if self.crashes.crash_count(suspect) >= CRASHES_TO_QUARANTINE {
-                self.quarantined.remove(suspect);
-            }
-        }
-        for suspect in poison.difference(&self.poison.clone()) {
+            // quarantined. So does what a former leader judged by crashes that boxes have forgotten since.
+            let is_known = crashes.crash_count(suspect) >= CRASHES_TO_QUARANTINE;
+            let is_refuted = || former.contains(suspect);
+            poison.contains(suspect) || !is_known || !is_refuted()
+        });
+        let added: Vec<_> = poison.difference(former).cloned().collect();
+        for suspect in &added {
             if self.quarantined.len() < MAX_QUARANTINED {
                 let until = self.quarantine_end(suspect, unix);
                 self.quarantined.insert(suspect.clone(), until);
@@ -634,6 +657,12 @@
         self.crashes.crash_count(suspect)
     }
 
+    /// What is known of a suspect, or of each segment of a combination.
+    pub fn evidence(&self, suspect: &Suspect) -> Vec<(Suspect, Evidence)> {
+        let known = |part: Suspect| (part.clone(), self.crashes.known_evidence(&part));
+        suspect.parts().into_iter().map(known).collect()
+    }
+
     /// The change that the group has to replicate, if its state differs.
     pub fn pending_change(&self) -> Option<QuarantineChange> {
         let replicated = self.replicated.as_ref()?;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -8,6 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
+mod suspect;
+
+pub use suspect::{SegmentKey, SegmentSet, Suspect};
+
 /// The longest name accepted, in characters.
 pub const NAME_LIMIT: usize = 64;
 
@@ -257,118 +261,6 @@
     }
 }
 
-/// A segment of the prompts that a service is sent. Callers name segments, so two services may know different ones by
-/// one id.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
-pub struct SegmentKey {
-    /// The service.
-    pub service: ServiceName,
-    /// The segment's id in the prompt.
-    pub id: u64,
-}
-
-impl fmt::Display for SegmentKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{:x}", self.service, self.id)
-    }
-}
-
-impl FromStr for SegmentKey {
-    type Err = NameError;
-
-    fn from_str(text: &str) -> Result<Self, NameError> {
-        let (service, id) = text.split_once('/').ok_or(NameError::Length(text.len()))?;
-        if let Some(odd) = id.chars().find(|c| !c.is_ascii_hexdigit()) {
-            return Err(NameError::Character(odd));
-        }
-        let id = u64::from_str_radix(id, 16).map_err(|_| NameError::Length(id.len()))?;
-        Ok(Self { service: service.parse()?, id })
-    }
-}
-
-impl TryFrom<String> for SegmentKey {
-    type Error = NameError;
-
-    fn try_from(text: String) -> Result<Self, NameError> {
-        text.parse()
-    }
-}
-
-impl From<SegmentKey> for String {
-    fn from(segment: SegmentKey) -> Self {
-        segment.to_string()
-    }
-}
-
-/// What may have crashed a backend server. A request is written as its hash, a segment as `service/id`.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
-pub enum Suspect {
-    /// A request, whatever id an attempt at it has.
-    Request(Fingerprint),
-    /// A segment that prompts of different requests have in common.
-    Segment(SegmentKey),
-}
-
-impl Suspect {
-    /// Its name as a request or as a segment, for log lines that have a key for each.
-    pub fn names(&self) -> (Option<String>, Option<String>) {
-        let request = self.request().map(Fingerprint::to_string);
-        (request, self.segment().map(SegmentKey::to_string))
-    }
-
-    /// The request, if it is one.
-    pub fn request(&self) -> Option<&Fingerprint> {
-        match self {
-            Self::Request(request) => Some(request),
-            Self::Segment(_) => None,
-        }
-    }
-
-    /// The segment, if it is one.
-    pub fn segment(&self) -> Option<&SegmentKey> {
-        match self {
-            Self::Request(_) => None,
-            Self::Segment(segment) => Some(segment),
-        }
-    }
-}
-
-impl fmt::Display for Suspect {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Request(request) => request.fmt(f),
-            Self::Segment(segment) => segment.fmt(f),
-        }
-    }
-}
-
-impl FromStr for Suspect {
-    type Err = NameError;
-
-    fn from_str(text: &str) -> Result<Self, NameError> {
-        match text.contains('/') {
-            true => text.parse().map(Self::Segment),
-            false => text.parse().map(Self::Request),
-        }
-    }
-}
-
-impl TryFrom<String> for Suspect {
-    type Error = NameError;
-
-    fn try_from(text: String) -> Result<Self, NameError> {
-        text.parse()
-    }
-}
-
-impl From<Suspect> for String {
-    fn from(suspect: Suspect) -> Self {
-        suspect.to_string()
-    }
-}
-
 /// The longest idempotency key accepted, in bytes.
 pub const KEY_LIMIT: usize = 256;
 
--- a/src/peer/packed.rs
+++ b/src/peer/packed.rs
@@ -12,7 +12,7 @@
 
 /// Tells the types of messages apart from those of other releases, whose bytes could read as other values.
 /// It changes with any type that is packed.
-const LAYOUT: u8 = 7;
+const LAYOUT: u8 = 8;
 
 /// A message that is packed on its way. Both sides have the same type of it: a field that one of them
 /// leaves out can't be read by the other.
--- a/src/relay/ends.rs
+++ b/src/relay/ends.rs
@@ -5,7 +5,7 @@
 //! has the address, or if it is in another incarnation. So each broken exchange is followed by a
 //! few probes of the server.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -17,8 +17,8 @@
 use super::quarantine;
 use super::reach;
 use crate::backend::SendFault;
-use crate::decide::ends::CrashReport;
-use crate::ids::{BackendId, Fingerprint, SegmentKey, Suspect};
+use crate::decide::ends::{CrashReport, CrashedPrompt};
+use crate::ids::{BackendId, SegmentKey};
 use crate::sync::lock;
 
 /// Delays before each probe of a server after a broken exchange. A server that ends stays
@@ -33,8 +33,8 @@
 /// How many servers are probed at the same time. If more end at once, a request is not the cause.
 const MAX_WATCHED_SERVERS: usize = 64;
 
-/// How many suspects are recorded for one server. A single box has fewer in flight there.
-const MAX_SUSPECTS_PER_SERVER: usize = 128;
+/// How many requests and segments of prompts are recorded for one server. A single box has fewer in flight there.
+const MAX_SUSPECTS_PER_SERVER: usize = 256;
 
 /// How far an answer was when its exchange broke off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,8 +48,8 @@
 /// A server with broken exchanges, until the probes have a result.
 struct BrokenServer {
     known: Arc<KnownServer>,
-    /// The suspects, each with the place of a segment in its prompt.
-    suspects: BTreeMap<Suspect, usize>,
+    /// What ran on it.
+    prompts: Vec<CrashedPrompt>,
     /// When the first exchange broke off.
     at: Instant,
     /// Whether the probes have started.
@@ -57,14 +57,19 @@
 }
 
 impl BrokenServer {
+    fn add(&mut self, prompt: CrashedPrompt) {
+        let known: usize = self.prompts.iter().map(CrashedPrompt::len).sum();
+        if known + prompt.len() <= MAX_SUSPECTS_PER_SERVER && !self.prompts.contains(&prompt) {
+            self.prompts.push(prompt);
+        }
+    }
+
     fn to_report(&self) -> CrashReport {
         let server = &self.known.server;
-        let mut suspects: Vec<_> = self.suspects.keys().cloned().collect();
-        suspects.sort_by_key(|suspect| self.suspects[suspect]);
         CrashReport {
             server: server.id.clone(),
             data_centre: server.data_centre.clone(),
-            suspects,
+            prompts: self.prompts.clone(),
             age: self.at.elapsed().into(),
         }
     }
@@ -94,21 +99,15 @@
         }
         let held = broken.entry(id.clone()).or_insert_with(|| BrokenServer {
             known: known.clone(),
-            suspects: BTreeMap::new(),
+            prompts: Vec::new(),
             at: Instant::now(),
             probing: false,
         });
         let segments = match progress {
-            AnswerProgress::NotBegun => call.shared_segments().len(),
-            AnswerProgress::WentOn => 0,
+            AnswerProgress::NotBegun => call.segment_keys(&known.server.service).collect(),
+            AnswerProgress::WentOn => Vec::new(),
         };
-        let segments = call.segment_keys(&known.server.service).take(segments);
-        let suspects = std::iter::once(Suspect::Request(call.fingerprint()))
-            .chain(segments.map(Suspect::Segment))
-            .enumerate()
-            .map(|(depth, suspect)| (suspect, depth));
-        let free = MAX_SUSPECTS_PER_SERVER.saturating_sub(held.suspects.len());
-        held.suspects.extend(suspects.take(free));
+        held.add(CrashedPrompt { request: Some(call.fingerprint()), segments });
         drop(broken);
         self.broke.notify_one();
     }
@@ -173,10 +172,11 @@
     };
     let leaving = !broken.known.is_open();
     relay.context.metrics.count_end(leaving);
-    let requests: Vec<_> =
-        broken.suspects.keys().filter_map(Suspect::request).map(Fingerprint::to_string).collect();
-    let segments: Vec<_> =
-        broken.suspects.keys().filter_map(Suspect::segment).map(SegmentKey::to_string).collect();
+    let requests: BTreeSet<_> =
+        broken.prompts.iter().filter_map(|it| it.request).map(|it| it.to_string()).collect();
+    let requests: Vec<_> = requests.into_iter().collect();
+    let segments: BTreeSet<_> = broken.prompts.iter().flat_map(|it| &it.segments).collect();
+    let segments: Vec<_> = segments.into_iter().map(SegmentKey::to_string).collect();
     if !leaving {
         quarantine::record_end(relay, broken.to_report());
     }
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -24,9 +24,8 @@
         if quarantine.is_empty() {
             return Ok(());
         }
-        let segments = call.segment_keys(service).map(Suspect::Segment);
-        let held = segments.filter_map(|segment| quarantine.remaining(&segment, now)).max();
-        if let Some(remaining) = held {
+        let segments: Vec<_> = call.segment_keys(service).collect();
+        if let Some(remaining) = quarantine.prompt_remaining(&segments, now) {
             return Err(refusal("a segment of this prompt", remaining));
         }
         quarantine.has_requests()
--- a/tests/blame_model.rs
+++ b/tests/blame_model.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use emberturn::decide::ends::CrashReport;
+use emberturn::decide::ends::{CrashReport, CrashedPrompt};
 use emberturn::decide::quarantine::{BoxQuarantine, FleetQuarantine};
-use emberturn::ids::{Fingerprint, SegmentKey, Suspect};
+use emberturn::ids::{Fingerprint, SegmentKey};
 use emberturn::units::{Millis, UnixMillis};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -182,8 +182,8 @@
         let first = self.day.firsts[self.rng.random_range(0..self.day.firsts.len())];
         let segments: Vec<_> = [first, subject].into_iter().chain(self.day.deeper).collect();
         let place = self.rng.random_range(0..self.day.boxes);
-        let is_held = |id: &u64| self.boxes[place].remaining(&segment(*id), self.now).is_some();
-        if segments.iter().any(is_held) {
+        let keys: Vec<_> = segments.iter().map(|id| key(*id)).collect();
+        if self.boxes[place].prompt_remaining(&keys, self.now).is_some() {
             return false;
         }
         let up: Vec<_> = (0..self.up_at.len()).filter(|it| self.up_at[*it] <= self.now).collect();
@@ -220,19 +220,16 @@
         let broken = std::mem::take(&mut self.waiting[server]);
         self.up_at[server] = self.now + DOWN_TIME;
         self.lives += 1;
-        let mut by_box: BTreeMap<usize, Vec<Prompt>> = BTreeMap::new();
-        for prompt in broken {
-            by_box.entry(prompt.place).or_default().push(prompt);
+        let mut by_box: BTreeMap<usize, Vec<CrashedPrompt>> = BTreeMap::new();
+        for Prompt { own, place, segments, .. } in broken {
+            let segments = segments.into_iter().map(key).collect();
+            by_box.entry(place).or_default().push(CrashedPrompt { request: Some(own), segments });
         }
         for (place, prompts) in by_box {
-            let requests = prompts.iter().map(|it| Suspect::Request(it.own));
-            let depths = 0..prompts.iter().map(|it| it.segments.len()).max().unwrap_or_default();
-            let segments =
-                depths.flat_map(|depth| prompts.iter().map(move |it| it.segments[depth]));
             let report = CrashReport {
                 server: format!("i-{server}-{}", self.lives).parse().unwrap(),
                 data_centre: format!("dc-{}", server % 4).parse().unwrap(),
-                suspects: requests.chain(segments.map(segment)).collect(),
+                prompts,
                 age: Millis(0),
             };
             self.boxes[place].record_crash(report, self.now);
@@ -291,10 +288,6 @@
     SegmentKey { service: "svc".parse().unwrap(), id }
 }
 
-fn segment(id: u64) -> Suspect {
-    Suspect::Segment(key(id))
-}
-
 fn seeds() -> std::ops::Range<u64> {
     let asked = std::env::var("EMBERTURN_SEEDS").ok().and_then(|text| text.parse().ok());
     0..asked.unwrap_or(SEEDS)
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use emberturn::decide::ends::{CRASHES_TO_QUARANTINE, CrashReport, CrashTracker};
+use emberturn::decide::ends::{CRASHES_TO_QUARANTINE, CrashReport, CrashTracker, CrashedPrompt};
 use emberturn::decide::quarantine::{
     BoxQuarantine, FleetQuarantine, QUARANTINE_TIME, QuarantineReport, QuarantineUpdate,
 };
@@ -27,11 +27,15 @@
     Suspect::Request(request(number))
 }
 
+fn prompt(request: Fingerprint) -> CrashedPrompt {
+    CrashedPrompt { request: Some(request), segments: Vec::new() }
+}
+
 fn crash(server: &str, data_centre: &str, requests: &[u8], ago: u64) -> CrashReport {
     CrashReport {
         server: server.parse().unwrap(),
         data_centre: data_centre.parse().unwrap(),
-        suspects: requests.iter().map(|number| suspect(*number)).collect(),
+        prompts: requests.iter().map(|number| prompt(request(*number))).collect(),
         age: Millis(ago),
     }
 }
@@ -292,10 +296,10 @@
         let requests = (0..64_u32).map(|number| {
             let mut fingerprint = Fingerprint::default();
             fingerprint.0[..4].copy_from_slice(&(server * 64 + number).to_be_bytes());
-            Suspect::Request(fingerprint)
+            prompt(fingerprint)
         });
         let report = CrashReport {
-            suspects: requests.collect(),
+            prompts: requests.collect(),
             ..crash(&format!("i-{server}"), "a", &[], 0)
         };
         own.record_crash(report, now);
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use emberturn::decide::ends::CrashReport;
+use emberturn::decide::ends::{CrashReport, CrashedPrompt};
 use emberturn::decide::quarantine::{
     BoxQuarantine, FIRST_SEGMENT_TIME, FleetQuarantine, QuarantineReport, SegmentSurvivals,
 };
-use emberturn::ids::{Fingerprint, SegmentKey, Suspect};
+use emberturn::ids::{Fingerprint, SegmentKey, SegmentSet, Suspect};
 use emberturn::units::{Millis, UnixMillis};
 use yare::parameterized;
 
@@ -30,6 +30,16 @@
     Suspect::Request(Fingerprint([number; 16]))
 }
 
+fn combination(ids: &[u64]) -> Suspect {
+    let ids = ids.iter().copied().collect();
+    Suspect::Combination(SegmentSet::new("svc".parse().unwrap(), ids).unwrap())
+}
+
+fn prompt(number: u8, segments: &[u64]) -> CrashedPrompt {
+    let segments = segments.iter().map(|id| key(*id)).collect();
+    CrashedPrompt { request: Some(Fingerprint([number; 16])), segments }
+}
+
 /// A box and a leader on a clock of their own.
 struct Fleet {
     boxes: Vec<BoxQuarantine>,
@@ -61,12 +71,12 @@
         }
     }
 
-    fn crash_in(&mut self, place: usize, data_centre: &str, suspects: Vec<Suspect>) {
+    fn crash_in(&mut self, place: usize, data_centre: &str, prompts: Vec<CrashedPrompt>) {
         self.servers += 1;
         let report = CrashReport {
             server: format!("i-{}", self.servers).parse().unwrap(),
             data_centre: data_centre.parse().unwrap(),
-            suspects,
+            prompts,
             age: Millis(0),
         };
         self.boxes[place].record_crash(report, self.now);
@@ -74,9 +84,8 @@
 
     /// A server crashes as it begins an unlike request with these segments, which came to a box.
     fn crash(&mut self, place: usize, segments: &[u64]) {
-        let own = request((self.servers % 200) as u8 + 50);
-        let suspects = segments.iter().map(|id| segment(*id)).chain([own]).collect();
-        self.crash_in(place, &format!("dc-{}", self.servers), suspects);
+        let own = prompt((self.servers % 200) as u8 + 50, segments);
+        self.crash_in(place, &format!("dc-{}", self.servers), vec![own]);
     }
 
     fn answer(&mut self, place: usize, segments: &[u64]) {
@@ -98,6 +107,17 @@
         self.boxes[place].remaining(&segment(id), self.now).is_some()
     }
 
+    /// Whether a box refuses a prompt with these shared segments.
+    fn is_refused(&self, place: usize, segments: &[u64]) -> bool {
+        let keys: Vec<_> = segments.iter().map(|id| key(*id)).collect();
+        self.boxes[place].prompt_remaining(&keys, self.now).is_some()
+    }
+
+    /// Has every box lose what it remembers.
+    fn restart_boxes(&mut self) {
+        self.boxes.iter_mut().for_each(|it| *it = BoxQuarantine::default());
+    }
+
     fn held(&self) -> Vec<Suspect> {
         let changes = self.leader.pending_change().unwrap_or_default();
         changes.held.into_keys().collect()
@@ -227,10 +247,9 @@
     for number in 0..24 {
         fleet.now += Duration::from_millis(40);
         let segments = [FIRST, if number % 2 == 0 { POISON } else { 0xbee }];
-        let own = request(number + 50);
-        let suspects = segments.iter().map(|id| segment(*id)).chain([own]).collect();
+        let own = prompt(number + 50, &segments);
         fleet.answer(usize::from(number) % 3, &[FIRST, 0xa1]);
-        fleet.crash_in(usize::from(number) % 3, "a", suspects);
+        fleet.crash_in(usize::from(number) % 3, "a", vec![own]);
     }
     fleet.beat();
     fleet.beat();
@@ -281,9 +300,9 @@
 fn segment_is_not_held_for_the_crashes_of_one_request() {
     let mut fleet = Fleet::new(2);
     for _ in 0..3 {
-        let suspects = vec![request(1), segment(FIRST), segment(POISON)];
         fleet.answer(1, &[FIRST]);
-        fleet.crash_in(0, &format!("dc-{}", fleet.servers), suspects);
+        let repeated = prompt(1, &[FIRST, POISON]);
+        fleet.crash_in(0, &format!("dc-{}", fleet.servers), vec![repeated]);
         fleet.beat();
     }
     assert_eq!(fleet.held(), [request(1)]);
@@ -442,11 +461,19 @@
 
 #[test]
 fn names_of_suspects_are_read_as_they_are_written() {
-    for (suspect, text) in [(segment(0x5c1e), "svc/5c1e"), (request(0xa7), &"a7".repeat(16))] {
+    let names = [
+        (segment(0x5c1e), "svc/5c1e".to_owned()),
+        (combination(&[0x5c1e, 0xb, 0xa]), "svc/a+b+5c1e".to_owned()),
+        (request(0xa7), "a7".repeat(16)),
+    ];
+    for (suspect, text) in names {
         assert_eq!(suspect.to_string(), text);
         assert_eq!(text.parse::<Suspect>().unwrap(), suspect);
     }
-    for wrong in ["svc/", "svc/+1", "/1", "svc/12345678901234567", "svc/xyz", "a b/1", "a7"] {
+    let wrong_segments =
+        ["svc/", "svc/+1", "/1", "svc/12345678901234567", "svc/xyz", "a b/1", "a7"];
+    let wrong_combinations = ["svc/1+", "svc/1+1", "svc/1++2", "svc/1+x", "/1+2"];
+    for wrong in wrong_segments.into_iter().chain(wrong_combinations) {
         assert!(wrong.parse::<Suspect>().is_err(), "{wrong}");
     }
 }
@@ -499,7 +526,8 @@
     assert_eq!(fleet.held(), [segment(POISON)]);
 }
 
-/// Without any answer ever, a segment that fewer prompts can have is blamed rather than their common beginning.
+/// Without any answer ever, nothing tells the segments apart: what has both is refused, the common beginning is not. The
+/// first answers show which one it is.
 #[parameterized(
     before_the_poison_in_order = { 0x10 },
     behind_it = { 0xf_ffff },
@@ -508,7 +536,14 @@
     let mut fleet = Fleet::new(3);
     fleet.crash_slowly(3, &[first, POISON]);
     fleet.beat();
+    assert_eq!(fleet.held(), [combination(&[first, POISON])]);
+    assert!((0..3).all(|place| fleet.is_refused(place, &[first, POISON])));
+    assert!((0..3).all(|place| !fleet.is_refused(place, &[first, 0xa1])));
+    fleet.answer(2, &[first, 0xa1]);
+    fleet.beat();
+    fleet.beat();
     assert_eq!(fleet.held(), [segment(POISON)]);
+    assert!((0..3).all(|place| fleet.is_held(place, POISON)));
 }
 
 /// The common beginning is poison itself: the deeper segments are blamed no longer than their crashes last.
@@ -572,3 +607,85 @@
     fleet.beat();
     assert_eq!(fleet.held(), []);
 }
+
+/// Guards against a shared segment that is refused for the crashes of another one once all boxes have restarted: nothing
+/// tells the segments of the crashed prompts apart then, wherever the poison stands among them.
+#[parameterized(
+    poison_first = { &[POISON, 0xc1, 0xc2], &[0xa1, 0xc1, 0xc2] },
+    poison_between = { &[0xc1, POISON, 0xc2], &[0xc1, 0xa1, 0xc2] },
+    poison_last = { &[0xc1, 0xc2, POISON], &[0xc1, 0xc2, 0xa1] },
+)]
+fn shared_segments_are_not_refused_after_restarts_in_a_quiet_spell(
+    crashing: &[u64],
+    sound: &[u64],
+) {
+    let mut fleet = Fleet::new(3);
+    for place in 0..3 {
+        for _ in 0..20 {
+            fleet.answer(place, sound);
+        }
+    }
+    fleet.now += Duration::from_secs(12);
+    fleet.restart_boxes();
+    fleet.beat();
+    fleet.crash_slowly(3, crashing);
+    fleet.beat();
+    for place in 0..3 {
+        assert!(fleet.is_refused(place, crashing));
+        assert!(!fleet.is_refused(place, sound));
+    }
+    for _ in 0..3 {
+        fleet.answer(0, sound);
+    }
+    fleet.beat();
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
+
+/// Guards against the same where a server crashes beside them for another reason, so that a shared segment has a crash
+/// more than the poison.
+#[test]
+fn shared_segment_with_a_crash_of_another_cause_is_not_refused_after_restarts() {
+    let mut fleet = Fleet::new(3);
+    fleet.crash(0, &[0xa1, FIRST]);
+    fleet.crash_slowly(3, &[POISON, FIRST]);
+    fleet.beat();
+    for place in 0..3 {
+        assert!(fleet.is_refused(place, &[POISON, FIRST]));
+        assert!(!fleet.is_refused(place, &[0xa2, FIRST]));
+    }
+}
+
+/// Guards against servers that go on crashing while the evidence is equal: the poison comes with other segments than at
+/// first.
+#[test]
+fn poison_beside_other_segments_is_held_after_two_further_crashes() {
+    let mut fleet = Fleet::new(3);
+    fleet.crash_slowly(3, &[POISON, FIRST]);
+    fleet.beat();
+    for number in 0..2 {
+        fleet.crash_slowly(1, &[POISON, 0xd0 + number]);
+    }
+    fleet.beat();
+    fleet.beat();
+    assert!((0..3).all(|place| fleet.is_refused(place, &[POISON, 0xd2])));
+    assert!((0..3).all(|place| !fleet.is_refused(place, &[0xa1, FIRST])));
+}
+
+/// Guards against a shared segment that is refused because prompts with and without the poison wait on one server.
+#[test]
+fn segments_of_prompts_that_wait_beside_the_poison_are_not_refused_after_restarts() {
+    let mut fleet = Fleet::new(3);
+    for place in 0..3 {
+        fleet.now += Duration::from_millis(1_500);
+        let own = prompt(1 + place as u8, &[POISON, FIRST]);
+        let beside = prompt(11 + place as u8, &[0xa1, FIRST]);
+        fleet.crash_in(place, &format!("dc-{place}"), vec![own, beside]);
+        fleet.beat();
+    }
+    fleet.beat();
+    for place in 0..3 {
+        assert!(fleet.is_refused(place, &[POISON, FIRST]));
+        assert!(!fleet.is_refused(place, &[0xa2, FIRST]));
+    }
+}
