Quarantine: a group of crashes counts in full where nothing was ever answered

What happens: prompts with a crashing part come six at a time, and no box remembers an answer (all were restarted, or nothing was answered yet). Each group counted as one outage, so that three groups crashed servers.

Cause: servers that crash at one moment count one by one only against a segment that is rare among answered prompts; without any answer nothing is rare.

Change: where none of the segments on these servers was ever answered, they count one by one as well. An outage at such a moment would have ended idle servers. What it costs if it is wrong: prompts with all that the crashed ones had together, until one with a part of it is answered.

--- a/src/decide/ends/blame.rs
+++ b/src/decide/ends/blame.rs
@@ -254,7 +254,8 @@
     }
 
     /// Whether servers that crashed at the same moment crashed under the segment rather than in an outage: each had it,
-    /// and it is rare among the prompts that are answered. A rare segment is not by chance on all of them.
+    /// and it is rare among the prompts that are answered. A rare segment is not by chance on all of them. If none of their
+    /// segments was ever answered, an outage would have ended idle servers rather than these.
     fn explains(&self, segment: &SegmentKey, group: &[&Crash]) -> bool {
         let began = group[0].at;
         let is_then =
@@ -269,7 +270,7 @@
         };
         let others = group.iter().flat_map(|crash| &crash.suspects).filter_map(Suspect::segment);
         let most = others.map(answered).max().unwrap_or_default();
-        answered(segment).saturating_mul(RARITY) < most
+        most == 0 || answered(segment).saturating_mul(RARITY) < most
     }
 }
 
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -689,3 +689,20 @@
         assert!(!fleet.is_refused(place, &[0xa2, FIRST]));
     }
 }
+
+/// Guards against servers that go on crashing: prompts with the poison come in groups, and no box remembers an answer, so
+/// that each group counted as one crash.
+#[test]
+fn group_of_prompts_that_crashes_servers_after_restarts_is_held_after_the_first_group() {
+    let mut fleet = Fleet::new(2);
+    for number in 0..6 {
+        fleet.crash(number % 2, &[POISON, FIRST]);
+        fleet.now += Duration::from_millis(5);
+    }
+    fleet.beat();
+    fleet.beat();
+    for place in 0..2 {
+        assert!(fleet.is_refused(place, &[POISON, FIRST]));
+        assert!(!fleet.is_refused(place, &[0xa1, FIRST]));
+    }
+}
