Quarantine: what a leader lifts itself keeps its evidence

What happens: a leader takes a verdict back, since another suspect explains its crashes or its time is over. Once the group has replicated that, the leader took the missing entry for an operator's lift and cleared the suspect of all crashes. By reading, a segment whose time was over needed three crashes more instead of one.

Change: only what is still quarantined here and gone from the replicated state was lifted by somebody else.

Test: poison_stays_held_when_a_combination_with_it_is_taken_back fails without the change.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -536,7 +536,9 @@
             self.quarantined.entry(suspect.clone()).or_insert(*until);
         }
         for suspect in former.keys().filter(|suspect| !replicated.contains_key(suspect)) {
-            self.lift(suspect);
+            if self.quarantined.contains_key(suspect) {
+                self.lift(suspect);
+            }
         }
     }
 
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -9,6 +9,7 @@
     BoxQuarantine, FIRST_SEGMENT_TIME, FleetQuarantine, QuarantineReport, SegmentSurvivals,
 };
 use emberturn::ids::{Fingerprint, SegmentKey, SegmentSet, Suspect};
+use emberturn::state::quarantine::QuarantinedSuspects;
 use emberturn::units::{Millis, UnixMillis};
 use yare::parameterized;
 
@@ -44,6 +45,7 @@
 struct Fleet {
     boxes: Vec<BoxQuarantine>,
     leader: FleetQuarantine,
+    replicated: QuarantinedSuspects,
     now: Instant,
     unix: UnixMillis,
     version: u64,
@@ -55,7 +57,15 @@
         let mut leader = FleetQuarantine::default();
         leader.apply_replicated(Arc::default());
         let boxes = (0..boxes).map(|_| BoxQuarantine::default()).collect();
-        Self { boxes, leader, now: Instant::now(), unix: NOW, version: 0, servers: 0 }
+        Self {
+            boxes,
+            leader,
+            replicated: QuarantinedSuspects::new(),
+            now: Instant::now(),
+            unix: NOW,
+            version: 0,
+            servers: 0,
+        }
     }
 
     /// Has every box exchange a heartbeat with the leader, and time pass.
@@ -113,6 +123,15 @@
         self.boxes[place].prompt_remaining(&keys, self.now).is_some()
     }
 
+    /// Has the group replicate what the leader judged, and the leader learn that it has.
+    fn replicate(&mut self) {
+        if let Some(change) = self.leader.pending_change() {
+            self.replicated.retain(|suspect, _| !change.lifted.contains(suspect));
+            self.replicated.extend(change.held);
+            self.leader.apply_replicated(Arc::new(self.replicated.clone()));
+        }
+    }
+
     /// Has every box lose what it remembers.
     fn restart_boxes(&mut self) {
         self.boxes.iter_mut().for_each(|it| *it = BoxQuarantine::default());
@@ -706,3 +725,23 @@
         assert!(!fleet.is_refused(place, &[0xa1, FIRST]));
     }
 }
+
+/// Guards against a poison segment that is let through because its leader took back a combination with it.
+#[test]
+fn poison_stays_held_when_a_combination_with_it_is_taken_back() {
+    let mut fleet = Fleet::new(3);
+    fleet.crash_slowly(3, &[POISON, FIRST]);
+    fleet.beat();
+    fleet.replicate();
+    assert!(fleet.replicated.contains_key(&combination(&[POISON, FIRST])));
+    fleet.answer(0, &[0xa1, FIRST]);
+    fleet.beat();
+    fleet.beat();
+    fleet.replicate();
+    fleet.beat();
+    fleet.crash(0, &[0xa1]);
+    fleet.beat();
+    fleet.replicate();
+    assert_eq!(fleet.replicated.keys().collect::<Vec<_>>(), [&segment(POISON)]);
+    assert_eq!(fleet.leader.crash_count(&segment(POISON)), 3);
+}
