Quarantine: a leader takes back what a former one judged once it is refuted

What happens: a leader judges a shared segment by the first reports of a crash and goes before the others arrive.

Change: what a former leader judged is taken back when survivals clear it of all its crashes or other suspects explain them.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -640,7 +640,7 @@
             // were only forgotten, for instance because there were a great many others, it stays
             // quarantined. So does what a former leader judged by crashes that boxes have forgotten since.
             let is_known = crashes.crash_count(suspect) >= CRASHES_TO_QUARANTINE;
-            let is_refuted = || former.contains(suspect);
+            let is_refuted = || former.contains(suspect) || crashes.refutes(suspect, &poison);
             poison.contains(suspect) || !is_known || !is_refuted()
         });
         let added: Vec<_> = poison.difference(former).cloned().collect();
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -132,6 +132,15 @@
         }
     }
 
+    /// Has another leader take over, which boxes tell again what they know.
+    fn change_leader(&mut self) {
+        self.leader = FleetQuarantine::default();
+        self.leader.apply_replicated(Arc::new(self.replicated.clone()));
+        for own in &mut self.boxes {
+            own.apply_reply(&QuarantineReport::default(), None, true, self.now);
+        }
+    }
+
     /// Has every box lose what it remembers.
     fn restart_boxes(&mut self) {
         self.boxes.iter_mut().for_each(|it| *it = BoxQuarantine::default());
@@ -745,3 +754,47 @@
     assert_eq!(fleet.replicated.keys().collect::<Vec<_>>(), [&segment(POISON)]);
     assert_eq!(fleet.leader.crash_count(&segment(POISON)), 3);
 }
+
+/// Guards against a shared segment that is refused for as long as its hold lasts, since the leader that judged it by the
+/// first reports has gone: answers under way speak for it, and the poison explains its crashes.
+#[test]
+fn verdict_of_a_former_leader_is_taken_back_once_it_is_refuted() {
+    let mut fleet = Fleet::new(3);
+    let until = UnixMillis(NOW.0 + FIRST_SEGMENT_TIME.as_millis() as u64);
+    fleet.replicated.insert(segment(FIRST), until);
+    for place in 0..3 {
+        for _ in 0..8 {
+            fleet.answer(place, &[0xa2, FIRST]);
+        }
+    }
+    fleet.crash(0, &[0xa1, FIRST]);
+    for place in 0..3 {
+        fleet.now += Duration::from_millis(500);
+        fleet.crash(place, &[POISON, FIRST]);
+    }
+    fleet.change_leader();
+    fleet.beat();
+    fleet.beat();
+    fleet.replicate();
+    assert_eq!(fleet.replicated.keys().collect::<Vec<_>>(), [&segment(POISON)]);
+}
+
+/// Guards against a poison segment that is let through by a new leader to which boxes report a part of its crashes only.
+#[test]
+fn verdict_of_a_former_leader_is_kept_while_nothing_refutes_it() {
+    let mut fleet = Fleet::new(2);
+    let until = UnixMillis(NOW.0 + FIRST_SEGMENT_TIME.as_millis() as u64);
+    fleet.replicated.insert(segment(POISON), until);
+    for _ in 0..40 {
+        fleet.answer(0, &[0xa1, FIRST]);
+    }
+    // Another box had the prompts with the poison on the last of them.
+    for last in [[POISON, FIRST], [POISON, FIRST], [POISON, FIRST], [0xa1, FIRST]] {
+        fleet.crash(0, &last);
+    }
+    fleet.change_leader();
+    fleet.beat();
+    fleet.beat();
+    fleet.replicate();
+    assert_eq!(fleet.replicated.keys().collect::<Vec<_>>(), [&segment(POISON)]);
+}
