Tests: servers that stop inside an answer's head, on each way that an answer takes

Reported by operators of a system like this one: an engine stops in the middle of its answer's head and closes, and clients get a 200 framed as whole.

--- a/tests/support/endless.rs
+++ b/tests/support/endless.rs
@@ -1,4 +1,5 @@
-//! A server that sends bytes without end, and counts those that it could write until its connection was closed.
+//! A server that sends bytes without end, and counts those that it could write until its connection was closed; or one that
+//! stops in the middle and closes.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -123,6 +124,11 @@
         Self { once: served(), again: "x".to_owned(), pace }
     }
 
+    /// Part of an answer, behind which the connection is closed.
+    pub fn stopped(part: &str) -> Self {
+        Self { once: part.to_owned(), again: String::new(), pace: Pace::Slow }
+    }
+
     /// A stream in chunks that has begun with some events.
     pub fn stream(events: u64, once: &str, again: &str, pace: Pace) -> Self {
         let begun: String = (1..=events).map(event).map(|text| chunk(&text)).collect();
@@ -287,6 +293,9 @@
         return 0;
     }
     let mut written = endless.once.len() as u64;
+    if endless.again.is_empty() {
+        return written;
+    }
     let count = match endless.pace {
         Pace::Fast => (BLOCK_BYTES / endless.again.len()).max(1),
         Pace::Slow => 1,
