Streams: the leader passes on which release began each of them

Cause: the leader alone remembered what boxes had reported. A new leader asks the boxes that live, and the one that knew is gone.

Change: the leader sends the origins on to the other replicas as they come, to each by itself; one that is new or has restarted gets all.

--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -8,7 +8,7 @@
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::pin::pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use super::heartbeat::{BoxHeartbeat, HeartbeatReply};
@@ -24,7 +24,8 @@
 use crate::decide::limit_leases::{LimitLeases, ReportOrigin};
 use crate::decide::lives;
 use crate::decide::loads::{self, LoadPool};
-use crate::decide::origins::{MAX_LEADER_ORIGINS, StreamOrigins};
+use crate::decide::origin_shares::OriginShares;
+use crate::decide::origins::{MAX_LEADER_ORIGINS, OriginReport, StreamOrigins};
 use crate::decide::presence::{ABSENCE_TIMEOUT, RelayPresence};
 use crate::decide::proxy_directory::ProxyDirectory;
 use crate::decide::quarantine::{FleetQuarantine, QuarantineReport, QuarantineUpdate};
@@ -147,8 +148,10 @@
     limit_leases: LimitLeases,
     /// The boxes that send requests for others.
     pub(super) proxies: ProxyDirectory,
-    /// The streams that boxes began, of services with several releases.
-    pub(super) origins: StreamOrigins,
+    /// The streams that boxes began, of services with several releases. The process keeps them when it leads no more.
+    pub(super) origins: Arc<Mutex<StreamOrigins>>,
+    /// Those that the other replicas have not been told of.
+    pub(super) origin_shares: OriginShares,
     pub(super) serving: ServingTracker,
 }
 
@@ -183,7 +186,8 @@
             quarantine: FleetQuarantine::default(),
             limit_leases: LimitLeases::default(),
             proxies: ProxyDirectory::default(),
-            origins: StreamOrigins::new(MAX_LEADER_ORIGINS),
+            origins: new_origins(),
+            origin_shares: OriginShares::default(),
             serving: ServingTracker::default(),
         }
     }
@@ -219,10 +223,7 @@
             tolerance,
         );
         let elapsed = self.started_at.elapsed().as_secs_f64();
-        for report in heartbeat.streams {
-            let until = now + report.left.duration();
-            self.origins.record(report.key, report.origin, until, now);
-        }
+        self.record_origins(heartbeat.streams, now);
         let serving = &self.serving;
         let word = |service: &ServiceName| serving.word(service);
         let releases = self.rollouts.record_reports(elapsed, &key, &heartbeat.trials, word);
@@ -275,6 +276,16 @@
         }
     }
 
+    fn record_origins(&mut self, streams: Vec<OriginReport>, now: Instant) {
+        let mut origins = lock(&self.origins);
+        for report in streams {
+            let until = now + report.left.duration();
+            if origins.record(report.key, report.origin.clone(), until, now) {
+                self.origin_shares.record(&report);
+            }
+        }
+    }
+
     /// Applies a box's report of server crashes, and returns the quarantined requests if the box has an older version.
     fn apply_quarantine_report(
         &mut self,
@@ -584,6 +595,11 @@
     }
 }
 
+/// The origins of streams that a replica remembers, as the leader or for the next one.
+pub(crate) fn new_origins() -> Arc<Mutex<StreamOrigins>> {
+    Arc::new(Mutex::new(StreamOrigins::new(MAX_LEADER_ORIGINS)))
+}
+
 /// Answers a relay's heartbeat, if this process leads. The heartbeat of a relay without a list waits up to
 /// [`FIRST_LIST_TIMEOUT`] for the first list of this term, so that a relay that has just started gets it without
 /// polling.
@@ -601,6 +617,7 @@
     let document = node.board.document().version;
     let data_centre = heartbeat.is_full.then(|| node.settings.node.data_centre.clone());
     let noted = node.board.quarantine();
+    let has_streams = !heartbeat.streams.is_empty();
     let (reply, has_notes) = node.with_lead(term, |lead| {
         if lead.quarantine.is_known() {
             lead.quarantine.apply_replicated(noted);
@@ -616,6 +633,9 @@
     if has_notes {
         node.lacking.notify_one();
     }
+    if has_streams {
+        node.origins_reported.notify_one();
+    }
     Ok(reply)
 }
 
@@ -687,7 +707,12 @@
         }
         let new = || {
             let list = ListRegistry::new(self.settings.regions.clone());
-            LeaderState { list, ..LeaderState::new(term, is_first, self.uptime(), weights) }
+            let origins = self.origins.clone();
+            LeaderState {
+                list,
+                origins,
+                ..LeaderState::new(term, is_first, self.uptime(), weights)
+            }
         };
         f(held.get_or_insert_with(new))
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,7 +11,8 @@
 //! - [`proxies`] has the leader assign the boxes through which a relay reaches servers that it does not reach itself.
 //! - [`quarantine`] handles operators' requests on quarantined requests.
 //! - [`rollouts`] handles operators' requests on rollouts, and advances the rollouts at the leader.
-//! - [`serving`] finds which releases serve without an order, and [`origins`] answers boxes which release began a stream.
+//! - [`serving`] finds which releases serve without an order, and [`origins`] answers boxes which release began a stream
+//!   and passes that on to the other replicas.
 //! - [`load`] polls engines for their load.
 //! - [`boxlist`] polls the platform's box list.
 //! - [`share`] renews this node's shares of the teams' limits, and leases them out at the leader.
@@ -56,6 +57,7 @@
     }
     if node.access.local().is_some() {
         tokio::spawn(document_source::run(node.clone()));
+        tokio::spawn(origins::share(node.clone()));
     }
     if let (true, Some(cloud)) = (node.access.local().is_some(), node.settings.cloud.clone()) {
         tokio::spawn(duties::run(node.clone(), cloud));
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -13,6 +13,7 @@
 use crate::ids::{Release, ServiceName};
 use crate::relay::table::Repeat;
 use crate::state::rollout::{Rollout, RolloutState, ServingReleases};
+use crate::sync::lock;
 use crate::units::UnixMillis;
 
 /// Time between two looks at the list, which may have thousands of servers.
@@ -90,7 +91,7 @@
 
     /// What this leader knows of the origin of a stream of a service.
     pub(super) fn find_origin(&self, key: StreamKey, service: &ServiceName) -> OriginAnswer {
-        if let Some(origin) = self.origins.find(key, Instant::now()) {
+        if let Some(origin) = lock(&self.origins).find(key, Instant::now()) {
             return OriginAnswer::Known(StreamOrigin::clone(origin));
         }
         let book = self.rollouts.book();
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -23,7 +23,8 @@
 //!   any server.
 //! - [`exposure`], [`verdict`]: how many requests a release on trial may get, and whether it is bad;
 //!   [`releases`] and [`rollout`]: roll-outs at a box and at the leader.
-//! - [`origins`]: which release began a stream, for callers that come back for its rest.
+//! - [`origins`]: which release began a stream, for callers that come back for its rest; [`origin_shares`]: which of
+//!   them the other replicas have still to be told.
 //! - [`presence`]: how many relays there are, as far as a leader knows.
 //! - [`retry_budgets`]: how many requests a relay may retry, by service.
 //! - [`lives`]: which incarnation a server is in, and when to check for a restart.
@@ -68,6 +69,7 @@
 pub mod memory;
 pub mod nearest;
 pub mod orders;
+pub mod origin_shares;
 pub mod origins;
 pub mod paths;
 pub mod pause;
--- a/src/decide/origins.rs
+++ b/src/decide/origins.rs
@@ -108,10 +108,17 @@
     }
 
     /// Records what began a stream. If that differs from what is known, the origin counts as unknown: the caller has
-    /// used an id twice.
-    pub fn record(&mut self, key: StreamKey, origin: StreamOrigin, until: Instant, now: Instant) {
+    /// used an id twice. Returns whether it is new.
+    pub fn record(
+        &mut self,
+        key: StreamKey,
+        origin: StreamOrigin,
+        until: Instant,
+        now: Instant,
+    ) -> bool {
         self.remove_expired(now);
         let origin = self.share(origin);
+        let known = self.entries.get(&key).map(|known| known.origin.as_ref() == Some(&origin));
         let entry = match self.entries.remove(&key) {
             Some(known) => {
                 self.expiry.remove(&(known.until, key));
@@ -128,6 +135,24 @@
         {
             self.entries.remove(&first);
         }
+        known != Some(true)
+    }
+
+    /// All streams, as a box would report them.
+    pub fn reports(&mut self, now: Instant) -> Vec<OriginReport> {
+        self.remove_expired(now);
+        let known = self.entries.iter();
+        let report = |(key, entry): (&StreamKey, &Entry)| {
+            let origin = StreamOrigin::clone(entry.origin.as_ref()?);
+            let left = entry.until.saturating_duration_since(now);
+            Some(OriginReport { key: *key, origin, left: left.into() })
+        };
+        known.filter_map(report).collect()
+    }
+
+    /// Whether no stream is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
     }
 
     /// What began a stream, if that is known.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,8 +19,9 @@
 use crate::control;
 use crate::control::document_fetch;
 use crate::control::document_source::DocumentSource;
-use crate::control::lead::LeaderState;
+use crate::control::lead::{LeaderState, new_origins};
 use crate::decide::admission::Admission;
+use crate::decide::origins::StreamOrigins;
 use crate::decide::retry::RetryBudget;
 use crate::decide::share::Lessor;
 use crate::entry::dispatch::Dispatcher;
@@ -87,6 +88,10 @@
     pub(crate) lead: Mutex<Option<LeaderState>>,
     /// Told when the leader has read another list of backend servers.
     pub(crate) listed: Notify,
+    /// The origins of streams that this replica remembers, as the leader or for the next one.
+    pub(crate) origins: Arc<Mutex<StreamOrigins>>,
+    /// Told when boxes have reported origins of streams to the leader.
+    pub(crate) origins_reported: Notify,
     stop_by: Mutex<Option<Instant>>,
     admission: Mutex<Admission>,
     retries: Mutex<RetryBudget>,
@@ -126,6 +131,8 @@
             documents: DocumentSource::default(),
             lead: Mutex::default(),
             listed: Notify::new(),
+            origins: new_origins(),
+            origins_reported: Notify::new(),
             dialect: Arc::new(PlatformDialect),
             stop_by: Mutex::default(),
             admission: Mutex::default(),
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -61,6 +61,8 @@
 
 /// Answers which release began a stream: at the leader only. Packed both ways.
 pub const STREAM_ORIGIN: &str = "relay_stream_origin";
+/// Takes [`SharedOrigins`] of the leader; answers an [`OriginReceipt`]: at replicas only. Packed both ways.
+pub const SHARED_ORIGINS: &str = "replica_stream_origins";
 /// Takes the names of parts of the list of backend servers; answers their contents.
 pub const LIST_PARTS: &str = "relay_list_parts";
 /// Takes a [`DocumentAsk`]; answers a [`DocumentPiece`], or nothing where this replica does not have the document
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -22,6 +22,7 @@
 use crate::control::{
     demand, document_source, lead, origins, proxies, quarantine, rollouts, share, throttle,
 };
+use crate::decide::origin_shares::{OriginReceipt, SharedOrigins};
 use crate::decide::origins::{OriginAnswer, OriginRequest};
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
@@ -88,6 +89,7 @@
     register(&mut module, method::THROTTLE, throttled)?;
     register(&mut module, method::PROXIES, assign_proxies)?;
     register(&mut module, method::STREAM_ORIGIN, stream_origin)?;
+    register(&mut module, method::SHARED_ORIGINS, shared_origins)?;
     register(&mut module, method::LIST_PARTS, list_parts)?;
     register(&mut module, method::DOCUMENT, document_piece)?;
     register(&mut module, method::ROLLOUT, rollout)?;
@@ -207,6 +209,14 @@
     Ok(origins::answer(node, request).await.map(Packed))
 }
 
+async fn shared_origins(
+    node: Arc<Node>,
+    Packed(shared): Packed<SharedOrigins>,
+) -> Result<Packed<OriginReceipt>, String> {
+    replica(&node)?;
+    Ok(Packed(origins::apply_shared(&node, shared)))
+}
+
 async fn list_parts(
     node: Arc<Node>,
     Packed(wanted): Packed<Vec<PartId>>,
--- a/tests/control_bytes.rs
+++ b/tests/control_bytes.rs
@@ -9,6 +9,8 @@
 use emberturn::decide::engine::EngineModel;
 use emberturn::decide::intervals::HEARTBEAT_INTERVAL;
 use emberturn::decide::loads::LoadSample;
+use emberturn::decide::origin_shares::SharedOrigins;
+use emberturn::decide::origins::{OriginReport, StreamKey, StreamOrigin};
 use emberturn::decide::quarantine::{QuarantineReport, QuarantineUpdate, QuarantinedSuspect};
 use emberturn::decide::releases::ReleaseUpdate;
 use emberturn::decide::throttle::{LimitLease, LimitNotice, LimitReport, Throttles};
@@ -376,6 +378,23 @@
     assert!(reply_bytes <= 200, "{reply_bytes} bytes");
 }
 
+/// While several releases of a service serve, the leader passes the origin of each stream on to each other replica.
+#[test]
+fn origin_that_is_passed_on_takes_less_than_a_hundred_bytes() {
+    let report = |number: u32| OriginReport {
+        key: StreamKey::new(Some(&"team-0001".parse().unwrap()), &format!("request-{number}")),
+        origin: StreamOrigin {
+            service: services().next().unwrap(),
+            release: "2026-12-04".parse().unwrap(),
+        },
+        left: Millis(24_000),
+    };
+    let shared = |count: u32| packed(&SharedOrigins { streams: (0..count).map(report).collect() });
+    let bytes = (shared(1_000) - shared(0)) / 1_000;
+    println!("{bytes} bytes a stream");
+    assert!(bytes < 100, "{bytes} bytes");
+}
+
 /// A request and a reply about as many limited servers as one report may have, sent at the shortest interval of
 /// heartbeats, use less than half of the bandwidth for control traffic.
 #[test]
--- a/tests/origins.rs
+++ b/tests/origins.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use emberturn::decide::origin_shares::{OriginReceipt, OriginShares};
 use emberturn::decide::origins::{
     CLAIM_LIFETIME, MAX_REPORTED, OriginReport, ReturnTime, StreamKey, StreamOrigin, StreamOrigins,
     UNKNOWN_RETURN_TIME,
 };
 use emberturn::decide::releases::{ReleaseTable, ReleaseUpdate, TrialGrant};
 use emberturn::decide::serving::{ReleaseView, ServiceView};
-use emberturn::ids::{Release, ServiceName};
+use emberturn::ids::{BoxId, Incarnation, Release, ServiceName};
 use emberturn::state::rollout::{Phase, RolloutOrder, RolloutState, RolloutStep, ServingReleases};
 use emberturn::units::Millis;
 
@@ -324,3 +325,63 @@
     assert_eq!(time.get(began), UNKNOWN_RETURN_TIME);
     assert_eq!(time.get(began + UNKNOWN_RETURN_TIME), Duration::from_secs(2));
 }
+
+fn report(request: &str) -> OriginReport {
+    OriginReport { key: key(request), origin: origin("v1"), left: Millis(20_000) }
+}
+
+fn receipt(process: u64) -> OriginReceipt {
+    OriginReceipt { process: Incarnation(process) }
+}
+
+/// Guards against a replica that becomes the leader and knows no stream: one that is new, or has restarted, gets all.
+#[test]
+fn replica_that_is_new_or_has_restarted_is_told_of_all_streams() {
+    let (mut shares, replica) = (OriginShares::default(), "r-2".parse::<BoxId>().unwrap());
+    let known = || vec![report("a"), report("b")];
+    shares.record(&report("a"));
+    assert_eq!(shares.next(&replica, known), known());
+    assert!(shares.acknowledge(&replica, receipt(1), 2, known));
+    assert_eq!(shares.next(&replica, known), []);
+    shares.record(&report("c"));
+    assert_eq!(shares.next(&replica, known), [report("c")]);
+    // Its answer is lost.
+    assert_eq!(shares.next(&replica, known), [report("c")]);
+    assert!(!shares.acknowledge(&replica, receipt(1), 1, known));
+    let all = || vec![report("a"), report("b"), report("c")];
+    assert!(!shares.acknowledge(&replica, receipt(2), 0, all));
+    assert_eq!(shares.next(&replica, Vec::new), all());
+    assert!(shares.acknowledge(&replica, receipt(2), 3, all));
+    shares.retain(|_| false);
+    assert_eq!(shares.next(&replica, all), all());
+}
+
+#[test]
+fn what_waits_for_a_replica_is_bounded() {
+    let (mut shares, replica) = (OriginShares::default(), "r-2".parse::<BoxId>().unwrap());
+    shares.next(&replica, Vec::new);
+    for number in 0..40_000 {
+        shares.record(&report(&number.to_string()));
+    }
+    let mut sent = 0;
+    loop {
+        let next = shares.next(&replica, Vec::new);
+        if next.is_empty() {
+            break;
+        }
+        assert!(next.len() <= MAX_REPORTED);
+        sent += next.len();
+        shares.acknowledge(&replica, receipt(1), next.len(), Vec::new);
+    }
+    assert_eq!(sent, 1 << 14);
+}
+
+#[test]
+fn origin_that_is_known_is_not_new() {
+    let (mut origins, now) = (StreamOrigins::new(8), Instant::now());
+    assert!(origins.record(key("a"), origin("v1"), now + LIFETIME, now));
+    assert!(!origins.record(key("a"), origin("v1"), now + LIFETIME, now));
+    assert_eq!(origins.reports(now).len(), 1);
+    assert!(origins.record(key("a"), origin("v2"), now + LIFETIME, now));
+    assert_eq!(origins.reports(now), []);
+}
--- a/tests/returning_callers.rs
+++ b/tests/returning_callers.rs
@@ -272,17 +272,41 @@
     come_back_until_served(&system, 12, last).await;
     let leader = system.leader().await;
     system.kill(leader).await;
+    assert_most_go_on(&mut system, &begun).await;
+}
+
+/// Guards against the same where the replicas that live on have restarted since the streams began.
+#[tokio::test(flavor = "multi_thread")]
+async fn most_streams_go_on_though_the_other_replicas_restarted_before_the_leader_was_killed() {
+    let (mut system, ..) = two_releases().await;
+    let begun = begin_streams(&system, 11, "s").await;
+    let (last, _) = begun.last().unwrap();
+    come_back_until_served(&system, 12, last).await;
+    let leader = system.leader().await;
+    for place in (1..=5).filter(|place| *place != leader) {
+        let from = system.logged(leader);
+        system.kill(place).await;
+        system.launch(place, "replica").await;
+        let replica = format!("replica={}", system.ip(place));
+        system.wait_line(leader, from, &["event=origins_passed_on", &replica]).await;
+    }
+    system.kill(leader).await;
+    assert_most_go_on(&mut system, &begun).await;
+}
+
+/// Kills the box at which streams began, and asserts that at least half go on at another one where new ones begin.
+async fn assert_most_go_on(system: &mut System, begun: &[(String, String)]) {
     system.kill(11).await;
     system.leader().await;
     system
         .until("new streams begin", || async {
-            let reply = ask(&system, 12, "resumable", "Request-Id: new\r\n").await?;
+            let reply = ask(system, 12, "resumable", "Request-Id: new\r\n").await?;
             (reply.status == 200).then_some(())
         })
         .await;
     let mut known = 0;
-    for (id, release) in &begun {
-        let reply = come_back(&system, 12, id).await.unwrap();
+    for (id, release) in begun {
+        let reply = come_back(system, 12, id).await.unwrap();
         assert!([200, 503].contains(&reply.status), "{id}: {reply:?}");
         assert!(releases(&reply).iter().all(|it| it == release), "{id}: {reply:?}");
         known += usize::from(reply.status == 200);
