--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -95,6 +95,12 @@
         self.len() == 0
     }
 
+    /// As much of it as `room` suspects allow: the segments with which the prompt begins. `None` if there is nothing.
+    pub fn fit(mut self, room: usize) -> Option<Self> {
+        self.segments.truncate(room.saturating_sub(usize::from(self.request.is_some())));
+        (!self.is_empty() && self.len() <= room).then_some(self)
+    }
+
     fn suspects(&self) -> impl Iterator<Item = Suspect> {
         let segments = self.segments.iter().cloned().map(Suspect::Segment);
         self.request.map(Suspect::Request).into_iter().chain(segments)
@@ -127,8 +133,10 @@
     fn add(&mut self, prompts: Vec<CrashedPrompt>) -> bool {
         let before = self.prompts.len();
         for prompt in prompts {
-            let has_room = self.len() + prompt.len() <= MAX_SUSPECTS_PER_CRASH;
-            if has_room && !prompt.is_empty() && !self.prompts.contains(&prompt) {
+            let room = MAX_SUSPECTS_PER_CRASH.saturating_sub(self.len());
+            if !self.prompts.contains(&prompt)
+                && let Some(prompt) = prompt.fit(room)
+            {
                 self.suspects.extend(prompt.suspects());
                 self.prompts.push(prompt);
             }
--- a/src/relay/ends.rs
+++ b/src/relay/ends.rs
@@ -58,9 +58,9 @@
 
 impl BrokenServer {
     fn add(&mut self, prompt: CrashedPrompt) {
-        let known: usize = self.prompts.iter().map(CrashedPrompt::len).sum();
-        if known + prompt.len() <= MAX_SUSPECTS_PER_SERVER && !self.prompts.contains(&prompt) {
-            self.prompts.push(prompt);
+        if !self.prompts.contains(&prompt) {
+            let known: usize = self.prompts.iter().map(CrashedPrompt::len).sum();
+            self.prompts.extend(prompt.fit(MAX_SUSPECTS_PER_SERVER.saturating_sub(known)));
         }
     }
 
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -798,3 +798,16 @@
     fleet.replicate();
     assert_eq!(fleet.replicated.keys().collect::<Vec<_>>(), [&segment(POISON)]);
 }
+
+/// Guards against servers that go on crashing under prompts with more segments than are remembered for one crash.
+#[test]
+fn segments_with_which_long_prompts_begin_are_suspected() {
+    let mut fleet = Fleet::new(3);
+    for number in 0..3 {
+        let own = (0x1_0000 * (number + 1)..).take(2_000);
+        let prompt: Vec<_> = [POISON].into_iter().chain(own).collect();
+        fleet.crash_slowly(1, &prompt);
+    }
+    fleet.beat();
+    assert_eq!(fleet.held(), [segment(POISON)]);
+}
