Tests: what a process waits for in place of ending, failing on the code as it is

The users saw processes that end by themselves or do not start (FAULT). These tests start real processes onto full disks, fill disks under running ones (one replica, the leader, half of the group, all), take each of a box's addresses, start a process beside its former one, interrupt a first start, send signals before the settings are read, and cut the settings at each byte.

Each process has ended: exit code 1 at a full disk, a taken address or a file that another process holds, 2 at settings that are being written, 74 after 30 s, or by SIGXFSZ, SIGHUP, SIGUSR1, SIGUSR2 or SIGTERM; settings that were cut were taken for whole ones.

--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -11,6 +11,7 @@
 
 use emberturn_fakes::cluster::binary;
 use emberturn_fakes::proxy::Proxy;
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -28,6 +29,19 @@
 /// Pause between two looks at something that no event tells of.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// How the line of a box's last listener names it.
+fn listening_side(role: &str) -> &'static str {
+    if role == "relay" { "side=relay" } else { "side=operator" }
+}
+
+fn put_config(document: &Value) -> String {
+    let body = document.to_string();
+    let length = body.len();
+    format!(
+        "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+    )
+}
+
 static SYSTEMS: AtomicU8 = AtomicU8::new(1);
 
 /// Fills a template's plain gaps, `{{a.b.0}}`; lists are joined by commas.
@@ -249,6 +263,59 @@
     }
 
     async fn start_process(&mut self, place: u8, role: &'static str, settings: String) {
+        self.spawn(place, &settings, Command::new(binary("emberturn")));
+        self.wait_line(place, 0, &["event=listening", listening_side(role)]).await;
+    }
+
+    /// The settings of a box of this role, as the platform writes them.
+    pub fn settings_text(&self, place: u8, role: &str) -> String {
+        self.settings(self.ip(place), role, &self.folder_of(place))
+    }
+
+    /// Starts a box's process and waits for nothing.
+    pub fn start_only(&mut self, place: u8, role: &'static str) {
+        let text = self.settings(self.ip(place), role, &self.folder_of(place));
+        self.spawn(place, &text, Command::new(binary("emberturn")));
+    }
+
+    /// Starts a box's process that may not write beyond the first bytes of a file, and waits for nothing.
+    pub fn start_on_full_disk(&mut self, place: u8, role: &'static str) {
+        let text = self.settings(self.ip(place), role, &self.folder_of(place));
+        let mut shell = Command::new("sh");
+        shell.args(["-c", "ulimit -S -f 0; exec \"$0\" \"$@\""]).arg(binary("emberturn"));
+        self.spawn(place, &text, shell);
+    }
+
+    /// Has the disk of a box refuse every write beyond this many bytes of a file; `None`: it has room.
+    pub fn limit_files(&self, place: u8, bytes: Option<u64>) {
+        let child = self.boxes[&self.ip(place)].child.as_ref().unwrap();
+        let pid = Pid::from_raw(child.id().unwrap() as i32);
+        prlimit(pid, Resource::Fsize, Rlimit { current: bytes, maximum: None }).unwrap();
+    }
+
+    /// The exit status of a box's process that has ended, by itself or not.
+    pub fn exit_of(&mut self, place: u8) -> Option<std::process::ExitStatus> {
+        let ip = self.ip(place);
+        self.boxes.get_mut(&ip).unwrap().child.as_mut().unwrap().try_wait().unwrap()
+    }
+
+    /// Takes a box's process out of its care: another one may be started at the same place.
+    pub fn take_process(&mut self, place: u8) -> Child {
+        let ip = self.ip(place);
+        self.boxes.get_mut(&ip).unwrap().child.take().unwrap()
+    }
+
+    /// The file that a replica stores everything in.
+    pub fn storage_file(&self, place: u8) -> PathBuf {
+        self.folder_of(place).join("data/group-0.redb")
+    }
+
+    /// An address of a box.
+    pub fn addr(&self, place: u8, side: &str) -> SocketAddr {
+        (self.ip(place), self.ports[side]).into()
+    }
+
+    fn spawn(&mut self, place: u8, settings: &str, mut command: Command) {
         let ip = self.ip(place);
         let folder = self.folder_of(place);
         std::fs::create_dir_all(&folder).unwrap();
@@ -259,7 +326,7 @@
             let (log, count) = (Arc::default(), Arc::new(count));
             SystemBox { folder, child: None, log, lines, count }
         });
-        let mut child = Command::new(binary("emberturn"))
+        let mut child = command
             .arg("node")
             .arg(file)
             .stdout(Stdio::piped())
@@ -276,9 +343,6 @@
             }
         });
         entry.child = Some(child);
-        let side = if role == "relay" { "side=relay" } else { "side=operator" };
-        let from = 0;
-        self.wait_line(place, from, &["event=listening", side]).await;
     }
 
     /// How many lines a box has logged.
@@ -286,6 +350,12 @@
         self.boxes[&self.ip(place)].log.lock().unwrap().len()
     }
 
+    /// The lines of a box's log that hold `part`.
+    pub fn lines(&self, place: u8, part: &str) -> Vec<String> {
+        let log = self.boxes[&self.ip(place)].log.lock().unwrap();
+        log.iter().filter(|line| line.contains(part)).cloned().collect()
+    }
+
     /// How many lines of a box's log hold `part`.
     pub fn count_lines(&self, place: u8, part: &str) -> usize {
         let log = self.boxes[&self.ip(place)].log.lock().unwrap();
@@ -362,13 +432,14 @@
         (reply.status > 0).then_some(reply)
     }
 
+    /// Sends a document to a replica once.
+    pub async fn put_once(&self, place: u8, document: &Value) -> Option<Reply> {
+        self.call(place, "control", &put_config(document)).await
+    }
+
     /// Publishes a document at a replica, again and again until it is taken.
     pub async fn publish(&self, place: u8, document: &Value) {
-        let body = document.to_string();
-        let text = format!(
-            "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
-            body.len()
-        );
+        let text = put_config(document);
         self.until("the document is taken", || async {
             let reply = self.call(place, "control", &text).await?;
             (reply.status == 200).then_some(())
