Tasks: one that panics is started again, and the panic is logged

Cause: what a box does beside requests (heartbeats, the list, paths, load, the leader's duties) ran in tasks that nobody looked after. After a panic the process lived on without that task: a box without heartbeats refuses everything for good, which is worse than one that has ended. A panic was told of on standard error only, not in the log. The class: an end that nobody is told of.

The leader's duties are kept one by one, so that one of them does not start the others twice.

Weighed: ending the process. A cause that stays would end it again and again, on each box alike, with the requests under way.

--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -42,14 +42,19 @@
 /// Number of past windows that a new leader reports again, in case the previous leader did not report them.
 const RECHECKED_WINDOWS: u64 = 3;
 
-/// Runs the leader's tasks until dropped. Each task does nothing while another process is the leader.
-pub(crate) async fn run(node: Arc<Node>, settings: CloudSettings) {
+/// Starts the leader's tasks. Each task does nothing while another process is the leader.
+pub(crate) fn start(node: &Arc<Node>, settings: &CloudSettings) {
     let client = Client::new(node.pool.clone(), settings.addr);
-    tokio::spawn(notes::run(node.clone()));
-    tokio::spawn(rollouts::run(node.clone()));
-    tokio::spawn(poll_list(node.clone(), client.clone(), settings.clone()));
-    tokio::spawn(report_usage(node.clone(), client.clone(), settings.clone()));
-    order_engines(node, client, settings).await;
+    node.keep("notes", |node| notes::run(node.clone()));
+    node.keep("rollouts", |node| rollouts::run(node.clone()));
+    let (own, set) = (client.clone(), settings.clone());
+    node.keep("poll_list", move |node| poll_list(node.clone(), own.clone(), set.clone()));
+    let (own, set) = (client.clone(), settings.clone());
+    node.keep("report_usage", move |node| report_usage(node.clone(), own.clone(), set.clone()));
+    let set = settings.clone();
+    node.keep("order_engines", move |node| {
+        order_engines(node.clone(), client.clone(), set.clone())
+    });
 }
 
 /// A timer that delays its next ticks after a missed one instead of catching up.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -53,20 +53,20 @@
 /// Starts the background tasks that the settings of the node ask for.
 pub(crate) fn start(node: &Arc<Node>) {
     if node.settings.platform.is_some() {
-        tokio::spawn(boxlist::run(node.clone()));
+        node.keep("boxlist", |node| boxlist::run(node.clone()));
     }
     if node.access.local().is_some() {
-        tokio::spawn(document_source::run(node.clone()));
-        tokio::spawn(origins::share(node.clone()));
+        node.keep("document_source", |node| document_source::run(node.clone()));
+        node.keep("share_origins", |node| origins::share(node.clone()));
     }
-    if let (true, Some(cloud)) = (node.access.local().is_some(), node.settings.cloud.clone()) {
-        tokio::spawn(duties::run(node.clone(), cloud));
+    if let (true, Some(cloud)) = (node.access.local().is_some(), &node.settings.cloud) {
+        duties::start(node, cloud);
     }
     if node.settings.has(Role::Entry) {
-        tokio::spawn(wake_waiters(node.clone()));
-        tokio::spawn(load::run(node.clone()));
-        tokio::spawn(share::run(node.clone()));
-        tokio::spawn(work::run(node.clone()));
+        node.keep("wake_waiters", |node| wake_waiters(node.clone()));
+        node.keep("load", |node| load::run(node.clone()));
+        node.keep("share", |node| share::run(node.clone()));
+        node.keep("work", |node| work::run(node.clone()));
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,5 +54,6 @@
 pub mod settings;
 pub mod state;
 pub(crate) mod sync;
+pub mod tasks;
 pub mod telemetry;
 pub mod units;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -41,6 +41,7 @@
 use crate::relay::dialect::Dialect;
 use crate::settings::{Role, Settings, StaleRule};
 use crate::sync::lock;
+use crate::tasks;
 use crate::telemetry::Metrics;
 use crate::units::UnixMillis;
 
@@ -147,11 +148,13 @@
         });
         if node.access.local().is_none() {
             let (board, peers) = (node.board.clone(), node.peers.clone());
-            tokio::spawn(document_fetch::run(node.clone()));
-            tokio::spawn(follow::run(board, peers, directory));
+            node.keep("document_fetch", |node| document_fetch::run(node.clone()));
+            tasks::keep("follow", move || {
+                follow::run(board.clone(), peers.clone(), directory.clone())
+            });
         }
         node.start_joining();
-        tokio::spawn(become_ready(node.clone()));
+        node.keep("become_ready", |node| become_ready(node.clone()));
         Ok(node)
     }
 
@@ -190,6 +193,18 @@
         Ok(())
     }
 
+    /// Keeps a task of this node running.
+    pub(crate) fn keep<F>(
+        self: &Arc<Self>,
+        name: &'static str,
+        start: impl Fn(&Arc<Self>) -> F + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let node = self.clone();
+        tasks::keep(name, move || start(&node));
+    }
+
     /// Takes changed settings, as far as they may change while the node runs: the seeds. The rest
     /// takes effect at the next start.
     pub fn reload(&self, settings: &Settings) {
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -4,21 +4,29 @@
 use std::time::Duration;
 
 use eyre::Result;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 
 use super::Node;
 use crate::backend::Pool;
 use crate::control::{demand, fetch, heartbeat, origins, proxies, throttle};
+use crate::group::access::Access;
 use crate::group::join::Joiner;
+use crate::ids::{BoxId, Incarnation};
 use crate::platform::operator;
 use crate::relay::listen::Listeners;
 use crate::relay::{Relay, RelayContext, ends, lives, reach};
 use crate::settings::Role;
 use crate::state::document::{Document, Version};
+use crate::tasks;
 
 /// How long a connection to a backend server may take to stand. Backend servers are a few
 /// milliseconds away; a first packet that is dropped is sent again only after a second.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 
+/// Begins a task of a relay.
+type RelayTask = fn(Arc<Relay>, Access, BoxId, Incarnation) -> BoxFuture<'static, ()>;
+
 impl Node {
     /// Starts the relay, where the node is one.
     pub(super) async fn start_relay(self: &Arc<Self>) -> Result<()> {
@@ -38,21 +46,31 @@
         }));
         let _ = self.relay.set(relay.clone());
         let listeners = Listeners::open(&relay).await?;
-        tokio::spawn(follow_routes(self.clone()));
-        let box_id = self.settings.node.box_id.clone();
-        tokio::spawn(heartbeat::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
-        tokio::spawn(demand::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
-        tokio::spawn(throttle::run(relay.clone(), self.access.clone(), box_id.clone(), self.life));
-        tokio::spawn(proxies::run(relay.clone(), self.access.clone(), box_id));
-        tokio::spawn(origins::run(relay.clone(), self.access.clone()));
-        tokio::spawn(reach::run(relay.clone()));
-        tokio::spawn(fetch::run(relay.clone(), self.access.clone()));
-        tokio::spawn(lives::run(relay.clone()));
-        tokio::spawn(ends::run(relay.clone()));
+        self.keep_relay_tasks(&relay);
         listeners.serve(&relay);
         Ok(())
     }
 
+    fn keep_relay_tasks(self: &Arc<Self>, relay: &Arc<Relay>) {
+        self.keep("follow_routes", |node| follow_routes(node.clone()));
+        let (id, life) = (self.settings.node.box_id.clone(), self.life);
+        let keep = |name, start: RelayTask| {
+            let (relay, access, id) = (relay.clone(), self.access.clone(), id.clone());
+            tasks::keep(name, move || start(relay.clone(), access.clone(), id.clone(), life));
+        };
+        keep("heartbeat", |relay, access, id, life| {
+            heartbeat::run(relay, access, id, life).boxed()
+        });
+        keep("demand", |relay, access, id, life| demand::run(relay, access, id, life).boxed());
+        keep("throttle", |relay, access, id, life| throttle::run(relay, access, id, life).boxed());
+        keep("proxies", |relay, access, id, _| proxies::run(relay, access, id).boxed());
+        keep("origins", |relay, access, _, _| origins::run(relay, access).boxed());
+        keep("reach", |relay, _, _, _| reach::run(relay).boxed());
+        keep("fetch", |relay, access, _, _| fetch::run(relay, access).boxed());
+        keep("lives", |relay, _, _, _| lives::run(relay).boxed());
+        keep("ends", |relay, _, _, _| ends::run(relay).boxed());
+    }
+
     /// The relay, where the node is one.
     pub(crate) fn relay(&self) -> Option<&Relay> {
         self.relay.get().map(Arc::as_ref)
@@ -85,8 +103,15 @@
 
     /// Has a replica that knows only seeds find its group.
     pub(super) fn start_joining(self: &Arc<Self>) {
-        if let Some(joiner) = self.joiner() {
-            tokio::spawn(joiner.run());
+        if self.joiner().is_some() {
+            self.keep("joiner", |node| {
+                let joiner = node.joiner();
+                async move {
+                    if let Some(joiner) = joiner {
+                        joiner.run().await;
+                    }
+                }
+            });
         }
     }
 
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -4,6 +4,7 @@
 //! reading never holds a request up. When the queue is full, lines are dropped and counted; the count
 //! is a metric, and is logged once lines pass again.
 
+use std::panic::PanicHookInfo;
 use std::sync::OnceLock;
 use std::time::Duration;
 
@@ -41,9 +42,16 @@
         .with(layer.with_writer(writer))
         .try_init()
         .map_err(|error| eyre!("start logging: {error}"))?;
+    std::panic::set_hook(Box::new(log_panic));
     Ok(guard)
 }
 
+fn log_panic(panic: &PanicHookInfo<'_>) {
+    let place = panic.location().map(ToString::to_string).unwrap_or_default();
+    let text = panic.payload_as_str().unwrap_or_default();
+    tracing::error!(event = "panicked", place, text);
+}
+
 /// Lines dropped since the start.
 pub fn dropped() -> usize {
     DROPPED.get().map_or(0, ErrorCounter::dropped_lines)
--- a/tests/imports.rs
+++ b/tests/imports.rs
@@ -11,8 +11,9 @@
 use sources::sources;
 
 /// The folders and files at the top of the sources, the lowest first.
-const FLOORS: [&str; 21] = [
+const FLOORS: [&str; 22] = [
     "sync",
+    "tasks",
     "clock",
     "units",
     "ids",
