Listeners: an address that is taken is waited for

Seen: a box that is started while its former process still drains, or while another process has one of its ports, ended at once with exit code 1 and was started again, 8 to 28 times (real processes).

Cause: a passing state of the surroundings at a start was taken as final.

Change: `http::listen` tries again every 0.1 s and says so (`node_waits`); only an address that the process may not listen on ends it. What is waited for and what ends a process is decided in one table, `obstacle`. A request to stop ends a node that still waits for an address. The listener for metrics ended for good at the first connection that could not be accepted (no descriptors); it goes on now like the others.

Evidence: address_that_is_taken_is_waited_for (7 cases) and relay_started_while_its_former_process_drains_waits_for_its_addresses failed before, pass now.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,6 @@
 //! What every side that answers HTTP/1.1 shares: accepting connections, checking heads, bodies.
 //!
-//! Nothing here knows what is asked. [`server`] runs connections, [`gate`] counts them and says which
+//! Nothing here knows what is asked. [`listen`] opens listeners, [`server`] runs connections, [`gate`] counts them and says which
 //! are to go, [`head`] refuses heads that break the protocol or a limit, [`charged`] charges bytes to
 //! the box's memory, [`channel`] makes bodies that another task writes,
 //! [`close_delimited`] resets connections whose close would complete an answer that broke off.
@@ -11,6 +11,7 @@
 mod close_delimited;
 pub mod gate;
 pub mod head;
+pub mod listen;
 pub mod server;
 pub mod silence;
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -3,14 +3,12 @@
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io;
-use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use eyre::{Result, WrapErr};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
@@ -26,6 +24,7 @@
 use super::Body;
 use super::close_delimited::{CloseDelimited, is_close_delimited};
 use super::gate::{Busy, Gate, Link, Place};
+use super::listen::accept;
 use crate::decide::memory::MemoryClaim;
 
 /// Headers of one request at most.
@@ -40,9 +39,6 @@
 /// Refusals written at the same time at most; callers beyond are cut off.
 const REFUSALS: usize = 64;
 
-/// Pause after a connection could not be accepted, which happens when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Bytes of a refused body that are read at most: the largest that operators usually allow.
 const DRAIN_BYTES: usize = 4 << 20;
 
@@ -69,14 +65,6 @@
     pub write_time: Duration,
 }
 
-/// Listens at an address; `whom` says for whom in errors.
-///
-/// # Errors
-/// When the address cannot be listened on.
-pub async fn listen(addr: SocketAddr, whom: &str) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.wrap_err_with(|| format!("listen for {whom} on {addr}"))
-}
-
 /// Accepts callers until the task is dropped. Once `closing` is true, each connection closes behind
 /// the request it is at. `refusal` is the answer to callers for whom there is no place.
 ///
@@ -93,14 +81,7 @@
 {
     let refusals = Arc::new(Semaphore::new(REFUSALS));
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let _ = stream.set_nodelay(true);
         gate.bound_buffer(&stream);
         match gate.enter() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod ids;
 pub mod member;
 pub mod node;
+pub mod obstacle;
 pub mod peer;
 #[path = "../platform/mod.rs"]
 pub mod platform;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -31,10 +31,12 @@
 use crate::group::access::Access;
 use crate::group::follow;
 use crate::http::gate::Gate;
+use crate::http::listen::listen;
 use crate::http::server;
 use crate::ids::{Incarnation, RequestKey, TeamName, Term};
 use crate::member::spread::GossipMessage;
 use crate::peer::method::{BackendStatus, GroupStatus, NodeStatus};
+use crate::peer::server::PeerServer;
 use crate::peer::{Peers, server as peer_server};
 use crate::platform::PlatformDialect;
 use crate::relay::Relay;
@@ -162,17 +164,35 @@
     /// drains.
     ///
     /// # Errors
-    /// When an address cannot be listened on.
+    /// When the process may not listen on an address.
     pub async fn serve(self: &Arc<Self>) -> Result<()> {
+        tokio::select! {
+            serving = self.start_serving() => {
+                let _peer = serving?;
+                self.stop.notified().await;
+                drain::run(self).await;
+            }
+            () = self.stop.notified() => {
+                tracing::info!(event = "stopped_while_starting");
+                if self.board.requests() > 0 {
+                    drain::run(self).await;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Opens every listener, each as soon as its address is free, and starts what serves behind it.
+    async fn start_serving(self: &Arc<Self>) -> Result<PeerServer> {
         let peer = peer_server::start(self.settings.peer.listen, self.clone()).await?;
         let advertised = self.settings.peer.advertise.unwrap_or(peer.addr);
         let _ = self.peer_addr.set(advertised);
         tracing::info!(event = "listening", side = "peer", addr = %peer.addr);
-        let metrics = crate::telemetry::metrics::listen(self.settings.metrics.listen).await?;
+        let metrics = listen(self.settings.metrics.listen, "metrics").await?;
         tracing::info!(event = "listening", side = "metrics", addr = %metrics.local_addr()?);
         tokio::spawn(crate::telemetry::metrics::run(self.clone(), metrics));
         if self.settings.has(Role::Entry) {
-            let listener = server::listen(self.settings.entry.listen, "callers").await?;
+            let listener = listen(self.settings.entry.listen, "callers").await?;
             let addr = listener.local_addr()?;
             let _ = self.entry_addr.set(self.settings.entry.advertise.unwrap_or(addr));
             tracing::info!(event = "listening", side = "entry", addr = %addr);
@@ -188,9 +208,7 @@
             self.start_spread().await?;
         }
         control::start(self);
-        self.stop.notified().await;
-        drain::run(self).await;
-        Ok(())
+        Ok(peer)
     }
 
     /// Keeps a task of this node running.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -27,6 +27,7 @@
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
+use crate::http::listen::listen;
 use crate::member::spread::{self, Gossip};
 use crate::member::table::MembershipUpdates;
 use crate::node::Node;
@@ -55,20 +56,20 @@
     _handle: ServerHandle,
 }
 
-/// Starts answering at `listen`.
+/// Starts answering at `addr`.
 ///
 /// # Errors
 /// When the address cannot be listened on.
-pub async fn start(listen: SocketAddr, node: Arc<Node>) -> Result<PeerServer> {
+pub async fn start(addr: SocketAddr, node: Arc<Node>) -> Result<PeerServer> {
     let config = ServerConfig::builder()
         .max_connections(CONNECTION_LIMIT)
         .max_request_body_size(MESSAGE_LIMIT)
         .max_response_body_size(MESSAGE_LIMIT)
         .build();
+    let listener = listen(addr, "nodes").await?.into_std()?;
     let server = ServerBuilder::with_config(config)
-        .build(listen)
-        .await
-        .wrap_err_with(|| format!("listen for nodes on {listen}"))?;
+        .build_from_tcp(listener)
+        .wrap_err_with(|| format!("listen for nodes on {addr}"))?;
     let addr = server.local_addr()?;
     let handle = server.start(methods(node)?);
     Ok(PeerServer { addr, _handle: handle })
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -35,6 +35,7 @@
 use crate::decide::memory::{LOWEST_URGENCY, MemoryClaim};
 use crate::decide::paths::Path;
 use crate::http::gate::Gate;
+use crate::http::listen::listen as listen_at;
 use crate::http::server::{self, Limits};
 use crate::http::{Body, whole};
 use crate::telemetry::volume;
@@ -66,10 +67,10 @@
     match TcpListener::bind(addr).await {
         Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
             tracing::warn!(event = "forward_port_taken", %addr);
-            server::listen(SocketAddr::new(addr.ip(), 0), "other boxes").await
+            listen_at(SocketAddr::new(addr.ip(), 0), "other boxes").await
         }
         Ok(listener) => Ok(listener),
-        Err(_) => server::listen(addr, "other boxes").await,
+        Err(_) => listen_at(addr, "other boxes").await,
     }
 }
 
--- a/src/relay/listen.rs
+++ b/src/relay/listen.rs
@@ -17,6 +17,7 @@
 use crate::http::Body;
 use crate::http::answer;
 use crate::http::gate::Gate;
+use crate::http::listen::listen;
 use crate::http::server::{self, Limits};
 use crate::settings::RelaySettings;
 
@@ -68,8 +69,8 @@
     ///
     /// If an address cannot be bound.
     pub async fn open(relay: &Relay) -> Result<Self> {
-        let callers = server::listen(relay.context.settings.listen, "callers").await?;
-        let balancer = server::listen(relay.context.settings.ready, "the balancer").await?;
+        let callers = listen(relay.context.settings.listen, "callers").await?;
+        let balancer = listen(relay.context.settings.ready, "the balancer").await?;
         let boxes = forward::open(relay.context.settings.forward).await?;
         let _ = relay.forward_addr.set(boxes.local_addr()?);
         tracing::info!(event = "listening", side = "relay", addr = %callers.local_addr()?);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,7 +1,6 @@
 //! Metrics by OpenTelemetry, read in the Prometheus text format.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +20,7 @@
 use super::gauges::Gauges;
 use crate::decide::completeness::Framing;
 use crate::decide::sends::{NamedRequest, NotRunProof};
+use crate::http::listen::accept;
 use crate::node::Node;
 
 /// Bounds of the latency histograms, in seconds.
@@ -242,17 +242,10 @@
     KeyValue::new("outcome", outcome.to_owned())
 }
 
-/// Listens for readers of metrics.
-///
-/// # Errors
-/// When the address cannot be listened on.
-pub(crate) async fn listen(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.wrap_err_with(|| format!("listen for metrics on {addr}"))
-}
-
 /// Serves `/metrics` until the task is dropped.
 pub(crate) async fn run(node: Arc<Node>, listener: TcpListener) {
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let stream = accept(&listener).await;
         let node = node.clone();
         let service = service_fn(move |request: Request<hyper::body::Incoming>| {
             let answer = answer(&node, request.uri().path());
--- a/tests/imports.rs
+++ b/tests/imports.rs
@@ -11,13 +11,14 @@
 use sources::sources;
 
 /// The folders and files at the top of the sources, the lowest first.
-const FLOORS: [&str; 22] = [
+const FLOORS: [&str; 23] = [
     "sync",
     "tasks",
     "clock",
     "units",
     "ids",
     "error",
+    "obstacle",
     "state",
     "decide",
     "http",
