Signals are taken before the settings are read

Seen: SIGHUP in the first 2 ms of a process ended it, SIGTERM in the first 5 ms ended it by the signal, SIGUSR1 and SIGUSR2 at any time, and SIGXFSZ at the first write beyond a limit on file size, without a line.

Cause: handlers were set once the settings were read and, for SIGTERM, once the storage was open, which takes as long as the disk does; others had none.

Change: `cmd/signals` takes all of them first. SIGXFSZ, SIGUSR1 and SIGUSR2 are ignored with a line. The settings are read beside, so that a request to stop is obeyed while they are.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 pub mod operator;
 pub mod quarantine;
 pub mod rollout;
+mod signals;
 pub mod status;
 pub mod trace;
 
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -7,12 +7,12 @@
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use eyre::{Result, WrapErr};
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::exit;
 use super::operator::exit_with;
+use super::signals::{Request, Signals};
 use crate::node::Node;
-use crate::settings::Settings;
+use crate::settings::{Settings, SettingsError};
 use crate::telemetry::logs;
 
 /// Time between two looks at whether the settings file has changed.
@@ -46,9 +46,14 @@
 /// Runs a node until SIGTERM or SIGINT, then drains.
 ///
 /// # Errors
-/// When the node cannot start.
+/// When the node cannot start or has failed.
 pub async fn execute(arguments: Arguments) -> Result<ExitCode> {
-    let settings = match Settings::load(&arguments.settings) {
+    let mut signals = Signals::take().wrap_err("take signals")?;
+    let loaded = tokio::select! {
+        loaded = load(&arguments.settings) => loaded,
+        () = signals.stop() => return exit_with(exit::DONE),
+    };
+    let settings = match loaded {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
@@ -62,45 +67,55 @@
         event = "started", version = env!("CARGO_PKG_VERSION"), roles = roles.join("+"),
         box_id = %settings.node.box_id, data_centre = %settings.node.data_centre,
     );
-    // Watched before the node can be seen to run: until then a hangup would end the process.
-    let hangup = signal(SignalKind::hangup()).wrap_err("watch SIGHUP")?;
-    let node = Node::start(settings).await?;
-    tokio::spawn(stop_on_signal(node.clone()));
-    tokio::spawn(reload_on_change(node.clone(), arguments.settings, hangup));
-    node.serve().await?;
+    if let Err(error) = run(settings, signals, arguments.settings).await {
+        tracing::error!(event = "node_failed", error = format!("{error:#}"));
+        return Err(error);
+    }
     tracing::info!(event = "stopped");
     exit_with(exit::DONE)
 }
 
-async fn stop_on_signal(node: Arc<Node>) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("watch SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("watch SIGINT")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    node.stop.notify_one();
-    Ok(())
+async fn run(settings: Settings, signals: Signals, path: PathBuf) -> Result<()> {
+    let node = Node::start(settings).await?;
+    tokio::spawn(follow_requests(node.clone(), signals, path));
+    node.serve().await
+}
+
+/// Reads the settings, beside a task that takes signals.
+async fn load(path: &Path) -> Result<Settings, SettingsError> {
+    let file = path.to_owned();
+    let loading = tokio::task::spawn_blocking(move || Settings::load(&file)).await;
+    loading.unwrap_or_else(|error| Err(SettingsError { faults: vec![error.to_string()] }))
 }
 
-/// Reads the settings again on SIGHUP, and when the file has changed without one.
-async fn reload_on_change(node: Arc<Node>, path: PathBuf, mut hangup: Signal) {
+/// Stops the node, or reads its settings again, when a signal asks for it, and when the file has changed without one.
+async fn follow_requests(node: Arc<Node>, mut signals: Signals, path: PathBuf) {
     let mut held = stamp(&path);
     loop {
         tokio::select! {
-            _ = hangup.recv() => {}
+            request = signals.next() => match request {
+                Request::Stop => node.stop.notify_one(),
+                Request::Reload => {
+                    held = stamp(&path);
+                    reload(&node, &path);
+                }
+            },
             () = tokio::time::sleep(CHANGE_LOOK) => {
-                if stamp(&path) == held {
-                    continue;
+                let now = stamp(&path);
+                if now != held {
+                    held = now;
+                    reload(&node, &path);
                 }
             }
         }
-        held = stamp(&path);
-        match Settings::load(&path) {
-            Ok(settings) => node.reload(&settings),
-            Err(error) => {
-                tracing::error!(event = "settings_refused", faults = error.faults.join("; "));
-            }
+    }
+}
+
+fn reload(node: &Node, path: &Path) {
+    match Settings::load(path) {
+        Ok(settings) => node.reload(&settings),
+        Err(error) => {
+            tracing::error!(event = "settings_refused", faults = error.faults.join("; "));
         }
     }
 }
