Settings: a file that is still being written is waited for

Seen: a node started while its settings were being written ended with exit code 2, or took the part that was there for the whole: what it lacked had its defaults, also the memory limit and the address for callers.

Change: `[node] marks_end` says that the last line is `[end]`; a file without that line is incomplete and read again until it has it. Faults end the process only once the file has not changed for 3 s. Files without the mark are read as before.

Weighed: two equal readings (a writer that pauses passes for one that has finished), a checksum (templates cannot compute one).

--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use eyre::{Result, WrapErr};
@@ -12,12 +12,19 @@
 use super::operator::exit_with;
 use super::signals::{Request, Signals};
 use crate::node::Node;
+use crate::obstacle::{Obstacle, Remedy, Wait};
 use crate::settings::{Settings, SettingsError};
 use crate::telemetry::logs;
 
 /// Time between two looks at whether the settings file has changed.
 const CHANGE_LOOK: Duration = Duration::from_secs(2);
 
+/// Pause between two attempts to read the settings of a node that starts.
+const SETTINGS_PAUSE: Duration = Duration::from_millis(100);
+
+/// How long a file has to stay as it is before its faults count: until then somebody may still write it.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// The arguments.
 #[derive(Debug, Clone)]
 pub struct Arguments {
@@ -50,7 +57,7 @@
 pub async fn execute(arguments: Arguments) -> Result<ExitCode> {
     let mut signals = Signals::take().wrap_err("take signals")?;
     let loaded = tokio::select! {
-        loaded = load(&arguments.settings) => loaded,
+        loaded = load_at_start(&arguments.settings) => loaded,
         () = signals.stop() => return exit_with(exit::DONE),
     };
     let settings = match loaded {
@@ -81,11 +88,36 @@
     node.serve().await
 }
 
-/// Reads the settings, beside a task that takes signals.
-async fn load(path: &Path) -> Result<Settings, SettingsError> {
-    let file = path.to_owned();
-    let loading = tokio::task::spawn_blocking(move || Settings::load(&file)).await;
-    loading.unwrap_or_else(|error| Err(SettingsError { faults: vec![error.to_string()] }))
+/// Reads the settings. A file that lacks its end, or that has faults while it still changes, is read again.
+async fn load_at_start(path: &Path) -> Result<Settings, SettingsError> {
+    let mut wait = Wait::begin(Instant::now());
+    loop {
+        let file = path.to_owned();
+        let loading = tokio::task::spawn_blocking(move || Settings::load(&file));
+        let error = match loading.await {
+            Ok(Ok(settings)) => return Ok(settings),
+            Ok(Err(error)) => error,
+            Err(error) => SettingsError::invalid(vec![error.to_string()]),
+        };
+        if error.obstacle().remedy() == Remedy::End && is_settled(path) {
+            return Err(error);
+        }
+        if wait.is_due(Instant::now()) {
+            eprintln!("emberturn: waiting for the settings ({}): {error}", error.obstacle());
+        }
+        tokio::time::sleep(SETTINGS_PAUSE).await;
+    }
+}
+
+/// Whether the file has stayed as it is for a while.
+fn is_settled(path: &Path) -> bool {
+    let Ok(changed) = std::fs::metadata(path).and_then(|metadata| metadata.modified()) else {
+        return true;
+    };
+    match SystemTime::now().duration_since(changed) {
+        Ok(age) => age >= SETTLE_TIME,
+        Err(ahead) => ahead.duration() >= SETTLE_TIME,
+    }
 }
 
 /// Stops the node, or reads its settings again, when a signal asks for it, and when the file has changed without one.
@@ -115,7 +147,9 @@
     match Settings::load(path) {
         Ok(settings) => node.reload(&settings),
         Err(error) => {
-            tracing::error!(event = "settings_refused", faults = error.faults.join("; "));
+            let obstacle: Obstacle = error.obstacle();
+            let faults = error.faults.join("; ");
+            tracing::error!(event = "settings_refused", %obstacle, faults);
         }
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -133,6 +133,8 @@
     pub roles: Vec<Role>,
     /// Where a replica keeps its files.
     pub data_folder: Option<PathBuf>,
+    /// Whether the last line of the file is `[end]`: one without it is still being written.
+    pub marks_end: bool,
 }
 
 /// How callers are met.
@@ -288,6 +290,9 @@
         let cloud = service::read_cloud(&mut reader);
         let metrics = read_metrics(&mut reader);
         let log = read_log(&mut reader);
+        if node.as_ref().is_some_and(|node| node.marks_end) && !reader.has_end() {
+            return Err(SettingsError::incomplete(name));
+        }
         check_roles(&mut reader, node.as_ref(), &replicas, &group);
         reader.finish()?;
         let node = node.ok_or_else(|| SettingsError::one(name, "section [node] is missing"))?;
@@ -337,8 +342,10 @@
     let data_centre = section.required("data_centre");
     let roles = section.list("roles").unwrap_or_else(|| vec![Role::Entry]);
     let data_folder = section.optional("data_folder");
+    let marks_end = section.value("marks_end", false);
     reader.close(section);
-    Some(NodeSettings { box_id: box_id?, data_centre: data_centre?, roles, data_folder })
+    let (box_id, data_centre) = (box_id?, data_centre?);
+    Some(NodeSettings { box_id, data_centre, roles, data_folder, marks_end })
 }
 
 fn read_entry(reader: &mut Reader) -> EntrySettings {
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -7,22 +7,45 @@
 
 use ini::Ini;
 
+use crate::obstacle::Obstacle;
 use crate::units::{ByteSize, Millis, Number};
 
 /// What some editors put before the first character of a file.
 const BYTE_ORDER_MARK: char = '\u{feff}';
 
+/// The last line of a file whose end is marked.
+const END: &str = "[end]";
+
+/// The section that is that line.
+const END_SECTION: &str = "end";
+
 /// Everything that is wrong with a file.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{}", .faults.join("\n"))]
 pub struct SettingsError {
     /// One sentence a fault, each naming file, section and key.
     pub faults: Vec<String>,
+    /// What is wrong with the file as a whole.
+    obstacle: Obstacle,
 }
 
 impl SettingsError {
+    pub(crate) fn invalid(faults: Vec<String>) -> Self {
+        Self { faults, obstacle: Obstacle::SettingsInvalid }
+    }
+
     pub(crate) fn one(name: &str, text: &str) -> Self {
-        Self { faults: vec![format!("{name}: {text}")] }
+        Self::invalid(vec![format!("{name}: {text}")])
+    }
+
+    pub(crate) fn incomplete(name: &str) -> Self {
+        let faults = vec![format!("{name}: is incomplete: its last line is not {END}")];
+        Self { faults, obstacle: Obstacle::SettingsIncomplete }
+    }
+
+    /// What keeps the node from its settings.
+    pub const fn obstacle(&self) -> Obstacle {
+        self.obstacle
     }
 
     pub(crate) fn unreadable(path: &Path, error: &std::io::Error) -> Self {
@@ -36,6 +59,7 @@
     sections: BTreeMap<String, BTreeMap<String, String>>,
     seen: BTreeSet<String>,
     faults: Vec<String>,
+    has_end: bool,
 }
 
 impl Reader {
@@ -50,7 +74,9 @@
             sections: BTreeMap::new(),
             seen: BTreeSet::new(),
             faults: Vec::new(),
+            has_end: text.trim_end().lines().last() == Some(END),
         };
+        reader.seen.insert(END_SECTION.to_owned());
         for (section, properties) in &ini {
             reader.take_section(section.unwrap_or(""), properties);
         }
@@ -76,6 +102,11 @@
         self.sections.insert(name.to_owned(), keys);
     }
 
+    /// Whether the last line marks the end of the file.
+    pub(crate) const fn has_end(&self) -> bool {
+        self.has_end
+    }
+
     /// Every section's name, in order.
     pub(crate) fn names(&self) -> Vec<String> {
         self.sections.keys().cloned().collect()
@@ -119,7 +150,7 @@
         }
         match self.faults.is_empty() {
             true => Ok(()),
-            false => Err(SettingsError { faults: self.faults }),
+            false => Err(SettingsError::invalid(self.faults)),
         }
     }
 }
