Replicas wait for their disk, at a start and while they run

Seen: a replica that was started while its disk refused writes ended at once, again and again (25 to 29 ends in 8 s), and one whose disk refused writes while it ran ended after 30 s, exit code 74.

Cause: opening the storage wrote and committed before anything else and was tried once; a write was tried for 30 s. Both gave the process up for a state that may pass, while the rule for replicas is to stand still and go on.

Change: the storage is opened, and a batch written, until the disk lets it. `DiskWatch` knows whether the replica waits, `Replica` is the handle that the rest of the process has on it: while it waits nothing is queued for it (messages, ticks and calls would fill the memory), and who asks is refused at once. A leader that waits gives up its duties at once. A write that the library breaks off by a panic counts as refused. Only what an operator has to mend ends the process: corrupt or foreign storage. The metric emberturn_storage_wait_seconds and the lines storage_failed (every 10 s) and storage_back tell of it. A request to stop ends the process though a write hangs.

Weighed: ending after some minutes; waiting before anything listens; waiting in the actor's mailbox (docs/design/26-what-ends-a-process.md).

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -103,7 +103,7 @@
         .enable_all()
         .build()
         .wrap_err("start the runtime")?;
-    runtime.block_on(async {
+    let result = runtime.block_on(async {
         match command {
             Command::Node(arguments) => node::execute(arguments).await,
             Command::Check(arguments) => check::execute(&arguments),
@@ -119,5 +119,8 @@
             Command::Trace(arguments) => trace::execute(arguments).await,
             Command::Ask(arguments) => ask::execute(arguments).await,
         }
-    })
+    });
+    // A write that a disk holds up does not keep the process.
+    runtime.shutdown_background();
+    result
 }
--- a/src/control/publish.rs
+++ b/src/control/publish.rs
@@ -27,7 +27,8 @@
 pub async fn publish(node: &Node, document: Document) -> Result<Version, Failure> {
     let version = document.version;
     if !is_complete(node) {
-        return Err(no_group("the group of replicas is not complete yet"));
+        let text = "this replica knows of no complete group";
+        return Err(no_group(&waiting(node).unwrap_or_else(|| text.to_owned())));
     }
     let packed = tokio::task::spawn_blocking(move || PackedDocument::pack(&document)).await;
     let packed = packed.map_err(|error| Failure::new(Kind::Internal, error.to_string()))?;
@@ -48,6 +49,9 @@
 /// # Errors
 /// [`Kind::NoGroup`] if the group does not answer or this replica does not have the newest document in time.
 pub async fn read(node: &Node) -> Result<Arc<Document>, Failure> {
+    if let Some(text) = waiting(node) {
+        return Err(no_group(&text));
+    }
     let deadline = Instant::now() + READ_TIMEOUT;
     let newest = match node.access.propose(Command::ReadDocument, READ_TIMEOUT).await {
         Ok(Reply::Document(newest)) => newest,
@@ -69,6 +73,12 @@
     voters >= node.settings.group.voters() || node.board.document().version.0 > 0
 }
 
+/// What operators are told while this process's replica waits for its disk, so that what it holds cannot become newer.
+fn waiting(node: &Node) -> Option<String> {
+    let waited = node.access.local()?.disk().waits()?;
+    Some(format!("this replica has waited for its disk for {} ms", waited.as_millis()))
+}
+
 /// The failure of a call that changed nothing because the group is unavailable.
 pub(super) fn no_group(text: &str) -> Failure {
     Failure::new(Kind::NoGroup, text).after(Some(RETRY_AFTER))
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -8,14 +8,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use ractor::ActorRef;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use super::directory::Directory;
-use super::driver::{GroupMessage, Unanswered};
+use super::driver::Unanswered;
 use super::message::MemberChange;
+use super::replica::Replica;
 use crate::control::demand::{DemandReply, DemandRequest};
 use crate::control::heartbeat::{BoxHeartbeat, HeartbeatReply};
 use crate::control::proxies::{ProxyReply, ProxyRequest};
@@ -50,7 +50,7 @@
 #[derive(Clone)]
 pub struct Access {
     own: BoxId,
-    local: Option<ActorRef<GroupMessage>>,
+    local: Option<Replica>,
     peers: Peers,
     directory: Arc<Directory>,
     leader: Arc<Mutex<Option<BoxId>>>,
@@ -62,7 +62,7 @@
     /// A way to the group: through this process where it runs a replica, and over the network.
     pub fn new(
         own: BoxId,
-        local: Option<ActorRef<GroupMessage>>,
+        local: Option<Replica>,
         peers: Peers,
         directory: Arc<Directory>,
     ) -> Self {
@@ -71,7 +71,7 @@
     }
 
     /// This process's replica.
-    pub fn local(&self) -> Option<&ActorRef<GroupMessage>> {
+    pub fn local(&self) -> Option<&Replica> {
         self.local.as_ref()
     }
 
--- a/src/group/disk.rs
+++ b/src/group/disk.rs
@@ -1,41 +1,117 @@
-//! Writes that must be on the disk before anything else happens, tried until they are.
+//! Writes that must be on the disk before anything else happens, tried until they are, and what the rest
+//! of the process knows of a disk that does not take them.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use ractor::ActorProcessingErr;
 
 use super::storage::{Batch, Storage, StorageError};
+use crate::obstacle::{Remedy, Wait};
+use crate::sync::lock;
 
-/// Pause after a write that failed.
-const STORE_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a write, or an attempt to open the storage, that failed.
+pub const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// How long writes may fail before the process ends: whoever runs it is to see that the disk is of no
-/// use. Longer than a disk is full for while somebody makes room.
-const GIVE_UP_TIME: Duration = Duration::from_secs(30);
+/// How long the disk may take for a write before the replica counts as one that waits for it.
+const STALL_TIME: Duration = Duration::from_secs(2);
 
-/// Exit code of a replica whose disk refused writes for that long.
-const STORAGE_FAILED: i32 = 74;
+/// What the disk of this process's replica does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DiskState {
+    /// Nothing is asked of it.
+    Idle,
+    /// It writes, since then.
+    Writing(Instant),
+    /// It refuses.
+    Refusing(Wait),
+}
+
+/// Watches whether the disk does what it is asked. A replica whose disk does not is as one that stands
+/// still: it neither votes nor acknowledges anything, and the others go on without it.
+#[derive(Debug)]
+pub struct DiskWatch {
+    state: Mutex<DiskState>,
+}
+
+impl Default for DiskWatch {
+    fn default() -> Self {
+        Self { state: Mutex::new(DiskState::Idle) }
+    }
+}
+
+impl DiskWatch {
+    /// How long the replica has waited for its disk, if it waits.
+    pub fn waits(&self) -> Option<Duration> {
+        match *lock(&self.state) {
+            DiskState::Idle => None,
+            DiskState::Writing(since) => Some(since.elapsed()).filter(|time| *time > STALL_TIME),
+            DiskState::Refusing(wait) => Some(wait.lasted(Instant::now())),
+        }
+    }
+
+    /// The disk is asked for something.
+    pub fn begin(&self) {
+        let mut state = lock(&self.state);
+        if *state == DiskState::Idle {
+            *state = DiskState::Writing(Instant::now());
+        }
+    }
+
+    /// The disk refused. Returns whether it did not refuse before.
+    pub fn refuse(&self, error: &StorageError) -> bool {
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        let (mut wait, is_first) = match *state {
+            DiskState::Refusing(wait) => (wait, false),
+            DiskState::Idle | DiskState::Writing(_) => (Wait::begin(now), true),
+        };
+        if wait.is_due(now) {
+            let (obstacle, ms) = (error.obstacle(), wait.lasted(now).as_millis() as u64);
+            tracing::error!(event = "storage_failed", %obstacle, %error, ms);
+        }
+        *state = DiskState::Refusing(wait);
+        is_first
+    }
 
-/// Stores a batch. What was said to be stored must be, so nothing else happens until it is: a replica
-/// whose disk is full is as one that stands still, and the others go on without it.
+    /// The disk did what it was asked.
+    pub fn end(&self) {
+        let before = std::mem::replace(&mut *lock(&self.state), DiskState::Idle);
+        if let DiskState::Refusing(wait) = before {
+            let ms = wait.lasted(Instant::now()).as_millis() as u64;
+            tracing::info!(event = "storage_back", ms);
+        }
+    }
+}
+
+/// Stores a batch. What was said to be stored must be, so nothing else happens until it is. `refused` is
+/// called when the disk refuses it for the first time.
 ///
 /// # Errors
-/// When the writing task itself is gone.
-pub(super) async fn store(storage: &Arc<Storage>, batch: Batch) -> Result<(), ActorProcessingErr> {
+/// When the storage can be of no use any more.
+pub(super) async fn store(
+    storage: &Arc<Storage>,
+    batch: Batch,
+    disk: &DiskWatch,
+    refused: impl Fn(),
+) -> Result<(), ActorProcessingErr> {
     if batch.is_empty() {
         return Ok(());
     }
     let batch = Arc::new(batch);
-    let began = Instant::now();
+    disk.begin();
     while let Err(error) = try_store(storage, &batch).await? {
-        let failed_for = began.elapsed();
-        tracing::error!(event = "storage_failed", %error, ms = failed_for.as_millis() as u64);
-        if failed_for > GIVE_UP_TIME {
-            std::process::exit(STORAGE_FAILED);
+        let obstacle = error.obstacle();
+        if obstacle.remedy() == Remedy::End {
+            tracing::error!(event = "storage_lost", %obstacle, %error);
+            return Err(error.into());
         }
-        tokio::time::sleep(STORE_PAUSE).await;
+        if disk.refuse(&error) {
+            refused();
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
+    disk.end();
     Ok(())
 }
 
@@ -43,6 +119,11 @@
     storage: &Arc<Storage>,
     batch: &Arc<Batch>,
 ) -> Result<Result<(), StorageError>, ActorProcessingErr> {
-    let (storage, batch) = (storage.clone(), batch.clone());
-    Ok(tokio::task::spawn_blocking(move || storage.write(&batch)).await?)
+    let (writing, batch) = (storage.clone(), batch.clone());
+    match tokio::task::spawn_blocking(move || writing.write(&batch)).await {
+        Ok(result) => Ok(result),
+        // The database was closed on the way; the next attempt opens it again.
+        Err(error) if error.is_panic() => Ok(Err(storage.interrupted())),
+        Err(error) => Err(error.into()),
+    }
 }
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -11,10 +11,11 @@
 use eyre::{Result, WrapErr};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use serde::{Deserialize, Serialize};
+use tokio::time::MissedTickBehavior;
 
 use super::core::{Core, Identity, Output, Refusal, Role};
 use super::directory::Directory;
-use super::disk;
+use super::disk::{self, DiskWatch};
 use super::links::Links;
 use super::log::Tail;
 use super::message::{Entry, Envelope, MemberChange, Members, Payload, Snapshot};
@@ -115,6 +116,8 @@
     pub board: Arc<Blackboard>,
     /// The start of the core's clock.
     pub epoch: Instant,
+    /// Where it is noted whether the disk does what it is asked.
+    pub disk: Arc<DiskWatch>,
 }
 
 /// The actor.
@@ -130,6 +133,7 @@
     directory: Arc<Directory>,
     board: Arc<Blackboard>,
     epoch: Instant,
+    disk: Arc<DiskWatch>,
     waiting: BTreeMap<Index, Waiter>,
     flushing: bool,
     compacting: bool,
@@ -180,9 +184,18 @@
         myself: ActorRef<GroupMessage>,
         arguments: DriverArguments,
     ) -> Result<DriverState, ActorProcessingErr> {
-        myself.send_interval(TICK, || GroupMessage::Tick);
-        let DriverArguments { identity, storage, core, machine, links, directory, board, epoch } =
-            arguments;
+        let DriverArguments {
+            identity,
+            storage,
+            core,
+            machine,
+            links,
+            directory,
+            board,
+            epoch,
+            disk,
+        } = arguments;
+        tokio::spawn(tick(myself, disk.clone()));
         Ok(DriverState {
             identity,
             storage: Arc::new(storage),
@@ -192,6 +205,7 @@
             directory,
             board,
             epoch,
+            disk,
             waiting: BTreeMap::new(),
             flushing: false,
             compacting: false,
@@ -255,6 +269,18 @@
     }
 }
 
+/// Has the actor look at the clock, but for the time in which it waits for its disk.
+async fn tick(actor: ActorRef<GroupMessage>, disk: Arc<DiskWatch>) {
+    let mut timer = tokio::time::interval(TICK);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        if disk.waits().is_none() && actor.cast(GroupMessage::Tick).is_err() {
+            return;
+        }
+    }
+}
+
 impl DriverState {
     fn propose(&mut self, command: &Command, port: Port<Result<Reply, Unanswered>>) {
         let text = match serde_json::to_string(command) {
@@ -379,7 +405,7 @@
         let install = output.install.clone();
         let batch =
             Batch { hard: output.hard, snapshot: output.install, reset, append: output.append };
-        disk::store(&self.storage, batch).await?;
+        self.store(batch).await?;
         if let Some(last) = last {
             self.core.stored(last);
         }
@@ -495,6 +521,11 @@
             return Ok(());
         };
         tracing::info!(event = "log_compacted", index = %index, bytes = snapshot.data.len());
-        disk::store(&self.storage, Batch { snapshot: Some(snapshot), ..Batch::default() }).await
+        self.store(Batch { snapshot: Some(snapshot), ..Batch::default() }).await
+    }
+
+    /// Stores a batch. A leader that waits for its disk is not known to lead meanwhile.
+    async fn store(&self, batch: Batch) -> Result<(), ActorProcessingErr> {
+        disk::store(&self.storage, batch, &self.disk, || self.board.note_leading(None)).await
     }
 }
--- a/src/group/join.rs
+++ b/src/group/join.rs
@@ -11,13 +11,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ractor::ActorRef;
-use ractor::rpc::CallResult;
 use tokio::time::MissedTickBehavior;
 
 use super::access::Access;
 use super::driver::GroupMessage;
 use super::message::{MemberChange, Members};
+use super::replica::Replica;
 use crate::blackboard::Blackboard;
 use crate::decide::membership::{GroupView, MemberState, Step};
 use crate::ids::{BoxId, Incarnation};
@@ -47,7 +46,7 @@
 /// What the joining needs.
 pub struct Joiner {
     /// This process's replica.
-    pub replica: ActorRef<GroupMessage>,
+    pub replica: Replica,
     /// The way to the group.
     pub access: Access,
     /// Connections to other replicas.
@@ -85,7 +84,7 @@
 
     /// Announces that this replica stops, and waits until a learner has its vote, or no learner can get it.
     pub async fn hand_over(&self) {
-        if self.replica.cast(GroupMessage::AnnounceStop).is_err() {
+        if self.replica.tell(GroupMessage::AnnounceStop).is_err() {
             return;
         }
         let began = Instant::now();
@@ -113,10 +112,7 @@
     }
 
     async fn status(&self) -> Option<GroupStatus> {
-        match self.replica.call(GroupMessage::Status, Some(ACTOR_TIME)).await {
-            Ok(CallResult::Success(status)) => Some(status),
-            _ => None,
-        }
+        self.replica.ask(GroupMessage::Status, ACTOR_TIME).await.ok()
     }
 
     /// Forms the group, or asks to be let into the one there is.
@@ -179,14 +175,14 @@
             return;
         }
         let form = |port| GroupMessage::Form(members.clone(), port);
-        match self.replica.call(form, Some(ACTOR_TIME)).await {
-            Ok(CallResult::Success(Ok(()))) => {
+        match self.replica.ask(form, ACTOR_TIME).await {
+            Ok(Ok(())) => {
                 tracing::info!(event = "group_formed", voters = members.voters.len());
             }
-            Ok(CallResult::Success(Err(reason))) => {
+            Ok(Err(reason)) => {
                 tracing::warn!(event = "group_not_formed", reason);
             }
-            _ => tracing::warn!(event = "group_not_formed", reason = "the replica did not answer"),
+            Err(reason) => tracing::warn!(event = "group_not_formed", %reason),
         }
     }
 
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -7,7 +7,8 @@
 //! - [`log`] is the part of the log held in memory, [`progress`] what a leader knows of its peers.
 //! - [`storage`] keeps the log and the hard state in the data folder, synced before anything that
 //!   depends on it is said.
-//! - [`driver`] is the actor that runs the core over storage and [`links`] to the other replicas.
+//! - [`driver`] is the actor that runs the core over storage and [`links`] to the other replicas;
+//!   [`replica`] is the rest of the process's handle on it, and [`disk`] watches its disk.
 //! - [`access`] is how the rest of a node proposes commands, wherever the leader is; [`follow`] is
 //!   how a node without a disk keeps up with the configuration.
 //!
@@ -18,7 +19,7 @@
 pub mod access;
 pub mod core;
 pub mod directory;
-mod disk;
+pub mod disk;
 pub mod driver;
 pub mod follow;
 pub mod join;
@@ -26,4 +27,5 @@
 pub mod log;
 pub mod message;
 pub mod progress;
+pub mod replica;
 pub mod storage;
--- a/src/group/storage.rs
+++ b/src/group/storage.rs
@@ -4,16 +4,19 @@
 //! it returns. Each value carries a CRC-32 of its own, so that bit rot is found on opening and
 //! refused with a clear error, while a torn last transaction is dropped by the database itself.
 
+use std::fs;
+use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, TableError};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::core::Stored;
 use super::message::{Entry, HardState, Snapshot};
 use crate::ids::{BoxId, Incarnation};
+use crate::obstacle::Obstacle;
 use crate::sync::lock;
 
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
@@ -46,6 +49,12 @@
         /// Which value.
         what: String,
     },
+    /// The library gave up in the middle.
+    #[error("{path}: the write was interrupted")]
+    Interrupted {
+        /// The file.
+        path: PathBuf,
+    },
     /// The file belongs to another box.
     #[error("{path}: belongs to box {owner}")]
     Foreign {
@@ -56,6 +65,24 @@
     },
 }
 
+impl StorageError {
+    /// What keeps the replica from its storage.
+    pub fn obstacle(&self) -> Obstacle {
+        match self {
+            Self::Corrupt { .. } => Obstacle::StorageCorrupt,
+            Self::Foreign { .. } => Obstacle::StorageForeign,
+            Self::Interrupted { .. } => Obstacle::DiskRefuses,
+            Self::Database { source, .. } => match source.as_ref() {
+                redb::Error::Corrupted(_) | redb::Error::UpgradeRequired(_) => {
+                    Obstacle::StorageCorrupt
+                }
+                redb::Error::Io(error) if is_unreadable(error) => Obstacle::StorageCorrupt,
+                _ => Obstacle::DiskRefuses,
+            },
+        }
+    }
+}
+
 /// What one synced write holds.
 #[derive(Debug, Clone, Default)]
 pub struct Batch {
@@ -96,7 +123,7 @@
         box_id: &BoxId,
     ) -> Result<(Self, Stored, Incarnation), StorageError> {
         let path = folder.join(format!("group-{group}.redb"));
-        std::fs::create_dir_all(folder).map_err(|error| io_error(&path, error))?;
+        fs::create_dir_all(folder).map_err(|error| refused(folder, error))?;
         let storage = Self { database: Mutex::new(None), path };
         let life = storage.identify(box_id)?;
         let stored = storage.load()?;
@@ -104,12 +131,12 @@
     }
 
     fn identify(&self, box_id: &BoxId) -> Result<Incarnation, StorageError> {
-        self.create_tables()?;
         let held: Option<(BoxId, Incarnation)> = self.read_meta(IDENTITY)?;
         match held {
             Some((owner, life)) if owner == *box_id => Ok(life),
             Some((owner, _)) => Err(StorageError::Foreign { path: self.path.clone(), owner }),
             None => {
+                self.create_tables()?;
                 let life = Incarnation(rand::random::<u32>().max(1).into());
                 self.write_meta(IDENTITY, &(box_id, life))?;
                 Ok(life)
@@ -220,7 +247,10 @@
     fn read_meta<T: DeserializeOwned>(&self, key: &str) -> Result<Option<T>, StorageError> {
         self.with(|database| {
             let read = database.begin_read().map_err(|error| wrap(&self.path, error))?;
-            let table = read.open_table(META).map_err(|error| wrap(&self.path, error))?;
+            let table = match read.open_table(META) {
+                Err(TableError::TableDoesNotExist(_)) => return Ok(None),
+                table => table.map_err(|error| wrap(&self.path, error))?,
+            };
             let value = table.get(key).map_err(|error| wrap(&self.path, error))?;
             value.map(|value| self.decode(key, value.value())).transpose()
         })
@@ -248,6 +278,10 @@
         serde_json::from_slice(content).map_err(|_| corrupt())
     }
 
+    pub(super) fn interrupted(&self) -> StorageError {
+        StorageError::Interrupted { path: self.path.clone() }
+    }
+
     fn corrupt(&self, what: String) -> StorageError {
         StorageError::Corrupt { path: self.path.clone(), what }
     }
@@ -261,10 +295,16 @@
     bytes
 }
 
+/// Whether the file itself is at fault: it is no database, ends too early, or was removed while it was in use.
+fn is_unreadable(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof | ErrorKind::NotFound)
+}
+
 fn wrap(path: &Path, error: impl Into<redb::Error>) -> StorageError {
     StorageError::Database { path: path.to_owned(), source: Box::new(error.into()) }
 }
 
-fn io_error(path: &Path, error: std::io::Error) -> StorageError {
+/// What the file system refuses before there is a database.
+fn refused(path: &Path, error: io::Error) -> StorageError {
     wrap(path, redb::Error::Io(error))
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -47,6 +47,7 @@
 use crate::telemetry::Metrics;
 use crate::units::UnixMillis;
 
+use replica::{OpeningReplica, ReplicaContext};
 pub use requests::AdmissionGuard;
 
 /// How long an actor of this process may take.
@@ -96,6 +97,7 @@
     /// Told when boxes have reported origins of streams to the leader.
     pub(crate) origins_reported: Notify,
     stop_by: Mutex<Option<Instant>>,
+    failure: Mutex<Option<eyre::Report>>,
     admission: Mutex<Admission>,
     retries: Mutex<RetryBudget>,
     generations: Mutex<HashMap<GenerationKey, Arc<Generation>>>,
@@ -112,10 +114,18 @@
         let board = Arc::new(Blackboard::new(settings.node.box_id.clone()));
         let peers = Peers::new(&settings.peer.secret);
         let directory = Arc::new(settings.directory());
-        let local = match settings.has(Role::Replica) {
-            true => Some(replica::start_replica(&settings, &board, &peers, &directory).await?),
-            false => None,
-        };
+        let mut opening = settings.has(Role::Replica).then(|| {
+            OpeningReplica::begin(ReplicaContext {
+                settings: settings.clone(),
+                board: board.clone(),
+                peers: peers.clone(),
+                directory: directory.clone(),
+            })
+        });
+        if let Some(opening) = &mut opening {
+            opening.wait().await?;
+        }
+        let local = opening.as_ref().map(|it| it.replica.clone());
         let own = settings.node.box_id.clone();
         let access = Access::new(own, local, peers.clone(), directory.clone());
         let dispatch = Dispatcher::new(board.clone(), settings.entry.queue);
@@ -138,6 +148,7 @@
             origins_reported: Notify::new(),
             dialect: Arc::new(PlatformDialect),
             stop_by: Mutex::default(),
+            failure: Mutex::default(),
             admission: Mutex::default(),
             retries: Mutex::default(),
             generations: Mutex::default(),
@@ -155,6 +166,9 @@
                 follow::run(board.clone(), peers.clone(), directory.clone())
             });
         }
+        if let Some(opening) = opening {
+            opening.watch(&node);
+        }
         node.start_joining();
         node.keep("become_ready", |node| become_ready(node.clone()));
         Ok(node)
@@ -164,7 +178,7 @@
     /// drains.
     ///
     /// # Errors
-    /// When the process may not listen on an address.
+    /// When the process may not listen on an address, or the node has failed.
     pub async fn serve(self: &Arc<Self>) -> Result<()> {
         tokio::select! {
             serving = self.start_serving() => {
@@ -179,7 +193,25 @@
                 }
             }
         }
-        Ok(())
+        lock(&self.failure).take().map_or(Ok(()), Err)
+    }
+
+    /// Keeps a task of this node running.
+    pub(crate) fn keep<F>(
+        self: &Arc<Self>,
+        name: &'static str,
+        start: impl Fn(&Arc<Self>) -> F + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let node = self.clone();
+        tasks::keep(name, move || start(&node));
+    }
+
+    /// Has the node stop and end with this failure.
+    pub(crate) fn fail(&self, failure: eyre::Report) {
+        lock(&self.failure).get_or_insert(failure);
+        self.stop.notify_one();
     }
 
     /// Opens every listener, each as soon as its address is free, and starts what serves behind it.
@@ -211,18 +243,6 @@
         Ok(peer)
     }
 
-    /// Keeps a task of this node running.
-    pub(crate) fn keep<F>(
-        self: &Arc<Self>,
-        name: &'static str,
-        start: impl Fn(&Arc<Self>) -> F + Send + 'static,
-    ) where
-        F: Future<Output = ()> + Send + 'static,
-    {
-        let node = self.clone();
-        tasks::keep(name, move || start(&node));
-    }
-
     /// Takes changed settings, as far as they may change while the node runs: the seeds. The rest
     /// takes effect at the next start.
     pub fn reload(&self, settings: &Settings) {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -9,7 +9,6 @@
 use jsonrpsee::server::{ServerBuilder, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::{Extensions, RpcModule};
-use ractor::ActorRef;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -27,6 +26,7 @@
 use crate::entry::hand_over;
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
+use crate::group::replica::Replica;
 use crate::http::listen::listen;
 use crate::member::spread::{self, Gossip};
 use crate::member::table::MembershipUpdates;
@@ -137,7 +137,7 @@
     ErrorObjectOwned::owned(REFUSED, text, None::<()>)
 }
 
-fn replica(node: &Node) -> Result<&ActorRef<GroupMessage>, String> {
+fn replica(node: &Node) -> Result<&Replica, String> {
     node.access.local().ok_or_else(|| "this node is no replica".to_owned())
 }
 
@@ -149,18 +149,11 @@
 where
     R: Send + 'static,
 {
-    use ractor::rpc::CallResult;
-    let answer = replica(node)?.call(message, Some(ACTOR_TIME)).await;
-    match answer {
-        Ok(CallResult::Success(reply)) => Ok(reply),
-        Ok(CallResult::Timeout) => Err("the replica did not answer in time".to_owned()),
-        Ok(CallResult::SenderError) => Err("the replica dropped the question".to_owned()),
-        Err(error) => Err(format!("the replica is gone: {error}")),
-    }
+    replica(node)?.ask(message, ACTOR_TIME).await.map_err(|error| error.to_string())
 }
 
 async fn step(node: Arc<Node>, envelopes: Vec<Envelope>) -> Result<(), String> {
-    let sent = replica(&node)?.cast(GroupMessage::Step(envelopes));
+    let sent = replica(&node)?.tell(GroupMessage::Step(envelopes));
     sent.map_err(|error| error.to_string())
 }
 
--- a/src/telemetry/gauges.rs
+++ b/src/telemetry/gauges.rs
@@ -20,6 +20,7 @@
     newest: Gauge<u64>,
     behind: Gauge<u64>,
     leading: Gauge<u64>,
+    storage_wait: Gauge<f64>,
     voters: Gauge<u64>,
     tolerated_losses: Gauge<u64>,
     requests: Gauge<u64>,
@@ -61,6 +62,10 @@
             newest: count("emberturn_document_newest", "Newest version that this node was told of"),
             behind: count("emberturn_boxes_behind", "At the leader: boxes with an older document"),
             leading: count("emberturn_leading_term", "Term this replica leads in; 0: it does not"),
+            storage_wait: meter
+                .f64_gauge("emberturn_storage_wait_seconds")
+                .with_description("How long this replica has waited for its disk; 0: it does not")
+                .build(),
             voters: count("emberturn_voters", "Voters of the group, as this replica knows them"),
             tolerated_losses: count(
                 "emberturn_tolerated_losses",
@@ -125,6 +130,10 @@
             self.behind.record(behind as u64, &[]);
         }
         self.leading.record(board.leading().map_or(0, |term| term.0), &[]);
+        if let Some(replica) = node.access.local() {
+            let waited = replica.disk().waits().unwrap_or_default();
+            self.storage_wait.record(waited.as_secs_f64(), &[]);
+        }
         self.voters.record(board.voters() as u64, &[]);
         if let Some(losses) = board.tolerated_losses() {
             self.tolerated_losses.record(losses as u64, &[]);
