Storage: a first start that was interrupted leaves no file that cannot be opened

Seen: a process that ended, or whose disk refused a write, between setting the length of a new database file and writing its header left a file that no later start could open (`magic number mismatch`, exit code 1 at each start, with room too): that replica never started.

Cause: the file had its final name before it was complete.

Change: it is created under another name with its tables and its identity, and renamed behind that; the folder is synced. Opening a file that is complete no longer writes first. A file that was removed while it was in use ends the replica, as an empty one in its place would hold no votes; it was created anew before, without an identity.

--- a/src/group/storage.rs
+++ b/src/group/storage.rs
@@ -3,9 +3,12 @@
 //! One embedded database file, `group-N.redb`. Every write is one transaction that is synced before
 //! it returns. Each value carries a CRC-32 of its own, so that bit rot is found on opening and
 //! refused with a clear error, while a torn last transaction is dropped by the database itself.
+//!
+//! A new file is made under another name and gets its own once it is complete: a process that ends, or a
+//! disk that refuses writes, before that leaves nothing behind that cannot be opened.
 
-use std::fs;
-use std::io::{self, ErrorKind};
+use std::fs::{self, File};
+use std::io::{self, ErrorKind, Read};
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 
@@ -28,6 +31,9 @@
 
 const CHECKSUM_BYTES: usize = 4;
 
+/// Bytes at the start of a database file that are written last when it is created.
+const MAGIC_BYTES: usize = 9;
+
 /// Why the data folder cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum StorageError {
@@ -124,6 +130,9 @@
     ) -> Result<(Self, Stored, Incarnation), StorageError> {
         let path = folder.join(format!("group-{group}.redb"));
         fs::create_dir_all(folder).map_err(|error| refused(folder, error))?;
+        if !is_complete(&path).map_err(|error| refused(&path, error))? {
+            create(folder, &path, box_id)?;
+        }
         let storage = Self { database: Mutex::new(None), path };
         let life = storage.identify(box_id)?;
         let stored = storage.load()?;
@@ -152,7 +161,7 @@
         let mut held = lock(&self.database);
         let database = match held.take() {
             Some(database) => database,
-            None => Database::create(&self.path).map_err(|error| wrap(&self.path, error))?,
+            None => Database::open(&self.path).map_err(|error| wrap(&self.path, error))?,
         };
         let result = f(&database);
         if result.is_ok() {
@@ -300,6 +309,37 @@
     matches!(error.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof | ErrorKind::NotFound)
 }
 
+/// Whether the file exists and its creation came to its end.
+fn is_complete(path: &Path) -> io::Result<bool> {
+    let mut magic = Vec::with_capacity(MAGIC_BYTES);
+    match File::open(path) {
+        Ok(file) => file.take(MAGIC_BYTES as u64).read_to_end(&mut magic)?,
+        Err(error) if error.kind() == ErrorKind::NotFound => return Ok(false),
+        Err(error) => return Err(error),
+    };
+    let is_complete = magic.iter().any(|byte| *byte != 0);
+    if !is_complete {
+        tracing::warn!(event = "storage_incomplete", path = %path.display());
+    }
+    Ok(is_complete)
+}
+
+/// Creates the file with its tables and a new life.
+fn create(folder: &Path, path: &Path, box_id: &BoxId) -> Result<(), StorageError> {
+    let draft = path.with_extension("new");
+    match fs::remove_file(&draft) {
+        Err(error) if error.kind() != ErrorKind::NotFound => return Err(refused(&draft, error)),
+        _ => {}
+    }
+    let database = Database::create(&draft).map_err(|error| wrap(&draft, error))?;
+    let storage = Storage { database: Mutex::new(Some(database)), path: draft };
+    storage.identify(box_id)?;
+    let Storage { database, path: draft } = storage;
+    drop(database);
+    let renamed = fs::rename(&draft, path).and_then(|()| File::open(folder)?.sync_all());
+    renamed.map_err(|error| refused(path, error))
+}
+
 fn wrap(path: &Path, error: impl Into<redb::Error>) -> StorageError {
     StorageError::Database { path: path.to_owned(), source: Box::new(error.into()) }
 }
