Example and logs: the replica's handle, a panic's text on older toolchains

The quickstart asked the replica's actor itself; it goes through the handle now. `payload_as_str` is newer than the toolchain that the project names.

--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -23,6 +23,9 @@
 
 const KEY: &str = "quickstart-key";
 
+/// How long the replica may take to answer.
+const CALL_TIME: Duration = Duration::from_secs(5);
+
 #[tokio::main]
 async fn main() -> Result<()> {
     let folder = tempfile::tempdir()?;
@@ -87,9 +90,11 @@
 /// Makes a group of this one replica.
 async fn form_alone(node: &Node) -> Result<()> {
     let replica = node.access.local().ok_or_else(|| eyre!("the node is no replica"))?;
-    let status: GroupStatus = ractor::call!(replica, GroupMessage::Status)?;
+    replica.opened().await;
+    let status: GroupStatus = replica.ask(GroupMessage::Status, CALL_TIME).await?;
     let mut members = Members::default();
     members.voters.insert(status.box_id, status.life);
-    let formed = ractor::call!(replica, |port| GroupMessage::Form(members, port))?;
+    let form = |port| GroupMessage::Form(members, port);
+    let formed = replica.ask(form, CALL_TIME).await?;
     formed.map_err(|text| eyre!(text))
 }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -46,9 +46,12 @@
     Ok(guard)
 }
 
+/// Logs a panic with its place, in place of the lines on standard error.
 fn log_panic(panic: &PanicHookInfo<'_>) {
     let place = panic.location().map(ToString::to_string).unwrap_or_default();
-    let text = panic.payload_as_str().unwrap_or_default();
+    let payload = panic.payload();
+    let text = payload.downcast_ref::<String>().map(String::as_str);
+    let text = text.or_else(|| payload.downcast_ref::<&str>().copied()).unwrap_or_default();
     tracing::error!(event = "panicked", place, text);
 }
 
