--- a/tests/own_ends.rs
+++ b/tests/own_ends.rs
@@ -14,6 +14,8 @@
 use emberturn::settings::Settings;
 use emberturn_fakes::cluster::binary;
 use platform::{PATIENCE, document, usual_routes};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rustix::fs::Mode;
 use system::System;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
@@ -377,3 +379,130 @@
         }
     }
 }
+
+/// What happens to one replica for a while.
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    /// Its disk refuses writes.
+    FullDisk,
+    /// It is killed and started again.
+    Kill,
+    /// It is killed, and started again onto a disk that refuses writes.
+    KillOntoFullDisk,
+    /// It is killed, and started again while one of its addresses is taken.
+    KillOntoTakenAddress,
+    /// It gets signals in a row.
+    Signals,
+}
+
+const TROUBLES: [Trouble; 5] = [
+    Trouble::FullDisk,
+    Trouble::Kill,
+    Trouble::KillOntoFullDisk,
+    Trouble::KillOntoTakenAddress,
+    Trouble::Signals,
+];
+
+/// Lets troubles come over the replicas, several at a time, while an operator publishes.
+struct Soak {
+    system: System,
+    rng: StdRng,
+    /// The newest version that was acknowledged.
+    held: u64,
+    taken: Vec<TcpListener>,
+}
+
+impl Soak {
+    async fn strike(&mut self) {
+        let place = self.rng.random_range(1..=REPLICAS);
+        let trouble = TROUBLES[self.rng.random_range(0..TROUBLES.len())];
+        self.check(place);
+        match trouble {
+            Trouble::FullDisk => self.system.limit_files(place, Some(1)),
+            Trouble::Kill => {
+                self.system.kill(place).await;
+                self.system.start_only(place, "replica");
+            }
+            Trouble::KillOntoFullDisk => {
+                self.system.kill(place).await;
+                self.system.start_on_full_disk(place, "replica");
+            }
+            Trouble::KillOntoTakenAddress => {
+                self.system.kill(place).await;
+                let side = ["peer", "control", "metrics"][self.rng.random_range(0..3)];
+                let taken = TcpListener::bind(self.system.addr(place, side)).await;
+                self.taken.extend(taken.ok());
+                self.system.start_only(place, "replica");
+            }
+            Trouble::Signals => {
+                for signal in ["HUP", "USR1", "XFSZ", "USR2", "HUP"] {
+                    // Until its first line a process has no handlers.
+                    self.system.wait_line(place, 0, &["event=started"]).await;
+                    self.system.signal(place, signal);
+                }
+            }
+        }
+    }
+
+    /// No process has ended by itself.
+    fn check(&mut self, place: u8) {
+        let exit = self.system.exit_of(place);
+        assert!(exit.is_none(), "replica {place} has ended by itself: {exit:?}");
+    }
+
+    /// Sends the next version to a replica; it may be acknowledged or not.
+    async fn publish(&mut self, version: u64) {
+        let place = self.rng.random_range(1..=REPLICAS);
+        let document = document(version, &usual_routes());
+        let reply = self.system.put_once(place, &document).await;
+        if reply.is_some_and(|reply| reply.status == 200) {
+            self.held = version;
+        }
+    }
+
+    async fn relieve(&mut self) {
+        self.taken.clear();
+        for place in 1..=REPLICAS {
+            self.check(place);
+            self.system.limit_files(place, None);
+        }
+    }
+}
+
+async fn soak(seed: u64) {
+    let system = System::start(0).await;
+    system.publish(1, &document(1, &usual_routes())).await;
+    let rng = StdRng::seed_from_u64(seed);
+    let mut soak = Soak { system, rng, held: 1, taken: Vec::new() };
+    for round in 0..4 {
+        for step in 0..3 {
+            soak.strike().await;
+            soak.publish(2 + round * 3 + step).await;
+        }
+        soak.relieve().await;
+    }
+    // What was acknowledged is still there once everything has passed.
+    let newest = soak.system.read(1).await["version"].as_u64().unwrap();
+    assert!(newest >= soak.held, "{newest} is read, {} was acknowledged", soak.held);
+    soak.system.publish(1, &document(100, &usual_routes())).await;
+    for place in 1..=REPLICAS {
+        soak.check(place);
+        assert_eq!(soak.system.read(place).await["version"], 100);
+    }
+}
+
+#[parameterized(seed_1 = { 1 }, seed_2 = { 2 })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn no_process_ends_by_itself_whatever_comes_together(seed: u64) {
+    soak(seed).await;
+}
+
+/// More seeds by hand: `EMBERTURN_SEEDS=50 cargo test --test own_ends further_seeds`.
+#[test]
+fn no_process_ends_by_itself_in_further_seeds() {
+    let last = std::env::var("EMBERTURN_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 3..=last.unwrap_or(2) {
+        println!("seed {seed}");
+        platform::run(soak(seed));
+    }
+}
