--- a/src/group/disk.rs
+++ b/src/group/disk.rs
@@ -17,9 +17,10 @@
 const STALL_TIME: Duration = Duration::from_secs(2);
 
 /// What the disk of this process's replica does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum DiskState {
     /// Nothing is asked of it.
+    #[default]
     Idle,
     /// It writes, since then.
     Writing(Instant),
@@ -29,17 +30,11 @@
 
 /// Watches whether the disk does what it is asked. A replica whose disk does not is as one that stands
 /// still: it neither votes nor acknowledges anything, and the others go on without it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct DiskWatch {
     state: Mutex<DiskState>,
 }
 
-impl Default for DiskWatch {
-    fn default() -> Self {
-        Self { state: Mutex::new(DiskState::Idle) }
-    }
-}
-
 impl DiskWatch {
     /// How long the replica has waited for its disk, if it waits.
     pub fn waits(&self) -> Option<Duration> {
--- a/tests/own_ends.rs
+++ b/tests/own_ends.rs
@@ -410,6 +410,8 @@
     /// The newest version that was acknowledged.
     held: u64,
     taken: Vec<TcpListener>,
+    /// The line of each replica's log behind which its present process writes.
+    starts: [usize; REPLICAS as usize],
 }
 
 impl Soak {
@@ -420,30 +422,36 @@
         match trouble {
             Trouble::FullDisk => self.system.limit_files(place, Some(1)),
             Trouble::Kill => {
-                self.system.kill(place).await;
+                self.kill(place).await;
                 self.system.start_only(place, "replica");
             }
             Trouble::KillOntoFullDisk => {
-                self.system.kill(place).await;
+                self.kill(place).await;
                 self.system.start_on_full_disk(place, "replica");
             }
             Trouble::KillOntoTakenAddress => {
-                self.system.kill(place).await;
+                self.kill(place).await;
                 let side = ["peer", "control", "metrics"][self.rng.random_range(0..3)];
                 let taken = TcpListener::bind(self.system.addr(place, side)).await;
                 self.taken.extend(taken.ok());
                 self.system.start_only(place, "replica");
             }
             Trouble::Signals => {
+                // Until its first line a process has no handlers.
+                let from = self.starts[usize::from(place - 1)];
+                self.system.wait_line(place, from, &["event=started"]).await;
                 for signal in ["HUP", "USR1", "XFSZ", "USR2", "HUP"] {
-                    // Until its first line a process has no handlers.
-                    self.system.wait_line(place, 0, &["event=started"]).await;
                     self.system.signal(place, signal);
                 }
             }
         }
     }
 
+    async fn kill(&mut self, place: u8) {
+        self.system.kill(place).await;
+        self.starts[usize::from(place - 1)] = self.system.logged(place);
+    }
+
     /// No process has ended by itself.
     fn check(&mut self, place: u8) {
         let exit = self.system.exit_of(place);
@@ -473,7 +481,7 @@
     let system = System::start(0).await;
     system.publish(1, &document(1, &usual_routes())).await;
     let rng = StdRng::seed_from_u64(seed);
-    let mut soak = Soak { system, rng, held: 1, taken: Vec::new() };
+    let mut soak = Soak { system, rng, held: 1, taken: Vec::new(), starts: [0; REPLICAS as usize] };
     for round in 0..4 {
         for step in 0..3 {
             soak.strike().await;
