--- a/tests/own_ends.rs
+++ b/tests/own_ends.rs
@@ -428,6 +428,8 @@
             Trouble::KillOntoFullDisk => {
                 self.kill(place).await;
                 self.system.start_on_full_disk(place, "replica");
+                // The limit is in place once the program runs.
+                self.wait_started(place).await;
             }
             Trouble::KillOntoTakenAddress => {
                 self.kill(place).await;
@@ -438,8 +440,7 @@
             }
             Trouble::Signals => {
                 // Until its first line a process has no handlers.
-                let from = self.starts[usize::from(place - 1)];
-                self.system.wait_line(place, from, &["event=started"]).await;
+                self.wait_started(place).await;
                 for signal in ["HUP", "USR1", "XFSZ", "USR2", "HUP"] {
                     self.system.signal(place, signal);
                 }
@@ -452,6 +453,11 @@
         self.starts[usize::from(place - 1)] = self.system.logged(place);
     }
 
+    async fn wait_started(&self, place: u8) {
+        let from = self.starts[usize::from(place - 1)];
+        self.system.wait_line(place, from, &["event=started"]).await;
+    }
+
     /// No process has ended by itself.
     fn check(&mut self, place: u8) {
         let exit = self.system.exit_of(place);
