Server list: a box takes parts by their servers, not by their number

Callers: none known to be harmed.

Cause: the servers that a box should know nearby, in its region and elsewhere were worked out as a number of parts of each data centre, rounded up. Parts have between few and some thirty servers: 10 small parts nearby had 104 servers for the 128 wanted, and 1.0005 parts of each of five far data centres became 2, 137 servers for the 64 wanted.

Now parts are taken by affinity until they have the wanted servers of their data centre. So a box holds at least what the design says, near and in all.

Tests: parts_to_take is gone, and with it the assertion that it asks for no more parts than there are; parts_that_a_box_takes_have_the_wanted_servers has that and more: enough servers, and no part that is not needed. select_parts takes sizes; its own test has parts of one server each.

--- a/src/decide/subset.rs
+++ b/src/decide/subset.rs
@@ -62,20 +62,37 @@
     servers_per_reach
 }
 
-/// How many of a data centre's `parts` parts a box takes, so that it knows `wanted` of the `there`
-/// servers at that reach.
-pub fn parts_to_take(parts: usize, wanted: usize, existing: usize) -> usize {
-    (parts * wanted).div_ceil(existing.max(1)).min(parts)
+/// How many of a data centre's `local` servers a box takes, so that it knows `wanted` of the `existing` servers at that
+/// reach.
+pub fn servers_to_take(local: usize, wanted: usize, existing: usize) -> usize {
+    (local * wanted).div_ceil(existing.max(1)).min(local)
 }
 
-/// The indices of the `count` parts with the highest affinity to a box. `parts` are the hashes of
-/// the part ids.
-pub fn select_parts(box_hash: u64, parts: &[u64], count: usize) -> Vec<usize> {
+/// A part of one data centre's servers, as a box chooses among them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartSize {
+    /// The hash of the part's id.
+    pub id_hash: u64,
+    /// The number of its servers.
+    pub servers: usize,
+}
+
+/// The indices of the parts with the highest affinity to a box that together have `wanted` servers, or of all of them.
+/// Parts differ in size, so a number of parts would say little about the number of servers.
+pub fn select_parts(box_hash: u64, parts: &[PartSize], wanted: usize) -> Vec<usize> {
     let mut indices: Vec<_> = (0..parts.len()).collect();
-    if count < parts.len() {
-        indices.sort_unstable_by_key(|index| std::cmp::Reverse(affinity(parts[*index], box_hash)));
-        indices.truncate(count);
-        indices.sort_unstable();
+    if wanted >= parts.iter().map(|part| part.servers).sum() {
+        return indices;
     }
     indices
+        .sort_unstable_by_key(|index| std::cmp::Reverse(affinity(parts[*index].id_hash, box_hash)));
+    let mut missing = wanted;
+    let taken = indices.iter().take_while(|index| {
+        let is_needed = missing > 0;
+        missing = missing.saturating_sub(parts[**index].servers);
+        is_needed
+    });
+    let mut taken: Vec<_> = taken.copied().collect();
+    taken.sort_unstable();
+    taken
 }
--- a/src/relay/list_registry.rs
+++ b/src/relay/list_registry.rs
@@ -13,7 +13,7 @@
 use super::listing::{Listing, UnreadableEntry};
 use crate::decide::lives::{IncarnationSource, IncarnationUpdate, ServerIncarnation, Timestamp};
 use crate::decide::subset::{
-    SUBSET_SIZE, part_bits, part_prefix, parts_to_take, select_parts, servers_per_reach,
+    PartSize, SUBSET_SIZE, part_bits, part_prefix, select_parts, servers_per_reach, servers_to_take,
 };
 use crate::decide::topology::{Reach, Topology};
 use crate::ids::{BackendId, BoxId, DataCentre, Region, Release, ServerKey, ServiceName, Term};
@@ -50,6 +50,10 @@
         Self { content_hash, id_hash, servers, packed: OnceLock::new() }
     }
 
+    fn size(&self) -> PartSize {
+        PartSize { id_hash: self.id_hash, servers: self.servers.len() }
+    }
+
     /// The encoded part. The encoding is shared, since hundreds of boxes ask for the same part when
     /// the list changes.
     fn pack(&self, id: &PartId) -> Arc<str> {
@@ -318,8 +322,9 @@
                 }
                 _ => (SUBSET_SIZE, self.counts.get(service).copied().unwrap_or(0)),
             };
-            let hashes: Vec<_> = group.iter().map(|(_, part)| part.id_hash).collect();
-            let indices = select_parts(hash, &hashes, parts_to_take(group.len(), wanted, existing));
+            let sizes: Vec<_> = group.iter().map(|(_, part)| part.size()).collect();
+            let local = sizes.iter().map(|part| part.servers).sum();
+            let indices = select_parts(hash, &sizes, servers_to_take(local, wanted, existing));
             taken.extend(
                 indices
                     .into_iter()
--- a/tests/server_list.rs
+++ b/tests/server_list.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use emberturn::decide::subset::{
-    SUBSET_SIZE, part_bits, parts_to_take, select_parts, servers_per_reach,
+    PartSize, SUBSET_SIZE, part_bits, select_parts, servers_per_reach, servers_to_take,
 };
 use emberturn::ids::{BackendId, BoxId, DataCentre, Region, Term};
 use emberturn::peer::packed::Packed;
@@ -206,7 +206,26 @@
             prop_assert_eq!(part_bits(count, moved), moved);
             prop_assert_eq!(part_bits(next, moved), moved);
         }
-        prop_assert!(parts_to_take(1 << bits, SUBSET_SIZE, count) <= 1 << bits);
+    }
+
+    /// A box takes the wanted number of servers or all there are, and no part more than that needs.
+    #[test]
+    fn parts_that_a_box_takes_have_the_wanted_servers(
+        sizes in prop::collection::vec((any::<u64>(), 1_usize..40), 0..64),
+        box_hash in any::<u64>(),
+        (wanted, existing) in (0_usize..300, 0_usize..5_000),
+    ) {
+        let parts: Vec<_> =
+            sizes.iter().map(|(id_hash, servers)| PartSize { id_hash: *id_hash, servers: *servers }).collect();
+        let local: usize = parts.iter().map(|part| part.servers).sum();
+        let wanted = servers_to_take(local, wanted, existing.max(local));
+        prop_assert!(wanted <= local);
+        let taken = select_parts(box_hash, &parts, wanted);
+        let held: usize = taken.iter().map(|place| parts[*place].servers).sum();
+        prop_assert!(taken.windows(2).all(|pair| pair[0] < pair[1]) && taken.len() <= parts.len());
+        prop_assert!(held >= wanted);
+        let largest = taken.iter().map(|place| parts[*place].servers).max().unwrap_or(0);
+        prop_assert!(held < wanted + largest.max(1), "{held} of {wanted}");
     }
 }
 
@@ -388,7 +407,8 @@
 
 #[test]
 fn parts_that_a_box_takes_are_its_own_and_stay_when_others_come() {
-    let parts: Vec<u64> = (0..64).map(|it: u64| it.wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect();
+    let part = |it: u64| PartSize { id_hash: it.wrapping_mul(0x9e37_79b9_7f4a_7c15), servers: 1 };
+    let parts: Vec<_> = (0..64).map(part).collect();
     let some = select_parts(1, &parts, 8);
     assert_eq!(some.len(), 8);
     assert_ne!(some, select_parts(2, &parts, 8));
