Notes: the note of a low team does not wait behind other notes

Trace of the first, ms after the new leader began: noted engines 288, request 414, noted low_teams=1 551, allowance_refused waited_ms=151 565. The other run: 158, 290, 461, 445.

Cause: after each note the leader paused 250 ms before the next, whatever it was. Requests wait 150 ms for the note that their team may be low; a note of engine models, which only the next leader reads, held it back.

Now each kind has its own pace (decide/note_pace): low teams are still noted at most four times a second. While a note waits, the leader checks each 10 ms.

limits::note_of_a_low_team_does_not_wait_for_another_note tests the pace, which did not exist before.

Left: a box asks at 0, 10, 30 and 70 ms of its 150, so a note that takes longer than 70 ms still comes too late.

--- a/src/control/notes.rs
+++ b/src/control/notes.rs
@@ -8,6 +8,7 @@
 use super::duties::PROPOSE_TIMEOUT;
 use super::lead::{LeaderState, load_route_table, tolerance};
 use crate::decide::hazard::OutageHistory;
+use crate::decide::note_pace::{NoteKind, NotePace};
 use crate::decide::token_bucket::{ReserveNote, Tolerance};
 use crate::ids::{ServiceName, TeamName};
 use crate::node::Node;
@@ -18,27 +19,32 @@
 /// Maximum time between two checks for notes to store.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Minimum time between two notes. Each is a synced entry of the group's log, which also has the entries that
-/// operators wait for. Teams are noted as low this long before they are.
-const MIN_NOTE_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a check: while a note has to wait, each report of a box asks for another check.
+const CHECK_PAUSE: Duration = Duration::from_millis(10);
 
 /// Minimum time between two notes of engine models or outage histories, which are read only after a change of leader.
 const LEARNED_NOTE_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Reads the notes at the beginning of a term and stores changes, whenever this process leads.
 pub(super) async fn run(node: Arc<Node>) {
+    let mut pace = NotePace::default();
     loop {
+        tokio::time::sleep(CHECK_PAUSE).await;
         let _ = tokio::time::timeout(CHECK_INTERVAL, node.lacking.notified()).await;
         let Some(term) = node.leading_term().await else {
             continue;
         };
         load_route_table(&node, term);
-        let command = node.with_lead(term, |lead| lead.next_note(tolerance(&node)));
+        let now = Instant::now();
+        let command = node.with_lead(term, |lead| lead.next_note(tolerance(&node), &pace, now));
         let Some(command) = command else {
             continue;
         };
-        let pause =
-            if matches!(command, Command::ReadNotes) { Duration::ZERO } else { MIN_NOTE_INTERVAL };
+        let kind = match command {
+            Command::ReadNotes => None,
+            Command::NoteLow(_) => Some(NoteKind::LowTeams),
+            _ => Some(NoteKind::Other),
+        };
         match node.propose_here(command, PROPOSE_TIMEOUT).await {
             Some(Reply::Quarantine(noted)) => {
                 tracing::info!(event = "quarantine_noted", requests = noted.len(), term = %term);
@@ -57,25 +63,40 @@
             }
             Some(_) | None => tracing::warn!(event = "not_noted", term = %term),
         }
-        tokio::time::sleep(pause).await;
+        if let Some(kind) = kind {
+            pace.record(kind, Instant::now());
+        }
     }
 }
 
 impl LeaderState {
-    /// The next command to propose: the read of the notes at the beginning of a term, then the most urgent change.
-    fn next_note(&mut self, tolerance: Tolerance) -> Option<Command> {
+    /// The next command to propose: the read of the notes at the beginning of a term, then the most urgent change that
+    /// `pace` allows.
+    fn next_note(
+        &mut self,
+        tolerance: Tolerance,
+        pace: &NotePace,
+        now: Instant,
+    ) -> Option<Command> {
         if self.low_teams.is_none() {
             return Some(Command::ReadNotes);
         }
+        if pace.allows(NoteKind::LowTeams, now)
+            && let Some(low) = self.next_low_teams(tolerance)
+        {
+            return Some(Command::NoteLow(low));
+        }
+        if pace.allows(NoteKind::Other, now) { self.next_other_note() } else { None }
+    }
+
+    /// The next command of those that no request waits for.
+    fn next_other_note(&mut self) -> Option<Command> {
         if let Some(change) = self.quarantine.pending_change() {
             return Some(Command::ChangeQuarantine(change));
         }
         if let Some(relays) = self.presence.next_stored(Instant::now()) {
             return Some(Command::NoteRelays(relays));
         }
-        if let Some(low) = self.next_low_teams(tolerance) {
-            return Some(Command::NoteLow(low));
-        }
         if self.models_stored_at.is_some_and(|at| at.elapsed() < LEARNED_NOTE_INTERVAL) {
             return None;
         }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -68,6 +68,7 @@
 pub mod membership;
 pub mod memory;
 pub mod nearest;
+pub mod note_pace;
 pub mod orders;
 pub mod origin_shares;
 pub mod origins;
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use emberturn::decide::allowance::{Allowances, DemandReport, Grant, LEASE_DURATION, TeamDemand};
+use emberturn::decide::note_pace::{MIN_NOTE_INTERVAL, NoteKind, NotePace};
 use emberturn::decide::presence::RelayPresence;
 use emberturn::decide::retry_budgets::{RetryBudgets, RetryLimit};
 use emberturn::decide::token_bucket::{RateLimit, ReserveNote, TeamReport, TokenBucket, Tolerance};
@@ -603,3 +604,17 @@
     leader.record_told(&"box-3".parse().unwrap(), Some(4));
     assert_eq!(leader.unheard_relays(), 1);
 }
+
+/// Guards against requests that are refused as the note that they wait for is held back behind another one.
+#[test]
+fn note_of_a_low_team_does_not_wait_for_another_note() {
+    let (mut pace, now) = (NotePace::default(), Instant::now());
+    pace.record(NoteKind::Other, now);
+    assert!(pace.allows(NoteKind::LowTeams, now));
+    assert!(!pace.allows(NoteKind::Other, now));
+    pace.record(NoteKind::LowTeams, now);
+    assert!(!pace.allows(NoteKind::LowTeams, now + MIN_NOTE_INTERVAL / 2));
+    for kind in [NoteKind::LowTeams, NoteKind::Other] {
+        assert!(pace.allows(kind, now + MIN_NOTE_INTERVAL));
+    }
+}
