Allowances: a waiting request has the leader asked until it gives up

The pause before the leader was asked again doubled without a bound: a request asked at 0, 10, 30 and 70 ms, then at 150 ms, when its wait of 150 ms was over. So what the group committed between 70 and 150 ms came too late, and the caller got 503.

The pause ends at 40 ms: one more call, at 110 ms, for a request that would otherwise be refused.

limits::request_that_waits_for_its_allowance_asks_until_it_gives_up fails with the former pauses: "[0ns, 10ms, 30ms, 70ms]".

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -26,6 +26,21 @@
 /// How long a demand may stay unanswered before the leader counts as unresponsive.
 const DEMAND_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long a request waits for the leader's answer about its team's limit: several round trips to another data centre.
+/// Replacing a failed leader takes longer than this.
+pub const MAX_ALLOWANCE_WAIT: Duration = Duration::from_millis(150);
+
+/// The shortest and longest pause before a request has the leader asked again when its answer was too little. The group
+/// may be committing a larger share of the limit in the meantime, which takes some time; the longest pause is a fraction
+/// of the time that the request waits, so that it does not give up long after it last asked.
+const DEMAND_PAUSE_RANGE: (Duration, Duration) =
+    (Duration::from_millis(10), Duration::from_millis(40));
+
+/// The pause before a request has the leader asked again, after the pause before.
+pub fn next_demand_pause(pause: Duration) -> Duration {
+    (pause * 2).clamp(DEMAND_PAUSE_RANGE.0, DEMAND_PAUSE_RANGE.1)
+}
+
 /// The most demands of one box that may be unanswered at the same time. Further teams are put into the next demand,
 /// so a box with many teams doesn't send one message for each.
 const MAX_PENDING_DEMANDS: usize = 8;
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -25,6 +25,7 @@
 use super::table::{Route, RouteTable, Team};
 use super::taking;
 use crate::clock;
+use crate::decide::allowance::{MAX_ALLOWANCE_WAIT, next_demand_pause};
 use crate::decide::choose::choose_weighted;
 use crate::decide::memory::{LOWEST_URGENCY, MemoryClaim};
 use crate::error::{Failure, Kind, RunState};
@@ -37,14 +38,6 @@
 /// Retry-After of a box that is shutting down; callers reach another box.
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// How long a call waits for the leader's answer about its team's limit: several round trips to
-/// another data centre. Replacing a failed leader takes longer than this.
-const LEADER_REPLY_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// Pause before asking the leader again when its answer was too little. The group may be committing
-/// a larger share of the limit in the meantime.
-const DEMAND_RETRY_PAUSE: Duration = Duration::from_millis(10);
-
 /// Allowance waits of at least this length are logged.
 const LOGGED_ALLOWANCE_WAIT: Duration = Duration::from_millis(20);
 
@@ -286,11 +279,11 @@
             Err(shortage) => shortage,
         };
         if !shortage.ask_leader
-            || !wait_for_allowance(relay, &team.name, began + LEADER_REPLY_TIMEOUT, pause).await
+            || !wait_for_allowance(relay, &team.name, began + MAX_ALLOWANCE_WAIT, pause).await
         {
             break shortage;
         }
-        pause = (pause * 2).max(DEMAND_RETRY_PAUSE);
+        pause = next_demand_pause(pause);
     };
     relay.allowances().record_refusal(&team.name, cost);
     let waited = began.elapsed().as_millis() as u64;
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
-use emberturn::decide::allowance::{Allowances, DemandReport, Grant, LEASE_DURATION, TeamDemand};
+use emberturn::decide::allowance::{
+    Allowances, DemandReport, Grant, LEASE_DURATION, MAX_ALLOWANCE_WAIT, TeamDemand,
+    next_demand_pause,
+};
 use emberturn::decide::note_pace::{MIN_NOTE_INTERVAL, NoteKind, NotePace};
 use emberturn::decide::presence::RelayPresence;
 use emberturn::decide::retry_budgets::{RetryBudgets, RetryLimit};
@@ -618,3 +621,17 @@
         assert!(pace.allows(kind, now + MIN_NOTE_INTERVAL));
     }
 }
+
+/// Guards against requests that give up long after they last asked: what the group committed meanwhile came too late.
+#[test]
+fn request_that_waits_for_its_allowance_asks_until_it_gives_up() {
+    let pauses = std::iter::successors(Some(Duration::ZERO), |it| Some(next_demand_pause(*it)));
+    let asked = pauses.scan(Duration::ZERO, |at, pause| {
+        *at += pause;
+        (*at < MAX_ALLOWANCE_WAIT).then_some(*at)
+    });
+    let asked: Vec<_> = asked.collect();
+    let last = asked.last().copied().unwrap();
+    assert!(last >= MAX_ALLOWANCE_WAIT * 2 / 3, "{asked:?}");
+    assert!(asked.len() <= 6, "{asked:?}");
+}
