Quarantine: a former leader's verdict falls only when it is refuted

Failed before: segments::verdict_of_a_former_leader_is_kept_though_its_crashes_ look_like_an_outage: the poison segment is not held any more ("{}").

Trace: six servers crash at once under the segment, which is held. A box that alone knew the poison prompt on one of them restarts, then the leader changes. The first reports have three crashes under the segment, so the new leader finds it to blame; with the rest there are five, and one beside them without it. That is an outage, which counts once: nothing is to blame, and the verdict falls.

Cause: a leader takes back its own verdicts when its crashes no longer hold them up, and a former leader's only when they are refuted. Finding the same by a part of the reports made a former leader's verdict its own.

Now the leader remembers what it inherited. Those verdicts fall only when survivals or another suspect refute them.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -498,6 +498,8 @@
 pub struct FleetQuarantine {
     crashes: CrashTracker,
     quarantined: QuarantinedSuspects,
+    /// Of these, what a former leader quarantined.
+    inherited: BTreeSet<Suspect>,
     /// What is to blame for the crashes that this leader knows of.
     poison: BTreeSet<Suspect>,
     /// Whether there were changes since the last evaluation, and when that was.
@@ -533,7 +535,10 @@
         for (suspect, until) in
             replicated.iter().filter(|(suspect, _)| !former.contains_key(suspect))
         {
-            self.quarantined.entry(suspect.clone()).or_insert(*until);
+            if !self.quarantined.contains_key(suspect) {
+                self.quarantined.insert(suspect.clone(), *until);
+                self.inherited.insert(suspect.clone());
+            }
         }
         for suspect in former.keys().filter(|suspect| !replicated.contains_key(suspect)) {
             if self.quarantined.contains_key(suspect) {
@@ -634,16 +639,19 @@
 
     fn evaluate_crashes(&mut self, unix: UnixMillis) {
         let poison = self.crashes.poison();
-        let (crashes, former) = (&self.crashes, &self.poison);
+        let (crashes, former, inherited) = (&self.crashes, &self.poison, &self.inherited);
         self.quarantined.retain(|suspect, _| {
             // The crashes are now explained by another suspect, or answers speak for this one. If they
             // were only forgotten, for instance because there were a great many others, it stays
-            // quarantined. So does what a former leader judged by crashes that boxes have forgotten since.
+            // quarantined. So does what a former leader judged by crashes that boxes have forgotten since, also in
+            // part: what is left of them may look like an outage.
             let is_known = crashes.crash_count(suspect) >= CRASHES_TO_QUARANTINE;
-            let is_refuted = || former.contains(suspect) || crashes.refutes(suspect, &poison);
+            let is_own = former.contains(suspect) && !inherited.contains(suspect);
+            let is_refuted = || is_own || crashes.refutes(suspect, &poison);
             poison.contains(suspect) || !is_known || !is_refuted()
         });
         let added: Vec<_> = poison.difference(former).cloned().collect();
+        self.inherited.retain(|suspect| self.quarantined.contains_key(suspect));
         for suspect in &added {
             if self.quarantined.len() < MAX_QUARANTINED {
                 let until = self.quarantine_end(suspect, unix);
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -799,6 +799,38 @@
     assert_eq!(fleet.replicated.keys().collect::<Vec<_>>(), [&segment(POISON)]);
 }
 
+/// Guards against a verdict that the next leader takes back once a box that saw one of its crashes has restarted.
+#[test]
+fn verdict_of_a_former_leader_is_kept_though_its_crashes_look_like_an_outage() {
+    let mut fleet = Fleet::new(3);
+    for place in 0..3 {
+        (0..6).for_each(|_| fleet.answer(place, &[FIRST, 0xa1]));
+    }
+    // Six requests come at once. Beside one of them a sound one waits, which came to another box.
+    for server in 0..5 {
+        fleet.crash(usize::from(server > 2), &[FIRST, POISON]);
+    }
+    fleet.crash(2, &[FIRST, POISON]);
+    let beside = CrashReport {
+        server: "i-6".parse().unwrap(),
+        data_centre: "dc-5".parse().unwrap(),
+        prompts: vec![prompt(49, &[FIRST, 0xa2])],
+        age: Millis(0),
+    };
+    fleet.boxes[1].record_crash(beside, fleet.now);
+    fleet.beat();
+    fleet.replicate();
+    assert!(fleet.replicated.contains_key(&segment(POISON)));
+    fleet.boxes[2] = BoxQuarantine::default();
+    fleet.change_leader();
+    for _ in 0..3 {
+        fleet.answer(0, &[FIRST, 0xa1]);
+        fleet.beat();
+        fleet.replicate();
+    }
+    assert!(fleet.replicated.contains_key(&segment(POISON)), "{:?}", fleet.replicated);
+}
+
 /// Guards against servers that go on crashing under prompts with more segments than are remembered for one crash.
 #[test]
 fn segments_with_which_long_prompts_begin_are_suspected() {
