Quarantine: reports of crashes are repeated before their box may restart

Box 2 alone saw three of five crashes, its heartbeat with them was lost, and it restarted 250 ms behind them, 160 ms before the next heartbeat.

Is it allowed by the rule? Boxes are not in touch for 3 s after a restart or a loss on their links. Box 2 restarted 3.01 s before the prompts; one of the five came to box 1, which lost a heartbeat 2.4 s before. Four of them count, more than three. So the bound stays, and what is counted too.

Is the model faithful? A real box reports a crash at most 60 ms behind its last heartbeat, as there, and waited 400 ms for the reply, as there. In one thing it was worse: while a heartbeat had no reply the same one was repeated for up to 1.2 s, and a new crash was reported behind it.

Change: a heartbeat that reports crashes is repeated after 100, 200 and 400 ms without a reply; one without crashes is given up after 100 ms without a reply once a server has crashed. The model takes its waits from the product (decide/intervals) and has the wait behind a heartbeat that is lost.

Not tried with real processes: no stand-in loses what one connection carries.

--- a/src/control/heartbeat.rs
+++ b/src/control/heartbeat.rs
@@ -13,13 +13,13 @@
 use crate::decide::allowance::{Grant, TeamDemand};
 use crate::decide::capacity::OfferedLoad;
 use crate::decide::engine::Sample;
-use crate::decide::intervals::retry_delay;
+use crate::decide::intervals::{crash_reply_wait, retry_delay};
 use crate::decide::loads::LoadSample;
 use crate::decide::origins::{CLAIM_LIFETIME, MAX_REPORTED, OriginReport};
 use crate::decide::quarantine::{QuarantineReport, QuarantineUpdate};
 use crate::decide::releases::{ReleaseUpdate, TrialReport};
 use crate::decide::report_delta::DeltaSender;
-use crate::group::access::Access;
+use crate::group::access::{Access, NoGroup};
 use crate::ids::{
     BoxId, DataCentre, Incarnation, Revision, ServiceName, TeamName, Version, Window,
 };
@@ -36,6 +36,9 @@
 /// Minimum time between two heartbeats, also for those that are requested at once.
 const MIN_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Time between two looks for new crashes while a heartbeat has no reply.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Timeout for a heartbeat, including the search for the leader.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -177,6 +180,15 @@
     }
 }
 
+/// Waits until a server has crashed since a heartbeat that has been without a reply for some time. The heartbeat's
+/// repeats would not report it.
+async fn crash_while_silent(relay: &Relay) {
+    tokio::time::sleep(crash_reply_wait(0)).await;
+    while !relay.quarantine().has_unreported_crashes() {
+        tokio::time::sleep(CRASH_CHECK_INTERVAL).await;
+    }
+}
+
 /// Sends one heartbeat and applies the reply. Returns whether a reply came.
 async fn send_heartbeat(
     relay: &Relay,
@@ -218,7 +230,11 @@
         base_seq: delta.base_seq,
         relays: relay.known_relay_count(),
     };
-    match access.beat(&heartbeat, REPLY_TIMEOUT).await {
+    let reply = tokio::select! {
+        reply = access.beat(&heartbeat, REPLY_TIMEOUT) => reply,
+        () = crash_while_silent(relay), if heartbeat.quarantine.crashes.is_empty() => Err(NoGroup),
+    };
+    match reply {
         Ok(reply) => {
             relay.set_heartbeat_interval(reply.interval.duration());
             // Before the grants, which let requests through. After a stop of all replicas, the leader can tell its
--- a/src/decide/intervals.rs
+++ b/src/decide/intervals.rs
@@ -26,6 +26,19 @@
 /// The longest delay before the next attempt: about the time that an election takes.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
+/// The longest time for which one replica is waited for with a heartbeat: the leader answers from memory, within a few
+/// milliseconds. One that stands still is left for the next within about an election's time.
+pub const MAX_REPLY_WAIT: Duration = Duration::from_millis(400);
+
+/// The shortest time for which one replica is waited for with a report of crashes.
+const MIN_CRASH_REPLY_WAIT: Duration = Duration::from_millis(100);
+
+/// How long one replica is waited for with a report of crashes, after `unanswered` calls. What a box knows of crashes is
+/// lost with its process, so the report is repeated soon; a leader that is slow has more time with each call.
+pub fn crash_reply_wait(unanswered: u32) -> Duration {
+    MIN_CRASH_REPLY_WAIT.saturating_mul(1 << unanswered.min(8)).min(MAX_REPLY_WAIT)
+}
+
 /// The time between two heartbeats of a box in a fleet of `boxes`.
 pub fn heartbeat_interval(boxes: u32) -> Duration {
     let interval = Duration::from_secs_f64(f64::from(boxes) / MAX_HEARTBEATS_PER_SECOND);
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -391,6 +391,11 @@
         self.cleared.len() < MAX_CLEARED && self.cleared.insert(request)
     }
 
+    /// Whether the leader does not know of some crash.
+    pub fn has_unreported_crashes(&self) -> bool {
+        self.crashes.has_any_unreported()
+    }
+
     /// Builds the report to the leader.
     pub fn report(&self, now: Instant) -> QuarantineReport {
         let crashes = self.crashes.unreported(now, MAX_REPORTED_CRASHES);
--- a/src/group/access.rs
+++ b/src/group/access.rs
@@ -21,6 +21,7 @@
 use crate::control::proxies::{ProxyReply, ProxyRequest};
 use crate::control::share::ShareRequest;
 use crate::control::throttle::{ThrottleReply, ThrottleRequest};
+use crate::decide::intervals::{MAX_REPLY_WAIT, crash_reply_wait};
 use crate::decide::origins::{OriginAnswer, OriginRequest};
 use crate::decide::share::Share;
 use crate::ids::{BoxId, TeamName};
@@ -34,10 +35,6 @@
 /// How long one replica is waited for.
 const CALL_TIME: Duration = Duration::from_millis(1_500);
 
-/// How long one replica is waited for with a beat: the leader answers from memory, within a few
-/// milliseconds. One that stands still is left for the next within about an election's time.
-const BEAT_TIME: Duration = Duration::from_millis(400);
-
 /// Pause before asking again when no replica leads.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -85,7 +82,7 @@
     /// # Errors
     /// When `limit` is over; the command may still be applied.
     pub async fn propose(&self, command: Command, limit: Duration) -> Result<Reply, NoGroup> {
-        self.until_answered(method::PROPOSE, &command, limit, CALL_TIME).await
+        self.until_answered(method::PROPOSE, &command, limit, |_| CALL_TIME).await
     }
 
     /// Changes the group's members.
@@ -97,7 +94,7 @@
         change: &MemberChange,
         limit: Duration,
     ) -> Result<(), NoGroup> {
-        self.until_answered(method::CHANGE_MEMBERS, change, limit, CALL_TIME).await
+        self.until_answered(method::CHANGE_MEMBERS, change, limit, |_| CALL_TIME).await
     }
 
     /// Gives the leader word of this box and takes what it has to say.
@@ -109,7 +106,11 @@
         beat: &BoxHeartbeat,
         limit: Duration,
     ) -> Result<HeartbeatReply, NoGroup> {
-        let answer = self.until_answered(method::BEAT, &Packed(beat), limit, BEAT_TIME).await;
+        let reply_wait = |unanswered| match beat.quarantine.crashes.is_empty() {
+            true => MAX_REPLY_WAIT,
+            false => crash_reply_wait(unanswered),
+        };
+        let answer = self.until_answered(method::BEAT, &Packed(beat), limit, reply_wait).await;
         let Packed(mut reply): Packed<HeartbeatReply> = answer?;
         if let (Some(data_centre), Some(leader)) = (reply.data_centre.take(), self.leader()) {
             self.directory.note_site(&leader, data_centre);
@@ -126,7 +127,7 @@
         demand: &DemandRequest,
         limit: Duration,
     ) -> Result<DemandReply, NoGroup> {
-        self.until_answered(method::DEMAND, demand, limit, BEAT_TIME).await
+        self.until_answered(method::DEMAND, demand, limit, |_| MAX_REPLY_WAIT).await
     }
 
     /// Reports limits that backend servers named, and takes leases of them.
@@ -138,7 +139,7 @@
         request: &ThrottleRequest,
         limit: Duration,
     ) -> Result<ThrottleReply, NoGroup> {
-        self.until_answered(method::THROTTLE, request, limit, BEAT_TIME).await
+        self.until_answered(method::THROTTLE, request, limit, |_| MAX_REPLY_WAIT).await
     }
 
     /// Reports this box to the leader and has it assign proxies. Asks only the leader that is known: one of a former
@@ -197,7 +198,7 @@
         limit: Duration,
     ) -> Result<PackedParts, NoGroup> {
         let wanted = Packed(wanted);
-        self.until_answered(method::LIST_PARTS, &wanted, limit, CALL_TIME).await
+        self.until_answered(method::LIST_PARTS, &wanted, limit, |_| CALL_TIME).await
     }
 
     /// Reads kept work at the leader.
@@ -209,7 +210,7 @@
         id: &WorkId,
         limit: Duration,
     ) -> Result<Option<WorkView>, NoGroup> {
-        self.until_answered(method::READ_WORK, id, limit, CALL_TIME).await
+        self.until_answered(method::READ_WORK, id, limit, |_| CALL_TIME).await
     }
 
     /// Asks the leader for shares of the teams' limits.
@@ -221,26 +222,28 @@
         request: &ShareRequest,
         limit: Duration,
     ) -> Result<BTreeMap<TeamName, Share>, NoGroup> {
-        self.until_answered(method::SHARE, request, limit, CALL_TIME).await
+        self.until_answered(method::SHARE, request, limit, |_| CALL_TIME).await
     }
 
-    /// Asks until `limit`; each replica is waited for no longer than `call_time`.
+    /// Asks until `limit`; each replica is waited for no longer than `call_time`, by the number of calls without an
+    /// answer before.
     async fn until_answered<T, R>(
         &self,
         method: &'static str,
         body: &T,
         limit: Duration,
-        call_time: Duration,
+        call_time: impl Fn(u32) -> Duration,
     ) -> Result<R, NoGroup>
     where
         T: Serialize + Sync,
         R: DeserializeOwned,
     {
         let deadline = Instant::now() + limit;
-        let mut turn = 0;
+        let (mut turn, mut unanswered) = (0, 0);
         while Instant::now() < deadline {
             let (box_id, addr) = self.target(turn).ok_or(NoGroup)?;
-            let left = deadline.saturating_duration_since(Instant::now()).min(call_time);
+            let left =
+                deadline.saturating_duration_since(Instant::now()).min(call_time(unanswered));
             let call = self.peers.call::<T, Result<R, Unanswered>>(addr, method, body, left);
             match call.await {
                 Ok(Ok(reply)) => {
@@ -251,9 +254,10 @@
                 Ok(Err(Unanswered::NotLeader(Some(leader)))) if leader != box_id => {
                     self.remember(Some(leader));
                 }
-                Ok(Err(_)) | Err(_) => {
+                refused => {
                     self.remember(None);
                     turn += 1;
+                    unanswered += u32::from(refused.is_err());
                     tokio::time::sleep_until(deadline.min(Instant::now() + PAUSE)).await;
                 }
             }
--- a/tests/blame_model.rs
+++ b/tests/blame_model.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use emberturn::decide::ends::{CrashReport, CrashedPrompt};
-use emberturn::decide::quarantine::{BoxQuarantine, FleetQuarantine};
+use emberturn::decide::intervals::crash_reply_wait;
+use emberturn::decide::quarantine::{BoxQuarantine, FleetQuarantine, QuarantineReport};
 use emberturn::ids::{Fingerprint, SegmentKey};
 use emberturn::state::quarantine::QuarantinedSuspects;
 use emberturn::units::{Millis, UnixMillis};
@@ -31,6 +32,12 @@
 const BEAT_STEPS: u32 = 40;
 const URGENT_STEPS: u32 = 6;
 
+/// Steps between the end of the wait for a reply and the next call.
+const PAUSE_STEPS: u32 = 4;
+
+/// Steps from a heartbeat that is lost to the next one, if servers crash meanwhile.
+const SILENT_STEPS: u32 = 18;
+
 /// The time in which boxes hear of each other.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -59,6 +66,8 @@
     outage: usize,
     /// The chance that a heartbeat or its reply is lost.
     loss: f64,
+    /// Whether the first heartbeat that reports crashes is lost.
+    is_first_lost: bool,
     /// Segments that all prompts share: one of the first ones, and a deeper one if there is any.
     firsts: Vec<u64>,
     deeper: Option<u64>,
@@ -116,6 +125,7 @@
             period: rng.random_range(50..400),
             outage: if rng.random_bool(0.25) { 3 } else { 0 },
             loss: if rng.random_bool(0.3) { 0.2 } else { 0.0 },
+            is_first_lost: false,
             firsts,
             subjects: ids,
             poison,
@@ -143,6 +153,9 @@
     now: Instant,
     boxes: Vec<BoxQuarantine>,
     due: Vec<u32>,
+    /// When each box sent a heartbeat that was lost, and how many in a row that reported crashes were.
+    lost_at: Vec<Option<u32>>,
+    lost_reports: Vec<u32>,
     /// Whether each box has had an answer of a leader, without which it serves nobody, and of the current one.
     is_ready: Vec<bool>,
     is_known: Vec<bool>,
@@ -163,12 +176,18 @@
     fn new(seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let day = Day::draw(&mut rng);
+        Self::of_day(day, rng)
+    }
+
+    fn of_day(day: Day, mut rng: SmallRng) -> Self {
         let now = Instant::now() + Duration::from_secs(60);
         let mut leader = FleetQuarantine::default();
         leader.apply_replicated(Arc::default());
         Self {
             due: (0..day.boxes).map(|_| rng.random_range(0..BEAT_STEPS)).collect(),
             boxes: (0..day.boxes).map(|_| BoxQuarantine::default()).collect(),
+            lost_at: vec![None; day.boxes],
+            lost_reports: vec![0; day.boxes],
             is_ready: vec![true; day.boxes],
             is_known: vec![true; day.boxes],
             replicated: QuarantinedSuspects::new(),
@@ -235,6 +254,7 @@
 
     fn restart_box(&mut self, place: usize, step: u32) {
         self.boxes[place] = BoxQuarantine::default();
+        (self.lost_at[place], self.lost_reports[place]) = (None, 0);
         self.is_ready[place] = false;
         self.due[place] = step + BEAT_STEPS;
         self.waiting.iter_mut().for_each(|it| it.retain(|prompt| prompt.place != place));
@@ -300,8 +320,26 @@
                 age: Millis(0),
             };
             self.boxes[place].record_crash(report, self.now);
-            self.due[place] = self.due[place].min(step + URGENT_STEPS);
+            let earliest = self.lost_at[place].map_or(0, |at| at + SILENT_STEPS);
+            self.due[place] = self.due[place].min((step + URGENT_STEPS).max(earliest));
+        }
+    }
+
+    /// Whether a heartbeat or its reply is lost. If so, the box sends the next one once it has waited for the reply.
+    fn is_lost(&mut self, place: usize, report: &QuarantineReport, step: u32) -> bool {
+        let has_crashes = !report.crashes.is_empty();
+        let is_first = self.day.is_first_lost && has_crashes;
+        if !is_first && !self.rng.random_bool(self.day.loss) {
+            return false;
+        }
+        self.day.is_first_lost &= !is_first;
+        self.lost_at[place] = Some(step);
+        if has_crashes {
+            let wait = crash_reply_wait(self.lost_reports[place]);
+            self.due[place] = step + steps(wait) + PAUSE_STEPS;
+            self.lost_reports[place] += 1;
         }
+        true
     }
 
     fn beat(&mut self, step: u32) {
@@ -310,12 +348,11 @@
                 continue;
             }
             self.due[place] = step + BEAT_STEPS;
-            if self.rng.random_bool(self.day.loss) {
+            let report = self.boxes[place].report(self.now);
+            if self.is_lost(place, &report, step) {
                 continue;
             }
             self.version += 1;
-            let own = &mut self.boxes[place];
-            let report = own.report(self.now);
             self.leader.apply_report(report.clone(), self.now);
             let unix = UnixMillis(u64::from(step) * STEP.as_millis() as u64);
             self.leader.evaluate(self.now, unix);
@@ -325,11 +362,13 @@
                 self.leader.apply_replicated(Arc::new(self.replicated.clone()));
             }
             let update = self.leader.update_for(report.known_version, self.version, unix);
-            if self.rng.random_bool(self.day.loss) {
+            if self.is_lost(place, &report, step) {
                 continue;
             }
+            (self.lost_at[place], self.lost_reports[place]) = (None, 0);
             let lacks = !std::mem::replace(&mut self.is_known[place], true);
             self.is_ready[place] = true;
+            let own = &mut self.boxes[place];
             let (_, is_urgent) = own.apply_reply(&report, update, lacks, self.now);
             if is_urgent {
                 self.due[place] = step + URGENT_STEPS;
@@ -358,6 +397,10 @@
     }
 }
 
+fn steps(time: Duration) -> u32 {
+    time.div_duration_f64(STEP).ceil() as u32
+}
+
 fn key(id: u64) -> SegmentKey {
     SegmentKey { service: "svc".parse().unwrap(), id }
 }
@@ -378,6 +421,29 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Guards against evidence that is lost with a box whose report of crashes was lost on its way.
+#[test]
+fn crashes_are_reported_again_before_their_box_restarts() {
+    let crash = POISON_BEGIN + steps(START_TIME);
+    let mut rng = SmallRng::seed_from_u64(0);
+    let day = Day {
+        boxes: 1,
+        servers: 40,
+        rate: 30.0,
+        quiet: (0, 0),
+        group: BOUND_CRASH + 2,
+        period: 336,
+        outage: 0,
+        loss: 0.0,
+        is_first_lost: true,
+        restarts: vec![(crash + 25, Restart::Box(0))],
+        ..Day::draw(&mut rng)
+    };
+    let play = Play::of_day(day, rng).run();
+    assert!(play.crashes.len() >= BOUND_CRASH);
+    assert!(play.late_poison() <= MAX_LATE_POISON, "{} late, {:?}", play.late_poison(), play.day);
+}
+
 /// Guards against a segment of all prompts that is refused for the crashes of another one.
 #[test]
 fn sound_prompts_are_served_beside_a_poison_segment() {
