No answer has a status below 200 or above 599, and none has a default

Reported from a system like this one: an engine in trouble sent an answer whose status was 000, and the client got it as an answer.

What callers saw: at a relay nothing of it, on any way (plain, streams, resumptions, through another box, what another box's version forwards, the reply to a move): 502, unknown, tried elsewhere, counted as failed. At an entry node a plain service's 101 and 600 to 999 were given as `done` and recorded under the key; a recorded status that cannot be written (0, 99, 1000) became 200, and as a stream any recorded answer became 200 with [DONE].

Cause: statuses were judged where they are used, by as many rules as there are uses; two had none, and one had a default that means success.

Change: `http/status` says which statuses an answer may have. An exchange does not begin with any other (`SendFault::Status`, which proves nothing), and recorded answers are judged by the same function when they are read, as a box of another version may have recorded them.

--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -80,7 +80,9 @@
             SendFault::NotSent(text) | SendFault::Refused(text) => Self::NotRun(text),
             SendFault::Broke(text) => Self::Broke(text),
             SendFault::TimedOut => Self::Silent,
-            SendFault::TooLarge(_) | SendFault::Endless(_) => Self::Invalid(fault.to_string()),
+            SendFault::TooLarge(_) | SendFault::Endless(_) | SendFault::Status(_) => {
+                Self::Invalid(fault.to_string())
+            }
         }
     }
 }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -28,6 +28,7 @@
 use crate::decide::completeness::{BreakCause, Framing};
 use crate::decide::proxies::ProxyLease;
 use crate::http::silence::limit_silence;
+use crate::http::status::{InvalidStatus, answer_status};
 use crate::sync::lock;
 
 /// How long a connection may take to stand.
@@ -116,6 +117,9 @@
     /// More came than any answer needs.
     #[error(transparent)]
     Endless(AnswerExcess),
+    /// The answer has a status that none may have.
+    #[error(transparent)]
+    Status(InvalidStatus),
 }
 
 impl SendFault {
@@ -142,7 +146,7 @@
 
 /// A request that has been answered with a head; the body follows.
 pub struct Exchange {
-    /// The status.
+    /// The status, one that an answer may have.
     pub status: StatusCode,
     /// The headers.
     pub headers: HeaderMap,
@@ -432,12 +436,13 @@
             let text = "the head of an answer holds the beginning of another one";
             return Err(SendFault::Broke(text.to_owned()));
         }
-        if !parts.status.is_success() {
+        let status = answer_status(parts.status.as_u16()).map_err(SendFault::Status)?;
+        if !status.is_success() {
             connection.failed.extend(tag);
         }
         let is_kept = connection.failed.len() < MAX_FAILURES;
         Ok(Exchange {
-            status: parts.status,
+            status,
             framing: framing(&parts.headers, &body),
             keep: keep_time(&parts.headers),
             headers: parts.headers,
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -211,7 +211,9 @@
         SendFault::NotSent(_) | SendFault::Refused(_) if !uncertain => Kind::NotReached,
         SendFault::NotSent(_) | SendFault::Refused(_) | SendFault::Broke(_) => Kind::BackendBroke,
         SendFault::TimedOut => Kind::BackendTimeout,
-        SendFault::TooLarge(_) | SendFault::Endless(_) => Kind::BackendInvalid,
+        SendFault::TooLarge(_) | SendFault::Endless(_) | SendFault::Status(_) => {
+            Kind::BackendInvalid
+        }
     };
     Failure::new(kind, fault.to_string())
 }
@@ -221,7 +223,7 @@
         SendFault::NotSent(_) | SendFault::Refused(_) => "not_run",
         SendFault::Broke(_) => "broke",
         SendFault::TimedOut => "silent",
-        SendFault::TooLarge(_) | SendFault::Endless(_) => "invalid",
+        SendFault::TooLarge(_) | SendFault::Endless(_) | SendFault::Status(_) => "invalid",
     }
 }
 
--- a/src/entry/respond.rs
+++ b/src/entry/respond.rs
@@ -9,15 +9,12 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
-use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
-use serde_json::Value;
 
 use super::generation::{End, Item, Reader};
 use crate::error::Failure;
 use crate::http::answer::{self, Body};
 use crate::ids::TeamName;
 use crate::node::Node;
-use crate::state::ledger::RecordedAnswer;
 
 /// Counts what a caller is given.
 pub(super) struct Tally {
@@ -63,7 +60,7 @@
             }
             Err(failure)
         }
-        Item::End(End::Recorded(answer)) if stream => Ok(recorded_stream(&answer)),
+        Item::End(End::Recorded(answer)) if stream => Ok(answer::recorded_stream(&answer)),
         Item::End(End::Recorded(answer)) => Ok(answer::recorded(&answer)),
         first if stream => Ok(stream_answer(reader, first, tally)),
         first => whole_answer(reader, first, tally).await,
@@ -127,16 +124,7 @@
         }
     };
     let body = BodyExt::boxed_unsync(StreamBody::new(events));
-    event_stream(body)
-}
-
-/// A stream's answer. Its head only says that the request runs; its closing event says the outcome.
-fn event_stream(body: Body) -> Response<Body> {
-    let mut response = Response::new(body);
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
-    response
+    answer::event_stream(body)
 }
 
 /// The closing event: `[DONE]` only when every piece was sent.
@@ -149,16 +137,3 @@
         }
     }
 }
-
-/// A recorded answer for a caller that asked for a stream: one chunk with all of it.
-fn recorded_stream(recorded: &RecordedAnswer) -> Response<Body> {
-    let body = recorded.body.clone().unwrap_or_default();
-    let mut value: Value = serde_json::from_str(&body).unwrap_or(Value::Null);
-    if let Some(choice) = value.pointer_mut("/choices/0").and_then(Value::as_object_mut)
-        && let Some(message) = choice.remove("message")
-    {
-        choice.insert("delta".to_owned(), message);
-    }
-    let text = format!("data: {value}\n\ndata: [DONE]\n\n");
-    event_stream(answer::whole(text))
-}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,7 +3,8 @@
 //! Nothing here knows what is asked. [`server`] runs connections, [`gate`] counts them and says which
 //! are to go, [`head`] refuses heads that break the protocol or a limit, [`charged`] charges bytes to
 //! the box's memory, [`channel`] makes bodies that another task writes,
-//! [`close_delimited`] resets connections whose close would complete an answer that broke off.
+//! [`close_delimited`] resets connections whose close would complete an answer that broke off, [`status`]
+//! says which statuses an answer may have.
 
 pub mod answer;
 pub mod channel;
@@ -13,6 +14,7 @@
 pub mod head;
 pub mod server;
 pub mod silence;
+pub mod status;
 
 use std::io;
 
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -69,7 +69,7 @@
             SendFault::NotSent(_) | SendFault::Refused(_) => Self::not_sent(detail),
             SendFault::Broke(_) => Self::unknown(Kind::BackendBroke, detail),
             SendFault::TimedOut => Self::unknown(Kind::BackendTimeout, detail),
-            SendFault::TooLarge(_) | SendFault::Endless(_) => {
+            SendFault::TooLarge(_) | SendFault::Endless(_) | SendFault::Status(_) => {
                 Self::unknown(Kind::BackendInvalid, detail)
             }
         }
--- a/src/relay/hop.rs
+++ b/src/relay/hop.rs
@@ -123,7 +123,10 @@
         match fault {
             SendFault::NotSent(_) => Self::NotSent,
             SendFault::Refused(_) => Self::Refused,
-            SendFault::Broke(_) | SendFault::TooLarge(_) | SendFault::Endless(_) => Self::Broke,
+            SendFault::Broke(_)
+            | SendFault::TooLarge(_)
+            | SendFault::Endless(_)
+            | SendFault::Status(_) => Self::Broke,
             SendFault::TimedOut => Self::TimedOut,
         }
     }
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -310,7 +310,10 @@
     let outcome = match fault {
         SendFault::Refused(_) => "refused",
         SendFault::NotSent(_) | SendFault::Broke(_) => "failed",
-        SendFault::TimedOut | SendFault::TooLarge(_) | SendFault::Endless(_) => return,
+        SendFault::TimedOut
+        | SendFault::TooLarge(_)
+        | SendFault::Endless(_)
+        | SendFault::Status(_) => return,
     };
     relay.context.metrics.count_connect(known.server.service.as_str(), outcome);
 }
