Entry nodes read no load report beside a failure

What was seen: an engine that answers a load report with 404, 500, 503 or 999 and a body that reads as a report was taken to have so many requests, or to be leaving.

Cause: `engine::load` read the body whatever the status.

Evidence: load_with_such_a_status_is_no_report failed before for 404, 500, 503 and 999: "Ok(Load { running: 0, waiting: 0, leaving_ms: Some(100), .. })".

--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -277,13 +277,16 @@
 /// Asks an engine for its load.
 ///
 /// # Errors
-/// When it does not answer, or not with a report.
+/// When it does not answer, or not with a report: one beside a failure is none.
 pub async fn load(pool: &Pool, addr: SocketAddr, limit: Duration) -> Result<Load, EngineFault> {
     let request = Request::get("/load")
         .header("host", addr.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| EngineFault::NotRun(error.to_string()))?;
     let exchange = pool.send(addr, request, limit, Reuse::Any).await?;
+    if !exchange.status.is_success() {
+        return Err(EngineFault::Invalid(format!("a load report with status {}", exchange.status)));
+    }
     let body = exchange.read_whole(SMALL_BODY, limit).await?;
     Load::read(&body).ok_or_else(|| EngineFault::Invalid("it is no load report".to_owned()))
 }
--- a/tests/answer_statuses.rs
+++ b/tests/answer_statuses.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use breaking::{Breaking, End, Script};
+use emberturn::backend::engine;
 use emberturn::backend::{Pool, Reuse};
 use emberturn::clock;
 use emberturn::decide::completeness::Framing;
@@ -271,6 +272,33 @@
     }
 }
 
+/// Guards against a report that is believed although its server failed to give one.
+#[parameterized(
+    none = { "000" },
+    beyond = { "999" },
+    failure = { "500" },
+    busy = { "503" },
+    missing = { "404" },
+)]
+fn load_with_such_a_status_is_no_report(status: &str) {
+    let status = status.to_owned();
+    run(async move {
+        let load = "{\"running\":0,\"waiting\":0,\"leaving_ms\":100}";
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let _ = read_request(&mut stream).await;
+                let text =
+                    format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{load}", load.len());
+                let _ = stream.write_all(text.as_bytes()).await;
+            }
+        });
+        let read = engine::load(&Pool::default(), addr, PATIENCE).await;
+        assert!(read.is_err(), "{read:?}");
+    });
+}
+
 mod entry_node {
     //! The own interface.
 
