Large answers that state their length are read in turn

What callers saw: a server that states 16 MiB and sends a byte now and then, asked by six callers, fills a box of 160 MB; requests to all other servers got 503 (no_memory, too_many_callers) until the calls' time was over.

Cause: all of a stated length was reserved with the head, for any number of answers (the open point of design 25).

Change: beyond 256 KiB such an answer has its memory once 8 KiB have come and there is room (decide/answer_room): a quarter of the memory for all, of which the answers of one server leave the largest answer to others.

Evidence, tests/endless_bytes.rs, before: slow_answers_leave_room_for_other_requests::nothing_came: left: (503, "too_many_callers"), right: (200, "answer") ::much_came: no_memory: of bytes are kept slow_answers_of_one_server_leave_room_for_large_ones_of_others::stated: left: (503, 120), right: (200, 4194304) With the change all pass. What it costs: sound large answers that state their length are read a quarter of the memory at a time; not measured under load.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,7 +4,7 @@
 //! - [`absence`], [`hazard`]: which data centres currently have no reclaimable engines, for how long, and
 //!   which may be next.
 //! - [`memory`]: memory accounting of a box, and when it accepts no more; [`slowness`]: which slow
-//!   callers it disconnects.
+//!   callers it disconnects; [`answer_room`]: which large answers it reads at the same time.
 //! - [`pause`]: the pauses that servers ask a box for; [`brittle`]: servers that fall over when they reject too much.
 //! - [`paths`]: which servers a box reaches over its own links; [`proxies`], [`proxy_directory`]: through which boxes it
 //!   reaches the others.
@@ -49,6 +49,7 @@
 pub mod absence;
 pub mod admission;
 pub mod allowance;
+pub mod answer_room;
 pub mod brittle;
 pub mod capacity;
 pub mod certainty;
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -15,7 +15,7 @@
 use super::call::Call;
 use super::ends::AnswerProgress;
 use super::known::{InFlightRequest, KnownServer};
-use super::large::MAX_SMALL_BYTES;
+use super::large::{LargeAnswer, MAX_SMALL_BYTES};
 use super::quarantine;
 use super::reach;
 use super::table::Route;
@@ -29,7 +29,7 @@
 use crate::error::{Failure, Kind};
 use crate::http::Body;
 use crate::http::charged::guarded;
-use crate::ids::ServiceName;
+use crate::ids::{BackendId, ServiceName};
 
 /// Largest answer that is forwarded, in bytes.
 pub(super) const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -228,7 +228,9 @@
     flight: &mut InFlightRequest,
 ) -> Result<(Answer, bool), ReadFailure> {
     let framing = reply.exchange.framing;
-    let reading = read_whole(relay, reply, MAX_ANSWER_BYTES, call.time_left());
+    let known = flight.server().clone();
+    let server = &known.server.id;
+    let reading = read_whole(relay, server, reply, MAX_ANSWER_BYTES, call.time_left());
     let read = flight.unless_restarted(reading).await.map_err(ReadFailure::Server)??;
     let server_ended = flight.server().state.is_over();
     let judged = judge_end(&EndFacts { framing, stop: StopState::Running, server_ended });
@@ -236,54 +238,120 @@
     Ok(read)
 }
 
-/// Reads an answer of at most `limit` bytes to its end within `time`, reserving memory for it. Also returns
+/// Reads an answer of `server` of at most `limit` bytes to its end within `time`, reserving memory for it. Also returns
 /// whether the server reports that the request failed.
 pub(super) async fn read_whole(
     relay: &Relay,
+    server: &BackendId,
     reply: CheckedReply,
     limit: usize,
     time: Duration,
 ) -> Result<(Answer, bool), ReadFailure> {
     let CheckedReply { mut exchange, failed } = reply;
     let until = Instant::now() + time;
+    let length = AnswerLength::of(&exchange);
+    let mut memory = AnswerMemory { relay, server, length, until, charge: None, turn: None };
+    memory.begin(limit).await?;
     let mut held = BytesMut::new();
-    let mut charge = None;
-    let mut turn = None;
-    let length = content_length(&exchange.headers);
-    let is_stated = exchange.framing == Framing::Length && length.is_some();
-    // The whole length is reserved at once: several answers that each held part of their memory
-    // would wait for each other.
-    if let Some(length) = length.filter(|it| *it > UNCHARGED_BYTES) {
-        if length > limit as u64 {
-            return Err(ReadFailure::Server(SendFault::TooLarge(limit)));
-        }
-        reserve_memory(relay, &mut charge, length, until).await?;
-    }
     while let Some(piece) = next_piece(&mut exchange, until).await.map_err(ReadFailure::Server)? {
         if held.len() + piece.len() > limit {
             return Err(ReadFailure::Server(SendFault::TooLarge(limit)));
         }
-        let needed = (held.len() + piece.len()) as u64;
-        let is_large = !is_stated && needed > MAX_SMALL_BYTES as u64;
-        if is_large && turn.is_none() {
-            let waited = relay.large_answers.turn(until).await;
-            turn = Some(waited.ok_or(ReadFailure::Memory(SendFault::TimedOut))?);
-        }
-        let room = charge.as_ref().map_or(UNCHARGED_BYTES, MemoryReservation::bytes);
-        if needed > room {
-            reserve_memory(relay, &mut charge, piece.len() as u64, until).await?;
-        }
+        memory.hold(held.len() + piece.len(), piece.len()).await?;
         held.extend_from_slice(&piece);
     }
     let (status, mut headers) = (exchange.status, exchange.headers);
     strip_hop_by_hop_headers(&mut headers);
-    let body = match charge {
+    let body = match memory.charge {
         Some(charge) => guarded(held.freeze(), charge),
         None => held.freeze(),
     };
     Ok((Answer { status, headers, body }, failed))
 }
 
+/// What the head of an answer says of its length.
+#[derive(Debug, Clone, Copy)]
+enum AnswerLength {
+    /// No more than what is read without a turn.
+    Small(u64),
+    /// More than that.
+    Large(u64),
+    /// Nothing.
+    Unknown,
+}
+
+impl AnswerLength {
+    fn of(exchange: &Exchange) -> Self {
+        let length = content_length(&exchange.headers);
+        match length.filter(|_| exchange.framing == Framing::Length) {
+            Some(length) if length > MAX_SMALL_BYTES as u64 => Self::Large(length),
+            Some(length) => Self::Small(length),
+            None => Self::Unknown,
+        }
+    }
+
+    fn stated(self) -> u64 {
+        match self {
+            Self::Small(length) | Self::Large(length) => length,
+            Self::Unknown => 0,
+        }
+    }
+}
+
+/// The memory for an answer while it is read.
+struct AnswerMemory<'a> {
+    relay: &'a Relay,
+    server: &'a BackendId,
+    length: AnswerLength,
+    until: Instant,
+    charge: Option<MemoryReservation>,
+    turn: Option<LargeAnswer<'a>>,
+}
+
+impl AnswerMemory<'_> {
+    /// Reserves the whole length of a small answer: several answers that each held part of their memory would wait
+    /// for each other.
+    async fn begin(&mut self, limit: usize) -> Result<(), ReadFailure> {
+        if self.length.stated() > limit as u64 {
+            return Err(ReadFailure::Server(SendFault::TooLarge(limit)));
+        }
+        match self.length {
+            AnswerLength::Small(length) if length > UNCHARGED_BYTES => self.reserve(length).await,
+            AnswerLength::Small(_) | AnswerLength::Large(_) | AnswerLength::Unknown => Ok(()),
+        }
+    }
+
+    /// Has memory for `needed` bytes, of which a piece of `added` bytes has just come. A large answer that states its
+    /// length gets all of its memory as soon as some of it has come, and its server has room for it.
+    async fn hold(&mut self, needed: usize, added: usize) -> Result<(), ReadFailure> {
+        let answers = &self.relay.large_answers;
+        let is_kept =
+            needed as u64 <= self.charge.as_ref().map_or(UNCHARGED_BYTES, MemoryReservation::bytes);
+        match self.length {
+            AnswerLength::Large(length) if !is_kept && self.turn.is_none() => {
+                self.turn =
+                    Some(answers.room(self.server, length, self.until).await.ok_or(NO_ROOM)?);
+                return self.reserve(length).await;
+            }
+            AnswerLength::Unknown if needed > MAX_SMALL_BYTES && self.turn.is_none() => {
+                self.turn = Some(answers.turn(self.until).await.ok_or(NO_ROOM)?);
+            }
+            AnswerLength::Small(_) | AnswerLength::Large(_) | AnswerLength::Unknown => {}
+        }
+        match is_kept {
+            true => Ok(()),
+            false => self.reserve(added as u64).await,
+        }
+    }
+
+    async fn reserve(&mut self, bytes: u64) -> Result<(), ReadFailure> {
+        reserve_memory(self.relay, &mut self.charge, bytes, self.until).await
+    }
+}
+
+/// The box had no room for an answer within its call's time.
+const NO_ROOM: ReadFailure = ReadFailure::Memory(SendFault::TimedOut);
+
 /// The next piece of an answer. One that has come in time is not taken afterwards: more could follow without end.
 async fn next_piece(exchange: &mut Exchange, until: Instant) -> Result<Option<Bytes>, SendFault> {
     let left = until.saturating_duration_since(Instant::now());
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -283,7 +283,8 @@
     let opening = async {
         let reply = send(relay, call, route, known, start, limit).await?;
         if !reply.exchange.status.is_success() {
-            let (answer, failed) = read_whole(relay, reply, MAX_FAILURE_BYTES, limit).await?;
+            let (answer, failed) =
+                read_whole(relay, &known.server.id, reply, MAX_FAILURE_BYTES, limit).await?;
             return Ok(StartOutcome::Whole(answer.response(whole), failed));
         }
         let exchange = reply.exchange;
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -12,6 +12,7 @@
 mod platform;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use emberturn::clock;
@@ -25,6 +26,7 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use yare::parameterized;
 
 /// Bytes that are read before the head of an answer, and of the marks between its data, at most.
@@ -443,6 +445,75 @@
     });
 }
 
+/// Has many callers ask a server for answers that it begins and does not end, until all of them run.
+async fn ask_for_slow_answers(relay: &Arc<TestRelay>, server: &EndlessServer) -> JoinSet<()> {
+    let mut asking = JoinSet::new();
+    for _ in 0..SLOW_ANSWERS {
+        let relay = relay.clone();
+        asking.spawn(async move {
+            let reply = ask(&relay, "once", Pace::Fast).await;
+            panic!("an answer that has not come: {reply:?}");
+        });
+    }
+    until("slow answers", || server.runs() >= SLOW_ANSWERS).await;
+    asking
+}
+
+/// Answers that come slowly at the same time: as large as they may be, they would fill the box.
+const SLOW_ANSWERS: usize = 12;
+
+/// Guards against a box that refuses requests for want of memory, which answers that hardly come have reserved.
+#[parameterized(
+    nothing_came = { 0 },
+    little_came = { 20_000 },
+    much_came = { 1 << 20 },
+)]
+fn slow_answers_leave_room_for_other_requests(begun: usize) {
+    run(async move {
+        let endless = Endless::within(ANSWER_BYTES as usize, begun);
+        let server = EndlessServer::start(Asked::Calls, endless).await;
+        let sound = StandIn::start("i-2", &[Act::Answer]).await;
+        let relay = Arc::new(start_relay().await);
+        relay.list_as(vec![server.listed(), sound.listed("sound")]);
+        assert!(SLOW_ANSWERS as u64 * ANSWER_BYTES > relay.relay.memory.size());
+        let _asking = ask_for_slow_answers(&relay, &server).await;
+        for _ in 0..50 {
+            let reply = ask(&relay, "sound", Pace::Fast).await;
+            assert_eq!((reply.status, reply.body.as_str()), (200, "answer"));
+        }
+        let memory = &relay.relay.memory;
+        let bound = memory.size() * 3 / 10 + (SLOW_ANSWERS as u64 + 1) * MAX_REQUEST_BYTES;
+        assert!(memory.peak() <= bound, "{} of {}", memory.peak(), memory.size());
+    });
+}
+
+/// Guards against a server that keeps the large answers of others from being read.
+#[parameterized(
+    stated = { 1 << 20, Some(ANSWER_BYTES as usize) },
+    unknown = { 1 << 20, None },
+)]
+fn slow_answers_of_one_server_leave_room_for_large_ones_of_others(
+    begun: usize,
+    length: Option<usize>,
+) {
+    run(async move {
+        let endless = match length {
+            Some(length) => Endless::within(length, begun),
+            None => Endless::to_close(begun),
+        };
+        let server = EndlessServer::start(Asked::Calls, endless).await;
+        let large = Endless::whole_of(4 << 20);
+        let sound = EndlessServer::start(Asked::Calls, large).await;
+        let relay = Arc::new(start_relay().await);
+        relay.list_as(vec![server.listed(), listed_server("i-2", "sound", sound.addr)]);
+        let _asking = ask_for_slow_answers(&relay, &server).await;
+        for _ in 0..5 {
+            let reply = ask(&relay, "sound", Pace::Fast).await;
+            assert_eq!((reply.status, reply.body.len()), (200, 4 << 20));
+        }
+    });
+}
+
 mod own_interface {
     //! The readers of the own interface.
 
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -243,3 +243,65 @@
     let long = [EngineUsage { own_requests: 1, own_tokens: 1_000, other_requests: 20.0 }, EMPTY];
     assert_eq!(have_room(Tokens(10_000), &long, 1_000), [false, true]);
 }
+
+mod answer_room {
+    //! Large answers that are read at the same time.
+
+    use emberturn::decide::answer_room::AnswerRoom;
+    use emberturn::ids::BackendId;
+
+    const MEMORY: u64 = 160_000_000;
+    const LARGEST: u64 = 16_000_000;
+    /// A quarter of the memory, and what the answers of one server may take of it.
+    const ROOM: u64 = 40_000_000;
+    const SHARE: u64 = ROOM - LARGEST;
+
+    fn id(name: &str) -> BackendId {
+        name.parse().unwrap()
+    }
+
+    /// Takes room for answers of a server until there is none.
+    fn take_all(room: &mut AnswerRoom, server: &BackendId, bytes: u64) -> u64 {
+        (0..).take_while(|_| room.try_take(server, bytes)).count() as u64
+    }
+
+    #[test]
+    fn one_server_leaves_room_for_the_largest_answer_of_another() {
+        let mut room = AnswerRoom::new(MEMORY, LARGEST);
+        assert_eq!(take_all(&mut room, &id("i-1"), 1_000_000), SHARE / 1_000_000);
+        assert!(room.try_take(&id("i-2"), LARGEST));
+        assert_eq!(room.taken(), ROOM);
+    }
+
+    #[test]
+    fn any_number_of_servers_stays_within_the_room() {
+        let mut room = AnswerRoom::new(MEMORY, LARGEST);
+        for server in 0..100 {
+            take_all(&mut room, &id(&format!("i-{server}")), 3_000_000);
+        }
+        assert!(room.taken() <= ROOM, "{}", room.taken());
+    }
+
+    #[test]
+    fn room_that_is_given_back_is_taken_by_others() {
+        let mut room = AnswerRoom::new(MEMORY, LARGEST);
+        let (first, second) = (id("i-1"), id("i-2"));
+        for _ in 0..3 {
+            assert!(room.try_take(&first, LARGEST));
+            assert!(!room.try_take(&first, LARGEST));
+            assert!(room.try_take(&second, LARGEST));
+            room.give_back(&first, LARGEST);
+            room.give_back(&second, LARGEST);
+            assert_eq!(room.taken(), 0);
+        }
+    }
+
+    #[test]
+    fn small_box_reads_one_large_answer_at_a_time() {
+        let mut room = AnswerRoom::new(6_000_000, LARGEST);
+        assert!(room.try_take(&id("i-1"), 4_000_000));
+        assert!(!room.try_take(&id("i-2"), 300_000));
+        room.give_back(&id("i-1"), 4_000_000);
+        assert!(room.try_take(&id("i-2"), 300_000));
+    }
+}
--- a/tests/support/endless.rs
+++ b/tests/support/endless.rs
@@ -129,6 +129,25 @@
         Self { once: part.to_owned(), again: String::new(), pace: Pace::Slow }
     }
 
+    /// An answer that states its length, begins with so many bytes and then comes slowly.
+    pub fn within(length: usize, begun: usize) -> Self {
+        let begun = "x".repeat(begun);
+        let once = format!("{HEAD}Content-Length: {length}\r\n\r\n{begun}");
+        Self { once, again: "x".to_owned(), pace: Pace::Slow }
+    }
+
+    /// The same without a length: it ends with its connection.
+    pub fn to_close(begun: usize) -> Self {
+        let once = format!("{HEAD}\r\n{}", "x".repeat(begun));
+        Self { once, again: "x".to_owned(), pace: Pace::Slow }
+    }
+
+    /// A whole answer of so many bytes.
+    pub fn whole_of(length: usize) -> Self {
+        let once = format!("{HEAD}Content-Length: {length}\r\n\r\n{}", "x".repeat(length));
+        Self { once, again: String::new(), pace: Pace::Slow }
+    }
+
     /// A stream in chunks that has begun with some events.
     pub fn stream(events: u64, once: &str, again: &str, pace: Pace) -> Self {
         let begun: String = (1..=events).map(event).map(|text| chunk(&text)).collect();
