The platform's list of servers has a bound over all of its pages

What was seen: a list whose pages each name a next one was read for 400 pages of up to 8 MiB each, all of which the leader kept.

Cause: a bound for each page and for their number, none for their bytes.

Change: 32 MiB for all pages; behind that the list is given up as one that has no end, as before behind 400 pages, and the former one stays in use.

Beside it tests of what holds already: the greeting of another box (also to operators' commands), and the platform's answers to the leader, end at their bounds.

--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -544,6 +544,70 @@
     });
 }
 
+mod between_boxes {
+    //! The readers of what other boxes and the platform answer.
+
+    use emberturn::backend::{Pool, SendFault};
+    use emberturn::boxlist::{self, ListError};
+    use emberturn::ids::{Term, Window};
+    use emberturn::peer::Peers;
+    use emberturn::platform::client::{Client, CloudFault, Duty};
+    use emberturn::state::usage::Settle;
+
+    use super::*;
+
+    /// The largest message between boxes, and the largest answer of the platform.
+    const MESSAGE_BYTES: u64 = 16 << 20;
+    const PLATFORM_BYTES: u64 = 8 << 20;
+
+    /// Guards against a box, or an operator's command, that keeps what another box sends in place of its greeting.
+    #[parameterized(
+        interim = { Place::Interim },
+        empty_lines = { Place::EmptyLines },
+        status_line = { Place::StatusLine },
+        header_lines = { Place::HeaderLines },
+        header = { Place::Header },
+        body_to_close = { Place::BodyToClose },
+    )]
+    fn greeting_of_another_box_ends_at_a_bound(place: Place) {
+        run(async {
+            let endless = Endless::whole(place, Pace::Fast);
+            let mut server = EndlessServer::start(Asked::Everything, endless).await;
+            let peers = Peers::new("");
+            peers.call::<_, ()>(server.addr, "node_status", &(), PATIENCE).await.unwrap_err();
+            let written = server.written().await;
+            assert!(written <= MESSAGE_BYTES + BUFFERED_BYTES, "{written}");
+        });
+    }
+
+    #[parameterized(
+        header_lines = { Place::HeaderLines },
+        chunk_size = { Place::ChunkSize },
+        body_with_length = { Place::BodyWithLength },
+        body_in_chunks = { Place::BodyInChunks },
+        body_to_close = { Place::BodyToClose },
+    )]
+    fn answers_of_the_platform_end_at_a_bound(place: Place) {
+        run(async {
+            let endless = Endless::whole(place, Pace::Fast);
+            let mut server = EndlessServer::start(Asked::Everything, endless).await;
+            let client = Client::new(Pool::default(), server.addr);
+            let is_bounded = |fault: &SendFault| *fault != SendFault::TimedOut;
+            let fault = client.list(PATIENCE).await.unwrap_err();
+            assert!(matches!(&fault, CloudFault::Silent(it) if is_bounded(it)), "{fault}");
+            assert!(server.written().await <= PLATFORM_BYTES + BUFFERED_BYTES);
+            let duty = Duty { holder: "b".parse().unwrap(), fence: Term(1) };
+            let settle = Settle { window: Window(1), counts: [].into() };
+            let fault = client.report_usage(&duty, &settle, PATIENCE).await.unwrap_err();
+            assert!(matches!(&fault, CloudFault::Silent(it) if is_bounded(it)), "{fault}");
+            assert!(server.written().await <= PLATFORM_BYTES + BUFFERED_BYTES);
+            let fault = boxlist::list(&Pool::default(), server.addr, PATIENCE).await.unwrap_err();
+            assert!(matches!(&fault, ListError::Exchange(it) if is_bounded(it)), "{fault}");
+            assert!(server.written().await <= PLATFORM_BYTES + BUFFERED_BYTES);
+        });
+    }
+}
+
 mod own_interface {
     //! The readers of the own interface.
 
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -387,6 +387,18 @@
     assert_eq!(asked.load(Ordering::SeqCst), 2);
 }
 
+/// Guards against a leader that keeps pages of a list as long as there is a next one.
+#[tokio::test]
+async fn list_whose_pages_have_no_end_is_given_up_at_a_bound() {
+    const LIST_BYTES: usize = 32 << 20;
+    let text = String::from_utf8(page(&entries(5_000))).unwrap();
+    let page = text.replace("\"next_page_token\":null", "\"next_page_token\":\"again\"");
+    let most = LIST_BYTES / page.len() + 1;
+    let (client, asked) = platform(vec![page.into_bytes()]).await;
+    assert!(client.list(LIMIT).await.is_err());
+    assert!(asked.load(Ordering::SeqCst) <= most, "{asked:?} of {most}");
+}
+
 #[tokio::test]
 async fn invalid_utf8_skips_only_its_entry() {
     let mut listed = entries(2);
