--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -12,6 +12,7 @@
 mod platform;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use emberturn::clock;
@@ -25,6 +26,7 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use yare::parameterized;
 
 /// Bytes that are read before the head of an answer, and of the marks between its data, at most.
@@ -74,12 +76,14 @@
 async fn start_relay() -> TestRelay {
     let relay = TestRelay::empty().await;
     let mut routes = usual_routes();
+    routes.push(route("sound-stream", "streaming", 1));
     routes.push(route("sound", "safe", 1));
     for route in &mut routes {
         route["timeout_ms"] = json!(LONG_MS);
         route["target_latency_ms"] = json!(300);
     }
-    routes.last_mut().unwrap()["service"] = json!("sound");
+    let sound = routes.len() - 2;
+    routes[sound..].iter_mut().for_each(|route| route["service"] = json!("sound"));
     let mut value = document(1, &routes);
     let mut other = value["services"][0].clone();
     other["name"] = json!("sound");
@@ -443,6 +447,167 @@
     });
 }
 
+/// Has many callers ask a server for answers that it begins and does not end, until all of them run.
+async fn ask_for_slow_answers(
+    relay: &Arc<TestRelay>,
+    route: &'static str,
+    server: &EndlessServer,
+) -> JoinSet<()> {
+    let mut asking = JoinSet::new();
+    for _ in 0..SLOW_ANSWERS {
+        let relay = relay.clone();
+        asking.spawn(async move {
+            let reply = ask(&relay, route, Pace::Fast).await;
+            panic!("an answer that has not come: {reply:?}");
+        });
+    }
+    until("slow answers", || server.runs() >= SLOW_ANSWERS).await;
+    asking
+}
+
+/// Answers that come slowly at the same time: as large as they may be, they would fill the box.
+const SLOW_ANSWERS: usize = 12;
+
+/// Guards against a box that refuses requests for want of memory, which answers that hardly come have reserved.
+#[parameterized(
+    nothing_came = { 0 },
+    little_came = { 20_000 },
+    much_came = { 1 << 20 },
+)]
+fn slow_answers_leave_room_for_other_requests(begun: usize) {
+    run(async move {
+        let endless = Endless::within(ANSWER_BYTES as usize, begun);
+        let server = EndlessServer::start(Asked::Calls, endless).await;
+        let sound = StandIn::start("i-2", &[Act::Answer]).await;
+        let relay = Arc::new(start_relay().await);
+        relay.list_as(vec![server.listed(), sound.listed("sound")]);
+        assert!(SLOW_ANSWERS as u64 * ANSWER_BYTES > relay.relay.memory.size());
+        let _asking = ask_for_slow_answers(&relay, "once", &server).await;
+        for _ in 0..50 {
+            let reply = ask(&relay, "sound", Pace::Fast).await;
+            assert_eq!((reply.status, reply.body.as_str()), (200, "answer"));
+        }
+        let memory = &relay.relay.memory;
+        let bound = memory.size() * 3 / 10 + (SLOW_ANSWERS as u64 + 1) * MAX_REQUEST_BYTES;
+        assert!(memory.peak() <= bound, "{} of {}", memory.peak(), memory.size());
+    });
+}
+
+/// Guards against a server that keeps the large answers of others from being read.
+#[parameterized(
+    stated = { 1 << 20, Some(ANSWER_BYTES as usize) },
+    unknown = { 1 << 20, None },
+)]
+fn slow_answers_of_one_server_leave_room_for_large_ones_of_others(
+    begun: usize,
+    length: Option<usize>,
+) {
+    run(async move {
+        let endless = match length {
+            Some(length) => Endless::within(length, begun),
+            None => Endless::to_close(begun),
+        };
+        let server = EndlessServer::start(Asked::Calls, endless).await;
+        let large = Endless::whole_of(4 << 20);
+        let sound = EndlessServer::start(Asked::Calls, large).await;
+        let relay = Arc::new(start_relay().await);
+        relay.list_as(vec![server.listed(), listed_server("i-2", "sound", sound.addr)]);
+        let _asking = ask_for_slow_answers(&relay, "once", &server).await;
+        for _ in 0..5 {
+            let reply = ask(&relay, "sound", Pace::Fast).await;
+            assert_eq!((reply.status, reply.body.len()), (200, 4 << 20));
+        }
+    });
+}
+
+/// Guards against streams whose events hardly come, and which keep the large events of others from being read.
+#[parameterized(
+    small = { 60_000 },
+    large = { 1 << 20 },
+    largest = { 4_000_000 },
+)]
+fn slow_events_of_one_server_leave_room_for_large_ones_of_others(begun: usize) {
+    run(async move {
+        let server = EndlessServer::start(Asked::Calls, Endless::inside_event(begun)).await;
+        let sound = StandIn::start("i-2", &[Act::Large(3, 1 << 20)]).await;
+        let relay = Arc::new(start_relay().await);
+        relay.list_as(vec![server.listed(), sound.listed("sound")]);
+        let _asking = ask_for_slow_answers(&relay, "stream", &server).await;
+        for _ in 0..5 {
+            let reply = ask(&relay, "sound-stream", Pace::Fast).await;
+            assert_eq!((reply.status, reply.whole), (200, true), "{}", reply.body.len());
+            assert!(reply.body.len() > 3 << 20, "{}", reply.body.len());
+        }
+        let memory = &relay.relay.memory;
+        let bound = memory.size() / 2 + SLOW_ANSWERS as u64 * MAX_REQUEST_BYTES;
+        assert!(memory.peak() <= bound, "{} of {}", memory.peak(), memory.size());
+    });
+}
+
+mod between_boxes {
+    //! The readers of what other boxes and the platform answer.
+
+    use emberturn::backend::{Pool, SendFault};
+    use emberturn::boxlist::{self, ListError};
+    use emberturn::ids::{Term, Window};
+    use emberturn::peer::Peers;
+    use emberturn::platform::client::{Client, CloudFault, Duty};
+    use emberturn::state::usage::Settle;
+
+    use super::*;
+
+    /// The largest message between boxes, and the largest answer of the platform.
+    const MESSAGE_BYTES: u64 = 16 << 20;
+    const PLATFORM_BYTES: u64 = 8 << 20;
+
+    /// Guards against a box, or an operator's command, that keeps what another box sends in place of its greeting.
+    #[parameterized(
+        interim = { Place::Interim },
+        empty_lines = { Place::EmptyLines },
+        status_line = { Place::StatusLine },
+        header_lines = { Place::HeaderLines },
+        header = { Place::Header },
+        body_to_close = { Place::BodyToClose },
+    )]
+    fn greeting_of_another_box_ends_at_a_bound(place: Place) {
+        run(async {
+            let endless = Endless::whole(place, Pace::Fast);
+            let mut server = EndlessServer::start(Asked::Everything, endless).await;
+            let peers = Peers::new("");
+            peers.call::<_, ()>(server.addr, "node_status", &(), PATIENCE).await.unwrap_err();
+            let written = server.written().await;
+            assert!(written <= MESSAGE_BYTES + BUFFERED_BYTES, "{written}");
+        });
+    }
+
+    #[parameterized(
+        header_lines = { Place::HeaderLines },
+        chunk_size = { Place::ChunkSize },
+        body_with_length = { Place::BodyWithLength },
+        body_in_chunks = { Place::BodyInChunks },
+        body_to_close = { Place::BodyToClose },
+    )]
+    fn answers_of_the_platform_end_at_a_bound(place: Place) {
+        run(async {
+            let endless = Endless::whole(place, Pace::Fast);
+            let mut server = EndlessServer::start(Asked::Everything, endless).await;
+            let client = Client::new(Pool::default(), server.addr);
+            let is_bounded = |fault: &SendFault| *fault != SendFault::TimedOut;
+            let fault = client.list(PATIENCE).await.unwrap_err();
+            assert!(matches!(&fault, CloudFault::Silent(it) if is_bounded(it)), "{fault}");
+            assert!(server.written().await <= PLATFORM_BYTES + BUFFERED_BYTES);
+            let duty = Duty { holder: "b".parse().unwrap(), fence: Term(1) };
+            let settle = Settle { window: Window(1), counts: [].into() };
+            let fault = client.report_usage(&duty, &settle, PATIENCE).await.unwrap_err();
+            assert!(matches!(&fault, CloudFault::Silent(it) if is_bounded(it)), "{fault}");
+            assert!(server.written().await <= PLATFORM_BYTES + BUFFERED_BYTES);
+            let fault = boxlist::list(&Pool::default(), server.addr, PATIENCE).await.unwrap_err();
+            assert!(matches!(&fault, ListError::Exchange(it) if is_bounded(it)), "{fault}");
+            assert!(server.written().await <= PLATFORM_BYTES + BUFFERED_BYTES);
+        });
+    }
+}
+
 mod own_interface {
     //! The readers of the own interface.
 
--- a/tests/support/endless.rs
+++ b/tests/support/endless.rs
@@ -129,6 +129,31 @@
         Self { once: part.to_owned(), again: String::new(), pace: Pace::Slow }
     }
 
+    /// An answer that states its length, begins with so many bytes and then comes slowly.
+    pub fn within(length: usize, begun: usize) -> Self {
+        let begun = "x".repeat(begun);
+        let once = format!("{HEAD}Content-Length: {length}\r\n\r\n{begun}");
+        Self { once, again: "x".to_owned(), pace: Pace::Slow }
+    }
+
+    /// The same without a length: it ends with its connection.
+    pub fn to_close(begun: usize) -> Self {
+        let once = format!("{HEAD}\r\n{}", "x".repeat(begun));
+        Self { once, again: "x".to_owned(), pace: Pace::Slow }
+    }
+
+    /// A stream that has begun with an event, and with so many bytes of another one that then comes slowly.
+    pub fn inside_event(begun: usize) -> Self {
+        let begun = chunk(&format!("data: {}", "x".repeat(begun)));
+        Self::stream(1, &begun, &chunk("x"), Pace::Slow)
+    }
+
+    /// A whole answer of so many bytes.
+    pub fn whole_of(length: usize) -> Self {
+        let once = format!("{HEAD}Content-Length: {length}\r\n\r\n{}", "x".repeat(length));
+        Self { once, again: String::new(), pace: Pace::Slow }
+    }
+
     /// A stream in chunks that has begun with some events.
     pub fn stream(events: u64, once: &str, again: &str, pace: Pace) -> Self {
         let begun: String = (1..=events).map(event).map(|text| chunk(&text)).collect();
@@ -250,7 +275,8 @@
         let is_meant = shared.asked == Asked::Everything || asked == shared.asked;
         if is_meant && !shared.is_well.load(Ordering::SeqCst) {
             let written = write_endlessly(&mut stream, &shared.endless).await;
-            shared.written.send(written).unwrap();
+            // The test may be over.
+            let _ = shared.written.send(written);
             shared.given_up.send_replace(true);
             return Ok(());
         }
