Callers: a head that arrives while its box closes is answered

What callers saw: after a relay in a planned stop began to refuse, 30 of 40 requests at 3 s of work got a bare close, 10 a 503; none was run. A caller of a request that must not be repeated cannot tell a close from one that ran.

Cause: once a box takes nothing new, each connection is told to shut down at that moment. The HTTP library closes a connection of which it has read nothing yet, and a kept one whose next head is not complete, as if both were at rest.

Change: a connection is told so only when no head is arriving or due on it. Its request gets the refusal, and the connection closes behind that. Connections at rest close at once, as before; a head that does not come ends by its time limit.

Evidence: tests/closing_connections.rs on the code before, three of four cases fail (new connection; kept connection with 1 and with 40 bytes of a head): `assertion left == right failed, left: 0, right: 503`. All pass now.

Looked for elsewhere: `entry/`, the operators' side and other boxes' side use the same server. Gate::close_oldest takes connections at rest only.

--- a/src/http/gate.rs
+++ b/src/http/gate.rs
@@ -128,6 +128,11 @@
         is_due.then(|| self.head().since).flatten()
     }
 
+    /// Whether a head is arriving, or due on a new connection.
+    pub(super) fn awaits_head(&self) -> bool {
+        self.is_at(Stage::Head)
+    }
+
     /// A request has arrived.
     fn begin(&self) {
         self.requests.fetch_add(1, Ordering::SeqCst);
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -158,7 +158,7 @@
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     let mut head_timer = HeadTimer::default();
-    let mut closes = false;
+    let (mut closes, mut is_told) = (false, false);
     loop {
         tokio::select! {
             // The timer of a head is right only behind the connection's own look at what arrived.
@@ -167,18 +167,31 @@
             () = head_timer.expire(&gate, &link) => {
                 return tracing::debug!(event = "head_too_slow");
             }
-            () = closed(&mut closing), if !closes => {}
+            () = closed(&mut closing), if !closes => closes = true,
             () = link.told() => {
                 if link.is_cut() {
                     return;
                 }
+                closes = true;
+            }
+            () = head_read(&link), if closes && !is_told => {
+                is_told = true;
+                connection.as_mut().graceful_shutdown();
             }
         }
-        closes = true;
-        connection.as_mut().graceful_shutdown();
     }
 }
 
+/// Waits until no head is arriving or due: a connection that is told to close before one is complete closes without an
+/// answer. It is looked at whenever the connection is, so the end of a head needs no signal.
+async fn head_read(link: &Link) {
+    poll_fn(|_| match link.awaits_head() {
+        true => Poll::Pending,
+        false => Poll::Ready(()),
+    })
+    .await;
+}
+
 /// Ends a connection whose head does not arrive in its time. It is looked at whenever the connection
 /// is, so a head that arrives at once needs no timer.
 #[derive(Default)]
