Planned stop of a relay: accept what is expected to end, answer the rest

What callers saw: one of two relays gets SIGTERM in calm; of 32 requests with 7 s of work, 24 sent from 0.6 s on were cut at 7.4 s without an answer, 12 of them requests that must not be repeated.

Cause: until the balancer has seen that the box is not ready (2.3 s), it accepted whatever came, without a look at the time that is left; at the end of the grace the process ended with the requests under way.

Change: during a stop a request is accepted if its deadline comes before the end, or if its route's last answers say that it ends (decide/stop): the longest of them and a quarter for a request that must not be repeated, nine of ten for one that may be. Else it is refused at once as not run (503 draining). Every answer of a box that stops closes its connection. What was sent and has no answer 0.6 s before the end of the grace gets 504 `stopped`, unknown; streams are cut after what was read is delivered. Requests of other boxes are taken if their deadline comes before the end. Lines request_late, request_cut, stop_ended; metric emberturn_late_requests.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -37,6 +37,7 @@
 //! - [`sends`]: what the sends of a request prove about it.
 //! - [`serving`]: which releases get new requests without an order.
 //! - [`share`]: which share of a fleet-wide limit each node may use.
+//! - [`stop`]: which requests a box still accepts while it stops.
 //! - [`orders`]: ordered engines that the platform's list does not show yet.
 //! - [`spend`]: how many engines of which kind each service gets, and where.
 //! - [`intervals`]: how often boxes report to the leader and look for a lost one.
@@ -92,6 +93,7 @@
 pub mod slowness;
 pub mod spend;
 pub mod spill;
+pub mod stop;
 pub mod subset;
 pub mod throttle;
 pub mod token_bucket;
--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -4,7 +4,8 @@
 //!    that, and callers that still come are served.
 //! 2. New requests are refused as not run; those under way finish. A replica's vote goes to a learner.
 //! 3. What outlasts the drain time and came under a key is handed over to a peer.
-//! 4. A planned stop waits for the rest to end. A reclaimed box has no such time: step 3 begins as
+//! 4. A planned stop waits for the rest to end. A relay has the platform's grace for it, and tells requests that
+//!    have no answer by then that their outcome is unknown. A reclaimed box has no such time: step 3 begins as
 //!    long before the end of its notice as the handing over may take.
 
 use std::sync::Arc;
@@ -28,6 +29,9 @@
 /// Part of the platform's grace that is left when a relay ends.
 const GRACE_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time for requests without an answer to be told so at the end of the grace.
+const LAST_ANSWERS: Duration = Duration::from_millis(250);
+
 /// Time for the last bytes to leave.
 const LAST_BYTES: Duration = Duration::from_millis(50);
 
@@ -38,6 +42,9 @@
     node.board.set_phase(Phase::Draining);
     node.say_leaving();
     let limits = Limits::of(node, began);
+    if let Some(relay) = node.relay() {
+        relay.stopping.begin(limits.end);
+    }
     if node.settings.has(Role::Entry) || node.settings.has(Role::Relay) {
         tokio::time::sleep_until(limits.refuse.into()).await;
     }
@@ -45,6 +52,7 @@
     tokio::join!(node.hand_over_vote(), wait_for_requests(node, limits.hand_over));
     hand_over_rest(node).await;
     wait_for_requests(node, limits.end).await;
+    answer_rest(node).await;
     tokio::time::sleep(LAST_BYTES).await;
     tracing::info!(event = "drained", left = node.board.requests());
 }
@@ -85,6 +93,15 @@
     }
 }
 
+/// Has requests that have no answer be told that their outcome is unknown.
+async fn answer_rest(node: &Node) {
+    if let Some(relay) = node.relay() {
+        tracing::info!(event = "stop_ended", requests = node.board.requests());
+        relay.stopping.end();
+        wait_for_requests(node, Instant::now() + LAST_ANSWERS).await;
+    }
+}
+
 async fn hand_over_rest(node: &Arc<Node>) {
     let open = node.open_generations();
     let handing = open.into_iter().map(|(team, key, generation)| {
--- a/src/error.rs
+++ b/src/error.rs
@@ -98,6 +98,8 @@
     BackendBroke,
     /// A backend server did not answer in time after the request may have run.
     BackendTimeout,
+    /// The node stopped before the answer came.
+    Stopped,
     /// A backend server's answer is larger than the limit or breaks the protocol.
     BackendInvalid,
     /// Another node goes on with the stream; the caller comes back with its key.
@@ -134,7 +136,7 @@
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 36] = [
+    pub const ALL: [Self; 37] = [
         Self::BadRequest,
         Self::UnknownKey,
         Self::NotFound,
@@ -165,6 +167,7 @@
         Self::Quarantined,
         Self::BackendBroke,
         Self::BackendTimeout,
+        Self::Stopped,
         Self::BackendInvalid,
         Self::HandedOver,
         Self::StreamLost,
@@ -207,6 +210,7 @@
             Self::Quarantined => row(503, "quarantined", NotRun, false),
             Self::BackendBroke => row(502, "backend_broke", Unknown, true),
             Self::BackendTimeout => row(504, "backend_timeout", Unknown, true),
+            Self::Stopped => row(504, "stopped", Unknown, true),
             Self::BackendInvalid => row(502, "backend_invalid", Unknown, false),
             Self::HandedOver => row(409, "handed_over", Unknown, true),
             Self::StreamLost => row(410, "stream_lost", Unknown, true),
--- a/src/relay/attempts.rs
+++ b/src/relay/attempts.rs
@@ -14,6 +14,7 @@
 use super::pick::Picker;
 use super::quarantine;
 use super::restraint::{self, SendRestrictions};
+use super::stopping;
 use super::table::Route;
 use crate::decide::choose::has_room;
 use crate::decide::releases::ReleaseChoice;
@@ -135,6 +136,9 @@
         if self.unknown_outcome.is_some() && !route.repeat.is_repeatable() {
             return Err(self.final_failure(relay));
         }
+        if self.sends.is_proven_not_run() {
+            stopping::check(relay, &call.head.id, route, call.time_left())?;
+        }
         let min_time_left =
             (route.objective / MIN_TIME_LEFT_DIVISOR).min(route.timeout / MIN_TIME_LEFT_DIVISOR);
         // A server of a brittle service may fall over with the next rejection.
@@ -231,6 +235,14 @@
         })
     }
 
+    /// The failure of a call that has no answer when the box stops.
+    pub(super) fn stop_failure(&self, relay: &Relay, call: &Call, route: &Route) -> Failure {
+        match self.sends.is_proven_not_run() {
+            true => stopping::refusal("the box has stopped; ask another"),
+            false => stopping::cut(relay, call, route),
+        }
+    }
+
     /// The failure of a call that is not sent again.
     fn final_failure(&self, relay: &Relay) -> Failure {
         self.fail_with(|| self.not_run_failure(relay))
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -160,7 +160,8 @@
 
 /// The server, if this box would send to it.
 fn find_server(relay: &Relay, hop: &HopRequest) -> Result<Arc<KnownServer>, HopFault> {
-    if relay.is_closing() {
+    // The box that asks has others, and its caller.
+    if relay.is_closing() || !relay.stopping.has_time(hop.time_left) {
         return Err(HopFault::Busy);
     }
     let known = relay.servers.find(&hop.server).filter(|known| known.is_open());
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,6 +25,7 @@
 //!   and how its stream ends.
 //! - [`keeping`] accounts for the memory that a request occupies, and [`taking`] buffers its answer
 //!   until the caller has received it.
+//! - [`stopping`] is the planned stop of the box.
 //! - [`usage`] counts the requests that ran and [`offered`] those that arrived. The decision logic
 //!   is in [`crate::decide`].
 //!
@@ -63,12 +64,14 @@
 pub(crate) mod resume;
 pub mod serve;
 pub mod servers;
+pub mod stopping;
 pub mod stream;
 pub mod table;
 pub(crate) mod taking;
 pub mod traffic;
 pub mod usage;
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -114,6 +117,7 @@
 use list::{ListIndex, ListPart};
 use offered::OfferedTracker;
 use servers::ServerTable;
+use stopping::Stopping;
 use table::{EngineSpec, RouteTable};
 use traffic::TrafficCounters;
 use usage::UsageCounter;
@@ -155,6 +159,8 @@
     large_answers: LargeAnswers,
     /// Callers' connections.
     pub gate: Arc<Gate>,
+    /// The planned stop of this box.
+    pub stopping: Stopping,
     /// The route table in force; `None` until the first one arrives.
     table: ArcSwapOption<RouteTable>,
     allowances: Mutex<Allowances>,
@@ -219,6 +225,7 @@
             memory,
             large_answers,
             gate,
+            stopping: Stopping::default(),
             table: ArcSwapOption::empty(),
             allowances: Mutex::new(Allowances::new()),
             retries: Mutex::default(),
@@ -273,6 +280,8 @@
         let limited = table.teams.values().filter(|team| team.rate.is_some());
         self.allowances().set_limited_teams(limited.map(|team| &team.name), clock::now());
         self.gate.set_head_time(table.limits.head_time);
+        let names: HashSet<_> = table.routes().map(|route| route.name.as_str()).collect();
+        self.stopping.retain_routes(|name| names.contains(name));
         self.table.store(Some(table));
         self.routes_or_servers_changed.notify_waiters();
     }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -122,6 +122,7 @@
             }
         }
         tokio::select! {
+            biased;
             Some((known, result)) = running.next() => match result {
                 Ok((answer, false)) => return Ok(answer),
                 Ok((answer, true)) if !attempts.may_retry(route) && running.is_empty() => {
@@ -130,6 +131,9 @@
                 Ok((answer, true)) => failed = Some(answer),
                 Err(failure) => attempts.record_failure(relay, call, &known, failure),
             },
+            () = relay.stopping.ended() => {
+                return failed.ok_or_else(|| attempts.stop_failure(relay, call, route));
+            }
             () = &mut hedge_delay, if !hedged && attempts.may_retry(route) => {
                 hedged = true;
                 if let Ok(known) = attempts.next_server(relay, call, route) {
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -21,6 +21,7 @@
 use super::plain::{self, strip_hop_by_hop_headers};
 use super::quarantine;
 use super::resume;
+use super::stopping;
 use super::stream;
 use super::table::{Route, RouteTable, Team};
 use super::taking;
@@ -34,9 +35,6 @@
 use crate::ids::{ServiceName, TeamName};
 use crate::telemetry::volume;
 
-/// Retry-After of a box that is shutting down; callers reach another box.
-const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// How long a call waits for the leader's answer about its team's limit: several round trips to
 /// another data centre. Replacing a failed leader takes longer than this.
 const LEADER_REPLY_TIMEOUT: Duration = Duration::from_millis(150);
@@ -69,7 +67,7 @@
         Ok(head) => serve(&relay, request, &mut body, head, arrived).await,
         Err(failure) => Err(failure),
     };
-    match result {
+    let mut response = match result {
         Ok(response) => response,
         Err(failure) => {
             let closes = matches!(failure.kind, Kind::NoMemory | Kind::TooLarge | Kind::SlowCaller);
@@ -88,7 +86,12 @@
             }
             response
         }
+    };
+    // Callers that know that this is the connection's last answer send nothing into its close.
+    if relay.stopping.has_begun() || relay.is_closing() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    response
 }
 
 /// Turns a permanent refusal into a temporary one where the routes it is based on may be out of
@@ -118,9 +121,6 @@
     let mut response = answer::failed(failure);
     let id = Some(id).filter(|id| !id.is_empty());
     relay.context.dialect.mark_relay_answer(response.headers_mut(), id, failure.retry_after);
-    if relay.is_closing() {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
     response
 }
 
@@ -138,19 +138,23 @@
     let table = relay.table().ok_or_else(|| uncertain("no routes are known yet"))?;
     head::check(&request, table.limits.head)?;
     let authorized = authorize(relay, &target, &head)?;
-    if relay.is_closing() {
-        let text = "the box is stopping; ask another";
-        return Err(Failure::new(Kind::Draining, text).after(Some(DRAINING_RETRY_AFTER)));
-    }
     let (team, route) = (authorized.team.as_ref(), &authorized.route);
     let id = head.id.clone();
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let until = arrived + timeout;
+    if relay.is_closing() {
+        return Err(stopping::refusal("the box is stopping; ask another"));
+    }
+    stopping::check(relay, &id, route, until.saturating_duration_since(Instant::now()))?;
     let urgency = urgency(team, route);
     let claim = MemoryClaim::Request { team: team.map(|team| team.name.clone()), urgency };
     relay.gate.relieve(IDLE_CLOSED_PER_REQUEST);
     let kept = RequestReservation::reserve(&relay.memory, &request, &claim, guard)?;
-    let until = arrived + timeout;
-    let read = read_body(&relay.memory, body, table.limits.body, until, claim).await?;
+    let read = tokio::select! {
+        biased;
+        read = read_body(&relay.memory, body, table.limits.body, until, claim) => read?,
+        () = relay.stopping.ended() => return Err(stopping::refusal("the box has stopped; ask another")),
+    };
     let call = build_call(team, urgency, head, request, read, arrived, until);
     quarantine::check_route(relay, &call, route)?;
     let charged = take_allowance(relay, team, &call).await?;
@@ -183,6 +187,9 @@
     };
     match answered {
         Ok(response) => {
+            if !route.repeat.is_stream() {
+                relay.stopping.record_time(&route, arrived.elapsed());
+            }
             let name = team.as_ref().map_or("-", |team| team.name.as_str());
             log_answer(relay, &table, &route, name, &response, &id, arrived);
             relay.context.metrics.count_request(name, "answered");
@@ -194,6 +201,7 @@
             let is_reached = || !relay.paths().was_impaired(&service, arrived);
             if failure.kind == Kind::BackendTimeout && is_reached() {
                 relay.engines().record_served(&service, true);
+                relay.stopping.record_time(&route, arrived.elapsed());
             }
             refund(&failure);
             Err(failure)
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -23,9 +23,11 @@
 use super::quarantine;
 use super::reach;
 use super::resume;
+use super::stopping;
 use super::table::{Repeat, Route};
 use super::taking;
 use crate::backend::{Exchange, SendFault};
+use crate::blackboard::fleet::Leaving;
 use crate::decide::completeness::{EndFacts, Framing, StopState, judge_end};
 use crate::decide::engine::Observation;
 use crate::decide::origins::StreamOrigin;
@@ -136,6 +138,16 @@
     Closed,
 }
 
+/// What a stream that waits for events goes on with.
+enum Step {
+    /// Its server is leaving.
+    Leaving(Leaving),
+    /// A read has returned.
+    Received(Result<Received, SendFault>),
+    /// The box has stopped.
+    Stopped,
+}
+
 /// Outcome of an attempt to start a stream.
 pub(super) enum StartOutcome {
     /// The stream has started.
@@ -170,7 +182,11 @@
                 start_state(call.head.last_event_id, &attempts)
             ));
             tokio::select! {
+                biased;
                 opened = &mut opening => Some(opened),
+                () = relay.stopping.ended() => {
+                    return failed.ok_or_else(|| attempts.stop_failure(&relay, &call, &route));
+                }
                 () = tokio::time::sleep(start_timeout(&route)), if attempts.may_retry(&route) => {
                     match attempts.next_server(&relay, &call, &route) {
                         Ok(other) => {
@@ -448,17 +464,24 @@
         let mut waiting_since = Instant::now();
         let mut leave_signal = Some(source.flight.server().state.follow_leaving());
         let mut earliest_move = Instant::now();
+        let mut stop_end = relay.stopping.follow_end();
         loop {
             // Parts of an event are no sign that it will end. Time in which the caller was waited for does not count.
             let silent = progress.last_event_at.max(waiting_since).elapsed();
             let silence = limit.saturating_sub(silent).min(call.time_left());
             let step = tokio::select! {
-                leaving = moving::wait_until_leaving(&mut leave_signal, earliest_move) => Err(leaving),
-                received = next_events(&mut source, &mut progress, silence) => Ok(received),
+                leaving = moving::wait_until_leaving(&mut leave_signal, earliest_move) => Step::Leaving(leaving),
+                received = next_events(&mut source, &mut progress, silence) => Step::Received(received),
+                () = stop_end.wait() => Step::Stopped,
             };
             let received = match step {
-                Ok(received) => received,
-                Err(leaving) => {
+                Step::Received(received) => received,
+                Step::Stopped => {
+                    let failure = stopping::cut(&relay, &call, &route);
+                    yield Err(io::Error::other(failure.detail));
+                    break;
+                }
+                Step::Leaving(leaving) => {
                     leave_signal = None;
                     let service = attempts.service();
                     if !moving::is_worth_moving(&relay, &call, service, &source, progress.events, &leaving) {
@@ -509,6 +532,9 @@
                     source.record_survival(&relay, &call, true);
                     let known = source.flight.server();
                     record_end(&relay, &call, &route, &source, &progress);
+                    if call.head.last_event_id.is_none() {
+                        relay.stopping.record_time(&route, call.arrived.elapsed());
+                    }
                     quarantine::record_success(&relay, &call);
                     relay.engines().record_served(attempts.service(), progress.is_late(&route));
                     progress.record_pace(&relay, attempts.service(), &call);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -49,6 +49,7 @@
     returns: Counter<u64>,
     proxied: Counter<u64>,
     unread_entries: Counter<u64>,
+    late: Counter<u64>,
     gauges: Gauges,
 }
 
@@ -117,6 +118,10 @@
                 "emberturn_sends_not_run",
                 "Sends to backend servers that did not run, by what proves it",
             ),
+            late: counter(
+                "emberturn_late_requests",
+                "Requests that could not be answered before the box stopped, by outcome",
+            ),
             unread_entries: counter(
                 "emberturn_list_entries_unread",
                 "Entries of the list of backend servers that name none, by reason",
@@ -222,6 +227,11 @@
         self.proxied.add(1, &[outcome_label(outcome)]);
     }
 
+    /// Counts a request that could not be answered before the box stopped.
+    pub fn count_late(&self, outcome: &'static str) {
+        self.late.add(1, &[outcome_label(outcome)]);
+    }
+
     /// Counts an entry of the list of backend servers that names none.
     pub fn count_unread_entry(&self, reason: &'static str) {
         self.unread_entries.add(1, &[KeyValue::new("reason", reason)]);
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -205,6 +205,11 @@
         (self.ip(place), self.ports["peer"]).into()
     }
 
+    /// Where a relay is reached by callers.
+    pub fn front(&self, place: u8) -> SocketAddr {
+        (self.ip(place), self.ports["front"]).into()
+    }
+
     /// Starts a relay that reaches each replica through a proxy only.
     pub async fn launch_behind(&mut self, place: u8, proxies: &BTreeMap<IpAddr, Proxy>) {
         let replicas = proxies.iter().map(|(ip, proxy)| (*ip, proxy.addr)).collect();
