Reclaimed entry boxes: answer what the notice cuts off, refuse what may not end

What callers saw: at the end of its notice a reclaimed entry box closed the connections of plain requests that had no answer, and until then it accepted requests that must not be repeated whose deadline lies behind the notice.

Cause: as at relays, the end of a stop ended the process whatever was under way, and nothing looked at the time that is left.

Change: during a stop a request that must not be repeated is accepted only if its deadline comes before the end (503 draining otherwise); 0.3 s before the end, requests whose answer has not begun get 504 `stopped`, unknown. Answers of a node that stops close their connection. A planned stop has no end of its own before the longest deadline, so nothing changes there. No Retry-After: another node may be asked at once, and the smallest value that is written there is 1 s.

Evidence: tests/reclaimed_entry.rs on the code before: `called Result::unwrap() on an Err value: send the request`, a close without an answer. It passes now, as do tests/stopping.rs and tests/leaving.rs, unchanged.

--- a/src/entry/complete.rs
+++ b/src/entry/complete.rs
@@ -13,6 +13,7 @@
 use super::keep::keep;
 use super::request::{Completion, Head};
 use super::respond::{Tally, answer_from, answer_when_ended};
+use super::serve::check_late;
 use super::unrepeatable::{Once, digest};
 use crate::backend::engine::Piece;
 use crate::decide::route;
@@ -59,6 +60,7 @@
         let text = "the stream is lost; ask without Last-Event-ID for a new answer";
         return Err(Failure::new(Kind::StreamLost, text));
     }
+    check_late(node, head, repeatable)?;
     let start = Start { repeatable, digest, body: bytes, linger: LINGER, pieces: Vec::new() };
     let generation = begin_generation(node, head, &ground, &completion, start)?;
     respond(node, head, &ground.name, generation.read_from(0), completion.stream).await
--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -4,9 +4,9 @@
 //!    that, and callers that still come are served.
 //! 2. New requests are refused as not run; those under way finish. A replica's vote goes to a learner.
 //! 3. What outlasts the drain time and came under a key is handed over to a peer.
-//! 4. A planned stop waits for the rest to end. A relay has the platform's grace for it, and tells requests that
-//!    have no answer by then that their outcome is unknown. A reclaimed box has no such time: step 3 begins as
-//!    long before the end of its notice as the handing over may take.
+//! 4. A planned stop waits for the rest to end. A relay has the platform's grace for it. A reclaimed box has no such
+//!    time: step 3 begins as long before the end of its notice as the handing over may take.
+//! 5. Requests that have no answer by the end of the grace or the notice are told that their outcome is unknown.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -42,6 +42,7 @@
     node.board.set_phase(Phase::Draining);
     node.say_leaving();
     let limits = Limits::of(node, began);
+    node.stopping.begin(limits.end);
     if let Some(relay) = node.relay() {
         relay.stopping.begin(limits.end);
     }
@@ -81,7 +82,8 @@
             Some(gone) => {
                 let last = gone.checked_sub(HAND_OVER_TIME).unwrap_or(began);
                 let hand_over = hand_over.min(last).max(began);
-                Self { refuse: refuse.min(hand_over), hand_over, end: gone }
+                let end = gone.checked_sub(LAST_ANSWERS + LAST_BYTES).unwrap_or(began);
+                Self { refuse: refuse.min(hand_over), hand_over, end: end.max(hand_over) }
             }
         }
     }
@@ -95,11 +97,12 @@
 
 /// Has requests that have no answer be told that their outcome is unknown.
 async fn answer_rest(node: &Node) {
+    tracing::info!(event = "stop_ended", requests = node.board.requests());
+    node.stopping.end();
     if let Some(relay) = node.relay() {
-        tracing::info!(event = "stop_ended", requests = node.board.requests());
         relay.stopping.end();
-        wait_for_requests(node, Instant::now() + LAST_ANSWERS).await;
     }
+    wait_for_requests(node, Instant::now() + LAST_ANSWERS).await;
 }
 
 async fn hand_over_rest(node: &Arc<Node>) {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -1,11 +1,12 @@
 //! Sends each request its way.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::HeaderValue;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
@@ -16,6 +17,7 @@
 use super::request::{self, Head};
 use super::unrepeatable::{Once, digest};
 use crate::blackboard::RequestGuard;
+use crate::decide::stop::LateRequest;
 use crate::error::{Failure, Kind};
 use crate::http::answer::{self, Body, TRACE_HEADER};
 use crate::http::head;
@@ -39,11 +41,16 @@
 
 /// Answers one request.
 pub async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
-    match request.uri().path() {
+    let mut response = match request.uri().path() {
         "/healthz" => answer::json_answer(StatusCode::OK, &json!({ "ok": true })),
         "/readyz" => readiness(&node),
-        _ => handle_work(node, request).await,
+        _ => handle_work(node.clone(), request).await,
+    };
+    // Callers that know that this is the connection's last answer send nothing into its close.
+    if node.stopping.time_left().is_some() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    response
 }
 
 fn readiness(node: &Node) -> Response<Body> {
@@ -64,7 +71,11 @@
     };
     let hop = OpenHop::begin("entry", &node.settings.node.box_id, head.trace);
     let head = Head { trace: hop.context, ..head };
-    let result = route_request(&node, &head, request.into_body()).await;
+    let result = tokio::select! {
+        biased;
+        result = route_request(&node, &head, request.into_body()) => result,
+        () = node.stopping.ended() => Err(cut(&node)),
+    };
     let (outcome, response) = match result {
         Ok(response) => ("answered".to_owned(), response),
         Err(failure) => {
@@ -118,6 +129,33 @@
     }
 }
 
+/// The failure of a request that has no answer when the node has stopped.
+fn cut(node: &Node) -> Failure {
+    node.metrics.count_late("cut");
+    Failure::new(Kind::Stopped, "the node stopped before the answer came")
+}
+
+/// Refuses a request that must not be repeated and may not end before the node does.
+pub(super) fn check_late(node: &Node, head: &Head, is_repeatable: bool) -> Result<(), Failure> {
+    let Some(left) = node.stopping.time_left() else {
+        return Ok(());
+    };
+    let time_left = head.deadline.saturating_duration_since(Instant::now());
+    let late = LateRequest { is_repeatable, time_left, expected: None, objective: Duration::ZERO };
+    if late.ends_within(left) {
+        return Ok(());
+    }
+    node.metrics.count_late("refused");
+    tracing::info!(
+        event = "request_late",
+        path = head.bare_path(),
+        trace = head.trace.trace_text(),
+        stop_ms = left.as_millis() as u64,
+        left_ms = time_left.as_millis() as u64,
+    );
+    Err(Failure::new(Kind::Draining, "the node stops before the answer may come; ask another"))
+}
+
 fn need_method(head: &Head, method: &Method) -> Result<(), Failure> {
     match head.method == *method {
         true => Ok(()),
@@ -143,6 +181,7 @@
     if head.may_wait {
         return keep(node, head, &ground, &bytes, repeatable).await;
     }
+    check_late(node, head, repeatable)?;
     let need = need(node, Tokens(1), Tokens(0));
     let ruling = ground.rule(node, service, &ground.facts(node, head, &name, &need))?;
     let _admitted = ground.admit(node, need.prompt)?;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -39,6 +39,7 @@
 use crate::platform::PlatformDialect;
 use crate::relay::Relay;
 use crate::relay::dialect::Dialect;
+use crate::relay::stopping::Stopping;
 use crate::settings::{Role, Settings, StaleRule};
 use crate::sync::lock;
 use crate::telemetry::Metrics;
@@ -92,6 +93,8 @@
     pub(crate) origins: Arc<Mutex<StreamOrigins>>,
     /// Told when boxes have reported origins of streams to the leader.
     pub(crate) origins_reported: Notify,
+    /// The stop of this node.
+    pub(crate) stopping: Stopping,
     stop_by: Mutex<Option<Instant>>,
     admission: Mutex<Admission>,
     retries: Mutex<RetryBudget>,
@@ -134,6 +137,7 @@
             origins: new_origins(),
             origins_reported: Notify::new(),
             dialect: Arc::new(PlatformDialect),
+            stopping: Stopping::default(),
             stop_by: Mutex::default(),
             admission: Mutex::default(),
             retries: Mutex::default(),
--- a/src/relay/stopping.rs
+++ b/src/relay/stopping.rs
@@ -51,13 +51,18 @@
     }
 
     /// Waits for the end.
-    pub(super) async fn ended(&self) {
+    pub(crate) async fn ended(&self) {
         self.follow_end().wait().await;
     }
 
+    /// Time until the end; `None` if no stop has begun.
+    pub(crate) fn time_left(&self) -> Option<Duration> {
+        self.ends_at.get().map(|end| end.saturating_duration_since(Instant::now()))
+    }
+
     /// Whether something that takes at most `time` ends before the box has stopped.
     pub(super) fn has_time(&self, time: Duration) -> bool {
-        self.ends_at.get().is_none_or(|end| Instant::now() + time <= *end)
+        self.time_left().is_none_or(|left| time <= left)
     }
 
     /// Records how long a request took, for those that arrive during a stop.
@@ -93,10 +98,9 @@
     route: &Route,
     time_left: Duration,
 ) -> Result<(), Failure> {
-    let Some(end) = relay.stopping.ends_at.get() else {
+    let Some(left) = relay.stopping.time_left() else {
         return Ok(());
     };
-    let left = end.saturating_duration_since(Instant::now());
     let expected = lock(&relay.stopping.times).expected(&route.name);
     let is_repeatable = route.repeat.is_repeatable();
     let late = LateRequest { is_repeatable, time_left, expected, objective: route.objective };
