--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -9,7 +9,7 @@
 #[allow(dead_code, reason = "each test takes what it needs")]
 mod platform;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use emberturn::decide::proxies::Proxy;
 use emberturn::decide::quarantine::{QuarantineReport, QuarantineUpdate, QuarantinedSuspect};
@@ -226,6 +226,22 @@
     }
 }
 
+/// Guards against requests of other boxes that a stopping box forwards although they may outlast it.
+#[parameterized(before = { 60, true }, behind = { 4, false })]
+fn box_that_stops_forwards_only_what_ends_before_it_does(stop_s: u64, is_forwarded: bool) {
+    run(async move {
+        let mut fleet = Fleet::start(&[Act::Answer]).await;
+        fleet.lose(LinkFault::Reset).await;
+        // The deadline of each request is 8 s.
+        fleet.other.relay.stopping.begin(Instant::now() + Duration::from_secs(stop_s));
+        let before = fleet.arrivals();
+        let reply = fleet.ask("once").await;
+        assert_eq!(reply.status, if is_forwarded { 200 } else { 503 }, "{reply:?}");
+        assert_eq!(fleet.arrivals() - before, usize::from(is_forwarded));
+        assert_eq!(fleet.other.has_counted("busy"), !is_forwarded);
+    });
+}
+
 #[tokio::test]
 async fn request_that_no_box_takes_is_rejected_at_once_as_not_run() {
     let mut fleet = Fleet::start(&[Act::Answer]).await;
