--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -41,6 +41,7 @@
 use crate::platform::PlatformDialect;
 use crate::relay::Relay;
 use crate::relay::dialect::Dialect;
+use crate::relay::stopping::Stopping;
 use crate::settings::{Role, Settings, StaleRule};
 use crate::sync::lock;
 use crate::tasks;
@@ -96,6 +97,8 @@
     pub(crate) origins: Arc<Mutex<StreamOrigins>>,
     /// Told when boxes have reported origins of streams to the leader.
     pub(crate) origins_reported: Notify,
+    /// The stop of this node.
+    pub(crate) stopping: Stopping,
     stop_by: Mutex<Option<Instant>>,
     failure: Mutex<Option<eyre::Report>>,
     admission: Mutex<Admission>,
@@ -147,6 +150,7 @@
             origins: new_origins(),
             origins_reported: Notify::new(),
             dialect: Arc::new(PlatformDialect),
+            stopping: Stopping::default(),
             stop_by: Mutex::default(),
             failure: Mutex::default(),
             admission: Mutex::default(),
