Leader: keep boxes' list while a release is admitted that alone has servers

Callers saw: requests refused with `no_backend` for up to 0.6 s when all servers of a release are replaced by those of another one at the same moment.

Cause: the list went to boxes with the reply to a heartbeat, and the release that they may use once the group had stored it, so one heartbeat later (list 29.249 s, stored 29.400 s, refused until 29.940 s in one log).

Change: the leader looks at the releases as soon as it has read a list, and gives no new list while the group stores that a release serves which alone has open servers, for 500 ms at most.

tests/boxes_out_of_step.rs bounds it: at least nine tenths of the new streams begin at the box in step.

--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -116,6 +116,7 @@
                 lead.loads.update_servers(lead.list.keys(), now);
                 let leaving_ids = servers.iter().filter(|it| it.leaving).map(|it| &it.id);
                 lead.quarantine.record_leaving(leaving_ids, now);
+                lead.refresh_serving(true);
                 node.listed.notify_waiters();
                 tracing::info!(
                     event = "list_read", term = %term, place = version.sequence, servers = count, leaving,
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -257,7 +257,8 @@
             self.is_informed().then(|| self.list.index_for_location(&box_id, data_centre.as_ref()));
         let parts = index.as_ref().map(|index| self.list.listed_parts(index)).unwrap_or_default();
         let loads = self.sample_loads(&parts, now, last_heard);
-        let list = index.filter(|index| heartbeat.index_hash != Some(index.hash));
+        let is_held = heartbeat.index_hash.is_some() && self.holds_list(now);
+        let list = index.filter(|index| !is_held && heartbeat.index_hash != Some(index.hash));
         let engines = self.models_broadcast.update_for(&self.models, heartbeat.models_hash);
         HeartbeatReply {
             list,
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -19,6 +19,10 @@
 /// Time between two looks at the list, which may have thousands of servers.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long boxes wait for a list that names no server of the releases that they may use, while the group stores that
+/// further ones serve.
+const MAX_LIST_HOLD: Duration = Duration::from_millis(500);
+
 /// Which releases serve, as last found.
 #[derive(Debug, Default)]
 pub(crate) struct ServingTracker {
@@ -31,6 +35,9 @@
     words: BTreeMap<ServiceName, SoleWord>,
     /// The services whose releases the group is to store.
     changed: BTreeMap<ServiceName, ServingReleases>,
+    /// Since when the list names no server of the admitted releases of some service, but one of another release, which
+    /// the group is to store.
+    unserved_since: Option<Instant>,
 }
 
 impl ServingTracker {
@@ -77,7 +84,18 @@
             let view = self.service_view(&book, &counts, service, now)?;
             Some((service.clone(), view.next_serving()?))
         });
-        let changed = changed.collect();
+        let changed: BTreeMap<_, _> = changed.collect();
+        let is_unserved = |(service, next): (&ServiceName, &ServingReleases)| {
+            let is_open = |release: &Release| {
+                let count = counts.get(service).and_then(|releases| releases.get(release));
+                count.is_some_and(|count| count.open > 0)
+            };
+            let mut next = next.beside.iter().chain([&next.in_force]);
+            !book.admitted(service).any(is_open) && next.any(is_open)
+        };
+        let is_unserved = changed.iter().any(is_unserved);
+        let since = self.serving.unserved_since.unwrap_or(now);
+        self.serving.unserved_since = is_unserved.then_some(since);
         self.serving.refreshed_at = Some(now);
         (self.serving.words, self.serving.changed) = (words, changed);
     }
@@ -89,6 +107,12 @@
         (!changed.is_empty()).then_some(changed)
     }
 
+    /// Whether boxes are to keep the list that they have, as the new one has servers only of releases that they may not
+    /// use yet.
+    pub(super) fn holds_list(&self, now: Instant) -> bool {
+        self.serving.unserved_since.is_some_and(|since| now < since + MAX_LIST_HOLD)
+    }
+
     /// What this leader knows of the origin of a stream of a service; `None` until it has read the stored state.
     pub(super) fn find_origin(
         &self,
--- a/tests/boxes_out_of_step.rs
+++ b/tests/boxes_out_of_step.rs
@@ -402,8 +402,8 @@
     streams.join_all().await
 }
 
-/// Asserts that streams did not go on at another release, and that those of servers that still serve went on once the box
-/// was in step.
+/// Asserts that streams did not go on at another release, that new ones began throughout, and that those of servers that
+/// still serve went on once the box was in step.
 fn check(case: Case, outcomes: &[Outcome]) {
     let is_of = |outcome: &&Outcome, name: &str| matches!(outcome, Outcome::Begun(begun, _) if begun == name);
     let is_joined = |outcome: &&Outcome| match outcome {
@@ -417,6 +417,7 @@
         Outcome::Begun(..) => None,
     };
     let refused: Vec<_> = outcomes.iter().filter_map(reason).collect();
+    let reasons: BTreeSet<_> = refused.iter().collect();
     let joined = outcomes.iter().filter(is_joined).count();
     let new: Vec<_> = outcomes.iter().filter(|outcome| is_of(outcome, "v2")).collect();
     let lost = new.iter().copied().filter(is_lost).count();
@@ -428,6 +429,7 @@
     );
     assert!(joined <= MAX_JOINED, "{joined} of {} streams hold events of two releases", new.len());
     assert!(!new.is_empty(), "{case:?}");
+    assert!(10 * refused.len() <= outcomes.len(), "{case:?}: {reasons:?}");
     assert!(10 * lost <= new.len(), "{case:?}: {lost} of {}", new.len());
 }
 
