--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -7,9 +7,9 @@
 use super::lead::LeaderState;
 use super::rollouts::SoleWord;
 use crate::decide::origins::{
-    CLAIM_LIFETIME, OriginAnswer, ReturnTime, StreamKey, StreamOrigin, UNKNOWN_RETURN_TIME,
+    OriginAnswer, REPORT_PATIENCE, ReturnTime, StreamKey, StreamOrigin, UNKNOWN_RETURN_TIME,
 };
-use crate::decide::serving::{ReleaseView, ServiceView};
+use crate::decide::serving::{ReleaseListing, ReleaseView, ServiceView};
 use crate::ids::{Release, ServiceName};
 use crate::relay::table::Repeat;
 use crate::state::rollout::{Rollout, RolloutState, ServingReleases};
@@ -19,22 +19,29 @@
 /// Time between two looks at the list, which may have thousands of servers.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long boxes wait for a list that names no server of the releases that they may use, while the group stores that
+/// further ones serve.
+const MAX_LIST_HOLD: Duration = Duration::from_millis(500);
+
 /// Which releases serve, as last found.
 #[derive(Debug, Default)]
 pub(crate) struct ServingTracker {
     refreshed_at: Option<Instant>,
     /// For how long callers come back for a stream; `None` until the routes are known.
     return_time: Option<ReturnTime>,
-    /// When each release of a service was listed last.
-    listed: BTreeMap<ServiceName, BTreeMap<Release, Instant>>,
-    /// What boxes are told and rely on.
+    /// The releases of each service that were listed.
+    listed: BTreeMap<ServiceName, BTreeMap<Release, ReleaseListing>>,
+    /// What boxes are told.
     words: BTreeMap<ServiceName, SoleWord>,
     /// The services whose releases the group is to store.
     changed: BTreeMap<ServiceName, ServingReleases>,
+    /// Since when the list names no server of the admitted releases of some service, but one of another release, which
+    /// the group is to store.
+    unserved_since: Option<Instant>,
 }
 
 impl ServingTracker {
-    /// What boxes are told of a service, and rely on.
+    /// What boxes are told of a service.
     pub(super) fn word(&self, service: &ServiceName) -> SoleWord {
         self.words.get(service).copied().unwrap_or(SoleWord::Ending)
     }
@@ -61,10 +68,7 @@
         };
         self.update_return_time(now);
         let counts = self.count_servers();
-        for (service, releases) in &counts {
-            let listed = self.serving.listed.entry(service.clone()).or_default();
-            listed.extend(releases.keys().map(|release| (release.clone(), now)));
-        }
+        self.update_listings(&counts, now);
         let word = |service: &ServiceName| match self.is_sole(&book, &counts, service) {
             true => SoleWord::Given,
             false if self.is_withdrawn(&book, service, now) => SoleWord::Withdrawn,
@@ -77,7 +81,18 @@
             let view = self.service_view(&book, &counts, service, now)?;
             Some((service.clone(), view.next_serving()?))
         });
-        let changed = changed.collect();
+        let changed: BTreeMap<_, _> = changed.collect();
+        let is_unserved = |(service, next): (&ServiceName, &ServingReleases)| {
+            let is_open = |release: &Release| {
+                let count = counts.get(service).and_then(|releases| releases.get(release));
+                count.is_some_and(|count| count.open > 0)
+            };
+            let mut next = next.beside.iter().chain([&next.in_force]);
+            !book.admitted(service).any(is_open) && next.any(is_open)
+        };
+        let is_unserved = changed.iter().any(is_unserved);
+        let since = self.serving.unserved_since.unwrap_or(now);
+        self.serving.unserved_since = is_unserved.then_some(since);
         self.serving.refreshed_at = Some(now);
         (self.serving.words, self.serving.changed) = (words, changed);
     }
@@ -89,17 +104,47 @@
         (!changed.is_empty()).then_some(changed)
     }
 
-    /// What this leader knows of the origin of a stream of a service.
-    pub(super) fn find_origin(&self, key: StreamKey, service: &ServiceName) -> OriginAnswer {
+    /// Whether boxes are to keep the list that they have, as the new one has servers only of releases that they may not
+    /// use yet.
+    pub(super) fn holds_list(&self, now: Instant) -> bool {
+        self.serving.unserved_since.is_some_and(|since| now < since + MAX_LIST_HOLD)
+    }
+
+    /// What this leader knows of the origin of a stream of a service; `None` until it has read the stored state.
+    pub(super) fn find_origin(
+        &self,
+        key: StreamKey,
+        service: &ServiceName,
+    ) -> Option<OriginAnswer> {
         if let Some(origin) = lock(&self.origins).find(key, Instant::now()) {
-            return OriginAnswer::Known(StreamOrigin::clone(origin));
+            return Some(OriginAnswer::Known(StreamOrigin::clone(origin)));
         }
-        let book = self.rollouts.book();
-        let sole = book.filter(|book| self.is_admitted_alone(book, service));
-        match sole.and_then(|book| book.in_force.get(service)) {
+        let book = self.rollouts.book()?;
+        let sole = book.in_force.get(service).filter(|_| self.is_admitted_alone(book, service));
+        Some(match sole {
             Some(release) => OriginAnswer::Sole(release.clone()),
             None => OriginAnswer::Unknown,
+        })
+    }
+
+    fn update_listings(&mut self, counts: &ServerCounts, now: Instant) {
+        let mut listed = std::mem::take(&mut self.serving.listed);
+        for (service, releases) in counts {
+            let known = listed.entry(service.clone()).or_default();
+            for release in releases.keys() {
+                known.entry(release.clone()).or_insert_with(|| ReleaseListing::new(now));
+            }
         }
+        let return_time = self.return_time();
+        for (service, releases) in &mut listed {
+            let counts = counts.get(service);
+            releases.retain(|release, listing| {
+                let is_listed = counts.is_some_and(|counts| counts.contains_key(release));
+                listing.update(is_listed, self.relay_states().map(|(_, heard)| heard), now);
+                !listing.is_over(return_time, now)
+            });
+        }
+        self.serving.listed = listed;
     }
 
     fn count_servers(&self) -> ServerCounts {
@@ -116,11 +161,14 @@
         counts
     }
 
-    /// Whether a release that is not listed has not been for as long as callers of its streams come back.
+    /// Whether a release that is not listed has not been, by the list of any box, for as long as callers of its streams
+    /// come back.
     fn is_over(&self, service: &ServiceName, release: &Release, now: Instant) -> bool {
         let releases = self.serving.listed.get(service);
-        let listed = releases.and_then(|releases| releases.get(release)).copied();
-        now >= listed.unwrap_or(self.started_at) + self.return_time()
+        match releases.and_then(|releases| releases.get(release)) {
+            Some(listing) => listing.is_over(self.return_time(), now),
+            None => now >= self.started_at + self.return_time(),
+        }
     }
 
     fn update_return_time(&mut self, now: Instant) {
@@ -157,18 +205,18 @@
         self.is_admitted_alone(book, service) && !counts.get(service).is_some_and(others)
     }
 
-    /// Whether no box relies on the word that only one release has begun streams: each knows better, or has not been
-    /// told so for as long as it may rely on it. That of a former leader has ended if there was none, or if it had several
-    /// releases used.
+    /// Whether boxes have reported the streams of a service that began while only one release served: each does so, or
+    /// has not been heard for long. Those that a former leader asked for have come if there was none, or if it had
+    /// several releases used.
     fn is_withdrawn(&self, book: &RolloutState, service: &ServiceName, now: Instant) -> bool {
         let is_exposed = |rollout: &Rollout| !rollout.phase.is_finished() && rollout.exposed > 0;
         let was_withdrawn = self.is_first
             || book.admitted(service).count() > 1
             || book.rollouts.get(service).is_some_and(is_exposed);
         let mut boxes = self.relay_states();
-        (was_withdrawn || now >= self.started_at + CLAIM_LIFETIME)
+        (was_withdrawn || now >= self.started_at + REPORT_PATIENCE)
             && boxes
-                .all(|(shared, heard)| shared.contains(service) || now >= heard + CLAIM_LIFETIME)
+                .all(|(shared, heard)| shared.contains(service) || now >= heard + REPORT_PATIENCE)
     }
 
     /// The releases of a service, if one is in force.
