Quarantine: crashes are evaluated with the report that brings them

Seen once: quarantine::request_is_held_although_the_leader_goes_at_that_moment:: frozen, in 1 of 5 runs of the file (load 74 on 8 cores): a 502 for the 503 that is due; the request reached a fourth server.

Trace (ms after box 11 held it): 746 another replica leads, 1,604 box 11 reports one crash to it, which lacks the rest; 1,668 it has reported all three and lets the request through; 1,856 the leader holds it, with a heartbeat of box 12.

Cause: a leader evaluates 80 ms apart at the least, and the two reports came 64 ms apart. It answered by the evaluation before, and a box leaves to the leader what it has reported.

Up to 32 crashes are evaluated with each report; the interval, which is there for hundreds of crashes at once, holds for more.

Failed before: segments::request_stays_held_while_its_crashes_are_reported_to_a_ new_leader ("remaining(..).is_some()").

--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -349,6 +349,11 @@
         self.crashes.is_empty()
     }
 
+    /// Number of crashes.
+    pub fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
     /// Number of servers that crashed under a suspect, including crashes attributed to another one.
     pub fn crash_count(&self, suspect: &Suspect) -> usize {
         self.crashes.iter().filter(|crash| crash.is_under(suspect)).count()
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -60,11 +60,15 @@
 /// read the platform's list to tell a server that left from one that crashed.
 const LEAVING_MEMORY: Duration = Duration::from_secs(60);
 
-/// Minimum time between two evaluations. An evaluation visits all crashes, and when a data centre
+/// Minimum time between two evaluations of many crashes. An evaluation visits all crashes, and when a data centre
 /// fails, hundreds of boxes report hundreds of crashes at once. A fifth of the usual heartbeat
 /// interval of a box.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(80);
 
+/// Maximum number of crashes that are evaluated with each report. A box leaves to the leader what it has reported, and
+/// would let a request through that the leader has not evaluated yet.
+const MAX_CRASHES_AT_ONCE: usize = 32;
+
 /// Maximum number of answered requests that a box keeps until it has reported them.
 const MAX_CLEARED: usize = 64;
 
@@ -605,7 +609,8 @@
     /// Re-evaluates the crashes if there are new ones. Returns what changed since the last call.
     pub fn evaluate(&mut self, now: Instant, unix: UnixMillis) -> QuarantineDelta {
         self.release_expired(unix);
-        let is_due = self.evaluated_at.is_none_or(|at| at + EVALUATION_INTERVAL <= now);
+        let is_due = self.crashes.len() <= MAX_CRASHES_AT_ONCE
+            || self.evaluated_at.is_none_or(|at| at + EVALUATION_INTERVAL <= now);
         if self.is_dirty && is_due {
             (self.is_dirty, self.evaluated_at) = (false, Some(now));
             self.evaluate_crashes(unix);
--- a/tests/segments.rs
+++ b/tests/segments.rs
@@ -831,6 +831,35 @@
     assert!(fleet.replicated.contains_key(&segment(POISON)), "{:?}", fleet.replicated);
 }
 
+/// Guards against a box that lets a request through once it has reported its crashes, as the leader has yet to evaluate
+/// them.
+#[test]
+fn request_stays_held_while_its_crashes_are_reported_to_a_new_leader() {
+    let mut fleet = Fleet::new(1);
+    for server in 0..3 {
+        fleet.crash_in(0, &format!("dc-{server}"), vec![prompt(7, &[])]);
+    }
+    assert!(fleet.boxes[0].remaining(&request(7), fleet.now).is_some());
+    // Another box has reported a crash just before.
+    let other = CrashReport {
+        server: "i-9".parse().unwrap(),
+        data_centre: "dc-9".parse().unwrap(),
+        prompts: vec![prompt(8, &[])],
+        age: Millis(0),
+    };
+    let other = QuarantineReport { crashes: vec![other], ..QuarantineReport::default() };
+    fleet.leader.apply_report(other, fleet.now);
+    fleet.leader.evaluate(fleet.now, fleet.unix);
+    fleet.now += Duration::from_millis(10);
+    let own = &mut fleet.boxes[0];
+    let report = own.report(fleet.now);
+    fleet.leader.apply_report(report.clone(), fleet.now);
+    fleet.leader.evaluate(fleet.now, fleet.unix);
+    let update = fleet.leader.update_for(report.known_version, 1, fleet.unix);
+    own.apply_reply(&report, update, false, fleet.now);
+    assert!(fleet.boxes[0].remaining(&request(7), fleet.now).is_some());
+}
+
 /// Guards against servers that go on crashing under prompts with more segments than are remembered for one crash.
 #[test]
 fn segments_with_which_long_prompts_begin_are_suspected() {
