Listeners open beside each other, and a leader's duties wait for none of them

Found by a review: listeners were opened one after another and the leader's duties started last, while the replica already voted and led. A relay whose port for metrics was taken refused its callers.

Change: duties start once other boxes reach the replica, and each listener opens as soon as its own address is free.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -218,15 +218,31 @@
         self.stop.notify_one();
     }
 
-    /// Opens every listener, each as soon as its address is free, and starts what serves behind it.
+    /// Opens every listener, each as soon as its address is free, and starts what serves behind it. A replica that is
+    /// reached by others may lead, so it has its duties from then on.
     async fn start_serving(self: &Arc<Self>) -> Result<PeerServer> {
         let peer = peer_server::start(self.settings.peer.listen, self.clone()).await?;
         let advertised = self.settings.peer.advertise.unwrap_or(peer.addr);
         let _ = self.peer_addr.set(advertised);
         tracing::info!(event = "listening", side = "peer", addr = %peer.addr);
+        control::start(self);
+        tokio::try_join!(
+            self.start_metrics(),
+            self.start_entry(),
+            self.start_relay(),
+            self.start_operator()
+        )?;
+        Ok(peer)
+    }
+
+    async fn start_metrics(self: &Arc<Self>) -> Result<()> {
         let metrics = listen(self.settings.metrics.listen, "metrics").await?;
         tracing::info!(event = "listening", side = "metrics", addr = %metrics.local_addr()?);
         tokio::spawn(crate::telemetry::metrics::run(self.clone(), metrics));
+        Ok(())
+    }
+
+    async fn start_entry(self: &Arc<Self>) -> Result<()> {
         if self.settings.has(Role::Entry) {
             let listener = listen(self.settings.entry.listen, "callers").await?;
             let addr = listener.local_addr()?;
@@ -238,13 +254,10 @@
             let gate = Gate::new(self.settings.entry.limits());
             tokio::spawn(server::run(listener, gate, closing, handler, serve::too_many));
         }
-        self.start_relay().await?;
-        self.start_operator().await?;
-        if !self.access.directory().is_seeded() {
-            self.start_spread().await?;
+        match self.access.directory().is_seeded() {
+            true => Ok(()),
+            false => self.start_spread().await,
         }
-        control::start(self);
-        Ok(peer)
     }
 
     /// Takes changed settings, as far as they may change while the node runs: the seeds. The rest
--- a/src/relay/listen.rs
+++ b/src/relay/listen.rs
@@ -69,9 +69,12 @@
     ///
     /// If an address cannot be bound.
     pub async fn open(relay: &Relay) -> Result<Self> {
-        let callers = listen(relay.context.settings.listen, "callers").await?;
-        let balancer = listen(relay.context.settings.ready, "the balancer").await?;
-        let boxes = forward::open(relay.context.settings.forward).await?;
+        let settings = &relay.context.settings;
+        let (callers, balancer, boxes) = tokio::try_join!(
+            listen(settings.listen, "callers"),
+            listen(settings.ready, "the balancer"),
+            forward::open(settings.forward)
+        )?;
         let _ = relay.forward_addr.set(boxes.local_addr()?);
         tracing::info!(event = "listening", side = "relay", addr = %callers.local_addr()?);
         tracing::info!(event = "listening", side = "ready", addr = %balancer.local_addr()?);
--- a/tests/own_ends.rs
+++ b/tests/own_ends.rs
@@ -520,3 +520,27 @@
         platform::run(soak(seed));
     }
 }
+
+/// Guards against a leader that polls, reports and orders nothing while it waits for an address.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_that_waits_for_an_address_has_its_duties() {
+    let mut system = System::start(0).await;
+    system.publish(1, &document(1, &usual_routes())).await;
+    let mut taken = Vec::new();
+    for place in 1..=REPLICAS {
+        system.kill(place).await;
+        taken.push(TcpListener::bind(system.addr(place, "metrics")).await.unwrap());
+    }
+    let from: Vec<_> = (1..=REPLICAS).map(|place| system.logged(place)).collect();
+    for place in 1..=REPLICAS {
+        system.start_only(place, "replica");
+    }
+    let read = system.until("a leader reads the list", || async {
+        (1..=REPLICAS)
+            .zip(&from)
+            .find(|(place, from)| system.has_line(*place, **from, "event=list_read"))
+    });
+    let (place, from) = read.await;
+    assert!(system.has_line(place, *from, "whom=metrics"));
+    assert_eq!(system.read(place).await["version"], 1);
+}
