Storage: the file's name is synced at each opening, and a damaged file is kept

Found by a review. A process that ended between renaming a new file and syncing its folder, or whose sync of the folder failed, opened the file next time without syncing the folder: after a loss of power the name, with votes and entries that were acknowledged, might be gone (traced by the reviewer: no further sync of the folder).

Change: each opening syncs the folder before anything is read or written. Only a file that is zero behind its header was never complete; another one is corrupt, which ends the replica and leaves the file as it is.

Evidence: file_that_lost_its_beginning_is_not_made_anew; a loss of power between the steps was not tried.

--- a/src/group/storage.rs
+++ b/src/group/storage.rs
@@ -34,6 +34,9 @@
 /// Bytes at the start of a database file that are written last when it is created.
 const MAGIC_BYTES: usize = 9;
 
+/// Bytes of a database file's header; behind it nothing is written until the file is complete.
+const HEADER_BYTES: usize = 4_096;
+
 /// Why the data folder cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum StorageError {
@@ -130,9 +133,13 @@
     ) -> Result<(Self, Stored, Incarnation), StorageError> {
         let path = folder.join(format!("group-{group}.redb"));
         fs::create_dir_all(folder).map_err(|error| refused(folder, error))?;
-        if !is_complete(&path).map_err(|error| refused(&path, error))? {
-            create(folder, &path, box_id)?;
+        if !is_complete(&path)? {
+            create(&path, box_id)?;
         }
+        // A process that ended behind the renaming may have left the name unsynced.
+        File::open(folder)
+            .and_then(|folder| folder.sync_all())
+            .map_err(|error| refused(folder, error))?;
         let storage = Self { database: Mutex::new(None), path };
         let life = storage.identify(box_id)?;
         let stored = storage.load()?;
@@ -310,22 +317,31 @@
 }
 
 /// Whether the file exists and its creation came to its end.
-fn is_complete(path: &Path) -> io::Result<bool> {
-    let mut magic = Vec::with_capacity(MAGIC_BYTES);
-    match File::open(path) {
-        Ok(file) => file.take(MAGIC_BYTES as u64).read_to_end(&mut magic)?,
+///
+/// # Errors
+/// When the file cannot be read, or lacks its beginning although something was stored in it.
+fn is_complete(path: &Path) -> Result<bool, StorageError> {
+    let mut magic = Vec::new();
+    let opened = File::open(path);
+    match opened.and_then(|file| file.take(MAGIC_BYTES as u64).read_to_end(&mut magic)) {
+        Ok(_) => {}
         Err(error) if error.kind() == ErrorKind::NotFound => return Ok(false),
-        Err(error) => return Err(error),
-    };
-    let is_complete = magic.iter().any(|byte| *byte != 0);
-    if !is_complete {
-        tracing::warn!(event = "storage_incomplete", path = %path.display());
+        Err(error) => return Err(refused(path, error)),
+    }
+    if magic.iter().any(|byte| *byte != 0) {
+        return Ok(true);
+    }
+    let whole = fs::read(path).map_err(|error| refused(path, error))?;
+    if whole.iter().skip(HEADER_BYTES).any(|byte| *byte != 0) {
+        let what = "the beginning of the file".to_owned();
+        return Err(StorageError::Corrupt { path: path.to_owned(), what });
     }
-    Ok(is_complete)
+    tracing::warn!(event = "storage_incomplete", path = %path.display());
+    Ok(false)
 }
 
 /// Creates the file with its tables and a new life.
-fn create(folder: &Path, path: &Path, box_id: &BoxId) -> Result<(), StorageError> {
+fn create(path: &Path, box_id: &BoxId) -> Result<(), StorageError> {
     let draft = path.with_extension("new");
     match fs::remove_file(&draft) {
         Err(error) if error.kind() != ErrorKind::NotFound => return Err(refused(&draft, error)),
@@ -336,8 +352,7 @@
     storage.identify(box_id)?;
     let Storage { database, path: draft } = storage;
     drop(database);
-    let renamed = fs::rename(&draft, path).and_then(|()| File::open(folder)?.sync_all());
-    renamed.map_err(|error| refused(path, error))
+    fs::rename(&draft, path).map_err(|error| refused(path, error))
 }
 
 fn wrap(path: &Path, error: impl Into<redb::Error>) -> StorageError {
--- a/tests/own_ends.rs
+++ b/tests/own_ends.rs
@@ -207,6 +207,20 @@
     assert_eq!(system.read(2).await["version"], 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn file_that_lost_its_beginning_is_not_made_anew() {
+    let mut system = System::start(0).await;
+    system.publish(1, &document(1, &usual_routes())).await;
+    assert_eq!(system.read(2).await["version"], 1);
+    system.kill(2).await;
+    let mut bytes = std::fs::read(system.storage_file(2)).unwrap();
+    bytes[..512].fill(0);
+    std::fs::write(system.storage_file(2), &bytes).unwrap();
+    system.start_only(2, "replica");
+    assert_eq!(system.ended(2).await, Some(1));
+    assert_eq!(std::fs::read(system.storage_file(2)).unwrap(), bytes);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn replica_whose_file_was_removed_ends_and_starts_with_another_life() {
     let mut system = System::start(0).await;
