Settings and standard error: what may pass does not end a node, at any age

Found by a review. A line on standard error that could not be written (a full disk, a closed pipe) ended the process by a panic, exit code 101. A settings file that was away for a moment ended it at once, as did an empty one that was some seconds old, and one whose time lay ahead. A request to stop within the first second of a replica that waits for its disk was obeyed after that second.

Change: such lines are written if that works. Faults count once the file has been seen unchanged for 3 s by the steady clock, or its time says that it is old; an empty file is incomplete. Settings are read again beside the task that takes signals. A node that starts stops at once.

Evidence: settings_are_waited_for_though_standard_error_takes_nothing (exit code 101 in the reviewer's run before).

--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -1,5 +1,6 @@
 //! `emberturn node`: runs a node.
 
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -63,7 +64,7 @@
     let settings = match loaded {
         Ok(settings) => settings,
         Err(error) => {
-            eprintln!("{error}");
+            say(&error.to_string());
             return exit_with(exit::INVALID);
         }
     };
@@ -82,8 +83,16 @@
     exit_with(exit::DONE)
 }
 
-async fn run(settings: Settings, signals: Signals, path: PathBuf) -> Result<()> {
-    let node = Node::start(settings).await?;
+/// Writes a line to standard error before there is a log. Nobody may read it, or its disk may be full.
+fn say(text: &str) {
+    let _ = writeln!(std::io::stderr(), "{text}");
+}
+
+async fn run(settings: Settings, mut signals: Signals, path: PathBuf) -> Result<()> {
+    let node = tokio::select! {
+        node = Node::start(settings) => node?,
+        () = signals.stop() => return Ok(()),
+    };
     tokio::spawn(follow_requests(node.clone(), signals, path));
     node.serve().await
 }
@@ -91,33 +100,38 @@
 /// Reads the settings. A file that lacks its end, or that has faults while it still changes, is read again.
 async fn load_at_start(path: &Path) -> Result<Settings, SettingsError> {
     let mut wait = Wait::begin(Instant::now());
+    let (mut seen, mut seen_at) = (stamp(path), Instant::now());
     loop {
-        let file = path.to_owned();
-        let loading = tokio::task::spawn_blocking(move || Settings::load(&file));
-        let error = match loading.await {
-            Ok(Ok(settings)) => return Ok(settings),
-            Ok(Err(error)) => error,
-            Err(error) => SettingsError::invalid(vec![error.to_string()]),
+        let error = match load(path).await {
+            Ok(settings) => return Ok(settings),
+            Err(error) => error,
         };
-        if error.obstacle().remedy() == Remedy::End && is_settled(path) {
+        let now = stamp(path);
+        if now != seen {
+            (seen, seen_at) = (now, Instant::now());
+        }
+        let is_settled = is_old(now) || seen_at.elapsed() >= SETTLE_TIME;
+        if error.obstacle().remedy() == Remedy::End && is_settled {
             return Err(error);
         }
         if wait.is_due(Instant::now()) {
-            eprintln!("emberturn: waiting for the settings ({}): {error}", error.obstacle());
+            say(&format!("emberturn: waiting for the settings ({}): {error}", error.obstacle()));
         }
         tokio::time::sleep(SETTINGS_PAUSE).await;
     }
 }
 
-/// Whether the file has stayed as it is for a while.
-fn is_settled(path: &Path) -> bool {
-    let Ok(changed) = std::fs::metadata(path).and_then(|metadata| metadata.modified()) else {
-        return true;
-    };
-    match SystemTime::now().duration_since(changed) {
-        Ok(age) => age >= SETTLE_TIME,
-        Err(ahead) => ahead.duration() >= SETTLE_TIME,
-    }
+/// Reads the settings, beside the task that takes signals.
+async fn load(path: &Path) -> Result<Settings, SettingsError> {
+    let file = path.to_owned();
+    let loading = tokio::task::spawn_blocking(move || Settings::load(&file)).await;
+    loading.unwrap_or_else(|error| Err(SettingsError::invalid(vec![error.to_string()])))
+}
+
+/// Whether a file was written long ago. One whose time lies ahead was not, as far as can be said.
+fn is_old(stamp: Option<(SystemTime, u64)>) -> bool {
+    let age = stamp.and_then(|(changed, _)| SystemTime::now().duration_since(changed).ok());
+    age.is_some_and(|age| age >= SETTLE_TIME)
 }
 
 /// Stops the node, or reads its settings again, when a signal asks for it, and when the file has changed without one.
@@ -129,22 +143,22 @@
                 Request::Stop => node.stop.notify_one(),
                 Request::Reload => {
                     held = stamp(&path);
-                    reload(&node, &path);
+                    reload(&node, &path).await;
                 }
             },
             () = tokio::time::sleep(CHANGE_LOOK) => {
                 let now = stamp(&path);
                 if now != held {
                     held = now;
-                    reload(&node, &path);
+                    reload(&node, &path).await;
                 }
             }
         }
     }
 }
 
-fn reload(node: &Node, path: &Path) {
-    match Settings::load(path) {
+async fn reload(node: &Node, path: &Path) {
+    match load(path).await {
         Ok(settings) => node.reload(&settings),
         Err(error) => {
             let obstacle: Obstacle = error.obstacle();
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! The `emberturn` binary: parses the command line and dispatches.
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use bpaf::{Args, ParseFailure};
@@ -22,7 +23,8 @@
     match cmd::execute(command) {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("emberturn: {error:#}");
+            // Nobody may read it, or its disk may be full.
+            let _ = writeln!(std::io::stderr(), "emberturn: {error:#}");
             ExitCode::from(cmd::exit::FAILED)
         }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -275,6 +275,9 @@
     /// # Errors
     /// As [`Settings::load`].
     pub fn parse(name: &str, text: &str) -> Result<Self, SettingsError> {
+        if text.trim().is_empty() {
+            return Err(SettingsError::empty(name));
+        }
         let mut reader = Reader::new(name, text)?;
         let node = read_node(&mut reader);
         let entry = read_entry(&mut reader);
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -43,6 +43,11 @@
         Self { faults, obstacle: Obstacle::SettingsIncomplete }
     }
 
+    pub(crate) fn empty(name: &str) -> Self {
+        let faults = vec![format!("{name}: is empty")];
+        Self { faults, obstacle: Obstacle::SettingsIncomplete }
+    }
+
     /// What keeps the node from its settings.
     pub const fn obstacle(&self) -> Obstacle {
         self.obstacle
--- a/tests/own_ends.rs
+++ b/tests/own_ends.rs
@@ -357,6 +357,30 @@
     assert_eq!(ended.code(), Some(0), "{ended:?}");
 }
 
+/// Guards against an end by a line that cannot be written.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_are_waited_for_though_standard_error_takes_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("node.ini");
+    std::fs::write(&path, "").unwrap();
+    let full = std::fs::OpenOptions::new().write(true).open("/dev/full").unwrap();
+    let mut child = Command::new(binary("emberturn"))
+        .arg("node")
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .stderr(full)
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    // By then it has read the empty file, and said so.
+    let ends = tokio::time::timeout(Duration::from_secs(1), child.wait()).await;
+    assert!(ends.is_err(), "{ends:?}");
+    std::fs::write(&path, ENTRY).unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let line = tokio::time::timeout(PATIENCE, lines.next_line()).await.unwrap().unwrap();
+    assert!(line.unwrap_or_default().contains("event=started"));
+}
+
 #[parameterized(empty = { 0.0 }, half = { 0.5 }, last_tenth_missing = { 0.9 })]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 async fn settings_that_are_being_written_are_waited_for(share: f64) {
