Disks: a hanging one is told of, and a database that breaks off twice is corrupt

Found by a review. A leader whose disk hung in a write for 11 s wrote no line of it and was known to lead all the while, beside the one that was elected, as both were tied to an error of the disk. A leader that had waited might count confirmations of before the wait for one message.

Change: the tick looks whether a write takes over 2 s, says so (storage_stalled, every 10 s) and has the blackboard forget that this replica leads; an opening that hangs is told of too. The second interruption in a row is corruption, which ends the replica. The clock is read again behind each write.

--- a/src/group/disk.rs
+++ b/src/group/disk.rs
@@ -7,7 +7,7 @@
 use ractor::ActorProcessingErr;
 
 use super::storage::{Batch, Storage, StorageError};
-use crate::obstacle::{Remedy, Wait};
+use crate::obstacle::{Obstacle, Remedy, Wait};
 use crate::sync::lock;
 
 /// Pause after a write, or an attempt to open the storage, that failed.
@@ -24,6 +24,8 @@
     Idle,
     /// It writes, since then.
     Writing(Instant),
+    /// It has written for too long.
+    Stalled(Wait),
     /// It refuses.
     Refusing(Wait),
 }
@@ -41,10 +43,31 @@
         match *lock(&self.state) {
             DiskState::Idle => None,
             DiskState::Writing(since) => Some(since.elapsed()).filter(|time| *time > STALL_TIME),
-            DiskState::Refusing(wait) => Some(wait.lasted(Instant::now())),
+            DiskState::Stalled(wait) | DiskState::Refusing(wait) => {
+                Some(wait.lasted(Instant::now()))
+            }
         }
     }
 
+    /// Looks whether the disk stands still, and says so from time to time. Returns whether that is new.
+    pub fn check_stalled(&self) -> bool {
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        let (mut wait, is_first) = match *state {
+            DiskState::Writing(since) if now.duration_since(since) > STALL_TIME => {
+                (Wait::begin(since), true)
+            }
+            DiskState::Stalled(wait) => (wait, false),
+            _ => return false,
+        };
+        if wait.is_due(now) {
+            let ms = wait.lasted(now).as_millis() as u64;
+            tracing::error!(event = "storage_stalled", obstacle = %Obstacle::DiskRefuses, ms);
+        }
+        *state = DiskState::Stalled(wait);
+        is_first
+    }
+
     /// The disk is asked for something.
     pub fn begin(&self) {
         let mut state = lock(&self.state);
@@ -59,6 +82,7 @@
         let now = Instant::now();
         let (mut wait, is_first) = match *state {
             DiskState::Refusing(wait) => (wait, false),
+            DiskState::Stalled(wait) => (wait, true),
             DiskState::Idle | DiskState::Writing(_) => (Wait::begin(now), true),
         };
         if wait.is_due(now) {
@@ -72,13 +96,35 @@
     /// The disk did what it was asked.
     pub fn end(&self) {
         let before = std::mem::replace(&mut *lock(&self.state), DiskState::Idle);
-        if let DiskState::Refusing(wait) = before {
+        if let DiskState::Stalled(wait) | DiskState::Refusing(wait) = before {
             let ms = wait.lasted(Instant::now()).as_millis() as u64;
             tracing::info!(event = "storage_back", ms);
         }
     }
 }
 
+/// Tells a database that breaks off again and again on what it holds from one that a failing disk stopped.
+#[derive(Debug, Default)]
+pub struct Interruptions {
+    is_repeated: bool,
+}
+
+impl Interruptions {
+    /// What an attempt failed by. The second interruption in a row is no chance.
+    pub fn judge(&mut self, error: StorageError) -> StorageError {
+        let was_interrupted = std::mem::take(&mut self.is_repeated);
+        match error {
+            StorageError::Interrupted { path } if was_interrupted => {
+                StorageError::Corrupt { path, what: "the database".to_owned() }
+            }
+            error => {
+                self.is_repeated = matches!(error, StorageError::Interrupted { .. });
+                error
+            }
+        }
+    }
+}
+
 /// Stores a batch. What was said to be stored must be, so nothing else happens until it is. `refused` is
 /// called when the disk refuses it for the first time.
 ///
@@ -95,7 +141,9 @@
     }
     let batch = Arc::new(batch);
     disk.begin();
+    let mut interruptions = Interruptions::default();
     while let Err(error) = try_store(storage, &batch).await? {
+        let error = interruptions.judge(error);
         let obstacle = error.obstacle();
         if obstacle.remedy() == Remedy::End {
             tracing::error!(event = "storage_lost", %obstacle, %error);
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -195,7 +195,7 @@
             epoch,
             disk,
         } = arguments;
-        tokio::spawn(tick(myself, disk.clone()));
+        tokio::spawn(tick(myself, disk.clone(), board.clone()));
         Ok(DriverState {
             identity,
             storage: Arc::new(storage),
@@ -269,12 +269,16 @@
     }
 }
 
-/// Has the actor look at the clock, but for the time in which it waits for its disk.
-async fn tick(actor: ActorRef<GroupMessage>, disk: Arc<DiskWatch>) {
+/// Has the actor look at the clock, but for the time in which it waits for its disk. A leader that does is not known to
+/// lead meanwhile.
+async fn tick(actor: ActorRef<GroupMessage>, disk: Arc<DiskWatch>, board: Arc<Blackboard>) {
     let mut timer = tokio::time::interval(TICK);
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         timer.tick().await;
+        if disk.check_stalled() {
+            board.note_leading(None);
+        }
         if disk.waits().is_none() && actor.cast(GroupMessage::Tick).is_err() {
             return;
         }
@@ -525,7 +529,10 @@
     }
 
     /// Stores a batch. A leader that waits for its disk is not known to lead meanwhile.
-    async fn store(&self, batch: Batch) -> Result<(), ActorProcessingErr> {
-        disk::store(&self.storage, batch, &self.disk, || self.board.note_leading(None)).await
+    async fn store(&mut self, batch: Batch) -> Result<(), ActorProcessingErr> {
+        disk::store(&self.storage, batch, &self.disk, || self.board.note_leading(None)).await?;
+        // What was confirmed before a long wait does not count behind it.
+        self.core.observe(core_clock(self.epoch, clock::now()));
+        Ok(())
     }
 }
--- a/src/group/storage.rs
+++ b/src/group/storage.rs
@@ -59,7 +59,7 @@
         what: String,
     },
     /// The library gave up in the middle.
-    #[error("{path}: the write was interrupted")]
+    #[error("{path}: the database broke off")]
     Interrupted {
         /// The file.
         path: PathBuf,
@@ -131,7 +131,7 @@
         group: u32,
         box_id: &BoxId,
     ) -> Result<(Self, Stored, Incarnation), StorageError> {
-        let path = folder.join(format!("group-{group}.redb"));
+        let path = Self::path(folder, group);
         fs::create_dir_all(folder).map_err(|error| refused(folder, error))?;
         if !is_complete(&path)? {
             create(&path, box_id)?;
@@ -298,6 +298,11 @@
         StorageError::Interrupted { path: self.path.clone() }
     }
 
+    /// The file of a group in `folder`.
+    pub fn path(folder: &Path, group: u32) -> PathBuf {
+        folder.join(format!("group-{group}.redb"))
+    }
+
     fn corrupt(&self, what: String) -> StorageError {
         StorageError::Corrupt { path: self.path.clone(), what }
     }
--- a/src/node/replica.rs
+++ b/src/node/replica.rs
@@ -1,5 +1,7 @@
 //! A node's replica: opens its storage and starts its actor; asks it whether it leads.
 
+use std::path::PathBuf;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,12 +15,12 @@
 use crate::decide::share::Lessor;
 use crate::group::core::{Core, Identity, Stored};
 use crate::group::directory::Directory;
-use crate::group::disk::{DiskWatch, RETRY_PAUSE};
+use crate::group::disk::{DiskWatch, Interruptions, RETRY_PAUSE};
 use crate::group::driver::{Driver, DriverArguments, GroupMessage, core_clock, decode_machine};
 use crate::group::links::Links;
 use crate::group::replica::Replica;
 use crate::group::storage::{Storage, StorageError};
-use crate::ids::{Incarnation, Term};
+use crate::ids::{BoxId, Incarnation, Term};
 use crate::obstacle::{Obstacle, Remedy};
 use crate::peer::Peers;
 use crate::settings::Settings;
@@ -32,6 +34,9 @@
 /// still until the disk lets the storage be opened.
 const OPEN_TIME: Duration = Duration::from_secs(1);
 
+/// Time between two looks at whether the disk stands still while the storage is opened.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What a replica is started with.
 pub(super) struct ReplicaContext {
     pub(super) settings: Settings,
@@ -96,23 +101,41 @@
 async fn open_storage(settings: &Settings, disk: &DiskWatch) -> Result<Opened, StorageError> {
     let own = settings.node.box_id.clone();
     let folder = settings.node.data_folder.clone().unwrap_or_default();
+    let mut interruptions = Interruptions::default();
     disk.begin();
     loop {
-        let (folder, own) = (folder.clone(), own.clone());
-        let opening = tokio::task::spawn_blocking(move || Storage::open(&folder, GROUP, &own));
-        match opening.await {
-            Ok(Ok(opened)) => {
+        let error = match watched(disk, open_once(folder.clone(), own.clone())).await {
+            Ok(opened) => {
                 disk.end();
                 return Ok(opened);
             }
-            Ok(Err(error)) if error.obstacle().remedy() == Remedy::End => return Err(error),
-            Ok(Err(error)) => drop(disk.refuse(&error)),
-            Err(error) => tracing::error!(event = "storage_not_opened", %error),
+            Err(error) => interruptions.judge(error),
+        };
+        if error.obstacle().remedy() == Remedy::End {
+            return Err(error);
         }
+        disk.refuse(&error);
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
+async fn open_once(folder: PathBuf, own: BoxId) -> Result<Opened, StorageError> {
+    let path = Storage::path(&folder, GROUP);
+    let opening = tokio::task::spawn_blocking(move || Storage::open(&folder, GROUP, &own));
+    opening.await.unwrap_or(Err(StorageError::Interrupted { path }))
+}
+
+/// Waits for something of the disk, and has it told of that it takes long.
+async fn watched<T>(disk: &DiskWatch, work: impl Future<Output = T>) -> T {
+    let mut work = pin!(work);
+    loop {
+        match tokio::time::timeout(WATCH_INTERVAL, work.as_mut()).await {
+            Ok(result) => return result,
+            Err(_) => drop(disk.check_stalled()),
+        }
+    }
+}
+
 async fn spawn_actor(
     context: ReplicaContext,
     (storage, stored, life): Opened,
