Tasks and actors: what a restart or an end leaves behind

Found by a review, by reading. The reporter of limits began its numbers anew when it was started again, so the leader passed over its reports for as long as the box had run; work that a restarted task no longer watched over ran on without its lease, and might run twice; nobody was told that the actor that spreads news had ended. Lines about connections that cannot be accepted and signals that are ignored came without a bound.

Change: the number is kept with the relay; work is aborted with the task that watches over it, but for a node that drains; the end of an actor ends the node (`actor_ended`); these lines come every 10 s at most. What is left open is in docs/design/26-what-ends-a-process.md.

--- a/src/cmd/signals.rs
+++ b/src/cmd/signals.rs
@@ -1,9 +1,12 @@
 //! Signals to a node.
 
 use std::io;
+use std::time::Instant;
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use crate::obstacle::Wait;
+
 /// Sent when a file would grow beyond the limit of the process; the write that it is sent for fails as well.
 const FILE_SIZE_EXCEEDED: i32 = 25;
 
@@ -13,6 +16,7 @@
     interrupt: Signal,
     hangup: Signal,
     ignored: [Signal; 3],
+    wait: Wait,
 }
 
 /// What a signal asks for.
@@ -39,6 +43,7 @@
                 signal(SignalKind::user_defined2())?,
                 signal(SignalKind::from_raw(FILE_SIZE_EXCEEDED))?,
             ],
+            wait: Wait::begin(Instant::now()),
         })
     }
 
@@ -54,7 +59,9 @@
                 _ = user2.recv() => "SIGUSR2",
                 _ = file_size.recv() => "SIGXFSZ",
             };
-            tracing::warn!(event = "signal_ignored", signal = ignored);
+            if self.wait.is_due(Instant::now()) {
+                tracing::warn!(event = "signal_ignored", signal = ignored);
+            }
         }
     }
 
--- a/src/control/throttle.rs
+++ b/src/control/throttle.rs
@@ -6,6 +6,7 @@
 //! so that boxes and replicas of neighbouring releases understand each other.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -80,7 +81,6 @@
     access: Access,
     box_id: BoxId,
     incarnation: Incarnation,
-    seq: u64,
     /// The leader's clock in its last reply, and when that arrived.
     clock: Option<(LeaderClock, Instant)>,
 }
@@ -92,8 +92,7 @@
     box_id: BoxId,
     incarnation: Incarnation,
 ) {
-    let mut reporter =
-        Reporter { relay: relay.clone(), access, box_id, incarnation, seq: 0, clock: None };
+    let mut reporter = Reporter { relay: relay.clone(), access, box_id, incarnation, clock: None };
     loop {
         if relay.throttles().is_empty() {
             relay.limit_changed.notified().await;
@@ -118,7 +117,9 @@
                 self.clock = Some((reply.clock, now));
                 self.relay.throttles().apply_leases(&reply.leases, sent, now);
             }
-            Err(error) => tracing::debug!(event = "throttle_unanswered", %error, turn = self.seq),
+            Err(error) => {
+                tracing::debug!(event = "throttle_unanswered", %error, turn = request.seq)
+            }
         }
     }
 
@@ -132,12 +133,13 @@
         if limits.is_empty() {
             return None;
         }
-        self.seq += 1;
+        // Kept with the relay: the leader passes over a lower number of the same incarnation.
+        let seq = self.relay.limit_report.fetch_add(1, Ordering::Relaxed) + 1;
         let clock = self.clock.map(|(LeaderClock { term, at }, received_at)| LeaderClock {
             term,
             at: Millis::from(at.duration() + now.saturating_duration_since(received_at)),
         });
-        let (box_id, incarnation, seq) = (self.box_id.clone(), self.incarnation, self.seq);
+        let (box_id, incarnation) = (self.box_id.clone(), self.incarnation);
         Some(ThrottleRequest { version: VERSION, box_id, incarnation, seq, clock, limits })
     }
 }
--- a/src/control/work.rs
+++ b/src/control/work.rs
@@ -43,6 +43,13 @@
     tasks: BTreeMap<WorkId, (Fence, JoinHandle<()>)>,
 }
 
+/// Work that is no longer watched over would outlast its lease, and run a second time elsewhere.
+impl Drop for RunningWork {
+    fn drop(&mut self) {
+        self.tasks.values().for_each(|(_, task)| task.abort());
+    }
+}
+
 /// Claims and runs work until the node drains. What is unfinished then is claimed by other nodes once its lease ends.
 pub(crate) async fn run(node: Arc<Node>) {
     let mut running = RunningWork::default();
@@ -54,6 +61,8 @@
             Some(id) = endings.recv() => { running.tasks.remove(&id); }
         }
         if node.board.phase() == Phase::Draining {
+            // What runs may still end.
+            running.tasks.clear();
             return;
         }
         claim_work(&node, &mut running, &ended).await;
--- a/src/http/listen.rs
+++ b/src/http/listen.rs
@@ -40,11 +40,14 @@
 
 /// Accepts the next connection, however often that fails before.
 pub async fn accept(listener: &TcpListener) -> TcpStream {
+    let mut wait = Wait::begin(Instant::now());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => return stream,
             Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
+                if wait.is_due(Instant::now()) {
+                    tracing::warn!(event = "accept_failed", %error);
+                }
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/src/node/news.rs
+++ b/src/node/news.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, eyre};
 use ractor::Actor;
 use ractor::rpc::CallResult;
 
@@ -11,6 +11,7 @@
 use crate::ids::{BackendId, BoxId};
 use crate::member::spread::{Gossip, GossipActor, GossipArguments, GossipMessage};
 use crate::member::table::{BackendReport, BoxRecord, BoxState, MembershipUpdates};
+use crate::obstacle::Obstacle;
 
 impl Node {
     /// Starts the actor that passes news on; the node's addresses are known by then.
@@ -33,8 +34,13 @@
             board: self.board.clone(),
         };
         let spawned = Actor::spawn(None, GossipActor, arguments).await;
-        let (actor, _) = spawned.wrap_err("start the spreading of news")?;
+        let (actor, end) = spawned.wrap_err("start the spreading of news")?;
         let _ = self.spread.set(actor);
+        let node = self.clone();
+        tokio::spawn(async move {
+            let _ = end.await;
+            node.fail(eyre!("{}: the spreading of news", Obstacle::ActorEnded));
+        });
         Ok(())
     }
 
--- a/src/node/replica.rs
+++ b/src/node/replica.rs
@@ -89,7 +89,7 @@
         Ok((actor, end)) => {
             replica.open(actor);
             let _ = end.await;
-            eyre!("{}", Obstacle::ReplicaEnded)
+            eyre!("{}: the replica", Obstacle::ActorEnded)
         }
         Err(error) => error,
     }
--- a/src/obstacle.rs
+++ b/src/obstacle.rs
@@ -28,8 +28,8 @@
     StorageCorrupt,
     /// What is stored belongs to another box.
     StorageForeign,
-    /// The replica's actor has ended: what it holds in memory cannot be trusted, what is stored can.
-    ReplicaEnded,
+    /// An actor that the node depends on has ended: what it held in memory cannot be trusted, what is stored can.
+    ActorEnded,
 }
 
 /// What a node does about an obstacle.
@@ -52,7 +52,7 @@
             Self::DiskRefuses => Remedy::Wait,
             Self::StorageCorrupt => Remedy::End,
             Self::StorageForeign => Remedy::End,
-            Self::ReplicaEnded => Remedy::End,
+            Self::ActorEnded => Remedy::End,
         }
     }
 
@@ -77,7 +77,7 @@
             Self::DiskRefuses => "disk_refuses",
             Self::StorageCorrupt => "storage_corrupt",
             Self::StorageForeign => "storage_foreign",
-            Self::ReplicaEnded => "replica_ended",
+            Self::ActorEnded => "actor_ended",
         })
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -75,7 +75,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
@@ -207,6 +207,8 @@
     pub(crate) demand_requested: Notify,
     /// Notified when the rate limit of a backend server changes.
     pub(crate) limit_changed: Notify,
+    /// The number of the last report of limits.
+    pub(crate) limit_report: AtomicU64,
     /// Notified when the leader has answered a heartbeat or an allowance request.
     pub(crate) leader_replied: Notify,
 }
@@ -259,6 +261,7 @@
             heartbeat_requested: Notify::new(),
             demand_requested: Notify::new(),
             limit_changed: Notify::new(),
+            limit_report: AtomicU64::new(0),
             leader_replied: Notify::new(),
         }
     }
