--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -2,11 +2,14 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eyre::{Result, WrapErr, eyre};
-use jsonrpsee::server::{ServerBuilder, ServerConfig, ServerHandle};
+use eyre::{Result, eyre};
+use jsonrpsee::server::{
+    Methods, ServerBuilder, ServerConfig, ServerHandle, serve_with_graceful_shutdown, stop_channel,
+};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::{Extensions, RpcModule};
 use serde::Serialize;
@@ -27,7 +30,7 @@
 use crate::group::driver::{GroupMessage, Unanswered};
 use crate::group::message::{Envelope, MemberChange, Members};
 use crate::group::replica::Replica;
-use crate::http::listen::listen;
+use crate::http::listen::{accept, listen};
 use crate::member::spread::{self, Gossip};
 use crate::member::table::MembershipUpdates;
 use crate::node::Node;
@@ -66,12 +69,29 @@
         .max_request_body_size(MESSAGE_LIMIT)
         .max_response_body_size(MESSAGE_LIMIT)
         .build();
-    let listener = listen(addr, "nodes").await?.into_std()?;
-    let server = ServerBuilder::with_config(config)
-        .build_from_tcp(listener)
-        .wrap_err_with(|| format!("listen for nodes on {addr}"))?;
-    let addr = server.local_addr()?;
-    let handle = server.start(methods(node)?);
+    let listener = listen(addr, "nodes").await?;
+    let addr = listener.local_addr()?;
+    let service = ServerBuilder::with_config(config).to_service_builder();
+    let methods: Methods = methods(node)?.into();
+    let (stop, handle) = stop_channel();
+    // The library's own loop does not pause while descriptors have run out.
+    tokio::spawn(async move {
+        let mut stopped = pin!(stop.clone().shutdown());
+        loop {
+            let stream = tokio::select! {
+                stream = accept(&listener) => stream,
+                () = &mut stopped => return,
+            };
+            let _ = stream.set_nodelay(true);
+            let service = service.clone().build(methods.clone(), stop.clone());
+            let connection = serve_with_graceful_shutdown(stream, service, stop.clone().shutdown());
+            tokio::spawn(async move {
+                if let Err(error) = connection.await {
+                    tracing::debug!(event = "node_connection_ended", %error);
+                }
+            });
+        }
+    });
     Ok(PeerServer { addr, _handle: handle })
 }
 
