Commands: a connection that takes long is waited for

Seen: operators' commands ended with `Connection timeout exceeded: 300ms` beside load (`emberturn form` in 1 of 4 runs of the configuration tests, `emberturn quarantine` in 1 of 8 of its tests). Boxes among themselves come back after a connection that takes long; a command makes each of them once. The class of this incident: a passing state is taken as final.

Change: commands wait 2 s for a connection, longer than a first packet that is sent again takes.

--- a/src/cmd/operator.rs
+++ b/src/cmd/operator.rs
@@ -46,7 +46,7 @@
 impl Contact {
     /// Connections with the contact's secret.
     pub fn peers(&self) -> Peers {
-        Peers::new(&self.secret)
+        Peers::patient(&self.secret)
     }
 
     /// Asks the first node that answers.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -26,6 +26,9 @@
 /// is sent again only after a second: a new connection is sooner there.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 
+/// The same for a command, which does not come back: longer than a first packet that is sent again takes.
+const PATIENT_CONNECT_TIME: Duration = Duration::from_secs(2);
+
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum PeerError {
@@ -60,6 +63,7 @@
 
 struct Peer {
     addr: SocketAddr,
+    connect_time: Duration,
     client: Mutex<Option<Arc<WsClient>>>,
     /// Whether the last call failed as one side could not read the other.
     is_unreadable: AtomicBool,
@@ -77,7 +81,7 @@
             return Ok(client.clone());
         }
         let builder = WsClientBuilder::new()
-            .connection_timeout(CONNECT_TIME)
+            .connection_timeout(self.connect_time)
             .max_request_size(MESSAGE_LIMIT)
             .max_response_size(MESSAGE_LIMIT)
             .request_timeout(Duration::from_secs(30));
@@ -139,22 +143,29 @@
 #[derive(Clone)]
 pub struct Peers {
     secret: Arc<str>,
+    connect_time: Duration,
     peers: Arc<SyncMutex<HashMap<SocketAddr, Arc<Peer>>>>,
 }
 
 impl Peers {
     /// No connections yet; `secret` is sent with every call.
     pub fn new(secret: &str) -> Self {
-        Self { secret: secret.into(), peers: Arc::default() }
+        Self { secret: secret.into(), connect_time: CONNECT_TIME, peers: Arc::default() }
+    }
+
+    /// Connections of a command, which makes each of them once.
+    pub fn patient(secret: &str) -> Self {
+        Self { connect_time: PATIENT_CONNECT_TIME, ..Self::new(secret) }
     }
 
     fn peer(&self, addr: SocketAddr) -> Arc<Peer> {
         let mut peers = lock(&self.peers);
+        let connect_time = self.connect_time;
         let new = || {
             let client = Mutex::new(None);
             let (is_unreadable, is_silent) = (AtomicBool::new(false), AtomicBool::new(false));
             let (sent, heard) = (AtomicU64::new(0), AtomicU64::new(0));
-            Arc::new(Peer { addr, client, is_unreadable, is_silent, sent, heard })
+            Arc::new(Peer { addr, connect_time, client, is_unreadable, is_silent, sent, heard })
         };
         peers.entry(addr).or_insert_with(new).clone()
     }
